--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Makefile -- Setting up, testing and trying mountladder
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/core packages/entry packages/standins packages/cli
+
+.PHONY: setup demo test bench lint format
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.lock $(PACKAGES:%=%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=-e %)
+	touch $@
+
+demo: setup
+	$(BIN)/mountladder demo
+
+test: setup
+	$(BIN)/python features/run.py
+
+bench: setup
+	$(BIN)/python bench/run.py
+
+lint: setup
+	$(BIN)/black --check --quiet packages features bench
+	$(BIN)/ruff check packages features bench
+
+format: setup
+	$(BIN)/black --quiet packages features bench
+	$(BIN)/ruff check --fix packages features bench
--- /dev/null
+++ b/features/atmostonce.feature
@@ -0,0 +1,144 @@
+@virtual
+Feature: Non-idempotent requests run at most once
+  Background:
+    Given a fleet of instances a-1, a-2, b-1
+
+  Scenario: Without a key it is refused
+    When "a-1" is sent "push" as "one"
+    Then "one" ends as not_run 1004
+    And "push" ran 0 times
+
+  Scenario: The same key at two data centres at once
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "one" ends as done
+    And "two" ends as unknown 1009
+    And "push" ran 1 times
+
+  Scenario: The same key at one instance at once
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And "a-1" is sent "push" as "two" with {"key": "k"}
+    Then "one" ends as done
+    And "one" and "two" have the same answer
+    And "push" ran 1 times
+
+  Scenario: A repeat of a finished request gets the same answer anywhere
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And 500 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "one" ends as done
+    And "one" and "two" have the same answer
+    And "push" ran 1 times
+
+  Scenario: A key used with another body is refused
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And 500 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k", "input": {"room": 2}}
+    Then "two" ends as not_run 1005
+    And "push" ran 1 times
+
+  Scenario: The answer to the claim is lost
+    Given the platform all has faults {"lose_answers": 1}
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    Then "one" ends as done
+    And "push" ran 1 times
+
+  Scenario: The store is down, so a key of the caller's own is refused and nothing runs
+    Given the platform all has faults {"down": true}
+    When "a-1" is sent "push" as "one" with {"key": "k", "first": true}
+    Then "one" ends as not_run 2006
+    And "encode" ran 0 times
+    When the platform all has faults {}
+    And 500 ms pass
+    And "a-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as done
+    And "push" ran 1 times
+
+  Scenario: The store is down and an issued key is served all the same
+    Given the platform all has faults {"down": true}
+    When "a-1" issues a key and is sent "push" with it as "one"
+    And "b-1" is sent the issued key for "push" as "two"
+    Then "one" ends as done
+    And "two" ends as done
+    And "one" and "two" have the same answer
+    And "push" ran 1 times
+
+  Scenario: One data centre is cut off from the platform and claims through another
+    Given the link a-1 has faults {"down": true}
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And 2000 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "one" ends as done
+    And "one" and "two" have the same answer
+    And "push" ran 1 times
+
+  Scenario: A repeat is not told that nothing ran while nobody can look
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    Then "one" ends as done
+    When the platform all has faults {"down": true}
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as unknown 2006
+    And "push" ran 1 times
+
+  Scenario: The instance dies while the request runs
+    Given the server desk-1 has faults {"stall": true}
+    And the server desk-2 has faults {"stall": true}
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    And 1000 ms pass
+    And instance a-1 is killed
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as unknown 1009
+    When 60000 ms pass
+    And "b-1" is sent "push" as "three" with {"key": "k"}
+    Then "three" ends as unknown 1010
+    And "push" ran 1 times
+
+  Scenario: The home of an issued key dies
+    Given the server desk-1 has faults {"stall": true}
+    And the server desk-2 has faults {"stall": true}
+    When "a-1" issues a key and is sent "push" with it as "one"
+    And 1000 ms pass
+    And instance a-1 is killed
+    And "b-1" is sent the issued key for "push" as "two"
+    Then "two" ends as unknown 1008
+    And "push" ran 1 times
+
+  Scenario: The outcome of a non-idempotent stage is lost
+    Given the server desk-1 has faults {"lose_answers": 1}
+    And the server desk-2 has faults {"lose_answers": 1}
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    Then "one" ends as unknown 3006
+    When 500 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as unknown 1010
+    And "push" ran 1 times
+
+  Scenario: The deadline passes while a push runs, and a repeat gets its answer
+    Given the server desk-1 has faults {"slow_ms": 3000}
+    And the server desk-2 has faults {"slow_ms": 3000}
+    When "a-1" is sent "push" as "one" with {"key": "k", "deadline_ms": 1000}
+    Then "one" ends as unknown 3006
+    And "one" took less than 1050 ms
+    When 4000 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as done
+    And "push" ran 1 times
+
+  Scenario: A refused request gives its key back
+    Given the server small-1 has faults {"down": true}
+    And the server small-2 has faults {"down": true}
+    When "a-1" is sent "push" as "one" with {"key": "k"}
+    Then "one" ends as not_run 2008
+    When the server small-1 has faults {}
+    And the server small-2 has faults {}
+    And 3000 ms pass
+    And "b-1" is sent "push" as "two" with {"key": "k"}
+    Then "two" ends as done
+    And "push" ran 1 times
+
+  Scenario: A request marked as non-idempotent runs no stage twice
+    Given the server small-1 has faults {"lose_answers": 1}
+    And the server small-2 has faults {"lose_answers": 1}
+    When "a-1" is sent "reply" as "one" with {"key": "k", "idempotent": false}
+    Then "one" ends as unknown 3006
+    And "encode" ran 1 times
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,42 @@
+# environment.py -- Fixtures that scenarios share
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Fixtures that scenarios share."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from contextlib import ExitStack
+
+import gevent
+from behave import fixture, use_fixture
+
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins.localfleet import LocalFleet
+
+
+@fixture
+def virtual_fleet(context):
+    clock = VirtualClock()
+    context.clock = clock
+    context.fleet = LocalFleet(clock)
+    context.run = lambda function, *args, **kw: clock.run(gevent.spawn(function, *args, **kw))
+    context.outcomes = {}
+    context.tasks = {}
+    yield context.fleet
+    context.fleet.stop()
+
+
+@fixture
+def owned(context):
+    with ExitStack() as stack:
+        context.stack = stack
+        yield stack
+
+
+def before_scenario(context, scenario):
+    use_fixture(owned, context)
+    if "virtual" in scenario.effective_tags:
+        use_fixture(virtual_fleet, context)
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,124 @@
+# fleet_steps.py -- Steps that build and use a fleet
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps that build and use a fleet."""
+
+import json
+
+from basics import BASE, SERVERS
+from basics import send as send_request
+from behave import given, then, when
+
+from mountladder.documents import parse_documents
+from mountladder_standins.faults import Faults
+
+
+@given("a fleet of instances {names}")
+def start_fleet(context, names):
+    fleet = context.fleet
+
+    def begin():
+        fleet.append([*parse_documents(BASE, "base"), *SERVERS])
+        for name in names.split(", "):
+            fleet.start(name, name[0])
+        fleet.wait_ready()
+        context.clock.sleep(6_000.0)
+
+    context.run(begin)
+
+
+@when('"{to}" is sent "{pipeline}" as "{label}" with {options}')
+def send_with(context, to, pipeline, label, options):
+    send_request(context, to, pipeline, label, json.loads(options))
+
+
+@when('"{to}" is sent "{pipeline}" as "{label}"')
+def send(context, to, pipeline, label):
+    send_request(context, to, pipeline, label, {})
+
+
+@when("{ms:d} ms pass")
+def pass_time(context, ms):
+    context.run(context.clock.sleep, float(ms))
+
+
+@given("the {kind} {name} has faults {faults}")
+@when("the {kind} {name} has faults {faults}")
+def set_faults(context, kind, name, faults):
+    value = Faults.read(json.loads(faults))
+    if kind == "platform":
+        context.fleet.standin.set_faults(value)
+    elif kind == "link":
+        context.fleet.cut_platform(name, value)
+    else:
+        context.fleet.servers[name].faults = value
+
+
+@when("instance {name} is killed")
+def kill(context, name):
+    context.run(context.fleet.kill, name)
+
+
+@when("instance {name} is started in {datacentre}")
+def start(context, name, datacentre):
+    context.run(context.fleet.start, name, datacentre)
+
+
+@when("data centres {first} and {second} are cut off from each other")
+def cut(context, first, second):
+    context.fleet.network.cut.add(frozenset({first, second}))
+
+
+@when("data centres {first} and {second} reach each other again")
+def heal(context, first, second):
+    context.fleet.network.cut.discard(frozenset({first, second}))
+
+
+def outcome(context, label):
+    if label not in context.outcomes:
+        context.outcomes[label] = context.clock.run(context.tasks[label])
+    return context.outcomes[label]
+
+
+@then('"{label}" ends as {result} {code:d}')
+def ends_as(context, label, result, code):
+    got = outcome(context, label)
+    assert (got.result, got.code) == (result, code), got
+
+
+@then('"{label}" ends as done')
+def ends_done(context, label):
+    ends_as(context, label, "done", 0)
+
+
+@then('"{label}" has tokens 1 to {last:d} once each')
+def has_tokens(context, label, last):
+    assert outcome(context, label).tokens == tuple(range(1, last + 1)), outcome(context, label)
+
+
+@then('"{first}" and "{second}" have the same answer')
+def same_answer(context, first, second):
+    assert outcome(context, first).answer == outcome(context, second).answer
+    assert outcome(context, first).answer
+
+
+@then('"{work}" ran {times:d} times')
+def ran_times(context, work, times):
+    assert len(context.fleet.ran(work)) == times, context.fleet.ran(work)
+
+
+@then('"{work}" never ran on {name}')
+def never_ran_on(context, work, name):
+    assert all(one.work != work for one in context.fleet.servers[name].ran)
+
+
+@then('instance {name} counted "{counter}" {times:d} times')
+def counted(context, name, counter, times):
+    counts = context.fleet.runtimes[name].metrics.counts
+    assert counts[counter] == times, dict(counts)
+
+
+@then('"{label}" took less than {ms:d} ms')
+def took(context, label, ms):
+    assert outcome(context, label).took_ms < ms, outcome(context, label)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/configuring.py
@@ -0,0 +1,176 @@
+# configuring.py -- Commands that read and change the configuration
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Commands that read and change the configuration."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from mountladder.document import Document
+from mountladder.documents import KINDS, parse_documents
+from mountladder.errors import DocumentError
+from mountladder_cli import porcelain
+from mountladder_cli.applied import Applied
+from mountladder_cli.session import EXIT_FAILED, Session
+
+WAIT_MS = 10_000.0
+KIND = click.Choice(sorted(KINDS))
+FILES = click.option(
+    "-f", "--file", "files", multiple=True, required=True, type=click.Path(path_type=Path)
+)
+
+
+def read_files(files: tuple[Path, ...]) -> list[Document]:
+    """Return the documents of some files.
+
+    Raises:
+        DocumentError: A file cannot be read.
+        ExceptionGroup: Of an error for each fault in them.
+    """
+    documents: list[Document] = []
+    for path in files:
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise DocumentError(f"{path}: cannot be read: {error}") from error
+        documents.extend(parse_documents(text, str(path)))
+    return documents
+
+
+def show_applied(session: Session, applied: Applied) -> None:
+    """Print the outcome of a change."""
+    table = {
+        "revision": applied.revision,
+        "changed": list(applied.changed),
+        "warnings": [str(warning) for warning in applied.warnings],
+    }
+    lines = [f"revision {applied.revision}"]
+    lines += [f"  changed {key}" for key in applied.changed]
+    lines += [f"  warning {warning}" for warning in applied.warnings]
+    session.show(table, lambda: "\n".join(lines))
+
+
+@click.command("apply")
+@FILES
+@click.option("--revision", type=int, help="The revision that the change is made against.")
+@click.option("--wait", is_flag=True, help="Wait until every live instance has it in force.")
+@click.pass_obj
+def apply(session: Session, files: tuple[Path, ...], revision: int | None, wait: bool) -> None:
+    """Add or replace documents, all or none."""
+    behind = []
+    with session.platform() as platform:
+        documents = read_files(files)
+        applied = porcelain.apply(platform, session.clock, session.author, documents, revision)
+        show_applied(session, applied)
+        if wait:
+            behind = porcelain.wait_in_force(
+                platform, session.clock, applied.revision, WAIT_MS, session.operator_token
+            )
+    for one in behind:
+        click.echo(f"not in force on {one.instance.name}: {one.trouble or one.revision}", err=True)
+    if behind:
+        sys.exit(EXIT_FAILED)
+
+
+@click.command("diff")
+@FILES
+@click.pass_obj
+def diff(session: Session, files: tuple[Path, ...]) -> None:
+    """Show what applying some files would change."""
+    with session.platform() as platform:
+        base = porcelain.load(platform, session.clock)
+        changed = porcelain.differing(base, read_files(files))
+        rows = [
+            {"key": one.key, "change": "replace" if one.key in base.documents else "add"}
+            for one in changed
+        ]
+        text = "\n".join(f"{row['change']} {row['key']}" for row in rows)
+        session.show(rows, lambda: text or "no difference")
+
+
+@click.command("get")
+@click.argument("kind", type=KIND)
+@click.pass_obj
+def get(session: Session, kind: str) -> None:
+    """List the documents of a kind."""
+    with session.platform() as platform:
+        documents = porcelain.load(platform, session.clock).of_kind(kind)
+        tables = [one.table() for one in documents]
+        session.show(tables, lambda: "\n".join(_line(one) for one in documents))
+
+
+@click.command("describe")
+@click.argument("kind", type=KIND)
+@click.argument("name")
+@click.pass_obj
+def describe(session: Session, kind: str, name: str) -> None:
+    """Show one document whole."""
+    with session.platform() as platform:
+        table = porcelain.find(porcelain.load(platform, session.clock), kind, name).table()
+        session.show(table, lambda: "\n".join(f"{key}: {value}" for key, value in table.items()))
+
+
+@click.command("delete")
+@click.argument("kind", type=KIND)
+@click.argument("name")
+@click.pass_obj
+def delete(session: Session, kind: str, name: str) -> None:
+    """Remove a document."""
+    with session.platform() as platform:
+        applied = porcelain.delete(platform, session.clock, session.author, kind, name)
+        show_applied(session, applied)
+
+
+@click.command("label")
+@click.argument("kind", type=KIND)
+@click.argument("name")
+@click.argument("labels", nargs=-1, required=True)
+@click.pass_obj
+def label(session: Session, kind: str, name: str, labels: tuple[str, ...]) -> None:
+    """Set labels with key=value, remove them with key-."""
+    with session.platform() as platform:
+        pairs = dict(_pair(text) for text in labels)
+        applied = porcelain.label(platform, session.clock, session.author, kind, name, pairs)
+        show_applied(session, applied)
+
+
+@click.command("drain")
+@click.argument("server")
+@click.pass_obj
+def drain(session: Session, server: str) -> None:
+    """Stop sending new work to a backend server."""
+    with session.platform() as platform:
+        applied = porcelain.drain(platform, session.clock, session.author, server, True)
+        show_applied(session, applied)
+
+
+@click.command("undrain")
+@click.argument("server")
+@click.pass_obj
+def undrain(session: Session, server: str) -> None:
+    """Send new work to a backend server again."""
+    with session.platform() as platform:
+        applied = porcelain.drain(platform, session.clock, session.author, server, False)
+        show_applied(session, applied)
+
+
+def _line(document: Document) -> str:
+    labels = ",".join(f"{key}={value}" for key, value in sorted(document.labels.items()))
+    return f"{document.name}  {labels}".rstrip()
+
+
+def _pair(text: str) -> tuple[str, str | None]:
+    key, equals, value = text.partition("=")
+    if equals and key and value:
+        return key, value
+    if text.endswith("-") and not equals and len(text) > 1:
+        return text[:-1], None
+    raise DocumentError(f"label: expected key=value or key-, found {text!r}")
+
+
+COMMANDS = (apply, diff, get, describe, delete, label, drain, undrain)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/demo.py
@@ -0,0 +1,150 @@
+# demo.py -- The whole system in one process, shown at work
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The whole system in one process, shown at work."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import ExitStack
+from importlib import resources
+
+import click
+import gevent
+
+from mountladder.document import Document
+from mountladder.documents import parse_documents
+from mountladder.systemclock import SystemClock
+from mountladder_cli import porcelain
+from mountladder_cli.demofleet import DemoFleet
+
+WAIT_MS = 2_000.0
+SHORT_ONES = 20
+TOKEN = "front-desk-token"
+PUSH = {"room": 12, "nights": 2}
+
+
+def run() -> int:
+    """Run the demonstration; return 0 where everything went as it must."""
+    with ExitStack() as stack:
+        fleet = DemoFleet(SystemClock(), stack)
+        checks = list(steps(fleet))
+    for name, good in checks:
+        click.echo(f"{'ok  ' if good else 'BAD '} {name}")
+    return 0 if all(good for _, good in checks) else 1
+
+
+def steps(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Go through the demonstration, yielding what was checked and whether it held."""
+    documents = fleet.documents(example("harrowgate.toml"))
+    applied = porcelain.apply(fleet.platform, fleet.clock, "demo", documents)
+    behind = porcelain.wait_in_force(fleet.platform, fleet.clock, applied.revision, WAIT_MS)
+    click.echo(f"revision {applied.revision} accepted; {len(fleet.nodes)} instances have it")
+    yield "the configuration is in force on every instance within 2 s", not behind
+    yield from long_document(fleet)
+    yield from short_ones(fleet)
+    yield from one_push(fleet)
+    yield from refusals(fleet)
+    yield from drained(fleet)
+    yield from accounts(fleet)
+
+
+def long_document(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Send a long contract and show its stream."""
+    text = (resources.files("mountladder_cli") / "examples" / "contract.txt").read_text()
+    answer = fleet.ask("contract-digest", "contracts-token", {"text": text, "tokens": 60})
+    click.echo(f"a contract of {len(text.split())} words:")
+    show(answer)
+    yield "a long document is answered whole", answer.get("tokens") == 60
+    trace = porcelain.explain(fleet.platform, answer["request"])
+    click.echo(f"  explained in {len(trace['entries'])} steps, such as:")
+    click.echo(f"    {json.dumps(trace['entries'][1])}")
+
+
+def show(answer: dict[str, object]) -> None:
+    """Print an answer, its stages, where they ran and what they cost."""
+    click.echo(f"  {str(answer.get('result', answer))[:70]}...")
+    for stage in answer.get("stages", ()):
+        click.echo(
+            f"  {stage['stage']:<10} on {stage['server']:<18} {stage['ms']:>7.1f} ms"
+            f"  cost {stage['cost']:.4f}"
+        )
+
+
+def short_ones(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Send a burst of short requests to all instances at once."""
+    tasks = [
+        gevent.spawn(fleet.ask, "guest-reply", TOKEN, {"guest": number, "tokens": 10}, number)
+        for number in range(SHORT_ONES)
+    ]
+    gevent.joinall(tasks)
+    answers = [task.value for task in tasks]
+    servers = {stage["server"] for answer in answers for stage in answer.get("stages", ())}
+    click.echo(f"{SHORT_ONES} short requests at once ran on {len(servers)} backend servers")
+    yield "a burst of short requests is answered whole", all(
+        answer.get("tokens") == 10 for answer in answers
+    )
+
+
+def one_push(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Send a reservation push twice, to two data centres, with the same key."""
+    first = fleet.ask("reservation-push", TOKEN, PUSH, 0, "push-1")
+    fleet.clock.sleep(200.0)
+    second = fleet.ask("reservation-push", TOKEN, PUSH, 3, "push-1")
+    show(first)
+    yield "a push and its repeat get one answer", first["request"] == second.get("request")
+    yield "the push ran once", fleet.runs("push") == 1
+    key = porcelain.issue_keys(fleet.nodes[1].settings.web, TOKEN)[0]
+    third = fleet.ask("reservation-push", TOKEN, PUSH, 2, key)
+    yield "a push with an issued key is relayed to its home", third.get("class") == "done"
+
+
+def refusals(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Send a request of each kind that is refused."""
+    refused = {
+        1002: fleet.ask("guest-reply", "nobody", {}),
+        1003: fleet.ask("no-such-pipeline", TOKEN, {}),
+        1004: fleet.ask("reservation-push", TOKEN, PUSH),
+        1005: fleet.ask("reservation-push", TOKEN, {"room": 13}, 0, "push-1"),
+        2001: fleet.ask("guest-reply", TOKEN, {"tokens": 10}, 0, "", 1.0),
+    }
+    for number, answer in refused.items():
+        click.echo(f"  refused: {answer.get('code')} {answer.get('title')}")
+        yield f"refusal {number} says that it did not run", (
+            answer.get("code") == number and answer.get("class") == "not_run"
+        )
+
+
+def drained(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Drain a backend server and see that it gets no more work."""
+    applied = porcelain.drain(fleet.platform, fleet.clock, "demo", "llm-1", True)
+    behind = porcelain.wait_in_force(fleet.platform, fleet.clock, applied.revision, WAIT_MS)
+    before = len(fleet.standins["llm-1"].ran)
+    for number in range(SHORT_ONES):
+        fleet.ask("guest-reply", TOKEN, {"guest": number, "tokens": 2}, number)
+    yield "a draining server gets no new work", (
+        not behind and len(fleet.standins["llm-1"].ran) == before
+    )
+
+
+def accounts(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Show what the work cost."""
+    for node in fleet.nodes:
+        node.try_flush_cost()
+    totals = porcelain.cost(fleet.platform)
+    by_stage: dict[str, float] = {}
+    for charge, amount in totals.items():
+        by_stage[charge.stage] = by_stage.get(charge.stage, 0.0) + amount.cost
+    for stage, cost in sorted(by_stage.items()):
+        click.echo(f"  cost of {stage:<10} {cost:.4f}")
+    yield "the cost of every stage is accounted for", {"encode", "generate", "push"} <= set(
+        by_stage
+    )
+
+
+def example(name: str) -> tuple[Document, ...]:
+    """Return the documents of a shipped example."""
+    text = (resources.files("mountladder_cli") / "examples" / name).read_text()
+    return parse_documents(text, name)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/demofleet.py
@@ -0,0 +1,120 @@
+# demofleet.py -- Instances, stand-ins and callers in one process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Instances, stand-ins and callers in one process."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+from collections.abc import Sequence
+from contextlib import ExitStack
+
+from mountladder.clock import Clock
+from mountladder.document import Document
+from mountladder.memorymetrics import MemoryMetrics
+from mountladder.settings import Settings
+from mountladder_cli import porcelain
+from mountladder_entry.httpbackend import HttpBackend
+from mountladder_entry.node import Node
+from mountladder_entry.platform import http_platform
+from mountladder_standins.listening import free_address, listen
+from mountladder_standins.platformface import platform_app
+from mountladder_standins.serverface import server_app
+from mountladder_standins.speeds import Speeds
+from mountladder_standins.standinplatform import StandinPlatform
+from mountladder_standins.standinserver import StandinServer
+
+LOOPBACK = "127.0.0.1:0"
+SECRET = "a secret for demonstrations only"
+PLACES = (("a", 1), ("a", 2), ("b", 1), ("b", 2))
+OLD_FACTOR = 3.0
+READY_MS = 5_000.0
+
+
+class DemoFleet:
+    """Two data centres of two instances each, with stand-ins of everything around them.
+
+    Args:
+        clock: The clock.
+        stack: Owns everything that is started.
+        places: The data centre and number of each instance.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        stack: ExitStack,
+        places: Sequence[tuple[str, int]] = PLACES,
+    ) -> None:
+        self.clock = clock
+        self.stack = stack
+        self.standin = StandinPlatform(clock)
+        self.base = "http://" + listen(platform_app(self.standin), LOOPBACK, stack)
+        self.platform = http_platform(self.base, clock, stack)
+        self.standins: dict[str, StandinServer] = {}
+        self.nodes: list[Node] = []
+        for datacentre, number in places:
+            self.start(f"{datacentre}-{number}", datacentre)
+
+    def start(self, name: str, datacentre: str) -> Node:
+        """Start an instance."""
+        settings = Settings(
+            name=name,
+            datacentre=datacentre,
+            web=free_address(),
+            peer=free_address(),
+            platform=self.base,
+            secret=SECRET,
+            seeds=tuple(node.settings.peer for node in self.nodes[:2]),
+            heartbeat_ms=200.0,
+            poll_ms=200.0,
+            shutdown_ms=2_000.0,
+        )
+        backend = HttpBackend(self.clock)
+        self.stack.callback(backend.close)
+        platform = http_platform(self.base, self.clock, self.stack)
+        node = Node(settings, self.clock, platform, backend, MemoryMetrics(), len(self.nodes))
+        node.start()
+        self.stack.callback(node.stop)
+        self.nodes.append(node)
+        return node
+
+    def wait_ready(self) -> bool:
+        """Wait until every instance is ready; tell whether they are."""
+        until = self.clock.now() + READY_MS
+        while self.clock.now() < until and not all(node.ready for node in self.nodes):
+            self.clock.sleep(20.0)
+        return all(node.ready for node in self.nodes)
+
+    def documents(self, documents: Sequence[Document]) -> tuple[Document, ...]:
+        """Start a stand-in of each backend server and return the documents with its address."""
+        return tuple(self.served(one) if one.kind == "server" else one for one in documents)
+
+    def served(self, server: Document) -> Document:
+        """Start a stand-in of a backend server."""
+        speeds = Speeds(OLD_FACTOR if server.accelerator == "old" else 1.0, server.slots)
+        standin = self.standins[server.name] = StandinServer(server.name, self.clock, speeds)
+        address = listen(server_app(standin), LOOPBACK, self.stack)
+        return dataclasses.replace(server, address=address)
+
+    def ask(
+        self,
+        pipeline: str,
+        token: str,
+        input_: object,
+        to: int = 0,
+        key: str = "",
+        deadline_ms: float | None = None,
+    ) -> dict[str, object]:
+        """Send a request to one of the instances and return its answer."""
+        web = self.nodes[to % len(self.nodes)].settings.web
+        pieces = porcelain.request(web, pipeline, token, input_, deadline_ms, key, stream=False)
+        return json.loads(b"".join(pieces))
+
+    def runs(self, work: str) -> int:
+        """Return how often a kind of work was run on all stand-ins."""
+        ran = itertools.chain.from_iterable(one.ran for one in self.standins.values())
+        return sum(one.work == work for one in ran)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/main.py
@@ -0,0 +1,36 @@
+# main.py -- The command mountladder
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The command mountladder."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import getpass
+
+import click
+
+from mountladder_cli import configuring, observing, standing_in, trying
+from mountladder_cli.session import Session
+
+DEFAULT_PLATFORM = "http://127.0.0.1:8000"
+
+
+@click.group()
+@click.option("--platform", envvar="MOUNTLADDER_PLATFORM", default=DEFAULT_PLATFORM)
+@click.option("--author", envvar="MOUNTLADDER_AUTHOR", default=getpass.getuser)
+@click.option("--operator-token", envvar="MOUNTLADDER_OPERATOR_TOKEN", default="")
+@click.option("--output", type=click.Choice(["text", "json"]), default="text")
+@click.pass_context
+def main(
+    context: click.Context, platform: str, author: str, operator_token: str, output: str
+) -> None:
+    """Operate mountladder: configure it, see what it does, send requests."""
+    context.obj = Session(platform, author, operator_token, output)
+
+
+for _module in (configuring, observing, trying, standing_in):
+    for _command in _module.COMMANDS:
+        main.add_command(_command)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/observing.py
@@ -0,0 +1,84 @@
+# observing.py -- Commands that show what the system does
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Commands that show what the system does."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+
+import click
+
+from mountladder_cli import porcelain
+from mountladder_cli.session import Session
+
+
+@click.command("history")
+@click.option("--after", type=int, default=0, help="The revision to start after.")
+@click.pass_obj
+def history(session: Session, after: int) -> None:
+    """Show who changed what."""
+    with session.platform() as platform:
+        rows = [
+            {
+                "revision": one.revision,
+                "author": one.author,
+                "at_ms": one.at_ms,
+                "operation": one.operation,
+                "changed": [document.key for document in one.puts] + list(one.deletes),
+            }
+            for one in porcelain.history(platform, session.clock, after)
+        ]
+        lines = [f"{row['revision']}  {row['author']}  {' '.join(row['changed'])}" for row in rows]
+        session.show(rows, lambda: "\n".join(lines))
+
+
+@click.command("status")
+@click.pass_obj
+def status(session: Session) -> None:
+    """Show every instance, the revision in force there and what it has running."""
+    with session.platform() as platform:
+        standings = porcelain.status(platform, session.operator_token)
+        rows = [{**asdict(one.instance), **one.table, "trouble": one.trouble} for one in standings]
+        lines = [
+            f"{one.instance.name}  {one.instance.datacentre}  "
+            + (one.trouble or f"revision {one.revision}  running {one.table['running']}")
+            for one in standings
+        ]
+        session.show(rows, lambda: "\n".join(lines))
+
+
+@click.command("explain")
+@click.argument("request")
+@click.pass_obj
+def explain(session: Session, request: str) -> None:
+    """Show why a request went where it went and what was retried or refused."""
+    with session.platform() as platform:
+        table = porcelain.explain(platform, request, session.operator_token)
+        lines = [f"request {table['request']} under revision {table['revision']}"]
+        for entry in table["entries"]:
+            words = (str(entry[key]) for key in ("event", "stage", "server", "code", "reason"))
+            lines.append(
+                f"  {entry['at_ms']:>8} ms  " + "  ".join(w for w in words if w not in "0")
+            )
+        session.show(table, lambda: "\n".join(lines))
+
+
+@click.command("cost")
+@click.pass_obj
+def cost(session: Session) -> None:
+    """Show what work cost by team, pipeline, stage and accelerator, wasted work apart."""
+    with session.platform() as platform:
+        totals = porcelain.cost(platform)
+        rows = [{**asdict(charge), **asdict(amount)} for charge, amount in totals.items()]
+        rows.sort(key=lambda row: (row["team"], row["pipeline"], row["stage"], row["use"]))
+        lines = [
+            f"{row['team']}  {row['pipeline']}  {row['stage']}  {row['accelerator']}  "
+            f"{row['use']}  calls {row['calls']}  cost {row['cost']:.4f}"
+            for row in rows
+        ]
+        session.show(rows, lambda: "\n".join(lines))
+
+
+COMMANDS = (history, status, explain, cost)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/session.py
@@ -0,0 +1,69 @@
+# session.py -- What every command shares
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What every command shares."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+import click
+
+from mountladder.clock import Clock
+from mountladder.errors import MountladderError
+from mountladder.platform import Platform
+from mountladder.systemclock import SystemClock
+from mountladder_entry.platform import http_platform
+
+EXIT_FAILED = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """What every command shares.
+
+    Attributes:
+        base: The platform's base URL.
+        author: Who makes changes.
+        operator_token: The token that instances ask operators for.
+        output: "text" or "json".
+        clock: The clock.
+    """
+
+    base: str
+    author: str
+    operator_token: str
+    output: str
+    clock: Clock = SystemClock()
+
+    @contextmanager
+    def platform(self) -> Iterator[Platform]:
+        """Open the platform; print every error of the block and end."""
+        with ExitStack() as stack:
+            try:
+                yield http_platform(self.base, self.clock, stack)
+            except* MountladderError as group:
+                for error in flatten(group):
+                    click.echo(f"error {error}", err=True)
+                stack.callback(sys.exit, EXIT_FAILED)
+
+    def show(self, table: object, text: Callable[[], str]) -> None:
+        """Print a result as JSON or as text."""
+        if self.output == "json":
+            click.echo(json.dumps(table, indent=2))
+        else:
+            click.echo(text())
+
+
+def flatten(group: BaseExceptionGroup) -> Iterator[BaseException]:
+    """Yield every error of a group and of the groups within it."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from flatten(error)
+        else:
+            yield error
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/trying.py
@@ -0,0 +1,65 @@
+# trying.py -- Commands that send requests
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Commands that send requests."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import click
+
+from mountladder.errors import MountladderError
+from mountladder_cli import demo as demonstration
+from mountladder_cli import porcelain
+from mountladder_cli.session import EXIT_FAILED, Session
+
+
+@click.command("request")
+@click.argument("pipeline")
+@click.argument("input_text")
+@click.option("--to", "web", required=True, help="The instance's IP number and port.")
+@click.option("--token", envvar="MOUNTLADDER_TOKEN", required=True, help="The team's token.")
+@click.option("--deadline-ms", type=float)
+@click.option("--key", default="", help="The Idempotency-Key.")
+@click.option("--issue-key", is_flag=True, help="Let the instance issue the key.")
+@click.pass_obj
+def request(
+    session: Session,
+    pipeline: str,
+    input_text: str,
+    web: str,
+    token: str,
+    deadline_ms: float | None,
+    key: str,
+    issue_key: bool,
+) -> None:
+    """Send a request and show its answer; the input is JSON, or text where it is not."""
+    whole = b""
+    try:
+        input_ = json.loads(input_text)
+    except ValueError:
+        input_ = input_text
+    try:
+        if issue_key:
+            key = porcelain.issue_keys(web, token)[0]
+        stream = session.output == "text"
+        for piece in porcelain.request(web, pipeline, token, input_, deadline_ms, key, stream):
+            click.echo(piece, nl=False)
+            whole = (whole + piece)[-65_536:]
+    except MountladderError as error:
+        click.echo(f"error {error}", err=True)
+        sys.exit(EXIT_FAILED)
+    if b"event: done" not in whole and b'"class":"done"' not in whole:
+        sys.exit(EXIT_FAILED)
+
+
+@click.command("demo")
+def demo() -> None:
+    """Run the whole system in this process on stand-ins and show what it does."""
+    sys.exit(demonstration.run())
+
+
+COMMANDS = (request, demo)
--- /dev/null
+++ b/packages/core/src/mountladder/answer.py
@@ -0,0 +1,63 @@
+# answer.py -- The whole answer to a request
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The whole answer to a request."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+
+from mountladder.errors import BadRowError
+from mountladder.stagetiming import StageTiming
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The whole answer to one request.
+
+    Attributes:
+        request: The id of the request that ran.
+        revision: The configuration revision it was admitted under.
+        result: The result of the last stage as JSON; a stream's whole text as a JSON string.
+        tokens: How many tokens were streamed.
+        timings: Where and how long each stage ran.
+    """
+
+    request: str
+    revision: int
+    result: bytes
+    tokens: int
+    timings: tuple[StageTiming, ...]
+
+    def encode(self) -> bytes:
+        """Return the answer as JSON."""
+        table = {
+            "request": self.request,
+            "class": "done",
+            "revision": self.revision,
+            "result": json.loads(self.result),
+            "tokens": self.tokens,
+            "stages": [asdict(timing) for timing in self.timings],
+        }
+        return json.dumps(table, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Answer:
+        """Read an answer that was kept.
+
+        Raises:
+            BadRowError: The value is not an answer.
+        """
+        try:
+            table = json.loads(value)
+            return cls(
+                request=str(table["request"]),
+                revision=int(table["revision"]),
+                result=json.dumps(table["result"]).encode(),
+                tokens=int(table["tokens"]),
+                timings=tuple(StageTiming(**timing) for timing in table["stages"]),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise BadRowError(f"a kept answer cannot be read: {error}") from error
--- /dev/null
+++ b/packages/core/src/mountladder/backend.py
@@ -0,0 +1,39 @@
+# backend.py -- Calls to backend servers
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls to backend servers."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+
+from mountladder.backendserver import BackendServer
+from mountladder.chunk import Chunk
+from mountladder.stagecall import StageCall
+from mountladder.stageresult import StageResult
+
+
+class Backend(ABC):
+    """Runs stages on backend servers."""
+
+    @abstractmethod
+    def run(self, server: BackendServer, call: StageCall) -> StageResult:
+        """Run a stage and return its whole result.
+
+        Raises:
+            StageError: The attempt failed; it says whether the server may have begun to run it.
+        """
+
+    @abstractmethod
+    def stream(self, server: BackendServer, call: StageCall) -> Iterator[Chunk]:
+        """Run a stage and yield its tokens in order, each once, after those already held.
+
+        Raises:
+            StageError: The attempt failed or the stream ended before its end.
+        """
+
+    @abstractmethod
+    def cancel(self, server: BackendServer, attempt: str) -> None:
+        """Ask a server to stop an attempt; a failure to reach it is not an error."""
--- /dev/null
+++ b/packages/core/src/mountladder/backendserver.py
@@ -0,0 +1,71 @@
+# backendserver.py -- A backend server and its labels
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A backend server and its labels."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import ClassVar
+
+from mountladder.document import Document
+from mountladder.fields import Fields
+
+KINDS = ("engine", "service")
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer(Document):
+    """A backend server.
+
+    Attributes:
+        serves: "engine" for a model engine, "service" for a plain service.
+        address: Its IP number and port.
+        datacentre: The data centre it stands in.
+        accelerator: The generation of its accelerator, or an empty string.
+        price: What one second of its time costs, in the operator's unit.
+        slots: How many calls it can run at once without queueing.
+        draining: Whether it is to get no new work.
+        models: The models it serves; empty means every model whose selector it meets.
+    """
+
+    kind: ClassVar[str] = "server"
+    serves: str
+    address: str
+    datacentre: str
+    accelerator: str
+    price: float
+    slots: int
+    draining: bool
+    models: tuple[str, ...]
+
+    @classmethod
+    def read(cls, fields: Fields) -> BackendServer:
+        """Read a backend server from its table."""
+        return cls(
+            name=fields.text("name"),
+            labels=fields.labels("labels"),
+            serves=fields.choice("serves", KINDS, "engine"),
+            address=fields.text("address"),
+            datacentre=fields.text("datacentre"),
+            accelerator=fields.text("accelerator", ""),
+            price=fields.number("price", 1.0),
+            slots=int(fields.number("slots", 8, least=1)),
+            draining=fields.flag("draining", False),
+            models=fields.texts("models"),
+        )
+
+    def table(self) -> dict[str, object]:
+        """Return the table it is read from."""
+        return asdict(self)
+
+    def all_labels(self) -> dict[str, str]:
+        """Return its labels and the built-in ones that selectors may name."""
+        built_in = {
+            "name": self.name,
+            "datacentre": self.datacentre,
+            "accelerator": self.accelerator,
+            "serves": self.serves,
+        }
+        return {**built_in, **self.labels}
--- /dev/null
+++ b/packages/core/src/mountladder/changelog.py
@@ -0,0 +1,173 @@
+# changelog.py -- The numbered log of configuration changes
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The numbered log of configuration changes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+from eliot import log_message
+
+from mountladder.change import Change
+from mountladder.clock import Clock
+from mountladder.configuration import Configuration
+from mountladder.document import Document
+from mountladder.errors import (
+    BadRowError,
+    ConditionFailedError,
+    RevisionConflictError,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+)
+from mountladder.objectstore import ObjectStore
+from mountladder.row import Row
+from mountladder.table import Table
+from mountladder.write import ABSENT, Write
+
+HEAD_KEY = "config/head"
+CHANGE_PREFIX = "config/change/"
+SNAPSHOT_KEY = "config/snapshot"
+SNAPSHOT_EVERY = 32
+PAGE = 100
+SETTLE_TRIES = 6
+SETTLE_PAUSE_MS = 200.0
+
+
+class ChangeLog:
+    """Reads and extends the log kept in the platform's table service.
+
+    The head row names the newest revision. A change is accepted by one transaction that writes
+    its row, which must be absent, and moves the head, which must be unchanged. A lost answer is
+    settled by sending the same transaction again and comparing operation ids, so that a write
+    that is still on its way cannot take effect behind the author's back.
+    """
+
+    def __init__(self, table: Table, objects: ObjectStore, clock: Clock) -> None:
+        self.table = table
+        self.objects = objects
+        self.clock = clock
+
+    def head(self) -> tuple[int, int]:
+        """Return the newest revision and the version of the head row."""
+        row = self.table.read(HEAD_KEY)
+        if row is None:
+            return 0, ABSENT
+        return _revision(row), row.version
+
+    def since(self, revision: int, limit: int = PAGE) -> list[Change]:
+        """Return the changes after a revision, oldest first, at most a page of them."""
+        after = _change_key(revision)
+        changes = [Change.decode(row.value) for row in self.table.scan(CHANGE_PREFIX, after, limit)]
+        for number, change in enumerate(changes, revision + 1):
+            if change.revision != number:
+                raise BadRowError(f"change {number} is missing; change {change.revision} was found")
+        return changes
+
+    def load(self, known: Configuration | None = None) -> Configuration:
+        """Return the newest configuration, from what is known, a snapshot and the changes since."""
+        configuration = known or Configuration()
+        newest, _ = self.head()
+        if newest - configuration.revision > SNAPSHOT_EVERY:
+            configuration = self.snapshot(configuration)
+        while configuration.revision < newest:
+            changes = self.since(configuration.revision)
+            if not changes:
+                raise BadRowError(f"change {configuration.revision + 1} is missing")
+            for change in changes:
+                configuration = configuration.after(change)
+        return configuration
+
+    def snapshot(self, known: Configuration) -> Configuration:
+        """Return the newest snapshot where it is newer than what is known."""
+        row = self.table.read(SNAPSHOT_KEY)
+        if row is None or _revision(row) <= known.revision:
+            return known
+        value = self.objects.get(_snapshot_name(_revision(row)))
+        return Configuration.decode(value) if value is not None else known
+
+    def append(
+        self,
+        base: Configuration,
+        operation: str,
+        author: str,
+        puts: Sequence[Document],
+        deletes: Sequence[str],
+    ) -> Configuration:
+        """Make a change against a configuration and return the one it makes.
+
+        Raises:
+            RevisionConflictError: Another change was accepted first; nothing was written.
+            StoreUnavailableError: The store refused; nothing was written.
+            StoreAmbiguousError: It could not be settled whether the change was accepted.
+        """
+        change = Change(
+            base.revision + 1, operation, author, self.clock.wall(), tuple(puts), tuple(deletes)
+        )
+        made = base.after(change)
+        revision, version = self.head()
+        if revision != base.revision and not self.is_mine(change):
+            raise RevisionConflictError(base.revision, revision)
+        if revision == base.revision:
+            self.accept(change, version)
+        if made.revision % SNAPSHOT_EVERY == 0:
+            self.try_snapshot(made)
+        return made
+
+    def accept(self, change: Change, head_version: int) -> None:
+        """Write a change, sending it again while it is not known whether it took effect."""
+        head = json.dumps({"revision": change.revision}).encode()
+        writes = (
+            Write(HEAD_KEY, head, head_version),
+            Write(_change_key(change.revision), change.encode(), ABSENT),
+        )
+        for attempt in range(SETTLE_TRIES):
+            try:
+                self.table.commit(writes)
+                return
+            except StoreAmbiguousError:
+                self.clock.sleep(SETTLE_PAUSE_MS * 2**attempt)
+            except ConditionFailedError as error:
+                if self.is_mine(change):
+                    return
+                raise RevisionConflictError(change.revision - 1, self.head()[0]) from error
+        raise StoreAmbiguousError(
+            f"change {change.operation} against {change.revision - 1}: no answer"
+        )
+
+    def is_mine(self, change: Change) -> bool:
+        """Tell whether the accepted change of a revision has this change's operation id."""
+        row = self.table.read(_change_key(change.revision))
+        return row is not None and Change.decode(row.value).operation == change.operation
+
+    def try_snapshot(self, configuration: Configuration) -> None:
+        """Write a snapshot where the store lets us; the change itself is accepted already."""
+        try:
+            self.write_snapshot(configuration)
+        except (StoreUnavailableError, StoreAmbiguousError, ConditionFailedError) as error:
+            log_message("snapshot-left-out", revision=configuration.revision, reason=str(error))
+
+    def write_snapshot(self, configuration: Configuration) -> None:
+        """Write a snapshot and point to it; a later one is never replaced by an earlier one."""
+        self.objects.put(_snapshot_name(configuration.revision), configuration.encode())
+        row = self.table.read(SNAPSHOT_KEY)
+        if row is None or _revision(row) < configuration.revision:
+            value = json.dumps({"revision": configuration.revision}).encode()
+            self.table.commit([Write(SNAPSHOT_KEY, value, row.version if row else ABSENT)])
+
+
+def _change_key(revision: int) -> str:
+    return f"{CHANGE_PREFIX}{revision:012d}"
+
+
+def _snapshot_name(revision: int) -> str:
+    return f"config/snapshot/{revision:012d}"
+
+
+def _revision(row: Row) -> int:
+    try:
+        return int(json.loads(row.value)["revision"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise BadRowError(f"{row.key}: expected a revision: {error}") from error
--- /dev/null
+++ b/packages/core/src/mountladder/check.py
@@ -0,0 +1,90 @@
+# check.py -- Cross-checks of a whole configuration
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Cross-checks of a whole configuration."""
+
+from __future__ import annotations
+
+from mountladder.code import Code
+from mountladder.configuration import Configuration
+from mountladder.errors import DocumentError, MountladderError
+from mountladder.pipeline import Pipeline
+from mountladder.selector import Selector
+
+
+def check(configuration: Configuration) -> list[MountladderError]:
+    """Return warnings about a configuration whose references all hold.
+
+    Raises:
+        ExceptionGroup: Of an error for each reference or selector that does not hold.
+    """
+    faults = list(_selector_faults(configuration))
+    for pipeline in configuration.of_kind("pipeline"):
+        faults.extend(_reference_faults(configuration, pipeline))
+    for server in configuration.of_kind("server"):
+        for model in server.models:
+            if f"model/{model}" not in configuration.documents:
+                faults.append(_missing(f"server {server.name}", "model", model))
+    faults.extend(_token_faults(configuration))
+    if faults:
+        raise ExceptionGroup(f"the configuration has {len(faults)} faults", faults)
+    return [
+        warning
+        for one in configuration.of_kind("pipeline")
+        for warning in _unmet(configuration, one)
+    ]
+
+
+def _missing(place: str, kind: str, name: str) -> DocumentError:
+    return DocumentError(f"{place}: there is no {kind} {name!r}", Code.UNKNOWN_REFERENCE)
+
+
+def _reference_faults(configuration: Configuration, pipeline: Pipeline):
+    for stage in pipeline.stages:
+        place = f"pipeline {pipeline.name}: stage {stage.name}"
+        if stage.model and f"model/{stage.model}" not in configuration.documents:
+            yield _missing(place, "model", stage.model)
+        if not stage.model and stage.work != "call":
+            yield DocumentError(f"{place}: model: expected a model for this work, found none")
+        yield from _text_faults(configuration, place, stage.selector)
+
+
+def _selector_faults(configuration: Configuration):
+    for document in configuration.documents.values():
+        place = f"{document.kind} {document.name}"
+        if document.kind == "selector":
+            yield from _parse_faults(place, document.match)
+        elif document.kind in {"model", "team"}:
+            yield from _text_faults(configuration, place, document.selector)
+
+
+def _text_faults(configuration: Configuration, place: str, text: str):
+    if f"selector/{text}" not in configuration.documents:
+        yield from _parse_faults(place, text)
+
+
+def _parse_faults(place: str, text: str):
+    try:
+        Selector.parse(text)
+    except MountladderError as error:
+        yield DocumentError(f"{place}: selector: {error.detail}", Code.BAD_SELECTOR)
+
+
+def _token_faults(configuration: Configuration):
+    holders: dict[str, str] = {}
+    for team in configuration.of_kind("team"):
+        other = holders.setdefault(team.token_sha256, team.name)
+        if other != team.name:
+            yield DocumentError(f"team {team.name}: token_sha256: team {other} has the same")
+
+
+def _unmet(configuration: Configuration, pipeline: Pipeline):
+    for team in configuration.of_kind("team"):
+        for stage in pipeline.stages:
+            if not configuration.servers_for(stage, team):
+                yield DocumentError(
+                    f"pipeline {pipeline.name}: stage {stage.name}: no backend server for team "
+                    f"{team.name}",
+                    Code.SELECTOR_UNMET,
+                )
--- /dev/null
+++ b/packages/core/src/mountladder/choice.py
@@ -0,0 +1,39 @@
+# choice.py -- A routing decision
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A routing decision."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mountladder.serverstate import ServerState
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A backend server chosen for an attempt.
+
+    Attributes:
+        state: What the instance knows of the server.
+        expected_ms: The expected time to completion.
+        unloaded_ms: The expected time without load.
+        crowding: By how much the load it is believed to have lengthens the call.
+        allowed: How many servers the selectors allow.
+        usable: How many of those were in use.
+    """
+
+    state: ServerState
+    expected_ms: float
+    unloaded_ms: float
+    crowding: float
+    allowed: int
+    usable: int
+
+    def reason(self) -> str:
+        """Return why the server was chosen, in words."""
+        return (
+            f"expected {self.expected_ms:.0f} ms under load {self.state.load - 1}, "
+            f"{self.usable} of {self.allowed} allowed servers in use"
+        )
--- /dev/null
+++ b/packages/core/src/mountladder/configuration.py
@@ -0,0 +1,124 @@
+# configuration.py -- The configuration at one revision
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The configuration at one revision."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from functools import cached_property
+
+from mountladder.backendserver import BackendServer
+from mountladder.change import Change
+from mountladder.document import Document
+from mountladder.documents import read_document
+from mountladder.errors import BadRowError, DocumentError
+from mountladder.model import Model
+from mountladder.pipeline import Pipeline
+from mountladder.selector import Selector
+from mountladder.stage import Stage
+from mountladder.team import Team
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """Every document in force at one revision; never changed, only replaced by a later one.
+
+    Attributes:
+        revision: The revision, 0 for the empty one.
+        documents: The documents by their keys.
+    """
+
+    revision: int = 0
+    documents: dict[str, Document] = field(default_factory=dict)
+    allowed: dict[tuple[str, str, str], tuple[BackendServer, ...]] = field(
+        default_factory=dict, compare=False, repr=False
+    )
+
+    def after(self, change: Change) -> Configuration:
+        """Return the configuration that a change makes of this one.
+
+        Raises:
+            BadRowError: The change is not the next one.
+        """
+        if change.revision != self.revision + 1:
+            raise BadRowError(f"change {change.revision} cannot follow revision {self.revision}")
+        documents = dict(self.documents)
+        for key in change.deletes:
+            documents.pop(key, None)
+        documents.update((document.key, document) for document in change.puts)
+        return Configuration(change.revision, documents)
+
+    def of_kind(self, kind: str) -> tuple[Document, ...]:
+        """Return the documents of one kind, by name."""
+        prefix = kind + "/"
+        return tuple(
+            self.documents[key] for key in sorted(self.documents) if key.startswith(prefix)
+        )
+
+    def pipeline(self, name: str) -> Pipeline | None:
+        """Return a pipeline by its name."""
+        return self.documents.get(f"pipeline/{name}")
+
+    def team_of(self, token_sha256: str) -> Team | None:
+        """Return the team that has a token's hash."""
+        return self.teams_by_token.get(token_sha256)
+
+    @cached_property
+    def teams_by_token(self) -> dict[str, Team]:
+        """The teams by the hash of their token, worked out once a revision."""
+        return {team.token_sha256: team for team in self.of_kind("team")}
+
+    def selector(self, text: str) -> Selector:
+        """Return a selector by the name of its document, or read from the text itself."""
+        named = self.documents.get(f"selector/{text}")
+        return Selector.parse(named.match if named else text)
+
+    def servers_for(self, stage: Stage, team: Team) -> tuple[BackendServer, ...]:
+        """Return the backend servers that the selectors allow, draining ones left out.
+
+        The stage's, its model's and the team's selectors all hold. The answer is kept for the
+        life of this revision.
+        """
+        key = (stage.work + "/" + stage.model, stage.selector, team.selector)
+        servers = self.allowed.get(key)
+        if servers is None:
+            servers = self._servers_for(stage, team)
+            self.allowed[key] = servers
+        return servers
+
+    def _servers_for(self, stage: Stage, team: Team) -> tuple[BackendServer, ...]:
+        model = self.documents.get(f"model/{stage.model}")
+        texts = (stage.selector, team.selector, model.selector if isinstance(model, Model) else "")
+        selectors = tuple(self.selector(text) for text in texts)
+        wanted = "service" if stage.work == "call" else "engine"
+        return tuple(
+            server
+            for server in self.of_kind("server")
+            if server.serves == wanted
+            and not server.draining
+            and (not stage.model or not server.models or stage.model in server.models)
+            and all(selector.meets(server.all_labels()) for selector in selectors)
+        )
+
+    def encode(self) -> bytes:
+        """Return the configuration as a snapshot."""
+        entries = [[document.kind, document.table()] for document in self.documents.values()]
+        table = {"revision": self.revision, "documents": entries}
+        return json.dumps(table, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Configuration:
+        """Read a snapshot.
+
+        Raises:
+            BadRowError: The value is not a snapshot.
+        """
+        try:
+            table = json.loads(value)
+            documents = [read_document(kind, entry) for kind, entry in table["documents"]]
+            return cls(int(table["revision"]), {one.key: one for one in documents})
+        except (ValueError, KeyError, TypeError, DocumentError) as error:
+            raise BadRowError(f"a snapshot of the configuration cannot be read: {error}") from error
--- /dev/null
+++ b/packages/core/src/mountladder/detachedrun.py
@@ -0,0 +1,88 @@
+# detachedrun.py -- A run that goes on when its caller goes away
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A run that goes on when its caller goes away."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from gevent.event import Event
+from gevent.pool import Group
+
+from mountladder.chunk import Chunk
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import MountladderError, RunError
+from mountladder.pipelinerun import PipelineRun
+
+
+class DetachedRun:
+    """Runs a pipeline in a task of its own and hands its chunks to whoever still reads.
+
+    A request that must not be repeated is not cut when its caller goes away or its deadline
+    passes: its outcome is kept for repeats.
+
+    Args:
+        run: The run.
+        clock: The clock.
+        ended: Called once with the error it ended with, or None.
+        tasks: Where its task belongs.
+    """
+
+    def __init__(
+        self,
+        run: PipelineRun,
+        clock: Clock,
+        ended: Callable[[MountladderError | None], None],
+        tasks: Group,
+    ) -> None:
+        self.run = run
+        self.clock = clock
+        self.ended = ended
+        self.chunks: list[Chunk] = []
+        self.more = Event()
+        self.error: MountladderError | None = None
+        self.task = tasks.spawn(self.work)
+
+    def work(self) -> None:
+        """Run to the end."""
+        try:
+            for chunk in self.run.chunks():
+                self.chunks.append(chunk)
+                self.more.set()
+        except MountladderError as error:
+            self.error = error
+        except BaseException as error:
+            self.error = RunError(f"{type(error).__name__}: {error}", Code.OUTCOME_UNKNOWN)
+        finally:
+            self.ended(self.error)
+            self.more.set()
+
+    def read(self) -> Iterator[Chunk]:
+        """Yield the chunks as they come, until the run ends or the deadline passes.
+
+        Raises:
+            RunError: The run failed, or the deadline passed before its outcome was known.
+        """
+        deadline = self.run.request.deadline
+        given = 0
+        while True:
+            self.more.clear()
+            while given < len(self.chunks):
+                yield self.chunks[given]
+                given += 1
+            if self.task.ready():
+                break
+            if not self.clock.wait(self.more, deadline - self.clock.now()):
+                raise self.too_late()
+        if self.error is not None:
+            raise self.error
+
+    def too_late(self) -> RunError:
+        """Return the error for a caller whose deadline passed while the run goes on."""
+        if self.run.unrepeatable:
+            detail = "the deadline passed; a repeat with the same key may get the answer"
+            return RunError(detail, Code.OUTCOME_UNKNOWN, retry_after_ms=1_000.0)
+        return RunError("", Code.DEADLINE_PASSED)
--- /dev/null
+++ b/packages/core/src/mountladder/eventreader.py
@@ -0,0 +1,87 @@
+# eventreader.py -- Reading an engine's stream of tokens
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Reading an engine's stream of tokens."""
+
+from __future__ import annotations
+
+import json
+import re
+
+from mountladder.chunk import Chunk
+from mountladder.code import Code
+from mountladder.errors import StageError
+
+MOST_EVENT_BYTES = 65_536
+_END = b"\n\n"
+_EVENT = re.compile(rb"id: (\d+)\ndata: (.+)")
+_DONE = b"event: done\ndata: "
+_ERROR = b"event: error\ndata: "
+
+
+class EventReader:
+    """Cuts bytes into events and checks that every token comes once and in order.
+
+    Args:
+        held: How many tokens are held already; events up to it are left out.
+
+    Attributes:
+        ended: Whether the stream's end was read.
+    """
+
+    def __init__(self, held: int) -> None:
+        self.held = held
+        self.ended = False
+        self.rest = b""
+
+    def feed(self, data: bytes, load: int | None) -> Chunk | None:
+        """Take in bytes; return the new tokens that are whole, or None.
+
+        Raises:
+            StageError: The engine reported an error, or the stream is malformed.
+        """
+        data = self.rest + data
+        *events, self.rest = data.split(_END)
+        if len(self.rest) > MOST_EVENT_BYTES:
+            raise StageError("an event is too long", Code.BAD_ANSWER)
+        first = self.held + 1
+        fresh = [event for event in events if self.is_fresh(event)]
+        if not fresh:
+            return None
+        return Chunk(first, len(fresh), _END.join(fresh) + _END, load)
+
+    def is_fresh(self, event: bytes) -> bool:
+        """Check an event; tell whether it holds the next token."""
+        match = _EVENT.fullmatch(event)
+        if match is None:
+            self.take_other(event)
+            return False
+        number = int(match.group(1))
+        if number <= self.held:
+            return False
+        if number != self.held + 1 or self.ended:
+            raise StageError(f"token {number} follows token {self.held}", Code.BAD_ANSWER)
+        if match.group(2)[:1] != b'"':
+            raise StageError("a token is not a string", Code.BAD_ANSWER)
+        self.held = number
+        return True
+
+    def take_other(self, event: bytes) -> None:
+        """Take in an event that holds no token."""
+        if event.startswith(_DONE):
+            self.take_end(event[len(_DONE) :])
+        elif event.startswith(_ERROR):
+            raise StageError(event[len(_ERROR) :].decode("utf-8", "replace")[:200])
+        elif not event.startswith(b":"):
+            raise StageError("an event cannot be read", Code.BAD_ANSWER)
+
+    def take_end(self, data: bytes) -> None:
+        """Check the end of the stream against the tokens read."""
+        try:
+            tokens = int(json.loads(data)["tokens"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise StageError("the end of a stream cannot be read", Code.BAD_ANSWER) from error
+        if tokens != self.held:
+            raise StageError(f"{tokens} tokens were sent, {self.held} came", Code.STREAM_CUT)
+        self.ended = True
--- /dev/null
+++ b/packages/core/src/mountladder/fields.py
@@ -0,0 +1,109 @@
+# fields.py -- Checked reading of TOML tables
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Checked reading of TOML tables."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from mountladder.errors import MountladderError
+
+_REQUIRED = object()
+
+
+class Fields:
+    """Reads the keys of one table, gathering every fault instead of stopping at the first.
+
+    Args:
+        table: The table as the TOML or JSON library gives it.
+        place: What to call the table in a fault, such as a file and a key.
+        error: The class of error to gather.
+    """
+
+    def __init__(self, table: object, place: str, error: type[MountladderError]) -> None:
+        self.place = place
+        self.error = error
+        self.faults: list[MountladderError] = []
+        self.read: set[str] = set()
+        self.table: Mapping[str, object] = {}
+        if isinstance(table, Mapping):
+            self.table = table
+        else:
+            self.fault("", "a table", table)
+
+    def fault(self, key: str, expected: str, found: object) -> None:
+        """Record a fault: the key, what was expected and what stood there."""
+        where = f"{self.place}: {key}" if key else self.place
+        self.faults.append(self.error(f"{where}: expected {expected}, found {found!r}"))
+
+    def take(self, key: str, kind: type, expected: str, default: object) -> object:
+        """Return a key's value where it is of a kind, else its default or a recorded fault."""
+        self.read.add(key)
+        value = self.table.get(key, default)
+        if value is _REQUIRED:
+            self.fault(key, expected, None)
+            return kind()
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            self.fault(key, expected, value)
+            return kind() if default is _REQUIRED else default
+        return value
+
+    def text(self, key: str, default: object = _REQUIRED) -> str:
+        """Return a string; an empty one is a fault where no default is given."""
+        value = self.take(key, str, "a string", default)
+        if value == "" and default is _REQUIRED and isinstance(self.table.get(key), str):
+            self.fault(key, "a string that is not empty", value)
+        return str(value)
+
+    def flag(self, key: str, default: bool) -> bool:
+        """Return a boolean."""
+        return bool(self.take(key, bool, "true or false", default))
+
+    def number(self, key: str, default: object = _REQUIRED, least: float = 0.0) -> float:
+        """Return a finite number not below a least value."""
+        self.read.add(key)
+        value = self.table.get(key, default)
+        good = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not good or not least <= value < float("inf"):
+            self.fault(
+                key, f"a number of at least {least:g}", None if value is _REQUIRED else value
+            )
+            return least
+        return float(value)
+
+    def texts(self, key: str, default: object = ()) -> tuple[str, ...]:
+        """Return a list of strings."""
+        self.read.add(key)
+        value = self.table.get(key, default)
+        if not isinstance(value, (list, tuple)) or not all(isinstance(one, str) for one in value):
+            self.fault(key, "a list of strings", value)
+            return ()
+        return tuple(value)
+
+    def labels(self, key: str) -> dict[str, str]:
+        """Return a table of labels."""
+        self.read.add(key)
+        value = self.table.get(key, {})
+        if not isinstance(value, Mapping) or not all(
+            isinstance(name, str) and isinstance(one, str) for name, one in value.items()
+        ):
+            self.fault(key, "a table of strings", value)
+            return {}
+        return dict(value)
+
+    def choice(self, key: str, choices: tuple[str, ...], default: object = _REQUIRED) -> str:
+        """Return a string out of a few."""
+        value = self.text(key, default)
+        if value not in choices:
+            self.fault(key, "one of " + ", ".join(choices), value)
+            return choices[0]
+        return value
+
+    def finish(self) -> list[MountladderError]:
+        """Record every key that nothing has read, and return all faults."""
+        for key in self.table:
+            if key not in self.read:
+                self.fault(str(key), "no such key", self.table[key])
+        return self.faults
--- /dev/null
+++ b/packages/core/src/mountladder/follower.py
@@ -0,0 +1,108 @@
+# follower.py -- An instance's view of the configuration
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An instance's view of the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from mountladder.change import Change
+from mountladder.changelog import ChangeLog
+from mountladder.clock import Clock
+from mountladder.configuration import Configuration
+from mountladder.errors import BadRowError, StoreUnavailableError
+
+KEPT_CHANGES = 512
+
+
+class Follower:
+    """Follows the configuration from the store and from peers; it only moves to higher revisions.
+
+    Args:
+        log: The log in the store.
+        clock: The clock that ages are measured on.
+
+    Attributes:
+        configuration: The configuration in force on this instance.
+        checked_at: When the store was last known to hold nothing newer, or None.
+        changes: The latest changes, from which peers are brought up to date.
+    """
+
+    def __init__(self, log: ChangeLog, clock: Clock) -> None:
+        self.log = log
+        self.clock = clock
+        self.configuration = Configuration()
+        self.checked_at: float | None = None
+        self.changes: list[Change] = []
+        self.listeners: list[Callable[[Sequence[Change]], None]] = []
+        self.reads = 0
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration was ever known to be the newest one."""
+        return self.checked_at is not None
+
+    def age_ms(self) -> float:
+        """Return how long ago the configuration was known to be the newest; infinite if never."""
+        if self.checked_at is None:
+            return float("inf")
+        return self.clock.now() - self.checked_at
+
+    def poll(self) -> bool:
+        """Read the store once; tell whether it could be read."""
+        started = self.clock.now()
+        self.reads += 1
+        try:
+            if not self.ready:
+                self.replace(self.log.load(self.configuration))
+            else:
+                self.catch_up()
+        except (StoreUnavailableError, BadRowError):
+            return False
+        self.confirm(started)
+        return True
+
+    def catch_up(self) -> None:
+        """Read the head, and the changes since the revision in force where there are any."""
+        newest, _ = self.log.head()
+        while self.configuration.revision < newest:
+            self.reads += 1
+            if not self.adopt(self.log.since(self.configuration.revision)):
+                raise BadRowError("the log ends before its head")
+
+    def adopt(self, changes: Sequence[Change]) -> bool:
+        """Adopt the changes that directly follow the revision in force; tell whether any did."""
+        adopted: list[Change] = []
+        configuration = self.configuration
+        for change in changes:
+            if change.revision == configuration.revision + 1:
+                configuration = configuration.after(change)
+                adopted.append(change)
+        if not adopted:
+            return False
+        self.configuration = configuration
+        self.changes = (self.changes + adopted)[-KEPT_CHANGES:]
+        for listener in self.listeners:
+            listener(adopted)
+        return True
+
+    def replace(self, configuration: Configuration) -> None:
+        """Adopt a whole configuration where its revision is higher."""
+        if configuration.revision > self.configuration.revision:
+            self.configuration = configuration
+            self.changes = []
+
+    def confirm(self, at: float) -> None:
+        """Record that the store held nothing newer than the revision in force at a time."""
+        if self.checked_at is None or at > self.checked_at:
+            self.checked_at = at
+
+    def since(self, revision: int) -> list[Change] | None:
+        """Return the kept changes after a revision, or None where they do not reach back."""
+        if revision >= self.configuration.revision:
+            return []
+        if not self.changes or self.changes[0].revision > revision + 1:
+            return None
+        return [change for change in self.changes if change.revision > revision]
--- /dev/null
+++ b/packages/core/src/mountladder/gateway.py
@@ -0,0 +1,245 @@
+# gateway.py -- The way of a request through an instance
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The way of a request through an instance."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import json
+from collections.abc import Iterator
+
+from gevent.pool import Group
+
+from mountladder.admission import Admission
+from mountladder.callerrequest import CallerRequest
+from mountladder.chunk import Chunk
+from mountladder.code import Code
+from mountladder.detachedrun import DetachedRun
+from mountladder.errors import MountladderError, RefusalError
+from mountladder.estimate import estimate_ms
+from mountladder.idempotency import Idempotency, check_key
+from mountladder.keyrecord import KeyRecord
+from mountladder.metric import Metric
+from mountladder.pipelinerun import PipelineRun
+from mountladder.reply import Reply
+from mountladder.request import Request
+from mountladder.resultclass import ResultClass
+from mountladder.runcontext import RunContext
+from mountladder.team import Team
+from mountladder.trace import Trace
+from mountladder.tracebook import TraceBook
+
+LONGEST_DEADLINE_MS = 600_000.0
+PROBE_EVERY_MS = 500.0
+HOPELESS = 4.0
+REFUSED_RETRY_MS = 1_000.0
+# These refuse a key without having looked it up, so that an earlier call with it may have run.
+_BEFORE_THE_KEY = frozenset({Code.NOT_READY, Code.STORE_NEEDED})
+
+
+class Gateway:
+    """Takes requests in, decides whether they run, runs them and keeps account of them.
+
+    Args:
+        incarnation: The incarnation of this instance, which request ids start with.
+        context: What runs share.
+        admission: Which requests run and which wait.
+        idempotency: Which keys may run.
+        traces: Where traces are kept.
+
+    Attributes:
+        runs: The tasks of runs that go on when their callers go away.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        context: RunContext,
+        admission: Admission,
+        idempotency: Idempotency,
+        traces: TraceBook,
+    ) -> None:
+        self.incarnation = incarnation
+        self.context = context
+        self.admission = admission
+        self.idempotency = idempotency
+        self.traces = traces
+        self.runs = Group()
+        self.numbers = itertools.count(1)
+        self.probed_at: dict[str, float] = {}
+
+    def serve(self, called: CallerRequest) -> Reply:
+        """Take a request in.
+
+        Returns:
+            What it is answered with. A run starts when its chunks are read.
+
+        Raises:
+            RefusalError: It did not run.
+            RunError: Its key's request runs already, or its outcome is unknown.
+        """
+        self.context.metrics.count(Metric.REQUESTS)
+        try:
+            request = self.read(called)
+            if request.repeatable:
+                return self.run_reply(request, None)
+            decision = self.idempotency.decide(request)
+        except MountladderError as error:
+            if called.key and not called.first and error.code in _BEFORE_THE_KEY:
+                error.result = ResultClass.UNKNOWN
+            self.count_error(error)
+            raise
+        if decision.replay is not None:
+            return Reply(request, kept=decision.replay)
+        if decision.home is not None:
+            return Reply(request, home=decision.home)
+        return self.run_reply(request, decision.run)
+
+    def read(self, called: CallerRequest) -> Request:
+        """Check and authenticate a request.
+
+        Raises:
+            RefusalError: It is malformed, from nobody known, or lacks a key.
+        """
+        team = self.team(called.token)
+        pipeline = self.context.follower.configuration.pipeline(called.pipeline)
+        if pipeline is None:
+            raise RefusalError(f"there is no pipeline {called.pipeline!r}", Code.UNKNOWN_PIPELINE)
+        allowed_ms = pipeline.deadline_ms if called.deadline_ms is None else called.deadline_ms
+        if not 0 < allowed_ms <= LONGEST_DEADLINE_MS:
+            raise RefusalError(f"deadline_ms: {allowed_ms!r} is out of range", Code.BAD_REQUEST)
+        request = Request(
+            id=f"{self.incarnation}-{next(self.numbers)}",
+            pipeline=pipeline,
+            team=team,
+            input=called.input,
+            deadline=called.arrived + allowed_ms,
+            key=called.key,
+            idempotent=called.idempotent,
+        )
+        check_key(request.key)
+        if not request.repeatable and not request.key:
+            raise RefusalError("", Code.KEY_MISSING)
+        return request
+
+    def team(self, token: str) -> Team:
+        """Return the team that a token belongs to.
+
+        Raises:
+            RefusalError: It belongs to none, or no configuration is known yet.
+        """
+        if not self.context.follower.ready:
+            raise RefusalError("", Code.NOT_READY, retry_after_ms=REFUSED_RETRY_MS)
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        team = self.context.follower.configuration.team_of(digest)
+        if team is None:
+            raise RefusalError("", Code.UNAUTHENTICATED)
+        return team
+
+    def run_reply(self, request: Request, record: KeyRecord | None) -> Reply:
+        """Return the reply to a request that is to run here."""
+        trace = Trace(request.id, self.context.clock, self.context.follower.configuration.revision)
+        self.traces.add(trace)
+        trace.add("received", reason=f"pipeline {request.pipeline.name}, team {request.team.name}")
+        run = PipelineRun(request, trace, self.context)
+        chunks = self.run(run) if record is None else self.run_once(run, record)
+        return Reply(request, chunks=chunks, answer=lambda: run.answer.encode())
+
+    def run(self, run: PipelineRun) -> Iterator[Chunk]:
+        """Run a request that may be repeated, in the caller's own task."""
+        error: MountladderError | None = None
+        try:
+            self.enter(run.request)
+            try:
+                yield from run.chunks()
+            finally:
+                self.admission.leave(run.request.team)
+        except MountladderError as caught:
+            error = caught
+            raise
+        except GeneratorExit:
+            error = RefusalError("", Code.CANCELLED)
+            raise
+        finally:
+            self.account(run, error)
+
+    def run_once(self, run: PipelineRun, record: KeyRecord) -> Iterator[Chunk]:
+        """Run a request that must not be repeated, in a task that its caller cannot cut."""
+        try:
+            self.enter(run.request)
+        except BaseException as error:
+            self.idempotency.release(record)
+            if isinstance(error, MountladderError):
+                self.account(run, error)
+            raise
+
+        def ended(error: MountladderError | None) -> None:
+            self.admission.leave(run.request.team)
+            if error is None:
+                self.idempotency.finish(record, run.answer.encode())
+            else:
+                self.idempotency.fail(record, error, run.dispatched)
+            self.account(run, error)
+
+        yield from DetachedRun(run, self.context.clock, ended, self.runs).read()
+
+    def enter(self, request: Request) -> None:
+        """Refuse a request whose deadline cannot be met, or wait for a place."""
+        now = self.context.clock.now()
+        expected = estimate_ms(self.context, request)
+        name = request.pipeline.name
+        remaining = request.deadline - now
+        hopeless = expected > HOPELESS * remaining
+        if expected > remaining and (hopeless or not self.probes(name, now)):
+            detail = f"it is expected to take {expected:.0f} ms"
+            raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=REFUSED_RETRY_MS)
+        latest = max(now, request.deadline - expected)
+        self.admission.enter(request.team, request.pipeline.urgency, latest)
+
+    def probes(self, pipeline: str, now: float) -> bool:
+        """Tell whether a request may run against the estimate, so that a wrong one is noticed."""
+        if now - self.probed_at.get(pipeline, float("-inf")) < PROBE_EVERY_MS:
+            return False
+        self.probed_at[pipeline] = now
+        return True
+
+    def account(self, run: PipelineRun, error: MountladderError | None) -> None:
+        """Count the end of a request and close its trace."""
+        metrics = self.context.metrics
+        now = self.context.clock.now()
+        metrics.timing(Metric.REQUEST_MS, now - run.trace.started)
+        if error is None:
+            metrics.count(Metric.ANSWERED)
+            if now > run.request.deadline:
+                metrics.count(Metric.LATE)
+            run.trace.add("done")
+            return
+        self.count_error(error)
+        run.trace.add("ended", error.stage, "", "", error.code.number, error.detail)
+
+    def count_error(self, error: MountladderError) -> None:
+        """Count a refusal or failure by its code."""
+        self.context.metrics.count(Metric.REFUSED, error.code.name.lower())
+
+
+def problem(error: MountladderError, request: Request | None) -> bytes:
+    """Return an error as a problem document in JSON."""
+    repeatable = request is not None and request.repeatable
+    table = {
+        "type": f"urn:mountladder:code:{error.code.number}",
+        "title": error.code.meaning,
+        "status": error.code.status,
+        "code": error.code.number,
+        "name": error.code.name.lower(),
+        "class": error.result.value,
+        "stage": error.stage,
+        "detail": error.detail,
+        "repeat_safe": error.result is ResultClass.NOT_RUN or repeatable,
+        "request": request.id if request is not None else "",
+    }
+    if error.retry_after_ms is not None:
+        table["retry_after_ms"] = error.retry_after_ms
+    return json.dumps(table).encode()
--- /dev/null
+++ b/packages/core/src/mountladder/groupcommit.py
@@ -0,0 +1,167 @@
+# groupcommit.py -- Many writes in few transactions
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Many writes in few transactions."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from gevent.event import Event
+
+from mountladder.clock import Clock
+from mountladder.errors import ConditionFailedError, StoreAmbiguousError, StoreUnavailableError
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.pendingwrite import PendingWrite
+from mountladder.table import Table
+from mountladder.write import ABSENT, Write
+
+MOST_IN_BATCH = 100
+RETRY_PAUSE_MS = 50.0
+
+
+class GroupCommit:
+    """Commits independent conditional writes of many requests in shared transactions.
+
+    One transaction is in flight at a time; what comes meanwhile goes into the next one. A write
+    whose condition does not hold is taken out and the others are sent again. A transaction
+    without an answer is sent again unchanged in its parts: a row that holds exactly the value to
+    be written was written by the one whose answer was lost, since every value carries a nonce.
+
+    Args:
+        table: The table service.
+        clock: The clock.
+        metrics: Where transactions are counted.
+        window_ms: How long to gather writes before a transaction.
+    """
+
+    def __init__(
+        self, table: Table, clock: Clock, metrics: Metrics, window_ms: float = 5.0
+    ) -> None:
+        self.table = table
+        self.clock = clock
+        self.metrics = metrics
+        self.window_ms = window_ms
+        self.queue: deque[PendingWrite] = deque()
+        self.arrived = Event()
+        self.transactions = 0
+        self.rows = 0
+
+    def submit(self, write: Write, until: float) -> int:
+        """Commit a write and return the new version of its row.
+
+        Args:
+            write: The write; its value must differ from every other value ever written there.
+            until: How long to try, in the clock's milliseconds.
+
+        Raises:
+            ConditionFailedError: The condition does not hold.
+            StoreUnavailableError: Nothing was written.
+            StoreAmbiguousError: It may have been written, or may yet be.
+        """
+        pending = PendingWrite(write, until)
+        self.queue.append(pending)
+        self.arrived.set()
+        if not self.clock.wait(pending.settled, until - self.clock.now()):
+            self.withdraw(pending)
+        if pending.error is not None:
+            raise pending.error
+        return pending.version
+
+    def withdraw(self, pending: PendingWrite) -> None:
+        """Give up a write whose time is over while it waits or is on its way."""
+        if pending in self.queue:
+            self.queue.remove(pending)
+            self.give_up(pending, StoreUnavailableError("the store did not answer in time"))
+        else:
+            pending.ambiguous = True
+            self.give_up(pending, StoreAmbiguousError("the store did not answer in time"))
+
+    def run(self) -> None:
+        """Commit what is submitted, for ever."""
+        while True:
+            self.arrived.wait()
+            self.clock.sleep(self.window_ms)
+            self.arrived.clear()
+            while self.queue:
+                self.commit(self.take())
+
+    def take(self) -> list[PendingWrite]:
+        """Take the next batch; a row stands in a batch once."""
+        batch: dict[str, PendingWrite] = {}
+        rest: list[PendingWrite] = []
+        while self.queue and len(batch) < MOST_IN_BATCH:
+            pending = self.queue.popleft()
+            if pending.write.key in batch:
+                rest.append(pending)
+            else:
+                batch[pending.write.key] = pending
+        self.queue.extendleft(reversed(rest))
+        return list(batch.values())
+
+    def commit(self, batch: list[PendingWrite]) -> None:
+        """Commit a batch until each of its writes is settled or put back into the queue."""
+        while batch:
+            self.transactions += 1
+            self.metrics.count(Metric.CLAIM_COMMITS)
+            try:
+                version = self.table.commit([pending.write for pending in batch])
+            except ConditionFailedError as error:
+                batch = self.without_failed(batch, frozenset(error.keys))
+            except (StoreAmbiguousError, StoreUnavailableError) as error:
+                self.put_back(batch, error)
+                return
+            else:
+                self.rows += len(batch)
+                for pending in batch:
+                    pending.succeed(version)
+                return
+
+    def without_failed(
+        self, batch: list[PendingWrite], failed: frozenset[str]
+    ) -> list[PendingWrite]:
+        """Settle the writes whose condition does not hold and return the others."""
+        for pending in batch:
+            if pending.write.key in failed:
+                self.settle_failed(pending)
+        return [pending for pending in batch if not pending.settled.is_set()]
+
+    def settle_failed(self, pending: PendingWrite) -> None:
+        """Find out whether a condition fails because the write took effect already."""
+        try:
+            row = self.table.read(pending.write.key)
+        except StoreUnavailableError as error:
+            self.give_up(pending, error)
+            return
+        if row is None and pending.write.value is None:
+            pending.succeed(ABSENT)
+        elif row is not None and row.value == pending.write.value:
+            pending.succeed(row.version)
+        else:
+            pending.fail(ConditionFailedError((pending.write.key,)))
+
+    def put_back(
+        self, batch: list[PendingWrite], error: StoreUnavailableError | StoreAmbiguousError
+    ) -> None:
+        """Pause, and put the writes that still have time back into the queue."""
+        self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+        for pending in batch:
+            pending.ambiguous = pending.ambiguous or isinstance(error, StoreAmbiguousError)
+        self.clock.sleep(RETRY_PAUSE_MS)
+        open_ = [pending for pending in batch if not pending.settled.is_set()]
+        for pending in reversed(open_):
+            if self.clock.now() >= pending.until:
+                self.give_up(pending, error)
+            else:
+                self.queue.appendleft(pending)
+
+    def give_up(
+        self, pending: PendingWrite, error: StoreUnavailableError | StoreAmbiguousError
+    ) -> None:
+        """Settle a write whose outcome will not be known in time."""
+        if pending.ambiguous:
+            pending.fail(StoreAmbiguousError(error.detail))
+        else:
+            pending.fail(StoreUnavailableError(error.detail))
--- /dev/null
+++ b/packages/core/src/mountladder/idempotency.py
@@ -0,0 +1,301 @@
+# idempotency.py -- Non-idempotent requests run at most once
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Non-idempotent requests run at most once."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import uuid
+from collections.abc import Callable
+
+from gevent.pool import Group
+
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import (
+    BadRowError,
+    ConditionFailedError,
+    MountladderError,
+    RefusalError,
+    RunError,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+)
+from mountladder.groupcommit import GroupCommit
+from mountladder.issuedkey import IssuedKey, is_issued
+from mountladder.keybook import KeyBook
+from mountladder.keydecision import KeyDecision
+from mountladder.keyrecord import KeyRecord
+from mountladder.keystate import KeyState
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.request import Request
+from mountladder.resultclass import ResultClass
+from mountladder.row import Row
+from mountladder.table import Table
+from mountladder.write import ABSENT, Write
+
+CLAIM_PREFIX = "claim/"
+ISSUED_KEEP_MS = 3_600_000.0
+CLAIM_SHARE = 0.5
+SETTLE_MS = 60_000.0
+LONGEST_KEY = 200
+RETRY_AFTER_MS = 1_000.0
+
+
+class Idempotency:
+    """Decides for each key whether its request runs here, has run, or must be refused.
+
+    A key that an instance issued may be run by that incarnation alone, so its memory decides and
+    no store is needed. Any other key must first be claimed by a row of the store that was absent.
+    A claim is never taken over: where its holder is gone, the outcome is unknown.
+
+    Args:
+        instance: The name of this instance.
+        incarnation: Its incarnation.
+        secret: The fleet's key, which seals issued keys.
+        book: The keys held in memory.
+        commits: Writes claims.
+        table: Reads claims.
+        clock: The clock.
+        metrics: Where claims are counted.
+
+    Attributes:
+        tasks: Writes on their way that no caller waits for.
+        alive: Tells whether an incarnation is believed to be alive.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        secret: bytes,
+        book: KeyBook,
+        commits: GroupCommit,
+        table: Table,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.secret = secret
+        self.book = book
+        self.commits = commits
+        self.table = table
+        self.clock = clock
+        self.metrics = metrics
+        self.versions: dict[str, int] = {}
+        self.tasks = Group()
+        self.numbers = itertools.count(1)
+        self.alive: Callable[[str], bool] = lambda incarnation: True
+
+    def issue(self, team: str) -> str:
+        """Return a new key that only this incarnation will run."""
+        key = IssuedKey(self.instance, self.incarnation, next(self.numbers), int(self.clock.now()))
+        return key.text(self.secret, team)
+
+    def decide(self, request: Request) -> KeyDecision:
+        """Decide what is to be done with a request that has a key.
+
+        Raises:
+            RefusalError: It did not run and must not run now.
+            RunError: It may have run, or runs.
+        """
+        key = full_key(request)
+        known = self.book.find(key)
+        while known is not None and known.state is KeyState.RUNNING:
+            self.check_fingerprint(known, request)
+            remaining = request.deadline - self.clock.now()
+            if remaining <= 0:
+                break
+            self.book.wait(key, remaining)
+            known = self.book.find(key)
+        if known is not None:
+            return self.repeat(known, request)
+        if is_issued(request.key):
+            return self.decide_issued(request)
+        return self.decide_claimed(request)
+
+    def decide_issued(self, request: Request) -> KeyDecision:
+        """Decide on a key that was issued and is not known here."""
+        issued = IssuedKey.parse(request.key, self.secret, request.team.name)
+        if issued.incarnation != self.incarnation:
+            return KeyDecision(home=issued)
+        if self.clock.now() - issued.at_ms > ISSUED_KEEP_MS:
+            raise RunError("", Code.KEY_EXPIRED)
+        return KeyDecision(run=self.hold(request))
+
+    def decide_claimed(self, request: Request) -> KeyDecision:
+        """Claim a caller's own key in the store."""
+        record = self.hold(request)
+        now = self.clock.now()
+        until = now + max(0.0, request.deadline - now) * CLAIM_SHARE
+        try:
+            version = self.commits.submit(_claim_write(record), until)
+        except ConditionFailedError:
+            self.book.drop(record.key)
+            return self.repeat_of_claim(record.key, request)
+        except StoreAmbiguousError as error:
+            self.book.drop(record.key)
+            self.tasks.spawn(self.settle_claim, record)
+            raise self.store_needed(error) from error
+        except BaseException as error:
+            self.book.drop(record.key)
+            if isinstance(error, StoreUnavailableError):
+                raise self.store_needed(error) from error
+            raise
+        self.versions[record.key] = version
+        self.metrics.count(Metric.CLAIMS)
+        return KeyDecision(run=record)
+
+    def hold(self, request: Request) -> KeyRecord:
+        """Hold a key in memory, so that repeats here attach to its request."""
+        record = KeyRecord(
+            full_key(request),
+            uuid.uuid4().hex,
+            self.incarnation,
+            request.fingerprint,
+            self.clock.wall(),
+        )
+        self.book.begin(record)
+        return record
+
+    def store_needed(self, error: MountladderError) -> RefusalError:
+        """Return the refusal of a request whose key cannot be claimed."""
+        return RefusalError(error.detail, Code.STORE_NEEDED, retry_after_ms=RETRY_AFTER_MS)
+
+    def repeat_of_claim(self, key: str, request: Request) -> KeyDecision:
+        """Decide on a request whose key is claimed in the store already."""
+        try:
+            row = self.table.read(claim_key(key))
+        except StoreUnavailableError as error:
+            raise RunError("the key is claimed", Code.KEY_OUTCOME_UNKNOWN) from error
+        if row is None:
+            raise RefusalError("the key was just released", Code.STORE_NEEDED, retry_after_ms=0)
+        return self.repeat(KeyRecord.decode(row.value), request)
+
+    def repeat(self, known: KeyRecord, request: Request) -> KeyDecision:
+        """Decide on a request whose key is known.
+
+        Raises:
+            RefusalError: The key belongs to another request.
+            RunError: It runs, failed, or its outcome is not known.
+        """
+        self.check_fingerprint(known, request)
+        if known.state is KeyState.DONE and known.answer is not None:
+            self.metrics.count(Metric.REPLAYED)
+            return KeyDecision(replay=known.answer)
+        if known.state is KeyState.FAILED and known.code is not None:
+            raise RunError(known.detail, known.code)
+        if known.state is KeyState.RUNNING and self.alive(known.incarnation):
+            raise RunError("", Code.KEY_RUNNING, retry_after_ms=RETRY_AFTER_MS)
+        raise RunError("", Code.KEY_OUTCOME_UNKNOWN)
+
+    def check_fingerprint(self, known: KeyRecord, request: Request) -> None:
+        """Refuse a key that was used for a request with another body."""
+        if known.fingerprint != request.fingerprint:
+            raise RefusalError("", Code.KEY_REUSED)
+
+    def finish(self, record: KeyRecord, answer: bytes) -> None:
+        """Record a whole answer, in memory at once and then in the store."""
+        self.end(dataclasses.replace(record, state=KeyState.DONE, answer=answer))
+
+    def fail(self, record: KeyRecord, error: MountladderError, dispatched: bool) -> None:
+        """Record a failure; a request of which no stage was dispatched gives its key back."""
+        if not dispatched:
+            self.release(record)
+            return
+        lost = error.code.result is not ResultClass.FAILED
+        state = KeyState.UNKNOWN if lost else KeyState.FAILED
+        self.end(dataclasses.replace(record, state=state, code=error.code, detail=error.detail))
+
+    def end(self, record: KeyRecord) -> None:
+        """Record the end of a request that ran."""
+        self.book.end(record)
+        version = self.versions.pop(record.key, None)
+        write = Write(claim_key(record.key), record.encode(), version)
+        self.tasks.spawn(self.try_write, write)
+
+    def release(self, record: KeyRecord) -> None:
+        """Give back a key whose request did not run."""
+        self.book.drop(record.key)
+        version = self.versions.pop(record.key, None)
+        if version is not None:
+            self.tasks.spawn(self.try_write, Write(claim_key(record.key), None, version))
+
+    def settle_claim(self, record: KeyRecord) -> None:
+        """Give back a claim of which it is not known whether it was written."""
+        write = _claim_write(record)
+        try:
+            version = self.commits.submit(write, self.clock.now() + SETTLE_MS)
+        except (ConditionFailedError, StoreUnavailableError, StoreAmbiguousError):
+            return
+        self.try_write(Write(write.key, None, version))
+
+    def try_write(self, write: Write) -> None:
+        """Write to the store where it can be reached; safety does not depend on it."""
+        try:
+            self.commits.submit(write, self.clock.now() + SETTLE_MS)
+        except (ConditionFailedError, StoreUnavailableError, StoreAmbiguousError) as error:
+            self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+
+    def answer_of(self, request: Request) -> KeyDecision:
+        """Look in the store for the answer to a key whose home is gone.
+
+        Raises:
+            RunError: It is not there; whether it ran cannot be known.
+        """
+        try:
+            row = self.table.read(claim_key(full_key(request)))
+        except StoreUnavailableError:
+            row = None
+        if row is None:
+            raise RunError("", Code.KEY_HOME_GONE)
+        return self.repeat(KeyRecord.decode(row.value), request)
+
+    def sweep(self, after: str, keep_ms: float, page: int) -> str:
+        """Delete the old claims of one page of rows; return where the next page starts.
+
+        Raises:
+            StoreUnavailableError: The store cannot be reached.
+        """
+        rows = self.table.scan(CLAIM_PREFIX, after, page)
+        horizon = self.clock.wall() - keep_ms
+        for row in rows:
+            if _claimed_at(row) < horizon:
+                self.try_write(Write(row.key, None, row.version))
+        return rows[-1].key if len(rows) == page else ""
+
+
+def full_key(request: Request) -> str:
+    """Return the team and key of a request."""
+    return f"{request.team.name}/{request.key}"
+
+
+def claim_key(key: str) -> str:
+    """Return the key of the row that holds a claim."""
+    return CLAIM_PREFIX + key
+
+
+def check_key(text: str) -> None:
+    """Check the form of an Idempotency-Key.
+
+    Raises:
+        RefusalError: It is too long or holds other than visible ASCII characters.
+    """
+    if len(text) > LONGEST_KEY or not text.isascii() or not text.isprintable() or " " in text:
+        raise RefusalError(f"expected up to {LONGEST_KEY} visible characters", Code.KEY_INVALID)
+
+
+def _claim_write(record: KeyRecord) -> Write:
+    return Write(claim_key(record.key), record.encode(), ABSENT)
+
+
+def _claimed_at(row: Row) -> float:
+    try:
+        return KeyRecord.decode(row.value).at_ms
+    except BadRowError:
+        return float("-inf")
--- /dev/null
+++ b/packages/core/src/mountladder/memoryinstancelist.py
@@ -0,0 +1,48 @@
+# memoryinstancelist.py -- An in-memory list of instances that lags
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An in-memory list of instances that lags."""
+
+from __future__ import annotations
+
+from mountladder.clock import Clock
+from mountladder.instance import Instance
+from mountladder.instancelist import InstanceList
+
+
+class MemoryInstanceList(InstanceList):
+    """A list of instances that shows a change only after a lag.
+
+    Args:
+        clock: The clock that the lag is measured on.
+        lag_ms: How late a change shows, in milliseconds.
+        forget_ms: How long after its last announcement an instance is dropped.
+    """
+
+    def __init__(self, clock: Clock, lag_ms: float = 0.0, forget_ms: float = 30_000.0) -> None:
+        self.clock = clock
+        self.lag_ms = lag_ms
+        self.forget_ms = forget_ms
+        self.history: dict[str, list[tuple[float, Instance]]] = {}
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the instances as they stood one lag ago; see InstanceList."""
+        seen_until = self.clock.now() - self.lag_ms
+        shown = (self.latest(name, seen_until) for name in sorted(self.history))
+        return tuple(instance for instance in shown if instance)
+
+    def announce(self, instance: Instance) -> None:
+        """Record an announcement; see InstanceList."""
+        entries = self.history.setdefault(instance.name, [])
+        entries.append((self.clock.now(), instance))
+        horizon = self.clock.now() - self.lag_ms
+        while len(entries) > 1 and entries[1][0] <= horizon:
+            entries.pop(0)
+
+    def latest(self, name: str, until: float) -> Instance | None:
+        """Return an instance as its last announcement before a time showed it."""
+        entries = [entry for entry in self.history[name] if entry[0] <= until]
+        if not entries or until - entries[-1][0] > self.forget_ms:
+            return None
+        return entries[-1][1]
--- /dev/null
+++ b/packages/core/src/mountladder/memorylink.py
@@ -0,0 +1,61 @@
+# memorylink.py -- One end of a link within a process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""One end of a link within a process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gevent.queue import Queue
+
+from mountladder.errors import PeerError
+from mountladder.instance import Instance
+from mountladder.link import Link
+from mountladder.wire import Message, decode, encode
+
+
+class MemoryLink(Link):
+    """One end of a link within this process; messages are encoded as on the network.
+
+    Args:
+        me: The instance at this end.
+        reachable: Tells whether the two ends can reach each other at present.
+    """
+
+    def __init__(self, me: Instance, reachable: Callable[[], bool]) -> None:
+        super().__init__()
+        self.me = me
+        self.reachable = reachable
+        self.inbox: Queue = Queue()
+        self.other: MemoryLink | None = None
+        self.closed = False
+
+    def handshake(self) -> Instance:
+        """Return the instance at the other end; see Link."""
+        self.peer = self.other.me
+        return self.peer
+
+    def send(self, message: Message) -> int:
+        """Send a message; while the ends are cut off from each other it is lost."""
+        if self.closed or self.other.closed:
+            raise PeerError("the link is closed")
+        data = encode(message)
+        if self.reachable():
+            self.other.inbox.put(data)
+        return len(data)
+
+    def receive(self) -> Message:
+        """Return the next message; see Link."""
+        data = self.inbox.get()
+        if data is None:
+            raise PeerError("the peer closed the link")
+        return decode(data)
+
+    def close(self) -> None:
+        """Close both ends."""
+        if not self.closed:
+            self.closed = True
+            self.inbox.put(None)
+            self.other.inbox.put(None)
--- /dev/null
+++ b/packages/core/src/mountladder/memorynetwork.py
@@ -0,0 +1,51 @@
+# memorynetwork.py -- A network of instances within a process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A network of instances within a process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import gevent
+
+from mountladder.errors import PeerError
+from mountladder.instance import Instance
+from mountladder.link import Link
+from mountladder.memorylink import MemoryLink
+from mountladder.network import Network
+
+
+class MemoryNetwork(Network):
+    """Links between the instances of one process, which can be cut by data centre.
+
+    Attributes:
+        cut: Pairs of data centres that cannot reach each other.
+    """
+
+    def __init__(self) -> None:
+        self.served: dict[str, tuple[Instance, Callable[[Link], None]]] = {}
+        self.cut: set[frozenset[str]] = set()
+
+    def connect(self, address: str, me: Instance) -> Link:
+        """Open a link; see Network."""
+        entry = self.served.get(address)
+        if entry is None or not self.reachable(me, entry[0]):
+            raise PeerError(f"{address}: cannot be reached")
+        there, serve = entry
+        near = MemoryLink(me, lambda: self.reachable(me, there))
+        far = MemoryLink(there, lambda: self.reachable(me, there))
+        near.other, far.other = far, near
+        gevent.spawn(serve, far)
+        return near
+
+    def listen(self, me: Instance, serve: Callable[[Link], None], stack: ExitStack) -> None:
+        """Serve links; see Network."""
+        self.served[me.peer] = (me, serve)
+        stack.callback(self.served.pop, me.peer, None)
+
+    def reachable(self, first: Instance, second: Instance) -> bool:
+        """Tell whether two instances can reach each other."""
+        return frozenset({first.datacentre, second.datacentre}) not in self.cut
--- /dev/null
+++ b/packages/core/src/mountladder/metric.py
@@ -0,0 +1,47 @@
+# metric.py -- The names of all metrics
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The names of all metrics."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Metric(Enum):
+    """A metric: its name, its statsd type and what it measures.
+
+    Names that end in a dot are followed by a code's name in lower case or by a stage's name. The
+    table in docs/METRICS.md is checked against this list.
+    """
+
+    REQUESTS = ("requests", "counter", "requests received")
+    ANSWERED = ("answered", "counter", "requests answered whole")
+    LATE = ("late", "counter", "whole answers after their deadline")
+    REFUSED = ("refused.", "counter", "requests refused or failed, by result code")
+    RETRIED = ("retried.", "counter", "stage attempts repeated, by the code of the failed one")
+    REPLAYED = ("replayed", "counter", "repeats answered from a kept answer")
+    RELAYED = ("relayed", "counter", "requests relayed to the instance that issued their key")
+    RESUMED = ("resumed", "counter", "streams resumed after a cut")
+    CANCELLED = ("cancelled", "counter", "calls cancelled at backend servers")
+    EJECTED = ("ejected", "counter", "times a backend server was taken out of use")
+    CLAIMS = ("claims", "counter", "keys claimed in the store")
+    CLAIM_COMMITS = ("claim_commits", "counter", "transactions that carried claims")
+    STORE_ERRORS = ("store_errors.", "counter", "failed calls to the platform, by result code")
+    PEER_ERRORS = ("peer_errors.", "counter", "failed peer messages, by result code")
+    PEER_BYTES = ("peer_bytes", "counter", "bytes sent to peers")
+    COST_FLUSHES = ("cost_flushes", "counter", "batches of cost sent to the platform")
+    ORDERS = ("orders", "counter", "orders sent to engines")
+    STAGE_MS = ("stage_ms.", "timing", "time of one stage in milliseconds, by stage name")
+    REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
+    RUNNING = ("running", "gauge", "requests running")
+    WAITING = ("waiting", "gauge", "requests waiting to be admitted")
+    REVISION = ("revision", "gauge", "configuration revision in force")
+    CONFIGURATION_AGE_MS = ("configuration_age_ms", "gauge", "time since it was known to be newest")
+    PEERS = ("peers", "gauge", "peers heard from within the last heartbeats")
+
+    def __init__(self, label: str, type_: str, meaning: str) -> None:
+        self.label = label
+        self.type = type_
+        self.meaning = meaning
--- /dev/null
+++ b/packages/core/src/mountladder/objectstore.py
@@ -0,0 +1,30 @@
+# objectstore.py -- The platform's object store
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The platform's object store."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+
+class ObjectStore(ABC):
+    """Named objects, replaced whole."""
+
+    @abstractmethod
+    def get(self, name: str) -> bytes | None:
+        """Return an object, or None where there is none.
+
+        Raises:
+            StoreUnavailableError: The store cannot be reached.
+        """
+
+    @abstractmethod
+    def put(self, name: str, value: bytes) -> None:
+        """Write an object.
+
+        Raises:
+            StoreUnavailableError: The store refused; nothing was written.
+            StoreAmbiguousError: No answer came.
+        """
--- /dev/null
+++ b/packages/core/src/mountladder/peers.py
@@ -0,0 +1,257 @@
+# peers.py -- Messages with the other instances
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Messages with the other instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import singledispatchmethod
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+from mountladder.ask import Ask
+from mountladder.change import Change
+from mountladder.changes import Changes
+from mountladder.clock import Clock
+from mountladder.configuration import Configuration
+from mountladder.errors import BadRowError, MountladderError, PeerError
+from mountladder.follower import Follower
+from mountladder.heartbeat import Heartbeat
+from mountladder.hello import Hello
+from mountladder.instance import Instance
+from mountladder.link import Link
+from mountladder.membership import Membership
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.network import Network
+from mountladder.snapshot import Snapshot
+from mountladder.submit import Submit
+from mountladder.submitted import Submitted
+from mountladder.wire import Message
+
+REDIAL_MS = 500.0
+TARGETS_MS = 500.0
+LEAVING_SHOWN_MS = 10_000.0
+
+
+class Peers:
+    """Keeps a link to each peer, tells them what is new and takes in what they tell.
+
+    Args:
+        membership: Which instances there are.
+        follower: The configuration in force.
+        network: Opens links.
+        clock: The clock.
+        metrics: Where bytes and errors are counted.
+        seeds: Addresses of instances to start from.
+
+    Attributes:
+        links: The links this instance opened, by the peer's address.
+        on_submit: Commits a write for a peer and returns the reply.
+        on_submitted: Takes the reply to a write that a peer committed.
+        on_leaving_server: Takes the name of a backend server that a peer says is leaving.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        follower: Follower,
+        network: Network,
+        clock: Clock,
+        metrics: Metrics,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self.membership = membership
+        self.follower = follower
+        self.network = network
+        self.clock = clock
+        self.metrics = metrics
+        self.seeds = tuple(seed for seed in seeds if seed != membership.me.peer)
+        self.links: dict[str, Link] = {}
+        self.dialers: dict[str, gevent.Greenlet] = {}
+        self.leaving = False
+        self.source: Instance | None = None
+        self.leaving_servers: dict[str, float] = {}
+        self.on_submit: Callable[[Submit], Submitted] | None = None
+        self.on_submitted: Callable[[Submitted], None] = lambda submitted: None
+        self.on_leaving_server: Callable[[str], None] = lambda name: None
+        self.bytes = 0
+        self.messages = 0
+        follower.listeners.append(self.push)
+
+    def run(self) -> None:
+        """Keep one dialling task for each instance that this one talks to, for ever."""
+        while True:
+            self.follow_targets()
+            self.metrics.gauge(Metric.PEERS, len(self.membership.live()) - 1)
+            self.clock.sleep(TARGETS_MS)
+
+    def follow_targets(self) -> None:
+        """Start and end dialling tasks as the targets change."""
+        targets = [one.peer for one in self.membership.targets() if one.peer]
+        wanted = set(targets) | (set() if targets else set(self.seeds))
+        for address in wanted - set(self.dialers):
+            self.dialers[address] = gevent.spawn(self.dial, address)
+        for address in set(self.dialers) - wanted - set(self.seeds):
+            self.dialers.pop(address).kill(block=False)
+
+    def dial(self, address: str) -> None:
+        """Keep a link to an address open, for ever."""
+        while True:
+            try:
+                self.talk(address)
+            except PeerError as error:
+                self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
+            self.clock.sleep(REDIAL_MS)
+
+    def talk(self, address: str) -> None:
+        """Open a link, and send heartbeats until it breaks."""
+        link = self.network.connect(address, self.membership.me)
+        reader = None
+        broken = Event()
+        try:
+            peer = link.handshake()
+            self.membership.hear(peer)
+            self.links[address] = link
+            reader = gevent.spawn(self.read_all, link)
+            reader.link(lambda _: broken.set())
+            while not broken.is_set():
+                self.send(link, self.heartbeat())
+                self.clock.wait(broken, self.membership.interval_ms)
+        finally:
+            self.links.pop(address, None)
+            link.close()
+            if reader is not None:
+                reader.kill()
+
+    def serve(self, link: Link) -> None:
+        """Serve a link that a peer opened, until it breaks."""
+        try:
+            self.membership.hear(link.handshake())
+            self.send(link, self.heartbeat())
+            self.read_all(link)
+        except PeerError as error:
+            self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
+        finally:
+            link.close()
+
+    def read_all(self, link: Link) -> None:
+        """Take in messages until the link breaks."""
+        try:
+            while True:
+                self.handle(link.receive(), link)
+        except MountladderError as error:
+            self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
+
+    def send(self, link: Link, message: Message) -> None:
+        """Send a message and count its bytes."""
+        size = link.send(message)
+        self.bytes += size
+        self.messages += 1
+        self.metrics.count(Metric.PEER_BYTES, number=size)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return this instance's sign of life."""
+        now = self.clock.now()
+        shown = [name for name, at in self.leaving_servers.items() if now - at < LEAVING_SHOWN_MS]
+        age = self.follower.age_ms()
+        age_ms = int(age) if age != float("inf") else 2**32 - 1
+        revision = self.follower.configuration.revision
+        return Heartbeat(revision, age_ms, self.leaving, tuple(shown))
+
+    def push(self, changes: Sequence[Change]) -> None:
+        """Send new changes on, to those who will not get them from where they came from.
+
+        What came from a peer of this data centre goes to other data centres only, since that peer
+        told its neighbours itself.
+        """
+        message = Changes(tuple(change.encode() for change in changes))
+        here = self.membership.me.datacentre
+        told_neighbours = self.source is not None and self.source.datacentre == here
+        for link in list(self.links.values()):
+            if told_neighbours and link.peer.datacentre == here:
+                continue
+            gevent.spawn(self.try_send, link, message)
+
+    def try_send(self, link: Link, message: Message) -> None:
+        """Send a message where the link still holds; its own tasks notice where it does not."""
+        try:
+            self.send(link, message)
+        except PeerError as error:
+            self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
+
+    def tell_all(self) -> None:
+        """Send a heartbeat to every peer at once."""
+        for link in list(self.links.values()):
+            gevent.spawn(self.try_send, link, self.heartbeat())
+
+    def server_leaving(self, name: str) -> None:
+        """Tell every peer of a backend server that said it is leaving."""
+        fresh = name not in self.leaving_servers
+        self.leaving_servers[name] = self.clock.now()
+        if fresh:
+            self.tell_all()
+
+    @singledispatchmethod
+    def handle(self, message: Message, link: Link) -> None:
+        """Take in a message."""
+        raise PeerError(f"no message is handled like {message!r}")
+
+    @handle.register
+    def _(self, message: Hello, link: Link) -> None:
+        raise PeerError("a second greeting")
+
+    @handle.register
+    def _(self, message: Heartbeat, link: Link) -> None:
+        self.membership.hear(link.peer, message.leaving)
+        for name in message.leaving_servers:
+            self.on_leaving_server(name)
+        own = self.follower.configuration.revision
+        if message.revision > own:
+            self.send(link, Ask(own))
+        elif message.revision == own and message.age_ms < 2**32 - 1:
+            self.follower.confirm(self.clock.now() - message.age_ms)
+
+    @handle.register
+    def _(self, message: Ask, link: Link) -> None:
+        changes = self.follower.since(message.revision)
+        if changes is None:
+            self.send(link, Snapshot(self.follower.configuration.encode()))
+        elif changes:
+            self.send(link, Changes(tuple(change.encode() for change in changes)))
+
+    @handle.register
+    def _(self, message: Changes, link: Link) -> None:
+        changes = [Change.decode(value) for value in message.values]
+        self.source = link.peer
+        try:
+            self.follower.adopt(changes)
+        finally:
+            self.source = None
+        if changes and changes[-1].revision > self.follower.configuration.revision:
+            self.send(link, Ask(self.follower.configuration.revision))
+
+    @handle.register
+    def _(self, message: Snapshot, link: Link) -> None:
+        try:
+            self.follower.replace(Configuration.decode(message.value))
+        except BadRowError as error:
+            log_message("snapshot-refused", peer=link.peer.name, reason=str(error))
+
+    @handle.register
+    def _(self, message: Submit, link: Link) -> None:
+        if self.on_submit is not None:
+            gevent.spawn(lambda: self.try_send(link, self.on_submit(message)))
+
+    @handle.register
+    def _(self, message: Submitted, link: Link) -> None:
+        self.on_submitted(message)
+
+    def close(self) -> None:
+        """End every dialling task."""
+        for dialer in self.dialers.values():
+            dialer.kill()
--- /dev/null
+++ b/packages/core/src/mountladder/pipeline.py
@@ -0,0 +1,87 @@
+# pipeline.py -- A pipeline of stages
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A pipeline of stages."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import ClassVar
+
+from mountladder.document import Document
+from mountladder.fields import Fields
+from mountladder.stage import Stage
+
+DEFAULT_DEADLINE_MS = 5_000.0
+MOST_STAGES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Pipeline(Document):
+    """A pipeline.
+
+    Attributes:
+        deadline_ms: The deadline of a request that states none, in milliseconds.
+        stages: Its stages, each after those it needs.
+        urgency: Who is shed first under overload: a lower number is shed later.
+    """
+
+    kind: ClassVar[str] = "pipeline"
+    deadline_ms: float
+    stages: tuple[Stage, ...]
+    urgency: int
+
+    @classmethod
+    def read(cls, fields: Fields) -> Pipeline:
+        """Read a pipeline and its stages from its table."""
+        return cls(
+            name=fields.text("name"),
+            labels=fields.labels("labels"),
+            deadline_ms=fields.number("deadline_ms", DEFAULT_DEADLINE_MS, least=1),
+            stages=_stages(fields),
+            urgency=int(fields.number("urgency", 1)),
+        )
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether every stage may be run again."""
+        return all(stage.idempotent for stage in self.stages)
+
+    def table(self) -> dict[str, object]:
+        """Return the table it is read from."""
+        return {
+            "name": self.name,
+            "labels": self.labels,
+            "deadline_ms": self.deadline_ms,
+            "urgency": self.urgency,
+            "stage": [stage.table() for stage in self.stages],
+        }
+
+
+def _stages(fields: Fields) -> tuple[Stage, ...]:
+    tables = fields.take("stage", list, "a list of tables", [])
+    if not 1 <= len(tables) <= MOST_STAGES:
+        fields.fault("stage", f"1 to {MOST_STAGES} stages", len(tables))
+    stages: list[Stage] = []
+    for table in tables:
+        stages.append(_stage(fields, table, stages))
+    for stage in stages[:-1]:
+        if stage.stream:
+            fields.fault(f"stage {stage.name}: stream", "false before the last stage", True)
+    return tuple(stages)
+
+
+def _stage(fields: Fields, table: Mapping[str, object], earlier: list[Stage]) -> Stage:
+    place = f"{fields.place}: stage {len(earlier) + 1}"
+    inner = Fields(table, place, fields.error)
+    stage = Stage.read(inner, tuple(one.name for one in earlier[-1:]))
+    names = {one.name for one in earlier}
+    if stage.name in names:
+        inner.fault("name", "a name of its own", stage.name)
+    for name in stage.after:
+        if name not in names:
+            inner.fault("after", "an earlier stage", name)
+    fields.faults.extend(inner.finish())
+    return stage
--- /dev/null
+++ b/packages/core/src/mountladder/platform.py
@@ -0,0 +1,28 @@
+# platform.py -- What the platform gives to one process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What the platform gives to one process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mountladder.instancelist import InstanceList
+from mountladder.objectstore import ObjectStore
+from mountladder.table import Table
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform's services, behind their interfaces.
+
+    Attributes:
+        table: The transactional table service.
+        objects: The object store.
+        instances: The list of entry instances.
+    """
+
+    table: Table
+    objects: ObjectStore
+    instances: InstanceList
--- /dev/null
+++ b/packages/core/src/mountladder/policy.py
@@ -0,0 +1,82 @@
+# policy.py -- Choosing among candidates
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Choosing among candidates."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from functools import singledispatch
+
+from mountladder.candidate import Candidate
+from mountladder.expectedcompletion import ExpectedCompletion
+from mountladder.leastoutstanding import LeastOutstanding
+from mountladder.randomchoice import RandomChoice
+from mountladder.roundrobin import RoundRobin
+from mountladder.twochoices import TwoChoices
+
+Policy = RandomChoice | RoundRobin | LeastOutstanding | TwoChoices | ExpectedCompletion
+
+
+@singledispatch
+def choose(
+    policy: object,
+    candidates: Sequence[Candidate],
+    budget_ms: float,
+    turn: int,
+    rng: random.Random,
+) -> Candidate:
+    """Choose one of the candidates.
+
+    Args:
+        policy: The policy, one of Policy.
+        candidates: At least one candidate.
+        budget_ms: The time that the stage may take.
+        turn: A number that grows by one with every choice.
+        rng: The source of chance.
+
+    Returns:
+        The chosen candidate.
+
+    Raises:
+        TypeError: The policy is not known.
+    """
+    raise TypeError(f"unknown policy {policy!r}")
+
+
+def sample_size(policy: Policy, candidates: int) -> int:
+    """Return how many candidates a policy has to look at."""
+    if isinstance(policy, ExpectedCompletion):
+        return min(policy.drawn, candidates)
+    return candidates
+
+
+@choose.register
+def _(policy: RandomChoice, candidates, budget_ms, turn, rng) -> Candidate:
+    return rng.choice(candidates)
+
+
+@choose.register
+def _(policy: RoundRobin, candidates, budget_ms, turn, rng) -> Candidate:
+    return candidates[turn % len(candidates)]
+
+
+@choose.register
+def _(policy: LeastOutstanding, candidates, budget_ms, turn, rng) -> Candidate:
+    return min(candidates, key=lambda one: (one.state.running, rng.random()))
+
+
+@choose.register
+def _(policy: TwoChoices, candidates, budget_ms, turn, rng) -> Candidate:
+    drawn = rng.sample(candidates, min(2, len(candidates)))
+    return min(drawn, key=lambda one: one.state.running)
+
+
+@choose.register
+def _(policy: ExpectedCompletion, candidates, budget_ms, turn, rng) -> Candidate:
+    fastest = min(candidates, key=lambda one: (one.expected_ms, rng.random()))
+    allowance = policy.thrift * budget_ms
+    in_time = [one for one in candidates if one.expected_ms <= allowance]
+    return min(in_time, key=lambda one: (one.cost, one.expected_ms), default=fastest)
--- /dev/null
+++ b/packages/core/src/mountladder/router.py
@@ -0,0 +1,172 @@
+# router.py -- Choosing a backend server for an attempt
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Choosing a backend server for an attempt."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+from mountladder.backendserver import BackendServer
+from mountladder.candidate import Candidate
+from mountladder.choice import Choice
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.costmodel import CostModel
+from mountladder.errors import StageError
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.policy import Policy, choose, sample_size
+from mountladder.serverstate import ServerState
+from mountladder.stage import Stage
+
+PREFIXES_KEPT = 4_096
+PREFIX_SAVING = 0.7
+SLOW_LIMIT = 6.0
+
+
+class Router:
+    """Chooses servers, and learns from every call how fast, how busy and how sound they are.
+
+    Args:
+        clock: The clock.
+        rng: The source of chance.
+        costs: The learnt times of stages.
+        policy: How to choose among candidates.
+        metrics: Where ejections are counted.
+
+    Attributes:
+        on_leaving: Called with the name of a server that said it is leaving.
+    """
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, costs: CostModel, policy: Policy, metrics: Metrics
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.costs = costs
+        self.policy = policy
+        self.metrics = metrics
+        self.states: dict[str, ServerState] = {}
+        self.prefixes: OrderedDict[int, str] = OrderedDict()
+        self.turns = itertools.count()
+        self.on_leaving: Callable[[str], None] = lambda name: None
+
+    def state(self, server: BackendServer) -> ServerState:
+        """Return what is known of a server; a server at a new address starts afresh."""
+        state = self.states.get(server.name)
+        if state is None or state.server.address != server.address:
+            state = self.states[server.name] = ServerState(server, self.rng)
+        elif state.server is not server:
+            state.server = server
+        return state
+
+    def pick(
+        self,
+        allowed: Sequence[BackendServer],
+        stage: Stage,
+        length: int,
+        budget_ms: float,
+        excluded: frozenset[str] = frozenset(),
+        prefix: int | None = None,
+    ) -> Choice:
+        """Choose a server and record that a call is sent to it.
+
+        Args:
+            allowed: The servers that the selectors allow.
+            stage: The stage to run.
+            length: The length of its input in bytes.
+            budget_ms: The time that the stage may take.
+            excluded: Servers that failed this stage of this request already.
+            prefix: A hash of the start of the input, where engines may hold it.
+
+        Raises:
+            StageError: No server is allowed, or none is in use; nothing was dispatched.
+        """
+        if not allowed:
+            raise StageError("no backend server meets the selectors", Code.NO_SERVER_ALLOWED, False)
+        usable = self.usable(allowed, excluded) or self.usable(allowed, frozenset())
+        if not usable:
+            raise StageError("", Code.NO_SERVER_AVAILABLE, False)
+        holder = self.prefixes.get(prefix) if prefix is not None else None
+        drawn = self.draw(usable, holder)
+        candidates = [self.candidate(state, stage, length, holder) for state in drawn]
+        chosen = choose(self.policy, candidates, budget_ms, next(self.turns), self.rng)
+        if prefix is not None:
+            self.remember(prefix, chosen.state.server.name)
+        expected = chosen.expected_ms
+        crowding = max(1.0, (chosen.state.load + 1) / chosen.state.server.slots)
+        chosen.state.begin()
+        return Choice(
+            chosen.state, expected, chosen.unloaded_ms, crowding, len(allowed), len(usable)
+        )
+
+    def usable(
+        self, allowed: Sequence[BackendServer], excluded: frozenset[str]
+    ) -> list[ServerState]:
+        """Return the states of the servers that new work may be sent to."""
+        now = self.clock.now()
+        states = (self.state(server) for server in allowed if server.name not in excluded)
+        return [state for state in states if state.usable(now)]
+
+    def draw(self, usable: list[ServerState], holder: str | None) -> list[ServerState]:
+        """Draw as many servers as the policy looks at; one that holds the prefix is among them."""
+        size = sample_size(self.policy, len(usable))
+        if size == len(usable):
+            return usable
+        drawn = self.rng.sample(usable, size)
+        if holder in self.states and self.states[holder] not in drawn:
+            drawn += [state for state in usable if state.server.name == holder]
+        return drawn
+
+    def candidate(
+        self, state: ServerState, stage: Stage, length: int, holder: str | None
+    ) -> Candidate:
+        """Return a server with the learnt time of a call there."""
+        unloaded = self.costs.expected(stage, state.server.accelerator, length)
+        holds = state.server.name == holder
+        return Candidate(state, unloaded * PREFIX_SAVING if holds else unloaded, holds)
+
+    def remember(self, prefix: int, server: str) -> None:
+        """Remember which server was last given a prefix."""
+        self.prefixes[prefix] = server
+        self.prefixes.move_to_end(prefix)
+        if len(self.prefixes) > PREFIXES_KEPT:
+            self.prefixes.popitem(last=False)
+
+    def succeeded(
+        self, choice: Choice, stage: Stage, length: int, elapsed_ms: float, load: int | None
+    ) -> None:
+        """Learn from a call that ended well."""
+        state = choice.state
+        state.end()
+        state.breaker.succeed()
+        if load is not None:
+            state.report(load)
+        self.costs.record(stage, state.server.accelerator, length, elapsed_ms / choice.crowding)
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * choice.crowding)
+        state.timed(ratio)
+
+    def leaving(self, name: str) -> None:
+        """Take a server out of use that a peer heard is leaving."""
+        state = self.states.get(name)
+        if state is not None:
+            state.leave(self.clock.now())
+
+    def failed(self, choice: Choice, code: Code) -> None:
+        """Learn from a call that failed."""
+        state = choice.state
+        state.end()
+        now = self.clock.now()
+        if code is Code.SERVER_REFUSED:
+            state.leave(now)
+            state.breaker.abandon()
+            self.on_leaving(state.server.name)
+        elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
+            state.breaker.abandon()
+        elif state.breaker.fail(now):
+            self.metrics.count(Metric.EJECTED)
--- /dev/null
+++ b/packages/core/src/mountladder/runtime.py
@@ -0,0 +1,264 @@
+# runtime.py -- An entry instance without its HTTP interface
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An entry instance without its HTTP interface."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import uuid
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import gevent
+from eliot import log_message, write_traceback
+from gevent.event import Event
+
+from mountladder.admission import Admission
+from mountladder.backend import Backend
+from mountladder.changelog import ChangeLog
+from mountladder.clock import Clock
+from mountladder.costmodel import CostModel
+from mountladder.errors import MountladderError, StoreAmbiguousError, StoreUnavailableError
+from mountladder.expectedcompletion import ExpectedCompletion
+from mountladder.follower import Follower
+from mountladder.gateway import Gateway
+from mountladder.groupcommit import GroupCommit
+from mountladder.idempotency import Idempotency
+from mountladder.instance import Instance
+from mountladder.keybook import KeyBook
+from mountladder.ledger import Ledger
+from mountladder.membership import Membership
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.network import Network
+from mountladder.peers import Peers
+from mountladder.platform import Platform
+from mountladder.policy import Policy
+from mountladder.router import Router
+from mountladder.runcontext import RunContext
+from mountladder.settings import Settings
+from mountladder.submitter import Submitter
+from mountladder.tracebook import TraceBook
+
+ANNOUNCE_MS = 5_000.0
+SWEEP_MS = 10_000.0
+SWEEP_PAGE = 200
+TICK_MS = 100.0
+RESTART_MS = 1_000.0
+RANK_PATIENCE_MS = 1_000.0
+PEER_GRACE_MS = 1_500.0
+
+
+class Runtime:
+    """Everything an entry instance does behind its HTTP interface.
+
+    Args:
+        settings: The settings.
+        clock: The clock.
+        platform: The platform's services.
+        backend: Calls backend servers.
+        network: Reaches the other instances.
+        metrics: Where metrics go.
+        seed: The seed of its random numbers, or None for a different one each time.
+        policy: How backend servers are chosen, or None for the settings' one.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform,
+        backend: Backend,
+        network: Network,
+        metrics: Metrics,
+        seed: int | None = None,
+        policy: Policy | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.platform = platform
+        self.network = network
+        self.metrics = metrics
+        self.stack = ExitStack()
+        self.started = clock.now()
+        self.stopping = Event()
+        self.store_read = False
+        self.me = Instance(
+            settings.name,
+            uuid.uuid4().hex[:12],
+            settings.datacentre,
+            settings.web,
+            settings.peer,
+        )
+        self.build(backend, random.Random(seed), policy)
+
+    def build(self, backend: Backend, rng: random.Random, policy: Policy | None) -> None:
+        """Put the parts together."""
+        settings, clock, metrics = self.settings, self.clock, self.metrics
+        table = self.platform.table
+        self.follower = Follower(ChangeLog(table, self.platform.objects, clock), clock)
+        self.membership = Membership(self.me, clock, settings.heartbeat_ms)
+        self.peers = Peers(
+            self.membership, self.follower, self.network, clock, metrics, settings.seeds
+        )
+        self.commits = GroupCommit(table, clock, metrics, settings.window_ms)
+        self.idempotency = Idempotency(
+            settings.name,
+            self.me.incarnation,
+            settings.secret.encode(),
+            KeyBook(clock, settings.keep_ms),
+            Submitter(self.commits, self.peers, clock),
+            table,
+            clock,
+            metrics,
+        )
+        self.idempotency.alive = self.membership.is_alive
+        costs = CostModel()
+        chosen = policy or ExpectedCompletion(settings.drawn, settings.thrift)
+        self.router = Router(clock, rng, costs, chosen, metrics)
+        self.router.on_leaving = self.peers.server_leaving
+        self.peers.on_leaving_server = self.router.leaving
+        self.ledger = Ledger(self.me.incarnation)
+        self.context = RunContext(
+            clock, rng, self.follower, self.router, backend, costs, self.ledger, metrics
+        )
+        self.admission = Admission(clock, settings.most_running, settings.most_waiting)
+        self.traces = TraceBook()
+        self.gateway = Gateway(
+            self.me.incarnation, self.context, self.admission, self.idempotency, self.traces
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the instance may be sent requests.
+
+        One that could not read the store waits a little for the peers it reaches, so that it does
+        not serve an older revision than they have.
+        """
+        if self.stopping.is_set() or not self.follower.ready:
+            return False
+        return self.store_read or self.clock.now() - self.started >= PEER_GRACE_MS
+
+    def start(self) -> None:
+        """Take in links of peers and start the tasks."""
+        self.network.listen(self.me, self.peers.serve, self.stack)
+        loops = (
+            self.follow,
+            self.peers.run,
+            self.commits.run,
+            self.announce,
+            self.flush_cost,
+            self.sweep,
+        )
+        tasks = [gevent.spawn(self.keep_up, loop) for loop in loops]
+        self.stack.callback(gevent.killall, tasks)
+        self.stack.callback(self.peers.close)
+        log_message("started", instance=self.me.name, incarnation=self.me.incarnation)
+
+    def keep_up(self, loop: Callable[[], None]) -> None:
+        """Run a loop that never ends; log a fault in it and start it again."""
+        while True:
+            try:
+                loop()
+            except Exception:
+                write_traceback()
+            self.clock.sleep(RESTART_MS)
+
+    def follow(self) -> None:
+        """Follow the configuration, for ever.
+
+        The first live instance of a data centre reads the store at the settings' rate. The others
+        hear from it, and read the store themselves only once nobody has told them for a time that
+        grows with their rank.
+        """
+        while True:
+            patience = self.patience_ms()
+            if self.follower.age_ms() >= patience or not self.store_read:
+                self.poll()
+            age = self.follower.age_ms()
+            self.metrics.gauge(Metric.REVISION, self.follower.configuration.revision)
+            self.metrics.gauge(Metric.CONFIGURATION_AGE_MS, min(age, 1e12))
+            self.clock.sleep(max(TICK_MS, min(self.settings.poll_ms, patience - age)))
+
+    def patience_ms(self) -> float:
+        """Return how old the configuration may be before this instance reads the store itself."""
+        rank = self.membership.rank()
+        if rank == 0:
+            return self.settings.poll_ms
+        heard = 2 * self.membership.interval_ms + rank * RANK_PATIENCE_MS
+        return self.settings.poll_ms + heard
+
+    def poll(self) -> None:
+        """Read the store once."""
+        if self.follower.poll():
+            self.store_read = True
+        else:
+            self.metrics.count(Metric.STORE_ERRORS, "store_unavailable")
+
+    def announce(self) -> None:
+        """Announce this instance on the platform's list and read it, for ever."""
+        while True:
+            try:
+                self.platform.instances.announce(self.me)
+                self.membership.observe(self.platform.instances.instances())
+            except MountladderError as error:
+                self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+            self.metrics.gauge(Metric.RUNNING, self.admission.total)
+            self.metrics.gauge(Metric.WAITING, len(self.admission.waiting))
+            self.clock.sleep(ANNOUNCE_MS)
+
+    def flush_cost(self) -> None:
+        """Send the cost so far to the platform, for ever."""
+        while True:
+            self.clock.sleep(self.settings.cost_ms)
+            self.try_flush_cost()
+
+    def try_flush_cost(self) -> None:
+        """Send the cost so far; what cannot be sent is sent with the next."""
+        try:
+            if self.ledger.flush(self.platform.table):
+                self.metrics.count(Metric.COST_FLUSHES)
+        except (StoreUnavailableError, StoreAmbiguousError) as error:
+            self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+
+    def sweep(self) -> None:
+        """Delete old claims page by page, on the first live instance of the data centre."""
+        after = ""
+        while True:
+            self.clock.sleep(SWEEP_MS)
+            if self.membership.rank() > 0:
+                continue
+            try:
+                after = self.idempotency.sweep(after, self.settings.keep_ms, SWEEP_PAGE)
+            except MountladderError as error:
+                self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+
+    def stop(self) -> int:
+        """End gracefully: accept nothing new, finish what runs, then close everything.
+
+        Returns:
+            How many requests were cut because they took longer than the settings allow.
+        """
+        self.stopping.set()
+        self.admission.close()
+        self.peers.leaving = True
+        self.peers.tell_all()
+        self.try_announce_leaving()
+        until = self.clock.now() + self.settings.shutdown_ms
+        while (self.admission.total or self.idempotency.tasks) and self.clock.now() < until:
+            self.clock.sleep(TICK_MS / 4)
+        cut = self.admission.total
+        self.try_flush_cost()
+        self.stack.close()
+        log_message("stopped", instance=self.me.name, cut=cut)
+        return cut
+
+    def try_announce_leaving(self) -> None:
+        """Tell the platform that this instance is leaving."""
+        try:
+            self.platform.instances.announce(dataclasses.replace(self.me, leaving=True))
+        except MountladderError as error:
+            self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
--- /dev/null
+++ b/packages/core/src/mountladder/settings.py
@@ -0,0 +1,155 @@
+# settings.py -- The settings of an entry instance
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The settings of an entry instance."""
+
+from __future__ import annotations
+
+import ipaddress
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from mountladder.errors import SettingsError
+from mountladder.fields import Fields
+
+LEAST_SECRET = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one process, checked.
+
+    The table in docs/SETTINGS.md is checked against these fields.
+
+    Attributes:
+        name: The instance's name, unique in the fleet.
+        datacentre: The data centre it stands in.
+        web: Where callers and operators connect, an IP number and port.
+        peer: Where other instances connect, an IP number and port.
+        platform: The base URL of the platform's services.
+        secret: The key that all instances share.
+        seeds: Peer addresses of instances to start from.
+        heartbeat_ms: The least time between heartbeats to one peer, in milliseconds.
+        poll_ms: How often the store is asked for a newer revision, in milliseconds.
+        statsd: The statsd server's IP number and UDP port, or an empty string.
+        most_running: The most requests that run at once.
+        most_waiting: The most requests that wait at once.
+        most_body_bytes: The largest body of a request.
+        shutdown_ms: How long a graceful shutdown may take, in milliseconds.
+        window_ms: How long writes are gathered before a transaction, in milliseconds.
+        keep_ms: How long the outcome of a key is kept, in milliseconds.
+        cost_ms: How often cost is sent to the platform, in milliseconds.
+        thrift: From 0 to 1, how much of the time available may be used up to save cost.
+        drawn: How many backend servers are compared for a choice.
+        operator_token: The token operators must send, or an empty string.
+    """
+
+    name: str
+    datacentre: str
+    web: str
+    peer: str
+    platform: str
+    secret: str
+    seeds: tuple[str, ...] = ()
+    heartbeat_ms: float = 1_000.0
+    poll_ms: float = 500.0
+    statsd: str = ""
+    most_running: int = 128
+    most_waiting: int = 256
+    most_body_bytes: int = 1_048_576
+    shutdown_ms: float = 10_000.0
+    window_ms: float = 5.0
+    keep_ms: float = 86_400_000.0
+    cost_ms: float = 10_000.0
+    thrift: float = 0.0
+    drawn: int = 8
+    operator_token: str = ""
+
+    @classmethod
+    def read(cls, text: str, source: str) -> Settings:
+        """Read settings from a TOML text.
+
+        Raises:
+            ExceptionGroup: Of a SettingsError for each fault.
+        """
+        try:
+            table = tomllib.loads(text)
+        except (tomllib.TOMLDecodeError, ValueError) as error:
+            fault = SettingsError(f"{source}: not TOML: {error}")
+            raise ExceptionGroup("settings", [fault]) from error
+        fields = Fields(table, source, SettingsError)
+        settings = _settings(fields)
+        _check(settings, fields)
+        faults = fields.finish()
+        if faults:
+            raise ExceptionGroup(f"{source}: {len(faults)} faults", faults)
+        return settings
+
+    @classmethod
+    def load(cls, path: Path) -> Settings:
+        """Read settings from a file.
+
+        Raises:
+            ExceptionGroup: Of a SettingsError for each fault.
+        """
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            fault = SettingsError(f"{path}: cannot be read: {error}")
+            raise ExceptionGroup("settings", [fault]) from error
+        return cls.read(text, str(path))
+
+
+def _settings(fields: Fields) -> Settings:
+    return Settings(
+        name=fields.text("name"),
+        datacentre=fields.text("datacentre"),
+        web=fields.text("web"),
+        peer=fields.text("peer"),
+        platform=fields.text("platform"),
+        secret=fields.text("secret"),
+        seeds=fields.texts("seeds"),
+        heartbeat_ms=fields.number("heartbeat_ms", 1_000.0, least=10),
+        poll_ms=fields.number("poll_ms", 500.0, least=10),
+        statsd=fields.text("statsd", ""),
+        most_running=int(fields.number("most_running", 128, least=1)),
+        most_waiting=int(fields.number("most_waiting", 256)),
+        most_body_bytes=int(fields.number("most_body_bytes", 1_048_576, least=1)),
+        shutdown_ms=fields.number("shutdown_ms", 10_000.0),
+        window_ms=fields.number("window_ms", 5.0),
+        keep_ms=fields.number("keep_ms", 86_400_000.0, least=1_000),
+        cost_ms=fields.number("cost_ms", 10_000.0, least=100),
+        thrift=fields.number("thrift", 0.0),
+        drawn=int(fields.number("drawn", 8, least=1)),
+        operator_token=fields.text("operator_token", ""),
+    )
+
+
+def _check(settings: Settings, fields: Fields) -> None:
+    addresses = {"web": settings.web, "peer": settings.peer}
+    if settings.statsd:
+        addresses["statsd"] = settings.statsd
+    for key, value in addresses.items():
+        if value and not is_address(value):
+            fields.fault(key, "an IP number and a port", value)
+    for seed in settings.seeds:
+        if not is_address(seed):
+            fields.fault("seeds", "IP numbers and ports", seed)
+    if settings.platform and not settings.platform.startswith(("http://", "https://")):
+        fields.fault("platform", "an http or https URL", settings.platform)
+    if 0 < len(settings.secret) < LEAST_SECRET:
+        fields.fault("secret", f"at least {LEAST_SECRET} characters", "a shorter one")
+    if settings.thrift > 1:
+        fields.fault("thrift", "a number from 0 to 1", settings.thrift)
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdigit() and int(port) < 65_536
--- /dev/null
+++ b/packages/core/src/mountladder/tcplink.py
@@ -0,0 +1,159 @@
+# tcplink.py -- An authenticated TCP connection between two instances
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An authenticated TCP connection between two instances."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+import struct
+
+from gevent import socket
+from gevent.lock import RLock
+
+from mountladder.code import Code
+from mountladder.errors import PeerError
+from mountladder.hello import Hello
+from mountladder.instance import Instance
+from mountladder.link import Link
+from mountladder.wire import VERSION, Message, decode, encode
+
+NONCE_BYTES = 16
+PROOF_BYTES = 32
+SEAL_BYTES = 8
+MOST_HELLO_BYTES = 2_048
+MOST_MESSAGE_BYTES = 16 * 1024 * 1024
+HANDSHAKE_SECONDS = 3.0
+_HEAD = struct.Struct(">I8s")
+_SIZE = struct.Struct(">I")
+
+
+class TcpLink(Link):
+    """Sends and receives messages over one TCP connection.
+
+    Both ends prove that they have the fleet's key by sealing the other's nonce; after that each
+    message carries a seal over a running number, so that none can be changed, repeated or left
+    out unseen.
+
+    Args:
+        connection: The connected socket, which the link owns.
+        secret: The fleet's key.
+        me: This instance.
+
+    Attributes:
+        sent_bytes: How many bytes were sent.
+    """
+
+    def __init__(self, connection: socket.socket, secret: bytes, me: Instance) -> None:
+        super().__init__()
+        self.connection = connection
+        self.secret = secret
+        self.me = me
+        self.lock = RLock()
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.received_messages = 0
+        self.send_key = b""
+        self.receive_key = b""
+
+    def handshake(self) -> Instance:
+        """Exchange greetings and proofs; return the instance at the other end.
+
+        Raises:
+            PeerError: The peer speaks another version or does not have the key.
+        """
+        self.connection.settimeout(HANDSHAKE_SECONDS)
+        nonce = os.urandom(NONCE_BYTES)
+        greeting = encode(Hello(VERSION, self.me, nonce))
+        self.write(_SIZE.pack(len(greeting)) + greeting)
+        received = self.read_sized(MOST_HELLO_BYTES)
+        hello = decode(received)
+        if not isinstance(hello, Hello):
+            raise PeerError("a greeting was expected", Code.BAD_MESSAGE)
+        if hello.version != VERSION:
+            raise PeerError(f"version {hello.version}, not {VERSION}", Code.PEER_VERSION)
+        if hello.instance.incarnation == self.me.incarnation:
+            raise PeerError("this instance reached itself", Code.PEER_REFUSED)
+        self.write(self.proof(hello.nonce, greeting))
+        if not hmac.compare_digest(self.read(PROOF_BYTES), self.proof(nonce, received)):
+            raise PeerError("", Code.PEER_REFUSED)
+        self.send_key = self.proof(hello.nonce + nonce, b"session")
+        self.receive_key = self.proof(nonce + hello.nonce, b"session")
+        self.connection.settimeout(None)
+        self.peer = hello.instance
+        return hello.instance
+
+    def proof(self, nonce: bytes, text: bytes) -> bytes:
+        """Return a proof that covers a nonce and a text."""
+        return hmac.new(self.secret, nonce + text, hashlib.sha256).digest()
+
+    def send(self, message: Message) -> int:
+        """Send a message and return its size in bytes.
+
+        Raises:
+            PeerError: The connection is broken.
+        """
+        data = encode(message)
+        with self.lock:
+            seal = _seal(self.send_key, self.sent_messages, data)
+            self.sent_messages += 1
+            self.write(_HEAD.pack(len(data), seal) + data)
+        return len(data) + _HEAD.size
+
+    def receive(self) -> Message:
+        """Return the next message.
+
+        Raises:
+            PeerError: The connection is broken or the message is not genuine.
+        """
+        size, seal = _HEAD.unpack(self.read(_HEAD.size))
+        if size > MOST_MESSAGE_BYTES:
+            raise PeerError(f"a message of {size} bytes", Code.BAD_MESSAGE)
+        data = self.read(size)
+        expected = _seal(self.receive_key, self.received_messages, data)
+        self.received_messages += 1
+        if not hmac.compare_digest(seal, expected):
+            raise PeerError("a message's seal is wrong", Code.BAD_MESSAGE)
+        return decode(data)
+
+    def read_sized(self, most: int) -> bytes:
+        """Read bytes that are preceded by their number."""
+        (size,) = _SIZE.unpack(self.read(_SIZE.size))
+        if size > most:
+            raise PeerError(f"a greeting of {size} bytes", Code.BAD_MESSAGE)
+        return self.read(size)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes."""
+        try:
+            self.connection.sendall(data)
+        except OSError as error:
+            raise PeerError(f"the connection broke: {error}") from error
+        self.sent_bytes += len(data)
+
+    def read(self, size: int) -> bytes:
+        """Read an exact number of bytes."""
+        pieces: list[bytes] = []
+        missing = size
+        while missing:
+            try:
+                piece = self.connection.recv(min(missing, 65_536))
+            except OSError as error:
+                raise PeerError(f"the connection broke: {error}") from error
+            if not piece:
+                raise PeerError("the peer closed the connection")
+            pieces.append(piece)
+            missing -= len(piece)
+        return b"".join(pieces)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+
+
+def _seal(key: bytes, number: int, data: bytes) -> bytes:
+    seal = hashlib.blake2b(data, digest_size=SEAL_BYTES, key=key, salt=number.to_bytes(16, "big"))
+    return seal.digest()
--- /dev/null
+++ b/packages/core/src/mountladder/tcpnetwork.py
@@ -0,0 +1,61 @@
+# tcpnetwork.py -- Links between instances over TCP
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Links between instances over TCP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+from gevent import socket
+from gevent.server import StreamServer
+
+from mountladder.errors import PeerError
+from mountladder.instance import Instance
+from mountladder.link import Link
+from mountladder.network import Network
+from mountladder.tcplink import TcpLink
+
+CONNECT_SECONDS = 1.0
+MOST_LINKS = 1_024
+STOP_SECONDS = 0.2
+
+
+class TcpNetwork(Network):
+    """Opens and serves links over TCP.
+
+    Args:
+        secret: The fleet's key.
+    """
+
+    def __init__(self, secret: bytes) -> None:
+        self.secret = secret
+
+    def connect(self, address: str, me: Instance) -> Link:
+        """Open a link; see Network."""
+        host, port = split(address)
+        try:
+            connection = socket.create_connection((host, port), CONNECT_SECONDS)
+        except OSError as error:
+            raise PeerError(f"{address}: {error}") from error
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return TcpLink(connection, self.secret, me)
+
+    def listen(self, me: Instance, serve: Callable[[Link], None], stack: ExitStack) -> None:
+        """Serve links; see Network."""
+
+        def accept(connection: socket.socket, _: tuple[str, int]) -> None:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            serve(TcpLink(connection, self.secret, me))
+
+        server = StreamServer(split(me.peer), accept, spawn=MOST_LINKS)
+        server.start()
+        stack.callback(server.stop, STOP_SECONDS)
+
+
+def split(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/packages/core/src/mountladder/virtualclock.py
@@ -0,0 +1,65 @@
+# virtualclock.py -- A clock that moves on when every task waits
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A clock that moves on when every task waits."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+import gevent
+
+from mountladder.clock import Clock
+
+EPOCH_WALL_MS = 1_790_000_000_000.0
+
+
+class VirtualClock(Clock):
+    """Virtual time: it stands still while any task can run, then jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self.timers: list[tuple[float, int, Callable[[], None]]] = []
+        self.cancelled: set[int] = set()
+        self.numbers = itertools.count()
+
+    def now(self) -> float:
+        """Return the virtual time in milliseconds."""
+        return self.time
+
+    def wall(self) -> float:
+        """Return a wall time that moves with the virtual time."""
+        return EPOCH_WALL_MS + self.time
+
+    def call_later(self, delay_ms: float, function: Callable[[], None]) -> Callable[[], None]:
+        """Run a function after a virtual delay; see Clock."""
+        number = next(self.numbers)
+        heapq.heappush(self.timers, (self.time + max(0.0, delay_ms), number, function))
+        return lambda: self.cancelled.add(number)
+
+    def run(self, task: gevent.Greenlet) -> object:
+        """Move virtual time on until a task has ended, and return what it returned.
+
+        Raises:
+            RuntimeError: Every task waits and no timer is left.
+        """
+        while not task.ready():
+            gevent.idle()
+            if not task.ready() and not self.advance():
+                raise RuntimeError("every task waits and no timer is set")
+        return task.get()
+
+    def advance(self) -> bool:
+        """Fire the next timer; tell whether there was one."""
+        while self.timers:
+            when, number, function = heapq.heappop(self.timers)
+            if number in self.cancelled:
+                self.cancelled.discard(number)
+                continue
+            self.time = max(self.time, when)
+            function()
+            return True
+        return False
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/__init__.py
@@ -0,0 +1,5 @@
+# __init__.py -- The entry instance of mountladder
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The entry instance of mountladder."""
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/dialect.py
@@ -0,0 +1,72 @@
+# dialect.py -- Differences between kinds of backend server
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Differences between kinds of backend server."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from mountladder.backendserver import BackendServer
+from mountladder.stagecall import StageCall
+from mountladder_entry.enginedialect import EngineDialect
+from mountladder_entry.servicedialect import ServiceDialect
+
+ATTEMPT_HEADER = "X-Attempt"
+LOAD_HEADER = "X-Load"
+REFUSED_HEADER = "X-Refused"
+_DIALECTS = {"engine": EngineDialect(), "service": ServiceDialect()}
+
+
+def dialect_of(server: BackendServer) -> object:
+    """Return the dialect of a server."""
+    return _DIALECTS[server.serves]
+
+
+@singledispatch
+def path(dialect: object, call: StageCall) -> str:
+    """Return the path that a call is sent to."""
+    raise TypeError(f"unknown dialect {dialect!r}")
+
+
+@singledispatch
+def names_attempts(dialect: object) -> bool:
+    """Tell whether every answer must carry the attempt's id."""
+    raise TypeError(f"unknown dialect {dialect!r}")
+
+
+@singledispatch
+def cancel_path(dialect: object) -> str:
+    """Return the path by which calls are cancelled, or an empty string."""
+    raise TypeError(f"unknown dialect {dialect!r}")
+
+
+@path.register
+def _(dialect: EngineDialect, call: StageCall) -> str:
+    return "/v1/" + call.stage.work
+
+
+@path.register
+def _(dialect: ServiceDialect, call: StageCall) -> str:
+    return "/" + call.stage.name
+
+
+@names_attempts.register
+def _(dialect: EngineDialect) -> bool:
+    return True
+
+
+@names_attempts.register
+def _(dialect: ServiceDialect) -> bool:
+    return False
+
+
+@cancel_path.register
+def _(dialect: EngineDialect) -> str:
+    return "/v1/cancel"
+
+
+@cancel_path.register
+def _(dialect: ServiceDialect) -> str:
+    return ""
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -0,0 +1,190 @@
+# httpbackend.py -- Calls to backend servers over HTTP
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls to backend servers over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+import urllib3
+
+from mountladder.backend import Backend
+from mountladder.backendserver import BackendServer
+from mountladder.chunk import Chunk
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import StageError, WaitTimeoutError
+from mountladder.eventreader import EventReader
+from mountladder.stagecall import StageCall
+from mountladder.stageresult import StageResult
+from mountladder_entry.dialect import (
+    ATTEMPT_HEADER,
+    LOAD_HEADER,
+    REFUSED_HEADER,
+    cancel_path,
+    dialect_of,
+    names_attempts,
+    path,
+)
+
+CONNECT_SECONDS = 1.0
+CANCEL_MS = 1_000.0
+POOLS = 256
+POOL_SIZE = 64
+READ_BYTES = 65_536
+MOST_RESULT_BYTES = 8 * 1024 * 1024
+_NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
+
+
+class HttpBackend(Backend):
+    """Calls backend servers over HTTP, each answer matched with the attempt that asked for it.
+
+    A connection is used again only after an answer that was read whole. A call that must not be
+    repeated gets a connection of its own, since one used before may have been closed unseen.
+
+    Args:
+        clock: The clock on which calls are limited.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.pool = urllib3.PoolManager(num_pools=POOLS, maxsize=POOL_SIZE, retries=False)
+
+    def run(self, server: BackendServer, call: StageCall) -> StageResult:
+        """Run a stage and return its whole result; see Backend."""
+        response = self.open(server, call, call.deadline - self.clock.now(), False)
+        try:
+            data = self.read(response, call.deadline - self.clock.now(), None)
+            if len(data) > MOST_RESULT_BYTES:
+                raise StageError("a result is too long", Code.BAD_ANSWER)
+            json.loads(data)
+        except ValueError as error:
+            response.close()
+            raise StageError(f"a result is not JSON: {error}", Code.BAD_ANSWER) from error
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return StageResult(data, _load(response))
+
+    def stream(self, server: BackendServer, call: StageCall) -> Iterator[Chunk]:
+        """Run a stage and yield its tokens; see Backend."""
+        reader = EventReader(call.tokens_held)
+        response = self.open(server, call, call.first_ms, True)
+        load = _load(response)
+        patience = call.first_ms
+        try:
+            while not reader.ended:
+                remaining = call.deadline - self.clock.now()
+                data = self.read(response, min(patience, remaining), READ_BYTES)
+                if not data:
+                    raise StageError("the stream ended before its end", Code.STREAM_CUT)
+                chunk = reader.feed(data, load)
+                if chunk is not None:
+                    patience = call.stall_ms
+                    yield chunk
+        except BaseException:
+            response.close()
+            raise
+        response.drain_conn()
+        response.release_conn()
+
+    def open(
+        self, server: BackendServer, call: StageCall, limit_ms: float, stream: bool
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a call and return the answer once its head is read and checked."""
+        dialect = dialect_of(server)
+        url = f"http://{server.address}{path(dialect, call)}"
+        headers = self.headers(call, stream)
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=None)
+        try:
+            with self.clock.limit(limit_ms):
+                response = self.pool.request(
+                    "POST",
+                    url,
+                    body=call.body,
+                    headers=headers,
+                    preload_content=False,
+                    timeout=timeout,
+                )
+        except _NOT_SENT as error:
+            raise StageError(f"{url}: cannot be reached", Code.CONNECT_FAILED, False) from error
+        except WaitTimeoutError as error:
+            raise StageError(f"{url}: no answer in time", Code.STAGE_STALLED) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise StageError(f"{url}: {error}", Code.STREAM_CUT) from error
+        try:
+            self.check(response, call, names_attempts(dialect), url)
+        except StageError:
+            response.close()
+            raise
+        return response
+
+    def headers(self, call: StageCall, stream: bool) -> dict[str, str]:
+        """Return the headers of a call."""
+        headers = {
+            "Content-Type": "application/json",
+            "Accept": "text/event-stream" if stream else "application/json",
+            ATTEMPT_HEADER: call.attempt,
+            "X-Deadline-Ms": str(max(1, int(call.deadline - self.clock.now()))),
+            "X-Priority": str(call.priority),
+        }
+        if call.tokens_held:
+            headers["Last-Event-ID"] = str(call.tokens_held)
+        if not call.stage.idempotent:
+            headers["Connection"] = "close"
+        return headers
+
+    def check(
+        self, response: urllib3.BaseHTTPResponse, call: StageCall, named: bool, url: str
+    ) -> None:
+        """Check the head of an answer."""
+        attempt = response.headers.get(ATTEMPT_HEADER)
+        if attempt != call.attempt and (named or attempt is not None):
+            detail = f"{url}: the answer is for attempt {attempt!r}"
+            raise StageError(detail, Code.FOREIGN_ANSWER)
+        refused = response.headers.get(REFUSED_HEADER)
+        if response.status == 503 and refused == "draining":
+            raise StageError(f"{url}: draining", Code.SERVER_REFUSED, False)
+        if response.status == 503 and refused is not None:
+            raise StageError(f"{url}: refused: {refused}", Code.STREAM_CUT, False)
+        if response.status >= 500:
+            raise StageError(f"{url}: status {response.status}", Code.BAD_ANSWER)
+        if response.status != 200:
+            raise StageError(f"{url}: status {response.status}", Code.STAGE_FAILED)
+
+    def read(self, response: urllib3.BaseHTTPResponse, limit_ms: float, size: int | None) -> bytes:
+        """Read some of a body, or all of it."""
+        try:
+            with self.clock.limit(limit_ms):
+                return response.read() if size is None else response.read1(size)
+        except WaitTimeoutError as error:
+            raise StageError("no data came in time", Code.STAGE_STALLED) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise StageError(f"the answer broke: {error}", Code.STREAM_CUT) from error
+
+    def cancel(self, server: BackendServer, attempt: str) -> None:
+        """Ask a server to stop an attempt; see Backend."""
+        where = cancel_path(dialect_of(server))
+        if not where:
+            return
+        body = json.dumps({"attempt": attempt}).encode()
+        try:
+            with self.clock.limit(CANCEL_MS):
+                self.pool.request(
+                    "POST", f"http://{server.address}{where}", body=body, timeout=CONNECT_SECONDS
+                )
+        except (urllib3.exceptions.HTTPError, WaitTimeoutError, OSError):
+            return
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.pool.clear()
+
+
+def _load(response: urllib3.BaseHTTPResponse) -> int | None:
+    text = response.headers.get(LOAD_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 7 else None
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/httpclient.py
@@ -0,0 +1,109 @@
+# httpclient.py -- HTTP calls with a limit on their time
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""HTTP calls with a limit on their time."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+
+import urllib3
+
+from mountladder.clock import Clock
+from mountladder.errors import (
+    BadRowError,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+    WaitTimeoutError,
+)
+
+CONNECT_SECONDS = 1.0
+ANSWER_MS = 2_000.0
+POOL_SIZE = 64
+_NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
+
+
+class HttpClient:
+    """Calls to the platform over HTTP.
+
+    Args:
+        base: The base URL.
+        clock: The clock on which a call is limited.
+        answer_ms: How long an answer may take.
+    """
+
+    def __init__(self, base: str, clock: Clock, answer_ms: float = ANSWER_MS) -> None:
+        self.base = base.rstrip("/")
+        self.clock = clock
+        self.answer_ms = answer_ms
+        self.pool = urllib3.PoolManager(
+            num_pools=8, maxsize=POOL_SIZE, retries=False, timeout=urllib3.Timeout(CONNECT_SECONDS)
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        fields: Mapping[str, str] | None = None,
+        missing: bool = False,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call and return its answer, whose body is read.
+
+        Args:
+            method: The HTTP method.
+            path: The path below the base URL.
+            body: The body, or None.
+            fields: The query.
+            missing: Whether the answer 404 is expected.
+
+        Raises:
+            StoreUnavailableError: The service refused or cannot be reached; nothing was done.
+            StoreAmbiguousError: No answer came; the call may have been carried out.
+        """
+        url = self.base + path
+        try:
+            with self.clock.limit(self.answer_ms):
+                response = self.pool.request(
+                    method, url, body=body, fields=fields, timeout=urllib3.Timeout(None)
+                )
+        except _NOT_SENT as error:
+            raise StoreUnavailableError(f"{url}: cannot be reached") from error
+        except (urllib3.exceptions.HTTPError, WaitTimeoutError, OSError) as error:
+            raise StoreAmbiguousError(f"{url}: no answer: {error}") from error
+        if response.status in {429, 503}:
+            raise StoreUnavailableError(f"{url}: refused with status {response.status}")
+        if response.status >= 500:
+            raise StoreAmbiguousError(f"{url}: answered with status {response.status}")
+        if response.status == 404 and not missing:
+            raise BadRowError(f"{url}: not found")
+        return response
+
+    def read(self, path: str, fields: Mapping[str, str] | None = None) -> urllib3.BaseHTTPResponse:
+        """Make a call that changes nothing.
+
+        Raises:
+            StoreUnavailableError: The service gave no answer.
+        """
+        try:
+            return self.call("GET", path, fields=fields, missing=True)
+        except StoreAmbiguousError as error:
+            raise StoreUnavailableError(error.detail) from error
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.pool.clear()
+
+
+def parse(response: urllib3.BaseHTTPResponse) -> object:
+    """Return the JSON body of an answer.
+
+    Raises:
+        BadRowError: The body is not JSON.
+    """
+    try:
+        return json.loads(response.data)
+    except ValueError as error:
+        raise BadRowError(f"an answer of the platform is not JSON: {error}") from error
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/httpinstancelist.py
@@ -0,0 +1,41 @@
+# httpinstancelist.py -- The list of instances over HTTP
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The list of instances over HTTP."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+
+from mountladder.errors import BadRowError, StoreAmbiguousError, StoreUnavailableError
+from mountladder.instance import Instance
+from mountladder.instancelist import InstanceList
+from mountladder_entry.httpclient import HttpClient, parse
+
+
+class HttpInstanceList(InstanceList):
+    """The platform's list of instances.
+
+    Args:
+        client: The client with the platform's base URL.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self.client = client
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the listed instances; see InstanceList."""
+        entries = parse(self.client.read("/instances"))
+        try:
+            return tuple(Instance(**entry) for entry in entries)
+        except TypeError as error:
+            raise BadRowError(f"the list of instances cannot be read: {error}") from error
+
+    def announce(self, instance: Instance) -> None:
+        """Tell the platform of an instance; see InstanceList."""
+        try:
+            self.client.call("POST", "/instances", json.dumps(asdict(instance)).encode())
+        except StoreAmbiguousError as error:
+            raise StoreUnavailableError(error.detail) from error
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -0,0 +1,92 @@
+# main.py -- The command mountladderd
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The command mountladderd."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+import click
+import gevent
+from eliot import log_message, to_file
+from gevent.event import Event
+
+from mountladder.errors import MountladderError
+from mountladder.memorymetrics import MemoryMetrics
+from mountladder.metrics import Metrics
+from mountladder.settings import Settings
+from mountladder.statsdmetrics import StatsdMetrics
+from mountladder.systemclock import SystemClock
+from mountladder_entry.httpbackend import HttpBackend
+from mountladder_entry.node import Node
+from mountladder_entry.platform import http_platform
+
+EXIT_SETTINGS = 2
+EXIT_CUT = 3
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+@click.option("--check", is_flag=True, help="Check the settings and end.")
+def main(settings: Path, check: bool) -> None:
+    """Run an entry instance of mountladder in the foreground."""
+    loaded = load(settings)
+    if loaded is None:
+        sys.exit(EXIT_SETTINGS)
+    if check:
+        click.echo("the settings are good")
+        return
+    to_file(sys.stderr)
+    with ExitStack() as stack:
+        sys.exit(EXIT_CUT if serve(loaded, stack) else 0)
+
+
+def load(path: Path) -> Settings | None:
+    """Return the settings in a file, or None after printing every fault."""
+    try:
+        return Settings.load(path)
+    except* MountladderError as group:
+        for error in group.exceptions:
+            click.echo(str(error), err=True)
+    return None
+
+
+def serve(settings: Settings, stack: ExitStack) -> int:
+    """Run until a signal to end; return how many requests were cut."""
+    clock = SystemClock()
+    backend = HttpBackend(clock)
+    stack.callback(backend.close)
+    platform = http_platform(settings.platform, clock, stack)
+    node = Node(settings, clock, platform, backend, make_metrics(settings, stack))
+    asked = Event()
+    gevent.signal_handler(signal.SIGTERM, take_signal, asked, node)
+    gevent.signal_handler(signal.SIGINT, take_signal, asked, node)
+    node.start()
+    asked.wait()
+    return node.stop()
+
+
+def take_signal(asked: Event, node: Node) -> None:
+    """End gracefully at the first signal and at once at the second."""
+    if asked.is_set():
+        running = [name for name, number in node.admission.running.items() if number]
+        log_message("ended-at-once", cut=node.admission.total, teams=running)
+        sys.exit(EXIT_CUT)
+    asked.set()
+
+
+def make_metrics(settings: Settings, stack: ExitStack) -> Metrics:
+    """Return where metrics go by the settings."""
+    if not settings.statsd:
+        return MemoryMetrics()
+    host, _, port = settings.statsd.rpartition(":")
+    metrics = StatsdMetrics(host.strip("[]"), int(port))
+    stack.callback(metrics.close)
+    return metrics
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -0,0 +1,63 @@
+# node.py -- An entry instance with its HTTP interface
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An entry instance with its HTTP interface."""
+
+from __future__ import annotations
+
+from gevent.pywsgi import WSGIServer
+
+from mountladder.backend import Backend
+from mountladder.clock import Clock
+from mountladder.metrics import Metrics
+from mountladder.platform import Platform
+from mountladder.runtime import Runtime
+from mountladder.settings import Settings
+from mountladder.tcpnetwork import TcpNetwork, split
+from mountladder_entry.application import make_application
+from mountladder_entry.quietlog import QuietLog
+from mountladder_entry.relay import Relay
+
+MOST_CONNECTIONS = 2_000
+STOP_SECONDS = 0.5
+
+
+class Node(Runtime):
+    """An entry instance that callers, operators and peers can connect to.
+
+    Args:
+        settings: The settings.
+        clock: The clock.
+        platform: The platform's services.
+        backend: Calls backend servers.
+        metrics: Where metrics go.
+        seed: The seed of its random numbers, or None for a different one each time.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform,
+        backend: Backend,
+        metrics: Metrics,
+        seed: int | None = None,
+    ) -> None:
+        network = TcpNetwork(settings.secret.encode())
+        super().__init__(settings, clock, platform, backend, network, metrics, seed)
+        self.relay = Relay(self.membership, clock, metrics)
+        self.stack.callback(self.relay.close)
+
+    def start(self) -> None:
+        """Open the listening sockets and start the tasks."""
+        super().start()
+        web = WSGIServer(
+            split(self.settings.web),
+            make_application(self),
+            log=None,
+            error_log=QuietLog(),
+            spawn=MOST_CONNECTIONS,
+        )
+        web.start()
+        self.stack.callback(web.stop, STOP_SECONDS)
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/operators.py
@@ -0,0 +1,115 @@
+# operators.py -- The HTTP interface for operators
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The HTTP interface for operators."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+import bottle
+
+from mountladder.code import Code
+from mountladder.errors import MountladderError, RefusalError
+from mountladder.gateway import problem
+
+if TYPE_CHECKING:
+    from mountladder_entry.node import Node
+
+
+def install(app: bottle.Bottle, node: Node) -> None:
+    """Add the balancer's and the operators' routes to an application."""
+    app.get("/healthz", callback=lambda: {"healthy": True})
+    app.get("/readyz", callback=lambda: readiness(node))
+    app.get("/ops/status", callback=lambda: guarded(node, lambda: status(node)))
+    app.get("/ops/servers", callback=lambda: guarded(node, lambda: servers(node)))
+    app.get(
+        "/ops/explain/<request>",
+        callback=lambda request: guarded(node, lambda: explain(node, request)),
+    )
+
+
+def guarded(node: Node, page: Callable[[], dict[str, object]]) -> object:
+    """Return a page to an operator, or a problem document."""
+    try:
+        expected = "Bearer " + node.settings.operator_token
+        sent = bottle.request.get_header("Authorization", "")
+        if node.settings.operator_token and not hmac.compare_digest(
+            sent.encode(), expected.encode()
+        ):
+            raise RefusalError("the operator's token is wrong", Code.UNAUTHENTICATED)
+        return page()
+    except MountladderError as error:
+        bottle.response.status = error.code.status
+        bottle.response.content_type = "application/problem+json"
+        return problem(error, None)
+
+
+def readiness(node: Node) -> dict[str, object]:
+    """Tell the balancer whether to send requests here."""
+    if not node.ready:
+        bottle.response.status = 503
+    return {"ready": node.ready}
+
+
+def status(node: Node) -> dict[str, object]:
+    """Return what the instance is and does."""
+    age = node.follower.age_ms()
+    counts = getattr(node.metrics, "counts", {})
+    return {
+        "instance": asdict(node.me),
+        "ready": node.ready,
+        "revision": node.follower.configuration.revision,
+        "configuration_age_ms": None if age == float("inf") else round(age),
+        "rank": node.membership.rank(),
+        "peers": [asdict(one) for one in node.membership.live() if one != node.me],
+        "running": node.admission.total,
+        "waiting": len(node.admission.waiting),
+        "store_reads": node.follower.reads,
+        "peer_messages": node.peers.messages,
+        "peer_bytes": node.peers.bytes,
+        "counts": dict(counts),
+    }
+
+
+def servers(node: Node) -> dict[str, object]:
+    """Return for each backend server whether it gets work from this instance, and why not."""
+    now = node.clock.now()
+    rows = []
+    for server in node.follower.configuration.of_kind("server"):
+        state = node.router.state(server)
+        why = "in use"
+        if server.draining:
+            why = "an operator is draining it"
+        elif now < state.leaving_until:
+            why = "it said it is leaving"
+        elif not state.breaker.allows(now):
+            why = f"it failed {state.breaker.failures} times in a row"
+        rows.append(
+            {
+                "server": server.name,
+                "why": why,
+                "running": state.running,
+                "load": state.load,
+                "slowness": round(state.slowness, 2),
+            }
+        )
+    return {"servers": rows}
+
+
+def explain(node: Node, request: str) -> dict[str, object]:
+    """Return what happened to a request.
+
+    Raises:
+        RefusalError: The instance knows nothing of it.
+    """
+    trace = node.traces.find(request)
+    if trace is None:
+        raise RefusalError(f"nothing is known of request {request!r}", Code.NOT_FOUND)
+    entries = json.loads(json.dumps([asdict(entry) for entry in trace.entries]))
+    return {"request": request, "revision": trace.revision, "entries": entries}
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/relay.py
@@ -0,0 +1,81 @@
+# relay.py -- Relaying a request to the instance that issued its key
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Relaying a request to the instance that issued its key."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import bottle
+import urllib3
+
+from mountladder.clock import Clock
+from mountladder.issuedkey import IssuedKey
+from mountladder.membership import Membership
+from mountladder.metric import Metric
+from mountladder.metrics import Metrics
+from mountladder.request import Request
+from mountladder_entry.relayed import Relayed
+
+HOP_HEADER = "X-Mountladder-Hop"
+CONNECT_SECONDS = 1.0
+MARGIN_SECONDS = 0.5
+_PASSED_ON = ("Authorization", "Idempotency-Key", "Accept", "Content-Type")
+
+
+class Relay:
+    """Passes requests on to the only instance that may run them.
+
+    Args:
+        membership: Which instances there are.
+        clock: The clock.
+        metrics: Where relayed requests are counted.
+    """
+
+    def __init__(self, membership: Membership, clock: Clock, metrics: Metrics) -> None:
+        self.membership = membership
+        self.clock = clock
+        self.metrics = metrics
+        self.pool = urllib3.PoolManager(num_pools=64, maxsize=32, retries=False)
+
+    def ask(self, home: IssuedKey, request: Request, caller: bottle.BaseRequest) -> Relayed | None:
+        """Pass a request on; return None where its home cannot be reached."""
+        instance = self.membership.find(home.incarnation)
+        if instance is None:
+            return None
+        headers = {name: caller.get_header(name, "") for name in _PASSED_ON}
+        headers[HOP_HEADER] = "1"
+        body = b'{"input":%b,"idempotent":%b,"deadline_ms":%d}' % (
+            request.input,
+            b"true" if request.idempotent else b"false",
+            max(1, int(request.deadline - self.clock.now())),
+        )
+        remaining = max(0.0, request.deadline - self.clock.now()) / 1000.0
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=remaining + MARGIN_SECONDS)
+        url = f"http://{instance.web}/v1/pipelines/{request.pipeline.name}"
+        try:
+            response = self.pool.request(
+                "POST", url, body=body, headers=headers, preload_content=False, timeout=timeout
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        self.metrics.count(Metric.RELAYED)
+        return Relayed(response.status, response.headers, _pieces(response))
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.pool.clear()
+
+
+def _pieces(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    ended = False
+    try:
+        yield from response.stream()
+        ended = True
+    finally:
+        if ended:
+            response.release_conn()
+        else:
+            response.close()
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/faultyinstancelist.py
@@ -0,0 +1,35 @@
+# faultyinstancelist.py -- A list of instances with faults
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A list of instances with faults."""
+
+from __future__ import annotations
+
+from mountladder.errors import StoreUnavailableError
+from mountladder.instance import Instance
+from mountladder.instancelist import InstanceList
+from mountladder_standins.faults import Faults
+
+
+class FaultyInstanceList(InstanceList):
+    """Passes calls on to another list, with faults that a test switches on."""
+
+    def __init__(self, inner: InstanceList) -> None:
+        self.inner = inner
+        self.faults = Faults()
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the instances; see InstanceList."""
+        self.check()
+        return self.inner.instances()
+
+    def announce(self, instance: Instance) -> None:
+        """Record an announcement; see InstanceList."""
+        self.check()
+        self.inner.announce(instance)
+
+    def check(self) -> None:
+        """Be down."""
+        if self.faults.down:
+            raise StoreUnavailableError("the list of instances is down")
