--- /dev/null
+++ b/packages/standins/src/mountladder_standins/faultytable.py
@@ -0,0 +1,84 @@
+# faultytable.py -- A table with faults
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A table with faults."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from mountladder.clock import Clock
+from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
+from mountladder.row import Row
+from mountladder.table import Table
+from mountladder.write import Write
+from mountladder_standins.faults import Faults
+
+
+class FaultyTable(Table):
+    """Passes calls on to another table, with faults that a test switches on.
+
+    Args:
+        inner: The table that holds the rows.
+        clock: The clock that slow calls wait on.
+
+    Attributes:
+        faults: What is wrong at present.
+        reads: How many reads were asked for.
+        commits: How many transactions were asked for.
+        rows_written: How many rows the transactions that took effect wrote.
+    """
+
+    def __init__(self, inner: Table, clock: Clock) -> None:
+        self.inner = inner
+        self.clock = clock
+        self.faults = Faults()
+        self.reads = 0
+        self.commits = 0
+        self.rows_written = 0
+        self.recent: list[float] = []
+
+    def read(self, key: str) -> Row | None:
+        """Return a row; see Table."""
+        self.before_read()
+        return self.inner.read(key)
+
+    def scan(self, prefix: str, after: str = "", limit: int = 100) -> list[Row]:
+        """Return rows in order; see Table."""
+        self.before_read()
+        return self.inner.scan(prefix, after, limit)
+
+    def commit(self, writes: Sequence[Write]) -> int:
+        """Apply every write or none; see Table."""
+        self.commits += 1
+        self.limit_rate()
+        self.delay()
+        version = self.inner.commit(writes)
+        self.rows_written += len(writes)
+        if self.faults.lose_answers:
+            self.faults = self.faults.without_one("lose_answers")
+            raise StoreAmbiguousError("the answer was lost")
+        return version
+
+    def before_read(self) -> None:
+        """Count a read and let it meet the faults."""
+        self.reads += 1
+        self.delay()
+
+    def delay(self) -> None:
+        """Be slow or down."""
+        if self.faults.slow_ms:
+            self.clock.sleep(self.faults.slow_ms)
+        if self.faults.down:
+            raise StoreUnavailableError("the store is down")
+
+    def limit_rate(self) -> None:
+        """Refuse more transactions a second than allowed."""
+        if not self.faults.most_writes:
+            return
+        now = self.clock.now()
+        self.recent = [at for at in self.recent if now - at < 1000.0]
+        if len(self.recent) >= self.faults.most_writes:
+            raise StoreUnavailableError("too many transactions a second")
+        self.recent.append(now)
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -0,0 +1,101 @@
+# localbackend.py -- Calls to stand-in servers of the same process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls to stand-in servers of the same process."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from mountladder.backend import Backend
+from mountladder.backendserver import BackendServer
+from mountladder.chunk import Chunk
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import StageError, WaitTimeoutError
+from mountladder.eventreader import EventReader
+from mountladder.stagecall import StageCall
+from mountladder.stageresult import StageResult
+from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
+from mountladder_standins.standinserver import StandinServer
+
+
+class LocalBackend(Backend):
+    """The in-memory twin of calls over HTTP.
+
+    Args:
+        servers: The stand-ins by name.
+        clock: The clock.
+    """
+
+    def __init__(self, servers: Mapping[str, StandinServer], clock: Clock) -> None:
+        self.servers = servers
+        self.clock = clock
+
+    def run(self, server: BackendServer, call: StageCall) -> StageResult:
+        """Run a stage; see Backend."""
+        standin = self.reach(server)
+        work = call.stage.work if server.serves == "engine" else call.stage.name
+        try:
+            with self.clock.limit(call.deadline - self.clock.now()):
+                value = standin.run(work, call.attempt, call.body)
+        except (ServerRefusalError, ServerFailureError, WaitTimeoutError) as error:
+            raise _stage_error(error) from error
+        self.check(standin, value)
+        return StageResult(value, standin.running)
+
+    def stream(self, server: BackendServer, call: StageCall) -> Iterator[Chunk]:
+        """Run a stage and yield its tokens; see Backend."""
+        standin = self.reach(server)
+        self.check(standin, b"")
+        reader = EventReader(call.tokens_held)
+        events = standin.stream(call.attempt, call.body, call.tokens_held)
+        patience = call.first_ms
+        try:
+            while not reader.ended:
+                limit = min(patience, call.deadline - self.clock.now())
+                with self.clock.limit(limit):
+                    event = next(events, b"")
+                if not event:
+                    raise StageError("the stream ended before its end", Code.STREAM_CUT)
+                chunk = reader.feed(event, standin.running)
+                if chunk is not None:
+                    patience = call.stall_ms
+                    yield chunk
+        except (ServerRefusalError, ServerFailureError, WaitTimeoutError) as error:
+            raise _stage_error(error) from error
+        finally:
+            events.close()
+
+    def reach(self, server: BackendServer) -> StandinServer:
+        """Return the stand-in of a server, where it can be reached."""
+        standin = self.servers.get(server.name)
+        if standin is None or standin.faults.down:
+            raise StageError(f"{server.name}: cannot be reached", Code.CONNECT_FAILED, False)
+        return standin
+
+    def check(self, standin: StandinServer, value: bytes) -> None:
+        """Show the faults of a connection."""
+        faults = standin.faults
+        if faults.foreign:
+            raise StageError("the answer is for another attempt", Code.FOREIGN_ANSWER)
+        if value and faults.garbage:
+            raise StageError("a result is not JSON", Code.BAD_ANSWER)
+        if value and faults.lose_answers:
+            standin.faults = faults.without_one("lose_answers")
+            raise StageError("the answer was lost", Code.STREAM_CUT)
+
+    def cancel(self, server: BackendServer, attempt: str) -> None:
+        """Ask a server to stop an attempt; see Backend."""
+        standin = self.servers.get(server.name)
+        if standin is not None:
+            standin.cancel(attempt)
+
+
+def _stage_error(error: Exception) -> StageError:
+    if isinstance(error, ServerRefusalError):
+        return StageError(str(error), Code.SERVER_REFUSED, False)
+    if isinstance(error, WaitTimeoutError):
+        return StageError("no answer in time", Code.STAGE_STALLED)
+    return StageError(str(error), Code.BAD_ANSWER)
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/localfleet.py
@@ -0,0 +1,202 @@
+# localfleet.py -- A fleet of instances within one process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A fleet of instances within one process."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import re
+from collections.abc import Sequence
+
+import gevent
+from gevent.pool import Group
+
+from mountladder.backendserver import BackendServer
+from mountladder.callerrequest import CallerRequest
+from mountladder.changelog import ChangeLog
+from mountladder.clock import Clock
+from mountladder.configuration import Configuration
+from mountladder.document import Document
+from mountladder.errors import MountladderError
+from mountladder.memorymetrics import MemoryMetrics
+from mountladder.memorynetwork import MemoryNetwork
+from mountladder.policy import Policy
+from mountladder.reply import Reply
+from mountladder.runtime import Runtime
+from mountladder.settings import Settings
+from mountladder_standins.faults import Faults
+from mountladder_standins.localbackend import LocalBackend
+from mountladder_standins.outcome import Outcome
+from mountladder_standins.speeds import Speeds
+from mountladder_standins.standinplatform import StandinPlatform
+from mountladder_standins.standinserver import StandinServer
+
+SECRET = "a secret for stand-ins only"
+_NUMBER = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+
+
+class LocalFleet:
+    """Entry instances, the platform and backend servers in one process, on one clock.
+
+    Args:
+        clock: The clock, virtual or real.
+        lag_ms: How late the platform's list of instances is.
+
+    Attributes:
+        servers: The stand-in backend servers by name.
+        runtimes: The instances by name.
+    """
+
+    def __init__(self, clock: Clock, lag_ms: float = 1_000.0) -> None:
+        self.clock = clock
+        self.standin = StandinPlatform(clock, lag_ms)
+        self.network = MemoryNetwork()
+        self.servers: dict[str, StandinServer] = {}
+        self.backend = LocalBackend(self.servers, clock)
+        self.runtimes: dict[str, Runtime] = {}
+        self.calls: dict[str, Group] = {}
+
+    def start(
+        self, name: str, datacentre: str, policy: Policy | None = None, **changes: object
+    ) -> Runtime:
+        """Start an instance; the changes go into its settings."""
+        settings = Settings(
+            name=name,
+            datacentre=datacentre,
+            web=f"web:{name}",
+            peer=f"peer:{name}",
+            platform="",
+            secret=SECRET,
+            seeds=tuple(sorted(one.settings.peer for one in self.runtimes.values()))[:3],
+        )
+        runtime = Runtime(
+            dataclasses.replace(settings, **changes),
+            self.clock,
+            self.standin.view(),
+            self.backend,
+            self.network,
+            MemoryMetrics(),
+            len(self.runtimes),
+            policy,
+        )
+        runtime.start()
+        self.runtimes[name] = runtime
+        self.calls[name] = Group()
+        return runtime
+
+    def kill(self, name: str) -> None:
+        """End an instance as a killed process ends: at once, and nothing is said to anybody."""
+        runtime = self.runtimes.pop(name)
+        runtime.platform.table.faults = Faults(down=True)
+        runtime.platform.instances.faults = Faults(down=True)
+        runtime.stack.close()
+        runtime.gateway.runs.kill()
+        runtime.idempotency.tasks.kill()
+        self.calls.pop(name).kill()
+
+    def cut_platform(self, name: str, faults: Faults) -> None:
+        """Set the faults that one instance meets at the platform."""
+        platform = self.runtimes[name].platform
+        platform.table.faults = faults
+        platform.objects.faults = faults
+        platform.instances.faults = faults
+
+    def append(
+        self, puts: Sequence[Document], deletes: Sequence[str] = (), operation: str = ""
+    ) -> Configuration:
+        """Make a change of the configuration; start a stand-in of each new backend server."""
+        log = ChangeLog(self.standin.table, self.standin.objects, self.clock)
+        base = log.load()
+        for document in puts:
+            self.serve(document)
+        name = operation or f"operation-{base.revision + 1}"
+        return log.append(base, name, "operator", puts, deletes)
+
+    def serve(self, document: Document) -> None:
+        """Start a stand-in of a backend server that has none."""
+        if isinstance(document, BackendServer) and document.name not in self.servers:
+            factor = 3.0 if document.accelerator == "old" else 1.0
+            speeds = Speeds(factor, document.slots)
+            self.servers[document.name] = StandinServer(document.name, self.clock, speeds)
+
+    def wait_ready(self) -> None:
+        """Wait until every instance is ready."""
+        while not all(runtime.ready for runtime in self.runtimes.values()):
+            self.clock.sleep(50.0)
+
+    def spawn(self, to: str, pipeline: str, token: str, input_: object, **more: object):
+        """Send a request in a task of its own and return the task; its value is an Outcome."""
+        group = self.calls[to]
+        return group.spawn(self.ask, to, pipeline, token, input_, **more)
+
+    def ask(
+        self,
+        to: str,
+        pipeline: str,
+        token: str,
+        input_: object,
+        key: str = "",
+        deadline_ms: float | None = None,
+        idempotent: bool = True,
+        first: bool = False,
+    ) -> Outcome:
+        """Send a request to an instance and return what the caller gets."""
+        runtime = self.runtimes[to]
+        started = self.clock.now()
+        called = CallerRequest(
+            pipeline,
+            token,
+            json.dumps(input_, separators=(",", ":")).encode(),
+            started,
+            deadline_ms,
+            key,
+            idempotent,
+            first,
+        )
+        tokens: list[int] = []
+        try:
+            answer = self.read(runtime, called, tokens)
+        except MountladderError as error:
+            result, code, answer = error.result.value, error.code.number, {}
+        else:
+            result, code = "done", 0
+        took = self.clock.now() - started
+        return Outcome(result, code, answer, tuple(tokens), took, to)
+
+    def read(self, runtime: Runtime, called: CallerRequest, tokens: list[int]) -> dict[str, object]:
+        """Read an answer to its end, adding the numbers of its tokens to a list."""
+        reply = runtime.gateway.serve(called)
+        if reply.home is not None:
+            return self.relay(runtime, called, reply)
+        if reply.kept is not None:
+            return json.loads(reply.kept)
+        for chunk in reply.chunks:
+            tokens += [int(number) for number in _NUMBER.findall(chunk.events)]
+        return json.loads(reply.answer())
+
+    def relay(self, runtime: Runtime, called: CallerRequest, reply: Reply) -> dict[str, object]:
+        """Ask the instance that issued a key, where it can be reached."""
+        for home in self.runtimes.values():
+            if home.me.incarnation == reply.home.incarnation and self.network.reachable(
+                runtime.me, home.me
+            ):
+                return self.read(home, called, [])
+        return json.loads(runtime.idempotency.answer_of(reply.request).replay)
+
+    def ran(self, work: str) -> list[str]:
+        """Return the attempts of a kind of work that were begun on all stand-ins."""
+        return [
+            one.attempt
+            for server in self.servers.values()
+            for one in server.ran
+            if one.work == work
+        ]
+
+    def stop(self) -> None:
+        """End every instance and call."""
+        for name in list(self.runtimes):
+            self.kill(name)
+        gevent.sleep(0)
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/platformface.py
@@ -0,0 +1,131 @@
+# platformface.py -- The HTTP face of the platform's stand-in
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The HTTP face of the platform's stand-in."""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import asdict
+
+import bottle
+
+from mountladder.errors import (
+    ConditionFailedError,
+    DocumentError,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+)
+from mountladder.instance import Instance
+from mountladder.row import Row
+from mountladder.write import Write
+from mountladder_standins.faults import Faults
+from mountladder_standins.standinplatform import StandinPlatform
+
+LOST_STATUS = 500
+
+
+def platform_app(standin: StandinPlatform) -> bottle.Bottle:
+    """Return the application that serves a platform over HTTP."""
+    app = bottle.Bottle()
+    app.install(_faults_as_statuses)
+    app.get("/table/row", callback=lambda: read_row(standin))
+    app.get("/table/rows", callback=lambda: read_rows(standin))
+    app.post("/table/commit", callback=lambda: commit(standin))
+    app.get("/objects/<name:path>", callback=lambda name: get_object(standin, name))
+    app.put("/objects/<name:path>", callback=lambda name: put_object(standin, name))
+    app.get("/instances", callback=lambda: list_instances(standin))
+    app.post("/instances", callback=lambda: announce(standin))
+    app.put("/faults", callback=lambda: set_faults(standin))
+    app.get("/counts", callback=lambda: counts(standin))
+    return app
+
+
+def _faults_as_statuses(callback):
+    def guarded(*args, **kwargs):
+        try:
+            return callback(*args, **kwargs)
+        except StoreUnavailableError as error:
+            return bottle.HTTPResponse(str(error), 503)
+        except StoreAmbiguousError as error:
+            return bottle.HTTPResponse(str(error), LOST_STATUS)
+        except (ValueError, KeyError, TypeError, DocumentError) as error:
+            return bottle.HTTPResponse(str(error), 400)
+
+    return guarded
+
+
+def read_row(standin: StandinPlatform) -> object:
+    """Return a row as JSON, or 404."""
+    row = standin.table.read(bottle.request.query["key"])
+    return bottle.HTTPResponse("no such row", 404) if row is None else _table(row)
+
+
+def read_rows(standin: StandinPlatform) -> bottle.HTTPResponse:
+    """Return rows in order as JSON."""
+    query = bottle.request.query
+    rows = standin.table.scan(query["prefix"], query.get("after", ""), int(query["limit"]))
+    return _json([_table(row) for row in rows])
+
+
+def commit(standin: StandinPlatform) -> bottle.HTTPResponse:
+    """Apply a transaction."""
+    writes = [_write(entry) for entry in json.loads(bottle.request.body.read())]
+    try:
+        return _json({"version": standin.table.commit(writes)})
+    except ConditionFailedError as error:
+        return _json({"failed": list(error.keys)}, 409)
+
+
+def get_object(standin: StandinPlatform, name: str) -> object:
+    """Return an object, or 404."""
+    value = standin.objects.get(name)
+    return bottle.HTTPResponse("no such object", 404) if value is None else value
+
+
+def put_object(standin: StandinPlatform, name: str) -> str:
+    """Write an object."""
+    standin.objects.put(name, bottle.request.body.read())
+    return ""
+
+
+def list_instances(standin: StandinPlatform) -> bottle.HTTPResponse:
+    """Return the listed instances as JSON."""
+    return _json([asdict(instance) for instance in standin.instances.instances()])
+
+
+def announce(standin: StandinPlatform) -> str:
+    """Record an announcement."""
+    standin.instances.announce(Instance(**json.loads(bottle.request.body.read())))
+    return ""
+
+
+def set_faults(standin: StandinPlatform) -> str:
+    """Set the faults of every service."""
+    standin.set_faults(Faults.read(json.loads(bottle.request.body.read())))
+    return ""
+
+
+def counts(standin: StandinPlatform) -> dict[str, int]:
+    """Return how often the table was read and written."""
+    table = standin.table
+    return {"reads": table.reads, "commits": table.commits, "rows_written": table.rows_written}
+
+
+def _table(row: Row) -> dict[str, object]:
+    value = base64.b64encode(row.value).decode()
+    return {"key": row.key, "value": value, "version": row.version}
+
+
+def _write(entry: dict[str, object]) -> Write:
+    value = entry["value"]
+    return Write(
+        entry["key"], None if value is None else base64.b64decode(value), entry["expected"]
+    )
+
+
+def _json(value: object, status: int = 200) -> bottle.HTTPResponse:
+    headers = {"Content-Type": "application/json"}
+    return bottle.HTTPResponse(json.dumps(value), status, headers)
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -0,0 +1,97 @@
+# serverface.py -- The HTTP face of a stand-in backend server
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The HTTP face of a stand-in backend server."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from collections.abc import Iterator
+from dataclasses import asdict
+
+import bottle
+
+from mountladder.errors import DocumentError
+from mountladder_standins.faults import Faults
+from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
+from mountladder_standins.standinserver import StandinServer
+
+FOREIGN_ATTEMPT = "somebody-elses"
+
+
+def server_app(standin: StandinServer) -> bottle.Bottle:
+    """Return the application that serves a stand-in over HTTP, as an engine and as a service."""
+    app = bottle.Bottle()
+    app.post("/v1/cancel", callback=lambda: cancel(standin))
+    app.post("/v1/<work>", callback=lambda work: call(standin, work))
+    app.put("/faults", callback=lambda: set_faults(standin))
+    app.get("/ran", callback=lambda: ran(standin))
+    app.post("/<work>", callback=lambda work: call(standin, work))
+    return app
+
+
+def call(standin: StandinServer, work: str) -> object:
+    """Run a call; answer with JSON or a stream as the caller accepts."""
+    attempt = bottle.request.get_header("X-Attempt", "")
+    body = bottle.request.body.read()
+    bottle.response.set_header("X-Attempt", FOREIGN_ATTEMPT if standin.faults.foreign else attempt)
+    try:
+        if "text/event-stream" in bottle.request.get_header("Accept", ""):
+            return stream(standin, attempt, body)
+        bottle.response.content_type = "application/json"
+        result = standin.run(work, attempt, body)
+        bottle.response.set_header("X-Load", str(standin.running))
+    except ServerRefusalError as error:
+        bottle.response.status = 503
+        bottle.response.set_header("X-Refused", str(error))
+        return str(error)
+    except ServerFailureError as error:
+        bottle.response.status = 500
+        return str(error)
+    if standin.faults.lose_answers:
+        standin.faults = standin.faults.without_one("lose_answers")
+        raise ConnectionResetError("the answer was lost")
+    return result
+
+
+def stream(standin: StandinServer, attempt: str, body: bytes) -> Iterator[bytes]:
+    """Start a stream; what fails before its first event is raised here."""
+    held = int(bottle.request.get_header("Last-Event-ID", "0"))
+    events = standin.stream(attempt, body, held)
+    first = list(itertools.islice(events, 1))
+    bottle.response.content_type = "text/event-stream"
+    bottle.response.set_header("X-Load", str(standin.running))
+    return _guarded(first, events)
+
+
+def _guarded(first: list[bytes], events: Iterator[bytes]) -> Iterator[bytes]:
+    try:
+        yield from first
+        yield from events
+    except ServerFailureError as error:
+        yield b"event: error\ndata: %b\n\n" % json.dumps(str(error)).encode()
+    finally:
+        events.close()
+
+
+def cancel(standin: StandinServer) -> str:
+    """Stop a call."""
+    standin.cancel(json.loads(bottle.request.body.read())["attempt"])
+    return ""
+
+
+def set_faults(standin: StandinServer) -> str:
+    """Set the faults."""
+    try:
+        standin.faults = Faults.read(json.loads(bottle.request.body.read()))
+    except (ValueError, DocumentError) as error:
+        bottle.response.status = 400
+        return str(error)
+    return ""
+
+
+def ran(standin: StandinServer) -> dict[str, object]:
+    """Return every call that was begun."""
+    return {"ran": [asdict(one) for one in standin.ran]}
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/standinplatform.py
@@ -0,0 +1,49 @@
+# standinplatform.py -- A stand-in of the whole platform
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A stand-in of the whole platform."""
+
+from __future__ import annotations
+
+from mountladder.clock import Clock
+from mountladder.memoryinstancelist import MemoryInstanceList
+from mountladder.memoryobjectstore import MemoryObjectStore
+from mountladder.memorytable import MemoryTable
+from mountladder.platform import Platform
+from mountladder_standins.faults import Faults
+from mountladder_standins.faultyinstancelist import FaultyInstanceList
+from mountladder_standins.faultyobjectstore import FaultyObjectStore
+from mountladder_standins.faultytable import FaultyTable
+
+
+class StandinPlatform:
+    """The in-memory twins of the platform's services, with faults.
+
+    Args:
+        clock: The clock.
+        lag_ms: How late the list of instances shows a change.
+    """
+
+    def __init__(self, clock: Clock, lag_ms: float = 0.0) -> None:
+        self.clock = clock
+        self.memory = MemoryTable()
+        self.table = FaultyTable(self.memory, clock)
+        self.objects = FaultyObjectStore(MemoryObjectStore(), clock)
+        self.instances = FaultyInstanceList(MemoryInstanceList(clock, lag_ms))
+
+    def platform(self) -> Platform:
+        """Return the services behind their interfaces."""
+        return Platform(self.table, self.objects, self.instances)
+
+    def view(self) -> Platform:
+        """Return the services as one more process sees them, with faults of their own."""
+        table = FaultyTable(self.table, self.clock)
+        objects = FaultyObjectStore(self.objects, self.clock)
+        return Platform(table, objects, FaultyInstanceList(self.instances))
+
+    def set_faults(self, faults: Faults) -> None:
+        """Set the faults of every service."""
+        self.table.faults = faults
+        self.objects.faults = faults
+        self.instances.faults = faults
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -0,0 +1,177 @@
+# standinserver.py -- A stand-in of a backend server
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A stand-in of a backend server."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from gevent.event import Event
+
+from mountladder.clock import Clock
+from mountladder_standins.faults import Faults
+from mountladder_standins.ranstage import RanStage
+from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
+from mountladder_standins.speeds import Speeds
+
+QUANTUM_MS = 25.0
+PREFIX_BYTES = 256
+MOST_TOKENS = 2_000
+DEFAULT_TOKENS = 24
+MOST_RUNS_KEPT = 100_000
+
+
+class StandinServer:
+    """Emulates a model engine or a plain service; calls share its rate when there are many.
+
+    Results depend on the input only, so that a test can tell whose they are.
+
+    Args:
+        name: The server's name.
+        clock: The clock.
+        speeds: How fast it is.
+
+    Attributes:
+        faults: What is wrong at present.
+        ran: Every call it began to run.
+        running: How many calls it runs.
+        busy_ms: The time spent on calls, as if each ran alone.
+    """
+
+    def __init__(self, name: str, clock: Clock, speeds: Speeds | None = None) -> None:
+        self.name = name
+        self.clock = clock
+        self.speeds = speeds or Speeds()
+        self.faults = Faults()
+        self.ran: list[RanStage] = []
+        self.running = 0
+        self.busy_ms = 0.0
+        self.cancelled: OrderedDict[str, bool] = OrderedDict()
+        self.prefixes: OrderedDict[int, bool] = OrderedDict()
+
+    def run(self, work: str, attempt: str, body: bytes) -> bytes:
+        """Run a call and return its result as JSON.
+
+        Raises:
+            ServerRefusalError: It was not taken.
+            ServerFailureError: It failed.
+        """
+        input_hash = self.accept(work, attempt, body)
+        self.running += 1
+        try:
+            self.spend(self.work_ms(work, body), attempt)
+        finally:
+            self.running -= 1
+        if self.faults.garbage:
+            return b"{not json"
+        return json.dumps({"work": work, "of": input_hash, "by": self.name}).encode()
+
+    def stream(self, attempt: str, body: bytes, held: int) -> Iterator[bytes]:
+        """Run a generation and yield its events, leaving out the tokens the caller holds.
+
+        Raises:
+            ServerRefusalError: It was not taken.
+            ServerFailureError: It failed.
+        """
+        input_hash = self.accept("generate", attempt, body)
+        total = token_count(body)
+        self.running += 1
+        try:
+            self.spend(self.work_ms("generate", body), attempt)
+            for number in range(held + 1, total + 1):
+                if self.faults.cut_after and number - held > self.faults.cut_after:
+                    return
+                self.spend(self.speeds.token_ms * self.speeds.factor, attempt)
+                yield from self.token_events(number, input_hash)
+            yield b'event: done\ndata: {"tokens":%d}\n\n' % total
+        finally:
+            self.running -= 1
+
+    def token_events(self, number: int, input_hash: str) -> Iterator[bytes]:
+        """Yield the event of one token, twice where that fault is on."""
+        event = b'id: %d\ndata: "%b-%d "\n\n' % (number, input_hash.encode(), number)
+        if self.faults.garbage:
+            event = b"what is this\n\n"
+        yield event
+        if self.faults.repeat_event:
+            yield event
+
+    def accept(self, work: str, attempt: str, body: bytes) -> str:
+        """Take a call or refuse it; return the hash of the request's input."""
+        if self.faults.draining:
+            raise ServerRefusalError("draining")
+        if self.faults.fail:
+            self.faults = self.faults.without_one("fail")
+            raise ServerFailureError("told to fail")
+        digest = hash_of(input_of(body))
+        if len(self.ran) < MOST_RUNS_KEPT:
+            self.ran.append(RanStage(self.name, work, attempt, digest, self.clock.now()))
+        if self.faults.stall:
+            self.clock.wait(Event(), 3_600_000.0)
+        return digest
+
+    def work_ms(self, work: str, body: bytes) -> float:
+        """Return the time a call takes alone, up to its first token."""
+        speeds = self.speeds
+        size_ms = speeds.per_kb_ms * len(body) / 1000.0
+        if work == "generate":
+            size_ms *= 1.0 - speeds.prefix_saving * self.touch_prefix(body)
+        elif work in {"retrieve", "call"}:
+            size_ms = 0.0
+        return (speeds.base_ms + size_ms) * speeds.factor
+
+    def touch_prefix(self, body: bytes) -> bool:
+        """Look a call's prefix up in the cache and keep it there; tell whether it was."""
+        prefix = hash(input_of(body)[:PREFIX_BYTES])
+        hit = prefix in self.prefixes
+        self.prefixes[prefix] = True
+        self.prefixes.move_to_end(prefix)
+        if len(self.prefixes) > self.speeds.prefixes:
+            self.prefixes.popitem(last=False)
+        return hit
+
+    def spend(self, ms: float, attempt: str) -> None:
+        """Let the time of some work pass, longer where many calls share the server."""
+        left = ms * self.faults.slowness
+        self.busy_ms += left
+        while left > 0:
+            step = min(left, QUANTUM_MS)
+            crowding = max(1.0, self.running / self.speeds.slots)
+            self.clock.sleep(step * crowding + self.faults.slow_ms)
+            left -= step
+            if attempt in self.cancelled:
+                self.busy_ms -= left
+                raise ServerFailureError("cancelled")
+
+    def cancel(self, attempt: str) -> None:
+        """Stop a call."""
+        self.cancelled[attempt] = True
+        if len(self.cancelled) > MOST_RUNS_KEPT:
+            self.cancelled.popitem(last=False)
+
+
+def input_of(body: bytes) -> bytes:
+    """Return the request's input out of a call's body."""
+    start = body.find(b'"input":')
+    end = body.rfind(b',"results":')
+    return body[start + len(b'"input":') : end]
+
+
+def hash_of(data: bytes) -> str:
+    """Return a short hash."""
+    return hashlib.sha256(data).hexdigest()[:8]
+
+
+def token_count(body: bytes) -> int:
+    """Return how many tokens a call's body asks for."""
+    try:
+        table = json.loads(input_of(body))
+        wanted = table.get("tokens", DEFAULT_TOKENS) if isinstance(table, dict) else DEFAULT_TOKENS
+        return max(0, min(MOST_TOKENS, int(wanted)))
+    except (ValueError, TypeError) as error:
+        raise ServerFailureError(f"the body cannot be read: {error}") from error
