Prove the configuration log and the checks of bad input

Cause: the log's promises (never reverts, settles lost answers, serves cut off) and the numbered errors of documents and settings had no scenario. Change: features for the configuration under races, lost and late answers, outages, cuts and restarts; for faulty documents, selectors and settings; and for the tables of codes, metrics and settings in docs/, which must equal the code. The stand-in table can hold one transaction back. Conclusion: a transaction that takes effect after its author repeated it is refused by the head's version, as designed; the log keeps one change.

--- /dev/null
+++ b/features/steps/document_steps.py
@@ -0,0 +1,142 @@
+# document_steps.py -- Steps about documents, settings and the tables in docs
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about documents, settings and the tables in docs."""
+
+import dataclasses
+from importlib import resources
+from pathlib import Path
+
+from behave import then, when
+
+from mountladder.change import Change
+from mountladder.check import check
+from mountladder.code import Code
+from mountladder.configuration import Configuration
+from mountladder.documents import parse_documents
+from mountladder.errors import MountladderError
+from mountladder.metric import Metric
+from mountladder.selector import Selector
+from mountladder.settings import Settings
+
+DOCS = Path(__file__).parents[2] / "docs"
+BAD_SETTINGS = """
+name = "x"
+datacentre = 3
+web = "localhost:80"
+peer = "127.0.0.1:9"
+platform = "ftp://x"
+secret = "short"
+poll_ms = -1
+colour = "red"
+"""
+
+
+def toml(text):
+    return text.replace(" ; ", "\n").replace("]] ", "]]\n")
+
+
+def gather(context, function):
+    context.faults = []
+    try:
+        return function()
+    except* MountladderError as group:
+        context.faults = list(group.exceptions)
+    return None
+
+
+def checked(documents):
+    change = Change(1, "o", "a", 0.0, tuple(documents), ())
+    return check(Configuration().after(change))
+
+
+@when("the documents {text} are read")
+def read(context, text):
+    gather(context, lambda: parse_documents(toml(text), "file.toml"))
+
+
+@when("the documents {text} are checked")
+def read_and_check(context, text):
+    gather(context, lambda: checked(parse_documents(toml(text), "file.toml")))
+
+
+@then("the faults are {codes} and name {word}")
+def faults(context, codes, word):
+    found = [error.code.number for error in context.faults]
+    assert found == [int(code) for code in codes.split()], context.faults
+    assert any(word in str(error) for error in context.faults), context.faults
+
+
+@then('the selector "{text}" is {verb} by the labels {labels}')
+def selector(context, text, verb, labels):
+    pairs = dict(pair.split("=") for pair in labels.split(","))
+    written = "" if text == "(empty)" else text
+    assert Selector.parse(written).meets(pairs) == (verb == "met")
+
+
+def example(name):
+    text = (resources.files("mountladder_cli") / "examples" / name).read_text()
+    return parse_documents(text, name)
+
+
+@when('the example "{name}" is checked')
+def check_example(context, name):
+    context.documents = example(name)
+    context.warnings = gather(context, lambda: checked(context.documents))
+
+
+@when('the example "{name}" is checked with a team selector nobody meets')
+def check_unmet(context, name):
+    changed = [
+        dataclasses.replace(one, selector="colour = red") if one.kind == "team" else one
+        for one in example(name)
+    ]
+    context.warnings = gather(context, lambda: checked(changed))
+
+
+@then("the warnings are all {code:d}")
+def warnings(context, code):
+    assert context.warnings and {one.code.number for one in context.warnings} == {code}
+
+
+@then("there is no fault and no warning")
+def no_fault(context):
+    assert not context.faults and context.warnings == [], (context.faults, context.warnings)
+
+
+@then("it holds {servers:d} backend servers and {teams:d} teams")
+def sizes(context, servers, teams):
+    kinds = [one.kind for one in context.documents]
+    assert (kinds.count("server"), kinds.count("team")) == (servers, teams)
+
+
+@when("settings with six faults are read")
+def bad_settings(context):
+    gather(context, lambda: Settings.read(BAD_SETTINGS, "settings.toml"))
+
+
+def rows(name):
+    lines = (DOCS / name).read_text().splitlines()
+    table = [line for line in lines if line.startswith("|")]
+    return [[cell.strip(" `") for cell in line.strip("|").split("|")] for line in table[2:]]
+
+
+@then("docs/RESULT-CODES.md lists each code with its class, status and meaning")
+def codes_listed(context):
+    expected = [
+        [str(one.number), one.name.lower(), one.result.value, str(one.status), one.meaning]
+        for one in Code
+    ]
+    assert rows("RESULT-CODES.md") == expected
+
+
+@then("docs/METRICS.md lists each metric with its type")
+def metrics_listed(context):
+    assert rows("METRICS.md") == [[one.label, one.type, one.meaning] for one in Metric]
+
+
+@then("docs/SETTINGS.md lists each setting")
+def settings_listed(context):
+    expected = [field.name for field in dataclasses.fields(Settings)]
+    assert [row[0] for row in rows("SETTINGS.md")] == expected
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -65,11 +65,6 @@
     context.run(context.fleet.start, name, datacentre)
 
 
-@when("data centres {first} and {second} are cut off from each other")
-def cut(context, first, second):
-    context.fleet.network.cut.add(frozenset({first, second}))
-
-
 @when("data centres {first} and {second} reach each other again")
 def heal(context, first, second):
     context.fleet.network.cut.discard(frozenset({first, second}))
--- a/packages/standins/src/mountladder_standins/faults.py
+++ b/packages/standins/src/mountladder_standins/faults.py
@@ -21,6 +21,7 @@
         down: Nothing is answered.
         slow_ms: Every call takes this much longer.
         lose_answers: The answers to so many coming calls are lost after they took effect.
+        late_ms: The next transaction takes effect so much later, and its answer is lost.
         fail: So many coming calls fail.
         stall: Calls are taken and never answered.
         cut_after: Streams break off after so many tokens; 0 for never.
@@ -36,6 +37,7 @@
     down: bool = False
     slow_ms: float = 0.0
     lose_answers: int = 0
+    late_ms: float = 0.0
     fail: int = 0
     stall: bool = False
     cut_after: int = 0
--- a/packages/standins/src/mountladder_standins/faultytable.py
+++ b/packages/standins/src/mountladder_standins/faultytable.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Sequence
 
 from mountladder.clock import Clock
-from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
+from mountladder.errors import (
+    ConditionFailedError,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+)
 from mountladder.row import Row
 from mountladder.table import Table
 from mountladder.write import Write
@@ -54,6 +59,10 @@
         self.commits += 1
         self.limit_rate()
         self.delay()
+        if self.faults.late_ms:
+            self.clock.call_later(self.faults.late_ms, lambda: self.try_late(writes))
+            self.faults = dataclasses.replace(self.faults, late_ms=0.0)
+            raise StoreAmbiguousError("the transaction is still on its way")
         version = self.inner.commit(writes)
         self.rows_written += len(writes)
         if self.faults.lose_answers:
@@ -61,6 +70,14 @@
             raise StoreAmbiguousError("the answer was lost")
         return version
 
+    def try_late(self, writes: Sequence[Write]) -> None:
+        """Apply a transaction that was on its way for long."""
+        try:
+            self.inner.commit(writes)
+        except ConditionFailedError:
+            return
+        self.rows_written += len(writes)
+
     def before_read(self) -> None:
         """Count a read and let it meet the faults."""
         self.reads += 1
