Prove the HTTP interfaces over real sockets

Cause: callers, peers and the platform were only met through in-memory twins in scenarios. Change: a feature over loopback: malformed requests of every kind, streams with their final event, callers that go away, lost, garbled and foreign answers, issued keys at another instance, a graceful shutdown, strangers at the peer address.

--- /dev/null
+++ b/features/steps/http_steps.py
@@ -0,0 +1,241 @@
+# http_steps.py -- Steps over real sockets on loopback
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps over real sockets on loopback."""
+
+import json
+import os
+
+import gevent
+import urllib3
+from basics import BASE, SERVERS, TOKEN
+from behave import given, then, when
+from gevent import socket
+
+from mountladder.documents import parse_documents
+from mountladder.errors import PeerError
+from mountladder.instance import Instance
+from mountladder.systemclock import SystemClock
+from mountladder.tcpnetwork import TcpNetwork
+from mountladder_cli import porcelain
+from mountladder_cli.demofleet import DemoFleet
+from mountladder_standins.faults import Faults
+
+PATIENCE_MS = 10_000.0
+
+
+@given("instances a-1 and b-1 over HTTP")
+def start(context):
+    context.fleet = DemoFleet(SystemClock(), context.stack, [("a", 1), ("b", 1)])
+    fleet = context.fleet
+    documents = fleet.documents([*parse_documents(BASE, "base"), *SERVERS])
+    applied = porcelain.apply(fleet.platform, fleet.clock, "test", documents)
+    assert fleet.wait_ready()
+    assert not porcelain.wait_in_force(fleet.platform, fleet.clock, applied.revision, PATIENCE_MS)
+
+
+def web(context, name="a-1"):
+    return next(one.settings.web for one in context.fleet.nodes if one.settings.name == name)
+
+
+def eventually(context, holds):
+    until = context.fleet.clock.now() + PATIENCE_MS
+    while not holds():
+        assert context.fleet.clock.now() < until
+        gevent.sleep(0.01)
+
+
+def post(context, name, path, body, headers=None, **more):
+    all_headers = {"Authorization": f"Bearer {TOKEN}", **(headers or {})}
+    url = f"http://{web(context, name)}{path}"
+    return urllib3.request("POST", url, body=body, headers=all_headers, retries=False, **more)
+
+
+@when('"{method} {path}" is sent with headers {headers} and body {body}')
+def send_raw(context, method, path, headers, body):
+    url = f"http://{web(context)}{path}"
+    context.response = urllib3.request(
+        method,
+        url,
+        body=None if body == "nothing" else body,
+        headers=json.loads(headers),
+        retries=False,
+    )
+
+
+@then("the status is {status:d} and the problem is {code:d} of class {class_}")
+def problem(context, status, code, class_):
+    table = json.loads(context.response.data)
+    assert context.response.status == status, table
+    assert (table["code"], table["class"]) == (code, class_), table
+
+
+@when("a body of {size:d} bytes is sent to a-1")
+def large(context, size):
+    context.response = post(context, "a-1", "/v1/pipelines/reply", b"x" * size)
+
+
+def ask_stream(context, name, tokens, **more):
+    body = json.dumps({"input": {"tokens": tokens}, "deadline_ms": 30_000})
+    headers = {"Accept": "text/event-stream"}
+    return post(context, name, "/v1/pipelines/reply", body, headers, **more)
+
+
+@when("a stream of {tokens:d} tokens is asked of {name}")
+def stream(context, tokens, name):
+    context.response = ask_stream(context, name, tokens)
+
+
+@then("it holds tokens 1 to {last:d} and ends with the event done")
+def whole_stream(context, last):
+    events = context.response.data.split(b"\n\n")
+    ids = [int(one.split(b"\n")[0][4:]) for one in events if one.startswith(b"id: ")]
+    assert ids == list(range(1, last + 1)), context.response.data
+    assert events[-2].startswith(b"event: done\n") and events[-1] == b""
+
+
+@when("a whole answer is asked of {name}")
+def ask_whole(context, name):
+    body = json.dumps({"input": {"tokens": 3}})
+    context.response = post(context, name, "/v1/pipelines/reply", body)
+
+
+@then("it names a server and a time for stages {names}")
+def names_stages(context, names):
+    table = json.loads(context.response.data)
+    assert [one["stage"] for one in table["stages"]] == names.split(", "), table
+    assert all(one["server"] and one["ms"] > 0 for one in table["stages"])
+
+
+@when("a caller leaves a-1 after 2 of {tokens:d} tokens")
+def leave(context, tokens):
+    response = ask_stream(context, "a-1", tokens, preload_content=False)
+    data = b""
+    while data.count(b"id: ") < 2:
+        data += response.read1(100)
+    response.close()
+
+
+@then("the call is cancelled at its server")
+def cancelled(context):
+    eventually(context, lambda: any(one.cancelled for one in context.fleet.standins.values()))
+    eventually(context, lambda: not any(one.running for one in context.fleet.standins.values()))
+
+
+@given("every backend server takes {ms:d} ms longer")
+def slower(context, ms):
+    for standin in context.fleet.standins.values():
+        standin.faults = Faults(slow_ms=float(ms))
+
+
+@when('a push with key "{key}" is sent to a-1 and left at once')
+def leave_push(context, key):
+    host, _, port = web(context).rpartition(":")
+    body = b'{"input": 7}'
+    head = (
+        f"POST /v1/pipelines/push HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        f"Idempotency-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + body)
+        standins = context.fleet.standins.values()
+        eventually(context, lambda: any(one.running for one in standins))
+
+
+def push(context, name, key):
+    headers = {"Idempotency-Key": key}
+    context.response = post(context, name, "/v1/pipelines/push", b'{"input": 7}', headers)
+    return json.loads(context.response.data)
+
+
+@then('a repeat with key "{key}" at b-1 is answered in the end')
+def repeat(context, key):
+    eventually(context, lambda: push(context, "b-1", key)["class"] == "done")
+
+
+@then('"{work}" was run {times:d} time')
+def was_run(context, work, times):
+    assert context.fleet.runs(work) == times, context.fleet.runs(work)
+
+
+@given("the servers of role {role} fail as {faults}")
+def role_faults(context, role, faults):
+    for name, standin in context.fleet.standins.items():
+        if name.startswith(role):
+            standin.faults = Faults.read(json.loads(faults))
+
+
+@when("a push is sent to b-1 with a key that a-1 issued, and again to a-1")
+def issued(context):
+    key = porcelain.issue_keys(web(context), TOKEN)[0]
+    context.answers = [push(context, "b-1", key), push(context, "a-1", key)]
+
+
+@then("both have the same answer")
+def same(context):
+    first, second = context.answers
+    assert first["class"] == "done" and first == second, context.answers
+
+
+@when("a-1 is shut down during a stream of {tokens:d} tokens")
+def shut_down(context, tokens):
+    task = gevent.spawn(ask_stream, context, "a-1", tokens)
+    node = context.fleet.nodes[0]
+    eventually(context, lambda: node.admission.total == 1)
+    context.cut = node.stop()
+    context.response = task.get()
+
+
+@then("a-1 cut {number:d} requests")
+def cut(context, number):
+    assert context.cut == number
+
+
+@when("a peer with another key connects to a-1")
+def stranger(context):
+    me = Instance("stranger", "0", "a", "", "")
+    link = TcpNetwork(b"another secret, not the fleet's").connect(
+        context.fleet.nodes[0].settings.peer, me
+    )
+    try:
+        link.handshake()
+        context.code = 0
+    except PeerError as error:
+        context.code = error.code.number
+    link.close()
+
+
+@then("it is refused with {code:d}")
+def refused_with(context, code):
+    assert context.code == code, context.code
+
+
+@when("{size:d} random bytes are sent to the peer address of a-1")
+def random_bytes(context, size):
+    host, _, port = context.fleet.nodes[0].settings.peer.rpartition(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(os.urandom(size))
+
+
+@then("a-1 counts a failed peer message and still serves")
+def still_serves(context):
+    counts = context.fleet.nodes[0].metrics.counts
+    eventually(context, lambda: counts["peer_errors.bad_message"] >= 1)
+    ask_whole(context, "a-1")
+    assert context.response.status == 200
+
+
+@given("the answers of the platform over HTTP fail as {faults}")
+def platform_faults(context, faults):
+    context.fleet.standin.table.faults = Faults.read(json.loads(faults))
+
+
+@when('a push with key "{key}" is sent to a-1')
+def push_once(context, key):
+    context.answer = push(context, "a-1", key)
+
+
+@then("the answer is done")
+def is_done(context):
+    assert context.answer["class"] == "done", context.answer
