Check the promises under faults drawn at random

Cause: single faults were proved one by one; faults that come together and twice were not. Links between instances in memory now take 0.5 ms, and instances start from peers of their own data centre first.

--- a/packages/core/src/mountladder/memorylink.py
+++ b/packages/core/src/mountladder/memorylink.py
@@ -10,6 +10,7 @@
 
 from gevent.queue import Queue
 
+from mountladder.clock import Clock
 from mountladder.errors import PeerError
 from mountladder.instance import Instance
 from mountladder.link import Link
@@ -22,12 +23,18 @@
     Args:
         me: The instance at this end.
         reachable: Tells whether the two ends can reach each other at present.
+        clock: The clock that messages travel on.
+        latency_ms: How long a message travels.
     """
 
-    def __init__(self, me: Instance, reachable: Callable[[], bool]) -> None:
+    def __init__(
+        self, me: Instance, reachable: Callable[[], bool], clock: Clock, latency_ms: float
+    ) -> None:
         super().__init__()
         self.me = me
         self.reachable = reachable
+        self.clock = clock
+        self.latency_ms = latency_ms
         self.inbox: Queue = Queue()
         self.other: MemoryLink | None = None
         self.closed = False
@@ -43,7 +50,7 @@
             raise PeerError("the link is closed")
         data = encode(message)
         if self.reachable():
-            self.other.inbox.put(data)
+            self.clock.call_later(self.latency_ms, lambda: self.other.inbox.put(data))
         return len(data)
 
     def receive(self) -> Message:
--- a/packages/core/src/mountladder/memorynetwork.py
+++ b/packages/core/src/mountladder/memorynetwork.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from mountladder.clock import Clock
 from mountladder.errors import PeerError
 from mountladder.instance import Instance
 from mountladder.link import Link
@@ -21,30 +22,47 @@
 class MemoryNetwork(Network):
     """Links between the instances of one process, which can be cut by data centre.
 
+    Args:
+        clock: The clock that messages travel on.
+        latency_ms: How long a message travels.
+
     Attributes:
         cut: Pairs of data centres that cannot reach each other.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock, latency_ms: float = 0.5) -> None:
+        self.clock = clock
+        self.latency_ms = latency_ms
         self.served: dict[str, tuple[Instance, Callable[[Link], None]]] = {}
         self.cut: set[frozenset[str]] = set()
+        self.links: list[MemoryLink] = []
 
     def connect(self, address: str, me: Instance) -> Link:
         """Open a link; see Network."""
+        self.clock.sleep(self.latency_ms)
         entry = self.served.get(address)
         if entry is None or not self.reachable(me, entry[0]):
             raise PeerError(f"{address}: cannot be reached")
         there, serve = entry
-        near = MemoryLink(me, lambda: self.reachable(me, there))
-        far = MemoryLink(there, lambda: self.reachable(me, there))
+        near = MemoryLink(me, lambda: self.reachable(me, there), self.clock, self.latency_ms)
+        far = MemoryLink(there, lambda: self.reachable(me, there), self.clock, self.latency_ms)
         near.other, far.other = far, near
+        self.links.append(far)
         gevent.spawn(serve, far)
         return near
 
     def listen(self, me: Instance, serve: Callable[[Link], None], stack: ExitStack) -> None:
         """Serve links; see Network."""
         self.served[me.peer] = (me, serve)
-        stack.callback(self.served.pop, me.peer, None)
+        stack.callback(self.forget, me)
+
+    def forget(self, me: Instance) -> None:
+        """Close every link to an instance and take in no more."""
+        self.served.pop(me.peer, None)
+        for link in self.links:
+            if link.me == me:
+                link.close()
+        self.links = [link for link in self.links if not link.closed]
 
     def reachable(self, first: Instance, second: Instance) -> bool:
         """Tell whether two instances can reach each other."""
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/faultrun.py
@@ -0,0 +1,209 @@
+# faultrun.py -- A randomised run under faults, with the promises checked
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A randomised run under faults, with the promises checked."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+import random
+from collections.abc import Iterator, Sequence
+
+import gevent
+
+from mountladder.changelog import ChangeLog
+from mountladder.document import Document
+from mountladder.errors import MountladderError
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins import invariants
+from mountladder_standins.callrecord import CallRecord
+from mountladder_standins.faultplan import FaultPlan
+from mountladder_standins.localfleet import LocalFleet
+from mountladder_standins.outcome import Outcome
+from mountladder_standins.standinserver import hash_of
+from mountladder_standins.timeline import Timeline
+from mountladder_standins.violation import Violation
+
+INSTANCES = ("a-1", "a-2", "a-3", "b-1", "b-2", "b-3")
+LOAD_MS = 20_000.0
+SETTLE_MS = 45_000.0
+DEADLINE_MS = 3_000.0
+MEAN_CALL_MS = 60.0
+MEAN_FAULT_MS = 900.0
+MEAN_CHANGE_MS = 1_500.0
+REPEAT_SHARE = 0.4
+PUSH_SHARE = 0.4
+ISSUED_SHARE = 0.3
+
+
+class FaultRun:
+    """Sends requests and changes to a fleet under faults, all drawn from one seed.
+
+    Args:
+        seed: The seed.
+        documents: The configuration, with pipelines "reply" and "push".
+        token: The token of its team.
+
+    Attributes:
+        calls: Every call and what came of it.
+        accepted: The operation ids of accepted changes.
+        revisions: The revision in force on each instance in the end.
+    """
+
+    def __init__(self, seed: int, documents: Sequence[Document], token: str) -> None:
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.fleet = LocalFleet(self.clock)
+        self.plan = FaultPlan(self.fleet, random.Random(seed + 1))
+        self.timeline = Timeline(self.clock)
+        self.documents = list(documents)
+        self.token = token
+        self.calls: list[CallRecord] = []
+        self.accepted: list[str] = []
+        self.revisions: dict[str, int] = {}
+        self.tasks: list[gevent.Greenlet] = []
+        self.numbers = itertools.count(1)
+        self.start = self.fleet.start
+        self.fleet.start = self.start_watched
+
+    def start_watched(self, name: str, datacentre: str):
+        """Start an instance and record its revisions."""
+        runtime = self.start(name, datacentre)
+        self.timeline.watch(runtime)
+        return runtime
+
+    def run(self) -> list[Violation]:
+        """Run to the end and return every broken promise."""
+        self.play()
+        return list(self.check())
+
+    def play(self) -> None:
+        """Run to the end without checking anything."""
+        try:
+            self.clock.run(gevent.spawn(self.work))
+            self.revisions = {
+                name: runtime.follower.configuration.revision
+                for name, runtime in self.fleet.runtimes.items()
+            }
+        finally:
+            self.fleet.stop()
+
+    def work(self) -> None:
+        """Send the load under faults, mend everything, and wait until all has settled."""
+        self.fleet.append(self.documents)
+        for name in INSTANCES:
+            self.fleet.start(name, name[0])
+        self.fleet.wait_ready()
+        self.clock.sleep(6_000.0)
+        loops = [
+            gevent.spawn(self.repeat, self.send, MEAN_CALL_MS),
+            gevent.spawn(self.repeat, self.plan.step, MEAN_FAULT_MS),
+            gevent.spawn(self.repeat, self.change, MEAN_CHANGE_MS),
+            gevent.spawn(self.repeat, self.change, MEAN_CHANGE_MS),
+        ]
+        gevent.joinall(loops, raise_error=True)
+        self.plan.mend_all()
+        self.clock.sleep(SETTLE_MS)
+        gevent.joinall(self.tasks)
+
+    def repeat(self, act, mean_ms: float) -> None:
+        """Do something at random times until the load ends."""
+        until = self.clock.now() + LOAD_MS
+        while self.clock.now() < until:
+            self.clock.sleep(self.rng.expovariate(1.0 / mean_ms))
+            act()
+
+    def send(self) -> None:
+        """Send one request, and perhaps repeats of it to other instances."""
+        label = f"request-{next(self.numbers)}"
+        push = self.rng.random() < PUSH_SHARE
+        instances = sorted(self.fleet.runtimes)
+        to = self.rng.choice(instances)
+        key = self.key_for(label, to) if push else ""
+        repeated = push and self.rng.random() < REPEAT_SHARE
+        self.spawn(label, "push" if push else "reply", key, to, first=not repeated)
+        if repeated:
+            other = self.rng.choice(instances)
+            self.tasks.append(gevent.spawn(self.send_later, label, key, other))
+
+    def key_for(self, label: str, to: str) -> str:
+        """Return a key of the caller's own or one that an instance issues."""
+        if self.rng.random() < ISSUED_SHARE:
+            return self.fleet.runtimes[to].idempotency.issue("desk")
+        return label
+
+    def send_later(self, label: str, key: str, to: str) -> None:
+        """Repeat a request after a while."""
+        self.clock.sleep(self.rng.uniform(0.0, 6_000.0))
+        if to in self.fleet.runtimes:
+            self.spawn(label, "push", key, to, first=False)
+
+    def spawn(self, label: str, pipeline: str, key: str, to: str, first: bool) -> None:
+        """Send a request in a task of its own."""
+        self.tasks.append(gevent.spawn(self.call, label, pipeline, key, to, first))
+
+    def call(self, label: str, pipeline: str, key: str, to: str, first: bool) -> None:
+        """Send a request and record what came of it."""
+        tokens = 6
+        input_ = {"of": label, "tokens": tokens}
+        started = self.clock.now()
+        options = {"key": key, "deadline_ms": DEADLINE_MS, "first": first}
+        task = self.fleet.spawn(to, pipeline, self.token, input_, **options)
+        task.join()
+        outcome = task.value if isinstance(task.value, Outcome) else None
+        if task.exception is not None:
+            raise task.exception
+        input_hash = hash_of(json.dumps(input_, separators=(",", ":")).encode())
+        record = CallRecord(
+            label,
+            input_hash,
+            pipeline,
+            key,
+            tokens,
+            started,
+            DEADLINE_MS,
+            self.clock.now(),
+            outcome,
+        )
+        self.calls.append(record)
+
+    def change(self) -> None:
+        """Let an operator make a change, in a race with the other one."""
+        operation = f"change-{next(self.numbers)}"
+        server = self.rng.choice([one for one in self.documents if one.kind == "server"])
+        draining = self.rng.random() < 0.3
+        try:
+            self.fleet.append([dataclasses.replace(server, draining=draining)], operation=operation)
+        except MountladderError:
+            return
+        self.accepted.append(operation)
+
+    def check(self) -> Iterator[Violation]:
+        """Yield every broken promise."""
+        ran = [one for server in self.fleet.servers.values() for one in server.ran]
+        log = ChangeLog(self.fleet.standin.memory, self.fleet.standin.objects, self.clock)
+        changes = self.all_changes(log)
+        yield from invariants.answers_are_whole(self.calls)
+        yield from invariants.calls_are_answered(self.calls)
+        yield from invariants.not_run_did_not_run(self.calls, ran)
+        yield from invariants.pushes_run_once(ran)
+        yield from invariants.selectors_are_met(ran, self.calls, self.timeline)
+        yield from invariants.revisions_never_fall(self.timeline)
+        yield from invariants.changes_are_kept(self.accepted, changes)
+        for name, revision in self.revisions.items():
+            if revision != len(changes):
+                detail = f"{name}: {revision} of {len(changes)}"
+                yield Violation("changes reach every instance", detail)
+        for task in self.tasks:
+            if task.exception is not None:
+                yield Violation("no fault of our own", repr(task.exception))
+
+    def all_changes(self, log: ChangeLog) -> list:
+        """Return every change of the log."""
+        changes: list = []
+        while page := log.since(len(changes)):
+            changes += page
+        return changes
--- a/packages/standins/src/mountladder_standins/faultytable.py
+++ b/packages/standins/src/mountladder_standins/faultytable.py
@@ -9,6 +9,8 @@
 import dataclasses
 from collections.abc import Sequence
 
+import gevent
+
 from mountladder.clock import Clock
 from mountladder.errors import (
     ConditionFailedError,
@@ -60,7 +62,7 @@
         self.limit_rate()
         self.delay()
         if self.faults.late_ms:
-            self.clock.call_later(self.faults.late_ms, lambda: self.try_late(writes))
+            gevent.spawn(self.try_late, writes, self.faults.late_ms)
             self.faults = dataclasses.replace(self.faults, late_ms=0.0)
             raise StoreAmbiguousError("the transaction is still on its way")
         version = self.inner.commit(writes)
@@ -70,11 +72,12 @@
             raise StoreAmbiguousError("the answer was lost")
         return version
 
-    def try_late(self, writes: Sequence[Write]) -> None:
+    def try_late(self, writes: Sequence[Write], delay_ms: float) -> None:
         """Apply a transaction that was on its way for long."""
+        self.clock.sleep(delay_ms)
         try:
             self.inner.commit(writes)
-        except ConditionFailedError:
+        except (ConditionFailedError, StoreUnavailableError, StoreAmbiguousError):
             return
         self.rows_written += len(writes)
 
--- a/packages/standins/src/mountladder_standins/localfleet.py
+++ b/packages/standins/src/mountladder_standins/localfleet.py
@@ -34,6 +34,7 @@
 from mountladder_standins.standinplatform import StandinPlatform
 from mountladder_standins.standinserver import StandinServer
 
+MOST_SEEDS = 3
 SECRET = "a secret for stand-ins only"
 _NUMBER = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
@@ -53,7 +54,7 @@
     def __init__(self, clock: Clock, lag_ms: float = 1_000.0) -> None:
         self.clock = clock
         self.standin = StandinPlatform(clock, lag_ms)
-        self.network = MemoryNetwork()
+        self.network = MemoryNetwork(clock)
         self.servers: dict[str, StandinServer] = {}
         self.backend = LocalBackend(self.servers, clock)
         self.runtimes: dict[str, Runtime] = {}
@@ -70,7 +71,7 @@
             peer=f"peer:{name}",
             platform="",
             secret=SECRET,
-            seeds=tuple(sorted(one.settings.peer for one in self.runtimes.values()))[:3],
+            seeds=self.seeds(datacentre),
         )
         runtime = Runtime(
             dataclasses.replace(settings, **changes),
@@ -87,6 +88,11 @@
         self.calls[name] = Group()
         return runtime
 
+    def seeds(self, datacentre: str) -> tuple[str, ...]:
+        """Return addresses to start from, those of the same data centre first."""
+        ordered = sorted(self.runtimes.values(), key=lambda one: one.me.datacentre != datacentre)
+        return tuple(one.settings.peer for one in ordered[:MOST_SEEDS])
+
     def kill(self, name: str) -> None:
         """End an instance as a killed process ends: at once, and nothing is said to anybody."""
         runtime = self.runtimes.pop(name)
