Estimate the load of servers so that old reports fade

Ruled out: the draw of eight candidates (the same with all). Found: a lagging report overwrote the count of own calls, servers once reported busy or slow were never tried again, and unloaded times were learnt with the load of other instances in them. Change: reports tell of others' calls only, are smoothed, and fade with a half-life of 2 s; slowness fades with 5 s; unloaded times follow short calls faster than long ones; a call's crowding is taken at its begin and end.

--- a/packages/core/src/mountladder/candidate.py
+++ b/packages/core/src/mountladder/candidate.py
@@ -18,20 +18,26 @@
     Attributes:
         state: What the instance knows of the server.
         unloaded_ms: The learnt time of this call there without any load.
-        holds_prefix: Whether the server is believed to hold the call's prefix.
+        crowding: By how much the load it is believed to have lengthens the call.
+        slowness: By how much it is slower than others of its accelerator.
     """
 
     state: ServerState
     unloaded_ms: float
-    holds_prefix: bool = False
+    crowding: float
+    slowness: float
+
+    @classmethod
+    def at(cls, state: ServerState, unloaded_ms: float, now: float) -> Candidate:
+        """Return a candidate as it is believed to be at a time."""
+        return cls(state, unloaded_ms, state.crowding(now), state.slowness_at(now))
 
     @property
     def expected_ms(self) -> float:
         """Return the expected time to completion under the load it is believed to have."""
-        crowding = max(1.0, (self.state.load + 1) / self.state.server.slots)
-        return self.unloaded_ms * crowding * max(1.0, self.state.slowness)
+        return self.unloaded_ms * self.crowding * self.slowness
 
     @property
     def cost(self) -> float:
         """Return what the call is expected to cost, in the operator's unit."""
-        return self.unloaded_ms * max(1.0, self.state.slowness) * self.state.server.price
+        return self.unloaded_ms * self.slowness * self.state.server.price
--- a/packages/core/src/mountladder/choice.py
+++ b/packages/core/src/mountladder/choice.py
@@ -34,6 +34,6 @@
     def reason(self) -> str:
         """Return why the server was chosen, in words."""
         return (
-            f"expected {self.expected_ms:.0f} ms under load {self.state.load - 1}, "
+            f"expected {self.expected_ms:.0f} ms, crowding {self.crowding:.1f}, "
             f"{self.usable} of {self.allowed} allowed servers in use"
         )
--- a/packages/core/src/mountladder/costmodel.py
+++ b/packages/core/src/mountladder/costmodel.py
@@ -10,7 +10,8 @@
 from mountladder.stage import Stage
 
 DEFAULT_MS = 50.0
-WEIGHT = 0.1
+WEIGHT_DOWN = 0.3
+WEIGHT_UP = 0.05
 LENGTH_STEP_BITS = 1
 
 
@@ -26,11 +27,19 @@
         self.histograms: dict[tuple[str, str], Histogram] = {}
 
     def record(self, stage: Stage, accelerator: str, length: int, unloaded_ms: float) -> None:
-        """Learn from one call, its time corrected for the load it met."""
+        """Learn from one call, its time corrected for the load it met.
+
+        What is not known of the load makes calls look slow and never fast, so that a shorter time
+        counts for more than a longer one.
+        """
         classes = self.means.setdefault((stage.work, stage.model, accelerator), {})
         size = length.bit_length() // LENGTH_STEP_BITS
         old = classes.get(size)
-        classes[size] = unloaded_ms if old is None else old + WEIGHT * (unloaded_ms - old)
+        if old is None:
+            classes[size] = unloaded_ms
+        else:
+            weight = WEIGHT_DOWN if unloaded_ms < old else WEIGHT_UP
+            classes[size] = old + weight * (unloaded_ms - old)
 
     def record_whole(self, pipeline: str, stage: Stage, elapsed_ms: float) -> None:
         """Learn how long a stage took in all, queueing and retries included."""
--- a/packages/core/src/mountladder/estimate.py
+++ b/packages/core/src/mountladder/estimate.py
@@ -12,7 +12,7 @@
 from mountladder.stage import Stage
 from mountladder.stageplan import levels
 
-LOOKED_AT = 4
+LOOKED_AT = 8
 
 
 def estimate_ms(context: RunContext, request: Request) -> float:
@@ -37,7 +37,7 @@
         looked_at = context.rng.sample(allowed, LOOKED_AT)
     states = [router.state(server) for server in looked_at]
     known = [
-        Candidate(state, context.costs.expected(stage, state.server.accelerator, length))
+        Candidate.at(state, context.costs.expected(stage, state.server.accelerator, length), now)
         for state in states
         if state.usable(now)
     ]
--- a/packages/core/src/mountladder/pipelinerun.py
+++ b/packages/core/src/mountladder/pipelinerun.py
@@ -185,7 +185,7 @@
         """Record an attempt that gave its whole result."""
         self.mark_dispatched()
         stage = tries.stage
-        elapsed = self.context.clock.now() - attempt.started
+        elapsed = self.elapsed(attempt)
         self.context.router.succeeded(attempt.choice, stage, len(tries.body), elapsed, load)
         whole = self.context.clock.now() - tries.started
         self.context.costs.record_whole(self.request.pipeline.name, stage, whole)
@@ -207,7 +207,7 @@
         if self.context.clock.now() >= self.request.deadline:
             error = StageError(error.detail, Code.DEADLINE_PASSED, error.dispatched)
         server = attempt.choice.state.server
-        self.context.router.failed(attempt.choice, error.code)
+        self.context.router.failed(attempt.choice, error.code, self.elapsed(attempt))
         self.charge(attempt, "late" if error.code is Code.DEADLINE_PASSED else "retried")
         self.trace.add(
             "failed", stage.name, attempt.call.attempt, server.name, error.code.number, error.detail
@@ -237,7 +237,7 @@
     def abandon(self, attempt: Attempt) -> None:
         """Record an attempt that was given up from outside, and cancel it at its server."""
         self.mark_dispatched()
-        self.context.router.failed(attempt.choice, Code.CANCELLED)
+        self.context.router.failed(attempt.choice, Code.CANCELLED, 0.0)
         self.charge(attempt, "cancelled")
         server = attempt.choice.state.server.name
         code = Code.CANCELLED.number
@@ -254,10 +254,14 @@
         """Record that a stage may have begun to run."""
         self.dispatched = True
 
+    def elapsed(self, attempt: Attempt) -> float:
+        """Return how long an attempt has taken so far, in milliseconds."""
+        return self.context.clock.now() - attempt.started
+
     def charge(self, attempt: Attempt, use: str) -> float:
         """Charge the time of an attempt; return what it cost."""
         server = attempt.choice.state.server
-        elapsed = self.context.clock.now() - attempt.started
+        elapsed = self.elapsed(attempt)
         charge = Charge(
             self.request.team.name,
             self.request.pipeline.name,
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -94,15 +94,19 @@
             raise StageError("", Code.NO_SERVER_AVAILABLE, False)
         holder = self.prefixes.get(prefix) if prefix is not None else None
         drawn = self.draw(usable, holder)
-        candidates = [self.candidate(state, stage, length, holder) for state in drawn]
+        now = self.clock.now()
+        candidates = [self.candidate(state, stage, length, holder, now) for state in drawn]
         chosen = choose(self.policy, candidates, budget_ms, next(self.turns), self.rng)
         if prefix is not None:
             self.remember(prefix, chosen.state.server.name)
-        expected = chosen.expected_ms
-        crowding = max(1.0, (chosen.state.load + 1) / chosen.state.server.slots)
         chosen.state.begin()
         return Choice(
-            chosen.state, expected, chosen.unloaded_ms, crowding, len(allowed), len(usable)
+            chosen.state,
+            chosen.expected_ms,
+            chosen.unloaded_ms,
+            chosen.crowding,
+            len(allowed),
+            len(usable),
         )
 
     def usable(
@@ -124,12 +128,13 @@
         return drawn
 
     def candidate(
-        self, state: ServerState, stage: Stage, length: int, holder: str | None
+        self, state: ServerState, stage: Stage, length: int, holder: str | None, now: float
     ) -> Candidate:
         """Return a server with the learnt time of a call there."""
         unloaded = self.costs.expected(stage, state.server.accelerator, length)
-        holds = state.server.name == holder
-        return Candidate(state, unloaded * PREFIX_SAVING if holds else unloaded, holds)
+        if state.server.name == holder:
+            unloaded *= PREFIX_SAVING
+        return Candidate.at(state, unloaded, now)
 
     def remember(self, prefix: int, server: str) -> None:
         """Remember which server was last given a prefix."""
@@ -143,13 +148,19 @@
     ) -> None:
         """Learn from a call that ended well."""
         state = choice.state
+        now = self.clock.now()
+        crowding = self.crowding_met(choice, now)
         state.end()
         state.breaker.succeed()
         if load is not None:
-            state.report(load)
-        self.costs.record(stage, state.server.accelerator, length, elapsed_ms / choice.crowding)
-        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * choice.crowding)
-        state.timed(ratio)
+            state.report(load, now)
+        self.costs.record(stage, state.server.accelerator, length, elapsed_ms / crowding)
+        state.timed(elapsed_ms / max(1.0, choice.unloaded_ms * crowding), now)
+
+    def crowding_met(self, choice: Choice, now: float) -> float:
+        """Return the crowding that a call met on the average, as far as is known."""
+        at_end = max(1.0, choice.state.load(now) / choice.state.server.slots)
+        return (choice.crowding + at_end) / 2.0
 
     def leaving(self, name: str) -> None:
         """Take a server out of use that a peer heard is leaving."""
@@ -157,11 +168,14 @@
         if state is not None:
             state.leave(self.clock.now())
 
-    def failed(self, choice: Choice, code: Code) -> None:
+    def failed(self, choice: Choice, code: Code, elapsed_ms: float) -> None:
         """Learn from a call that failed."""
         state = choice.state
-        state.end()
         now = self.clock.now()
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * self.crowding_met(choice, now))
+        if ratio > state.slowness_at(now):
+            state.timed(ratio, now)
+        state.end()
         if code is Code.SERVER_REFUSED:
             state.leave(now)
             state.breaker.abandon()
--- a/packages/core/src/mountladder/serverstate.py
+++ b/packages/core/src/mountladder/serverstate.py
@@ -11,17 +11,23 @@
 from mountladder.backendserver import BackendServer
 from mountladder.breaker import Breaker
 
-SLOWNESS_WEIGHT = 0.2
+SLOWNESS_WEIGHT = 0.3
+OTHERS_WEIGHT = 0.4
+HALF_LIFE_MS = 2_000.0
+SLOWNESS_HALF_LIFE_MS = 5_000.0
+MOST_SLOWNESS = 20.0
 LEAVING_MS = 30_000.0
 
 
 class ServerState:
     """Work in flight, reported load, slowness and breaker of one backend server.
 
+    Reports are late and rare, so that what they tell of others' calls is smoothed, and fades while
+    no new one comes; else a server that was once busy would be shunned for ever.
+
     Attributes:
         running: The calls this instance has running there.
-        reported: The load the server last reported, this instance's own calls included.
-        sent_since: This instance's calls sent less those ended since that report.
+        others: The calls that others have running there, as reports told last.
         slowness: Its time over the time expected, smoothed; 1 where it is as expected.
         leaving_until: Until when it is taken to be leaving.
     """
@@ -30,15 +36,28 @@
         self.server = server
         self.breaker = Breaker(rng)
         self.running = 0
-        self.reported = 0
-        self.sent_since = 0
+        self.others = 0.0
+        self.reported_at = 0.0
         self.slowness = 1.0
+        self.timed_at = 0.0
         self.leaving_until = 0.0
 
-    @property
-    def load(self) -> int:
-        """Return the calls it is believed to have: the report corrected by what was sent since."""
-        return max(self.running, self.reported + self.sent_since)
+    def load(self, now: float) -> float:
+        """Return the calls it is believed to have at a time."""
+        if not self.others:
+            return self.running
+        return self.running + self.others * 0.5 ** ((now - self.reported_at) / HALF_LIFE_MS)
+
+    def crowding(self, now: float) -> float:
+        """Return by how much its load is believed to lengthen one more call."""
+        return max(1.0, (self.load(now) + 1) / self.server.slots)
+
+    def slowness_at(self, now: float) -> float:
+        """Return how slow it is believed to be, which fades so that it is tried again."""
+        if self.slowness <= 1.0:
+            return 1.0
+        fading = 0.5 ** ((now - self.timed_at) / SLOWNESS_HALF_LIFE_MS)
+        return 1.0 + (self.slowness - 1.0) * fading
 
     def usable(self, now: float) -> bool:
         """Tell whether new work may be sent to it."""
@@ -47,22 +66,24 @@
     def begin(self) -> None:
         """Record that a call is sent."""
         self.running += 1
-        self.sent_since += 1
         self.breaker.begin()
 
     def end(self) -> None:
         """Record that a call ended."""
         self.running -= 1
-        self.sent_since -= 1
 
-    def report(self, load: int) -> None:
-        """Take in a load that the server reported."""
-        self.reported = load
-        self.sent_since = 0
+    def report(self, load: int, now: float) -> None:
+        """Take in a load that the server reported, this instance's own calls included."""
+        known = self.load(now) - self.running
+        self.others = known + OTHERS_WEIGHT * (max(0, load - self.running) - known)
+        self.reported_at = now
 
-    def timed(self, ratio: float) -> None:
+    def timed(self, ratio: float, now: float) -> None:
         """Learn from the ratio of a call's time to the time expected."""
-        self.slowness += SLOWNESS_WEIGHT * (min(20.0, max(0.1, ratio)) - self.slowness)
+        known = self.slowness_at(now)
+        bounded = min(MOST_SLOWNESS, max(0.1, ratio))
+        self.slowness = max(1.0, known + SLOWNESS_WEIGHT * (bounded - known))
+        self.timed_at = now
 
     def leave(self, now: float) -> None:
         """Record that the server said it is leaving."""
--- a/packages/entry/src/mountladder_entry/operators.py
+++ b/packages/entry/src/mountladder_entry/operators.py
@@ -95,8 +95,8 @@
                 "server": server.name,
                 "why": why,
                 "running": state.running,
-                "load": state.load,
-                "slowness": round(state.slowness, 2),
+                "load": round(state.load(now), 1),
+                "slowness": round(state.slowness_at(now), 2),
             }
         )
     return {"servers": rows}
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/experiment.py
@@ -0,0 +1,243 @@
+# experiment.py -- A workload run against a policy
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A workload run against a policy."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import itertools
+import random
+
+import gevent
+
+from mountladder.backendserver import BackendServer
+from mountladder.document import Document
+from mountladder.model import Model
+from mountladder.pipeline import Pipeline
+from mountladder.policy import Policy
+from mountladder.stage import Stage
+from mountladder.team import Team
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins.bound import attainment_bound
+from mountladder_standins.faults import Faults
+from mountladder_standins.localfleet import LocalFleet
+from mountladder_standins.measured import Measured
+from mountladder_standins.outcome import Outcome
+from mountladder_standins.sentrequest import SentRequest
+from mountladder_standins.speeds import Speeds
+from mountladder_standins.trafficclass import TrafficClass
+from mountladder_standins.workload import Workload
+
+INSTANCES = ("a-1", "a-2", "a-3")
+DEADLINE_MS = 3_000.0
+OLD_FACTOR = 3.0
+GENERATOR = Speeds(slots=2, base_ms=20.0, per_kb_ms=8.0, token_ms=50.0)
+HELPER = Speeds(slots=16, base_ms=6.0, per_kb_ms=1.0)
+PRICE_NEW = 2.5
+PRICE_OLD = 0.6
+HELPERS = (("encode", "encode"), ("retrieve", "retrieve"), ("rerank", "rerank"))
+SETTLE_MS = 12_000.0
+WARM_UP_MS = 8_000.0
+WINDOW_MS = 500.0
+
+
+class Experiment:
+    """Sends a workload to three instances on virtual time and measures what came of it.
+
+    Args:
+        workload: The workload.
+        policy: How backend servers are chosen.
+        seed: The seed.
+    """
+
+    def __init__(self, workload: Workload, policy: Policy, seed: int, **settings: object) -> None:
+        self.workload = workload
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.fleet = LocalFleet(self.clock)
+        self.policy = policy
+        self.settings = settings
+        self.sent: list[SentRequest] = []
+        self.numbers = itertools.count()
+        self.began = 0.0
+
+    def run(self) -> Measured:
+        """Run to the end and return what was measured."""
+        try:
+            self.clock.run(gevent.spawn(self.work))
+            return self.measure()
+        finally:
+            self.fleet.stop()
+
+    def work(self) -> None:
+        """Warm up at the normal load, then send the workload."""
+        self.fleet.append(self.documents())
+        self.slow_down()
+        for name in INSTANCES:
+            self.fleet.start(name, "a", self.policy, **self.settings)
+        self.fleet.wait_ready()
+        self.send_for(WARM_UP_MS, warm=True)
+        self.began = self.clock.now()
+        self.busy_before = self.busy()
+        gevent.spawn(self.bring_about)
+        tasks = self.send_for(self.workload.load_ms, warm=False)
+        gevent.joinall(tasks)
+        self.clock.sleep(SETTLE_MS)
+
+    def slow_down(self) -> None:
+        """Give every stand-in its speed; load reports are late."""
+        for name, standin in self.fleet.servers.items():
+            base = GENERATOR if name.startswith("generate") else HELPER
+            factor = OLD_FACTOR if name.endswith("old") else 1.0
+            standin.speeds = dataclasses.replace(base, factor=factor)
+            standin.report_lag_ms = self.workload.report_lag_ms
+
+    def bring_about(self) -> None:
+        """Slow down and lose servers at the start of the burst, and mend them after it."""
+        self.clock.sleep(self.workload.burst_start)
+        names = [name for name in sorted(self.fleet.servers) if name.startswith("generate")]
+        hit = names[: self.workload.slowed + self.workload.lost]
+        for name in hit:
+            slowed = Faults(slowness=10.0) if self.workload.slowed else Faults(down=True)
+            self.fleet.servers[name].faults = slowed
+        self.clock.sleep(self.workload.burst_ms)
+        for name in hit:
+            self.fleet.servers[name].faults = Faults()
+
+    def send_for(self, length_ms: float, warm: bool) -> list[gevent.Greenlet]:
+        """Send requests at random times and return their tasks."""
+        tasks = []
+        capacity = self.capacity()
+        started = self.clock.now()
+        while (at := self.clock.now() - started) < length_ms:
+            rate = self.workload.normal * capacity
+            if not warm:
+                rate = self.workload.rate(at, capacity)
+            self.clock.sleep(self.rng.expovariate(rate / 1000.0))
+            kind = self.workload.draw(0.0 if warm else at, self.rng)
+            tasks.append(gevent.spawn(self.send, kind, warm))
+        return tasks
+
+    def send(self, kind: TrafficClass, warm: bool) -> None:
+        """Send one request and record what came of it."""
+        started = self.clock.now()
+        input_ = {"n": next(self.numbers), "tokens": kind.tokens, "pad": "x" * kind.input_bytes}
+        to = self.rng.choice(INSTANCES)
+        task = self.fleet.spawn(to, kind.pipeline, kind.team, input_)
+        task.join()
+        if not warm:
+            if not isinstance(task.value, Outcome):
+                raise task.exception or RuntimeError("a request was lost")
+            work = self.work_ms(kind)
+            self.sent.append(SentRequest(kind, started - self.began, work, task.value))
+
+    def work_ms(self, kind: TrafficClass) -> float:
+        """Return the time of a request on a new generator that runs nothing else."""
+        size = GENERATOR.per_kb_ms * kind.input_bytes / 1000.0
+        return GENERATOR.base_ms + size + GENERATOR.token_ms * kind.tokens
+
+    def capacity(self) -> float:
+        """Return the requests a second that the generators can finish."""
+        total = sum(one.share for one in self.workload.classes)
+        mean = sum(one.share * self.work_ms(one) for one in self.workload.classes) / total
+        return self.speed() * 1000.0 / mean
+
+    def speed(self) -> float:
+        """Return the generators' speed, in calls on a new one that run at once."""
+        factors = [OLD_FACTOR if index % 2 else 1.0 for index in range(self.workload.generators)]
+        return sum(GENERATOR.slots / factor for factor in factors)
+
+    def busy(self) -> dict[str, float]:
+        """Return the time that each server spent on calls, as if each ran alone."""
+        return {name: one.busy_ms for name, one in self.fleet.servers.items()}
+
+    def measure(self) -> Measured:
+        """Work out what was measured."""
+        spent = {name: ms - self.busy_before[name] for name, ms in self.busy().items()}
+        good = [one for one in self.sent if one.in_time(DEADLINE_MS)]
+        generated = sum(
+            ms / (OLD_FACTOR if name.endswith("old") else 1.0)
+            for name, ms in spent.items()
+            if name.startswith("generate")
+        )
+        useful = sum(one.work_ms for one in good)
+        others = [one for one in self.sent if one.kind.team != self.workload.flooding]
+        cost = sum(ms / 1000.0 * self.price(name) for name, ms in spent.items())
+        return Measured(
+            sent=len(self.sent),
+            attainment=len(good) / len(self.sent),
+            bound=attainment_bound(self.sent, self.workload, self.speed(), DEADLINE_MS),
+            others=sum(one.in_time(DEADLINE_MS) for one in others) / len(others),
+            cost=cost / max(1, len(good)),
+            wasted=max(0.0, 1.0 - useful / generated),
+            useful=self.useful_in_burst(good),
+            recovery_ms=self.recovery_ms(),
+        )
+
+    def price(self, name: str) -> float:
+        """Return the price of a second on a server."""
+        if not name.startswith("generate"):
+            return 0.2
+        return PRICE_OLD if name.endswith("old") else PRICE_NEW
+
+    def useful_in_burst(self, good: list[SentRequest]) -> float:
+        """Return the work in time of the burst, as a share of what could be done in it."""
+        if self.workload.burst <= 1.0:
+            return 1.0
+        start = self.workload.burst_start
+        end = start + self.workload.burst_ms
+        done = sum(one.work_ms for one in good if start <= one.ended_ms < end)
+        return done / (self.workload.burst_ms * self.speed())
+
+    def recovery_ms(self) -> float:
+        """Return how long after the burst requests were still answered worse than before it."""
+        before = [one for one in self.sent if one.at_ms < self.workload.burst_start]
+        normal = sum(one.in_time(DEADLINE_MS) for one in before) / max(1, len(before))
+        end = self.workload.burst_start + self.workload.burst_ms
+        recovered = end
+        start = end
+        while start < self.workload.load_ms:
+            window = [one for one in self.sent if start <= one.at_ms < start + WINDOW_MS]
+            reached = sum(one.in_time(DEADLINE_MS) for one in window)
+            if window and reached / len(window) < normal - 0.05:
+                recovered = start + WINDOW_MS
+            start += WINDOW_MS
+        return recovered - end
+
+    def documents(self) -> list[Document]:
+        """Return the configuration."""
+        documents: list[Document] = [Model("m", {}, "1", (), "", 0)]
+        for name in sorted({one.team for one in self.workload.classes}):
+            token = hashlib.sha256(name.encode()).hexdigest()
+            share = sum(one.share for one in self.workload.classes if one.team == name)
+            documents.append(Team(name, {}, token, share, 0, ""))
+        for name, urgency in (("short", 0), ("long", 1)):
+            stages = [*HELPERS, ("generate", "generate")]
+            documents.append(Pipeline(name, {}, DEADLINE_MS, tuple(_stages(stages)), urgency))
+        for role, count in (("encode", 3), ("retrieve", 3), ("rerank", 3)):
+            documents += [
+                _server(f"{role}-{one}-new", role, HELPER.slots, 0.2) for one in range(count)
+            ]
+        for one in range(self.workload.generators):
+            age = "old" if one % 2 else "new"
+            price = PRICE_OLD if one % 2 else PRICE_NEW
+            documents.append(_server(f"generate-{one}-{age}", "generate", GENERATOR.slots, price))
+        return documents
+
+
+def _stages(stages) -> list[Stage]:
+    previous: tuple[str, ...] = ()
+    made = []
+    for name, work in stages:
+        stream = work == "generate"
+        made.append(Stage(name, work, "m", f"role = {work}", previous, True, stream, 0.0))
+        previous = (name,)
+    return made
+
+
+def _server(name: str, role: str, slots: int, price: float) -> BackendServer:
+    age = name.rpartition("-")[2]
+    return BackendServer(name, {"role": role}, "engine", name, "a", age, price, slots, False, ())
--- a/packages/standins/src/mountladder_standins/localbackend.py
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -43,7 +43,7 @@
         except (ServerRefusalError, ServerFailureError, WaitTimeoutError) as error:
             raise _stage_error(error) from error
         self.check(standin, value)
-        return StageResult(value, standin.running)
+        return StageResult(value, standin.reported_load())
 
     def stream(self, server: BackendServer, call: StageCall) -> Iterator[Chunk]:
         """Run a stage and yield its tokens; see Backend."""
@@ -59,7 +59,7 @@
                     event = next(events, b"")
                 if not event:
                     raise StageError("the stream ended before its end", Code.STREAM_CUT)
-                chunk = reader.feed(event, standin.running)
+                chunk = reader.feed(event, standin.reported_load())
                 if chunk is not None:
                     patience = call.stall_ms
                     yield chunk
--- a/packages/standins/src/mountladder_standins/serverface.py
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -42,7 +42,7 @@
             return stream(standin, attempt, body)
         bottle.response.content_type = "application/json"
         result = standin.run(work, attempt, body)
-        bottle.response.set_header("X-Load", str(standin.running))
+        bottle.response.set_header("X-Load", str(standin.reported_load()))
     except ServerRefusalError as error:
         bottle.response.status = 503
         bottle.response.set_header("X-Refused", str(error))
@@ -62,7 +62,7 @@
     events = standin.stream(attempt, body, held)
     first = list(itertools.islice(events, 1))
     bottle.response.content_type = "text/event-stream"
-    bottle.response.set_header("X-Load", str(standin.running))
+    bottle.response.set_header("X-Load", str(standin.reported_load()))
     return _guarded(first, events)
 
 
--- a/packages/standins/src/mountladder_standins/standinserver.py
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import json
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterator
 
 from gevent.event import Event
@@ -40,6 +40,7 @@
         faults: What is wrong at present.
         ran: Every call it began to run.
         running: How many calls it runs.
+        report_lag_ms: How late the loads that it reports are.
         busy_ms: The time spent on calls, as if each ran alone.
     """
 
@@ -51,6 +52,8 @@
         self.ran: list[RanStage] = []
         self.running = 0
         self.busy_ms = 0.0
+        self.report_lag_ms = 0.0
+        self.loads: deque[tuple[float, int]] = deque([(0.0, 0)])
         self.cancelled: OrderedDict[str, bool] = OrderedDict()
         self.prefixes: OrderedDict[int, bool] = OrderedDict()
 
@@ -62,11 +65,11 @@
             ServerFailureError: It failed.
         """
         input_hash = self.accept(work, attempt, body)
-        self.running += 1
+        self.enter()
         try:
             self.spend(self.work_ms(work, body), attempt)
         finally:
-            self.running -= 1
+            self.leave()
         if self.faults.garbage:
             return b"{not json"
         return json.dumps({"work": work, "of": input_hash, "by": self.name}).encode()
@@ -80,7 +83,7 @@
         """
         input_hash = self.accept("generate", attempt, body)
         total = token_count(body)
-        self.running += 1
+        self.enter()
         try:
             self.spend(self.work_ms("generate", body), attempt)
             for number in range(held + 1, total + 1):
@@ -90,7 +93,7 @@
                 yield from self.token_events(number, input_hash)
             yield b'event: done\ndata: {"tokens":%d}\n\n' % total
         finally:
-            self.running -= 1
+            self.leave()
 
     def token_events(self, number: int, input_hash: str) -> Iterator[bytes]:
         """Yield the event of one token, twice where that fault is on."""
@@ -101,6 +104,23 @@
         if self.faults.repeat_event:
             yield event
 
+    def enter(self) -> None:
+        """Begin to run a call."""
+        self.running += 1
+        self.loads.append((self.clock.now(), self.running))
+
+    def leave(self) -> None:
+        """End a call."""
+        self.running -= 1
+        self.loads.append((self.clock.now(), self.running))
+
+    def reported_load(self) -> int:
+        """Return how many calls it ran one lag ago."""
+        until = self.clock.now() - self.report_lag_ms
+        while len(self.loads) > 1 and self.loads[1][0] <= until:
+            self.loads.popleft()
+        return self.loads[0][1]
+
     def accept(self, work: str, attempt: str, body: bytes) -> str:
         """Take a call or refuse it; return the hash of the request's input."""
         if self.faults.draining:
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/workload.py
@@ -0,0 +1,74 @@
+# workload.py -- A workload and the servers it meets
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A workload and the servers it meets."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from mountladder_standins.trafficclass import TrafficClass
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """A workload modelled on one of the deployments.
+
+    Attributes:
+        name: Its name.
+        classes: The kinds of request.
+        generators: How many language-model servers there are; every other one is old.
+        normal: The load outside the burst, as a share of capacity.
+        burst: The load during the burst, as a share of capacity.
+        burst_ms: How long the burst lasts; it begins a third into the load.
+        load_ms: How long requests are sent.
+        slowed: How many generators turn ten times slower at the start of the burst.
+        lost: How many generators go down at the start of the burst.
+        flooding: A team that sends ten times its share during the burst, or an empty string.
+        report_lag_ms: How late load reports are.
+    """
+
+    name: str
+    classes: tuple[TrafficClass, ...]
+    generators: int
+    normal: float = 0.6
+    burst: float = 0.6
+    burst_ms: float = 6_000.0
+    load_ms: float = 18_000.0
+    slowed: int = 0
+    lost: int = 0
+    flooding: str = ""
+    report_lag_ms: float = 1_000.0
+
+    @property
+    def burst_start(self) -> float:
+        """Return when the burst begins, in milliseconds after the start."""
+        return self.load_ms / 3.0
+
+    def in_burst(self, at_ms: float) -> bool:
+        """Tell whether a time lies in the burst."""
+        return self.burst_start <= at_ms < self.burst_start + self.burst_ms
+
+    def draw(self, at_ms: float, rng: random.Random) -> TrafficClass:
+        """Draw the kind of a request sent at a time."""
+        weights = [
+            one.share * (10.0 if one.team == self.flooding and self.in_burst(at_ms) else 1.0)
+            for one in self.classes
+        ]
+        return rng.choices(self.classes, weights)[0]
+
+    def rate(self, at_ms: float, capacity: float) -> float:
+        """Return the requests a second to send at a time.
+
+        Args:
+            at_ms: The time in milliseconds after the start.
+            capacity: The requests a second that the generators can finish.
+        """
+        if not self.in_burst(at_ms):
+            return self.normal * capacity
+        if not self.flooding:
+            return self.burst * capacity
+        flood = sum(one.share for one in self.classes if one.team == self.flooding)
+        return self.normal * capacity * (1.0 + 9.0 * flood)
