Let in only what can be in time, by what running streams tell

Cause: at 3 times capacity too much was let in, and most of it came late. Ruled out: too few servers looked at (the same with all). Found, one by one: the load of other instances was seen a second late; probes against the estimate let in long requests at their full cost; a class of input never finished on an old accelerator was taken to be fast there, since only successes taught. Change: a running stream's pace tells its server's present crowding; the calls of the other instances are guessed from this instance's own, and the higher of guess and report counts; failures teach a least time; unseen classes of length are scaled from other accelerators; probes come every 2 s and only near the limit; work whose server is expected to miss the deadline by far is given up before it is sent.

--- a/packages/core/src/mountladder/costmodel.py
+++ b/packages/core/src/mountladder/costmodel.py
@@ -18,12 +18,14 @@
 class CostModel:
     """Learns how long a stage takes on an unloaded server, by accelerator and input length.
 
-    Input lengths fall into classes that double in length. A class that was never seen takes the
-    value of the nearest one that was.
+    Input lengths fall into classes that double in length. A class that was never seen on an
+    accelerator takes the value of the nearest one that was, scaled as another accelerator that
+    has seen both tells.
     """
 
     def __init__(self) -> None:
         self.means: dict[tuple[str, str, str], dict[int, float]] = {}
+        self.gaps: dict[tuple[str, str], float] = {}
         self.histograms: dict[tuple[str, str], Histogram] = {}
 
     def record(self, stage: Stage, accelerator: str, length: int, unloaded_ms: float) -> None:
@@ -35,11 +37,13 @@
         classes = self.means.setdefault((stage.work, stage.model, accelerator), {})
         size = length.bit_length() // LENGTH_STEP_BITS
         old = classes.get(size)
-        if old is None:
-            classes[size] = unloaded_ms
-        else:
-            weight = WEIGHT_DOWN if unloaded_ms < old else WEIGHT_UP
-            classes[size] = old + weight * (unloaded_ms - old)
+        classes[size] = _follow(old, unloaded_ms)
+
+    def gap(self, stage: Stage, accelerator: str, gap_ms: float) -> float:
+        """Learn from the time between two tokens; return what it is without load."""
+        key = (stage.model, accelerator)
+        gap = self.gaps[key] = _follow(self.gaps.get(key), gap_ms)
+        return gap
 
     def record_whole(self, pipeline: str, stage: Stage, elapsed_ms: float) -> None:
         """Learn how long a stage took in all, queueing and retries included."""
@@ -56,10 +60,20 @@
             return self.any_accelerator(stage, length)
         size = length.bit_length() // LENGTH_STEP_BITS
         value = classes.get(size)
-        if value is None:
-            nearest = min(classes, key=lambda known: abs(known - size))
-            value = classes[nearest]
-        return value
+        return self.scaled(stage, classes, size) if value is None else value
+
+    def scaled(self, stage: Stage, classes: dict[int, float], size: int) -> float:
+        """Return the time of a class that was never seen on an accelerator."""
+        nearest = min(classes, key=lambda known: abs(known - size))
+        for (work, model, _), others in self.means.items():
+            if (work, model) == (stage.work, stage.model) and {nearest, size} <= others.keys():
+                return classes[nearest] * others[size] / others[nearest]
+        return classes[nearest]
+
+    def record_failure(self, stage: Stage, accelerator: str, length: int, spent_ms: float) -> None:
+        """Learn from a call that took too long: its whole time would have been longer still."""
+        if spent_ms > self.expected(stage, accelerator, length):
+            self.record(stage, accelerator, length, spent_ms)
 
     def any_accelerator(self, stage: Stage, length: int) -> float:
         """Return the least time known on any accelerator, so that a new one is tried."""
@@ -74,3 +88,10 @@
     def knows(self, stage: Stage, accelerator: str) -> bool:
         """Tell whether a stage was ever timed on an accelerator."""
         return (stage.work, stage.model, accelerator) in self.means
+
+
+def _follow(old: float | None, new: float) -> float:
+    if old is None:
+        return new
+    weight = WEIGHT_DOWN if new < old else WEIGHT_UP
+    return old + weight * (new - old)
--- a/packages/core/src/mountladder/gateway.py
+++ b/packages/core/src/mountladder/gateway.py
@@ -33,8 +33,9 @@
 from mountladder.tracebook import TraceBook
 
 LONGEST_DEADLINE_MS = 600_000.0
-PROBE_EVERY_MS = 500.0
-HOPELESS = 4.0
+PROBE_EVERY_MS = 2_000.0
+HOPELESS = 1.5
+MARGIN = 0.85
 REFUSED_RETRY_MS = 1_000.0
 # These refuse a key without having looked it up, so that an earlier call with it may have run.
 _BEFORE_THE_KEY = frozenset({Code.NOT_READY, Code.STORE_NEEDED})
@@ -193,7 +194,7 @@
         name = request.pipeline.name
         remaining = request.deadline - now
         hopeless = expected > HOPELESS * remaining
-        if expected > remaining and (hopeless or not self.probes(name, now)):
+        if expected > MARGIN * remaining and (hopeless or not self.probes(name, now)):
             detail = f"it is expected to take {expected:.0f} ms"
             raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=REFUSED_RETRY_MS)
         latest = max(now, request.deadline - expected)
--- /dev/null
+++ b/packages/core/src/mountladder/pace.py
@@ -0,0 +1,44 @@
+# pace.py -- The time between the tokens of a running stream
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The time between the tokens of a running stream."""
+
+from __future__ import annotations
+
+from mountladder.attempt import Attempt
+from mountladder.chunk import Chunk
+from mountladder.runcontext import RunContext
+
+TOLD_EVERY_MS = 100.0
+
+
+class Pace:
+    """Measures a stream's pace and tells the router now and then.
+
+    A running stream tells how crowded its server is at present, long before it ends and without
+    the lag of load reports.
+
+    Args:
+        context: What runs share.
+        attempt: The attempt whose stream is measured.
+    """
+
+    def __init__(self, context: RunContext, attempt: Attempt) -> None:
+        self.context = context
+        self.attempt = attempt
+        self.since: float | None = None
+        self.tokens = 0
+
+    def take(self, chunk: Chunk) -> None:
+        """Take in a chunk; the first one only starts the measurement."""
+        now = self.context.clock.now()
+        if self.since is None:
+            self.since = now
+            return
+        self.tokens += chunk.count
+        passed = now - self.since
+        if passed >= TOLD_EVERY_MS:
+            stage = self.attempt.call.stage
+            self.context.router.paced(self.attempt.choice, stage, passed / self.tokens)
+            self.since, self.tokens = now, 0
--- a/packages/core/src/mountladder/pipelinerun.py
+++ b/packages/core/src/mountladder/pipelinerun.py
@@ -15,10 +15,12 @@
 from mountladder.answer import Answer
 from mountladder.attempt import Attempt
 from mountladder.charge import Charge
+from mountladder.choice import Choice
 from mountladder.chunk import Chunk
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 from mountladder.metric import Metric
+from mountladder.pace import Pace
 from mountladder.request import Request
 from mountladder.runcontext import RunContext
 from mountladder.stage import Stage
@@ -34,6 +36,7 @@
 PATIENCE = 4.0
 STALL_MS = 1_000.0
 GRACE_MS = 30_000.0
+GIVE_UP = 1.5
 _DATA = re.compile(rb"^data: (.*)$", re.MULTILINE)
 
 
@@ -111,9 +114,11 @@
         while stage.name not in self.results:
             attempt = self.begin(tries)
             load = None
+            pace = Pace(self.context, attempt)
             try:
                 for chunk in self.context.backend.stream(attempt.choice.state.server, attempt.call):
                     load = chunk.load
+                    pace.take(chunk)
                     tries.tokens += chunk.count
                     self.events.append(chunk.events)
                     yield chunk
@@ -145,6 +150,7 @@
             tries.failed,
             hash(self.request.input[:PREFIX_BYTES]) if stage.work == "generate" else None,
         )
+        self.give_up_early(choice, tries, remaining)
         tries.count += 1
         if not self.may_repeat(stage):
             self.unrepeatable.add(stage.name)
@@ -154,6 +160,13 @@
         )
         return Attempt(choice, call, clock.now())
 
+    def give_up_early(self, choice: Choice, tries: Tries, remaining: float) -> None:
+        """Raise where even the chosen server is not expected to finish in time by far."""
+        if choice.expected_ms > GIVE_UP * remaining and self.may_repeat(tries.stage):
+            self.context.router.withdraw(choice)
+            detail = f"it was expected to take {choice.expected_ms:.0f} ms"
+            raise StageError(detail, Code.DEADLINE_PASSED, False)
+
     def call(self, tries: Tries, expected_ms: float, budget: float, remaining: float) -> StageCall:
         """Return the call of the next attempt.
 
@@ -207,7 +220,9 @@
         if self.context.clock.now() >= self.request.deadline:
             error = StageError(error.detail, Code.DEADLINE_PASSED, error.dispatched)
         server = attempt.choice.state.server
-        self.context.router.failed(attempt.choice, error.code, self.elapsed(attempt))
+        self.context.router.failed(
+            attempt.choice, error.code, self.elapsed(attempt), stage, len(tries.body)
+        )
         self.charge(attempt, "late" if error.code is Code.DEADLINE_PASSED else "retried")
         self.trace.add(
             "failed", stage.name, attempt.call.attempt, server.name, error.code.number, error.detail
@@ -237,7 +252,8 @@
     def abandon(self, attempt: Attempt) -> None:
         """Record an attempt that was given up from outside, and cancel it at its server."""
         self.mark_dispatched()
-        self.context.router.failed(attempt.choice, Code.CANCELLED, 0.0)
+        stage, body = attempt.call.stage, attempt.call.body
+        self.context.router.failed(attempt.choice, Code.CANCELLED, 0.0, stage, len(body))
         self.charge(attempt, "cancelled")
         server = attempt.choice.state.server.name
         code = Code.CANCELLED.number
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -26,7 +26,7 @@
 
 PREFIXES_KEPT = 4_096
 PREFIX_SAVING = 0.7
-SLOW_LIMIT = 6.0
+MOST_EXACT_MS = 0.05
 
 
 class Router:
@@ -54,13 +54,22 @@
         self.states: dict[str, ServerState] = {}
         self.prefixes: OrderedDict[int, str] = OrderedDict()
         self.turns = itertools.count()
+        self.peers = 0
         self.on_leaving: Callable[[str], None] = lambda name: None
 
+    def set_peers(self, peers: int) -> None:
+        """Take in how many other instances send work to the same servers."""
+        if peers != self.peers:
+            self.peers = peers
+            for state in self.states.values():
+                state.peers = peers
+
     def state(self, server: BackendServer) -> ServerState:
         """Return what is known of a server; a server at a new address starts afresh."""
         state = self.states.get(server.name)
         if state is None or state.server.address != server.address:
             state = self.states[server.name] = ServerState(server, self.rng)
+            state.peers = self.peers
         elif state.server is not server:
             state.server = server
         return state
@@ -99,7 +108,7 @@
         chosen = choose(self.policy, candidates, budget_ms, next(self.turns), self.rng)
         if prefix is not None:
             self.remember(prefix, chosen.state.server.name)
-        chosen.state.begin()
+        chosen.state.begin(now)
         return Choice(
             chosen.state,
             chosen.expected_ms,
@@ -150,13 +159,24 @@
         state = choice.state
         now = self.clock.now()
         crowding = self.crowding_met(choice, now)
-        state.end()
+        state.end(now)
         state.breaker.succeed()
         if load is not None:
             state.report(load, now)
         self.costs.record(stage, state.server.accelerator, length, elapsed_ms / crowding)
         state.timed(elapsed_ms / max(1.0, choice.unloaded_ms * crowding), now)
 
+    def paced(self, choice: Choice, stage: Stage, gap_ms: float) -> None:
+        """Learn a server's present crowding from the time between tokens of a running stream."""
+        state = choice.state
+        unloaded = self.costs.gap(stage, state.server.accelerator, gap_ms)
+        state.met(gap_ms / max(MOST_EXACT_MS, unloaded), self.clock.now())
+
+    def withdraw(self, choice: Choice) -> None:
+        """Take back a choice for which nothing was sent."""
+        choice.state.end(self.clock.now())
+        choice.state.breaker.abandon()
+
     def crowding_met(self, choice: Choice, now: float) -> float:
         """Return the crowding that a call met on the average, as far as is known."""
         at_end = max(1.0, choice.state.load(now) / choice.state.server.slots)
@@ -168,14 +188,20 @@
         if state is not None:
             state.leave(self.clock.now())
 
-    def failed(self, choice: Choice, code: Code, elapsed_ms: float) -> None:
+    def failed(
+        self, choice: Choice, code: Code, elapsed_ms: float, stage: Stage, length: int
+    ) -> None:
         """Learn from a call that failed."""
         state = choice.state
         now = self.clock.now()
-        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * self.crowding_met(choice, now))
+        crowding = self.crowding_met(choice, now)
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * crowding)
+        if code in {Code.DEADLINE_PASSED, Code.STAGE_STALLED}:
+            accelerator = state.server.accelerator
+            self.costs.record_failure(stage, accelerator, length, elapsed_ms / crowding)
         if ratio > state.slowness_at(now):
             state.timed(ratio, now)
-        state.end()
+        state.end(now)
         if code is Code.SERVER_REFUSED:
             state.leave(now)
             state.breaker.abandon()
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -178,6 +178,7 @@
             patience = self.patience_ms()
             if self.follower.age_ms() >= patience or not self.store_read:
                 self.poll()
+            self.router.set_peers(len(self.membership.live()) - 1)
             age = self.follower.age_ms()
             self.metrics.gauge(Metric.REVISION, self.follower.configuration.revision)
             self.metrics.gauge(Metric.CONFIGURATION_AGE_MS, min(age, 1e12))
--- a/packages/core/src/mountladder/serverstate.py
+++ b/packages/core/src/mountladder/serverstate.py
@@ -13,9 +13,11 @@
 
 SLOWNESS_WEIGHT = 0.3
 OTHERS_WEIGHT = 0.4
-HALF_LIFE_MS = 2_000.0
+HALF_LIFE_MS = 1_000.0
+AVERAGE_HALF_LIFE_MS = 500.0
 SLOWNESS_HALF_LIFE_MS = 5_000.0
 MOST_SLOWNESS = 20.0
+NOTICED_CROWDING = 1.15
 LEAVING_MS = 30_000.0
 
 
@@ -23,10 +25,14 @@
     """Work in flight, reported load, slowness and breaker of one backend server.
 
     Reports are late and rare, so that what they tell of others' calls is smoothed, and fades while
-    no new one comes; else a server that was once busy would be shunned for ever.
+    no new one comes. Beside them stands a guess: that the other instances of the data centre,
+    which choose in the same way, have as many calls there on the average as this one had lately.
+    The higher of the two counts.
 
     Attributes:
         running: The calls this instance has running there.
+        average: The same, smoothed over the last second or so.
+        peers: How many other instances send work to the same servers.
         others: The calls that others have running there, as reports told last.
         slowness: Its time over the time expected, smoothed; 1 where it is as expected.
         leaving_until: Until when it is taken to be leaving.
@@ -36,6 +42,9 @@
         self.server = server
         self.breaker = Breaker(rng)
         self.running = 0
+        self.average = 0.0
+        self.averaged_at = 0.0
+        self.peers = 0
         self.others = 0.0
         self.reported_at = 0.0
         self.slowness = 1.0
@@ -44,9 +53,20 @@
 
     def load(self, now: float) -> float:
         """Return the calls it is believed to have at a time."""
-        if not self.others:
-            return self.running
-        return self.running + self.others * 0.5 ** ((now - self.reported_at) / HALF_LIFE_MS)
+        guess = self.peers * self.averaged(now)
+        trust = 0.5 ** ((now - self.reported_at) / HALF_LIFE_MS)
+        return self.running + max(guess, self.others * trust)
+
+    def averaged(self, now: float) -> float:
+        """Return the smoothed number of this instance's calls there at a time."""
+        weight = 0.5 ** ((now - self.averaged_at) / AVERAGE_HALF_LIFE_MS)
+        return self.running + (self.average - self.running) * weight
+
+    def count(self, change: int, now: float) -> None:
+        """Change the number of calls in flight."""
+        self.average = self.averaged(now)
+        self.averaged_at = now
+        self.running += change
 
     def crowding(self, now: float) -> float:
         """Return by how much its load is believed to lengthen one more call."""
@@ -63,21 +83,28 @@
         """Tell whether new work may be sent to it."""
         return self.breaker.allows(now) and now >= self.leaving_until
 
-    def begin(self) -> None:
+    def begin(self, now: float) -> None:
         """Record that a call is sent."""
-        self.running += 1
+        self.count(1, now)
         self.breaker.begin()
 
-    def end(self) -> None:
+    def end(self, now: float) -> None:
         """Record that a call ended."""
-        self.running -= 1
+        self.count(-1, now)
 
-    def report(self, load: int, now: float) -> None:
+    def report(self, load: float, now: float) -> None:
         """Take in a load that the server reported, this instance's own calls included."""
         known = self.load(now) - self.running
         self.others = known + OTHERS_WEIGHT * (max(0, load - self.running) - known)
         self.reported_at = now
 
+    def met(self, crowding: float, now: float) -> None:
+        """Take in the crowding that a call of this instance met just now."""
+        if crowding > NOTICED_CROWDING:
+            self.report(crowding * self.server.slots, now)
+        else:
+            self.report(min(self.load(now), self.server.slots), now)
+
     def timed(self, ratio: float, now: float) -> None:
         """Learn from the ratio of a call's time to the time expected."""
         known = self.slowness_at(now)
