Refuse a flooding team before others feel it

Ruled out: the fair queue for places, which never filled. Change: each instance keeps the work it let in lately by team, with a half-life of 2 s. What the load adds to the expected time counts, for a team over 1.5 times its share, by the square of the excess. The shares of the workloads are now shares of work, not of requests.

--- /dev/null
+++ b/bench/outcomes.py
@@ -0,0 +1,51 @@
+# outcomes.py -- Results of benchmarks, their bounds and their table
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Results of benchmarks, their bounds and their table."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+OUT = Path(__file__).parent / "out"
+
+
+@dataclass(frozen=True)
+class Figure:
+    """One figure and the bound it must keep.
+
+    Attributes:
+        name: What was measured.
+        value: The figure.
+        unit: Its unit.
+        most: The most it may be, or None.
+        least: The least it may be, or None.
+    """
+
+    name: str
+    value: float
+    unit: str
+    most: float | None = None
+    least: float | None = None
+
+    @property
+    def good(self) -> bool:
+        return (self.most is None or self.value <= self.most) and (
+            self.least is None or self.value >= self.least
+        )
+
+    def line(self) -> str:
+        bounds = [f"at most {self.most:g}"] if self.most is not None else []
+        bounds += [f"at least {self.least:g}"] if self.least is not None else []
+        mark = "ok " if self.good else "BAD"
+        return f"{mark} {self.name:<64} {self.value:>10.4g} {self.unit:<12} {', '.join(bounds)}"
+
+
+def write(name: str, figures: list[Figure]) -> None:
+    """Write the figures of one benchmark as JSON."""
+    OUT.mkdir(exist_ok=True)
+    text = json.dumps([asdict(one) for one in figures], indent=1)
+    (OUT / f"{name}.json").write_text(text + "\n")
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,34 @@
+# run.py -- Run the benchmarks, print a table, fail where a bound is broken
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Run the benchmarks, print a table, fail where a bound is broken."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import importlib
+import sys
+
+import outcomes
+
+ALL = ("relay", "slopes", "decision", "store", "recovery", "policies", "promises")
+
+
+def main() -> int:
+    """Run the benchmarks named on the command line, or all."""
+    bad = 0
+    for name in sys.argv[1:] or ALL:
+        figures = importlib.import_module(name).measure()
+        outcomes.write(name, figures)
+        print(f"{name}:", flush=True)
+        for figure in figures:
+            print("  " + figure.line(), flush=True)
+            bad += not figure.good
+    print(f"{bad} bounds broken")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/core/src/mountladder/estimate.py
+++ b/packages/core/src/mountladder/estimate.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from mountladder.candidate import Candidate
 from mountladder.request import Request
 from mountladder.runcontext import RunContext
@@ -15,20 +17,41 @@
 LOOKED_AT = 8
 
 
-def estimate_ms(context: RunContext, request: Request) -> float:
-    """Return the expected time of a request under the present load, in milliseconds.
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """The expected time of a whole request.
+
+    Attributes:
+        expected_ms: Under the present load, in milliseconds.
+        unloaded_ms: The same on servers that run nothing else.
+    """
+
+    expected_ms: float
+    unloaded_ms: float
+
+    @property
+    def crowded_ms(self) -> float:
+        """Return the part of the time that is due to the load."""
+        return self.expected_ms - self.unloaded_ms
+
+
+def estimate(context: RunContext, request: Request) -> Estimate:
+    """Return the expected time of a request.
 
     The stages of one group run side by side, so the slowest counts; groups follow each other. A
     stage without any usable server counts as nothing, since its error tells more.
     """
     length = len(request.input)
-    return sum(
-        max(_stage_ms(context, request, stage, length) for stage in group)
-        for group in levels(request.pipeline.stages)
-    )
+    expected = unloaded = 0.0
+    for group in levels(request.pipeline.stages):
+        parts = [_stage_estimate(context, request, stage, length) for stage in group]
+        slowest = max(parts, key=lambda part: part.expected_ms)
+        expected += slowest.expected_ms
+        unloaded += slowest.unloaded_ms
+    return Estimate(expected, unloaded)
 
 
-def _stage_ms(context: RunContext, request: Request, stage: Stage, length: int) -> float:
+def _stage_estimate(context: RunContext, request: Request, stage: Stage, length: int) -> Estimate:
     allowed = context.follower.configuration.servers_for(stage, request.team)
     router = context.router
     now = context.clock.now()
@@ -41,4 +64,5 @@
         for state in states
         if state.usable(now)
     ]
-    return min((one.expected_ms for one in known), default=0.0)
+    best = min(known, key=lambda one: one.expected_ms, default=None)
+    return Estimate(0.0, 0.0) if best is None else Estimate(best.expected_ms, best.unloaded_ms)
--- a/packages/core/src/mountladder/gateway.py
+++ b/packages/core/src/mountladder/gateway.py
@@ -19,7 +19,7 @@
 from mountladder.code import Code
 from mountladder.detachedrun import DetachedRun
 from mountladder.errors import MountladderError, RefusalError
-from mountladder.estimate import estimate_ms
+from mountladder.estimate import estimate
 from mountladder.idempotency import Idempotency, check_key
 from mountladder.keyrecord import KeyRecord
 from mountladder.metric import Metric
@@ -31,11 +31,14 @@
 from mountladder.team import Team
 from mountladder.trace import Trace
 from mountladder.tracebook import TraceBook
+from mountladder.usage import Usage
 
 LONGEST_DEADLINE_MS = 600_000.0
 PROBE_EVERY_MS = 2_000.0
 HOPELESS = 1.5
 MARGIN = 0.85
+SEVERITY = 2.0
+TOLERATED = 1.5
 REFUSED_RETRY_MS = 1_000.0
 # These refuse a key without having looked it up, so that an earlier call with it may have run.
 _BEFORE_THE_KEY = frozenset({Code.NOT_READY, Code.STORE_NEEDED})
@@ -68,6 +71,7 @@
         self.admission = admission
         self.idempotency = idempotency
         self.traces = traces
+        self.usage = Usage(context.clock)
         self.runs = Group()
         self.numbers = itertools.count(1)
         self.probed_at: dict[str, float] = {}
@@ -188,17 +192,28 @@
         yield from DetachedRun(run, self.context.clock, ended, self.runs).read()
 
     def enter(self, request: Request) -> None:
-        """Refuse a request whose deadline cannot be met, or wait for a place."""
+        """Refuse a request whose deadline cannot be met, or wait for a place.
+
+        What the load adds to the expected time counts more for a team that is over its share, so
+        that under pressure its requests are refused before those of others.
+        """
         now = self.context.clock.now()
-        expected = estimate_ms(self.context, request)
-        name = request.pipeline.name
+        expected = estimate(self.context, request)
+        excess = max(1.0, self.usage.excess(request.team) / TOLERATED) ** SEVERITY
+        weighed = expected.unloaded_ms + expected.crowded_ms * excess
         remaining = request.deadline - now
-        hopeless = expected > HOPELESS * remaining
-        if expected > MARGIN * remaining and (hopeless or not self.probes(name, now)):
-            detail = f"it is expected to take {expected:.0f} ms"
-            raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=REFUSED_RETRY_MS)
-        latest = max(now, request.deadline - expected)
+        hopeless = expected.expected_ms > HOPELESS * remaining
+        if weighed > MARGIN * remaining and (
+            hopeless or not self.probes(request.pipeline.name, now)
+        ):
+            code = Code.DEADLINE_UNMEETABLE
+            if expected.expected_ms <= MARGIN * remaining:
+                code = Code.TEAM_LIMIT
+            detail = f"it is expected to take {expected.expected_ms:.0f} ms"
+            raise RefusalError(detail, code, retry_after_ms=REFUSED_RETRY_MS)
+        latest = max(now, request.deadline - expected.expected_ms)
         self.admission.enter(request.team, request.pipeline.urgency, latest)
+        self.usage.add(request.team, expected.unloaded_ms)
 
     def probes(self, pipeline: str, now: float) -> bool:
         """Tell whether a request may run against the estimate, so that a wrong one is noticed."""
--- a/packages/core/src/mountladder/policy.py
+++ b/packages/core/src/mountladder/policy.py
@@ -17,6 +17,7 @@
 from mountladder.roundrobin import RoundRobin
 from mountladder.twochoices import TwoChoices
 
+FULLEST = 1.0
 Policy = RandomChoice | RoundRobin | LeastOutstanding | TwoChoices | ExpectedCompletion
 
 
@@ -78,5 +79,7 @@
 def _(policy: ExpectedCompletion, candidates, budget_ms, turn, rng) -> Candidate:
     fastest = min(candidates, key=lambda one: (one.expected_ms, rng.random()))
     allowance = policy.thrift * budget_ms
-    in_time = [one for one in candidates if one.expected_ms <= allowance]
+    in_time = [
+        one for one in candidates if one.expected_ms <= allowance and one.crowding <= FULLEST
+    ]
     return min(in_time, key=lambda one: (one.cost, one.expected_ms), default=fastest)
--- /dev/null
+++ b/packages/core/src/mountladder/usage.py
@@ -0,0 +1,62 @@
+# usage.py -- How much of the work lately was each team's
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""How much of the work lately was each team's."""
+
+from __future__ import annotations
+
+from mountladder.clock import Clock
+from mountladder.team import Team
+
+HALF_LIFE_MS = 2_000.0
+LEAST = 1e-6
+
+
+class Usage:
+    """Keeps the work lately let in for each team, against its share.
+
+    Every instance judges by the work it let in itself. Callers are spread over the instances, so
+    that this holds for all of them together without a message.
+
+    Args:
+        clock: The clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.work: dict[str, float] = {}
+        self.shares: dict[str, float] = {}
+        self.faded_at = 0.0
+
+    def add(self, team: Team, work_ms: float) -> None:
+        """Record work that is let in for a team."""
+        self.fade()
+        self.work[team.name] = self.work.get(team.name, 0.0) + work_ms
+        self.shares[team.name] = team.share
+
+    def excess(self, team: Team) -> float:
+        """Return by how much a team's part of the work exceeds its share among active teams.
+
+        1 is exactly its share; a team alone never exceeds it.
+        """
+        self.fade()
+        total = sum(self.work.values())
+        if not total:
+            return 0.0
+        shares = sum(self.shares.values())
+        if team.name not in self.shares:
+            shares += team.share
+        part = self.work.get(team.name, 0.0) / total
+        return part / (team.share / shares)
+
+    def fade(self) -> None:
+        """Let what was recorded fade, and forget teams that have none left."""
+        now = self.clock.now()
+        factor = 0.5 ** ((now - self.faded_at) / HALF_LIFE_MS)
+        self.faded_at = now
+        for name in list(self.work):
+            self.work[name] *= factor
+            if self.work[name] < LEAST:
+                del self.work[name]
+                del self.shares[name]
--- a/packages/standins/src/mountladder_standins/experiment.py
+++ b/packages/standins/src/mountladder_standins/experiment.py
@@ -212,7 +212,8 @@
         documents: list[Document] = [Model("m", {}, "1", (), "", 0)]
         for name in sorted({one.team for one in self.workload.classes}):
             token = hashlib.sha256(name.encode()).hexdigest()
-            share = sum(one.share for one in self.workload.classes if one.team == name)
+            kinds = [one for one in self.workload.classes if one.team == name]
+            share = sum(one.share * self.work_ms(one) for one in kinds)
             documents.append(Team(name, {}, token, share, 0, ""))
         for name, urgency in (("short", 0), ("long", 1)):
             stages = [*HELPERS, ("generate", "generate")]
