--- a/bench/relay.py
+++ b/bench/relay.py
@@ -18,7 +18,6 @@
 import bottle
 import gevent
 import urllib3
-from outcomes import Figure
 
 from mountladder.documents import parse_documents
 from mountladder.systemclock import SystemClock
@@ -26,6 +25,7 @@
 from mountladder_cli.demofleet import DemoFleet
 from mountladder_standins.listening import listen
 from mountladder_standins.speeds import Speeds
+from outcomes import Figure
 
 TOKENS = 1_500
 ROUNDS = 7
@@ -99,7 +99,7 @@
     pool = urllib3.PoolManager(retries=False)
     response = pool.request("POST", url, body=body, headers=headers, preload_content=False)
     size = 0
-    while data := response.read1(65_536):
+    for data in response.stream(65_536):
         size += len(data)
     pool.clear()
     return size
@@ -140,6 +140,11 @@
     return figures
 
 
+def drain_cost(target, body):
+    url, headers = target
+    return processor_ms(lambda: drain(url, body, headers))
+
+
 def chunk_cost(engine, relay, ours, headers) -> list[Figure]:
     """Processor time a chunk, server and client included, less that without any relay."""
     few = json.dumps({"input": {"tokens": 1}})
@@ -151,9 +156,9 @@
         "ours": (ours, headers),
     }
     for _ in range(ROUNDS):
-        for name, (url, sent) in targets.items():
-            base = processor_ms(lambda: drain(url, few, sent))
-            costs[name].append((processor_ms(lambda: drain(url, many, sent)) - base) / TOKENS)
+        for name, target in targets.items():
+            base = drain_cost(target, few)
+            costs[name].append((drain_cost(target, many) - base) / TOKENS)
     direct, bare, own = (statistics.median(costs[name]) * 1000 for name in targets)
     return [
         Figure("processor time a chunk, directly", direct, "us"),
--- a/packages/core/src/mountladder/eventreader.py
+++ b/packages/core/src/mountladder/eventreader.py
@@ -41,11 +41,15 @@
         Raises:
             StageError: The engine reported an error, or the stream is malformed.
         """
+        first = self.held + 1
+        alone = not self.rest and data.find(_END) == len(data) - len(_END)
+        if alone and data.startswith(b'id: %d\ndata: "' % first):
+            self.held = first
+            return Chunk(first, 1, data, load)
         data = self.rest + data
         *events, self.rest = data.split(_END)
         if len(self.rest) > MOST_EVENT_BYTES:
             raise StageError("an event is too long", Code.BAD_ANSWER)
-        first = self.held + 1
         fresh = [event for event in events if self.is_fresh(event)]
         if not fresh:
             return None
--- /dev/null
+++ b/packages/core/src/mountladder/listener.py
@@ -0,0 +1,33 @@
+# listener.py -- Listening sockets
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Listening sockets."""
+
+from __future__ import annotations
+
+from gevent import socket
+
+BACKLOG = 1_024
+
+
+def split(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def listener(address: str) -> socket.socket:
+    """Return a socket that listens at an IP number and port.
+
+    What it accepts sends small pieces at once: a stream's tokens must not wait for the caller's
+    delayed acknowledgements.
+    """
+    host, port = split(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listening.bind((host, port))
+    listening.listen(BACKLOG)
+    return listening
--- a/packages/core/src/mountladder/pipelinerun.py
+++ b/packages/core/src/mountladder/pipelinerun.py
@@ -37,7 +37,7 @@
 STALL_MS = 1_000.0
 GRACE_MS = 30_000.0
 GIVE_UP = 1.5
-_DATA = re.compile(rb"^data: (.*)$", re.MULTILINE)
+_DATA = re.compile(rb'^data: "(.*)"$', re.MULTILINE)
 
 
 class PipelineRun:
@@ -122,6 +122,7 @@
                     tries.tokens += chunk.count
                     self.events.append(chunk.events)
                     yield chunk
+                text = self.whole_text()
             except StageError as error:
                 self.fail(attempt, tries, error)
             except BaseException:
@@ -130,7 +131,7 @@
             else:
                 self.succeed(attempt, tries, load)
                 self.tokens = tries.tokens
-                self.results[stage.name] = self.whole_text()
+                self.results[stage.name] = text
 
     def begin(self, tries: Tries) -> Attempt:
         """Choose a server by the newest known selectors and build the call."""
@@ -301,9 +302,17 @@
         return b'{"model":%b,"input":%b,"results":{%b}}' % (model, self.request.input, needed)
 
     def whole_text(self) -> bytes:
-        """Return the streamed text as a JSON string."""
-        pieces = _DATA.findall(b"".join(self.events))
-        return json.dumps("".join(json.loads(piece) for piece in pieces)).encode()
+        """Return the streamed text as one JSON string.
+
+        Raises:
+            StageError: The tokens do not make a JSON string.
+        """
+        text = b'"%b"' % b"".join(_DATA.findall(b"".join(self.events)))
+        try:
+            json.loads(text)
+        except ValueError as error:
+            raise StageError(f"a token is not JSON: {error}", Code.BAD_ANSWER) from error
+        return text
 
     def make_answer(self) -> Answer:
         """Return the whole answer."""
--- a/packages/core/src/mountladder/tcpnetwork.py
+++ b/packages/core/src/mountladder/tcpnetwork.py
@@ -15,6 +15,7 @@
 from mountladder.errors import PeerError
 from mountladder.instance import Instance
 from mountladder.link import Link
+from mountladder.listener import listener, split
 from mountladder.network import Network
 from mountladder.tcplink import TcpLink
 
@@ -47,15 +48,9 @@
         """Serve links; see Network."""
 
         def accept(connection: socket.socket, _: tuple[str, int]) -> None:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            """Serve one link."""
             serve(TcpLink(connection, self.secret, me))
 
-        server = StreamServer(split(me.peer), accept, spawn=MOST_LINKS)
+        server = StreamServer(listener(me.peer), accept, spawn=MOST_LINKS)
         server.start()
         stack.callback(server.stop, STOP_SECONDS)
-
-
-def split(address: str) -> tuple[str, int]:
-    """Return the IP number and the port of an address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -57,7 +57,7 @@
         """Run a stage and return its whole result; see Backend."""
         response = self.open(server, call, call.deadline - self.clock.now(), False)
         try:
-            data = self.read(response, call.deadline - self.clock.now(), None)
+            data = self.read(response, call.deadline - self.clock.now())
             if len(data) > MOST_RESULT_BYTES:
                 raise StageError("a result is too long", Code.BAD_ANSWER)
             json.loads(data)
@@ -75,16 +75,14 @@
         reader = EventReader(call.tokens_held)
         response = self.open(server, call, call.first_ms, True)
         load = _load(response)
-        patience = call.first_ms
+        pieces = self.pieces(response, call)
         try:
             while not reader.ended:
-                remaining = call.deadline - self.clock.now()
-                data = self.read(response, min(patience, remaining), READ_BYTES)
+                data = next(pieces, b"")
                 if not data:
                     raise StageError("the stream ended before its end", Code.STREAM_CUT)
                 chunk = reader.feed(data, load)
                 if chunk is not None:
-                    patience = call.stall_ms
                     yield chunk
         except BaseException:
             response.close()
@@ -92,6 +90,29 @@
         response.drain_conn()
         response.release_conn()
 
+    def pieces(self, response: urllib3.BaseHTTPResponse, call: StageCall) -> Iterator[bytes]:
+        """Yield a stream's body as it comes, while it comes in time.
+
+        The socket's own timeout watches over the silence between pieces, which costs less than a
+        timer for each of them.
+        """
+        body = response.stream(READ_BYTES)
+        connection = response.connection
+        socket = connection.sock if connection is not None else None
+        patience = call.first_ms
+        limit = call.deadline - self.clock.now()
+        while limit > 0:
+            try:
+                if socket is not None:
+                    socket.settimeout(min(patience, limit) / 1000.0)
+                piece = next(body, b"")
+            except (urllib3.exceptions.HTTPError, OSError) as error:
+                raise _broken(error) from error
+            patience = call.stall_ms
+            yield piece
+            limit = call.deadline - self.clock.now()
+        raise StageError("the deadline passed during the stream", Code.STAGE_STALLED)
+
     def open(
         self, server: BackendServer, call: StageCall, limit_ms: float, stream: bool
     ) -> urllib3.BaseHTTPResponse:
@@ -156,15 +177,15 @@
         if response.status != 200:
             raise StageError(f"{url}: status {response.status}", Code.STAGE_FAILED)
 
-    def read(self, response: urllib3.BaseHTTPResponse, limit_ms: float, size: int | None) -> bytes:
-        """Read some of a body, or all of it."""
+    def read(self, response: urllib3.BaseHTTPResponse, limit_ms: float) -> bytes:
+        """Read a whole body."""
         try:
             with self.clock.limit(limit_ms):
-                return response.read() if size is None else response.read1(size)
+                return response.read()
         except WaitTimeoutError as error:
             raise StageError("no data came in time", Code.STAGE_STALLED) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StageError(f"the answer broke: {error}", Code.STREAM_CUT) from error
+            raise _broken(error) from error
 
     def cancel(self, server: BackendServer, attempt: str) -> None:
         """Ask a server to stop an attempt; see Backend."""
@@ -185,6 +206,12 @@
         self.pool.clear()
 
 
+def _broken(error: Exception) -> StageError:
+    if isinstance(error, (urllib3.exceptions.ReadTimeoutError, TimeoutError)):
+        return StageError("no data came in time", Code.STAGE_STALLED)
+    return StageError(f"the answer broke: {error}", Code.STREAM_CUT)
+
+
 def _load(response: urllib3.BaseHTTPResponse) -> int | None:
     text = response.headers.get(LOAD_HEADER, "")
     return int(text) if text.isascii() and text.isdigit() and len(text) < 7 else None
--- a/packages/entry/src/mountladder_entry/node.py
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -10,11 +10,12 @@
 
 from mountladder.backend import Backend
 from mountladder.clock import Clock
+from mountladder.listener import listener
 from mountladder.metrics import Metrics
 from mountladder.platform import Platform
 from mountladder.runtime import Runtime
 from mountladder.settings import Settings
-from mountladder.tcpnetwork import TcpNetwork, split
+from mountladder.tcpnetwork import TcpNetwork
 from mountladder_entry.application import make_application
 from mountladder_entry.quietlog import QuietLog
 from mountladder_entry.relay import Relay
@@ -53,7 +54,7 @@
         """Open the listening sockets and start the tasks."""
         super().start()
         web = WSGIServer(
-            split(self.settings.web),
+            listener(self.settings.web),
             make_application(self),
             log=None,
             error_log=QuietLog(),
--- a/packages/standins/src/mountladder_standins/listening.py
+++ b/packages/standins/src/mountladder_standins/listening.py
@@ -12,6 +12,8 @@
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
+from mountladder.listener import listener
+
 
 def listen(app: bottle.Bottle, address: str, stack: ExitStack) -> str:
     """Serve an application until the stack closes it; return its IP number and port.
@@ -21,11 +23,10 @@
         address: The IP number and port; port 0 takes any free one.
         stack: What owns the server.
     """
-    host, _, port = address.rpartition(":")
-    server = WSGIServer((host, int(port)), app, log=None, error_log=None)
+    server = WSGIServer(listener(address), app, log=None, error_log=None)
     server.start()
     stack.callback(server.stop, 0.1)
-    return f"{host}:{server.server_port}"
+    return f"{server.server_host}:{server.server_port}"
 
 
 def free_address() -> str:
