--- /dev/null
+++ b/bench/fits.py
@@ -0,0 +1,58 @@
+# fits.py -- Straight lines through measured sizes
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Straight lines through measured sizes."""
+
+from __future__ import annotations
+
+import statistics
+from dataclasses import dataclass
+
+from outcomes import Figure
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A straight line through measured points.
+
+    Attributes:
+        name: What was measured.
+        unit: The unit of the values.
+        of: What the sizes count.
+        sizes: The sizes.
+        values: What was measured at each.
+    """
+
+    name: str
+    unit: str
+    of: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+
+    @property
+    def line(self):
+        return statistics.linear_regression(self.sizes, self.values)
+
+    @property
+    def residual(self) -> float:
+        """The largest distance from the line, as a share of the largest value."""
+        away = [abs(y - self.at(x)) for x, y in zip(self.sizes, self.values)]
+        return max(away) / max(map(abs, self.values))
+
+    def at(self, size: float) -> float:
+        return self.line.intercept + self.line.slope * size
+
+    def figures(self, most_at: tuple[float, float] | None = None) -> list[Figure]:
+        points = [
+            Figure(f"{self.name}, {size:g} {self.of}", value, self.unit)
+            for size, value in zip(self.sizes, self.values)
+        ]
+        points.append(Figure(f"{self.name}: slope", self.line.slope, f"{self.unit}/{self.of}"))
+        points.append(Figure(f"{self.name}: intercept", self.line.intercept, self.unit))
+        points.append(Figure(f"{self.name}: residual", self.residual, "share", most=0.35))
+        if most_at is not None:
+            size, most = most_at
+            name = f"{self.name}, worked out for {size:g} {self.of}"
+            points.append(Figure(name, self.at(size), self.unit, most=most))
+        return points
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,69 @@
+# policies.py -- Attainment and cost of each policy on the workloads of both deployments
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Attainment and cost of each policy on the workloads of both deployments."""
+
+from __future__ import annotations
+
+import os
+import statistics
+
+from mountladder.expectedcompletion import ExpectedCompletion
+from mountladder.leastoutstanding import LeastOutstanding
+from mountladder.randomchoice import RandomChoice
+from mountladder.roundrobin import RoundRobin
+from mountladder.twochoices import TwoChoices
+from mountladder_standins import workloads
+from mountladder_standins.experiment import Experiment
+from mountladder_standins.measured import Measured
+from outcomes import Figure
+
+SEEDS = int(os.environ.get("BENCH_SEEDS", "10"))
+THRIFT = 0.8
+BASELINES = {
+    "random": RandomChoice(),
+    "round robin": RoundRobin(),
+    "least outstanding": LeastOutstanding(),
+    "two choices": TwoChoices(),
+}
+OURS = {"expected": ExpectedCompletion(), "thrifty": ExpectedCompletion(thrift=THRIFT)}
+
+
+def measure() -> list[Figure]:
+    figures = []
+    for workload in workloads.ALL:
+        results = {
+            name: [Experiment(workload, policy, seed).run() for seed in range(SEEDS)]
+            for name, policy in {**BASELINES, **OURS}.items()
+        }
+        figures += figures_of(workload.name, results)
+    return figures
+
+
+def figures_of(name: str, results: dict[str, list[Measured]]) -> list[Figure]:
+    best = max(median(results[one], "attainment") for one in BASELINES)
+    figures = [Figure(f"{name}: upper bound", median(results["expected"], "bound"), "share")]
+    for policy, runs in results.items():
+        least = best if policy == "expected" else None
+        figures += [
+            Figure(
+                f"{name}: {policy}: attainment", median(runs, "attainment"), "share", least=least
+            ),
+            Figure(f"{name}: {policy}: spread of attainment", spread(runs), "share"),
+            Figure(f"{name}: {policy}: others' attainment", median(runs, "others"), "share"),
+            Figure(f"{name}: {policy}: cost a whole answer", median(runs, "cost"), "units"),
+            Figure(f"{name}: {policy}: generators' time wasted", median(runs, "wasted"), "share"),
+            Figure(f"{name}: {policy}: useful work in the burst", median(runs, "useful"), "share"),
+            Figure(f"{name}: {policy}: recovery", median(runs, "recovery_ms"), "ms"),
+        ]
+    return figures
+
+
+def median(runs: list[Measured], field: str) -> float:
+    return statistics.median(getattr(run, field) for run in runs)
+
+
+def spread(runs: list[Measured]) -> float:
+    values = [run.attainment for run in runs]
+    return max(values) - min(values)
--- /dev/null
+++ b/bench/promises.py
@@ -0,0 +1,38 @@
+# promises.py -- Two hundred seeds of faults drawn at random
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Two hundred seeds of faults drawn at random."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections import Counter
+from pathlib import Path
+
+from mountladder.documents import parse_documents
+from mountladder_standins.faultrun import FaultRun
+from outcomes import Figure
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "features"))
+from basics import BASE, SERVERS, TOKEN
+
+SEEDS = int(os.environ.get("BENCH_FAULT_SEEDS", "200"))
+
+
+def measure() -> list[Figure]:
+    broken: Counter[str] = Counter()
+    results: Counter[str] = Counter()
+    for seed in range(SEEDS):
+        run = FaultRun(seed, [*parse_documents(BASE, "base"), *SERVERS], TOKEN)
+        for violation in run.run():
+            broken[violation.promise] += 1
+            print(f"  seed {seed}: {violation.promise}: {violation.detail}", flush=True)
+        results.update(call.outcome.result if call.outcome else "died" for call in run.calls)
+    figures = [Figure("seeds", SEEDS, "runs"), Figure("calls", results.total(), "calls")]
+    figures += [
+        Figure(f"calls that ended {name}", count, "calls") for name, count in results.items()
+    ]
+    figures.append(Figure("broken promises", broken.total(), "promises", most=0))
+    return figures
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,195 @@
+# slopes.py -- What control costs by the number of nodes, documents, servers and keys
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What control costs by the number of nodes, documents, servers and keys."""
+
+from __future__ import annotations
+
+import gc
+import hashlib
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+
+from fits import Fit
+from mountladder.backendserver import BackendServer
+from mountladder.change import Change
+from mountladder.configuration import Configuration
+from mountladder.heartbeat import Heartbeat
+from mountladder.instance import Instance
+from mountladder.keybook import KeyBook
+from mountladder.keyrecord import KeyRecord
+from mountladder.keystate import KeyState
+from mountladder.systemclock import SystemClock
+from mountladder.tcplink import TcpLink
+from mountladder.team import Team
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins.localfleet import LocalFleet
+from outcomes import Figure
+
+NODES = (6, 12, 24)
+WARM_MS = 15_000.0
+SPAN_MS = 30_000.0
+DOCUMENTS = (1_500, 3_000, 6_000)
+KEYS = (2_000, 4_000, 8_000)
+MESSAGES = 4_000
+
+
+def measure() -> list[Figure]:
+    return [figure for fit, most in fits() for figure in fit.figures(most)] + [message_cost()]
+
+
+def fits() -> list[tuple[Fit, tuple[float, float] | None]]:
+    """Return every fit with the size and bound it must hold at two years' size."""
+    idle = [idle_fleet(number) for number in NODES]
+    names = ("messages sent", "bytes sent", "processor time", "store reads for configuration")
+    units = ("1/s", "bytes/s", "ms/s", "1/s in all")
+    made = [
+        (Fit(f"{name} by a node", unit, "nodes", NODES, tuple(one[index] for one in idle)), None)
+        for index, (name, unit) in enumerate(zip(names, units))
+    ]
+    made[0] = (made[0][0], (24, 14.0))
+    made[1] = (made[1][0], (24, 2_500.0))
+    made[2] = (made[2][0], (24, 19.0))
+    adopt = tuple(adopt_ms(number) for number in DOCUMENTS)
+    made.append((Fit("adopting a change", "ms", "documents", DOCUMENTS, adopt), (5_800, 19.0)))
+    memory = tuple(memory_of(lambda n=number: configuration(n)) for number in DOCUMENTS)
+    made.append(
+        (Fit("memory of a configuration", "MB", "documents", DOCUMENTS, memory), (5_800, 64))
+    )
+    kept = tuple(memory_of(lambda n=number: keys(n)) for number in KEYS)
+    made.append((Fit("memory of kept keys", "MB", "keys", KEYS, kept), (30_000, 96)))
+    return made
+
+
+def idle_fleet(number: int) -> tuple[float, float, float, float]:
+    """Run instances of one data centre without load; return what each costs a second."""
+    clock = VirtualClock()
+    fleet = LocalFleet(clock)
+
+    def work():
+        fleet.append(documents(100))
+        for one in range(number):
+            fleet.start(f"a-{one:03d}", "a")
+        fleet.wait_ready()
+        clock.sleep(WARM_MS)
+        runtimes = list(fleet.runtimes.values())
+        before = [totals(runtimes), time.process_time()]
+        clock.sleep(SPAN_MS)
+        spent = time.process_time() - before[1]
+        after = totals(runtimes)
+        seconds = SPAN_MS / 1000.0
+        messages, size, reads = ((new - old) / seconds for new, old in zip(after, before[0]))
+        return messages / number, size / number, spent * 1000.0 / seconds / number, reads
+
+    try:
+        return clock.run(gevent.spawn(work))
+    finally:
+        fleet.stop()
+
+
+def totals(runtimes) -> tuple[int, int, int]:
+    return (
+        sum(one.peers.messages for one in runtimes),
+        sum(one.peers.bytes for one in runtimes),
+        sum(one.follower.reads for one in runtimes),
+    )
+
+
+def documents(number: int) -> list:
+    """Teams and servers as they are mixed at two years' size."""
+    teams = [
+        Team(f"t{one}", {"tier": "x"}, hashlib.sha256(str(one).encode()).hexdigest(), 1.0, 0, "")
+        for one in range(number * 5 // 8)
+    ]
+    servers = [
+        BackendServer(
+            f"s{one}",
+            {"role": "generate", "rack": str(one % 40)},
+            "engine",
+            f"10.0.{one}:80",
+            f"d{one % 16}",
+            "new",
+            1.0,
+            8,
+            False,
+            (),
+        )
+        for one in range(number * 3 // 8)
+    ]
+    return teams + servers
+
+
+def configuration(number: int) -> Configuration:
+    return Configuration().after(Change(1, "o", "a", 0.0, tuple(documents(number)), ()))
+
+
+def adopt_ms(number: int) -> float:
+    """Processor time of decoding and adopting one change."""
+    base = configuration(number)
+    value = Change(2, "o", "a", 0.0, (documents(16)[-1],), ()).encode()
+    return timed_ms(lambda: base.after(Change.decode(value)).teams_by_token, 20)
+
+
+def timed_ms(function: Callable[[], object], times: int) -> float:
+    gc.collect()
+    started = time.process_time()
+    for _ in range(times):
+        function()
+    return (time.process_time() - started) * 1000.0 / times
+
+
+def memory_of(make: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size / 1e6
+
+
+def keys(number: int) -> KeyBook:
+    """The keys of finished requests, with answers of 500 bytes."""
+    book = KeyBook(VirtualClock())
+    for one in range(number):
+        answer = b'"' + b"x" * 500 + b'"'
+        record = KeyRecord(
+            f"team/{one:020d}",
+            f"{one:032x}",
+            "incarnation",
+            f"{one:032x}",
+            0.0,
+            KeyState.DONE,
+            answer,
+        )
+        book.begin(record)
+        book.end(record)
+    return book
+
+
+def message_cost() -> Figure:
+    """Processor time of one heartbeat over TCP: encode, seal, send, receive, check, decode."""
+    first, second = socket.socketpair()
+    links = [
+        TcpLink(end, b"secret", Instance(str(one), str(one), "a", "", ""))
+        for one, end in enumerate((first, second))
+    ]
+    gevent.joinall([gevent.spawn(link.handshake) for link in links], raise_error=True)
+    heartbeat = Heartbeat(123_456, 420)
+    receiver = gevent.spawn(lambda: [links[1].receive() for _ in range(MESSAGES)])
+    started = time.process_time()
+    for one in range(MESSAGES):
+        links[0].send(heartbeat)
+        if one % 8 == 0:
+            gevent.sleep(0)
+    receiver.join()
+    spent = (time.process_time() - started) * 1e6 / MESSAGES
+    for link in links:
+        link.close()
+    SystemClock()
+    return Figure("one heartbeat over TCP, both ends", spent, "us", most=400)
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -113,7 +113,9 @@
     response = ask_stream(context, "a-1", tokens, preload_content=False)
     data = b""
     while data.count(b"id: ") < 2:
-        data += response.read1(100)
+        piece = response.read1(100)
+        assert piece, data
+        data += piece
     response.close()
 
 
--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,232 @@
+# order_steps.py -- Steps about leases and orders to engines
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about leases and orders to engines."""
+
+import dataclasses
+
+import gevent
+from basics import server
+from behave import given, then, when
+
+from mountladder.change import Change
+from mountladder.changelog import ChangeLog
+from mountladder.configuration import Configuration
+from mountladder.errors import OrderFencedError
+from mountladder.follower import Follower
+from mountladder.lease import Lease
+from mountladder.memorymetrics import MemoryMetrics
+from mountladder.memoryobjectstore import MemoryObjectStore
+from mountladder.memorytable import MemoryTable
+from mountladder.model import Model
+from mountladder.order import Order
+from mountladder.orders import Orders
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins.faults import Faults
+from mountladder_standins.faultytable import FaultyTable
+from mountladder_standins.localengines import LocalEngines
+from mountladder_standins.standinloader import StandinLoader
+from mountladder_standins.weightstore import WeightStore
+
+STEP_MS = 1_000.0
+
+
+@given("{number:d} engines of data centre a that serve model old-model")
+def engines(context, number):
+    context.clock = VirtualClock()
+    context.run = lambda function, *args: context.clock.run(gevent.spawn(function, *args))
+    context.weights = WeightStore(context.clock)
+    context.servers = [server(f"e{one}", "x") for one in range(number)]
+    context.loaders = {
+        one.name: StandinLoader(context.weights, {"old-model": "1"}) for one in context.servers
+    }
+    context.memory = MemoryTable()
+    context.holders = {}
+
+
+def model(name, replicas, version="1", selector=""):
+    return Model(name, {}, version, (), selector, replicas)
+
+
+def configure(context, *models):
+    documents = (*context.servers, *models)
+    context.configuration = Configuration().after(Change(1, "o", "x", 0.0, documents, ()))
+    for orders in context.holders.values():
+        orders.follower.configuration = context.configuration
+
+
+@given("model new-model with {new:d} replicas is wanted beside old-model with {old:d}")
+def wanted(context, new, old):
+    configure(context, model("new-model", new), model("old-model", old))
+
+
+def holder(context, name):
+    if name not in context.holders:
+        table = FaultyTable(context.memory, context.clock)
+        log = ChangeLog(table, MemoryObjectStore(), context.clock)
+        follower = Follower(log, context.clock)
+        follower.configuration = context.configuration
+        lease = Lease("placement/a", name, table, context.clock)
+        engines = LocalEngines(context.loaders)
+        context.holders[name] = Orders("a", follower, engines, lease, MemoryMetrics())
+    return context.holders[name]
+
+
+def step_for(context, names, ms):
+    def work():
+        until = context.clock.now() + ms
+        while context.clock.now() < until:
+            for name in names:
+                holder(context, name).step()
+            context.clock.sleep(STEP_MS)
+
+    context.run(work)
+
+
+@when("holders {names} step for {ms:d} ms")
+def step(context, names, ms):
+    step_for(context, names.split(", "), ms)
+
+
+def split_holders(context):
+    holding = [name for name, orders in context.holders.items() if orders.lease.held()]
+    assert len(holding) == 1, holding
+    others = [name for name in context.holders if name not in holding]
+    return holding[0], others[0]
+
+
+@when("the holder dies and the other steps for {ms:d} ms")
+@when("the holder is paused while the other steps for {ms:d} ms")
+def paused(context, ms):
+    context.paused, context.other = split_holders(context)
+    step_for(context, [context.other], ms)
+
+
+@when("the other steps for {ms:d} ms")
+def other_steps(context, ms):
+    step_for(context, [context.other], ms)
+
+
+@then("an order of the paused holder is refused with {code:d}")
+def refused(context, code):
+    fence = context.holders[context.paused].lease.fence
+    try:
+        context.loaders["e0"].order(Order(fence, ()))
+    except OrderFencedError as error:
+        assert error.code.number == code
+    else:
+        raise AssertionError("the order was carried out")
+
+
+@given("the engines ignore fencing")
+def ignore(context):
+    for loader in context.loaders.values():
+        loader.ignore_fencing = True
+
+
+@when("the paused holder orders every engine to serve nothing but junk")
+def junk(context):
+    fence = context.holders[context.paused].lease.fence
+    for loader in context.loaders.values():
+        loader.order(Order(fence, (("junk", "1"),)))
+
+
+def serving(context, name, version=None):
+    return [
+        engine
+        for engine, loader in context.loaders.items()
+        if name in loader.models and (version is None or loader.models[name] == version)
+    ]
+
+
+@then("{new:d} engines serve new-model and {old:d} serve old-model")
+def served(context, new, old):
+    found = {name: loader.models for name, loader in context.loaders.items()}
+    assert len(serving(context, "new-model")) == new, found
+    assert len(serving(context, "old-model")) == old, found
+    assert not serving(context, "junk"), found
+
+
+@then("only one of one, two sent orders")
+def one_sent(context):
+    sent = [one.metrics.counts["orders"] for one in context.holders.values()]
+    assert sorted(sent)[0] == 0 < sorted(sent)[1], sent
+
+
+@then("at most {number:d} downloads ran at once")
+def downloads(context, number):
+    assert 0 < context.weights.most <= number, context.weights.most
+
+
+@when("the holder is cut off from the store and steps for {ms:d} ms")
+def cut_off(context, ms):
+    context.paused, context.other = split_holders(context)
+    context.holders[context.paused].lease.table.faults = Faults(down=True)
+    step_for(context, [context.paused], ms)
+
+
+@then("the holder sends no more orders")
+def no_more(context):
+    orders = context.holders[context.paused]
+    before = orders.metrics.counts["orders"]
+    for loader in context.loaders.values():
+        loader.models.clear()
+    step_for(context, [context.paused], 5_000.0)
+    assert not orders.lease.held()
+    assert orders.metrics.counts["orders"] == before
+
+
+@given("only one engine serves old-model")
+def only_one(context):
+    for name, loader in context.loaders.items():
+        if name != "e0":
+            loader.models.clear()
+
+
+@given("old-model is wanted nowhere that it is served")
+def elsewhere(context):
+    configure(context, model("old-model", 2, selector="name != e0"))
+
+
+@then("{number:d} engines serve old-model")
+def serve_old(context, number):
+    assert len(serving(context, "old-model")) == number
+
+
+@then("{number:d} engines serve old-model elsewhere")
+def serve_elsewhere(context, number):
+    found = serving(context, "old-model")
+    assert len(found) == number and "e0" not in found, found
+
+
+@when("holders one, two race for the lease with answers lost")
+def race(context):
+    for name in ("one", "two"):
+        table = holder(context, name).lease.table
+        table.faults = dataclasses.replace(table.faults, slow_ms=20.0, lose_answers=1)
+
+    def work():
+        tasks = [gevent.spawn(one.lease.step) for one in context.holders.values()]
+        gevent.joinall(tasks)
+
+    context.run(work)
+
+
+@then("at most one of one, two holds it")
+def at_most_one(context):
+    assert sum(one.lease.held() for one in context.holders.values()) <= 1
+    for orders in context.holders.values():
+        orders.lease.table.faults = Faults()
+    step_for(context, ["one", "two"], 3_000.0)
+    assert sum(one.lease.held() for one in context.holders.values()) == 1
+
+
+@when("version {version} of new-model is wanted")
+def new_version(context, version):
+    configure(context, model("new-model", 2, version), model("old-model", 2))
+
+
+@then("{number:d} engines serve version {version} of new-model")
+def serve_version(context, number, version):
+    assert len(serving(context, "new-model", version)) == number
--- a/packages/cli/src/mountladder_cli/demo.py
+++ b/packages/cli/src/mountladder_cli/demo.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from collections.abc import Iterator
 from contextlib import ExitStack
@@ -16,11 +17,13 @@
 
 from mountladder.document import Document
 from mountladder.documents import parse_documents
+from mountladder.model import Model
 from mountladder.systemclock import SystemClock
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
 
 WAIT_MS = 2_000.0
+PLACED_MS = 8_000.0
 SHORT_ONES = 20
 TOKEN = "front-desk-token"
 PUSH = {"room": 12, "nights": 2}
@@ -48,6 +51,7 @@
     yield from one_push(fleet)
     yield from refusals(fleet)
     yield from drained(fleet)
+    yield from placed(fleet)
     yield from accounts(fleet)
 
 
@@ -129,6 +133,23 @@
     )
 
 
+def placed(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
+    """Want a new model on two engines a data centre and see it loaded by itself."""
+    model = Model("reply-9b", {"work": "generate"}, "1", (), "role = generate", 2)
+    servers = [
+        dataclasses.replace(one, models=())
+        for one in porcelain.load(fleet.platform, fleet.clock).of_kind("server")
+        if one.labels.get("role") == "generate"
+    ]
+    porcelain.apply(fleet.platform, fleet.clock, "demo", [model, *servers])
+    until = fleet.clock.now() + PLACED_MS
+    while fleet.clock.now() < until and len(fleet.serving("reply-9b")) < 4:
+        fleet.clock.sleep(50.0)
+    serving = fleet.serving("reply-9b")
+    click.echo(f"the new model is served by {', '.join(serving)}")
+    yield "a new model is loaded on two engines of each data centre", len(serving) == 4
+
+
 def accounts(fleet: DemoFleet) -> Iterator[tuple[str, bool]]:
     """Show what the work cost."""
     for node in fleet.nodes:
--- a/packages/cli/src/mountladder_cli/demofleet.py
+++ b/packages/cli/src/mountladder_cli/demofleet.py
@@ -18,19 +18,23 @@
 from mountladder.settings import Settings
 from mountladder_cli import porcelain
 from mountladder_entry.httpbackend import HttpBackend
+from mountladder_entry.httpengines import HttpEngines
 from mountladder_entry.node import Node
 from mountladder_entry.platform import http_platform
 from mountladder_standins.listening import free_address, listen
 from mountladder_standins.platformface import platform_app
 from mountladder_standins.serverface import server_app
 from mountladder_standins.speeds import Speeds
+from mountladder_standins.standinloader import StandinLoader
 from mountladder_standins.standinplatform import StandinPlatform
 from mountladder_standins.standinserver import StandinServer
+from mountladder_standins.weightstore import WeightStore
 
 LOOPBACK = "127.0.0.1:0"
 SECRET = "a secret for demonstrations only"
 PLACES = (("a", 1), ("a", 2), ("b", 1), ("b", 2))
 OLD_FACTOR = 3.0
+DOWNLOAD_MS = 200.0
 READY_MS = 5_000.0
 
 
@@ -54,6 +58,7 @@
         self.standin = StandinPlatform(clock)
         self.base = "http://" + listen(platform_app(self.standin), LOOPBACK, stack)
         self.platform = http_platform(self.base, clock, stack)
+        self.weights = WeightStore(clock, DOWNLOAD_MS)
         self.standins: dict[str, StandinServer] = {}
         self.nodes: list[Node] = []
         for datacentre, number in places:
@@ -72,11 +77,22 @@
             heartbeat_ms=200.0,
             poll_ms=200.0,
             shutdown_ms=2_000.0,
+            orders_ms=200.0,
         )
         backend = HttpBackend(self.clock)
         self.stack.callback(backend.close)
         platform = http_platform(self.base, self.clock, self.stack)
-        node = Node(settings, self.clock, platform, backend, MemoryMetrics(), len(self.nodes))
+        engines = HttpEngines(self.clock)
+        self.stack.callback(engines.close)
+        node = Node(
+            settings,
+            self.clock,
+            platform,
+            backend,
+            MemoryMetrics(),
+            len(self.nodes),
+            engines,
+        )
         node.start()
         self.stack.callback(node.stop)
         self.nodes.append(node)
@@ -97,6 +113,8 @@
         """Start a stand-in of a backend server."""
         speeds = Speeds(OLD_FACTOR if server.accelerator == "old" else 1.0, server.slots)
         standin = self.standins[server.name] = StandinServer(server.name, self.clock, speeds)
+        if server.serves == "engine" and server.models:
+            standin.loader = StandinLoader(self.weights, dict.fromkeys(server.models, "1"))
         address = listen(server_app(standin), LOOPBACK, self.stack)
         return dataclasses.replace(server, address=address)
 
@@ -114,6 +132,14 @@
         pieces = porcelain.request(web, pipeline, token, input_, deadline_ms, key, stream=False)
         return json.loads(b"".join(pieces))
 
+    def serving(self, model: str) -> list[str]:
+        """Return the stand-in engines that have a model loaded, by name."""
+        return sorted(
+            name
+            for name, one in self.standins.items()
+            if one.loader is not None and model in one.loader.models
+        )
+
     def runs(self, work: str) -> int:
         """Return how often a kind of work was run on all stand-ins."""
         ran = itertools.chain.from_iterable(one.ran for one in self.standins.values())
--- a/packages/cli/src/mountladder_cli/standing_in.py
+++ b/packages/cli/src/mountladder_cli/standing_in.py
@@ -22,8 +22,10 @@
 from mountladder_standins.platformface import platform_app
 from mountladder_standins.serverface import server_app
 from mountladder_standins.speeds import Speeds
+from mountladder_standins.standinloader import StandinLoader
 from mountladder_standins.standinplatform import StandinPlatform
 from mountladder_standins.standinserver import StandinServer
+from mountladder_standins.weightstore import WeightStore
 
 OLD_FACTOR = 3.0
 
@@ -56,10 +58,15 @@
         documents = []
     if not documents:
         sys.exit(EXIT_FAILED)
+    weights = WeightStore(SystemClock())
     with ExitStack() as stack:
         for server in documents:
             if server.kind == "server":
-                app = server_app(StandinServer(server.name, SystemClock(), speeds_of(server)))
+                standin_server = StandinServer(server.name, SystemClock(), speeds_of(server))
+                if server.serves == "engine" and server.models:
+                    loaded = dict.fromkeys(server.models, "1")
+                    standin_server.loader = StandinLoader(weights, loaded)
+                app = server_app(standin_server)
                 click.echo(f"{server.name} on {listen(app, server.address, stack)}")
         Event().wait()
 
--- a/packages/core/src/mountladder/choice.py
+++ b/packages/core/src/mountladder/choice.py
@@ -21,7 +21,7 @@
         unloaded_ms: The expected time without load.
         crowding: By how much the load it is believed to have lengthens the call.
         allowed: How many servers the selectors allow.
-        usable: How many of those were in use.
+        compared: How many usable ones were compared.
     """
 
     state: ServerState
@@ -29,11 +29,11 @@
     unloaded_ms: float
     crowding: float
     allowed: int
-    usable: int
+    compared: int
 
     def reason(self) -> str:
         """Return why the server was chosen, in words."""
         return (
             f"expected {self.expected_ms:.0f} ms, crowding {self.crowding:.1f}, "
-            f"{self.usable} of {self.allowed} allowed servers in use"
+            f"{self.compared} of {self.allowed} allowed servers compared"
         )
--- a/packages/core/src/mountladder/code.py
+++ b/packages/core/src/mountladder/code.py
@@ -58,6 +58,7 @@
     FOREIGN_ANSWER = (3010, _FAILED, 502, "an answer belongs to another attempt")
     STAGE_STALLED = (3011, _FAILED, 504, "a backend server stalled")
     INTERNAL = (3012, _FAILED, 500, "a fault of the instance")
+    MODEL_MISSING = (3013, _FAILED, 502, "a backend server does not have the model loaded")
     REVISION_CONFLICT = (4001, _NOT_RUN, 409, "another change was accepted first")
     BAD_DOCUMENT = (4002, _NOT_RUN, 422, "a document is malformed")
     UNKNOWN_REFERENCE = (4003, _NOT_RUN, 422, "a document names something that does not exist")
--- a/packages/core/src/mountladder/estimate.py
+++ b/packages/core/src/mountladder/estimate.py
@@ -62,7 +62,7 @@
     known = [
         Candidate.at(state, context.costs.expected(stage, state.server.accelerator, length), now)
         for state in states
-        if state.usable(now)
+        if state.usable(now, stage.model)
     ]
     best = min(known, key=lambda one: one.expected_ms, default=None)
     return Estimate(0.0, 0.0) if best is None else Estimate(best.expected_ms, best.unloaded_ms)
--- a/packages/core/src/mountladder/groupcommit.py
+++ b/packages/core/src/mountladder/groupcommit.py
@@ -25,7 +25,8 @@
 class GroupCommit:
     """Commits independent conditional writes of many requests in shared transactions.
 
-    One transaction is in flight at a time; what comes meanwhile goes into the next one. A write
+    One transaction is in flight at a time, and a pause follows it; what comes meanwhile goes into
+    the next one, so that transactions a second are bounded whatever the load. A write
     whose condition does not hold is taken out and the others are sent again. A transaction
     without an answer is sent again unchanged in its parts: a row that holds exactly the value to
     be written was written by the one whose answer was lost, since every value carries a nonce.
@@ -34,7 +35,7 @@
         table: The table service.
         clock: The clock.
         metrics: Where transactions are counted.
-        window_ms: How long to gather writes before a transaction.
+        window_ms: The pause after each transaction.
     """
 
     def __init__(
@@ -83,10 +84,10 @@
         """Commit what is submitted, for ever."""
         while True:
             self.arrived.wait()
+            self.commit(self.take())
+            if not self.queue:
+                self.arrived.clear()
             self.clock.sleep(self.window_ms)
-            self.arrived.clear()
-            while self.queue:
-                self.commit(self.take())
 
     def take(self) -> list[PendingWrite]:
         """Take the next batch; a row stands in a batch once."""
@@ -156,6 +157,7 @@
                 self.give_up(pending, error)
             else:
                 self.queue.appendleft(pending)
+                self.arrived.set()
 
     def give_up(
         self, pending: PendingWrite, error: StoreUnavailableError | StoreAmbiguousError
--- a/packages/core/src/mountladder/membership.py
+++ b/packages/core/src/mountladder/membership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 import xxhash
@@ -17,6 +18,7 @@
 PER_PEER_MS = 80.0
 MISSED_HEARTBEATS = 3
 OUTSIDE_PEERS = 2
+GATHERED_FROM = 6
 
 
 class Membership:
@@ -115,6 +117,11 @@
         """Return this instance's place among the live ones of its data centre, from 0."""
         return [one.name for one in self.live()].index(self.me.name)
 
+    def writers(self) -> int:
+        """Return how many instances write claims: one of a large data centre, else all."""
+        sizes = Counter(one.datacentre for one in [*self.known.values(), self.me])
+        return sum(1 if size >= GATHERED_FROM else size for size in sizes.values())
+
     def is_alive(self, incarnation: str) -> bool:
         """Tell whether an incarnation may still be alive, as far as is known here."""
         return (
--- a/packages/core/src/mountladder/pipelinerun.py
+++ b/packages/core/src/mountladder/pipelinerun.py
@@ -155,7 +155,7 @@
         tries.count += 1
         if not self.may_repeat(stage):
             self.unrepeatable.add(stage.name)
-        call = self.call(tries, choice.expected_ms, budget, remaining)
+        call = self.call(tries, choice.expected_ms, remaining)
         self.trace.add(
             "sent", stage.name, call.attempt, choice.state.server.name, 0, choice.reason()
         )
@@ -168,16 +168,14 @@
             detail = f"it was expected to take {choice.expected_ms:.0f} ms"
             raise StageError(detail, Code.DEADLINE_PASSED, False)
 
-    def call(self, tries: Tries, expected_ms: float, budget: float, remaining: float) -> StageCall:
+    def call(self, tries: Tries, expected_ms: float, remaining: float) -> StageCall:
         """Return the call of the next attempt.
 
         An attempt that may be repeated is given up in time for another one. One that may not is
         let go on after the deadline, so that its outcome becomes known.
         """
         stage = tries.stage
-        patience = remaining + GRACE_MS
-        if self.may_repeat(stage):
-            patience = min(remaining, max(PATIENCE * expected_ms, budget, STALL_MS))
+        patience = self.patience(tries, expected_ms, remaining)
         deadline = self.context.clock.now() + (remaining if stage.stream else patience)
         return StageCall(
             request=self.request.id,
@@ -191,6 +189,17 @@
             stall_ms=STALL_MS,
         )
 
+    def patience(self, tries: Tries, expected_ms: float, remaining: float) -> float:
+        """Return how long an attempt may take, up to its first token where it streams.
+
+        It grows from attempt to attempt, in case the expectation was wrong. An attempt after which
+        there would be no time for another may take all that is left.
+        """
+        if not self.may_repeat(tries.stage):
+            return remaining + GRACE_MS
+        patience = max(PATIENCE * expected_ms, STALL_MS) * 2 ** (tries.count - 1)
+        return remaining if remaining - patience < expected_ms else patience
+
     def may_repeat(self, stage: Stage) -> bool:
         """Tell whether a stage may be run again after it may have run."""
         return stage.idempotent and self.request.idempotent
--- /dev/null
+++ b/packages/core/src/mountladder/placement.py
@@ -0,0 +1,79 @@
+# placement.py -- Which models each engine is to serve
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Which models each engine is to serve."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import xxhash
+
+from mountladder.backendserver import BackendServer
+from mountladder.configuration import Configuration
+from mountladder.enginestate import EngineState
+from mountladder.model import Model
+
+
+def wanted_models(
+    configuration: Configuration, datacentre: str, states: Mapping[str, EngineState]
+) -> dict[str, tuple[tuple[str, str], ...]]:
+    """Return the models that each engine of a data centre is to serve, by the engine's name.
+
+    A model goes to as many engines as it has replicas, out of those that its selector and their
+    own lists of models allow. Engines that serve it already come first, so that nothing is moved
+    without need; the others follow by a hash, which spreads the models. A model without replicas
+    is left where it is.
+
+    Args:
+        configuration: The configuration in force.
+        datacentre: The data centre.
+        states: What the engines that can be reached serve.
+    """
+    engines = [one for one in _engines(configuration, datacentre) if one.name in states]
+    wanted: dict[str, list[tuple[str, str]]] = {one.name: [] for one in engines}
+    for model in configuration.of_kind("model"):
+        for engine in _chosen(configuration, model, engines, states):
+            wanted[engine.name].append((model.name, _version(model, states[engine.name])))
+    return {name: tuple(sorted(models)) for name, models in wanted.items()}
+
+
+def _engines(configuration: Configuration, datacentre: str) -> list[BackendServer]:
+    return [
+        server
+        for server in configuration.of_kind("server")
+        if server.serves == "engine" and server.datacentre == datacentre
+    ]
+
+
+def _chosen(
+    configuration: Configuration,
+    model: Model,
+    engines: list[BackendServer],
+    states: Mapping[str, EngineState],
+) -> list[BackendServer]:
+    if not model.replicas:
+        return [one for one in engines if model.name in dict(states[one.name].models)]
+    selector = configuration.selector(model.selector)
+    allowed = [
+        one
+        for one in engines
+        if not one.draining
+        and selector.meets(one.all_labels())
+        and (not one.models or model.name in one.models)
+    ]
+
+    def preference(engine: BackendServer) -> tuple[bool, int]:
+        """Sort engines that serve the model first, then by a hash."""
+        state = states[engine.name]
+        has_it = model.name in dict(state.models + state.loading)
+        return not has_it, xxhash.xxh64_intdigest(f"{model.name}\0{engine.name}".encode())
+
+    return sorted(allowed, key=preference)[: model.replicas]
+
+
+def _version(model: Model, state: EngineState) -> str:
+    if model.replicas:
+        return model.version
+    return dict(state.models)[model.name]
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -27,6 +27,8 @@
 PREFIXES_KEPT = 4_096
 PREFIX_SAVING = 0.7
 MOST_EXACT_MS = 0.05
+SPARE = 2
+FEW = 16
 
 
 class Router:
@@ -98,11 +100,11 @@
         """
         if not allowed:
             raise StageError("no backend server meets the selectors", Code.NO_SERVER_ALLOWED, False)
-        usable = self.usable(allowed, excluded) or self.usable(allowed, frozenset())
-        if not usable:
-            raise StageError("", Code.NO_SERVER_AVAILABLE, False)
         holder = self.prefixes.get(prefix) if prefix is not None else None
-        drawn = self.draw(usable, holder)
+        drawn = self.draw(allowed, excluded, holder, stage.model)
+        drawn = drawn or self.draw(allowed, frozenset(), holder, stage.model)
+        if not drawn:
+            raise StageError("", Code.NO_SERVER_AVAILABLE, False)
         now = self.clock.now()
         candidates = [self.candidate(state, stage, length, holder, now) for state in drawn]
         chosen = choose(self.policy, candidates, budget_ms, next(self.turns), self.rng)
@@ -115,25 +117,38 @@
             chosen.unloaded_ms,
             chosen.crowding,
             len(allowed),
-            len(usable),
+            len(drawn),
         )
 
     def usable(
-        self, allowed: Sequence[BackendServer], excluded: frozenset[str]
+        self, allowed: Sequence[BackendServer], excluded: frozenset[str], model: str
     ) -> list[ServerState]:
         """Return the states of the servers that new work may be sent to."""
         now = self.clock.now()
         states = (self.state(server) for server in allowed if server.name not in excluded)
-        return [state for state in states if state.usable(now)]
-
-    def draw(self, usable: list[ServerState], holder: str | None) -> list[ServerState]:
-        """Draw as many servers as the policy looks at; one that holds the prefix is among them."""
-        size = sample_size(self.policy, len(usable))
-        if size == len(usable):
-            return usable
-        drawn = self.rng.sample(usable, size)
-        if holder in self.states and self.states[holder] not in drawn:
-            drawn += [state for state in usable if state.server.name == holder]
+        return [state for state in states if state.usable(now, model)]
+
+    def draw(
+        self,
+        allowed: Sequence[BackendServer],
+        excluded: frozenset[str],
+        holder: str | None,
+        model: str,
+    ) -> list[ServerState]:
+        """Draw as many usable servers as the policy looks at.
+
+        Twice as many are drawn as are needed, so that all have to be looked at only where most of
+        them are out of use. One that holds the prefix is added.
+        """
+        size = sample_size(self.policy, len(allowed))
+        if len(allowed) <= SPARE * size:
+            return self.usable(allowed, excluded, model)[: max(size, FEW)]
+        drawn = self.usable(self.rng.sample(allowed, SPARE * size), excluded, model)[:size]
+        if not drawn:
+            drawn = self.usable(allowed, excluded, model)[:size]
+        held = self.states.get(holder) if holder is not None else None
+        if held is not None and held not in drawn and held.server in allowed:
+            drawn += self.usable([held.server], excluded, model)
         return drawn
 
     def candidate(
@@ -206,6 +221,9 @@
             state.leave(now)
             state.breaker.abandon()
             self.on_leaving(state.server.name)
+        elif code is Code.MODEL_MISSING:
+            state.lacks(stage.model, now)
+            state.breaker.abandon()
         elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
             state.breaker.abandon()
         elif state.breaker.fail(now):
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -21,6 +21,7 @@
 from mountladder.changelog import ChangeLog
 from mountladder.clock import Clock
 from mountladder.costmodel import CostModel
+from mountladder.engines import Engines
 from mountladder.errors import MountladderError, StoreAmbiguousError, StoreUnavailableError
 from mountladder.expectedcompletion import ExpectedCompletion
 from mountladder.follower import Follower
@@ -29,11 +30,13 @@
 from mountladder.idempotency import Idempotency
 from mountladder.instance import Instance
 from mountladder.keybook import KeyBook
+from mountladder.lease import Lease
 from mountladder.ledger import Ledger
 from mountladder.membership import Membership
 from mountladder.metric import Metric
 from mountladder.metrics import Metrics
 from mountladder.network import Network
+from mountladder.orders import Orders
 from mountladder.peers import Peers
 from mountladder.platform import Platform
 from mountladder.policy import Policy
@@ -64,6 +67,7 @@
         metrics: Where metrics go.
         seed: The seed of its random numbers, or None for a different one each time.
         policy: How backend servers are chosen, or None for the settings' one.
+        engines: Reads and orders engines, or None to send no orders.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         metrics: Metrics,
         seed: int | None = None,
         policy: Policy | None = None,
+        engines: Engines | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -94,6 +99,7 @@
             settings.peer,
         )
         self.build(backend, random.Random(seed), policy)
+        self.orders = self.make_orders(engines)
 
     def build(self, backend: Backend, rng: random.Random, policy: Policy | None) -> None:
         """Put the parts together."""
@@ -131,6 +137,15 @@
             self.me.incarnation, self.context, self.admission, self.idempotency, self.traces
         )
 
+    def make_orders(self, engines: Engines | None) -> Orders | None:
+        """Return what sends orders to the engines of this data centre, where any are sent."""
+        if engines is None or not self.settings.orders_ms:
+            return None
+        here = self.settings.datacentre
+        table = self.platform.table
+        lease = Lease(f"orders/{here}", self.me.incarnation, table, self.clock)
+        return Orders(here, self.follower, engines, lease, self.metrics)
+
     @property
     def ready(self) -> bool:
         """Tell whether the instance may be sent requests.
@@ -152,6 +167,7 @@
             self.announce,
             self.flush_cost,
             self.sweep,
+            self.send_orders,
         )
         tasks = [gevent.spawn(self.keep_up, loop) for loop in loops]
         self.stack.callback(gevent.killall, tasks)
@@ -207,6 +223,8 @@
                 self.membership.observe(self.platform.instances.instances())
             except MountladderError as error:
                 self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
+            pace = 1_000.0 * self.membership.writers() / self.settings.most_transactions
+            self.commits.window_ms = max(self.settings.window_ms, pace)
             self.metrics.gauge(Metric.RUNNING, self.admission.total)
             self.metrics.gauge(Metric.WAITING, len(self.admission.waiting))
             self.clock.sleep(ANNOUNCE_MS)
@@ -237,6 +255,14 @@
             except MountladderError as error:
                 self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
 
+    def send_orders(self) -> None:
+        """Keep the engines of this data centre at their wanted state, for ever."""
+        while self.orders is not None:
+            if self.ready:
+                self.orders.step()
+            self.clock.sleep(self.settings.orders_ms)
+        self.stopping.wait()
+
     def stop(self) -> int:
         """End gracefully: accept nothing new, finish what runs, then close everything.
 
@@ -251,6 +277,8 @@
         until = self.clock.now() + self.settings.shutdown_ms
         while (self.admission.total or self.idempotency.tasks) and self.clock.now() < until:
             self.clock.sleep(TICK_MS / 4)
+        if self.orders is not None and self.orders.lease.holding:
+            self.orders.lease.release()
         cut = self.admission.total
         self.try_flush_cost()
         self.stack.close()
--- a/packages/core/src/mountladder/serverstate.py
+++ b/packages/core/src/mountladder/serverstate.py
@@ -19,6 +19,7 @@
 MOST_SLOWNESS = 20.0
 NOTICED_CROWDING = 1.15
 LEAVING_MS = 30_000.0
+WITHOUT_MS = 3_000.0
 
 
 class ServerState:
@@ -36,6 +37,7 @@
         others: The calls that others have running there, as reports told last.
         slowness: Its time over the time expected, smoothed; 1 where it is as expected.
         leaving_until: Until when it is taken to be leaving.
+        without: Until when it is taken not to have a model loaded, by the model's name.
     """
 
     def __init__(self, server: BackendServer, rng: random.Random) -> None:
@@ -50,6 +52,7 @@
         self.slowness = 1.0
         self.timed_at = 0.0
         self.leaving_until = 0.0
+        self.without: dict[str, float] = {}
 
     def load(self, now: float) -> float:
         """Return the calls it is believed to have at a time."""
@@ -79,9 +82,15 @@
         fading = 0.5 ** ((now - self.timed_at) / SLOWNESS_HALF_LIFE_MS)
         return 1.0 + (self.slowness - 1.0) * fading
 
-    def usable(self, now: float) -> bool:
-        """Tell whether new work may be sent to it."""
-        return self.breaker.allows(now) and now >= self.leaving_until
+    def usable(self, now: float, model: str = "") -> bool:
+        """Tell whether new work for a model may be sent to it."""
+        if now < self.leaving_until or now < self.without.get(model, 0.0):
+            return False
+        return self.breaker.allows(now)
+
+    def lacks(self, model: str, now: float) -> None:
+        """Record that the server said it does not have a model loaded."""
+        self.without[model] = now + WITHOUT_MS
 
     def begin(self, now: float) -> None:
         """Record that a call is sent."""
--- a/packages/core/src/mountladder/settings.py
+++ b/packages/core/src/mountladder/settings.py
@@ -38,11 +38,13 @@
         most_waiting: The most requests that wait at once.
         most_body_bytes: The largest body of a request.
         shutdown_ms: How long a graceful shutdown may take, in milliseconds.
-        window_ms: How long writes are gathered before a transaction, in milliseconds.
+        window_ms: The least pause between two transactions that write claims, in milliseconds.
+        most_transactions: How many such transactions a second all instances together may use.
         keep_ms: How long the outcome of a key is kept, in milliseconds.
         cost_ms: How often cost is sent to the platform, in milliseconds.
         thrift: From 0 to 1, how much of the time available may be used up to save cost.
         drawn: How many backend servers are compared for a choice.
+        orders_ms: How often engines are compared with their wanted state; 0 sends no orders.
         operator_token: The token operators must send, or an empty string.
     """
 
@@ -61,10 +63,12 @@
     most_body_bytes: int = 1_048_576
     shutdown_ms: float = 10_000.0
     window_ms: float = 5.0
+    most_transactions: float = 300.0
     keep_ms: float = 86_400_000.0
     cost_ms: float = 10_000.0
     thrift: float = 0.0
     drawn: int = 8
+    orders_ms: float = 2_000.0
     operator_token: str = ""
 
     @classmethod
@@ -119,10 +123,12 @@
         most_body_bytes=int(fields.number("most_body_bytes", 1_048_576, least=1)),
         shutdown_ms=fields.number("shutdown_ms", 10_000.0),
         window_ms=fields.number("window_ms", 5.0),
+        most_transactions=fields.number("most_transactions", 300.0, least=1),
         keep_ms=fields.number("keep_ms", 86_400_000.0, least=1_000),
         cost_ms=fields.number("cost_ms", 10_000.0, least=100),
         thrift=fields.number("thrift", 0.0),
         drawn=int(fields.number("drawn", 8, least=1)),
+        orders_ms=fields.number("orders_ms", 2_000.0),
         operator_token=fields.text("operator_token", ""),
     )
 
--- a/packages/core/src/mountladder/submitter.py
+++ b/packages/core/src/mountladder/submitter.py
@@ -22,12 +22,12 @@
 )
 from mountladder.groupcommit import GroupCommit
 from mountladder.link import Link
+from mountladder.membership import GATHERED_FROM
 from mountladder.peers import Peers
 from mountladder.submit import Submit
 from mountladder.submitted import Submitted
 from mountladder.write import Write
 
-GATHER_FROM = 6
 ASK_SHARE = 0.5
 REPLY_MARGIN_MS = 20.0
 BRIEFLY_MS = 300.0
@@ -109,7 +109,7 @@
     def gatherer(self) -> Link | None:
         """Return the link to the instance that gathers writes, or None where this one may."""
         live = self.peers.membership.live()
-        if len(live) < GATHER_FROM or live[0].name == self.peers.membership.me.name:
+        if len(live) < GATHERED_FROM or live[0].name == self.peers.membership.me.name:
             return None
         return self.peers.links.get(live[0].peer)
 
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -170,6 +170,8 @@
         refused = response.headers.get(REFUSED_HEADER)
         if response.status == 503 and refused == "draining":
             raise StageError(f"{url}: draining", Code.SERVER_REFUSED, False)
+        if response.status == 503 and refused == "not-loaded":
+            raise StageError(f"{url}: the model is not loaded", Code.MODEL_MISSING, False)
         if response.status == 503 and refused is not None:
             raise StageError(f"{url}: refused: {refused}", Code.STREAM_CUT, False)
         if response.status >= 500:
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/httpengines.py
@@ -0,0 +1,74 @@
+# httpengines.py -- Orders to model engines over HTTP
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Orders to model engines over HTTP."""
+
+from __future__ import annotations
+
+import json
+
+import urllib3
+
+from mountladder.backendserver import BackendServer
+from mountladder.clock import Clock
+from mountladder.code import Code
+from mountladder.engines import Engines
+from mountladder.enginestate import EngineState
+from mountladder.errors import OrderFencedError, StageError, WaitTimeoutError
+from mountladder.order import Order
+
+ANSWER_MS = 1_000.0
+FENCED_STATUS = 409
+
+
+class HttpEngines(Engines):
+    """Reads and orders engines over HTTP.
+
+    Args:
+        clock: The clock on which calls are limited.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.pool = urllib3.PoolManager(num_pools=256, maxsize=2, retries=False)
+
+    def state(self, server: BackendServer) -> EngineState:
+        """Return what an engine serves; see Engines."""
+        response = self.call(server, "GET", "/v1/state")
+        try:
+            table = json.loads(response.data)
+            return EngineState(
+                _models(table["models"]), _models(table["loading"]), int(table["fence"])
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            detail = f"{server.name}: its state cannot be read: {error}"
+            raise StageError(detail, Code.BAD_ANSWER) from error
+
+    def order(self, server: BackendServer, order: Order) -> None:
+        """Order an engine; see Engines."""
+        body = json.dumps({"fence": order.fence, "models": dict(order.models)}).encode()
+        response = self.call(server, "PUT", "/v1/orders", body)
+        if response.status == FENCED_STATUS:
+            raise OrderFencedError(f"{server.name} refused fencing number {order.fence}")
+        if response.status != 200:
+            raise StageError(f"{server.name}: status {response.status}", Code.STAGE_FAILED)
+
+    def call(
+        self, server: BackendServer, method: str, path: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call and return its answer."""
+        url = f"http://{server.address}{path}"
+        try:
+            with self.clock.limit(ANSWER_MS):
+                return self.pool.request(method, url, body=body, timeout=urllib3.Timeout(None))
+        except (urllib3.exceptions.HTTPError, WaitTimeoutError, OSError) as error:
+            raise StageError(f"{url}: {error}", Code.CONNECT_FAILED) from error
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.pool.clear()
+
+
+def _models(table: dict[str, str]) -> tuple[tuple[str, str], ...]:
+    return tuple(sorted((str(name), str(version)) for name, version in table.items()))
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -25,6 +25,7 @@
 from mountladder.statsdmetrics import StatsdMetrics
 from mountladder.systemclock import SystemClock
 from mountladder_entry.httpbackend import HttpBackend
+from mountladder_entry.httpengines import HttpEngines
 from mountladder_entry.node import Node
 from mountladder_entry.platform import http_platform
 
@@ -64,7 +65,10 @@
     backend = HttpBackend(clock)
     stack.callback(backend.close)
     platform = http_platform(settings.platform, clock, stack)
-    node = Node(settings, clock, platform, backend, make_metrics(settings, stack))
+    engines = HttpEngines(clock)
+    stack.callback(engines.close)
+    metrics = make_metrics(settings, stack)
+    node = Node(settings, clock, platform, backend, metrics, engines=engines)
     asked = Event()
     gevent.signal_handler(signal.SIGTERM, take_signal, asked, node)
     gevent.signal_handler(signal.SIGINT, take_signal, asked, node)
--- a/packages/entry/src/mountladder_entry/node.py
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -10,6 +10,7 @@
 
 from mountladder.backend import Backend
 from mountladder.clock import Clock
+from mountladder.engines import Engines
 from mountladder.listener import listener
 from mountladder.metrics import Metrics
 from mountladder.platform import Platform
@@ -34,6 +35,7 @@
         backend: Calls backend servers.
         metrics: Where metrics go.
         seed: The seed of its random numbers, or None for a different one each time.
+        engines: Reads and orders engines, or None to send no orders.
     """
 
     def __init__(
@@ -44,9 +46,10 @@
         backend: Backend,
         metrics: Metrics,
         seed: int | None = None,
+        engines: Engines | None = None,
     ) -> None:
         network = TcpNetwork(settings.secret.encode())
-        super().__init__(settings, clock, platform, backend, network, metrics, seed)
+        super().__init__(settings, clock, platform, backend, network, metrics, seed, None, engines)
         self.relay = Relay(self.membership, clock, metrics)
         self.stack.callback(self.relay.close)
 
--- a/packages/standins/src/mountladder_standins/localbackend.py
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -18,7 +18,7 @@
 from mountladder.stagecall import StageCall
 from mountladder.stageresult import StageResult
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
-from mountladder_standins.standinserver import StandinServer
+from mountladder_standins.standinserver import NOT_LOADED, StandinServer
 
 
 class LocalBackend(Backend):
@@ -95,7 +95,8 @@
 
 def _stage_error(error: Exception) -> StageError:
     if isinstance(error, ServerRefusalError):
-        return StageError(str(error), Code.SERVER_REFUSED, False)
+        code = Code.MODEL_MISSING if str(error) == NOT_LOADED else Code.SERVER_REFUSED
+        return StageError(str(error), code, False)
     if isinstance(error, WaitTimeoutError):
         return StageError("no answer in time", Code.STAGE_STALLED)
     return StageError(str(error), Code.BAD_ANSWER)
--- /dev/null
+++ b/packages/standins/src/mountladder_standins/localengines.py
@@ -0,0 +1,43 @@
+# localengines.py -- Orders to stand-in engines of the same process
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Orders to stand-in engines of the same process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from mountladder.backendserver import BackendServer
+from mountladder.code import Code
+from mountladder.engines import Engines
+from mountladder.enginestate import EngineState
+from mountladder.errors import StageError
+from mountladder.order import Order
+from mountladder_standins.standinloader import StandinLoader
+
+
+class LocalEngines(Engines):
+    """The in-memory twin of orders over HTTP.
+
+    Args:
+        loaders: The stand-ins by the server's name.
+    """
+
+    def __init__(self, loaders: Mapping[str, StandinLoader]) -> None:
+        self.loaders = loaders
+        self.down: set[str] = set()
+
+    def state(self, server: BackendServer) -> EngineState:
+        """Return what an engine serves; see Engines."""
+        return self.reach(server).state()
+
+    def order(self, server: BackendServer, order: Order) -> None:
+        """Order an engine; see Engines."""
+        self.reach(server).order(order)
+
+    def reach(self, server: BackendServer) -> StandinLoader:
+        """Return the stand-in of an engine, where it can be reached."""
+        if server.name in self.down or server.name not in self.loaders:
+            raise StageError(f"{server.name}: cannot be reached", Code.CONNECT_FAILED, False)
+        return self.loaders[server.name]
--- a/packages/standins/src/mountladder_standins/serverface.py
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -13,7 +13,9 @@
 
 import bottle
 
-from mountladder.errors import DocumentError
+from mountladder.enginestate import EngineState
+from mountladder.errors import DocumentError, OrderFencedError
+from mountladder.order import Order
 from mountladder_standins.faults import Faults
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
 from mountladder_standins.standinserver import StandinServer
@@ -25,6 +27,8 @@
     """Return the application that serves a stand-in over HTTP, as an engine and as a service."""
     app = bottle.Bottle()
     app.post("/v1/cancel", callback=lambda: cancel(standin))
+    app.get("/v1/state", callback=lambda: state(standin))
+    app.put("/v1/orders", callback=lambda: order(standin))
     app.post("/v1/<work>", callback=lambda work: call(standin, work))
     app.put("/faults", callback=lambda: set_faults(standin))
     app.get("/ran", callback=lambda: ran(standin))
@@ -82,6 +86,24 @@
     return ""
 
 
+def state(standin: StandinServer) -> dict[str, object]:
+    """Return which models are loaded."""
+    found = standin.loader.state() if standin.loader else EngineState((), (), 0)
+    return {"models": dict(found.models), "loading": dict(found.loading), "fence": found.fence}
+
+
+def order(standin: StandinServer) -> str:
+    """Carry out an order."""
+    table = json.loads(bottle.request.body.read())
+    try:
+        if standin.loader is not None:
+            standin.loader.order(Order(int(table["fence"]), tuple(table["models"].items())))
+    except OrderFencedError as error:
+        bottle.response.status = 409
+        return str(error)
+    return ""
+
+
 def set_faults(standin: StandinServer) -> str:
     """Set the faults."""
     try:
--- a/packages/standins/src/mountladder_standins/standinserver.py
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import json
+import re
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
@@ -18,12 +19,15 @@
 from mountladder_standins.ranstage import RanStage
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
 from mountladder_standins.speeds import Speeds
+from mountladder_standins.standinloader import StandinLoader
 
 QUANTUM_MS = 25.0
 PREFIX_BYTES = 256
 MOST_TOKENS = 2_000
 DEFAULT_TOKENS = 24
 MOST_RUNS_KEPT = 100_000
+NOT_LOADED = "not-loaded"
+_MODEL = re.compile(rb'\{"model":"([^"]*)"')
 
 
 class StandinServer:
@@ -40,6 +44,7 @@
         faults: What is wrong at present.
         ran: Every call it began to run.
         running: How many calls it runs.
+        loader: Loads models as ordered, or None where every model is there.
         report_lag_ms: How late the loads that it reports are.
         busy_ms: The time spent on calls, as if each ran alone.
     """
@@ -52,6 +57,7 @@
         self.ran: list[RanStage] = []
         self.running = 0
         self.busy_ms = 0.0
+        self.loader: StandinLoader | None = None
         self.report_lag_ms = 0.0
         self.loads: deque[tuple[float, int]] = deque([(0.0, 0)])
         self.cancelled: OrderedDict[str, bool] = OrderedDict()
@@ -125,6 +131,8 @@
         """Take a call or refuse it; return the hash of the request's input."""
         if self.faults.draining:
             raise ServerRefusalError("draining")
+        if self.loader is not None and model_of(body) not in {"", *self.loader.models}:
+            raise ServerRefusalError(NOT_LOADED)
         if self.faults.fail:
             self.faults = self.faults.without_one("fail")
             raise ServerFailureError("told to fail")
@@ -182,6 +190,12 @@
     return body[start + len(b'"input":') : end]
 
 
+def model_of(body: bytes) -> str:
+    """Return the name of the model that a call's body asks for."""
+    match = _MODEL.match(body)
+    return match.group(1).decode() if match else ""
+
+
 def hash_of(data: bytes) -> str:
     """Return a short hash."""
     return hashlib.sha256(data).hexdigest()[:8]
