--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,165 @@
+# fuzz_steps.py -- Steps that put in anything at all
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps that put in anything at all."""
+
+import json
+
+import gevent
+from basics import BASE, SERVERS, TOKEN
+from behave import then
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from mountladder.answer import Answer
+from mountladder.callerrequest import CallerRequest
+from mountladder.change import Change
+from mountladder.configuration import Configuration
+from mountladder.documents import parse_documents
+from mountladder.errors import MountladderError
+from mountladder.eventreader import EventReader
+from mountladder.issuedkey import IssuedKey
+from mountladder.keyrecord import KeyRecord
+from mountladder.ledger import decode_totals
+from mountladder.selector import Selector
+from mountladder.settings import Settings
+from mountladder.virtualclock import VirtualClock
+from mountladder.wire import decode
+from mountladder_standins.faults import Faults
+from mountladder_standins.localfleet import LocalFleet
+
+EXAMPLES = 150
+WORDS = [
+    "name", "kind", "revision", "operation", "author", "at_ms", "puts", "deletes", "documents",
+    "key", "nonce", "state", "answer", "code", "fence", "stage", "request", "tokens", "result",
+    "stages", "fail", "down", "slow_ms", "labels", "work", "server", "team", "pipeline", "model",
+]  # fmt: skip
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.sampled_from(WORDS) | st.text(max_size=4), inner, max_size=5),
+    max_leaves=12,
+)
+LEAF = st.sampled_from([0, 1, -1, 1.5, float("inf"), "", "x", None, True, [], [[]], {}])
+
+
+def rows(*keys):
+    whole = st.fixed_dictionaries(dict.fromkeys(keys, LEAF | JSON))
+    return st.binary(max_size=60) | (JSON | whole).map(lambda value: json.dumps(value).encode())
+
+
+TOML = st.text(max_size=60) | st.lists(
+    st.sampled_from(
+        ["[[server]]", "[[team]]", "[[pipeline]]", "[[pipeline.stage]]", 'name = "a"', "share = -1"]
+        + ['work = "encode"', "slots = 1e400", "labels = 3", "x = {}", 'after = ["a"]', "stage = 1"]
+    ),
+    max_size=8,
+).map("\n".join)
+EVENTS = st.lists(
+    st.binary(max_size=20)
+    | st.sampled_from(
+        [b'id: 1\ndata: "a"\n\n', b'id: 2\ndata: "b"\n\n', b'event: done\ndata: {"tokens":1}\n\n']
+        + [b"event: error\ndata: \xff\n\n", b"event: done\ndata: []\n\n", b"id: 99999\n", b"\n\n"]
+    ),
+    max_size=8,
+)
+
+
+def feed(pieces):
+    reader = EventReader(0)
+    for piece in pieces:
+        reader.feed(piece, None)
+
+
+def fleet():
+    made = LocalFleet(VirtualClock())
+
+    def begin():
+        made.append([*parse_documents(BASE, "base"), *SERVERS])
+        made.start("a-1", "a")
+        made.wait_ready()
+
+    made.clock.run(gevent.spawn(begin))
+    return made
+
+
+def ask(made, table, deadline, key, token, pipeline):
+    called = CallerRequest(
+        pipeline, token, json.dumps(table).encode(), made.clock.now(), deadline, key
+    )
+
+    def work():
+        try:
+            reply = made.runtimes["a-1"].gateway.serve(called)
+            for _ in reply.chunks or ():
+                pass
+        except MountladderError as error:
+            return error
+        return None
+
+    error = made.clock.run(made.calls["a-1"].spawn(work))
+    if error is not None:
+        raise error
+
+
+def reads(input_):
+    """The strategy for one kind of input and what reads it."""
+    simple = {
+        "settings": (TOML, lambda text: Settings.read(text, "x")),
+        "documents": (TOML, lambda text: parse_documents(text, "x")),
+        "selector": (st.text("ab=!, ()in", max_size=12), Selector.parse),
+        "peer message": (st.binary(max_size=200), decode),
+        "stream of tokens": (EVENTS, feed),
+        "row of a change": (
+            rows("revision", "operation", "author", "at_ms", "puts", "deletes"),
+            Change.decode,
+        ),
+        "row of a snapshot": (rows("revision", "documents"), Configuration.decode),
+        "row of a claim": (
+            rows("key", "nonce", "incarnation", "fingerprint", "at_ms", "state", "answer", "code"),
+            KeyRecord.decode,
+        ),
+        "row of cost": (rows(), decode_totals),
+        "kept answer": (rows("request", "revision", "result", "tokens", "stages"), Answer.decode),
+        "issued key": (st.text(max_size=40), lambda text: IssuedKey.parse(text, b"s", "t")),
+        "faults": (JSON, Faults.read),
+    }
+    return simple[input_]
+
+
+def never_unhandled(strategy, read):
+    @settings(
+        max_examples=EXAMPLES,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(strategy)
+    def check(value):
+        try:
+            read(value)
+        except* MountladderError:
+            pass
+
+    check()
+
+
+@then("any request of a caller is read or refused with a numbered error")
+def any_request(context):
+    made = fleet()
+    strategy = st.tuples(
+        JSON,
+        st.none() | st.floats(),
+        st.text(max_size=12),
+        st.sampled_from([TOKEN, "", "no"]) | st.text(max_size=5),
+        st.sampled_from(["reply", "push"]) | st.text(max_size=5),
+    )
+    never_unhandled(strategy, lambda value: ask(made, *value))
+    made.stop()
+
+
+@then("any {input_} is read or refused with a numbered error")
+def any_input(context, input_):
+    never_unhandled(*reads(input_))
--- a/packages/core/src/mountladder/answer.py
+++ b/packages/core/src/mountladder/answer.py
@@ -9,7 +9,7 @@
 import json
 from dataclasses import asdict, dataclass
 
-from mountladder.errors import BadRowError
+from mountladder.errors import MALFORMED, BadRowError
 from mountladder.stagetiming import StageTiming
 
 
@@ -59,5 +59,5 @@
                 tokens=int(table["tokens"]),
                 timings=tuple(StageTiming(**timing) for timing in table["stages"]),
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             raise BadRowError(f"a kept answer cannot be read: {error}") from error
--- a/packages/core/src/mountladder/change.py
+++ b/packages/core/src/mountladder/change.py
@@ -11,7 +11,7 @@
 
 from mountladder.document import Document
 from mountladder.documents import read_document
-from mountladder.errors import BadRowError, DocumentError
+from mountladder.errors import MALFORMED, BadRowError, DocumentError
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,5 +63,5 @@
                 puts=tuple(read_document(kind, entry) for kind, entry in table["puts"]),
                 deletes=tuple(str(key) for key in table["deletes"]),
             )
-        except (ValueError, KeyError, TypeError, DocumentError) as error:
+        except (*MALFORMED, DocumentError) as error:
             raise BadRowError(f"a change of the configuration cannot be read: {error}") from error
--- a/packages/core/src/mountladder/changelog.py
+++ b/packages/core/src/mountladder/changelog.py
@@ -16,6 +16,7 @@
 from mountladder.configuration import Configuration
 from mountladder.document import Document
 from mountladder.errors import (
+    MALFORMED,
     BadRowError,
     ConditionFailedError,
     RevisionConflictError,
@@ -169,5 +170,5 @@
 def _revision(row: Row) -> int:
     try:
         return int(json.loads(row.value)["revision"])
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED as error:
         raise BadRowError(f"{row.key}: expected a revision: {error}") from error
--- a/packages/core/src/mountladder/configuration.py
+++ b/packages/core/src/mountladder/configuration.py
@@ -14,7 +14,7 @@
 from mountladder.change import Change
 from mountladder.document import Document
 from mountladder.documents import read_document
-from mountladder.errors import BadRowError, DocumentError
+from mountladder.errors import MALFORMED, BadRowError, DocumentError
 from mountladder.model import Model
 from mountladder.pipeline import Pipeline
 from mountladder.selector import Selector
@@ -120,5 +120,5 @@
             table = json.loads(value)
             documents = [read_document(kind, entry) for kind, entry in table["documents"]]
             return cls(int(table["revision"]), {one.key: one for one in documents})
-        except (ValueError, KeyError, TypeError, DocumentError) as error:
+        except (*MALFORMED, DocumentError) as error:
             raise BadRowError(f"a snapshot of the configuration cannot be read: {error}") from error
--- a/packages/core/src/mountladder/errors.py
+++ b/packages/core/src/mountladder/errors.py
@@ -8,6 +8,17 @@
 
 from mountladder.code import Code
 
+# What reading a value of the wrong form raises, whatever is wrong with it.
+MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
+
 
 class MountladderError(Exception):
     """An error with a numbered code.
--- a/packages/core/src/mountladder/eventreader.py
+++ b/packages/core/src/mountladder/eventreader.py
@@ -11,7 +11,7 @@
 
 from mountladder.chunk import Chunk
 from mountladder.code import Code
-from mountladder.errors import StageError
+from mountladder.errors import MALFORMED, StageError
 
 MOST_EVENT_BYTES = 65_536
 _END = b"\n\n"
@@ -84,7 +84,7 @@
         """Check the end of the stream against the tokens read."""
         try:
             tokens = int(json.loads(data)["tokens"])
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             raise StageError("the end of a stream cannot be read", Code.BAD_ANSWER) from error
         if tokens != self.held:
             raise StageError(f"{tokens} tokens were sent, {self.held} came", Code.STREAM_CUT)
--- a/packages/core/src/mountladder/keyrecord.py
+++ b/packages/core/src/mountladder/keyrecord.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from mountladder.code import Code
-from mountladder.errors import BadRowError
+from mountladder.errors import MALFORMED, BadRowError
 from mountladder.keystate import KeyState
 
 
@@ -76,5 +76,5 @@
                 code=Code[table["code"]] if table["code"] else None,
                 detail=str(table["detail"]),
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             raise BadRowError(f"a claim cannot be read: {error}") from error
--- a/packages/core/src/mountladder/lease.py
+++ b/packages/core/src/mountladder/lease.py
@@ -10,6 +10,7 @@
 
 from mountladder.clock import Clock
 from mountladder.errors import (
+    MALFORMED,
     BadRowError,
     ConditionFailedError,
     LeaseLostError,
@@ -136,5 +137,5 @@
     try:
         table = json.loads(row.value)
         return {"holder": str(table["holder"]), "fence": int(table["fence"])}
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED as error:
         raise BadRowError(f"{row.key}: no lease: {error}") from error
--- a/packages/core/src/mountladder/ledger.py
+++ b/packages/core/src/mountladder/ledger.py
@@ -11,7 +11,7 @@
 from mountladder.amount import Amount
 from mountladder.backendserver import BackendServer
 from mountladder.charge import Charge
-from mountladder.errors import BadRowError
+from mountladder.errors import MALFORMED, BadRowError
 from mountladder.table import Table
 from mountladder.write import Write
 
@@ -88,7 +88,7 @@
             Charge(*map(str, entry[:5])): Amount(int(entry[5]), float(entry[6]), float(entry[7]))
             for entry in json.loads(value)
         }
-    except (ValueError, TypeError, IndexError) as error:
+    except MALFORMED as error:
         raise BadRowError(f"a row of cost cannot be read: {error}") from error
 
 
--- a/packages/entry/src/mountladder_entry/httpengines.py
+++ b/packages/entry/src/mountladder_entry/httpengines.py
@@ -15,7 +15,7 @@
 from mountladder.code import Code
 from mountladder.engines import Engines
 from mountladder.enginestate import EngineState
-from mountladder.errors import OrderFencedError, StageError, WaitTimeoutError
+from mountladder.errors import MALFORMED, OrderFencedError, StageError, WaitTimeoutError
 from mountladder.order import Order
 
 ANSWER_MS = 1_000.0
@@ -41,7 +41,7 @@
             return EngineState(
                 _models(table["models"]), _models(table["loading"]), int(table["fence"])
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             detail = f"{server.name}: its state cannot be read: {error}"
             raise StageError(detail, Code.BAD_ANSWER) from error
 
--- a/packages/standins/src/mountladder_standins/platformface.py
+++ b/packages/standins/src/mountladder_standins/platformface.py
@@ -13,6 +13,7 @@
 import bottle
 
 from mountladder.errors import (
+    MALFORMED,
     ConditionFailedError,
     DocumentError,
     StoreAmbiguousError,
@@ -51,7 +52,7 @@
             return bottle.HTTPResponse(str(error), 503)
         except StoreAmbiguousError as error:
             return bottle.HTTPResponse(str(error), LOST_STATUS)
-        except (ValueError, KeyError, TypeError, DocumentError) as error:
+        except (*MALFORMED, DocumentError) as error:
             return bottle.HTTPResponse(str(error), 400)
 
     return guarded
--- a/packages/standins/src/mountladder_standins/serverface.py
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -14,7 +14,7 @@
 import bottle
 
 from mountladder.enginestate import EngineState
-from mountladder.errors import DocumentError, OrderFencedError
+from mountladder.errors import MALFORMED, DocumentError, OrderFencedError
 from mountladder.order import Order
 from mountladder_standins.faults import Faults
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
@@ -108,7 +108,7 @@
     """Set the faults."""
     try:
         standin.faults = Faults.read(json.loads(bottle.request.body.read()))
-    except (ValueError, DocumentError) as error:
+    except (*MALFORMED, DocumentError) as error:
         bottle.response.status = 400
         return str(error)
     return ""
