Split what had grown: attempts, claim rows, calls

Change: attempts.py judges how attempts end, by one guard for whole and streamed stages; claimrow.py holds the rows of claims; calls.py the calls to instances; a routing decision is made by its own type. Behaviour is as it was; the two mutations of the fault run name the new place.

--- a/features/steps/faultrun_steps.py
+++ b/features/steps/faultrun_steps.py
@@ -9,6 +9,7 @@
 from basics import BASE, SERVERS, TOKEN
 from behave import then, when
 
+from mountladder.attempts import Attempts
 from mountladder.changelog import ChangeLog
 from mountladder.configuration import Configuration
 from mountladder.detachedrun import DetachedRun
@@ -109,11 +110,11 @@
     "hands out the answer of another request": answer_of_another,
     "takes a stream that was cut for whole": cut_is_whole,
     "forgets what it dispatched": lambda: patch.object(
-        PipelineRun, "mark_dispatched", lambda self: None
+        Attempts, "mark_dispatched", lambda self: None
     ),
     "runs keys without a claim": lambda: patch.object(Idempotency, "decide_claimed", without_claim),
     "repeats non-idempotent stages": lambda: patch.object(
-        PipelineRun, "may_repeat", lambda self, stage: True
+        Attempts, "may_repeat", lambda self, stage: True
     ),
     "ignores selectors": lambda: patch.object(Configuration, "servers_for", every_server),
     "serves before it knows the newest revision": lambda: patch.object(
--- a/packages/cli/src/mountladder_cli/porcelain.py
+++ b/packages/cli/src/mountladder_cli/porcelain.py
@@ -7,12 +7,9 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 import uuid
 from collections.abc import Callable, Iterator, Sequence
 
-import urllib3
-
 from mountladder.amount import Amount
 from mountladder.change import Change
 from mountladder.changelog import ChangeLog
@@ -27,12 +24,17 @@
 from mountladder.ledger import read_totals
 from mountladder.platform import Platform
 from mountladder_cli.applied import Applied
+from mountladder_cli.calls import fetch, issue_keys, request
 from mountladder_cli.edit import Edit
 from mountladder_cli.standing import Standing
 
+__all__ = [
+    "amend", "apply", "change", "cost", "delete", "differing", "drain", "explain", "fetch",
+    "find", "history", "issue_keys", "label", "load", "request", "standing", "status",
+    "wait_in_force",
+]  # fmt: skip
 TRIES = 5
 POLL_MS = 100.0
-INSTANCE_SECONDS = 2.0
 HISTORY_PAGE = 100
 
 
@@ -127,6 +129,7 @@
     """Remove a document."""
 
     def edit(base: Configuration) -> Edit:
+        """Work the change out."""
         return Edit((), (find(base, kind, name).key,))
 
     return amend(platform, clock, author, edit)
@@ -143,6 +146,7 @@
     """Set labels of a document; a label whose value is None is removed."""
 
     def edit(base: Configuration) -> Edit:
+        """Work the change out."""
         document = find(base, kind, name)
         merged = {**document.labels, **labels}
         kept = {key: value for key, value in merged.items() if value is not None}
@@ -155,6 +159,7 @@
     """Stop or resume sending new work to a backend server."""
 
     def edit(base: Configuration) -> Edit:
+        """Work the change out."""
         server = dataclasses.replace(find(base, "server", name), draining=draining)
         return Edit(differing(base, [server]), ())
 
@@ -208,96 +213,13 @@
         clock.sleep(POLL_MS)
 
 
-def explain(platform: Platform, request: str, token: str = "") -> dict[str, object]:
+def explain(platform: Platform, wanted: str, token: str = "") -> dict[str, object]:
     """Return what happened to a request, from whichever instance took it.
 
     Raises:
         DocumentError: No reachable instance knows of it.
     """
     for instance in platform.instances.instances():
-        if request.startswith(instance.incarnation):
-            return fetch(instance, f"/ops/explain/{request}", token)
-    raise DocumentError(f"no listed instance knows of request {request!r}", Code.NOT_FOUND)
-
-
-def fetch(instance: Instance, path: str, token: str) -> dict[str, object]:
-    """Return a page of an instance.
-
-    Raises:
-        DocumentError: It does not answer, or refuses.
-    """
-    url = f"http://{instance.web}{path}"
-    headers = {"Authorization": f"Bearer {token}"} if token else {}
-    try:
-        response = urllib3.request(
-            "GET", url, headers=headers, timeout=INSTANCE_SECONDS, retries=False
-        )
-        table = json.loads(response.data)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-        raise DocumentError(f"{url}: no answer", Code.PEER_UNREACHABLE) from error
-    if response.status != 200:
-        raise DocumentError(f"{url}: {table.get('detail', response.status)}", Code.NOT_FOUND)
-    return table
-
-
-def request(
-    web: str,
-    pipeline: str,
-    token: str,
-    input_: object,
-    deadline_ms: float | None = None,
-    key: str = "",
-    stream: bool = True,
-) -> Iterator[bytes]:
-    """Send a request to an instance and yield its answer as it comes.
-
-    Args:
-        web: The instance's IP number and port.
-        pipeline: The pipeline's name.
-        token: The team's token.
-        input_: The input, of any JSON type.
-        deadline_ms: How long it may take, or None for the pipeline's deadline.
-        key: The Idempotency-Key, or an empty string.
-        stream: Whether to ask for server-sent events.
-    """
-    body: dict[str, object] = {"input": input_}
-    if deadline_ms is not None:
-        body["deadline_ms"] = deadline_ms
-    headers = {
-        "Authorization": f"Bearer {token}",
-        "Content-Type": "application/json",
-        "Accept": "text/event-stream" if stream else "application/json",
-    }
-    if key:
-        headers["Idempotency-Key"] = key
-    url = f"http://{web}/v1/pipelines/{pipeline}"
-    try:
-        response = urllib3.request(
-            "POST",
-            url,
-            body=json.dumps(body),
-            headers=headers,
-            preload_content=False,
-            retries=False,
-        )
-        yield from response.stream()
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise DocumentError(f"{url}: {error}", Code.PEER_UNREACHABLE) from error
-
-
-def issue_keys(web: str, token: str, count: int = 1) -> list[str]:
-    """Return idempotency keys that an instance issued.
-
-    Raises:
-        DocumentError: The instance does not answer, or refuses.
-    """
-    url = f"http://{web}/v1/keys?count={count}"
-    headers = {"Authorization": f"Bearer {token}"}
-    try:
-        response = urllib3.request("POST", url, headers=headers, retries=False)
-        table = json.loads(response.data)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-        raise DocumentError(f"{url}: no answer", Code.PEER_UNREACHABLE) from error
-    if "keys" not in table:
-        raise DocumentError(f"{url}: {table.get('detail', '')}", Code.UNAUTHENTICATED)
-    return table["keys"]
+        if wanted.startswith(instance.incarnation):
+            return fetch(instance, f"/ops/explain/{wanted}", token)
+    raise DocumentError(f"no listed instance knows of request {wanted!r}", Code.NOT_FOUND)
--- /dev/null
+++ b/packages/core/src/mountladder/attempts.py
@@ -0,0 +1,248 @@
+# attempts.py -- The attempts at the stages of one request
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+"""The attempts at the stages of one request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+
+import gevent
+
+from mountladder.attempt import Attempt
+from mountladder.charge import Charge
+from mountladder.choice import Choice
+from mountladder.code import Code
+from mountladder.errors import RunError, StageError
+from mountladder.metric import Metric
+from mountladder.request import Request
+from mountladder.runcontext import RunContext
+from mountladder.stage import Stage
+from mountladder.stagecall import StageCall
+from mountladder.stageplan import stage_budget
+from mountladder.stagetiming import StageTiming
+from mountladder.trace import Trace
+from mountladder.tries import Tries
+
+MOST_ATTEMPTS = 4
+BACKOFF_MS = 20.0
+PREFIX_BYTES = 256
+PATIENCE = 4.0
+STALL_MS = 1_000.0
+GRACE_MS = 30_000.0
+GIVE_UP = 1.5
+
+
+class Attempts:
+    """Begins attempts at stages, judges how they end, and repeats what may be repeated.
+
+    Args:
+        request: The request.
+        trace: Where each attempt is recorded.
+        context: What runs share.
+
+    Attributes:
+        dispatched: Whether any stage may have begun to run at a backend server.
+        unrepeatable: The stages that may have run and must not be repeated.
+        timings: Where and how long each finished stage ran.
+    """
+
+    def __init__(self, request: Request, trace: Trace, context: RunContext) -> None:
+        self.request = request
+        self.trace = trace
+        self.context = context
+        self.dispatched = False
+        self.unrepeatable: set[str] = set()
+        self.timings: list[StageTiming] = []
+
+    @contextmanager
+    def watched(self, attempt: Attempt, tries: Tries) -> Iterator[None]:
+        """Judge how an attempt ends; return where it failed and may be repeated.
+
+        Raises:
+            RunError: It failed for good.
+        """
+        try:
+            yield
+        except StageError as error:
+            self.fail(attempt, tries, error)
+        except BaseException:
+            self.abandon(attempt)
+            raise
+
+    def begin(self, tries: Tries, left: Sequence[Stage]) -> Attempt:
+        """Choose a server by the newest known selectors and build the call.
+
+        Args:
+            tries: The attempts at the stage so far.
+            left: The stages not yet run, this one included.
+
+        Raises:
+            StageError: There is no time or no server; nothing was sent.
+        """
+        clock = self.context.clock
+        stage, body = tries.stage, tries.body
+        remaining = self.request.deadline - clock.now()
+        if remaining <= 0:
+            raise StageError("no time is left for the stage", Code.DEADLINE_PASSED, False)
+        configuration = self.context.follower.configuration
+        budget = stage_budget(self.context.costs, self.request.pipeline, stage, left, remaining)
+        choice = self.context.router.pick(
+            configuration.servers_for(stage, self.request.team),
+            stage,
+            len(body),
+            budget,
+            tries.failed,
+            hash(self.request.input[:PREFIX_BYTES]) if stage.work == "generate" else None,
+        )
+        self.give_up_early(choice, tries, remaining)
+        tries.count += 1
+        if not self.may_repeat(stage):
+            self.unrepeatable.add(stage.name)
+        call = self.call(tries, choice.expected_ms, remaining)
+        self.trace.add(
+            "sent", stage.name, call.attempt, choice.state.server.name, 0, choice.reason()
+        )
+        return Attempt(choice, call, clock.now())
+
+    def give_up_early(self, choice: Choice, tries: Tries, remaining: float) -> None:
+        """Raise where even the chosen server is not expected to finish in time by far."""
+        if choice.expected_ms > GIVE_UP * remaining and self.may_repeat(tries.stage):
+            self.context.router.withdraw(choice)
+            detail = f"it was expected to take {choice.expected_ms:.0f} ms"
+            raise StageError(detail, Code.DEADLINE_PASSED, False)
+
+    def call(self, tries: Tries, expected_ms: float, remaining: float) -> StageCall:
+        """Return the call of the next attempt.
+
+        An attempt that may be repeated is given up in time for another one. One that may not is
+        let go on after the deadline, so that its outcome becomes known.
+        """
+        stage = tries.stage
+        patience = self.patience(tries, expected_ms, remaining)
+        deadline = self.context.clock.now() + (remaining if stage.stream else patience)
+        return StageCall(
+            request=self.request.id,
+            attempt=f"{self.request.id}.{stage.name}.{tries.count}",
+            stage=stage,
+            body=tries.body,
+            deadline=deadline,
+            priority=self.request.pipeline.urgency,
+            tokens_held=tries.tokens,
+            first_ms=patience,
+            stall_ms=STALL_MS,
+        )
+
+    def patience(self, tries: Tries, expected_ms: float, remaining: float) -> float:
+        """Return how long an attempt may take, up to its first token where it streams.
+
+        It grows from attempt to attempt, in case the expectation was wrong. An attempt after which
+        there would be no time for another may take all that is left.
+        """
+        if not self.may_repeat(tries.stage):
+            return remaining + GRACE_MS
+        patience = max(PATIENCE * expected_ms, STALL_MS) * 2 ** (tries.count - 1)
+        return remaining if remaining - patience < expected_ms else patience
+
+    def may_repeat(self, stage: Stage) -> bool:
+        """Tell whether a stage may be run again after it may have run."""
+        return stage.idempotent and self.request.idempotent
+
+    def succeed(self, attempt: Attempt, tries: Tries, load: int | None) -> None:
+        """Record an attempt that gave its whole result."""
+        self.mark_dispatched()
+        stage = tries.stage
+        elapsed = self.elapsed(attempt)
+        self.context.router.succeeded(attempt.choice, stage, len(tries.body), elapsed, load)
+        whole = self.context.clock.now() - tries.started
+        self.context.costs.record_whole(self.request.pipeline.name, stage, whole)
+        self.context.budgets[self.budget_name(stage)].earn()
+        late = self.context.clock.now() > self.request.deadline
+        cost = self.charge(attempt, "late" if late else "useful")
+        server = attempt.choice.state.server.name
+        self.timings.append(StageTiming(stage.name, server, tries.count, round(elapsed, 1), cost))
+        self.context.metrics.timing(Metric.STAGE_MS, whole, stage.name)
+        self.trace.add("answered", stage.name, attempt.call.attempt, server)
+
+    def fail(self, attempt: Attempt, tries: Tries, error: StageError) -> None:
+        """Record a failed attempt; return where it may be repeated, raise where it may not."""
+        stage = tries.stage
+        if error.dispatched:
+            self.mark_dispatched()
+        else:
+            self.unrepeatable.discard(stage.name)
+        if self.context.clock.now() >= self.request.deadline:
+            error = StageError(error.detail, Code.DEADLINE_PASSED, error.dispatched)
+        server = attempt.choice.state.server
+        self.context.router.failed(
+            attempt.choice, error.code, self.elapsed(attempt), stage, len(tries.body)
+        )
+        self.charge(attempt, "late" if error.code is Code.DEADLINE_PASSED else "retried")
+        self.trace.add(
+            "failed", stage.name, attempt.call.attempt, server.name, error.code.number, error.detail
+        )
+        if error.code in {Code.DEADLINE_PASSED, Code.STAGE_STALLED}:
+            self.cancel(attempt)
+        self.check_repeat(stage, tries, error)
+        tries.failed |= {server.name}
+        self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
+        if tries.tokens:
+            self.context.metrics.count(Metric.RESUMED)
+        pause = BACKOFF_MS * 2 ** (tries.count - 1) * self.context.rng.uniform(0.5, 1.5)
+        self.context.clock.sleep(min(pause, max(0.0, self.request.deadline - attempt.started)))
+
+    def check_repeat(self, stage: Stage, tries: Tries, error: StageError) -> None:
+        """Raise where a failed attempt may not be repeated."""
+        if error.dispatched and not self.may_repeat(stage):
+            detail = f"{error.detail}; it is not repeated"
+            raise RunError(detail, Code.OUTCOME_UNKNOWN, stage.name) from error
+        if error.code in {Code.DEADLINE_PASSED, Code.STAGE_FAILED}:
+            raise RunError(error.detail, error.code, stage.name) from error
+        if tries.count >= MOST_ATTEMPTS:
+            raise RunError(error.detail, error.code, stage.name) from error
+        if not self.context.budgets[self.budget_name(stage)].spend():
+            raise RunError(error.detail, Code.RETRY_BUDGET_SPENT, stage.name) from error
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Record an attempt that was given up from outside, and cancel it at its server."""
+        self.mark_dispatched()
+        stage, body = attempt.call.stage, attempt.call.body
+        self.context.router.failed(attempt.choice, Code.CANCELLED, 0.0, stage, len(body))
+        self.charge(attempt, "cancelled")
+        server = attempt.choice.state.server.name
+        code = Code.CANCELLED.number
+        self.trace.add("cancelled", attempt.call.stage.name, attempt.call.attempt, server, code)
+        self.cancel(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Ask the server to stop an attempt, without waiting for it."""
+        self.context.metrics.count(Metric.CANCELLED)
+        server = attempt.choice.state.server
+        gevent.spawn(self.context.backend.cancel, server, attempt.call.attempt)
+
+    def mark_dispatched(self) -> None:
+        """Record that a stage may have begun to run."""
+        self.dispatched = True
+
+    def elapsed(self, attempt: Attempt) -> float:
+        """Return how long an attempt has taken so far, in milliseconds."""
+        return self.context.clock.now() - attempt.started
+
+    def charge(self, attempt: Attempt, use: str) -> float:
+        """Charge the time of an attempt; return what it cost."""
+        server = attempt.choice.state.server
+        elapsed = self.elapsed(attempt)
+        charge = Charge(
+            self.request.team.name,
+            self.request.pipeline.name,
+            attempt.call.stage.name,
+            server.accelerator or server.serves,
+            use,
+        )
+        self.context.ledger.add(charge, server, elapsed)
+        return elapsed / 1000.0 * server.price
+
+    def budget_name(self, stage: Stage) -> str:
+        """Return the name of the retry budget of a stage."""
+        return f"{self.request.pipeline.name}/{stage.name}"
--- a/packages/core/src/mountladder/choice.py
+++ b/packages/core/src/mountladder/choice.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.candidate import Candidate
 from mountladder.serverstate import ServerState
 
 
@@ -31,6 +32,18 @@
     allowed: int
     compared: int
 
+    @classmethod
+    def of(cls, chosen: Candidate, allowed: int, compared: int) -> Choice:
+        """Return the decision for a candidate out of so many."""
+        return cls(
+            chosen.state,
+            chosen.expected_ms,
+            chosen.unloaded_ms,
+            chosen.crowding,
+            allowed,
+            compared,
+        )
+
     def reason(self) -> str:
         """Return why the server was chosen, in words."""
         return (
--- /dev/null
+++ b/packages/core/src/mountladder/claimrow.py
@@ -0,0 +1,31 @@
+# claimrow.py -- The rows that hold claims on keys
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+"""The rows that hold claims on keys."""
+
+from __future__ import annotations
+
+from mountladder.errors import BadRowError
+from mountladder.keyrecord import KeyRecord
+from mountladder.row import Row
+from mountladder.write import ABSENT, Write
+
+CLAIM_PREFIX = "claim/"
+
+
+def claim_key(key: str) -> str:
+    """Return the key of the row that holds a claim."""
+    return CLAIM_PREFIX + key
+
+
+def claim_write(record: KeyRecord) -> Write:
+    """Return the write that claims a key, which holds only where nobody claimed it."""
+    return Write(claim_key(record.key), record.encode(), ABSENT)
+
+
+def claimed_at(row: Row) -> float:
+    """Return when a claim was made; a row that cannot be read counts as very old."""
+    try:
+        return KeyRecord.decode(row.value).at_ms
+    except BadRowError:
+        return float("-inf")
--- a/packages/core/src/mountladder/clock.py
+++ b/packages/core/src/mountladder/clock.py
@@ -68,6 +68,7 @@
         inside = True
 
         def throw() -> None:
+            """Raise the error where the block still runs."""
             if inside:
                 task.throw(error)
 
--- a/packages/core/src/mountladder/detachedrun.py
+++ b/packages/core/src/mountladder/detachedrun.py
@@ -82,7 +82,7 @@
 
     def too_late(self) -> RunError:
         """Return the error for a caller whose deadline passed while the run goes on."""
-        if self.run.unrepeatable:
+        if self.run.attempts.unrepeatable:
             detail = "the deadline passed; a repeat with the same key may get the answer"
             return RunError(detail, Code.OUTCOME_UNKNOWN, retry_after_ms=1_000.0)
         return RunError("", Code.DEADLINE_PASSED)
--- a/packages/core/src/mountladder/gateway.py
+++ b/packages/core/src/mountladder/gateway.py
@@ -182,11 +182,12 @@
             raise
 
         def ended(error: MountladderError | None) -> None:
+            """Settle the key and the account once the run ends."""
             self.admission.leave(run.request.team)
             if error is None:
                 self.idempotency.finish(record, run.answer.encode())
             else:
-                self.idempotency.fail(record, error, run.dispatched)
+                self.idempotency.fail(record, error, run.attempts.dispatched)
             self.account(run, error)
 
         yield from DetachedRun(run, self.context.clock, ended, self.runs).read()
--- a/packages/core/src/mountladder/idempotency.py
+++ b/packages/core/src/mountladder/idempotency.py
@@ -13,10 +13,10 @@
 
 from gevent.pool import Group
 
+from mountladder.claimrow import CLAIM_PREFIX, claim_key, claim_write, claimed_at
 from mountladder.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import (
-    BadRowError,
     ConditionFailedError,
     MountladderError,
     RefusalError,
@@ -34,11 +34,9 @@
 from mountladder.metrics import Metrics
 from mountladder.request import Request
 from mountladder.resultclass import ResultClass
-from mountladder.row import Row
 from mountladder.table import Table
-from mountladder.write import ABSENT, Write
+from mountladder.write import Write
 
-CLAIM_PREFIX = "claim/"
 ISSUED_KEEP_MS = 3_600_000.0
 CLAIM_SHARE = 0.5
 SETTLE_MS = 60_000.0
@@ -134,7 +132,7 @@
         now = self.clock.now()
         until = now + max(0.0, request.deadline - now) * CLAIM_SHARE
         try:
-            version = self.commits.submit(_claim_write(record), until)
+            version = self.commits.submit(claim_write(record), until)
         except ConditionFailedError:
             self.book.drop(record.key)
             return self.repeat_of_claim(record.key, request)
@@ -228,7 +226,7 @@
 
     def settle_claim(self, record: KeyRecord) -> None:
         """Give back a claim of which it is not known whether it was written."""
-        write = _claim_write(record)
+        write = claim_write(record)
         try:
             version = self.commits.submit(write, self.clock.now() + SETTLE_MS)
         except (ConditionFailedError, StoreUnavailableError, StoreAmbiguousError):
@@ -265,7 +263,7 @@
         rows = self.table.scan(CLAIM_PREFIX, after, page)
         horizon = self.clock.wall() - keep_ms
         for row in rows:
-            if _claimed_at(row) < horizon:
+            if claimed_at(row) < horizon:
                 self.try_write(Write(row.key, None, row.version))
         return rows[-1].key if len(rows) == page else ""
 
@@ -275,11 +273,6 @@
     return f"{request.team.name}/{request.key}"
 
 
-def claim_key(key: str) -> str:
-    """Return the key of the row that holds a claim."""
-    return CLAIM_PREFIX + key
-
-
 def check_key(text: str) -> None:
     """Check the form of an Idempotency-Key.
 
@@ -288,14 +281,3 @@
     """
     if len(text) > LONGEST_KEY or not text.isascii() or not text.isprintable() or " " in text:
         raise RefusalError(f"expected up to {LONGEST_KEY} visible characters", Code.KEY_INVALID)
-
-
-def _claim_write(record: KeyRecord) -> Write:
-    return Write(claim_key(record.key), record.encode(), ABSENT)
-
-
-def _claimed_at(row: Row) -> float:
-    try:
-        return KeyRecord.decode(row.value).at_ms
-    except BadRowError:
-        return float("-inf")
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -111,14 +111,7 @@
         if prefix is not None:
             self.remember(prefix, chosen.state.server.name)
         chosen.state.begin(now)
-        return Choice(
-            chosen.state,
-            chosen.expected_ms,
-            chosen.unloaded_ms,
-            chosen.crowding,
-            len(allowed),
-            len(drawn),
-        )
+        return Choice.of(chosen, len(allowed), len(drawn))
 
     def usable(
         self, allowed: Sequence[BackendServer], excluded: frozenset[str], model: str
--- a/packages/core/src/mountladder/systemclock.py
+++ b/packages/core/src/mountladder/systemclock.py
@@ -33,6 +33,7 @@
         timer.start(function)
 
         def cancel() -> None:
+            """Withdraw the call."""
             timer.stop()
             timer.close()
 
--- a/packages/standins/src/mountladder_standins/platformface.py
+++ b/packages/standins/src/mountladder_standins/platformface.py
@@ -46,6 +46,7 @@
 
 def _faults_as_statuses(callback):
     def guarded(*args, **kwargs):
+        """Call a route; answer errors with their status."""
         try:
             return callback(*args, **kwargs)
         except StoreUnavailableError as error:
--- a/packages/standins/src/mountladder_standins/timeline.py
+++ b/packages/standins/src/mountladder_standins/timeline.py
@@ -47,16 +47,19 @@
         adopt, replace = follower.adopt, follower.replace
 
         def record() -> None:
+            """Record the configuration in force where it is a new one."""
             if follower.configuration is not self.entries[incarnation][-1]:
                 self.times[incarnation].append(self.clock.now())
                 self.entries[incarnation].append(follower.configuration)
 
         def watched_adopt(changes) -> bool:
+            """Adopt and record."""
             adopted = adopt(changes)
             record()
             return adopted
 
         def watched_replace(configuration) -> None:
+            """Replace and record."""
             replace(configuration)
             record()
 
