--- a/packages/core/src/mountladder/costmodel.py
+++ b/packages/core/src/mountladder/costmodel.py
@@ -13,6 +13,7 @@
 WEIGHT_DOWN = 0.3
 WEIGHT_UP = 0.05
 LENGTH_STEP_BITS = 1
+LONGER = 1.2
 
 
 class CostModel:
@@ -71,9 +72,13 @@
         return classes[nearest]
 
     def record_failure(self, stage: Stage, accelerator: str, length: int, spent_ms: float) -> None:
-        """Learn from a call that took too long: its whole time would have been longer still."""
+        """Learn from a call that took too long: its whole time would have been longer still.
+
+        What is known only to be longer is taken over at once, since such calls tell nothing more.
+        """
         if spent_ms > self.expected(stage, accelerator, length):
-            self.record(stage, accelerator, length, spent_ms)
+            classes = self.means.setdefault((stage.work, stage.model, accelerator), {})
+            classes[length.bit_length() // LENGTH_STEP_BITS] = spent_ms * LONGER
 
     def any_accelerator(self, stage: Stage, length: int) -> float:
         """Return the least time known on any accelerator, so that a new one is tried."""
--- a/packages/core/src/mountladder/orders.py
+++ b/packages/core/src/mountladder/orders.py
@@ -23,6 +23,7 @@
 from mountladder.placement import wanted_models
 
 MOST_LOADING = 2
+PER_ENGINE_MS = 200.0
 Models = tuple[tuple[str, str], ...]
 
 
@@ -56,11 +57,20 @@
         self.lease = lease
         self.metrics = metrics
         self.ordered: dict[str, Models] = {}
+        self.next_at = 0.0
 
     def step(self) -> None:
-        """Renew or try to take the lease, and where it is held mend what differs."""
+        """Renew or try to take the lease, and where it is held mend what differs.
+
+        The engines are read the more seldom the more there are, so that the holder's work stays
+        bounded.
+        """
         if not self.lease.step():
             self.ordered.clear()
+            self.next_at = 0.0
+            return
+        now = self.lease.clock.now()
+        if now < self.next_at:
             return
         try:
             self.mend()
@@ -76,6 +86,7 @@
         configuration = self.follower.configuration
         servers = {one.name: one for one in configuration.of_kind("server")}
         states = self.states(servers)
+        self.next_at = self.lease.clock.now() + PER_ENGINE_MS * len(states)
         wanted = wanted_models(configuration, self.datacentre, states)
         serving = Counter(
             name
