Believe a peer about a leaving server that was not used here yet

Cause: a scenario for leaving servers over two data centres failed: an instance that had not used the server yet dropped the peer's word and sent it a call, which was refused. Change: the router keeps what peers say of servers it has no state for. The experiment after the related paper, bench/prefixes.py.

--- /dev/null
+++ b/bench/prefixes.py
@@ -0,0 +1,105 @@
+# prefixes.py -- Whether reference history helps to decide where prefixes stay
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Whether reference history helps to decide where prefixes stay.
+
+An experiment after the related paper.
+
+Li, Wu, Ping, Tao, Lu and Chen, "Coordinated Placement and Replacement for Grid-Based Hierarchical
+Web Caches", keep what was referenced at least K times lately (LRU-K, K = 2). Here a router
+remembers which server was last given a prefix: at every reference, or only from the second on.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+
+from mountladder.backendserver import BackendServer
+from mountladder.costmodel import CostModel
+from mountladder.expectedcompletion import ExpectedCompletion
+from mountladder.memorymetrics import MemoryMetrics
+from mountladder.router import Router
+from mountladder.stage import Stage
+from mountladder.virtualclock import VirtualClock
+from mountladder_standins.standinserver import StandinServer
+from outcomes import Figure
+
+SERVERS = 10
+PREFIXES = 3_000
+REQUESTS = 12_000
+SKEWS = (0.7, 0.9)
+SEEDS = 5
+IN_FLIGHT = 24
+WORK_MS = 100.0
+SAVING = 0.7
+KEPT = 400
+STAGE = Stage("generate", "generate", "m", "", (), True, True, 0.0)
+
+
+class SecondReferenceRouter(Router):
+    """Remembers a prefix only from its second reference on."""
+
+    def remember(self, prefix: int, server: str) -> None:
+        """Remember which server was given a prefix that was seen before."""
+        seen = self.__dict__.setdefault("seen", {})
+        seen[prefix] = seen.pop(prefix, 0) + 1
+        if len(seen) > 4 * KEPT:
+            del seen[next(iter(seen))]
+        if seen[prefix] > 1:
+            super().remember(prefix, server)
+
+
+class ForgetfulRouter(Router):
+    """Remembers no prefix."""
+
+    def remember(self, prefix: int, server: str) -> None:
+        """Forget it."""
+
+
+WAYS = {"none": ForgetfulRouter, "every reference": Router, "second on": SecondReferenceRouter}
+
+
+def measure() -> list[Figure]:
+    figures = []
+    for skew in SKEWS:
+        for name, kind in WAYS.items():
+            runs = [run(kind, skew, seed) for seed in range(SEEDS)]
+            hits = statistics.median(one[0] for one in runs)
+            spread = statistics.median(one[1] for one in runs)
+            figures.append(Figure(f"skew {skew}, history {name}: prefix hits", hits, "share"))
+            figures.append(Figure(f"skew {skew}, history {name}: fullest server", spread, "x mean"))
+    return figures
+
+
+def run(kind: type[Router], skew: float, seed: int) -> tuple[float, float]:
+    """Return the share of prefix hits and the fullest server's calls over the mean."""
+    rng = random.Random(seed)
+    clock = VirtualClock()
+    servers = [
+        BackendServer(f"s{one}", {}, "engine", "x", "a", "new", 1.0, 4, False, ())
+        for one in range(SERVERS)
+    ]
+    standins = {one.name: StandinServer(one.name, clock) for one in servers}
+    costs = CostModel()
+    costs.record(STAGE, "new", 100, WORK_MS)
+    router = kind(clock, random.Random(seed), costs, ExpectedCompletion(), MemoryMetrics())
+    weights = [1.0 / (rank + 1) ** skew for rank in range(PREFIXES)]
+    flying = []
+    hits = 0
+    calls = dict.fromkeys(standins, 0)
+    for prefix in rng.choices(range(PREFIXES), weights, k=REQUESTS):
+        choice = router.pick(servers, STAGE, 100, 1_000.0, prefix=prefix)
+        name = choice.state.server.name
+        hit = standins[name].touch_prefix(b'"input":"%d","results":{}' % prefix)
+        hits += hit
+        calls[name] += 1
+        flying.append((choice, WORK_MS * (1.0 - SAVING * hit)))
+        clock.time += WORK_MS / IN_FLIGHT
+        if len(flying) >= IN_FLIGHT:
+            ended, spent = flying.pop(rng.randrange(len(flying)))
+            router.succeeded(ended, STAGE, 100, spent, None)
+        while len(router.prefixes) > KEPT:
+            router.prefixes.popitem(last=False)
+    return hits / REQUESTS, max(calls.values()) * SERVERS / REQUESTS
--- a/bench/run.py
+++ b/bench/run.py
@@ -13,7 +13,16 @@
 
 import outcomes
 
-ALL = ("relay", "slopes", "decision", "store", "recovery", "policies", "promises")
+ALL = (
+    "relay",
+    "slopes",
+    "decision",
+    "store",
+    "recovery",
+    "prefixes",
+    "policies",
+    "promises",
+)
 
 
 def main() -> int:
--- a/packages/core/src/mountladder/attempts.py
+++ b/packages/core/src/mountladder/attempts.py
@@ -161,7 +161,9 @@
         late = self.context.clock.now() > self.request.deadline
         cost = self.charge(attempt, "late" if late else "useful")
         server = attempt.choice.state.server.name
-        self.timings.append(StageTiming(stage.name, server, tries.count, round(elapsed, 1), cost))
+        self.timings.append(
+            StageTiming(stage.name, server, tries.count, round(elapsed, 1), round(cost, 6))
+        )
         self.context.metrics.timing(Metric.STAGE_MS, whole, stage.name)
         self.trace.add("answered", stage.name, attempt.call.attempt, server)
 
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -57,6 +57,7 @@
         self.prefixes: OrderedDict[int, str] = OrderedDict()
         self.turns = itertools.count()
         self.peers = 0
+        self.heard_leaving: dict[str, float] = {}
         self.on_leaving: Callable[[str], None] = lambda name: None
 
     def set_peers(self, peers: int) -> None:
@@ -72,6 +73,8 @@
         if state is None or state.server.address != server.address:
             state = self.states[server.name] = ServerState(server, self.rng)
             state.peers = self.peers
+            if server.name in self.heard_leaving:
+                state.leave(self.heard_leaving.pop(server.name))
         elif state.server is not server:
             state.server = server
         return state
@@ -191,7 +194,8 @@
         return (choice.crowding + at_end) / 2.0
 
     def leaving(self, name: str) -> None:
-        """Take a server out of use that a peer heard is leaving."""
+        """Take a server out of use that a peer heard is leaving, used here before or not."""
+        self.heard_leaving[name] = self.clock.now()
         state = self.states.get(name)
         if state is not None:
             state.leave(self.clock.now())
