Serve from the instance's own data centre first, spill where it is crowded

Cause: servers were drawn out of all data centres alike. Change: allowed servers are parted into near and far ones, once a revision; far ones are compared only where every near one drawn is crowded or out of use, with spill_ms (2 ms) added to their expected time. The estimate looks the same way. The delay is one setting for all other data centres; learning it for each is left.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -48,3 +48,18 @@
     Then the store holds 1 claims
     When 90000000 ms pass in steps
     Then the store holds 0 claims
+
+  @virtual
+  Scenario: Servers of the instance's own data centre come first
+    Given a fleet of instances a-1
+    When 20 requests are sent to "a-1" for "reply", one every 100 ms
+    Then every one of them is done
+    And "encode" never ran on small-2
+    And "generate" never ran on large-2
+
+  @virtual
+  Scenario: Work spills to another data centre where its own is crowded
+    Given a fleet of instances a-1
+    When 60 requests are sent to "a-1" for "reply", one every 1 ms
+    Then every one of them is done
+    And "generate" ran on large-2 as well
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -112,3 +112,8 @@
     context.clock.wall = lambda: wall() + ms
     context.run(context.clock.sleep, LONG_MS / 20)
     assert idempotency.clock is context.clock
+
+
+@then('"{work}" ran on {name} as well')
+def ran_on(context, work, name):
+    assert any(one.work == work for one in context.fleet.servers[name].ran)
--- a/packages/core/src/mountladder/candidate.py
+++ b/packages/core/src/mountladder/candidate.py
@@ -20,22 +20,27 @@
         unloaded_ms: The learnt time of this call there without any load.
         crowding: By how much the load it is believed to have lengthens the call.
         slowness: By how much it is slower than others of its accelerator.
+        delay_ms: What the way to another data centre adds.
     """
 
     state: ServerState
     unloaded_ms: float
     crowding: float
     slowness: float
+    delay_ms: float = 0.0
 
     @classmethod
-    def at(cls, state: ServerState, unloaded_ms: float, now: float) -> Candidate:
+    def at(
+        cls, state: ServerState, unloaded_ms: float, now: float, delay_ms: float = 0.0
+    ) -> Candidate:
         """Return a candidate as it is believed to be at a time."""
-        return cls(state, unloaded_ms, state.crowding(now), state.slowness_at(now))
+        crowding, slowness = state.crowding(now), state.slowness_at(now)
+        return cls(state, unloaded_ms, crowding, slowness, delay_ms)
 
     @property
     def expected_ms(self) -> float:
         """Return the expected time to completion under the load it is believed to have."""
-        return self.unloaded_ms * self.crowding * self.slowness
+        return self.unloaded_ms * self.crowding * self.slowness + self.delay_ms
 
     @property
     def cost(self) -> float:
--- a/packages/core/src/mountladder/estimate.py
+++ b/packages/core/src/mountladder/estimate.py
@@ -8,13 +8,14 @@
 
 from dataclasses import dataclass
 
-from mountladder.candidate import Candidate
+from mountladder.backendserver import BackendServer
 from mountladder.request import Request
 from mountladder.runcontext import RunContext
 from mountladder.stage import Stage
 from mountladder.stageplan import levels
 
 LOOKED_AT = 8
+FAR_LOOKED_AT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,15 +55,20 @@
 def _stage_estimate(context: RunContext, request: Request, stage: Stage, length: int) -> Estimate:
     allowed = context.follower.configuration.servers_for(stage, request.team)
     router = context.router
+    near, far = router.nearby.part(allowed)
+    looked_at = _some(context, near, LOOKED_AT) + _some(context, far, FAR_LOOKED_AT)
     now = context.clock.now()
-    looked_at = allowed
-    if len(allowed) > LOOKED_AT:
-        looked_at = context.rng.sample(allowed, LOOKED_AT)
     states = [router.state(server) for server in looked_at]
     known = [
-        Candidate.at(state, context.costs.expected(stage, state.server.accelerator, length), now)
+        router.candidate(state, stage, length, None, now)
         for state in states
         if state.usable(now, stage.model)
     ]
     best = min(known, key=lambda one: one.expected_ms, default=None)
     return Estimate(0.0, 0.0) if best is None else Estimate(best.expected_ms, best.unloaded_ms)
+
+
+def _some(
+    context: RunContext, servers: tuple[BackendServer, ...], most: int
+) -> list[BackendServer]:
+    return list(servers) if len(servers) <= most else context.rng.sample(servers, most)
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/router.py
@@ -20,6 +20,7 @@
 from mountladder.errors import StageError
 from mountladder.metric import Metric
 from mountladder.metrics import Metrics
+from mountladder.nearby import Nearby
 from mountladder.policy import Policy, choose, sample_size
 from mountladder.serverstate import ServerState
 from mountladder.stage import Stage
@@ -29,6 +30,7 @@
 MOST_EXACT_MS = 0.05
 SPARE = 2
 FEW = 16
+ROOMY = 1.0
 
 
 class Router:
@@ -40,13 +42,22 @@
         costs: The learnt times of stages.
         policy: How to choose among candidates.
         metrics: Where ejections are counted.
+        datacentre: The instance's data centre, or an empty string where all are near.
+        spill_ms: What a call to another data centre is taken to add, in milliseconds.
 
     Attributes:
         on_leaving: Called with the name of a server that said it is leaving.
     """
 
     def __init__(
-        self, clock: Clock, rng: random.Random, costs: CostModel, policy: Policy, metrics: Metrics
+        self,
+        clock: Clock,
+        rng: random.Random,
+        costs: CostModel,
+        policy: Policy,
+        metrics: Metrics,
+        datacentre: str = "",
+        spill_ms: float = 0.0,
     ) -> None:
         self.clock = clock
         self.rng = rng
@@ -57,6 +68,8 @@
         self.prefixes: OrderedDict[int, str] = OrderedDict()
         self.turns = itertools.count()
         self.peers = 0
+        self.nearby = Nearby(datacentre)
+        self.spill_ms = spill_ms
         self.heard_leaving: dict[str, float] = {}
         self.on_leaving: Callable[[str], None] = lambda name: None
 
@@ -104,17 +117,33 @@
         if not allowed:
             raise StageError("no backend server meets the selectors", Code.NO_SERVER_ALLOWED, False)
         holder = self.prefixes.get(prefix) if prefix is not None else None
-        drawn = self.draw(allowed, excluded, holder, stage.model)
-        drawn = drawn or self.draw(allowed, frozenset(), holder, stage.model)
-        if not drawn:
+        candidates = self.candidates(allowed, excluded, stage, length, holder)
+        candidates = candidates or self.candidates(allowed, frozenset(), stage, length, holder)
+        if not candidates:
             raise StageError("", Code.NO_SERVER_AVAILABLE, False)
-        now = self.clock.now()
-        candidates = [self.candidate(state, stage, length, holder, now) for state in drawn]
         chosen = choose(self.policy, candidates, budget_ms, next(self.turns), self.rng)
         if prefix is not None:
             self.remember(prefix, chosen.state.server.name)
-        chosen.state.begin(now)
-        return Choice.of(chosen, len(allowed), len(drawn))
+        chosen.state.begin(self.clock.now())
+        return Choice.of(chosen, len(allowed), len(candidates))
+
+    def candidates(
+        self,
+        allowed: Sequence[BackendServer],
+        excluded: frozenset[str],
+        stage: Stage,
+        length: int,
+        holder: str | None,
+    ) -> list[Candidate]:
+        """Return the servers to compare: those of other data centres only where it is crowded."""
+        now = self.clock.now()
+        near, far = self.nearby.part(allowed)
+        drawn = self.draw(near, excluded, holder, stage.model) if near else []
+        found = [self.candidate(state, stage, length, holder, now) for state in drawn]
+        if far and all(one.crowding > ROOMY for one in found):
+            drawn = self.draw(far, excluded, holder, stage.model)
+            found += [self.candidate(state, stage, length, holder, now) for state in drawn]
+        return found
 
     def usable(
         self, allowed: Sequence[BackendServer], excluded: frozenset[str], model: str
@@ -154,7 +183,8 @@
         unloaded = self.costs.expected(stage, state.server.accelerator, length)
         if state.server.name == holder:
             unloaded *= PREFIX_SAVING
-        return Candidate.at(state, unloaded, now)
+        delay_ms = 0.0 if self.nearby.is_near(state.server) else self.spill_ms
+        return Candidate.at(state, unloaded, now, delay_ms)
 
     def remember(self, prefix: int, server: str) -> None:
         """Remember which server was last given a prefix."""
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -124,7 +124,8 @@
         self.idempotency.alive = self.membership.is_alive
         costs = CostModel()
         chosen = policy or ExpectedCompletion(settings.drawn, settings.thrift)
-        self.router = Router(clock, rng, costs, chosen, metrics)
+        here = settings.datacentre
+        self.router = Router(clock, rng, costs, chosen, metrics, here, settings.spill_ms)
         self.router.on_leaving = self.peers.server_leaving
         self.peers.on_leaving_server = self.router.leaving
         self.ledger = Ledger(self.me.incarnation)
--- a/packages/core/src/mountladder/settings.py
+++ b/packages/core/src/mountladder/settings.py
@@ -44,6 +44,7 @@
         cost_ms: How often cost is sent to the platform, in milliseconds.
         thrift: From 0 to 1, how much of the time available may be used up to save cost.
         drawn: How many backend servers are compared for a choice.
+        spill_ms: What a call to another data centre is taken to add, in milliseconds.
         orders_ms: How often engines are compared with their wanted state; 0 sends no orders.
         operator_token: The token operators must send, or an empty string.
     """
@@ -68,6 +69,7 @@
     cost_ms: float = 10_000.0
     thrift: float = 0.0
     drawn: int = 8
+    spill_ms: float = 2.0
     orders_ms: float = 2_000.0
     operator_token: str = ""
 
@@ -128,6 +130,7 @@
         cost_ms=fields.number("cost_ms", 10_000.0, least=100),
         thrift=fields.number("thrift", 0.0),
         drawn=int(fields.number("drawn", 8, least=1)),
+        spill_ms=fields.number("spill_ms", 2.0),
         orders_ms=fields.number("orders_ms", 2_000.0),
         operator_token=fields.text("operator_token", ""),
     )
