Never run an issued key whose record was dropped for want of room

Ruled out for keys of the callers' own, whose claim stands in the store. Change: an instance notes up to which time of issue records were dropped, and refuses older unknown keys as unknown (1012). Conclusion: keys issued in one batch with a dropped one are refused too, which is safe.

--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -142,3 +142,13 @@
     When "a-1" is sent "reply" as "one" with {"key": "k", "idempotent": false}
     Then "one" ends as unknown 3006
     And "encode" ran 1 times
+
+  Scenario: A key whose record was dropped for want of room is not run again
+    Given instance a-1 keeps at most 2 records of keys
+    When "a-1" issues a key and is sent "push" with it as "one"
+    And 100 ms pass
+    And 4 more pushes with issued keys are sent to "a-1", one every 50 ms
+    And "a-1" is sent the issued key for "push" as "two"
+    Then "one" ends as done
+    And "two" ends as unknown 1012
+    And "push" ran 5 times
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -6,7 +6,7 @@
 
 import gevent
 from basics import TOKEN, send
-from behave import then, when
+from behave import given, then, when
 
 
 @when('{number:d} requests are sent to "{to}" for "{pipeline}", one every {ms:d} ms')
@@ -44,3 +44,22 @@
 @when('"{to}" is sent the issued key for "{pipeline}" as "{label}"')
 def send_issued(context, to, pipeline, label):
     send(context, to, pipeline, label, {"key": context.issued})
+
+
+@given("instance {name} keeps at most {number:d} records of keys")
+def few_records(context, name, number):
+    context.fleet.runtimes[name].idempotency.book.most_records = number
+
+
+@when('{number:d} more pushes with issued keys are sent to "{to}", one every {ms:d} ms')
+def more_pushes(context, number, to, ms):
+    issue = context.fleet.runtimes[to].idempotency.issue
+
+    def load():
+        tasks = []
+        for one in range(number):
+            tasks.append(context.fleet.spawn(to, "push", TOKEN, {"room": one}, key=issue("desk")))
+            context.clock.sleep(float(ms))
+        gevent.joinall(tasks)
+
+    context.run(load)
--- a/packages/core/src/mountladder/idempotency.py
+++ b/packages/core/src/mountladder/idempotency.py
@@ -87,6 +87,8 @@
         self.metrics = metrics
         self.versions: dict[str, int] = {}
         self.tasks = Group()
+        self.forgotten_until = float("-inf")
+        book.on_forget = self.forgotten
         self.numbers = itertools.count(1)
         self.alive: Callable[[str], bool] = lambda incarnation: True
 
@@ -122,7 +124,8 @@
         issued = IssuedKey.parse(request.key, self.secret, request.team.name)
         if issued.incarnation != self.incarnation:
             return KeyDecision(home=issued)
-        if self.clock.now() - issued.at_ms > ISSUED_KEEP_MS:
+        too_old = self.clock.now() - issued.at_ms > ISSUED_KEEP_MS
+        if too_old or issued.at_ms <= self.forgotten_until:
             raise RunError("", Code.KEY_EXPIRED)
         return KeyDecision(run=self.hold(request))
 
@@ -149,6 +152,16 @@
         self.metrics.count(Metric.CLAIMS)
         return KeyDecision(run=record)
 
+    def forgotten(self, key: str) -> None:
+        """Note that the record of a key was dropped.
+
+        No key that was issued until then is run any more, since it may be one of those dropped.
+        """
+        own = key.partition("/")[2]
+        if is_issued(own):
+            at_ms = int(own.split("~")[4])
+            self.forgotten_until = max(self.forgotten_until, at_ms)
+
     def hold(self, request: Request) -> KeyRecord:
         """Hold a key in memory, so that repeats here attach to its request."""
         record = KeyRecord(
--- a/packages/core/src/mountladder/keybook.py
+++ b/packages/core/src/mountladder/keybook.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 from gevent.event import Event
 
@@ -28,11 +29,19 @@
     Args:
         clock: The clock.
         keep_ms: How long a record is kept after its request ended.
+        most_records: How many records of ended requests are kept at the most.
+
+    Attributes:
+        on_forget: Called with the key of each record that is dropped.
     """
 
-    def __init__(self, clock: Clock, keep_ms: float = KEEP_MS) -> None:
+    def __init__(
+        self, clock: Clock, keep_ms: float = KEEP_MS, most_records: int = MOST_RECORDS
+    ) -> None:
         self.clock = clock
         self.keep_ms = keep_ms
+        self.most_records = most_records
+        self.on_forget: Callable[[str], None] = lambda key: None
         self.records: OrderedDict[str, KeyRecord] = OrderedDict()
         self.ended_at: OrderedDict[str, float] = OrderedDict()
         self.answers: OrderedDict[str, bytes] = OrderedDict()
@@ -84,7 +93,7 @@
         horizon = self.clock.now() - self.keep_ms
         while self.ended_at:
             key, at = next(iter(self.ended_at.items()))
-            if at > horizon and len(self.ended_at) <= MOST_RECORDS:
+            if at > horizon and len(self.ended_at) <= self.most_records:
                 break
             self.forget(key)
         while self.answer_bytes > MOST_ANSWER_BYTES:
@@ -92,6 +101,7 @@
 
     def forget(self, key: str) -> None:
         """Forget an ended record."""
+        self.on_forget(key)
         del self.ended_at[key]
         self.records.pop(key, None)
         self.drop_answer(key)
