--- a/packages/core/src/mountladder/attempts.py
+++ b/packages/core/src/mountladder/attempts.py
@@ -31,7 +31,7 @@
 PATIENCE = 4.0
 STALL_MS = 1_000.0
 GRACE_MS = 30_000.0
-GIVE_UP = 1.5
+GIVE_UP = 1.15
 
 
 class Attempts:
