--- a/features/orders.feature
+++ b/features/orders.feature
@@ -50,3 +50,11 @@
     And version 2 of new-model is wanted
     And holders one, two step for 30000 ms
     Then 2 engines serve version 2 of new-model
+
+  Scenario: Orders and states over HTTP
+    Given an engine over HTTP that serves old-model
+    When it is ordered with fence 5 to serve new-model
+    Then it serves new-model in the end
+    And an order with fence 4 is refused with 8002
+    When it is told to ignore fencing and ordered with fence 4 to serve old-model
+    Then it serves old-model in the end
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 import gevent
+import urllib3
 from basics import server
 from behave import given, then, when
 
@@ -22,11 +23,16 @@
 from mountladder.model import Model
 from mountladder.order import Order
 from mountladder.orders import Orders
+from mountladder.systemclock import SystemClock
 from mountladder.virtualclock import VirtualClock
+from mountladder_entry.httpengines import HttpEngines
 from mountladder_standins.faults import Faults
 from mountladder_standins.faultytable import FaultyTable
+from mountladder_standins.listening import listen
 from mountladder_standins.localengines import LocalEngines
+from mountladder_standins.serverface import server_app
 from mountladder_standins.standinloader import StandinLoader
+from mountladder_standins.standinserver import StandinServer
 from mountladder_standins.weightstore import WeightStore
 
 STEP_MS = 1_000.0
@@ -230,3 +236,43 @@
 @then("{number:d} engines serve version {version} of new-model")
 def serve_version(context, number, version):
     assert len(serving(context, "new-model", version)) == number
+
+
+@given("an engine over HTTP that serves old-model")
+def engine_over_http(context):
+    clock = SystemClock()
+    standin = StandinServer("e", clock)
+    standin.loader = StandinLoader(WeightStore(clock, 10.0), {"old-model": "1"})
+    address = listen(server_app(standin), "127.0.0.1:0", context.stack)
+    context.engine = dataclasses.replace(server("e", "x"), address=address)
+    context.engines = HttpEngines(clock)
+    context.stack.callback(context.engines.close)
+
+
+@when("it is ordered with fence {fence:d} to serve {name}")
+def order_over_http(context, fence, name):
+    context.engines.order(context.engine, Order(fence, ((name, "1"),)))
+
+
+@then("it serves {name} in the end")
+def serves_in_the_end(context, name):
+    with gevent.Timeout(10):
+        while context.engines.state(context.engine).models != ((name, "1"),):
+            gevent.sleep(0.01)
+
+
+@then("an order with fence {fence:d} is refused with {code:d}")
+def refused_over_http(context, fence, code):
+    try:
+        order_over_http(context, fence, "junk")
+    except OrderFencedError as error:
+        assert error.code.number == code
+    else:
+        raise AssertionError("the order was carried out")
+
+
+@when("it is told to ignore fencing and ordered with fence {fence:d} to serve {name}")
+def ignore_over_http(context, fence, name):
+    url = f"http://{context.engine.address}/faults"
+    urllib3.request("PUT", url, body='{"ignore_fencing": true}')
+    order_over_http(context, fence, name)
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -21,6 +21,7 @@
 
 BIN = Path(sys.executable).parent
 PATIENCE_S = 20.0
+POOL = urllib3.PoolManager(maxsize=16, retries=False)
 SETTINGS = """
 name = "{name}"
 datacentre = "{datacentre}"
@@ -73,7 +74,7 @@
 
 def call(method, url, **more):
     try:
-        return urllib3.request(method, url, retries=False, timeout=PATIENCE_S, **more)
+        return POOL.request(method, url, timeout=PATIENCE_S, **more)
     except urllib3.exceptions.HTTPError:
         return None
 
--- a/packages/cli/src/mountladder_cli/configuring.py
+++ b/packages/cli/src/mountladder_cli/configuring.py
@@ -144,9 +144,7 @@
 @click.pass_obj
 def drain(session: Session, server: str) -> None:
     """Stop sending new work to a backend server."""
-    with session.platform() as platform:
-        applied = porcelain.drain(platform, session.clock, session.author, server, True)
-        show_applied(session, applied)
+    _drain(session, server, True)
 
 
 @click.command("undrain")
@@ -154,8 +152,12 @@
 @click.pass_obj
 def undrain(session: Session, server: str) -> None:
     """Send new work to a backend server again."""
+    _drain(session, server, False)
+
+
+def _drain(session: Session, server: str, draining: bool) -> None:
     with session.platform() as platform:
-        applied = porcelain.drain(platform, session.clock, session.author, server, False)
+        applied = porcelain.drain(platform, session.clock, session.author, server, draining)
         show_applied(session, applied)
 
 
--- a/packages/core/src/mountladder/stageplan.py
+++ b/packages/core/src/mountladder/stageplan.py
@@ -29,8 +29,8 @@
 def weight(costs: CostModel, pipeline: Pipeline, stage: Stage) -> float:
     """Return a stage's weight in the split of the remaining time.
 
-    It is the share its operator set, in thousandths of the deadline, or else a high quantile of
-    the time it was seen to take.
+    It is the share of the pipeline's deadline that its operator set, in milliseconds, or else a
+    high quantile of the time that the stage was seen to take.
     """
     if stage.share > 0:
         return stage.share * pipeline.deadline_ms
--- a/packages/standins/src/mountladder_standins/serverface.py
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -108,6 +108,8 @@
     """Set the faults."""
     try:
         standin.faults = Faults.read(json.loads(bottle.request.body.read()))
+        if standin.loader is not None:
+            standin.loader.ignore_fencing = standin.faults.ignore_fencing
     except (*MALFORMED, DocumentError) as error:
         bottle.response.status = 400
         return str(error)
