Drop a caller that stops reading

Cause: found in reading: a caller that took no more of its stream blocked the write for ever, so that it held its place on the instance and its slot at the engine past its deadline.

--- a/features/http.feature
+++ b/features/http.feature
@@ -80,3 +80,8 @@
     When a push with key "p" is sent to a-1
     Then the answer is done
     And "push" was run 1 time
+
+  Scenario: A caller that stops reading does not hold its place for ever
+    Given a-1 drops callers that are silent for 300 ms and has small buffers
+    When a caller asks a-1 for 2000 tokens and reads nothing
+    Then its place at a-1 is free again and the call is cancelled at its server
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -4,8 +4,10 @@
 
 """Steps over real sockets on loopback."""
 
+import dataclasses
 import json
 import os
+from unittest.mock import patch
 
 import gevent
 import urllib3
@@ -20,9 +22,11 @@
 from mountladder.tcpnetwork import TcpNetwork
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
+from mountladder_entry.connection import Connection
 from mountladder_standins.faults import Faults
 
 PATIENCE_MS = 10_000.0
+SMALL_BUFFER = 2_048
 
 
 @given("instances a-1 and b-1 over HTTP")
@@ -241,3 +245,33 @@
 @then("the answer is done")
 def is_done(context):
     assert context.answer["class"] == "done", context.answer
+
+
+@given("a-1 drops callers that are silent for {ms:d} ms and has small buffers")
+def small_buffers(context, ms):
+    context.stack.enter_context(patch.object(Connection, "silence_seconds", ms / 1000.0))
+    listening = context.fleet.nodes[0].web.socket
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+
+
+@when("a caller asks a-1 for {tokens:d} tokens and reads nothing")
+def read_nothing(context, tokens):
+    for standin in context.fleet.standins.values():
+        standin.speeds = dataclasses.replace(standin.speeds, token_ms=0.5, factor=1.0)
+    host, _, port = web(context).rpartition(":")
+    body = json.dumps({"input": {"tokens": tokens}, "deadline_ms": 60_000}).encode()
+    head = (
+        f"POST /v1/pipelines/reply HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        f"Accept: text/event-stream\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    connection = context.stack.enter_context(socket.socket())
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    connection.connect((host, int(port)))
+    connection.sendall(head.encode() + body)
+    eventually(context, lambda: context.fleet.nodes[0].admission.total == 1)
+
+
+@then("its place at a-1 is free again and the call is cancelled at its server")
+def place_free(context):
+    eventually(context, lambda: context.fleet.nodes[0].admission.total == 0)
+    cancelled(context)
--- a/packages/entry/src/mountladder_entry/node.py
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -18,6 +18,7 @@
 from mountladder.settings import Settings
 from mountladder.tcpnetwork import TcpNetwork
 from mountladder_entry.application import make_application
+from mountladder_entry.connection import Connection
 from mountladder_entry.quietlog import QuietLog
 from mountladder_entry.relay import Relay
 
@@ -56,12 +57,13 @@
     def start(self) -> None:
         """Open the listening sockets and start the tasks."""
         super().start()
-        web = WSGIServer(
+        self.web = WSGIServer(
             listener(self.settings.web),
             make_application(self),
             log=None,
             error_log=QuietLog(),
+            handler_class=Connection,
             spawn=MOST_CONNECTIONS,
         )
-        web.start()
-        self.stack.callback(web.stop, STOP_SECONDS)
+        self.web.start()
+        self.stack.callback(self.web.stop, STOP_SECONDS)
