One piece for a length's class and for the engines of a data centre

Cause: the whole change was read once more. The class of an input's length was worked out in four places with a divisor of 1; the holder of orders filtered the engines of its data centre in a loop that placement had already as a function; CostModel.knows was called from nowhere. Change: one function for the class; the function of placement is public and used by both; the unused method is gone. Conclusion: behaviour is as it was.

--- a/packages/core/src/mountladder/costmodel.py
+++ b/packages/core/src/mountladder/costmodel.py
@@ -12,7 +12,6 @@
 DEFAULT_MS = 50.0
 WEIGHT_DOWN = 0.3
 WEIGHT_UP = 0.05
-LENGTH_STEP_BITS = 1
 LONGER = 1.2
 
 
@@ -36,9 +35,8 @@
         counts for more than a longer one.
         """
         classes = self.means.setdefault((stage.work, stage.model, accelerator), {})
-        size = length.bit_length() // LENGTH_STEP_BITS
-        old = classes.get(size)
-        classes[size] = _follow(old, unloaded_ms)
+        size = _size(length)
+        classes[size] = _follow(classes.get(size), unloaded_ms)
 
     def gap(self, stage: Stage, accelerator: str, gap_ms: float) -> float:
         """Learn from the time between two tokens; return what it is without load."""
@@ -59,7 +57,7 @@
         classes = self.means.get((stage.work, stage.model, accelerator))
         if not classes:
             return self.any_accelerator(stage, length)
-        size = length.bit_length() // LENGTH_STEP_BITS
+        size = _size(length)
         value = classes.get(size)
         return self.scaled(stage, classes, size) if value is None else value
 
@@ -78,11 +76,11 @@
         """
         if spent_ms > self.expected(stage, accelerator, length):
             classes = self.means.setdefault((stage.work, stage.model, accelerator), {})
-            classes[length.bit_length() // LENGTH_STEP_BITS] = spent_ms * LONGER
+            classes[_size(length)] = spent_ms * LONGER
 
     def any_accelerator(self, stage: Stage, length: int) -> float:
         """Return the least time known on any accelerator, so that a new one is tried."""
-        size = length.bit_length() // LENGTH_STEP_BITS
+        size = _size(length)
         known = [
             classes[min(classes, key=lambda one: abs(one - size))]
             for (work, model, _), classes in self.means.items()
@@ -90,9 +88,9 @@
         ]
         return min(known, default=DEFAULT_MS)
 
-    def knows(self, stage: Stage, accelerator: str) -> bool:
-        """Tell whether a stage was ever timed on an accelerator."""
-        return (stage.work, stage.model, accelerator) in self.means
+
+def _size(length: int) -> int:
+    return length.bit_length()
 
 
 def _follow(old: float | None, new: float) -> float:
--- a/packages/core/src/mountladder/orders.py
+++ b/packages/core/src/mountladder/orders.py
@@ -20,7 +20,7 @@
 from mountladder.metric import Metric
 from mountladder.metrics import Metrics
 from mountladder.order import Order
-from mountladder.placement import wanted_models
+from mountladder.placement import engines_of, wanted_models
 
 MOST_LOADING = 2
 PER_ENGINE_MS = 200.0
@@ -84,7 +84,7 @@
             LeaseLostError: The lease came too near its end meanwhile.
         """
         configuration = self.follower.configuration
-        servers = {one.name: one for one in configuration.of_kind("server")}
+        servers = {one.name: one for one in engines_of(configuration, self.datacentre)}
         states = self.states(servers)
         self.next_at = self.lease.clock.now() + PER_ENGINE_MS * len(states)
         wanted = wanted_models(configuration, self.datacentre, states)
@@ -118,11 +118,9 @@
         return target != state.models
 
     def states(self, servers: Mapping[str, BackendServer]) -> dict[str, EngineState]:
-        """Return what the engines of the data centre serve that can be reached."""
+        """Return what those engines serve that can be reached."""
         states: dict[str, EngineState] = {}
         for name, server in servers.items():
-            if server.serves != "engine" or server.datacentre != self.datacentre:
-                continue
             try:
                 states[name] = self.engines.state(server)
             except StageError as error:
--- a/packages/core/src/mountladder/placement.py
+++ b/packages/core/src/mountladder/placement.py
@@ -31,7 +31,7 @@
         datacentre: The data centre.
         states: What the engines that can be reached serve.
     """
-    engines = [one for one in _engines(configuration, datacentre) if one.name in states]
+    engines = [one for one in engines_of(configuration, datacentre) if one.name in states]
     wanted: dict[str, list[tuple[str, str]]] = {one.name: [] for one in engines}
     for model in configuration.of_kind("model"):
         for engine in _chosen(configuration, model, engines, states):
@@ -39,7 +39,8 @@
     return {name: tuple(sorted(models)) for name, models in wanted.items()}
 
 
-def _engines(configuration: Configuration, datacentre: str) -> list[BackendServer]:
+def engines_of(configuration: Configuration, datacentre: str) -> list[BackendServer]:
+    """Return the model engines of a data centre, by name."""
     return [
         server
         for server in configuration.of_kind("server")
