--- a/bench/decision.py
+++ b/bench/decision.py
@@ -11,13 +11,13 @@
 import time
 
 from fits import Fit
-from mountladder.backendserver import BackendServer
-from mountladder.costmodel import CostModel
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.router import Router
-from mountladder.stage import Stage
-from mountladder.systemclock import SystemClock
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.stage import Stage
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.router import Router
 from outcomes import Figure
 
 SERVERS = (33, 66, 131, 262)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,11 +9,11 @@
 import os
 import statistics
 
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.leastoutstanding import LeastOutstanding
-from mountladder.randomchoice import RandomChoice
-from mountladder.roundrobin import RoundRobin
-from mountladder.twochoices import TwoChoices
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.leastoutstanding import LeastOutstanding
+from mountladder.routing.randomchoice import RandomChoice
+from mountladder.routing.roundrobin import RoundRobin
+from mountladder.routing.twochoices import TwoChoices
 from mountladder_standins import workloads
 from mountladder_standins.experiment import Experiment
 from mountladder_standins.measured import Measured
--- a/bench/prefixes.py
+++ b/bench/prefixes.py
@@ -16,13 +16,13 @@
 import random
 import statistics
 
-from mountladder.backendserver import BackendServer
-from mountladder.costmodel import CostModel
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.router import Router
-from mountladder.stage import Stage
-from mountladder.virtualclock import VirtualClock
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.stage import Stage
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.router import Router
 from mountladder_standins.standinserver import StandinServer
 from outcomes import Figure
 
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from pathlib import Path
 
-from mountladder.documents import parse_documents
+from mountladder.configuration.documents import parse_documents
 from mountladder_standins.faultrun import FaultRun
 from outcomes import Figure
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -13,8 +13,8 @@
 
 import gevent
 
-from mountladder.documents import parse_documents
-from mountladder.virtualclock import VirtualClock
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.documents import parse_documents
 from mountladder_standins.faults import Faults
 from mountladder_standins.localfleet import LocalFleet
 from outcomes import Figure
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -19,8 +19,8 @@
 import gevent
 import urllib3
 
-from mountladder.documents import parse_documents
-from mountladder.systemclock import SystemClock
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.documents import parse_documents
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
 from mountladder_standins.listening import listen
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,18 +16,18 @@
 from gevent import socket
 
 from fits import Fit
-from mountladder.backendserver import BackendServer
-from mountladder.change import Change
-from mountladder.configuration import Configuration
-from mountladder.heartbeat import Heartbeat
-from mountladder.instance import Instance
-from mountladder.keybook import KeyBook
-from mountladder.keyrecord import KeyRecord
-from mountladder.keystate import KeyState
-from mountladder.systemclock import SystemClock
-from mountladder.tcplink import TcpLink
-from mountladder.team import Team
-from mountladder.virtualclock import VirtualClock
+from mountladder.claims.keybook import KeyBook
+from mountladder.claims.keyrecord import KeyRecord
+from mountladder.claims.keystate import KeyState
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.change import Change
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.team import Team
+from mountladder.membership.heartbeat import Heartbeat
+from mountladder.membership.instance import Instance
+from mountladder.membership.tcplink import TcpLink
 from mountladder_standins.localfleet import LocalFleet
 from outcomes import Figure
 
--- a/bench/store.py
+++ b/bench/store.py
@@ -11,8 +11,8 @@
 import gevent
 
 from fits import Fit
-from mountladder.virtualclock import VirtualClock
-from mountladder.write import ABSENT, Write
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.store.write import ABSENT, Write
 from mountladder_standins.faults import Faults
 from mountladder_standins.localfleet import LocalFleet
 from outcomes import Figure
--- a/features/basics.py
+++ b/features/basics.py
@@ -5,7 +5,7 @@
 
 import hashlib
 
-from mountladder.backendserver import BackendServer
+from mountladder.configuration.backendserver import BackendServer
 
 TOKEN = "token"
 BASE = f"""
--- a/features/environment.py
+++ b/features/environment.py
@@ -13,7 +13,7 @@
 import gevent
 from behave import fixture, use_fixture
 
-from mountladder.virtualclock import VirtualClock
+from mountladder.clocks.virtualclock import VirtualClock
 from mountladder_standins.localfleet import LocalFleet
 
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,10 +9,10 @@
 import gevent
 from behave import given, then, when
 
-from mountladder.change import Change
-from mountladder.changelog import ChangeLog
+from mountladder.configuration.change import Change
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.follower import Follower
 from mountladder.errors import MountladderError, RevisionConflictError
-from mountladder.follower import Follower
 
 
 def log_of(context):
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -10,15 +10,15 @@
 
 from behave import then, when
 
-from mountladder.change import Change
-from mountladder.check import check
 from mountladder.code import Code
-from mountladder.configuration import Configuration
-from mountladder.documents import parse_documents
+from mountladder.configuration.change import Change
+from mountladder.configuration.check import check
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.documents import parse_documents
+from mountladder.configuration.selector import Selector
+from mountladder.configuration.settings import Settings
 from mountladder.errors import MountladderError
-from mountladder.metric import Metric
-from mountladder.selector import Selector
-from mountladder.settings import Settings
+from mountladder.metrics.metric import Metric
 
 DOCS = Path(__file__).parents[2] / "docs"
 BAD_SETTINGS = """
--- a/features/steps/faultrun_steps.py
+++ b/features/steps/faultrun_steps.py
@@ -9,15 +9,15 @@
 from basics import BASE, SERVERS, TOKEN
 from behave import then, when
 
-from mountladder.attempts import Attempts
-from mountladder.changelog import ChangeLog
-from mountladder.configuration import Configuration
-from mountladder.detachedrun import DetachedRun
-from mountladder.documents import parse_documents
+from mountladder.claims.idempotency import Idempotency
+from mountladder.claims.keydecision import KeyDecision
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.documents import parse_documents
 from mountladder.errors import StageError
-from mountladder.idempotency import Idempotency
-from mountladder.keydecision import KeyDecision
-from mountladder.pipelinerun import PipelineRun
+from mountladder.requests.attempts import Attempts
+from mountladder.requests.detachedrun import DetachedRun
+from mountladder.requests.pipelinerun import PipelineRun
 from mountladder.runtime import Runtime
 from mountladder_standins.faultrun import FaultRun
 from mountladder_standins.localbackend import LocalBackend
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,7 +10,7 @@
 from basics import send as send_request
 from behave import given, then, when
 
-from mountladder.documents import parse_documents
+from mountladder.configuration.documents import parse_documents
 from mountladder_standins.faults import Faults
 
 
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -12,20 +12,20 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from mountladder.answer import Answer
-from mountladder.callerrequest import CallerRequest
-from mountladder.change import Change
-from mountladder.configuration import Configuration
-from mountladder.documents import parse_documents
+from mountladder.accounts.ledger import decode_totals
+from mountladder.claims.issuedkey import IssuedKey
+from mountladder.claims.keyrecord import KeyRecord
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.change import Change
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.documents import parse_documents
+from mountladder.configuration.selector import Selector
+from mountladder.configuration.settings import Settings
 from mountladder.errors import MountladderError
-from mountladder.eventreader import EventReader
-from mountladder.issuedkey import IssuedKey
-from mountladder.keyrecord import KeyRecord
-from mountladder.ledger import decode_totals
-from mountladder.selector import Selector
-from mountladder.settings import Settings
-from mountladder.virtualclock import VirtualClock
-from mountladder.wire import decode
+from mountladder.membership.wire import decode
+from mountladder.requests.answer import Answer
+from mountladder.requests.callerrequest import CallerRequest
+from mountladder.requests.eventreader import EventReader
 from mountladder_standins.faults import Faults
 from mountladder_standins.localfleet import LocalFleet
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -15,11 +15,11 @@
 from behave import given, then, when
 from gevent import socket
 
-from mountladder.documents import parse_documents
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.documents import parse_documents
 from mountladder.errors import PeerError
-from mountladder.instance import Instance
-from mountladder.systemclock import SystemClock
-from mountladder.tcpnetwork import TcpNetwork
+from mountladder.membership.instance import Instance
+from mountladder.membership.tcpnetwork import TcpNetwork
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
 from mountladder_entry.connection import Connection
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -7,11 +7,11 @@
 import gevent
 from behave import given, then, when
 
-from mountladder.admission import Admission
+from mountladder.accounts.ledger import read_totals
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.team import Team
 from mountladder.errors import RefusalError
-from mountladder.ledger import read_totals
-from mountladder.team import Team
-from mountladder.virtualclock import VirtualClock
+from mountladder.limits.admission import Admission
 
 WAIT_MS = 1_000.0
 LONG_MS = 500_000.0
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,20 +11,20 @@
 from basics import server
 from behave import given, then, when
 
-from mountladder.change import Change
-from mountladder.changelog import ChangeLog
-from mountladder.configuration import Configuration
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.change import Change
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.follower import Follower
+from mountladder.configuration.model import Model
+from mountladder.engines.order import Order
+from mountladder.engines.orders import Orders
 from mountladder.errors import OrderFencedError
-from mountladder.follower import Follower
-from mountladder.lease import Lease
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.memoryobjectstore import MemoryObjectStore
-from mountladder.memorytable import MemoryTable
-from mountladder.model import Model
-from mountladder.order import Order
-from mountladder.orders import Orders
-from mountladder.systemclock import SystemClock
-from mountladder.virtualclock import VirtualClock
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.store.lease import Lease
+from mountladder.store.memoryobjectstore import MemoryObjectStore
+from mountladder.store.memorytable import MemoryTable
 from mountladder_entry.httpengines import HttpEngines
 from mountladder_standins.faults import Faults
 from mountladder_standins.faultytable import FaultyTable
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -6,8 +6,8 @@
 
 from behave import then, when
 
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.leastoutstanding import LeastOutstanding
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.leastoutstanding import LeastOutstanding
 from mountladder_standins import workloads
 from mountladder_standins.experiment import Experiment
 
--- a/packages/cli/src/mountladder_cli/calls.py
+++ b/packages/cli/src/mountladder_cli/calls.py
@@ -12,7 +12,7 @@
 
 from mountladder.code import Code
 from mountladder.errors import DocumentError
-from mountladder.instance import Instance
+from mountladder.membership.instance import Instance
 
 INSTANCE_SECONDS = 2.0
 
--- a/packages/cli/src/mountladder_cli/configuring.py
+++ b/packages/cli/src/mountladder_cli/configuring.py
@@ -11,8 +11,8 @@
 
 import click
 
-from mountladder.document import Document
-from mountladder.documents import KINDS, parse_documents
+from mountladder.configuration.document import Document
+from mountladder.configuration.documents import KINDS, parse_documents
 from mountladder.errors import DocumentError
 from mountladder_cli import porcelain
 from mountladder_cli.applied import Applied
--- a/packages/cli/src/mountladder_cli/demo.py
+++ b/packages/cli/src/mountladder_cli/demo.py
@@ -15,10 +15,10 @@
 import click
 import gevent
 
-from mountladder.document import Document
-from mountladder.documents import parse_documents
-from mountladder.model import Model
-from mountladder.systemclock import SystemClock
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.document import Document
+from mountladder.configuration.documents import parse_documents
+from mountladder.configuration.model import Model
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
 
--- a/packages/cli/src/mountladder_cli/demofleet.py
+++ b/packages/cli/src/mountladder_cli/demofleet.py
@@ -12,10 +12,10 @@
 from collections.abc import Sequence
 from contextlib import ExitStack
 
-from mountladder.clock import Clock
-from mountladder.document import Document
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.settings import Settings
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.document import Document
+from mountladder.configuration.settings import Settings
+from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_cli import porcelain
 from mountladder_entry.httpbackend import HttpBackend
 from mountladder_entry.httpengines import HttpEngines
--- a/packages/cli/src/mountladder_cli/edit.py
+++ b/packages/cli/src/mountladder_cli/edit.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from mountladder.document import Document
+from mountladder.configuration.document import Document
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cli/src/mountladder_cli/porcelain.py
+++ b/packages/cli/src/mountladder_cli/porcelain.py
@@ -10,19 +10,19 @@
 import uuid
 from collections.abc import Callable, Iterator, Sequence
 
-from mountladder.amount import Amount
-from mountladder.change import Change
-from mountladder.changelog import ChangeLog
-from mountladder.charge import Charge
-from mountladder.check import check
-from mountladder.clock import Clock
+from mountladder.accounts.amount import Amount
+from mountladder.accounts.charge import Charge
+from mountladder.accounts.ledger import read_totals
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
-from mountladder.configuration import Configuration
-from mountladder.document import Document
+from mountladder.configuration.change import Change
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.check import check
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.document import Document
 from mountladder.errors import DocumentError, MountladderError, RevisionConflictError
-from mountladder.instance import Instance
-from mountladder.ledger import read_totals
-from mountladder.platform import Platform
+from mountladder.membership.instance import Instance
+from mountladder.store.platform import Platform
 from mountladder_cli.applied import Applied
 from mountladder_cli.calls import fetch, issue_keys, request
 from mountladder_cli.edit import Edit
--- a/packages/cli/src/mountladder_cli/session.py
+++ b/packages/cli/src/mountladder_cli/session.py
@@ -14,10 +14,10 @@
 
 import click
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
+from mountladder.clocks.systemclock import SystemClock
 from mountladder.errors import MountladderError
-from mountladder.platform import Platform
-from mountladder.systemclock import SystemClock
+from mountladder.store.platform import Platform
 from mountladder_entry.platform import http_platform
 
 EXIT_FAILED = 1
--- a/packages/cli/src/mountladder_cli/standing.py
+++ b/packages/cli/src/mountladder_cli/standing.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from mountladder.instance import Instance
+from mountladder.membership.instance import Instance
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cli/src/mountladder_cli/standing_in.py
+++ b/packages/cli/src/mountladder_cli/standing_in.py
@@ -13,9 +13,9 @@
 import click
 from gevent.event import Event
 
-from mountladder.document import Document
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.document import Document
 from mountladder.errors import MountladderError
-from mountladder.systemclock import SystemClock
 from mountladder_cli.configuring import read_files
 from mountladder_cli.session import EXIT_FAILED, flatten
 from mountladder_standins.listening import listen
--- a/packages/core/src/mountladder/ledger.py
+++ b/packages/core/src/mountladder/accounts/ledger.py
@@ -8,12 +8,12 @@
 
 import json
 
-from mountladder.amount import Amount
-from mountladder.backendserver import BackendServer
-from mountladder.charge import Charge
+from mountladder.accounts.amount import Amount
+from mountladder.accounts.charge import Charge
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import MALFORMED, BadRowError
-from mountladder.table import Table
-from mountladder.write import Write
+from mountladder.store.table import Table
+from mountladder.store.write import Write
 
 COST_PREFIX = "cost/"
 MS_PER_SECOND = 1000.0
--- a/packages/core/src/mountladder/claimrow.py
+++ b/packages/core/src/mountladder/claims/claimrow.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
+from mountladder.claims.keyrecord import KeyRecord
 from mountladder.errors import BadRowError
-from mountladder.keyrecord import KeyRecord
-from mountladder.row import Row
-from mountladder.write import ABSENT, Write
+from mountladder.store.row import Row
+from mountladder.store.write import ABSENT, Write
 
 CLAIM_PREFIX = "claim/"
 
--- a/packages/core/src/mountladder/groupcommit.py
+++ b/packages/core/src/mountladder/claims/groupcommit.py
@@ -10,13 +10,13 @@
 
 from gevent.event import Event
 
-from mountladder.clock import Clock
+from mountladder.claims.pendingwrite import PendingWrite
+from mountladder.clocks.clock import Clock
 from mountladder.errors import ConditionFailedError, StoreAmbiguousError, StoreUnavailableError
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.pendingwrite import PendingWrite
-from mountladder.table import Table
-from mountladder.write import ABSENT, Write
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.store.table import Table
+from mountladder.store.write import ABSENT, Write
 
 MOST_IN_BATCH = 100
 RETRY_PAUSE_MS = 50.0
--- a/packages/core/src/mountladder/idempotency.py
+++ b/packages/core/src/mountladder/claims/idempotency.py
@@ -13,8 +13,14 @@
 
 from gevent.pool import Group
 
-from mountladder.claimrow import CLAIM_PREFIX, claim_key, claim_write, claimed_at
-from mountladder.clock import Clock
+from mountladder.claims.claimrow import CLAIM_PREFIX, claim_key, claim_write, claimed_at
+from mountladder.claims.groupcommit import GroupCommit
+from mountladder.claims.issuedkey import IssuedKey, is_issued
+from mountladder.claims.keybook import KeyBook
+from mountladder.claims.keydecision import KeyDecision
+from mountladder.claims.keyrecord import KeyRecord
+from mountladder.claims.keystate import KeyState
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import (
     ConditionFailedError,
@@ -24,18 +30,12 @@
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.groupcommit import GroupCommit
-from mountladder.issuedkey import IssuedKey, is_issued
-from mountladder.keybook import KeyBook
-from mountladder.keydecision import KeyDecision
-from mountladder.keyrecord import KeyRecord
-from mountladder.keystate import KeyState
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.request import Request
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.requests.request import Request
 from mountladder.resultclass import ResultClass
-from mountladder.table import Table
-from mountladder.write import Write
+from mountladder.store.table import Table
+from mountladder.store.write import Write
 
 ISSUED_KEEP_MS = 3_600_000.0
 CLAIM_SHARE = 0.5
--- a/packages/core/src/mountladder/keybook.py
+++ b/packages/core/src/mountladder/claims/keybook.py
@@ -11,9 +11,9 @@
 
 from gevent.event import Event
 
-from mountladder.clock import Clock
-from mountladder.keyrecord import KeyRecord
-from mountladder.keystate import KeyState
+from mountladder.claims.keyrecord import KeyRecord
+from mountladder.claims.keystate import KeyState
+from mountladder.clocks.clock import Clock
 
 KEEP_MS = 24 * 3_600_000.0
 MOST_ANSWER_BYTES = 32 * 1024 * 1024
--- a/packages/core/src/mountladder/keydecision.py
+++ b/packages/core/src/mountladder/claims/keydecision.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-from mountladder.issuedkey import IssuedKey
-from mountladder.keyrecord import KeyRecord
+from mountladder.claims.issuedkey import IssuedKey
+from mountladder.claims.keyrecord import KeyRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/keyrecord.py
+++ b/packages/core/src/mountladder/claims/keyrecord.py
@@ -9,9 +9,9 @@
 import json
 from dataclasses import dataclass
 
+from mountladder.claims.keystate import KeyState
 from mountladder.code import Code
 from mountladder.errors import MALFORMED, BadRowError
-from mountladder.keystate import KeyState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/pendingwrite.py
+++ b/packages/core/src/mountladder/claims/pendingwrite.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from mountladder.errors import MountladderError
-from mountladder.write import Write
+from mountladder.store.write import Write
 
 
 class PendingWrite:
--- a/packages/core/src/mountladder/submitter.py
+++ b/packages/core/src/mountladder/claims/submitter.py
@@ -12,7 +12,8 @@
 
 from gevent.event import Event
 
-from mountladder.clock import Clock
+from mountladder.claims.groupcommit import GroupCommit
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import (
     ConditionFailedError,
@@ -20,13 +21,12 @@
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.groupcommit import GroupCommit
-from mountladder.link import Link
-from mountladder.membership import GATHERED_FROM
-from mountladder.peers import Peers
-from mountladder.submit import Submit
-from mountladder.submitted import Submitted
-from mountladder.write import Write
+from mountladder.membership.link import Link
+from mountladder.membership.membership import GATHERED_FROM
+from mountladder.membership.peers import Peers
+from mountladder.membership.submit import Submit
+from mountladder.membership.submitted import Submitted
+from mountladder.store.write import Write
 
 ASK_SHARE = 0.5
 REPLY_MARGIN_MS = 20.0
--- a/packages/core/src/mountladder/systemclock.py
+++ b/packages/core/src/mountladder/clocks/systemclock.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 
 MS_PER_SECOND = 1000.0
 
--- a/packages/core/src/mountladder/virtualclock.py
+++ b/packages/core/src/mountladder/clocks/virtualclock.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 
 EPOCH_WALL_MS = 1_790_000_000_000.0
 
--- a/packages/core/src/mountladder/change.py
+++ b/packages/core/src/mountladder/configuration/change.py
@@ -9,8 +9,8 @@
 import json
 from dataclasses import dataclass
 
-from mountladder.document import Document
-from mountladder.documents import read_document
+from mountladder.configuration.document import Document
+from mountladder.configuration.documents import read_document
 from mountladder.errors import MALFORMED, BadRowError, DocumentError
 
 
--- a/packages/core/src/mountladder/changelog.py
+++ b/packages/core/src/mountladder/configuration/changelog.py
@@ -11,10 +11,10 @@
 
 from eliot import log_message
 
-from mountladder.change import Change
-from mountladder.clock import Clock
-from mountladder.configuration import Configuration
-from mountladder.document import Document
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.change import Change
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.document import Document
 from mountladder.errors import (
     MALFORMED,
     BadRowError,
@@ -23,10 +23,10 @@
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.objectstore import ObjectStore
-from mountladder.row import Row
-from mountladder.table import Table
-from mountladder.write import ABSENT, Write
+from mountladder.store.objectstore import ObjectStore
+from mountladder.store.row import Row
+from mountladder.store.table import Table
+from mountladder.store.write import ABSENT, Write
 
 HEAD_KEY = "config/head"
 CHANGE_PREFIX = "config/change/"
--- a/packages/core/src/mountladder/check.py
+++ b/packages/core/src/mountladder/configuration/check.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from mountladder.code import Code
-from mountladder.configuration import Configuration
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.selector import Selector
 from mountladder.errors import DocumentError, MountladderError
-from mountladder.pipeline import Pipeline
-from mountladder.selector import Selector
 
 
 def check(configuration: Configuration) -> list[MountladderError]:
--- a/packages/core/src/mountladder/configuration.py
+++ b/packages/core/src/mountladder/configuration/configuration.py
@@ -10,16 +10,16 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from mountladder.backendserver import BackendServer
-from mountladder.change import Change
-from mountladder.document import Document
-from mountladder.documents import read_document
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.change import Change
+from mountladder.configuration.document import Document
+from mountladder.configuration.documents import read_document
+from mountladder.configuration.model import Model
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.selector import Selector
+from mountladder.configuration.stage import Stage
+from mountladder.configuration.team import Team
 from mountladder.errors import MALFORMED, BadRowError, DocumentError
-from mountladder.model import Model
-from mountladder.pipeline import Pipeline
-from mountladder.selector import Selector
-from mountladder.stage import Stage
-from mountladder.team import Team
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/mountladder/documents.py
+++ b/packages/core/src/mountladder/configuration/documents.py
@@ -10,14 +10,14 @@
 import tomllib
 from collections.abc import Mapping
 
-from mountladder.backendserver import BackendServer
-from mountladder.document import Document
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.document import Document
+from mountladder.configuration.fields import Fields
+from mountladder.configuration.model import Model
+from mountladder.configuration.namedselector import NamedSelector
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.team import Team
 from mountladder.errors import DocumentError, MountladderError
-from mountladder.fields import Fields
-from mountladder.model import Model
-from mountladder.namedselector import NamedSelector
-from mountladder.pipeline import Pipeline
-from mountladder.team import Team
 
 KINDS = {one.kind: one for one in (Pipeline, BackendServer, Model, Team, NamedSelector)}
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
--- a/packages/core/src/mountladder/follower.py
+++ b/packages/core/src/mountladder/configuration/follower.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable, Sequence
 
-from mountladder.change import Change
-from mountladder.changelog import ChangeLog
-from mountladder.clock import Clock
-from mountladder.configuration import Configuration
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.change import Change
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.configuration import Configuration
 from mountladder.errors import BadRowError, StoreUnavailableError
 
 KEPT_CHANGES = 512
--- a/packages/core/src/mountladder/namedselector.py
+++ b/packages/core/src/mountladder/configuration/namedselector.py
@@ -9,8 +9,8 @@
 from dataclasses import asdict, dataclass
 from typing import ClassVar
 
-from mountladder.document import Document
-from mountladder.fields import Fields
+from mountladder.configuration.document import Document
+from mountladder.configuration.fields import Fields
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/pipeline.py
+++ b/packages/core/src/mountladder/configuration/pipeline.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from mountladder.document import Document
-from mountladder.fields import Fields
-from mountladder.stage import Stage
+from mountladder.configuration.document import Document
+from mountladder.configuration.fields import Fields
+from mountladder.configuration.stage import Stage
 
 DEFAULT_DEADLINE_MS = 5_000.0
 MOST_STAGES = 16
--- a/packages/core/src/mountladder/selector.py
+++ b/packages/core/src/mountladder/configuration/selector.py
@@ -10,8 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from mountladder.configuration.requirement import Requirement
 from mountladder.errors import SelectorError
-from mountladder.requirement import Requirement
 
 _NAME = r"[A-Za-z0-9][A-Za-z0-9._/-]*"
 _EQUALITY = re.compile(rf"({_NAME})\s*(!=|==|=)\s*({_NAME})")
--- a/packages/core/src/mountladder/settings.py
+++ b/packages/core/src/mountladder/configuration/settings.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from mountladder.configuration.fields import Fields
 from mountladder.errors import SettingsError
-from mountladder.fields import Fields
 
 LEAST_SECRET = 16
 
--- a/packages/core/src/mountladder/stage.py
+++ b/packages/core/src/mountladder/configuration/stage.py
@@ -8,7 +8,7 @@
 
 from dataclasses import asdict, dataclass
 
-from mountladder.fields import Fields
+from mountladder.configuration.fields import Fields
 
 WORKS = ("encode", "retrieve", "rerank", "generate", "call")
 
--- a/packages/core/src/mountladder/team.py
+++ b/packages/core/src/mountladder/configuration/team.py
@@ -10,8 +10,8 @@
 from dataclasses import asdict, dataclass
 from typing import ClassVar
 
-from mountladder.document import Document
-from mountladder.fields import Fields
+from mountladder.configuration.document import Document
+from mountladder.configuration.fields import Fields
 
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 
--- /dev/null
+++ b/packages/core/src/mountladder/engines/__init__.py
@@ -0,0 +1,5 @@
+# __init__.py -- Orders to model engines
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Orders to model engines."""
--- a/packages/core/src/mountladder/engines.py
+++ b/packages/core/src/mountladder/engines/engines.py
@@ -8,9 +8,9 @@
 
 from abc import ABC, abstractmethod
 
-from mountladder.backendserver import BackendServer
-from mountladder.enginestate import EngineState
-from mountladder.order import Order
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
 
 
 class Engines(ABC):
--- a/packages/core/src/mountladder/orders.py
+++ b/packages/core/src/mountladder/engines/orders.py
@@ -11,16 +11,16 @@
 
 from eliot import log_message
 
-from mountladder.backendserver import BackendServer
-from mountladder.engines import Engines
-from mountladder.enginestate import EngineState
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.follower import Follower
+from mountladder.engines.engines import Engines
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
+from mountladder.engines.placement import engines_of, wanted_models
 from mountladder.errors import LeaseLostError, OrderFencedError, StageError
-from mountladder.follower import Follower
-from mountladder.lease import Lease
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.order import Order
-from mountladder.placement import engines_of, wanted_models
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.store.lease import Lease
 
 MOST_LOADING = 2
 PER_ENGINE_MS = 200.0
--- a/packages/core/src/mountladder/placement.py
+++ b/packages/core/src/mountladder/engines/placement.py
@@ -10,10 +10,10 @@
 
 import xxhash
 
-from mountladder.backendserver import BackendServer
-from mountladder.configuration import Configuration
-from mountladder.enginestate import EngineState
-from mountladder.model import Model
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.model import Model
+from mountladder.engines.enginestate import EngineState
 
 
 def wanted_models(
--- a/packages/core/src/mountladder/admission.py
+++ b/packages/core/src/mountladder/limits/admission.py
@@ -8,11 +8,11 @@
 
 from collections import Counter
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
+from mountladder.configuration.team import Team
 from mountladder.errors import RefusalError
-from mountladder.team import Team
-from mountladder.waiter import Waiter
+from mountladder.limits.waiter import Waiter
 
 
 class Admission:
--- a/packages/core/src/mountladder/usage.py
+++ b/packages/core/src/mountladder/limits/usage.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from mountladder.clock import Clock
-from mountladder.team import Team
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.team import Team
 
 HALF_LIFE_MS = 2_000.0
 LEAST = 1e-6
--- a/packages/core/src/mountladder/waiter.py
+++ b/packages/core/src/mountladder/limits/waiter.py
@@ -8,8 +8,8 @@
 
 from gevent.event import Event
 
+from mountladder.configuration.team import Team
 from mountladder.errors import RefusalError
-from mountladder.team import Team
 
 
 class Waiter:
--- a/packages/core/src/mountladder/link.py
+++ b/packages/core/src/mountladder/membership/link.py
@@ -8,8 +8,8 @@
 
 from abc import ABC, abstractmethod
 
-from mountladder.instance import Instance
-from mountladder.wire import Message
+from mountladder.membership.instance import Instance
+from mountladder.membership.wire import Message
 
 
 class Link(ABC):
--- a/packages/core/src/mountladder/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -11,8 +11,8 @@
 
 import xxhash
 
-from mountladder.clock import Clock
-from mountladder.instance import Instance
+from mountladder.clocks.clock import Clock
+from mountladder.membership.instance import Instance
 
 INTERVAL_MS = 1_000.0
 PER_PEER_MS = 80.0
--- a/packages/core/src/mountladder/memorylink.py
+++ b/packages/core/src/mountladder/membership/memorylink.py
@@ -10,11 +10,11 @@
 
 from gevent.queue import Queue
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
-from mountladder.instance import Instance
-from mountladder.link import Link
-from mountladder.wire import Message, decode, encode
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.membership.wire import Message, decode, encode
 
 
 class MemoryLink(Link):
--- a/packages/core/src/mountladder/memorynetwork.py
+++ b/packages/core/src/mountladder/membership/memorynetwork.py
@@ -11,12 +11,12 @@
 
 import gevent
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
-from mountladder.instance import Instance
-from mountladder.link import Link
-from mountladder.memorylink import MemoryLink
-from mountladder.network import Network
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.membership.memorylink import MemoryLink
+from mountladder.membership.network import Network
 
 
 class MemoryNetwork(Network):
--- a/packages/core/src/mountladder/network.py
+++ b/packages/core/src/mountladder/membership/network.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
-from mountladder.instance import Instance
-from mountladder.link import Link
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
 
 
 class Network(ABC):
--- a/packages/core/src/mountladder/peers.py
+++ b/packages/core/src/mountladder/membership/peers.py
@@ -13,25 +13,25 @@
 from eliot import log_message
 from gevent.event import Event
 
-from mountladder.ask import Ask
-from mountladder.change import Change
-from mountladder.changes import Changes
-from mountladder.clock import Clock
-from mountladder.configuration import Configuration
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.change import Change
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.follower import Follower
 from mountladder.errors import BadRowError, MountladderError, PeerError
-from mountladder.follower import Follower
-from mountladder.heartbeat import Heartbeat
-from mountladder.hello import Hello
-from mountladder.instance import Instance
-from mountladder.link import Link
-from mountladder.membership import Membership
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.network import Network
-from mountladder.snapshot import Snapshot
-from mountladder.submit import Submit
-from mountladder.submitted import Submitted
-from mountladder.wire import Message
+from mountladder.membership.ask import Ask
+from mountladder.membership.changes import Changes
+from mountladder.membership.heartbeat import Heartbeat
+from mountladder.membership.hello import Hello
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.membership.membership import Membership
+from mountladder.membership.network import Network
+from mountladder.membership.snapshot import Snapshot
+from mountladder.membership.submit import Submit
+from mountladder.membership.submitted import Submitted
+from mountladder.membership.wire import Message
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
 
 REDIAL_MS = 500.0
 TARGETS_MS = 500.0
--- a/packages/core/src/mountladder/submit.py
+++ b/packages/core/src/mountladder/membership/submit.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from mountladder.write import Write
+from mountladder.store.write import Write
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/tcplink.py
+++ b/packages/core/src/mountladder/membership/tcplink.py
@@ -16,10 +16,10 @@
 
 from mountladder.code import Code
 from mountladder.errors import PeerError
-from mountladder.hello import Hello
-from mountladder.instance import Instance
-from mountladder.link import Link
-from mountladder.wire import VERSION, Message, decode, encode
+from mountladder.membership.hello import Hello
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.membership.wire import VERSION, Message, decode, encode
 
 NONCE_BYTES = 16
 PROOF_BYTES = 32
--- a/packages/core/src/mountladder/tcpnetwork.py
+++ b/packages/core/src/mountladder/membership/tcpnetwork.py
@@ -13,11 +13,11 @@
 from gevent.server import StreamServer
 
 from mountladder.errors import PeerError
-from mountladder.instance import Instance
-from mountladder.link import Link
-from mountladder.listener import listener, split
-from mountladder.network import Network
-from mountladder.tcplink import TcpLink
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.membership.listener import listener, split
+from mountladder.membership.network import Network
+from mountladder.membership.tcplink import TcpLink
 
 CONNECT_SECONDS = 1.0
 MOST_LINKS = 1_024
--- a/packages/core/src/mountladder/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -11,17 +11,17 @@
 
 import capnp
 
-from mountladder.ask import Ask
-from mountladder.changes import Changes
 from mountladder.code import Code
 from mountladder.errors import PeerError
-from mountladder.heartbeat import Heartbeat
-from mountladder.hello import Hello
-from mountladder.instance import Instance
-from mountladder.snapshot import Snapshot
-from mountladder.submit import Submit
-from mountladder.submitted import Submitted
-from mountladder.write import Write
+from mountladder.membership.ask import Ask
+from mountladder.membership.changes import Changes
+from mountladder.membership.heartbeat import Heartbeat
+from mountladder.membership.hello import Hello
+from mountladder.membership.instance import Instance
+from mountladder.membership.snapshot import Snapshot
+from mountladder.membership.submit import Submit
+from mountladder.membership.submitted import Submitted
+from mountladder.store.write import Write
 
 VERSION = 1
 ANY_VERSION = -1
--- a/packages/core/src/mountladder/memorymetrics.py
+++ b/packages/core/src/mountladder/metrics/memorymetrics.py
@@ -8,8 +8,8 @@
 
 from collections import Counter
 
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
 
 
 class MemoryMetrics(Metrics):
--- a/packages/core/src/mountladder/metrics.py
+++ b/packages/core/src/mountladder/metrics/metrics.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 
-from mountladder.metric import Metric
+from mountladder.metrics.metric import Metric
 
 
 class Metrics(ABC):
--- a/packages/core/src/mountladder/statsdmetrics.py
+++ b/packages/core/src/mountladder/metrics/statsdmetrics.py
@@ -8,8 +8,8 @@
 
 from statsd import StatsClient
 
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.metric import Metric
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.metrics.metric import Metric
 
 PREFIX = "mountladder"
 
--- a/packages/core/src/mountladder/answer.py
+++ b/packages/core/src/mountladder/requests/answer.py
@@ -10,7 +10,7 @@
 from dataclasses import asdict, dataclass
 
 from mountladder.errors import MALFORMED, BadRowError
-from mountladder.stagetiming import StageTiming
+from mountladder.routing.stagetiming import StageTiming
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/attempt.py
+++ b/packages/core/src/mountladder/requests/attempt.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-from mountladder.choice import Choice
-from mountladder.stagecall import StageCall
+from mountladder.requests.stagecall import StageCall
+from mountladder.routing.choice import Choice
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/attempts.py
+++ b/packages/core/src/mountladder/requests/attempts.py
@@ -10,20 +10,20 @@
 
 import gevent
 
-from mountladder.attempt import Attempt
-from mountladder.charge import Charge
-from mountladder.choice import Choice
+from mountladder.accounts.charge import Charge
 from mountladder.code import Code
+from mountladder.configuration.stage import Stage
 from mountladder.errors import RunError, StageError
-from mountladder.metric import Metric
-from mountladder.request import Request
-from mountladder.runcontext import RunContext
-from mountladder.stage import Stage
-from mountladder.stagecall import StageCall
-from mountladder.stageplan import stage_budget
-from mountladder.stagetiming import StageTiming
-from mountladder.trace import Trace
-from mountladder.tries import Tries
+from mountladder.metrics.metric import Metric
+from mountladder.requests.attempt import Attempt
+from mountladder.requests.request import Request
+from mountladder.requests.runcontext import RunContext
+from mountladder.requests.stagecall import StageCall
+from mountladder.requests.stageplan import stage_budget
+from mountladder.requests.trace import Trace
+from mountladder.requests.tries import Tries
+from mountladder.routing.choice import Choice
+from mountladder.routing.stagetiming import StageTiming
 
 MOST_ATTEMPTS = 4
 BACKOFF_MS = 20.0
--- a/packages/core/src/mountladder/backend.py
+++ b/packages/core/src/mountladder/requests/backend.py
@@ -9,10 +9,10 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
-from mountladder.backendserver import BackendServer
-from mountladder.chunk import Chunk
-from mountladder.stagecall import StageCall
-from mountladder.stageresult import StageResult
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.stagecall import StageCall
+from mountladder.requests.stageresult import StageResult
 
 
 class Backend(ABC):
--- a/packages/core/src/mountladder/detachedrun.py
+++ b/packages/core/src/mountladder/requests/detachedrun.py
@@ -11,11 +11,11 @@
 from gevent.event import Event
 from gevent.pool import Group
 
-from mountladder.chunk import Chunk
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RunError
-from mountladder.pipelinerun import PipelineRun
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.pipelinerun import PipelineRun
 
 
 class DetachedRun:
--- a/packages/core/src/mountladder/eventreader.py
+++ b/packages/core/src/mountladder/requests/eventreader.py
@@ -9,9 +9,9 @@
 import json
 import re
 
-from mountladder.chunk import Chunk
 from mountladder.code import Code
 from mountladder.errors import MALFORMED, StageError
+from mountladder.requests.chunk import Chunk
 
 MOST_EVENT_BYTES = 65_536
 _END = b"\n\n"
--- a/packages/core/src/mountladder/gateway.py
+++ b/packages/core/src/mountladder/requests/gateway.py
@@ -13,25 +13,25 @@
 
 from gevent.pool import Group
 
-from mountladder.admission import Admission
-from mountladder.callerrequest import CallerRequest
-from mountladder.chunk import Chunk
+from mountladder.claims.idempotency import Idempotency, check_key
+from mountladder.claims.keyrecord import KeyRecord
 from mountladder.code import Code
-from mountladder.detachedrun import DetachedRun
+from mountladder.configuration.team import Team
 from mountladder.errors import MountladderError, RefusalError
-from mountladder.estimate import estimate
-from mountladder.idempotency import Idempotency, check_key
-from mountladder.keyrecord import KeyRecord
-from mountladder.metric import Metric
-from mountladder.pipelinerun import PipelineRun
-from mountladder.reply import Reply
-from mountladder.request import Request
+from mountladder.limits.admission import Admission
+from mountladder.limits.usage import Usage
+from mountladder.metrics.metric import Metric
+from mountladder.requests.callerrequest import CallerRequest
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.detachedrun import DetachedRun
+from mountladder.requests.pipelinerun import PipelineRun
+from mountladder.requests.reply import Reply
+from mountladder.requests.request import Request
+from mountladder.requests.runcontext import RunContext
+from mountladder.requests.trace import Trace
+from mountladder.requests.tracebook import TraceBook
 from mountladder.resultclass import ResultClass
-from mountladder.runcontext import RunContext
-from mountladder.team import Team
-from mountladder.trace import Trace
-from mountladder.tracebook import TraceBook
-from mountladder.usage import Usage
+from mountladder.routing.estimate import estimate
 
 LONGEST_DEADLINE_MS = 600_000.0
 PROBE_EVERY_MS = 2_000.0
--- a/packages/core/src/mountladder/pipelinerun.py
+++ b/packages/core/src/mountladder/requests/pipelinerun.py
@@ -12,18 +12,18 @@
 
 import gevent
 
-from mountladder.answer import Answer
-from mountladder.attempts import Attempts
-from mountladder.chunk import Chunk
 from mountladder.code import Code
+from mountladder.configuration.stage import Stage
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
-from mountladder.pace import Pace
-from mountladder.request import Request
-from mountladder.runcontext import RunContext
-from mountladder.stage import Stage
-from mountladder.stageplan import levels
-from mountladder.trace import Trace
-from mountladder.tries import Tries
+from mountladder.requests.answer import Answer
+from mountladder.requests.attempts import Attempts
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.request import Request
+from mountladder.requests.runcontext import RunContext
+from mountladder.requests.stageplan import levels
+from mountladder.requests.trace import Trace
+from mountladder.requests.tries import Tries
+from mountladder.routing.pace import Pace
 
 _DATA = re.compile(rb'^data: "(.*)"$', re.MULTILINE)
 
--- a/packages/core/src/mountladder/reply.py
+++ b/packages/core/src/mountladder/requests/reply.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from mountladder.chunk import Chunk
-from mountladder.issuedkey import IssuedKey
-from mountladder.request import Request
+from mountladder.claims.issuedkey import IssuedKey
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.request import Request
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/request.py
+++ b/packages/core/src/mountladder/requests/request.py
@@ -9,8 +9,8 @@
 import hashlib
 from dataclasses import dataclass
 
-from mountladder.pipeline import Pipeline
-from mountladder.team import Team
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.team import Team
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/runcontext.py
+++ b/packages/core/src/mountladder/requests/runcontext.py
@@ -10,14 +10,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from mountladder.backend import Backend
-from mountladder.clock import Clock
-from mountladder.costmodel import CostModel
-from mountladder.follower import Follower
-from mountladder.ledger import Ledger
-from mountladder.metrics import Metrics
-from mountladder.retrybudget import RetryBudget
-from mountladder.router import Router
+from mountladder.accounts.ledger import Ledger
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.follower import Follower
+from mountladder.limits.retrybudget import RetryBudget
+from mountladder.metrics.metrics import Metrics
+from mountladder.requests.backend import Backend
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.router import Router
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/stagecall.py
+++ b/packages/core/src/mountladder/requests/stagecall.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from mountladder.stage import Stage
+from mountladder.configuration.stage import Stage
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/stageplan.py
+++ b/packages/core/src/mountladder/requests/stageplan.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Sequence
 
-from mountladder.costmodel import CostModel
-from mountladder.pipeline import Pipeline
-from mountladder.stage import Stage
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.stage import Stage
+from mountladder.routing.costmodel import CostModel
 
 QUANTILE = 0.9
 
--- a/packages/core/src/mountladder/trace.py
+++ b/packages/core/src/mountladder/requests/trace.py
@@ -8,8 +8,8 @@
 
 from eliot import log_message
 
-from mountladder.clock import Clock
-from mountladder.traceentry import TraceEntry
+from mountladder.clocks.clock import Clock
+from mountladder.requests.traceentry import TraceEntry
 
 
 class Trace:
--- a/packages/core/src/mountladder/tracebook.py
+++ b/packages/core/src/mountladder/requests/tracebook.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 
-from mountladder.trace import Trace
+from mountladder.requests.trace import Trace
 
 KEPT = 1_000
 
--- a/packages/core/src/mountladder/tries.py
+++ b/packages/core/src/mountladder/requests/tries.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from mountladder.stage import Stage
+from mountladder.configuration.stage import Stage
 
 
 class Tries:
--- a/packages/core/src/mountladder/candidate.py
+++ b/packages/core/src/mountladder/routing/candidate.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from mountladder.serverstate import ServerState
+from mountladder.routing.serverstate import ServerState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/choice.py
+++ b/packages/core/src/mountladder/routing/choice.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-from mountladder.candidate import Candidate
-from mountladder.serverstate import ServerState
+from mountladder.routing.candidate import Candidate
+from mountladder.routing.serverstate import ServerState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/costmodel.py
+++ b/packages/core/src/mountladder/routing/costmodel.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from mountladder.histogram import Histogram
-from mountladder.stage import Stage
+from mountladder.configuration.stage import Stage
+from mountladder.metrics.histogram import Histogram
 
 DEFAULT_MS = 50.0
 WEIGHT_DOWN = 0.3
--- a/packages/core/src/mountladder/estimate.py
+++ b/packages/core/src/mountladder/routing/estimate.py
@@ -8,11 +8,11 @@
 
 from dataclasses import dataclass
 
-from mountladder.backendserver import BackendServer
-from mountladder.request import Request
-from mountladder.runcontext import RunContext
-from mountladder.stage import Stage
-from mountladder.stageplan import levels
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.stage import Stage
+from mountladder.requests.request import Request
+from mountladder.requests.runcontext import RunContext
+from mountladder.requests.stageplan import levels
 
 LOOKED_AT = 8
 FAR_LOOKED_AT = 4
--- a/packages/core/src/mountladder/nearby.py
+++ b/packages/core/src/mountladder/routing/nearby.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from mountladder.backendserver import BackendServer
+from mountladder.configuration.backendserver import BackendServer
 
 KEPT = 512
 Servers = tuple[BackendServer, ...]
--- a/packages/core/src/mountladder/pace.py
+++ b/packages/core/src/mountladder/routing/pace.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from mountladder.attempt import Attempt
-from mountladder.chunk import Chunk
-from mountladder.runcontext import RunContext
+from mountladder.requests.attempt import Attempt
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.runcontext import RunContext
 
 TOLD_EVERY_MS = 100.0
 
--- a/packages/core/src/mountladder/policy.py
+++ b/packages/core/src/mountladder/routing/policy.py
@@ -10,12 +10,12 @@
 from collections.abc import Sequence
 from functools import singledispatch
 
-from mountladder.candidate import Candidate
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.leastoutstanding import LeastOutstanding
-from mountladder.randomchoice import RandomChoice
-from mountladder.roundrobin import RoundRobin
-from mountladder.twochoices import TwoChoices
+from mountladder.routing.candidate import Candidate
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.leastoutstanding import LeastOutstanding
+from mountladder.routing.randomchoice import RandomChoice
+from mountladder.routing.roundrobin import RoundRobin
+from mountladder.routing.twochoices import TwoChoices
 
 FULLEST = 1.0
 Policy = RandomChoice | RoundRobin | LeastOutstanding | TwoChoices | ExpectedCompletion
--- a/packages/core/src/mountladder/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -11,19 +11,19 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
-from mountladder.backendserver import BackendServer
-from mountladder.candidate import Candidate
-from mountladder.choice import Choice
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
-from mountladder.costmodel import CostModel
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.stage import Stage
 from mountladder.errors import StageError
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.nearby import Nearby
-from mountladder.policy import Policy, choose, sample_size
-from mountladder.serverstate import ServerState
-from mountladder.stage import Stage
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.routing.candidate import Candidate
+from mountladder.routing.choice import Choice
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.nearby import Nearby
+from mountladder.routing.policy import Policy, choose, sample_size
+from mountladder.routing.serverstate import ServerState
 
 PREFIXES_KEPT = 4_096
 PREFIX_SAVING = 0.7
--- a/packages/core/src/mountladder/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -8,8 +8,8 @@
 
 import random
 
-from mountladder.backendserver import BackendServer
-from mountladder.breaker import Breaker
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.routing.breaker import Breaker
 
 SLOWNESS_WEIGHT = 0.3
 OTHERS_WEIGHT = 0.4
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -16,35 +16,35 @@
 from eliot import log_message, write_traceback
 from gevent.event import Event
 
-from mountladder.admission import Admission
-from mountladder.backend import Backend
-from mountladder.changelog import ChangeLog
-from mountladder.clock import Clock
-from mountladder.costmodel import CostModel
-from mountladder.engines import Engines
+from mountladder.accounts.ledger import Ledger
+from mountladder.claims.groupcommit import GroupCommit
+from mountladder.claims.idempotency import Idempotency
+from mountladder.claims.keybook import KeyBook
+from mountladder.claims.submitter import Submitter
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.follower import Follower
+from mountladder.configuration.settings import Settings
+from mountladder.engines.engines import Engines
+from mountladder.engines.orders import Orders
 from mountladder.errors import MountladderError, StoreAmbiguousError, StoreUnavailableError
-from mountladder.expectedcompletion import ExpectedCompletion
-from mountladder.follower import Follower
-from mountladder.gateway import Gateway
-from mountladder.groupcommit import GroupCommit
-from mountladder.idempotency import Idempotency
-from mountladder.instance import Instance
-from mountladder.keybook import KeyBook
-from mountladder.lease import Lease
-from mountladder.ledger import Ledger
-from mountladder.membership import Membership
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.network import Network
-from mountladder.orders import Orders
-from mountladder.peers import Peers
-from mountladder.platform import Platform
-from mountladder.policy import Policy
-from mountladder.router import Router
-from mountladder.runcontext import RunContext
-from mountladder.settings import Settings
-from mountladder.submitter import Submitter
-from mountladder.tracebook import TraceBook
+from mountladder.limits.admission import Admission
+from mountladder.membership.instance import Instance
+from mountladder.membership.membership import Membership
+from mountladder.membership.network import Network
+from mountladder.membership.peers import Peers
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.requests.backend import Backend
+from mountladder.requests.gateway import Gateway
+from mountladder.requests.runcontext import RunContext
+from mountladder.requests.tracebook import TraceBook
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.policy import Policy
+from mountladder.routing.router import Router
+from mountladder.store.lease import Lease
+from mountladder.store.platform import Platform
 
 ANNOUNCE_MS = 5_000.0
 SWEEP_MS = 10_000.0
--- a/packages/core/src/mountladder/instancelist.py
+++ b/packages/core/src/mountladder/store/instancelist.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 
-from mountladder.instance import Instance
+from mountladder.membership.instance import Instance
 
 
 class InstanceList(ABC):
--- a/packages/core/src/mountladder/lease.py
+++ b/packages/core/src/mountladder/store/lease.py
@@ -8,7 +8,7 @@
 
 import json
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import (
     MALFORMED,
     BadRowError,
@@ -17,9 +17,9 @@
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.row import Row
-from mountladder.table import Table
-from mountladder.write import ABSENT, Write
+from mountladder.store.row import Row
+from mountladder.store.table import Table
+from mountladder.store.write import ABSENT, Write
 
 LEASE_MS = 9_000.0
 SAFE_SHARE = 0.5
--- a/packages/core/src/mountladder/memoryinstancelist.py
+++ b/packages/core/src/mountladder/store/memoryinstancelist.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from mountladder.clock import Clock
-from mountladder.instance import Instance
-from mountladder.instancelist import InstanceList
+from mountladder.clocks.clock import Clock
+from mountladder.membership.instance import Instance
+from mountladder.store.instancelist import InstanceList
 
 
 class MemoryInstanceList(InstanceList):
--- a/packages/core/src/mountladder/memoryobjectstore.py
+++ b/packages/core/src/mountladder/store/memoryobjectstore.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from mountladder.objectstore import ObjectStore
+from mountladder.store.objectstore import ObjectStore
 
 
 class MemoryObjectStore(ObjectStore):
--- a/packages/core/src/mountladder/memorytable.py
+++ b/packages/core/src/mountladder/store/memorytable.py
@@ -11,9 +11,9 @@
 from sortedcontainers import SortedDict
 
 from mountladder.errors import ConditionFailedError
-from mountladder.row import Row
-from mountladder.table import Table
-from mountladder.write import ABSENT, Write
+from mountladder.store.row import Row
+from mountladder.store.table import Table
+from mountladder.store.write import ABSENT, Write
 
 
 class MemoryTable(Table):
--- a/packages/core/src/mountladder/platform.py
+++ b/packages/core/src/mountladder/store/platform.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass
 
-from mountladder.instancelist import InstanceList
-from mountladder.objectstore import ObjectStore
-from mountladder.table import Table
+from mountladder.store.instancelist import InstanceList
+from mountladder.store.objectstore import ObjectStore
+from mountladder.store.table import Table
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/table.py
+++ b/packages/core/src/mountladder/store/table.py
@@ -9,8 +9,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
-from mountladder.row import Row
-from mountladder.write import Write
+from mountladder.store.row import Row
+from mountladder.store.write import Write
 
 
 class Table(ABC):
--- a/packages/entry/src/mountladder_entry/application.py
+++ b/packages/entry/src/mountladder_entry/application.py
@@ -13,7 +13,7 @@
 
 from mountladder.code import Code
 from mountladder.errors import RunError
-from mountladder.gateway import problem
+from mountladder.requests.gateway import problem
 
 if TYPE_CHECKING:
     from mountladder_entry.node import Node
--- a/packages/entry/src/mountladder_entry/callers.py
+++ b/packages/entry/src/mountladder_entry/callers.py
@@ -12,13 +12,13 @@
 
 import bottle
 
-from mountladder.callerrequest import CallerRequest
-from mountladder.chunk import Chunk
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RefusalError, RunError
-from mountladder.gateway import problem
-from mountladder.reply import Reply
-from mountladder.request import Request
+from mountladder.requests.callerrequest import CallerRequest
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.gateway import problem
+from mountladder.requests.reply import Reply
+from mountladder.requests.request import Request
 from mountladder_entry.node import Node
 from mountladder_entry.relay import HOP_HEADER
 
--- a/packages/entry/src/mountladder_entry/dialect.py
+++ b/packages/entry/src/mountladder_entry/dialect.py
@@ -8,8 +8,8 @@
 
 from functools import singledispatch
 
-from mountladder.backendserver import BackendServer
-from mountladder.stagecall import StageCall
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.requests.stagecall import StageCall
 from mountladder_entry.enginedialect import EngineDialect
 from mountladder_entry.servicedialect import ServiceDialect
 
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -11,15 +11,15 @@
 
 import urllib3
 
-from mountladder.backend import Backend
-from mountladder.backendserver import BackendServer
-from mountladder.chunk import Chunk
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError, WaitTimeoutError
-from mountladder.eventreader import EventReader
-from mountladder.stagecall import StageCall
-from mountladder.stageresult import StageResult
+from mountladder.requests.backend import Backend
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.eventreader import EventReader
+from mountladder.requests.stagecall import StageCall
+from mountladder.requests.stageresult import StageResult
 from mountladder_entry.dialect import (
     ATTEMPT_HEADER,
     LOAD_HEADER,
--- a/packages/entry/src/mountladder_entry/httpclient.py
+++ b/packages/entry/src/mountladder_entry/httpclient.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import (
     BadRowError,
     StoreAmbiguousError,
--- a/packages/entry/src/mountladder_entry/httpengines.py
+++ b/packages/entry/src/mountladder_entry/httpengines.py
@@ -10,13 +10,13 @@
 
 import urllib3
 
-from mountladder.backendserver import BackendServer
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
-from mountladder.engines import Engines
-from mountladder.enginestate import EngineState
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.engines.engines import Engines
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
 from mountladder.errors import MALFORMED, OrderFencedError, StageError, WaitTimeoutError
-from mountladder.order import Order
 
 ANSWER_MS = 1_000.0
 FENCED_STATUS = 409
--- a/packages/entry/src/mountladder_entry/httpinstancelist.py
+++ b/packages/entry/src/mountladder_entry/httpinstancelist.py
@@ -10,8 +10,8 @@
 from dataclasses import asdict
 
 from mountladder.errors import BadRowError, StoreAmbiguousError, StoreUnavailableError
-from mountladder.instance import Instance
-from mountladder.instancelist import InstanceList
+from mountladder.membership.instance import Instance
+from mountladder.store.instancelist import InstanceList
 from mountladder_entry.httpclient import HttpClient, parse
 
 
--- a/packages/entry/src/mountladder_entry/httpobjectstore.py
+++ b/packages/entry/src/mountladder_entry/httpobjectstore.py
@@ -8,7 +8,7 @@
 
 from urllib.parse import quote
 
-from mountladder.objectstore import ObjectStore
+from mountladder.store.objectstore import ObjectStore
 from mountladder_entry.httpclient import HttpClient
 
 
--- a/packages/entry/src/mountladder_entry/httptable.py
+++ b/packages/entry/src/mountladder_entry/httptable.py
@@ -11,9 +11,9 @@
 from collections.abc import Sequence
 
 from mountladder.errors import BadRowError, ConditionFailedError
-from mountladder.row import Row
-from mountladder.table import Table
-from mountladder.write import Write
+from mountladder.store.row import Row
+from mountladder.store.table import Table
+from mountladder.store.write import Write
 from mountladder_entry.httpclient import HttpClient, parse
 
 
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -18,12 +18,12 @@
 from eliot import log_message, to_file
 from gevent.event import Event
 
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.settings import Settings
 from mountladder.errors import MountladderError
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.metrics import Metrics
-from mountladder.settings import Settings
-from mountladder.statsdmetrics import StatsdMetrics
-from mountladder.systemclock import SystemClock
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.metrics.metrics import Metrics
+from mountladder.metrics.statsdmetrics import StatsdMetrics
 from mountladder_entry.httpbackend import HttpBackend
 from mountladder_entry.httpengines import HttpEngines
 from mountladder_entry.node import Node
--- a/packages/entry/src/mountladder_entry/node.py
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -8,15 +8,15 @@
 
 from gevent.pywsgi import WSGIServer
 
-from mountladder.backend import Backend
-from mountladder.clock import Clock
-from mountladder.engines import Engines
-from mountladder.listener import listener
-from mountladder.metrics import Metrics
-from mountladder.platform import Platform
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.settings import Settings
+from mountladder.engines.engines import Engines
+from mountladder.membership.listener import listener
+from mountladder.membership.tcpnetwork import TcpNetwork
+from mountladder.metrics.metrics import Metrics
+from mountladder.requests.backend import Backend
 from mountladder.runtime import Runtime
-from mountladder.settings import Settings
-from mountladder.tcpnetwork import TcpNetwork
+from mountladder.store.platform import Platform
 from mountladder_entry.application import make_application
 from mountladder_entry.connection import Connection
 from mountladder_entry.quietlog import QuietLog
--- a/packages/entry/src/mountladder_entry/operators.py
+++ b/packages/entry/src/mountladder_entry/operators.py
@@ -16,7 +16,7 @@
 
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RefusalError
-from mountladder.gateway import problem
+from mountladder.requests.gateway import problem
 
 if TYPE_CHECKING:
     from mountladder_entry.node import Node
--- a/packages/entry/src/mountladder_entry/platform.py
+++ b/packages/entry/src/mountladder_entry/platform.py
@@ -8,8 +8,8 @@
 
 from contextlib import ExitStack
 
-from mountladder.clock import Clock
-from mountladder.platform import Platform
+from mountladder.clocks.clock import Clock
+from mountladder.store.platform import Platform
 from mountladder_entry.httpclient import HttpClient
 from mountladder_entry.httpinstancelist import HttpInstanceList
 from mountladder_entry.httpobjectstore import HttpObjectStore
--- a/packages/entry/src/mountladder_entry/relay.py
+++ b/packages/entry/src/mountladder_entry/relay.py
@@ -11,12 +11,12 @@
 import bottle
 import urllib3
 
-from mountladder.clock import Clock
-from mountladder.issuedkey import IssuedKey
-from mountladder.membership import Membership
-from mountladder.metric import Metric
-from mountladder.metrics import Metrics
-from mountladder.request import Request
+from mountladder.claims.issuedkey import IssuedKey
+from mountladder.clocks.clock import Clock
+from mountladder.membership.membership import Membership
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
+from mountladder.requests.request import Request
 from mountladder_entry.relayed import Relayed
 
 HOP_HEADER = "X-Mountladder-Hop"
--- a/packages/standins/src/mountladder_standins/experiment.py
+++ b/packages/standins/src/mountladder_standins/experiment.py
@@ -13,14 +13,14 @@
 
 import gevent
 
-from mountladder.backendserver import BackendServer
-from mountladder.document import Document
-from mountladder.model import Model
-from mountladder.pipeline import Pipeline
-from mountladder.policy import Policy
-from mountladder.stage import Stage
-from mountladder.team import Team
-from mountladder.virtualclock import VirtualClock
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.document import Document
+from mountladder.configuration.model import Model
+from mountladder.configuration.pipeline import Pipeline
+from mountladder.configuration.stage import Stage
+from mountladder.configuration.team import Team
+from mountladder.routing.policy import Policy
 from mountladder_standins.bound import attainment_bound
 from mountladder_standins.faults import Faults
 from mountladder_standins.localfleet import LocalFleet
--- a/packages/standins/src/mountladder_standins/faultrun.py
+++ b/packages/standins/src/mountladder_standins/faultrun.py
@@ -14,10 +14,10 @@
 
 import gevent
 
-from mountladder.changelog import ChangeLog
-from mountladder.document import Document
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.document import Document
 from mountladder.errors import MountladderError
-from mountladder.virtualclock import VirtualClock
 from mountladder_standins import invariants
 from mountladder_standins.callrecord import CallRecord
 from mountladder_standins.faultplan import FaultPlan
--- a/packages/standins/src/mountladder_standins/faults.py
+++ b/packages/standins/src/mountladder_standins/faults.py
@@ -9,8 +9,8 @@
 import dataclasses
 from dataclasses import dataclass
 
+from mountladder.configuration.fields import Fields
 from mountladder.errors import DocumentError
-from mountladder.fields import Fields
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/src/mountladder_standins/faultyinstancelist.py
+++ b/packages/standins/src/mountladder_standins/faultyinstancelist.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from mountladder.errors import StoreUnavailableError
-from mountladder.instance import Instance
-from mountladder.instancelist import InstanceList
+from mountladder.membership.instance import Instance
+from mountladder.store.instancelist import InstanceList
 from mountladder_standins.faults import Faults
 
 
--- a/packages/standins/src/mountladder_standins/faultyobjectstore.py
+++ b/packages/standins/src/mountladder_standins/faultyobjectstore.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import StoreUnavailableError
-from mountladder.objectstore import ObjectStore
+from mountladder.store.objectstore import ObjectStore
 from mountladder_standins.faults import Faults
 
 
--- a/packages/standins/src/mountladder_standins/faultytable.py
+++ b/packages/standins/src/mountladder_standins/faultytable.py
@@ -11,15 +11,15 @@
 
 import gevent
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.errors import (
     ConditionFailedError,
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.row import Row
-from mountladder.table import Table
-from mountladder.write import Write
+from mountladder.store.row import Row
+from mountladder.store.table import Table
+from mountladder.store.write import Write
 from mountladder_standins.faults import Faults
 
 
--- a/packages/standins/src/mountladder_standins/invariants.py
+++ b/packages/standins/src/mountladder_standins/invariants.py
@@ -9,8 +9,8 @@
 from collections import Counter
 from collections.abc import Iterator, Sequence
 
-from mountladder.change import Change
-from mountladder.configuration import Configuration
+from mountladder.configuration.change import Change
+from mountladder.configuration.configuration import Configuration
 from mountladder_standins.callrecord import CallRecord
 from mountladder_standins.ranstage import RanStage
 from mountladder_standins.timeline import Timeline
--- a/packages/standins/src/mountladder_standins/listening.py
+++ b/packages/standins/src/mountladder_standins/listening.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
-from mountladder.listener import listener
+from mountladder.membership.listener import listener
 
 
 def listen(app: bottle.Bottle, address: str, stack: ExitStack) -> str:
--- a/packages/standins/src/mountladder_standins/localbackend.py
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -8,15 +8,15 @@
 
 from collections.abc import Iterator, Mapping
 
-from mountladder.backend import Backend
-from mountladder.backendserver import BackendServer
-from mountladder.chunk import Chunk
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder.code import Code
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError, WaitTimeoutError
-from mountladder.eventreader import EventReader
-from mountladder.stagecall import StageCall
-from mountladder.stageresult import StageResult
+from mountladder.requests.backend import Backend
+from mountladder.requests.chunk import Chunk
+from mountladder.requests.eventreader import EventReader
+from mountladder.requests.stagecall import StageCall
+from mountladder.requests.stageresult import StageResult
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
 from mountladder_standins.standinserver import NOT_LOADED, StandinServer
 
--- a/packages/standins/src/mountladder_standins/localengines.py
+++ b/packages/standins/src/mountladder_standins/localengines.py
@@ -8,12 +8,12 @@
 
 from collections.abc import Mapping
 
-from mountladder.backendserver import BackendServer
 from mountladder.code import Code
-from mountladder.engines import Engines
-from mountladder.enginestate import EngineState
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.engines.engines import Engines
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
 from mountladder.errors import StageError
-from mountladder.order import Order
 from mountladder_standins.standinloader import StandinLoader
 
 
--- a/packages/standins/src/mountladder_standins/localfleet.py
+++ b/packages/standins/src/mountladder_standins/localfleet.py
@@ -14,19 +14,19 @@
 import gevent
 from gevent.pool import Group
 
-from mountladder.backendserver import BackendServer
-from mountladder.callerrequest import CallerRequest
-from mountladder.changelog import ChangeLog
-from mountladder.clock import Clock
-from mountladder.configuration import Configuration
-from mountladder.document import Document
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.configuration import Configuration
+from mountladder.configuration.document import Document
+from mountladder.configuration.settings import Settings
 from mountladder.errors import MountladderError
-from mountladder.memorymetrics import MemoryMetrics
-from mountladder.memorynetwork import MemoryNetwork
-from mountladder.policy import Policy
-from mountladder.reply import Reply
+from mountladder.membership.memorynetwork import MemoryNetwork
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.requests.callerrequest import CallerRequest
+from mountladder.requests.reply import Reply
+from mountladder.routing.policy import Policy
 from mountladder.runtime import Runtime
-from mountladder.settings import Settings
 from mountladder_standins.faults import Faults
 from mountladder_standins.localbackend import LocalBackend
 from mountladder_standins.outcome import Outcome
--- a/packages/standins/src/mountladder_standins/platformface.py
+++ b/packages/standins/src/mountladder_standins/platformface.py
@@ -19,9 +19,9 @@
     StoreAmbiguousError,
     StoreUnavailableError,
 )
-from mountladder.instance import Instance
-from mountladder.row import Row
-from mountladder.write import Write
+from mountladder.membership.instance import Instance
+from mountladder.store.row import Row
+from mountladder.store.write import Write
 from mountladder_standins.faults import Faults
 from mountladder_standins.standinplatform import StandinPlatform
 
--- a/packages/standins/src/mountladder_standins/serverface.py
+++ b/packages/standins/src/mountladder_standins/serverface.py
@@ -13,9 +13,9 @@
 
 import bottle
 
-from mountladder.enginestate import EngineState
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
 from mountladder.errors import MALFORMED, DocumentError, OrderFencedError
-from mountladder.order import Order
 from mountladder_standins.faults import Faults
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
 from mountladder_standins.standinserver import StandinServer
--- a/packages/standins/src/mountladder_standins/standinloader.py
+++ b/packages/standins/src/mountladder_standins/standinloader.py
@@ -8,9 +8,9 @@
 
 import gevent
 
-from mountladder.enginestate import EngineState
+from mountladder.engines.enginestate import EngineState
+from mountladder.engines.order import Order
 from mountladder.errors import OrderFencedError
-from mountladder.order import Order
 from mountladder_standins.weightstore import WeightStore
 
 
--- a/packages/standins/src/mountladder_standins/standinplatform.py
+++ b/packages/standins/src/mountladder_standins/standinplatform.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from mountladder.clock import Clock
-from mountladder.memoryinstancelist import MemoryInstanceList
-from mountladder.memoryobjectstore import MemoryObjectStore
-from mountladder.memorytable import MemoryTable
-from mountladder.platform import Platform
+from mountladder.clocks.clock import Clock
+from mountladder.store.memoryinstancelist import MemoryInstanceList
+from mountladder.store.memoryobjectstore import MemoryObjectStore
+from mountladder.store.memorytable import MemoryTable
+from mountladder.store.platform import Platform
 from mountladder_standins.faults import Faults
 from mountladder_standins.faultyinstancelist import FaultyInstanceList
 from mountladder_standins.faultyobjectstore import FaultyObjectStore
--- a/packages/standins/src/mountladder_standins/standinserver.py
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -14,7 +14,7 @@
 
 from gevent.event import Event
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 from mountladder_standins.faults import Faults
 from mountladder_standins.ranstage import RanStage
 from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
--- a/packages/standins/src/mountladder_standins/timeline.py
+++ b/packages/standins/src/mountladder_standins/timeline.py
@@ -11,8 +11,8 @@
 
 import gevent
 
-from mountladder.clock import Clock
-from mountladder.configuration import Configuration
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.configuration import Configuration
 from mountladder.runtime import Runtime
 
 READY_STEP_MS = 20.0
--- a/packages/standins/src/mountladder_standins/weightstore.py
+++ b/packages/standins/src/mountladder_standins/weightstore.py
@@ -8,7 +8,7 @@
 
 from gevent.lock import BoundedSemaphore
 
-from mountladder.clock import Clock
+from mountladder.clocks.clock import Clock
 
 DOWNLOADS = 2
 DOWNLOAD_MS = 2_000.0
