Know the room for results, keep large ones near, place prompts at one instance

Change: the instance where a service's pieces meet counts the room that results take at each server and is told of each result that is given up; a piece refused for room waits again and is no repeat. Pieces with large results wait up to 250 ms for a server of the data centre where they are needed. Prompts are placed by the one instance that all ask, which knows what each server reads and holds; without an answer in 60 ms an instance decides for itself.

Ruled out: digests of load between instances (200 ms old, and prefixes would still be read twice).

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -20,6 +20,8 @@
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.releaser import Releaser
+from mountladder.forwarding.resultroom import ResultRoom
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.upstream import Upstream
@@ -41,6 +43,9 @@
 NO_ROOM_PAUSE_MS = 80.0
 # How soon the queue is looked at again where no event would do it.
 LOOK_AGAIN_MS = 40.0
+# How long pieces with large results wait for a server of the data centre where they are needed.
+FAR_PATIENCE_MS = 250.0
+BYTES_PER_MB = 1_000_000.0
 # A server this much slower than usual is left alone while another is soon free.
 MUCH_SLOWER = 1.8
 
@@ -87,11 +92,13 @@
         self.queue: list[Waiting] = []
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
+        self.room = ResultRoom()
+        self.releaser = Releaser(upstream, clock)
         self.cancel_look: Callable[[], None] | None = None
 
     def submit(self, job: StageJob, done: Done) -> JobProgress:
         """Take in the pieces of a stage; done is called with their results."""
-        progress = JobProgress(job, done)
+        progress = JobProgress(job, done, self.clock.now())
         self.budget.earn()
         self.queue += [(progress, fragment) for fragment in range(job.pieces)]
         self.pump()
@@ -113,14 +120,22 @@
         limits = self.limits()
         now = self.clock.now()
         self.drop_late(now)
-        while self.queue and limits is not None:
-            state = self.next_server(limits, now)
-            if state is None:
-                break
-            self.start(state, limits, now)
+        self.room.drop_old(now)
+        if self.queue and limits is not None:
+            self.queue.sort(key=lambda one: self.order(one, now))
+            for state in self.free_servers(limits, now):
+                self.offer(state, limits, now)
         if self.queue:
             self.look_again()
 
+    def release(self, handles: Sequence[str]) -> None:
+        """Give up results that are no longer needed."""
+        for handle in handles:
+            self.room.release(handle)
+        self.releaser.release(handles)
+        if self.queue:
+            self.pump()
+
     def look_again(self) -> None:
         """Look at the queue a little later, unless that is arranged already."""
         if self.cancel_look is None:
@@ -140,32 +155,50 @@
         for progress, fragment in late:
             progress.settle(fragment, PieceResult("", PieceFailure.LATE))
 
-    def next_server(self, limits: BatchLimits, now: float) -> ServerState | None:
-        """Return the server that takes the next batch, or None where waiting is better."""
-        states = [self.router.state(one) for one in self.directory.available(self.service)]
-        usable = [one for one in states if self.may_take(one, now)]
+    def usable_servers(self, now: float) -> list[ServerState]:
+        """Return the servers that may be sent a call now, or once they are free."""
+        states = (self.router.state(one) for one in self.directory.available(self.service))
+        return [one for one in states if self.may_take(one, now)]
+
+    def free_servers(self, limits: BatchLimits, now: float) -> list[ServerState]:
+        """Return the servers that can take a call at once, the fastest first."""
+        usable = self.usable_servers(now)
         free = [one for one in usable if self.running(one) < limits.calls]
-        if not free:
-            return None
-        wanted = self.first_datacentre(now)
-        best = min(
-            free,
-            key=lambda one: (
-                one.slowness_at(now) > MUCH_SLOWER,
-                one.server.datacentre != wanted,
-                one.slowness_at(now),
-            ),
-        )
-        if best.slowness_at(now) > MUCH_SLOWER and self.is_better_to_wait(
-            best, usable, limits, now
-        ):
-            return None
-        return best
+        return sorted(free, key=lambda one: one.slowness_at(now))
+
+    def offer(self, state: ServerState, limits: BatchLimits, now: float) -> None:
+        """Send a server the pieces that are its to take, where that is best for them."""
+        usable = self.usable_servers(now)
+        batch = self.choose(state, usable, limits, now)
+        if not batch:
+            return
+        slow = state.slowness_at(now) > MUCH_SLOWER
+        if slow and self.is_better_to_wait(state, usable, limits, now):
+            return
+        chosen = set(map(id, batch))
+        self.queue = [one for one in self.queue if id(one) not in chosen]
+        self.start(state, batch, limits, now)
 
-    def first_datacentre(self, now: float) -> str:
-        """Return where the results of the piece that goes first are needed."""
-        first, _ = min(self.queue, key=lambda one: self.order(one, now))
-        return first.job.datacentre
+    def choose(
+        self, state: ServerState, usable: Sequence[ServerState], limits: BatchLimits, now: float
+    ) -> list[Waiting]:
+        """Return the first pieces that a server has room for and that may be made there."""
+        room = limits.room_mb * BYTES_PER_MB - self.room.used[state.server.name]
+        manned = {one.server.datacentre for one in usable}
+        batch: list[Waiting] = []
+        for waiting in self.queue:
+            progress = waiting[0]
+            job = progress.job
+            near = job.datacentre in {"", state.server.datacentre}
+            if not near and job.datacentre in manned and now - progress.since < FAR_PATIENCE_MS:
+                continue
+            if job.result_bytes > room:
+                continue
+            room -= job.result_bytes
+            batch.append(waiting)
+            if len(batch) == limits.pieces:
+                break
+        return batch
 
     def is_better_to_wait(
         self, slow: ServerState, usable: Sequence[ServerState], limits: BatchLimits, now: float
@@ -198,13 +231,15 @@
         late = job.due < now
         return late, job.urgency if late else 0, job.due
 
-    def start(self, state: ServerState, limits: BatchLimits, now: float) -> None:
-        """Send the next batch to a server, in a task of its own."""
-        self.queue.sort(key=lambda one: self.order(one, now))
-        batch, self.queue = self.queue[: limits.pieces], self.queue[limits.pieces :]
+    def start(
+        self, state: ServerState, batch: list[Waiting], limits: BatchLimits, now: float
+    ) -> None:
+        """Send a batch to a server, in a task of its own."""
         expected_ms = limits.expected_ms(len(batch)) * state.slowness_at(now)
         call = StageCallState(now, expected_ms, len(batch))
         self.calls.setdefault(state.server.name, []).append(call)
+        for progress, _ in batch:
+            self.room.reserve(state.server.name, progress.job.result_bytes)
         state.begin(now)
         gevent.spawn(self.call, state, batch, call, limits)
 
@@ -257,11 +292,28 @@
         )
         if PieceFailure.NO_ROOM.value in failed:
             self.paused[state.server.name] = now + NO_ROOM_PAUSE_MS
-        for (progress, fragment), result in zip(batch, results, strict=True):
-            if result.failure in {PieceFailure.NO_ROOM, PieceFailure.FAILED}:
-                self.repeat(progress, fragment, result)
-            else:
-                progress.settle(fragment, result)
+        for waiting, result in zip(batch, results, strict=True):
+            self.take_result(state, waiting, result, now + limits.kept_ms)
+
+    def take_result(
+        self, state: ServerState, waiting: Waiting, result: PieceResult, until: float
+    ) -> None:
+        """Settle a piece, or let it wait again."""
+        progress, fragment = waiting
+        size, server = progress.job.result_bytes, state.server.name
+        if result.failure is not None:
+            self.room.give_back(server, size)
+        else:
+            self.room.keep(result.handle, server, size, until)
+        if result.failure is PieceFailure.NO_ROOM:
+            # The server did not work on it, so that this is no repeat.
+            self.queue.append(waiting)
+        elif result.failure is PieceFailure.FAILED:
+            self.repeat(progress, fragment, result)
+        elif progress.ended and result.handle:
+            self.release([result.handle])
+        else:
+            progress.settle(fragment, result)
 
     def failed(
         self, state: ServerState, batch: list[Waiting], call: StageCallState, error: StageError
@@ -288,6 +340,7 @@
         )
         self.metrics.count(Metric.RETRIED, error.code.name.lower())
         for progress, fragment in batch:
+            self.room.give_back(state.server.name, progress.job.result_bytes)
             self.repeat(progress, fragment, PieceResult("", PieceFailure.FAILED))
 
     def repeat(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -19,8 +19,12 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
+from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.forwarding.stagewithdrawal import StageWithdrawal
 from mountladder.forwarding.want import Want
 from mountladder.membership.instance import Instance
@@ -55,6 +59,11 @@
         on_order: Takes a stage that a peer leaves to this instance.
         on_outcome: Takes the results of a stage that was left to a peer.
         on_withdrawal: Takes back a stage that a peer left to this instance.
+        on_placement_order: Takes a prompt that a peer asks a server for.
+        on_placement_reply: Takes where a prompt is to go.
+        on_placement_note: Takes what became of a peer's prompt.
+        on_peer_gone: Called with the link that a peer had opened when it is lost.
+        on_release: Takes results that a peer does not need any more.
     """
 
     answered = True
@@ -76,6 +85,11 @@
         self.on_order: Callable[[StageOrder, Link], None] = lambda order, link: None
         self.on_outcome: Callable[[StageOutcome, Link], None] = lambda outcome, link: None
         self.on_withdrawal: Callable[[StageWithdrawal, Link], None] = lambda one, link: None
+        self.on_release: Callable[[StageRelease, Link], None] = lambda release, link: None
+        self.on_placement_order: Callable[[PlacementOrder, Link], None] = lambda order, link: None
+        self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
+        self.on_placement_note: Callable[[PlacementNote, Link], None] = lambda note, link: None
+        self.on_peer_gone: Callable[[Link], None] = lambda link: None
         follower.listeners.append(lambda catalogue: self.tell_all())
 
     def targets(self) -> list[Instance]:
@@ -124,6 +138,13 @@
         """Return a sign of life that is to be answered, or an answer to one."""
         return Beacon(self.follower.version, self.directory.version, self.leaving, asks)
 
+    def serve(self, link: Link) -> None:
+        """Serve a link that a peer opened, until it breaks."""
+        try:
+            super().serve(link)
+        finally:
+            self.on_peer_gone(link)
+
     def greet(self, link: Link) -> None:
         """Tell a peer that has just connected what it needs to start."""
         known = tuple(one for one in self.membership.known.values() if one.peer)
@@ -192,6 +213,22 @@
     def _(self, message: StageWithdrawal, link: Link) -> None:
         self.on_withdrawal(message, link)
 
+    @handle.register
+    def _(self, message: PlacementOrder, link: Link) -> None:
+        self.on_placement_order(message, link)
+
+    @handle.register
+    def _(self, message: PlacementReply, link: Link) -> None:
+        self.on_placement_reply(message, link)
+
+    @handle.register
+    def _(self, message: PlacementNote, link: Link) -> None:
+        self.on_placement_note(message, link)
+
+    @handle.register
+    def _(self, message: StageRelease, link: Link) -> None:
+        self.on_release(message, link)
+
 
 def _weight(service: str, instance: Instance) -> int:
     return xxhash.xxh64_intdigest(f"{service}\0{instance.name}".encode())
--- a/packages/core/src/mountladder/forwarding/forwardattempt.py
+++ b/packages/core/src/mountladder/forwarding/forwardattempt.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.forwarding.picked import Picked
 from mountladder.routing.choice import Choice
 
 
@@ -16,15 +17,20 @@
     """One sending of a request to a backend server.
 
     Attributes:
-        choice: The server, and why it was chosen.
+        picked: The server, and why it was chosen.
         started: When it was sent.
         number: Which sending of the request it is, from 1.
     """
 
-    choice: Choice
+    picked: Picked
     started: float
     number: int
 
+    @property
+    def choice(self) -> Choice:
+        """Return the server, and why it was chosen."""
+        return self.picked.choice
+
     @property
     def server(self) -> str:
         """Return the id of the server."""
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -12,7 +12,6 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
-from mountladder.forwarding.releaser import Releaser
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.upstream import Upstream
@@ -31,7 +30,6 @@
         picker: Chooses servers.
         upstream: Calls servers.
         dispatch: Where stages are handed to.
-        releaser: Gives up results of stages.
         budget: Returns the retry budget of a service.
         metrics: Where metrics go.
     """
@@ -42,6 +40,5 @@
     picker: ServerPicker
     upstream: Upstream
     dispatch: StageDispatch
-    releaser: Releaser
     budget: Callable[[str], WindowBudget]
     metrics: Metrics
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -23,8 +23,9 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwarder import Forwarder
 from mountladder.forwarding.forwardingsettings import ForwardingSettings
+from mountladder.forwarding.placementdesk import PlacementDesk
 from mountladder.forwarding.platformtables import PlatformTables
-from mountladder.forwarding.releaser import Releaser
+from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.sourcefollower import SourceFollower
 from mountladder.forwarding.sourcepage import SourcePage
@@ -37,7 +38,6 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
-from mountladder.routing.promptplacement import PromptPlacement
 from mountladder.routing.router import Router
 from mountladder.supervision import keep_running
 
@@ -108,7 +108,9 @@
             self.settings.datacentre,
             SPILL_MS,
         )
-        picker = ServerPicker(self.directory, self.router, PromptPlacement(clock, self.router))
+        desk = PlacementDesk(self.directory, self.router, clock)
+        placer = PromptPlacer(self.fleet, desk, clock)
+        picker = ServerPicker(self.directory, self.router, placer)
         self.upstream = upstream
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump)
@@ -119,7 +121,6 @@
             picker=picker,
             upstream=upstream,
             dispatch=self.dispatch,
-            releaser=Releaser(upstream, clock),
             budget=self.budget,
             metrics=metrics,
         )
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -100,7 +100,6 @@
             self.urgency,
             self.site,
             self.context.dispatch,
-            self.context.releaser,
             self.context.clock,
         )
         inputs = self.flow.run()
@@ -114,18 +113,18 @@
             MountladderError: No server can be used.
         """
         try:
-            choice = self.context.picker.pick(
+            picked = self.context.picker.pick(
                 self.request, self.service, self.left(), self.excluded, self.site
             )
         except RefusalError as error:
             raise self.final(error) from error
         self.sendings += 1
-        attempt = ForwardAttempt(choice, self.context.clock.now(), self.sendings)
+        attempt = ForwardAttempt(picked, self.context.clock.now(), self.sendings)
         self.log(
             "sent",
             server=attempt.server,
             sending=self.sendings,
-            reason=choice.reason(),
+            reason=picked.choice.reason(),
             left_ms=round(self.left()),
         )
         return attempt
@@ -152,7 +151,7 @@
         """
         elapsed_ms = self.context.clock.now() - attempt.started
         self.context.picker.failed(
-            attempt.choice, self.request, self.service, error.code, elapsed_ms
+            attempt.picked, self.request, self.service, error.code, elapsed_ms
         )
         self.excluded |= {attempt.server}
         self.runs += error.dispatched
@@ -192,10 +191,12 @@
             return error
         return RefusalError(error.detail, Code.SERVERS_FULL, retry_after_ms=FULL_RETRY_MS)
 
-    def succeeded(self, attempt: ForwardAttempt, load: int | None) -> None:
-        """Learn from an attempt that was answered."""
+    def succeeded(self, attempt: ForwardAttempt, load: int | None, goes_on: bool) -> None:
+        """Learn from an attempt that was answered; a stream goes on after its first event."""
         elapsed_ms = self.context.clock.now() - attempt.started
-        self.context.picker.succeeded(attempt.choice, self.request, self.service, elapsed_ms, load)
+        self.context.picker.succeeded(
+            attempt.picked, self.request, self.service, elapsed_ms, load, goes_on
+        )
 
     def finish(self, error: MountladderError | None = None, status: int = 0) -> None:
         """Give up the results of stages, and record how the request ended."""
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -22,6 +22,7 @@
     Args:
         job: The pieces.
         done: Called once with the results of all pieces, in their order.
+        since: When the pieces began to wait, in the clock's milliseconds.
 
     Attributes:
         results: The results so far, by the number of the piece.
@@ -29,9 +30,10 @@
         ended: Whether the results were handed over, or are not wanted any more.
     """
 
-    def __init__(self, job: StageJob, done: Done) -> None:
+    def __init__(self, job: StageJob, done: Done, since: float) -> None:
         self.job = job
         self.done = done
+        self.since = since
         self.results: dict[int, PieceResult] = {}
         self.tries: Counter[int] = Counter()
         self.ended = False
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/picked.py
@@ -0,0 +1,24 @@
+# picked.py -- A server that was picked for a request
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""A server that was picked for a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mountladder.routing.choice import Choice
+
+
+@dataclass(frozen=True, slots=True)
+class Picked:
+    """A server that was picked for a request.
+
+    Attributes:
+        choice: The server, and why it was chosen.
+        placement: What stands for the prompt where prompts are placed, or 0 without one.
+    """
+
+    choice: Choice
+    placement: int = 0
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -0,0 +1,88 @@
+# placementdesk.py -- Placing the prompts of all instances
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Placing the prompts of all instances."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+
+from mountladder.clocks.clock import Clock
+from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.placedprompt import PlacedPrompt
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.router import Router
+
+
+class PlacementDesk:
+    """Places the prompts of a service for all instances that leave that to this one.
+
+    It knows what every server reads and holds, which no instance knows by itself.
+
+    Args:
+        directory: Which servers there are.
+        router: What is known of each server.
+        clock: The clock.
+
+    Attributes:
+        placed: The prompts that are at servers, by who placed them and the order's number.
+    """
+
+    def __init__(self, directory: Directory, router: Router, clock: Clock) -> None:
+        self.directory = directory
+        self.router = router
+        self.clock = clock
+        self.placement = PromptPlacement(clock, router)
+        self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
+        self.unread: set[tuple[Hashable, int]] = set()
+
+    def place(self, order: PlacementOrder, owner: Hashable) -> PlacementReply:
+        """Return where a prompt is to go, and remember it where it is sent there.
+
+        Args:
+            order: The prompt.
+            owner: Stands for the instance that sends it.
+        """
+        servers = self.directory.available(order.service)
+        excluded = frozenset(order.excluded)
+        choice = self.placement.choose(servers, order.prompt, excluded, order.site)
+        if choice is None:
+            return PlacementReply(order.number, "", 0.0)
+        server = choice.state.server.name
+        if order.binding:
+            key = (owner, order.number)
+            self.placed[key] = PlacedPrompt(server, order.prompt, choice.unloaded_ms)
+            self.unread.add(key)
+            self.placement.began(server, order.prompt)
+        return PlacementReply(order.number, server, choice.expected_ms)
+
+    def note(self, note: PlacementNote, owner: Hashable) -> None:
+        """Take in what became of a prompt."""
+        key = (owner, note.number)
+        placed = self.placed.get(key)
+        if placed is None:
+            return
+        if note.read_ms > 0 or note.ended:
+            self.take_read(key, placed, note.read_ms)
+        if note.ended:
+            del self.placed[key]
+            self.placement.ended(placed.server)
+
+    def take_read(self, key: tuple[Hashable, int], placed: PlacedPrompt, read_ms: float) -> None:
+        """Take in that a server has read a prompt, and how long that took."""
+        if key not in self.unread:
+            return
+        self.unread.discard(key)
+        self.placement.read(placed.server, placed.prompt)
+        state = self.router.states.get(placed.server)
+        if read_ms > 0 and state is not None:
+            state.timed(read_ms / placed.expected_ms, self.clock.now())
+
+    def drop(self, owner: Hashable) -> None:
+        """Forget the prompts of an instance that cannot be reached any more."""
+        for key in [key for key in self.placed if key[0] == owner]:
+            self.note(PlacementNote(key[1], 0.0, True), owner)
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/placementnote.py
@@ -0,0 +1,24 @@
+# placementnote.py -- What became of a prompt that was placed
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What became of a prompt that was placed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementNote:
+    """What became of a prompt that was placed.
+
+    Attributes:
+        number: The number of its order.
+        read_ms: How long its server took to the first event, or 0 where it has not come.
+        ended: Whether the server is done with it.
+    """
+
+    number: int
+    read_ms: float
+    ended: bool
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -0,0 +1,32 @@
+# placementorder.py -- Asking where a prompt is to go
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Asking where a prompt is to go."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mountladder.forwarding.prompt import Prompt
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementOrder:
+    """Asking the instance where a service's prompts meet for a server.
+
+    Attributes:
+        number: Its number, by which the reply is matched.
+        service: The service.
+        prompt: The prompt.
+        excluded: Names of servers that the asking instance does not want.
+        site: The data centre where large inputs lie, or an empty string.
+        binding: Whether the prompt is sent there now; otherwise this only asks where it would go.
+    """
+
+    number: int
+    service: str
+    prompt: Prompt
+    excluded: tuple[str, ...]
+    site: str
+    binding: bool
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/placementreply.py
@@ -0,0 +1,24 @@
+# placementreply.py -- Where a prompt is to go
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Where a prompt is to go."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementReply:
+    """Where a prompt is to go.
+
+    Attributes:
+        number: The number of the order.
+        server: The name of the server, or an empty string where there is none.
+        expected_ms: The expected time to the first event there.
+    """
+
+    number: int
+    server: str
+    expected_ms: float
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -0,0 +1,123 @@
+# promptplacer.py -- Having prompts placed where those of all instances meet
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Having prompts placed where those of all instances meet."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+from eliot import log_message
+from gevent.event import Event
+
+from mountladder.clocks.clock import Clock
+from mountladder.forwarding.fleet import Fleet
+from mountladder.forwarding.placementdesk import PlacementDesk
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.prompt import Prompt
+from mountladder.membership.link import Link
+
+# How long the other instance is waited for: it answers in a millisecond or two, and a prompt that
+# is placed with less knowledge costs no more than this.
+REPLY_MS = 60.0
+HERE = 0
+
+
+class PromptPlacer:
+    """Asks the instance where a service's prompts meet for a server, or decides here without it.
+
+    Args:
+        fleet: The other instances.
+        desk: Places prompts on this instance.
+        clock: The clock.
+    """
+
+    def __init__(self, fleet: Fleet, desk: PlacementDesk, clock: Clock) -> None:
+        self.fleet = fleet
+        self.desk = desk
+        self.clock = clock
+        self.numbers = itertools.count(1)
+        self.replies: dict[int, Callable[[PlacementReply], None]] = {}
+        self.homes: dict[int, Link | None] = {}
+        fleet.on_placement_order = self.take_order
+        fleet.on_placement_reply = self.take_reply
+        fleet.on_placement_note = self.take_note
+        fleet.on_peer_gone = lambda link: desk.drop(id(link))
+
+    def place(
+        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str, binding: bool
+    ) -> PlacementReply:
+        """Return where a prompt is to go; its number stands for it until it has ended.
+
+        Args:
+            service: The service.
+            prompt: The prompt.
+            excluded: Names of servers that are not wanted.
+            site: The data centre where large inputs lie, or an empty string.
+            binding: Whether the prompt is sent there now.
+        """
+        number = next(self.numbers)
+        order = PlacementOrder(number, service, prompt, tuple(excluded), site, binding)
+        link = self.fleet.home(_topic(service))
+        reply = self.ask(link, order) if link is not None else None
+        if reply is None:
+            if link is not None and binding:
+                self.fleet.send_later(link, PlacementNote(number, 0.0, True))
+            link = None
+            reply = self.desk.place(order, HERE)
+        if binding and reply.server:
+            self.homes[number] = link
+        return reply
+
+    def ask(self, link: Link, order: PlacementOrder) -> PlacementReply | None:
+        """Ask another instance; return None where it does not answer soon."""
+        answered = Event()
+        replies: list[PlacementReply] = []
+
+        def take(reply: PlacementReply) -> None:
+            """Take in the reply."""
+            replies.append(reply)
+            answered.set()
+
+        self.replies[order.number] = take
+        self.fleet.send_later(link, order)
+        try:
+            in_time = self.clock.wait(answered, REPLY_MS)
+        finally:
+            self.replies.pop(order.number, None)
+        if not in_time:
+            log_message("placement-unanswered", peer=link.peer.name, waited_ms=REPLY_MS)
+        return replies[0] if replies else None
+
+    def note(self, number: int, read_ms: float = 0.0, ended: bool = False) -> None:
+        """Tell what became of a prompt that was placed."""
+        if number not in self.homes:
+            return
+        link = self.homes.pop(number) if ended else self.homes[number]
+        note = PlacementNote(number, read_ms, ended)
+        if link is None:
+            self.desk.note(note, HERE)
+        else:
+            self.fleet.send_later(link, note)
+
+    def take_order(self, order: PlacementOrder, link: Link) -> None:
+        """Place a prompt for another instance."""
+        self.fleet.send_later(link, self.desk.place(order, id(link)))
+
+    def take_reply(self, reply: PlacementReply, link: Link) -> None:
+        """Take in where a prompt is to go."""
+        take = self.replies.get(reply.number)
+        if take is not None:
+            take(reply)
+
+    def take_note(self, note: PlacementNote, link: Link) -> None:
+        """Take in what became of another instance's prompt."""
+        self.desk.note(note, id(link))
+
+
+def _topic(service: str) -> str:
+    return f"prompts of {service}"
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -6,13 +6,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from mountladder.code import Code
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.configuration.stage import Stage
 from mountladder.errors import RefusalError, StageError
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.forwarding.picked import Picked
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.routing.choice import Choice
-from mountladder.routing.promptplacement import PromptPlacement
 from mountladder.routing.router import Router
 
 # When a caller may come back where no server can be used: about as long as a breaker stays open.
@@ -25,13 +30,13 @@
     Args:
         directory: Which servers there are.
         router: Chooses and learns.
-        placement: Where parts of prompts are cached.
+        placer: Places prompts.
     """
 
-    def __init__(self, directory: Directory, router: Router, placement: PromptPlacement) -> None:
+    def __init__(self, directory: Directory, router: Router, placer: PromptPlacer) -> None:
         self.directory = directory
         self.router = router
-        self.placement = placement
+        self.placer = placer
         self.stages: dict[str, Stage] = {}
 
     def pick(
@@ -41,63 +46,86 @@
         budget_ms: float,
         excluded: frozenset[str],
         site: str = "",
-    ) -> Choice:
+    ) -> Picked:
         """Choose a server and record that the request is sent to it.
 
         Raises:
             RefusalError: There is none, or none is in use.
         """
-        servers = self.directory.available(service)
         if request.prompt is not None:
-            choice = self.placement.choose(servers, request.prompt, excluded, site)
-            if choice is None:
-                raise _none_available()
-            self.begin(choice, request)
-            return choice
+            return self.pick_for_prompt(request.prompt, service, excluded, site)
+        servers = self.directory.available(service)
+        length = len(request.body)
         try:
-            length = len(request.body)
-            return self.router.pick(servers, self.stage(service), length, budget_ms, excluded)
+            choice = self.router.pick(servers, self.stage(service), length, budget_ms, excluded)
         except StageError as error:
             raise _none_available() from error
+        return Picked(choice)
+
+    def pick_for_prompt(
+        self, prompt: Prompt, service: str, excluded: frozenset[str], site: str
+    ) -> Picked:
+        """Choose a model server and record that a prompt is sent to it."""
+        servers = {one.name: one for one in self.directory.available(service)}
+        unwanted = excluded | self.out_of_use(servers.values())
+        reply = self.placer.place(service, prompt, unwanted, site, True)
+        server = servers.get(reply.server)
+        if server is None:
+            self.placer.note(reply.number, ended=True)
+            raise _none_available()
+        now = self.router.clock.now()
+        state = self.router.state(server)
+        state.begin(now)
+        expected_ms, compared = reply.expected_ms, len(servers) - len(unwanted)
+        crowding = state.crowding(now)
+        choice = Choice(state, expected_ms, expected_ms, crowding, len(servers), compared)
+        return Picked(choice, reply.number)
+
+    def out_of_use(self, servers: Iterable[BackendServer]) -> frozenset[str]:
+        """Return the names of the servers that this instance itself has taken out of use."""
+        now = self.router.clock.now()
+        return frozenset(one.name for one in servers if not self.router.state(one).usable(now))
 
     def site(self, request: ForwardRequest, service: str) -> str:
         """Return the data centre of the server that the request would go to now."""
         if request.prompt is None:
             return ""
-        servers = self.directory.available(service)
-        choice = self.placement.choose(servers, request.prompt, frozenset())
-        return choice.state.server.datacentre if choice else ""
-
-    def begin(self, choice: Choice, request: ForwardRequest) -> None:
-        """Record that a prompt is sent to a server."""
-        choice.state.begin(self.router.clock.now())
-        self.placement.began(choice.state.server.name, request.prompt)
-
-    def read(self, choice: Choice, request: ForwardRequest) -> None:
-        """Record that a server has read the prompt of a request."""
-        if request.prompt is not None:
-            self.placement.read(choice.state.server.name, request.prompt)
+        servers = {one.name: one for one in self.directory.available(service)}
+        unwanted = self.out_of_use(servers.values())
+        reply = self.placer.place(service, request.prompt, unwanted, "", False)
+        server = servers.get(reply.server)
+        return server.datacentre if server else ""
 
     def succeeded(
         self,
-        choice: Choice,
+        picked: Picked,
         request: ForwardRequest,
         service: str,
         elapsed_ms: float,
         load: int | None,
+        goes_on: bool,
     ) -> None:
-        """Learn from a call that ended well."""
+        """Learn from a call that was answered; a stream goes on after its first event."""
         stage, length = self.stage(service), len(request.body)
-        self.router.succeeded(choice, stage, length, elapsed_ms, load)
+        self.router.succeeded(picked.choice, stage, length, elapsed_ms, load)
+        if goes_on:
+            picked.choice.state.count(1, self.router.clock.now())
+            self.placer.note(picked.placement, read_ms=elapsed_ms)
+        else:
+            self.placer.note(picked.placement, ended=True)
+
+    def finished(self, picked: Picked) -> None:
+        """Record that a stream has ended."""
+        picked.choice.state.end(self.router.clock.now())
+        self.placer.note(picked.placement, ended=True)
 
     def failed(
-        self, choice: Choice, request: ForwardRequest, service: str, code: Code, elapsed_ms: float
+        self, picked: Picked, request: ForwardRequest, service: str, code: Code, elapsed_ms: float
     ) -> None:
         """Learn from a call that failed."""
         stage = self.stage(service)
-        self.router.failed(choice, code, elapsed_ms, stage, len(request.body))
-        if code in {Code.SERVER_REPLACED, Code.CONNECT_FAILED}:
-            self.placement.forget(choice.state.server.name)
+        self.router.failed(picked.choice, code, elapsed_ms, stage, len(request.body))
+        self.placer.note(picked.placement, ended=True)
 
     def stage(self, service: str) -> Stage:
         """Return what the router keeps the learnt times of a service under."""
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from eliot import log_message
 
@@ -18,6 +18,7 @@
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
+from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.forwarding.stagewithdrawal import StageWithdrawal
 from mountladder.forwarding.submission import Submission
 from mountladder.membership.link import Link
@@ -45,6 +46,7 @@
         self.foreign: dict[tuple[int, int], JobProgress] = {}
         fleet.on_order = self.take_order
         fleet.on_outcome = self.take_outcome
+        fleet.on_release = self.take_release
         fleet.on_withdrawal = self.take_withdrawal
         fleet.on_link_lost = self.move_from
 
@@ -97,6 +99,21 @@
         if link is not None:
             self.fleet.send_later(link, StageWithdrawal(submission.number))
 
+    def release(self, service: str, handles: Sequence[str]) -> None:
+        """Give up results of a service, at the instance where its pieces meet."""
+        named = tuple(handle for handle in handles if handle)
+        if not named:
+            return
+        link = self.fleet.home(service)
+        if link is None:
+            self.batcher(service).release(named)
+        else:
+            self.fleet.send_later(link, StageRelease(service, named))
+
+    def take_release(self, release: StageRelease, link: Link) -> None:
+        """Give up results that another instance does not need any more."""
+        self.batcher(release.service).release(release.handles)
+
     def move_from(self, address: str) -> None:
         """Hand on the stages that an instance had which cannot be reached any more."""
         lost = [one for one in self.submissions.values() if one.home == address]
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -14,7 +14,6 @@
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.jobprogress import Results
 from mountladder.forwarding.piecefailure import PieceFailure
-from mountladder.forwarding.releaser import Releaser
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stagejob import StageJob
@@ -38,7 +37,6 @@
         urgency: The rank of the request, 0 first.
         site: The data centre of the server that the request is likely to go to.
         dispatch: Where stages are handed to.
-        releaser: Gives up results that are no longer needed.
         clock: The clock.
 
     Attributes:
@@ -54,7 +52,6 @@
         urgency: int,
         site: str,
         dispatch: StageDispatch,
-        releaser: Releaser,
         clock: Clock,
     ) -> None:
         self.request = request
@@ -63,7 +60,6 @@
         self.urgency = urgency
         self.site = site
         self.dispatch = dispatch
-        self.releaser = releaser
         self.clock = clock
         self.handles: dict[int, tuple[str, ...]] = {}
         self.waiting: dict[int, Submission] = {}
@@ -137,6 +133,7 @@
             deadline=self.deadline,
             due=due - STAGE_MS * self.levels_after(number),
             urgency=self.urgency,
+            result_bytes=stage.result_bytes,
             datacentre=self.site if stage.result_bytes > LARGE_BYTES else "",
         )
 
@@ -151,7 +148,7 @@
         failures = [one.failure for one in results if one.failure is not None]
         if failures:
             self.failure = failures[0]
-            self.releaser.release([one.handle for one in results])
+            self.dispatch.release(self.service(number), [one.handle for one in results])
         else:
             self.handles[number] = tuple(one.handle for one in results)
             self.release_used()
@@ -163,7 +160,7 @@
         for number, handles in self.handles.items():
             following = [n for n, one in enumerate(self.route.stages) if number in one.after]
             if handles and number not in last and all(n in self.handles for n in following):
-                self.releaser.release(handles)
+                self.dispatch.release(self.service(number), handles)
                 self.handles[number] = ()
 
     def inputs(self) -> tuple[str, ...]:
@@ -179,6 +176,10 @@
 
     def release(self) -> None:
         """Give up every result."""
-        for handles in self.handles.values():
-            self.releaser.release(handles)
+        for number, handles in self.handles.items():
+            self.dispatch.release(self.service(number), handles)
         self.handles.clear()
+
+    def service(self, number: int) -> str:
+        """Return the name of the service of a stage."""
+        return self.route.stages[number].service
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -25,6 +25,7 @@
         deadline: When it is of no use any more, in the clock's milliseconds.
         due: When it has to be done for the answer to be on time.
         urgency: The rank of its request, 0 first.
+        result_bytes: About how large the result of one piece is.
         datacentre: Where its results are needed, or an empty string where that does not matter.
     """
 
@@ -37,6 +38,7 @@
     deadline: float
     due: float
     urgency: int
+    result_bytes: float
     datacentre: str
 
     def piece(self, fragment: int) -> Piece:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -75,22 +75,21 @@
             try:
                 answer = self.call(attempt, inputs, splitter.last_id, self.first_ms(attempt))
                 if answer.status >= SUCCESS:
-                    self.context.picker.read(attempt.choice, self.request)
                     return attempt, answer, b""
                 first = self.first_events(attempt, answer, splitter)
             except StageError as error:
-                self.close(attempt, answer)
+                if answer is not None:
+                    answer.close()
                 self.failed(attempt, error)
                 if error.code is Code.RESULT_GONE:
                     inputs = self.make_inputs_again()
             except BaseException:
-                self.close(attempt, answer)
+                if answer is not None:
+                    answer.close()
                 self.learn_failure(attempt, Code.CANCELLED)
                 raise
             else:
-                self.context.picker.read(attempt.choice, self.request)
-                self.succeeded(attempt, answer.load)
-                attempt.choice.state.count(1, self.context.clock.now())
+                self.succeeded(attempt, answer.load, goes_on=True)
                 return attempt, answer, first
 
     def first_events(
@@ -134,7 +133,7 @@
                     break
                 except StageError as cut:
                     answer.close()
-                    attempt.choice.state.end(self.context.clock.now())
+                    self.context.picker.finished(attempt.picked)
                     held = None
                     attempt, answer, first = self.resume(attempt, cut, splitter)
                     held = attempt
@@ -146,7 +145,7 @@
         finally:
             answer.close()
             if held is not None:
-                held.choice.state.end(self.context.clock.now())
+                self.context.picker.finished(held.picked)
             self.finish(error, status=answer.status)
 
     def rest(self, answer: UpstreamAnswer, splitter: EventSplitter) -> Iterator[bytes]:
@@ -191,6 +190,7 @@
         found = self.open(splitter)
         if found[1].status >= SUCCESS:
             found[1].close()
+            self.learn_failure(found[0], Code.STAGE_FAILED)
             raise RunError(f"status {found[1].status} on going on", Code.STREAM_CUT)
         return found
 
@@ -227,13 +227,7 @@
             return self.left()
         return min(self.left(), max(LEAST_GAP_MS, GAPS * self.route.gap_ms))
 
-    def close(self, attempt: ForwardAttempt, answer: UpstreamAnswer | None) -> None:
-        """Close an answer that is not read on, and take back a prompt that was not read."""
-        if answer is not None:
-            answer.close()
-        self.context.picker.read(attempt.choice, self.request)
-
     def learn_failure(self, attempt: ForwardAttempt, code: Code) -> None:
         """Learn from an attempt that is not repeated."""
         elapsed_ms = self.context.clock.now() - attempt.started
-        self.context.picker.failed(attempt.choice, self.request, self.service, code, elapsed_ms)
+        self.context.picker.failed(attempt.picked, self.request, self.service, code, elapsed_ms)
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -57,7 +57,7 @@
             if answer.status >= FAILURE and self.tries_again(attempt, answer):
                 continue
             if answer.status < FAILURE:
-                self.succeeded(attempt, answer.load)
+                self.succeeded(attempt, answer.load, goes_on=False)
             return ForwardAnswer(answer.status, answer.headers, body)
 
     def check(self, answer: UpstreamAnswer) -> None:
@@ -90,5 +90,5 @@
         """Take back an attempt that was given up since the caller went away."""
         elapsed_ms = self.context.clock.now() - attempt.started
         self.context.picker.failed(
-            attempt.choice, self.request, self.service, Code.CANCELLED, elapsed_ms
+            attempt.picked, self.request, self.service, Code.CANCELLED, elapsed_ms
         )
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -92,7 +92,41 @@
   remainingMs @7 :Float32;
   dueMs @8 :Float32;
   urgency @9 :UInt8;
-  datacentre @10 :Text;
+  resultBytes @10 :Float32;
+  datacentre @11 :Text;
+}
+
+struct PromptPart {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct PlacementOrder {
+  number @0 :UInt64;
+  service @1 :Text;
+  tokens @2 :UInt32;
+  mostOutput @3 :UInt32;
+  parts @4 :List(PromptPart);
+  excluded @5 :List(Text);
+  site @6 :Text;
+  binding @7 :Bool;
+}
+
+struct PlacementReply {
+  number @0 :UInt64;
+  server @1 :Text;
+  expectedMs @2 :Float32;
+}
+
+struct PlacementNote {
+  number @0 :UInt64;
+  readMs @1 :Float32;
+  ended @2 :Bool;
+}
+
+struct StageRelease {
+  service @0 :Text;
+  handles @1 :List(Text);
 }
 
 struct PieceResult {
@@ -122,5 +156,9 @@
     stageOrder @12 :StageOrder;
     stageOutcome @13 :StageOutcome;
     stageWithdrawal @14 :UInt64;
+    stageRelease @15 :StageRelease;
+    placementOrder @16 :PlacementOrder;
+    placementReply @17 :PlacementReply;
+    placementNote @18 :PlacementNote;
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -19,10 +19,16 @@
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
+from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.forwarding.stagewithdrawal import StageWithdrawal
 from mountladder.forwarding.want import Want
 from mountladder.membership.ask import Ask
@@ -42,8 +48,9 @@
 _FAILURES = (None, *PieceFailure)
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueCopy | DirectoryCopy | MemberList
-Stages = StageOrder | StageOutcome | StageWithdrawal
-Message = Configuring | Forwarding | Stages
+Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease
+Placing = PlacementOrder | PlacementReply | PlacementNote
+Message = Configuring | Forwarding | Stages | Placing
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
@@ -179,6 +186,7 @@
     order.pieces, order.key, order.inputs = job.pieces, job.key, list(job.inputs)
     order.remainingMs, order.dueMs = job.deadline, job.due
     order.urgency, order.datacentre = min(job.urgency, MOST_URGENCY), job.datacentre
+    order.resultBytes = job.result_bytes
 
 
 @_fill.register
@@ -196,6 +204,38 @@
     frame.stageWithdrawal = message.number
 
 
+@_fill.register
+def _(message: StageRelease, frame) -> None:
+    release = frame.init("stageRelease")
+    release.service = message.service
+    release.handles = list(message.handles)
+
+
+@_fill.register
+def _(message: PlacementOrder, frame) -> None:
+    order, prompt = frame.init("placementOrder"), message.prompt
+    order.number, order.service = message.number, message.service
+    order.tokens, order.mostOutput = prompt.tokens, prompt.most_output
+    parts = order.init("parts", len(prompt.parts))
+    for part, to in zip(prompt.parts, parts, strict=True):
+        to.id, to.tokens = part.id, part.tokens
+    order.excluded, order.site = list(message.excluded), message.site
+    order.binding = message.binding
+
+
+@_fill.register
+def _(message: PlacementReply, frame) -> None:
+    reply = frame.init("placementReply")
+    reply.number, reply.server = message.number, message.server
+    reply.expectedMs = message.expected_ms
+
+
+@_fill.register
+def _(message: PlacementNote, frame) -> None:
+    note = frame.init("placementNote")
+    note.number, note.readMs, note.ended = message.number, message.read_ms, message.ended
+
+
 def _read_hello(hello) -> Hello:
     instance = Instance(hello.name, hello.incarnation, hello.datacentre, hello.web, hello.peer)
     return Hello(hello.version, instance, bytes(hello.nonce))
@@ -237,6 +277,7 @@
         order.remainingMs,
         order.dueMs,
         order.urgency,
+        order.resultBytes,
         order.datacentre,
     )
     return StageOrder(order.number, job)
@@ -247,6 +288,14 @@
     return StageOutcome(outcome.number, tuple(results))
 
 
+def _read_placement(order) -> PlacementOrder:
+    parts = tuple(PromptPart(str(part.id), part.tokens) for part in order.parts)
+    prompt = Prompt(order.tokens, order.mostOutput, parts)
+    excluded = tuple(str(name) for name in order.excluded)
+    number, service = order.number, str(order.service)
+    return PlacementOrder(number, service, prompt, excluded, str(order.site), order.binding)
+
+
 _READERS = {
     "hello": _read_hello,
     "heartbeat": _read_heartbeat,
@@ -266,5 +315,9 @@
     "stageOrder": _read_order,
     "stageOutcome": _read_outcome,
     "stageWithdrawal": StageWithdrawal,
+    "placementOrder": _read_placement,
+    "placementReply": lambda one: PlacementReply(one.number, str(one.server), one.expectedMs),
+    "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended),
+    "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
 }
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -38,6 +38,11 @@
     Args:
         clock: The clock.
         router: What is known of each server.
+
+    Attributes:
+        held: The parts that each server was sent, the latest last.
+        reading: How many tokens each server has to read yet.
+        running: How many prompts are at each server.
     """
 
     def __init__(self, clock: Clock, router: Router) -> None:
@@ -45,6 +50,7 @@
         self.router = router
         self.held: dict[str, OrderedDict[str, None]] = {}
         self.reading: Counter[str] = Counter()
+        self.running: Counter[str] = Counter()
 
     def choose(
         self,
@@ -78,7 +84,8 @@
         """Return the expected time to the first token at a server, in milliseconds."""
         tokens = self.missing(state, prompt, first) + self.reading[state.server.name]
         expected = FIRST_TOKEN_MS + tokens / READ_TOKENS_PER_MS
-        expected *= state.crowding(now) ** 2 * state.slowness_at(now)
+        crowding = (self.running[state.server.name] + 1) / state.server.slots
+        expected *= max(1.0, crowding) ** 2 * state.slowness_at(now)
         return expected + (FAR_MS if site and state.server.datacentre != site else 0.0)
 
     def missing(self, state: ServerState, prompt: Prompt, first: str) -> int:
@@ -100,6 +107,7 @@
         while len(held) > PARTS_KEPT:
             held.popitem(last=False)
         self.reading[server] += prompt.tokens
+        self.running[server] += 1
 
     def read(self, server: str, prompt: Prompt) -> None:
         """Record that a server has read a prompt, or is not reading it any more."""
@@ -107,6 +115,12 @@
         if self.reading[server] <= 0:
             del self.reading[server]
 
+    def ended(self, server: str) -> None:
+        """Record that a server is done with a prompt."""
+        self.running[server] -= 1
+        if self.running[server] <= 0:
+            del self.running[server]
+
     def forget(self, server: str) -> None:
         """Forget what a server held, since it is gone."""
         self.held.pop(server, None)
