Tell how long pieces wait, refuse at once what cannot be in time, urgent pieces first

Change: pieces are ordered by due time with a handicap of 600 ms a rank, begun stages first; room counts as free once the server has been told; instances tell each other how long pieces wait, and a request whose stages are not expected in time is refused before any work with the time to come back; catalogues travel compressed (some 10 KB instead of 64).

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import gevent
 from eliot import log_message
@@ -14,6 +16,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import StageError
+from mountladder.forwarding.backlog import LAST_RANK, Backlog, rank
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.directory import Directory
@@ -43,12 +46,19 @@
 NO_ROOM_PAUSE_MS = 80.0
 # How soon the queue is looked at again where no event would do it.
 LOOK_AGAIN_MS = 40.0
-# How long pieces with large results wait for a server of the data centre where they are needed.
-FAR_PATIENCE_MS = 250.0
+# A request of the next rank goes first only if it is due this much sooner: about a third of the
+# longest aims, so that when there is not enough for all, those served are worth more.
+RANK_MS = 600.0
+# What pieces are taken to wait where no server is in use.
+NO_SERVER_MS = 5_000.0
+# How long pieces wait for a server of the data centre where their bytes lie or are needed, by the
+# rank of their request: what crosses costs about as much as the least urgent request is worth.
+FAR_PATIENCE_MS = (80.0, 150.0, 400.0)
 BYTES_PER_MB = 1_000_000.0
 # A server this much slower than usual is left alone while another is soon free.
 MUCH_SLOWER = 1.8
 
+RANKS = range(LAST_RANK + 1)
 Waiting = tuple[JobProgress, int]
 
 
@@ -93,7 +103,7 @@
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
         self.room = ResultRoom()
-        self.releaser = Releaser(upstream, clock)
+        self.releaser = Releaser(upstream, clock, self.freed)
         self.cancel_look: Callable[[], None] | None = None
 
     def submit(self, job: StageJob, done: Done) -> JobProgress:
@@ -130,9 +140,12 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Give up results that are no longer needed."""
+        self.releaser.release(handles)
+
+    def freed(self, handles: Sequence[str]) -> None:
+        """Take in that servers have dropped results."""
         for handle in handles:
             self.room.release(handle)
-        self.releaser.release(handles)
         if self.queue:
             self.pump()
 
@@ -183,23 +196,56 @@
         self, state: ServerState, usable: Sequence[ServerState], limits: BatchLimits, now: float
     ) -> list[Waiting]:
         """Return the first pieces that a server has room for and that may be made there."""
-        room = limits.room_mb * BYTES_PER_MB - self.room.used[state.server.name]
+        used = self.room.used[state.server.name]
+        room = limits.room_mb * BYTES_PER_MB - used
         manned = {one.server.datacentre for one in usable}
         batch: list[Waiting] = []
+        left_out: set[JobProgress] = set()
         for waiting in self.queue:
             progress = waiting[0]
-            job = progress.job
-            near = job.datacentre in {"", state.server.datacentre}
-            if not near and job.datacentre in manned and now - progress.since < FAR_PATIENCE_MS:
+            size = progress.job.result_bytes
+            begun = bool(progress.tries) or any(progress is one for one, _ in batch)
+            needed = size if begun or not used else size * progress.job.pieces
+            if (
+                progress in left_out
+                or needed > room
+                or not self.may_go(progress, state, manned, now)
+            ):
+                left_out.add(progress)
                 continue
-            if job.result_bytes > room:
-                continue
-            room -= job.result_bytes
+            room -= size
             batch.append(waiting)
             if len(batch) == limits.pieces:
                 break
         return batch
 
+    def may_go(
+        self, progress: JobProgress, state: ServerState, manned: set[str], now: float
+    ) -> bool:
+        """Tell whether pieces may be made in a server's data centre, or wait for another one."""
+        wanted = progress.job.datacentre
+        if wanted in {"", state.server.datacentre} or wanted not in manned:
+            return True
+        return now - progress.since >= FAR_PATIENCE_MS[rank(progress.job.urgency)]
+
+    def backlog(self) -> Backlog:
+        """Return how long new pieces are expected to wait, by the rank of their request."""
+        now = self.clock.now()
+        limits = self.limits()
+        usable = self.usable_servers(now)
+        if limits is None or not usable:
+            return Backlog(self.service, (NO_SERVER_MS,) * (LAST_RANK + 1))
+        full_ms = limits.expected_ms(limits.pieces)
+        rate = sum(limits.pieces / (full_ms * one.slowness_at(now)) for one in usable)
+        busy = min(self.left(one, now) for one in usable)
+        ahead = Counter(rank(progress.job.urgency) for progress, _ in self.queue)
+        waits = [sum(ahead[one] for one in range(place + 1)) / rate for place in RANKS]
+        return Backlog(self.service, tuple(busy + wait for wait in waits))
+
+    def left(self, state: ServerState, now: float) -> float:
+        """Return how long the calls at a server are expected to take yet."""
+        return max((call.left(now) for call in self.calls.get(state.server.name, ())), default=0.0)
+
     def is_better_to_wait(
         self, slow: ServerState, usable: Sequence[ServerState], limits: BatchLimits, now: float
     ) -> bool:
@@ -210,9 +256,7 @@
         for state in usable:
             if state is slow or state.slowness_at(now) > MUCH_SLOWER:
                 continue
-            left = min(
-                (call.left(now) for call in self.calls.get(state.server.name, [])), default=0
-            )
+            left = self.left(state, now)
             if left + limits.expected_ms(pieces) * state.slowness_at(now) < alone_ms:
                 room += limits.pieces
         return len(self.queue) <= room
@@ -225,11 +269,16 @@
         """Return how many calls this instance has running at a server."""
         return len(self.calls.get(state.server.name, ()))
 
-    def order(self, waiting: Waiting, now: float) -> tuple[bool, int, float]:
-        """Return the sort key by which pieces are sent."""
-        job = waiting[0].job
+    def order(self, waiting: Waiting, now: float) -> tuple[bool, bool, int, float]:
+        """Return the sort key by which pieces are sent.
+
+        A stage that is begun goes first, since its results take room until all of them are there.
+        """
+        progress = waiting[0]
+        job = progress.job
         late = job.due < now
-        return late, job.urgency if late else 0, job.due
+        place = rank(job.urgency)
+        return not progress.tries, late, place if late else 0, job.due + RANK_MS * place
 
     def start(
         self, state: ServerState, batch: list[Waiting], limits: BatchLimits, now: float
@@ -313,7 +362,7 @@
         elif progress.ended and result.handle:
             self.release([result.handle])
         else:
-            progress.settle(fragment, result)
+            progress.settle(fragment, replace(result, datacentre=state.server.datacentre))
 
     def failed(
         self, state: ServerState, batch: list[Waiting], call: StageCallState, error: StageError
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from mountladder.forwarding.backlog import Backlog
+
 
 @dataclass(frozen=True, slots=True)
 class Beacon:
@@ -18,9 +20,11 @@
         directory: The version of its list of backend servers, or 0.
         leaving: Whether it is about to end.
         asks: Whether it is to be answered with another one.
+        backlogs: How long pieces wait that meet on the instance.
     """
 
     catalogue: int
     directory: int
     leaving: bool
     asks: bool
+    backlogs: tuple[Backlog, ...] = ()
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -13,6 +13,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
+from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.cataloguecopy import CatalogueCopy
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
@@ -63,6 +64,8 @@
         on_placement_reply: Takes where a prompt is to go.
         on_placement_note: Takes what became of a peer's prompt.
         on_peer_gone: Called with the link that a peer had opened when it is lost.
+        backlogs: Returns how long pieces wait that meet on this instance.
+        on_backlog: Takes how long pieces wait that meet on a peer.
         on_release: Takes results that a peer does not need any more.
     """
 
@@ -85,6 +88,8 @@
         self.on_order: Callable[[StageOrder, Link], None] = lambda order, link: None
         self.on_outcome: Callable[[StageOutcome, Link], None] = lambda outcome, link: None
         self.on_withdrawal: Callable[[StageWithdrawal, Link], None] = lambda one, link: None
+        self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
+        self.on_backlog: Callable[[Backlog], None] = lambda backlog: None
         self.on_release: Callable[[StageRelease, Link], None] = lambda release, link: None
         self.on_placement_order: Callable[[PlacementOrder, Link], None] = lambda order, link: None
         self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
@@ -136,7 +141,8 @@
 
     def beacon(self, asks: bool) -> Beacon:
         """Return a sign of life that is to be answered, or an answer to one."""
-        return Beacon(self.follower.version, self.directory.version, self.leaving, asks)
+        versions = self.follower.version, self.directory.version
+        return Beacon(*versions, self.leaving, asks, self.backlogs())
 
     def serve(self, link: Link) -> None:
         """Serve a link that a peer opened, until it breaks."""
@@ -159,6 +165,8 @@
     @handle.register
     def _(self, message: Beacon, link: Link) -> None:
         self.membership.hear(link.peer, message.leaving)
+        for backlog in message.backlogs:
+            self.on_backlog(backlog)
         if message.asks:
             self.send(link, self.beacon(asks=False))
         newer = message.catalogue > self.follower.version
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -14,6 +14,7 @@
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
+from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metrics import Metrics
@@ -30,6 +31,7 @@
         picker: Chooses servers.
         upstream: Calls servers.
         dispatch: Where stages are handed to.
+        forecast: Refuses requests whose stages cannot be done in time.
         budget: Returns the retry budget of a service.
         metrics: Where metrics go.
     """
@@ -40,5 +42,6 @@
     picker: ServerPicker
     upstream: Upstream
     dispatch: StageDispatch
+    forecast: StageForecast
     budget: Callable[[str], WindowBudget]
     metrics: Metrics
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -30,6 +30,7 @@
 from mountladder.forwarding.sourcefollower import SourceFollower
 from mountladder.forwarding.sourcepage import SourcePage
 from mountladder.forwarding.stagedispatch import StageDispatch
+from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.instance import Instance
@@ -121,6 +122,7 @@
             picker=picker,
             upstream=upstream,
             dispatch=self.dispatch,
+            forecast=StageForecast(self.dispatch, self.follower),
             budget=self.budget,
             metrics=metrics,
         )
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -91,6 +91,8 @@
         """Run the stages and return the handles that the request needs."""
         if not self.route.stages:
             return ()
+        if self.flow is None:
+            self.context.forecast.check(self.request, self.route, self.urgency)
         if not self.site:
             self.site = self.context.picker.site(self.request, self.service)
         self.flow = StageFlow(
--- a/packages/core/src/mountladder/forwarding/pieceresult.py
+++ b/packages/core/src/mountladder/forwarding/pieceresult.py
@@ -18,7 +18,9 @@
     Attributes:
         handle: Where its result lies, or an empty string where there is none.
         failure: Why there is none, or None.
+        datacentre: Where its result lies.
     """
 
     handle: str
     failure: PieceFailure | None = None
+    datacentre: str = ""
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -14,7 +14,7 @@
 from mountladder.forwarding.upstream import Upstream
 
 # Results are given up in batches: soon enough that a server's room for results does not fill.
-RELEASE_MS = 60.0
+RELEASE_MS = 25.0
 
 
 class Releaser:
@@ -23,11 +23,15 @@
     Args:
         upstream: Calls the servers.
         clock: The clock.
+        freed: Called with the handles once the servers have dropped the results.
     """
 
-    def __init__(self, upstream: Upstream, clock: Clock) -> None:
+    def __init__(
+        self, upstream: Upstream, clock: Clock, freed: Callable[[Sequence[str]], None]
+    ) -> None:
         self.upstream = upstream
         self.clock = clock
+        self.freed = freed
         self.handles: list[str] = []
         self.cancel: Callable[[], None] | None = None
 
@@ -42,4 +46,9 @@
         self.cancel = None
         handles, self.handles = self.handles, []
         if handles:
-            gevent.spawn(self.upstream.free, handles)
+            gevent.spawn(self.free, handles)
+
+    def free(self, handles: Sequence[str]) -> None:
+        """Give up results, and tell when that is done."""
+        self.upstream.free(handles)
+        self.freed(handles)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
+from mountladder.forwarding.backlog import Backlog, rank
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.jobprogress import Done, JobProgress, Results
@@ -44,6 +45,9 @@
         self.numbers = itertools.count(1)
         self.submissions: dict[int, Submission] = {}
         self.foreign: dict[tuple[int, int], JobProgress] = {}
+        self.backlogs: dict[str, tuple[Backlog, float]] = {}
+        fleet.backlogs = self.own_backlogs
+        fleet.on_backlog = self.take_backlog
         fleet.on_order = self.take_order
         fleet.on_outcome = self.take_outcome
         fleet.on_release = self.take_release
@@ -129,7 +133,8 @@
         def settled(results: Results) -> None:
             """Send the results back."""
             self.foreign.pop(key, None)
-            self.fleet.send_later(link, StageOutcome(order.number, results))
+            backlog = self.batcher(order.job.service).backlog()
+            self.fleet.send_later(link, StageOutcome(order.number, results, backlog))
 
         job = order.job.shifted(self.clock.now())
         progress = self.batcher(job.service).submit(job, settled)
@@ -138,8 +143,30 @@
 
     def take_outcome(self, outcome: StageOutcome, link: Link) -> None:
         """Take in the results of a stage that was left to another instance."""
+        self.take_backlog(outcome.backlog)
         self.settle(outcome.number, outcome.results)
 
+    def own_backlogs(self) -> tuple[Backlog, ...]:
+        """Return how long pieces wait that meet on this instance."""
+        here = (one for one in self.batchers.values() if self.fleet.home(one.service) is None)
+        return tuple(one.backlog() for one in here)
+
+    def take_backlog(self, backlog: Backlog) -> None:
+        """Take in how long pieces wait that meet on another instance."""
+        self.backlogs[backlog.service] = (backlog, self.clock.now())
+
+    def wait_ms(self, service: str, urgency: int) -> float:
+        """Return how long new pieces of a service are expected to wait, in milliseconds.
+
+        What another instance told is taken to have been worked off since.
+        """
+        if self.fleet.home(service) is None:
+            return self.batcher(service).backlog().waits_ms[rank(urgency)]
+        backlog, told = self.backlogs.get(service, (None, 0.0))
+        if backlog is None:
+            return 0.0
+        return max(0.0, backlog.waits_ms[rank(urgency)] - (self.clock.now() - told))
+
     def take_withdrawal(self, withdrawal: StageWithdrawal, link: Link) -> None:
         """Drop a stage that the instance it came from does not want any more."""
         progress = self.foreign.pop((id(link), withdrawal.number), None)
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -23,8 +23,9 @@
 # wait for a server (the users' sheet); and what the model server needs to its first event.
 STAGE_MS = 260.0
 FINISH_MS = 120.0
-# Results larger than this are wanted in the data centre of the server that fetches them.
-LARGE_BYTES = 500_000.0
+# Where a stage fetches or makes more than this, it is to be done in the data centre where the
+# bytes lie or are needed: results that cross data centres are priced by the gigabyte.
+LARGE_BYTES = 1_000_000.0
 
 
 class StageFlow:
@@ -41,6 +42,7 @@
 
     Attributes:
         handles: The results of each stage that is done, by its number.
+        places: The data centres where these results lie.
         begun: Whether any piece may have been worked on.
     """
 
@@ -62,6 +64,7 @@
         self.dispatch = dispatch
         self.clock = clock
         self.handles: dict[int, tuple[str, ...]] = {}
+        self.places: dict[int, tuple[str, ...]] = {}
         self.waiting: dict[int, Submission] = {}
         self.failure: PieceFailure | None = None
         self.changed = Event()
@@ -101,7 +104,8 @@
         for number, stage in enumerate(self.route.stages):
             if number in self.handles or number in self.waiting:
                 continue
-            if all(needed in self.handles for needed in stage.after):
+            fed = all(needed in self.handles for needed in stage.after)
+            if fed and not self.is_early(number):
                 self.start(number)
 
     def start(self, number: int) -> None:
@@ -109,6 +113,7 @@
         pieces = self.request.pieces[number] if number < len(self.request.pieces) else 0
         if pieces == 0:
             self.handles[number] = ()
+            self.places[number] = ()
             self.changed.set()
             return
         self.begun = True
@@ -134,9 +139,40 @@
             due=due - STAGE_MS * self.levels_after(number),
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
-            datacentre=self.site if stage.result_bytes > LARGE_BYTES else "",
+            datacentre=self.wanted(number, pieces),
         )
 
+    def wanted(self, number: int, pieces: int) -> str:
+        """Return the data centre that a stage is to be done in, or an empty string for any."""
+        stage = self.route.stages[number]
+        lying = [place for needed in stage.after for place in self.places[needed]]
+        fetched = sum(
+            self.route.stages[needed].result_bytes * len(self.places[needed])
+            for needed in stage.after
+        )
+        if lying and fetched * pieces > LARGE_BYTES:
+            return max(set(lying), key=lying.count)
+        if self.is_heavy(number):
+            return self.site
+        return ""
+
+    def is_heavy(self, number: int) -> bool:
+        """Tell whether the request itself fetches large results of a stage."""
+        stage = self.route.stages[number]
+        return number in self.route.last_stages() and stage.result_bytes > LARGE_BYTES
+
+    def is_early(self, number: int) -> bool:
+        """Tell whether large results would only lie about while longer chains are under way."""
+        if not self.is_heavy(number):
+            return False
+        others = (n for n in range(len(self.route.stages)) if n != number)
+        open_ = [n for n in others if n not in self.handles and n not in self.waiting]
+        return any(self.request_has(n) for n in open_)
+
+    def request_has(self, number: int) -> bool:
+        """Tell whether the request has pieces of a stage."""
+        return number < len(self.request.pieces) and self.request.pieces[number] > 0
+
     def levels_after(self, number: int) -> int:
         """Return how many stages follow one another behind a stage."""
         following = (n for n, stage in enumerate(self.route.stages) if number in stage.after)
@@ -151,6 +187,7 @@
             self.dispatch.release(self.service(number), [one.handle for one in results])
         else:
             self.handles[number] = tuple(one.handle for one in results)
+            self.places[number] = tuple(one.datacentre for one in results)
             self.release_used()
         self.changed.set()
 
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -0,0 +1,90 @@
+# stageforecast.py -- Whether the stages of a request can be done in time
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Whether the stages of a request can be done in time."""
+
+from __future__ import annotations
+
+from mountladder.code import Code
+from mountladder.errors import RefusalError
+from mountladder.forwarding.backlog import rank
+from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.forwarding.route import Route
+from mountladder.forwarding.stagedispatch import StageDispatch
+
+# What a model server takes to its first event beside what it reads (the users' sheet).
+FINISH_MS = 120.0
+# A request is let in while its expected time is within this many aims, by its rank; requests that
+# are worth least give way first.
+LET_IN_AIMS = (1.2, 1.1, 0.85)
+# A request that was refused before and comes back is let in up to this part of its time.
+LET_BACK_IN = 0.6
+# First attempts come with their whole time; one with less than this part of it comes back.
+FIRST_ATTEMPT = 0.97
+# When a refused request may come back: when the excess is worked off, within these limits; callers
+# wait a third of their time at most.
+BACK_EXCESS = 2.0
+LEAST_BACK_MS = 800.0
+MOST_BACK_MS = 2_600.0
+BACK_PART = 0.3
+
+
+class StageForecast:
+    """Refuses requests whose stages cannot be done in time, before any work is spent on them.
+
+    Args:
+        dispatch: Knows how long pieces wait.
+        follower: The catalogue in force.
+
+    Attributes:
+        longest: The longest time that requests of each route came with.
+    """
+
+    def __init__(self, dispatch: StageDispatch, follower: CatalogueFollower) -> None:
+        self.dispatch = dispatch
+        self.follower = follower
+        self.longest: dict[str, float] = {}
+
+    def comes_back(self, request: ForwardRequest, route: Route) -> bool:
+        """Tell whether a request is likely one that was refused before."""
+        longest = max(self.longest.get(route.name, 0.0), request.allowed_ms)
+        self.longest[route.name] = longest
+        return request.allowed_ms < FIRST_ATTEMPT * longest
+
+    def check(self, request: ForwardRequest, route: Route, urgency: int) -> None:
+        """Let a request in, or refuse it with the time when there may be room for it.
+
+        Raises:
+            RefusalError: It is not expected to be in time.
+        """
+        back = self.comes_back(request, route)
+        expected_ms = self.expected_ms(request, route, 0 if back else urgency)
+        most_ms = LET_IN_AIMS[rank(urgency)] * route.aim_ms
+        if back:
+            most_ms = max(most_ms, LET_BACK_IN * request.allowed_ms)
+        if expected_ms <= most_ms:
+            return
+        back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
+        back_ms = min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
+        detail = f"expected {expected_ms:.0f} ms, aim {route.aim_ms:.0f} ms"
+        raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=back_ms)
+
+    def expected_ms(self, request: ForwardRequest, route: Route, urgency: int) -> float:
+        """Return the expected time to the first event, in milliseconds."""
+        last = (self.stage_ms(request, route, n, urgency) for n in range(len(route.stages)))
+        return FINISH_MS + max(last, default=0.0)
+
+    def stage_ms(self, request: ForwardRequest, route: Route, number: int, urgency: int) -> float:
+        """Return the expected time until a stage is done, those before it included."""
+        stage = route.stages[number]
+        before = (self.stage_ms(request, route, one, urgency) for one in stage.after)
+        start_ms = max(before, default=0.0)
+        pieces = request.pieces[number] if number < len(request.pieces) else 0
+        catalogue = self.follower.catalogue
+        service = catalogue.services.get(stage.service) if catalogue else None
+        if not pieces or service is None or service.batch is None:
+            return start_ms
+        wait_ms = self.dispatch.wait_ms(stage.service, urgency)
+        return start_ms + wait_ms + service.batch.expected_ms(min(pieces, service.batch.pieces))
--- a/packages/core/src/mountladder/forwarding/stageoutcome.py
+++ b/packages/core/src/mountladder/forwarding/stageoutcome.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.pieceresult import PieceResult
 
 
@@ -18,7 +19,9 @@
     Attributes:
         number: The number of the order, given by the instance that sent it.
         results: The results of its pieces, in their order.
+        backlog: How long pieces of the service wait now.
     """
 
     number: int
     results: tuple[PieceResult, ...]
+    backlog: Backlog
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -47,11 +47,17 @@
   code @2 :UInt16;
 }
 
+struct Backlog {
+  service @0 :Text;
+  waits @1 :List(Float32);
+}
+
 struct Beacon {
   catalogue @0 :UInt64;
   directory @1 :UInt64;
   leaving @2 :Bool;
   asks @3 :Bool;
+  backlogs @4 :List(Backlog);
 }
 
 struct Want {
@@ -132,11 +138,13 @@
 struct PieceResult {
   handle @0 :Text;
   failure @1 :UInt8;
+  datacentre @2 :Text;
 }
 
 struct StageOutcome {
   number @0 :UInt64;
   results @1 :List(PieceResult);
+  backlog @2 :Backlog;
 }
 
 struct Frame {
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from functools import singledispatch
 from pathlib import Path
 
@@ -13,6 +14,7 @@
 
 from mountladder.code import Code
 from mountladder.errors import PeerError
+from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.cataloguecopy import CatalogueCopy
 from mountladder.forwarding.directorycopy import DirectoryCopy
@@ -45,6 +47,8 @@
 ANY_VERSION = -1
 MOST_AGE_MS = 2**32 - 1
 MOST_URGENCY = 255
+# A row of the store holds 64 KB at most (the users' sheet).
+MOST_CATALOGUE_BYTES = 1 << 20
 _FAILURES = (None, *PieceFailure)
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueCopy | DirectoryCopy | MemberList
@@ -73,7 +77,7 @@
         frame = _SCHEMA.Frame.from_bytes_packed(data)
         which = str(frame.which())
         return _READERS[which](getattr(frame, which))
-    except (capnp.KjException, ValueError, KeyError, IndexError, UnicodeError) as error:
+    except (capnp.KjException, zlib.error, ValueError, KeyError, IndexError, UnicodeError) as error:
         raise PeerError(f"a message cannot be read: {error}", Code.BAD_MESSAGE) from error
 
 
@@ -144,6 +148,7 @@
     beacon.directory = message.directory
     beacon.leaving = message.leaving
     beacon.asks = message.asks
+    _fill_backlogs(message.backlogs, beacon.init("backlogs", len(message.backlogs)))
 
 
 @_fill.register
@@ -155,7 +160,7 @@
 
 @_fill.register
 def _(message: CatalogueCopy, frame) -> None:
-    frame.catalogueCopy = message.encoded
+    frame.catalogueCopy = zlib.compress(message.encoded)
 
 
 @_fill.register
@@ -193,9 +198,10 @@
 def _(message: StageOutcome, frame) -> None:
     outcome = frame.init("stageOutcome")
     outcome.number = message.number
+    _fill_backlogs((message.backlog,), (outcome.backlog,))
     results = outcome.init("results", len(message.results))
     for result, to in zip(message.results, results, strict=True):
-        to.handle = result.handle
+        to.handle, to.datacentre = result.handle, result.datacentre
         to.failure = _FAILURES.index(result.failure)
 
 
@@ -283,9 +289,27 @@
     return StageOrder(order.number, job)
 
 
+def _fill_backlogs(backlogs, frames) -> None:
+    for backlog, to in zip(backlogs, frames, strict=True):
+        to.service = backlog.service
+        to.waits = list(backlog.waits_ms)
+
+
+def _read_backlog(backlog) -> Backlog:
+    return Backlog(str(backlog.service), tuple(backlog.waits))
+
+
+def _read_beacon(one) -> Beacon:
+    backlogs = tuple(_read_backlog(backlog) for backlog in one.backlogs)
+    return Beacon(one.catalogue, one.directory, one.leaving, one.asks, backlogs)
+
+
 def _read_outcome(outcome) -> StageOutcome:
-    results = (PieceResult(str(one.handle), _FAILURES[one.failure]) for one in outcome.results)
-    return StageOutcome(outcome.number, tuple(results))
+    results = (
+        PieceResult(str(one.handle), _FAILURES[one.failure], str(one.datacentre))
+        for one in outcome.results
+    )
+    return StageOutcome(outcome.number, tuple(results), _read_backlog(outcome.backlog))
 
 
 def _read_placement(order) -> PlacementOrder:
@@ -296,6 +320,14 @@
     return PlacementOrder(number, service, prompt, excluded, str(order.site), order.binding)
 
 
+def _inflated(data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    inflated = inflater.decompress(data, MOST_CATALOGUE_BYTES)
+    if not inflater.eof:
+        raise ValueError("a catalogue is cut or too long")
+    return inflated
+
+
 _READERS = {
     "hello": _read_hello,
     "heartbeat": _read_heartbeat,
@@ -303,9 +335,9 @@
     "changes": lambda changes: Changes(tuple(bytes(value) for value in changes.values)),
     "snapshot": lambda snapshot: Snapshot(bytes(snapshot.value)),
     "submit": _read_submit,
-    "beacon": lambda one: Beacon(one.catalogue, one.directory, one.leaving, one.asks),
+    "beacon": _read_beacon,
     "want": lambda one: Want(one.catalogue, one.directory),
-    "catalogueCopy": lambda encoded: CatalogueCopy(bytes(encoded)),
+    "catalogueCopy": lambda encoded: CatalogueCopy(_inflated(bytes(encoded))),
     "directoryCopy": _read_directory,
     "memberList": lambda members: MemberList(
         tuple(
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -8,12 +8,16 @@
 
 monkey.patch_all()
 
+import faulthandler
 import importlib
 import sys
 from pathlib import Path
 
 import click
 
+# A crash of a library must leave a trace in the log of the process.
+faulthandler.enable()
+
 
 @click.command()
 @click.argument("settings", type=click.Path(path_type=Path), required=False)
