Announce the pieces of later stages

Cause: the time a request's stages need was forecast from the pieces that wait now, while requests in earlier stages bring theirs some 300 to 600 ms later. Change: an admitted request announces the pieces of its later stages where they meet; they count as waiting, and what waits is taken as worked off while the stages before are under way. Ruled out: each instance scaling its own requests by the number of instances (one request is six pieces, so the noise is half a second).

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -27,6 +27,7 @@
 from mountladder.forwarding.resultroom import ResultRoom
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metric import Metric
@@ -51,6 +52,8 @@
 RANK_MS = 600.0
 # What pieces are taken to wait where no server is in use.
 NO_SERVER_MS = 5_000.0
+# Pieces that were announced and have not come by then are not expected any more.
+ANNOUNCED_MS = 2_500.0
 # How long pieces wait for a server of the data centre where their bytes lie or are needed, by the
 # rank of their request: what crosses costs about as much as the least urgent request is worth.
 FAR_PATIENCE_MS = (80.0, 150.0, 400.0)
@@ -103,6 +106,7 @@
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
         self.room = ResultRoom()
+        self.announced: dict[tuple[str, int], tuple[StageNotice, float]] = {}
         self.releaser = Releaser(upstream, clock, self.freed)
         self.cancel_look: Callable[[], None] | None = None
 
@@ -110,10 +114,18 @@
         """Take in the pieces of a stage; done is called with their results."""
         progress = JobProgress(job, done, self.clock.now())
         self.budget.earn()
+        self.announced.pop((job.request, job.stage), None)
         self.queue += [(progress, fragment) for fragment in range(job.pieces)]
         self.pump()
         return progress
 
+    def announce(self, notice: StageNotice) -> None:
+        """Take in which pieces will come, so that they count as waiting already."""
+        key = (notice.request, notice.stage)
+        self.announced.pop(key, None)
+        if notice.pieces:
+            self.announced[key] = (notice, self.clock.now() + ANNOUNCED_MS)
+
     def withdraw(self, progress: JobProgress) -> None:
         """Drop pieces that wait and are not wanted any more."""
         progress.ended = True
@@ -239,6 +251,11 @@
         rate = sum(limits.pieces / (full_ms * one.slowness_at(now)) for one in usable)
         busy = min(self.left(one, now) for one in usable)
         ahead = Counter(rank(progress.job.urgency) for progress, _ in self.queue)
+        for notice, until in list(self.announced.values()):
+            if until > now:
+                ahead[rank(notice.urgency)] += notice.pieces
+            else:
+                del self.announced[notice.request, notice.stage]
         waits = [sum(ahead[one] for one in range(place + 1)) / rate for place in RANKS]
         return Backlog(self.service, tuple(busy + wait for wait in waits))
 
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -23,6 +23,7 @@
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
 from mountladder.forwarding.stagerelease import StageRelease
@@ -66,6 +67,7 @@
         on_peer_gone: Called with the link that a peer had opened when it is lost.
         backlogs: Returns how long pieces wait that meet on this instance.
         on_backlog: Takes how long pieces wait that meet on a peer.
+        on_notice: Takes notice of pieces that a peer's request will send.
         on_release: Takes results that a peer does not need any more.
     """
 
@@ -90,6 +92,7 @@
         self.on_withdrawal: Callable[[StageWithdrawal, Link], None] = lambda one, link: None
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
         self.on_backlog: Callable[[Backlog], None] = lambda backlog: None
+        self.on_notice: Callable[[StageNotice, Link], None] = lambda notice, link: None
         self.on_release: Callable[[StageRelease, Link], None] = lambda release, link: None
         self.on_placement_order: Callable[[PlacementOrder, Link], None] = lambda order, link: None
         self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
@@ -233,6 +236,10 @@
     def _(self, message: PlacementNote, link: Link) -> None:
         self.on_placement_note(message, link)
 
+    @handle.register
+    def _(self, message: StageNotice, link: Link) -> None:
+        self.on_notice(message, link)
+
     @handle.register
     def _(self, message: StageRelease, link: Link) -> None:
         self.on_release(message, link)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.jobprogress import Done, JobProgress, Results
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
 from mountladder.forwarding.stagerelease import StageRelease
@@ -50,6 +51,7 @@
         fleet.on_backlog = self.take_backlog
         fleet.on_order = self.take_order
         fleet.on_outcome = self.take_outcome
+        fleet.on_notice = lambda notice, link: self.batcher(notice.service).announce(notice)
         fleet.on_release = self.take_release
         fleet.on_withdrawal = self.take_withdrawal
         fleet.on_link_lost = self.move_from
@@ -103,6 +105,14 @@
         if link is not None:
             self.fleet.send_later(link, StageWithdrawal(submission.number))
 
+    def announce(self, notice: StageNotice) -> None:
+        """Tell the instance where a service's pieces meet which ones will come."""
+        link = self.fleet.home(notice.service)
+        if link is None:
+            self.batcher(notice.service).announce(notice)
+        else:
+            self.fleet.send_later(link, notice)
+
     def release(self, service: str, handles: Sequence[str]) -> None:
         """Give up results of a service, at the instance where its pieces meet."""
         named = tuple(handle for handle in handles if handle)
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.submission import Submission
 
 # What one stage is taken to need, waiting included: a call of 150 ms, its pieces, half a call's
@@ -76,6 +77,7 @@
         Raises:
             RunError: A stage failed, or the deadline passed.
         """
+        self.announce()
         try:
             while len(self.handles) < len(self.route.stages):
                 self.changed.clear()
@@ -86,6 +88,17 @@
             raise
         return self.inputs()
 
+    def announce(self) -> None:
+        """Tell of the pieces that will come later."""
+        for number, stage in enumerate(self.route.stages):
+            if stage.after and self.request_has(number):
+                self.notice(number, self.request.pieces[number])
+
+    def notice(self, number: int, pieces: int) -> None:
+        """Tell that pieces of a stage will come, or with 0 that they will not."""
+        service = self.service(number)
+        self.dispatch.announce(StageNotice(self.request.id, number, service, pieces, self.urgency))
+
     def wait(self) -> None:
         """Wait until a stage ends."""
         if len(self.handles) == len(self.route.stages):
@@ -208,6 +221,10 @@
         """Drop what is not done, and give up every result."""
         for submission in list(self.waiting.values()):
             self.dispatch.withdraw(submission)
+        for number, stage in enumerate(self.route.stages):
+            begun = number in self.handles or number in self.waiting
+            if stage.after and self.request_has(number) and not begun:
+                self.notice(number, 0)
         self.waiting.clear()
         self.release()
 
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -18,7 +18,7 @@
 FINISH_MS = 120.0
 # A request is let in while its expected time is within this many aims, by its rank; requests that
 # are worth least give way first.
-LET_IN_AIMS = (1.2, 1.1, 0.85)
+LET_IN_AIMS = (1.0, 0.95, 0.85)
 # A request that was refused before and comes back is let in up to this part of its time.
 LET_BACK_IN = 0.6
 # First attempts come with their whole time; one with less than this part of it comes back.
@@ -86,5 +86,7 @@
         service = catalogue.services.get(stage.service) if catalogue else None
         if not pieces or service is None or service.batch is None:
             return start_ms
-        wait_ms = self.dispatch.wait_ms(stage.service, urgency)
-        return start_ms + wait_ms + service.batch.expected_ms(min(pieces, service.batch.pieces))
+        # What waits or is announced is worked off while the stages before are under way.
+        free_ms = self.dispatch.wait_ms(stage.service, urgency)
+        call_ms = service.batch.expected_ms(min(pieces, service.batch.pieces))
+        return max(start_ms, free_ms) + call_ms
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -130,6 +130,14 @@
   ended @2 :Bool;
 }
 
+struct StageNotice {
+  request @0 :Text;
+  stage @1 :UInt8;
+  service @2 :Text;
+  pieces @3 :UInt16;
+  urgency @4 :UInt8;
+}
+
 struct StageRelease {
   service @0 :Text;
   handles @1 :List(Text);
@@ -168,5 +176,6 @@
     placementOrder @16 :PlacementOrder;
     placementReply @17 :PlacementReply;
     placementNote @18 :PlacementNote;
+    stageNotice @19 :StageNotice;
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -28,6 +28,7 @@
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
 from mountladder.forwarding.stagerelease import StageRelease
@@ -52,7 +53,7 @@
 _FAILURES = (None, *PieceFailure)
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueCopy | DirectoryCopy | MemberList
-Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease
+Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 Placing = PlacementOrder | PlacementReply | PlacementNote
 Message = Configuring | Forwarding | Stages | Placing
 
@@ -210,6 +211,13 @@
     frame.stageWithdrawal = message.number
 
 
+@_fill.register
+def _(message: StageNotice, frame) -> None:
+    notice = frame.init("stageNotice")
+    notice.request, notice.stage, notice.service = message.request, message.stage, message.service
+    notice.pieces, notice.urgency = message.pieces, min(message.urgency, MOST_URGENCY)
+
+
 @_fill.register
 def _(message: StageRelease, frame) -> None:
     release = frame.init("stageRelease")
@@ -350,6 +358,9 @@
     "placementOrder": _read_placement,
     "placementReply": lambda one: PlacementReply(one.number, str(one.server), one.expectedMs),
     "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended),
+    "stageNotice": lambda one: StageNotice(
+        str(one.request), one.stage, str(one.service), one.pieces, one.urgency
+    ),
     "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
 }
