Links at once after a restart; a forecast that learns; refused pieces are no repeats

Cause: after all processes had been killed several instances batched the pieces of one service at the same time, since their links came up to a second late; servers refused calls as full and the refused pieces used up the retry budget (24 requests failed with code 3001). With one of three stage servers left, requests were let in that then took twice what was expected. Large results made last waited behind everything when their service was the busy one.

Change: an instance that connects is dialled at once; pieces that reached no server or were refused unrun are no repeats; servers that cannot be connected to are out of use at the first failure; the forecast counts more urgent work that comes in meanwhile and learns the ratio of played to expected time by route; a returning request goes first; large results are made early where their servers are busy.

Ruled out: the stage servers being slow after the restart (their calls took 500 ms only since two instances called each at once).

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -29,6 +29,7 @@
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.upstream import Upstream
+from mountladder.limits.rankrates import RankRates
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
@@ -50,6 +51,8 @@
 # A request of the next rank goes first only if it is due this much sooner: about a third of the
 # longest aims, so that when there is not enough for all, those served are worth more.
 RANK_MS = 600.0
+# At least this part of the rate is taken to be left for the least urgent pieces.
+LEAST_RATE = 0.1
 # What pieces are taken to wait where no server is in use.
 NO_SERVER_MS = 5_000.0
 # Pieces that were announced and have not come by then are not expected any more.
@@ -106,6 +109,7 @@
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
         self.room = ResultRoom()
+        self.rates = RankRates(clock)
         self.announced: dict[tuple[str, int], tuple[StageNotice, float]] = {}
         self.releaser = Releaser(upstream, clock, self.freed)
         self.cancel_look: Callable[[], None] | None = None
@@ -114,6 +118,7 @@
         """Take in the pieces of a stage; done is called with their results."""
         progress = JobProgress(job, done, self.clock.now())
         self.budget.earn()
+        self.rates.add(rank(job.urgency), job.pieces)
         self.announced.pop((job.request, job.stage), None)
         self.queue += [(progress, fragment) for fragment in range(job.pieces)]
         self.pump()
@@ -183,12 +188,12 @@
     def usable_servers(self, now: float) -> list[ServerState]:
         """Return the servers that may be sent a call now, or once they are free."""
         states = (self.router.state(one) for one in self.directory.available(self.service))
-        return [one for one in states if self.may_take(one, now)]
+        return [one for one in states if one.usable(now)]
 
     def free_servers(self, limits: BatchLimits, now: float) -> list[ServerState]:
         """Return the servers that can take a call at once, the fastest first."""
         usable = self.usable_servers(now)
-        free = [one for one in usable if self.running(one) < limits.calls]
+        free = [one for one in usable if self.is_free(one, limits, now)]
         return sorted(free, key=lambda one: one.slowness_at(now))
 
     def offer(self, state: ServerState, limits: BatchLimits, now: float) -> None:
@@ -216,7 +221,7 @@
         for waiting in self.queue:
             progress = waiting[0]
             size = progress.job.result_bytes
-            begun = bool(progress.tries) or any(progress is one for one, _ in batch)
+            begun = bool(progress.results) or any(progress is one for one, _ in batch)
             needed = size if begun or not used else size * progress.job.pieces
             if (
                 progress in left_out
@@ -256,8 +261,12 @@
                 ahead[rank(notice.urgency)] += notice.pieces
             else:
                 del self.announced[notice.request, notice.stage]
-        waits = [sum(ahead[one] for one in range(place + 1)) / rate for place in RANKS]
-        return Backlog(self.service, tuple(busy + wait for wait in waits))
+        waits = []
+        for place in RANKS:
+            # What comes in meanwhile and is more urgent goes first.
+            left = max(LEAST_RATE * rate, rate - self.rates.above(place))
+            waits.append(busy + sum(ahead[one] for one in range(place + 1)) / left)
+        return Backlog(self.service, tuple(waits))
 
     def left(self, state: ServerState, now: float) -> float:
         """Return how long the calls at a server are expected to take yet."""
@@ -278,9 +287,10 @@
                 room += limits.pieces
         return len(self.queue) <= room
 
-    def may_take(self, state: ServerState, now: float) -> bool:
+    def is_free(self, state: ServerState, limits: BatchLimits, now: float) -> bool:
         """Tell whether a server may be sent a call now."""
-        return state.usable(now) and self.paused.get(state.server.name, 0.0) <= now
+        paused = self.paused.get(state.server.name, 0.0) > now
+        return not paused and self.running(state) < limits.calls
 
     def running(self, state: ServerState) -> int:
         """Return how many calls this instance has running at a server."""
@@ -295,7 +305,7 @@
         job = progress.job
         late = job.due < now
         place = rank(job.urgency)
-        return not progress.tries, late, place if late else 0, job.due + RANK_MS * place
+        return not progress.results, late, place if late else 0, job.due + RANK_MS * place
 
     def start(
         self, state: ServerState, batch: list[Waiting], limits: BatchLimits, now: float
@@ -407,7 +417,12 @@
         self.metrics.count(Metric.RETRIED, error.code.name.lower())
         for progress, fragment in batch:
             self.room.give_back(state.server.name, progress.job.result_bytes)
-            self.repeat(progress, fragment, PieceResult("", PieceFailure.FAILED))
+            if error.dispatched:
+                self.repeat(progress, fragment, PieceResult("", PieceFailure.FAILED))
+            else:
+                # It did not reach a server that works on it, so that this is no repeat.
+                progress.tries[fragment] -= 1
+                self.queue.append((progress, fragment))
 
     def repeat(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
         """Let a piece wait again, where it may still be sent."""
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -211,6 +211,7 @@
     def _(self, message: MemberList, link: Link) -> None:
         for instance in message.instances:
             self.membership.mention(instance)
+        self.retarget.set()
 
     @handle.register
     def _(self, message: StageOrder, link: Link) -> None:
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -43,8 +43,8 @@
 from mountladder.supervision import keep_running
 
 # Three missed heartbeats are silence, after which stages are handed to another instance: with
-# 400 ms that is about the time of two stages.
-HEARTBEAT_MS = 400.0
+# 250 ms that is about the time of three stages.
+HEARTBEAT_MS = 250.0
 # How often the list of instances is read again; new ones make themselves known before.
 MEMBERS_MS = 20_000.0
 MEMBERS_RETRY_MS = 1_000.0
@@ -222,6 +222,7 @@
                 log_message("instances-unread", reason=str(error), announced=announced)
                 self.clock.sleep(MEMBERS_RETRY_MS)
             else:
+                self.fleet.retarget.set()
                 log_message("instances-read", known=len(self.membership.known))
                 self.clock.sleep(MEMBERS_MS)
 
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -65,6 +65,8 @@
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
+        self.expected_ms = 0.0
+        self.comes_back = bool(route.stages) and context.forecast.comes_back(request, route)
         context.budget(self.service).earn()
 
     @property
@@ -74,7 +76,12 @@
 
     @property
     def urgency(self) -> int:
-        """Return the rank of the request; the team's goes before the route's."""
+        """Return the rank of the request; the team's goes before the route's.
+
+        One that was refused before goes first, since a second refusal would be final.
+        """
+        if self.comes_back:
+            return 0
         if self.holder is not None and self.holder.priority is not None:
             return self.holder.priority
         return self.route.priority
@@ -92,7 +99,11 @@
         if not self.route.stages:
             return ()
         if self.flow is None:
-            self.context.forecast.check(self.request, self.route, self.urgency)
+            forecast = self.context.forecast
+            self.expected_ms = forecast.check(
+                self.request, self.route, self.urgency, self.comes_back
+            )
+            self.log("let-in", expected_ms=round(self.expected_ms), comes_back=self.comes_back)
         if not self.site:
             self.site = self.context.picker.site(self.request, self.service)
         self.flow = StageFlow(
@@ -180,7 +191,8 @@
             return self.final(RunError("no time is left for a repeat", Code.DEADLINE_PASSED))
         if self.runs >= self.route.most_attempts or self.sendings >= MOST_SENDINGS:
             return self.final(RunError(error.detail, error.code))
-        if not self.context.budget(self.service).spend():
+        arrived = error.code is not Code.CONNECT_FAILED
+        if arrived and not self.context.budget(self.service).spend():
             return self.final(RunError(error.detail, Code.RETRY_BUDGET_SPENT))
         return None
 
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -11,6 +11,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import RunError
+from mountladder.forwarding.finishtime import finish_ms
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.jobprogress import Results
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -21,9 +22,8 @@
 from mountladder.forwarding.submission import Submission
 
 # What one stage is taken to need, waiting included: a call of 150 ms, its pieces, half a call's
-# wait for a server (the users' sheet); and what the model server needs to its first event.
+# wait for a server (the users' sheet).
 STAGE_MS = 260.0
-FINISH_MS = 120.0
 # Where a stage fetches or makes more than this, it is to be done in the data centre where the
 # bytes lie or are needed: results that cross data centres are priced by the gigabyte.
 LARGE_BYTES = 1_000_000.0
@@ -140,7 +140,7 @@
         """Return what is handed over for one stage."""
         stage = self.route.stages[number]
         inputs = tuple(handle for needed in stage.after for handle in self.handles[needed])
-        due = self.request.arrived + self.route.aim_ms - FINISH_MS
+        due = self.request.arrived + self.route.aim_ms - finish_ms(self.request.prompt)
         return StageJob(
             request=self.request.id,
             stage=number,
@@ -178,9 +178,17 @@
         """Tell whether large results would only lie about while longer chains are under way."""
         if not self.is_heavy(number):
             return False
-        others = (n for n in range(len(self.route.stages)) if n != number)
-        open_ = [n for n in others if n not in self.handles and n not in self.waiting]
-        return any(self.request_has(n) for n in open_)
+        wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency)
+        return self.others_ms(number) > wait_ms + STAGE_MS
+
+    def others_ms(self, number: int) -> float:
+        """Return about how long the other stages take yet, in milliseconds."""
+        open_ = (
+            n
+            for n in range(len(self.route.stages))
+            if n != number and n not in self.handles and self.request_has(n)
+        )
+        return STAGE_MS * max((1 + self.levels_after(n) for n in open_), default=0)
 
     def request_has(self, number: int) -> bool:
         """Tell whether the request has pieces of a stage."""
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -10,15 +10,19 @@
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import rank
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.finishtime import finish_ms
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stagedispatch import StageDispatch
 
-# What a model server takes to its first event beside what it reads (the users' sheet).
-FINISH_MS = 120.0
 # A request is let in while its expected time is within this many aims, by its rank; requests that
 # are worth least give way first.
-LET_IN_AIMS = (1.0, 0.95, 0.85)
+LET_IN_AIMS = (1.0, 1.0, 0.95)
+# What requests took over what was expected, at first as played, then as learnt on each route; the
+# middle of what was seen is followed by small steps up and down.
+FIRST_FACTOR = 1.25
+FACTOR_STEP = 0.01
+LEAST_FACTOR, MOST_FACTOR = 0.8, 2.0
 # A request that was refused before and comes back is let in up to this part of its time.
 LET_BACK_IN = 0.6
 # First attempts come with their whole time; one with less than this part of it comes back.
@@ -40,12 +44,14 @@
 
     Attributes:
         longest: The longest time that requests of each route came with.
+        factors: What requests of each route took over what was expected.
     """
 
     def __init__(self, dispatch: StageDispatch, follower: CatalogueFollower) -> None:
         self.dispatch = dispatch
         self.follower = follower
         self.longest: dict[str, float] = {}
+        self.factors: dict[str, float] = {}
 
     def comes_back(self, request: ForwardRequest, route: Route) -> bool:
         """Tell whether a request is likely one that was refused before."""
@@ -53,19 +59,27 @@
         self.longest[route.name] = longest
         return request.allowed_ms < FIRST_ATTEMPT * longest
 
-    def check(self, request: ForwardRequest, route: Route, urgency: int) -> None:
+    def check(self, request: ForwardRequest, route: Route, urgency: int, back: bool) -> float:
         """Let a request in, or refuse it with the time when there may be room for it.
 
+        Args:
+            request: The request.
+            route: Its route.
+            urgency: Its rank.
+            back: Whether it was refused before.
+
+        Returns:
+            The expected time to its first event, in milliseconds.
+
         Raises:
             RefusalError: It is not expected to be in time.
         """
-        back = self.comes_back(request, route)
-        expected_ms = self.expected_ms(request, route, 0 if back else urgency)
+        expected_ms = self.expected_ms(request, route, urgency)
         most_ms = LET_IN_AIMS[rank(urgency)] * route.aim_ms
         if back:
             most_ms = max(most_ms, LET_BACK_IN * request.allowed_ms)
         if expected_ms <= most_ms:
-            return
+            return expected_ms
         back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
         back_ms = min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
         detail = f"expected {expected_ms:.0f} ms, aim {route.aim_ms:.0f} ms"
@@ -74,7 +88,14 @@
     def expected_ms(self, request: ForwardRequest, route: Route, urgency: int) -> float:
         """Return the expected time to the first event, in milliseconds."""
         last = (self.stage_ms(request, route, n, urgency) for n in range(len(route.stages)))
-        return FINISH_MS + max(last, default=0.0)
+        plain_ms = finish_ms(request.prompt) + max(last, default=0.0)
+        return plain_ms * self.factors.get(route.name, FIRST_FACTOR)
+
+    def learn(self, route: Route, expected_ms: float, elapsed_ms: float) -> None:
+        """Learn from the time to the first event of a request that was let in."""
+        factor = self.factors.get(route.name, FIRST_FACTOR)
+        factor += FACTOR_STEP if elapsed_ms > expected_ms else -FACTOR_STEP
+        self.factors[route.name] = min(MOST_FACTOR, max(LEAST_FACTOR, factor))
 
     def stage_ms(self, request: ForwardRequest, route: Route, number: int, urgency: int) -> float:
         """Return the expected time until a stage is done, those before it included."""
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -45,6 +45,8 @@
         except BaseException:
             self.finish(RunError("", Code.CANCELLED))
             raise
+        if self.expected_ms:
+            self.context.forecast.learn(self.route, self.expected_ms, self.elapsed())
         self.log("first-event", server=attempt.server, elapsed_ms=round(self.elapsed()))
         if not self.route.resumable and self.flow is not None:
             self.flow.release()
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -23,7 +23,7 @@
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 
-REDIAL_MS = 500.0
+REDIAL_MS = 250.0
 LONGEST_REDIAL_MS = 4_000.0
 TARGETS_MS = 500.0
 
@@ -62,6 +62,8 @@
         self.seeds = tuple(seed for seed in seeds if seed != membership.me.peer)
         self.links: dict[str, Link] = {}
         self.dialers: dict[str, gevent.Greenlet] = {}
+        self.knocks: dict[str, Event] = {}
+        self.retarget = Event()
         self.leaving = False
         self.on_link_lost: Callable[[str], None] = lambda address: None
         self.bytes = 0
@@ -72,7 +74,16 @@
         while True:
             self.follow_targets()
             self.metrics.gauge(Metric.PEERS, len(self.membership.live()) - 1)
-            self.clock.sleep(TARGETS_MS)
+            self.clock.wait(self.retarget, TARGETS_MS)
+            self.retarget.clear()
+
+    def knock(self, address: str) -> None:
+        """Dial a peer at once that has just shown that it is there."""
+        waiting = self.knocks.get(address)
+        if waiting is not None:
+            waiting.set()
+        else:
+            self.retarget.set()
 
     def follow_targets(self) -> None:
         """Start and end dialling tasks as the targets change."""
@@ -98,7 +109,9 @@
                 self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
             if self.clock.now() - opened > LONGEST_REDIAL_MS:
                 pause_ms = REDIAL_MS
-            self.clock.sleep(pause_ms)
+            knocked = self.knocks[address] = Event()
+            if self.clock.wait(knocked, pause_ms):
+                pause_ms = REDIAL_MS
             pause_ms = min(LONGEST_REDIAL_MS, 2 * pause_ms)
 
     def talk(self, address: str) -> None:
@@ -137,7 +150,9 @@
     def serve(self, link: Link) -> None:
         """Serve a link that a peer opened, until it breaks."""
         try:
-            self.membership.hear(link.handshake())
+            peer = link.handshake()
+            self.membership.hear(peer)
+            self.knock(peer.peer)
             self.greet(link)
             self.read_all(link)
         except PeerError as error:
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -253,5 +253,8 @@
             state.breaker.abandon()
         elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
             state.breaker.abandon()
+        elif code is Code.CONNECT_FAILED:
+            state.breaker.trip(now)
+            self.metrics.count(Metric.EJECTED)
         elif state.breaker.fail(now):
             self.metrics.count(Metric.EJECTED)
