Prove that no older whole configuration is adopted

Cause: breaking Follower.replace on purpose was found by no scenario. Change: a peer's whole configuration of an older revision changes nothing, and the mutation that adopts any is found. Ruled out: waiting before the check, since newer changes would mend the mutated follower. Conclusion: the promise that configuration never reverts now has a proof on this way too.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -105,6 +105,19 @@
     And 4000 ms pass
     Then revision 601 is in force on a-1, a-2, b-1, b-2
 
+  Scenario: An older whole configuration from a peer changes nothing
+    When an operator makes 5 changes
+    And 2000 ms pass
+    And a peer sends a-1 the whole configuration of revision 3
+    Then revision 6 is in force on a-1, a-2, b-1, b-2
+
+  Scenario: The mutation that adopts any whole configuration is found
+    Given the product is changed so that a follower adopts any whole configuration
+    When an operator makes 5 changes
+    And 2000 ms pass
+    And a peer sends a-1 the whole configuration of revision 3
+    Then revision 3 is in force on a-1
+
   Scenario: A change that reaches an instance out of order waits for those before it
     Then an instance that is given change 3 before change 2 stays at revision 1
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -11,8 +11,10 @@
 
 from mountladder.configuration.change import Change
 from mountladder.configuration.changelog import ChangeLog
+from mountladder.configuration.configuration import Configuration
 from mountladder.configuration.follower import Follower
 from mountladder.errors import MountladderError, RevisionConflictError
+from mountladder.membership.snapshot import Snapshot
 
 
 def log_of(context):
@@ -148,3 +150,27 @@
     assert follower.configuration.revision == 3
     assert not follower.adopt([second])
     assert follower.configuration.revision == 3
+
+
+@when("a peer sends {name} the whole configuration of revision {revision:d}")
+def whole_configuration(context, name, revision):
+    log = log_of(context)
+    older = Configuration()
+    for change in log.since(0):
+        if change.revision <= revision:
+            older = older.after(change)
+    assert older.revision == revision
+    peers = context.fleet.runtimes[name].peers
+    link = next(iter(peers.links.values()))
+    context.run(peers.handle, Snapshot(older.encode()), link)
+
+
+@given("the product is changed so that a follower adopts any whole configuration")
+def adopts_any(context):
+    def replace(self, configuration):
+        self.configuration = configuration
+        self.changes = []
+
+    plain = Follower.replace
+    Follower.replace = replace
+    context.stack.callback(setattr, Follower, "replace", plain)
