Send the pieces of a late call to another server too; trace a request from its id

On-call engineers have only logs and metrics, and no page led from an id to a cause.

Ruled out: a longer patience alone, since the pieces would be late anyway.

--- a/features/pieces.feature
+++ b/features/pieces.feature
@@ -50,3 +50,12 @@
     And server enc-2 has fault "silent"
     When a staged request is sent to a-1
     Then the staged request ends with class failed
+
+  Scenario: A slow server's pieces are sent to another one as well
+    Given server enc-1 has fault "slow"
+    When 4 staged requests come at once over all instances
+    Then every staged request ends with status 200
+    And it took at most 1900 ms
+    When 3000 ms go by
+    Then every result was given up once
+    And no batcher remembers a piece
--- a/features/steps/piece_steps.py
+++ b/features/steps/piece_steps.py
@@ -130,3 +130,18 @@
 @then("the staged request ends with class {class_}")
 def ends_as(context, class_):
     assert context.ends["s0"][3] == class_, context.ends
+
+
+@then("every result was given up once")
+def given_up_once(context):
+    made = sum(len(call.pieces) for call in context.fleet.upstream.calls)
+    freed = context.fleet.upstream.freed
+    assert len(freed) == len(set(freed)) == made, (len(freed), made)
+
+
+@then("no batcher remembers a piece")
+def forgotten(context):
+    for instance in context.fleet.instances.values():
+        for batcher in instance.dispatch.batchers.values():
+            assert not batcher.queue and not batcher.twice and not batcher.room.results
+            assert sum(batcher.room.used.values()) == 0
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/loglines.py
@@ -0,0 +1,47 @@
+# loglines.py -- The log lines of one request
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The log lines of one request."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+
+# What every line carries and nobody reads.
+_DULL = frozenset({"timestamp", "message_type", "task_uuid", "task_level", "request", "requests"})
+
+
+def lines_of(request: str, lines: Iterable[str]) -> list[dict[str, object]]:
+    """Return the log messages that name a request, the oldest first.
+
+    Args:
+        request: The request's id.
+        lines: JSON lines, in any order; whatever stands before the first brace is left out.
+    """
+    found = []
+    for line in lines:
+        message = _message(line) if request in line else {}
+        if message.get("request") == request or request in message.get("requests", ()):
+            found.append(message)
+    return sorted(found, key=lambda one: one.get("timestamp", 0.0))
+
+
+def shown(messages: list[dict[str, object]]) -> str:
+    """Return messages as text, a line each with the milliseconds since the first."""
+    start = float(messages[0].get("timestamp", 0.0)) if messages else 0.0
+    rows = []
+    for message in messages:
+        at_ms = (float(message.get("timestamp", 0.0)) - start) * 1000
+        fields = " ".join(f"{k}={v!r}" for k, v in message.items() if k not in _DULL)
+        rows.append(f"{at_ms:9.1f} ms  {message.get('message_type', '')}  {fields}")
+    return "\n".join(rows)
+
+
+def _message(line: str) -> dict[str, object]:
+    try:
+        message = json.loads(line[line.index("{") :])
+    except ValueError:
+        return {}
+    return message if isinstance(message, dict) else {}
--- a/packages/cli/src/mountladder_cli/observing.py
+++ b/packages/cli/src/mountladder_cli/observing.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from dataclasses import asdict
+from typing import TextIO
 
 import click
 
 from mountladder_cli import porcelain
+from mountladder_cli.loglines import lines_of, shown
 from mountladder_cli.session import Session
 
 
@@ -81,4 +83,16 @@
         session.show(rows, lambda: "\n".join(lines))
 
 
-COMMANDS = (history, status, explain, cost)
+@click.command("lines")
+@click.argument("request")
+@click.argument("files", nargs=-1, type=click.File("r", encoding="utf-8", errors="replace"))
+@click.pass_obj
+def lines(session: Session, request: str, files: tuple[TextIO, ...]) -> None:
+    """Show every log line of one request, from the logs of any number of instances."""
+    found = lines_of(request, (line for file in files for line in file))
+    if not found:
+        raise click.ClickException(f"no line names {request}")
+    session.show(found, lambda: shown(found))
+
+
+COMMANDS = (lines, history, status, explain, cost)
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -38,9 +38,13 @@
         self.tries: Counter[int] = Counter()
         self.ended = False
 
+    def has(self, fragment: int) -> bool:
+        """Tell whether a piece needs no result any more."""
+        return self.ended or fragment in self.results
+
     def settle(self, fragment: int, result: PieceResult) -> None:
         """Take in the result of one piece; a failed one ends the whole stage."""
-        if self.ended:
+        if self.has(fragment):
             return
         self.results[fragment] = result
         if result.failure is not None or len(self.results) == self.job.pieces:
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -0,0 +1,131 @@
+# piecequeue.py -- The pieces of one service that wait
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The pieces of one service that wait."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+
+from mountladder.forwarding.backlog import rank
+from mountladder.forwarding.batchlimits import BatchLimits
+from mountladder.forwarding.jobprogress import JobProgress
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.routing.serverstate import ServerState
+
+# A request of the next rank goes first only if it is due this much sooner: about a third of the
+# longest aims, so that when there is not enough for all, those served are worth more.
+RANK_MS = 600.0
+# How long pieces wait for a server of the data centre where their bytes lie or are needed, by the
+# rank of their request: what crosses costs about as much as the least urgent request is worth.
+FAR_PATIENCE_MS = (150.0, 250.0, 500.0)
+BYTES_PER_MB = 1_000_000.0
+Waiting = tuple[JobProgress, int]
+
+
+class PieceQueue:
+    """The pieces of one service that wait, those first that are to be sent first.
+
+    Attributes:
+        waiting: The pieces, each as its stage's progress and its number in the stage.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: list[Waiting] = []
+
+    def __len__(self) -> int:
+        """Return how many pieces wait."""
+        return len(self.waiting)
+
+    def add(self, progress: JobProgress) -> None:
+        """Let all pieces of a stage wait."""
+        self.waiting += [(progress, fragment) for fragment in range(progress.job.pieces)]
+
+    def add_again(self, waiting: Waiting) -> None:
+        """Let a piece wait once more."""
+        self.waiting.append(waiting)
+
+    def withdraw(self, progress: JobProgress) -> None:
+        """Drop the pieces of a stage."""
+        self.waiting = [one for one in self.waiting if one[0] is not progress]
+
+    def take(self, batch: Sequence[Waiting]) -> None:
+        """Take pieces out that are being sent."""
+        chosen = set(map(id, batch))
+        self.waiting = [one for one in self.waiting if id(one) not in chosen]
+
+    def by_rank(self) -> Counter[int]:
+        """Return how many pieces wait, by the rank of their request."""
+        return Counter(rank(progress.job.urgency) for progress, _ in self.waiting)
+
+    def sort(self, now: float) -> None:
+        """Put the pieces first that are to be sent first."""
+        self.waiting.sort(key=lambda one: self.order(one, now))
+
+    def order(self, waiting: Waiting, now: float) -> tuple[bool, bool, int, float]:
+        """Return the sort key by which pieces are sent.
+
+        A stage that is begun goes first, since its results take room until all of them are there.
+        """
+        progress = waiting[0]
+        job = progress.job
+        late = job.due < now
+        place = rank(job.urgency)
+        return not progress.results, late, place if late else 0, job.due + RANK_MS * place
+
+    def drop_late(self, now: float) -> None:
+        """Settle pieces that are of no use any more."""
+        late = [one for one in self.waiting if one[0].has(one[1]) or one[0].job.deadline <= now]
+        if not late:
+            return
+        dropped = set(map(id, late))
+        self.waiting = [one for one in self.waiting if id(one) not in dropped]
+        for progress, fragment in late:
+            progress.settle(fragment, PieceResult("", PieceFailure.LATE))
+
+    def choose(
+        self,
+        state: ServerState,
+        used: float,
+        manned: set[str],
+        limits: BatchLimits,
+        now: float,
+    ) -> list[Waiting]:
+        """Return the first pieces that a server has room for and that may be made there.
+
+        Args:
+            state: The server.
+            used: How many bytes of its room for results are in use.
+            manned: The data centres that have servers in use.
+            limits: What a server takes at once.
+            now: The clock's time.
+        """
+        room = limits.room_mb * BYTES_PER_MB - used
+        batch: list[Waiting] = []
+        left_out: set[JobProgress] = set()
+        for waiting in self.waiting:
+            progress = waiting[0]
+            size = progress.job.result_bytes
+            begun = bool(progress.results) or any(progress is one for one, _ in batch)
+            needed = size if begun or not used else size * progress.job.pieces
+            goes = progress not in left_out and self.may_go(progress, state, manned, now)
+            if not goes or needed > room:
+                left_out.add(progress)
+                continue
+            room -= size
+            batch.append(waiting)
+            if len(batch) == limits.pieces:
+                break
+        return batch
+
+    def may_go(
+        self, progress: JobProgress, state: ServerState, manned: set[str], now: float
+    ) -> bool:
+        """Tell whether pieces may be made in a server's data centre, or wait for another one."""
+        wanted = progress.job.datacentre
+        if wanted in {"", state.server.datacentre} or wanted not in manned:
+            return True
+        return now - progress.since >= FAR_PATIENCE_MS[rank(progress.job.urgency)]
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -0,0 +1,71 @@
+# stagedemand.py -- What is asked of a stage service
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What is asked of a stage service."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from mountladder.clocks.clock import Clock
+from mountladder.forwarding.backlog import LAST_RANK, rank
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.limits.rankrates import RankRates
+
+# Pieces that were announced and have not come by then are not expected any more.
+ANNOUNCED_MS = 2_500.0
+# At least this part of the rate is taken to be left for the least urgent pieces.
+LEAST_RATE = 0.1
+RANKS = range(LAST_RANK + 1)
+
+
+class StageDemand:
+    """What is asked of a stage service: pieces that will come, and how fast they come.
+
+    Args:
+        clock: The clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.rates = RankRates(clock)
+        self.announced: dict[tuple[str, int], tuple[StageNotice, float]] = {}
+
+    def announce(self, notice: StageNotice) -> None:
+        """Take in which pieces will come, so that they count as waiting already."""
+        key = (notice.request, notice.stage)
+        self.announced.pop(key, None)
+        if notice.pieces:
+            self.announced[key] = (notice, self.clock.now() + ANNOUNCED_MS)
+
+    def came(self, job: StageJob) -> None:
+        """Record that the pieces of a stage have come."""
+        self.announced.pop((job.request, job.stage), None)
+        self.rates.add(rank(job.urgency), job.pieces)
+
+    def coming(self) -> Counter[int]:
+        """Return how many announced pieces are still to come, by the rank of their request."""
+        now = self.clock.now()
+        self.announced = {key: one for key, one in self.announced.items() if one[1] > now}
+        coming: Counter[int] = Counter()
+        for notice, _ in self.announced.values():
+            coming[rank(notice.urgency)] += notice.pieces
+        return coming
+
+    def waits_ms(self, waiting: Counter[int], rate: float, busy_ms: float) -> tuple[float, ...]:
+        """Return how long new pieces are expected to wait, by the rank of their request.
+
+        Args:
+            waiting: How many pieces wait, by rank.
+            rate: How many pieces a millisecond all servers can make.
+            busy_ms: How long until the first server is free.
+        """
+        ahead = waiting + self.coming()
+        waits = []
+        for place in RANKS:
+            # What comes in meanwhile and is more urgent goes first.
+            left = max(LEAST_RATE * rate, rate - self.rates.above(place))
+            waits.append(busy_ms + sum(ahead[one] for one in range(place + 1)) / left)
+        return tuple(waits)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -51,7 +51,7 @@
         fleet.on_backlog = self.take_backlog
         fleet.on_order = self.take_order
         fleet.on_outcome = self.take_outcome
-        fleet.on_notice = lambda notice, link: self.batcher(notice.service).announce(notice)
+        fleet.on_notice = lambda notice, link: self.batcher(notice.service).demand.announce(notice)
         fleet.on_release = self.take_release
         fleet.on_withdrawal = self.take_withdrawal
         fleet.on_link_lost = self.move_from
@@ -109,7 +109,7 @@
         """Tell the instance where a service's pieces meet which ones will come."""
         link = self.fleet.home(notice.service)
         if link is None:
-            self.batcher(notice.service).announce(notice)
+            self.batcher(notice.service).demand.announce(notice)
         else:
             self.fleet.send_later(link, notice)
 
--- /dev/null
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -0,0 +1,153 @@
+# wirereader.py -- Frames as messages between instances
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Frames as messages between instances."""
+
+from __future__ import annotations
+
+import zlib
+
+from mountladder.forwarding.backlog import Backlog
+from mountladder.forwarding.beacon import Beacon
+from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.directorycopy import DirectoryCopy
+from mountladder.forwarding.memberlist import MemberList
+from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.serverrecord import ServerRecord, listed_server
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.forwarding.stageorder import StageOrder
+from mountladder.forwarding.stageoutcome import StageOutcome
+from mountladder.forwarding.stagerelease import StageRelease
+from mountladder.forwarding.stagewithdrawal import StageWithdrawal
+from mountladder.forwarding.want import Want
+from mountladder.membership.ask import Ask
+from mountladder.membership.changes import Changes
+from mountladder.membership.heartbeat import Heartbeat
+from mountladder.membership.hello import Hello
+from mountladder.membership.instance import Instance
+from mountladder.membership.snapshot import Snapshot
+from mountladder.membership.submit import Submit
+from mountladder.membership.submitted import Submitted
+from mountladder.membership.wirewriter import ANY_VERSION, FAILURES
+from mountladder.store.write import Write
+
+# A row of the store holds 64 KB at most (the users' sheet).
+MOST_CATALOGUE_BYTES = 1 << 20
+
+
+def _read_hello(hello) -> Hello:
+    instance = Instance(hello.name, hello.incarnation, hello.datacentre, hello.web, hello.peer)
+    return Hello(hello.version, instance, bytes(hello.nonce))
+
+
+def _read_heartbeat(heartbeat) -> Heartbeat:
+    names = tuple(str(name) for name in heartbeat.leavingServers)
+    return Heartbeat(heartbeat.revision, heartbeat.ageMs, heartbeat.leaving, names)
+
+
+def _read_submit(submit) -> Submit:
+    value = None if submit.delete else bytes(submit.value)
+    expected = None if submit.expected == ANY_VERSION else submit.expected
+    return Submit(submit.number, Write(submit.key, value, expected), submit.withinMs)
+
+
+def _read_directory(copy) -> DirectoryCopy:
+    records = tuple(_read_record(record) for record in copy.records)
+    return DirectoryCopy(copy.version, records, copy.lapseMs)
+
+
+def _read_record(record) -> ServerRecord:
+    if record.removed:
+        return ServerRecord(record.id, record.version)
+    server = listed_server(
+        record.id, record.service, record.address, record.datacentre, record.slots, record.draining
+    )
+    return ServerRecord(record.id, record.version, record.service, server)
+
+
+def _read_order(order) -> StageOrder:
+    inputs = tuple(str(one) for one in order.inputs)
+    job = StageJob(
+        order.request,
+        order.stage,
+        order.service,
+        order.pieces,
+        order.key,
+        inputs,
+        order.remainingMs,
+        order.dueMs,
+        order.urgency,
+        order.resultBytes,
+        order.datacentre,
+    )
+    return StageOrder(order.number, job)
+
+
+def _read_backlog(backlog) -> Backlog:
+    return Backlog(str(backlog.service), tuple(backlog.waits))
+
+
+def _read_beacon(one) -> Beacon:
+    backlogs = tuple(_read_backlog(backlog) for backlog in one.backlogs)
+    return Beacon(one.catalogue, one.directory, one.leaving, one.asks, backlogs)
+
+
+def _read_outcome(outcome) -> StageOutcome:
+    results = (
+        PieceResult(str(one.handle), FAILURES[one.failure], str(one.datacentre))
+        for one in outcome.results
+    )
+    return StageOutcome(outcome.number, tuple(results), _read_backlog(outcome.backlog))
+
+
+def _read_placement(order) -> PlacementOrder:
+    parts = tuple(PromptPart(str(part.id), part.tokens) for part in order.parts)
+    prompt = Prompt(order.tokens, order.mostOutput, parts)
+    excluded = tuple(str(name) for name in order.excluded)
+    number, service = order.number, str(order.service)
+    return PlacementOrder(number, service, prompt, excluded, str(order.site), order.binding)
+
+
+def _inflated(data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    inflated = inflater.decompress(data, MOST_CATALOGUE_BYTES)
+    if not inflater.eof:
+        raise ValueError("a catalogue is cut or too long")
+    return inflated
+
+
+READERS = {
+    "hello": _read_hello,
+    "heartbeat": _read_heartbeat,
+    "ask": lambda ask: Ask(ask.revision),
+    "changes": lambda changes: Changes(tuple(bytes(value) for value in changes.values)),
+    "snapshot": lambda snapshot: Snapshot(bytes(snapshot.value)),
+    "submit": _read_submit,
+    "beacon": _read_beacon,
+    "want": lambda one: Want(one.catalogue, one.directory),
+    "catalogueCopy": lambda encoded: CatalogueCopy(_inflated(bytes(encoded))),
+    "directoryCopy": _read_directory,
+    "memberList": lambda members: MemberList(
+        tuple(
+            Instance(str(one.name), "", str(one.datacentre), "", str(one.peer)) for one in members
+        )
+    ),
+    "stageOrder": _read_order,
+    "stageOutcome": _read_outcome,
+    "stageWithdrawal": StageWithdrawal,
+    "placementOrder": _read_placement,
+    "placementReply": lambda one: PlacementReply(one.number, str(one.server), one.expectedMs),
+    "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended),
+    "stageNotice": lambda one: StageNotice(
+        str(one.request), one.stage, str(one.service), one.pieces, one.urgency
+    ),
+    "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
+    "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
+}
--- /dev/null
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -0,0 +1,216 @@
+# wirewriter.py -- Messages between instances as frames
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Messages between instances as frames."""
+
+from __future__ import annotations
+
+import zlib
+from functools import singledispatch
+
+from mountladder.forwarding.beacon import Beacon
+from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.directorycopy import DirectoryCopy
+from mountladder.forwarding.memberlist import MemberList
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.forwarding.stageorder import StageOrder
+from mountladder.forwarding.stageoutcome import StageOutcome
+from mountladder.forwarding.stagerelease import StageRelease
+from mountladder.forwarding.stagewithdrawal import StageWithdrawal
+from mountladder.forwarding.want import Want
+from mountladder.membership.ask import Ask
+from mountladder.membership.changes import Changes
+from mountladder.membership.heartbeat import Heartbeat
+from mountladder.membership.hello import Hello
+from mountladder.membership.snapshot import Snapshot
+from mountladder.membership.submit import Submit
+from mountladder.membership.submitted import Submitted
+
+ANY_VERSION = -1
+MOST_AGE_MS = 2**32 - 1
+MOST_URGENCY = 255
+FAILURES = (None, *PieceFailure)
+
+
+@singledispatch
+def fill(message: object, frame: object) -> None:
+    """Write a message into an empty frame.
+
+    Raises:
+        TypeError: It is no message.
+    """
+    raise TypeError(f"no message: {message!r}")
+
+
+@fill.register
+def _(message: Hello, frame) -> None:
+    hello = frame.init("hello")
+    hello.version = message.version
+    hello.name = message.instance.name
+    hello.incarnation = message.instance.incarnation
+    hello.datacentre = message.instance.datacentre
+    hello.web = message.instance.web
+    hello.peer = message.instance.peer
+    hello.nonce = message.nonce
+
+
+@fill.register
+def _(message: Heartbeat, frame) -> None:
+    heartbeat = frame.init("heartbeat")
+    heartbeat.revision = message.revision
+    heartbeat.ageMs = min(message.age_ms, MOST_AGE_MS)
+    heartbeat.leaving = message.leaving
+    heartbeat.leavingServers = list(message.leaving_servers)
+
+
+@fill.register
+def _(message: Ask, frame) -> None:
+    frame.init("ask").revision = message.revision
+
+
+@fill.register
+def _(message: Changes, frame) -> None:
+    frame.init("changes").values = list(message.values)
+
+
+@fill.register
+def _(message: Snapshot, frame) -> None:
+    frame.init("snapshot").value = message.value
+
+
+@fill.register
+def _(message: Submit, frame) -> None:
+    submit = frame.init("submit")
+    submit.number = message.number
+    submit.key = message.write.key
+    submit.value = message.write.value or b""
+    submit.delete = message.write.value is None
+    submit.expected = ANY_VERSION if message.write.expected is None else message.write.expected
+    submit.withinMs = message.within_ms
+
+
+@fill.register
+def _(message: Submitted, frame) -> None:
+    submitted = frame.init("submitted")
+    submitted.number = message.number
+    submitted.version = message.version
+    submitted.code = message.code
+
+
+@fill.register
+def _(message: Beacon, frame) -> None:
+    beacon = frame.init("beacon")
+    beacon.catalogue = message.catalogue
+    beacon.directory = message.directory
+    beacon.leaving = message.leaving
+    beacon.asks = message.asks
+    _fill_backlogs(message.backlogs, beacon.init("backlogs", len(message.backlogs)))
+
+
+@fill.register
+def _(message: Want, frame) -> None:
+    want = frame.init("want")
+    want.catalogue = message.catalogue
+    want.directory = message.directory
+
+
+@fill.register
+def _(message: CatalogueCopy, frame) -> None:
+    frame.catalogueCopy = zlib.compress(message.encoded)
+
+
+@fill.register
+def _(message: DirectoryCopy, frame) -> None:
+    copy = frame.init("directoryCopy")
+    copy.version, copy.lapseMs = message.version, message.lapse_ms
+    records = copy.init("records", len(message.records))
+    for record, to in zip(message.records, records, strict=True):
+        to.id, to.version, to.service = record.id, record.version, record.service
+        to.removed = record.server is None
+        if record.server is not None:
+            to.address, to.datacentre = record.server.address, record.server.datacentre
+            to.slots, to.draining = record.server.slots, record.server.draining
+
+
+@fill.register
+def _(message: MemberList, frame) -> None:
+    members = frame.init("memberList", len(message.instances))
+    for instance, to in zip(message.instances, members, strict=True):
+        to.name, to.datacentre, to.peer = instance.name, instance.datacentre, instance.peer
+
+
+@fill.register
+def _(message: StageOrder, frame) -> None:
+    order, job = frame.init("stageOrder"), message.job
+    order.number = message.number
+    order.request, order.stage, order.service = job.request, job.stage, job.service
+    order.pieces, order.key, order.inputs = job.pieces, job.key, list(job.inputs)
+    order.remainingMs, order.dueMs = job.deadline, job.due
+    order.urgency, order.datacentre = min(job.urgency, MOST_URGENCY), job.datacentre
+    order.resultBytes = job.result_bytes
+
+
+@fill.register
+def _(message: StageOutcome, frame) -> None:
+    outcome = frame.init("stageOutcome")
+    outcome.number = message.number
+    _fill_backlogs((message.backlog,), (outcome.backlog,))
+    results = outcome.init("results", len(message.results))
+    for result, to in zip(message.results, results, strict=True):
+        to.handle, to.datacentre = result.handle, result.datacentre
+        to.failure = FAILURES.index(result.failure)
+
+
+@fill.register
+def _(message: StageWithdrawal, frame) -> None:
+    frame.stageWithdrawal = message.number
+
+
+@fill.register
+def _(message: StageNotice, frame) -> None:
+    notice = frame.init("stageNotice")
+    notice.request, notice.stage, notice.service = message.request, message.stage, message.service
+    notice.pieces, notice.urgency = message.pieces, min(message.urgency, MOST_URGENCY)
+
+
+@fill.register
+def _(message: StageRelease, frame) -> None:
+    release = frame.init("stageRelease")
+    release.service = message.service
+    release.handles = list(message.handles)
+
+
+@fill.register
+def _(message: PlacementOrder, frame) -> None:
+    order, prompt = frame.init("placementOrder"), message.prompt
+    order.number, order.service = message.number, message.service
+    order.tokens, order.mostOutput = prompt.tokens, prompt.most_output
+    parts = order.init("parts", len(prompt.parts))
+    for part, to in zip(prompt.parts, parts, strict=True):
+        to.id, to.tokens = part.id, part.tokens
+    order.excluded, order.site = list(message.excluded), message.site
+    order.binding = message.binding
+
+
+@fill.register
+def _(message: PlacementReply, frame) -> None:
+    reply = frame.init("placementReply")
+    reply.number, reply.server = message.number, message.server
+    reply.expectedMs = message.expected_ms
+
+
+@fill.register
+def _(message: PlacementNote, frame) -> None:
+    note = frame.init("placementNote")
+    note.number, note.readMs, note.ended = message.number, message.read_ms, message.ended
+
+
+def _fill_backlogs(backlogs, frames) -> None:
+    for backlog, to in zip(backlogs, frames, strict=True):
+        to.service = backlog.service
+        to.waits = list(backlog.waits_ms)
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -22,6 +22,9 @@
 # Both from the users' sheet of engines: how fast prompts are read, and the least time of a step.
 READ_TOKENS_PER_MS = 61.2
 FIRST_TOKEN_MS = 10.0
+# Reading shared parts again takes time from other prompts and is priced, so that it weighs this
+# many times more than its own time.
+READ_AGAIN = 3.0
 # How many parts are remembered for each server; a part that was not used for long is likely gone.
 PARTS_KEPT = 512
 # What fetching large results from another data centre is taken to cost.
@@ -82,7 +85,10 @@
         self, state: ServerState, prompt: Prompt, first: str, site: str, now: float
     ) -> float:
         """Return the expected time to the first token at a server, in milliseconds."""
-        tokens = self.missing(state, prompt, first) + self.reading[state.server.name]
+        missing = self.missing(state, prompt, first)
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+        again = max(0, missing - own) * (READ_AGAIN - 1.0)
+        tokens = missing + again + self.reading[state.server.name]
         expected = FIRST_TOKEN_MS + tokens / READ_TOKENS_PER_MS
         crowding = (self.running[state.server.name] + 1) / state.server.slots
         expected *= max(1.0, crowding) ** 2 * state.slowness_at(now)
--- a/packages/entry/src/mountladder_entry/httpclient.py
+++ b/packages/entry/src/mountladder_entry/httpclient.py
@@ -22,6 +22,7 @@
 CONNECT_SECONDS = 1.0
 ANSWER_MS = 2_000.0
 POOL_SIZE = 64
+_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=None)
 _NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
 
 
@@ -71,23 +72,13 @@
         try:
             with self.clock.limit(self.answer_ms if answer_ms is None else answer_ms):
                 response = self.pool.request(
-                    method,
-                    url,
-                    body=body,
-                    fields=fields,
-                    headers=headers,
-                    timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=None),
+                    method, url, body=body, fields=fields, headers=headers, timeout=_TIMEOUT
                 )
         except _NOT_SENT as error:
             raise StoreUnavailableError(f"{url}: cannot be reached") from error
         except (urllib3.exceptions.HTTPError, WaitTimeoutError, OSError) as error:
             raise StoreAmbiguousError(f"{url}: no answer: {error}") from error
-        if response.status in {429, 503}:
-            raise StoreUnavailableError(f"{url}: refused with status {response.status}")
-        if response.status >= 500:
-            raise StoreAmbiguousError(f"{url}: answered with status {response.status}")
-        if response.status == 404 and not missing:
-            raise BadRowError(f"{url}: not found")
+        _check(response, url, missing)
         return response
 
     def read(
@@ -121,3 +112,12 @@
         return json.loads(response.data)
     except ValueError as error:
         raise BadRowError(f"an answer of the platform is not JSON: {error}") from error
+
+
+def _check(response: urllib3.BaseHTTPResponse, url: str, missing: bool) -> None:
+    if response.status in {429, 503}:
+        raise StoreUnavailableError(f"{url}: refused with status {response.status}")
+    if response.status >= 500:
+        raise StoreAmbiguousError(f"{url}: answered with status {response.status}")
+    if response.status == 404 and not missing:
+        raise BadRowError(f"{url}: not found")
