An instance that is leaving takes only what it can end

Nothing kept requests out while the process waited for running ones.

Change: from 2.5 s after the signal streams are refused, and other requests where their route's time is longer than the time that is left, both as not run and with a Retry-After of 50 ms.

Ruled out: ending sooner, since running streams need the grace time.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,3 +13,5 @@
 rm -rf "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
 cp -R packages/core/src/mountladder packages/entry/src/mountladder_entry \
     platform/src/mountladder_platform "$deps"
+# Processes cannot write there, so that without this each start would compile the packages again.
+python3 -m compileall -q "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -98,3 +98,16 @@
     And 2000 ms go by
     Then the balancer finds a-2 ready with catalogue version 1
     And instance a-2 knows servers desk-1, desk-2
+
+  Scenario Outline: An instance that is leaving takes only what it can end
+    Given instance a-1 has been leaving for <ms> ms
+    When <kind> request r is sent to a-1
+    Then request r ends with <outcome>
+
+    Examples:
+      | ms   | kind   | outcome              |
+      | 500  | stream | status 200           |
+      | 500  | unsafe | status 200           |
+      | 3000 | stream | code 2005 as not_run |
+      | 3000 | unsafe | status 200           |
+      | 7000 | unsafe | code 2005 as not_run |
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -223,3 +223,9 @@
     instance = context.fleet.instances[name]
     assert instance.ready
     assert instance.follower.version == version
+
+
+@given("instance {name} has been leaving for {ms:d} ms")
+def has_been_leaving(context, name, ms):
+    context.run(context.fleet.instances[name].leave)
+    context.run(context.clock.sleep, float(ms))
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -12,6 +12,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
@@ -34,6 +35,7 @@
         forecast: Refuses requests whose stages cannot be done in time.
         budget: Returns the retry budget of a service.
         metrics: Where metrics go.
+        departure: Whether the instance is about to end.
     """
 
     clock: Clock
@@ -45,3 +47,4 @@
     forecast: StageForecast
     budget: Callable[[str], WindowBudget]
     metrics: Metrics
+    departure: Departure
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -65,6 +65,7 @@
         if route is None:
             raise self.unknown(Code.UNKNOWN_ROUTE)
         holder = self.holder(request, route, catalogue)
+        self.context.departure.check(route)
         kind = StreamRun if route.kind is RouteKind.STREAM else WholeRun
         run = kind(request, route, holder, self.context)
         run.log(
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -18,6 +18,7 @@
 from mountladder.errors import BadRowError, StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardcontext import ForwardContext
@@ -85,7 +86,7 @@
         self.stack = ExitStack()
         self.rng = random.Random(seed)
         self.budgets: dict[str, WindowBudget] = {}
-        self.leaving = False
+        self.departure = Departure(clock, lambda: self.settings.grace_ms)
         self.me = Instance(
             settings.name, uuid.uuid4().hex[:12], settings.datacentre, "", settings.peer
         )
@@ -125,6 +126,7 @@
             forecast=StageForecast(self.dispatch, self.follower),
             budget=self.budget,
             metrics=metrics,
+            departure=self.departure,
         )
         self.forwarder = Forwarder(context)
         self.catalogue_source = SourceFollower(
@@ -170,6 +172,11 @@
         sharing = known if self.membership.listed else max(known, UNKNOWN_INSTANCES)
         return self.settings.retry_reserve / sharing
 
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the instance is about to end."""
+        return self.departure.asked_at is not None
+
     @property
     def ready(self) -> bool:
         """Tell whether the instance can take requests."""
@@ -228,7 +235,7 @@
 
     def leave(self) -> None:
         """Tell the balancer and the peers that this instance is about to end."""
-        self.leaving = True
+        self.departure.begin()
         self.fleet.leaving = True
         self.fleet.tell_all()
 
