Few calls to the store: feeds wait longer, peers tell what they miss

A home that froze would have been missed only after seven seconds there, since heartbeats slow down with the number of peers.

Change: a feed waits 15 s. A peer that shows a higher version of the catalogue, or a newer entry of the list of servers, is asked for it after 150 ms whatever the state of the own feed; so a feed that fell silent unnoticed does no harm (a scenario). Links to the instances where pieces or prompts meet have heartbeats of 500 ms in large fleets.

Ruled out: one reader a data centre, for now: the long wait saves most of it.

--- a/features/knowledge.feature
+++ b/features/knowledge.feature
@@ -15,6 +15,14 @@
     And 800 ms go by
     Then every instance has catalogue version 2
 
+  Scenario: An instance whose change feeds fell silent unnoticed learns all from its peers
+    Given the change feeds of a-1 fall silent
+    When catalogue version 2 is written
+    And server desk-1 is listed as draining
+    And 900 ms go by
+    Then every instance has catalogue version 2
+    And instance a-1 knows servers desk-2
+
   Scenario Outline: No catalogue ever reverts, whoever brings an older one
     When catalogue version 5 is written
     And 300 ms go by
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -24,6 +24,18 @@
     instance.catalogue_source.source = twin
 
 
+@given("the change feeds of {name} fall silent")
+def silent(context, name):
+    instance = context.fleet.instances[name]
+    for source in (instance.catalogue_source, instance.directory_source):
+        twin = type(context.fleet.catalogue)(context.clock)
+        twin.version = source.version
+        source.source = twin
+    context.fleet.catalogue.put("other", b"")
+    context.fleet.servers.put("other", b'["none", "a", true]')
+    context.run(context.clock.sleep, 100.0)
+
+
 @when("catalogue version {version:d} is written")
 def write(context, version):
     context.fleet.configure(catalogue(version))
--- a/packages/core/src/mountladder/forwarding/cataloguefollower.py
+++ b/packages/core/src/mountladder/forwarding/cataloguefollower.py
@@ -28,6 +28,7 @@
         catalogue: The catalogue in force, or None where none is known yet.
         encoded: The same as it was received, to be passed on to peers.
         confirmed_at: When the store was last known to hold nothing newer, or None.
+        is_fed: Tells whether news of a newer catalogue would come.
         listeners: Called with each new catalogue.
     """
 
@@ -37,6 +38,7 @@
         self.catalogue: Catalogue | None = None
         self.encoded = b""
         self.confirmed_at: float | None = None
+        self.is_fed: Callable[[], bool] = lambda: False
         self.listeners: list[Callable[[Catalogue], None]] = []
 
     @property
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -35,6 +35,7 @@
     Attributes:
         records: The newest entry of each server, removed ones included.
         version: The version of the store up to which the entries are known.
+        newest: The highest version among the entries, which tells what a peer lacks.
         listeners: Called after each change.
     """
 
@@ -42,6 +43,7 @@
         self.clock = clock
         self.records: dict[str, ServerRecord] = {}
         self.version = 0
+        self.newest = 0
         self.regained_at = float("-inf")
         self.lapsed: dict[str, tuple[ServerRecord, float]] = {}
         self.services: dict[str, tuple[BackendServer, ...]] = {}
@@ -94,6 +96,7 @@
         """Take in one newer entry; a removed one is kept until it can not come back any more."""
         known = self.records.get(record.id)
         self.records[record.id] = record
+        self.newest = max(self.newest, record.version)
         self.lapsed.pop(record.id, None)
         served = known is not None and known.server is not None and not known.server.draining
         if record.server is None and served and self.clock.now() < until:
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -32,7 +32,7 @@
 from mountladder.membership.instance import Instance
 from mountladder.membership.link import Link
 from mountladder.membership.linkkeeper import LinkKeeper
-from mountladder.membership.membership import Membership
+from mountladder.membership.membership import MISSED_HEARTBEATS, Membership
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 
@@ -40,6 +40,9 @@
 SMALL_FLEET = 12
 # Beyond that, so many of the first by hash are kept in touch with for each service with pieces.
 HOMES_KEPT = 2
+# In a larger fleet heartbeats to these come at this interval, so that a silent one is missed after
+# three of them; to others the interval grows with their number.
+HOME_HEARTBEAT_MS = 500.0
 # How long the store's own news of a change is waited for before a peer is asked for it.
 STORE_FIRST_MS = 150.0
 
@@ -112,6 +115,23 @@
                     chosen[one.name] = one
         return list(chosen.values())
 
+    def is_home(self, address: str) -> bool:
+        """Tell whether pieces or prompts of this instance may meet at an address."""
+        ranked = (self.ranked(service)[:HOMES_KEPT] for service in self.services)
+        return any(one.peer == address for instances in ranked for one in instances)
+
+    def interval_ms(self, address: str) -> float:
+        """Return the time between heartbeats to a peer, in milliseconds."""
+        usual_ms = super().interval_ms(address)
+        if usual_ms > HOME_HEARTBEAT_MS and self.is_home(address):
+            return HOME_HEARTBEAT_MS
+        return usual_ms
+
+    def is_alive(self, peer: Instance) -> bool:
+        """Tell whether a peer was heard of within its last heartbeats."""
+        limit_ms = MISSED_HEARTBEATS * self.interval_ms(peer.peer)
+        return self.membership.silence_ms(peer) <= limit_ms
+
     def ranked(self, service: str) -> list[Instance]:
         """Return the instances in the order in which they are to take a service's pieces."""
         members = self.membership
@@ -130,7 +150,7 @@
             if one is self.membership.me:
                 return None
             link = self.links.get(one.peer)
-            if link is not None and self.membership.is_heard(one):
+            if link is not None and self.is_alive(one):
                 return link
         return None
 
@@ -144,7 +164,7 @@
 
     def beacon(self, asks: bool) -> Beacon:
         """Return a sign of life that is to be answered, or an answer to one."""
-        versions = self.follower.version, self.directory.version
+        versions = self.follower.version, self.directory.newest
         return Beacon(*versions, self.leaving, asks, self.backlogs())
 
     def serve(self, link: Link) -> None:
@@ -173,21 +193,13 @@
         if message.asks:
             self.send(link, self.beacon(asks=False))
         newer = message.catalogue > self.follower.version
-        if newer or (message.directory > self.directory.version and self.needs_directory()):
+        if newer or message.directory > self.directory.newest:
             self.clock.call_later(STORE_FIRST_MS, lambda: self.ask(message, link))
 
-    def needs_directory(self) -> bool:
-        """Tell whether the list of backend servers has to come from peers."""
-        return not self.directory_connected()
-
-    directory_connected: Callable[[], bool] = staticmethod(lambda: True)
-
     def ask(self, told: Beacon, link: Link) -> None:
         """Ask a peer for what it has and the store did not bring meanwhile."""
         catalogue = self.follower.version if told.catalogue > self.follower.version else -1
-        directory = -1
-        if told.directory > self.directory.version and self.needs_directory():
-            directory = self.directory.version
+        directory = self.directory.newest if told.directory > self.directory.newest else -1
         if catalogue >= 0 or directory >= 0:
             self.send_later(link, Want(catalogue, directory))
 
@@ -195,7 +207,7 @@
     def _(self, message: Want, link: Link) -> None:
         if 0 <= message.catalogue < self.follower.version:
             self.send(link, CatalogueCopy(self.follower.encoded))
-        if 0 <= message.directory < self.directory.version:
+        if 0 <= message.directory < self.directory.newest:
             records = tuple(self.directory.since(message.directory))
             lapse_ms = self.directory.lapse_ms()
             self.send(link, DirectoryCopy(self.directory.version, records, lapse_ms))
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -90,7 +90,8 @@
 
     def unknown(self, code: Code) -> RefusalError:
         """Return the refusal of what the catalogue does not know, which a newer one may."""
-        if self.context.follower.age_ms() > STALE_MS:
+        follower = self.context.follower
+        if follower.age_ms() > STALE_MS and not follower.is_fed():
             detail = "the catalogue was not confirmed lately"
             return RefusalError(detail, Code.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS)
         return RefusalError("", code)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -136,7 +136,7 @@
             "servers", self.tables.servers, clock, metrics, self.take_servers
         )
         self.directory_source.on_regained = self.directory.regained
-        self.fleet.directory_connected = lambda: self.directory_source.connected
+        self.follower.is_fed = self.is_fed
 
     def make_batcher(self, service: str) -> Batcher:
         """Return a new batcher of a service."""
@@ -172,6 +172,12 @@
         sharing = known if self.membership.listed else max(known, UNKNOWN_INSTANCES)
         return self.settings.retry_reserve / sharing
 
+    def is_fed(self) -> bool:
+        """Tell whether news of the catalogue would come, from the store and from some peer."""
+        known = [one for one in self.membership.known.values() if one.peer]
+        heard = not known or any(self.fleet.is_alive(one) for one in known)
+        return self.catalogue_source.connected and heard
+
     @property
     def leaving(self) -> bool:
         """Tell whether the instance is about to end."""
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -17,9 +17,10 @@
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 
-# How long one call waits for a change. A shorter wait notices a silent store sooner, a longer one
-# costs fewer calls; a store that answers nothing is noticed after this and the client's patience.
-WAIT_MS = 4_000.0
+# How long one call waits for a change. Calls are priced, and peers tell of what a feed that fell
+# silent does not bring; the store keeps 20 s of history (the users' sheet), which a call must not
+# outlast by much.
+WAIT_MS = 15_000.0
 FIRST_PAUSE_MS = 100.0
 LONGEST_PAUSE_MS = 800.0
 
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -24,7 +24,7 @@
 from mountladder.metrics.metrics import Metrics
 
 REDIAL_MS = 250.0
-LONGEST_REDIAL_MS = 4_000.0
+LONGEST_REDIAL_MS = 2_000.0
 TARGETS_MS = 500.0
 
 
@@ -98,6 +98,14 @@
         """Return the instances to keep a link to."""
         return self.membership.targets()
 
+    def interval_ms(self, address: str) -> float:
+        """Return the time between heartbeats to a peer, in milliseconds."""
+        return self.membership.interval_ms
+
+    def is_alive(self, peer: Instance) -> bool:
+        """Tell whether a peer was heard of within its last heartbeats."""
+        return self.membership.is_heard(peer)
+
     def dial(self, address: str) -> None:
         """Keep a link to an address open, for ever; pause longer where nobody answers."""
         pause_ms = REDIAL_MS
@@ -128,7 +136,7 @@
             reader.link(lambda _: broken.set())
             while not broken.is_set():
                 self.send(link, self.heartbeat())
-                self.clock.wait(broken, self.membership.interval_ms)
+                self.clock.wait(broken, self.interval_ms(address))
                 self.check_heard(peer)
         finally:
             if self.links.pop(address, None) is not None:
@@ -144,7 +152,7 @@
         Raises:
             PeerError: Nothing was heard of the peer within the last heartbeats.
         """
-        if self.answered and not self.membership.is_heard(peer):
+        if self.answered and not self.is_alive(peer):
             raise PeerError(f"{peer.name} is silent")
 
     def serve(self, link: Link) -> None:
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -79,6 +79,11 @@
                 del self.heard_at[incarnation]
                 self.leaving.discard(incarnation)
 
+    def silence_ms(self, instance: Instance) -> float:
+        """Return how long ago an instance was heard of; infinite if never."""
+        at = self.heard_at.get(instance.incarnation)
+        return float("inf") if at is None else self.clock.now() - at
+
     def is_heard(self, instance: Instance | None) -> bool:
         """Tell whether an instance was heard of within the last heartbeats."""
         if instance is None:
