One way of reading a settings file

Cause: the settings of both faces read, parsed and refused a file with the same code twice. Change: settingsfile.py, used by Settings and ForwardingSettings. Ruled out: a common base class, since only the file's handling is shared. Conclusion: refactoring only.

--- a/packages/core/src/mountladder/configuration/settings.py
+++ b/packages/core/src/mountladder/configuration/settings.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import ipaddress
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 from mountladder.configuration.fields import Fields
-from mountladder.errors import SettingsError
+from mountladder.configuration.settingsfile import check_fields, settings_fields, settings_text
 
 LEAST_SECRET = 16
 
@@ -80,17 +79,10 @@
         Raises:
             ExceptionGroup: Of a SettingsError for each fault.
         """
-        try:
-            table = tomllib.loads(text)
-        except (tomllib.TOMLDecodeError, ValueError) as error:
-            fault = SettingsError(f"{source}: not TOML: {error}")
-            raise ExceptionGroup("settings", [fault]) from error
-        fields = Fields(table, source, SettingsError)
+        fields = settings_fields(text, source)
         settings = _settings(fields)
         _check(settings, fields)
-        faults = fields.finish()
-        if faults:
-            raise ExceptionGroup(f"{source}: {len(faults)} faults", faults)
+        check_fields(fields, source)
         return settings
 
     @classmethod
@@ -100,12 +92,7 @@
         Raises:
             ExceptionGroup: Of a SettingsError for each fault.
         """
-        try:
-            text = path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            fault = SettingsError(f"{path}: cannot be read: {error}")
-            raise ExceptionGroup("settings", [fault]) from error
-        return cls.read(text, str(path))
+        return cls.read(settings_text(path), str(path))
 
 
 def _settings(fields: Fields) -> Settings:
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 from mountladder.configuration.fields import Fields
-from mountladder.errors import SettingsError
+from mountladder.configuration.settingsfile import check_fields, settings_fields, settings_text
 
 MS_PER_SECOND = 1000.0
 
@@ -67,16 +66,9 @@
         Raises:
             ExceptionGroup: Of a SettingsError for each fault.
         """
-        try:
-            table = tomllib.loads(text)
-        except (tomllib.TOMLDecodeError, ValueError) as error:
-            fault = SettingsError(f"{source}: not TOML: {error}")
-            raise ExceptionGroup("settings", [fault]) from error
-        fields = Fields(table, source, SettingsError)
+        fields = settings_fields(text, source)
         settings = _read(fields)
-        faults = fields.finish()
-        if faults:
-            raise ExceptionGroup(f"{source}: {len(faults)} faults", faults)
+        check_fields(fields, source)
         return settings
 
     @classmethod
@@ -86,12 +78,7 @@
         Raises:
             ExceptionGroup: Of a SettingsError for each fault.
         """
-        try:
-            text = path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            fault = SettingsError(f"{path}: cannot be read: {error}")
-            raise ExceptionGroup("settings", [fault]) from error
-        return cls.read(text, str(path))
+        return cls.read(settings_text(path), str(path))
 
 
 def _read(fields: Fields) -> ForwardingSettings:
