Find five faults put in on purpose that no scenario had found

Missed: a refusal after a run, a forged team on a public route, parts of events passed on, no retry budget, inputs of another stage, a surplus byte kept (this one is guarded a second time when the connection is taken again).

Change: five scenarios and a row, each of which fails with its fault in place.

Ruled out: trusting the budget's scenario over many requests: circuit breakers hid the missing budget there.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -38,6 +38,7 @@
       | unsafe | unreachable | code 2008 as not_run | 0    |
       | safe   | full        | code 2009 as not_run | 0    |
       | unsafe | reset       | code 3006 as unknown | 1    |
+      | safe   | reset       | code 3003 as failed  | 2    |
 
   Scenario: A stream that may be resumed goes on behind its last whole event
     When "cut" befalls every server that resumable request r is sent to first
@@ -111,3 +112,13 @@
       | 3000 | stream | code 2005 as not_run |
       | 3000 | unsafe | status 200           |
       | 7000 | unsafe | code 2005 as not_run |
+
+  Scenario: A retry beyond the budget is not made, and the request that ran is no refusal
+    Given the budget of retries is spent
+    When "reset" befalls every server that safe request r is sent to first
+    Then request r ends with code 3005 as failed
+    And it was run by 1 servers and sent to 1
+
+  Scenario: Events that come in any parts are passed on whole
+    When 5 events come byte by byte
+    Then only whole events are passed on and the last id is 5
--- a/features/pieces.feature
+++ b/features/pieces.feature
@@ -59,3 +59,8 @@
     When 3000 ms go by
     Then every result was given up once
     And no batcher remembers a piece
+
+  Scenario: A stage is given the results of the stages it follows, and no others
+    Given a route whose third stage follows the second of two first ones
+    When its stages run with 2, 3 and 1 pieces
+    Then the third stage is given the 3 results of the second
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -57,6 +57,11 @@
     When a caller's request with forged and private headers is sent to it
     Then the server got the request unchanged with the system's own headers in their place
 
+  Scenario: A caller on a public route cannot claim a team
+    Given a backend server that answers "whole"
+    When a caller without a team claims one
+    Then the server is told of no team
+
   Scenario: Pieces and their results
     Given a backend server that answers "results"
     When three pieces are sent to it
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -4,10 +4,13 @@
 
 """Steps about forwarding requests."""
 
+from dataclasses import replace
+
 import gevent
 from behave import given, then, when
 from forwardbasics import PATHS, catalogue, request, serve
 
+from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.streamrun import StreamRun
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
@@ -229,3 +232,25 @@
 def has_been_leaving(context, name, ms):
     context.run(context.fleet.instances[name].leave)
     context.run(context.clock.sleep, float(ms))
+
+
+@given("the budget of retries is spent")
+def spent(context):
+    instance = context.fleet.instances["a-1"]
+    instance.settings = replace(instance.settings, retry_ratio=0.0, retry_reserve=0.0)
+    instance.budgets.clear()
+
+
+@when("{number:d} events come byte by byte")
+def byte_by_byte(context, number):
+    context.splitter = EventSplitter()
+    data = events(1, number) + b"id: 6\ndata: cu"
+    context.passed = [context.splitter.feed(data[n : n + 1]) for n in range(len(data))]
+
+
+@then("only whole events are passed on and the last id is {last:d}")
+def only_whole(context, last):
+    passed = [one for one in context.passed if one]
+    assert passed == [events(n, n) for n in range(1, last + 1)], passed
+    assert context.splitter.last_id == str(last)
+    assert context.splitter.rest == b"id: 6\ndata: cu"
--- a/features/steps/piece_steps.py
+++ b/features/steps/piece_steps.py
@@ -5,10 +5,15 @@
 """Steps about pieces of stages."""
 
 from collections import Counter
+from dataclasses import replace
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, request, serve
+from forwardbasics import PATHS, ROUTES, request, serve
+
+from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.routestage import RouteStage
+from mountladder.forwarding.stageflow import StageFlow
 
 NAMES = ("a-1", "a-2", "b-1")
 
@@ -145,3 +150,46 @@
         for batcher in instance.dispatch.batchers.values():
             assert not batcher.queue and not batcher.twice and not batcher.room.results
             assert sum(batcher.room.used.values()) == 0
+
+
+class RecordingDispatch:
+    """Takes stages in and settles them at once, each piece with a handle of its own."""
+
+    def __init__(self):
+        self.jobs = []
+
+    def announce(self, notice):
+        pass
+
+    def release(self, service, handles):
+        pass
+
+    def wait_ms(self, service, urgency):
+        return 0.0
+
+    def submit(self, job, done):
+        self.jobs.append(job)
+        done(tuple(PieceResult(f"{job.stage}/{n}") for n in range(job.pieces)))
+
+
+@given("a route whose third stage follows the second of two first ones")
+def three_stages(context):
+    stages = (RouteStage("x", (), 1.0), RouteStage("y", (), 1.0), RouteStage("z", (1,), 1.0))
+    staged = next(one for one in ROUTES if one.name == "staged")
+    context.route = replace(staged, stages=stages)
+
+
+@when("its stages run with {first:d}, {second:d} and {third:d} pieces")
+def run_stages(context, first, second, third):
+    sent = request("r", PATHS["staged"], context.clock.now(), pieces=(first, second, third))
+    context.dispatch = RecordingDispatch()
+    deadline = context.clock.now() + 1_000.0
+    flow = StageFlow(sent, context.route, deadline, 0, "", context.dispatch, context.clock)
+    context.handles = context.run(flow.run)
+
+
+@then("the third stage is given the {number:d} results of the second")
+def given_second(context, number):
+    inputs = {job.stage: job.inputs for job in context.dispatch.jobs}
+    assert inputs == {0: (), 1: (), 2: tuple(f"1/{n}" for n in range(number))}, inputs
+    assert context.handles == ("0/0", "0/1", "2/0"), context.handles
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -120,11 +120,13 @@
     context.ended = []
 
 
-def call(context, id_, headers=(), reusable=True, body=b"in", target="/p%61th/1?q=%20"):
+def call(
+    context, id_, headers=(), reusable=True, body=b"in", target="/p%61th/1?q=%20", team="team-1"
+):
     now = context.upstream.clock.now()
     sent = [("Host", "desk.x"), ("Mountladder-Request-Id", id_), *headers]
     request = read_request("POST", target, sent, body, now)
-    return ForwardCall(request, "team-1", now + 5_000.0, ("h/1", "h/2"), "", reusable)
+    return ForwardCall(request, team, now + 5_000.0, ("h/1", "h/2"), "", reusable)
 
 
 def send(context, id_, **options):
@@ -220,6 +222,17 @@
     assert "forged" not in head.decode()
 
 
+@when("a caller without a team claims one")
+def claims_team(context):
+    send(context, "r1", headers=(("Mountladder-Tenant", "forged"),), team="")
+
+
+@then("the server is told of no team")
+def no_team(context):
+    ((head, _),) = context.got
+    assert b"tenant" not in head.lower() and b"forged" not in head
+
+
 @when("three pieces are sent to it")
 def pieces(context):
     now = context.upstream.clock.now()
