--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/core packages/entry packages/standins packages/cli platform
 
-.PHONY: setup demo test bench lint format
+.PHONY: setup demo test bench days lint format
 
 setup: $(VENV)/ready
 
@@ -25,6 +25,10 @@
 bench: setup
 	$(BIN)/python bench/run.py
 
+# One day of the users' bench: FLEETBENCH and SITE are paths, WHY is a line for the journal.
+days:
+	$(FLEETBENCH) run $(SITE) $(DAY) --why "$(WHY)"
+
 lint: setup
 	$(BIN)/black --check --quiet packages platform features bench
 	$(BIN)/ruff check packages platform features bench
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -68,7 +68,12 @@
     When settings with six faults are read
     Then the faults are 7001 7001 7001 7001 7001 7001 and name no such key
 
+  Scenario: Every fault in the settings of a forwarding instance is named at once
+    When forwarding settings with a missing, a wrong and an unknown key are read
+    Then the faults are 7001 7001 7001 and name colour
+
   Scenario: The docs list every code, metric and setting, and no other
     Then docs/RESULT-CODES.md lists each code with its class, status and meaning
     And docs/METRICS.md lists each metric with its type
     And docs/SETTINGS.md lists each setting
+    And the template of the platform's settings names each of them once
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -18,9 +18,25 @@
 from mountladder.configuration.selector import Selector
 from mountladder.configuration.settings import Settings
 from mountladder.errors import MountladderError
+from mountladder.forwarding.forwardingsettings import ForwardingSettings
 from mountladder.metrics.metric import Metric
 
 DOCS = Path(__file__).parents[2] / "docs"
+BAD_FORWARDING = """
+name = "a-1"
+datacentre = "a"
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+peer = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+secret = "s"
+seeds = []
+retry_ratio = "much"
+retry_window_s = 10
+retry_reserve = 58
+grace_s = 8
+colour = "red"
+"""
 BAD_SETTINGS = """
 name = "x"
 datacentre = 3
@@ -138,5 +154,18 @@
 
 @then("docs/SETTINGS.md lists each setting")
 def settings_listed(context):
-    expected = [field.name for field in dataclasses.fields(Settings)]
-    assert [row[0] for row in rows("SETTINGS.md")] == expected
+    own = [field.name for field in dataclasses.fields(Settings)]
+    forwarding = [field.name for field in dataclasses.fields(ForwardingSettings)]
+    assert [row[0] for row in rows("SETTINGS.md")] == [*own, "key", "---", *forwarding]
+
+
+@then("the template of the platform's settings names each of them once")
+def template(context):
+    text = (DOCS.parent / "platform" / "settings.toml").read_text()
+    keys = [line.partition(" = ")[0] for line in text.splitlines() if " = " in line]
+    assert keys == [field.name for field in dataclasses.fields(ForwardingSettings)]
+
+
+@when("forwarding settings with a missing, a wrong and an unknown key are read")
+def bad_forwarding(context):
+    gather(context, lambda: ForwardingSettings.read(BAD_FORWARDING, "settings.toml"))
