Few instances follow the store for all; shared work on large machines; room for results

Homes of pieces were ranked by hash alone, so that a machine of half a core could take a whole fleet's pieces.

Instances near each other rank themselves; the first follows the store and tells the others at once, with a pulse every 300 ms; others step in one after the other where no better ranked one is answered (Readers). A feed's call waits a quarter of the time in which a leaving server may be used. Machines with under 0.6 of the most cores take shared work last (Ranking). Results are given up at the first event on every route and made again for a resumed stream; a server found full is taken to be full, less and less; waits count the measured rate while pieces wait; pieces with little time go to far servers; requests that come back keep their rank. Instances keep rankings until membership changes.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -37,6 +37,15 @@
     route("open", "/open/", RouteKind.SAFE, "desk", public=True),
     route("stream", "/stream/", RouteKind.STREAM, "llm", prompts=True),
     route("resumable", "/resumable/", RouteKind.STREAM, "llm", prompts=True, resumable=True),
+    route(
+        "lasting",
+        "/staged/lasting/",
+        RouteKind.STREAM,
+        "llm",
+        prompts=True,
+        resumable=True,
+        stages=STAGES,
+    ),
     route("staged", "/staged/", RouteKind.STREAM, "llm", prompts=True, stages=STAGES),
 )
 PATHS = {
@@ -45,6 +54,7 @@
     "stream": "/stream/1",
     "resumable": "/resumable/1",
     "staged": "/staged/1",
+    "lasting": "/staged/lasting/1",
 }
 
 
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -35,6 +35,9 @@
 retry_window_s = 10
 retry_reserve = 58
 grace_s = 8
+drain_ms = 2000
+core_share = 0.5
+core_speed = 2
 colour = "red"
 """
 BAD_SETTINGS = """
--- /dev/null
+++ b/features/steps/room_steps.py
@@ -0,0 +1,175 @@
+# room_steps.py -- Steps about room for results and the rate of pieces
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about room for results and the rate of pieces."""
+
+import random
+
+import gevent
+from behave import given, then, when
+from forwardbasics import BATCH, PATHS, request, serve
+
+from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.jobprogress import JobProgress
+from mountladder.forwarding.piecequeue import PieceQueue
+from mountladder.forwarding.piecerate import PieceRate
+from mountladder.forwarding.resultroom import ResultRoom
+from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.routing.serverstate import ServerState
+from mountladder_standins.serverfault import ServerFault
+
+SERVER = "enc-1"
+
+
+def job(due, datacentre="", pieces=1):
+    return StageJob("r", 0, "enc", pieces, "key", (), 1e9, due, 1, 8.0, datacentre)
+
+
+@when("the first event of a lasting request to a-1 has come")
+def up_to_first(context):
+    sent = request("r", PATHS["lasting"], context.clock.now())
+    context.answer = context.run(context.fleet.send, "a-1", sent)
+    context.stack.callback(context.answer.body.close)
+
+
+@given("the stream of the first server that runs request r is cut after its first events")
+def cut_first(context):
+    upstream = context.fleet.upstream
+    plain = upstream.open
+
+    def open_(server, call, limit_ms):
+        first = not upstream.runs[call.request.id]
+        upstream.faults = {server.name: ServerFault.CUT} if first else {}
+        return plain(server, call, limit_ms)
+
+    upstream.open = open_
+
+
+@then("request r ended whole on {servers:d} servers")
+def ended_whole(context, servers):
+    status, body, code, _, error = context.ends["r"]
+    assert (status, code, body.count(b"id: ")) == (200, 0, 6), (status, code, body, error)
+    assert len(set(context.fleet.upstream.runs["r"])) == servers
+
+
+@then("its stages were made twice")
+def made_twice(context):
+    made = [piece.stage for call in context.fleet.upstream.calls for piece in call.pieces]
+    assert sorted(made) == [0, 0, 1, 1], made
+
+
+@given("a piece wanted in data centre a that is due in {due:d} ms")
+def wanted(context, due):
+    now = context.clock.now()
+    context.progress = JobProgress(job(now + due, "a"), lambda results: None, now)
+    context.state = ServerState(listed_server(SERVER, "enc", "x", "b", 8, False), random.Random(1))
+
+
+@then("after {ms:d} ms a free server of data centre b takes it")
+def takes(context, ms):
+    assert far_goes(context, ms)
+
+
+@then("after {ms:d} ms a free server of data centre b does not take it")
+def takes_not(context, ms):
+    assert not far_goes(context, ms)
+
+
+def far_goes(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    now = context.clock.now()
+    return PieceQueue().may_go(context.progress, context.state, {"a", "b"}, BATCH, now)
+
+
+@given("a server with room for {room:d} bytes where {used:d} bytes are known to be in use")
+def room_for(context, room, used):
+    context.room = ResultRoom()
+    context.room.reserve(SERVER, used)
+    context.bytes = room
+
+
+@when("it is found full, with results kept for {ms:d} ms")
+def found_full(context, ms):
+    context.room.found_full(SERVER, context.bytes, context.clock.now(), ms)
+
+
+@then("{number:g} bytes are taken to be in use there")
+def in_use(context, number):
+    assert context.room.taken(SERVER, context.clock.now()) == number
+
+
+@given("{pieces:d} pieces are made every {ms:d} ms")
+def made_every(context, pieces, ms):
+    context.rate = PieceRate(context.clock)
+
+    def make():
+        while True:
+            context.clock.sleep(ms)
+            context.rate.add(pieces)
+
+    context.stack.callback(gevent.spawn(make).kill)
+
+
+@then("no rate is measured")
+def no_rate(context):
+    assert context.rate.measured() is None
+
+
+@when("pieces begin to wait and {ms:d} ms go by")
+def begin_to_wait(context, ms):
+    context.rate.watch(True)
+    context.run(context.clock.sleep, ms)
+
+
+@then("the measured rate is {rate:g} pieces a millisecond")
+def rate_is(context, rate):
+    assert abs(context.rate.measured() - rate) < 0.008, context.rate.measured()
+
+
+@when("no pieces wait any more")
+def none_waits(context):
+    context.rate.watch(False)
+
+
+@given("{pieces:d} pieces wait for service enc on the instance where they meet")
+def pieces_wait(context, pieces):
+    context.batcher = context.fleet.instances["a-1"].dispatch.batcher("enc")
+    progress = JobProgress(job(1e9, "", pieces), lambda results: None, context.clock.now())
+    context.batcher.queue.add(progress)
+
+
+@given("its servers have made {pieces:d} pieces in each {ms:d} ms for {all_ms:d} ms")
+def have_made(context, pieces, ms, all_ms):
+    context.batcher.rate.watch(True)
+    for _ in range(all_ms // ms):
+        context.run(context.clock.sleep, float(ms))
+        context.batcher.rate.add(pieces)
+
+
+@then("new pieces are expected to wait for at least {ms:d} ms")
+def expected_wait(context, ms):
+    waits = context.batcher.backlog().waits_ms
+    assert waits[-1] >= ms, waits
+
+
+@when("a request with stages was served by a-1")
+def staged_first(context):
+    sent = request("first", PATHS["staged"], context.clock.now())
+    context.run(serve, context, "a-1", sent)
+
+
+@when("the same request comes back to a-1 with half of its time")
+def staged_again(context):
+    context.sent = request("again", PATHS["staged"], context.clock.now(), allowed_ms=1_500.0)
+    context.run(serve, context, "a-1", context.sent)
+
+
+@then("it has the rank of its route")
+def own_rank(context):
+    forwarder = context.fleet.instances["a-1"].forwarder
+    run = forwarder.admit(context.sent)
+    assert isinstance(run, ForwardRun)
+    assert run.comes_back
+    assert run.urgency == run.route.priority == 1
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -18,6 +18,7 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, Waiting
+from mountladder.forwarding.piecerate import PieceRate
 from mountladder.forwarding.releaser import Releaser
 from mountladder.forwarding.resultroom import ResultRoom
 from mountladder.forwarding.stagedemand import StageDemand
@@ -33,6 +34,10 @@
 LOOK_AGAIN_MS = 40.0
 # What pieces are taken to wait where no server is in use.
 NO_SERVER_MS = 5_000.0
+# Pieces that wait longer than so many full calls wait for more than the next free server.
+CROWDED = 1.5
+# The servers are taken to make at least this part of what full calls would make.
+LEAST_RATE = 0.3
 
 
 class Batcher:
@@ -74,6 +79,7 @@
         self.demand = StageDemand(clock)
         self.servers = StageServers(service, directory, router)
         self.room = ResultRoom()
+        self.rate = PieceRate(clock)
         self.twice: set[Waiting] = set()
         self.releaser = Releaser(upstream, clock, self.freed)
         self.cancel_look: Callable[[], None] | None = None
@@ -109,9 +115,14 @@
             self.queue.sort(now)
             for state in self.servers.free(limits, now):
                 self.offer(state, limits, now)
+        self.rate.watch(limits is not None and self.is_crowded(limits, now))
         if self.queue:
             self.look_again()
 
+    def is_crowded(self, limits: BatchLimits, now: float) -> bool:
+        """Tell whether pieces wait for longer than for the next free server."""
+        return now - self.queue.oldest(now) > CROWDED * limits.expected_ms(limits.pieces)
+
     def release(self, handles: Sequence[str]) -> None:
         """Give up results that are no longer needed."""
         self.releaser.release(handles)
@@ -137,7 +148,7 @@
         """Send a server the pieces that are its to take, where that is best for them."""
         usable = self.servers.usable(now)
         manned = {one.server.datacentre for one in usable}
-        used = self.room.used[state.server.name]
+        used = self.room.taken(state.server.name, now)
         batch = self.queue.choose(state, used, manned, limits, now)
         if not batch:
             return
@@ -155,6 +166,9 @@
             return Backlog(self.service, (NO_SERVER_MS,) * (LAST_RANK + 1))
         full_ms = limits.expected_ms(limits.pieces)
         rate = sum(limits.pieces / (full_ms * one.slowness_at(now)) for one in usable)
+        measured = self.rate.measured()
+        if measured is not None:
+            rate = max(LEAST_RATE * rate, min(rate, measured))
         busy_ms = min(self.servers.left(one, now) for one in usable)
         return Backlog(self.service, self.demand.waits_ms(self.queue.by_rank(), rate, busy_ms))
 
--- a/packages/core/src/mountladder/forwarding/batchlimits.py
+++ b/packages/core/src/mountladder/forwarding/batchlimits.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+BYTES_PER_MB = 1_000_000.0
+
 
 @dataclass(frozen=True, slots=True)
 class BatchLimits:
@@ -31,6 +33,11 @@
     room_mb: float
     kept_ms: float
 
+    @property
+    def room_bytes(self) -> float:
+        """Return the room for results in bytes."""
+        return self.room_mb * BYTES_PER_MB
+
     def expected_ms(self, pieces: int) -> float:
         """Return about how long a call with some pieces takes."""
         return self.call_ms + pieces * self.piece_ms
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -114,6 +114,7 @@
         elapsed_ms = now - self.call.started
         self.state.breaker.succeed()
         self.state.timed(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
+        self.home.rate.add(len(self.batch))
         self.home.metrics.count(Metric.STAGE_CALLS)
         self.home.metrics.count(Metric.STAGE_PIECES, number=len(self.batch))
         self.home.metrics.timing(Metric.STAGE_CALL_MS, elapsed_ms)
@@ -126,15 +127,16 @@
             waiting=len(self.home.queue),
             elapsed_ms=round(elapsed_ms),
             slowness=round(self.state.slowness, 2),
+            room_used=round(self.home.room.taken(self.state.server.name, now)),
             failed=failed,
             requests=sorted({progress.job.request for progress, _ in self.batch}),
         )
         if PieceFailure.NO_ROOM.value in failed:
             self.home.servers.pause(self.state, now + NO_ROOM_PAUSE_MS)
         for waiting, result in zip(self.batch, results, strict=True):
-            self.take_result(waiting, result, now + self.limits.kept_ms)
+            self.take_result(waiting, result, now)
 
-    def take_result(self, waiting: Waiting, result: PieceResult, until: float) -> None:
+    def take_result(self, waiting: Waiting, result: PieceResult, now: float) -> None:
         """Settle a piece, or let it wait again."""
         progress, fragment = waiting
         if result.failure is None:
@@ -143,9 +145,10 @@
         if result.failure is not None:
             self.home.room.give_back(server, size)
         else:
-            self.home.room.keep(result.handle, server, size, until)
+            self.home.room.keep(result.handle, server, size, now + self.limits.kept_ms)
         if result.failure is PieceFailure.NO_ROOM:
             # The server did not work on it, so that this is no repeat.
+            self.home.room.found_full(server, self.limits.room_bytes, now, self.limits.kept_ms)
             self.home.queue.add_again(waiting)
         elif result.failure is PieceFailure.FAILED:
             self.repeat(progress, fragment, result)
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -21,6 +21,8 @@
         leaving: Whether it is about to end.
         asks: Whether it is to be answered with another one.
         backlogs: How long pieces wait that meet on the instance.
+        reads: Whether it follows the store itself.
+        fed: Whether the store has answered it lately.
     """
 
     catalogue: int
@@ -28,3 +30,5 @@
     leaving: bool
     asks: bool
     backlogs: tuple[Backlog, ...] = ()
+    reads: bool = False
+    fed: bool = False
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-import xxhash
-
 from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
 from mountladder.forwarding.backlog import Backlog
@@ -23,6 +21,8 @@
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.ranking import SMALL_FLEET, Ranking
+from mountladder.forwarding.readers import Readers
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
@@ -36,15 +36,16 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 
-# Up to this many instances all talk to each other, which costs each about 1 % of a core.
-SMALL_FLEET = 12
-# Beyond that, so many of the first by hash are kept in touch with for each service with pieces.
+# In a larger fleet (SMALL_FLEET) so many of the first by hash are kept in touch with for each
+# service with pieces.
 HOMES_KEPT = 2
 # In a larger fleet heartbeats to these come at this interval, so that a silent one is missed after
 # three of them; to others the interval grows with their number.
 HOME_HEARTBEAT_MS = 500.0
 # How long the store's own news of a change is waited for before a peer is asked for it.
 STORE_FIRST_MS = 150.0
+# Several changes are often read at once; news of them goes out in one message.
+TELL_MS = 15.0
 
 
 class Fleet(LinkKeeper):
@@ -90,6 +91,10 @@
         self.follower = follower
         self.directory = directory
         self.services: set[str] = set()
+        self.ranking = Ranking(membership)
+        self.readers = Readers(self.ranking.near, membership.me, clock)
+        self.is_fed: Callable[[], bool] = lambda: False
+        self.telling = False
         self.on_order: Callable[[StageOrder, Link], None] = lambda order, link: None
         self.on_outcome: Callable[[StageOutcome, Link], None] = lambda outcome, link: None
         self.on_withdrawal: Callable[[StageWithdrawal, Link], None] = lambda one, link: None
@@ -101,7 +106,8 @@
         self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
         self.on_placement_note: Callable[[PlacementNote, Link], None] = lambda note, link: None
         self.on_peer_gone: Callable[[Link], None] = lambda link: None
-        follower.listeners.append(lambda catalogue: self.tell_all())
+        follower.listeners.append(lambda catalogue: self.tell_soon())
+        directory.listeners.append(self.tell_soon)
 
     def targets(self) -> list[Instance]:
         """Return the instances to keep a link to."""
@@ -110,14 +116,14 @@
             return known
         chosen = {one.name: one for one in super().targets()}
         for service in self.services:
-            for one in self.ranked(service)[:HOMES_KEPT]:
+            for one in self.ranking.ranked(service)[:HOMES_KEPT]:
                 if one is not self.membership.me:
                     chosen[one.name] = one
         return list(chosen.values())
 
     def is_home(self, address: str) -> bool:
         """Tell whether pieces or prompts of this instance may meet at an address."""
-        ranked = (self.ranked(service)[:HOMES_KEPT] for service in self.services)
+        ranked = (self.ranking.ranked(service)[:HOMES_KEPT] for service in self.services)
         return any(one.peer == address for instances in ranked for one in instances)
 
     def interval_ms(self, address: str) -> float:
@@ -132,21 +138,10 @@
         limit_ms = MISSED_HEARTBEATS * self.interval_ms(peer.peer)
         return self.membership.silence_ms(peer) <= limit_ms
 
-    def ranked(self, service: str) -> list[Instance]:
-        """Return the instances in the order in which they are to take a service's pieces."""
-        members = self.membership
-        staying = [
-            one
-            for one in members.known.values()
-            if one.peer and one.incarnation not in members.leaving
-        ]
-        staying += [] if self.leaving else [members.me]
-        return sorted(staying, key=lambda one: _weight(service, one), reverse=True)
-
     def home(self, service: str) -> Link | None:
         """Return the link to the instance where a service's pieces meet; None for this one."""
         self.services.add(service)
-        for one in self.ranked(service):
+        for one in self.ranking.ranked(service):
             if one is self.membership.me:
                 return None
             link = self.links.get(one.peer)
@@ -164,8 +159,40 @@
 
     def beacon(self, asks: bool) -> Beacon:
         """Return a sign of life that is to be answered, or an answer to one."""
-        versions = self.follower.version, self.directory.newest
-        return Beacon(*versions, self.leaving, asks, self.backlogs())
+        return Beacon(
+            self.follower.version,
+            self.directory.newest,
+            self.leaving,
+            asks,
+            self.backlogs(),
+            self.readers.reading,
+            self.is_fed(),
+        )
+
+    def tell_soon(self) -> None:
+        """Tell peers of what is new, once for all that becomes known in a moment."""
+        if not self.telling:
+            self.telling = True
+            self.clock.call_later(TELL_MS, self.tell_news)
+
+    def tell_news(self) -> None:
+        """Tell peers which versions this instance has.
+
+        Where a peer follows the store for those near, they learn from it what is new.
+        """
+        self.telling = False
+        here = self.membership.me.datacentre
+        led = not self.readers.reading and self.readers.has_fed_peer()
+        for link in list(self.links.values()):
+            if not led or link.peer.datacentre != here:
+                self.send_later(link, self.beacon(asks=False))
+
+    def pulse(self) -> None:
+        """Tell those near that this instance follows the store, and whether that answers."""
+        near = {one.peer for one in self.ranking.near()}
+        for address, link in list(self.links.items()):
+            if address in near:
+                self.send_later(link, self.beacon(asks=False))
 
     def serve(self, link: Link) -> None:
         """Serve a link that a peer opened, until it breaks."""
@@ -188,13 +215,17 @@
     @handle.register
     def _(self, message: Beacon, link: Link) -> None:
         self.membership.hear(link.peer, message.leaving)
+        self.readers.hear(link.peer, message)
+        if message.reads and message.fed and message.catalogue <= self.follower.version:
+            self.follower.confirm(self.clock.now())
         for backlog in message.backlogs:
             self.on_backlog(backlog)
         if message.asks:
             self.send(link, self.beacon(asks=False))
         newer = message.catalogue > self.follower.version
         if newer or message.directory > self.directory.newest:
-            self.clock.call_later(STORE_FIRST_MS, lambda: self.ask(message, link))
+            wait_ms = STORE_FIRST_MS if self.readers.reading else 0.0
+            self.clock.call_later(wait_ms, lambda: self.ask(message, link))
 
     def ask(self, told: Beacon, link: Link) -> None:
         """Ask a peer for what it has and the store did not bring meanwhile."""
@@ -258,7 +289,3 @@
     @handle.register
     def _(self, message: StageRelease, link: Link) -> None:
         self.on_release(message, link)
-
-
-def _weight(service: str, instance: Instance) -> int:
-    return xxhash.xxh64_intdigest(f"{service}\0{instance.name}".encode())
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -27,7 +27,9 @@
 from mountladder.forwarding.placementdesk import PlacementDesk
 from mountladder.forwarding.platformtables import PlatformTables
 from mountladder.forwarding.promptplacer import PromptPlacer
+from mountladder.forwarding.readers import PULSE_MS
 from mountladder.forwarding.serverpicker import ServerPicker
+from mountladder.forwarding.source import Source
 from mountladder.forwarding.sourcefollower import SourceFollower
 from mountladder.forwarding.sourcepage import SourcePage
 from mountladder.forwarding.stagedispatch import StageDispatch
@@ -88,7 +90,12 @@
         self.budgets: dict[str, WindowBudget] = {}
         self.departure = Departure(clock, lambda: self.settings.grace_ms)
         self.me = Instance(
-            settings.name, uuid.uuid4().hex[:12], settings.datacentre, "", settings.peer
+            settings.name,
+            uuid.uuid4().hex[:12],
+            settings.datacentre,
+            "",
+            settings.peer,
+            cores=settings.cores,
         )
         self.follower = CatalogueFollower(tables.decode_catalogue, clock)
         self.directory = Directory(clock)
@@ -129,15 +136,27 @@
             departure=self.departure,
         )
         self.forwarder = Forwarder(context)
-        self.catalogue_source = SourceFollower(
-            "catalogue", self.tables.catalogue, clock, metrics, self.take_catalogue
+        self.catalogue_source = self.make_follower(
+            "catalogue", self.tables.catalogue, self.take_catalogue
         )
-        self.directory_source = SourceFollower(
-            "servers", self.tables.servers, clock, metrics, self.take_servers
+        self.directory_source = self.make_follower(
+            "servers", self.tables.servers, self.take_servers
         )
         self.directory_source.on_regained = self.directory.regained
+        self.fleet.is_fed = self.is_answered
         self.follower.is_fed = self.is_fed
 
+    def make_follower(
+        self, name: str, source: Source, take: Callable[[SourcePage, bool], None]
+    ) -> SourceFollower:
+        """Return a follower of a table, which follows it while that is this instance's to do."""
+        readers = self.fleet.readers
+        follower = SourceFollower(
+            name, source, self.clock, self.metrics, take, self.settings.feed_ms, readers.is_due
+        )
+        follower.on_lost = self.fleet.pulse
+        return follower
+
     def make_batcher(self, service: str) -> Batcher:
         """Return a new batcher of a service."""
         return Batcher(
@@ -176,7 +195,11 @@
         """Tell whether news of the catalogue would come, from the store and from some peer."""
         known = [one for one in self.membership.known.values() if one.peer]
         heard = not known or any(self.fleet.is_alive(one) for one in known)
-        return self.catalogue_source.connected and heard
+        return heard and (self.is_answered() or self.fleet.readers.has_fed_peer())
+
+    def is_answered(self) -> bool:
+        """Tell whether this instance follows the store and is answered."""
+        return self.catalogue_source.fed and self.directory_source.fed
 
     @property
     def leaving(self) -> bool:
@@ -195,6 +218,7 @@
             self.catalogue_source.run,
             self.directory_source.run,
             self.keep_members,
+            self.keep_telling,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
@@ -230,19 +254,27 @@
                 if not announced:
                     self.tables.instances.announce(self.me)
                     announced = True
-                self.membership.observe(self.tables.instances.instances())
+                if self.fleet.readers.reading or not self.membership.listed:
+                    self.membership.observe(self.tables.instances.instances())
+                    self.fleet.retarget.set()
+                    log_message("instances-read", known=len(self.membership.known))
             except (StoreUnavailableError, StoreAmbiguousError) as error:
                 log_message("instances-unread", reason=str(error), announced=announced)
                 self.clock.sleep(MEMBERS_RETRY_MS)
             else:
-                self.fleet.retarget.set()
-                log_message("instances-read", known=len(self.membership.known))
                 self.clock.sleep(MEMBERS_MS)
 
+    def keep_telling(self) -> None:
+        """Tell those near that this instance follows the store for them, while it does."""
+        while True:
+            self.clock.sleep(PULSE_MS)
+            if self.fleet.readers.reading:
+                self.fleet.pulse()
+
     def leave(self) -> None:
         """Tell the balancer and the peers that this instance is about to end."""
         self.departure.begin()
-        self.fleet.leaving = True
+        self.fleet.leaving = self.fleet.ranking.leaving = True
         self.fleet.tell_all()
 
     def close(self) -> None:
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -13,6 +13,9 @@
 from mountladder.configuration.settingsfile import check_fields, settings_fields, settings_text
 
 MS_PER_SECOND = 1000.0
+# A feed that fell silent is missed after its wait and the time for an answer; with what a successor
+# takes to step in (Readers) that leaves over a quarter of the time to obey.
+FEED_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +36,9 @@
         retry_window_s: Over which time that is counted, in seconds.
         retry_reserve: How many more retries all instances together may make in that time.
         grace_s: How long a process may take to end after it was asked to, in seconds.
+        drain_ms: How long after the store took note of it a leaving server may still be used.
+        core_share: Which part of a core the process may use.
+        core_speed: How many times as fast as an ordinary core that core is.
     """
 
     name: str
@@ -48,6 +54,9 @@
     retry_window_s: float
     retry_reserve: float
     grace_s: float
+    drain_ms: float
+    core_share: float
+    core_speed: float
 
     @property
     def retry_window_ms(self) -> float:
@@ -59,6 +68,16 @@
         """Return how long ending may take, in milliseconds."""
         return self.grace_s * MS_PER_SECOND
 
+    @property
+    def cores(self) -> float:
+        """Return how many ordinary cores the process may use."""
+        return self.core_share * self.core_speed
+
+    @property
+    def feed_ms(self) -> float:
+        """Return how long one call for changes waits at the store, in milliseconds."""
+        return FEED_SHARE * self.drain_ms
+
     @classmethod
     def read(cls, text: str, source: str) -> ForwardingSettings:
         """Read settings from a TOML text.
@@ -96,4 +115,7 @@
         retry_window_s=fields.number("retry_window_s"),
         retry_reserve=fields.number("retry_reserve"),
         grace_s=fields.number("grace_s"),
+        drain_ms=fields.number("drain_ms"),
+        core_share=fields.number("core_share"),
+        core_speed=fields.number("core_speed"),
     )
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -76,12 +76,7 @@
 
     @property
     def urgency(self) -> int:
-        """Return the rank of the request; the team's goes before the route's.
-
-        One that was refused before goes first, since a second refusal would be final.
-        """
-        if self.comes_back:
-            return 0
+        """Return the rank of the request; the team's goes before the route's."""
         if self.holder is not None and self.holder.priority is not None:
             return self.holder.priority
         return self.route.priority
--- a/packages/core/src/mountladder/forwarding/memorysource.py
+++ b/packages/core/src/mountladder/forwarding/memorysource.py
@@ -11,6 +11,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.errors import HistoryLostError, StoreUnavailableError
 from mountladder.forwarding.source import Source
+from mountladder.forwarding.sourcefollower import ANSWER_MS
 from mountladder.forwarding.sourcepage import SourcePage
 from mountladder.forwarding.sourcerow import SourceRow
 
@@ -23,6 +24,7 @@
 
     Attributes:
         down: While set, calls fail.
+        silent: While set, calls are not answered and fail late.
         oldest: Changes up to this version are forgotten.
     """
 
@@ -32,6 +34,7 @@
         self.version = 0
         self.oldest = 0
         self.down = False
+        self.silent = False
         self.changed = Event()
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -54,6 +57,9 @@
     def changes(self, after: int, wait_ms: float) -> SourcePage:
         """Return what changed; see Source."""
         self.check()
+        if self.silent:
+            self.clock.sleep(wait_ms + ANSWER_MS)
+            raise StoreUnavailableError("no answer came")
         if self.version <= after:
             self.clock.wait(self.changed, wait_ms)
             self.check()
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -22,7 +22,9 @@
 # How long pieces wait for a server of the data centre where their bytes lie or are needed, by the
 # rank of their request: what crosses costs about as much as the least urgent request is worth.
 FAR_PATIENCE_MS = (150.0, 250.0, 500.0)
-BYTES_PER_MB = 1_000_000.0
+# Pieces with less time left than so many full calls do not wait for a near server: their own call
+# and about half of one that must end first. A late answer costs more than its bytes.
+FAR_SLACK = 1.5
 Waiting = tuple[JobProgress, int]
 
 
@@ -61,6 +63,10 @@
         """Return how many pieces wait, by the rank of their request."""
         return Counter(rank(progress.job.urgency) for progress, _ in self.waiting)
 
+    def oldest(self, now: float) -> float:
+        """Return since when the piece has waited that has waited longest; now where none waits."""
+        return min((progress.since for progress, _ in self.waiting), default=now)
+
     def sort(self, now: float) -> None:
         """Put the pieces first that are to be sent first."""
         self.waiting.sort(key=lambda one: self.order(one, now))
@@ -103,7 +109,7 @@
             limits: What a server takes at once.
             now: The clock's time.
         """
-        room = limits.room_mb * BYTES_PER_MB - used
+        room = limits.room_bytes - used
         batch: list[Waiting] = []
         left_out: set[JobProgress] = set()
         for waiting in self.waiting:
@@ -111,7 +117,7 @@
             size = progress.job.result_bytes
             begun = bool(progress.results) or any(progress is one for one, _ in batch)
             needed = size if begun or not used else size * progress.job.pieces
-            goes = progress not in left_out and self.may_go(progress, state, manned, now)
+            goes = progress not in left_out and self.may_go(progress, state, manned, limits, now)
             if not goes or needed > room:
                 left_out.add(progress)
                 continue
@@ -122,10 +128,17 @@
         return batch
 
     def may_go(
-        self, progress: JobProgress, state: ServerState, manned: set[str], now: float
+        self,
+        progress: JobProgress,
+        state: ServerState,
+        manned: set[str],
+        limits: BatchLimits,
+        now: float,
     ) -> bool:
         """Tell whether pieces may be made in a server's data centre, or wait for another one."""
         wanted = progress.job.datacentre
         if wanted in {"", state.server.datacentre} or wanted not in manned:
             return True
+        if progress.job.due - now < FAR_SLACK * limits.expected_ms(limits.pieces):
+            return True
         return now - progress.since >= FAR_PATIENCE_MS[rank(progress.job.urgency)]
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -0,0 +1,81 @@
+# ranking.py -- In which order instances take work that meets in one place
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""In which order instances take work that meets in one place."""
+
+from __future__ import annotations
+
+import xxhash
+
+from mountladder.membership.instance import Instance
+from mountladder.membership.membership import Membership
+
+# Up to this many instances all talk to each other, which costs each about 1 % of a core.
+SMALL_FLEET = 12
+# Those with less than this part of the most processor cores take shared work only after the
+# others: a small one that takes what a whole fleet sends is late for all of it.
+AMPLE_CORES = 0.6
+# Under this topic instances are ranked for following the store.
+STORE_TOPIC = "the store"
+
+
+class Ranking:
+    """Ranks instances by hash, which gives the same order wherever the same ones are known.
+
+    Args:
+        membership: Which instances there are.
+
+    Attributes:
+        leaving: Whether this instance is about to end, so that it takes no more such work.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self.membership = membership
+        self.leaving = False
+        self.ranks: dict[str, tuple[tuple[int, bool], list[Instance]]] = {}
+
+    def ranked(self, topic: str) -> list[Instance]:
+        """Return the instances in the order in which they are to take the work of a topic.
+
+        Those with few processor cores come behind those with many.
+        """
+        stamp = (self.membership.changes, self.leaving)
+        known = self.ranks.get(topic)
+        if known is not None and known[0] == stamp:
+            return known[1]
+        staying = self.staying()
+        ample = AMPLE_CORES * max((one.cores for one in staying), default=0.0)
+        ranked = sorted(
+            staying, key=lambda one: (one.cores >= ample, _weight(topic, one)), reverse=True
+        )
+        self.ranks[topic] = (stamp, ranked)
+        return ranked
+
+    def staying(self) -> list[Instance]:
+        """Return the instances that are known and not about to end."""
+        members = self.membership
+        staying = [
+            one
+            for one in members.known.values()
+            if one.peer and one.incarnation not in members.leaving
+        ]
+        return staying if self.leaving else [*staying, members.me]
+
+    def near(self) -> list[Instance]:
+        """Return the instances that leave the store to one of them, by rank.
+
+        In a small fleet these are all, else those of a data centre; the silent ones are left out.
+        """
+        members = self.membership
+        whole = len(members.known) <= SMALL_FLEET
+        return [
+            one
+            for one in self.ranked(STORE_TOPIC)
+            if one is members.me
+            or ((whole or one.datacentre == members.me.datacentre) and members.is_heard(one))
+        ]
+
+
+def _weight(topic: str, instance: Instance) -> int:
+    return xxhash.xxh64_intdigest(f"{topic}\0{instance.name}".encode())
--- a/packages/core/src/mountladder/forwarding/resultroom.py
+++ b/packages/core/src/mountladder/forwarding/resultroom.py
@@ -17,11 +17,32 @@
 
     Attributes:
         used: The bytes in use at each server, by its name.
+        foreign: What another instance seems to have had made at a server, in bytes, with the time
+            when that was found and when it is gone.
     """
 
     def __init__(self) -> None:
         self.used: Counter[str] = Counter()
         self.results: dict[str, tuple[str, float, float]] = {}
+        self.foreign: dict[str, tuple[float, float, float]] = {}
+
+    def taken(self, server: str, now: float) -> float:
+        """Return how many bytes are taken to be in use at a server.
+
+        What others had made there is given up little by little, as it is dropped at the latest
+        when it is as old as results get.
+        """
+        size, since, until = self.foreign.get(server, (0.0, 0.0, 0.0))
+        if until <= now:
+            self.foreign.pop(server, None)
+            return self.used[server]
+        return self.used[server] + size * (until - now) / (until - since)
+
+    def found_full(self, server: str, room: float, now: float, kept_ms: float) -> None:
+        """Record that a server had no room, though as far as is known here it had some."""
+        unknown = room - self.used[server]
+        if unknown > 0.0:
+            self.foreign[server] = (unknown, now, now + kept_ms)
 
     def reserve(self, server: str, size: float) -> None:
         """Record that a call begins whose results will take room."""
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -17,10 +17,13 @@
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 
-# How long one call waits for a change. Calls are priced, and peers tell of what a feed that fell
-# silent does not bring; the store keeps 20 s of history (the users' sheet), which a call must not
-# outlast by much.
-WAIT_MS = 15_000.0
+# How long one call waits for a change where nothing else is said; in use the settings say it.
+WAIT_MS = 500.0
+# How much longer than that an answer may take. The store answers in some 4 ms, in 320 ms while it
+# is slow (the users' sheets), never while it is cut off.
+ANSWER_MS = 600.0
+# How often an instance that leaves the store to another one looks whether it still does.
+LOOK_MS = 50.0
 FIRST_PAUSE_MS = 100.0
 LONGEST_PAUSE_MS = 800.0
 
@@ -35,11 +38,14 @@
         metrics: Where failed calls are counted.
         take: Called with each page and whether it holds the whole table.
         wait_ms: How long one call waits for a change.
+        is_due: Tells whether this instance is to follow the table, once it has read it.
 
     Attributes:
         version: The version up to which changes were taken in, or None before the first reading.
         connected: Whether the last call was answered.
-        on_regained: Called when the store answers again.
+        answered_at: When the store answered last.
+        on_lost: Called when the store answers no more.
+        on_regained: Called when it answers again.
     """
 
     def __init__(
@@ -50,6 +56,7 @@
         metrics: Metrics,
         take: Callable[[SourcePage, bool], None],
         wait_ms: float = WAIT_MS,
+        is_due: Callable[[], bool] = lambda: True,
     ) -> None:
         self.name = name
         self.source = source
@@ -57,22 +64,36 @@
         self.metrics = metrics
         self.take = take
         self.wait_ms = wait_ms
+        self.is_due = is_due
         self.version: int | None = None
         self.connected = False
+        self.answered_at = float("-inf")
         self.lost_at: float | None = None
         self.pause_ms = FIRST_PAUSE_MS
+        self.on_lost: Callable[[], None] = lambda: None
         self.on_regained: Callable[[], None] = lambda: None
 
     def run(self) -> None:
-        """Follow the table for ever."""
+        """Follow the table for ever, while that is this instance's to do."""
         while True:
-            self.step()
+            if self.version is None or self.is_due():
+                self.step()
+            else:
+                self.clock.sleep(LOOK_MS)
+
+    @property
+    def fed(self) -> bool:
+        """Tell whether the store has answered within the time that a call takes at most."""
+        age_ms = self.clock.now() - self.answered_at
+        return self.connected and age_ms < self.wait_ms + ANSWER_MS
 
     def step(self) -> None:
         """Make one call and take in what it brings."""
         try:
             whole = self.version is None
-            page = self.source.read() if whole else self.source.changes(self.version, self.wait_ms)
+            # One that steps in for another is to know soon whether the store answers.
+            wait_ms = self.wait_ms if self.fed else 1.0
+            page = self.source.read() if whole else self.source.changes(self.version, wait_ms)
         except HistoryLostError as error:
             log_message("history-lost", table=self.name, after=self.version, reason=error.detail)
             self.version = None
@@ -90,13 +111,15 @@
         if self.connected or self.lost_at is None:
             self.lost_at = self.clock.now()
             log_message("store-lost", table=self.name, version=self.version, reason=error.detail)
-        self.connected = False
+            self.connected = False
+            self.on_lost()
         self.clock.sleep(self.pause_ms)
         self.pause_ms = min(LONGEST_PAUSE_MS, 2 * self.pause_ms)
 
     def regained(self) -> None:
         """Record a call that was answered."""
         self.pause_ms = FIRST_PAUSE_MS
+        self.answered_at = self.clock.now()
         if self.connected:
             return
         self.connected = True
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -48,7 +48,9 @@
         if self.expected_ms:
             self.context.forecast.learn(self.route, self.expected_ms, self.elapsed())
         self.log("first-event", server=attempt.server, elapsed_ms=round(self.elapsed()))
-        if not self.route.resumable and self.flow is not None:
+        if self.flow is not None:
+            # The server has fetched them. Room for results binds in bursts, and a stream that is
+            # cut has them made again.
             self.flow.release()
         body = self.events(attempt, answer, splitter, first)
         return ForwardAnswer(answer.status, answer.headers, body)
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -20,6 +20,7 @@
         web: The IP number and port of its HTTP interface.
         peer: The IP number and port its peers connect to.
         leaving: Whether it is about to end.
+        cores: How many processor cores it may use; shared work goes to those with many.
     """
 
     name: str
@@ -28,3 +29,4 @@
     web: str
     peer: str
     leaving: bool = False
+    cores: float = 1.0
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -28,6 +28,9 @@
         me: This instance.
         clock: The clock.
         interval_ms: The least time between two heartbeats to one peer.
+
+    Attributes:
+        changes: Grows with each change of what is known, for those that keep what they derive.
     """
 
     def __init__(self, me: Instance, clock: Clock, interval_ms: float = INTERVAL_MS) -> None:
@@ -38,6 +41,8 @@
         self.listed: frozenset[str] = frozenset()
         self.heard_at: dict[str, float] = {}
         self.leaving: set[str] = set()
+        self.changes = 0
+        self.forgot_at = clock.now()
 
     @property
     def interval_ms(self) -> float:
@@ -51,6 +56,7 @@
         """Take in the platform's list, which lags; what was heard since goes before it."""
         listed = {instance.name: instance for instance in instances}
         self.listed = frozenset(instance.incarnation for instance in listed.values())
+        self.changes += 1
         for name, instance in listed.items():
             if name != self.me.name and not self.is_heard(self.known.get(name)):
                 self.known[name] = instance
@@ -60,24 +66,33 @@
 
     def hear(self, instance: Instance, leaving: bool = False) -> None:
         """Take in a sign of life from an instance itself."""
-        self.known[instance.name] = instance
+        if self.known.get(instance.name) != instance:
+            self.known[instance.name] = instance
+            self.changes += 1
         self.heard_at[instance.incarnation] = self.clock.now()
-        if leaving:
+        if leaving and instance.incarnation not in self.leaving:
             self.leaving.add(instance.incarnation)
+            self.changes += 1
         self.forget_old()
 
     def mention(self, instance: Instance) -> None:
         """Take in an instance that another one knows; what was heard itself goes before it."""
-        if instance.name != self.me.name:
-            self.known.setdefault(instance.name, instance)
+        if instance.name != self.me.name and instance.name not in self.known:
+            self.known[instance.name] = instance
+            self.changes += 1
 
     def forget_old(self) -> None:
         """Forget incarnations that were not heard of for long."""
-        horizon = self.clock.now() - 10 * MISSED_HEARTBEATS * self.interval_ms
+        now = self.clock.now()
+        if now - self.forgot_at < self.least_interval_ms:
+            return
+        self.forgot_at = now
+        horizon = now - 10 * MISSED_HEARTBEATS * self.interval_ms
         for incarnation, at in list(self.heard_at.items()):
             if at < horizon:
                 del self.heard_at[incarnation]
                 self.leaving.discard(incarnation)
+                self.changes += 1
 
     def silence_ms(self, instance: Instance) -> float:
         """Return how long ago an instance was heard of; infinite if never."""
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -11,6 +11,7 @@
   web @4 :Text;
   peer @5 :Text;
   nonce @6 :Data;
+  cores @7 :Float32;
 }
 
 struct Heartbeat {
@@ -58,6 +59,8 @@
   leaving @2 :Bool;
   asks @3 :Bool;
   backlogs @4 :List(Backlog);
+  reads @5 :Bool;
+  fed @6 :Bool;
 }
 
 struct Want {
@@ -86,6 +89,7 @@
   name @0 :Text;
   datacentre @1 :Text;
   peer @2 :Text;
+  cores @3 :Float32;
 }
 
 struct StageOrder {
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -36,7 +36,7 @@
 from mountladder.membership.wirereader import READERS
 from mountladder.membership.wirewriter import fill
 
-VERSION = 2
+VERSION = 3
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueCopy | DirectoryCopy | MemberList
 Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -43,10 +43,21 @@
 
 
 def _read_hello(hello) -> Hello:
-    instance = Instance(hello.name, hello.incarnation, hello.datacentre, hello.web, hello.peer)
+    instance = Instance(
+        hello.name,
+        hello.incarnation,
+        hello.datacentre,
+        hello.web,
+        hello.peer,
+        cores=hello.cores,
+    )
     return Hello(hello.version, instance, bytes(hello.nonce))
 
 
+def _read_member(one) -> Instance:
+    return Instance(str(one.name), "", str(one.datacentre), "", str(one.peer), cores=one.cores)
+
+
 def _read_heartbeat(heartbeat) -> Heartbeat:
     names = tuple(str(name) for name in heartbeat.leavingServers)
     return Heartbeat(heartbeat.revision, heartbeat.ageMs, heartbeat.leaving, names)
@@ -96,7 +107,7 @@
 
 def _read_beacon(one) -> Beacon:
     backlogs = tuple(_read_backlog(backlog) for backlog in one.backlogs)
-    return Beacon(one.catalogue, one.directory, one.leaving, one.asks, backlogs)
+    return Beacon(one.catalogue, one.directory, one.leaving, one.asks, backlogs, one.reads, one.fed)
 
 
 def _read_outcome(outcome) -> StageOutcome:
@@ -134,11 +145,7 @@
     "want": lambda one: Want(one.catalogue, one.directory),
     "catalogueCopy": lambda encoded: CatalogueCopy(_inflated(bytes(encoded))),
     "directoryCopy": _read_directory,
-    "memberList": lambda members: MemberList(
-        tuple(
-            Instance(str(one.name), "", str(one.datacentre), "", str(one.peer)) for one in members
-        )
-    ),
+    "memberList": lambda members: MemberList(tuple(_read_member(one) for one in members)),
     "stageOrder": _read_order,
     "stageOutcome": _read_outcome,
     "stageWithdrawal": StageWithdrawal,
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import zlib
-from functools import singledispatch
+from functools import lru_cache, singledispatch
 
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.cataloguecopy import CatalogueCopy
@@ -57,6 +57,7 @@
     hello.web = message.instance.web
     hello.peer = message.instance.peer
     hello.nonce = message.nonce
+    hello.cores = message.instance.cores
 
 
 @fill.register
@@ -109,6 +110,7 @@
     beacon.directory = message.directory
     beacon.leaving = message.leaving
     beacon.asks = message.asks
+    beacon.reads, beacon.fed = message.reads, message.fed
     _fill_backlogs(message.backlogs, beacon.init("backlogs", len(message.backlogs)))
 
 
@@ -121,7 +123,7 @@
 
 @fill.register
 def _(message: CatalogueCopy, frame) -> None:
-    frame.catalogueCopy = zlib.compress(message.encoded)
+    frame.catalogueCopy = _compressed(message.encoded)
 
 
 @fill.register
@@ -142,6 +144,7 @@
     members = frame.init("memberList", len(message.instances))
     for instance, to in zip(message.instances, members, strict=True):
         to.name, to.datacentre, to.peer = instance.name, instance.datacentre, instance.peer
+        to.cores = instance.cores
 
 
 @fill.register
@@ -210,6 +213,12 @@
     note.number, note.readMs, note.ended = message.number, message.read_ms, message.ended
 
 
+@lru_cache(maxsize=1)
+def _compressed(encoded: bytes) -> bytes:
+    # The same catalogue goes to every peer that lacks it.
+    return zlib.compress(encoded)
+
+
 def _fill_backlogs(backlogs, frames) -> None:
     for backlog, to in zip(backlogs, frames, strict=True):
         to.service = backlog.service
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -29,6 +29,7 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RESERVE = 20.0
 GRACE_S = 8.0
+DRAIN_MS = 2_000.0
 
 
 class ForwardFleet:
@@ -40,6 +41,7 @@
     Attributes:
         instances: The instances by name; a name starts with its data centre.
         catalogues: Every catalogue that was ever written, by version.
+        cores: How many processor cores an instance has, where it is not one.
     """
 
     def __init__(self, clock: VirtualClock) -> None:
@@ -51,6 +53,7 @@
         self.listed = MemoryInstanceList(clock, forget_ms=float("inf"))
         self.catalogues: dict[int, Catalogue] = {}
         self.instances: dict[str, ForwardingInstance] = {}
+        self.cores: dict[str, float] = {}
 
     def configure(self, catalogue: Catalogue) -> None:
         """Write a catalogue, as the operator does."""
@@ -93,6 +96,9 @@
             retry_window_s=RETRY_WINDOW_S,
             retry_reserve=RETRY_RESERVE,
             grace_s=GRACE_S,
+            drain_ms=DRAIN_MS,
+            core_share=1.0,
+            core_speed=self.cores.get(name, 1.0),
         )
         tables = PlatformTables(
             catalogue=self.catalogue,
