Calls whose answers are lost, a shorter start, and a fault soak of our own

After all machines lost power the small ones (half a core) took 1.0 s to start, the large ones 0.3 s.

Slow servers: the calls between were on time. Room: under 600 of 720 kB in use.

A server whose call is overdue is sent one more call with a quarter of the pieces; an answer to it shows that only an answer was lost, and the server stays in use. Results whose handles never came count as taking room. Pieces that are late anyway wait for near servers. Instances may listen elsewhere than peers connect.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,6 +8,8 @@
 if ! cmp -s deploy/requirements.lock target/requirements.lock; then
     rm -rf "$deps"
     python3 -m pip install --quiet --require-hashes --target "$deps" -r deploy/requirements.lock
+    # gevent looks through all of these at each start, for plugins that there are none of.
+    rm -rf "$deps"/*.dist-info
     cp deploy/requirements.lock target/requirements.lock
 fi
 rm -rf "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
--- a/features/room.feature
+++ b/features/room.feature
@@ -25,7 +25,9 @@
       | 1000 | does not take |
       | 360  | does not take |
       | 350  | takes         |
-      | -100 | takes         |
+      | 165  | takes         |
+      | 155  | does not take |
+      | -100 | does not take |
 
   Scenario: A server that had no room is taken to be full, less and less
     Given a server with room for 100 bytes where 30 bytes are known to be in use
@@ -54,3 +56,24 @@
     When a request with stages was served by a-1
     And the same request comes back to a-1 with half of its time
     Then it has the rank of its route
+
+  Scenario: A server that loses an answer is asked again at once, with few pieces
+    Given a call with 8 pieces to enc-1 that is overdue
+    Then enc-1 may be sent 2 pieces in one more call
+    When enc-1 answers that call
+    Then enc-1 may be sent 8 pieces in one more call
+    And it stays in use when the overdue call fails
+
+  Scenario: A server that answers neither call is left alone
+    Given a call with 8 pieces to enc-1 that is overdue
+    When enc-1 is sent one more call that is overdue as well
+    Then enc-1 may be sent nothing more
+    And it is taken out of use when the overdue call fails
+
+  Scenario: Results of a call without an answer take room until they are dropped
+    Given a server with room for 100 bytes where 30 bytes are known to be in use
+    When results of 20 bytes are lost there for 4000 ms
+    And 3900 ms go by
+    Then 50 bytes are taken to be in use there
+    When 200 ms go by
+    Then 30 bytes are taken to be in use there
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -28,6 +28,7 @@
 callers = "127.0.0.1:1"
 ready = "127.0.0.1:2"
 peer = "127.0.0.1:3"
+peer_listen = "127.0.0.1:3"
 metrics = "127.0.0.1:4"
 secret = "s"
 seeds = []
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -10,12 +10,16 @@
 from behave import given, then, when
 from forwardbasics import BATCH, PATHS, request, serve
 
+from mountladder.code import Code
+from mountladder.errors import StageError
+from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue
 from mountladder.forwarding.piecerate import PieceRate
 from mountladder.forwarding.resultroom import ResultRoom
 from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.routing.serverstate import ServerState
 from mountladder_standins.serverfault import ServerFault
@@ -173,3 +177,78 @@
     assert isinstance(run, ForwardRun)
     assert run.comes_back
     assert run.urgency == run.route.priority == 1
+
+
+@given("a call with {pieces:d} pieces to {name} that is overdue")
+def overdue(context, pieces, name):
+    context.batcher = context.fleet.instances["a-1"].dispatch.batcher("enc")
+    router = context.batcher.servers.router
+    server = next(
+        one for one in context.batcher.servers.directory.available("enc") if one.name == name
+    )
+    context.state = router.state(server)
+    context.call = begin(context, pieces)
+    context.run(context.clock.sleep, 600.0)
+    context.batcher.servers.is_overdue(context.state, context.call)
+
+
+def begin(context, pieces):
+    call = StageCallState(context.clock.now(), BATCH.expected_ms(pieces), pieces)
+    context.batcher.servers.begin(context.state, call)
+    return call
+
+
+def may_be_sent(context):
+    servers, now = context.batcher.servers, context.clock.now()
+    if context.state not in servers.free(BATCH, now):
+        return 0
+    return servers.most_pieces(context.state, BATCH)
+
+
+@then("{name} may be sent {pieces:d} pieces in one more call")
+def sent_more(context, name, pieces):
+    assert may_be_sent(context) == pieces, may_be_sent(context)
+
+
+@then("{name} may be sent nothing more")
+def sent_nothing(context, name):
+    assert may_be_sent(context) == 0
+
+
+@when("{name} answers that call")
+def answers(context, name):
+    call = begin(context, 2)
+    context.run(context.clock.sleep, 200.0)
+    context.batcher.servers.answered(context.state, context.clock.now())
+    context.batcher.servers.end(context.state, call, context.clock.now())
+
+
+@when("{name} is sent one more call that is overdue as well")
+def overdue_too(context, name):
+    call = begin(context, 2)
+    context.run(context.clock.sleep, 400.0)
+    context.batcher.servers.is_overdue(context.state, call)
+
+
+def fail(context):
+    now = context.clock.now()
+    run = BatchRun(context.batcher, context.state, [], BATCH, now)
+    run.call = context.call
+    run.failed(StageError("", Code.STAGE_STALLED))
+
+
+@then("it stays in use when the overdue call fails")
+def stays(context):
+    fail(context)
+    assert context.state.usable(context.clock.now())
+
+
+@then("it is taken out of use when the overdue call fails")
+def taken_out(context):
+    fail(context)
+    assert not context.state.usable(context.clock.now())
+
+
+@when("results of {size:d} bytes are lost there for {ms:d} ms")
+def lost(context, size, ms):
+    context.room.lose(SERVER, size, context.clock.now() + ms)
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,197 @@
+# soak_steps.py -- Steps about the fault soak
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about the fault soak."""
+
+import sys
+from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from behave import given, then, when
+
+sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "tests"))
+
+from soak.arrival import Arrival
+from soak.checks import check
+from soak.exchange import Exchange
+from soak.fault import Fault
+from soak.play import Play, instance_names, service_names
+from soak.probe import Probe
+from soak.record import Record
+from soak.schedule import FAULTS, draw
+
+LENGTH_S = 20.0
+CALLERS = 12
+RESTART = Fault(5.0, "restart", ("a-1",), 1.0)
+
+
+@when("seed {seed:d} of the soak is played for {seconds:d} seconds with {instances:d} instances")
+def play(context, seed, seconds, instances):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    faults = draw(seed, seconds, instance_names(instances), service_names())
+    verdict = Play(seed, float(seconds), instances, CALLERS, folder, faults).run()
+    context.record, context.faults, context.length = verdict.record, faults, verdict.length
+
+
+@then("every promise is kept")
+def none_broken(context):
+    broken = check(context.record, context.faults, context.length)
+    assert not broken, broken
+
+
+@then("only {name} is broken")
+def only_broken(context, name):
+    broken = check(context.record, context.faults, context.length)
+    assert list(broken) == [name], broken
+
+
+@then("at least {number:d} requests were served")
+def served(context, number):
+    assert sum(one.status == 200 for one in context.record.exchanges.values()) >= number
+
+
+@then("seed {seed:d} draws the same faults twice, and other ones than seed {other:d}")
+def same_faults(context, seed, other):
+    names = instance_names(6)
+    first, again, differs = (draw(n, 20.0, names, service_names()) for n in (seed, seed, other))
+    assert first == again != differs
+
+
+@then("{number:d} seeds draw every kind of fault")
+def every_kind(context, number):
+    names = instance_names(6)
+    drawn = {one.kind for n in range(number) for one in draw(n, 20.0, names, service_names())}
+    assert drawn == set(FAULTS), set(FAULTS) - drawn
+
+
+def exchange(id_, kind="unsafe", sent=3.0, **fields):
+    service = "desk" if kind in {"safe", "unsafe"} else "llm"
+    plain = Exchange(id_, kind, service, "a-1", 1, sent, sent + 0.2, 200, True)
+    return replace(plain, **fields)
+
+
+def arrive(record, id_, at, server="desk-1", service="desk", team="callers"):
+    record.arrivals[id_].append(Arrival(at, server, service, team, False))
+
+
+def add(record, one, at=None):
+    record.exchanges[one.id] = one
+    arrive(record, one.id, one.sent + 0.01 if at is None else at)
+    record.runs[one.id].append("desk-1")
+
+
+@given("a record of a soak in which all went well")
+def good(context):
+    record = context.record = Record()
+    for number in range(40):
+        kind = ("safe", "unsafe", "stream", "resumable")[number % 4]
+        add(record, exchange(f"r{number}", kind, number * LENGTH_S / 40))
+    record.written.update({1: 0.0, 5: 4.0})
+    record.probes.extend(Probe(at, "a-1", 1, 1 if at < 4.5 else 5) for at in range(20))
+    record.drained["desk-9"] = 4.0
+    context.faults, context.length = [RESTART], LENGTH_S
+
+
+@given('a fault "{kind}" of {target} from second {first:d} to second {last:d}')
+def fault(context, kind, target, first, last):
+    context.faults.append(Fault(float(first), kind, (target,), float(last - first)))
+
+
+@when("an unsafe request ran on two servers")
+def unsafe_twice(context):
+    context.record.runs["r1"].append("desk-2")
+
+
+@when("a stream that may not be resumed ran on two servers")
+def stream_twice(context):
+    context.record.runs["r2"].append("llm-2")
+
+
+@when("an unsafe request that ran was refused")
+def refused_and_ran(context):
+    add(context.record, exchange("x", status=503, retry_after_s=0.5))
+
+
+@when("a refusal does not say when to come back")
+def says_nothing(context):
+    context.record.exchanges["x"] = exchange("x", status=503)
+
+
+@when("an answer bears another request's body")
+def other_body(context):
+    add(context.record, exchange("x", fault="body b'r1 by desk-1'"))
+
+
+@when("a server was sent a request that nobody sent")
+def nobody(context):
+    arrive(context.record, "forged", 3.0)
+
+
+@when("a server was sent a request for no team")
+def no_team(context):
+    context.record.exchanges["x"] = exchange("x")
+    arrive(context.record, "x", 3.0, team="")
+
+
+@when("a server was given results of another request")
+def foreign_results(context):
+    context.record.wrong.append("r1 was given 127.0.0.1:1/0x0x1-r2")
+
+
+@when("a known key was refused")
+def key_refused(context):
+    context.record.exchanges["x"] = exchange("x", status=401)
+
+
+@when("a process went back to an older configuration")
+def went_back(context):
+    context.record.probes.append(Probe(6.0, "b-1", 1, 5))
+    context.record.probes.append(Probe(7.5, "b-1", 1, 1))
+    # The instance is struck, so that being late is explained while going back is not.
+    context.faults.append(Fault(3.0, "store-silent", ("b-1",), 6.0))
+
+
+@when("an instance has an old configuration long after a change")
+def old_configuration(context):
+    context.record.probes.append(Probe(9.0, "a-1", 2, 1))
+    context.faults.remove(RESTART)
+
+
+@when("a draining server got a request much later")
+def drained_used(context):
+    context.faults.remove(RESTART)
+    add(context.record, exchange("x", sent=8.0))
+    arrive(context.record, "y", 8.0, "desk-9")
+    context.record.exchanges["y"] = exchange("y", sent=8.0)
+
+
+@when("a restart cut a request under way")
+def restart_cut(context):
+    add(context.record, exchange("x", sent=4.9, ended=5.3, status=0))
+
+
+@when("a service got more repeats than the budget allows")
+def many_repeats(context):
+    for number in range(80):
+        arrive(context.record, f"r{4 * (number % 10)}", 9.0 + number / 100)
+
+
+@when("requests reached servers long after their callers left")
+def after_left(context):
+    context.faults.remove(RESTART)
+    for number in range(5):
+        add(context.record, exchange(f"x{number}", "safe", left=3.1, status=0), at=5.0)
+
+
+@when("nothing is served at the end")
+def none_at_end(context):
+    for id_, one in list(context.record.exchanges.items()):
+        if one.sent > 17.0:
+            context.record.exchanges[id_] = replace(one, status=0, read=False)
+
+
+@when("a process ended by itself")
+def ended(context):
+    context.record.ends.append("a-1 ended with 1 at 3.00 s")
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -149,7 +149,8 @@
         usable = self.servers.usable(now)
         manned = {one.server.datacentre for one in usable}
         used = self.room.taken(state.server.name, now)
-        batch = self.queue.choose(state, used, manned, limits, now)
+        most = self.servers.most_pieces(state, limits)
+        batch = self.queue.choose(state, used, manned, limits, now)[:most]
         if not batch:
             return
         if self.servers.is_better_to_wait(state, usable, len(self.queue), limits, now):
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -92,6 +92,7 @@
         """Let the pieces of a call that takes long wait for another server as well."""
         now = self.home.clock.now()
         self.state.timed((now - self.call.started) / self.limits.expected_ms(len(self.batch)), now)
+        self.home.servers.is_overdue(self.state, self.call)
         again = [one for one in self.batch if not one[0].has(one[1]) and self.home.budget.spend()]
         log_message(
             "pieces-late",
@@ -113,6 +114,7 @@
         now = self.home.clock.now()
         elapsed_ms = now - self.call.started
         self.state.breaker.succeed()
+        self.home.servers.answered(self.state, now)
         self.state.timed(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
         self.home.rate.add(len(self.batch))
         self.home.metrics.count(Metric.STAGE_CALLS)
@@ -166,6 +168,9 @@
         elif error.code is Code.SERVER_REPLACED:
             self.state.leave(now)
             self.state.breaker.abandon()
+        elif self.home.servers.has_answered_since(self.state, self.call):
+            # Only the answer was lost.
+            self.state.breaker.abandon()
         else:
             self.state.breaker.trip(now)
         log_message(
@@ -180,8 +185,10 @@
         )
         self.home.metrics.count(Metric.RETRIED, error.code.name.lower())
         for progress, fragment in self.batch:
-            self.home.room.give_back(self.state.server.name, progress.job.result_bytes)
+            size, server = progress.job.result_bytes, self.state.server.name
+            self.home.room.give_back(server, size)
             if error.dispatched:
+                self.home.room.lose(server, size, now + self.limits.kept_ms)
                 self.repeat(progress, fragment, PieceResult("", PieceFailure.FAILED))
             else:
                 # It did not reach a server that works on it, so that this is no repeat.
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -28,6 +28,7 @@
         callers: Where callers connect, an IP number and port.
         ready: Where the balancer asks whether the instance is ready.
         peer: Where other instances connect.
+        peer_listen: Where it takes their links in, as address translation may lie between.
         metrics: Where metrics are served.
         store: The address of the platform's store.
         secret: The key that all instances share.
@@ -46,6 +47,7 @@
     callers: str
     ready: str
     peer: str
+    peer_listen: str
     metrics: str
     store: str
     secret: str
@@ -107,6 +109,7 @@
         callers=fields.text("callers"),
         ready=fields.text("ready"),
         peer=fields.text("peer"),
+        peer_listen=fields.text("peer_listen"),
         metrics=fields.text("metrics"),
         store=fields.text("store"),
         secret=fields.text("secret"),
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -23,7 +23,8 @@
 # rank of their request: what crosses costs about as much as the least urgent request is worth.
 FAR_PATIENCE_MS = (150.0, 250.0, 500.0)
 # Pieces with less time left than so many full calls do not wait for a near server: their own call
-# and about half of one that must end first. A late answer costs more than its bytes.
+# and about half of one that must end first. A late answer costs more than its bytes, while one
+# that is late anyway can wait.
 FAR_SLACK = 1.5
 Waiting = tuple[JobProgress, int]
 
@@ -139,6 +140,7 @@
         wanted = progress.job.datacentre
         if wanted in {"", state.server.datacentre} or wanted not in manned:
             return True
-        if progress.job.due - now < FAR_SLACK * limits.expected_ms(limits.pieces):
+        left_ms = progress.job.due - now
+        if limits.call_ms < left_ms < FAR_SLACK * limits.expected_ms(limits.pieces):
             return True
         return now - progress.since >= FAR_PATIENCE_MS[rank(progress.job.urgency)]
--- a/packages/core/src/mountladder/forwarding/resultroom.py
+++ b/packages/core/src/mountladder/forwarding/resultroom.py
@@ -19,12 +19,14 @@
         used: The bytes in use at each server, by its name.
         foreign: What another instance seems to have had made at a server, in bytes, with the time
             when that was found and when it is gone.
+        lost: The bytes of results whose handles never came, and when they are dropped.
     """
 
     def __init__(self) -> None:
         self.used: Counter[str] = Counter()
         self.results: dict[str, tuple[str, float, float]] = {}
         self.foreign: dict[str, tuple[float, float, float]] = {}
+        self.lost: dict[str, list[tuple[float, float]]] = {}
 
     def taken(self, server: str, now: float) -> float:
         """Return how many bytes are taken to be in use at a server.
@@ -32,15 +34,27 @@
         What others had made there is given up little by little, as it is dropped at the latest
         when it is as old as results get.
         """
+        known = self.used[server] + self.lost_bytes(server, now)
         size, since, until = self.foreign.get(server, (0.0, 0.0, 0.0))
         if until <= now:
             self.foreign.pop(server, None)
-            return self.used[server]
-        return self.used[server] + size * (until - now) / (until - since)
+            return known
+        return known + size * (until - now) / (until - since)
+
+    def lose(self, server: str, size: float, until: float) -> None:
+        """Record a result that may have been made, whose handle is not known."""
+        self.lost.setdefault(server, []).append((size, until))
+
+    def lost_bytes(self, server: str, now: float) -> float:
+        """Return how many bytes results without known handles take up at a server."""
+        lost = [one for one in self.lost.pop(server, ()) if one[1] > now]
+        if lost:
+            self.lost[server] = lost
+        return sum(size for size, _ in lost)
 
     def found_full(self, server: str, room: float, now: float, kept_ms: float) -> None:
         """Record that a server had no room, though as far as is known here it had some."""
-        unknown = room - self.used[server]
+        unknown = room - self.used[server] - self.lost_bytes(server, now)
         if unknown > 0.0:
             self.foreign[server] = (unknown, now, now + kept_ms)
 
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -16,6 +16,9 @@
 
 # A server this much slower than usual is left alone while another is soon free.
 MUCH_SLOWER = 1.8
+# A server whose call is overdue has lost its answer, is slow, or is gone. Meanwhile it is sent one
+# more call, with this fraction of the pieces, which tells.
+PROBE_PART = 4
 
 
 class StageServers:
@@ -33,6 +36,8 @@
         self.router = router
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
+        self.overdue: dict[str, list[StageCallState]] = {}
+        self.answered_at: dict[str, float] = {}
 
     def begin(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call is sent."""
@@ -41,9 +46,33 @@
 
     def end(self, state: ServerState, call: StageCallState, now: float) -> None:
         """Record that a call has ended."""
-        self.calls[state.server.name].remove(call)
+        name = state.server.name
+        self.calls[name].remove(call)
+        if call in self.overdue.get(name, ()):
+            self.overdue[name].remove(call)
         state.end(now)
 
+    def is_overdue(self, state: ServerState, call: StageCallState) -> None:
+        """Record that a call takes so long that its answer may be lost."""
+        self.overdue.setdefault(state.server.name, []).append(call)
+
+    def answered(self, state: ServerState, now: float) -> None:
+        """Record that a server has answered a call."""
+        self.answered_at[state.server.name] = now
+
+    def has_answered_since(self, state: ServerState, call: StageCallState) -> bool:
+        """Tell whether a server has answered another call since one was sent."""
+        return self.answered_at.get(state.server.name, float("-inf")) > call.started
+
+    def doubtful(self, state: ServerState) -> list[StageCallState]:
+        """Return the overdue calls of a server that has not answered since they were sent."""
+        overdue = self.overdue.get(state.server.name, ())
+        return [call for call in overdue if not self.has_answered_since(state, call)]
+
+    def most_pieces(self, state: ServerState, limits: BatchLimits) -> int:
+        """Return how many pieces a server is sent at most; few while it may not be working."""
+        return max(1, limits.pieces // PROBE_PART) if self.doubtful(state) else limits.pieces
+
     def pause(self, state: ServerState, until: float) -> None:
         """Send a server nothing up to a time."""
         self.paused[state.server.name] = until
@@ -88,8 +117,9 @@
     def is_free(self, state: ServerState, limits: BatchLimits, now: float) -> bool:
         """Tell whether a server may be sent a call now."""
         paused = self.paused.get(state.server.name, 0.0) > now
-        return not paused and self.running(state) < limits.calls
+        return not paused and self.running(state) + len(self.doubtful(state)) // 2 < limits.calls
 
     def running(self, state: ServerState) -> int:
-        """Return how many calls this instance has running at a server."""
-        return len(self.calls.get(state.server.name, ()))
+        """Return how many calls a server is taken to be working on; not the overdue ones."""
+        name = state.server.name
+        return len(self.calls.get(name, ())) - len(self.overdue.get(name, ()))
--- a/packages/core/src/mountladder/membership/tcpnetwork.py
+++ b/packages/core/src/mountladder/membership/tcpnetwork.py
@@ -29,10 +29,13 @@
 
     Args:
         secret: The fleet's key.
+        listens: Where links are taken in, or an empty string where that is the address that peers
+            connect to.
     """
 
-    def __init__(self, secret: bytes) -> None:
+    def __init__(self, secret: bytes, listens: str = "") -> None:
         self.secret = secret
+        self.listens = listens
 
     def connect(self, address: str, me: Instance) -> Link:
         """Open a link; see Network."""
@@ -51,6 +54,6 @@
             """Serve one link."""
             serve(TcpLink(connection, self.secret, me))
 
-        server = StreamServer(listener(me.peer), accept, spawn=MOST_LINKS)
+        server = StreamServer(listener(self.listens or me.peer), accept, spawn=MOST_LINKS)
         server.start()
         stack.callback(server.stop, STOP_SECONDS)
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -4,6 +4,12 @@
 
 """The command mountladderd."""
 
+import gc
+
+# Nothing that modules make while they are loaded is garbage; looking for it took a tenth of the
+# time of a start.
+gc.disable()
+
 from gevent import monkey
 
 monkey.patch_all()
@@ -12,6 +18,7 @@
 import importlib
 import sys
 from pathlib import Path
+from types import ModuleType
 
 import click
 
@@ -30,11 +37,19 @@
     one, the adapter's function `serve` runs it, on settings of the platform's.
     """
     if adapter:
-        sys.exit(importlib.import_module(adapter).serve())
+        sys.exit(load(adapter).serve())
     if settings is None:
         raise click.UsageError("the file SETTINGS is missing")
     # An instance behind an adapter must not pay for what only the product's interface imports.
-    sys.exit(importlib.import_module("mountladder_entry.standalone").run(settings, check))
+    sys.exit(load("mountladder_entry.standalone").run(settings, check))
+
+
+def load(name: str) -> ModuleType:
+    """Return a module, with garbage looked for from now on among what is made later."""
+    module = importlib.import_module(name)
+    gc.freeze()
+    gc.enable()
+    return module
 
 
 if __name__ == "__main__":
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -88,6 +88,7 @@
             callers="",
             ready="",
             peer=name,
+            peer_listen=name,
             metrics="",
             store="",
             secret="",
