Listen before the rest is loaded; late pieces do not count as ahead; leftovers removed

After all machines lose power, callers that connected while an instance loaded its modules were reset and used up their one retry.

The sockets of callers and of the balancer listen before the rest is loaded, and callers are answered once the instance knows the configuration, or after 300 ms in any case; a reload asked for meanwhile does not end the process. Late pieces are left out of the waits that are told; what comes back late gives way, and is let in up to 1.3 aims instead of 0.6 of its time, since it was starved until its caller left.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -49,3 +49,19 @@
       | down        | store  | an instance has an old configuration long after a change |
       | pause       | a-1    | a draining server got a request much later               |
       | kill        | a-1    | a restart cut a request under way                        |
+
+  Scenario: A request that comes while a process starts is answered once it knows enough
+    Given a store whose answers are slow, and an instance as a process
+    When a request for a route that there is comes as soon as its socket listens
+    Then it is answered with 200
+
+  Scenario: A request that comes while a process starts without a store is refused with a time
+    Given a store that is down, and an instance as a process
+    When a request for a route that there is comes as soon as its socket listens
+    Then it is answered with 503 and says when to come back
+
+  Scenario: A reload that is asked for while a process starts does not end it
+    Given a store whose answers are slow, and an instance as a process
+    When it is asked to reload as soon as its socket listens
+    And a request for a route that there is comes as soon as its socket listens
+    Then it is answered with 200
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,13 +4,17 @@
 
 """Steps about the fault soak."""
 
+import signal
 import sys
 from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+import gevent.socket
 from behave import given, then, when
 
+from mountladder.membership.listener import split
+
 sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "tests"))
 
 from soak.arrival import Arrival
@@ -195,3 +199,62 @@
 @when("a process ended by itself")
 def ended(context):
     context.record.ends.append("a-1 ended with 1 at 3.00 s")
+
+
+def start_alone(context, fault):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    play = Play(1, 0.0, 1, 1, folder, [])
+    context.stack.enter_context(play.stack)
+    play.configurer.write()
+    play.park.begin()
+    play.stack.callback(play.park.end)
+    play.store.fault = fault
+    (context.instance,) = play.instances.values()
+    context.instance.write([])
+    context.instance.start()
+    context.caller = play.callers[0]
+
+
+@given("a store whose answers are slow, and an instance as a process")
+def slow_store(context):
+    start_alone(context, "slow")
+
+
+@given("a store that is down, and an instance as a process")
+def store_is_down(context):
+    start_alone(context, "down")
+
+
+def wait_until_listening(context):
+    host, port = split(context.instance.listens)
+    with gevent.Timeout(20.0):
+        while True:
+            try:
+                gevent.socket.create_connection((host, port), 1.0).close()
+                return
+            except OSError:
+                gevent.sleep(0.005)
+
+
+@when("a request for a route that there is comes as soon as its socket listens")
+def early_request(context):
+    wait_until_listening(context)
+    context.caller.send("early", "safe")
+    context.exchange = context.caller.record.exchanges["early"]
+
+
+@when("it is asked to reload as soon as its socket listens")
+def early_reload(context):
+    wait_until_listening(context)
+    context.instance.send(signal.SIGHUP)
+
+
+@then("it is answered with {status:d}")
+def answered(context, status):
+    assert context.exchange.status == status, context.exchange
+
+
+@then("it is answered with {status:d} and says when to come back")
+def answered_later(context, status):
+    assert context.exchange.status == status, context.exchange
+    assert context.exchange.retry_after_s > 0
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -171,7 +171,7 @@
         if measured is not None:
             rate = max(LEAST_RATE * rate, min(rate, measured))
         busy_ms = min(self.servers.left(one, now) for one in usable)
-        return Backlog(self.service, self.demand.waits_ms(self.queue.by_rank(), rate, busy_ms))
+        return Backlog(self.service, self.demand.waits_ms(self.queue.by_rank(now), rate, busy_ms))
 
     def start(
         self, state: ServerState, batch: list[Waiting], limits: BatchLimits, now: float
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -149,10 +149,6 @@
                 return link
         return None
 
-    def address_of(self, link: Link) -> str:
-        """Return the address of the peer of a link that this instance opened."""
-        return link.peer.peer
-
     def heartbeat(self) -> Beacon:
         """Return this instance's sign of life."""
         return self.beacon(asks=True)
--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -22,7 +22,6 @@
         inputs: The handles of the results that it needs.
         after_event: The last event that the caller has already, or an empty string.
         reusable: Whether a connection that was idle may carry it.
-        urgency: Its rank at the server, 0 first, or None to leave it to the server.
     """
 
     request: ForwardRequest
@@ -31,4 +30,3 @@
     inputs: tuple[str, ...] = ()
     after_event: str = ""
     reusable: bool = True
-    urgency: int | None = None
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -109,6 +109,7 @@
             self.site,
             self.context.dispatch,
             self.context.clock,
+            self.expected_ms <= self.route.aim_ms,
         )
         inputs = self.flow.run()
         self.log("stages-done", results=len(inputs))
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -60,9 +60,14 @@
         chosen = set(map(id, batch))
         self.waiting = [one for one in self.waiting if id(one) not in chosen]
 
-    def by_rank(self) -> Counter[int]:
-        """Return how many pieces wait, by the rank of their request."""
-        return Counter(rank(progress.job.urgency) for progress, _ in self.waiting)
+    def by_rank(self, now: float) -> Counter[int]:
+        """Return how many pieces wait, by the rank of their request.
+
+        Those that are late already are left out, since new ones go before them.
+        """
+        return Counter(
+            rank(progress.job.urgency) for progress, _ in self.waiting if progress.job.due >= now
+        )
 
     def oldest(self, now: float) -> float:
         """Return since when the piece has waited that has waited longest; now where none waits."""
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -73,10 +73,9 @@
     def place(self, submission: Submission) -> None:
         """Hand a stage to the instance where its pieces meet, or take it on here."""
         job = submission.job
-        submission.sent += 1
         link = self.fleet.home(job.service)
         if link is not None:
-            submission.home = self.fleet.address_of(link)
+            submission.home = link.peer.peer
             self.fleet.send_later(
                 link, StageOrder(submission.number, job.shifted(-self.clock.now()))
             )
@@ -107,22 +106,22 @@
 
     def announce(self, notice: StageNotice) -> None:
         """Tell the instance where a service's pieces meet which ones will come."""
-        link = self.fleet.home(notice.service)
-        if link is None:
-            self.batcher(notice.service).demand.announce(notice)
-        else:
-            self.fleet.send_later(link, notice)
+        self.hand(notice, lambda: self.batcher(notice.service).demand.announce(notice))
 
     def release(self, service: str, handles: Sequence[str]) -> None:
         """Give up results of a service, at the instance where its pieces meet."""
         named = tuple(handle for handle in handles if handle)
         if not named:
             return
-        link = self.fleet.home(service)
+        self.hand(StageRelease(service, named), lambda: self.batcher(service).release(named))
+
+    def hand(self, message: StageNotice | StageRelease, take: Callable[[], None]) -> None:
+        """Send a message to where its service's pieces meet, or take it in where that is here."""
+        link = self.fleet.home(message.service)
         if link is None:
-            self.batcher(service).release(named)
+            take()
         else:
-            self.fleet.send_later(link, StageRelease(service, named))
+            self.fleet.send_later(link, message)
 
     def take_release(self, release: StageRelease, link: Link) -> None:
         """Give up results that another instance does not need any more."""
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -40,6 +40,7 @@
         site: The data centre of the server that the request is likely to go to.
         dispatch: Where stages are handed to.
         clock: The clock.
+        on_time: Whether it is expected to be on time; pieces of others give way to those that are.
 
     Attributes:
         handles: The results of each stage that is done, by its number.
@@ -56,6 +57,7 @@
         site: str,
         dispatch: StageDispatch,
         clock: Clock,
+        on_time: bool = True,
     ) -> None:
         self.request = request
         self.route = route
@@ -64,6 +66,7 @@
         self.site = site
         self.dispatch = dispatch
         self.clock = clock
+        self.on_time = on_time
         self.handles: dict[int, tuple[str, ...]] = {}
         self.places: dict[int, tuple[str, ...]] = {}
         self.waiting: dict[int, Submission] = {}
@@ -140,7 +143,8 @@
         """Return what is handed over for one stage."""
         stage = self.route.stages[number]
         inputs = tuple(handle for needed in stage.after for handle in self.handles[needed])
-        due = self.request.arrived + self.route.aim_ms - finish_ms(self.request.prompt)
+        aim_ms = self.route.aim_ms if self.on_time else 0.0
+        due = self.request.arrived + aim_ms - finish_ms(self.request.prompt)
         return StageJob(
             request=self.request.id,
             stage=number,
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -23,8 +23,9 @@
 FIRST_FACTOR = 1.25
 FACTOR_STEP = 0.01
 LEAST_FACTOR, MOST_FACTOR = 0.8, 2.0
-# A request that was refused before and comes back is let in up to this part of its time.
-LET_BACK_IN = 0.6
+# One that was refused before and comes back is let in up to this many aims: a late answer is worth
+# more than a second refusal, but only where it is not so late that the caller has left.
+LET_BACK_IN_AIMS = 1.3
 # First attempts come with their whole time; one with less than this part of it comes back.
 FIRST_ATTEMPT = 0.97
 # When a refused request may come back: when the excess is worked off, within these limits; callers
@@ -77,7 +78,7 @@
         expected_ms = self.expected_ms(request, route, urgency)
         most_ms = LET_IN_AIMS[rank(urgency)] * route.aim_ms
         if back:
-            most_ms = max(most_ms, LET_BACK_IN * request.allowed_ms)
+            most_ms = LET_BACK_IN_AIMS * route.aim_ms
         if expected_ms <= most_ms:
             return expected_ms
         back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
--- a/packages/core/src/mountladder/forwarding/submission.py
+++ b/packages/core/src/mountladder/forwarding/submission.py
@@ -21,7 +21,6 @@
     Attributes:
         home: The address of the instance it was left to, or an empty string for this one.
         progress: Its progress where it is worked on here.
-        sent: To how many instances it was handed.
     """
 
     def __init__(self, number: int, job: StageJob, done: Done) -> None:
@@ -30,4 +29,3 @@
         self.done = done
         self.home = ""
         self.progress: JobProgress | None = None
-        self.sent = 0
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -127,10 +127,6 @@
         if self.running[server] <= 0:
             del self.running[server]
 
-    def forget(self, server: str) -> None:
-        """Forget what a server held, since it is gone."""
-        self.held.pop(server, None)
-
 
 def _weight(prompt: Prompt, server: BackendServer) -> int:
     anchor = _anchor(prompt.parts)
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -28,22 +28,16 @@
     Attributes:
         limits: Returns the limits in force.
         is_leaving: Tells whether the instance is about to end, so that connections are closed.
-        counter: The number of requests under way on all connections, in a list of one.
     """
 
     limits: Callable[[], CallerLimits] = staticmethod(CallerLimits)
     is_leaving: Callable[[], bool] = staticmethod(lambda: False)
-    idle: set[CallerConnection] = set()
 
     def read_requestline(self) -> str:
         """Wait for the next request as long as a connection may be idle."""
         limits = self.limits()
         self.socket.settimeout(limits.idle_ms / MS_PER_SECOND)
-        self.idle.add(self)
-        try:
-            line = super().read_requestline()
-        finally:
-            self.idle.discard(self)
+        line = super().read_requestline()
         self.socket.settimeout(limits.header_ms / MS_PER_SECOND)
         return line
 
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -6,8 +6,8 @@
 
 import gc
 
-# Nothing that modules make while they are loaded is garbage; looking for it took a tenth of the
-# time of a start.
+# Nothing that modules make while they are loaded is garbage, and looking for it took a tenth of
+# the time of a start. Whoever has loaded the last of them looks for it again.
 gc.disable()
 
 from gevent import monkey
@@ -18,7 +18,6 @@
 import importlib
 import sys
 from pathlib import Path
-from types import ModuleType
 
 import click
 
@@ -37,19 +36,13 @@
     one, the adapter's function `serve` runs it, on settings of the platform's.
     """
     if adapter:
-        sys.exit(load(adapter).serve())
+        sys.exit(importlib.import_module(adapter).serve())
     if settings is None:
         raise click.UsageError("the file SETTINGS is missing")
     # An instance behind an adapter must not pay for what only the product's interface imports.
-    sys.exit(load("mountladder_entry.standalone").run(settings, check))
-
-
-def load(name: str) -> ModuleType:
-    """Return a module, with garbage looked for from now on among what is made later."""
-    module = importlib.import_module(name)
-    gc.freeze()
+    standalone = importlib.import_module("mountladder_entry.standalone")
     gc.enable()
-    return module
+    sys.exit(standalone.run(settings, check))
 
 
 if __name__ == "__main__":
