--- a/features/readers.feature
+++ b/features/readers.feature
@@ -67,8 +67,11 @@
 
   Scenario: A process that leaves hands the store on at once
     Given the instance that follows the store is asked to end
-    When 300 ms go by
-    And catalogue version 2 is written
+    When 100 ms go by
+    Then 1 instance follows the store
+    When 200 ms go by
+    Then 1 instance follows the store
+    When catalogue version 2 is written
     And 60 ms go by
     Then every reachable instance has catalogue version 2
 
--- a/packages/core/src/mountladder/forwarding/readers.py
+++ b/packages/core/src/mountladder/forwarding/readers.py
@@ -33,9 +33,9 @@
     """Tells whether this instance follows the store, or leaves that to another one near it.
 
     The instances near each other rank themselves by hash. The first one follows the store and
-    tells the others what is new and that the store answers. Each of the others steps in where no
-    better ranked one has said so lately. Two that both follow the store cost some calls, and
-    nothing worse.
+    tells the others what is new and that the store answers. Each of the others steps in where
+    nobody has said so lately, the later the lower its rank, so that not all of them call a store
+    that is away. Two that both follow the store cost some calls, and nothing worse.
 
     Args:
         ranked: Returns the instances near this one by rank, this one included.
@@ -94,8 +94,11 @@
         better = self.better()
         if not better:
             return True
-        fed_until = max(self.fed_until.get(one.name, self.started) for one in better)
-        return now >= fed_until + _patience_ms(len(better))
+        # One that follows the store goes on until a better ranked one does; others are content
+        # with whoever does, such as one that is leaving and whose successor has not spoken yet.
+        heard = {one.name for one in better} if self.reading else set(self.fed_until)
+        fed_until = max((self.fed_until.get(name, 0.0) for name in heard), default=0.0)
+        return now >= max(fed_until, self.started) + _patience_ms(len(better))
 
 
 def _patience_ms(place: int) -> float:
