A soak that is asked to end leaves no process behind

Cause: ended by SIGTERM, the soak left its instances running, ten of them, which went on calling a store that was gone.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -65,3 +65,8 @@
     When it is asked to reload as soon as its socket listens
     And a request for a route that there is comes as soon as its socket listens
     Then it is answered with 200
+
+  Scenario: A soak that is asked to end leaves no process behind
+    Given a soak that has started its instances
+    When it is asked to end
+    Then none of its instances runs any more
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,7 +4,9 @@
 
 """Steps about the fault soak."""
 
+import os
 import signal
+import subprocess
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -258,3 +260,31 @@
 def answered_later(context, status):
     assert context.exchange.status == status, context.exchange
     assert context.exchange.retry_after_s > 0
+
+
+@given("a soak that has started its instances")
+def soak_started(context):
+    command = [sys.executable, "-m", "soak.run", "--seed", "1", "--instances", "3"]
+    tests = str(Path(__file__).parents[2] / "platform" / "tests")
+    context.soak = subprocess.Popen(
+        command, env=os.environ | {"PYTHONPATH": tests}, stdout=subprocess.DEVNULL
+    )
+    context.stack.callback(context.soak.kill)
+    children = Path(f"/proc/{context.soak.pid}/task/{context.soak.pid}/children")
+    with gevent.Timeout(30.0):
+        while len(children.read_text().split()) < 3:
+            gevent.sleep(0.1)
+    context.children = [int(one) for one in children.read_text().split()]
+
+
+@when("it is asked to end")
+def end_soak(context):
+    context.soak.terminate()
+    context.soak.wait(20.0)
+
+
+@then("none of its instances runs any more")
+def none_runs(context):
+    for child in context.children:
+        command = Path(f"/proc/{child}/cmdline")
+        assert not command.exists() or b"mountladder_entry" not in command.read_bytes(), child
