Keep what is derived from membership until it changes

Each instance asks 40 times a second whether it is to follow the store, and each time every instance near it was checked against a limit for which its data centre was sorted anew: 294 us in a fleet of 87, 1.2 % of a core.

Membership keeps its data centre's instances until something changes, and the ranking checks against one limit.

--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from mountladder.membership.instance import Instance
-from mountladder.membership.membership import Membership
+from mountladder.membership.membership import MISSED_HEARTBEATS, Membership
 
 # Up to this many instances all talk to each other, which costs each about 1 % of a core.
 SMALL_FLEET = 12
@@ -69,12 +69,11 @@
         """
         members = self.membership
         whole = len(members.known) <= SMALL_FLEET
-        return [
-            one
-            for one in self.ranked(STORE_TOPIC)
-            if one is members.me
-            or ((whole or one.datacentre == members.me.datacentre) and members.is_heard(one))
-        ]
+        here = members.me.datacentre
+        ranked = self.ranked(STORE_TOPIC)
+        near = ranked if whole else [one for one in ranked if one.datacentre == here]
+        limit_ms = MISSED_HEARTBEATS * members.interval_ms
+        return [one for one in near if one is members.me or members.silence_ms(one) <= limit_ms]
 
 
 def _weight(topic: str, instance: Instance) -> int:
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -42,6 +42,7 @@
         self.heard_at: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.changes = 0
+        self.near_names: tuple[int, list[Instance]] = (-1, [])
         self.forgot_at = clock.now()
 
     @property
@@ -56,13 +57,13 @@
         """Take in the platform's list, which lags; what was heard since goes before it."""
         listed = {instance.name: instance for instance in instances}
         self.listed = frozenset(instance.incarnation for instance in listed.values())
-        self.changes += 1
         for name, instance in listed.items():
             if name != self.me.name and not self.is_heard(self.known.get(name)):
                 self.known[name] = instance
         for name in list(self.known):
             if name not in listed and not self.is_heard(self.known[name]):
                 del self.known[name]
+        self.changes += 1
 
     def hear(self, instance: Instance, leaving: bool = False) -> None:
         """Take in a sign of life from an instance itself."""
@@ -109,8 +110,12 @@
 
     def neighbours(self) -> list[Instance]:
         """Return the known other instances of this data centre, by name."""
-        mine = (one for one in self.known.values() if one.datacentre == self.me.datacentre)
-        return sorted(mine, key=lambda one: one.name)
+        stamp, mine = self.near_names
+        if stamp != self.changes:
+            mine = [one for one in self.known.values() if one.datacentre == self.me.datacentre]
+            mine.sort(key=lambda one: one.name)
+            self.near_names = (self.changes, mine)
+        return list(mine)
 
     def outside(self) -> list[Instance]:
         """Return the few instances of other data centres that this one talks to.
