--- a/features/soak.feature
+++ b/features/soak.feature
@@ -7,6 +7,7 @@
   Scenario: The same seed brings about the same faults
     Then seed 11 draws the same faults twice, and other ones than seed 12
     And 50 seeds draw every kind of fault
+    And no fault of a draw for 60 instances begins in the last three tenths of the traffic
 
   Scenario: A record in which every promise is kept passes
     Given a record of a soak in which all went well
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -72,6 +72,12 @@
     assert drawn == set(FAULTS), set(FAULTS) - drawn
 
 
+@then("no fault of a draw for {number:d} instances begins in the last three tenths of the traffic")
+def none_late(context, number):
+    faults = draw(2000, 20.0, instance_names(number), service_names())
+    assert max(one.at for one in faults) <= 14.0, max(faults, key=lambda one: one.at)
+
+
 def exchange(id_, kind="unsafe", sent=3.0, **fields):
     service = "desk" if kind in {"safe", "unsafe"} else "llm"
     plain = Exchange(id_, kind, service, "a-1", 1, sent, sent + 0.2, 200, True)
