Name what marks a call overdue as an action

Cause: StageServers.is_overdue reads like a question, but records. Ruled out: a second use as a question; there is none. Change: it is mark_overdue, in the one caller and the steps; nothing else. Conclusion: behaviour is the same.

--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -189,7 +189,7 @@
     context.state = router.state(server)
     context.call = begin(context, pieces)
     context.run(context.clock.sleep, 600.0)
-    context.batcher.servers.is_overdue(context.state, context.call)
+    context.batcher.servers.mark_overdue(context.state, context.call)
 
 
 def begin(context, pieces):
@@ -227,7 +227,7 @@
 def overdue_too(context, name):
     call = begin(context, 2)
     context.run(context.clock.sleep, 400.0)
-    context.batcher.servers.is_overdue(context.state, call)
+    context.batcher.servers.mark_overdue(context.state, call)
 
 
 def fail(context):
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -92,7 +92,7 @@
         """Let the pieces of a call that takes long wait for another server as well."""
         now = self.home.clock.now()
         self.state.timed((now - self.call.started) / self.limits.expected_ms(len(self.batch)), now)
-        self.home.servers.is_overdue(self.state, self.call)
+        self.home.servers.mark_overdue(self.state, self.call)
         again = [one for one in self.batch if not one[0].has(one[1]) and self.home.budget.spend()]
         log_message(
             "pieces-late",
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -52,7 +52,7 @@
             self.overdue[name].remove(call)
         state.end(now)
 
-    def is_overdue(self, state: ServerState, call: StageCallState) -> None:
+    def mark_overdue(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call takes so long that its answer may be lost."""
         self.overdue.setdefault(state.server.name, []).append(call)
 
