Messages between instances are bounded and not packed

Cause: processes ended with a segmentation fault in the Cap'n Proto library's writer of packed messages as they passed a catalogue of 350 KB (27 KB compressed) on; every restart was handed the same bytes. Seen: compressed data of 16 KB and more is longer packed than unpacked in 50 of 50 tries; the messages that passed had 1 KB. Change: messages are written unpacked. The catalogue travels in parts of 8 KB with version, offset, size and a hash, put together and adopted whole; lists of servers and instances travel 64 entries a message, the oldest change first, so that a transfer that breaks off leaves no gap.

--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from forwardbasics import catalogue
 
-from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.catalogueassembly import slices
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.serverrecord import ServerRecord
@@ -51,7 +51,8 @@
     context.fleet.catalogues[version] = catalogue(version)
     instance = context.fleet.instances[name]
     link = next(iter(instance.fleet.links.values()))
-    context.run(instance.fleet.handle, CatalogueCopy(str(version).encode()), link)
+    for part in slices(version, str(version).encode()):
+        context.run(instance.fleet.handle, part, link)
 
 
 @when("an older catalogue {version:d} comes to {name} from the store")
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -152,5 +152,9 @@
             listener()
 
     def since(self, version: int) -> list[ServerRecord]:
-        """Return the entries that changed after a version."""
-        return [one for one in self.records.values() if one.version > version]
+        """Return the entries that changed after a version, the oldest change first.
+
+        Whoever takes them in up to some entry lacks only newer ones.
+        """
+        changed = (one for one in self.records.values() if one.version > version)
+        return sorted(changed, key=lambda one: one.version)
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -6,15 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
+from typing import TypeVar
 
 from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
-from mountladder.forwarding.cataloguecopy import CatalogueCopy
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.catalogueslice import CatalogueSlice
+from mountladder.forwarding.cataloguetransfer import CatalogueTransfer
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
@@ -36,6 +38,8 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 
+Entry = TypeVar("Entry")
+
 # In a larger fleet (SMALL_FLEET) so many of the first by hash are kept in touch with for each
 # service with pieces.
 HOMES_KEPT = 2
@@ -48,6 +52,16 @@
 TELL_MS = 15.0
 
 
+# The most entries in one message: at some 120 bytes each about as much as a part of a catalogue.
+MOST_ENTRIES = 64
+
+
+def parts_of(entries: Sequence[Entry]) -> list[tuple[Entry, ...]]:
+    """Return entries in parts that each fit into one message."""
+    starts = range(0, len(entries), MOST_ENTRIES)
+    return [tuple(entries[start : start + MOST_ENTRIES]) for start in starts]
+
+
 class Fleet(LinkKeeper):
     """Keeps in touch with other instances: who lives, what is newest, where pieces meet.
 
@@ -90,6 +104,7 @@
         super().__init__(membership, network, clock, metrics, seeds)
         self.follower = follower
         self.directory = directory
+        self.transfer = CatalogueTransfer(follower, clock, self.send)
         self.services: set[str] = set()
         self.ranking = Ranking(membership)
         self.readers = Readers(self.ranking.near, membership.me, clock)
@@ -199,8 +214,9 @@
 
     def greet(self, link: Link) -> None:
         """Tell a peer that has just connected what it needs to start."""
-        known = tuple(one for one in self.membership.known.values() if one.peer)
-        self.send(link, MemberList(known))
+        known = [one for one in self.membership.known.values() if one.peer]
+        for part in parts_of(known):
+            self.send(link, MemberList(part))
         self.send(link, self.beacon(asks=False))
 
     @singledispatchmethod
@@ -225,7 +241,8 @@
 
     def ask(self, told: Beacon, link: Link) -> None:
         """Ask a peer for what it has and the store did not bring meanwhile."""
-        catalogue = self.follower.version if told.catalogue > self.follower.version else -1
+        lacks = told.catalogue > self.follower.version and not self.transfer.is_coming()
+        catalogue = self.follower.version if lacks else -1
         directory = self.directory.newest if told.directory > self.directory.newest else -1
         if catalogue >= 0 or directory >= 0:
             self.send_later(link, Want(catalogue, directory))
@@ -233,15 +250,23 @@
     @handle.register
     def _(self, message: Want, link: Link) -> None:
         if 0 <= message.catalogue < self.follower.version:
-            self.send(link, CatalogueCopy(self.follower.encoded))
+            self.transfer.begin(link)
         if 0 <= message.directory < self.directory.newest:
-            records = tuple(self.directory.since(message.directory))
-            lapse_ms = self.directory.lapse_ms()
-            self.send(link, DirectoryCopy(self.directory.version, records, lapse_ms))
+            self.send_directory(link, message.directory)
+
+    def send_directory(self, link: Link, since: int) -> None:
+        """Send the entries of the list of servers that changed after a version."""
+        lapse_ms = self.directory.lapse_ms()
+        version = self.directory.version
+        # Only with the last part does a peer know the list up to the version.
+        parts = parts_of(self.directory.since(since)) or [()]
+        for part in parts[:-1]:
+            self.send(link, DirectoryCopy(0, part, lapse_ms))
+        self.send(link, DirectoryCopy(version, parts[-1], lapse_ms))
 
     @handle.register
-    def _(self, message: CatalogueCopy, link: Link) -> None:
-        self.follower.adopt(message.encoded, f"peer {link.peer.name}")
+    def _(self, message: CatalogueSlice, link: Link) -> None:
+        self.transfer.take(message, link)
 
     @handle.register
     def _(self, message: DirectoryCopy, link: Link) -> None:
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -68,6 +68,14 @@
   directory @1 :Int64;
 }
 
+struct CatalogueSlice {
+  version @0 :UInt64;
+  offset @1 :UInt32;
+  size @2 :UInt32;
+  digest @3 :Data;
+  data @4 :Data;
+}
+
 struct ServerRecord {
   id @0 :Text;
   version @1 :UInt64;
@@ -171,7 +179,7 @@
     submitted @6 :Submitted;
     beacon @7 :Beacon;
     want @8 :Want;
-    catalogueCopy @9 :Data;
+    catalogueSlice @9 :CatalogueSlice;
     directoryCopy @10 :DirectoryCopy;
     memberList @11 :List(Member);
     stageOrder @12 :StageOrder;
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import zlib
 from pathlib import Path
 
 import capnp
@@ -14,7 +13,7 @@
 from mountladder.code import Code
 from mountladder.errors import PeerError
 from mountladder.forwarding.beacon import Beacon
-from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.placementnote import PlacementNote
@@ -36,9 +35,9 @@
 from mountladder.membership.wirereader import READERS
 from mountladder.membership.wirewriter import fill
 
-VERSION = 3
+VERSION = 4
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
-Forwarding = Beacon | Want | CatalogueCopy | DirectoryCopy | MemberList
+Forwarding = Beacon | Want | CatalogueSlice | DirectoryCopy | MemberList
 Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 Placing = PlacementOrder | PlacementReply | PlacementNote
 Message = Configuring | Forwarding | Stages | Placing
@@ -48,10 +47,14 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return a message as packed bytes."""
+    """Return a message as bytes.
+
+    They are not packed: what is large is compressed already, where packing adds bytes, and the
+    library's writer of packed messages ended processes on such a message.
+    """
     frame = _SCHEMA.Frame.new_message()
     fill(message, frame)
-    return frame.to_bytes_packed()
+    return frame.to_bytes()
 
 
 def decode(data: bytes) -> Message:
@@ -61,8 +64,8 @@
         PeerError: The bytes are no message.
     """
     try:
-        frame = _SCHEMA.Frame.from_bytes_packed(data)
-        which = str(frame.which())
-        return READERS[which](getattr(frame, which))
-    except (capnp.KjException, zlib.error, ValueError, KeyError, IndexError, UnicodeError) as error:
+        with _SCHEMA.Frame.from_bytes(data) as frame:
+            which = str(frame.which())
+            return READERS[which](getattr(frame, which))
+    except (capnp.KjException, ValueError, KeyError, IndexError, UnicodeError) as error:
         raise PeerError(f"a message cannot be read: {error}", Code.BAD_MESSAGE) from error
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -6,11 +6,9 @@
 
 from __future__ import annotations
 
-import zlib
-
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
-from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.pieceresult import PieceResult
@@ -38,9 +36,6 @@
 from mountladder.membership.wirewriter import ANY_VERSION, FAILURES
 from mountladder.store.write import Write
 
-# A row of the store holds 64 KB at most (the users' sheet).
-MOST_CATALOGUE_BYTES = 1 << 20
-
 
 def _read_hello(hello) -> Hello:
     instance = Instance(
@@ -126,12 +121,10 @@
     return PlacementOrder(number, service, prompt, excluded, str(order.site), order.binding)
 
 
-def _inflated(data: bytes) -> bytes:
-    inflater = zlib.decompressobj()
-    inflated = inflater.decompress(data, MOST_CATALOGUE_BYTES)
-    if not inflater.eof:
-        raise ValueError("a catalogue is cut or too long")
-    return inflated
+def _read_slice(part) -> CatalogueSlice:
+    return CatalogueSlice(
+        part.version, part.offset, part.size, bytes(part.digest), bytes(part.data)
+    )
 
 
 READERS = {
@@ -143,7 +136,7 @@
     "submit": _read_submit,
     "beacon": _read_beacon,
     "want": lambda one: Want(one.catalogue, one.directory),
-    "catalogueCopy": lambda encoded: CatalogueCopy(_inflated(bytes(encoded))),
+    "catalogueSlice": _read_slice,
     "directoryCopy": _read_directory,
     "memberList": lambda members: MemberList(tuple(_read_member(one) for one in members)),
     "stageOrder": _read_order,
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import zlib
-from functools import lru_cache, singledispatch
+from functools import singledispatch
 
 from mountladder.forwarding.beacon import Beacon
-from mountladder.forwarding.cataloguecopy import CatalogueCopy
+from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -122,8 +121,10 @@
 
 
 @fill.register
-def _(message: CatalogueCopy, frame) -> None:
-    frame.catalogueCopy = _compressed(message.encoded)
+def _(message: CatalogueSlice, frame) -> None:
+    part = frame.init("catalogueSlice")
+    part.version, part.offset, part.size = message.version, message.offset, message.size
+    part.digest, part.data = message.digest, message.data
 
 
 @fill.register
@@ -213,12 +214,6 @@
     note.number, note.readMs, note.ended = message.number, message.read_ms, message.ended
 
 
-@lru_cache(maxsize=1)
-def _compressed(encoded: bytes) -> bytes:
-    # The same catalogue goes to every peer that lacks it.
-    return zlib.compress(encoded)
-
-
 def _fill_backlogs(backlogs, frames) -> None:
     for backlog, to in zip(backlogs, frames, strict=True):
         to.service = backlog.service
