Large results decide the model server, and kept parts follow it

Stages were asked for in the data centre of a server chosen before, but the prompt then went where its parts were kept; a part that no server was known to keep counted as kept by one.

--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -21,6 +21,7 @@
         deadline: When it must be done, in the clock's milliseconds.
         inputs: The handles of the results that it needs.
         after_event: The last event that the caller has already, or an empty string.
+        source: The address of the server to fetch kept parts of the prompt from, or empty.
         reusable: Whether a connection that was idle may carry it.
     """
 
@@ -30,3 +31,4 @@
     inputs: tuple[str, ...] = ()
     after_event: str = ""
     reusable: bool = True
+    source: str = ""
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -117,7 +117,7 @@
             self.settings.datacentre,
             SPILL_MS,
         )
-        desk = PlacementDesk(self.directory, self.router, clock)
+        desk = PlacementDesk(self.directory, self.router, clock, self.follower)
         placer = PromptPlacer(self.fleet, desk, clock)
         picker = ServerPicker(self.directory, self.router, placer)
         self.upstream = upstream
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -99,19 +99,17 @@
                 self.request, self.route, self.urgency, self.comes_back
             )
             self.log("let-in", expected_ms=round(self.expected_ms), comes_back=self.comes_back)
-        if not self.site:
-            self.site = self.context.picker.site(self.request, self.service)
         self.flow = StageFlow(
             self.request,
             self.route,
             self.deadline,
             self.urgency,
-            self.site,
             self.context.dispatch,
             self.context.clock,
             self.expected_ms <= self.route.aim_ms,
         )
         inputs = self.flow.run()
+        self.site = self.flow.site()
         self.log("stages-done", results=len(inputs))
         return inputs
 
@@ -134,6 +132,9 @@
             server=attempt.server,
             sending=self.sendings,
             reason=picked.choice.reason(),
+            prompt_from=picked.source,
+            reads=picked.read,
+            tokens=self.request.prompt.tokens if self.request.prompt else 0,
             left_ms=round(self.left()),
         )
         return attempt
@@ -149,6 +150,7 @@
             inputs=inputs,
             after_event=after_event,
             reusable=self.route.repeatable,
+            source=attempt.picked.source,
         )
         return self.context.upstream.open(attempt.choice.state.server, call, limit_ms)
 
--- a/packages/core/src/mountladder/forwarding/picked.py
+++ b/packages/core/src/mountladder/forwarding/picked.py
@@ -17,8 +17,12 @@
 
     Attributes:
         choice: The server, and why it was chosen.
+        source: The address of the server to fetch kept parts of the prompt from, or empty.
+        read: How many tokens the server is believed to read.
         placement: What stands for the prompt where prompts are placed, or 0 without one.
     """
 
     choice: Choice
     placement: int = 0
+    source: str = ""
+    read: int = 0
--- a/packages/core/src/mountladder/forwarding/placedprompt.py
+++ b/packages/core/src/mountladder/forwarding/placedprompt.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass
 
-from mountladder.forwarding.prompt import Prompt
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,10 +16,12 @@
 
     Attributes:
         server: The name of the server.
-        prompt: The prompt.
+        read: How many of its tokens the server reads.
         expected_ms: The expected time to the first event.
+        tokens: How many tokens the server was to read until then, or 0 where it fetched some.
     """
 
     server: str
-    prompt: Prompt
+    read: int
     expected_ms: float
+    tokens: int = 0
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -9,11 +9,13 @@
 from collections.abc import Hashable
 
 from mountladder.clocks.clock import Clock
+from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.placedprompt import PlacedPrompt
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.service import Service
 from mountladder.routing.promptplacement import PromptPlacement
 from mountladder.routing.router import Router
 
@@ -27,15 +29,19 @@
         directory: Which servers there are.
         router: What is known of each server.
         clock: The clock.
+        follower: The catalogue in force.
 
     Attributes:
         placed: The prompts that are at servers, by who placed them and the order's number.
     """
 
-    def __init__(self, directory: Directory, router: Router, clock: Clock) -> None:
+    def __init__(
+        self, directory: Directory, router: Router, clock: Clock, follower: CatalogueFollower
+    ) -> None:
         self.directory = directory
         self.router = router
         self.clock = clock
+        self.follower = follower
         self.placement = PromptPlacement(clock, router)
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.unread: set[tuple[Hashable, int]] = set()
@@ -49,16 +55,27 @@
         """
         servers = self.directory.available(order.service)
         excluded = frozenset(order.excluded)
-        choice = self.placement.choose(servers, order.prompt, excluded, order.site)
-        if choice is None:
+        service = self.service(order.service)
+        transfer = service.transfer if service else None
+        chosen = self.placement.choose(servers, order.prompt, excluded, order.site, transfer)
+        if chosen is None:
             return PlacementReply(order.number, "", 0.0)
+        choice = chosen.choice
         server = choice.state.server.name
         if order.binding:
             key = (owner, order.number)
-            self.placed[key] = PlacedPrompt(server, order.prompt, choice.unloaded_ms)
+            tokens = 0 if chosen.plan.source else self.placement.reading[server] + chosen.plan.read
+            self.placed[key] = PlacedPrompt(server, chosen.plan.read, choice.unloaded_ms, tokens)
             self.unread.add(key)
-            self.placement.began(server, order.prompt)
-        return PlacementReply(order.number, server, choice.expected_ms)
+            self.placement.began(server, order.prompt, chosen.plan.read)
+        return PlacementReply(
+            order.number, server, choice.expected_ms, chosen.plan.source, chosen.plan.read
+        )
+
+    def service(self, name: str) -> Service | None:
+        """Return what the catalogue in force says of a service."""
+        catalogue = self.follower.catalogue
+        return catalogue.services.get(name) if catalogue else None
 
     def note(self, note: PlacementNote, owner: Hashable) -> None:
         """Take in what became of a prompt."""
@@ -77,8 +94,10 @@
         if key not in self.unread:
             return
         self.unread.discard(key)
-        self.placement.read(placed.server, placed.prompt)
+        self.placement.read(placed.server, placed.read)
         state = self.router.states.get(placed.server)
+        if read_ms > 0:
+            self.placement.speed.learn(placed.tokens, read_ms)
         if read_ms > 0 and state is not None:
             state.timed(read_ms / placed.expected_ms, self.clock.now())
 
--- a/packages/core/src/mountladder/forwarding/placementreply.py
+++ b/packages/core/src/mountladder/forwarding/placementreply.py
@@ -17,8 +17,12 @@
         number: The number of the order.
         server: The name of the server, or an empty string where there is none.
         expected_ms: The expected time to the first event there.
+        source: The address of the server that it fetches kept parts of the prompt from, or empty.
+        read: How many tokens it is believed to read.
     """
 
     number: int
     server: str
     expected_ms: float
+    source: str = ""
+    read: int = 0
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -79,7 +79,7 @@
         expected_ms, compared = reply.expected_ms, len(servers) - len(unwanted)
         crowding = state.crowding(now)
         choice = Choice(state, expected_ms, expected_ms, crowding, len(servers), compared)
-        return Picked(choice, reply.number)
+        return Picked(choice, reply.number, reply.source, reply.read)
 
     def out_of_use(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself has taken out of use."""
--- a/packages/core/src/mountladder/forwarding/service.py
+++ b/packages/core/src/mountladder/forwarding/service.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from mountladder.forwarding.batchlimits import BatchLimits
+from mountladder.forwarding.prompttransfer import PromptTransfer
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +21,7 @@
         most_connections: How many connections one server accepts from all callers.
         slots: How many requests a model server batches, or 0 for other servers.
         kv_tokens: The memory of a model server in tokens, or 0.
+        transfer: What moving prompts between its model servers takes, where they can.
         batch: What a server takes at once where the service works on stages, or None.
     """
 
@@ -28,3 +30,4 @@
     slots: int = 0
     kv_tokens: int = 0
     batch: BatchLimits | None = None
+    transfer: PromptTransfer | None = None
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
@@ -37,7 +39,6 @@
         route: Its route.
         deadline: When the stages are of no use any more.
         urgency: The rank of the request, 0 first.
-        site: The data centre of the server that the request is likely to go to.
         dispatch: Where stages are handed to.
         clock: The clock.
         on_time: Whether it is expected to be on time; pieces of others give way to those that are.
@@ -54,7 +55,6 @@
         route: Route,
         deadline: float,
         urgency: int,
-        site: str,
         dispatch: StageDispatch,
         clock: Clock,
         on_time: bool = True,
@@ -63,7 +63,6 @@
         self.route = route
         self.deadline = deadline
         self.urgency = urgency
-        self.site = site
         self.dispatch = dispatch
         self.clock = clock
         self.on_time = on_time
@@ -169,10 +168,17 @@
         )
         if lying and fetched * pieces > LARGE_BYTES:
             return max(set(lying), key=lying.count)
-        if self.is_heavy(number):
-            return self.site
         return ""
 
+    def site(self) -> str:
+        """Return the data centre where most bytes lie that the request fetches, where many do."""
+        sizes: Counter[str] = Counter()
+        for number in self.route.last_stages():
+            for place in self.places.get(number, ()):
+                sizes[place] += self.route.stages[number].result_bytes
+        place, size = max(sizes.items(), key=lambda one: one[1], default=("", 0.0))
+        return place if size > LARGE_BYTES else ""
+
     def is_heavy(self, number: int) -> bool:
         """Tell whether the request itself fetches large results of a stage."""
         stage = self.route.stages[number]
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -135,6 +135,8 @@
   number @0 :UInt64;
   server @1 :Text;
   expectedMs @2 :Float32;
+  source @3 :Text;
+  read @4 :UInt32;
 }
 
 struct PlacementNote {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -143,7 +143,9 @@
     "stageOutcome": _read_outcome,
     "stageWithdrawal": StageWithdrawal,
     "placementOrder": _read_placement,
-    "placementReply": lambda one: PlacementReply(one.number, str(one.server), one.expectedMs),
+    "placementReply": lambda one: PlacementReply(
+        one.number, str(one.server), one.expectedMs, str(one.source), one.read
+    ),
     "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended),
     "stageNotice": lambda one: StageNotice(
         str(one.request), one.stage, str(one.service), one.pieces, one.urgency
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -206,6 +206,7 @@
     reply = frame.init("placementReply")
     reply.number, reply.server = message.number, message.server
     reply.expectedMs = message.expected_ms
+    reply.source, reply.read = message.source, message.read
 
 
 @fill.register
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
@@ -15,20 +15,25 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.prompttransfer import PromptTransfer
 from mountladder.routing.choice import Choice
+from mountladder.routing.promptchoice import PromptChoice
+from mountladder.routing.readingplan import ReadingPlan
+from mountladder.routing.readingspeed import ReadingSpeed
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 
-# Both from the users' sheet of engines: how fast prompts are read, and the least time of a step.
-READ_TOKENS_PER_MS = 61.2
+# The least time to a first token: a step or two of the engines in use, 3 to 6 ms each.
 FIRST_TOKEN_MS = 10.0
-# Reading shared parts again takes time from other prompts and is priced, so that it weighs this
-# many times more than its own time.
-READ_AGAIN = 3.0
+# Reading parts again that some server keeps takes time from other prompts and is paid for, so that
+# it weighs this many times more than its own time.
+READ_AGAIN = 10.0
+# Fetching kept parts is paid for by the byte, about a tenth of what reading them again costs.
+FETCH = 3.0
 # How many parts are remembered for each server; a part that was not used for long is likely gone.
 PARTS_KEPT = 512
 # What fetching large results from another data centre is taken to cost.
-FAR_MS = 60.0
+FAR_MS = 250.0
 
 
 class PromptPlacement:
@@ -46,6 +51,7 @@
         held: The parts that each server was sent, the latest last.
         reading: How many tokens each server has to read yet.
         running: How many prompts are at each server.
+        speed: How fast servers read.
     """
 
     def __init__(self, clock: Clock, router: Router) -> None:
@@ -54,6 +60,7 @@
         self.held: dict[str, OrderedDict[str, None]] = {}
         self.reading: Counter[str] = Counter()
         self.running: Counter[str] = Counter()
+        self.speed = ReadingSpeed()
 
     def choose(
         self,
@@ -61,7 +68,8 @@
         prompt: Prompt,
         excluded: frozenset[str],
         site: str = "",
-    ) -> Choice | None:
+        transfer: PromptTransfer | None = None,
+    ) -> PromptChoice | None:
         """Return the server with the least expected time to the first token, or None.
 
         Args:
@@ -69,55 +77,89 @@
             prompt: The prompt.
             excluded: Names of servers that failed this request already.
             site: The data centre where large inputs lie, or an empty string.
+            transfer: What moving kept parts between servers takes, where they can.
         """
         now = self.clock.now()
         states = [self.router.state(one) for one in servers if one.name not in excluded]
         usable = [state for state in states if state.usable(now)]
         if not usable:
             return None
-        first = max(usable, key=lambda state: _weight(prompt, state.server)).server.name
-        costs = [(self.expected_ms(state, prompt, first, site, now), state) for state in usable]
-        expected_ms, best = min(costs, key=lambda one: one[0])
-        unloaded = FIRST_TOKEN_MS + self.missing(best, prompt, first) / READ_TOKENS_PER_MS
-        return Choice(best, expected_ms, unloaded, best.crowding(now), len(servers), len(usable))
+        first = max(usable, key=lambda state: _weight(prompt, state.server))
+        kept = {state.server.name: self.kept(state, prompt) for state in usable}
+        source = max(usable, key=lambda state: kept[state.server.name])
+        plans = [(state, self.plan(state, prompt, kept, source, transfer)) for state in usable]
+        costs = [(self.expected_ms(*one, one[0] is first, site, now), *one) for one in plans]
+        expected_ms, best, plan = min(costs, key=lambda one: one[0])
+        unloaded = FIRST_TOKEN_MS + plan.read / self.speed.tokens_per_ms + plan.fetch_ms
+        crowding = best.crowding(now)
+        choice = Choice(best, expected_ms, unloaded, crowding, len(servers), len(usable))
+        return PromptChoice(choice, plan)
+
+    def plan(
+        self,
+        state: ServerState,
+        prompt: Prompt,
+        kept: Mapping[str, int],
+        source: ServerState,
+        transfer: PromptTransfer | None,
+    ) -> ReadingPlan:
+        """Return how a server would come by a prompt.
+
+        Args:
+            state: The server.
+            prompt: The prompt.
+            kept: How many of its tokens each server keeps, by the server's name.
+            source: The server that keeps most.
+            transfer: What fetching them from there takes, where that can be done.
+        """
+        here, there = kept[state.server.name], kept[source.server.name]
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+        shared = max(0, prompt.tokens - own)
+        alone = ReadingPlan(prompt.tokens - here, again=there - here, unknown=shared - there)
+        if transfer is None or here == there:
+            return alone
+        far = source.server.datacentre != state.server.datacentre
+        fetch_ms = transfer.expected_ms(there - here, far)
+        if (there - here) / self.speed.tokens_per_ms <= fetch_ms:
+            return alone
+        read = prompt.tokens - there
+        return ReadingPlan(read, 0, shared - there, fetch_ms, source.server.address)
 
     def expected_ms(
-        self, state: ServerState, prompt: Prompt, first: str, site: str, now: float
+        self, state: ServerState, plan: ReadingPlan, first: bool, site: str, now: float
     ) -> float:
-        """Return the expected time to the first token at a server, in milliseconds."""
-        missing = self.missing(state, prompt, first)
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-        again = max(0, missing - own) * (READ_AGAIN - 1.0)
-        tokens = missing + again + self.reading[state.server.name]
-        expected = FIRST_TOKEN_MS + tokens / READ_TOKENS_PER_MS
+        """Return what a server costs a prompt: its time to the first token, and what is paid for."""
+        again = plan.again if first else plan.again + plan.unknown
+        tokens = plan.read + again * (READ_AGAIN - 1.0) + self.reading[state.server.name]
+        expected = FIRST_TOKEN_MS + tokens / self.speed.tokens_per_ms + FETCH * plan.fetch_ms
         crowding = (self.running[state.server.name] + 1) / state.server.slots
         expected *= max(1.0, crowding) ** 2 * state.slowness_at(now)
         return expected + (FAR_MS if site and state.server.datacentre != site else 0.0)
 
-    def missing(self, state: ServerState, prompt: Prompt, first: str) -> int:
-        """Return how many tokens of a prompt a server is believed to have to read."""
+    def kept(self, state: ServerState, prompt: Prompt) -> int:
+        """Return how many tokens of a prompt's shared parts a server is believed to keep."""
         held = self.held.get(state.server.name, {})
-        missing = prompt.tokens
+        kept = 0
         for part in prompt.parts[:-1]:
-            if part.id not in held and state.server.name != first:
+            if part.id not in held:
                 break
-            missing -= part.tokens
-        return max(0, missing)
+            kept += part.tokens
+        return kept
 
-    def began(self, server: str, prompt: Prompt) -> None:
-        """Record that a server begins to read a prompt."""
+    def began(self, server: str, prompt: Prompt, read: int) -> None:
+        """Record that a server begins to read some tokens of a prompt."""
         held = self.held.setdefault(server, OrderedDict())
         for part in prompt.parts:
             held[part.id] = None
             held.move_to_end(part.id)
         while len(held) > PARTS_KEPT:
             held.popitem(last=False)
-        self.reading[server] += prompt.tokens
+        self.reading[server] += read
         self.running[server] += 1
 
-    def read(self, server: str, prompt: Prompt) -> None:
-        """Record that a server has read a prompt, or is not reading it any more."""
-        self.reading[server] -= prompt.tokens
+    def read(self, server: str, tokens: int) -> None:
+        """Record that a server has read some tokens, or is not reading them any more."""
+        self.reading[server] -= tokens
         if self.reading[server] <= 0:
             del self.reading[server]
 
