Results of stages are given up once they are fetched, not at the first event

Cause: in a burst calls to the first stage carried one or two pieces while 40 to 60 waited, since the room for results was held until the first event, up to 0.8 s after a request was sent. A server fetches the results before it reads the prompt.

--- a/packages/core/src/mountladder/forwarding/batchlimits.py
+++ b/packages/core/src/mountladder/forwarding/batchlimits.py
@@ -23,6 +23,7 @@
         piece_ms: About what each piece adds; it differs by stage.
         room_mb: The room for results, in megabytes.
         kept_ms: How long a result is kept.
+        link_mbps: The bandwidth of its link in Mbit/s, or 0 where that is not known.
     """
 
     calls: int
@@ -32,6 +33,7 @@
     piece_ms: float
     room_mb: float
     kept_ms: float
+    link_mbps: float = 0.0
 
     @property
     def room_bytes(self) -> float:
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -13,6 +13,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.departure import Departure
+from mountladder.forwarding.fetchtime import FetchTime
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
@@ -36,6 +37,7 @@
         budget: Returns the retry budget of a service.
         metrics: Where metrics go.
         departure: Whether the instance is about to end.
+        fetch_time: When servers have fetched the results of stages.
     """
 
     clock: Clock
@@ -48,3 +50,4 @@
     budget: Callable[[str], WindowBudget]
     metrics: Metrics
     departure: Departure
+    fetch_time: FetchTime
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -20,6 +20,7 @@
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.fetchtime import FetchTime
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwarder import Forwarder
@@ -134,6 +135,7 @@
             budget=self.budget,
             metrics=metrics,
             departure=self.departure,
+            fetch_time=FetchTime(),
         )
         self.forwarder = Forwarder(context)
         self.catalogue_source = self.make_follower(
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -14,6 +14,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import Backlog, rank
 from mountladder.forwarding.batcher import Batcher
+from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.jobprogress import Done, JobProgress, Results
 from mountladder.forwarding.stagejob import StageJob
@@ -63,6 +64,10 @@
             found = self.batchers[service] = self.make_batcher(service)
         return found
 
+    def limits(self, service: str) -> BatchLimits | None:
+        """Return what a server of a service takes at once, where the catalogue has it."""
+        return self.batcher(service).limits()
+
     def submit(self, job: StageJob, done: Done) -> Submission:
         """Hand over a stage; done is called once with the results of its pieces."""
         submission = Submission(next(self.numbers), job, done)
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -235,6 +235,17 @@
         """Return the handles of the results that the request itself needs."""
         return tuple(h for number in self.route.last_stages() for h in self.handles[number])
 
+    def link_mbps(self) -> float:
+        """Return the bandwidth of the slowest links that the request fetches over, or 0."""
+        services = (self.dispatch.limits(self.service(n)) for n in self.route.last_stages())
+        known = [one.link_mbps for one in services if one is not None and one.link_mbps]
+        return min(known, default=0.0)
+
+    def result_bytes(self) -> float:
+        """Return how many bytes the request itself fetches."""
+        last = self.route.last_stages()
+        return sum(self.route.stages[n].result_bytes * len(self.handles.get(n, ())) for n in last)
+
     def withdraw(self) -> None:
         """Drop what is not done, and give up every result."""
         for submission in list(self.waiting.values()):
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RunError, StageError
@@ -76,6 +76,7 @@
         while True:
             attempt = self.begin()
             answer = None
+            cancel = self.release_soon(inputs)
             try:
                 answer = self.call(attempt, inputs, splitter.last_id, self.first_ms(attempt))
                 if answer.status >= SUCCESS:
@@ -86,7 +87,8 @@
                     answer.close()
                 self.failed(attempt, error)
                 if error.code is Code.RESULT_GONE:
-                    inputs = self.make_inputs_again()
+                    self.learn_gone()
+                inputs = self.make_inputs()
             except BaseException:
                 if answer is not None:
                     answer.close()
@@ -94,7 +96,25 @@
                 raise
             else:
                 self.succeeded(attempt, answer.load, goes_on=True)
+                self.context.fetch_time.fetched()
                 return attempt, answer, first
+            finally:
+                cancel()
+
+    def release_soon(self, inputs: tuple[str, ...]) -> Callable[[], None]:
+        """Give up the results of stages once the server has fetched them; return what stops it."""
+        if self.flow is None or not inputs:
+            return lambda: None
+        size = self.flow.result_bytes()
+        wait_ms = self.context.fetch_time.wait_ms(size, self.flow.link_mbps())
+        return self.context.clock.call_later(wait_ms, self.flow.release)
+
+    def learn_gone(self) -> None:
+        """Learn from results that a server could not fetch; they are made again."""
+        if self.flow is not None and not self.flow.handles:
+            self.context.fetch_time.too_early()
+        elif self.flow is not None:
+            self.flow.release()
 
     def first_events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter
@@ -204,13 +224,6 @@
             return self.flow.inputs()
         return super().make_inputs()
 
-    def make_inputs_again(self) -> tuple[str, ...]:
-        """Run the stages once more, since a server lost what they had made."""
-        if self.flow is not None:
-            self.flow.release()
-        self.flow = None
-        return super().make_inputs()
-
     def split(self, splitter: EventSplitter, data: bytes) -> bytes:
         """Return the events that are whole now."""
         try:
