A server without room is full of others' results only by what was free at its call

Sizes are told about, so that a call that fills the room misses it often. Seen: servers idle for 130 ms beside 40 waiting pieces, then calls with one piece. Change: the spare room is noted as the call begins; only more than one result counts.

--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -66,6 +66,8 @@
         self.state = state
         self.batch = batch
         self.limits = limits
+        asked = sum(progress.job.result_bytes for progress, _ in batch)
+        self.spare = limits.room_bytes - home.room.taken(state.server.name, now) - asked
         expected_ms = limits.expected_ms(len(batch)) * state.slowness_at(now)
         self.call = StageCallState(now, expected_ms, len(batch))
 
@@ -150,7 +152,9 @@
             self.home.room.keep(result.handle, server, size, now + self.limits.kept_ms)
         if result.failure is PieceFailure.NO_ROOM:
             # The server did not work on it, so that this is no repeat.
-            self.home.room.found_full(server, self.limits.room_bytes, now, self.limits.kept_ms)
+            # Sizes are told about: a call that was to fill the room may miss it by a result or so.
+            if self.spare > size:
+                self.home.room.found_full(server, self.spare, now, self.limits.kept_ms)
             self.home.queue.add_again(waiting)
         elif result.failure is PieceFailure.FAILED:
             self.repeat(progress, fragment, result)
--- a/packages/core/src/mountladder/forwarding/resultroom.py
+++ b/packages/core/src/mountladder/forwarding/resultroom.py
@@ -52,9 +52,15 @@
             self.lost[server] = lost
         return sum(size for size, _ in lost)
 
-    def found_full(self, server: str, room: float, now: float, kept_ms: float) -> None:
-        """Record that a server had no room, though as far as is known here it had some."""
-        unknown = room - self.used[server] - self.lost_bytes(server, now)
+    def found_full(self, server: str, unknown: float, now: float, kept_ms: float) -> None:
+        """Record that a server had no room, though as far as was known here it had some.
+
+        Args:
+            server: The name of the server.
+            unknown: How many bytes were free there at the start of the call, as far as was known.
+            now: The clock's time.
+            kept_ms: How long a result is kept.
+        """
         if unknown > 0.0:
             self.foreign[server] = (unknown, now, now + kept_ms)
 
