Work that meets in one place stays with the older half of the instances

Cause: an instance that was killed and started again took its work back within a second: two instances sent pieces to the same servers, what was known of room, speeds and kept parts was lost twice. A hash alone ranked the instances. Change: instances tell the time of day at their start; the younger half comes behind the older one, within which the hash divides the topics.

--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -97,6 +97,7 @@
             "",
             settings.peer,
             cores=settings.cores,
+            since=int(clock.wall()),
         )
         self.follower = CatalogueFollower(tables.decode_catalogue, clock)
         self.directory = Directory(clock)
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -16,6 +16,8 @@
 # Those with less than this part of the most processor cores take shared work only after the
 # others: a small one that takes what a whole fleet sends is late for all of it.
 AMPLE_CORES = 0.6
+# So many of the oldest share work even where that is more than half of all.
+LEAST_OLDER = 2
 # Under this topic instances are ranked for following the store.
 STORE_TOPIC = "the store"
 
@@ -38,16 +40,22 @@
     def ranked(self, topic: str) -> list[Instance]:
         """Return the instances in the order in which they are to take the work of a topic.
 
-        Those with few processor cores come behind those with many.
+        Those with few processor cores come behind those with many, and the younger half behind
+        the older one: whoever starts again does not take work back, since what is known where work
+        meets is lost with each move. Among the older half a hash divides the topics.
         """
         stamp = (self.membership.changes, self.leaving)
         known = self.ranks.get(topic)
         if known is not None and known[0] == stamp:
             return known[1]
         staying = self.staying()
-        ample = AMPLE_CORES * max((one.cores for one in staying), default=0.0)
+        least = AMPLE_CORES * max((one.cores for one in staying), default=0.0)
+        ample = [one for one in staying if one.cores >= least]
+        older = set(map(id, _older_half(ample)))
         ranked = sorted(
-            staying, key=lambda one: (one.cores >= ample, _weight(topic, one)), reverse=True
+            staying,
+            key=lambda one: (one.cores >= least, id(one) in older, _weight(topic, one)),
+            reverse=True,
         )
         self.ranks[topic] = (stamp, ranked)
         return ranked
@@ -76,5 +84,10 @@
         return [one for one in near if one is members.me or members.silence_ms(one) <= limit_ms]
 
 
+def _older_half(instances: list[Instance]) -> list[Instance]:
+    by_age = sorted(instances, key=lambda one: (one.since, one.name))
+    return by_age[: max(LEAST_OLDER, (len(instances) + 1) // 2)]
+
+
 def _weight(topic: str, instance: Instance) -> int:
     return xxhash.xxh64_intdigest(f"{topic}\0{instance.name}".encode())
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -21,6 +21,7 @@
         peer: The IP number and port its peers connect to.
         leaving: Whether it is about to end.
         cores: How many processor cores it may use; shared work goes to those with many.
+        since: The time of day at its start, in milliseconds; shared work stays with the older ones.
     """
 
     name: str
@@ -30,3 +31,4 @@
     peer: str
     leaving: bool = False
     cores: float = 1.0
+    since: int = 0
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -12,6 +12,7 @@
   peer @5 :Text;
   nonce @6 :Data;
   cores @7 :Float32;
+  since @8 :UInt64;
 }
 
 struct Heartbeat {
@@ -98,6 +99,7 @@
   datacentre @1 :Text;
   peer @2 :Text;
   cores @3 :Float32;
+  since @4 :UInt64;
 }
 
 struct StageOrder {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -45,12 +45,21 @@
         hello.web,
         hello.peer,
         cores=hello.cores,
+        since=hello.since,
     )
     return Hello(hello.version, instance, bytes(hello.nonce))
 
 
 def _read_member(one) -> Instance:
-    return Instance(str(one.name), "", str(one.datacentre), "", str(one.peer), cores=one.cores)
+    return Instance(
+        str(one.name),
+        "",
+        str(one.datacentre),
+        "",
+        str(one.peer),
+        cores=one.cores,
+        since=one.since,
+    )
 
 
 def _read_heartbeat(heartbeat) -> Heartbeat:
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -56,7 +56,7 @@
     hello.web = message.instance.web
     hello.peer = message.instance.peer
     hello.nonce = message.nonce
-    hello.cores = message.instance.cores
+    hello.cores, hello.since = message.instance.cores, message.instance.since
 
 
 @fill.register
@@ -145,7 +145,7 @@
     members = frame.init("memberList", len(message.instances))
     for instance, to in zip(message.instances, members, strict=True):
         to.name, to.datacentre, to.peer = instance.name, instance.datacentre, instance.peer
-        to.cores = instance.cores
+        to.cores, to.since = instance.cores, instance.since
 
 
 @fill.register
