Stages of which nothing is begun are given up after two aims

Change: the queue settles a stage of which nothing was taken as not begun; its request is refused with the time to come back. Never where another stage is under way, or where an instance had the stage before that may have begun it.

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -180,5 +180,6 @@
         run = BatchRun(self, state, batch, limits, now)
         self.servers.begin(state, run.call)
         for progress, _ in batch:
+            progress.begun = True
             self.room.reserve(state.server.name, progress.job.result_bytes)
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -108,11 +108,21 @@
             self.context.clock,
             self.expected_ms <= self.route.aim_ms,
         )
-        inputs = self.flow.run()
+        try:
+            inputs = self.flow.run()
+        except RefusalError as error:
+            raise self.given_up(error) from error
         self.site = self.flow.site()
         self.log("stages-done", results=len(inputs))
         return inputs
 
+    def given_up(self, error: RefusalError) -> RefusalError:
+        """Return the refusal of a request whose stages were not begun in time."""
+        forecast = self.context.forecast
+        forecast.learn(self.route, self.expected_ms, self.elapsed())
+        back_ms = forecast.back_ms(self.request, self.route, self.urgency)
+        return RefusalError(error.detail, error.code, retry_after_ms=back_ms)
+
     def begin(self) -> ForwardAttempt:
         """Choose a server for the next sending.
 
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -27,6 +27,7 @@
     Attributes:
         results: The results so far, by the number of the piece.
         tries: How often each piece was sent.
+        begun: Whether any piece was taken to be sent.
         ended: Whether the results were handed over, or are not wanted any more.
     """
 
@@ -37,6 +38,7 @@
         self.results: dict[int, PieceResult] = {}
         self.tries: Counter[int] = Counter()
         self.ended = False
+        self.begun = False
 
     def has(self, fragment: int) -> bool:
         """Tell whether a piece needs no result any more."""
--- a/packages/core/src/mountladder/forwarding/piecefailure.py
+++ b/packages/core/src/mountladder/forwarding/piecefailure.py
@@ -16,3 +16,4 @@
     INPUT_GONE = "input gone"
     NO_ROOM = "no room"
     FAILED = "failed"
+    NOT_BEGUN = "not begun"
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -90,6 +90,7 @@
 
     def drop_late(self, now: float) -> None:
         """Settle pieces that are of no use any more."""
+        self.drop_unbegun(now)
         late = [one for one in self.waiting if one[0].has(one[1]) or one[0].job.deadline <= now]
         if not late:
             return
@@ -98,6 +99,17 @@
         for progress, fragment in late:
             progress.settle(fragment, PieceResult("", PieceFailure.LATE))
 
+    def drop_unbegun(self, now: float) -> None:
+        """Give up stages of which nothing is begun when their callers were promised more."""
+        hopeless = {
+            id(progress): progress
+            for progress, _ in self.waiting
+            if not progress.begun and progress.job.give_up <= now
+        }
+        for progress in hopeless.values():
+            self.withdraw(progress)
+            progress.settle(0, PieceResult("", PieceFailure.NOT_BEGUN))
+
     def choose(
         self,
         state: ServerState,
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -17,6 +17,8 @@
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.jobprogress import Done, JobProgress, Results
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
@@ -96,8 +98,12 @@
     def settle(self, number: int, results: Results) -> None:
         """Hand the results of a stage to the request that waits for them."""
         submission = self.submissions.pop(number, None)
-        if submission is not None:
-            submission.done(results)
+        if submission is None:
+            return
+        if submission.moved:
+            # The instance that had it before may have begun it.
+            results = tuple(_certain(result) for result in results)
+        submission.done(results)
 
     def withdraw(self, submission: Submission) -> None:
         """Drop a stage that is not wanted any more."""
@@ -138,6 +144,7 @@
         if lost:
             log_message("stages-moved", instance=address, stages=len(lost))
         for submission in lost:
+            submission.moved = True
             self.place(submission)
 
     def take_order(self, order: StageOrder, link: Link) -> None:
@@ -186,3 +193,9 @@
         progress = self.foreign.pop((id(link), withdrawal.number), None)
         if progress is not None:
             self.batcher(progress.job.service).withdraw(progress)
+
+
+def _certain(result: PieceResult) -> PieceResult:
+    if result.failure is PieceFailure.NOT_BEGUN:
+        return PieceResult("", PieceFailure.LATE)
+    return result
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
-from mountladder.errors import RunError
+from mountladder.errors import RefusalError, RunError
 from mountladder.forwarding.finishtime import finish_ms
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.jobprogress import Results
@@ -26,6 +27,9 @@
 # What one stage is taken to need, waiting included: a call of 150 ms, its pieces, half a call's
 # wait for a server (the users' sheet).
 STAGE_MS = 260.0
+# A request none of whose stages is begun after so many aims is refused: its caller may come back
+# at a better time, and waits in vain no longer.
+GIVE_UP_AIMS = 2.0
 # Where a stage fetches or makes more than this, it is to be done in the data centre where the
 # bytes lie or are needed: results that cross data centres are priced by the gigabyte.
 LARGE_BYTES = 1_000_000.0
@@ -106,6 +110,9 @@
         if len(self.handles) == len(self.route.stages):
             return
         in_time = self.clock.wait(self.changed, self.deadline - self.clock.now())
+        if self.failure is PieceFailure.NOT_BEGUN:
+            self.begun = False
+            raise RefusalError("no server took its stages in time", Code.DEADLINE_UNMEETABLE)
         if self.failure is not None:
             code = (
                 Code.RESULT_GONE if self.failure is PieceFailure.INPUT_GONE else Code.STAGE_FAILED
@@ -123,7 +130,11 @@
             if fed and not self.is_early(number):
                 self.start(number)
 
-    def start(self, number: int) -> None:
+    def has_begun_others(self) -> bool:
+        """Tell whether any stage but one that was not begun may have been worked on."""
+        return bool(self.waiting) or any(self.handles.values())
+
+    def start(self, number: int, give_up: float | None = None) -> None:
         """Hand over one stage, or leave it out where it has no pieces."""
         pieces = self.request.pieces[number] if number < len(self.request.pieces) else 0
         if pieces == 0:
@@ -133,13 +144,15 @@
             return
         self.begun = True
         submission = self.dispatch.submit(
-            self.job(number, pieces), lambda results: self.ended(number, results)
+            self.job(number, pieces, give_up), lambda results: self.ended(number, results)
         )
         if number not in self.handles:
             self.waiting[number] = submission
 
-    def job(self, number: int, pieces: int) -> StageJob:
+    def job(self, number: int, pieces: int, give_up: float | None = None) -> StageJob:
         """Return what is handed over for one stage."""
+        if give_up is None:
+            give_up = self.request.arrived + GIVE_UP_AIMS * self.route.aim_ms
         stage = self.route.stages[number]
         inputs = tuple(handle for needed in stage.after for handle in self.handles[needed])
         aim_ms = self.route.aim_ms if self.on_time else 0.0
@@ -156,6 +169,7 @@
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
             datacentre=self.wanted(number, pieces),
+            give_up=give_up,
         )
 
     def wanted(self, number: int, pieces: int) -> str:
@@ -213,6 +227,10 @@
         """Take in the results of a stage."""
         self.waiting.pop(number, None)
         failures = [one.failure for one in results if one.failure is not None]
+        if PieceFailure.NOT_BEGUN in failures and self.has_begun_others():
+            # Other stages are under way, so that a refusal would not be true any more.
+            self.start(number, give_up=math.inf)
+            return
         if failures:
             self.failure = failures[0]
             self.dispatch.release(self.service(number), [one.handle for one in results])
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -81,11 +81,16 @@
             most_ms = LET_BACK_IN_AIMS * route.aim_ms
         if expected_ms <= most_ms:
             return expected_ms
-        back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
-        back_ms = min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
+        back_ms = self.back_ms(request, route, urgency)
         detail = f"expected {expected_ms:.0f} ms, aim {route.aim_ms:.0f} ms"
         raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=back_ms)
 
+    def back_ms(self, request: ForwardRequest, route: Route, urgency: int) -> float:
+        """Return when a request that is refused may come back, in milliseconds."""
+        excess_ms = self.expected_ms(request, route, urgency) - route.aim_ms
+        back_ms = max(LEAST_BACK_MS, BACK_EXCESS * excess_ms)
+        return min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
+
     def expected_ms(self, request: ForwardRequest, route: Route, urgency: int) -> float:
         """Return the expected time to the first event, in milliseconds."""
         last = (self.stage_ms(request, route, n, urgency) for n in range(len(route.stages)))
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 
 from mountladder.forwarding.piece import Piece
@@ -26,6 +27,7 @@
         due: When it has to be done for the answer to be on time.
         urgency: The rank of its request, 0 first.
         result_bytes: About how large the result of one piece is.
+        give_up: When it is given up if none of it is begun, in the clock's milliseconds.
         datacentre: Where its results are needed, or an empty string where that does not matter.
     """
 
@@ -40,6 +42,7 @@
     urgency: int
     result_bytes: float
     datacentre: str
+    give_up: float = math.inf
 
     def piece(self, fragment: int) -> Piece:
         """Return one of its pieces."""
@@ -47,4 +50,9 @@
 
     def shifted(self, by_ms: float) -> StageJob:
         """Return the same with other times, such as relative ones to be sent to a peer."""
-        return replace(self, deadline=self.deadline + by_ms, due=self.due + by_ms)
+        return replace(
+            self,
+            deadline=self.deadline + by_ms,
+            due=self.due + by_ms,
+            give_up=self.give_up + by_ms,
+        )
--- a/packages/core/src/mountladder/forwarding/submission.py
+++ b/packages/core/src/mountladder/forwarding/submission.py
@@ -20,6 +20,7 @@
 
     Attributes:
         home: The address of the instance it was left to, or an empty string for this one.
+        moved: Whether another instance had it before, which may have begun it.
         progress: Its progress where it is worked on here.
     """
 
@@ -28,4 +29,5 @@
         self.job = job
         self.done = done
         self.home = ""
+        self.moved = False
         self.progress: JobProgress | None = None
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -115,6 +115,7 @@
   urgency @9 :UInt8;
   resultBytes @10 :Float32;
   datacentre @11 :Text;
+  giveUpMs @12 :Float32;
 }
 
 struct PromptPart {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -101,6 +101,7 @@
         order.urgency,
         order.resultBytes,
         order.datacentre,
+        order.giveUpMs,
     )
     return StageOrder(order.number, job)
 
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -156,7 +156,7 @@
     order.pieces, order.key, order.inputs = job.pieces, job.key, list(job.inputs)
     order.remainingMs, order.dueMs = job.deadline, job.due
     order.urgency, order.datacentre = min(job.urgency, MOST_URGENCY), job.datacentre
-    order.resultBytes = job.result_bytes
+    order.resultBytes, order.giveUpMs = job.result_bytes, job.give_up
 
 
 @fill.register
