A request that was sent once is not refused when its stages are made again

Ruled out: refusals of first attempts (none had run). Change: only the first flow of stages of a request that was never sent may be given up.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -93,7 +93,8 @@
         """Run the stages and return the handles that the request needs."""
         if not self.route.stages:
             return ()
-        if self.flow is None:
+        is_first = self.flow is None and self.sendings == 0
+        if is_first:
             forecast = self.context.forecast
             self.expected_ms = forecast.check(
                 self.request, self.route, self.urgency, self.comes_back
@@ -107,6 +108,7 @@
             self.context.dispatch,
             self.context.clock,
             self.expected_ms <= self.route.aim_ms,
+            is_first,
         )
         try:
             inputs = self.flow.run()
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -45,6 +45,7 @@
         urgency: The rank of the request, 0 first.
         dispatch: Where stages are handed to.
         clock: The clock.
+        may_refuse: Whether the request can still be refused, since nothing of it was begun before.
         on_time: Whether it is expected to be on time; pieces of others give way to those that are.
 
     Attributes:
@@ -62,6 +63,7 @@
         dispatch: StageDispatch,
         clock: Clock,
         on_time: bool = True,
+        may_refuse: bool = True,
     ) -> None:
         self.request = request
         self.route = route
@@ -70,6 +72,9 @@
         self.dispatch = dispatch
         self.clock = clock
         self.on_time = on_time
+        self.give_up = math.inf
+        if may_refuse:
+            self.give_up = request.arrived + GIVE_UP_AIMS * route.aim_ms
         self.handles: dict[int, tuple[str, ...]] = {}
         self.places: dict[int, tuple[str, ...]] = {}
         self.waiting: dict[int, Submission] = {}
@@ -134,7 +139,7 @@
         """Tell whether any stage but one that was not begun may have been worked on."""
         return bool(self.waiting) or any(self.handles.values())
 
-    def start(self, number: int, give_up: float | None = None) -> None:
+    def start(self, number: int) -> None:
         """Hand over one stage, or leave it out where it has no pieces."""
         pieces = self.request.pieces[number] if number < len(self.request.pieces) else 0
         if pieces == 0:
@@ -144,15 +149,13 @@
             return
         self.begun = True
         submission = self.dispatch.submit(
-            self.job(number, pieces, give_up), lambda results: self.ended(number, results)
+            self.job(number, pieces), lambda results: self.ended(number, results)
         )
         if number not in self.handles:
             self.waiting[number] = submission
 
-    def job(self, number: int, pieces: int, give_up: float | None = None) -> StageJob:
+    def job(self, number: int, pieces: int) -> StageJob:
         """Return what is handed over for one stage."""
-        if give_up is None:
-            give_up = self.request.arrived + GIVE_UP_AIMS * self.route.aim_ms
         stage = self.route.stages[number]
         inputs = tuple(handle for needed in stage.after for handle in self.handles[needed])
         aim_ms = self.route.aim_ms if self.on_time else 0.0
@@ -169,7 +172,7 @@
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
             datacentre=self.wanted(number, pieces),
-            give_up=give_up,
+            give_up=self.give_up,
         )
 
     def wanted(self, number: int, pieces: int) -> str:
@@ -229,7 +232,8 @@
         failures = [one.failure for one in results if one.failure is not None]
         if PieceFailure.NOT_BEGUN in failures and self.has_begun_others():
             # Other stages are under way, so that a refusal would not be true any more.
-            self.start(number, give_up=math.inf)
+            self.give_up = math.inf
+            self.start(number)
             return
         if failures:
             self.failure = failures[0]
