Who comes back too late to be on time goes behind those who can be

Cause: a request that came back was treated as one with its whole aim left. Change: its age is taken from the time it has left, and it is on time only if it can be.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -66,7 +66,8 @@
         self.flow: StageFlow | None = None
         self.site = ""
         self.expected_ms = 0.0
-        self.comes_back = bool(route.stages) and context.forecast.comes_back(request, route)
+        self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
+        self.comes_back = self.age_ms > 0.0
         context.budget(self.service).earn()
 
     @property
@@ -107,7 +108,7 @@
             self.urgency,
             self.context.dispatch,
             self.context.clock,
-            self.expected_ms <= self.route.aim_ms,
+            self.age_ms + self.expected_ms <= self.route.aim_ms,
             is_first,
         )
         try:
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -54,11 +54,12 @@
         self.longest: dict[str, float] = {}
         self.factors: dict[str, float] = {}
 
-    def comes_back(self, request: ForwardRequest, route: Route) -> bool:
-        """Tell whether a request is likely one that was refused before."""
+    def age_ms(self, request: ForwardRequest, route: Route) -> float:
+        """Return how long ago the caller first tried, as far as its remaining time tells."""
         longest = max(self.longest.get(route.name, 0.0), request.allowed_ms)
         self.longest[route.name] = longest
-        return request.allowed_ms < FIRST_ATTEMPT * longest
+        back = request.allowed_ms < FIRST_ATTEMPT * longest
+        return longest - request.allowed_ms if back else 0.0
 
     def check(self, request: ForwardRequest, route: Route, urgency: int, back: bool) -> float:
         """Let a request in, or refuse it with the time when there may be room for it.
