Results are kept until a server is reached; stages run again where one is lost

Cause: with a data centre cut off, an attempt that could not connect cost the results that had been given up meanwhile, and a request ended with code 3016 as soon as one result of its stages could not be fetched, with seconds left. Ruled out: room at the cut-off servers, which is full of orphaned results for as long as results are kept, and which nothing on our side can free. Change: the time to the release starts when the connection is open; stages are run again from the first, twice at most, while there is time. Instances that start within two seconds count as equally old.

--- /dev/null
+++ b/features/steps/heavyday_steps.py
@@ -0,0 +1,461 @@
+# heavyday_steps.py -- Steps about decisions under the heaviest loads
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about decisions under the heaviest loads."""
+
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import gevent
+from behave import given, then, when
+from forwardbasics import PATHS, ROUTES, request, serve
+
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.errors import RefusalError
+from mountladder.forwarding.batchlimits import BatchLimits
+from mountladder.forwarding.batchrun import BatchRun
+from mountladder.forwarding.fetchtime import FetchTime
+from mountladder.forwarding.jobprogress import JobProgress
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.piecequeue import PieceQueue
+from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.placementdesk import PlacementDesk
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.prompttransfer import PromptTransfer
+from mountladder.forwarding.ranking import Ranking
+from mountladder.forwarding.resultroom import ResultRoom
+from mountladder.forwarding.routestage import RouteStage
+from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.service import Service
+from mountladder.forwarding.stagedispatch import StageDispatch
+from mountladder.forwarding.stageflow import StageFlow
+from mountladder.forwarding.stageforecast import StageForecast
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.membership.instance import Instance
+from mountladder.membership.membership import Membership
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.router import Router
+
+RESULT_BYTES = 1_500_000.0
+LIMITS = BatchLimits(1, 2, 5, 200.0, 33.6, 11.25, 4_000.0, 10_000.0)
+TOPICS = ("prompts", "first stage", "second stage", "third stage")
+# The price that the scenarios' engines have for moving a token's memory.
+TOKEN_BYTES = 163_840.0
+
+
+def job(pieces=1, give_up=float("inf")):
+    return StageJob("r", 0, "enc", pieces, "key", (), 1e9, 1e9, 0, RESULT_BYTES, "", give_up)
+
+
+def server(name, datacentre):
+    return listed_server(name, "planner", f"10.0.0.{name[-1]}:80", datacentre, 64, False)
+
+
+def router(clock):
+    return Router(
+        clock, random.Random(1), CostModel(), ExpectedCompletion(), MemoryMetrics(), "a", 3.0
+    )
+
+
+@given(
+    "a server whose room for 7 results is to be {use} by a call"
+    " with {new:d} beside {old:d} that lie there"
+)
+def room(context, use, new, old):
+    context.clock = VirtualClock()
+    state = router(context.clock).state(server("enc-1", "a"))
+    context.room = ResultRoom()
+    for _ in range(old):
+        context.room.reserve("enc-1", RESULT_BYTES)
+    home = SimpleNamespace(room=context.room, queue=PieceQueue(), clock=context.clock)
+    home.twice = set()
+    context.progress = JobProgress(job(new), lambda results: None, 0.0)
+    batch = [(context.progress, number) for number in range(new)]
+    context.batch = BatchRun(home, state, batch, LIMITS, 0.0)
+    for _ in range(new):
+        context.room.reserve("enc-1", RESULT_BYTES)
+
+
+@when("it has no room for the last one")
+def no_room(context):
+    context.lying = context.room.taken("enc-1", 0.0) - RESULT_BYTES
+    result = PieceResult("", PieceFailure.NO_ROOM)
+    context.batch.take_result((context.progress, context.progress.job.pieces - 1), result, 0.0)
+
+
+@then("it is not taken to be full of results of others")
+def not_full(context):
+    assert context.room.taken("enc-1", 0.0) == context.lying
+
+
+@then("it is taken to be full of results of others")
+def full(context):
+    assert context.room.taken("enc-1", 0.0) >= LIMITS.room_bytes - RESULT_BYTES
+
+
+@given("a stage of {pieces:d} pieces that nothing is begun of, to be given up after {ms:d} ms")
+def unbegun(context, pieces, ms):
+    context.settled = []
+    context.now = 0.0
+    context.progress = JobProgress(job(pieces, float(ms)), context.settled.append, 0.0)
+    context.queue = PieceQueue()
+    context.queue.add(context.progress)
+
+
+@given("one of its pieces is taken")
+def taken(context):
+    context.progress.begun = True
+    context.queue.take(context.queue.waiting[:1])
+
+
+@when("{ms:d} ms go by at the queue")
+def go_by(context, ms):
+    context.now += ms
+    context.queue.drop_late(context.now)
+
+
+@then("the stage waits on")
+def waits_on(context):
+    assert not context.settled and len(context.queue) > 0
+
+
+@then("the stage is settled as not begun")
+def not_begun(context):
+    (results,) = context.settled
+    assert [one.failure for one in results] == [PieceFailure.NOT_BEGUN] * 5
+    assert len(context.queue) == 0
+
+
+class GivingUpDispatch:
+    """Gives a stage up as not begun at first; one that is handed over again is done."""
+
+    def __init__(self, clock, busy):
+        self.clock = clock
+        self.busy = busy
+        self.jobs = []
+
+    def announce(self, notice):
+        pass
+
+    def release(self, service, handles):
+        pass
+
+    def withdraw(self, submission):
+        pass
+
+    def wait_ms(self, service, urgency):
+        return 0.0
+
+    def submit(self, job, done):
+        self.jobs.append(job)
+        whole = tuple(PieceResult(f"{job.stage}/{n}") for n in range(job.pieces))
+        gone = tuple(PieceResult("", PieceFailure.NOT_BEGUN) for _ in range(job.pieces))
+        given_up = job.stage == 0 and job.give_up < float("inf")
+        wait_ms = 100.0 if job.stage == 0 else 500.0
+        self.clock.call_later(wait_ms, lambda: done(gone if given_up else whole))
+        return object()
+
+
+@given("a request whose stage is given up since nothing of it was begun")
+def given_up(context):
+    context.clock = VirtualClock()
+    context.pieces = (1, 0)
+
+
+@given("nothing else of it was begun")
+def nothing_else(context):
+    pass
+
+
+@given("another of its stages is under way")
+def another_stage(context):
+    context.pieces = (1, 1)
+
+
+@when("its stages run")
+def run_stages(context):
+    staged = next(one for one in ROUTES if one.name == "staged")
+    route = replace(staged, stages=(RouteStage("x", (), 1.0), RouteStage("y", (), 1.0)))
+    sent = request("r", PATHS["staged"], context.clock.now(), pieces=context.pieces)
+    dispatch = GivingUpDispatch(context.clock, len(context.pieces) > 1)
+    context.flow = StageFlow(sent, route, 10_000.0, 0, dispatch, context.clock)
+
+    def run():
+        try:
+            context.ended = context.flow.run()
+        except RefusalError as error:
+            context.ended = error
+
+    context.clock.run(gevent.spawn(run))
+
+
+@then("it ends as a refusal")
+def ends_refused(context):
+    assert isinstance(context.ended, RefusalError)
+    assert not context.flow.begun
+
+
+@then("it ends as a whole set of results")
+def ends_whole(context):
+    assert context.ended == ("0/0", "1/0"), context.ended
+
+
+@given("a stage that was handed to an instance and moved to the next one")
+def moved(context):
+    clock = VirtualClock()
+    fleet = SimpleNamespace(home=lambda service: None, links={})
+    batcher = SimpleNamespace(submit=lambda job, done: SimpleNamespace(job=job))
+    context.dispatch = StageDispatch(fleet, lambda service: batcher, clock)
+    context.settled = []
+    submission = context.dispatch.submit(job(), context.settled.append)
+    submission.home = "10.0.0.1:7000"
+    context.number = submission.number
+    context.dispatch.move_from("10.0.0.1:7000")
+
+
+@when("the next one gives it up as not begun")
+def next_gives_up(context):
+    context.dispatch.settle(context.number, (PieceResult("", PieceFailure.NOT_BEGUN),))
+
+
+@then("its request is told that it came too late")
+def told_late(context):
+    assert [one.failure for one in context.settled[0]] == [PieceFailure.LATE]
+
+
+@given("requests with an aim of {aim:d} ms that come with {allowed:d} ms")
+def first_tries(context, aim, allowed):
+    context.forecast = StageForecast(None, None)
+    context.route = next(one for one in ROUTES if one.name == "staged")
+    sent = request("r", PATHS["staged"], 0.0, allowed_ms=float(allowed))
+    assert context.forecast.age_ms(sent, context.route) == 0.0
+
+
+@when("one of them comes with {left:d} ms left")
+def comes_back(context, left):
+    sent = request("r", PATHS["staged"], 0.0, allowed_ms=float(left))
+    context.age_ms = context.forecast.age_ms(sent, context.route)
+
+
+@then("it is known to be {age:d} ms old")
+def is_old(context, age):
+    assert context.age_ms == age
+
+
+@then("one that comes with {left:d} ms left counts as a first try")
+def counts_first(context, left):
+    comes_back(context, left)
+    assert context.age_ms == 0.0
+
+
+def member(number, since, cores=1.0):
+    return Instance(
+        f"edge-{number}",
+        f"i{number}-{since}",
+        "a",
+        "",
+        f"10.1.0.{number}:7",
+        cores=cores,
+        since=since,
+    )
+
+
+def ranking(instances):
+    membership = Membership(instances[0], VirtualClock(), 250.0)
+    for one in instances[1:]:
+        membership.hear(one)
+    return Ranking(membership)
+
+
+@given("{number:d} instances that started together")
+def together(context, number):
+    context.instances = [member(n, 1_000) for n in range(number)]
+
+
+@when("the one that has the work of a topic is killed and starts again")
+def starts_again(context):
+    context.before = {topic: ranking(context.instances).ranked(topic)[0] for topic in TOPICS}
+    context.again = {}
+    for topic, first in context.before.items():
+        rest = [one for one in context.instances if one is not first]
+        number = int(first.name.partition("-")[2])
+        meanwhile = ranking(rest).ranked(topic)[0]
+        after = ranking([*rest, member(number, 9_000)]).ranked(topic)[0]
+        context.again[topic] = (meanwhile, after)
+
+
+@then("the work is at another one, and stays there")
+def stays(context):
+    for topic, (meanwhile, after) in context.again.items():
+        assert meanwhile.name == after.name != context.before[topic].name, topic
+
+
+@given("one with four times the cores that started last")
+def large(context):
+    context.instances.append(member(99, 9_000, cores=4.0))
+
+
+@then("the work of every topic is at that one")
+def at_large(context):
+    ranked = ranking(context.instances)
+    assert {ranked.ranked(topic)[0].name for topic in TOPICS} == {"edge-99"}
+
+
+def desk(context, speed, mbps):
+    clock = VirtualClock()
+    transfer = PromptTransfer(TOKEN_BYTES, mbps) if mbps else None
+    catalogue = SimpleNamespace(services={"planner": Service("planner", 100, transfer=transfer)})
+    servers = (server("llm-1", "a"), server("llm-2", "b"))
+    directory = SimpleNamespace(available=lambda service: servers)
+    follower = SimpleNamespace(catalogue=catalogue)
+    context.desk = PlacementDesk(directory, router(clock), clock, follower)
+    context.desk.placement.speed.tokens_per_ms = speed
+
+
+@given(
+    "an engine that reads {speed:g} tokens a millisecond and moves kept parts at {mbps:d} Mbit/s"
+)
+def engine(context, speed, mbps):
+    desk(context, speed, mbps)
+
+
+@given("a shared part of {tokens:d} tokens that a server of another data centre keeps")
+def kept_elsewhere(context, tokens):
+    context.shared = PromptPart("shared", tokens)
+    prompt = Prompt(tokens + 10, 10, (context.shared, PromptPart("other", 10)))
+    context.desk.placement.began("llm-2", prompt, 0)
+    context.desk.placement.ended("llm-2")
+
+
+def place(context, own, site):
+    prompt = Prompt(context.shared.tokens + own, 30, (context.shared, PromptPart("own", own)))
+    order = PlacementOrder(1, "planner", prompt, (), site, True)
+    context.reply = context.desk.place(order, "me")
+
+
+@when(
+    "a prompt with {own:d} tokens of its own and large results in the first data centre is placed"
+)
+def placed(context, own):
+    context.own = own
+    place(context, own, "a")
+
+
+@when("a prompt with {own:d} tokens of its own and an unknown part of {tokens:d} is placed")
+def placed_unknown(context, own, tokens):
+    context.shared = PromptPart("unknown", tokens)
+    place(context, own, "")
+
+
+@then("it goes to the first data centre and fetches {tokens:d} tokens")
+def fetches(context, tokens):
+    assert (context.reply.server, context.reply.read) == ("llm-1", context.own)
+    assert context.reply.source == "10.0.0.2:80"
+    assert tokens == context.shared.tokens
+
+
+@then("it goes to the first data centre and reads all of its tokens")
+def reads_all(context):
+    whole = context.own + context.shared.tokens
+    assert (context.reply.server, context.reply.source) == ("llm-1", ""), context.reply
+    assert context.reply.read == whole
+
+
+@then("it goes to the second data centre and reads its own tokens")
+def reads_own(context):
+    assert (context.reply.server, context.reply.source) == ("llm-2", ""), context.reply
+    assert context.reply.read == context.own
+
+
+@then("it is expected to read {tokens:d} tokens")
+def expected_to_read(context, tokens):
+    assert context.reply.read == tokens
+
+
+@given("engines that really read {speed:g} tokens a millisecond")
+def real_speed(context, speed):
+    context.real = speed
+    desk(context, 40.0, 0)
+
+
+@when("{number:d} prompts were read")
+def were_read(context, number):
+    for n in range(number):
+        parts = (PromptPart(f"part {n}", 2_000), PromptPart(f"own {n}", 1_000))
+        order = PlacementOrder(n, "planner", Prompt(3_000, 10, parts), (), "", True)
+        context.desk.place(order, "me")
+        context.desk.note(PlacementNote(n, 3_000 / context.real, True), "me")
+
+
+@then("the speed is known within {part:d} parts in a hundred")
+def known_speed(context, part):
+    known = context.desk.placement.speed.tokens_per_ms
+    assert abs(known - context.real) <= context.real * part / 100, known
+
+
+@given("results of {size:g} MB over links of {mbps:d} Mbit/s")
+def results(context, size, mbps):
+    context.fetch = FetchTime()
+    context.size, context.mbps = size * 1e6, float(mbps)
+
+
+@then("they are kept for about {ms:d} ms after the request was sent")
+def kept_for(context, ms):
+    assert abs(context.fetch.wait_ms(context.size, context.mbps) - ms) < 1.0
+
+
+@when("a server found them gone")
+def found_gone(context):
+    context.fetch.too_early()
+
+
+@when("{number:d} servers had what they needed")
+def had_all(context, number):
+    for _ in range(number):
+        context.fetch.fetched()
+
+
+@when("{number:d} lasting requests come one after the other")
+def one_by_one(context, number):
+    for n in range(number):
+        sent = request(f"l{n}", PATHS["lasting"], context.clock.now())
+        context.run(serve, context, "a-1", sent)
+    assert all(end[0] == 200 for end in context.ends.values()), context.ends
+    arrivals = context.fleet.upstream.arrivals.values()
+    assert any(len(names) > 1 for names in arrivals), arrivals
+
+
+@given("the next result of a first stage is lost")
+def result_lost(context):
+    upstream = context.fleet.upstream
+    plain = upstream.run_pieces
+    lost = []
+
+    def run_pieces(server, pieces, limit_ms):
+        made = plain(server, pieces, limit_ms)
+        if pieces[0].stage == 1 and not lost:
+            lost.append(pieces[0])
+            return tuple(PieceResult("", PieceFailure.INPUT_GONE) for _ in pieces)
+        return made
+
+    upstream.run_pieces = run_pieces
+    context.lost = lost
+
+
+@when("a lasting request is sent")
+def lasting(context):
+    sent = request("l0", PATHS["lasting"], context.clock.now())
+    context.run(serve, context, "a-1", sent)
+
+
+@then("it is answered whole")
+def answered_whole(context):
+    assert context.lost
+    assert context.ends["l0"][0] == 200 and context.ends["l0"][2] == 0, context.ends
--- a/features/steps/piece_steps.py
+++ b/features/steps/piece_steps.py
@@ -184,7 +184,7 @@
     sent = request("r", PATHS["staged"], context.clock.now(), pieces=(first, second, third))
     context.dispatch = RecordingDispatch()
     deadline = context.clock.now() + 1_000.0
-    flow = StageFlow(sent, context.route, deadline, 0, "", context.dispatch, context.clock)
+    flow = StageFlow(sent, context.route, deadline, 0, context.dispatch, context.clock)
     context.handles = context.run(flow.run)
 
 
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -96,7 +96,9 @@
 
 @when("it is found full, with results kept for {ms:d} ms")
 def found_full(context, ms):
-    context.room.found_full(SERVER, context.bytes, context.clock.now(), ms)
+    now = context.clock.now()
+    unknown = context.bytes - context.room.taken(SERVER, now)
+    context.room.found_full(SERVER, unknown, now, ms)
 
 
 @then("{number:g} bytes are taken to be in use there")
--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from mountladder.forwarding.forwardrequest import ForwardRequest
@@ -22,6 +23,7 @@
         inputs: The handles of the results that it needs.
         after_event: The last event that the caller has already, or an empty string.
         source: The address of the server to fetch kept parts of the prompt from, or empty.
+        connected: Called once the server can be reached, as the request is about to be written.
         reusable: Whether a connection that was idle may carry it.
     """
 
@@ -32,3 +34,4 @@
     after_event: str = ""
     reusable: bool = True
     source: str = ""
+    connected: Callable[[], None] = lambda: None
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from eliot import log_message
 
 from mountladder.code import Code
@@ -24,6 +26,9 @@
 # How often a request is sent where no server says that it ran; each sending but the first also
 # costs a part of the retry budget.
 MOST_SENDINGS = 4
+# How often the stages are run again from the first since a result was lost on the way, such as at a
+# server that crashed or in a data centre that was cut off.
+MOST_FLOWS_LOST = 2
 # A repeat that would have less time than this is not worth a server's work.
 LEAST_LEFT_MS = 30.0
 # When a caller may come back after every server that was asked was full.
@@ -45,6 +50,8 @@
         deadline: When the caller or the route stops waiting.
         sendings: How often it was sent.
         runs: On how many servers it may have run.
+        flows_lost: How often its stages were run again since a result was lost.
+        cancel_release: Keeps results that are about to be given up.
     """
 
     def __init__(
@@ -66,6 +73,8 @@
         self.flow: StageFlow | None = None
         self.site = ""
         self.expected_ms = 0.0
+        self.flows_lost = 0
+        self.cancel_release: Callable[[], None] = lambda: None
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.comes_back = self.age_ms > 0.0
         context.budget(self.service).earn()
@@ -115,10 +124,20 @@
             inputs = self.flow.run()
         except RefusalError as error:
             raise self.given_up(error) from error
+        except RunError as error:
+            if error.code is not Code.RESULT_GONE or not self.may_make_again():
+                raise
+            self.log("stages-again", reason=error.detail, elapsed_ms=round(self.elapsed()))
+            return self.make_inputs()
         self.site = self.flow.site()
         self.log("stages-done", results=len(inputs))
         return inputs
 
+    def may_make_again(self) -> bool:
+        """Tell whether the stages may be run once more after a result of theirs was lost."""
+        self.flows_lost += 1
+        return self.flows_lost <= MOST_FLOWS_LOST and self.left() > self.expected_ms
+
     def given_up(self, error: RefusalError) -> RefusalError:
         """Return the refusal of a request whose stages were not begun in time."""
         forecast = self.context.forecast
@@ -153,7 +172,12 @@
         return attempt
 
     def call(
-        self, attempt: ForwardAttempt, inputs: tuple[str, ...], after_event: str, limit_ms: float
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        after_event: str,
+        limit_ms: float,
+        connected: Callable[[], None] = lambda: None,
     ) -> UpstreamAnswer:
         """Send the request to the server of an attempt and return the head of the answer."""
         call = ForwardCall(
@@ -164,6 +188,7 @@
             after_event=after_event,
             reusable=self.route.repeatable,
             source=attempt.picked.source,
+            connected=connected,
         )
         return self.context.upstream.open(attempt.choice.state.server, call, limit_ms)
 
--- a/packages/core/src/mountladder/forwarding/placedprompt.py
+++ b/packages/core/src/mountladder/forwarding/placedprompt.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 
 
-
 @dataclass(frozen=True, slots=True)
 class PlacedPrompt:
     """A prompt at a model server, as the instance that placed it remembers it.
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -16,8 +16,9 @@
 # Those with less than this part of the most processor cores take shared work only after the
 # others: a small one that takes what a whole fleet sends is late for all of it.
 AMPLE_CORES = 0.6
-# So many of the oldest share work even where that is more than half of all.
-LEAST_OLDER = 2
+# Instances whose starts lie so close together count as equally old: all of a fleet that is started
+# at once, or again after all were killed, do so within a second or two.
+TOGETHER_MS = 2_000
 # Under this topic instances are ranked for following the store.
 STORE_TOPIC = "the store"
 
@@ -85,8 +86,9 @@
 
 
 def _older_half(instances: list[Instance]) -> list[Instance]:
-    by_age = sorted(instances, key=lambda one: (one.since, one.name))
-    return by_age[: max(LEAST_OLDER, (len(instances) + 1) // 2)]
+    starts = sorted(one.since for one in instances)
+    latest = starts[(len(starts) - 1) // 2] + TOGETHER_MS if starts else 0
+    return [one for one in instances if one.since <= latest]
 
 
 def _weight(topic: str, instance: Instance) -> int:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RunError, StageError
@@ -76,15 +76,17 @@
         while True:
             attempt = self.begin()
             answer = None
-            cancel = self.release_soon(inputs)
             try:
-                answer = self.call(attempt, inputs, splitter.last_id, self.first_ms(attempt))
+                answer = self.call(
+                    attempt, inputs, splitter.last_id, self.first_ms(attempt), self.release_soon
+                )
                 if answer.status >= SUCCESS:
                     return attempt, answer, b""
                 first = self.first_events(attempt, answer, splitter)
             except StageError as error:
                 if answer is not None:
                     answer.close()
+                self.cancel_release()
                 self.failed(attempt, error)
                 if error.code is Code.RESULT_GONE:
                     self.learn_gone()
@@ -98,16 +100,13 @@
                 self.succeeded(attempt, answer.load, goes_on=True)
                 self.context.fetch_time.fetched()
                 return attempt, answer, first
-            finally:
-                cancel()
-
-    def release_soon(self, inputs: tuple[str, ...]) -> Callable[[], None]:
-        """Give up the results of stages once the server has fetched them; return what stops it."""
-        if self.flow is None or not inputs:
-            return lambda: None
-        size = self.flow.result_bytes()
-        wait_ms = self.context.fetch_time.wait_ms(size, self.flow.link_mbps())
-        return self.context.clock.call_later(wait_ms, self.flow.release)
+
+    def release_soon(self) -> None:
+        """Give up the results of stages once the server that was reached has fetched them."""
+        if self.flow is not None and self.flow.handles:
+            size = self.flow.result_bytes()
+            wait_ms = self.context.fetch_time.wait_ms(size, self.flow.link_mbps())
+            self.cancel_release = self.context.clock.call_later(wait_ms, self.flow.release)
 
     def learn_gone(self) -> None:
         """Learn from results that a server could not fetch; they are made again."""
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -128,7 +128,7 @@
     def expected_ms(
         self, state: ServerState, plan: ReadingPlan, first: bool, site: str, now: float
     ) -> float:
-        """Return what a server costs a prompt: its time to the first token, and what is paid for."""
+        """Return what a server costs a prompt: its time to the first token and what is paid."""
         again = plan.again if first else plan.again + plan.unknown
         tokens = plan.read + again * (READ_AGAIN - 1.0) + self.reading[state.server.name]
         expected = FIRST_TOKEN_MS + tokens / self.speed.tokens_per_ms + FETCH * plan.fetch_ms
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -68,6 +68,7 @@
         self.arrivals[call.request.id].append(server.name)
         if fault in _REFUSALS:
             raise StageError("", _REFUSALS[fault], False)
+        call.connected()
         self.runs[call.request.id].append(server.name)
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
