A team's priority goes before the route's, which decides among equal teams

Cause: where every team has the same priority all requests had the same rank: the route's priority was not looked at once a team had one. In bursts the least urgent kind was served on time beside refusals of the most urgent one. Change: the rank of a request is the team's level, and within it the route's priority; the received line tells both. Six ranks in place of three. Tests: features/heavydays.feature, ranks of teams and routes, the queue in a burst.

--- a/features/heavydays.feature
+++ b/features/heavydays.feature
@@ -41,6 +41,24 @@
     When the next one gives it up as not begun
     Then its request is told that it came too late
 
+  Scenario Outline: Among teams of equal priority the route decides, before it the team
+    Given routes with priorities 0, 1 and 2 and teams with priorities <levels>
+    When a request of a team with priority <team> is sent on the route with priority <route>
+    Then its rank is <rank>
+
+    Examples:
+      | levels | team | route | rank |
+      | 1, 1   | 1    | 0     | 0    |
+      | 1, 1   | 1    | 2     | 2    |
+      | 0, 1   | 0    | 2     | 2    |
+      | 0, 1   | 1    | 0     | 3    |
+      | 0, 1   | none | 1     | 1    |
+
+  Scenario: In a burst the more urgent pieces go first though the others are due sooner
+    Given pieces of rank 0 due in 900 ms behind pieces of rank 2 due in 200 ms
+    When the next call is filled
+    Then it holds the pieces of rank 0
+
   Scenario: Who comes back and can not be on time goes behind those who can
     Given requests with an aim of 1100 ms that come with 6000 ms
     When one of them comes with 5100 ms left
--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -4,6 +4,7 @@
 
 """Steps about decisions under the heaviest loads."""
 
+import json
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -11,6 +12,7 @@
 import gevent
 from behave import given, then, when
 from forwardbasics import PATHS, ROUTES, request, serve
+from mountladder_platform.decoding import decode_catalogue
 
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.errors import RefusalError
@@ -230,6 +232,56 @@
     assert [one.failure for one in context.settled[0]] == [PieceFailure.LATE]
 
 
+@given("routes with priorities 0, 1 and 2 and teams with priorities {levels}")
+def priorities(context, levels):
+    document = {
+        "version": 1,
+        "routes": [
+            {"name": f"r{n}", "hostname": "x", "prefix": f"/{n}/", "type": "safe", "service": "s"}
+            | {"timeout_ms": 1_000, "priority": n}
+            for n in range(3)
+        ],
+        "services": [{"name": "s"}],
+        "tenants": [
+            {"name": f"t{n}", "api_keys": [f"k{level}"], "priority": int(level)}
+            for n, level in enumerate(levels.split(", "))
+        ],
+    }
+    context.catalogue = decode_catalogue(json.dumps(document).encode())
+
+
+@when("a request of a team with priority {team} is sent on the route with priority {route:d}")
+def of_team(context, team, route):
+    holder = context.catalogue.keys.get(f"k{team}")
+    found = context.catalogue.match("x", f"/{route}/1")
+    context.rank = context.catalogue.urgency(holder, found)
+
+
+@then("its rank is {rank:d}")
+def has_rank(context, rank):
+    assert context.rank == rank, context.rank
+
+
+@given("pieces of rank 0 due in 900 ms behind pieces of rank 2 due in 200 ms")
+def ranked_pieces(context):
+    context.queue = PieceQueue()
+    for urgency, due in ((2, 200.0), (0, 900.0)):
+        ranked = replace(job(5), urgency=urgency, due=due)
+        context.queue.add(JobProgress(ranked, lambda results: None, 0.0))
+
+
+@when("the next call is filled")
+def fill_call(context):
+    state = router(VirtualClock()).state(server("enc-1", "a"))
+    context.queue.sort(0.0)
+    context.batch = context.queue.choose(state, 0.0, {"a"}, LIMITS, 0.0)
+
+
+@then("it holds the pieces of rank 0")
+def holds_urgent(context):
+    assert [progress.job.urgency for progress, _ in context.batch] == [0] * 5
+
+
 @given("requests with an aim of {aim:d} ms that come with {allowed:d} ms")
 def first_tries(context, aim, allowed):
     context.forecast = StageForecast(None, None)
--- a/packages/core/src/mountladder/forwarding/backlog.py
+++ b/packages/core/src/mountladder/forwarding/backlog.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-# Requests of this rank and all beyond it are treated alike.
-LAST_RANK = 2
+# Requests of this rank and all beyond it are treated alike: three ranks of routes in two of teams.
+LAST_RANK = 5
 
 
 def rank(urgency: int) -> int:
--- a/packages/core/src/mountladder/forwarding/catalogue.py
+++ b/packages/core/src/mountladder/forwarding/catalogue.py
@@ -26,6 +26,8 @@
         keys: Who holds each API key.
         guarded: Whether requests need a key on routes that are not public.
         limits: What callers may send.
+        team_levels: The different priorities that teams have.
+        route_span: How many ranks the routes of one such level take up.
     """
 
     version: int
@@ -34,6 +36,18 @@
     keys: Mapping[str, KeyHolder] = field(default_factory=dict)
     guarded: bool = False
     limits: CallerLimits = CallerLimits()
+    team_levels: tuple[int, ...] = ()
+    route_span: int = 0
+
+    def urgency(self, holder: KeyHolder | None, route: Route) -> int:
+        """Return the rank of a request, 0 first.
+
+        A team's priority goes before the route's: all of a more urgent team come first, and among
+        those of equally urgent teams the route decides.
+        """
+        team = holder.priority if holder is not None else None
+        above = sum(level < team for level in self.team_levels) if team is not None else 0
+        return above * self.route_span + route.priority
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request: the longest prefix of its host that begins its path."""
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -76,6 +76,8 @@
             catalogue_age_ms=self.context.follower.shown_age(),
             allowed_ms=round(request.allowed_ms),
             pieces=request.pieces,
+            urgency=run.urgency,
+            route_priority=route.priority,
         )
         return run
 
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -48,6 +48,7 @@
 
     Attributes:
         deadline: When the caller or the route stops waiting.
+        urgency: The rank of the request, 0 first.
         sendings: How often it was sent.
         runs: On how many servers it may have run.
         flows_lost: How often its stages were run again since a result was lost.
@@ -65,6 +66,7 @@
         self.route = route
         self.holder = holder
         self.context = context
+        self.urgency = context.follower.catalogue.urgency(holder, route)
         self.service = route.draw(context.rng)
         self.deadline = request.arrived + min(request.allowed_ms, route.timeout_ms)
         self.sendings = 0
@@ -84,13 +86,6 @@
         """Return the name of the team, or an empty string."""
         return self.holder.team if self.holder else ""
 
-    @property
-    def urgency(self) -> int:
-        """Return the rank of the request; the team's goes before the route's."""
-        if self.holder is not None and self.holder.priority is not None:
-            return self.holder.priority
-        return self.route.priority
-
     def left(self) -> float:
         """Return how much time is left, in milliseconds."""
         return self.deadline - self.context.clock.now()
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -21,7 +21,7 @@
 RANK_MS = 600.0
 # How long pieces wait for a server of the data centre where their bytes lie or are needed, by the
 # rank of their request: what crosses costs about as much as the least urgent request is worth.
-FAR_PATIENCE_MS = (150.0, 250.0, 500.0)
+FAR_PATIENCE_MS = (150.0, 250.0, 500.0, 500.0, 500.0, 500.0)
 # Pieces with less time left than so many full calls do not wait for a near server: their own call
 # and about half of one that must end first. A late answer costs more than its bytes, while one
 # that is late anyway can wait.
