--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -388,7 +388,7 @@
 
 def place(context, own, site):
     prompt = Prompt(context.shared.tokens + own, 30, (context.shared, PromptPart("own", own)))
-    order = PlacementOrder(1, "planner", prompt, (), site, True)
+    order = PlacementOrder(1, "planner", prompt, (), site)
     context.reply = context.desk.place(order, "me")
 
 
@@ -441,7 +441,7 @@
 def were_read(context, number):
     for n in range(number):
         parts = (PromptPart(f"part {n}", 2_000), PromptPart(f"own {n}", 1_000))
-        order = PlacementOrder(n, "planner", Prompt(3_000, 10, parts), (), "", True)
+        order = PlacementOrder(n, "planner", Prompt(3_000, 10, parts), (), "")
         context.desk.place(order, "me")
         context.desk.note(PlacementNote(n, 3_000 / context.real, True), "me")
 
--- a/packages/core/src/mountladder/forwarding/fetchtime.py
+++ b/packages/core/src/mountladder/forwarding/fetchtime.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 # From sending a request until its server has asked for the results: some steps of an engine and
-# the way there. Half and twice as much play alike.
+# the way there. Three times as much buys as much within the spread.
 LEAST_MS = 40.0
 # The link of the server that made them also carries the results of others.
 SHARED_LINK = 3.0
--- a/packages/core/src/mountladder/forwarding/finishtime.py
+++ b/packages/core/src/mountladder/forwarding/finishtime.py
@@ -9,10 +9,10 @@
 from mountladder.forwarding.prompt import Prompt
 from mountladder.routing.readingspeed import FIRST_TOKENS_PER_MS
 
-# Fetching results and waiting for the step under way, as played on the calm days.
+# Fetching results and waiting for the step under way.
 LEAST_MS = 100.0
-# Most of a prompt is cached, but others are read beside it: played times come to about this part
-# of the time to read it whole.
+# Most of a prompt is cached, but others are read beside it. A first guess only, of which each route
+# learns the ratio to what is seen (StageForecast.factors).
 READ_PART = 0.6
 
 
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import TypeVar
 
 from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
@@ -20,6 +19,7 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memberlist import MemberList
+from mountladder.forwarding.messageparts import directory_copies, parts_of
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
@@ -38,8 +38,6 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 
-Entry = TypeVar("Entry")
-
 # In a larger fleet (SMALL_FLEET) so many of the first by hash are kept in touch with for each
 # service with pieces.
 HOMES_KEPT = 2
@@ -52,16 +50,6 @@
 TELL_MS = 15.0
 
 
-# The most entries in one message: at some 120 bytes each about as much as a part of a catalogue.
-MOST_ENTRIES = 64
-
-
-def parts_of(entries: Sequence[Entry]) -> list[tuple[Entry, ...]]:
-    """Return entries in parts that each fit into one message."""
-    starts = range(0, len(entries), MOST_ENTRIES)
-    return [tuple(entries[start : start + MOST_ENTRIES]) for start in starts]
-
-
 class Fleet(LinkKeeper):
     """Keeps in touch with other instances: who lives, what is newest, where pieces meet.
 
@@ -256,13 +244,8 @@
 
     def send_directory(self, link: Link, since: int) -> None:
         """Send the entries of the list of servers that changed after a version."""
-        lapse_ms = self.directory.lapse_ms()
-        version = self.directory.version
-        # Only with the last part does a peer know the list up to the version.
-        parts = parts_of(self.directory.since(since)) or [()]
-        for part in parts[:-1]:
-            self.send(link, DirectoryCopy(0, part, lapse_ms))
-        self.send(link, DirectoryCopy(version, parts[-1], lapse_ms))
+        for copy in directory_copies(self.directory, since):
+            self.send(link, copy)
 
     @handle.register
     def _(self, message: CatalogueSlice, link: Link) -> None:
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -125,20 +125,7 @@
         self.upstream = upstream
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump)
-        context = ForwardContext(
-            clock=clock,
-            rng=self.rng,
-            follower=self.follower,
-            picker=picker,
-            upstream=upstream,
-            dispatch=self.dispatch,
-            forecast=StageForecast(self.dispatch, self.follower),
-            budget=self.budget,
-            metrics=metrics,
-            departure=self.departure,
-            fetch_time=FetchTime(),
-        )
-        self.forwarder = Forwarder(context)
+        self.forwarder = Forwarder(self.make_context(picker))
         self.catalogue_source = self.make_follower(
             "catalogue", self.tables.catalogue, self.take_catalogue
         )
@@ -149,6 +136,22 @@
         self.fleet.is_fed = self.is_answered
         self.follower.is_fed = self.is_fed
 
+    def make_context(self, picker: ServerPicker) -> ForwardContext:
+        """Return what forwarded requests share."""
+        return ForwardContext(
+            clock=self.clock,
+            rng=self.rng,
+            follower=self.follower,
+            picker=picker,
+            upstream=self.upstream,
+            dispatch=self.dispatch,
+            forecast=StageForecast(self.dispatch, self.follower),
+            budget=self.budget,
+            metrics=self.metrics,
+            departure=self.departure,
+            fetch_time=FetchTime(),
+        )
+
     def make_follower(
         self, name: str, source: Source, take: Callable[[SourcePage, bool], None]
     ) -> SourceFollower:
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -47,7 +47,7 @@
         self.unread: set[tuple[Hashable, int]] = set()
 
     def place(self, order: PlacementOrder, owner: Hashable) -> PlacementReply:
-        """Return where a prompt is to go, and remember it where it is sent there.
+        """Return where a prompt is to go, and remember that it is sent there.
 
         Args:
             order: The prompt.
@@ -62,15 +62,15 @@
             return PlacementReply(order.number, "", 0.0)
         choice = chosen.choice
         server = choice.state.server.name
-        if order.binding:
-            key = (owner, order.number)
-            tokens = 0 if chosen.plan.source else self.placement.reading[server] + chosen.plan.read
-            self.placed[key] = PlacedPrompt(server, chosen.plan.read, choice.unloaded_ms, tokens)
-            self.unread.add(key)
-            self.placement.began(server, order.prompt, chosen.plan.read)
-        return PlacementReply(
-            order.number, server, choice.expected_ms, chosen.plan.source, chosen.plan.read
+        plan = chosen.plan
+        ahead = self.placement.reading[server]
+        key = (owner, order.number)
+        self.placed[key] = PlacedPrompt(
+            server, plan.read, choice.unloaded_ms, 0 if plan.source else ahead + plan.read
         )
+        self.unread.add(key)
+        self.placement.began(server, order.prompt, plan.read)
+        return PlacementReply(order.number, server, choice.expected_ms, plan.source, plan.read)
 
     def service(self, name: str) -> Service | None:
         """Return what the catalogue in force says of a service."""
--- a/packages/core/src/mountladder/forwarding/placementorder.py
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -21,7 +21,6 @@
         prompt: The prompt.
         excluded: Names of servers that the asking instance does not want.
         site: The data centre where large inputs lie, or an empty string.
-        binding: Whether the prompt is sent there now; otherwise this only asks where it would go.
     """
 
     number: int
@@ -29,4 +28,3 @@
     prompt: Prompt
     excluded: tuple[str, ...]
     site: str
-    binding: bool
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -49,7 +49,7 @@
         fleet.on_peer_gone = lambda link: desk.drop(id(link))
 
     def place(
-        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str, binding: bool
+        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
     ) -> PlacementReply:
         """Return where a prompt is to go; its number stands for it until it has ended.
 
@@ -58,18 +58,17 @@
             prompt: The prompt.
             excluded: Names of servers that are not wanted.
             site: The data centre where large inputs lie, or an empty string.
-            binding: Whether the prompt is sent there now.
         """
         number = next(self.numbers)
-        order = PlacementOrder(number, service, prompt, tuple(excluded), site, binding)
+        order = PlacementOrder(number, service, prompt, tuple(excluded), site)
         link = self.fleet.home(_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
-            if link is not None and binding:
+            if link is not None:
                 self.fleet.send_later(link, PlacementNote(number, 0.0, True))
             link = None
             reply = self.desk.place(order, HERE)
-        if binding and reply.server:
+        if reply.server:
             self.homes[number] = link
         return reply
 
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -68,7 +68,7 @@
         """Choose a model server and record that a prompt is sent to it."""
         servers = {one.name: one for one in self.directory.available(service)}
         unwanted = excluded | self.out_of_use(servers.values())
-        reply = self.placer.place(service, prompt, unwanted, site, True)
+        reply = self.placer.place(service, prompt, unwanted, site)
         server = servers.get(reply.server)
         if server is None:
             self.placer.note(reply.number, ended=True)
@@ -86,16 +86,6 @@
         now = self.router.clock.now()
         return frozenset(one.name for one in servers if not self.router.state(one).usable(now))
 
-    def site(self, request: ForwardRequest, service: str) -> str:
-        """Return the data centre of the server that the request would go to now."""
-        if request.prompt is None:
-            return ""
-        servers = {one.name: one for one in self.directory.available(service)}
-        unwanted = self.out_of_use(servers.values())
-        reply = self.placer.place(service, request.prompt, unwanted, "", False)
-        server = servers.get(reply.server)
-        return server.datacentre if server else ""
-
     def succeeded(
         self,
         picked: Picked,
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -147,6 +147,9 @@
             self.places[number] = ()
             self.changed.set()
             return
+        if self.begun:
+            # From here on a refusal would not be true any more.
+            self.give_up = math.inf
         self.begun = True
         submission = self.dispatch.submit(
             self.job(number, pieces), lambda results: self.ended(number, results)
@@ -231,8 +234,6 @@
         self.waiting.pop(number, None)
         failures = [one.failure for one in results if one.failure is not None]
         if PieceFailure.NOT_BEGUN in failures and self.has_begun_others():
-            # Other stages are under way, so that a refusal would not be true any more.
-            self.give_up = math.inf
             self.start(number)
             return
         if failures:
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -18,7 +18,7 @@
 # A request is let in while its expected time is within this many aims, by its rank; requests that
 # are worth least give way first.
 LET_IN_AIMS = (1.0, 1.0, 0.95, 0.95, 0.95, 0.95)
-# What requests took over what was expected, at first as played, then as learnt on each route; the
+# What requests took over what was expected, at first a guess, then as learnt on each route; the
 # middle of what was seen is followed by small steps up and down.
 FIRST_FACTOR = 1.25
 FACTOR_STEP = 0.01
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -131,7 +131,6 @@
   parts @4 :List(PromptPart);
   excluded @5 :List(Text);
   site @6 :Text;
-  binding @7 :Bool;
 }
 
 struct PlacementReply {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -128,7 +128,7 @@
     prompt = Prompt(order.tokens, order.mostOutput, parts)
     excluded = tuple(str(name) for name in order.excluded)
     number, service = order.number, str(order.service)
-    return PlacementOrder(number, service, prompt, excluded, str(order.site), order.binding)
+    return PlacementOrder(number, service, prompt, excluded, str(order.site))
 
 
 def _read_slice(part) -> CatalogueSlice:
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -198,7 +198,6 @@
     for part, to in zip(prompt.parts, parts, strict=True):
         to.id, to.tokens = part.id, part.tokens
     order.excluded, order.site = list(message.excluded), message.site
-    order.binding = message.binding
 
 
 @fill.register
