What a stage takes is read from its service's figures

Cause: 260 ms a stage came from one deployment's calls of 150 ms; with calls of 200 ms and six pieces a stage takes 350, with other deployments anything. Change: a call, its pieces, and the wait of half a call; 300 ms only where the catalogue does not have the service.

--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -155,6 +155,9 @@
     def wait_ms(self, service, urgency):
         return 0.0
 
+    def limits(self, service):
+        return None
+
     def submit(self, job, done):
         self.jobs.append(job)
         whole = tuple(PieceResult(f"{job.stage}/{n}") for n in range(job.pieces))
--- a/features/steps/piece_steps.py
+++ b/features/steps/piece_steps.py
@@ -167,6 +167,9 @@
     def wait_ms(self, service, urgency):
         return 0.0
 
+    def limits(self, service):
+        return None
+
     def submit(self, job, done):
         self.jobs.append(job)
         done(tuple(PieceResult(f"{job.stage}/{n}") for n in range(job.pieces)))
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -24,9 +24,11 @@
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.submission import Submission
 
-# What one stage is taken to need, waiting included: a call of 150 ms, its pieces, half a call's
-# wait for a server (the users' sheet).
-STAGE_MS = 260.0
+# What a stage waits for a server, in parts of what a call takes before its first piece: calls end
+# at any time, so that the next server is free after about half of one.
+WAIT_CALLS = 0.5
+# What a stage is taken to need whose service the catalogue does not have.
+UNKNOWN_STAGE_MS = 300.0
 # A request none of whose stages is begun after so many aims is refused: its caller may come back
 # at a better time, and waits in vain no longer.
 GIVE_UP_AIMS = 2.0
@@ -171,7 +173,7 @@
             key="" if stage.after else self.request.piece_key,
             inputs=inputs,
             deadline=self.deadline,
-            due=due - STAGE_MS * self.levels_after(number),
+            due=due - self.ms_after(number),
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
             datacentre=self.wanted(number, pieces),
@@ -209,7 +211,7 @@
         if not self.is_heavy(number):
             return False
         wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency)
-        return self.others_ms(number) > wait_ms + STAGE_MS
+        return self.others_ms(number) > wait_ms + self.stage_ms(number)
 
     def others_ms(self, number: int) -> float:
         """Return about how long the other stages take yet, in milliseconds."""
@@ -218,16 +220,26 @@
             for n in range(len(self.route.stages))
             if n != number and n not in self.handles and self.request_has(n)
         )
-        return STAGE_MS * max((1 + self.levels_after(n) for n in open_), default=0)
+        return max((self.stage_ms(n) + self.ms_after(n) for n in open_), default=0.0)
 
     def request_has(self, number: int) -> bool:
         """Tell whether the request has pieces of a stage."""
         return number < len(self.request.pieces) and self.request.pieces[number] > 0
 
-    def levels_after(self, number: int) -> int:
-        """Return how many stages follow one another behind a stage."""
-        following = (n for n, stage in enumerate(self.route.stages) if number in stage.after)
-        return max((1 + self.levels_after(n) for n in following), default=0)
+    def ms_after(self, number: int) -> float:
+        """Return about how long the stages take that follow one another behind a stage."""
+        following = [n for n, stage in enumerate(self.route.stages) if number in stage.after]
+        return max((self.stage_ms(n) + self.ms_after(n) for n in following), default=0.0)
+
+    def stage_ms(self, number: int) -> float:
+        """Return about how long a stage takes, its wait for a server included."""
+        if not self.request_has(number):
+            return 0.0
+        limits = self.dispatch.limits(self.service(number))
+        if limits is None:
+            return UNKNOWN_STAGE_MS
+        pieces = min(self.request.pieces[number], limits.pieces)
+        return WAIT_CALLS * limits.call_ms + limits.expected_ms(pieces)
 
     def ended(self, number: int, results: Results) -> None:
         """Take in the results of a stage."""
