mountladder account: where the time of late and lost requests went

Cause: the account of the loss was read from megabytes of lines by throwaway scripts; an engineer on call has no better way. Change: a command that counts outcomes by route and two seconds, and names for each request that was not on time the station where most of its time went. The received line tells aim and whether the caller comes back.

--- a/features/lines.feature
+++ b/features/lines.feature
@@ -8,3 +8,9 @@
     Given logs of two instances with lines of requests r1 and r2
     When the lines of r9 are asked for
     Then the command fails and names r9
+
+  Scenario: Where the time of late and lost requests went
+    Given logs of a route with an aim of 1000 ms
+    When the account of the logs is asked for
+    Then it counts 1 on time, 2 late, 1 refused, 1 again, 1 left, 1 failed and 1 unended
+    And the station of each that was not on time is named
--- a/features/steps/line_steps.py
+++ b/features/steps/line_steps.py
@@ -6,6 +6,7 @@
 
 import json
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
@@ -51,3 +52,76 @@
 def fails(context, request):
     assert context.result.exit_code != 0
     assert request in context.result.output
+
+
+# Each request as its lines: the time since it was received in seconds, the type, the fields.
+TRACES = {
+    "quick": [(0.2, "sent", {"server": "s1"}), (0.5, "ended", {"code": 0, "elapsed_ms": 500})],
+    "staged": [
+        (0.1, "let-in", {}),
+        (1.2, "pieces-made", {"service": "rank"}),
+        (1.3, "stages-done", {}),
+        (1.3, "sent", {"server": "s1"}),
+        (1.4, "first-event", {"elapsed_ms": 1_400}),
+        (2.0, "ended", {"code": 0, "elapsed_ms": 2_000}),
+    ],
+    "read": [
+        (0.1, "stages-done", {}),
+        (0.1, "sent", {"server": "s2"}),
+        (1.4, "first-event", {"elapsed_ms": 1_400}),
+        (2.0, "ended", {"code": 0, "elapsed_ms": 2_000}),
+    ],
+    "door": [(0.0, "ended", {"code": 2001, "reason": "expected 1200 ms, aim 1000 ms"})],
+    "back": [(0.0, "ended", {"code": 2001, "reason": "expected 1300 ms, aim 1000 ms"})],
+    "left": [(0.0, "let-in", {}), (4.0, "ended", {"code": 3007, "elapsed_ms": 4_000})],
+    "failed": [(0.0, "sent", {"server": "s3"}), (1.0, "ended", {"code": 3003})],
+    "unended": [(0.0, "let-in", {}), (0.4, "pieces-late", {"service": "encode"})],
+}
+STATIONS = {
+    "staged": "stage rank",
+    "read": "server s2",
+    "door": "door: expected 1200 ms",
+    "back": "door: expected 1300 ms",
+    "left": "stages: no call was answered",
+    "failed": "server s3",
+    "unended": "stage encode",
+}
+
+
+@given("logs of a route with an aim of {aim:d} ms")
+def traced(context, aim):
+    folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    rows = []
+    for request, steps in TRACES.items():
+        first = {"route": "r", "aim_ms": aim, "comes_back": request == "back"}
+        for after, kind, fields in [(0.0, "received", first), *steps]:
+            key = {"requests": [request]} if kind.startswith("pieces") else {"request": request}
+            rows.append({"message_type": kind, "timestamp": 100.0 + after} | key | fields)
+    context.path = folder / "log"
+    context.path.write_text("\n".join(json.dumps(one) for one in reversed(rows)))
+
+
+@when("the account of the logs is asked for")
+def ask_account(context):
+    plain = CliRunner().invoke(main, ["account", str(context.path)])
+    assert plain.exit_code == 0, plain.output
+    context.shown = plain.output
+    as_json = CliRunner().invoke(main, ["--output", "json", "account", str(context.path)])
+    assert as_json.exit_code == 0, as_json.output
+    context.traces = {one["request"]: one for one in json.loads(as_json.output)}
+
+
+@then(
+    "it counts {on_time:d} on time, {late:d} late, {refused:d} refused, {again:d} again,"
+    " {left:d} left, {failed:d} failed and {unended:d} unended"
+)
+def counts(context, **numbers):
+    found = Counter(one["outcome"].replace(" ", "_") for one in context.traces.values())
+    assert found == numbers, found
+
+
+@then("the station of each that was not on time is named")
+def stations(context):
+    for request, trace in context.traces.items():
+        assert trace["station"] == STATIONS.get(request, ""), (request, trace)
+        assert trace["station"] in context.shown
--- a/packages/cli/src/mountladder_cli/loglines.py
+++ b/packages/cli/src/mountladder_cli/loglines.py
@@ -22,7 +22,7 @@
     """
     found = []
     for line in lines:
-        message = _message(line) if request in line else {}
+        message = message_of(line) if request in line else {}
         if message.get("request") == request or request in message.get("requests", ()):
             found.append(message)
     return sorted(found, key=lambda one: one.get("timestamp", 0.0))
@@ -39,7 +39,8 @@
     return "\n".join(rows)
 
 
-def _message(line: str) -> dict[str, object]:
+def message_of(line: str) -> dict[str, object]:
+    """Return the message of a log line, empty where it holds none."""
     try:
         message = json.loads(line[line.index("{") :])
     except ValueError:
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/lossaccount.py
@@ -0,0 +1,55 @@
+# lossaccount.py -- Where the time of late and lost requests went
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Where the time of late and lost requests went."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from mountladder_cli.loglines import message_of
+from mountladder_cli.requesttrace import OUTCOMES, RequestTrace
+
+SPAN_SECONDS = 2.0
+
+
+def account_of(lines: Iterable[str]) -> list[RequestTrace]:
+    """Return what became of every request that log lines of instances tell of, oldest first.
+
+    Args:
+        lines: JSON lines, in any order; whatever stands before the first brace is left out.
+    """
+    messages: dict[str, list[dict[str, object]]] = defaultdict(list)
+    for line in lines:
+        message = message_of(line)
+        named = message.get("requests") or [message.get("request")]
+        for request in named:
+            if isinstance(request, str):
+                messages[request].append(message)
+    traces = (RequestTrace.of(request, found) for request, found in messages.items())
+    return sorted((one for one in traces if one is not None), key=lambda one: one.at)
+
+
+def shown_account(traces: list[RequestTrace]) -> str:
+    """Return two tables: outcomes by route and span of time, and where time went by route."""
+    if not traces:
+        return "no request was received"
+    start = traces[0].at
+    spans: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
+    stations: Counter[tuple[str, str, str]] = Counter()
+    for trace in traces:
+        span = int((trace.at - start) // SPAN_SECONDS)
+        spans[trace.route, span][trace.outcome] += 1
+        if trace.station:
+            stations[trace.route, trace.outcome, trace.station] += 1
+    rows = [f"{'route':20} {'second':>6} " + " ".join(f"{name:>9}" for name in OUTCOMES)]
+    for (route, span), counts in sorted(spans.items()):
+        cells = " ".join(f"{counts[name] or '':>9}" for name in OUTCOMES)
+        rows.append(f"{route:20} {span * SPAN_SECONDS:6.0f} {cells}")
+    rows.append("")
+    rows.append(f"{'route':20} {'outcome':>9} {'requests':>8}  station")
+    for (route, outcome, station), number in stations.most_common():
+        rows.append(f"{route:20} {outcome:>9} {number:8}  {station}")
+    return "\n".join(rows)
--- a/packages/cli/src/mountladder_cli/observing.py
+++ b/packages/cli/src/mountladder_cli/observing.py
@@ -13,6 +13,7 @@
 
 from mountladder_cli import porcelain
 from mountladder_cli.loglines import lines_of, shown
+from mountladder_cli.lossaccount import account_of, shown_account
 from mountladder_cli.session import Session
 
 
@@ -95,4 +96,13 @@
     session.show(found, lambda: shown(found))
 
 
-COMMANDS = (lines, history, status, explain, cost)
+@click.command("account")
+@click.argument("files", nargs=-1, type=click.File("r", encoding="utf-8", errors="replace"))
+@click.pass_obj
+def account(session: Session, files: tuple[TextIO, ...]) -> None:
+    """Show what became of the requests in logs, and where the time of those not on time went."""
+    traces = account_of(line for file in files for line in file)
+    session.show([asdict(one) for one in traces], lambda: shown_account(traces))
+
+
+COMMANDS = (account, lines, history, status, explain, cost)
--- /dev/null
+++ b/packages/cli/src/mountladder_cli/requesttrace.py
@@ -0,0 +1,104 @@
+# requesttrace.py -- What became of one request, by its log lines
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What became of one request, by its log lines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+CANCELLED = 3007
+REFUSED_CLASSES = (1, 2)
+CODES_IN_CLASS = 1_000
+OUTCOMES = ("on time", "late", "refused", "again", "left", "failed", "unended")
+Message = dict[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTrace:
+    """What became of one request.
+
+    Attributes:
+        request: Its id.
+        route: The name of its route.
+        at: When it was received, in seconds.
+        outcome: One of OUTCOMES: answered on time or late, refused at its first try or again,
+            left by its caller, failed, or cut off by the end of its instance.
+        station: Where its time went, or empty where it was on time.
+    """
+
+    request: str
+    route: str
+    at: float
+    outcome: str
+    station: str
+
+    @classmethod
+    def of(cls, request: str, messages: list[Message]) -> RequestTrace | None:
+        """Return what the messages that name a request tell; None where it was not received."""
+        ordered = sorted(messages, key=_at)
+        stations = _Stations({str(one.get("message_type")): one for one in reversed(ordered)})
+        received = stations.first.get("received")
+        if received is None:
+            return None
+        outcome = stations.outcome()
+        station = "" if outcome == "on time" else stations.longest(ordered)
+        return cls(request, str(received.get("route", "")), _at(received), outcome, station)
+
+
+@dataclass(frozen=True, slots=True)
+class _Stations:
+    """The first message of each type that names a request."""
+
+    first: dict[str, Message]
+
+    def outcome(self) -> str:
+        ended = self.first.get("ended")
+        if ended is None:
+            return "unended"
+        code = int(ended.get("code") or 0)
+        if code == CANCELLED:
+            return "left"
+        if code // CODES_IN_CLASS in REFUSED_CLASSES:
+            return "again" if self.first["received"].get("comes_back") else "refused"
+        if code:
+            return "failed"
+        aim_ms = float(self.first["received"].get("aim_ms") or float("inf"))
+        timed = self.first.get("first-event", ended)
+        return "on time" if float(timed.get("elapsed_ms") or 0.0) <= aim_ms else "late"
+
+    def longest(self, ordered: list[Message]) -> str:
+        """Return where most of the time went."""
+        if "sent" not in self.first and "stages-done" not in self.first:
+            return self.before_sending(ordered)
+        start = _at(self.first["received"])
+        done = _at(self.first.get("stages-done", self.first["received"]))
+        sent = _at(self.first.get("sent", self.first.get("stages-done", ordered[-1])))
+        stages_s, server_s = done - start, _at(self.first.get("first-event", ordered[-1])) - sent
+        if stages_s >= server_s:
+            return self.stage(ordered)
+        return f"server {self.first.get('sent', {}).get('server', '')}"
+
+    def before_sending(self, ordered: list[Message]) -> str:
+        if "let-in" not in self.first:
+            return f"door: {self.first.get('ended', {}).get('reason', '')}".split(",")[0]
+        return self.stage(ordered)
+
+    @staticmethod
+    def stage(ordered: list[Message]) -> str:
+        """Return the stage service that was waited for longest between two calls."""
+        start = _at(ordered[0])
+        waits: dict[str, float] = {}
+        for one in ordered:
+            if str(one.get("message_type", "")).startswith("pieces-"):
+                service = str(one.get("service"))
+                waits[service] = waits.get(service, 0.0) + _at(one) - start
+                start = _at(one)
+        if not waits:
+            return "stages: no call was answered"
+        return f"stage {max(waits, key=lambda name: waits[name])}"
+
+
+def _at(message: Message) -> float:
+    return float(message.get("timestamp") or 0.0)
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -78,6 +78,8 @@
             pieces=request.pieces,
             urgency=run.urgency,
             route_priority=route.priority,
+            aim_ms=round(route.aim_ms),
+            comes_back=run.comes_back,
         )
         return run
 
