--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -16,9 +16,9 @@
 
 # Pieces that were announced and have not come by then are not expected any more.
 ANNOUNCED_MS = 2_500.0
-# At least this part of the rate is taken to be left for the least urgent pieces: what is more urgent
-# goes before them only as far as it is due soon, so that they are not shut out by it. With a tenth
-# waits of 30 s were expected that did not come, and they were refused for it.
+# At least this part of the rate is taken to be left for the least urgent pieces: what is more
+# urgent goes before them only as far as it is due soon. With a tenth waits of 30 s were expected
+# that did not come, and requests were refused for them.
 LEAST_RATE = 0.35
 RANKS = range(LAST_RANK + 1)
 
