--- a/packages/cli/src/mountladder_cli/requesttrace.py
+++ b/packages/cli/src/mountladder_cli/requesttrace.py
@@ -54,6 +54,7 @@
     first: dict[str, Message]
 
     def outcome(self) -> str:
+        """Return what became of the request, one of OUTCOMES."""
         ended = self.first.get("ended")
         if ended is None:
             return "unended"
@@ -81,6 +82,7 @@
         return f"server {self.first.get('sent', {}).get('server', '')}"
 
     def before_sending(self, ordered: list[Message]) -> str:
+        """Return where the time of a request went that was sent to no server."""
         if "let-in" not in self.first:
             return f"door: code {self.first.get('ended', {}).get('code', 0)}"
         return self.stage(ordered)
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -22,13 +22,9 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.forwarding.stagetimes import StageTimes
 from mountladder.forwarding.submission import Submission
 
-# What a stage waits for a server, in parts of what a call takes before its first piece: calls end
-# at any time, so that the next server is free after about half of one.
-WAIT_CALLS = 0.5
-# What a stage is taken to need whose service the catalogue does not have.
-UNKNOWN_STAGE_MS = 300.0
 # A request none of whose stages is begun after so many aims is refused: its caller may come back
 # at a better time, and waits in vain no longer.
 GIVE_UP_AIMS = 2.0
@@ -82,6 +78,7 @@
         self.waiting: dict[int, Submission] = {}
         self.failure: PieceFailure | None = None
         self.changed = Event()
+        self.times = StageTimes(request, route, dispatch)
         self.begun = False
 
     def run(self) -> tuple[str, ...]:
@@ -104,7 +101,7 @@
     def announce(self) -> None:
         """Tell of the pieces that will come later."""
         for number, stage in enumerate(self.route.stages):
-            if stage.after and self.request_has(number):
+            if stage.after and self.times.has(number):
                 self.notice(number, self.request.pieces[number])
 
     def notice(self, number: int, pieces: int) -> None:
@@ -173,7 +170,7 @@
             key="" if stage.after else self.request.piece_key,
             inputs=inputs,
             deadline=self.deadline,
-            due=due - self.ms_after(number),
+            due=due - self.times.ms_after(number),
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
             datacentre=self.wanted(number, pieces),
@@ -211,35 +208,16 @@
         if not self.is_heavy(number):
             return False
         wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency)
-        return self.others_ms(number) > wait_ms + self.stage_ms(number)
+        return self.others_ms(number) > wait_ms + self.times.stage_ms(number)
 
     def others_ms(self, number: int) -> float:
         """Return about how long the other stages take yet, in milliseconds."""
         open_ = (
             n
             for n in range(len(self.route.stages))
-            if n != number and n not in self.handles and self.request_has(n)
+            if n != number and n not in self.handles and self.times.has(n)
         )
-        return max((self.stage_ms(n) + self.ms_after(n) for n in open_), default=0.0)
-
-    def request_has(self, number: int) -> bool:
-        """Tell whether the request has pieces of a stage."""
-        return number < len(self.request.pieces) and self.request.pieces[number] > 0
-
-    def ms_after(self, number: int) -> float:
-        """Return about how long the stages take that follow one another behind a stage."""
-        following = [n for n, stage in enumerate(self.route.stages) if number in stage.after]
-        return max((self.stage_ms(n) + self.ms_after(n) for n in following), default=0.0)
-
-    def stage_ms(self, number: int) -> float:
-        """Return about how long a stage takes, its wait for a server included."""
-        if not self.request_has(number):
-            return 0.0
-        limits = self.dispatch.limits(self.service(number))
-        if limits is None:
-            return UNKNOWN_STAGE_MS
-        pieces = min(self.request.pieces[number], limits.pieces)
-        return WAIT_CALLS * limits.call_ms + limits.expected_ms(pieces)
+        return max((self.times.stage_ms(n) + self.times.ms_after(n) for n in open_), default=0.0)
 
     def ended(self, number: int, results: Results) -> None:
         """Take in the results of a stage."""
@@ -287,7 +265,7 @@
             self.dispatch.withdraw(submission)
         for number, stage in enumerate(self.route.stages):
             begun = number in self.handles or number in self.waiting
-            if stage.after and self.request_has(number) and not begun:
+            if stage.after and self.times.has(number) and not begun:
                 self.notice(number, 0)
         self.waiting.clear()
         self.release()
