Work that nobody waits for any more is dropped at every station

Cause: with PieceQueue.withdraw doing nothing all 403 scenarios passed. Looking at each station by hand showed four leaks: results of a stage's other pieces were kept when its caller left, results that crossed a withdrawal were kept, stages of an instance that had ended were made all the same, and a prompt whose caller left before the reply counted as being read for ever at the instance where prompts meet. A result takes room at its server for four seconds. Ruled out: that queue.withdraw alone protects (what has ended is dropped before each call too; the two catch each other, but for the count of waiting pieces). Change: Batcher.withdraw gives up results, StageDispatch.drop on a lost link, release of results that come too late, a note for prompts without a reply. Before: none of it tested.

--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -200,7 +200,7 @@
 @given("a stage that was handed to an instance and moved to the next one")
 def moved(context):
     clock = VirtualClock()
-    fleet = SimpleNamespace(home=lambda service: None, links={})
+    fleet = SimpleNamespace(home=lambda service: None, links={}, peer_gone=[])
     batcher = SimpleNamespace(submit=lambda job, done: SimpleNamespace(job=job))
     context.dispatch = StageDispatch(fleet, lambda service: batcher, clock)
     context.settled = []
--- /dev/null
+++ b/features/steps/withdrawal_steps.py
@@ -0,0 +1,150 @@
+# withdrawal_steps.py -- Steps about work that nobody waits for any more
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about work that nobody waits for any more."""
+
+import gevent
+from behave import given, then, when
+from forwardbasics import BATCH, PATHS, request, serve
+
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.stagejob import StageJob
+from mountladder_entry.callergone import CallerGoneError
+
+# So that pieces are sent before those of the scenario's request, and are not late yet.
+DUE_MS = 300.0
+PROMPTS = "prompts of llm"
+
+
+def instance(context, where, topic="enc"):
+    """Return an instance where the work of a topic meets, or one where it does not."""
+    meets = where == "where"
+    running = context.fleet.instances.values()
+    return next(one for one in running if (one.fleet.home(topic) is None) == meets)
+
+
+def job(context, id_, pieces, due_ms, deadline_ms=2_000.0):
+    now = context.clock.now()
+    return StageJob(id_, 0, "enc", pieces, "key", (), now + deadline_ms, now + due_ms, 0, 8e3, "")
+
+
+def fill(context, calls):
+    dispatch = instance(context, "where").dispatch
+    for number in range(calls):
+        dispatch.submit(
+            job(context, f"full-{number}", BATCH.pieces, DUE_MS),
+            lambda results: dispatch.release("enc", [one.handle for one in results]),
+        )
+
+
+@given("{calls:d} full calls to enc that are due first")
+def busy(context, calls):
+    context.before = lambda: fill(context, calls)
+
+
+@given("{calls:d} full calls to enc that are due first, from {ms:d} ms on")
+def busy_later(context, calls, ms):
+    context.before = lambda: context.clock.call_later(float(ms), lambda: fill(context, calls))
+
+
+def leave(context, name, sent, after_ms):
+    def play():
+        getattr(context, "before", lambda: None)()
+        task = gevent.spawn(serve, context, name, sent)
+        context.clock.sleep(after_ms)
+        task.kill(CallerGoneError())
+
+    context.run(play)
+
+
+def staged(context, pieces=(1, 1)):
+    return request("r", PATHS["staged"], context.clock.now(), pieces=pieces)
+
+
+@when("the caller of staged request r leaves after {ms:g} ms, {where} its pieces meet")
+def leaves(context, ms, where):
+    name = instance(context, where).settings.name
+    leave(context, name, staged(context), ms)
+
+
+@when(
+    "the caller of staged request r with {pieces:d} pieces leaves after {ms:d} ms,"
+    " {where} its pieces meet"
+)
+def leaves_many(context, pieces, ms, where):
+    name = instance(context, where).settings.name
+    leave(context, name, staged(context, (pieces, 0)), float(ms))
+
+
+@when("an instance with staged request r, whose pieces meet elsewhere, ends after {ms:d} ms")
+def ends(context, ms):
+    one = instance(context, "not where")
+
+    def play():
+        context.before()
+        task = gevent.spawn(serve, context, one.settings.name, staged(context))
+        context.clock.sleep(float(ms))
+        # A process that ends tells nobody of what it leaves undone.
+        one.dispatch.submissions.clear()
+        one.close()
+        task.kill()
+        context.fleet.instances.pop(one.settings.name)
+
+    context.run(play)
+
+
+@when("a stage with a deadline in {ms:d} ms is handed over, {where} its pieces meet")
+def with_deadline(context, ms, where):
+    context.settled = []
+
+    def play():
+        context.before()
+        dispatch = instance(context, where).dispatch
+        dispatch.submit(job(context, "r", 1, DUE_MS, float(ms)), context.settled.append)
+
+    context.run(play)
+
+
+@given("messages between instances take {ms:d} ms")
+def latency(context, ms):
+    context.fleet.network.latency_ms = float(ms)
+    for one in context.fleet.network.links:
+        one.latency_ms = one.other.latency_ms = float(ms)
+
+
+@when("the caller of a prompt leaves after {ms:d} ms, not where prompts meet")
+def prompt_leaves(context, ms):
+    name = instance(context, "not where", PROMPTS).settings.name
+    leave(context, name, request("r", PATHS["stream"], context.clock.now()), float(ms))
+
+
+@then("{number:d} pieces of r were made")
+def made(context, number):
+    calls = context.fleet.upstream.calls
+    found = [piece for call in calls for piece in call.pieces if piece.request == "r"]
+    assert len(found) == number, found
+
+
+@then("no piece of r counts as waiting")
+def none_waits(context):
+    queue = instance(context, "where").dispatch.batcher("enc").queue
+    assert not [one for one in queue.waiting if one[0].job.request == "r"]
+
+
+@then("request r was sent to no model server")
+def not_sent(context):
+    assert not context.fleet.upstream.arrivals.get("r")
+
+
+@then("the stage was settled as late")
+def late(context):
+    ((result,),) = context.settled
+    assert result.failure is PieceFailure.LATE, result
+
+
+@then("no server is taken to be reading a prompt")
+def nothing_read(context):
+    for one in context.fleet.instances.values():
+        desk = one.forwarder.context.picker.placer.desk
+        assert not desk.placed and not desk.placement.reading, desk.placed
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -95,9 +95,10 @@
         return progress
 
     def withdraw(self, progress: JobProgress) -> None:
-        """Drop pieces that wait and are not wanted any more."""
+        """Drop pieces that wait and are not wanted any more, and the results of the others."""
         progress.ended = True
         self.queue.withdraw(progress)
+        self.release([one.handle for one in progress.results.values()])
 
     def limits(self) -> BatchLimits | None:
         """Return what a server takes at once, where the catalogue still has the service."""
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -70,7 +70,7 @@
         on_placement_order: Takes a prompt that a peer asks a server for.
         on_placement_reply: Takes where a prompt is to go.
         on_placement_note: Takes what became of a peer's prompt.
-        on_peer_gone: Called with the link that a peer had opened when it is lost.
+        peer_gone: Called with the link that a peer had opened when it is lost.
         backlogs: Returns how long pieces wait that meet on this instance.
         on_backlog: Takes how long pieces wait that meet on a peer.
         on_notice: Takes notice of pieces that a peer's request will send.
@@ -108,7 +108,7 @@
         self.on_placement_order: Callable[[PlacementOrder, Link], None] = lambda order, link: None
         self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
         self.on_placement_note: Callable[[PlacementNote, Link], None] = lambda note, link: None
-        self.on_peer_gone: Callable[[Link], None] = lambda link: None
+        self.peer_gone: list[Callable[[Link], None]] = []
         follower.listeners.append(lambda catalogue: self.tell_soon())
         directory.listeners.append(self.tell_soon)
 
@@ -198,7 +198,8 @@
         try:
             super().serve(link)
         finally:
-            self.on_peer_gone(link)
+            for listener in self.peer_gone:
+                listener(link)
 
     def greet(self, link: Link) -> None:
         """Tell a peer that has just connected what it needs to start."""
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -46,7 +46,7 @@
         fleet.on_placement_order = self.take_order
         fleet.on_placement_reply = self.take_reply
         fleet.on_placement_note = self.take_note
-        fleet.on_peer_gone = lambda link: desk.drop(id(link))
+        fleet.peer_gone.append(lambda link: desk.drop(id(link)))
 
     def place(
         self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
@@ -64,8 +64,6 @@
         link = self.fleet.home(_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
-            if link is not None:
-                self.fleet.send_later(link, PlacementNote(number, 0.0, True))
             link = None
             reply = self.desk.place(order, HERE)
         if reply.server:
@@ -85,12 +83,16 @@
         self.replies[order.number] = take
         self.fleet.send_later(link, order)
         try:
-            in_time = self.clock.wait(answered, REPLY_MS)
+            self.clock.wait(answered, REPLY_MS)
         finally:
             self.replies.pop(order.number, None)
-        if not in_time:
+            if not replies:
+                # The caller may have left; else the other instance counts the prompt for ever.
+                self.fleet.send_later(link, PlacementNote(order.number, 0.0, True))
+        if not replies:
             log_message("placement-unanswered", peer=link.peer.name, waited_ms=REPLY_MS)
-        return replies[0] if replies else None
+            return None
+        return replies[0]
 
     def note(self, number: int, read_ms: float = 0.0, ended: bool = False) -> None:
         """Tell what became of a prompt that was placed."""
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -58,6 +58,7 @@
         fleet.on_release = self.take_release
         fleet.on_withdrawal = self.take_withdrawal
         fleet.on_link_lost = self.move_from
+        fleet.peer_gone.append(self.drop)
 
     def batcher(self, service: str) -> Batcher:
         """Return this instance's batcher of a service."""
@@ -91,19 +92,21 @@
 
         def settled(results: Results) -> None:
             """Take in the results of this instance's own batcher."""
-            self.settle(submission.number, results)
+            if not self.settle(submission.number, results):
+                self.batcher(job.service).release(_handles(results))
 
         submission.progress = self.batcher(job.service).submit(job, settled)
 
-    def settle(self, number: int, results: Results) -> None:
-        """Hand the results of a stage to the request that waits for them."""
+    def settle(self, number: int, results: Results) -> bool:
+        """Hand the results of a stage to the request that waits for them, where it still does."""
         submission = self.submissions.pop(number, None)
         if submission is None:
-            return
+            return False
         if submission.moved:
             # The instance that had it before may have begun it.
             results = tuple(_certain(result) for result in results)
         submission.done(results)
+        return True
 
     def withdraw(self, submission: Submission) -> None:
         """Drop a stage that is not wanted any more."""
@@ -162,10 +165,27 @@
         if not progress.ended:
             self.foreign[key] = progress
 
+    def drop(self, link: Link) -> None:
+        """Drop the stages of an instance that cannot be reached any more.
+
+        It hands them to another instance, or has ended; nobody would take their results.
+        """
+        lost = [key for key in self.foreign if key[0] == id(link)]
+        if lost:
+            log_message("stages-dropped", peer=link.peer.name, stages=len(lost))
+        for key in lost:
+            progress = self.foreign.pop(key)
+            self.batcher(progress.job.service).withdraw(progress)
+
     def take_outcome(self, outcome: StageOutcome, link: Link) -> None:
         """Take in the results of a stage that was left to another instance."""
         self.take_backlog(outcome.backlog)
-        self.settle(outcome.number, outcome.results)
+        if self.settle(outcome.number, outcome.results):
+            return
+        # Its withdrawal and these results were under way at the same time.
+        handles = _handles(outcome.results)
+        if handles:
+            self.fleet.send_later(link, StageRelease(outcome.backlog.service, handles))
 
     def own_backlogs(self) -> tuple[Backlog, ...]:
         """Return how long pieces wait that meet on this instance."""
@@ -195,6 +215,10 @@
             self.batcher(progress.job.service).withdraw(progress)
 
 
+def _handles(results: Results) -> tuple[str, ...]:
+    return tuple(one.handle for one in results if one.handle)
+
+
 def _certain(result: PieceResult) -> PieceResult:
     if result.failure is PieceFailure.NOT_BEGUN:
         return PieceResult("", PieceFailure.LATE)
