Addresses are read without a thread

Ruled out: the links themselves, which are few after the start. Change: the blocking resolver, since all addresses are IP numbers. Before: 0.156 s for 1,000 look-ups; after: 0.020 s, and no thread.

--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -10,8 +10,11 @@
 # the time of a start. Whoever has loaded the last of them looks for it again.
 gc.disable()
 
-from gevent import monkey
+from gevent import config, monkey
 
+# All addresses are IP numbers, which are read without asking anybody; the usual resolver hands each
+# to a thread of its own, at eight times the processor time (0.16 in place of 0.02 ms).
+config.resolver = "block"
 monkey.patch_all()
 
 import faulthandler
