Instances that leave the store to others wake up less often

Change: whoever leaves the store to another one sleeps until that one's word is old, or looks at its rank every 250 ms; it is woken when a follower leaves or stops. Heartbeats to neighbours every 200 ms a peer, not 80. The draw of outside peers is kept until membership changes.

--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -158,8 +158,16 @@
         """Return a follower of a table, which follows it while that is this instance's to do."""
         readers = self.fleet.readers
         follower = SourceFollower(
-            name, source, self.clock, self.metrics, take, self.settings.feed_ms, readers.is_due
+            name,
+            source,
+            self.clock,
+            self.metrics,
+            take,
+            self.settings.feed_ms,
+            readers.is_due,
+            readers.idle_ms,
         )
+        readers.nudges.append(follower.nudge)
         follower.on_lost = self.fleet.pulse
         return follower
 
--- a/packages/core/src/mountladder/forwarding/readers.py
+++ b/packages/core/src/mountladder/forwarding/readers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from eliot import log_message
+from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.beacon import Beacon
@@ -27,6 +28,9 @@
 SLOW_STEP_MS = 400.0
 # A process that has just started reads everything once, and then learns who is there.
 SETTLE_MS = 400.0
+# How often an instance that leaves the store to others looks whether it has come to rank first,
+# well within the time that a change has until it is in force everywhere (4 s, the users' sheets).
+RANK_MS = 250.0
 
 
 class Readers:
@@ -44,6 +48,7 @@
 
     Attributes:
         reading: Whether this instance follows the store.
+        nudges: Set when one that follows the store stops, leaves, or is not answered any more.
     """
 
     def __init__(
@@ -55,6 +60,8 @@
         self.started = clock.now()
         self.fed_until: dict[str, float] = {}
         self.reading = False
+        self.ranked_at = float("-inf")
+        self.nudges: list[Event] = []
 
     def hear(self, peer: Instance, beacon: Beacon) -> None:
         """Take in whether a peer follows the store and is answered."""
@@ -63,6 +70,15 @@
             self.fed_until[peer.name] = now + SILENCE_MS
         elif peer.name in self.fed_until:
             self.fed_until[peer.name] = min(now, self.fed_until[peer.name])
+            self.nudge()
+        if beacon.leaving and peer.name in self.fed_until:
+            self.nudge()
+
+    def nudge(self) -> None:
+        """Have the rank looked at at once."""
+        self.ranked_at = float("-inf")
+        for nudge in self.nudges:
+            nudge.set()
 
     def better(self) -> list[Instance]:
         """Return the instances that are to follow the store rather than this one."""
@@ -78,8 +94,23 @@
         now = self.clock.now()
         return any(until > now for until in self.fed_until.values())
 
+    def idle_ms(self) -> float:
+        """Return how long this instance has surely nothing to do with the store.
+
+        Nobody steps in before all that follow it have been silent for a while; only the one that
+        ranks first does, which looks at its rank now and then.
+        """
+        if self.reading:
+            return 0.0
+        now = self.clock.now()
+        fed_until = max(self.fed_until.values(), default=now)
+        return max(0.0, min(fed_until, self.ranked_at + RANK_MS) - now)
+
     def is_due(self) -> bool:
         """Tell whether this instance is to follow the store now."""
+        if self.idle_ms() > 0.0:
+            return False
+        self.ranked_at = self.clock.now()
         due = self.decide()
         if due != self.reading:
             self.reading = due
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from eliot import log_message
+from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
 from mountladder.errors import HistoryLostError, StoreUnavailableError
@@ -39,9 +40,11 @@
         take: Called with each page and whether it holds the whole table.
         wait_ms: How long one call waits for a change.
         is_due: Tells whether this instance is to follow the table, once it has read it.
+        idle_ms: Returns for how long that is surely not so.
 
     Attributes:
         version: The version up to which changes were taken in, or None before the first reading.
+        nudge: Set when it may have become due.
         connected: Whether the last call was answered.
         answered_at: When the store answered last.
         on_lost: Called when the store answers no more.
@@ -57,6 +60,7 @@
         take: Callable[[SourcePage, bool], None],
         wait_ms: float = WAIT_MS,
         is_due: Callable[[], bool] = lambda: True,
+        idle_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.name = name
         self.source = source
@@ -65,6 +69,8 @@
         self.take = take
         self.wait_ms = wait_ms
         self.is_due = is_due
+        self.idle_ms = idle_ms
+        self.nudge = Event()
         self.version: int | None = None
         self.connected = False
         self.answered_at = float("-inf")
@@ -79,7 +85,8 @@
             if self.version is None or self.is_due():
                 self.step()
             else:
-                self.clock.sleep(LOOK_MS)
+                self.clock.wait(self.nudge, max(LOOK_MS, self.idle_ms()))
+                self.nudge.clear()
 
     @property
     def fed(self) -> bool:
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -15,7 +15,7 @@
 from mountladder.membership.instance import Instance
 
 INTERVAL_MS = 1_000.0
-PER_PEER_MS = 80.0
+PER_PEER_MS = 200.0
 MISSED_HEARTBEATS = 3
 OUTSIDE_PEERS = 2
 GATHERED_FROM = 6
@@ -43,6 +43,7 @@
         self.leaving: set[str] = set()
         self.changes = 0
         self.near_names: tuple[int, list[Instance]] = (-1, [])
+        self.drawn: tuple[int, list[Instance]] = (-1, [])
         self.forgot_at = clock.now()
 
     @property
@@ -123,6 +124,12 @@
         Each instance draws its own few by a hash, one a data centre first, so that together they
         connect every data centre with several others.
         """
+        if self.drawn[0] != self.changes:
+            self.drawn = (self.changes, self.draw_outside())
+        return list(self.drawn[1])
+
+    def draw_outside(self) -> list[Instance]:
+        """Return the first of the others by a hash, one a data centre first."""
         others = [one for one in self.known.values() if one.datacentre != self.me.datacentre]
         others.sort(key=lambda one: _distance(self.me, one))
         firsts = {one.datacentre: one for one in reversed(others)}
