Large stage services are worked on in each data centre, with lending and cuts known

Cause: at full size the pieces of a service met on one instance for five data centres. Ruled out: room for results (not full), the model servers' speed, a place for each data centre and hash of the work (more links; docs/DECISIONS.md, 12). Change: Division decides by the list of servers, Lending by what the places tell each other, Reach which data centres are cut off; topics are known before the first request; a link's own silence counts, not its peer's; a told backlog may be 20 ms old.

--- /dev/null
+++ b/features/steps/division_steps.py
@@ -0,0 +1,316 @@
+# division_steps.py -- Steps about services that each data centre works on by itself
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about services that each data centre works on by itself."""
+
+import gevent
+from behave import given, then, when
+from forwardbasics import BATCH, PATHS, request, serve
+
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.forwarding.backlog import LAST_RANK, Backlog
+from mountladder.forwarding.lending import Lending
+from mountladder.forwarding.ranking import prompts_topic
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stageorder import StageOrder
+
+SETTLE_MS = 1_200.0
+LISTED_MS = 3_500.0
+
+
+@given("{number:d} stage servers of service enc in each of data centres {names}")
+def stage_servers(context, number, names):
+    context.servers = {
+        name: [f"enc-{name}{n}" for n in range(number)] for name in names.split(", ")
+    }
+    for name, servers in context.servers.items():
+        for one in servers:
+            context.fleet.add_server(one, "enc", name)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def remove(context, servers):
+    for name in servers:
+        context.fleet.servers.put(name, None)
+    context.run(context.clock.sleep, LISTED_MS)
+
+
+@when("the last {number:d} stage servers of each data centre are gone")
+def last_gone(context, number):
+    gone = []
+    for name, servers in context.servers.items():
+        gone += servers[-number:]
+        context.servers[name] = servers[:-number]
+    remove(context, gone)
+
+
+@given("the stage servers of data centre {name} are gone")
+def all_gone(context, name):
+    remove(context, context.servers[name])
+
+
+@then("every instance takes service enc to be {state}")
+def is_state(context, state):
+    for one in context.fleet.instances.values():
+        one.directory.available("enc")
+        assert one.fleet.division.is_divided("enc") == (state == "divided"), one.settings.name
+
+
+@when("{number:d} staged requests come within {ms:d} ms over all data centres")
+def over_all(context, number, ms):
+    names = list(context.fleet.instances)
+
+    def send(n):
+        context.clock.sleep(n * ms / number)
+        name = names[n % len(names)]
+        serve(context, name, request(f"{name} {n}", PATHS["staged"], context.clock.now()))
+
+    context.run(lambda: gevent.joinall([gevent.spawn(send, n) for n in range(number)]))
+
+
+@then("every piece was made in the data centre of its request")
+def made_near(context):
+    for call in context.fleet.upstream.calls:
+        where = call.server.removeprefix("enc-")[0]
+        assert {piece.request[0] for piece in call.pieces} == {where}, call
+
+
+def flood(context, number, name):
+    place = next(
+        one
+        for one in context.fleet.instances.values()
+        if one.settings.datacentre == name and one.fleet.home("enc") is None
+    )
+    now = context.clock.now()
+    context.flooded, context.flooded_at, context.place = [], now, place
+
+    def done(results):
+        context.flooded.append(context.clock.now() - now)
+        place.dispatch.release("enc", [one.handle for one in results])
+
+    jobs = (
+        StageJob(f"flood {n}", 0, "enc", BATCH.pieces, "key", (), now + 9e3, now + 9e3, 0, 8e3, "")
+        for n in range(number)
+    )
+    context.submissions = [place.dispatch.submit(job, done) for job in jobs]
+
+
+@when("{number:d} full calls come to enc in data centre {name} at once")
+def flooded(context, number, name):
+    context.run(flood, context, number, name)
+
+
+@when("a staged request is sent to {name} at the same time")
+def one_staged(context, name):
+    context.began = context.clock.now()
+
+    def play():
+        serve(context, name, request("s0", PATHS["staged"], context.clock.now()))
+        context.took_ms = context.clock.now() - context.began
+
+    context.run(play)
+
+
+@then("some pieces of the flood were made in each data centre")
+def made_everywhere(context):
+    flooded = [
+        call.server.removeprefix("enc-")[0]
+        for call in context.fleet.upstream.calls
+        if call.pieces[0].request.startswith("flood")
+    ]
+    assert set(flooded) == {"a", "b", "c"}, flooded
+
+
+@then("all of the flood was made within {ms:d} ms")
+def flood_done(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    assert len(context.flooded) == len(context.submissions)
+    assert max(context.flooded) <= ms, max(context.flooded)
+
+
+@then("request s0 ends with status {status:d} within {ms:d} ms")
+def ends_within(context, status, ms):
+    assert context.ends["s0"][0] == status and context.ends["s0"][2] == 0, context.ends
+    assert context.took_ms <= ms, context.took_ms
+
+
+@given("data centre {name} is cut off from the others")
+def cut_off(context, name):
+    for other in context.servers:
+        if other != name:
+            context.fleet.network.cut.add(frozenset({name, other}))
+
+
+@when("all of them are withdrawn")
+def withdrawn(context):
+    def play():
+        for submission in context.submissions:
+            context.place.dispatch.withdraw(submission)
+
+    context.run(play)
+
+
+@then("at most {number:d} full calls were made")
+def at_most(context, number):
+    calls = [one for one in context.fleet.upstream.calls if len(one.pieces) == BATCH.pieces]
+    assert len(calls) <= number, len(calls)
+
+
+def links_to(instance, topic):
+    """Return the links of an instance to those where the work of a topic may meet."""
+    ranked = instance.fleet.ranked(topic)[:2]
+    return [instance.fleet.links.get(one.peer) for one in ranked if one is not instance.me]
+
+
+@then("every instance has a link to where pieces of enc and prompts of llm meet")
+def linked(context):
+    for instance in context.fleet.instances.values():
+        for topic in ("enc", prompts_topic("llm")):
+            assert all(links_to(instance, topic)), (instance.settings.name, topic)
+
+
+@given("the links of {name} to where pieces of {service} meet are silent")
+def silent(context, name, service):
+    context.silent = links_to(context.fleet.instances[name], prompts_topic(service))
+    for link in context.silent:
+        link.reachable = link.other.reachable = lambda: False
+
+
+@then("{name} has other links to where pieces of {service} meet")
+def others(context, name, service):
+    found = links_to(context.fleet.instances[name], prompts_topic(service))
+    assert all(found) and not set(map(id, found)) & set(map(id, context.silent)), found
+
+
+@when("data centre {name} can be reached again")
+def reached_again(context, name):
+    context.fleet.network.cut.clear()
+
+
+@when("instance {name} ends")
+def instance_ends(context, name):
+    context.run(context.fleet.instances.pop(name).close)
+
+
+def used(instance):
+    """Return the data centres whose stage servers an instance uses."""
+    return {one.datacentre for one in instance.directory.available("enc")}
+
+
+@then("instances of data centre {name} use servers of data centre {only} only")
+def only_own(context, name, only):
+    for one in context.fleet.instances.values():
+        if one.settings.datacentre == name:
+            assert used(one) == {only}, (one.settings.name, used(one))
+
+
+@then("instances of data centre {name} use no servers of data centre {other}")
+def none_of(context, name, other):
+    for one in context.fleet.instances.values():
+        if one.settings.datacentre == name:
+            assert used(one) == {"b", "c"} - {other}, (one.settings.name, used(one))
+
+
+@then("every instance uses servers of every data centre")
+def use_all(context):
+    for one in context.fleet.instances.values():
+        assert used(one) == {"a", "b", "c"}, (one.settings.name, used(one))
+
+
+@when("an instance where pieces of enc meet judges after a pause of {ms:d} ms")
+def judges_late(context, ms):
+    def play():
+        one = next(one for one in context.fleet.instances.values() if one.fleet.home("enc") is None)
+        context.judge = one
+        reach = one.fleet.reach
+        for name in one.membership.heard_at:
+            one.membership.heard_at[name] -= ms
+        reach.judged_at -= ms
+        one.fleet.watch_datacentres()
+
+    context.run(play)
+
+
+@then("it takes no data centre to be cut off")
+def none_cut(context):
+    assert not context.judge.fleet.reach.cut_off()
+
+
+def stage(wanted="", now=0.0):
+    return StageJob("r", 0, "enc", 1, "key", (), now + 9e3, now + 9e3, 0, 8e3, wanted)
+
+
+@given("pieces wait {b:d} ms in data centre b and {c:d} ms in data centre c")
+def told(context, b, c):
+    context.lending_clock = VirtualClock()
+    context.lending = Lending(context.lending_clock, "a")
+    for name, wait_ms in (("b", b), ("c", c)):
+        waits = (float(wait_ms),) * (LAST_RANK + 1)
+        context.lending.hear(Backlog("enc", waits, waits), name)
+
+
+@given("that was told {ms:d} ms ago")
+def told_before(context, ms):
+    context.lending_clock.run(gevent.spawn(context.lending_clock.sleep, float(ms)))
+
+
+@when('a stage that is wanted in "" would wait {own:d} ms in data centre a')
+def anywhere(context, own):
+    context.goes = context.lending.choose(stage(), float(own), ("b", "c"))
+
+
+@when('a stage that is wanted in "{wanted}" would wait {own:d} ms in data centre a')
+def wanted_in(context, wanted, own):
+    context.goes = context.lending.choose(stage(wanted), float(own), ("b", "c"))
+
+
+@then('it goes to ""')
+def stays(context):
+    assert context.goes == "", context.goes
+
+
+@then('it goes to "{goes}"')
+def goes_to(context, goes):
+    assert context.goes == goes, context.goes
+
+
+@when("a stage is lent to that place")
+def lent_to(context):
+    def play():
+        place = context.place
+        link = next(iter(place.fleet.links.values()))
+        place.dispatch.take_order(StageOrder(7, stage(), lent=True), link)
+
+    context.run(play)
+
+
+@then("it waits there")
+def waits_there(context):
+    (submission,) = context.place.dispatch.foreign.values()
+    assert submission.home == "" and submission.progress is not None
+
+
+@when("a-2 is told that data centre {name} is cut off")
+def told_cut(context, name):
+    def play():
+        fleet = context.fleet.instances["a-2"].fleet
+        context.taken = []
+        fleet.on_link_lost = context.taken.append
+        fleet.reach.believe((name,))
+        fleet.follow_reach()
+        context.homes = [fleet.home(topic) for topic in sorted(fleet.services)]
+
+    context.run(play)
+
+
+@then("a-2 takes its links to data centre {name} for lost")
+def taken_lost(context, name):
+    links = context.fleet.instances["a-2"].fleet.links
+    assert sorted(context.taken) == sorted(one for one in links if one.startswith(name))
+
+
+@then("no work of a-2 meets in data centre {name}")
+def none_there(context, name):
+    assert context.homes
+    assert all(one is None or one.peer.datacentre != name for one in context.homes)
--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -200,7 +200,11 @@
 @given("a stage that was handed to an instance and moved to the next one")
 def moved(context):
     clock = VirtualClock()
-    fleet = SimpleNamespace(home=lambda service: None, links={}, peer_gone=[])
+    joined = SimpleNamespace(is_divided=lambda service: False)
+    here = SimpleNamespace(me=SimpleNamespace(datacentre="a"))
+    fleet = SimpleNamespace(
+        home=lambda service: None, links={}, peer_gone=[], division=joined, membership=here
+    )
     batcher = SimpleNamespace(submit=lambda job, done: SimpleNamespace(job=job))
     context.dispatch = StageDispatch(fleet, lambda service: batcher, clock)
     context.settled = []
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -186,7 +186,7 @@
     context.batcher = context.fleet.instances["a-1"].dispatch.batcher("enc")
     router = context.batcher.servers.router
     server = next(
-        one for one in context.batcher.servers.directory.available("enc") if one.name == name
+        one for one in context.batcher.servers.division.servers("enc") if one.name == name
     )
     context.state = router.state(server)
     context.call = begin(context, pieces)
--- a/packages/core/src/mountladder/forwarding/backlog.py
+++ b/packages/core/src/mountladder/forwarding/backlog.py
@@ -30,7 +30,9 @@
     Attributes:
         service: The service.
         waits_ms: How long new pieces are expected to wait, by the rank of their request.
+        own_ms: The same if all stay in their data centre, where the service is divided; else empty.
     """
 
     service: str
     waits_ms: tuple[float, ...]
+    own_ms: tuple[float, ...] = ()
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -15,7 +15,7 @@
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
-from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.division import Division
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, Waiting
 from mountladder.forwarding.piecerate import PieceRate
@@ -32,6 +32,8 @@
 
 # How soon the queue is looked at again where no event would do it.
 LOOK_AGAIN_MS = 40.0
+# For how long a backlog that was worked out is told: a tenth of a call.
+BACKLOG_MS = 20.0
 # What pieces are taken to wait where no server is in use.
 NO_SERVER_MS = 5_000.0
 # Pieces that wait longer than so many full calls wait for more than the next free server.
@@ -50,7 +52,7 @@
     Args:
         service: The name of the service.
         catalogue: What a server of the service takes at once.
-        directory: Which servers there are.
+        division: Which servers the pieces are made at.
         router: What is known of each server.
         upstream: Calls the servers.
         budget: Limits how often pieces are sent again.
@@ -62,7 +64,7 @@
         self,
         service: str,
         catalogue: CatalogueFollower,
-        directory: Directory,
+        division: Division,
         router: Router,
         upstream: Upstream,
         budget: WindowBudget,
@@ -77,10 +79,11 @@
         self.metrics = metrics
         self.queue = PieceQueue()
         self.demand = StageDemand(clock)
-        self.servers = StageServers(service, directory, router)
+        self.servers = StageServers(service, division, router)
         self.room = ResultRoom()
         self.rate = PieceRate(clock)
         self.twice: set[Waiting] = set()
+        self.told: tuple[float, Backlog] | None = None
         self.releaser = Releaser(upstream, clock, self.freed)
         self.cancel_look: Callable[[], None] | None = None
 
@@ -160,8 +163,18 @@
         self.start(state, batch, limits, now)
 
     def backlog(self) -> Backlog:
-        """Return how long new pieces are expected to wait, by the rank of their request."""
+        """Return how long new pieces are expected to wait, by the rank of their request.
+
+        Every heartbeat of every instance that leaves pieces here asks, hundreds of times a second
+        in a large fleet, so that the figure may be some milliseconds old.
+        """
         now = self.clock.now()
+        if self.told is None or now - self.told[0] >= BACKLOG_MS:
+            self.told = (now, self.newest_backlog(now))
+        return self.told[1]
+
+    def newest_backlog(self, now: float) -> Backlog:
+        """Return how long new pieces are expected to wait, from what waits and what is asked."""
         limits = self.limits()
         usable = self.servers.usable(now)
         if limits is None or not usable:
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -23,6 +23,8 @@
         backlogs: How long pieces wait that meet on the instance.
         reads: Whether it follows the store itself.
         fed: Whether the store has answered it lately.
+        judges: Whether it is in touch with several instances of each data centre.
+        cut: The data centres that it then takes to be cut off.
     """
 
     catalogue: int
@@ -32,3 +34,5 @@
     backlogs: tuple[Backlog, ...] = ()
     reads: bool = False
     fed: bool = False
+    judges: bool = False
+    cut: tuple[str, ...] = ()
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -36,6 +36,7 @@
         records: The newest entry of each server, removed ones included.
         version: The version of the store up to which the entries are known.
         newest: The highest version among the entries, which tells what a peer lacks.
+        avoided: The data centres that are cut off, whose servers are not to be used meanwhile.
         listeners: Called after each change.
     """
 
@@ -47,6 +48,8 @@
         self.regained_at = float("-inf")
         self.lapsed: dict[str, tuple[ServerRecord, float]] = {}
         self.services: dict[str, tuple[BackendServer, ...]] = {}
+        self.reachable: dict[str, tuple[BackendServer, ...]] = {}
+        self.avoided: frozenset[str] = frozenset()
         self.listeners: list[Callable[[], None]] = []
 
     @property
@@ -128,7 +131,12 @@
         """Return the servers of a service that new work may be sent to."""
         if self.lapsed:
             self.drop_lapsed()
-        return self.services.get(service, ())
+        return self.reachable.get(service, ())
+
+    def avoid(self, datacentres: frozenset[str]) -> None:
+        """Leave out the servers of data centres that are cut off, where others are left."""
+        self.avoided = datacentres
+        self.renew()
 
     def drop_lapsed(self) -> None:
         """Take entries as gone that did not come back in time."""
@@ -148,9 +156,14 @@
             if record.server is not None and not record.server.draining:
                 sorted_.setdefault(record.service, []).append(record.server)
         self.services = {name: tuple(servers) for name, servers in sorted_.items()}
+        self.reachable = {name: self.outside_cuts(all_) for name, all_ in self.services.items()}
         for listener in self.listeners:
             listener()
 
+    def outside_cuts(self, servers: tuple[BackendServer, ...]) -> tuple[BackendServer, ...]:
+        """Return the servers that are not in a data centre that is cut off, or all."""
+        return tuple(one for one in servers if one.datacentre not in self.avoided) or servers
+
     def since(self, version: int) -> list[ServerRecord]:
         """Return the entries that changed after a version, the oldest change first.
 
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -9,21 +9,26 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
+from eliot import log_message
+
 from mountladder.clocks.clock import Clock
 from mountladder.errors import PeerError
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
+from mountladder.forwarding.catalogue import Catalogue
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.cataloguetransfer import CatalogueTransfer
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorycopy import DirectoryCopy
+from mountladder.forwarding.division import Division
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.messageparts import directory_copies, parts_of
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
-from mountladder.forwarding.ranking import SMALL_FLEET, Ranking
+from mountladder.forwarding.ranking import SMALL_FLEET, Ranking, prompts_topic
+from mountladder.forwarding.reach import Reach
 from mountladder.forwarding.readers import Readers
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
@@ -41,9 +46,14 @@
 # In a larger fleet (SMALL_FLEET) so many of the first by hash are kept in touch with for each
 # service with pieces.
 HOMES_KEPT = 2
-# In a larger fleet heartbeats to these come at this interval, so that a silent one is missed after
-# three of them; to others the interval grows with their number.
+# In a larger fleet heartbeats to the first of these come at this interval, so that a silent one is
+# missed after three of them; to others the interval grows with their number.
 HOME_HEARTBEAT_MS = 500.0
+# The second is only to be known to be there when the first falls silent.
+SECOND_HEARTBEAT_MS = 1_500.0
+# Places of several data centres lend each other work by how long pieces wait there; in a burst that
+# changes by about a call within this time.
+PLACE_HEARTBEAT_MS = 250.0
 # How long the store's own news of a change is waited for before a peer is asked for it.
 STORE_FIRST_MS = 150.0
 # Several changes are often read at once; news of them goes out in one message.
@@ -63,7 +73,8 @@
         directory: The list of backend servers.
 
     Attributes:
-        homes: The services whose pieces this instance sent somewhere.
+        services: The topics whose work meets in one place, or in one of each data centre.
+        division: Tells which services each data centre works on by itself.
         on_order: Takes a stage that a peer leaves to this instance.
         on_outcome: Takes the results of a stage that was left to a peer.
         on_withdrawal: Takes back a stage that a peer left to this instance.
@@ -72,7 +83,7 @@
         on_placement_note: Takes what became of a peer's prompt.
         peer_gone: Called with the link that a peer had opened when it is lost.
         backlogs: Returns how long pieces wait that meet on this instance.
-        on_backlog: Takes how long pieces wait that meet on a peer.
+        on_backlog: Takes how long pieces wait that meet on a peer, and its data centre.
         on_notice: Takes notice of pieces that a peer's request will send.
         on_release: Takes results that a peer does not need any more.
     """
@@ -95,6 +106,10 @@
         self.transfer = CatalogueTransfer(follower, clock, self.send)
         self.services: set[str] = set()
         self.ranking = Ranking(membership)
+        self.division = Division(directory, membership.me.datacentre)
+        self.datacentres: tuple[int, frozenset[str]] = (-1, frozenset())
+        self.contacts: tuple[object, dict[str, float]] = (None, {})
+        self.reach = Reach(membership)
         self.readers = Readers(self.ranking.near, membership.me, clock)
         self.is_fed: Callable[[], bool] = lambda: False
         self.telling = False
@@ -102,16 +117,85 @@
         self.on_outcome: Callable[[StageOutcome, Link], None] = lambda outcome, link: None
         self.on_withdrawal: Callable[[StageWithdrawal, Link], None] = lambda one, link: None
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
-        self.on_backlog: Callable[[Backlog], None] = lambda backlog: None
+        self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
         self.on_notice: Callable[[StageNotice, Link], None] = lambda notice, link: None
         self.on_release: Callable[[StageRelease, Link], None] = lambda release, link: None
         self.on_placement_order: Callable[[PlacementOrder, Link], None] = lambda order, link: None
         self.on_placement_reply: Callable[[PlacementReply, Link], None] = lambda reply, link: None
         self.on_placement_note: Callable[[PlacementNote, Link], None] = lambda note, link: None
         self.peer_gone: list[Callable[[Link], None]] = []
+        follower.listeners.append(self.learn_topics)
         follower.listeners.append(lambda catalogue: self.tell_soon())
         directory.listeners.append(self.tell_soon)
 
+    def learn_topics(self, catalogue: Catalogue) -> None:
+        """Get in touch with those where work meets before the first request needs them.
+
+        An instance without a link to them works alone, and its calls crowd those of all others.
+        """
+        for service in catalogue.services.values():
+            if service.batch is not None:
+                self.services.add(service.name)
+            if service.slots:
+                self.services.add(prompts_topic(service.name))
+        self.retarget.set()
+
+    def ranked(self, topic: str) -> list[Instance]:
+        """Return the instances in the order in which they take this one's work of a topic."""
+        here = self.membership.me.datacentre if self.division.is_divided(topic) else ""
+        return self.ranking.ranked(topic, here)
+
+    def other_datacentres(self) -> frozenset[str]:
+        """Return the other data centres that have instances."""
+        stamp, names = self.datacentres
+        if stamp != self.membership.changes:
+            known = {one.datacentre for one in self.membership.known.values() if one.peer}
+            names = frozenset(known - {self.membership.me.datacentre})
+            self.datacentres = (self.membership.changes, names)
+        return names
+
+    def place_instances(self) -> list[Instance]:
+        """Return where other data centres' work meets, of services that meet here as well."""
+        found = []
+        for topic in self.services:
+            if self.division.is_divided(topic) and self.ranked(topic)[:1] == [self.membership.me]:
+                for datacentre in self.other_datacentres():
+                    found += self.ranking.ranked(topic, datacentre)[:HOMES_KEPT]
+        return found
+
+    def places(self, service: str) -> dict[str, Link]:
+        """Return links to where a divided service's pieces meet in the other data centres."""
+        found = {}
+        for datacentre in self.other_datacentres():
+            for one in self.ranking.ranked(service, datacentre)[:HOMES_KEPT]:
+                link = self.links.get(one.peer)
+                if link is not None and self.is_usable(link):
+                    found[datacentre] = link
+                    break
+        return found
+
+    def watch_datacentres(self) -> None:
+        """Judge which data centres are cut off, where this instance is in touch with them."""
+        if self.reach.judge({one.datacentre for one in self.place_instances()}):
+            self.pulse()
+        self.follow_reach()
+
+    def follow_reach(self) -> None:
+        """Leave out the data centres that are cut off, and move what was left to them."""
+        cut = self.reach.cut_off()
+        lost = cut - self.directory.avoided
+        if cut == self.directory.avoided:
+            return
+        log_message("datacentres-avoided", now=sorted(cut), before=sorted(self.directory.avoided))
+        self.directory.avoid(cut)
+        for address, link in list(self.links.items()):
+            if link.peer.datacentre in lost:
+                self.on_link_lost(address)
+
+    def is_usable(self, link: Link) -> bool:
+        """Tell whether work may be left to the other end of a link."""
+        return link.peer.datacentre not in self.directory.avoided and self.is_answering(link)
+
     def targets(self) -> list[Instance]:
         """Return the instances to keep a link to."""
         known = [one for one in self.membership.known.values() if one.peer]
@@ -119,22 +203,28 @@
             return known
         chosen = {one.name: one for one in super().targets()}
         for service in self.services:
-            for one in self.ranking.ranked(service)[:HOMES_KEPT]:
+            for one in self.ranked(service)[:HOMES_KEPT]:
                 if one is not self.membership.me:
                     chosen[one.name] = one
+        chosen |= {one.name: one for one in self.place_instances()}
         return list(chosen.values())
 
-    def is_home(self, address: str) -> bool:
-        """Tell whether pieces or prompts of this instance may meet at an address."""
-        ranked = (self.ranking.ranked(service)[:HOMES_KEPT] for service in self.services)
-        return any(one.peer == address for instances in ranked for one in instances)
+    def contact_intervals(self) -> dict[str, float]:
+        """Return the time between heartbeats to those where work meets, by their addresses."""
+        divided = frozenset(self.division.divided)
+        stamp = (self.membership.changes, self.leaving, divided, len(self.services))
+        if self.contacts[0] != stamp:
+            ranked = [self.ranked(topic)[:HOMES_KEPT] for topic in self.services]
+            intervals = {one.peer: SECOND_HEARTBEAT_MS for homes in ranked for one in homes}
+            intervals |= {one.peer: HOME_HEARTBEAT_MS for homes in ranked for one in homes[:1]}
+            intervals |= {one.peer: PLACE_HEARTBEAT_MS for one in self.place_instances()}
+            self.contacts = (stamp, intervals)
+        return self.contacts[1]
 
     def interval_ms(self, address: str) -> float:
         """Return the time between heartbeats to a peer, in milliseconds."""
         usual_ms = super().interval_ms(address)
-        if usual_ms > HOME_HEARTBEAT_MS and self.is_home(address):
-            return HOME_HEARTBEAT_MS
-        return usual_ms
+        return min(usual_ms, self.contact_intervals().get(address, usual_ms))
 
     def is_alive(self, peer: Instance) -> bool:
         """Tell whether a peer was heard of within its last heartbeats."""
@@ -144,11 +234,11 @@
     def home(self, service: str) -> Link | None:
         """Return the link to the instance where a service's pieces meet; None for this one."""
         self.services.add(service)
-        for one in self.ranking.ranked(service):
+        for one in self.ranked(service):
             if one is self.membership.me:
                 return None
             link = self.links.get(one.peer)
-            if link is not None and self.is_alive(one):
+            if link is not None and self.is_usable(link):
                 return link
         return None
 
@@ -166,6 +256,8 @@
             self.backlogs(),
             self.readers.reading,
             self.is_fed(),
+            bool(self.place_instances()),
+            tuple(sorted(self.reach.silent)),
         )
 
     def tell_soon(self) -> None:
@@ -219,8 +311,11 @@
         self.readers.hear(link.peer, message)
         if message.reads and message.fed and message.catalogue <= self.follower.version:
             self.follower.confirm(self.clock.now())
+        if message.judges and link.peer.datacentre == self.membership.me.datacentre:
+            self.reach.believe(message.cut)
+            self.follow_reach()
         for backlog in message.backlogs:
-            self.on_backlog(backlog)
+            self.on_backlog(backlog, link.peer.datacentre)
         if message.asks:
             self.send(link, self.beacon(asks=False))
         newer = message.catalogue > self.follower.version
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -52,6 +52,10 @@
 # How often the list of instances is read again; new ones make themselves known before.
 MEMBERS_MS = 20_000.0
 MEMBERS_RETRY_MS = 1_000.0
+# How often an instance judges whether data centres are cut off, a small part of the silence that it
+# takes; the others only look whether what they were told is old.
+WATCH_MS = 100.0
+WATCH_IDLE_MS = 600.0
 # How many instances are taken to share the retry budget while their number is not known.
 UNKNOWN_INSTANCES = 16
 # What a call to another data centre is taken to add: half a millisecond each way, and its price.
@@ -176,7 +180,7 @@
         return Batcher(
             service,
             self.follower,
-            self.directory,
+            self.fleet.division,
             self.router,
             self.upstream,
             self.budget(service),
@@ -233,6 +237,7 @@
             self.directory_source.run,
             self.keep_members,
             self.keep_telling,
+            self.keep_watching,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
@@ -285,6 +290,13 @@
             if self.fleet.readers.reading:
                 self.fleet.pulse()
 
+    def keep_watching(self) -> None:
+        """Look which data centres can be reached, often where this instance judges that."""
+        while True:
+            judges = bool(self.fleet.place_instances())
+            self.clock.sleep(WATCH_MS if judges else WATCH_IDLE_MS)
+            self.fleet.watch_datacentres()
+
     def leave(self) -> None:
         """Tell the balancer and the peers that this instance is about to end."""
         self.departure.begin()
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -19,6 +19,7 @@
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.ranking import prompts_topic
 from mountladder.membership.link import Link
 
 # How long the other instance is waited for: it answers in a millisecond or two, and a prompt that
@@ -60,7 +61,7 @@
         """
         number = next(self.numbers)
         order = PlacementOrder(number, service, prompt, tuple(excluded), site)
-        link = self.fleet.home(_topic(service))
+        link = self.fleet.home(prompts_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
             link = None
@@ -119,7 +120,3 @@
     def take_note(self, note: PlacementNote, link: Link) -> None:
         """Take in what became of another instance's prompt."""
         self.desk.note(note, id(link))
-
-
-def _topic(service: str) -> str:
-    return f"prompts of {service}"
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -36,20 +36,22 @@
     def __init__(self, membership: Membership) -> None:
         self.membership = membership
         self.leaving = False
-        self.ranks: dict[str, tuple[tuple[int, bool], list[Instance]]] = {}
+        self.ranks: dict[tuple[str, str], tuple[tuple[int, bool], list[Instance]]] = {}
 
-    def ranked(self, topic: str) -> list[Instance]:
+    def ranked(self, topic: str, datacentre: str = "") -> list[Instance]:
         """Return the instances in the order in which they are to take the work of a topic.
 
+        With a data centre these are the instances there, else all.
+
         Those with few processor cores come behind those with many, and the younger half behind
         the older one: whoever starts again does not take work back, since what is known where work
         meets is lost with each move. Among the older half a hash divides the topics.
         """
         stamp = (self.membership.changes, self.leaving)
-        known = self.ranks.get(topic)
+        known = self.ranks.get((topic, datacentre))
         if known is not None and known[0] == stamp:
             return known[1]
-        staying = self.staying()
+        staying = [one for one in self.staying() if datacentre in {"", one.datacentre}]
         least = AMPLE_CORES * max((one.cores for one in staying), default=0.0)
         ample = [one for one in staying if one.cores >= least]
         older = set(map(id, _older_half(ample)))
@@ -58,7 +60,7 @@
             key=lambda one: (one.cores >= least, id(one) in older, _weight(topic, one)),
             reverse=True,
         )
-        self.ranks[topic] = (stamp, ranked)
+        self.ranks[topic, datacentre] = (stamp, ranked)
         return ranked
 
     def staying(self) -> list[Instance]:
@@ -85,6 +87,11 @@
         return [one for one in near if one is members.me or members.silence_ms(one) <= limit_ms]
 
 
+def prompts_topic(service: str) -> str:
+    """Return the topic under which the prompts of a service meet."""
+    return f"prompts of {service}"
+
+
 def _older_half(instances: list[Instance]) -> list[Instance]:
     starts = sorted(one.since for one in instances)
     latest = starts[(len(starts) - 1) // 2] + TOGETHER_MS if starts else 0
--- a/packages/core/src/mountladder/forwarding/readers.py
+++ b/packages/core/src/mountladder/forwarding/readers.py
@@ -48,7 +48,7 @@
 
     Attributes:
         reading: Whether this instance follows the store.
-        nudges: Set when one that follows the store stops, leaves, or is not answered any more.
+        nudges: Set when one that follows the store stops, or is not answered any more.
     """
 
     def __init__(
@@ -71,8 +71,6 @@
         elif peer.name in self.fed_until:
             self.fed_until[peer.name] = min(now, self.fed_until[peer.name])
             self.nudge()
-        if beacon.leaving and peer.name in self.fed_until:
-            self.nudge()
 
     def nudge(self) -> None:
         """Have the rank looked at at once."""
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Sequence
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Mapping, Sequence
 
 from eliot import log_message
 
@@ -16,7 +18,8 @@
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
-from mountladder.forwarding.jobprogress import Done, JobProgress, Results
+from mountladder.forwarding.jobprogress import Done, Results
+from mountladder.forwarding.lending import Lending
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagejob import StageJob
@@ -28,17 +31,29 @@
 from mountladder.forwarding.submission import Submission
 from mountladder.membership.link import Link
 
+# So many results that another data centre made are remembered, some seconds of a busy place's; one
+# that is forgotten is given up by this instance, and takes room in that place's account for longer.
+MOST_MADE_AT = 4_096
+
 
 class StageDispatch:
     """Hands each stage to the instance where the pieces of its service meet.
 
     Where that instance falls silent its stages are handed to the next one. Two instances that both
-    take the pieces of a service cost batches that are less full, and nothing worse.
+    take the pieces of a service cost batches that are less full, and nothing worse. Of a divided
+    service pieces meet in each data centre; the instance there hands those on that would wait long
+    to the one of another data centre.
 
     Args:
         fleet: The other instances.
         make_batcher: Makes the batcher of a service.
         clock: The clock.
+
+    Attributes:
+        submissions: The stages that were handed over and are not done, by their numbers.
+        foreign: Those among them that a peer left to this instance, by its link and number.
+        made_at: Where results were made that another data centre's place had made for this one: the
+            address of that place, by the handle.
     """
 
     def __init__(self, fleet: Fleet, make_batcher: Callable[[str], Batcher], clock: Clock) -> None:
@@ -48,7 +63,9 @@
         self.batchers: dict[str, Batcher] = {}
         self.numbers = itertools.count(1)
         self.submissions: dict[int, Submission] = {}
-        self.foreign: dict[tuple[int, int], JobProgress] = {}
+        self.foreign: dict[tuple[int, int], Submission] = {}
+        self.made_at: OrderedDict[str, str] = OrderedDict()
+        self.lending = Lending(clock, fleet.membership.me.datacentre)
         self.backlogs: dict[str, tuple[Backlog, float]] = {}
         fleet.backlogs = self.own_backlogs
         fleet.on_backlog = self.take_backlog
@@ -80,15 +97,65 @@
 
     def place(self, submission: Submission) -> None:
         """Hand a stage to the instance where its pieces meet, or take it on here."""
-        job = submission.job
-        link = self.fleet.home(job.service)
+        link = self.fleet.home(submission.job.service)
         if link is not None:
-            submission.home = link.peer.peer
-            self.fleet.send_later(
-                link, StageOrder(submission.number, job.shifted(-self.clock.now()))
+            self.hand_over(submission, link, lent=False)
+        else:
+            self.place_here(submission)
+
+    def hand_over(self, submission: Submission, link: Link, lent: bool) -> None:
+        """Leave a stage to another instance."""
+        submission.home = link.peer.peer
+        submission.lent = lent
+        job = submission.job.shifted(-self.clock.now())
+        self.fleet.send_later(link, StageOrder(submission.number, job, lent))
+
+    def place_here(self, submission: Submission) -> None:
+        """Take on a stage whose pieces meet here, or lend it to another data centre."""
+        job = submission.job
+        places = self.fleet.places(job.service) if self.is_divided(job.service) else {}
+        there = self.lender(job, places)
+        if there:
+            self.batcher(job.service).demand.came(job)
+            self.hand_over(submission, places[there], lent=True)
+        else:
+            self.take_on(submission)
+
+    def is_divided(self, service: str) -> bool:
+        """Tell whether a service's pieces meet in each data centre, not in one place for all."""
+        return self.fleet.division.is_divided(service)
+
+    def lender(self, job: StageJob, places: Mapping[str, Link]) -> str:
+        """Return the data centre to lend a stage to, or an empty string."""
+        if not places:
+            return ""
+        batcher = self.batcher(job.service)
+        own_ms = math.inf
+        if self.fleet.division.has_own(job.service):
+            own_ms = batcher.newest_backlog(self.clock.now()).waits_ms[rank(job.urgency)]
+        there = self.lending.choose(job, own_ms, places)
+        limits = batcher.limits()
+        if there and limits is not None:
+            servers = self.fleet.division.count(job.service, there)
+            piece_ms = limits.expected_ms(limits.pieces) / (limits.pieces * max(1, servers))
+            log_message(
+                "stage-lent",
+                request=job.request,
+                service=job.service,
+                pieces=job.pieces,
+                datacentre=there,
+                wanted=job.datacentre,
+                own_ms=own_ms if math.isinf(own_ms) else round(own_ms),
+                there_ms=round(self.lending.wait_ms(job.service, there, job.urgency)),
             )
-            return
+            self.lending.lend(job, there, piece_ms)
+        return there
+
+    def take_on(self, submission: Submission) -> None:
+        """Let the pieces of a stage wait for servers here."""
+        job = submission.job
         submission.home = ""
+        submission.lent = False
 
         def settled(results: Results) -> None:
             """Take in the results of this instance's own batcher."""
@@ -105,9 +172,18 @@
         if submission.moved:
             # The instance that had it before may have begun it.
             results = tuple(_certain(result) for result in results)
+        if submission.lent:
+            self.remember(submission, results)
         submission.done(results)
         return True
 
+    def remember(self, submission: Submission, results: Results) -> None:
+        """Remember where results were made, which are given up there."""
+        for handle in _handles(results):
+            self.made_at[handle] = submission.home
+        while len(self.made_at) > MOST_MADE_AT:
+            self.made_at.popitem(last=False)
+
     def withdraw(self, submission: Submission) -> None:
         """Drop a stage that is not wanted any more."""
         if self.submissions.pop(submission.number, None) is None:
@@ -127,7 +203,7 @@
         named = tuple(handle for handle in handles if handle)
         if not named:
             return
-        self.hand(StageRelease(service, named), lambda: self.batcher(service).release(named))
+        self.hand(StageRelease(service, named), lambda: self.release_here(service, named))
 
     def hand(self, message: StageNotice | StageRelease, take: Callable[[], None]) -> None:
         """Send a message to where its service's pieces meet, or take it in where that is here."""
@@ -139,7 +215,18 @@
 
     def take_release(self, release: StageRelease, link: Link) -> None:
         """Give up results that another instance does not need any more."""
-        self.batcher(release.service).release(release.handles)
+        self.release_here(release.service, release.handles)
+
+    def release_here(self, service: str, handles: Sequence[str]) -> None:
+        """Give up results, those that were made for another data centre at the place there."""
+        lent: dict[str, list[str]] = {}
+        own = []
+        for handle in handles:
+            address = self.made_at.pop(handle, "")
+            (lent.setdefault(address, []) if address in self.fleet.links else own).append(handle)
+        for address, named in lent.items():
+            self.fleet.send_later(self.fleet.links[address], StageRelease(service, tuple(named)))
+        self.batcher(service).release(own)
 
     def move_from(self, address: str) -> None:
         """Hand on the stages that an instance had which cannot be reached any more."""
@@ -154,16 +241,19 @@
         """Take on a stage that another instance leaves to this one."""
         key = (id(link), order.number)
 
-        def settled(results: Results) -> None:
+        def done(results: Results) -> None:
             """Send the results back."""
             self.foreign.pop(key, None)
-            backlog = self.batcher(order.job.service).backlog()
+            backlog = self.own_backlog(order.job.service)
             self.fleet.send_later(link, StageOutcome(order.number, results, backlog))
 
         job = order.job.shifted(self.clock.now())
-        progress = self.batcher(job.service).submit(job, settled)
-        if not progress.ended:
-            self.foreign[key] = progress
+        submission = Submission(next(self.numbers), job, done)
+        self.submissions[submission.number] = self.foreign[key] = submission
+        if order.lent:
+            self.take_on(submission)
+        else:
+            self.place_here(submission)
 
     def drop(self, link: Link) -> None:
         """Drop the stages of an instance that cannot be reached any more.
@@ -174,12 +264,11 @@
         if lost:
             log_message("stages-dropped", peer=link.peer.name, stages=len(lost))
         for key in lost:
-            progress = self.foreign.pop(key)
-            self.batcher(progress.job.service).withdraw(progress)
+            self.withdraw(self.foreign.pop(key))
 
     def take_outcome(self, outcome: StageOutcome, link: Link) -> None:
         """Take in the results of a stage that was left to another instance."""
-        self.take_backlog(outcome.backlog)
+        self.take_backlog(outcome.backlog, link.peer.datacentre)
         if self.settle(outcome.number, outcome.results):
             return
         # Its withdrawal and these results were under way at the same time.
@@ -189,12 +278,27 @@
 
     def own_backlogs(self) -> tuple[Backlog, ...]:
         """Return how long pieces wait that meet on this instance."""
-        here = (one for one in self.batchers.values() if self.fleet.home(one.service) is None)
-        return tuple(one.backlog() for one in here)
-
-    def take_backlog(self, backlog: Backlog) -> None:
+        # Other data centres lend to this one also where it has had no such pieces itself.
+        met = self.batchers.keys() | self.fleet.division.divided
+        here = [service for service in sorted(met) if self.fleet.home(service) is None]
+        return tuple(self.own_backlog(service) for service in here)
+
+    def own_backlog(self, service: str) -> Backlog:
+        """Return how long pieces wait that meet on this instance, where it may lend them too."""
+        own = self.batcher(service).backlog()
+        if not self.is_divided(service):
+            return own
+        places = self.fleet.places(service)
+        elsewhere = self.lending.least_waits(service, places)
+        waits = tuple(min(pair) for pair in zip(own.waits_ms, elsewhere, strict=True))
+        return Backlog(service, waits, own.waits_ms)
+
+    def take_backlog(self, backlog: Backlog, datacentre: str) -> None:
         """Take in how long pieces wait that meet on another instance."""
-        self.backlogs[backlog.service] = (backlog, self.clock.now())
+        if backlog.own_ms and datacentre != self.fleet.membership.me.datacentre:
+            self.lending.hear(backlog, datacentre)
+        else:
+            self.backlogs[backlog.service] = (backlog, self.clock.now())
 
     def wait_ms(self, service: str, urgency: int) -> float:
         """Return how long new pieces of a service are expected to wait, in milliseconds.
@@ -202,7 +306,7 @@
         What another instance told is taken to have been worked off since.
         """
         if self.fleet.home(service) is None:
-            return self.batcher(service).backlog().waits_ms[rank(urgency)]
+            return self.own_backlog(service).waits_ms[rank(urgency)]
         backlog, told = self.backlogs.get(service, (None, 0.0))
         if backlog is None:
             return 0.0
@@ -210,9 +314,9 @@
 
     def take_withdrawal(self, withdrawal: StageWithdrawal, link: Link) -> None:
         """Drop a stage that the instance it came from does not want any more."""
-        progress = self.foreign.pop((id(link), withdrawal.number), None)
-        if progress is not None:
-            self.batcher(progress.job.service).withdraw(progress)
+        submission = self.foreign.pop((id(link), withdrawal.number), None)
+        if submission is not None:
+            self.withdraw(submission)
 
 
 def _handles(results: Results) -> tuple[str, ...]:
--- a/packages/core/src/mountladder/forwarding/stageorder.py
+++ b/packages/core/src/mountladder/forwarding/stageorder.py
@@ -18,7 +18,9 @@
     Attributes:
         number: Its number, by which the outcome is matched.
         job: The pieces; their times are relative to the moment of sending.
+        lent: Whether another data centre's place sends it, so that it stays where it comes.
     """
 
     number: int
     job: StageJob
+    lent: bool = False
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from mountladder.forwarding.batchlimits import BatchLimits
-from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.division import Division
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
@@ -26,13 +26,13 @@
 
     Args:
         service: The name of the service.
-        directory: Which servers there are.
+        division: Which servers pieces that meet here are made at.
         router: What is known of each server.
     """
 
-    def __init__(self, service: str, directory: Directory, router: Router) -> None:
+    def __init__(self, service: str, division: Division, router: Router) -> None:
         self.service = service
-        self.directory = directory
+        self.division = division
         self.router = router
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
@@ -79,7 +79,7 @@
 
     def usable(self, now: float) -> list[ServerState]:
         """Return the servers that may be sent a call now, or once they are free."""
-        states = (self.router.state(one) for one in self.directory.available(self.service))
+        states = (self.router.state(one) for one in self.division.servers(self.service))
         return [one for one in states if one.usable(now)]
 
     def free(self, limits: BatchLimits, now: float) -> list[ServerState]:
--- a/packages/core/src/mountladder/forwarding/submission.py
+++ b/packages/core/src/mountladder/forwarding/submission.py
@@ -20,6 +20,7 @@
 
     Attributes:
         home: The address of the instance it was left to, or an empty string for this one.
+        lent: Whether that one is the place of another data centre.
         moved: Whether another instance had it before, which may have begun it.
         progress: Its progress where it is worked on here.
     """
@@ -29,5 +30,6 @@
         self.job = job
         self.done = done
         self.home = ""
+        self.lent = False
         self.moved = False
         self.progress: JobProgress | None = None
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -17,7 +17,7 @@
 from mountladder.errors import MountladderError, PeerError
 from mountladder.membership.instance import Instance
 from mountladder.membership.link import Link
-from mountladder.membership.membership import Membership
+from mountladder.membership.membership import MISSED_HEARTBEATS, Membership
 from mountladder.membership.network import Network
 from mountladder.membership.wire import Message
 from mountladder.metrics.metric import Metric
@@ -130,6 +130,7 @@
         try:
             peer = link.handshake()
             self.membership.hear(peer)
+            link.heard_at = self.clock.now()
             self.links[address] = link
             log_message("peer-reached", peer=peer.name, address=address)
             reader = gevent.spawn(self.read_all, link)
@@ -137,7 +138,7 @@
             while not broken.is_set():
                 self.send(link, self.heartbeat())
                 self.clock.wait(broken, self.interval_ms(address))
-                self.check_heard(peer)
+                self.check_heard(link)
         finally:
             if self.links.pop(address, None) is not None:
                 log_message("peer-lost", address=address)
@@ -146,14 +147,23 @@
             if reader is not None:
                 reader.kill()
 
-    def check_heard(self, peer: Instance) -> None:
+    def is_answering(self, link: Link) -> bool:
+        """Tell whether anything came over a link within the last heartbeats.
+
+        A peer that is heard over other links may be cut off on this one, which may be silent for
+        good without a reset.
+        """
+        limit_ms = MISSED_HEARTBEATS * self.interval_ms(link.peer.peer)
+        return self.clock.now() - link.heard_at <= limit_ms
+
+    def check_heard(self, link: Link) -> None:
         """Give up a link whose other end has been silent for too long.
 
         Raises:
-            PeerError: Nothing was heard of the peer within the last heartbeats.
+            PeerError: Nothing came over it within the last heartbeats.
         """
-        if self.answered and not self.is_alive(peer):
-            raise PeerError(f"{peer.name} is silent")
+        if self.answered and not self.is_answering(link):
+            raise PeerError(f"{link.peer.name} is silent")
 
     def serve(self, link: Link) -> None:
         """Serve a link that a peer opened, until it breaks."""
@@ -172,7 +182,9 @@
         """Take in messages until the link breaks."""
         try:
             while True:
-                self.handle(link.receive(), link)
+                message = link.receive()
+                link.heard_at = self.clock.now()
+                self.handle(message, link)
         except MountladderError as error:
             self.metrics.count(Metric.PEER_ERRORS, error.code.name.lower())
 
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -15,6 +15,9 @@
 from mountladder.membership.instance import Instance
 
 INTERVAL_MS = 1_000.0
+# Up to so many neighbours are told every least interval; each further one lengthens it, so that 38
+# cost an instance six heartbeats a second, and as many answers.
+CLOSE_PEERS = 5
 PER_PEER_MS = 200.0
 MISSED_HEARTBEATS = 3
 OUTSIDE_PEERS = 2
@@ -52,7 +55,7 @@
 
         So the heartbeats that an instance sends in a second stay bounded.
         """
-        return max(self.least_interval_ms, PER_PEER_MS * len(self.neighbours()))
+        return max(self.least_interval_ms, PER_PEER_MS * (len(self.neighbours()) - CLOSE_PEERS))
 
     def observe(self, instances: Iterable[Instance]) -> None:
         """Take in the platform's list, which lags; what was heard since goes before it."""
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -52,6 +52,7 @@
 struct Backlog {
   service @0 :Text;
   waits @1 :List(Float32);
+  own @2 :List(Float32);
 }
 
 struct Beacon {
@@ -62,6 +63,8 @@
   backlogs @4 :List(Backlog);
   reads @5 :Bool;
   fed @6 :Bool;
+  judges @7 :Bool;
+  cut @8 :List(Text);
 }
 
 struct Want {
@@ -116,6 +119,7 @@
   resultBytes @10 :Float32;
   datacentre @11 :Text;
   giveUpMs @12 :Float32;
+  lent @13 :Bool;
 }
 
 struct PromptPart {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -103,16 +103,26 @@
         order.datacentre,
         order.giveUpMs,
     )
-    return StageOrder(order.number, job)
+    return StageOrder(order.number, job, order.lent)
 
 
 def _read_backlog(backlog) -> Backlog:
-    return Backlog(str(backlog.service), tuple(backlog.waits))
+    return Backlog(str(backlog.service), tuple(backlog.waits), tuple(backlog.own))
 
 
 def _read_beacon(one) -> Beacon:
     backlogs = tuple(_read_backlog(backlog) for backlog in one.backlogs)
-    return Beacon(one.catalogue, one.directory, one.leaving, one.asks, backlogs, one.reads, one.fed)
+    return Beacon(
+        one.catalogue,
+        one.directory,
+        one.leaving,
+        one.asks,
+        backlogs,
+        one.reads,
+        one.fed,
+        one.judges,
+        tuple(str(name) for name in one.cut),
+    )
 
 
 def _read_outcome(outcome) -> StageOutcome:
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -110,6 +110,7 @@
     beacon.leaving = message.leaving
     beacon.asks = message.asks
     beacon.reads, beacon.fed = message.reads, message.fed
+    beacon.judges, beacon.cut = message.judges, list(message.cut)
     _fill_backlogs(message.backlogs, beacon.init("backlogs", len(message.backlogs)))
 
 
@@ -157,6 +158,7 @@
     order.remainingMs, order.dueMs = job.deadline, job.due
     order.urgency, order.datacentre = min(job.urgency, MOST_URGENCY), job.datacentre
     order.resultBytes, order.giveUpMs = job.result_bytes, job.give_up
+    order.lent = message.lent
 
 
 @fill.register
@@ -218,4 +220,4 @@
 def _fill_backlogs(backlogs, frames) -> None:
     for backlog, to in zip(backlogs, frames, strict=True):
         to.service = backlog.service
-        to.waits = list(backlog.waits_ms)
+        to.waits, to.own = list(backlog.waits_ms), list(backlog.own_ms)
