Contacts, backlogs, lent results and retry budgets have modules of their own

Change: Contacts, StageBacklogs, LentResults, RetryBudgets; Fleet.subscribe takes who wants messages of a kind.

--- a/features/division.feature
+++ b/features/division.feature
@@ -120,8 +120,8 @@
 
   Scenario: A stage that was lent stays where it came
     Given 5 stage servers of service enc in each of data centres a, b, c
-    When 20 full calls come to enc in data centre b at once
-    And a stage is lent to that place
+    When 60 full calls come to enc in data centre b at once
+    And a stage is lent to that place while the others say that nothing waits there
     Then it waits there
 
   Scenario: What was left to a data centre that is cut off is moved at once
--- a/features/steps/division_steps.py
+++ b/features/steps/division_steps.py
@@ -159,7 +159,7 @@
 
 def links_to(instance, topic):
     """Return the links of an instance to those where the work of a topic may meet."""
-    ranked = instance.fleet.ranked(topic)[:2]
+    ranked = instance.fleet.contacts.ranked(topic)[:2]
     return [instance.fleet.links.get(one.peer) for one in ranked if one is not instance.me]
 
 
@@ -275,10 +275,13 @@
     assert context.goes == goes, context.goes
 
 
-@when("a stage is lent to that place")
+@when("a stage is lent to that place while the others say that nothing waits there")
 def lent_to(context):
     def play():
         place = context.place
+        none = (0.0,) * (LAST_RANK + 1)
+        for name in ("a", "c"):
+            place.dispatch.lending.hear(Backlog("enc", none, none), name)
         link = next(iter(place.fleet.links.values()))
         place.dispatch.take_order(StageOrder(7, stage(), lent=True), link)
 
@@ -299,7 +302,7 @@
         fleet.on_link_lost = context.taken.append
         fleet.reach.believe((name,))
         fleet.follow_reach()
-        context.homes = [fleet.home(topic) for topic in sorted(fleet.services)]
+        context.homes = [fleet.home(topic) for topic in sorted(fleet.contacts.topics)]
 
     context.run(play)
 
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -238,7 +238,7 @@
 def spent(context):
     instance = context.fleet.instances["a-1"]
     instance.settings = replace(instance.settings, retry_ratio=0.0, retry_reserve=0.0)
-    instance.budgets.clear()
+    instance.budgets.renew()
 
 
 @when("{number:d} events come byte by byte")
--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -203,7 +203,12 @@
     joined = SimpleNamespace(is_divided=lambda service: False)
     here = SimpleNamespace(me=SimpleNamespace(datacentre="a"))
     fleet = SimpleNamespace(
-        home=lambda service: None, links={}, peer_gone=[], division=joined, membership=here
+        home=lambda service: None,
+        links={},
+        peer_gone=[],
+        division=joined,
+        membership=here,
+        subscribe=lambda kind, take: None,
     )
     batcher = SimpleNamespace(submit=lambda job, done: SimpleNamespace(job=job))
     context.dispatch = StageDispatch(fleet, lambda service: batcher, clock)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -29,6 +29,7 @@
 from mountladder.forwarding.platformtables import PlatformTables
 from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.forwarding.readers import PULSE_MS
+from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.source import Source
 from mountladder.forwarding.sourcefollower import SourceFollower
@@ -36,7 +37,6 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
-from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.instance import Instance
 from mountladder.membership.membership import Membership
 from mountladder.membership.network import Network
@@ -56,8 +56,6 @@
 # takes; the others only look whether what they were told is old.
 WATCH_MS = 100.0
 WATCH_IDLE_MS = 600.0
-# How many instances are taken to share the retry budget while their number is not known.
-UNKNOWN_INSTANCES = 16
 # What a call to another data centre is taken to add: half a millisecond each way, and its price.
 SPILL_MS = 3.0
 
@@ -92,7 +90,6 @@
         self.metrics = metrics
         self.stack = ExitStack()
         self.rng = random.Random(seed)
-        self.budgets: dict[str, WindowBudget] = {}
         self.departure = Departure(clock, lambda: self.settings.grace_ms)
         self.me = Instance(
             settings.name,
@@ -106,6 +103,7 @@
         self.follower = CatalogueFollower(tables.decode_catalogue, clock)
         self.directory = Directory(clock)
         self.membership = Membership(self.me, clock, HEARTBEAT_MS)
+        self.budgets = RetryBudgets(lambda: self.settings, self.membership, clock)
         self.fleet = Fleet(
             self.membership, network, clock, metrics, settings.seeds, self.follower, self.directory
         )
@@ -150,7 +148,7 @@
             upstream=self.upstream,
             dispatch=self.dispatch,
             forecast=StageForecast(self.dispatch, self.follower),
-            budget=self.budget,
+            budget=self.budgets.of,
             metrics=self.metrics,
             departure=self.departure,
             fetch_time=FetchTime(),
@@ -183,7 +181,7 @@
             self.fleet.division,
             self.router,
             self.upstream,
-            self.budget(service),
+            self.budgets.of(service),
             self.clock,
             self.metrics,
         )
@@ -193,22 +191,6 @@
         for batcher in self.dispatch.batchers.values():
             batcher.pump()
 
-    def budget(self, service: str) -> WindowBudget:
-        """Return the retry budget of a service."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            settings = self.settings
-            budget = self.budgets[service] = WindowBudget(
-                self.clock, settings.retry_ratio, settings.retry_window_ms, self.reserve
-            )
-        return budget
-
-    def reserve(self) -> float:
-        """Return this instance's part of the common reserve of retries."""
-        known = 1 + len(self.membership.known)
-        sharing = known if self.membership.listed else max(known, UNKNOWN_INSTANCES)
-        return self.settings.retry_reserve / sharing
-
     def is_fed(self) -> bool:
         """Tell whether news of the catalogue would come, from the store and from some peer."""
         known = [one for one in self.membership.known.values() if one.peer]
@@ -293,7 +275,7 @@
     def keep_watching(self) -> None:
         """Look which data centres can be reached, often where this instance judges that."""
         while True:
-            judges = bool(self.fleet.place_instances())
+            judges = bool(self.fleet.contacts.other_places())
             self.clock.sleep(WATCH_MS if judges else WATCH_IDLE_MS)
             self.fleet.watch_datacentres()
 
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -43,9 +43,9 @@
         self.numbers = itertools.count(1)
         self.replies: dict[int, Callable[[PlacementReply], None]] = {}
         self.homes: dict[int, Link | None] = {}
-        fleet.on_placement_order = self.take_order
-        fleet.on_placement_reply = self.take_reply
-        fleet.on_placement_note = self.take_note
+        fleet.subscribe(PlacementOrder, self.take_order)
+        fleet.subscribe(PlacementReply, self.take_reply)
+        fleet.subscribe(PlacementNote, self.take_note)
         fleet.peer_gone.append(lambda link: desk.drop(id(link)))
 
     def place(
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -8,20 +8,21 @@
 
 import itertools
 import math
-from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
 
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import Backlog, rank
+from mountladder.forwarding.backlog import rank
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.jobprogress import Done, Results
 from mountladder.forwarding.lending import Lending
+from mountladder.forwarding.lentresults import LentResults
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.stagebacklogs import StageBacklogs
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
@@ -31,10 +32,6 @@
 from mountladder.forwarding.submission import Submission
 from mountladder.membership.link import Link
 
-# So many results that another data centre made are remembered, some seconds of a busy place's; one
-# that is forgotten is given up by this instance, and takes room in that place's account for longer.
-MOST_MADE_AT = 4_096
-
 
 class StageDispatch:
     """Hands each stage to the instance where the pieces of its service meet.
@@ -52,8 +49,7 @@
     Attributes:
         submissions: The stages that were handed over and are not done, by their numbers.
         foreign: Those among them that a peer left to this instance, by its link and number.
-        made_at: Where results were made that another data centre's place had made for this one: the
-            address of that place, by the handle.
+        lent_results: Where results were made that another data centre made for this one.
     """
 
     def __init__(self, fleet: Fleet, make_batcher: Callable[[str], Batcher], clock: Clock) -> None:
@@ -64,16 +60,16 @@
         self.numbers = itertools.count(1)
         self.submissions: dict[int, Submission] = {}
         self.foreign: dict[tuple[int, int], Submission] = {}
-        self.made_at: OrderedDict[str, str] = OrderedDict()
+        self.lent_results = LentResults()
         self.lending = Lending(clock, fleet.membership.me.datacentre)
-        self.backlogs: dict[str, tuple[Backlog, float]] = {}
-        fleet.backlogs = self.own_backlogs
-        fleet.on_backlog = self.take_backlog
-        fleet.on_order = self.take_order
-        fleet.on_outcome = self.take_outcome
-        fleet.on_notice = lambda notice, link: self.batcher(notice.service).demand.announce(notice)
-        fleet.on_release = self.take_release
-        fleet.on_withdrawal = self.take_withdrawal
+        self.backlogs = StageBacklogs(fleet, self.batchers, self.batcher, self.lending, clock)
+        fleet.backlogs = self.backlogs.here
+        fleet.on_backlog = self.backlogs.take
+        fleet.subscribe(StageOrder, self.take_order)
+        fleet.subscribe(StageOutcome, self.take_outcome)
+        fleet.subscribe(StageNotice, self.take_notice)
+        fleet.subscribe(StageRelease, self.take_release)
+        fleet.subscribe(StageWithdrawal, self.take_withdrawal)
         fleet.on_link_lost = self.move_from
         fleet.peer_gone.append(self.drop)
 
@@ -173,17 +169,10 @@
             # The instance that had it before may have begun it.
             results = tuple(_certain(result) for result in results)
         if submission.lent:
-            self.remember(submission, results)
+            self.lent_results.remember(_handles(results), submission.home)
         submission.done(results)
         return True
 
-    def remember(self, submission: Submission, results: Results) -> None:
-        """Remember where results were made, which are given up there."""
-        for handle in _handles(results):
-            self.made_at[handle] = submission.home
-        while len(self.made_at) > MOST_MADE_AT:
-            self.made_at.popitem(last=False)
-
     def withdraw(self, submission: Submission) -> None:
         """Drop a stage that is not wanted any more."""
         if self.submissions.pop(submission.number, None) is None:
@@ -213,20 +202,22 @@
         else:
             self.fleet.send_later(link, message)
 
+    def take_notice(self, notice: StageNotice, link: Link) -> None:
+        """Take in which pieces another instance's request will send."""
+        self.batcher(notice.service).demand.announce(notice)
+
     def take_release(self, release: StageRelease, link: Link) -> None:
         """Give up results that another instance does not need any more."""
         self.release_here(release.service, release.handles)
 
     def release_here(self, service: str, handles: Sequence[str]) -> None:
         """Give up results, those that were made for another data centre at the place there."""
-        lent: dict[str, list[str]] = {}
-        own = []
-        for handle in handles:
-            address = self.made_at.pop(handle, "")
-            (lent.setdefault(address, []) if address in self.fleet.links else own).append(handle)
-        for address, named in lent.items():
-            self.fleet.send_later(self.fleet.links[address], StageRelease(service, tuple(named)))
-        self.batcher(service).release(own)
+        for address, named in self.lent_results.sort_out(handles).items():
+            link = self.fleet.links.get(address)
+            if link is None:
+                self.batcher(service).release(named)
+            else:
+                self.fleet.send_later(link, StageRelease(service, tuple(named)))
 
     def move_from(self, address: str) -> None:
         """Hand on the stages that an instance had which cannot be reached any more."""
@@ -244,7 +235,7 @@
         def done(results: Results) -> None:
             """Send the results back."""
             self.foreign.pop(key, None)
-            backlog = self.own_backlog(order.job.service)
+            backlog = self.backlogs.own(order.job.service)
             self.fleet.send_later(link, StageOutcome(order.number, results, backlog))
 
         job = order.job.shifted(self.clock.now())
@@ -268,7 +259,7 @@
 
     def take_outcome(self, outcome: StageOutcome, link: Link) -> None:
         """Take in the results of a stage that was left to another instance."""
-        self.take_backlog(outcome.backlog, link.peer.datacentre)
+        self.backlogs.take(outcome.backlog, link.peer.datacentre)
         if self.settle(outcome.number, outcome.results):
             return
         # Its withdrawal and these results were under way at the same time.
@@ -276,41 +267,9 @@
         if handles:
             self.fleet.send_later(link, StageRelease(outcome.backlog.service, handles))
 
-    def own_backlogs(self) -> tuple[Backlog, ...]:
-        """Return how long pieces wait that meet on this instance."""
-        # Other data centres lend to this one also where it has had no such pieces itself.
-        met = self.batchers.keys() | self.fleet.division.divided
-        here = [service for service in sorted(met) if self.fleet.home(service) is None]
-        return tuple(self.own_backlog(service) for service in here)
-
-    def own_backlog(self, service: str) -> Backlog:
-        """Return how long pieces wait that meet on this instance, where it may lend them too."""
-        own = self.batcher(service).backlog()
-        if not self.is_divided(service):
-            return own
-        places = self.fleet.places(service)
-        elsewhere = self.lending.least_waits(service, places)
-        waits = tuple(min(pair) for pair in zip(own.waits_ms, elsewhere, strict=True))
-        return Backlog(service, waits, own.waits_ms)
-
-    def take_backlog(self, backlog: Backlog, datacentre: str) -> None:
-        """Take in how long pieces wait that meet on another instance."""
-        if backlog.own_ms and datacentre != self.fleet.membership.me.datacentre:
-            self.lending.hear(backlog, datacentre)
-        else:
-            self.backlogs[backlog.service] = (backlog, self.clock.now())
-
     def wait_ms(self, service: str, urgency: int) -> float:
-        """Return how long new pieces of a service are expected to wait, in milliseconds.
-
-        What another instance told is taken to have been worked off since.
-        """
-        if self.fleet.home(service) is None:
-            return self.own_backlog(service).waits_ms[rank(urgency)]
-        backlog, told = self.backlogs.get(service, (None, 0.0))
-        if backlog is None:
-            return 0.0
-        return max(0.0, backlog.waits_ms[rank(urgency)] - (self.clock.now() - told))
+        """Return how long new pieces of a service are expected to wait, in milliseconds."""
+        return self.backlogs.wait_ms(service, urgency)
 
     def take_withdrawal(self, withdrawal: StageWithdrawal, link: Link) -> None:
         """Drop a stage that the instance it came from does not want any more."""
