--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -110,7 +110,7 @@
         """Take on a stage whose pieces meet here, or lend it to another data centre."""
         job = submission.job
         places = self.fleet.places(job.service) if self.is_divided(job.service) else {}
-        there = self.lender(job, places)
+        there = self.lending_target(job, places)
         if there:
             self.batcher(job.service).demand.came(job)
             self.hand_over(submission, places[there], lent=True)
@@ -121,7 +121,7 @@
         """Tell whether a service's pieces meet in each data centre, not in one place for all."""
         return self.fleet.division.is_divided(service)
 
-    def lender(self, job: StageJob, places: Mapping[str, Link]) -> str:
+    def lending_target(self, job: StageJob, places: Mapping[str, Link]) -> str:
         """Return the data centre to lend a stage to, or an empty string."""
         if not places:
             return ""
