A request all of whose servers are cut off is refused at once

Ruled out: trying them all the same in case the judgement is wrong: places hear each other four times a second, and a caller that is refused may come back. Change: ServerPicker asks the list of servers; what contacts are derived from is kept until it changes, since every heartbeat asks for it. After: none, with a time to come back (features/division.feature; fails with the decision taken out).

--- a/features/division.feature
+++ b/features/division.feature
@@ -129,3 +129,11 @@
     When a-2 is told that data centre b is cut off
     Then a-2 takes its links to data centre b for lost
     And no work of a-2 meets in data centre b
+
+  Scenario: A request all of whose servers are cut off is refused at once
+    Given 5 stage servers of service enc in each of data centres a, b, c
+    And data centre c is cut off from the others
+    When 1000 ms go by
+    And safe request r is sent to c-1
+    Then request r is refused with 2008 after at most 1 ms, and may come back
+    And no server was sent request r
--- a/features/steps/division_steps.py
+++ b/features/steps/division_steps.py
@@ -317,3 +317,16 @@
 def none_there(context, name):
     assert context.homes
     assert all(one is None or one.peer.datacentre != name for one in context.homes)
+
+
+@then("request r is refused with {code:d} after at most {ms:d} ms, and may come back")
+def refused_at_once(context, code, ms):
+    _, _, found, class_, error = context.ends["r"]
+    assert (found, class_) == (code, "not_run"), context.ends
+    assert error.retry_after_ms > 0
+    assert context.clock.now() - context.sent_at <= ms
+
+
+@then("no server was sent request r")
+def not_sent(context):
+    assert not context.fleet.upstream.arrivals.get("r")
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -96,6 +96,7 @@
 
 @when("{kind} request r is sent to {name}")
 def one_request(context, kind, name):
+    context.sent_at = context.clock.now()
     context.run(serve, context, name, request("r", PATHS[kind], context.clock.now()))
 
 
--- a/packages/core/src/mountladder/forwarding/contacts.py
+++ b/packages/core/src/mountladder/forwarding/contacts.py
@@ -43,7 +43,9 @@
         self.division = division
         self.topics: set[str] = set()
         self.others: tuple[int, frozenset[str]] = (-1, frozenset())
-        self.kept_intervals: tuple[object, dict[str, float]] = (None, {})
+        self.stamp: object = None
+        self.kept_places: list[Instance] = []
+        self.kept_intervals: dict[str, float] = {}
 
     def learn(self, catalogue: Catalogue) -> None:
         """Learn the topics of a catalogue's services."""
@@ -78,21 +80,36 @@
 
     def other_places(self) -> list[Instance]:
         """Return where other data centres' work meets, of the topics that meet here as well."""
+        self.refresh()
+        return self.kept_places
+
+    def intervals(self) -> dict[str, float]:
+        """Return the time between heartbeats to those where work meets, by their addresses."""
+        self.refresh()
+        return self.kept_intervals
+
+    def refresh(self) -> None:
+        """Work out what is kept anew where instances, topics or divisions have changed.
+
+        Every heartbeat asks for it.
+        """
+        divided = frozenset(self.division.divided)
+        stamp = (self.membership.changes, self.ranking.leaving, divided, len(self.topics))
+        if self.stamp == stamp:
+            return
+        self.stamp = stamp
+        self.kept_places = self.find_other_places()
+        ranked = [self.ranked(topic)[:HOMES_KEPT] for topic in self.topics]
+        intervals = {one.peer: SECOND_HEARTBEAT_MS for homes in ranked for one in homes}
+        intervals |= {one.peer: HOME_HEARTBEAT_MS for homes in ranked for one in homes[:1]}
+        intervals |= {one.peer: PLACE_HEARTBEAT_MS for one in self.kept_places}
+        self.kept_intervals = intervals
+
+    def find_other_places(self) -> list[Instance]:
+        """Find where other data centres' work meets, of the topics that meet here as well."""
         found = []
         for topic in self.topics:
             if self.division.is_divided(topic) and self.ranked(topic)[:1] == [self.membership.me]:
                 for datacentre in self.other_datacentres():
                     found += self.places(topic, datacentre)
         return found
-
-    def intervals(self) -> dict[str, float]:
-        """Return the time between heartbeats to those where work meets, by their addresses."""
-        divided = frozenset(self.division.divided)
-        stamp = (self.membership.changes, self.ranking.leaving, divided, len(self.topics))
-        if self.kept_intervals[0] != stamp:
-            ranked = [self.ranked(topic)[:HOMES_KEPT] for topic in self.topics]
-            intervals = {one.peer: SECOND_HEARTBEAT_MS for homes in ranked for one in homes}
-            intervals |= {one.peer: HOME_HEARTBEAT_MS for homes in ranked for one in homes[:1]}
-            intervals |= {one.peer: PLACE_HEARTBEAT_MS for one in self.other_places()}
-            self.kept_intervals = (stamp, intervals)
-        return self.kept_intervals[1]
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -164,6 +164,11 @@
         """Return the servers that are not in a data centre that is cut off, or all."""
         return tuple(one for one in servers if one.datacentre not in self.avoided) or servers
 
+    def is_cut_off(self, service: str) -> bool:
+        """Tell whether a service has servers, and all lie in data centres that are cut off."""
+        servers = self.services.get(service, ())
+        return bool(servers) and all(one.datacentre in self.avoided for one in servers)
+
     def since(self, version: int) -> list[ServerRecord]:
         """Return the entries that changed after a version, the oldest change first.
 
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -52,8 +52,11 @@
         """Choose a server and record that the request is sent to it.
 
         Raises:
-            RefusalError: There is none, or none is in use.
+            RefusalError: There is none, none is in use, or none can be reached.
         """
+        if self.directory.is_cut_off(service):
+            # A connection that cannot come about costs the caller 300 ms for each server.
+            raise _none_available()
         if request.prompt is not None:
             return self.pick_for_prompt(request.prompt, service, excluded, site)
         servers = self.directory.available(service)
