The list of instances is sent to those that ask for it, not over every link

A start of 195 instances with some 50 links each sent the list of all, three messages of 64 entries (0.30 ms to write, 1.07 ms to read, 6.2 KB each), over each link: 40 s of processor time and 177 MB, worked out from these, at every start of all. Ruled out: the catalogue, which comes in a few parts and only where it is newer. Change: an instance that could not read the platform's list asks for it; the one that follows the store for its data centre tells those near what a later reading of the list brought. A link's own links are found in one place. Before: the list over every link.

--- a/features/knowledge.feature
+++ b/features/knowledge.feature
@@ -112,3 +112,25 @@
     When 1000 ms go by
     Then each instance's part of the reserve of 20 is at most 6.7
     And an instance that knows no others takes at most 1.25 of it
+
+  Scenario: A large fleet that starts at once does not send its list over every link
+    # With 195 instances of 50 links each that was 177 MB and 40 s of processor time.
+    Given messages between instances are counted
+    And 40 further instances in data centre c
+    And 2000 ms have gone by
+    Then the list of instances was sent at most 120 times
+
+  Scenario: An instance that starts while the platform's list cannot be read learns of the others
+    Given 14 further instances in data centre c
+    And 2000 ms have gone by
+    And the platform's list of instances cannot be read
+    When instance c-new starts with one seed, a-1
+    And 3000 ms go by
+    Then c-new knows every other instance
+
+  Scenario: Those near learn of instances that only the platform's list knows
+    Given 14 further instances in data centre c
+    And 2000 ms have gone by
+    And the platform's list has an instance d-1 that nobody has heard of
+    When 21000 ms go by
+    Then every instance of data centre c knows d-1
--- /dev/null
+++ b/features/steps/member_steps.py
@@ -0,0 +1,64 @@
+# member_steps.py -- Steps about how instances learn of each other
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about how instances learn of each other."""
+
+from behave import given, then, when
+
+from mountladder.errors import StoreUnavailableError
+from mountladder.forwarding.memberlist import MemberList
+from mountladder.membership.instance import Instance
+from mountladder.membership.memorylink import MemoryLink
+
+
+@given("messages between instances are counted")
+def counted(context):
+    context.lists = 0
+    plain = MemoryLink.send
+
+    def send(link, message):
+        context.lists += isinstance(message, MemberList)
+        return plain(link, message)
+
+    MemoryLink.send = send
+    context.stack.callback(setattr, MemoryLink, "send", plain)
+
+
+@then("the list of instances was sent at most {number:d} times")
+def sent_at_most(context, number):
+    assert context.lists <= number, context.lists
+
+
+@given("the platform's list of instances cannot be read")
+def unreadable(context):
+    def instances():
+        raise StoreUnavailableError("the list cannot be read")
+
+    context.fleet.listed.instances = instances
+
+
+@when("instance c-new starts with one seed, {seed}")
+def starts(context, seed):
+    others = dict(context.fleet.instances)
+    context.fleet.instances = {seed: others[seed]}
+    context.run(context.fleet.start, "c-new")
+    context.fleet.instances |= others
+
+
+@then("c-new knows every other instance")
+def knows_all(context):
+    known = set(context.fleet.instances["c-new"].membership.known)
+    assert known == set(context.fleet.instances) - {"c-new"}, known
+
+
+@given("the platform's list has an instance d-1 that nobody has heard of")
+def listed(context):
+    context.fleet.listed.announce(Instance("d-1", "d1", "d", "", "d-1", cores=1.0, since=0))
+
+
+@then("every instance of data centre c knows d-1")
+def knows_listed(context):
+    for one in context.fleet.instances.values():
+        if one.settings.datacentre == "c":
+            assert "d-1" in one.membership.known, one.settings.name
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 from typing import Any, TypeVar
 
@@ -93,6 +93,8 @@
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
         self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
         self.peer_gone: list[Callable[[Link], None]] = []
+        self.subscribe(CatalogueSlice, self.transfer.take)
+        self.on_reached = self.ask_members
         follower.listeners.append(self.learn_topics)
         follower.listeners.append(lambda catalogue: self.tell_soon())
         directory.listeners.append(self.tell_soon)
@@ -211,10 +213,8 @@
 
     def pulse(self) -> None:
         """Tell those near that this instance follows the store, and whether that answers."""
-        near = {one.peer for one in self.ranking.near()}
-        for address, link in list(self.links.items()):
-            if address in near:
-                self.send_later(link, self.beacon(asks=False))
+        for link in self.near_links():
+            self.send_later(link, self.beacon(asks=False))
 
     def serve(self, link: Link) -> None:
         """Serve a link that a peer opened, until it breaks."""
@@ -225,12 +225,28 @@
                 listener(link)
 
     def greet(self, link: Link) -> None:
-        """Tell a peer that has just connected what it needs to start."""
-        known = [one for one in self.membership.known.values() if one.peer]
-        for part in parts_of(known):
-            self.send(link, MemberList(part))
+        """Tell a peer that has just connected which versions it can get here."""
         self.send(link, self.beacon(asks=False))
 
+    def ask_members(self, link: Link) -> None:
+        """Ask which instances there are, where the platform's list could not be read.
+
+        To tell everybody who connects takes 19 KB and 4 ms a link with 195 instances.
+        """
+        if not self.membership.listed:
+            self.send_later(link, Want(-1, -1, members=True))
+
+    def tell_members(self, instances: Sequence[Instance]) -> None:
+        """Tell those near of instances that the platform's list has brought."""
+        for part in parts_of(instances):
+            for link in self.near_links():
+                self.send_later(link, MemberList(part))
+
+    def near_links(self) -> list[Link]:
+        """Return the links to those that leave the store to one of them with this instance."""
+        near = {one.peer for one in self.ranking.near()}
+        return [link for address, link in self.links.items() if address in near]
+
     @singledispatchmethod
     def handle(self, message: object, link: Link) -> None:
         """Take in a message, or hand it to who has subscribed to its kind."""
@@ -271,16 +287,15 @@
             self.transfer.begin(link)
         if 0 <= message.directory < self.directory.newest:
             self.send_directory(link, message.directory)
+        if message.members:
+            for part in parts_of([one for one in self.membership.known.values() if one.peer]):
+                self.send(link, MemberList(part))
 
     def send_directory(self, link: Link, since: int) -> None:
         """Send the entries of the list of servers that changed after a version."""
         for copy in directory_copies(self.directory, since):
             self.send(link, copy)
 
-    @handle.register
-    def _(self, message: CatalogueSlice, link: Link) -> None:
-        self.transfer.take(message, link)
-
     @handle.register
     def _(self, message: DirectoryCopy, link: Link) -> None:
         source = f"peer {link.peer.name}"
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -256,8 +256,7 @@
                     self.tables.instances.announce(self.me)
                     announced = True
                 if self.fleet.readers.reading or not self.membership.listed:
-                    self.membership.observe(self.tables.instances.instances())
-                    self.fleet.retarget.set()
+                    self.read_members()
                     log_message("instances-read", known=len(self.membership.known))
             except (StoreUnavailableError, StoreAmbiguousError) as error:
                 log_message("instances-unread", reason=str(error), announced=announced)
@@ -265,6 +264,19 @@
             else:
                 self.clock.sleep(MEMBERS_MS)
 
+    def read_members(self) -> None:
+        """Read the platform's list, and tell those near what is new, where they leave it to this.
+
+        Raises:
+            StoreUnavailableError: The store does not answer.
+        """
+        before = {one.incarnation for one in self.membership.known.values()}
+        self.membership.observe(self.tables.instances.instances())
+        known = [one for one in self.membership.known.values() if one.peer]
+        if self.fleet.readers.reading:
+            self.fleet.tell_members([one for one in known if one.incarnation not in before])
+        self.fleet.retarget.set()
+
     def keep_telling(self) -> None:
         """Tell those near that this instance follows the store for them, while it does."""
         while True:
--- a/packages/core/src/mountladder/forwarding/want.py
+++ b/packages/core/src/mountladder/forwarding/want.py
@@ -16,7 +16,9 @@
     Attributes:
         catalogue: The version of the catalogue that the asking instance has, or -1 for none wanted.
         directory: The version of its list of backend servers, or -1.
+        members: Whether it wants to know which instances there are.
     """
 
     catalogue: int
     directory: int
+    members: bool = False
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -42,6 +42,7 @@
         links: The links this instance opened, by the peer's address.
         leaving: Whether this instance is about to end.
         answered: Whether peers answer heartbeats on the same link, so that silence tells something.
+        on_reached: Called with each link that this instance has opened.
         on_link_lost: Called with the address of a peer whose link broke or fell silent.
     """
 
@@ -65,6 +66,7 @@
         self.knocks: dict[str, Event] = {}
         self.retarget = Event()
         self.leaving = False
+        self.on_reached: Callable[[Link], None] = lambda link: None
         self.on_link_lost: Callable[[str], None] = lambda address: None
         self.bytes = 0
         self.messages = 0
@@ -133,6 +135,7 @@
             link.heard_at = self.clock.now()
             self.links[address] = link
             log_message("peer-reached", peer=peer.name, address=address)
+            self.on_reached(link)
             reader = gevent.spawn(self.read_all, link)
             reader.link(lambda _: broken.set())
             while not broken.is_set():
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -70,6 +70,7 @@
 struct Want {
   catalogue @0 :Int64;
   directory @1 :Int64;
+  members @2 :Bool;
 }
 
 struct CatalogueSlice {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -155,7 +155,7 @@
     "snapshot": lambda snapshot: Snapshot(bytes(snapshot.value)),
     "submit": _read_submit,
     "beacon": _read_beacon,
-    "want": lambda one: Want(one.catalogue, one.directory),
+    "want": lambda one: Want(one.catalogue, one.directory, one.members),
     "catalogueSlice": _read_slice,
     "directoryCopy": _read_directory,
     "memberList": lambda members: MemberList(tuple(_read_member(one) for one in members)),
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -119,6 +119,7 @@
     want = frame.init("want")
     want.catalogue = message.catalogue
     want.directory = message.directory
+    want.members = message.members
 
 
 @fill.register
