A cut is believed where all that judge agree

Ruled out: a longer silence, which would delay every true cut as well. Change: an instance keeps the last word of each that judges, and believes what is in all of them; a word is old after 1.2 s. Before: the last word counted.

--- a/features/division.feature
+++ b/features/division.feature
@@ -137,3 +137,15 @@
     And safe request r is sent to c-1
     Then request r is refused with 2008 after at most 1 ms, and may come back
     And no server was sent request r
+
+  Scenario Outline: Only what all who judge say of a cut is believed, and not for long
+    Given a-1 says that <first> is cut off and a-2 says that <second> is
+    When <ms> ms go by for who was told
+    Then <cut> is taken to be cut off
+
+    Examples:
+      | first   | second  | ms   | cut     |
+      | b       | b       | 100  | b       |
+      | b       | nothing | 100  | nothing |
+      | b and c | c       | 100  | c       |
+      | b       | b       | 1300 | nothing |
--- a/features/steps/division_steps.py
+++ b/features/steps/division_steps.py
@@ -12,8 +12,11 @@
 from mountladder.forwarding.backlog import LAST_RANK, Backlog
 from mountladder.forwarding.lending import Lending
 from mountladder.forwarding.ranking import prompts_topic
+from mountladder.forwarding.reach import Reach
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageorder import StageOrder
+from mountladder.membership.instance import Instance
+from mountladder.membership.membership import Membership
 
 SETTLE_MS = 1_200.0
 LISTED_MS = 3_500.0
@@ -300,7 +303,8 @@
         fleet = context.fleet.instances["a-2"].fleet
         context.taken = []
         fleet.on_link_lost = context.taken.append
-        fleet.reach.believe((name,))
+        for judge in ("a-1", "a-2"):
+            fleet.reach.believe(judge, (name,))
         fleet.follow_reach()
         context.homes = [fleet.home(topic) for topic in sorted(fleet.contacts.topics)]
 
@@ -330,3 +334,27 @@
 @then("no server was sent request r")
 def not_sent(context):
     assert not context.fleet.upstream.arrivals.get("r")
+
+
+def named(text):
+    """Return the data centres that a step names."""
+    return frozenset() if text == "nothing" else frozenset(text.split(" and "))
+
+
+@given("a-1 says that {first} is cut off and a-2 says that {second} is")
+def words(context, first, second):
+    context.told_clock = VirtualClock()
+    me = Instance("a-3", "x", "a", "", "a-3", cores=1.0, since=0)
+    context.reach = Reach(Membership(me, context.told_clock))
+    context.reach.believe("a-1", named(first))
+    context.reach.believe("a-2", named(second))
+
+
+@when("{ms:d} ms go by for who was told")
+def later(context, ms):
+    context.told_clock.run(gevent.spawn(context.told_clock.sleep, float(ms)))
+
+
+@then("{cut} is taken to be cut off")
+def taken_cut(context, cut):
+    assert context.reach.cut_off() == named(cut), context.reach.cut_off()
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -262,7 +262,7 @@
         if message.reads and message.fed and message.catalogue <= self.follower.version:
             self.follower.confirm(self.clock.now())
         if message.judges and link.peer.datacentre == self.membership.me.datacentre:
-            self.reach.believe(message.cut)
+            self.reach.believe(link.peer.name, message.cut)
             self.follow_reach()
         for backlog in message.backlogs:
             self.on_backlog(backlog, link.peer.datacentre)
--- a/packages/core/src/mountladder/forwarding/reach.py
+++ b/packages/core/src/mountladder/forwarding/reach.py
@@ -24,21 +24,22 @@
     """Tells which data centres are cut off from this one, so that work is not sent there in vain.
 
     Instances that are in touch with several others of each data centre judge; the rest of their
-    data centre takes their word.
+    data centre takes their word, where all that judge agree. One that alone takes another data
+    centre to be cut off may have slow links itself, and after a cut they find out one by one.
 
     Args:
         membership: Who was heard of, and when.
 
     Attributes:
         silent: The data centres that this instance itself judges to be cut off.
-        believed: Until when the others' word is believed, by the data centre.
+        words: What each other instance that judges said last, with the time when it came.
     """
 
     def __init__(self, membership: Membership) -> None:
         self.membership = membership
         self.silent: frozenset[str] = frozenset()
         self.judged_at = float("-inf")
-        self.believed: dict[str, float] = {}
+        self.words: dict[str, tuple[frozenset[str], float]] = {}
 
     def judge(self, datacentres: Iterable[str]) -> bool:
         """Judge anew which of some data centres are cut off; tell whether that has changed.
@@ -64,15 +65,13 @@
         heard = [one for one in silences if one != float("inf")]
         return min(heard, default=0.0)
 
-    def believe(self, datacentres: Iterable[str]) -> None:
+    def believe(self, name: str, datacentres: Iterable[str]) -> None:
         """Take in the word of an instance near this one that some data centres are cut off."""
-        now = self.membership.clock.now()
-        self.believed = dict.fromkeys(datacentres, now + BELIEVED_MS)
+        self.words[name] = (frozenset(datacentres), self.membership.clock.now())
 
     def cut_off(self) -> frozenset[str]:
         """Return the data centres that are taken to be cut off from this one."""
-        if not self.believed:
-            return self.silent
-        now = self.membership.clock.now()
-        self.believed = {one: until for one, until in self.believed.items() if until > now}
-        return self.silent.union(self.believed)
+        oldest = self.membership.clock.now() - BELIEVED_MS
+        self.words = {name: word for name, word in self.words.items() if word[1] > oldest}
+        agreed = [cut for cut, _ in self.words.values()]
+        return self.silent.union(frozenset.intersection(*agreed) if agreed else ())
