--- /dev/null
+++ b/features/steps/regression_steps.py
@@ -0,0 +1,76 @@
+# regression_steps.py -- Steps about days that must hold
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about days that must hold."""
+
+import importlib.util
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+BENCH = Path(__file__).parents[2] / "bench"
+
+
+def load():
+    """Load the tool, which is no part of a package."""
+    spec = importlib.util.spec_from_file_location("regression", BENCH / "regression.py")
+    module = sys.modules["regression"] = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+regression = load()
+
+
+@given("day {day} has reached {worth:g}, two equal plays {spread:g} apart")
+def reached(context, day, worth, spread):
+    context.bound = regression.Bound("large/x.toml", day, worth, spread)
+
+
+@when('it is played with worth {worth:g} and broken rules "{rules}"')
+def played(context, worth, rules):
+    context.play = regression.Play(worth, tuple(rules.split()))
+
+
+@when('it is played with worth {worth:g} and broken rules ""')
+def played_well(context, worth):
+    context.play = regression.Play(worth, ())
+
+
+@then('the verdict is "{verdict}"')
+def verdict_is(context, verdict):
+    assert regression.verdict(context.bound, context.play) == verdict
+
+
+@then('the verdict is ""')
+def no_verdict(context):
+    assert regression.verdict(context.bound, context.play) == ""
+
+
+def entry(head, why, worth):
+    day = {"name": "scale-1", "G": worth, "rules": {}, "fault": None}
+    return {"head": head, "dirty": False, "why": why, "site": "x", "days": [day]}
+
+
+@given("a journal with a regression play of this commit, one of another, and a trial")
+def some_journal(context):
+    context.entries = [
+        entry("this", regression.WHY, 0.6),
+        entry("other", regression.WHY, 0.5),
+        entry("this", "trial", 0.4),
+    ]
+
+
+@then("only the first counts as played")
+def only_first(context):
+    found = regression.played(context.entries, "this")
+    assert found == {("x", "scale-1"): regression.Play(0.6, ())}
+
+
+@then("every bound names a site, a day and a worth")
+def bounds_read(context):
+    bounds = regression.read_bounds(BENCH / "regression.toml")
+    assert bounds
+    assert all(one.site.endswith(".toml") and one.day and one.worth > 0 for one in bounds)
