Sight: what a refusal at the door is made of, and outcomes by size

Cause looked for: of the largest decks fewer are served than of all. The logs could not tell where: the size of a request that was refused at the door was nowhere, nor which part of its expected time was waiting, its own stages, its prompt, or the learnt factor. Change: 'received' has the size of the prompt; 'turned-away' and 'let-in' tell what the expected time is made of; mountladder account counts outcomes by size. No logic changes: the same sum is compared with the same bound.

--- a/features/lines.feature
+++ b/features/lines.feature
@@ -14,3 +14,8 @@
     When the account of the logs is asked for
     Then it counts 1 on time, 2 late, 1 refused, 1 again, 1 left, 1 failed and 1 unended
     And the station of each that was not on time is named
+
+  Scenario: What became of requests by the size of their prompts
+    Given logs of 20 requests of a route, the 2 largest of which were refused at the door
+    When the account of the logs is asked for
+    Then it shows the largest tenth with 2 refused, 2 of them at the door, and the others on time
--- a/features/steps/line_steps.py
+++ b/features/steps/line_steps.py
@@ -125,3 +125,34 @@
     for request, trace in context.traces.items():
         assert trace["station"] == STATIONS.get(request, ""), (request, trace)
         assert trace["station"] in context.shown
+
+
+@given(
+    "logs of {number:d} requests of a route,"
+    " the {large:d} largest of which were refused at the door"
+)
+def sized(context, number, large):
+    folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    rows = []
+    for n in range(number):
+        code = 2001 if n < large else 0
+        received = {"route": "r", "aim_ms": 1_000, "tokens": 1_000 * (number - n)}
+        for kind, fields in (("received", received), ("ended", {"code": code, "elapsed_ms": 1})):
+            rows.append({"message_type": kind, "timestamp": 100.0, "request": f"q{n}"} | fields)
+    context.path = folder / "log"
+    context.path.write_text("\n".join(json.dumps(one) for one in rows))
+
+
+@then(
+    "it shows the largest tenth with {refused:d} refused, {door:d} of them at the door,"
+    " and the others on time"
+)
+def shows_sizes(context, refused, door):
+    rows = {}
+    for line in context.shown.splitlines():
+        for name in ("largest tenth", "fifth below", "the others"):
+            if name in line:
+                rows[name] = line.partition(name)[2].split()
+    assert rows["largest tenth"] == ["19000", str(refused), str(door)], rows
+    assert rows["fifth below"] == ["15000", "4"], rows
+    assert rows["the others"] == ["1000", "14"], rows
--- a/packages/cli/src/mountladder_cli/lossaccount.py
+++ b/packages/cli/src/mountladder_cli/lossaccount.py
@@ -13,6 +13,8 @@
 from mountladder_cli.requesttrace import OUTCOMES, RequestTrace
 
 SPAN_SECONDS = 2.0
+# The sizes that are counted apart, each with its part of a route's requests, the largest first.
+SIZES = (("largest tenth", 0.1), ("fifth below", 0.2), ("the others", 0.7))
 
 
 def account_of(lines: Iterable[str]) -> list[RequestTrace]:
@@ -33,7 +35,7 @@
 
 
 def shown_account(traces: list[RequestTrace]) -> str:
-    """Return two tables: outcomes by route and span of time, and where time went by route."""
+    """Return three tables: outcomes by span of time and by size, and where time went."""
     if not traces:
         return "no request was received"
     start = traces[0].at
@@ -48,8 +50,34 @@
     for (route, span), counts in sorted(spans.items()):
         cells = " ".join(f"{counts[name] or '':>9}" for name in OUTCOMES)
         rows.append(f"{route:20} {span * SPAN_SECONDS:6.0f} {cells}")
-    rows.append("")
+    rows += ["", *size_rows(traces), ""]
     rows.append(f"{'route':20} {'outcome':>9} {'requests':>8}  station")
     for (route, outcome, station), number in stations.most_common():
         rows.append(f"{route:20} {outcome:>9} {number:8}  {station}")
     return "\n".join(rows)
+
+
+def size_rows(traces: list[RequestTrace]) -> list[str]:
+    """Return the rows of a table of outcomes by route and size."""
+    names = " ".join(f"{name:>9}" for name in OUTCOMES)
+    rows = [f"{'route':20} {'size':13} {'tokens':>7} {names} {'at door':>9}"]
+    routes: dict[str, list[RequestTrace]] = defaultdict(list)
+    for trace in traces:
+        if trace.size:
+            routes[trace.route].append(trace)
+    for route, found in sorted(routes.items()):
+        found.sort(key=lambda one: -one.size)
+        first, part = 0, 0.0
+        for name, share in SIZES:
+            part += share
+            last = round(part * len(found))
+            rows += [_size_row(route, name, found[first:last])] if last > first else []
+            first = last
+    return rows
+
+
+def _size_row(route: str, name: str, traces: list[RequestTrace]) -> str:
+    counts = Counter(one.outcome for one in traces)
+    door = sum(one.station.startswith("door") for one in traces)
+    cells = " ".join(f"{counts[outcome] or '':>9}" for outcome in OUTCOMES)
+    return f"{route:20} {name:13} {traces[-1].size:7} {cells} {door or '':>9}"
--- a/packages/cli/src/mountladder_cli/requesttrace.py
+++ b/packages/cli/src/mountladder_cli/requesttrace.py
@@ -11,6 +11,8 @@
 from mountladder.code import Code
 from mountladder.resultclass import ResultClass
 
+# Generating a token weighs about as much as reading ten.
+OUTPUT_WEIGHT = 10
 _NOT_RUN = frozenset(one.number for one in Code if one.result is ResultClass.NOT_RUN)
 OUTCOMES = ("on time", "late", "refused", "again", "left", "failed", "unended")
 Message = dict[str, object]
@@ -27,6 +29,7 @@
         outcome: One of OUTCOMES: answered on time or late, refused at its first try or again,
             left by its caller, failed, or cut off by the end of its instance.
         station: Where its time went, or empty where it was on time.
+        size: How much work its prompt is, in tokens that are read; 0 where it has none.
     """
 
     request: str
@@ -34,6 +37,7 @@
     at: float
     outcome: str
     station: str
+    size: int = 0
 
     @classmethod
     def of(cls, request: str, messages: list[Message]) -> RequestTrace | None:
@@ -45,7 +49,9 @@
             return None
         outcome = stations.outcome()
         station = "" if outcome == "on time" else stations.longest(ordered)
-        return cls(request, str(received.get("route", "")), _at(received), outcome, station)
+        size = int(received.get("tokens") or 0)
+        size += OUTPUT_WEIGHT * int(received.get("most_output") or 0)
+        return cls(request, str(received.get("route", "")), _at(received), outcome, station, size)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -76,6 +76,8 @@
             catalogue_age_ms=self.context.follower.shown_age(),
             allowed_ms=round(request.allowed_ms),
             pieces=request.pieces,
+            tokens=request.prompt.tokens if request.prompt else 0,
+            most_output=request.prompt.most_output if request.prompt else 0,
             urgency=run.urgency,
             route_priority=route.priority,
             aim_ms=round(route.aim_ms),
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -105,11 +105,7 @@
             return ()
         is_first = self.flow is None and self.sendings == 0
         if is_first:
-            forecast = self.context.forecast
-            self.expected_ms = forecast.check(
-                self.request, self.route, self.urgency, self.comes_back
-            )
-            self.log("let-in", expected_ms=round(self.expected_ms), comes_back=self.comes_back)
+            self.enter()
         self.flow = StageFlow(
             self.request,
             self.route,
@@ -133,6 +129,22 @@
         self.log("stages-done", results=len(inputs))
         return inputs
 
+    def enter(self) -> None:
+        """Have the request let in before its stages begin.
+
+        Raises:
+            RefusalError: It is refused at the door.
+        """
+        forecast = self.context.forecast
+        expectation = forecast.expect(self.request, self.route, self.urgency)
+        self.expected_ms = expectation.ms
+        try:
+            forecast.check(expectation, self.request, self.route, self.urgency, self.comes_back)
+        except RefusalError as error:
+            self.log("turned-away", **expectation.fields(), back_ms=round(error.retry_after_ms))
+            raise
+        self.log("let-in", **expectation.fields(), comes_back=self.comes_back)
+
     def may_make_again(self) -> bool:
         """Tell whether the stages may be run once more after a result of theirs was lost."""
         self.flows_lost += 1
@@ -142,7 +154,7 @@
         """Return the refusal of a request whose stages were not begun in time."""
         forecast = self.context.forecast
         forecast.learn(self.route, self.expected_ms, self.elapsed())
-        expected_ms = forecast.expected_ms(self.request, self.route, self.urgency)
+        expected_ms = forecast.expect(self.request, self.route, self.urgency).ms
         back_ms = forecast.back_ms(self.request, self.route, expected_ms)
         return RefusalError(error.detail, error.code, retry_after_ms=back_ms)
 
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -10,6 +10,7 @@
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import by_rank
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.expectation import Expectation
 from mountladder.forwarding.finishtime import finish_ms
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.route import Route
@@ -61,29 +62,33 @@
         back = request.allowed_ms < FIRST_ATTEMPT * longest
         return longest - request.allowed_ms if back else 0.0
 
-    def check(self, request: ForwardRequest, route: Route, urgency: int, back: bool) -> float:
+    def check(
+        self,
+        expectation: Expectation,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        back: bool,
+    ) -> None:
         """Let a request in, or refuse it with the time when there may be room for it.
 
         Args:
+            expectation: How long it is expected to take.
             request: The request.
             route: Its route.
             urgency: Its rank.
             back: Whether it was refused before.
 
-        Returns:
-            The expected time to its first event, in milliseconds.
-
         Raises:
             RefusalError: It is not expected to be in time.
         """
-        expected_ms = self.expected_ms(request, route, urgency)
         most_ms = by_rank(LET_IN_AIMS, urgency) * route.aim_ms
         if back:
             most_ms = LET_BACK_IN_AIMS * route.aim_ms
-        if expected_ms <= most_ms:
-            return expected_ms
-        back_ms = self.back_ms(request, route, expected_ms)
-        detail = f"expected {expected_ms:.0f} ms, aim {route.aim_ms:.0f} ms"
+        if expectation.ms <= most_ms:
+            return
+        back_ms = self.back_ms(request, route, expectation.ms)
+        detail = f"expected {expectation.ms:.0f} ms, aim {route.aim_ms:.0f} ms"
         raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=back_ms)
 
     def back_ms(self, request: ForwardRequest, route: Route, expected_ms: float) -> float:
@@ -91,11 +96,16 @@
         back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
         return min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
 
-    def expected_ms(self, request: ForwardRequest, route: Route, urgency: int) -> float:
-        """Return the expected time to the first event, in milliseconds."""
-        last = (self.stage_ms(request, route, n, urgency) for n in range(len(route.stages)))
-        plain_ms = finish_ms(request.prompt) + max(last, default=0.0)
-        return plain_ms * self.factors.get(route.name, FIRST_FACTOR)
+    def expect(self, request: ForwardRequest, route: Route, urgency: int) -> Expectation:
+        """Return how long a request is expected to take to its first event."""
+        stages = range(len(route.stages))
+        reading_ms = finish_ms(request.prompt)
+        alone = (self.stage_ms(request, route, n, None) for n in stages)
+        behind = (self.stage_ms(request, route, n, urgency) for n in stages)
+        alone_ms = max(alone, default=0.0)
+        waiting_ms = max(behind, default=0.0) - alone_ms
+        factor = self.factors.get(route.name, FIRST_FACTOR)
+        return Expectation(alone_ms, reading_ms, waiting_ms, factor)
 
     def learn(self, route: Route, expected_ms: float, elapsed_ms: float) -> None:
         """Learn from the time to the first event of a request that was let in."""
@@ -103,8 +113,17 @@
         factor += FACTOR_STEP if elapsed_ms > expected_ms else -FACTOR_STEP
         self.factors[route.name] = min(MOST_FACTOR, max(LEAST_FACTOR, factor))
 
-    def stage_ms(self, request: ForwardRequest, route: Route, number: int, urgency: int) -> float:
-        """Return the expected time until a stage is done, those before it included."""
+    def stage_ms(
+        self, request: ForwardRequest, route: Route, number: int, urgency: int | None
+    ) -> float:
+        """Return the expected time until a stage is done, those before it included.
+
+        Args:
+            request: The request.
+            route: Its route.
+            number: The stage.
+            urgency: The request's rank; None for the time if nothing else waited.
+        """
         stage = route.stages[number]
         before = (self.stage_ms(request, route, one, urgency) for one in stage.after)
         start_ms = max(before, default=0.0)
@@ -112,7 +131,9 @@
         service = self.follower.service(stage.service)
         if not pieces or service is None or service.batch is None:
             return start_ms
+        call_ms = service.batch.expected_ms(min(pieces, service.batch.pieces))
+        if urgency is None:
+            return start_ms + call_ms
         # What waits or is announced is worked off while the stages before are under way.
         free_ms = self.dispatch.wait_ms(stage.service, urgency)
-        call_ms = service.batch.expected_ms(min(pieces, service.batch.pieces))
         return max(start_ms, free_ms) + call_ms
