A test that fails: in an overload that lasts, large requests are not served

Cause: refusals at the door compare waiting and own time together with the aim, so that whoever takes longer by itself is refused at every moment. Test: three instances on virtual time, four stage servers asked for 1.3 and 1.6 times what they make, prompts drawn, callers that come back once. The stand-in for model servers can read prompts at a speed.

--- /dev/null
+++ b/features/steps/large_steps.py
@@ -0,0 +1,186 @@
+# large_steps.py -- Steps about large requests among the rest of their kind
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about large requests among the rest of their kind."""
+
+import math
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import gevent
+from behave import given, then, when
+from forwardbasics import QuietDispatch, request, route, serve
+
+from mountladder.errors import RefusalError
+from mountladder.forwarding.batchlimits import BatchLimits
+from mountladder.forwarding.catalogue import Catalogue
+from mountladder.forwarding.keyholder import KeyHolder
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.routekind import RouteKind
+from mountladder.forwarding.routestage import RouteStage
+from mountladder.forwarding.service import Service
+from mountladder.forwarding.stageforecast import StageForecast
+
+BATCH = BatchLimits(1, 2, 8, 150.0, 10.0, 100.0, 4_000.0)
+# Three stages one after the other that take 600 ms of themselves.
+STAGES = tuple(RouteStage("enc", (n - 1,) if n else (), 8_000.0) for n in range(3))
+PIECES = (1, 6, 8)
+PATH = "/deck/1"
+# The largest tenth of prompts drawn with this spread is nearly twice as large as the mean.
+SPREAD = 0.6
+TOKENS_PER_MS = 61.2
+SETTLE_MS = 700.0
+SERVED = 200
+
+
+@given("a kind of request with an aim of {aim:d} ms and a deadline of {deadline:d} ms")
+def kind(context, aim, deadline):
+    plain = route("deck", "/deck/", RouteKind.STREAM, "llm", prompts=True, stages=STAGES)
+    context.route = replace(plain, aim_ms=float(aim), timeout_ms=float(deadline))
+    context.deadline_ms = float(deadline)
+    services = {
+        "llm": Service("llm", 100, 64, 10_000_000),
+        "enc": Service("enc", 100, batch=BATCH),
+    }
+    routes = {context.route.host: (context.route,)}
+    context.catalogue = Catalogue(1, routes, services, {"k": KeyHolder("desk")}, True)
+
+
+@given("prompts of {mean:d} tokens on the average, the largest tenth over {large:d}")
+def prompts(context, mean, large):
+    rng = random.Random(0)
+    sizes = sorted(drawn(rng, mean) for _ in range(10_000))
+    assert sizes[9_000] > large, sizes[9_000]
+    context.mean = mean
+
+
+def drawn(rng, mean):
+    return int(rng.lognormvariate(math.log(mean) - SPREAD**2 / 2, SPREAD))
+
+
+def deck(context, id_, tokens, arrived, allowed_ms):
+    prompt = Prompt(tokens, 120, (PromptPart(f"own {id_}", tokens),))
+    sent = request(id_, PATH, arrived, allowed_ms=allowed_ms)
+    return replace(sent, prompt=prompt, pieces=PIECES)
+
+
+@given("{number:d} stage servers that make {rate:d} of its requests a second")
+def overloaded(context, number, rate):
+    full_s = BATCH.expected_ms(BATCH.pieces) / 1_000.0
+    assert rate == round(number * BATCH.pieces / full_s / sum(PIECES))
+    context.fleet.catalogues[1] = context.catalogue
+    context.fleet.configure(context.catalogue)
+    context.fleet.upstream.tokens_per_ms = TOKENS_PER_MS
+    for name in ("a-1", "b-1", "c-1"):
+        context.fleet.start(name)
+    for n in range(number):
+        context.fleet.add_server(f"enc-{n}", "enc", "ab"[n % 2])
+    for n in range(6):
+        context.fleet.add_server(f"llm-{n}", "llm", "abc"[n % 3])
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@when(
+    "{asked:d} requests a second come for {seconds:d} seconds, drawn with seed {seed:d},"
+    " and come back once when refused"
+)
+def come(context, asked, seconds, seed):
+    rng = random.Random(seed)
+    context.served = []
+
+    def call(number, tokens):
+        began = context.clock.now()
+        for name in (f"r{number}", f"r{number} again"):
+            now = context.clock.now()
+            left_ms = context.deadline_ms - (now - began)
+            instance = rng.choice(("a-1", "b-1", "c-1"))
+            serve(context, instance, deck(context, name, tokens, now, left_ms))
+            status, _, code, _, error = context.ends[name]
+            if not isinstance(error, RefusalError) or error.retry_after_ms is None:
+                break
+            context.clock.sleep(error.retry_after_ms)
+        context.served.append((tokens, status == SERVED and code == 0))
+
+    def play():
+        callers = []
+        for number in range(asked * seconds):
+            context.clock.sleep(rng.expovariate(asked / 1_000.0))
+            callers.append(gevent.spawn(call, number, drawn(rng, context.mean)))
+        gevent.joinall(callers)
+
+    context.run(play)
+    context.served.sort(reverse=True)
+
+
+def part(served):
+    return sum(one for _, one in served) / len(served)
+
+
+def sizes_served(context, first, last):
+    number = len(context.served)
+    return part(context.served[int(first * number) : int(last * number)])
+
+
+@then("of the largest tenth at least {ratio:g} times as many are served as of all")
+def largest(context, ratio):
+    found = sizes_served(context, 0.0, 0.1)
+    assert found >= ratio * part(context.served), (found, part(context.served))
+
+
+@then("of the fifth below it at least {ratio:g} times as many are served as of all")
+def fifth(context, ratio):
+    found = sizes_served(context, 0.1, 0.3)
+    assert found >= ratio * part(context.served), (found, part(context.served))
+
+
+@then("at least {least:g} of all are served")
+def all_served(context, least):
+    assert part(context.served) >= least, part(context.served)
+
+
+class WaitingDispatch(QuietDispatch):
+    """Stands for the dispatch of stages while pieces wait."""
+
+    def __init__(self):
+        self.ms = 0.0
+
+    def wait_ms(self, service, urgency):
+        return self.ms
+
+
+@given("its route has learnt a factor of {factor:g}")
+def learnt(context, factor):
+    context.dispatch = WaitingDispatch()
+    follower = SimpleNamespace(service=context.catalogue.services.get)
+    context.forecast = StageForecast(context.dispatch, follower)
+    context.forecast.factors[context.route.name] = factor
+    rng = random.Random(1)
+    for number in range(40):
+        sent = deck(context, f"before {number}", drawn(rng, context.mean), 0.0, 10_000.0)
+        context.forecast.expect(sent, context.route, 0)
+
+
+@when("one of {tokens:d} tokens comes while its stages wait {wait:d} ms")
+def one_comes(context, tokens, wait):
+    context.dispatch.ms = float(wait)
+    sent = deck(context, "r", tokens, 0.0, context.deadline_ms)
+    expectation = context.forecast.expect(sent, context.route, 0)
+    context.refusal = None
+    try:
+        context.forecast.check(expectation, sent, context.route, 0, False)
+    except RefusalError as error:
+        context.refusal = error
+
+
+@then("it is let in")
+def let_in(context):
+    assert context.refusal is None, context.refusal.detail
+
+
+@then("it is refused with a time")
+def refused(context):
+    assert context.refusal is not None
+    assert context.refusal.retry_after_ms > 0.0
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -50,6 +50,7 @@
         calls: The calls with pieces.
         freed: The results that were given up.
         answers: The answers that were handed out.
+        tokens_per_ms: How fast prompts are read; without it every request takes the same time.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -61,6 +62,7 @@
         self.freed: list[str] = []
         self.answers: list[LocalAnswer] = []
         self.numbers = itertools.count(1)
+        self.tokens_per_ms: float | None = None
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
@@ -73,13 +75,20 @@
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
             raise StageError("", Code.STAGE_STALLED)
-        self.clock.sleep(WORK_MS)
+        self.clock.sleep(self.work_ms(call))
         if fault is ServerFault.RESET:
             raise StageError("", Code.STREAM_CUT)
         answer = self.answer(server, call, fault)
         self.answers.append(answer)
         return answer
 
+    def work_ms(self, call: ForwardCall) -> float:
+        """Return how long a request takes to its answer."""
+        prompt = call.request.prompt
+        if self.tokens_per_ms is None or prompt is None:
+            return WORK_MS
+        return WORK_MS + prompt.tokens / self.tokens_per_ms
+
     def answer(
         self, server: BackendServer, call: ForwardCall, fault: ServerFault | None
     ) -> LocalAnswer:
