In an overload all sizes wait alike, and those who give way count as ahead of nobody

Cause: the door compared waiting and own time together with the aim, so that in an overload whoever takes longer by itself was refused at every moment. And who came back was let in up to 1.3 aims, first attempts up to one, while what those who came back announced for later stages counted as ahead of everybody: first attempts were refused for pieces that would go behind them. Change: the usual own time of a route, not that of a request, is compared with the aim; who cannot be on time is let in behind all others at once where its kind is expected within two aims, in place of a refusal; places behind all others are places of their own in every estimate. Own time is compared with the deadline only.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -127,7 +127,7 @@
     def withdraw(self, submission):
         pass
 
-    def wait_ms(self, service, urgency):
+    def wait_ms(self, service, urgency, gives_way=False):
         return 0.0
 
     def limits(self, service):
--- a/features/largerequests.feature
+++ b/features/largerequests.feature
@@ -25,3 +25,47 @@
       | 12    | 1    | 0.7    |
       | 12    | 2    | 0.7    |
       | 15    | 3    | 0.55   |
+
+  @forwarding
+  Scenario Outline: In an overload that lasts most of what the servers can make is on time
+    # Whoever could not be on time came back and went behind the others, but the pieces that it
+    # announced counted as ahead of everybody: first attempts were refused for them, came back in
+    # turn, and nearly all that was served was late.
+    Given 4 stage servers that make 9 of its requests a second
+    When <asked> requests a second come for 30 seconds, drawn with seed <seed>, and come back once when refused
+    Then at least <part> of all are served on time
+
+    Examples:
+      | asked | seed | part |
+      | 12    | 1    | 0.5  |
+      | 12    | 2    | 0.5  |
+      | 15    | 3    | 0.4  |
+
+  Scenario Outline: Pieces of those who give way are not ahead of those who can be on time
+    Given a stage service that makes 0.04 pieces a millisecond
+    When 8 pieces of rank 1 <are>, and 20 pieces of rank 0 that give way <are>
+    Then those of rank 1 are expected to wait 200 ms
+    And those that give way are expected to wait 700 ms
+
+    Examples:
+      | are             |
+      | wait            |
+      | were announced  |
+
+  Scenario Outline: Who can be answered before the deadline is not refused for its size
+    Given its route has learnt a factor of <factor>
+    When one of <tokens> tokens comes while its stages wait <wait> ms
+    Then it is <outcome>
+
+    Examples:
+      | factor | tokens | wait | outcome                   |
+      | 1.25   | 17000  | 0    | let in                    |
+      | 1.25   | 70000  | 0    | let in                    |
+      | 2.0    | 53000  | 0    | let in                    |
+      | 1.25   | 53000  | 300  | let in                    |
+      | 1.25   | 8000   | 300  | let in                    |
+      | 1.25   | 8000   | 1200 | let in behind the others  |
+      | 1.25   | 53000  | 1200 | let in behind the others  |
+      | 1.25   | 17000  | 6000 | refused with a time       |
+      | 1.25   | 53000  | 6000 | refused with a time       |
+      | 1.25   | 900000 | 0    | refused with a time       |
--- a/features/steps/division_steps.py
+++ b/features/steps/division_steps.py
@@ -9,7 +9,7 @@
 from forwardbasics import BATCH, PATHS, meeting, request, serve
 
 from mountladder.clocks.virtualclock import VirtualClock
-from mountladder.forwarding.backlog import LAST_RANK, Backlog
+from mountladder.forwarding.backlog import PLACES, Backlog
 from mountladder.forwarding.lending import Lending
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.reach import Reach
@@ -245,7 +245,7 @@
     context.lending_clock = VirtualClock()
     context.lending = Lending(context.lending_clock, "a")
     for name, wait_ms in (("b", b), ("c", c)):
-        waits = (float(wait_ms),) * (LAST_RANK + 1)
+        waits = (float(wait_ms),) * len(PLACES)
         context.lending.hear(Backlog("enc", waits, waits), name)
 
 
@@ -278,7 +278,7 @@
 def lent_to(context):
     def play():
         place = context.place
-        none = (0.0,) * (LAST_RANK + 1)
+        none = (0.0,) * len(PLACES)
         for name in ("a", "c"):
             place.dispatch.lending.hear(Backlog("enc", none, none), name)
         link = next(iter(place.fleet.links.values()))
--- a/features/steps/large_steps.py
+++ b/features/steps/large_steps.py
@@ -13,16 +13,24 @@
 from behave import given, then, when
 from forwardbasics import QuietDispatch, request, route, serve
 
+from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.errors import RefusalError
+from mountladder.forwarding.backlog import GIVES_WAY
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.catalogue import Catalogue
+from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.keyholder import KeyHolder
+from mountladder.forwarding.piecequeue import PieceQueue
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.routekind import RouteKind
 from mountladder.forwarding.routestage import RouteStage
 from mountladder.forwarding.service import Service
+from mountladder.forwarding.stagedemand import StageDemand
 from mountladder.forwarding.stageforecast import StageForecast
+from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.forwarding.streamrun import StreamRun
 
 BATCH = BatchLimits(1, 2, 8, 150.0, 10.0, 100.0, 4_000.0)
 # Three stages one after the other that take 600 ms of themselves.
@@ -90,6 +98,9 @@
 def come(context, asked, seconds, seed):
     rng = random.Random(seed)
     context.served = []
+    context.on_time = 0
+    context.stack.callback(setattr, StreamRun, "log", StreamRun.log)
+    StreamRun.log = watching(context, StreamRun.log)
 
     def call(number, tokens):
         began = context.clock.now()
@@ -115,6 +126,17 @@
     context.served.sort(reverse=True)
 
 
+def watching(context, plain):
+    """Return a log method that also counts the requests on time since their first attempt."""
+
+    def log(run, event, **fields):
+        plain(run, event, **fields)
+        if event == "first-event":
+            context.on_time += run.age_ms + run.elapsed() <= run.route.aim_ms
+
+    return log
+
+
 def part(served):
     return sum(one for _, one in served) / len(served)
 
@@ -141,13 +163,56 @@
     assert part(context.served) >= least, part(context.served)
 
 
+@then("at least {least:g} of all are served on time")
+def all_on_time(context, least):
+    found = context.on_time / len(context.served)
+    assert found >= least, found
+
+
+@given("a stage service that makes {rate:g} pieces a millisecond")
+def makes(context, rate):
+    context.clock = VirtualClock()
+    context.rate = rate
+    context.demand = StageDemand(context.clock)
+    context.queue = PieceQueue()
+
+
+@when("{first:d} pieces of rank 1 wait, and {second:d} pieces of rank 0 that give way wait")
+def both_wait(context, first, second):
+    now = context.clock.now()
+    for urgency, pieces, due in ((1, first, now + 900.0), (0, second, now - 1.0)):
+        job = StageJob("r", 0, "enc", pieces, "key", (), 1e9, due, urgency, 8e3, "")
+        context.queue.add(JobProgress(job, lambda results: None, now))
+    context.waits = expected(context)
+
+
+@when(
+    "{first:d} pieces of rank 1 were announced,"
+    " and {second:d} pieces of rank 0 that give way were announced"
+)
+def both_announced(context, first, second):
+    context.demand.announce(StageNotice("on time", 1, "enc", first, 1))
+    context.demand.announce(StageNotice("late", 1, "enc", second, 0, gives_way=True))
+    context.waits = expected(context)
+
+
+def expected(context):
+    waiting = context.queue.by_place(context.clock.now())
+    return context.demand.waits_ms(waiting, context.rate, 0.0)
+
+
+@then("those that give way are expected to wait {ms:d} ms")
+def behind_waits(context, ms):
+    assert round(context.waits[GIVES_WAY]) == ms, context.waits
+
+
 class WaitingDispatch(QuietDispatch):
     """Stands for the dispatch of stages while pieces wait."""
 
     def __init__(self):
         self.ms = 0.0
 
-    def wait_ms(self, service, urgency):
+    def wait_ms(self, service, urgency, gives_way=False):
         return self.ms
 
 
@@ -160,17 +225,17 @@
     rng = random.Random(1)
     for number in range(40):
         sent = deck(context, f"before {number}", drawn(rng, context.mean), 0.0, 10_000.0)
-        context.forecast.expect(sent, context.route, 0)
+        context.forecast.foresee(sent, context.route, 0, 0.0)
 
 
 @when("one of {tokens:d} tokens comes while its stages wait {wait:d} ms")
 def one_comes(context, tokens, wait):
     context.dispatch.ms = float(wait)
     sent = deck(context, "r", tokens, 0.0, context.deadline_ms)
-    expectation = context.forecast.expect(sent, context.route, 0)
+    context.expectation = context.forecast.foresee(sent, context.route, 0, 0.0)
     context.refusal = None
     try:
-        context.forecast.check(expectation, sent, context.route, 0, False)
+        context.forecast.check(context.expectation, sent, context.route)
     except RefusalError as error:
         context.refusal = error
 
@@ -178,6 +243,13 @@
 @then("it is let in")
 def let_in(context):
     assert context.refusal is None, context.refusal.detail
+    assert not context.expectation.gives_way
+
+
+@then("it is let in behind the others")
+def let_in_behind(context):
+    assert context.refusal is None, context.refusal.detail
+    assert context.expectation.gives_way
 
 
 @then("it is refused with a time")
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -11,7 +11,7 @@
 import gevent
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import LAST_RANK, Backlog
+from mountladder.forwarding.backlog import PLACES, Backlog
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
@@ -162,7 +162,7 @@
         self.start(state, batch, limits, now)
 
     def backlog(self) -> Backlog:
-        """Return how long new pieces are expected to wait, by the rank of their request.
+        """Return how long new pieces are expected to wait, by their place.
 
         Every heartbeat of every instance that leaves pieces here asks, hundreds of times a second
         in a large fleet, so that the figure may be some milliseconds old.
@@ -177,14 +177,14 @@
         limits = self.limits()
         usable = self.servers.usable(now)
         if limits is None or not usable:
-            return Backlog(self.service, (NO_SERVER_MS,) * (LAST_RANK + 1))
+            return Backlog(self.service, (NO_SERVER_MS,) * len(PLACES))
         full_ms = limits.expected_ms(limits.pieces)
         rate = sum(limits.pieces / (full_ms * one.slowness_at(now)) for one in usable)
         measured = self.rate.measured()
         if measured is not None:
             rate = max(LEAST_RATE * rate, min(rate, measured))
         busy_ms = min(self.servers.left(one, now) for one in usable)
-        return Backlog(self.service, self.demand.waits_ms(self.queue.by_rank(now), rate, busy_ms))
+        return Backlog(self.service, self.demand.waits_ms(self.queue.by_place(now), rate, busy_ms))
 
     def start(
         self, state: ServerState, batch: list[Waiting], limits: BatchLimits, now: float
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -56,6 +56,7 @@
         unreached: How often no connection to the server came about.
         runs: On how many servers it may have run.
         flows_lost: How often its stages were run again since a result was lost.
+        gives_way: Whether it cannot be on time and its stages give way to all that can.
         cancel_release: Keeps results that are about to be given up.
     """
 
@@ -84,6 +85,7 @@
         self.cancel_release: Callable[[], None] = lambda: None
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.comes_back = self.age_ms > 0.0
+        self.gives_way = False
         context.budget(self.service).earn()
 
     @property
@@ -113,7 +115,7 @@
             self.urgency,
             self.context.dispatch,
             self.context.clock,
-            self.age_ms + self.expected_ms <= self.route.aim_ms,
+            self.promised_ms(),
             is_first,
         )
         try:
@@ -136,15 +138,24 @@
             RefusalError: It is refused at the door.
         """
         forecast = self.context.forecast
-        expectation = forecast.expect(self.request, self.route, self.urgency)
+        expectation = forecast.foresee(self.request, self.route, self.urgency, self.age_ms)
         self.expected_ms = expectation.ms
+        self.gives_way = expectation.gives_way
         try:
-            forecast.check(expectation, self.request, self.route, self.urgency, self.comes_back)
+            forecast.check(expectation, self.request, self.route)
         except RefusalError as error:
             self.log("turned-away", **expectation.fields(), back_ms=round(error.retry_after_ms))
             raise
         self.log("let-in", **expectation.fields(), comes_back=self.comes_back)
 
+    def promised_ms(self) -> float:
+        """Return within which time from its arrival the answer is to begin, in milliseconds.
+
+        One that takes longer than the aim by itself keeps its place among the others by when it
+        can be done.
+        """
+        return 0.0 if self.gives_way else max(self.route.aim_ms, self.expected_ms)
+
     def may_make_again(self) -> bool:
         """Tell whether the stages may be run once more after a result of theirs was lost."""
         self.flows_lost += 1
--- a/packages/core/src/mountladder/forwarding/lending.py
+++ b/packages/core/src/mountladder/forwarding/lending.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import LAST_RANK, Backlog, by_rank, rank
+from mountladder.forwarding.backlog import PLACES, Backlog, by_rank, place
 from mountladder.forwarding.piecequeue import FAR_PATIENCE_MS
 from mountladder.forwarding.stagejob import StageJob
 
@@ -47,22 +47,28 @@
         self.told[key] = (backlog, self.clock.now())
         self.sent_ms.pop(key, None)
 
-    def wait_ms(self, service: str, datacentre: str, urgency: int) -> float:
-        """Return how long new pieces would wait in another data centre; infinite if unknown."""
+    def wait_ms(self, service: str, datacentre: str, here: int) -> float:
+        """Return how long new pieces would wait in another data centre; infinite if unknown.
+
+        Args:
+            service: The service.
+            datacentre: The data centre.
+            here: Their place among others, one of PLACES.
+        """
         backlog, at = self.told.get((service, datacentre), (None, 0.0))
         age_ms = self.clock.now() - at
         if backlog is None or age_ms > TOLD_MS or not backlog.own_ms:
             return float("inf")
         # What was told is not taken to be worked off: as much has come there meanwhile.
-        return backlog.own_ms[rank(urgency)] + self.sent_ms.get((service, datacentre), 0.0)
+        return backlog.own_ms[here] + self.sent_ms.get((service, datacentre), 0.0)
 
     def least_waits(self, service: str, datacentres: Iterable[str]) -> tuple[float, ...]:
-        """Return how long new pieces would wait if they were lent, by the rank of their request."""
+        """Return how long new pieces would wait if they were lent, by their place."""
         names = list(datacentres)
         return tuple(
-            min((self.wait_ms(service, one, place) for one in names), default=float("inf"))
+            min((self.wait_ms(service, one, here) for one in names), default=float("inf"))
             + LEAST_GAIN_MS
-            for place in range(LAST_RANK + 1)
+            for here in PLACES
         )
 
     def choose(self, job: StageJob, own_ms: float, datacentres: Iterable[str]) -> str:
@@ -73,7 +79,8 @@
             own_ms: How long they would wait here.
             datacentres: Those whose places can be reached.
         """
-        waits = {one: self.wait_ms(job.service, one, job.urgency) for one in datacentres}
+        here = place(job.urgency, job.gives_way(self.clock.now()))
+        waits = {one: self.wait_ms(job.service, one, here) for one in datacentres}
         if not waits:
             return ""
         near_ms = by_rank(FAR_PATIENCE_MS, job.urgency)
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from mountladder.forwarding.backlog import by_rank, rank
+from mountladder.forwarding.backlog import by_rank, place, rank
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -61,14 +61,10 @@
         chosen = set(map(id, batch))
         self.waiting = [one for one in self.waiting if id(one) not in chosen]
 
-    def by_rank(self, now: float) -> Counter[int]:
-        """Return how many pieces wait, by the rank of their request.
-
-        Those that are late already are left out, since new ones go before them.
-        """
-        return Counter(
-            rank(progress.job.urgency) for progress, _ in self.waiting if progress.job.due >= now
-        )
+    def by_place(self, now: float) -> Counter[int]:
+        """Return how many pieces wait, by their place; new ones go before those that are late."""
+        jobs = (progress.job for progress, _ in self.waiting)
+        return Counter(place(job.urgency, job.gives_way(now)) for job in jobs)
 
     def oldest(self, now: float) -> float:
         """Return since when the piece has waited that has waited longest; now where none waits."""
@@ -85,9 +81,9 @@
         """
         progress = waiting[0]
         job = progress.job
-        late = job.due < now
-        place = rank(job.urgency)
-        return not progress.results, late, place if late else 0, job.due + RANK_MS * place
+        late = job.gives_way(now)
+        urgency = rank(job.urgency)
+        return not progress.results, late, urgency if late else 0, job.due + RANK_MS * urgency
 
     def drop_late(self, now: float) -> None:
         """Settle pieces that are of no use any more."""
--- a/packages/core/src/mountladder/forwarding/stagebacklogs.py
+++ b/packages/core/src/mountladder/forwarding/stagebacklogs.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import Backlog, rank
+from mountladder.forwarding.backlog import Backlog, place
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.lending import Lending
@@ -64,14 +64,15 @@
         else:
             self.told[backlog.service] = (backlog, self.clock.now())
 
-    def wait_ms(self, service: str, urgency: int) -> float:
+    def wait_ms(self, service: str, urgency: int, gives_way: bool = False) -> float:
         """Return how long new pieces of a service are expected to wait, in milliseconds.
 
         What another instance told is taken to have been worked off since.
         """
+        here = place(urgency, gives_way)
         if self.fleet.home(service) is None:
-            return self.own(service).waits_ms[rank(urgency)]
+            return self.own(service).waits_ms[here]
         backlog, told = self.told.get(service, (None, 0.0))
         if backlog is None:
             return 0.0
-        return max(0.0, backlog.waits_ms[rank(urgency)] - (self.clock.now() - told))
+        return max(0.0, backlog.waits_ms[here] - (self.clock.now() - told))
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -9,7 +9,7 @@
 from collections import Counter
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import LAST_RANK, rank
+from mountladder.forwarding.backlog import PLACES, place
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.limits.rankrates import RankRates
@@ -20,7 +20,6 @@
 # urgent goes before them only as far as it is due soon. With a tenth waits of 30 s were expected
 # that did not come, and requests were refused for them.
 LEAST_RATE = 0.35
-RANKS = range(LAST_RANK + 1)
 
 
 class StageDemand:
@@ -45,29 +44,29 @@
     def came(self, job: StageJob) -> None:
         """Record that the pieces of a stage have come."""
         self.announced.pop((job.request, job.stage), None)
-        self.rates.add(rank(job.urgency), job.pieces)
+        self.rates.add(place(job.urgency, job.gives_way(self.clock.now())), job.pieces)
 
     def coming(self) -> Counter[int]:
-        """Return how many announced pieces are still to come, by the rank of their request."""
+        """Return how many announced pieces are still to come, by their place."""
         now = self.clock.now()
         self.announced = {key: one for key, one in self.announced.items() if one[1] > now}
         coming: Counter[int] = Counter()
         for notice, _ in self.announced.values():
-            coming[rank(notice.urgency)] += notice.pieces
+            coming[place(notice.urgency, notice.gives_way)] += notice.pieces
         return coming
 
     def waits_ms(self, waiting: Counter[int], rate: float, busy_ms: float) -> tuple[float, ...]:
-        """Return how long new pieces are expected to wait, by the rank of their request.
+        """Return how long new pieces are expected to wait, by their place.
 
         Args:
-            waiting: How many pieces wait, by rank.
+            waiting: How many pieces wait, by their place.
             rate: How many pieces a millisecond all servers can make.
             busy_ms: How long until the first server is free.
         """
         ahead = waiting + self.coming()
         waits = []
-        for place in RANKS:
+        for here in PLACES:
             # What comes in meanwhile and is more urgent goes first.
-            left = max(LEAST_RATE * rate, rate - self.rates.above(place))
-            waits.append(busy_ms + sum(ahead[one] for one in range(place + 1)) / left)
+            left = max(LEAST_RATE * rate, rate - self.rates.above(here))
+            waits.append(busy_ms + sum(ahead[one] for one in range(here + 1)) / left)
         return tuple(waits)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -13,7 +13,7 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import rank
+from mountladder.forwarding.backlog import place
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
@@ -126,9 +126,11 @@
         if not places:
             return ""
         batcher = self.batcher(job.service)
+        now = self.clock.now()
+        here = place(job.urgency, job.gives_way(now))
         own_ms = math.inf
         if self.fleet.division.has_own(job.service):
-            own_ms = batcher.newest_backlog(self.clock.now()).waits_ms[rank(job.urgency)]
+            own_ms = batcher.newest_backlog(now).waits_ms[here]
         there = self.lending.choose(job, own_ms, places)
         limits = batcher.limits()
         if there and limits is not None:
@@ -142,7 +144,7 @@
                 datacentre=there,
                 wanted=job.datacentre,
                 own_ms=own_ms if math.isinf(own_ms) else round(own_ms),
-                there_ms=round(self.lending.wait_ms(job.service, there, job.urgency)),
+                there_ms=round(self.lending.wait_ms(job.service, there, here)),
             )
             self.lending.lend(job, there, piece_ms)
         return there
@@ -267,9 +269,9 @@
         if handles:
             self.fleet.send_later(link, StageRelease(outcome.backlog.service, handles))
 
-    def wait_ms(self, service: str, urgency: int) -> float:
+    def wait_ms(self, service: str, urgency: int, gives_way: bool = False) -> float:
         """Return how long new pieces of a service are expected to wait, in milliseconds."""
-        return self.backlogs.wait_ms(service, urgency)
+        return self.backlogs.wait_ms(service, urgency, gives_way)
 
     def take_withdrawal(self, withdrawal: StageWithdrawal, link: Link) -> None:
         """Drop a stage that the instance it came from does not want any more."""
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -44,7 +44,8 @@
         dispatch: Where stages are handed to.
         clock: The clock.
         may_refuse: Whether the request can still be refused, since nothing of it was begun before.
-        on_time: Whether it is expected to be on time; pieces of others give way to those that are.
+        promised_ms: Within which time from its arrival its answer is to begin; 0 where it is late
+            already and gives way to all that can be on time. None stands for the route's aim.
 
     Attributes:
         handles: The results of each stage that is done, by its number.
@@ -60,7 +61,7 @@
         urgency: int,
         dispatch: StageDispatch,
         clock: Clock,
-        on_time: bool = True,
+        promised_ms: float | None = None,
         may_refuse: bool = True,
     ) -> None:
         self.request = request
@@ -69,7 +70,7 @@
         self.urgency = urgency
         self.dispatch = dispatch
         self.clock = clock
-        self.on_time = on_time
+        self.promised_ms = route.aim_ms if promised_ms is None else promised_ms
         self.give_up = math.inf
         if may_refuse:
             self.give_up = request.arrived + GIVE_UP_AIMS * route.aim_ms
@@ -81,6 +82,11 @@
         self.times = StageTimes(request, route, dispatch)
         self.begun = False
 
+    @property
+    def gives_way(self) -> bool:
+        """Tell whether its stages go behind all that can be on time."""
+        return self.promised_ms <= 0.0
+
     def run(self) -> tuple[str, ...]:
         """Run every stage and return the handles that the request itself needs.
 
@@ -107,7 +113,8 @@
     def notice(self, number: int, pieces: int) -> None:
         """Tell that pieces of a stage will come, or with 0 that they will not."""
         service = self.service(number)
-        self.dispatch.announce(StageNotice(self.request.id, number, service, pieces, self.urgency))
+        notice = StageNotice(self.request.id, number, service, pieces, self.urgency, self.gives_way)
+        self.dispatch.announce(notice)
 
     def wait(self) -> None:
         """Wait until a stage ends."""
@@ -160,8 +167,7 @@
         """Return what is handed over for one stage."""
         stage = self.route.stages[number]
         inputs = tuple(handle for needed in stage.after for handle in self.handles[needed])
-        aim_ms = self.route.aim_ms if self.on_time else 0.0
-        due = self.request.arrived + aim_ms - finish_ms(self.request.prompt)
+        due = self.request.arrived + self.promised_ms - finish_ms(self.request.prompt)
         return StageJob(
             request=self.request.id,
             stage=number,
@@ -207,7 +213,7 @@
         """Tell whether large results would only lie about while longer chains are under way."""
         if not self.is_heavy(number):
             return False
-        wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency)
+        wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency, self.gives_way)
         return self.others_ms(number) > wait_ms + self.times.stage_ms(number)
 
     def others_ms(self, number: int) -> float:
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -48,6 +48,10 @@
         """Return one of its pieces."""
         return Piece(self.request, self.stage, fragment, self.key, self.inputs, self.deadline)
 
+    def gives_way(self, now: float) -> bool:
+        """Tell whether it goes behind all that can be on time, since it is late already."""
+        return self.due < now
+
     def shifted(self, by_ms: float) -> StageJob:
         """Return the same with other times, such as relative ones to be sent to a peer."""
         return replace(
--- a/packages/core/src/mountladder/forwarding/stagenotice.py
+++ b/packages/core/src/mountladder/forwarding/stagenotice.py
@@ -19,6 +19,7 @@
         service: The service.
         pieces: How many pieces, or 0 where they will not come after all.
         urgency: The rank of the request.
+        gives_way: Whether it cannot be on time and gives way to all that can.
     """
 
     request: str
@@ -26,3 +27,4 @@
     service: str
     pieces: int
     urgency: int
+    gives_way: bool = False
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -45,7 +45,7 @@
         except BaseException:
             self.finish(RunError("", Code.CANCELLED))
             raise
-        if self.expected_ms:
+        if self.expected_ms and not self.gives_way:
             self.context.forecast.learn(self.route, self.expected_ms, self.elapsed())
         self.log("first-event", server=attempt.server, elapsed_ms=round(self.elapsed()))
         if self.flow is not None:
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -159,6 +159,7 @@
   service @2 :Text;
   pieces @3 :UInt16;
   urgency @4 :UInt8;
+  givesWay @5 :Bool;
 }
 
 struct StageRelease {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -168,7 +168,7 @@
     ),
     "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended, one.gone),
     "stageNotice": lambda one: StageNotice(
-        str(one.request), one.stage, str(one.service), one.pieces, one.urgency
+        str(one.request), one.stage, str(one.service), one.pieces, one.urgency, one.givesWay
     ),
     "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -183,6 +183,7 @@
     notice = frame.init("stageNotice")
     notice.request, notice.stage, notice.service = message.request, message.stage, message.service
     notice.pieces, notice.urgency = message.pieces, min(message.urgency, MOST_URGENCY)
+    notice.givesWay = message.gives_way
 
 
 @fill.register
