Servers that start again under their id, and entries of other writers

Cause: a server was known by its id alone. One that starts again under it holds nothing of before, but would have been taken to keep parts of prompts, to be full of results, slow, out of use for up to 30 s after a word of leaving. An entry that could not be read left the one before in force; fields were taken as they came: a host name as an address, text as a number, an unknown state as draining; deep nesting and infinite numbers ended the reader's task. Change: each start of a server has a name of its own, its id and its start, so that whatever is kept by name ends with it, here and at peers, and requests name the id alone. An entry is checked field by field; one that no server wrote names no server, also where it has replaced a server's, and hides no other.

--- /dev/null
+++ b/features/entries.feature
@@ -0,0 +1,75 @@
+Feature: Entries of servers in the platform's list
+  # An entry may come from another writer. It names no server to use, and the others hold.
+
+  Scenario Outline: An entry that cannot be read names no server
+    When an entry of the bytes <bytes> is read
+    Then it names no server
+
+    Examples:
+      | bytes         |
+      | \xff\xfe\x00 |
+      | nothing       |
+      | 17            |
+      | [[[[          |
+      | deeply nested |
+      | {}            |
+      | null          |
+
+  Scenario Outline: An entry with a field that no server writes names no server
+    When a server's entry is read, but for <field> as <value>
+    Then it names no server
+
+    Examples:
+      | field             | value               |
+      | service           | missing             |
+      | service           | 7                   |
+      | service           | ""                  |
+      | service           | "\ud800"            |
+      | address           | missing             |
+      | address           | 7                   |
+      | address           | "10.0.0.1"          |
+      | address           | "10.0.0.1:0"        |
+      | address           | "10.0.0.1:99999"    |
+      | address           | "desk.example:80"   |
+      | zone              | 3                   |
+      | zone              | missing             |
+      | version           | 1                   |
+      | version           | missing             |
+      | concurrency       | missing             |
+      | concurrency       | "8"                 |
+      | concurrency       | true                |
+      | concurrency       | 0                   |
+      | concurrency       | 1e999               |
+      | concurrency       | 100000              |
+      | phase             | missing             |
+      | phase             | 1                   |
+      | phase             | "sleeping"          |
+      | cold_remaining_ms | "soon"              |
+      | cold_remaining_ms | missing             |
+      | sequence          | "4"                 |
+      | sequence          | missing             |
+      | born              | "1700000000123"     |
+      | born              | 1.5                 |
+      | born              | null                |
+
+  Scenario Outline: An entry of a server names it, with its start where it tells it
+    When a server's entry is read, but for <field> as <value>
+    Then it names a server that is <state>, started at <born>
+
+    Examples:
+      | field             | value         | state    | born          |
+      | born              | missing       | in use   | 0             |
+      | born              | 1700000000123 | in use   | 1700000000123 |
+      | phase             | "draining"    | draining | 1700000000000 |
+      | cold_remaining_ms | 12.5          | in use   | 1700000000000 |
+      | models            | []            | in use   | 1700000000000 |
+
+  Scenario: A row of the store whose bytes cannot be read does not hide the others
+    Given a store whose rows are a sound one, one of broken bytes, one of a number and a sound one
+    When the table is read
+    Then it has 4 rows, of which 2 have bytes
+
+  Scenario: A request names the id of its server, whatever its start
+    Given a backend server that answers "whole", started at 1700000000123
+    When request r1 is sent to it
+    Then the server is named by its id alone
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,192 @@
+# restart_steps.py -- Steps about servers that start again and entries of other writers
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about servers that start again and entries of other writers."""
+
+import base64
+import json
+from types import SimpleNamespace
+
+from behave import given, then, when
+from forwardbasics import PATHS, request, serve
+from mountladder_platform.decoding import decode_server
+from mountladder_platform.store import StoreTable
+
+from mountladder.errors import BadRowError
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.sourcerow import SourceRow
+
+SHARED = Prompt(1_000, 10, (PromptPart("shared", 900), PromptPart("own", 100)))
+RESULT_BYTES = 6_000_000.0
+LATER = 1_700_000_000_123
+DEEP = "[" * 100_000
+BYTES = {"\\xff\\xfe\\x00": b"\xff\xfe\x00", "nothing": b"", "deeply nested": DEEP.encode()}
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "concurrency": 8,
+    "phase": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def named(instance, id_):
+    """Return the server that an instance knows under an id."""
+    return instance.directory.records[id_].server
+
+
+def state(instance, id_):
+    return instance.router.state(named(instance, id_))
+
+
+@given("every instance has taken {first} and {second} out of use, since they said that they leave")
+def out_of_use(context, first, second):
+    for instance in context.fleet.instances.values():
+        for id_ in (first, second):
+            state(instance, id_).leave(context.clock.now())
+
+
+@when("server {id_} is listed with a later start")
+def later_start(context, id_):
+    instance = next(iter(context.fleet.instances.values()))
+    record = instance.directory.records[id_]
+    value = [record.service, record.server.datacentre, False, LATER]
+    context.fleet.servers.put(id_, json.dumps(value).encode())
+
+
+@when("server {id_} is listed again with the same start")
+def same_start(context, id_):
+    instance = next(iter(context.fleet.instances.values()))
+    record = instance.directory.records[id_]
+    context.fleet.add_server(id_, record.service, record.server.datacentre)
+
+
+@then("a request to each instance is served by {id_}")
+def served_by(context, id_):
+    for name in context.fleet.instances:
+        sent = request(f"to {name}", PATHS["safe"], context.clock.now())
+        context.run(serve, context, name, sent)
+        assert context.ends[sent.id][:2] == (200, named_body(context, name, id_)), context.ends
+
+
+def named_body(context, name, id_):
+    return named(context.fleet.instances[name], id_).name.encode()
+
+
+@given("every instance knows that {id_} keeps parts of prompts, is slow and has results of 6 MB")
+def knows(context, id_):
+    for instance in context.fleet.instances.values():
+        server = named(instance, id_)
+        placement(instance).began(server.name, SHARED, 0)
+        state(instance, id_).timed(4.0, context.clock.now())
+        instance.dispatch.batcher("enc").room.reserve(server.name, RESULT_BYTES)
+
+
+def placement(instance):
+    return instance.forwarder.context.picker.placer.desk.placement
+
+
+def known(context, id_):
+    """Return what each instance knows of a server: kept tokens, slowness, bytes of results."""
+    now = context.clock.now()
+    found = []
+    for instance in context.fleet.instances.values():
+        one = state(instance, id_)
+        room = instance.dispatch.batcher("enc").room.taken(one.server.name, now)
+        found.append((placement(instance).kept(one, SHARED), one.slowness, room))
+    return found
+
+
+@then("no instance takes {id_} to keep any part, to be slow or to have results")
+def knows_nothing(context, id_):
+    assert known(context, id_) == [(0, 1.0, 0.0)] * 3, known(context, id_)
+
+
+@then("every instance still knows this of {id_}")
+def still_knows(context, id_):
+    for kept, slowness, room in known(context, id_):
+        assert kept == 900 and slowness > 1.0 and room == RESULT_BYTES, (kept, slowness, room)
+
+
+@then("instance {name} knows the later start of {id_}")
+def knows_start(context, name, id_):
+    assert context.fleet.instances[name].directory.records[id_].born == LATER
+
+
+@given('a backend server that answers "{answer}", started at {born:d}')
+def started_at(context, answer, born):
+    context.execute_steps(f'Given a backend server that answers "{answer}"')
+    address = context.server.address
+    context.server = listed_server("i-1", "desk", address, "a", 8, False, born)
+
+
+@then("the server is named by its id alone")
+def id_alone(context):
+    ((head, _),) = context.got
+    assert b"Mountladder-Expect-Instance: i-1\r\n" in head + b"\r\n", head
+
+
+def read(context, value):
+    try:
+        context.record = decode_server(SourceRow("i-1", value, 7))
+    except BadRowError:
+        context.record = None
+
+
+@when("an entry of the bytes {text} is read")
+def read_bytes(context, text):
+    read(context, BYTES.get(text, text.encode()))
+
+
+@when("a server's entry is read, but for {field} as {value}")
+def read_entry(context, field, value):
+    entry = dict(ENTRY)
+    entry.pop(field, None)
+    if value != "missing":
+        entry[field] = "@"
+    # Put in as it is written, since JSON texts may hold what no Python value is written as.
+    read(context, json.dumps(entry).replace('"@"', value).encode())
+
+
+@then("it names no server")
+def no_server(context):
+    assert context.record is None, context.record
+
+
+@then("it names a server that is {word}, started at {born:d}")
+def a_server(context, word, born):
+    record = context.record
+    assert record is not None and record.born == born, record
+    assert record.server.draining == (word == "draining")
+
+
+@when('the bytes "{text}" are written as the entry of {id_}')
+def write_entry(context, text, id_):
+    context.fleet.servers.put(id_, text.encode())
+
+
+@given("a store whose rows are a sound one, one of broken bytes, one of a number and a sound one")
+def broken_rows(context):
+    values = [base64.b64encode(b"one").decode(), "no base64!", 17, base64.b64encode(b"4").decode()]
+    rows = [{"key": f"k{n}", "value": value, "ver": n + 1} for n, value in enumerate(values)]
+    body = json.dumps({"rows": rows, "ver": 9}).encode()
+    answer = SimpleNamespace(status=200, data=body)
+    context.store_table = StoreTable(SimpleNamespace(read=lambda *args: answer), "servers")
+
+
+@when("the table is read")
+def read_table(context):
+    context.page = context.store_table.read()
+
+
+@then("it has {number:d} rows, of which {sound:d} have bytes")
+def has_rows(context, number, sound):
+    assert len(context.page.rows) == number, context.page
+    assert sum(bool(one.value) for one in context.page.rows) == sound, context.page
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -110,6 +110,8 @@
             service=record.service,
             address=record.server.address if record.server else "",
             draining=bool(record.server and record.server.draining),
+            born=record.born,
+            started_again=bool(known and known.born < record.born),
             version=record.version,
             kept_for_ms=round(until - self.clock.now()) if record.id in self.lapsed else 0,
             source=source,
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -32,6 +32,7 @@
 from mountladder.forwarding.readers import PULSE_MS
 from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.serverpicker import ServerPicker
+from mountladder.forwarding.serverrecord import ServerRecord
 from mountladder.forwarding.source import Source
 from mountladder.forwarding.sourcefollower import SourceFollower
 from mountladder.forwarding.sourcepage import SourcePage
@@ -240,6 +241,8 @@
             try:
                 records.append(self.tables.decode_server(row))
             except BadRowError as error:
+                # Whatever wrote it, the entry names no server now, also where it named one before.
+                records.append(ServerRecord(row.key, row.version))
                 log_message("server-unread", server=row.key, reason=str(error))
         if whole:
             self.directory.replace(records, page.version, "store")
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -90,6 +90,7 @@
   slots @5 :UInt16;
   draining @6 :Bool;
   removed @7 :Bool;
+  born @8 :UInt64;
 }
 
 struct DirectoryCopy {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -82,9 +82,15 @@
     if record.removed:
         return ServerRecord(record.id, record.version)
     server = listed_server(
-        record.id, record.service, record.address, record.datacentre, record.slots, record.draining
+        record.id,
+        record.service,
+        record.address,
+        record.datacentre,
+        record.slots,
+        record.draining,
+        record.born,
     )
-    return ServerRecord(record.id, record.version, record.service, server)
+    return ServerRecord(record.id, record.version, record.service, server, record.born)
 
 
 def _read_order(order) -> StageOrder:
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -140,6 +140,7 @@
         if record.server is not None:
             to.address, to.datacentre = record.server.address, record.server.datacentre
             to.slots, to.draining = record.server.slots, record.server.draining
+            to.born = record.born
 
 
 @fill.register
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -76,9 +76,13 @@
         """Read an entry of a server."""
         if row.value is None:
             return ServerRecord(row.key, row.version)
-        service, datacentre, draining = json.loads(row.value)
-        server = listed_server(row.key, service, row.key, datacentre, 8, draining)
-        return ServerRecord(row.key, row.version, service, server)
+        try:
+            service, datacentre, draining, *start = json.loads(row.value)
+        except ValueError as error:
+            raise BadRowError("no such entry") from error
+        born = start[0] if start else 0
+        server = listed_server(row.key, service, row.key, datacentre, 8, draining, born)
+        return ServerRecord(row.key, row.version, service, server, born)
 
     def start(self, name: str) -> ForwardingInstance:
         """Start an instance, anew where it ran before."""
