The door tells and decides in one place; what gives way teaches the route nothing

Cause: a request that gave way and was given up still taught its route's factor, and was told to come back by the wait of those who can be on time. Change: neither.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -107,7 +107,9 @@
             return ()
         is_first = self.flow is None and self.sendings == 0
         if is_first:
-            self.enter()
+            forecast = self.context.forecast
+            expectation = forecast.admit(self.request, self.route, self.urgency, self.age_ms)
+            self.expected_ms, self.gives_way = expectation.ms, expectation.gives_way
         self.flow = StageFlow(
             self.request,
             self.route,
@@ -131,23 +133,6 @@
         self.log("stages-done", results=len(inputs))
         return inputs
 
-    def enter(self) -> None:
-        """Have the request let in before its stages begin.
-
-        Raises:
-            RefusalError: It is refused at the door.
-        """
-        forecast = self.context.forecast
-        expectation = forecast.foresee(self.request, self.route, self.urgency, self.age_ms)
-        self.expected_ms = expectation.ms
-        self.gives_way = expectation.gives_way
-        try:
-            forecast.check(expectation, self.request, self.route)
-        except RefusalError as error:
-            self.log("turned-away", **expectation.fields(), back_ms=round(error.retry_after_ms))
-            raise
-        self.log("let-in", **expectation.fields(), comes_back=self.comes_back)
-
     def promised_ms(self) -> float:
         """Return within which time from its arrival the answer is to begin, in milliseconds.
 
@@ -164,9 +149,10 @@
     def given_up(self, error: RefusalError) -> RefusalError:
         """Return the refusal of a request whose stages were not begun in time."""
         forecast = self.context.forecast
-        forecast.learn(self.route, self.expected_ms, self.elapsed())
-        expected_ms = forecast.expect(self.request, self.route, self.urgency).ms
-        back_ms = forecast.back_ms(self.request, self.route, expected_ms)
+        if not self.gives_way:
+            forecast.learn(self.route, self.expected_ms, self.elapsed())
+        expectation = forecast.expect(self.request, self.route, self.urgency, self.gives_way)
+        back_ms = forecast.back_ms(self.request, self.route, expectation.ms)
         return RefusalError(error.detail, error.code, retry_after_ms=back_ms)
 
     def begin(self) -> ForwardAttempt:
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Sequence
 
+from eliot import log_message
+
 from mountladder.code import Code
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import by_rank
@@ -69,6 +71,20 @@
         back = request.allowed_ms < FIRST_ATTEMPT * longest
         return longest - request.allowed_ms if back else 0.0
 
+    def admit(
+        self, request: ForwardRequest, route: Route, urgency: int, age_ms: float
+    ) -> Expectation:
+        """Let a request in and return how long it is expected to take; see foresee and check."""
+        expectation = self.foresee(request, route, urgency, age_ms)
+        told = expectation.fields() | {"request": request.id, "route": route.name}
+        try:
+            self.check(expectation, request, route)
+        except RefusalError as error:
+            log_message("turned-away", back_ms=round(error.retry_after_ms or 0.0), **told)
+            raise
+        log_message("let-in", comes_back=age_ms > 0.0, **told)
+        return expectation
+
     def foresee(
         self, request: ForwardRequest, route: Route, urgency: int, age_ms: float
     ) -> Expectation:
