A row of the instances' table that no instance wrote hides none of the others

Cause: looked for elsewhere after entries of other writers in the list of servers. One such row ended the task that reads the table, at each reading.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -73,3 +73,20 @@
     Given a backend server that answers "whole", started at 1700000000123
     When request r1 is sent to it
     Then the server is named by its id alone
+
+  Scenario Outline: A row of an instance that no instance wrote does not hide the others
+    Given a list of instances whose second row of three has <field> as <value>
+    When the list of instances is read
+    Then it names the first and the third instance
+
+    Examples:
+      | field       | value    |
+      | cores       | "many"   |
+      | cores       | 1e999    |
+      | cores       | missing  |
+      | peer        | 7        |
+      | peer        | missing  |
+      | incarnation | null     |
+      | datacentre  | 3        |
+      | since       | "today"  |
+      | since       | 1e999    |
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -12,6 +12,7 @@
 from forwardbasics import PATHS, request, serve
 from mountladder_platform.decoding import decode_server
 from mountladder_platform.store import StoreTable
+from mountladder_platform.storeinstances import StoreInstances
 
 from mountladder.errors import BadRowError
 from mountladder.forwarding.prompt import Prompt
@@ -24,6 +25,7 @@
 LATER = 1_700_000_000_123
 DEEP = "[" * 100_000
 BYTES = {"\\xff\\xfe\\x00": b"\xff\xfe\x00", "nothing": b"", "deeply nested": DEEP.encode()}
+INSTANCE = {"incarnation": "x", "datacentre": "a", "peer": "10.1.0.1:7", "cores": 1.0, "since": 9}
 ENTRY = {
     "service": "desk",
     "address": "10.0.0.1:80",
@@ -145,14 +147,18 @@
     read(context, BYTES.get(text, text.encode()))
 
 
-@when("a server's entry is read, but for {field} as {value}")
-def read_entry(context, field, value):
-    entry = dict(ENTRY)
-    entry.pop(field, None)
+def written(table, field, value):
+    """Return a table as JSON bytes with a field missing, or as the JSON text that is given."""
+    changed = {name: one for name, one in table.items() if name != field}
     if value != "missing":
-        entry[field] = "@"
+        changed[field] = "@"
     # Put in as it is written, since JSON texts may hold what no Python value is written as.
-    read(context, json.dumps(entry).replace('"@"', value).encode())
+    return json.dumps(changed).replace('"@"', value).encode()
+
+
+@when("a server's entry is read, but for {field} as {value}")
+def read_entry(context, field, value):
+    read(context, written(ENTRY, field, value))
 
 
 @then("it names no server")
@@ -181,6 +187,28 @@
     context.store_table = StoreTable(SimpleNamespace(read=lambda *args: answer), "servers")
 
 
+@given("a list of instances whose second row of three has {field} as {value}")
+def instance_rows(context, field, value):
+    values = [json.dumps(INSTANCE).encode(), written(INSTANCE, field, value)]
+    rows = [
+        {"key": f"edge-{n}", "value": base64.b64encode(one).decode(), "ver": n}
+        for n, one in enumerate((values[0], values[1], values[0]), 1)
+    ]
+    body = json.dumps({"rows": rows, "ver": 9}).encode()
+    answer = SimpleNamespace(status=200, data=body)
+    context.list = StoreInstances(SimpleNamespace(read=lambda *args: answer))
+
+
+@when("the list of instances is read")
+def read_list(context):
+    context.instances = context.list.instances()
+
+
+@then("it names the first and the third instance")
+def names_two(context):
+    assert [one.name for one in context.instances] == ["edge-1", "edge-3"], context.instances
+
+
 @when("the table is read")
 def read_table(context):
     context.page = context.store_table.read()
