A stage's job tells the place of its pieces itself

Cause: read again. The same expression stood in the queue, the demand, the lending and the dispatch: a place from a job's rank and whether it is late. Change: StageJob.place; no value changes. Checked: 111 scenarios of five features pass.

--- a/packages/core/src/mountladder/forwarding/lending.py
+++ b/packages/core/src/mountladder/forwarding/lending.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import PLACES, Backlog, by_rank, place
+from mountladder.forwarding.backlog import PLACES, Backlog, by_rank
 from mountladder.forwarding.piecequeue import FAR_PATIENCE_MS
 from mountladder.forwarding.stagejob import StageJob
 
@@ -79,7 +79,7 @@
             own_ms: How long they would wait here.
             datacentres: Those whose places can be reached.
         """
-        here = place(job.urgency, job.gives_way(self.clock.now()))
+        here = job.place(self.clock.now())
         waits = {one: self.wait_ms(job.service, one, here) for one in datacentres}
         if not waits:
             return ""
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from mountladder.forwarding.backlog import by_rank, place, rank
+from mountladder.forwarding.backlog import by_rank, rank
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -63,8 +63,7 @@
 
     def by_place(self, now: float) -> Counter[int]:
         """Return how many pieces wait, by their place; new ones go before those that are late."""
-        jobs = (progress.job for progress, _ in self.waiting)
-        return Counter(place(job.urgency, job.gives_way(now)) for job in jobs)
+        return Counter(progress.job.place(now) for progress, _ in self.waiting)
 
     def oldest(self, now: float) -> float:
         """Return since when the piece has waited that has waited longest; now where none waits."""
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -44,7 +44,7 @@
     def came(self, job: StageJob) -> None:
         """Record that the pieces of a stage have come."""
         self.announced.pop((job.request, job.stage), None)
-        self.rates.add(place(job.urgency, job.gives_way(self.clock.now())), job.pieces)
+        self.rates.add(job.place(self.clock.now()), job.pieces)
 
     def coming(self) -> Counter[int]:
         """Return how many announced pieces are still to come, by their place."""
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -13,7 +13,6 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import place
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.fleet import Fleet
@@ -127,7 +126,7 @@
             return ""
         batcher = self.batcher(job.service)
         now = self.clock.now()
-        here = place(job.urgency, job.gives_way(now))
+        here = job.place(now)
         own_ms = math.inf
         if self.fleet.division.has_own(job.service):
             own_ms = batcher.newest_backlog(now).waits_ms[here]
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -9,6 +9,7 @@
 import math
 from dataclasses import dataclass, replace
 
+from mountladder.forwarding.backlog import place
 from mountladder.forwarding.piece import Piece
 
 
@@ -52,6 +53,10 @@
         """Tell whether it goes behind all that can be on time, since it is late already."""
         return self.due < now
 
+    def place(self, now: float) -> int:
+        """Return the place of its pieces in a queue, one of PLACES."""
+        return place(self.urgency, self.gives_way(now))
+
     def shifted(self, by_ms: float) -> StageJob:
         """Return the same with other times, such as relative ones to be sent to a peer."""
         return replace(
