One table row, one way to list a server, one answer of the store in the steps

Cause: read again. The account wrote its row of outcomes and its heads twice; a step wrote a server's entry by hand, since the stand-in fleet could not list a start; two steps built the same answer of the store. Change: _cells and OUTCOME_HEADS; ForwardFleet.add_server takes the start; one answer in restart_steps. No assertion changes. Checked: the scenarios of restarts, entries, lines, knowledge and goneservers.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -55,19 +55,19 @@
             state(instance, id_).leave(context.clock.now())
 
 
+def list_again(context, id_, born):
+    record = next(iter(context.fleet.instances.values())).directory.records[id_]
+    context.fleet.add_server(id_, record.service, record.server.datacentre, born=born)
+
+
 @when("server {id_} is listed with a later start")
 def later_start(context, id_):
-    instance = next(iter(context.fleet.instances.values()))
-    record = instance.directory.records[id_]
-    value = [record.service, record.server.datacentre, False, LATER]
-    context.fleet.servers.put(id_, json.dumps(value).encode())
+    list_again(context, id_, LATER)
 
 
 @when("server {id_} is listed again with the same start")
 def same_start(context, id_):
-    instance = next(iter(context.fleet.instances.values()))
-    record = instance.directory.records[id_]
-    context.fleet.add_server(id_, record.service, record.server.datacentre)
+    list_again(context, id_, 0)
 
 
 @then("a request to each instance is served by {id_}")
@@ -178,25 +178,28 @@
     context.fleet.servers.put(id_, text.encode())
 
 
+def answering(values):
+    """Return a client of the store that answers with a page of rows of these values."""
+    rows = [{"key": f"edge-{n}", "value": value, "ver": n} for n, value in enumerate(values, 1)]
+    answer = SimpleNamespace(status=200, data=json.dumps({"rows": rows, "ver": 9}).encode())
+    return SimpleNamespace(read=lambda *args: answer)
+
+
+def packed(value):
+    return base64.b64encode(value).decode()
+
+
 @given("a store whose rows are a sound one, one of broken bytes, one of a number and a sound one")
 def broken_rows(context):
-    values = [base64.b64encode(b"one").decode(), "no base64!", 17, base64.b64encode(b"4").decode()]
-    rows = [{"key": f"k{n}", "value": value, "ver": n + 1} for n, value in enumerate(values)]
-    body = json.dumps({"rows": rows, "ver": 9}).encode()
-    answer = SimpleNamespace(status=200, data=body)
-    context.store_table = StoreTable(SimpleNamespace(read=lambda *args: answer), "servers")
+    values = [packed(b"one"), "no base64!", 17, packed(b"4")]
+    context.store_table = StoreTable(answering(values), "servers")
 
 
 @given("a list of instances whose second row of three has {field} as {value}")
 def instance_rows(context, field, value):
-    values = [json.dumps(INSTANCE).encode(), written(INSTANCE, field, value)]
-    rows = [
-        {"key": f"edge-{n}", "value": base64.b64encode(one).decode(), "ver": n}
-        for n, one in enumerate((values[0], values[1], values[0]), 1)
-    ]
-    body = json.dumps({"rows": rows, "ver": 9}).encode()
-    answer = SimpleNamespace(status=200, data=body)
-    context.list = StoreInstances(SimpleNamespace(read=lambda *args: answer))
+    sound = packed(json.dumps(INSTANCE).encode())
+    values = [sound, packed(written(INSTANCE, field, value)), sound]
+    context.list = StoreInstances(answering(values))
 
 
 @when("the list of instances is read")
--- a/packages/cli/src/mountladder_cli/lossaccount.py
+++ b/packages/cli/src/mountladder_cli/lossaccount.py
@@ -13,6 +13,7 @@
 from mountladder_cli.requesttrace import OUTCOMES, RequestTrace
 
 SPAN_SECONDS = 2.0
+OUTCOME_HEADS = " ".join(f"{name:>9}" for name in OUTCOMES)
 # The sizes that are counted apart, each with its part of a route's requests, the largest first.
 SIZES = (("largest tenth", 0.1), ("fifth below", 0.2), ("the others", 0.7))
 
@@ -46,10 +47,9 @@
         spans[trace.route, span][trace.outcome] += 1
         if trace.station:
             stations[trace.route, trace.outcome, trace.station] += 1
-    rows = [f"{'route':20} {'second':>6} " + " ".join(f"{name:>9}" for name in OUTCOMES)]
+    rows = [f"{'route':20} {'second':>6} {OUTCOME_HEADS}"]
     for (route, span), counts in sorted(spans.items()):
-        cells = " ".join(f"{counts[name] or '':>9}" for name in OUTCOMES)
-        rows.append(f"{route:20} {span * SPAN_SECONDS:6.0f} {cells}")
+        rows.append(f"{route:20} {span * SPAN_SECONDS:6.0f} {_cells(counts)}")
     rows += ["", *size_rows(traces), ""]
     rows.append(f"{'route':20} {'outcome':>9} {'requests':>8}  station")
     for (route, outcome, station), number in stations.most_common():
@@ -59,8 +59,7 @@
 
 def size_rows(traces: list[RequestTrace]) -> list[str]:
     """Return the rows of a table of outcomes by route and size."""
-    names = " ".join(f"{name:>9}" for name in OUTCOMES)
-    rows = [f"{'route':20} {'size':13} {'tokens':>7} {names} {'at door':>9}"]
+    rows = [f"{'route':20} {'size':13} {'tokens':>7} {OUTCOME_HEADS} {'at door':>9}"]
     routes: dict[str, list[RequestTrace]] = defaultdict(list)
     for trace in traces:
         if trace.size:
@@ -79,5 +78,8 @@
 def _size_row(route: str, name: str, traces: list[RequestTrace]) -> str:
     counts = Counter(one.outcome for one in traces)
     door = sum(one.station.startswith("door") for one in traces)
-    cells = " ".join(f"{counts[outcome] or '':>9}" for outcome in OUTCOMES)
-    return f"{route:20} {name:13} {traces[-1].size:7} {cells} {door or '':>9}"
+    return f"{route:20} {name:13} {traces[-1].size:7} {_cells(counts)} {door or '':>9}"
+
+
+def _cells(counts: Counter[str]) -> str:
+    return " ".join(f"{counts[outcome] or '':>9}" for outcome in OUTCOMES)
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -67,9 +67,11 @@
         except (ValueError, KeyError) as error:
             raise BadRowError("no such catalogue") from error
 
-    def add_server(self, name: str, service: str, datacentre: str, draining: bool = False) -> None:
+    def add_server(
+        self, name: str, service: str, datacentre: str, draining: bool = False, born: int = 0
+    ) -> None:
         """List a server, or list it anew."""
-        value = [service, datacentre, draining]
+        value = [service, datacentre, draining, born]
         self.servers.put(name, json.dumps(value).encode())
 
     def decode_server(self, row: SourceRow) -> ServerRecord:
