--- a/features/entries.feature
+++ b/features/entries.feature
@@ -46,6 +46,8 @@
       | phase             | "sleeping"          |
       | cold_remaining_ms | "soon"              |
       | cold_remaining_ms | missing             |
+      | cold_remaining_ms | 400 digits          |
+      | version           | "\ud800"            |
       | sequence          | "4"                 |
       | sequence          | missing             |
       | born              | "1700000000123"     |
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -22,6 +22,7 @@
 
 SHARED = Prompt(1_000, 10, (PromptPart("shared", 900), PromptPart("own", 100)))
 RESULT_BYTES = 6_000_000.0
+JSON_TEXTS = {"400 digits": "9" * 400}
 LATER = 1_700_000_000_123
 DEEP = "[" * 100_000
 BYTES = {"\\xff\\xfe\\x00": b"\xff\xfe\x00", "nothing": b"", "deeply nested": DEEP.encode()}
@@ -153,7 +154,7 @@
     if value != "missing":
         changed[field] = "@"
     # Put in as it is written, since JSON texts may hold what no Python value is written as.
-    return json.dumps(changed).replace('"@"', value).encode()
+    return json.dumps(changed).replace('"@"', JSON_TEXTS.get(value, value)).encode()
 
 
 @when("a server's entry is read, but for {field} as {value}")
--- a/packages/core/src/mountladder/configuration/fields.py
+++ b/packages/core/src/mountladder/configuration/fields.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Mapping
 
 from mountladder.errors import MountladderError
 
+# What the instances' messages can hold of a whole number.
+MOST_WHOLE = 2**63 - 1
 _REQUIRED = object()
 
 
@@ -66,13 +69,29 @@
         self.read.add(key)
         value = self.table.get(key, default)
         good = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if not good or not least <= value < float("inf"):
+        # A whole number may be too large to become a float.
+        if not good or not least <= value <= sys.float_info.max:
             self.fault(
                 key, f"a number of at least {least:g}", None if value is _REQUIRED else value
             )
             return least
         return float(value)
 
+    def whole(
+        self, key: str, default: object = _REQUIRED, least: int = 0, most: int = MOST_WHOLE
+    ) -> int:
+        """Return a whole number within limits, to which a default is not held."""
+        self.read.add(key)
+        value = self.table.get(key, default)
+        if key not in self.table and default is not _REQUIRED:
+            return default
+        good = isinstance(value, int) and not isinstance(value, bool)
+        if not good or not least <= value <= most:
+            expected = f"a whole number from {least} to {most}"
+            self.fault(key, expected, None if value is _REQUIRED else value)
+            return least
+        return value
+
     def texts(self, key: str, default: object = ()) -> tuple[str, ...]:
         """Return a list of strings."""
         self.read.add(key)
