Sight: a fingerprint of each request, and whether a server has ended

Ruled out: logging bodies or their parts; a health check of the server, which is priced and waits for a slot. A connection that is refused costs 1 ms.

Change: received has a fingerprint, a keyed hash of team, method, host, path with query and body. Whoever loses a connection asks once whether the server refuses new ones; server-ended names the server, the grounds, and the requests that this instance had there. No decision follows from either yet.

Conclusion: whether attempts have one body, and whether servers ended, is in the logs from now on.

--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/fingerprint.py
@@ -0,0 +1,38 @@
+# fingerprint.py -- What attempts at the same request have in common
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What attempts at the same request have in common."""
+
+from __future__ import annotations
+
+import hashlib
+
+from mountladder.forwarding.forwardrequest import ForwardRequest
+
+# 16 bytes: two different requests of all that a fleet takes in a year share one by chance with a
+# probability of some 1e-16.
+DIGEST_BYTES = 16
+# A byte that none of the hashed texts can hold.
+END = b"\0"
+
+
+def fingerprint(secret: str, team: str, request: ForwardRequest) -> str:
+    """Return the same text for all attempts at the same request, and nothing of its content.
+
+    Headers are left out, since each attempt has some of its own.
+
+    Args:
+        secret: The key that all instances share.
+        team: The team that sends it, or an empty string.
+        request: The request.
+
+    Returns:
+        A keyed hash, 32 hexadecimal digits.
+    """
+    key = hashlib.blake2b(secret.encode()).digest()
+    digest = hashlib.blake2b(key=key, digest_size=DIGEST_BYTES)
+    for text in (team, request.method, request.host, request.target):
+        digest.update(text.encode(errors="surrogateescape") + END)
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -14,6 +14,8 @@
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.fetchtime import FetchTime
+from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.forwarding.serverends import ServerEnds
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
@@ -38,6 +40,8 @@
         metrics: Where metrics go.
         departure: Whether the instance is about to end.
         fetch_time: When servers have fetched the results of stages.
+        fingerprint: Returns what all attempts of a team at a request have in common.
+        ends: Tells whether a server has ended when a connection to it breaks.
     """
 
     clock: Clock
@@ -51,3 +55,5 @@
     metrics: Metrics
     departure: Departure
     fetch_time: FetchTime
+    fingerprint: Callable[[ForwardRequest, str], str]
+    ends: ServerEnds
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -82,6 +82,7 @@
             route_priority=route.priority,
             aim_ms=round(route.aim_ms),
             comes_back=run.comes_back,
+            fingerprint=run.fingerprint,
         )
         return run
 
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.fetchtime import FetchTime
+from mountladder.forwarding.fingerprint import fingerprint
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwarder import Forwarder
@@ -31,6 +32,7 @@
 from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.forwarding.readers import PULSE_MS
 from mountladder.forwarding.retrybudgets import RetryBudgets
+from mountladder.forwarding.serverends import ServerEnds
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.serverrecord import ServerRecord
 from mountladder.forwarding.source import Source
@@ -124,6 +126,7 @@
         placer = PromptPlacer(self.fleet, desk, clock)
         picker = ServerPicker(self.directory, self.router, placer)
         self.upstream = upstream
+        self.ends = ServerEnds(upstream, self.directory, clock)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump)
         self.forwarder = Forwarder(self.make_context(picker))
@@ -152,6 +155,8 @@
             metrics=self.metrics,
             departure=self.departure,
             fetch_time=FetchTime(),
+            fingerprint=lambda request, team: fingerprint(self.settings.secret, team, request),
+            ends=self.ends,
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.forwardcall import ForwardCall
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.forwarding.interruption import Interruption
 from mountladder.forwarding.keyholder import KeyHolder
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stageflow import StageFlow
@@ -58,6 +59,7 @@
         flows_lost: How often its stages were run again since a result was lost.
         gives_way: Whether it cannot be on time and its stages give way to all that can.
         cancel_release: Keeps results that are about to be given up.
+        fingerprint: What all attempts of the team at the request have in common.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.comes_back = self.age_ms > 0.0
         self.gives_way = False
+        self.fingerprint = context.fingerprint(request, self.team)
         context.budget(self.service).earn()
 
     @property
@@ -212,6 +215,7 @@
         self.context.picker.failed(
             attempt.picked, self.request, self.service, error.code, elapsed_ms
         )
+        self.look_into(attempt, error)
         self.excluded |= {attempt.server}
         self.runs += error.dispatched
         self.unreached += error.code is Code.CONNECT_FAILED
@@ -229,6 +233,15 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
+    def look_into(self, attempt: ForwardAttempt, error: StageError) -> None:
+        """Find out whether a server has ended where its connection broke."""
+        if error.code is not Code.STREAM_CUT or not error.dispatched:
+            return
+        now = self.context.clock.now()
+        ran_ms = now - attempt.started
+        lost = Interruption(self.fingerprint, self.request.id, ran_ms, now)
+        self.context.ends.broke(attempt.choice.state.server, (lost,))
+
     def why_not_again(self, error: StageError) -> MountladderError | None:
         """Return what the caller is told where a failed request is not sent again, else None."""
         if error.dispatched and not self.route.repeatable:
--- /dev/null
+++ b/packages/core/src/mountladder/forwarding/serverends.py
@@ -0,0 +1,121 @@
+# serverends.py -- Telling servers that have ended from connections that broke
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Telling servers that have ended from connections that broke."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.interruption import Interruption
+from mountladder.forwarding.serverrecord import ID_LABEL
+from mountladder.forwarding.upstream import Upstream
+
+# How long whoever lost a connection waits to learn whether the server has ended. A refusal comes in
+# a round trip, some milliseconds at most; where nobody answers the list of servers will tell.
+ASK_MS = 25.0
+# For how long the list of servers may show that one had ended when a connection to it broke: three
+# heartbeats of 1.2 s until an entry lapses, and some delay; started again it is back sooner.
+LISTED_MS = 5_000.0
+# How many servers that have ended are remembered.
+ENDS_KEPT = 256
+
+
+class ServerEnds:
+    """Finds out whether a server has ended when a connection to it breaks.
+
+    An answer may be lost, or a connection reset, while the server lives. One that has ended refuses
+    connections, or the list of servers shows another start at its address or drops its entry. A
+    server that was draining ends by plan, which nobody is to blame for.
+
+    Args:
+        upstream: Reaches servers.
+        directory: Which servers there are.
+        clock: The clock.
+
+    Attributes:
+        on_ended: Called with a server that has ended and the requests that it had then.
+    """
+
+    def __init__(self, upstream: Upstream, directory: Directory, clock: Clock) -> None:
+        self.upstream = upstream
+        self.directory = directory
+        self.clock = clock
+        self.on_ended: Callable[[BackendServer, Sequence[Interruption]], None]
+        self.on_ended = lambda server, interrupted: None
+        self.open: dict[str, tuple[BackendServer, list[Interruption]]] = {}
+        self.asked: dict[str, Event] = {}
+        self.ended: OrderedDict[str, None] = OrderedDict()
+        directory.listeners.append(self.look)
+
+    def broke(self, server: BackendServer, interrupted: Sequence[Interruption]) -> None:
+        """Find out why connections broke; return once that is known, or is not known soon.
+
+        Args:
+            server: The server.
+            interrupted: The requests that it had over them.
+        """
+        if self.is_planned(server):
+            return
+        if server.name in self.ended:
+            self.on_ended(server, interrupted)
+            return
+        self.open.setdefault(server.name, (server, []))[1].extend(interrupted)
+        asked = self.asked.get(server.name)
+        if asked is None:
+            asked = self.asked[server.name] = Event()
+            gevent.spawn(self.ask, server, asked)
+        self.clock.wait(asked, ASK_MS)
+
+    def ask(self, server: BackendServer, asked: Event) -> None:
+        """Look whether a server refuses connections."""
+        try:
+            if self.upstream.refuses(server):
+                self.settle(server, "it refuses connections")
+        finally:
+            del self.asked[server.name]
+            asked.set()
+
+    def look(self) -> None:
+        """Look whether the list of servers tells what became of those that are in doubt."""
+        now = self.clock.now()
+        for name, (server, interrupted) in list(self.open.items()):
+            if all(now - one.at > LISTED_MS for one in interrupted):
+                del self.open[name]
+            elif self.is_unlisted(server):
+                self.settle(server, "the list of servers has another start, or none")
+
+    def settle(self, server: BackendServer, reason: str) -> None:
+        """Record that a server has ended, with the requests that it had then."""
+        _, interrupted = self.open.pop(server.name, (server, []))
+        self.ended[server.name] = None
+        if len(self.ended) > ENDS_KEPT:
+            self.ended.popitem(last=False)
+        log_message(
+            "server-ended",
+            server=server.name,
+            address=server.address,
+            reason=reason,
+            requests=sorted({one.request for one in interrupted}),
+            fingerprints=sorted({one.fingerprint for one in interrupted}),
+        )
+        self.on_ended(server, interrupted)
+
+    def is_planned(self, server: BackendServer) -> bool:
+        """Tell whether a server was leaving, so that connections to it were to break."""
+        record = self.directory.records.get(server.labels[ID_LABEL])
+        return record is None or record.server is None or record.server.draining
+
+    def is_unlisted(self, server: BackendServer) -> bool:
+        """Tell whether the list has no entry of this start of a server any more."""
+        record = self.directory.records.get(server.labels[ID_LABEL])
+        return record is None or record.server is None or record.server.name != server.name
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -61,6 +61,7 @@
             body = answer.read(self.left())
         except StageError as error:
             self.learn_failure(attempt, error.code)
+            self.look_into(attempt, error)
             raise RunError(error.detail, error.code) from error
         self.learn_failure(attempt, Code.STAGE_FAILED)
         self.finish(status=answer.status)
@@ -195,6 +196,7 @@
         Raises:
             MountladderError: It may not go on.
         """
+        self.look_into(attempt, cut)
         self.excluded |= {attempt.server}
         self.runs += 1
         problem = self.why_not_again(cut)
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -43,6 +43,13 @@
             StageError: The server refused, or the answer broke or did not come within the limit.
         """
 
+    @abstractmethod
+    def refuses(self, server: BackendServer) -> bool:
+        """Tell whether nobody listens at a server's address, so that it has ended.
+
+        A server that cannot be reached, or does not answer, may live.
+        """
+
     @abstractmethod
     def free(self, handles: Sequence[str]) -> None:
         """Tell the servers that results are no longer needed; nothing is raised where it fails."""
