--- a/packages/standins/src/mountladder_standins/localanswer.py
+++ b/packages/standins/src/mountladder_standins/localanswer.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import StageError
@@ -22,6 +24,7 @@
         parts: The parts of the body.
         pause_ms: The pause before each part.
         cut: Whether it breaks off behind the last part.
+        is_ended: Tells whether the server has ended, with all that it had under way.
 
     Attributes:
         closed: Whether it was closed before its end.
@@ -35,6 +38,7 @@
         parts: list[bytes],
         pause_ms: float = 0.0,
         cut: bool = False,
+        is_ended: Callable[[], bool] = lambda: False,
     ) -> None:
         self.clock = clock
         self.status = status
@@ -44,6 +48,7 @@
         self.parts = parts
         self.pause_ms = pause_ms
         self.cut = cut
+        self.is_ended = is_ended
         self.closed = False
 
     def read(self, limit_ms: float) -> bytes:
@@ -57,6 +62,8 @@
         """Return the next part; see UpstreamAnswer."""
         if self.parts:
             self.clock.sleep(self.pause_ms)
+            if self.is_ended():
+                raise StageError("the server has ended", Code.STREAM_CUT)
             return self.parts.pop(0)
         if self.cut:
             raise StageError("the answer broke off", Code.STREAM_CUT)
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -8,7 +8,8 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from functools import partial
 
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
@@ -51,6 +52,10 @@
         freed: The results that were given up.
         answers: The answers that were handed out.
         tokens_per_ms: How fast prompts are read; without it every request takes the same time.
+        deadly: After how many milliseconds a body of a request, or a key of pieces, ends each
+            server that works on it.
+        ended: The servers that have ended, in order; they refuse connections.
+        on_ended: Called with each server that a request has ended.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -63,6 +68,9 @@
         self.answers: list[LocalAnswer] = []
         self.numbers = itertools.count(1)
         self.tokens_per_ms: float | None = None
+        self.deadly: dict[bytes | str, float] = {}
+        self.ended: list[str] = []
+        self.on_ended: Callable[[BackendServer], None] = lambda server: None
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
@@ -70,12 +78,13 @@
         self.arrivals[call.request.id].append(server.name)
         if fault in _REFUSALS:
             raise StageError("", _REFUSALS[fault], False)
+        self.check_listening(server)
         call.connected()
         self.runs[call.request.id].append(server.name)
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
             raise StageError("", Code.STAGE_STALLED)
-        self.clock.sleep(self.work_ms(call))
+        self.work(server, self.work_ms(call), (call.request.body,))
         if fault is ServerFault.RESET:
             raise StageError("", Code.STREAM_CUT)
         answer = self.answer(server, call, fault)
@@ -89,6 +98,38 @@
             return WORK_MS
         return WORK_MS + prompt.tokens / self.tokens_per_ms
 
+    def work(self, server: BackendServer, ms: float, contents: Sequence[bytes | str]) -> None:
+        """Work for a time, unless what is worked on ends the server before.
+
+        Raises:
+            StageError: The server has ended.
+        """
+        deadly_ms = min((self.deadly.get(one, ms) for one in contents), default=ms)
+        self.clock.sleep(min(ms, deadly_ms))
+        if any(one in self.deadly for one in contents):
+            self.end(server)
+        if server.name in self.ended:
+            raise StageError("the server has ended", Code.STREAM_CUT)
+
+    def end(self, server: BackendServer) -> None:
+        """End a server, which cuts all that it has under way."""
+        if server.name not in self.ended:
+            self.ended.append(server.name)
+            self.on_ended(server)
+
+    def check_listening(self, server: BackendServer) -> None:
+        """Refuse a connection where the server has ended.
+
+        Raises:
+            StageError: Nobody listens.
+        """
+        if server.name in self.ended:
+            raise StageError("refused", Code.CONNECT_FAILED, False)
+
+    def refuses(self, server: BackendServer) -> bool:
+        """Tell whether nobody listens at a server's address; see Upstream."""
+        return server.name in self.ended
+
     def answer(
         self, server: BackendServer, call: ForwardCall, fault: ServerFault | None
     ) -> LocalAnswer:
@@ -102,7 +143,8 @@
             if fault is ServerFault.CUT:
                 events = [events[0], events[1] + b"id: 3\nda"]
             cut = fault is ServerFault.CUT
-            return LocalAnswer(self.clock, 200, signed, events, EVENT_MS, cut)
+            is_ended = partial(self.refuses, server)
+            return LocalAnswer(self.clock, 200, signed, events, EVENT_MS, cut, is_ended)
         return LocalAnswer(self.clock, 200, signed, [server.name.encode()])
 
     def run_pieces(
@@ -112,12 +154,14 @@
         fault = self.faults.get(server.name)
         if fault in _REFUSALS:
             raise StageError("", _REFUSALS[fault], False)
+        self.check_listening(server)
         self.calls.append(PieceCall(server.name, self.clock.now(), tuple(pieces)))
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
             raise StageError("", Code.STAGE_STALLED)
         slower = SLOWER if fault is ServerFault.SLOW else 1.0
-        self.clock.sleep((CALL_MS + PIECE_MS * len(pieces)) * slower)
+        ms = (CALL_MS + PIECE_MS * len(pieces)) * slower
+        self.work(server, ms, tuple(piece.key for piece in pieces))
         if fault is ServerFault.NO_ROOM:
             return tuple(PieceResult("", PieceFailure.NO_ROOM) for _ in pieces)
         return tuple(PieceResult(f"{server.address}/{next(self.numbers)}") for _ in pieces)
