Operators list and clear requests that end servers; bars as rows of the platform

Cause: whoever is called about a barred request has to see the grounds, and to clear it once the model is repaired; what the adapter writes had no test.

Ruled out: a row that operators write (they drive the system by labels and configuration, and a cleared bar is no configuration).

Change: GET and DELETE /quarantine on the metrics address, for who bears the instances' key; mountladder quarantine ADDRESS [--lift FINGERPRINT]. Scenarios for rows of bars, rows that cannot be read, refused connections, and pieces that end their servers among those of others.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -166,3 +166,44 @@
     When 20000 lines are logged
     Then that took at most 2000 ms and the lines that found no room are counted
     And what is read says how many were dropped
+
+  Scenario Outline: Whether a server has ended shows in how a connection fails
+    Given <server>
+    Then it <outcome> connections
+
+    Examples:
+      | server                               | outcome         |
+      | a backend server that is not there   | refuses         |
+      | a backend server that answers "whole" | does not refuse |
+      | a backend server that answers "closed" | does not refuse |
+      | a backend server that answers "silence" | does not refuse |
+
+  Scenario: Bars are rows of a table, which come back as they were
+    Given a store that keeps rows of bars
+    When a bar is written there and read again
+    Then it is the same bar
+    When it is removed
+    Then no bar is kept
+
+  Scenario Outline: A row of bars that cannot be read hides no other
+    Given a store that keeps rows of bars
+    And a row there with <fault>
+    When a bar is written there and read again
+    Then it is the same bar
+
+    Examples:
+      | fault              |
+      | no JSON            |
+      | no servers         |
+      | a list too short   |
+      | a time before 1970 |
+
+  Scenario: An operator lists and clears requests under which servers ended
+    Given an instance's inner pages with one barred request
+    When an operator lists them with the token
+    Then the barred request is shown with its servers
+    When an operator clears it with the token
+    And an operator lists them with the token
+    Then nothing is shown
+    When an operator lists them with the token "wrong"
+    Then the command ends with status 1
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -152,3 +152,16 @@
   Scenario: A server that has ended is out of use everywhere at once
     When a deadly stream request comes 1 times every 100 ms, each time at instance a-1
     Then no instance would use the server that ended
+
+  Scenario: Pieces that end their servers do not take those of others with them
+    Given stage servers enc-1 to enc-6, which do so as well
+    When a request with deadly pieces comes 6 times every 1500 ms, among others every 150 ms
+    Then at most 3 servers have ended
+    And all others are served
+    And the last 2 attempts are refused with code 2010 as not_run within 5 ms
+
+  Scenario: A stage server that crashes by itself leaves full calls behind
+    Given stage servers enc-1 to enc-2, which do so as well
+    When 8 requests with stages are under way and their stage server ends
+    Then all 8 are served
+    And their pieces took at most 8 calls
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -468,3 +468,67 @@
     for instance in context.fleet.instances.values():
         state = instance.router.state(instance.directory.records[ended].server)
         assert not state.usable(context.clock.now())
+
+
+@given("stage servers enc-1 to enc-{number:d}, which do so as well")
+def enc_servers(context, number):
+    context.fleet.upstream.deadly["deadly pieces"] = DEADLY_MS
+    add_servers(context, "enc", number)
+
+
+def staged(context, id_, name, key):
+    sent_at = context.clock.now()
+    body = key.encode()
+    sent = request(id_, PATHS["staged"], sent_at, body=body, piece_key=key, allowed_ms=5_000.0)
+    serve(context, name, sent)
+    context.took[id_] = context.clock.now() - sent_at
+
+
+@when(
+    "a request with deadly pieces comes {times:d} times every {ms:d} ms, among others every "
+    "{often:d} ms"
+)
+def deadly_pieces(context, times, ms, often):
+    names = itertools.cycle(context.fleet.instances)
+    context.others, context.attempts = [], []
+
+    def send_all():
+        tasks = []
+        for n in range(times * ms // often):
+            if n % (ms // often) == 0:
+                context.attempts.append(f"d{n}")
+                tasks.append(gevent.spawn(staged, context, f"d{n}", next(names), "deadly pieces"))
+            context.others.append(f"o{n}")
+            tasks.append(gevent.spawn(staged, context, f"o{n}", next(names), f"o{n}"))
+            context.clock.sleep(float(often))
+        gevent.joinall(tasks)
+
+    context.run(send_all)
+
+
+@then("all others are served")
+def others_served(context):
+    lost = set(context.others) - set(served(context, context.others))
+    assert not lost, [context.ends[id_] for id_ in lost]
+
+
+@when("{number:d} requests with stages are under way and their stage server ends")
+def stage_server_ends(context, number):
+    names = itertools.cycle(context.fleet.instances)
+    context.attempts = [f"s{n}" for n in range(number)]
+
+    def send_and_end():
+        tasks = [gevent.spawn(staged, context, id_, next(names), id_) for id_ in context.attempts]
+        context.clock.sleep(100.0)
+        calls = context.fleet.upstream.calls
+        fullest = max(calls, key=lambda one: len(one.pieces))
+        end_servers(context, [fullest.server])
+        gevent.joinall(tasks)
+
+    context.run(send_and_end)
+
+
+@then("their pieces took at most {number:d} calls")
+def calls_taken(context, number):
+    calls = context.fleet.upstream.calls
+    assert len(calls) <= number, [(one.server, len(one.pieces)) for one in calls]
--- a/packages/cli/src/mountladder_cli/calls.py
+++ b/packages/cli/src/mountladder_cli/calls.py
@@ -12,22 +12,27 @@
 
 from mountladder.code import Code
 from mountladder.errors import DocumentError
-from mountladder.membership.instance import Instance
 
 INSTANCE_SECONDS = 2.0
 
 
-def fetch(instance: Instance, path: str, token: str) -> dict[str, object]:
+def fetch(web: str, path: str, token: str, method: str = "GET") -> dict[str, object]:
     """Return a page of an instance.
 
+    Args:
+        web: The instance's IP number and port.
+        path: The path of the page.
+        token: What the instance asks operators for, or an empty string.
+        method: The HTTP method.
+
     Raises:
         DocumentError: It does not answer, or refuses.
     """
-    url = f"http://{instance.web}{path}"
+    url = f"http://{web}{path}"
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     try:
         response = urllib3.request(
-            "GET", url, headers=headers, timeout=INSTANCE_SECONDS, retries=False
+            method, url, headers=headers, timeout=INSTANCE_SECONDS, retries=False
         )
         table = json.loads(response.data)
     except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
--- a/packages/cli/src/mountladder_cli/observing.py
+++ b/packages/cli/src/mountladder_cli/observing.py
@@ -105,4 +105,29 @@
     session.show([asdict(one) for one in traces], lambda: shown_account(traces))
 
 
-COMMANDS = (account, lines, history, status, explain, cost)
+@click.command("quarantine")
+@click.argument("address")
+@click.option("--lift", "lifted", default="", help="The fingerprint of a request to clear.")
+@click.pass_obj
+def quarantine(session: Session, address: str, lifted: str) -> None:
+    """Show which requests are barred since servers ended under them, or clear one.
+
+    ADDRESS is where an instance serves its metrics.
+    """
+    with session.errors():
+        if lifted:
+            porcelain.lift(address, session.operator_token, lifted)
+            session.show({"cleared": lifted}, lambda: f"cleared {lifted}")
+            return
+        rows = porcelain.quarantined(address, session.operator_token)
+        lines = [
+            f"{row['fingerprint']}  {row['service']}  "
+            + (f"barred for {row['barred_for_ms']} ms" if row["barred_for_ms"] else "suspect")
+            + "  "
+            + " ".join(f"{name}:{ms}ms" for name, ms in zip(row["servers"], row["ran_ms"]))
+            for row in rows
+        ]
+        session.show(rows, lambda: "\n".join(lines))
+
+
+COMMANDS = (account, lines, history, status, explain, cost, quarantine)
--- a/packages/cli/src/mountladder_cli/porcelain.py
+++ b/packages/cli/src/mountladder_cli/porcelain.py
@@ -30,8 +30,8 @@
 
 __all__ = [
     "amend", "apply", "change", "cost", "delete", "differing", "drain", "explain", "fetch",
-    "find", "history", "issue_keys", "label", "load", "request", "standing", "status",
-    "wait_in_force",
+    "find", "history", "issue_keys", "label", "lift", "load", "quarantined", "request",
+    "standing", "status", "wait_in_force",
 ]  # fmt: skip
 TRIES = 5
 POLL_MS = 100.0
@@ -182,7 +182,7 @@
 def standing(instance: Instance, token: str) -> Standing:
     """Ask an instance how it stands; one that does not answer is shown with the reason."""
     try:
-        table = fetch(instance, "/ops/status", token)
+        table = fetch(instance.web, "/ops/status", token)
         return Standing(instance, table, "")
     except MountladderError as error:
         return Standing(instance, {}, str(error))
@@ -221,5 +221,27 @@
     """
     for instance in platform.instances.instances():
         if wanted.startswith(instance.incarnation):
-            return fetch(instance, f"/ops/explain/{wanted}", token)
+            return fetch(instance.web, f"/ops/explain/{wanted}", token)
     raise DocumentError(f"no listed instance knows of request {wanted!r}", Code.NOT_FOUND)
+
+
+def quarantined(address: str, token: str) -> list[dict[str, object]]:
+    """Return the requests under which servers ended, as an instance knows them.
+
+    Args:
+        address: The IP number and port of the instance's metrics.
+        token: The key that all instances share.
+
+    Raises:
+        DocumentError: The instance does not answer, or refuses.
+    """
+    return fetch(address, "/quarantine", token)["suspects"]
+
+
+def lift(address: str, token: str, fingerprint: str) -> None:
+    """Clear a request under which servers ended, on all instances.
+
+    Raises:
+        DocumentError: The instance does not answer, refuses, or knows nothing against it.
+    """
+    fetch(address, f"/quarantine/{fingerprint}", token, "DELETE")
--- a/packages/cli/src/mountladder_cli/session.py
+++ b/packages/cli/src/mountladder_cli/session.py
@@ -44,9 +44,15 @@
     @contextmanager
     def platform(self) -> Iterator[Platform]:
         """Open the platform; print every error of the block and end."""
+        with ExitStack() as stack, self.errors():
+            yield http_platform(self.base, self.clock, stack)
+
+    @contextmanager
+    def errors(self) -> Iterator[None]:
+        """Print every error of the block and end."""
         with ExitStack() as stack:
             try:
-                yield http_platform(self.base, self.clock, stack)
+                yield
             except* MountladderError as group:
                 for error in flatten(group):
                     click.echo(f"error {error}", err=True)
--- a/packages/entry/src/mountladder_entry/operators.py
+++ b/packages/entry/src/mountladder_entry/operators.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hmac
 import json
 from collections.abc import Callable
 from dataclasses import asdict
@@ -17,6 +16,7 @@
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RefusalError
 from mountladder.requests.gateway import problem
+from mountladder_entry.bearer import bears
 
 if TYPE_CHECKING:
     from mountladder_entry.node import Node
@@ -37,11 +37,7 @@
 def guarded(node: Node, page: Callable[[], dict[str, object]]) -> object:
     """Return a page to an operator, or a problem document."""
     try:
-        expected = "Bearer " + node.settings.operator_token
-        sent = bottle.request.get_header("Authorization", "")
-        if node.settings.operator_token and not hmac.compare_digest(
-            sent.encode(), expected.encode()
-        ):
+        if not bears(node.settings.operator_token):
             raise RefusalError("the operator's token is wrong", Code.UNAUTHENTICATED)
         return page()
     except MountladderError as error:
--- /dev/null
+++ b/packages/entry/src/mountladder_entry/quarantinepages.py
@@ -0,0 +1,74 @@
+# quarantinepages.py -- Operators' pages about requests that end servers
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Operators' pages about requests that end servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import bottle
+
+from mountladder.code import Code
+from mountladder.errors import RefusalError
+from mountladder.quarantine.quarantine import Quarantine
+from mountladder.quarantine.suspicion import Suspicion
+from mountladder_entry.bearer import bears
+
+
+def install(app: bottle.Bottle, quarantine: Quarantine, token: str) -> None:
+    """Add the pages to an application.
+
+    Args:
+        app: The application.
+        quarantine: The instance's book.
+        token: What whoever calls them has to bear.
+    """
+    app.get("/quarantine", callback=lambda: guarded(token, lambda: listed(quarantine)))
+    app.delete(
+        "/quarantine/<fingerprint>",
+        callback=lambda fingerprint: guarded(token, lambda: lift(quarantine, fingerprint)),
+    )
+
+
+def guarded(token: str, page: Callable[[], dict[str, object]]) -> dict[str, object]:
+    """Return a page to an operator, or why there is none."""
+    try:
+        if not bears(token):
+            raise RefusalError("the token is wrong", Code.UNAUTHENTICATED)
+        return page()
+    except RefusalError as error:
+        bottle.response.status = error.code.status
+        return {"code": error.code.number, "detail": error.detail}
+
+
+def listed(quarantine: Quarantine) -> dict[str, object]:
+    """Return every request under which servers ended, the latest first."""
+    now = quarantine.clock.now()
+    suspects = [one for one in quarantine.book.values() if one.is_suspect]
+    suspects.sort(key=lambda one: one.changed_at, reverse=True)
+    return {"suspects": [_row(one, now) for one in suspects]}
+
+
+def lift(quarantine: Quarantine, fingerprint: str) -> dict[str, object]:
+    """Clear a request, on every instance.
+
+    Raises:
+        RefusalError: No server ended under it.
+    """
+    if not quarantine.lift(fingerprint):
+        raise RefusalError(f"nothing is known against {fingerprint!r}", Code.NOT_FOUND)
+    return {"cleared": fingerprint}
+
+
+def _row(suspicion: Suspicion, now: float) -> dict[str, object]:
+    return {
+        "fingerprint": suspicion.fingerprint,
+        "service": suspicion.service,
+        "servers": [one.server for one in suspicion.ends],
+        "ran_ms": [round(one.ran_ms) for one in suspicion.ends],
+        "ended_ms_ago": [round(now - one.at) for one in suspicion.ends],
+        "bars": suspicion.bars,
+        "barred_for_ms": round(max(0.0, suspicion.barred_until - now)),
+    }
