--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -165,3 +165,4 @@
     When 8 requests with stages are under way and their stage server ends
     Then all 8 are served
     And their pieces took at most 8 calls
+
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -212,19 +212,19 @@
 
 
 def books(context):
-    return [one.quarantine for one in context.fleet.instances.values()]
+    return [one.quarantine.book for one in context.fleet.instances.values()]
 
 
 @then("nothing is suspect")
 def nothing_suspect(context):
     context.run(context.clock.sleep, NEWS_MS)
-    suspects = [one for book in books(context) for one in book.book.values() if one.is_suspect]
+    suspects = [one for book in books(context) for one in book.known.values() if one.is_suspect]
     assert not suspects, suspects
 
 
 @then("nothing is barred")
 def nothing_barred(context):
-    barred = [one for book in books(context) for one in book.book.values() if one.bars]
+    barred = [one for book in books(context) for one in book.known.values() if one.bars]
     assert not barred, barred
 
 
@@ -279,7 +279,7 @@
         gevent.joinall(tasks)
 
     context.run(send_and_end)
-    assert any(one.is_suspect for book in books(context) for one in book.book.values())
+    assert any(one.is_suspect for book in books(context) for one in book.known.values())
 
 
 @when("the same {number:d} requests come again")
@@ -388,7 +388,7 @@
 @given("a deadly stream request was barred")
 def was_barred(context):
     send_series(context, context.fleet.instances, 3, 800)
-    assert all(one.bars == 1 for book in books(context) for one in book.book.values())
+    assert all(one.bars == 1 for book in books(context) for one in book.known.values())
     context.ended_before = len(context.fleet.upstream.ended)
 
 
@@ -423,15 +423,15 @@
 
 @when("an operator clears it at {name}")
 def operator_clears(context, name):
-    quarantine = context.fleet.instances[name].quarantine
-    (fingerprint,) = quarantine.book
+    quarantine = context.fleet.instances[name].quarantine.book
+    (fingerprint,) = quarantine.known
     assert quarantine.lift(fingerprint)
     context.run(context.clock.sleep, 20.0)
 
 
 @when("{number:d} other requests become suspect at {name}")
 def many_suspects(context, number, name):
-    quarantine = context.fleet.instances[name].quarantine
+    quarantine = context.fleet.instances[name].quarantine.book
 
     def suspect_all():
         for n in range(number):
@@ -445,7 +445,7 @@
 
 @then("the book of {name} holds {number:d} entries, the bar among them")
 def book_holds(context, name, number):
-    book = context.fleet.instances[name].quarantine.book
+    book = context.fleet.instances[name].quarantine.book.known
     assert len(book) == number, len(book)
     assert sum(one.bars for one in book.values()) == 1
 
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -27,8 +27,7 @@
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metrics import Metrics
-from mountladder.quarantine.quarantine import Quarantine
-from mountladder.quarantine.serverends import ServerEnds
+from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 
@@ -57,7 +56,6 @@
         division: Which servers the pieces are made at.
         router: What is known of each server.
         upstream: Calls the servers.
-        ends: Tells whether a server has ended when a call to it breaks.
         quarantine: Knows under whose pieces servers end.
         budget: Limits how often pieces are sent again.
         clock: The clock.
@@ -71,8 +69,7 @@
         division: Division,
         router: Router,
         upstream: Upstream,
-        ends: ServerEnds,
-        quarantine: Quarantine,
+        quarantine: QuarantineService,
         budget: WindowBudget,
         clock: Clock,
         metrics: Metrics,
@@ -80,8 +77,8 @@
         self.service = service
         self.catalogue = catalogue
         self.upstream = upstream
-        self.ends = ends
-        self.quarantine = quarantine
+        self.ends = quarantine.ends
+        self.quarantine = quarantine.book
         self.budget = budget
         self.clock = clock
         self.metrics = metrics
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.metrics.metric import Metric
+from mountladder.quarantine.case import broke
 from mountladder.quarantine.interruption import Interruption
 from mountladder.routing.serverstate import ServerState
 
@@ -204,7 +205,7 @@
 
     def look_into(self, error: StageError) -> None:
         """Find out whether the server has ended where the call to it broke."""
-        if error.code is not Code.STREAM_CUT or not error.dispatched:
+        if not broke(error):
             return
         now = self.home.clock.now()
         ran_ms = now - self.call.started
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -8,12 +8,10 @@
 
 from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
-from typing import Any, TypeVar
 
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
-from mountladder.errors import PeerError
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.catalogue import Catalogue
@@ -42,8 +40,6 @@
 # Several changes are often read at once; news of them goes out in one message.
 TELL_MS = 15.0
 
-Kind = TypeVar("Kind")
-
 
 class Fleet(LinkKeeper):
     """Keeps in touch with other instances: who lives, what is newest, where pieces meet.
@@ -60,9 +56,7 @@
     Attributes:
         contacts: Tells where the work of each topic meets.
         division: Tells which services each data centre works on by itself.
-        greeters: Called with each link that a peer has opened, to tell it what is known here.
         peer_gone: Called with the link that a peer had opened when it is lost.
-        subscribers: Who takes messages of each kind that is not the fleet's own.
         backlogs: Returns how long pieces wait that meet on this instance.
         on_backlog: Takes how long pieces wait that meet on a peer, and its data centre.
     """
@@ -90,20 +84,14 @@
         self.readers = Readers(self.ranking.near, membership.me, clock)
         self.is_fed: Callable[[], bool] = lambda: False
         self.telling = False
-        self.subscribers: dict[type, Callable[[Any, Link], None]] = {}
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
         self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
-        self.greeters: list[Callable[[Link], None]] = []
         self.peer_gone: list[Callable[[Link], None]] = []
         self.subscribe(CatalogueSlice, self.transfer.take)
         follower.listeners.append(self.learn_topics)
         follower.listeners.append(lambda catalogue: self.tell_soon())
         directory.listeners.append(self.tell_soon)
 
-    def subscribe(self, kind: type[Kind], take: Callable[[Kind, Link], None]) -> None:
-        """Have messages of one kind handed to a function, with the link they came over."""
-        self.subscribers[kind] = take
-
     def learn_topics(self, catalogue: Catalogue) -> None:
         """Get in touch with those where work meets before the first request needs them.
 
@@ -225,11 +213,9 @@
             for listener in self.peer_gone:
                 listener(link)
 
-    def greet(self, link: Link) -> None:
-        """Tell a peer that has just connected which versions it can get here."""
-        self.send(link, self.beacon(asks=False))
-        for greeter in self.greeters:
-            greeter(link)
+    def greeting(self) -> Beacon:
+        """Return which versions a peer that has just connected can get here."""
+        return self.beacon(asks=False)
 
     def tell_members(self, instances: Sequence[Instance], links: Sequence[Link]) -> None:
         """Tell peers of instances."""
@@ -245,10 +231,7 @@
     @singledispatchmethod
     def handle(self, message: object, link: Link) -> None:
         """Take in a message, or hand it to who has subscribed to its kind."""
-        take = self.subscribers.get(type(message))
-        if take is None:
-            raise PeerError(f"no message is handled like {message!r}")
-        take(message, link)
+        self.hand_over(message, link)
 
     @handle.register
     def _(self, message: Beacon, link: Link) -> None:
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -14,15 +14,13 @@
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.fetchtime import FetchTime
-from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metrics import Metrics
-from mountladder.quarantine.quarantine import Quarantine
-from mountladder.quarantine.serverends import ServerEnds
+from mountladder.quarantine.quarantineservice import QuarantineService
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +39,6 @@
         metrics: Where metrics go.
         departure: Whether the instance is about to end.
         fetch_time: When servers have fetched the results of stages.
-        fingerprint: Returns what all attempts of a team at a request have in common.
-        ends: Tells whether a server has ended when a connection to it breaks.
         quarantine: Knows under which requests servers end.
     """
 
@@ -57,6 +53,4 @@
     metrics: Metrics
     departure: Departure
     fetch_time: FetchTime
-    fingerprint: Callable[[ForwardRequest, str], str]
-    ends: ServerEnds
-    quarantine: Quarantine
+    quarantine: QuarantineService
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -21,7 +21,6 @@
 from mountladder.forwarding.streamrun import StreamRun
 from mountladder.forwarding.wholerun import WholeRun
 from mountladder.metrics.metric import Metric
-from mountladder.quarantine.fingerprint import stage_fingerprint
 
 # While the catalogue was not confirmed for this long, what it does not know may be newer than it.
 STALE_MS = 6_000.0
@@ -83,25 +82,11 @@
             route_priority=route.priority,
             aim_ms=round(route.aim_ms),
             comes_back=run.comes_back,
-            fingerprint=run.fingerprint,
+            fingerprint=run.case.fingerprint,
         )
-        self.check_quarantine(run)
+        run.case.check({stage.service for stage in route.stages})
         return run
 
-    def check_quarantine(self, run: ForwardRun) -> None:
-        """Refuse a request that ends the servers which run it or its stages.
-
-        Raises:
-            RefusalError: It is barred.
-        """
-        quarantine = self.context.quarantine
-        if not quarantine.book:
-            return
-        stages = {stage.service for stage in run.route.stages}
-        of_stages = [stage_fingerprint(run.fingerprint, service) for service in stages]
-        for fingerprint in (run.fingerprint, *of_stages):
-            quarantine.check(fingerprint, run.request.id)
-
     def holder(
         self, request: ForwardRequest, route: Route, catalogue: Catalogue
     ) -> KeyHolder | None:
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -20,6 +20,7 @@
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.directorylisting import DirectoryListing
 from mountladder.forwarding.fetchtime import FetchTime
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardcontext import ForwardContext
@@ -44,10 +45,7 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 from mountladder.quarantine.barkeeper import BarKeeper
-from mountladder.quarantine.fingerprint import fingerprint
-from mountladder.quarantine.quarantine import Quarantine
-from mountladder.quarantine.serverends import ServerEnds
-from mountladder.quarantine.suspicionexchange import SuspicionExchange
+from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
@@ -146,14 +144,18 @@
 
     def build_quarantine(self, upstream: Upstream) -> None:
         """Put the parts together that know under which requests servers end."""
-        self.quarantine = Quarantine(self.clock, self.metrics)
-        self.quarantine.on_server_ended = self.take_out
-        self.ends = ServerEnds(upstream, self.directory, self.clock)
-        self.ends.on_ended = self.quarantine.interrupted
-        self.exchange = SuspicionExchange(self.fleet, self.quarantine, self.clock)
-        self.bar_keeper = BarKeeper(
-            self.tables.bars, self.quarantine, self.fleet.readers, self.clock
+        self.quarantine = QuarantineService(
+            upstream.refuses,
+            DirectoryListing(self.directory),
+            self.fleet,
+            lambda: self.settings.secret,
+            self.clock,
+            self.metrics,
         )
+        self.directory.listeners.append(self.quarantine.ends.look)
+        book, readers = self.quarantine.book, self.fleet.readers
+        book.on_server_ended = self.take_out
+        self.bar_keeper = BarKeeper(self.tables.bars, book, readers, self.clock)
 
     def take_out(self, name: str) -> None:
         """Use a server no more that has ended, whoever noticed."""
@@ -175,8 +177,6 @@
             metrics=self.metrics,
             departure=self.departure,
             fetch_time=FetchTime(),
-            fingerprint=lambda request, team: fingerprint(self.settings.secret, team, request),
-            ends=self.ends,
             quarantine=self.quarantine,
         )
 
@@ -207,7 +207,6 @@
             self.fleet.division,
             self.router,
             self.upstream,
-            self.ends,
             self.quarantine,
             self.budgets.of(service),
             self.clock,
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -22,7 +22,6 @@
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
-from mountladder.quarantine.interruption import Interruption
 
 # How often a request is sent where no server says that it ran; each sending but the first also
 # costs a part of the retry budget.
@@ -59,7 +58,7 @@
         flows_lost: How often its stages were run again since a result was lost.
         gives_way: Whether it cannot be on time and its stages give way to all that can.
         cancel_release: Keeps results that are about to be given up.
-        fingerprint: What all attempts of the team at the request have in common.
+        case: The request as the quarantine sees it.
     """
 
     def __init__(
@@ -88,7 +87,8 @@
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.comes_back = self.age_ms > 0.0
         self.gives_way = False
-        self.fingerprint = context.fingerprint(request, self.team)
+        texts = (self.team, request.method, request.host, request.target)
+        self.case = context.quarantine.case(request.id, texts, request.body)
         context.budget(self.service).earn()
 
     @property
@@ -122,7 +122,7 @@
             self.context.clock,
             self.promised_ms(),
             is_first,
-            self.fingerprint,
+            self.case.fingerprint,
         )
         try:
             inputs = self.flow.run()
@@ -166,7 +166,7 @@
             MountladderError: No server can be used.
         """
         try:
-            self.context.quarantine.admit(self.fingerprint, self.request.id, self.left())
+            self.case.admit(self.left())
             picked = self.context.picker.pick(
                 self.request, self.service, self.left(), self.excluded, self.site
             )
@@ -217,7 +217,7 @@
         self.context.picker.failed(
             attempt.picked, self.request, self.service, error.code, elapsed_ms
         )
-        self.look_into(attempt, error)
+        self.case.failed(attempt.choice.state.server, attempt.started, error)
         self.excluded |= {attempt.server}
         self.runs += error.dispatched
         self.unreached += error.code is Code.CONNECT_FAILED
@@ -235,15 +235,6 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
-    def look_into(self, attempt: ForwardAttempt, error: StageError) -> None:
-        """Find out whether a server has ended where its connection broke."""
-        if error.code is not Code.STREAM_CUT or not error.dispatched:
-            return
-        now = self.context.clock.now()
-        ran_ms = now - attempt.started
-        lost = Interruption(self.fingerprint, self.request.id, ran_ms, now)
-        self.context.ends.broke(attempt.choice.state.server, (lost,))
-
     def why_not_again(self, error: StageError) -> MountladderError | None:
         """Return what the caller is told where a failed request is not sent again, else None."""
         if error.dispatched and not self.route.repeatable:
@@ -263,11 +254,10 @@
     def final(self, error: MountladderError) -> MountladderError:
         """Return an error as the caller is told it: a refusal only where nothing ran."""
         begun = self.runs > 0 or (self.flow is not None and self.flow.begun)
-        if begun and error.code is Code.QUARANTINED:
-            return RunError(error.detail, Code.SERVERS_ENDED)
-        if begun:
-            return error if isinstance(error, RunError) else RunError(error.detail)
-        if isinstance(error, RefusalError):
+        if begun and isinstance(error, RefusalError):
+            barred = error.code is Code.QUARANTINED
+            return RunError(error.detail, Code.SERVERS_ENDED if barred else None)
+        if begun or isinstance(error, RefusalError):
             return error
         return RefusalError(error.detail, Code.SERVERS_FULL, retry_after_ms=FULL_RETRY_MS)
 
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -98,7 +98,7 @@
 
     def drop_barred(self, quarantine: Quarantine) -> None:
         """Settle the pieces under which servers have ended too often."""
-        if not quarantine.book:
+        if not quarantine.known:
             return
         barred = {
             id(progress): (progress, fragment)
@@ -180,7 +180,7 @@
     several requests, which would each take one of their own. After a second one they go alone, so
     that it shows which of them is to blame, and only while nothing else of it is under way.
     """
-    if not quarantine.book:
+    if not quarantine.known:
         return batch
     ready = [one for one in batch if not _waits(one, quarantine)]
     if not ready:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -61,7 +61,7 @@
             body = answer.read(self.left())
         except StageError as error:
             self.learn_failure(attempt, error.code)
-            self.look_into(attempt, error)
+            self.case.failed(attempt.choice.state.server, attempt.started, error)
             raise RunError(error.detail, error.code) from error
         self.learn_failure(attempt, Code.STAGE_FAILED)
         self.finish(status=answer.status)
@@ -163,7 +163,7 @@
                     held = attempt
                     yield first
             error = None
-            self.context.quarantine.answer(self.fingerprint)
+            self.case.answered()
         except MountladderError as caught:
             error = caught
             raise
@@ -197,7 +197,7 @@
         Raises:
             MountladderError: It may not go on.
         """
-        self.look_into(attempt, cut)
+        self.case.failed(attempt.choice.state.server, attempt.started, cut)
         self.excluded |= {attempt.server}
         self.runs += 1
         problem = self.why_not_again(cut)
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -58,7 +58,7 @@
                 continue
             if answer.status < FAILURE:
                 self.succeeded(attempt, answer.load, goes_on=False)
-                self.context.quarantine.answer(self.fingerprint)
+                self.case.answered()
             return ForwardAnswer(answer.status, answer.headers, body)
 
     def check(self, answer: UpstreamAnswer) -> None:
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -8,6 +8,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
 
 import gevent
 from eliot import log_message
@@ -26,6 +27,7 @@
 REDIAL_MS = 250.0
 LONGEST_REDIAL_MS = 2_000.0
 TARGETS_MS = 500.0
+Kind = TypeVar("Kind")
 
 
 class LinkKeeper(ABC):
@@ -44,6 +46,8 @@
         answered: Whether peers answer heartbeats on the same link, so that silence tells something.
         on_reached: Called with each link that this instance has opened.
         on_link_lost: Called with the address of a peer whose link broke or fell silent.
+        subscribers: Who takes messages of each kind that is not the keeper's own.
+        greeters: Called with each link that a peer has opened, to tell it what is known here.
     """
 
     answered = False
@@ -68,6 +72,8 @@
         self.leaving = False
         self.on_reached: Callable[[Link], None] = lambda link: None
         self.on_link_lost: Callable[[str], None] = lambda address: None
+        self.subscribers: dict[type, Callable[[Any, Link], None]] = {}
+        self.greeters: list[Callable[[Link], None]] = []
         self.bytes = 0
         self.messages = 0
 
@@ -194,9 +200,30 @@
         self.messages += 1
         self.metrics.count(Metric.PEER_BYTES, number=size)
 
+    def subscribe(self, kind: type[Kind], take: Callable[[Kind, Link], None]) -> None:
+        """Have messages of one kind handed to a function, with the link they came over."""
+        self.subscribers[kind] = take
+
+    def hand_over(self, message: Message, link: Link) -> None:
+        """Hand a message to who has subscribed to its kind.
+
+        Raises:
+            PeerError: Nobody has.
+        """
+        take = self.subscribers.get(type(message))
+        if take is None:
+            raise PeerError(f"no message is handled like {message!r}")
+        take(message, link)
+
     def greet(self, link: Link) -> None:
-        """Send the first message to a peer that has just connected."""
-        self.send(link, self.heartbeat())
+        """Send the first messages to a peer that has just connected."""
+        self.send(link, self.greeting())
+        for greeter in self.greeters:
+            greeter(link)
+
+    def greeting(self) -> Message:
+        """Return the first message to a peer that has just connected."""
+        return self.heartbeat()
 
     @abstractmethod
     def heartbeat(self) -> Message:
--- a/packages/core/src/mountladder/membership/peers.py
+++ b/packages/core/src/mountladder/membership/peers.py
@@ -102,8 +102,8 @@
 
     @singledispatchmethod
     def handle(self, message: Message, link: Link) -> None:
-        """Take in a message."""
-        raise PeerError(f"no message is handled like {message!r}")
+        """Take in a message, or hand it to who has subscribed to its kind."""
+        self.hand_over(message, link)
 
     @handle.register
     def _(self, message: Hello, link: Link) -> None:
--- a/packages/core/src/mountladder/quarantine/fingerprint.py
+++ b/packages/core/src/mountladder/quarantine/fingerprint.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-
-from mountladder.forwarding.forwardrequest import ForwardRequest
+from collections.abc import Sequence
 
 # 16 bytes: two different requests of all that a fleet takes in a year share one by chance with a
 # probability of some 1e-16.
@@ -17,24 +16,24 @@
 END = b"\0"
 
 
-def fingerprint(secret: str, team: str, request: ForwardRequest) -> str:
+def fingerprint(secret: str, texts: Sequence[str], body: bytes) -> str:
     """Return the same text for all attempts at the same request, and nothing of its content.
 
-    Headers are left out, since each attempt has some of its own.
+    Headers are not part of it, since each attempt has some of its own.
 
     Args:
         secret: The key that all instances share.
-        team: The team that sends it, or an empty string.
-        request: The request.
+        texts: The team that sends it and what it asks for, without the body.
+        body: The body.
 
     Returns:
         A keyed hash, 32 hexadecimal digits.
     """
     key = hashlib.blake2b(secret.encode()).digest()
     digest = hashlib.blake2b(key=key, digest_size=DIGEST_BYTES)
-    for text in (team, request.method, request.host, request.target):
+    for text in texts:
         digest.update(text.encode(errors="surrogateescape") + END)
-    digest.update(request.body)
+    digest.update(body)
     return digest.hexdigest()
 
 
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -18,18 +18,11 @@
 from mountladder.errors import RefusalError
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
+from mountladder.quarantine.blame import FEW_ENDS, is_to_blame
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.serverend import ServerEnd
 from mountladder.quarantine.suspicion import NEVER, Suspicion
 
-# Whoever is hit by three separate ends without an answer between them is to blame, or was hit by
-# chance three times in a row: at 0.2 a run, which is a bad minute, one in 125 that come so often.
-MOST_ENDS = 3
-# Two are enough where both came soon after the request was sent and servers end under it alone.
-# With 2,100 servers of which 200 end in a day that bars one innocent in some 80 days.
-FEW_ENDS = 2
-SOON_MS = 500.0
-QUIET_MS = 60_000.0
 # What was answered whole within this time before a server ended is not to blame for that.
 INNOCENT_MS = 60_000.0
 # About a minute of whole answers of an instance of a large fleet, at some 19 a second.
@@ -42,12 +35,6 @@
 # How many of the requests that a server had at its end are suspected; those that had been there
 # for the shortest time come first.
 MOST_SUSPECTS = 64
-# Suspects are forgotten after this time without a further end, as long as a first bar lasts.
-SUSPECT_MS = 600_000.0
-# How long it is remembered that one was cleared, so that what comes late does not count again.
-CLEARED_MS = 60_000.0
-# Bars are remembered this long beyond their end, so that the next one is longer.
-REMEMBER_MS = 24 * 3_600_000.0
 # Some 300 bytes each; the oldest suspects make room.
 MOST_ENTRIES = 1_024
 # A server is taken out of use by word of a peer only at once; later it may be another start.
@@ -65,7 +52,7 @@
         metrics: Where its size is shown.
 
     Attributes:
-        book: What is known of each suspect, by fingerprint.
+        known: What is known of each suspect, by fingerprint.
         answered: What was answered whole lately, and when.
         server_ends: When each server ended that was heard of lately.
         on_news: Called with what has become known, and who told (an empty string for here).
@@ -78,7 +65,7 @@
     def __init__(self, clock: Clock, metrics: Metrics) -> None:
         self.clock = clock
         self.metrics = metrics
-        self.book: dict[str, Suspicion] = {}
+        self.known: dict[str, Suspicion] = {}
         self.answered: OrderedDict[str, float] = OrderedDict()
         self.server_ends: OrderedDict[str, float] = OrderedDict()
         self.changed = Event()
@@ -93,7 +80,7 @@
         Raises:
             RefusalError: It is barred, until the time that the error tells.
         """
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         left_ms = known.barred_until - self.clock.now() if known else NEVER
         if left_ms <= 0:
             return
@@ -110,22 +97,22 @@
 
     def is_barred(self, fingerprint: str) -> bool:
         """Tell whether a request is not to be sent at present."""
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         return known is not None and known.barred_until > self.clock.now()
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether servers ended under a request that was not cleared since."""
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         return known is not None and known.is_suspect
 
     def goes_alone(self, fingerprint: str) -> bool:
         """Tell whether a request's pieces are not to share a call with those of others."""
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         return known is not None and len(known.ends) >= FEW_ENDS
 
     def wait_ms(self, fingerprint: str) -> float:
         """Return for how long yet a copy of a suspect that is under way is to be waited for."""
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         if known is None or known.under_way_since() == NEVER:
             return 0.0
         longest_ms = max(one.ran_ms for one in known.ends)
@@ -154,7 +141,7 @@
 
     def sending(self, fingerprint: str, request: str) -> None:
         """Record that a request is sent, where it is suspect, and tell of it."""
-        known = self.book.get(fingerprint)
+        known = self.known.get(fingerprint)
         if known is None or not known.is_suspect:
             return
         log_message(
@@ -176,7 +163,7 @@
         found = []
         for one in suspects:
             end = ServerEnd(server, one.ran_ms, one.at, one.alone)
-            known = self.book.get(one.fingerprint) or Suspicion(one.fingerprint)
+            known = self.known.get(one.fingerprint) or Suspicion(one.fingerprint)
             found.append(known.merged(Suspicion(one.fingerprint, service, (end,))))
         log_message(
             "suspected",
@@ -194,7 +181,7 @@
     def judged(self, suspicion: Suspicion, seen_here: bool) -> Suspicion:
         """Return a suspicion after a further end, barred where that is enough."""
         now = self.clock.now()
-        if suspicion.barred_until > now or not self.is_to_blame(suspicion):
+        if suspicion.barred_until > now or not is_to_blame(suspicion, self.server_ends):
             return suspicion
         barred = replace(suspicion, bars=suspicion.bars + 1, barred_at=now)
         log_message(
@@ -209,23 +196,6 @@
         self.on_barred(barred, seen_here)
         return barred
 
-    def is_to_blame(self, suspicion: Suspicion) -> bool:
-        """Tell whether the ends under a request are more than chance."""
-        separate = suspicion.separate_ends()
-        if suspicion.bars:
-            # It was tried again after its last bar.
-            return separate[-1].at > suspicion.barred_until
-        if len(separate) >= MOST_ENDS:
-            return True
-        soon = all(one.alone and one.ran_ms <= SOON_MS for one in separate)
-        return len(separate) >= FEW_ENDS and soon and self.is_quiet(suspicion)
-
-    def is_quiet(self, suspicion: Suspicion) -> bool:
-        """Tell whether no server ended lately but under this request."""
-        since = suspicion.ends[0].at - QUIET_MS
-        own = {one.server for one in suspicion.ends}
-        return not any(at > since for name, at in self.server_ends.items() if name not in own)
-
     def see_end(self, server: str, at: float) -> None:
         """Remember when a server ended."""
         self.server_ends.setdefault(server, at)
@@ -243,7 +213,7 @@
 
     def clear(self, fingerprint: str, reason: str) -> None:
         """Clear a suspect, and tell of it."""
-        known = self.book[fingerprint]
+        known = self.known[fingerprint]
         log_message(
             "suspect-cleared",
             fingerprint=fingerprint,
@@ -274,7 +244,7 @@
         news: list[Suspicion] = []
         answers: list[Suspicion] = []
         for one in told:
-            known = self.book.get(one.fingerprint, Suspicion(one.fingerprint))
+            known = self.known.get(one.fingerprint, Suspicion(one.fingerprint))
             if not known.lacks(one):
                 continue
             self.hear_ends(known, one)
@@ -301,33 +271,27 @@
         """Put what has become known into the book, and pass it on."""
         if not news:
             return
-        self.book.update({one.fingerprint: one for one in news})
+        self.known.update({one.fingerprint: one for one in news})
         self.forget()
         self.changed.set()
         self.changed = Event()
         now = self.clock.now()
-        barred = sum(one.barred_until > now for one in self.book.values())
+        barred = sum(one.barred_until > now for one in self.known.values())
         self.metrics.gauge(Metric.QUARANTINED, barred)
-        self.metrics.gauge(Metric.SUSPECTED, sum(one.is_suspect for one in self.book.values()))
+        self.metrics.gauge(Metric.SUSPECTED, sum(one.is_suspect for one in self.known.values()))
         self.on_news(news, source)
 
     def forget(self) -> None:
         """Forget what is old, and the oldest suspects where there are too many."""
         now = self.clock.now()
-        for fingerprint, one in list(self.book.items()):
-            if now > _kept_until(one):
-                del self.book[fingerprint]
-        over = len(self.book) - MOST_ENTRIES
+        for fingerprint, one in list(self.known.items()):
+            if now > one.kept_until:
+                del self.known[fingerprint]
+        over = len(self.known) - MOST_ENTRIES
         if over <= 0:
             return
-        oldest = sorted(self.book.values(), key=lambda one: (one.bars > 0, one.changed_at))[:over]
+        oldest = sorted(self.known.values(), key=lambda one: (one.bars > 0, one.changed_at))[:over]
         for one in oldest:
-            del self.book[one.fingerprint]
+            del self.known[one.fingerprint]
         self.metrics.count(Metric.SUSPECTS_EVICTED, number=over)
         log_message("suspects-evicted", entries=over, barred=sum(one.bars > 0 for one in oldest))
-
-
-def _kept_until(suspicion: Suspicion) -> float:
-    if suspicion.bars:
-        return suspicion.barred_until + REMEMBER_MS
-    return suspicion.changed_at + (SUSPECT_MS if suspicion.is_suspect else CLEARED_MS)
--- a/packages/core/src/mountladder/quarantine/serverends.py
+++ b/packages/core/src/mountladder/quarantine/serverends.py
@@ -15,10 +15,8 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
-from mountladder.forwarding.directory import Directory
-from mountladder.forwarding.serverrecord import ID_LABEL, SERVICE_LABEL
-from mountladder.forwarding.upstream import Upstream
 from mountladder.quarantine.interruption import Interruption
+from mountladder.quarantine.serverlisting import ServerListing
 
 # How long whoever lost a connection waits to learn whether the server has ended. A refusal comes in
 # a round trip, some milliseconds at most; where nobody answers the list of servers will tell.
@@ -26,6 +24,8 @@
 # For how long the list of servers may show that one had ended when a connection to it broke: three
 # heartbeats of 1.2 s until an entry lapses, and some delay; started again it is back sooner.
 LISTED_MS = 5_000.0
+# Connections to a server that has ended all break within this time; it is back after seconds.
+SETTLED_MS = 500.0
 # How many servers that have ended are remembered.
 ENDS_KEPT = 256
 
@@ -38,25 +38,26 @@
     server that was draining ends by plan, which nobody is to blame for.
 
     Args:
-        upstream: Reaches servers.
-        directory: Which servers there are.
+        refuses: Tells whether nobody listens at a server's address.
+        listing: What the list of servers tells of ends.
         clock: The clock.
 
     Attributes:
-        on_ended: Called with the name of a server that has ended, its service, and the requests
-            that it had then.
+        on_ended: Called with the name of a server's start that has ended, what it served, and the
+            requests that it had then.
     """
 
-    def __init__(self, upstream: Upstream, directory: Directory, clock: Clock) -> None:
-        self.upstream = upstream
-        self.directory = directory
+    def __init__(
+        self, refuses: Callable[[BackendServer], bool], listing: ServerListing, clock: Clock
+    ) -> None:
+        self.refuses = refuses
+        self.listing = listing
         self.clock = clock
         self.on_ended: Callable[[str, str, Sequence[Interruption]], None]
         self.on_ended = lambda server, service, interrupted: None
         self.open: dict[str, tuple[BackendServer, list[Interruption]]] = {}
         self.asked: dict[str, Event] = {}
-        self.ended: OrderedDict[str, None] = OrderedDict()
-        directory.listeners.append(self.look)
+        self.ended: OrderedDict[str, tuple[float, str]] = OrderedDict()
 
     def broke(self, server: BackendServer, interrupted: Sequence[Interruption]) -> None:
         """Find out why connections broke; return once that is known, or is not known soon.
@@ -65,10 +66,11 @@
             server: The server.
             interrupted: The requests that it had over them.
         """
-        if self.is_planned(server):
+        if self.listing.is_planned(server):
             return
-        if server.name in self.ended:
-            self.tell(server, interrupted)
+        ended_at, start = self.ended.get(server.name, (float("-inf"), ""))
+        if self.clock.now() - ended_at <= SETTLED_MS:
+            self.tell(server, start, interrupted)
             return
         self.open.setdefault(server.name, (server, []))[1].extend(interrupted)
         asked = self.asked.get(server.name)
@@ -80,7 +82,7 @@
     def ask(self, server: BackendServer, asked: Event) -> None:
         """Look whether a server refuses connections."""
         try:
-            if self.upstream.refuses(server):
+            if self.refuses(server):
                 self.settle(server, "it refuses connections")
         finally:
             del self.asked[server.name]
@@ -92,35 +94,28 @@
         for name, (server, interrupted) in list(self.open.items()):
             if all(now - one.at > LISTED_MS for one in interrupted):
                 del self.open[name]
-            elif self.is_unlisted(server):
+            elif self.listing.is_unlisted(server):
                 self.settle(server, "the list of servers has another start, or none")
 
     def settle(self, server: BackendServer, reason: str) -> None:
         """Record that a server has ended, with the requests that it had then."""
         _, interrupted = self.open.pop(server.name, (server, []))
-        self.ended[server.name] = None
+        now = self.clock.now()
+        start = self.listing.start_name(server, now)
+        self.ended[server.name] = (now, start)
+        self.ended.move_to_end(server.name)
         if len(self.ended) > ENDS_KEPT:
             self.ended.popitem(last=False)
         log_message(
             "server-ended",
-            server=server.name,
+            server=start,
             address=server.address,
             reason=reason,
             requests=sorted({one.request for one in interrupted}),
             fingerprints=sorted({one.fingerprint for one in interrupted}),
         )
-        self.tell(server, interrupted)
-
-    def tell(self, server: BackendServer, interrupted: Sequence[Interruption]) -> None:
-        """Tell what a server had under way when it ended."""
-        self.on_ended(server.name, server.labels[SERVICE_LABEL], interrupted)
-
-    def is_planned(self, server: BackendServer) -> bool:
-        """Tell whether a server was leaving, so that connections to it were to break."""
-        record = self.directory.records.get(server.labels[ID_LABEL])
-        return record is None or record.server is None or record.server.draining
+        self.tell(server, start, interrupted)
 
-    def is_unlisted(self, server: BackendServer) -> bool:
-        """Tell whether the list has no entry of this start of a server any more."""
-        record = self.directory.records.get(server.labels[ID_LABEL])
-        return record is None or record.server is None or record.server.name != server.name
+    def tell(self, server: BackendServer, start: str, interrupted: Sequence[Interruption]) -> None:
+        """Tell what a start of a server had under way when it ended."""
+        self.on_ended(start, self.listing.service(server), interrupted)
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -22,6 +22,12 @@
 # For how long a request is barred, after the first time and each further one: a model that was
 # repaired gets its work back, while one that was not loses three servers in seven hours to a trial.
 BARS_MS = (10.0 * MINUTE_MS, HOUR_MS, 6.0 * HOUR_MS, 24.0 * HOUR_MS)
+# Suspects are forgotten after this time without a further end, as long as a first bar lasts.
+SUSPECT_MS = 600_000.0
+# How long it is remembered that one was cleared, so that what comes late does not count again.
+CLEARED_MS = 60_000.0
+# Bars are remembered this long beyond their end, so that the next one is longer.
+REMEMBER_MS = 24 * 3_600_000.0
 # Sendings closer together than this are told as one.
 SAME_SENDING_MS = 20.0
 
@@ -69,6 +75,13 @@
             return NEVER
         return self.barred_at + BARS_MS[min(self.bars, len(BARS_MS)) - 1]
 
+    @property
+    def kept_until(self) -> float:
+        """Return until when it is worth remembering."""
+        if self.bars:
+            return self.barred_until + REMEMBER_MS
+        return self.changed_at + (SUSPECT_MS if self.is_suspect else CLEARED_MS)
+
     def under_way_since(self) -> float:
         """Return since when a copy is under way although it is suspect; NEVER where none is."""
         if not self.ends or self.sent_at <= self.ends[-1].at:
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.messageparts import parts_of
 from mountladder.membership.link import Link
+from mountladder.membership.linkkeeper import LinkKeeper
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
@@ -24,18 +24,18 @@
     saw it. Whoever connects is told all.
 
     Args:
-        fleet: The other instances.
+        keeper: Keeps the links to the other instances.
         quarantine: This instance's book.
         clock: The clock.
     """
 
-    def __init__(self, fleet: Fleet, quarantine: Quarantine, clock: Clock) -> None:
-        self.fleet = fleet
+    def __init__(self, keeper: LinkKeeper, quarantine: Quarantine, clock: Clock) -> None:
+        self.keeper = keeper
         self.quarantine = quarantine
         self.clock = clock
         quarantine.on_news = self.tell
-        fleet.subscribe(Suspicions, self.take)
-        fleet.greeters.append(self.greet)
+        keeper.subscribe(Suspicions, self.take)
+        keeper.greeters.append(self.greet)
 
     def tell(self, news: Sequence[Suspicion], source: str) -> None:
         """Tell others what has become known.
@@ -44,9 +44,9 @@
             news: What it is.
             source: The name of the peer that told it, or an empty string where it was seen here.
         """
-        sender = self.fleet.membership.known.get(source)
-        here = self.fleet.membership.me.datacentre
-        for link in list(self.fleet.links.values()):
+        sender = self.keeper.membership.known.get(source)
+        here = self.keeper.membership.me.datacentre
+        for link in list(self.keeper.links.values()):
             # A neighbour has told all others of this data centre itself.
             told = sender is not None and sender.datacentre == here == link.peer.datacentre
             if link.peer.name != source and not told:
@@ -54,13 +54,13 @@
 
     def greet(self, link: Link) -> None:
         """Tell a peer that has just connected all that is known here."""
-        self.send(link, list(self.quarantine.book.values()))
+        self.send(link, list(self.quarantine.known.values()))
 
     def send(self, link: Link, entries: Sequence[Suspicion]) -> None:
         """Send entries, in messages of bounded size."""
         now = self.clock.now()
         for part in parts_of([one.shifted(-now) for one in entries]):
-            self.fleet.send_later(link, Suspicions(part))
+            self.keeper.send_later(link, Suspicions(part))
 
     def take(self, message: Suspicions, link: Link) -> None:
         """Take in what a peer tells."""
--- a/packages/core/src/mountladder/requests/attempts.py
+++ b/packages/core/src/mountladder/requests/attempts.py
@@ -46,6 +46,7 @@
         dispatched: Whether any stage may have begun to run at a backend server.
         unrepeatable: The stages that may have run and must not be repeated.
         timings: Where and how long each finished stage ran.
+        case: The request as the quarantine sees it.
     """
 
     def __init__(self, request: Request, trace: Trace, context: RunContext) -> None:
@@ -55,6 +56,8 @@
         self.dispatched = False
         self.unrepeatable: set[str] = set()
         self.timings: list[StageTiming] = []
+        texts = (request.team.name, request.pipeline.name)
+        self.case = context.quarantine.case(request.id, texts, request.input)
 
     @contextmanager
     def watched(self, attempt: Attempt, tries: Tries) -> Iterator[None]:
@@ -86,6 +89,8 @@
         remaining = self.request.deadline - clock.now()
         if remaining <= 0:
             raise StageError("no time is left for the stage", Code.DEADLINE_PASSED, False)
+        self.case.of_stage(stage.name).admit(remaining)
+        remaining = self.request.deadline - clock.now()
         configuration = self.context.follower.configuration
         budget = stage_budget(self.context.costs, self.request.pipeline, stage, left, remaining)
         choice = self.context.router.pick(
@@ -166,6 +171,7 @@
         )
         self.context.metrics.timing(Metric.STAGE_MS, whole, stage.name)
         self.trace.add("answered", stage.name, attempt.call.attempt, server)
+        self.case.of_stage(stage.name).answered()
 
     def fail(self, attempt: Attempt, tries: Tries, error: StageError) -> None:
         """Record a failed attempt; return where it may be repeated, raise where it may not."""
@@ -186,6 +192,7 @@
         )
         if error.code in {Code.DEADLINE_PASSED, Code.STAGE_STALLED}:
             self.cancel(attempt)
+        self.case.of_stage(stage.name).failed(server, attempt.started, error)
         self.check_repeat(stage, tries, error)
         tries.failed |= {server.name}
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
--- a/packages/core/src/mountladder/requests/backend.py
+++ b/packages/core/src/mountladder/requests/backend.py
@@ -34,6 +34,10 @@
             StageError: The attempt failed or the stream ended before its end.
         """
 
+    @abstractmethod
+    def refuses(self, server: BackendServer) -> bool:
+        """Tell whether nobody listens at a server's address, so that it has ended."""
+
     @abstractmethod
     def cancel(self, server: BackendServer, attempt: str) -> None:
         """Ask a server to stop an attempt; a failure to reach it is not an error."""
--- a/packages/core/src/mountladder/requests/pipelinerun.py
+++ b/packages/core/src/mountladder/requests/pipelinerun.py
@@ -25,6 +25,8 @@
 from mountladder.requests.tries import Tries
 from mountladder.routing.pace import Pace
 
+# When a caller may come back where nothing tells it better.
+USUAL_BACK_MS = 1_000.0
 _DATA = re.compile(rb'^data: "(.*)"$', re.MULTILINE)
 
 
@@ -55,6 +57,7 @@
         """
         stages = self.request.pipeline.stages
         try:
+            self.attempts.case.check(stage.name for stage in stages)
             for group in levels(stages):
                 if group[-1] is stages[-1] and stages[-1].stream:
                     self.run_group(group[:-1])
@@ -141,11 +144,14 @@
     def final_error(self, error: MountladderError) -> MountladderError:
         """Return an error as the caller is to see it: "not run" only where nothing was sent."""
         if not self.attempts.dispatched:
+            back_ms = error.retry_after_ms or USUAL_BACK_MS
             return RefusalError(
-                error.detail, _not_run(error.code), error.stage, retry_after_ms=1_000.0
+                error.detail, _not_run(error.code), error.stage, retry_after_ms=back_ms
             )
         if isinstance(error, RunError):
             return error
+        if error.code is Code.QUARANTINED:
+            return RunError(error.detail, Code.SERVERS_ENDED, error.stage)
         code = error.code if error.code.result.value != "not_run" else Code.STAGE_FAILED
         return RunError(error.detail, code, error.stage)
 
--- a/packages/core/src/mountladder/requests/runcontext.py
+++ b/packages/core/src/mountladder/requests/runcontext.py
@@ -15,6 +15,7 @@
 from mountladder.configuration.follower import Follower
 from mountladder.limits.retrybudget import RetryBudget
 from mountladder.metrics.metrics import Metrics
+from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.requests.backend import Backend
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.router import Router
@@ -33,6 +34,7 @@
         costs: The learnt times of stages.
         ledger: Where cost is charged.
         metrics: Where metrics go.
+        quarantine: Knows under which requests servers end.
         budgets: The retry budgets by pipeline and stage.
     """
 
@@ -44,4 +46,5 @@
     costs: CostModel
     ledger: Ledger
     metrics: Metrics
+    quarantine: QuarantineService
     budgets: dict[str, RetryBudget] = field(default_factory=lambda: defaultdict(RetryBudget))
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -34,7 +34,9 @@
 from mountladder.membership.peers import Peers
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
+from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.requests.backend import Backend
+from mountladder.requests.configuredlisting import ConfiguredListing
 from mountladder.requests.gateway import Gateway
 from mountladder.requests.runcontext import RunContext
 from mountladder.requests.tracebook import TraceBook
@@ -128,8 +130,9 @@
         self.router.on_leaving = self.peers.server_leaving
         self.peers.on_leaving_server = self.router.leaving
         self.ledger = Ledger(self.me.incarnation)
+        guard = self.make_quarantine(backend)
         self.context = RunContext(
-            clock, rng, self.follower, self.router, backend, costs, self.ledger, metrics
+            clock, rng, self.follower, self.router, backend, costs, self.ledger, metrics, guard
         )
         self.admission = Admission(clock, settings.most_running, settings.most_waiting)
         self.traces = TraceBook()
@@ -137,6 +140,17 @@
             self.me.incarnation, self.context, self.admission, self.idempotency, self.traces
         )
 
+    def make_quarantine(self, backend: Backend) -> QuarantineService:
+        """Return what knows under which requests servers end."""
+        return QuarantineService(
+            backend.refuses,
+            ConfiguredListing(),
+            self.peers,
+            lambda: self.settings.secret,
+            self.clock,
+            self.metrics,
+        )
+
     def make_orders(self, engines: Engines | None) -> Orders | None:
         """Return what sends orders to the engines of this data centre, where any are sent."""
         if engines is None or not self.settings.orders_ms:
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -7,14 +7,17 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Iterator
 
 import urllib3
+from eliot import log_message
 
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError, WaitTimeoutError
+from mountladder.membership.listener import split
 from mountladder.requests.backend import Backend
 from mountladder.requests.chunk import Chunk
 from mountladder.requests.eventreader import EventReader
@@ -189,6 +192,17 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise _broken(error) from error
 
+    def refuses(self, server: BackendServer) -> bool:
+        """Tell whether nobody listens at a server's address; see Backend."""
+        host, port = split(server.address)
+        try:
+            socket.create_connection((host, port), CONNECT_SECONDS).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            log_message("server-unreached", server=server.name, reason=repr(error))
+        return False
+
     def cancel(self, server: BackendServer, attempt: str) -> None:
         """Ask a server to stop an attempt; see Backend."""
         where = cancel_path(dialect_of(server))
--- a/packages/entry/src/mountladder_entry/quarantinepages.py
+++ b/packages/entry/src/mountladder_entry/quarantinepages.py
@@ -46,7 +46,7 @@
 def listed(quarantine: Quarantine) -> dict[str, object]:
     """Return every request under which servers ended, the latest first."""
     now = quarantine.clock.now()
-    suspects = [one for one in quarantine.book.values() if one.is_suspect]
+    suspects = [one for one in quarantine.known.values() if one.is_suspect]
     suspects.sort(key=lambda one: one.changed_at, reverse=True)
     return {"suspects": [_row(one, now) for one in suspects]}
 
--- a/packages/standins/src/mountladder_standins/localbackend.py
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -17,9 +17,15 @@
 from mountladder.requests.eventreader import EventReader
 from mountladder.requests.stagecall import StageCall
 from mountladder.requests.stageresult import StageResult
-from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
+from mountladder_standins.servererror import (
+    ServerEndedError,
+    ServerFailureError,
+    ServerRefusalError,
+)
 from mountladder_standins.standinserver import NOT_LOADED, StandinServer
 
+_FAILURES = (ServerEndedError, ServerFailureError, ServerRefusalError, WaitTimeoutError)
+
 
 class LocalBackend(Backend):
     """The in-memory twin of calls over HTTP.
@@ -40,7 +46,7 @@
         try:
             with self.clock.limit(call.deadline - self.clock.now()):
                 value = standin.run(work, call.attempt, call.body)
-        except (ServerRefusalError, ServerFailureError, WaitTimeoutError) as error:
+        except _FAILURES as error:
             raise _stage_error(error) from error
         self.check(standin, value)
         return StageResult(value, standin.reported_load())
@@ -63,7 +69,7 @@
                 if chunk is not None:
                     patience = call.stall_ms
                     yield chunk
-        except (ServerRefusalError, ServerFailureError, WaitTimeoutError) as error:
+        except _FAILURES as error:
             raise _stage_error(error) from error
         finally:
             events.close()
@@ -86,6 +92,11 @@
             standin.faults = faults.without_one("lose_answers")
             raise StageError("the answer was lost", Code.STREAM_CUT)
 
+    def refuses(self, server: BackendServer) -> bool:
+        """Tell whether nobody listens at a server's address; see Backend."""
+        standin = self.servers.get(server.name)
+        return standin is None or standin.faults.down
+
     def cancel(self, server: BackendServer, attempt: str) -> None:
         """Ask a server to stop an attempt; see Backend."""
         standin = self.servers.get(server.name)
@@ -97,6 +108,8 @@
     if isinstance(error, ServerRefusalError):
         code = Code.MODEL_MISSING if str(error) == NOT_LOADED else Code.SERVER_REFUSED
         return StageError(str(error), code, False)
+    if isinstance(error, ServerEndedError):
+        return StageError(str(error), Code.STREAM_CUT)
     if isinstance(error, WaitTimeoutError):
         return StageError("no answer in time", Code.STAGE_STALLED)
     return StageError(str(error), Code.BAD_ANSWER)
--- a/packages/standins/src/mountladder_standins/servererror.py
+++ b/packages/standins/src/mountladder_standins/servererror.py
@@ -11,5 +11,9 @@
     """The server did not take a call; its text says why."""
 
 
+class ServerEndedError(Exception):
+    """The server has ended, with all that it had under way."""
+
+
 class ServerFailureError(Exception):
     """The server took a call and failed."""
--- a/packages/standins/src/mountladder_standins/standinserver.py
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import json
 import re
@@ -17,11 +18,17 @@
 from mountladder.clocks.clock import Clock
 from mountladder_standins.faults import Faults
 from mountladder_standins.ranstage import RanStage
-from mountladder_standins.servererror import ServerFailureError, ServerRefusalError
+from mountladder_standins.servererror import (
+    ServerEndedError,
+    ServerFailureError,
+    ServerRefusalError,
+)
 from mountladder_standins.speeds import Speeds
 from mountladder_standins.standinloader import StandinLoader
 
 QUANTUM_MS = 25.0
+# How long a server is away that has ended.
+AGAIN_MS = 3_000.0
 PREFIX_BYTES = 256
 MOST_TOKENS = 2_000
 DEFAULT_TOKENS = 24
@@ -47,6 +54,8 @@
         loader: Loads models as ordered, or None where every model is there.
         report_lag_ms: How late the loads that it reports are.
         busy_ms: The time spent on calls, as if each ran alone.
+        deadly: After how many milliseconds a request ends the server, by the hash of its input.
+        starts: How often it has started.
     """
 
     def __init__(self, name: str, clock: Clock, speeds: Speeds | None = None) -> None:
@@ -62,6 +71,8 @@
         self.loads: deque[tuple[float, int]] = deque([(0.0, 0)])
         self.cancelled: OrderedDict[str, bool] = OrderedDict()
         self.prefixes: OrderedDict[int, bool] = OrderedDict()
+        self.deadly: dict[str, float] = {}
+        self.starts = 1
 
     def run(self, work: str, attempt: str, body: bytes) -> bytes:
         """Run a call and return its result as JSON.
@@ -73,7 +84,7 @@
         input_hash = self.accept(work, attempt, body)
         self.enter()
         try:
-            self.spend(self.work_ms(work, body), attempt)
+            self.spend(self.work_ms(work, body), attempt, input_hash)
         finally:
             self.leave()
         if self.faults.garbage:
@@ -91,7 +102,7 @@
         total = token_count(body)
         self.enter()
         try:
-            self.spend(self.work_ms("generate", body), attempt)
+            self.spend(self.work_ms("generate", body), attempt, input_hash)
             for number in range(held + 1, total + 1):
                 if self.faults.cut_after and number - held > self.faults.cut_after:
                     return
@@ -163,8 +174,13 @@
             self.prefixes.popitem(last=False)
         return hit
 
-    def spend(self, ms: float, attempt: str) -> None:
+    def spend(self, ms: float, attempt: str, input_hash: str = "") -> None:
         """Let the time of some work pass, longer where many calls share the server."""
+        start = self.starts
+        deadly_ms = self.deadly.get(input_hash)
+        if deadly_ms is not None:
+            self.clock.sleep(deadly_ms)
+            self.end()
         left = ms * self.faults.slowness
         self.busy_ms += left
         while left > 0:
@@ -172,10 +188,31 @@
             crowding = max(1.0, self.running / self.speeds.slots)
             self.clock.sleep(step * crowding + self.faults.slow_ms)
             left -= step
+            self.check_started(start)
             if attempt in self.cancelled:
                 self.busy_ms -= left
                 raise ServerFailureError("cancelled")
 
+    def end(self) -> None:
+        """End with all that is under way, and start again after a while."""
+        if not self.faults.down:
+            self.faults = dataclasses.replace(self.faults, down=True)
+            self.starts += 1
+            self.clock.call_later(AGAIN_MS, self.start_again)
+
+    def start_again(self) -> None:
+        """Take calls again."""
+        self.faults = dataclasses.replace(self.faults, down=False)
+
+    def check_started(self, start: int) -> None:
+        """Break a call off that an earlier start took.
+
+        Raises:
+            ServerEndedError: The server has ended since.
+        """
+        if self.starts != start:
+            raise ServerEndedError(f"{self.name} has ended")
+
     def cancel(self, attempt: str) -> None:
         """Stop a call."""
         self.cancelled[attempt] = True
