--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,6 +35,7 @@
       | a restart cut a request under way                         | planned_restarts   |
       | a service got more repeats than the budget allows         | retry_budget       |
       | requests reached servers long after their callers left    | gone_is_gone       |
+      | a request that ended servers is sent on and on            | deadly_kept_away   |
       | nothing is served at the end                              | recovers           |
       | a process ended by itself                                 | no_ends            |
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -199,6 +199,14 @@
         add(context.record, exchange(f"x{number}", "safe", left=3.1, status=0), at=5.0)
 
 
+@when("a request that ended servers is sent on and on")
+def deadly_again(context):
+    context.faults.clear()
+    context.record.deadly_ends.extend((2.0, 3.0, 4.0))
+    for number in range(4):
+        add(context.record, exchange(f"deadly{number}", "stream", status=502), at=9.0 + number)
+
+
 @when("nothing is served at the end")
 def none_at_end(context):
     for id_, one in list(context.record.exchanges.items()):
