Who follows the store writes a bar that it hears of; rows long over are dropped

Cause: by reading the change again. Each report of one end of a server counted as an end, and had the whole list of servers searched.

Ruled out: bars written by all instances, at a call each.

Change: news of a bar reaches the keeper, which writes what the table does not hold yet where it follows the store; rows past their use are dropped when they are read; an end of a server counts once.

Conclusion: bars outlast whoever decided them.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -59,9 +59,22 @@
       | up    |
       | down  |
 
+  Scenario: A bar is written where whoever decided it cannot write
+    Given the instance that does not follow the store and is sent the request cannot write bars
+    When a deadly stream request comes 3 times every 800 ms, each time at that instance
+    And all instances are killed and start again
+    And a deadly stream request comes 3 times every 200 ms, each time at the next instance
+    Then at most 3 servers have ended
+    And the last 3 attempts are refused with code 2010 as not_run within 5 ms
+
+  Scenario: Rows of bars that are long over are dropped
+    Given the table of bars holds one that was over 25 hours ago and one that is in force
+    When all instances are killed and start again
+    Then the table holds only the one that is in force
+
   Scenario: A bar costs the store few calls
     When a deadly stream request comes 14 times every 800 ms, each time at the next instance
-    Then the table of bars was called at most 5 times
+    Then the table of bars was called at most 6 times
 
   Scenario Outline: Repeats of our own ask as well
     Given every route allows 6 attempts
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -13,7 +13,9 @@
 from forwardbasics import PATHS, catalogue, request, serve
 
 from mountladder.quarantine.interruption import Interruption
-from mountladder.quarantine.suspicion import BARS_MS
+from mountladder.quarantine.memorybarstore import MemoryBarStore
+from mountladder.quarantine.serverend import ServerEnd
+from mountladder.quarantine.suspicion import BARS_MS, Suspicion
 from mountladder_standins.serverfault import ServerFault
 
 SETTLE_MS = 700.0
@@ -553,3 +555,30 @@
 def reserve(context, number):
     for instance in context.fleet.instances.values():
         instance.settings = replace(instance.settings, retry_reserve=float(number))
+
+
+@given("the instance that does not follow the store and is sent the request cannot write bars")
+def cannot_write(context):
+    instances = context.fleet.instances
+    context.sent_to = next(n for n, one in instances.items() if not one.fleet.readers.reading)
+    unreachable = MemoryBarStore()
+    unreachable.down = True
+    instances[context.sent_to].bar_keeper.store = unreachable
+
+
+@when("a deadly stream request comes {times:d} times every {ms:d} ms, each time at that instance")
+def comes_there(context, times, ms):
+    send_series(context, [context.sent_to], times, ms)
+
+
+@given("the table of bars holds one that was over {hours:d} hours ago and one that is in force")
+def old_bars(context, hours):
+    wall = context.clock.wall()
+    for mark, at in (("0a" * 16, wall - BARS_MS[0] - 3_600_000.0 * hours), ("0b" * 16, wall)):
+        ends = (ServerEnd("s", 60.0, at),)
+        context.fleet.bars.write(Suspicion(mark, "llm", ends, bars=1, barred_at=at))
+
+
+@then("the table holds only the one that is in force")
+def only_in_force(context):
+    assert list(context.fleet.bars.rows) == ["0b" * 16], context.fleet.bars.rows
--- a/packages/core/src/mountladder/quarantine/barkeeper.py
+++ b/packages/core/src/mountladder/quarantine/barkeeper.py
@@ -37,6 +37,10 @@
         quarantine: This instance's book.
         readers: Tells which instance follows the store.
         clock: The clock.
+
+    Attributes:
+        waiting: What is to be written, or dropped where it is None, by fingerprint.
+        stored: How often each request was barred by the rows that were read.
     """
 
     def __init__(
@@ -47,18 +51,22 @@
         self.readers = readers
         self.clock = clock
         self.waiting: OrderedDict[str, Suspicion | None] = OrderedDict()
+        self.stored: dict[str, int] = {}
         self.wake = Event()
         quarantine.on_barred = self.take_bar
         quarantine.on_cleared = self.take_clearing
 
     def take_bar(self, suspicion: Suspicion, seen_here: bool) -> None:
         """Have a bar written, where that is this instance's to do."""
+        if self.stored.get(suspicion.fingerprint, 0) >= suspicion.bars:
+            return
         if seen_here or self.readers.reading:
             self.waiting[suspicion.fingerprint] = suspicion
             self.wake.set()
 
     def take_clearing(self, fingerprint: str) -> None:
         """Have a bar dropped that does not hold any more."""
+        self.stored.pop(fingerprint, None)
         self.waiting[fingerprint] = None
         self.wake.set()
 
@@ -83,7 +91,13 @@
             return False
         log_message("bars-read", bars=len(kept))
         to_clock_ms = self.clock.now() - self.clock.wall()
-        self.quarantine.take([one.shifted(to_clock_ms) for one in kept], SOURCE)
+        known = [one.shifted(to_clock_ms) for one in kept]
+        self.stored = {one.fingerprint: one.bars for one in known}
+        now = self.clock.now()
+        for one in known:
+            if one.kept_until < now:
+                self.take_clearing(one.fingerprint)
+        self.quarantine.take([one for one in known if one.kept_until >= now], SOURCE)
         return True
 
     def write(self) -> bool:
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -35,7 +35,7 @@
 # How many of the requests that a server had at its end are suspected; those that had been there
 # for the shortest time come first.
 MOST_SUSPECTS = 64
-# Some 300 bytes each; the oldest suspects make room.
+# Some 450 bytes each; the oldest suspects make room.
 MOST_ENTRIES = 1_024
 # A server is taken out of use by word of a peer only at once; later it may be another start.
 FRESH_MS = 1_000.0
@@ -56,8 +56,8 @@
         answered: What was answered whole lately, and when.
         server_ends: When each server ended that was heard of lately.
         on_news: Called with what has become known, and who told (an empty string for here).
-        on_barred: Called with each suspect that is barred from now on, and whether this instance
-            saw the last end itself.
+        on_barred: Called with each suspect that is barred from now on, judged here or elsewhere,
+            and whether this instance saw the last end itself.
         on_cleared: Called with each one that was barred and is cleared here.
         on_server_ended: Called with the name of a server that has just ended.
     """
@@ -155,9 +155,9 @@
     def interrupted(self, server: str, service: str, lost: Sequence[Interruption]) -> None:
         """Learn that a server has ended with requests of this instance under way."""
         now = self.clock.now()
-        self.metrics.count(Metric.SERVER_ENDS)
-        self.see_end(server, now)
-        self.on_server_ended(server)
+        if self.see_end(server, now):
+            self.metrics.count(Metric.SERVER_ENDS)
+            self.on_server_ended(server)
         suspects = [one for one in lost if not self.is_innocent(one.fingerprint, one.at)]
         suspects = sorted(suspects, key=lambda one: one.ran_ms)[:MOST_SUSPECTS]
         found = []
@@ -196,11 +196,14 @@
         self.on_barred(barred, seen_here)
         return barred
 
-    def see_end(self, server: str, at: float) -> None:
-        """Remember when a server ended."""
-        self.server_ends.setdefault(server, at)
+    def see_end(self, server: str, at: float) -> bool:
+        """Remember when a server ended; tell whether that is new here."""
+        if server in self.server_ends:
+            return False
+        self.server_ends[server] = at
         while len(self.server_ends) > MOST_ENTRIES:
             self.server_ends.popitem(last=False)
+        return True
 
     def answer(self, fingerprint: str) -> None:
         """Learn that a request was answered whole, which clears it of what happened around it."""
@@ -247,8 +250,10 @@
             known = self.known.get(one.fingerprint, Suspicion(one.fingerprint))
             if not known.lacks(one):
                 continue
-            self.hear_ends(known, one)
+            self.hear_ends(one)
             merged = known.merged(one)
+            if merged.bars > known.bars:
+                self.on_barred(merged, False)
             if merged.is_suspect and self.is_innocent(one.fingerprint, merged.ends[-1].at):
                 answers.append(merged.merged(Suspicion(one.fingerprint, cleared_at=now)))
                 continue
@@ -258,13 +263,11 @@
         if answers:
             self.keep(answers, "")
 
-    def hear_ends(self, known: Suspicion, told: Suspicion) -> None:
+    def hear_ends(self, told: Suspicion) -> None:
         """Learn of servers that ended elsewhere."""
         now = self.clock.now()
-        before = {one.server for one in known.ends}
         for one in told.ends:
-            self.see_end(one.server, one.at)
-            if one.server not in before and now - one.at <= FRESH_MS:
+            if self.see_end(one.server, one.at) and now - one.at <= FRESH_MS:
                 self.on_server_ended(one.server)
 
     def keep(self, news: Sequence[Suspicion], source: str) -> None:
