--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -150,6 +150,14 @@
     Then the last 3 attempts are served
     And the table of bars is empty
 
+  Scenario: A request that is barred again after it was cleared is kept again
+    Given a deadly stream request was barred
+    And all instances were killed and have started again
+    When an operator clears it at a-2
+    Then the table of bars is empty
+    When a deadly stream request comes 3 times every 800 ms, each time at the next instance
+    Then the table of bars holds it
+
   Scenario: The book is bounded, and bars stay in it longest
     Given a deadly stream request was barred
     When 1500 other requests become suspect at a-1
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -185,6 +185,7 @@
     context.fleet.bars.down = state == "down"
 
 
+@given("all instances were killed and have started again")
 @when("all instances are killed and start again")
 def all_killed(context):
     for name in list(context.fleet.instances):
@@ -582,3 +583,8 @@
 @then("the table holds only the one that is in force")
 def only_in_force(context):
     assert list(context.fleet.bars.rows) == ["0b" * 16], context.fleet.bars.rows
+
+
+@then("the table of bars holds it")
+def holds_it(context):
+    assert len(context.fleet.bars.rows) == 1, context.fleet.bars.rows
