Suspicion that has ended two servers outlasts the instances

Cause: only bars were kept on the platform.

Ruled out: writing each suspicion: after a crash up to 64 innocent requests are suspect for a moment, each a call. Writing by all who hear of it: one writer is enough, since bars have a second one.

Change: who sees a further separate end of a suspect that is not barred yet has it written to the table of bars, and whoever clears it drops the row. The wait for a copy that is under way moves to Suspicion.

--- a/packages/core/src/mountladder/quarantine/barkeeper.py
+++ b/packages/core/src/mountladder/quarantine/barkeeper.py
@@ -2,7 +2,7 @@
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Keeping bars on the platform."""
+"""Keeping bars and strong suspicions on the platform."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
 from mountladder.quarantine.barstore import BarStore
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
+from mountladder.store.eras import OLDEST_COPY_MS
 
 # How often a process that has just started looks whether it is to read the bars; it settles within
 # half a second.
@@ -27,10 +28,11 @@
 
 
 class BarKeeper:
-    """Keeps bars on the platform, so that they outlast a loss of all instances.
+    """Keeps bars and strong suspicions on the platform, so that they outlast all instances.
 
     Who saw the last end writes the bar, and who follows the store as well, should the other one
-    be lost. Who follows the store reads all once after its start and tells the others.
+    be lost. Who follows the store reads all once after its start and tells the others. Where the
+    store has come back from an older copy, each one writes again what it wrote lately.
 
     Args:
         store: The platform's table.
@@ -41,6 +43,7 @@
     Attributes:
         waiting: What is to be written, or dropped where it is None, by fingerprint.
         stored: How often each request was barred by the rows that were read.
+        written: What this instance wrote or dropped lately, and when, by fingerprint.
     """
 
     def __init__(
@@ -52,8 +55,10 @@
         self.clock = clock
         self.waiting: OrderedDict[str, Suspicion | None] = OrderedDict()
         self.stored: dict[str, int] = {}
+        self.written: OrderedDict[str, tuple[float, Suspicion | None]] = OrderedDict()
         self.wake = Event()
         quarantine.on_barred = self.take_bar
+        quarantine.on_lasting = self.take_lasting
         quarantine.on_cleared = self.take_clearing
 
     def take_bar(self, suspicion: Suspicion, seen_here: bool) -> None:
@@ -64,6 +69,26 @@
             self.waiting[suspicion.fingerprint] = suspicion
             self.wake.set()
 
+    def take_lasting(self, suspicion: Suspicion) -> None:
+        """Have a suspicion written that one more end would make a bar."""
+        self.waiting[suspicion.fingerprint] = suspicion
+        self.wake.set()
+
+    def write_again(self) -> None:
+        """Have what was written lately written again, since the store may have lost it."""
+        self.forget_written()
+        for fingerprint, (_, suspicion) in self.written.items():
+            self.waiting.setdefault(fingerprint, suspicion)
+        if self.waiting:
+            log_message("bars-written-again", fingerprints=list(self.waiting))
+            self.wake.set()
+
+    def forget_written(self) -> None:
+        """Forget what was written so long ago that no copy is older."""
+        oldest = self.clock.now() - OLDEST_COPY_MS
+        while self.written and next(iter(self.written.values()))[0] < oldest:
+            self.written.popitem(last=False)
+
     def take_clearing(self, fingerprint: str) -> None:
         """Have a bar dropped that does not hold any more."""
         self.stored.pop(fingerprint, None)
@@ -113,4 +138,7 @@
             return False
         if self.waiting.get(fingerprint) is suspicion:
             del self.waiting[fingerprint]
+        self.written.pop(fingerprint, None)
+        self.written[fingerprint] = (self.clock.now(), suspicion)
+        self.forget_written()
         return True
--- a/packages/core/src/mountladder/quarantine/barstore.py
+++ b/packages/core/src/mountladder/quarantine/barstore.py
@@ -2,7 +2,7 @@
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Where bars outlast the instances."""
+"""Where bars and strong suspicions outlast the instances."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class BarStore(ABC):
-    """The requests that are barred, on the platform; times are milliseconds since the Unix epoch.
+    """Barred requests and strong suspects, on the platform; times are ms since the Unix epoch.
 
     Every call raises StoreUnavailableError or StoreAmbiguousError where the platform does not
     answer; a write may be repeated.
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -21,17 +21,12 @@
 from mountladder.quarantine.blame import FEW_ENDS, is_to_blame
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.serverend import ServerEnd
-from mountladder.quarantine.suspicion import NEVER, Suspicion
+from mountladder.quarantine.suspicion import MOST_WAIT_MS, NEVER, Suspicion
 
 # What was answered whole within this time before a server ended is not to blame for that.
 INNOCENT_MS = 60_000.0
 # About a minute of whole answers of an instance of a large fleet, at some 19 a second.
 MOST_ANSWERED = 1_200
-# How long others wait while a copy of a suspect is under way: until it has lived on for twice what
-# it took to the ends and some time to be begun, a second at most, by which callers look elsewhere.
-OUTLIVED = 2.0
-BEGIN_MS = 100.0
-MOST_WAIT_MS = 1_000.0
 # How many of the requests that a server had at its end are suspected; those that had been there
 # for the shortest time come first.
 MOST_SUSPECTS = 64
@@ -58,7 +53,8 @@
         on_news: Called with what has become known, and who told (an empty string for here).
         on_barred: Called with each suspect that is barred from now on, judged here or elsewhere,
             and whether this instance saw the last end itself.
-        on_cleared: Called with each one that was barred and is cleared here.
+        on_lasting: Called with each one not barred that is to outlast instances, as judged here.
+        on_cleared: Called with each one that is to outlast instances and is cleared here.
         on_server_ended: Called with the name of a server that has just ended.
     """
 
@@ -71,6 +67,7 @@
         self.changed = Event()
         self.on_news: Callable[[Sequence[Suspicion], str], None] = lambda news, source: None
         self.on_barred: Callable[[Suspicion, bool], None] = lambda suspicion, seen_here: None
+        self.on_lasting: Callable[[Suspicion], None] = lambda suspicion: None
         self.on_cleared: Callable[[str], None] = lambda fingerprint: None
         self.on_server_ended: Callable[[str], None] = lambda server: None
 
@@ -113,11 +110,7 @@
     def wait_ms(self, fingerprint: str) -> float:
         """Return for how long yet a copy of a suspect that is under way is to be waited for."""
         known = self.known.get(fingerprint)
-        if known is None or known.under_way_since() == NEVER:
-            return 0.0
-        longest_ms = max(one.ran_ms for one in known.ends)
-        outlived_ms = min(MOST_WAIT_MS, OUTLIVED * longest_ms + BEGIN_MS)
-        return max(0.0, known.under_way_since() + outlived_ms - self.clock.now())
+        return max(0.0, known.awaited_until() - self.clock.now()) if known else 0.0
 
     def admit(self, fingerprint: str, request: str, left_ms: float) -> None:
         """Let a request go to a server, a suspect only once no other copy of it is under way.
@@ -172,7 +165,11 @@
             fingerprints={one.fingerprint: len(one.ends) for one in found},
             innocent=len(lost) - len(suspects),
         )
-        self.keep([self.judged(one, seen_here=True) for one in found], "")
+        judged = [self.judged(one, seen_here=True) for one in found]
+        self.keep(judged, "")
+        for one in judged:
+            if one.outlasts and not one.bars:
+                self.on_lasting(one)
 
     def is_innocent(self, fingerprint: str, at: float) -> bool:
         """Tell whether a request was answered whole here, not long before a time or after it."""
@@ -226,7 +223,7 @@
         )
         now = self.clock.now()
         self.keep([known.merged(Suspicion(fingerprint, cleared_at=now))], "")
-        if known.bars:
+        if known.outlasts:
             self.on_cleared(fingerprint)
 
     def lift(self, fingerprint: str) -> bool:
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -15,6 +15,13 @@
 # that is to blame they end at the times that their queues make, some 60 to 480 ms after it was sent
 # in what was seen.
 TOGETHER_MS = 50.0
+# How long others wait while a copy of a suspect is under way: until it has lived on for twice what
+# it took to the ends and some time to be begun, a second at most, by which callers look elsewhere.
+OUTLIVED = 2.0
+BEGIN_MS = 100.0
+MOST_WAIT_MS = 1_000.0
+# After so many separate ends a suspicion outlasts the instances.
+LASTING_ENDS = 2
 # How many ends are kept of a request; one with more is barred for long.
 ENDS_KEPT = 8
 MINUTE_MS = 60_000.0
@@ -62,6 +69,15 @@
         """Tell whether any server ended under it since it was cleared."""
         return bool(self.ends)
 
+    @property
+    def outlasts(self) -> bool:
+        """Tell whether it is to be known even after a loss of all instances.
+
+        One end may be chance, and its request would be suspect for nothing; with every separate
+        further one that is forgotten another server ends.
+        """
+        return bool(self.bars) or len(self.separate_ends()) >= LASTING_ENDS
+
     @property
     def changed_at(self) -> float:
         """Return when anything last became known of it."""
@@ -88,6 +104,13 @@
             return NEVER
         return self.sent_at
 
+    def awaited_until(self) -> float:
+        """Return until when others wait for a copy that is under way; NEVER where none is."""
+        if self.under_way_since() == NEVER:
+            return NEVER
+        longest_ms = max(one.ran_ms for one in self.ends)
+        return self.under_way_since() + min(MOST_WAIT_MS, OUTLIVED * longest_ms + BEGIN_MS)
+
     def separate_ends(self) -> tuple[ServerEnd, ...]:
         """Return the ends without those that have one cause with the one before."""
         separate: list[ServerEnd] = []
