--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,8 @@
       | a process went back to an older configuration             | never_back         |
       | an instance has an old configuration long after a change  | in_force           |
       | a draining server got a request much later                | drained_left_alone |
+      | a server of a drained data centre got a request           | emptied_left_alone |
+      | a cold server got many requests in a second               | cold_spared        |
       | a restart cut a request under way                         | planned_restarts   |
       | a service got more repeats than the budget allows         | retry_budget       |
       | requests reached servers long after their callers left    | gone_is_gone       |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -181,6 +181,24 @@
     context.record.exchanges["y"] = exchange("y", sent=8.0)
 
 
+@when("a server of a drained data centre got a request")
+def emptied_used(context):
+    context.faults.remove(RESTART)
+    context.record.zones["desk-8"] = "b"
+    context.record.emptied.append(("b", 2.0, 9.5))
+    add(context.record, exchange("x", sent=9.0))
+    arrive(context.record, "y", 9.0, "desk-8")
+    context.record.exchanges["y"] = exchange("y", sent=9.0)
+
+
+@when("a cold server got many requests in a second")
+def cold_crowded(context):
+    context.record.cold["desk-7"] = 6.0
+    for number in range(15):
+        add(context.record, exchange(f"x{number}", sent=6.0 + number * 0.05))
+        arrive(context.record, f"x{number}", 6.0 + number * 0.05, "desk-7")
+
+
 @when("a restart cut a request under way")
 def restart_cut(context):
     add(context.record, exchange("x", sent=4.9, ended=5.3, status=0))
