A request that needs a drained service is refused with 2011 before any stage

Cause: where all servers of a stage service stand in drained data centres the forecast refused with 2001, as if the deadline were the matter.

Ruled out: the check in the forecast, which knows no list of servers.

Change: Forwarder.admit asks for each service of the route, while any data centre is drained.

Figures: the scenario holds for four kinds of requests; with the check taken out the staged one fails.

Conclusion: callers and operators see the cause."

--- a/features/drains.feature
+++ b/features/drains.feature
@@ -104,18 +104,25 @@
     And the results are given up where they meet
     Then only the result in data centre b is given up
 
-  Scenario: All data centres are drained
+  Scenario Outline: All data centres are drained
     When data centre a is drained
     And data centre b is drained
     And 60 ms go by
-    And safe request r is sent to a-1
+    And <kind> request r is sent to a-1
     Then request r ends with code 2011 as not_run
     And it ended within 5 ms
     When data centre b is taken back
     And 60 ms go by
-    And safe request r is sent to a-1
+    And <kind> request r is sent to a-1
     Then request r ends with status 200
 
+    Examples:
+      | kind   |
+      | safe   |
+      | unsafe |
+      | stream |
+      | staged |
+
   Scenario: A data centre that does not exist, and a row under no name
     When data centre nowhere is drained
     And a row of the operator's table asks for a drain of no data centre
--- a/packages/core/src/mountladder/forwarding/datacentredrains.py
+++ b/packages/core/src/mountladder/forwarding/datacentredrains.py
@@ -53,6 +53,11 @@
         entry = self.entries.get(datacentre)
         return entry is not None and entry.active
 
+    @property
+    def any_active(self) -> bool:
+        """Tell whether any data centre is drained."""
+        return any(one.active for one in self.entries.values())
+
     def apply(self, told: Iterable[DatacentreDrain], source: str) -> None:
         """Take in what the store or a peer tells.
 
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -230,13 +230,15 @@
 
     def is_drained(self, service: str) -> bool:
         """Tell whether a service has servers, all in data centres that are to get nothing."""
+        if not self.drains.any_active:
+            return False
         listed = [one.server for one in self.records.values() if one.service == service]
         found = [one for one in listed if one is not None and not one.draining]
         return bool(found) and all(self.drains.is_drained(one.datacentre) for one in found)
 
     def drained_addresses(self) -> frozenset[str]:
         """Return the addresses of the servers that are to get nothing by word of the operator."""
-        if not any(one.active for one in self.drains.entries.values()):
+        if not self.drains.any_active:
             return frozenset()
         listed = [one.server for one in self.records.values() if one.server is not None]
         return frozenset(one.address for one in listed if self.drains.is_drained(one.datacentre))
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -84,7 +84,10 @@
             comes_back=run.comes_back,
             fingerprint=run.case.fingerprint,
         )
-        run.case.check({stage.service for stage in route.stages})
+        services = {stage.service for stage in route.stages}
+        run.case.check(services)
+        for service in (*services, run.service):
+            self.context.picker.check_drains(service)
         return run
 
     def holder(
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -26,8 +26,7 @@
 # How often a request is sent where no server says that it ran; each sending but the first also
 # costs a part of the retry budget.
 MOST_SENDINGS = 4
-# How often the stages are run again since a result was lost on the way, such as at a server that
-# crashed or in a data centre that was cut off.
+# How often the stages are run again after a result was lost, such as by a crash or a cut.
 MOST_FLOWS_LOST = 2
 # How often a request is sent where nobody takes the connection, which costs some milliseconds while
 # a server is gone; where so many are, a caller is better told so.
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -81,6 +81,15 @@
             raise self.none_available(service) from error
         return Picked(choice)
 
+    def check_drains(self, service: str) -> None:
+        """Refuse what a service is needed for whose servers are all to get nothing.
+
+        Raises:
+            RefusalError: They are.
+        """
+        if self.directory.is_drained(service):
+            raise self.none_available(service)
+
     def none_available(self, service: str) -> RefusalError:
         """Return the refusal of a request for whose service no server may be used now."""
         drained = self.directory.is_drained(service)
