--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -74,7 +74,7 @@
         return [call for call in overdue if not self.has_answered_since(state, call)]
 
     def most_pieces(self, state: ServerState, limits: BatchLimits) -> int:
-        """Return how many pieces a server is sent at most; few while it is cold, or may not work."""
+        """Return how many pieces a server is sent at most; few while cold, or maybe not working."""
         most = max(1, limits.pieces // PROBE_PART) if self.doubtful(state) else limits.pieces
         return min(most, self.cold.allowance(state.server, self.service))
 
