Cold servers are looked up with one reading of the clock

Whether that instance leads was worked out over all links for each prompt while any server is cold.

Change: ColdServers reads the clock once a question, and not at all while no server was cold lately; Leadership keeps its answer for 50 ms.

Figures: a placement reads the clock at most 8 times for this, before 12 servers and before 72; a reading for each server fails the scenario.

--- a/features/coldservers.feature
+++ b/features/coldservers.feature
@@ -71,6 +71,10 @@
     Given the instance ranked fourth for prompts reaches none of the three before it
     Then it takes the prompts of all to meet there, and yet sends cold servers nothing
 
+  Scenario: Placing a prompt reads the clock a few times, however many servers there are
+    When 40 prompts are placed before 12 and then before 72 servers, some of them cold
+    Then each took at most 8 readings of the clock more
+
   Scenario: A cold server is chosen only where it is worth its slowness
     When server llm-1, which a prompt would go to, becomes cold
     Then the prompt goes to another server
--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -137,7 +137,7 @@
 class AllWarm:
     """Stands for what limits cold servers; takes none to be cold."""
 
-    def spent(self, servers, topic):
+    def spent(self, servers, cold, topic):
         return frozenset()
 
     def cold(self, servers):
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -6,6 +6,7 @@
 
 import json
 from dataclasses import replace
+from types import SimpleNamespace
 
 import gevent
 from behave import given, then, when
@@ -225,6 +226,40 @@
     context.run(context.clock.sleep, 100.0)
 
 
+@when(
+    "{number:d} prompts are placed before {few:d} and then before {many:d} servers, some of them "
+    "cold"
+)
+def clock_readings(context, number, few, many):
+    instance = meeting(context, prompts_topic("llm"))
+    desk = instance.forwarder.context.picker.placer.desk
+    plain, context.readings = context.clock.now, []
+
+    def count_readings():
+        """Place prompts, and return how often the cold servers' limit read the clock."""
+        read = []
+        desk.cold.clock = SimpleNamespace(now=lambda: read.append(1) or plain())
+        for n in range(number):
+            desk.place(PlacementOrder(n, "llm", UNSHARED, (), ""), "a peer")
+        return len(read) / number
+
+    turn_cold(context, ["llm-1"], born=0)
+    context.run(context.clock.sleep, 100.0)
+    context.readings.append(count_readings())
+    for n in range(few, many):
+        context.servers[f"llm-{n}"] = ("llm", "abc"[n % 3])
+        context.fleet.add_server(f"llm-{n}", "llm", "abc"[n % 3])
+    context.run(context.clock.sleep, 100.0)
+    assert len(instance.directory.available("llm")) == many
+    context.readings.append(count_readings())
+
+
+@then("each took at most {most:d} readings of the clock more")
+def few_readings(context, most):
+    before, after = context.readings
+    assert after <= most and before <= most, context.readings
+
+
 @then("the prompt goes to another server")
 def goes_elsewhere(context):
     context.desk.placement.held.clear()
--- a/packages/core/src/mountladder/forwarding/coldservers.py
+++ b/packages/core/src/mountladder/forwarding/coldservers.py
@@ -57,11 +57,25 @@
         self.sendings: dict[str, deque[float]] = {}
 
     def is_cold(self, server: BackendServer) -> bool:
-        """Tell whether a server is cold, as it said, or may be, since its data centre is back.
+        """Tell whether a server is cold, as it said, or may be, since its data centre is back."""
+        return bool(self.cold((server,)))
 
-        Servers of a drained data centre may have become cold without a word before its return.
+    def cold(self, servers: Iterable[BackendServer]) -> frozenset[str]:
+        """Return the names of the servers that are cold, or may be.
+
+        Every placement asks for all model servers, so that the clock is read once, and not at all
+        while none was cold lately: reading it takes a system call.
         """
+        if not self.directory.cold_until and not self.directory.drains.returned_at:
+            return frozenset()
         now = self.clock.now()
+        return frozenset(one.name for one in servers if self.is_cold_at(one, now))
+
+    def is_cold_at(self, server: BackendServer, now: float) -> bool:
+        """Tell whether a server is cold at a time.
+
+        Servers of a drained data centre may have become cold without a word before its return.
+        """
         if self.directory.cold_until.get(server.labels[ID_LABEL], -math.inf) > now:
             return True
         returned_at = self.directory.drains.returned_at.get(server.datacentre)
@@ -70,13 +84,10 @@
         service = self.follower.service(server.labels[SERVICE_LABEL])
         return service is not None and returned_at + service.cold_ms > now
 
-    def warm(self, servers: Iterable[BackendServer]) -> tuple[BackendServer, ...]:
+    def warm(self, servers: tuple[BackendServer, ...]) -> tuple[BackendServer, ...]:
         """Return the servers that are not cold."""
-        return tuple(one for one in servers if not self.is_cold(one))
-
-    def cold(self, servers: Iterable[BackendServer]) -> frozenset[str]:
-        """Return the names of the servers that are cold."""
-        return frozenset(one.name for one in servers if self.is_cold(one))
+        cold = self.cold(servers)
+        return tuple(one for one in servers if one.name not in cold) if cold else servers
 
     def allowance(self, server: BackendServer, topic: str) -> int:
         """Return how many requests a server may be sent now from here.
@@ -90,9 +101,17 @@
             return MANY
         return self.left(server, rate) if self.leadership.leads(topic) else 0
 
-    def spent(self, servers: Iterable[BackendServer], topic: str) -> frozenset[str]:
-        """Return the names of the servers that may be sent nothing more now from here."""
-        limited = [one for one in servers if self.is_cold(one) and self.rate(one)]
+    def spent(
+        self, servers: Iterable[BackendServer], cold: frozenset[str], topic: str
+    ) -> frozenset[str]:
+        """Return the names of the cold servers that may be sent nothing more now from here.
+
+        Args:
+            servers: The servers.
+            cold: The names of those among them that are cold.
+            topic: Under which topic the work that they are to get meets.
+        """
+        limited = [one for one in servers if one.name in cold and self.rate(one)] if cold else []
         if limited and self.leadership.leads(topic):
             limited = [one for one in limited if not self.left(one, self.rate(one))]
         return frozenset(one.name for one in limited)
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -13,6 +13,9 @@
 # How long after its start an instance has heard of all others: it reads their list within some
 # 10 ms, and dials those that do not answer at once again after 250 ms.
 LEAD_AFTER_MS = 1_000.0
+# For how long an answer is kept: it looks at each link, and every prompt asks while servers are
+# cold. Silence of a link takes three heartbeats to show, at least 750 ms.
+KEPT_MS = 50.0
 
 
 class Leadership:
@@ -31,11 +34,21 @@
         self.fleet = fleet
         self.clock = clock
         self.started = clock.now()
+        self.kept: dict[str, tuple[float, bool]] = {}
 
     def leads(self, topic: str) -> bool:
         """Tell whether the work of a topic surely meets here."""
-        if self.clock.now() < self.started + LEAD_AFTER_MS:
+        now = self.clock.now()
+        if now < self.started + LEAD_AFTER_MS:
             return False
+        until, answer = self.kept.get(topic, (now, False))
+        if until <= now:
+            answer = self.reaches_most(topic)
+            self.kept[topic] = (now + KEPT_MS, answer)
+        return answer
+
+    def reaches_most(self, topic: str) -> bool:
+        """Tell whether this instance is among the first, meets none before it, and most others."""
         firsts = self.fleet.contacts.ranked(topic)[:HOMES_KEPT]
         if self.fleet.membership.me not in firsts or self.fleet.home(topic) is not None:
             return False
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -67,9 +67,9 @@
             owner: Stands for the instance that sends it.
         """
         servers = self.directory.available(order.service)
-        spent = self.cold.spent(servers, prompts_topic(order.service))
-        excluded = frozenset(order.excluded) | spent
         cold = self.cold.cold(servers)
+        spent = self.cold.spent(servers, cold, prompts_topic(order.service))
+        excluded = frozenset(order.excluded) | spent
         service = self.follower.service(order.service)
         transfer = service.transfer if service else None
         chosen = self.placement.choose(servers, order.prompt, excluded, order.site, transfer, cold)
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -91,7 +91,8 @@
         """Return the servers that can take a call at once, the fastest first, cold ones last."""
         usable = self.usable(now)
         free = [one for one in usable if self.is_free(one, limits, now)]
-        return sorted(free, key=lambda one: (self.cold.is_cold(one.server), one.slowness_at(now)))
+        cold = self.cold.cold([one.server for one in free])
+        return sorted(free, key=lambda one: (one.server.name in cold, one.slowness_at(now)))
 
     def left(self, state: ServerState, now: float) -> float:
         """Return how long the calls at a server are expected to take yet."""
