The sending of a suspect is told by whoever makes it, and not passed on

Cause: times travel as ages, so that each hop adds the delay of its link. A sending counted as news where it was over 20 ms later than the known one, and was passed on: over links that take longer, among instances that are busy, one sending went round without an end, and made them busier.

Change: Suspicion.lacks_fate; Quarantine.take remembers a sending and passes on only what became of a request.

--- a/features/blame.feature
+++ b/features/blame.feature
@@ -100,3 +100,9 @@
       | s1@1 cleared@1.5 s2@2      | s1@1                    | s2              |
       | s1@1 barred@2 cleared@3    | s1@1 barred@2           | nothing         |
       | s1@1 barred@2 cleared@3    | s1@1 barred@2 s4@4      | s4              |
+
+  Scenario: A sending is told once, over links that take longer than sendings are apart
+    Given books of suspects of five instances whose links take 30 ms
+    When a server ends under a request at the first, which sends it on
+    Then within 3000 ms each of the others hears of it, in at most 60 messages
+
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -258,3 +258,43 @@
     for found in (first.merged(second), second.merged(first)):
         words = [one.server for one in found.ends] + ["barred"] * bool(found.bars)
         assert (" ".join(words) or "nothing") == merged, found
+
+
+@given("books of suspects of five instances whose links take {ms:d} ms")
+def slow_links(context, ms):
+    clock = context.slow_clock = VirtualClock()
+    context.slow_books = [Quarantine(clock, MemoryMetrics()) for _ in range(5)]
+    context.messages = []
+
+    def tell(sender, news, source):
+        told = [one.shifted(-clock.now()) for one in news]
+        for number, book in enumerate(context.slow_books):
+            if number != sender and str(number) != source:
+                context.messages.append(number)
+                clock.call_later(ms, lambda book=book: take(book, told, sender))
+
+    def take(book, told, sender):
+        book.take([one.shifted(clock.now()) for one in told], str(sender))
+
+    for number, book in enumerate(context.slow_books):
+        book.on_news = lambda news, source, number=number: tell(number, news, source)
+
+
+@when("a server ends under a request at the first, which sends it on")
+def ends_and_sent(context):
+    def end():
+        context.slow_clock.sleep(1_000.0)
+        lost = Interruption("f" * 32, "r", 60.0, context.slow_clock.now(), True)
+        context.slow_books[0].interrupted("llm-1", "llm", [lost])
+        context.slow_clock.sleep(100.0)
+        context.slow_books[0].sending("f" * 32, "r")
+
+    context.slow_clock.run(gevent.spawn(end))
+
+
+@then("within {ms:d} ms each of the others hears of it, in at most {most:d} messages")
+def told_once(context, ms, most):
+    context.slow_clock.run(gevent.spawn(context.slow_clock.sleep, float(ms)))
+    for book in context.slow_books:
+        assert book.known["f" * 32].under_way_since() > 0.0
+    assert len(context.messages) <= most, len(context.messages)
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -137,12 +137,8 @@
         known = self.known.get(fingerprint)
         if known is None or not known.is_suspect:
             return
-        log_message(
-            "suspect-sent",
-            request=request,
-            fingerprint=fingerprint,
-            servers=[one.server for one in known.ends],
-        )
+        ended = [one.server for one in known.ends]
+        log_message("suspect-sent", request=request, fingerprint=fingerprint, servers=ended)
         self.keep([replace(known, sent_at=self.clock.now())], "")
 
     def interrupted(self, server: str, service: str, lost: Sequence[Interruption]) -> None:
@@ -234,7 +230,10 @@
         return True
 
     def take(self, told: Iterable[Suspicion], source: str) -> None:
-        """Take in what a peer or the platform's store tells.
+        """Take in what a peer or the platform's store tells, and pass on what is news.
+
+        A sending alone is told by whoever makes it: each link adds its delay to the age that it is
+        told with, so that it would be news again and again.
 
         Args:
             told: What they know, with times of this instance's clock.
@@ -245,7 +244,9 @@
         answers: list[Suspicion] = []
         for one in told:
             known = self.known.get(one.fingerprint, Suspicion(one.fingerprint))
-            if not known.lacks(one):
+            if not known.lacks_fate(one):
+                if known.lacks(one):
+                    self.remember([known.merged(one)])
                 continue
             self.hear_ends(one)
             merged = known.merged(one)
@@ -269,8 +270,12 @@
 
     def keep(self, news: Sequence[Suspicion], source: str) -> None:
         """Put what has become known into the book, and pass it on."""
-        if not news:
-            return
+        if news:
+            self.remember(news)
+            self.on_news(news, source)
+
+    def remember(self, news: Sequence[Suspicion]) -> None:
+        """Put what has become known into the book."""
         self.known.update({one.fingerprint: one for one in news})
         self.forget()
         self.changed.set()
@@ -279,7 +284,6 @@
         barred = sum(one.barred_until > now for one in self.known.values())
         self.metrics.gauge(Metric.QUARANTINED, barred)
         self.metrics.gauge(Metric.SUSPECTED, sum(one.is_suspect for one in self.known.values()))
-        self.on_news(news, source)
 
     def forget(self) -> None:
         """Forget what is old, and the oldest suspects where there are too many."""
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -121,12 +121,15 @@
 
     def lacks(self, other: Suspicion) -> bool:
         """Tell whether another one of the same request knows what this one does not."""
+        return self.lacks_fate(other) or other.sent_at > self.sent_at + SAME_SENDING_MS
+
+    def lacks_fate(self, other: Suspicion) -> bool:
+        """Tell whether another one knows more of what became of the request, not only a sending."""
         known = {one.server for one in self.ends}
         ended = any(one.at > self.cleared_at and one.server not in known for one in other.ends)
         barred = other.bars > self.bars and other.barred_at > self.cleared_at
         cleared = self.is_suspect and other.cleared_at >= self.ends[-1].at
-        sent = other.sent_at > self.sent_at + SAME_SENDING_MS
-        return ended or barred or cleared or sent
+        return ended or barred or cleared
 
     def merged(self, other: Suspicion) -> Suspicion:
         """Return what both know together."""
