After reading the change again: one way to place a prompt here, less nesting

Change: PromptPlacer.order and decide; the conditions flat; desk_of in forwardbasics, also for the two step files that had the path before; the reason why a sending is not passed on stands with Suspicion.lacks_fate.

Conclusion: behaviour as before; no assertion was changed.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -97,6 +97,11 @@
     )
 
 
+def desk_of(instance):
+    """Return what places prompts on an instance."""
+    return instance.forwarder.context.picker.placer.desk
+
+
 def serve(context, name, sent):
     """Send a request and keep how it ended: (status, body, code, class)."""
     try:
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -10,7 +10,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, catalogue, meeting, request, serve
+from forwardbasics import PATHS, catalogue, desk_of, meeting, request, serve
 from mountladder_platform.decoding import decode_server
 
 from mountladder.forwarding.placementorder import PlacementOrder
@@ -219,7 +219,7 @@
 @when("server llm-1, which a prompt would go to, becomes cold")
 def prompt_server_cold(context):
     instance = meeting(context, prompts_topic("llm"))
-    context.desk = instance.forwarder.context.picker.placer.desk
+    context.desk = desk_of(instance)
     order = PlacementOrder(1, "llm", UNSHARED, (), "")
     context.first = context.desk.place(order, "a peer").server
     turn_cold(context, [context.first], born=0)
@@ -232,7 +232,7 @@
 )
 def clock_readings(context, number, few, many):
     instance = meeting(context, prompts_topic("llm"))
-    desk = instance.forwarder.context.picker.placer.desk
+    desk = desk_of(instance)
     plain, context.readings = context.clock.now, []
 
     def count_readings():
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -9,7 +9,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, PROMPT, meeting, request, serve
+from forwardbasics import PATHS, PROMPT, desk_of, meeting, request, serve
 from mountladder_platform.platforminstance import LINK_MS
 
 from mountladder.forwarding.datacentredrain import DatacentreDrain
@@ -166,8 +166,7 @@
     first = next(one for one in context.fleet.instances.values())
     server = next(s for s in first.directory.available("llm") if s.name == there)
     for instance in context.fleet.instances.values():
-        for desk in desks(instance):
-            desk.placement.held[server.name] = kept()
+        desk_of(instance).placement.held[server.name] = kept()
     context.run(serve, context, "a-1", request("r", PATHS["resumable"], context.clock.now()))
     assert upstream.arrivals["r"][0] == there, upstream.arrivals["r"]
 
@@ -187,16 +186,11 @@
     assert context.fleet.upstream.runs["r"] == [first, second], context.fleet.upstream.runs["r"]
 
 
-def desks(instance):
-    return [instance.forwarder.context.picker.placer.desk]
-
-
 @given("the instance where prompts meet hears of no drains")
 def deaf(context):
     instance = meeting(context, prompts_topic("llm"))
     context.deaf = instance.settings.name
-    for desk in desks(instance):
-        desk.placement.held["llm-1"] = kept()
+    desk_of(instance).placement.held["llm-1"] = kept()
     instance.directory.drains.apply = lambda told, source: None
     instance.directory.drains.replace = lambda told, position, source: None
 
@@ -217,7 +211,7 @@
     context.fleet.drain("a")
     context.run(context.clock.sleep, 60.0)
     context.instance = meeting(context, prompts_topic("llm"))
-    (desk,) = desks(context.instance)
+    desk = desk_of(context.instance)
     desk.placement.held["llm-1"] = kept()
     transfer = SimpleNamespace(expected_ms=lambda tokens, far: 0.001)
     desk.follower = SimpleNamespace(service=lambda name: SimpleNamespace(transfer=transfer))
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -184,7 +184,7 @@
 @when("a server of a drained data centre got a request")
 def emptied_used(context):
     context.faults.remove(RESTART)
-    context.record.zones["desk-8"] = "b"
+    context.record.datacentres["desk-8"] = "b"
     context.record.emptied.append(("b", 2.0, 9.5))
     add(context.record, exchange("x", sent=9.0))
     arrive(context.record, "y", 9.0, "desk-8")
--- a/features/steps/withdrawal_steps.py
+++ b/features/steps/withdrawal_steps.py
@@ -6,7 +6,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import BATCH, PATHS, meeting, request, serve
+from forwardbasics import BATCH, PATHS, desk_of, meeting, request, serve
 
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.stagejob import StageJob
@@ -147,5 +147,5 @@
 @then("no server is taken to be reading a prompt")
 def nothing_read(context):
     for one in context.fleet.instances.values():
-        desk = one.forwarder.context.picker.placer.desk
+        desk = desk_of(one)
         assert not desk.placed and not desk.placement.reading, desk.placed
--- a/packages/core/src/mountladder/forwarding/datacentredrains.py
+++ b/packages/core/src/mountladder/forwarding/datacentredrains.py
@@ -109,13 +109,14 @@
         """
         listed = list(told)
         names = {one.datacentre for one in listed}
-        missing = [one for one in self.entries.values() if one.datacentre not in names]
-        for one in missing:
-            if one.active and one.position < position:
-                if one.position.era < position.era:
-                    self.doubt(one.datacentre, position)
-                else:
-                    listed.append(DatacentreDrain(one.datacentre, position, False))
+        older = [one for one in self.entries.values() if one.active and one.position < position]
+        for one in older:
+            if one.datacentre in names:
+                continue
+            if one.position.era < position.era:
+                self.doubt(one.datacentre, position)
+            else:
+                listed.append(DatacentreDrain(one.datacentre, position, False))
         self.apply(listed, source)
         self.complete_to = max(self.complete_to, position)
 
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -59,22 +59,29 @@
             excluded: Names of servers that are not wanted.
             site: The data centre where large inputs lie, or an empty string.
         """
-        number = next(self.numbers)
-        order = PlacementOrder(number, service, prompt, tuple(excluded), site)
+        order = self.order(service, prompt, excluded, site)
         link = self.fleet.home(prompts_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
-            link = None
-            reply = self.desk.place(order, HERE)
+            return self.decide(order)
         if reply.server:
-            self.homes[number] = link
+            self.homes[order.number] = link
         return reply
 
     def place_here(
         self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
     ) -> PlacementReply:
         """Return where a prompt is to go by what this instance alone knows; see place."""
-        order = PlacementOrder(next(self.numbers), service, prompt, tuple(excluded), site)
+        return self.decide(self.order(service, prompt, excluded, site))
+
+    def order(
+        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
+    ) -> PlacementOrder:
+        """Return a new order for a prompt; see place."""
+        return PlacementOrder(next(self.numbers), service, prompt, tuple(excluded), site)
+
+    def decide(self, order: PlacementOrder) -> PlacementReply:
+        """Place a prompt on this instance."""
         reply = self.desk.place(order, HERE)
         if reply.server:
             self.homes[order.number] = None
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -230,10 +230,7 @@
         return True
 
     def take(self, told: Iterable[Suspicion], source: str) -> None:
-        """Take in what a peer or the platform's store tells, and pass on what is news.
-
-        A sending alone is told by whoever makes it: each link adds its delay to the age that it is
-        told with, so that it would be news again and again.
+        """Take in what a peer or the platform's store tells, and pass on what became of requests.
 
         Args:
             told: What they know, with times of this instance's clock.
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -124,7 +124,11 @@
         return self.lacks_fate(other) or other.sent_at > self.sent_at + SAME_SENDING_MS
 
     def lacks_fate(self, other: Suspicion) -> bool:
-        """Tell whether another one knows more of what became of the request, not only a sending."""
+        """Tell whether another one knows more of what became of the request, not only a sending.
+
+        A sending is told by whoever makes it, and not passed on: each link adds its delay to the
+        age that it is told with, so that it would be news again and again.
+        """
         known = {one.server for one in self.ends}
         ended = any(one.at > self.cleared_at and one.server not in known for one in other.ends)
         barred = other.bars > self.bars and other.barred_at > self.cleared_at
