Sight: what answers say of their server's limit is read and logged

Callers see nothing of it yet; nothing is decided by it. The record could not tell which answers named a limit, nor which instance had seen one when: the header was passed on unread, and no headers are logged.

Every answer tells: plain ones, heads of streams, calls with pieces, refusals. An answer of another server (421), one to another request, or a number that cannot be read tells nothing; a refusal without the header does not mean that there is no limit. Changes are logged ('server-limit': server, per_s, before, age) and counted (limited_servers). 14 cases in platform.feature.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -67,6 +67,29 @@
     When three pieces are sent to it
     Then their results are a handle, input gone and no room in this order
 
+  Scenario Outline: What an answer says of its server's limit
+    # One that refuses may be too short to name it, and one by another server tells nothing of this.
+    Given a backend server that answers "<answer>"
+    When <what> is sent to it
+    Then <heard> is heard of its limit
+
+    Examples:
+      | answer                     | what        | heard          |
+      | limited                    | request r1  | 1.5 a second   |
+      | limited, own failure       | request r1  | 2.0 a second   |
+      | limited, full              | request r1  | 0.3 a second   |
+      | limited results            | a call      | 4.0 a second   |
+      | limited results full       | a call      | 0.5 a second   |
+      | whole                      | request r1  | no limit       |
+      | results                    | a call      | no limit       |
+      | full, not run              | request r1  | nothing        |
+      | results full               | a call      | nothing        |
+      | limited, replaced          | request r1  | nothing        |
+      | limited, another id        | request r1  | nothing        |
+      | limited in words           | request r1  | nothing        |
+      | limited to less than none  | request r1  | nothing        |
+      | limited to no number       | request r1  | nothing        |
+
   Scenario Outline: Results that cannot be matched with their pieces are refused
     Given a backend server that answers "<answer>"
     When three pieces are sent to it
--- a/features/rawanswers.py
+++ b/features/rawanswers.py
@@ -20,14 +20,24 @@
 
 
 def results(*items):
-    body = b'{"items": [%b]}' % b", ".join(items)
-    return answer(200, body)
+    return answer(200, listed(*items))
+
+
+def listed(*items):
+    return b'{"items": [%b]}' % b", ".join(items)
+
+
+def limited(per_s):
+    return b"Server-Limit: %b\r\n" % per_s
 
 
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"2\r\nhe\r\n3\r\nllo\r\n"
+NOT_ITS_ID = b"Mountladder-Request-Id: zz\r\n"
 GIVEN = (b'{"handle": "10.0.0.1:1/a"}', b'{"reason": "gone"}', b'{"reason": "room"}')
 
+RESULTS = listed(*GIVEN)
+
 # What is sent, and whether the connection ends behind it.
 ANSWERS = {
     "whole": (answer(200, b"hello"), False),
@@ -35,7 +45,7 @@
     "chunked": (answer(200, CHUNKS + b"0\r\n\r\n", CHUNKED, False), False),
     "no length": (answer(200, b"hello", length=False), True),
     "own failure": (answer(500, b"broken"), False),
-    "another id": (answer(200, b"hello", b"Mountladder-Request-Id: zz\r\n"), False),
+    "another id": (answer(200, b"hello", NOT_ITS_ID), False),
     "no id": (answer(200, b"hello", b""), False),
     "full, not run": (answer(503, b"", MARK), False),
     "leaving, not run": (answer(503, b"", MARK + b"Connection: close\r\n"), True),
@@ -56,5 +66,15 @@
     "results": (results(*GIVEN), False),
     "too few results": (results(*GIVEN[:2]), False),
     "no results": (answer(200, b"{}"), False),
+    "limited": (answer(200, b"hello", HEAD + limited(b"1.5")), False),
+    "limited, own failure": (answer(500, b"broken", HEAD + limited(b"2")), False),
+    "limited, full": (answer(503, b"", MARK + limited(b"0.3")), False),
+    "limited results": (answer(200, RESULTS, limited(b"4")), False),
+    "limited results full": (answer(503, b"", MARK + limited(b"0.5")), False),
+    "limited, replaced": (answer(421, b"", limited(b"1")), False),
+    "limited, another id": (answer(200, b"x", NOT_ITS_ID + limited(b"1")), False),
+    "limited in words": (answer(200, b"hello", HEAD + limited(b"few")), False),
+    "limited to less than none": (answer(200, b"hello", HEAD + limited(b"-1")), False),
+    "limited to no number": (answer(200, b"hello", HEAD + limited(b"nan")), False),
     "results full": (answer(503, b"", MARK), False),
 }
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -61,9 +61,9 @@
         context.sent.append((context.clock.now(), server.labels[ID_LABEL], 1, name))
         return plain_open(server, call, limit_ms)
 
-    def run_pieces(server, pieces, limit_ms):
+    def run_pieces(server, pieces, limit_ms, heard):
         context.sent.append((context.clock.now(), server.labels[ID_LABEL], len(pieces), ""))
-        return plain_pieces(server, pieces, limit_ms)
+        return plain_pieces(server, pieces, limit_ms, heard)
 
     upstream.open, upstream.run_pieces = open_, run_pieces
 
--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -501,8 +501,8 @@
     plain = upstream.run_pieces
     lost = []
 
-    def run_pieces(server, pieces, limit_ms):
-        made = plain(server, pieces, limit_ms)
+    def run_pieces(server, pieces, limit_ms, heard):
+        made = plain(server, pieces, limit_ms, heard)
         if pieces[0].stage == 1 and not lost:
             lost.append(pieces[0])
             return tuple(PieceResult("", PieceFailure.INPUT_GONE) for _ in pieces)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,6 +26,7 @@
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.serverrecord import listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.serverlimits.limitword import UNLIMITED
 from mountladder.store.position import Position
 from mountladder_entry.httpclient import HttpClient
 from mountladder_entry.logqueue import MOST_LINES, LogQueue
@@ -119,6 +120,7 @@
     context.upstream = HttpUpstream(SystemClock())
     context.stack.callback(context.upstream.close)
     context.ended = []
+    context.heard = []
 
 
 def call(
@@ -127,7 +129,15 @@
     now = context.upstream.clock.now()
     sent = [("Host", "desk.x"), ("Mountladder-Request-Id", id_), *headers]
     request = read_request("POST", target, sent, body, now)
-    return ForwardCall(request, team, now + 5_000.0, ("h/1", "h/2"), "", reusable)
+    inputs, heard = ("h/1", "h/2"), context.heard.append
+    return ForwardCall(
+        request,
+        team,
+        now + 5_000.0,
+        inputs,
+        reusable=reusable,
+        heard=lambda server, per_s, sent_at: heard(per_s),
+    )
 
 
 def send(context, id_, **options):
@@ -143,6 +153,13 @@
     send(context, id_)
 
 
+@then("{heard} is heard of its limit")
+def limit_heard(context, heard):
+    named = {"nothing": [], "no limit": [UNLIMITED]}
+    expected = named[heard] if heard in named else [float(heard.split()[0])]
+    assert context.heard == expected, context.heard
+
+
 @when("requests {first} and {second} are sent to it")
 def send_two(context, first, second):
     send(context, first)
@@ -234,12 +251,18 @@
     assert b"tenant" not in head.lower() and b"forged" not in head
 
 
+@when("a call is sent to it")
 @when("three pieces are sent to it")
 def pieces(context):
     now = context.upstream.clock.now()
     sent = [Piece("r1", 0, n, "key", (), now + 900.0) for n in range(3)]
     try:
-        context.results = context.upstream.run_pieces(context.server, sent, LIMIT_MS)
+        context.results = context.upstream.run_pieces(
+            context.server,
+            sent,
+            LIMIT_MS,
+            lambda server, per_s, sent_at: context.heard.append(per_s),
+        )
     except StageError as error:
         context.ended.append(error)
 
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -31,6 +31,7 @@
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
+from mountladder.serverlimits.limitbook import LimitBook
 
 # How soon the queue is looked at again where no event would do it.
 LOOK_AGAIN_MS = 40.0
@@ -62,6 +63,7 @@
         clock: The clock.
         metrics: Where calls are counted.
         cold: Limits what servers get that have just started.
+        limits: Knows how much servers say that they take.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         clock: Clock,
         metrics: Metrics,
         cold: ColdServers,
+        limits: LimitBook,
     ) -> None:
         self.service = service
         self.catalogue = catalogue
@@ -87,6 +90,7 @@
         self.metrics = metrics
         self.queue = PieceQueue()
         self.demand = StageDemand(clock)
+        self.limits_named = limits
         self.servers = StageServers(service, division, router, cold)
         self.room = ResultRoom()
         self.rate = PieceRate(clock)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -82,7 +82,9 @@
         late_ms = SECOND_CALL * self.call.expected_ms + SECOND_CALL_MS
         cancel = self.home.clock.call_later(late_ms, self.send_twice)
         try:
-            results = self.home.upstream.run_pieces(self.state.server, pieces, patience_ms)
+            results = self.home.upstream.run_pieces(
+                self.state.server, pieces, patience_ms, self.home.limits_named.hear
+            )
         except StageError as error:
             self.failed(error)
         else:
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -49,6 +49,7 @@
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
+from mountladder.serverlimits.limitbook import LimitBook
 from mountladder.supervision import keep_running
 
 # Three missed heartbeats are silence, after which stages are handed to another instance: with
@@ -109,6 +110,7 @@
         self.fleet = Fleet(
             self.membership, network, clock, metrics, settings.seeds, self.follower, self.directory
         )
+        self.limits = LimitBook(clock, metrics)
         self.build(upstream)
 
     def build(self, upstream: Upstream) -> None:
@@ -181,6 +183,7 @@
             departure=self.departure,
             fetch_time=FetchTime(),
             quarantine=self.quarantine,
+            limits=self.limits,
         )
 
     def make_follower(
@@ -215,6 +218,7 @@
             self.clock,
             self.metrics,
             self.cold,
+            self.limits,
         )
 
     def pump(self) -> None:
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 
 from mountladder.configuration.backendserver import BackendServer
-from mountladder.forwarding.forwardcall import ForwardCall
+from mountladder.forwarding.forwardcall import ForwardCall, Heard
 from mountladder.forwarding.piece import Piece
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
@@ -35,10 +35,16 @@
 
     @abstractmethod
     def run_pieces(
-        self, server: BackendServer, pieces: Sequence[Piece], limit_ms: float
+        self, server: BackendServer, pieces: Sequence[Piece], limit_ms: float, heard: Heard
     ) -> tuple[PieceResult, ...]:
         """Have a server work on pieces and return the results in the same order.
 
+        Args:
+            server: The server.
+            pieces: The pieces.
+            limit_ms: How long the answer may take.
+            heard: Told what the answer says of the server's limit; see ForwardCall.
+
         Raises:
             StageError: The server refused, or the answer broke or did not come within the limit.
         """
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -43,6 +43,7 @@
     SUSPECTS_EVICTED = ("suspects_evicted", "counter", "suspects forgotten for want of room")
     QUARANTINED = ("quarantined", "gauge", "requests barred since servers ended under them")
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
+    LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -15,12 +15,13 @@
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError
-from mountladder.forwarding.forwardcall import ForwardCall
+from mountladder.forwarding.forwardcall import ForwardCall, Heard
 from mountladder.forwarding.piece import Piece
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.upstream import Upstream
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.serverlimits.limitword import UNLIMITED
 from mountladder_standins.localanswer import LocalAnswer
 from mountladder_standins.piececall import PieceCall
 from mountladder_standins.serverfault import ServerFault
@@ -57,6 +58,7 @@
         ended: The servers that have ended, in order; they refuse connections.
         dark: Whether those that have ended give no sign, in place of refusing connections.
         on_ended: Called with each server that a request has ended.
+        limits: How many requests a second servers say that they take, by name.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -73,10 +75,12 @@
         self.ended: list[str] = []
         self.dark = False
         self.on_ended: Callable[[BackendServer], None] = lambda server: None
+        self.limits: dict[str, float] = {}
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
         fault = self.faults.get(server.name)
+        sent_at = self.clock.now()
         self.arrivals[call.request.id].append(server.name)
         if fault in _REFUSALS:
             raise StageError("", _REFUSALS[fault], False)
@@ -89,6 +93,7 @@
         self.work(server, self.work_ms(call), (call.request.body,))
         if fault is ServerFault.RESET:
             raise StageError("", Code.STREAM_CUT)
+        call.heard(server, self.limits.get(server.name, UNLIMITED), sent_at)
         answer = self.answer(server, call, fault)
         self.answers.append(answer)
         return answer
@@ -154,13 +159,14 @@
         return LocalAnswer(self.clock, 200, signed, [server.name.encode()])
 
     def run_pieces(
-        self, server: BackendServer, pieces: Sequence[Piece], limit_ms: float
+        self, server: BackendServer, pieces: Sequence[Piece], limit_ms: float, heard: Heard
     ) -> tuple[PieceResult, ...]:
         """Work on pieces; see Upstream."""
         fault = self.faults.get(server.name)
         if fault in _REFUSALS:
             raise StageError("", _REFUSALS[fault], False)
         self.check_listening(server)
+        sent_at = self.clock.now()
         self.calls.append(PieceCall(server.name, self.clock.now(), tuple(pieces)))
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
@@ -168,6 +174,7 @@
         slower = SLOWER if fault is ServerFault.SLOW else 1.0
         ms = (CALL_MS + PIECE_MS * len(pieces)) * slower
         self.work(server, ms, tuple(piece.key for piece in pieces))
+        heard(server, self.limits.get(server.name, UNLIMITED), sent_at)
         if fault is ServerFault.NO_ROOM:
             return tuple(PieceResult("", PieceFailure.NO_ROOM) for _ in pieces)
         return tuple(PieceResult(f"{server.address}/{next(self.numbers)}") for _ in pieces)
