--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -6,6 +6,8 @@
 
 from dataclasses import replace
 
+import gevent
+
 from mountladder.errors import MountladderError
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.catalogue import Catalogue
@@ -16,9 +18,11 @@
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.routekind import RouteKind
 from mountladder.forwarding.routestage import RouteStage
+from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.forwarding.service import Service
 from mountladder.forwarding.target import Target
 
+SECOND_MS = 1_000.0
 BATCH = BatchLimits(1, 2, 8, 150.0, 10.0, 100.0, 4_000.0)
 PROMPT = Prompt(1_000, 30, (PromptPart("shared", 800), PromptPart("own", 200)))
 
@@ -120,6 +124,50 @@
     context.ends[sent.id] = (answer.status, body, 0, "", None)
 
 
+def watch(context):
+    """Note when each server is sent requests, and by which instance."""
+    context.sent = []
+    upstream = context.fleet.upstream
+    plain_open, plain_pieces = upstream.open, upstream.run_pieces
+
+    def open_(server, call, limit_ms):
+        name = call.request.id.split("/")[0]
+        context.sent.append((context.clock.now(), server.labels[ID_LABEL], 1, name))
+        return plain_open(server, call, limit_ms)
+
+    def run_pieces(server, pieces, limit_ms, heard):
+        context.sent.append((context.clock.now(), server.labels[ID_LABEL], len(pieces), ""))
+        return plain_pieces(server, pieces, limit_ms, heard)
+
+    upstream.open, upstream.run_pieces = open_, run_pieces
+
+
+def send_steadily(context, per_s, kind, ms, names=(), label="", fields=lambda n: {}):
+    """Send requests at a steady rate, each at the next of some instances.
+
+    Args:
+        context: The scenario's.
+        per_s: How many a second.
+        kind: Their kind, one of PATHS.
+        ms: For how long.
+        names: The instances; without them all.
+        label: What tells their ids from those of other series.
+        fields: Returns further fields of a request, by its number.
+    """
+    names = list(names or context.fleet.instances)
+
+    def send_all():
+        tasks = []
+        for n in range(round(per_s * ms / SECOND_MS)):
+            name = names[n % len(names)]
+            sent = request(f"{name}/{label}{n}", PATHS[kind], context.clock.now(), **fields(n))
+            tasks.append(gevent.spawn(serve, context, name, sent))
+            context.clock.sleep(SECOND_MS / per_s)
+        gevent.joinall(tasks)
+
+    context.run(send_all)
+
+
 class QuietDispatch:
     """Stands for the dispatch of stages; says nothing of services and keeps no results."""
 
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -8,23 +8,30 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
-import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, catalogue, desk_of, meeting, request, serve
+from forwardbasics import (
+    PATHS,
+    SECOND_MS,
+    catalogue,
+    desk_of,
+    meeting,
+    request,
+    send_steadily,
+    serve,
+    watch,
+)
 from mountladder_platform.decoding import decode_server
 
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.ranking import prompts_topic
-from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.forwarding.sourcerow import SourceRow
 from mountladder.store.position import Position
 
 COLD_MS = 3_000.0
 # Where the shared parts of a prompt are kept counts for more than that a server is cold.
 UNSHARED = Prompt(1_000, 30, (PromptPart("own", 1_000),))
-SECOND_MS = 1_000.0
 SETTLE_MS = 1_500.0
 LISTED_MS = 300.0
 # By then links that are silent are missed.
@@ -45,29 +52,10 @@
     for n in range(number):
         context.fleet.start(f"{'abc'[n % 3]}-{n}")
     context.run(context.clock.sleep, SETTLE_MS)
-    context.sent = []
     context.cold_since = {}
-    context.by = {}
     watch(context)
 
 
-def watch(context):
-    """Note when each server is sent requests, and by which instance."""
-    upstream = context.fleet.upstream
-    plain_open, plain_pieces = upstream.open, upstream.run_pieces
-
-    def open_(server, call, limit_ms):
-        name = call.request.id.split("/")[0]
-        context.sent.append((context.clock.now(), server.labels[ID_LABEL], 1, name))
-        return plain_open(server, call, limit_ms)
-
-    def run_pieces(server, pieces, limit_ms, heard):
-        context.sent.append((context.clock.now(), server.labels[ID_LABEL], len(pieces), ""))
-        return plain_pieces(server, pieces, limit_ms, heard)
-
-    upstream.open, upstream.run_pieces = open_, run_pieces
-
-
 @given("{number:d} servers of each of the services desk, llm, enc in data centres a, b, c")
 def servers(context, number):
     context.servers = {}
@@ -86,26 +74,10 @@
         context.fleet.add_server(name, service, datacentre, born=born, cold_ms=COLD_MS)
 
 
-def send(context, per_s, kind, ms):
-    """Send requests at a steady rate, each at the next instance."""
-    names = list(context.fleet.instances)
-
-    def send_all():
-        tasks = []
-        for n in range(round(per_s * ms / SECOND_MS)):
-            name = names[n % len(names)]
-            sent = request(f"{name}/{n}", PATHS[kind], context.clock.now())
-            tasks.append(gevent.spawn(serve, context, name, sent))
-            context.clock.sleep(SECOND_MS / per_s)
-        gevent.joinall(tasks)
-
-    context.run(send_all)
-
-
 def cold_then_send(context, names, before, per_s, kind, ms):
     turn_cold(context, names)
     context.run(context.clock.sleep, float(before))
-    send(context, per_s, kind, ms)
+    send_steadily(context, per_s, kind, ms)
 
 
 @when(
