--- a/features/environment.py
+++ b/features/environment.py
@@ -37,6 +37,9 @@
     context.fleet = ForwardFleet(clock)
     context.run = lambda function, *args, **kw: clock.run(gevent.spawn(function, *args, **kw))
     context.ends = {}
+    context.arrived = {}
+    context.ended_at = {}
+    context.took = {}
     yield context.fleet
     context.fleet.stop()
 
--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -107,12 +107,22 @@
 
 
 def serve(context, name, sent):
-    """Send a request and keep how it ended: (status, body, code, class)."""
+    """Send a request and keep how it ended: (status, body, code, class, error), and when."""
+    context.arrived[sent.id] = sent.arrived
+    try:
+        serve_whole(context, name, sent)
+    finally:
+        context.ended_at[sent.id] = context.clock.now()
+
+
+def serve_whole(context, name, sent):
+    """Send a request, read its answer, and keep how it ended and how long it took to begin."""
     try:
         answer = context.fleet.send(name, sent)
     except MountladderError as error:
         context.ends[sent.id] = (0, b"", error.code.number, error.result.value, error)
         return
+    context.took[sent.id] = context.clock.now() - sent.arrived
     body = answer.body if isinstance(answer.body, bytes) else b""
     try:
         if not isinstance(answer.body, bytes):
@@ -159,7 +169,8 @@
     def send_all():
         tasks = []
         for n in range(round(per_s * ms / SECOND_MS)):
-            name = names[n % len(names)]
+            alive = [one for one in names if one in context.fleet.instances]
+            name = alive[n % len(alive)]
             sent = request(f"{name}/{label}{n}", PATHS[kind], context.clock.now(), **fields(n))
             tasks.append(gevent.spawn(serve, context, name, sent))
             context.clock.sleep(SECOND_MS / per_s)
@@ -198,3 +209,13 @@
 
     def sent(self, server, requests=1):
         pass
+
+
+class NoLimits:
+    """Stands for what keeps to the limits of servers; none names one."""
+
+    def waits_ms(self, servers, topic):
+        return {}
+
+    def sent(self, server, topic):
+        pass
--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -23,3 +23,150 @@
     When server enc-1 names 1 request a second, and 30 staged requests a second come for 9000 ms
     Then no server got more than its limit allows
     And over 97 of 100 requests were answered
+
+  Scenario Outline: All servers of a service limit what they take
+    # What is allowed and not sent is a caller turned away for nothing. Nobody is turned away after
+    # its stages have run, and who is served is served on time.
+    When all <service> servers name <per_s> requests a second, and <rate> <kind> requests a second come for 9000 ms
+    Then no server got more than its limit allows
+    And over <used> of 100 of what they take was used
+    And whoever was not served was told that nothing ran, and when to come back
+    And over 90 of 100 answers were on time
+
+    Examples:
+      | service | per_s | rate | kind   | used |
+      | llm     | 3     | 60   | stream | 85   |
+      | llm     | 0.3   | 20   | stream | 85   |
+      | desk    | 3     | 60   | safe   | 85   |
+      | desk    | 3     | 60   | unsafe | 85   |
+      | llm     | 2     | 30   | staged | 75   |
+
+  Scenario: All servers of a stage service limit what they take
+    When all enc servers name 1 requests a second, and 30 staged requests a second come for 9000 ms
+    Then no server got more than its limit allows
+    And over 80 of 100 of what they take was used
+    And calls held 3 pieces or more on the average
+
+  Scenario Outline: Instances come and go while a server limits what it takes
+    # Of <kind> requests; the server is one of six, or all six are limited.
+    When all <service> servers name <per_s> requests a second, and 60 <kind> requests a second come for 9000 ms while <what>
+    Then no server got more than its limit allows
+    And over <used> of 100 of what they take was used
+
+    Examples:
+      | service | per_s | kind   | what                                           | used |
+      | llm     | 1     | stream | the instance where its work meets is restarted | 70   |
+      | desk    | 1     | safe   | the instance where its work meets is restarted | 70   |
+      | enc     | 1     | staged | the instance where its work meets is restarted | 60   |
+      | llm     | 3     | stream | the instance where its work meets is restarted | 70   |
+      | llm     | 1     | stream | the instance where its work meets dies         | 70   |
+      | llm     | 1     | stream | three instances are cut off from the others    | 70   |
+      | desk    | 1     | safe   | three instances are cut off from the others    | 70   |
+      | enc     | 1     | staged | three instances are cut off from the others    | 60   |
+      | llm     | 1     | stream | two of them lose the one where its work meets  | 70   |
+      | desk    | 1     | safe   | two of them lose the one where its work meets  | 70   |
+      | llm     | 1     | stream | two more instances start                       | 70   |
+      | desk    | 1     | safe   | all instances are restarted at once            | 40   |
+      | llm     | 1     | stream | all instances are restarted at once            | 40   |
+      | llm     | 1     | stream | a data centre is cut off from the others       | 70   |
+
+  Scenario Outline: Nobody is sure to be the one where the work of a service meets
+    # Half of the others reach one, and half the other; less is used rather than too much.
+    When all <service> servers name 1 requests a second, and 60 <kind> requests a second come for 9000 ms while half of them lose the one where its work meets
+    Then no server got more than its limit allows
+
+    Examples:
+      | service | kind   |
+      | llm     | stream |
+      | desk    | safe   |
+      | enc     | staged |
+
+  Scenario: A large fleet
+    Given 22 more instances
+    When all llm servers name 1 requests a second, and 90 stream requests a second come for 9000 ms while the instance where its work meets is restarted
+    Then no server got more than its limit allows
+    And over 70 of 100 of what they take was used
+
+  Scenario: An instance that starts is told before it sends anything
+    Given server desk-1 has named 1 request a second
+    When an instance starts while the store is out of reach
+    Then it knows within 100 ms that desk-1 takes 1 a second
+
+  Scenario: A limit that rises, and ends
+    When server llm-1 names 1 request a second, and 60 stream requests a second come for 6000 ms
+    And it names 2, and they come for 6000 ms more
+    Then it got 9 to 15 of them
+    When it names none, and they come for 6000 ms more
+    Then it got over 20 of them
+
+  Scenario Outline: A limit that ends while others have room is noticed
+    When server <server> names 1 request a second, and 30 <kind> requests a second come for 4000 ms
+    And it names none, and they come for 6000 ms more
+    Then no instance takes it to be limited
+
+    Examples:
+      | server | kind   |
+      | desk-1 | safe   |
+      | llm-1  | stream |
+      | enc-1  | staged |
+
+  Scenario: A server that names nothing at all gets a request now and then
+    When all desk servers name 0 requests a second, and 30 safe requests a second come for 25000 ms
+    Then no server got more than its limit allows
+    And each server got a request in its last 12000 ms
+
+  Scenario: A server that starts again under its id is not limited
+    Given server llm-1 has named 1 request a second
+    When server llm-1 starts again without a limit, and 60 stream requests a second come for 6000 ms
+    Then it got over 40 of them
+
+  Scenario: Limits named by nobody for ten minutes are forgotten
+    Given server desk-1 has named 1 request a second
+    When nothing comes for 11 minutes, and then desk-2 names 1 a second
+    Then no instance takes desk-1 to be limited
+
+  Scenario: The more urgent are served first
+    When all desk servers name 2 requests a second, and 20 urgent and 20 other safe requests a second come for 9000 ms
+    Then over 50 of 100 urgent ones were answered, and more than 4 times as many as of the others
+
+  Scenario: When to come back is true
+    When all desk servers name 2 requests a second, and 60 safe requests a second come for 5000 ms
+    And whoever was refused in the last 500 ms comes back when it was told, alone
+    Then over 90 of 100 of those that came back were answered
+
+  Scenario: A caller that leaves while it waits for its turn
+    Given all desk servers have named 1 request a second
+    When a caller of an instance leaves while it waits for its turn
+    Then its request reaches no server, and no server counts it as running
+
+  Scenario: A server that is drained while a request waits for its turn there
+    Given all desk servers have named 1 request a second
+    When the server is drained at which a request waits for its turn
+    Then it reaches another server only
+
+  Scenario Outline: Which of two answers holds
+    # Times are when the request was sent and when its answer was there.
+    Given a server has named <known> a second in an answer from <sent> to <seen> ms
+    When one from <sent 2> to <seen 2> ms names <named>
+    Then it is taken to take <taken>
+
+    Examples:
+      | known | sent | seen | sent 2 | seen 2 | named | taken |
+      | 1     | 100  | 200  | 200    | 250    | none  | none  |
+      | 1     | 100  | 200  | 150    | 250    | none  | 1     |
+      | 1     | 100  | 200  | 0      | 250    | none  | 1     |
+      | none  | 100  | 200  | 150    | 250    | 1     | 1     |
+      | none  | 100  | 200  | 0      | 90     | 1     | none  |
+      | 1     | 100  | 200  | 150    | 250    | 3     | 1     |
+      | 3     | 100  | 200  | 150    | 250    | 1     | 1     |
+      | 1     | 100  | 200  | 210    | 250    | 3     | 3     |
+
+  Scenario: Two answers that are passed on over slow links
+    Given 5 instances in a ring, with links of 30 ms
+    When one is told a limit of 1, and 20 ms later another one a limit of 3
+    Then after 2000 ms all of them hold the same, and no message is under way
+
+  Scenario: Results at a server that limits what it takes
+    When all enc servers name 2 requests a second, and 30 staged requests a second come for 9000 ms
+    Then results are given up in less than half as many calls as pieces are made there
+    And no server got more than its limit allows with those counted
--- a/features/steps/goneserver_steps.py
+++ b/features/steps/goneserver_steps.py
@@ -9,7 +9,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PROMPT, AllWarm
+from forwardbasics import PROMPT, AllWarm, NoLimits
 
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.forwarding.placementdesk import PlacementDesk
@@ -43,7 +43,9 @@
     )
     directory = SimpleNamespace(available=lambda service: servers)
     follower = SimpleNamespace(service=lambda name: None)
-    context.desk = PlacementDesk(directory, router, context.desk_clock, follower, AllWarm())
+    context.desk = PlacementDesk(
+        directory, router, context.desk_clock, follower, AllWarm(), NoLimits()
+    )
     context.number = 0
 
 
--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -12,7 +12,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, ROUTES, AllWarm, QuietDispatch, request, serve
+from forwardbasics import PATHS, ROUTES, AllWarm, NoLimits, QuietDispatch, request, serve
 from mountladder_platform.decoding import decode_catalogue
 
 from mountladder.clocks.virtualclock import VirtualClock
@@ -364,7 +364,7 @@
     servers = (server("llm-1", "a"), server("llm-2", "b"))
     directory = SimpleNamespace(available=lambda service: servers)
     follower = SimpleNamespace(service=catalogue.services.get)
-    context.desk = PlacementDesk(directory, router(clock), clock, follower, AllWarm())
+    context.desk = PlacementDesk(directory, router(clock), clock, follower, AllWarm(), NoLimits())
     context.desk.placement.speed.tokens_per_ms = speed
 
 
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -4,11 +4,30 @@
 
 """Steps about backend servers that name how much they take."""
 
+from dataclasses import replace
+from functools import partial
+
+import gevent
 from behave import given, then, when
-from forwardbasics import SECOND_MS, catalogue, send_steadily, watch
+from forwardbasics import (
+    PATHS,
+    SECOND_MS,
+    catalogue,
+    meeting,
+    request,
+    send_steadily,
+    serve,
+    watch,
+)
 
+from mountladder.forwarding.keyholder import KeyHolder
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.ranking import prompts_topic
+from mountladder.forwarding.serverrecord import listed_server
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.serverlimits.limitbook import LimitBook
+from mountladder.serverlimits.limitword import UNLIMITED
 
 SETTLE_MS = 1_500.0
 # The users' bound: from so long after a server first named its limit it gets in any span of so many
@@ -16,6 +35,13 @@
 TOLD_MS = 3_000.0
 SPAN_S = 4.0
 OVERSHOOT, BURST = 1.5, 5
+# When something happens to instances, and for how long one is down that is restarted.
+EVENT_MS = 4_000.0
+DOWN_MS = 1_000.0
+# By when all instances know of a limit: the first requests have had their stages and an answer.
+KNOWN_MS = 700.0
+# The aim of the routes in use here.
+AIM_MS = 600.0
 
 
 @given("a fleet of {number:d} instances in data centres a, b, c")
@@ -25,19 +51,36 @@
         context.fleet.start(f"{'abc'[n % 3]}-{n}")
     context.run(context.clock.sleep, SETTLE_MS)
     context.named = {}
+    context.free_calls = []
     watch(context)
+    watch_frees(context)
+
+
+def watch_frees(context):
+    """Note which servers are asked to give up results."""
+    plain = context.fleet.upstream.free
+
+    def free(handles):
+        addresses = {handle.partition("/")[0] for handle in handles}
+        context.free_calls += [(context.clock.now(), address) for address in addresses]
+        plain(handles)
 
+    context.fleet.upstream.free = free
 
-def send(context, rate, kind, ms, **options):
-    """Send requests at a steady rate, with prompts of twelve subjects."""
+
+def send(context, rate, kind, ms, keys=("k",), label=""):
+    """Send requests at a steady rate, with prompts of twelve subjects, of some teams in turn."""
+    context.rate, context.kind, context.series_at = rate, kind, context.clock.now()
 
     def fields(n):
+        key = keys[n % len(keys)]
+        plain = {"key": key} | ({"id": f"ranked/{key}-{n}"} if len(keys) > 1 else {})
         if kind not in {"stream", "resumable", "staged"}:
-            return {}
+            return plain
         parts = (PromptPart(f"subject-{n % 12}", 800), PromptPart(f"own-{n}", 200))
-        return {"prompt": Prompt(1_000, 30, parts)}
+        return plain | {"prompt": Prompt(1_000, 30, parts)}
 
-    send_steadily(context, rate, kind, ms, fields=fields, **options)
+    send_steadily(context, rate, kind, ms, label=label, fields=fields)
 
 
 def name_limit(context, server, per_s):
@@ -62,9 +105,424 @@
 
 @then("no server got more than its limit allows")
 def within_limits(context):
-    for server, ((since, per_s),) in context.named.items():
+    for server, (since, per_s) in limited(context).items():
         times = [at for at in arrivals(context, server) if at >= since]
         counted = [at for at in times if at >= times[0] + TOLD_MS]
         most = OVERSHOOT * SPAN_S * per_s + BURST
         spans = [sum(at <= one < at + SPAN_S * SECOND_MS for one in counted) for at in counted]
         assert max(spans, default=0) <= most, (server, max(spans), most)
+
+
+def limited(context):
+    """Return the servers that named a limit, with when they first did and the highest."""
+    return {
+        name: (words[0][0], max(per_s for _, per_s in words))
+        for name, words in context.named.items()
+    }
+
+
+def of_service(context, service):
+    return [name for name in context.servers if name.startswith(f"{service}-")]
+
+
+@when(
+    "all {service:w} servers name {per_s:g} requests a second, and {rate:d} {kind:w} requests a "
+    "second come for {ms:d} ms"
+)
+def all_name(context, service, per_s, rate, kind, ms):
+    for server in of_service(context, service):
+        name_limit(context, server, per_s)
+    context.length_ms = ms
+    send(context, rate, kind, ms)
+
+
+@when(
+    "all {service:w} servers name {per_s:g} requests a second, and {rate:d} {kind:w} requests a "
+    "second come for {ms:d} ms while {what}"
+)
+def all_name_while(context, service, per_s, rate, kind, ms, what):
+    context.topic = service if service == "enc" else prompts_topic(service)
+    context.clock.call_later(EVENT_MS, lambda: gevent.spawn(EVENTS[what], context))
+    all_name(context, service, per_s, rate, kind, ms)
+
+
+def restart(context, name):
+    context.fleet.instances[name].close()
+    context.clock.sleep(DOWN_MS)
+    context.fleet.start(name)
+
+
+def restart_meeting(context):
+    restart(context, meeting(context, context.topic).settings.name)
+
+
+def end_meeting(context):
+    context.fleet.instances.pop(meeting(context, context.topic).settings.name).close()
+
+
+def cut_three(context):
+    names = list(context.fleet.instances)
+    for name in names[-3:]:
+        context.fleet.network.parted |= {frozenset({name, one}) for one in names if one != name}
+
+
+def lose_meeting(context):
+    first = meeting(context, context.topic).settings.name
+    others = [name for name in context.fleet.instances if name != first]
+    context.fleet.network.parted |= {frozenset({first, one}) for one in others[::2]}
+
+
+def two_lose_meeting(context):
+    first = meeting(context, context.topic).settings.name
+    others = [name for name in context.fleet.instances if name != first]
+    context.fleet.network.parted |= {frozenset({first, one}) for one in others[:2]}
+
+
+def start_two(context):
+    for name in ("a-new", "b-new"):
+        context.fleet.start(name)
+
+
+def restart_all(context):
+    tasks = [gevent.spawn(restart, context, name) for name in list(context.fleet.instances)]
+    gevent.joinall(tasks)
+
+
+def cut_datacentre(context):
+    context.fleet.network.cut |= {frozenset({"a", "b"}), frozenset({"a", "c"})}
+
+
+EVENTS = {
+    "the instance where its work meets is restarted": restart_meeting,
+    "the instance where its work meets dies": end_meeting,
+    "three instances are cut off from the others": cut_three,
+    "half of them lose the one where its work meets": lose_meeting,
+    "two of them lose the one where its work meets": two_lose_meeting,
+    "two more instances start": start_two,
+    "all instances are restarted at once": restart_all,
+    "a data centre is cut off from the others": cut_datacentre,
+}
+
+
+@given("{number:d} more instances")
+def more(context, number):
+    for n in range(number):
+        context.fleet.start(f"{'abc'[n % 3]}-more-{n}")
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@then("over {part:d} of 100 of what they take was used")
+def used(context, part):
+    for server, (since, per_s) in limited(context).items():
+        got = [at for at in arrivals(context, server) if at >= since + TOLD_MS]
+        seconds = (context.length_ms - TOLD_MS) / SECOND_MS
+        assert len(got) > part / 100 * int(per_s * seconds), (server, len(got), per_s * seconds)
+
+
+def known_ends(context):
+    """Return how requests ended that came once all instances knew of the limits, by id.
+
+    Who came before was let in as if there were none.
+    """
+    known_at = min(since for since, _ in limited(context).values()) + KNOWN_MS
+    return {id_: end for id_, end in context.ends.items() if context.arrived[id_] >= known_at}
+
+
+@then("whoever was not served was told that nothing ran, and when to come back")
+def told_when(context):
+    lost = [end for end in known_ends(context).values() if end[0] != 200]
+    assert lost and {end[3] for end in lost} == {"not_run"}, {end[2:4] for end in lost}
+    assert all(end[4].retry_after_ms > 0 for end in lost)
+
+
+@then("over {part:d} of 100 answers were on time")
+def on_time(context, part):
+    took = [context.took[id_] for id_, end in known_ends(context).items() if end[0] == 200]
+    in_time = sum(ms <= AIM_MS for ms in took)
+    assert took and in_time > part / 100 * len(took), (in_time, len(took))
+
+
+@then("calls held {least:d} pieces or more on the average")
+def fuller(context, least):
+    calls = [n for at, server, n, _ in context.sent if server.startswith("enc-")]
+    late = calls[len(calls) // 2 :]
+    assert sum(late) >= least * len(late), (sum(late), len(late))
+
+
+@given("server {server} has named {per_s:g} request a second")
+@given("all {service:w} servers have named {per_s:g} request a second")
+def has_named(context, per_s, server="", service=""):
+    for one in [server] if server else of_service(context, service):
+        name_limit(context, one, per_s)
+        for instance in list(context.fleet.instances.values())[:1]:
+            found = instance.directory.find(one)
+            instance.limits.book.hear(found, per_s, context.clock.now())
+    context.run(context.clock.sleep, 100.0)
+
+
+@when("an instance starts while the store is out of reach")
+def starts_without_store(context):
+    context.fleet.catalogue.down = context.fleet.servers.down = True
+    context.new = context.fleet.start("a-new")
+
+
+@then("it knows within {ms:d} ms that {server} takes {per_s:g} a second")
+def knows(context, ms, server, per_s):
+    context.run(context.clock.sleep, float(ms))
+    assert context.new.limits.book.per_s(server) == per_s
+    assert context.new.limits.leadership.part("any topic", None) < 1.0
+
+
+@when("it names {word}, and they come for {ms:d} ms more")
+def names_another(context, word, ms):
+    server = next(iter(context.named))
+    if word == "none":
+        context.fleet.upstream.limits.pop(server)
+    else:
+        name_limit(context, server, float(word))
+    send(context, context.rate, context.kind, ms, label=f"{context.clock.now()}-")
+
+
+@then("it got {least:d} to {most:d} of them")
+def got_between(context, least, most):
+    got = len(lately(context))
+    assert least <= got <= most, got
+
+
+@then("it got over {least:d} of them")
+def got_over(context, least):
+    got = len(lately(context))
+    assert got > least, got
+
+
+def lately(context):
+    """Return when the server got requests of the last series."""
+    server = next(iter(context.named))
+    return [at for at in arrivals(context, server) if at >= context.series_at]
+
+
+@then("no instance takes it to be limited")
+def none_limited(context):
+    server = next(iter(context.named))
+    none_takes(context, server)
+
+
+@then("no instance takes {server} to be limited")
+def none_takes(context, server):
+    for instance in context.fleet.instances.values():
+        assert instance.limits.book.per_s(server) == UNLIMITED, instance.settings.name
+
+
+@then("each server got a request in its last {ms:d} ms")
+def got_lately(context, ms):
+    for server in context.named:
+        last = max(arrivals(context, server))
+        assert last >= context.clock.now() - ms, (server, last, context.clock.now())
+
+
+@when(
+    "server {server} starts again without a limit, and {rate:d} {kind} requests a second come for "
+    "{ms:d} ms"
+)
+def starts_again(context, server, rate, kind, ms):
+    context.fleet.upstream.limits.pop(server)
+    service, datacentre = context.servers[server]
+    context.fleet.add_server(server, service, datacentre, born=7)
+    context.run(context.clock.sleep, 100.0)
+    send(context, rate, kind, ms)
+
+
+@when("nothing comes for {minutes:d} minutes, and then {server} names {per_s:g} a second")
+def nothing_comes(context, minutes, server, per_s):
+    context.run(context.clock.sleep, minutes * 60_000.0)
+    has_named(context, per_s, server=server)
+
+
+@when(
+    "all {service:w} servers name {per_s:g} requests a second, and {rate:d} urgent and {other:d} "
+    "other {kind:w} requests a second come for {ms:d} ms"
+)
+def two_ranks(context, service, per_s, rate, other, kind, ms):
+    for server in of_service(context, service):
+        name_limit(context, server, per_s)
+    holders = {"k": KeyHolder("desk", 0), "low": KeyHolder("low", 1)}
+    newer = replace(catalogue(3), keys=holders, team_levels=(0, 1), route_span=2)
+    context.fleet.configure(newer)
+    context.run(context.clock.sleep, 300.0)
+    send(context, rate + other, kind, ms, keys=("k", "low"))
+
+
+@then(
+    "over {part:d} of 100 urgent ones were answered, and more than {times:d} times as many as of "
+    "the others"
+)
+def urgent_first(context, part, times):
+    ends = list(context.ends.items())
+    good = {key: [end[0] == 200 for id_, end in ends if f"/{key}-" in id_] for key in ("k", "low")}
+    urgent, other = sum(good["k"]), sum(good["low"])
+    assert urgent > part / 100 * len(good["k"]), (urgent, len(good["k"]))
+    assert urgent > times * other, (urgent, other)
+
+
+@when("whoever was refused in the last {ms:d} ms comes back when it was told, alone")
+def come_back(context, ms):
+    since = max(context.ended_at.values()) - ms
+    told = {
+        id_: end[4].retry_after_ms
+        for id_, end in context.ends.items()
+        if end[0] != 200 and context.ended_at[id_] >= since
+    }
+    now = context.clock.now()
+    context.back = {}
+
+    def back(id_, after_ms):
+        context.clock.sleep(max(0.0, context.ended_at[id_] + after_ms - now))
+        name = id_.split("/")[0]
+        sent = request(f"{id_} again", PATHS["safe"], context.clock.now())
+        serve(context, name, sent)
+        context.back[id_] = context.ends[sent.id][0]
+
+    def all_back():
+        gevent.joinall([gevent.spawn(back, *one) for one in told.items()])
+
+    assert told
+    context.run(all_back)
+
+
+@then("over {part:d} of 100 of those that came back were answered")
+def back_answered(context, part):
+    good = sum(status == 200 for status in context.back.values())
+    assert good > part / 100 * len(context.back), (good, len(context.back))
+
+
+def wait_for_turn(context, then):
+    """Have a request wait for its turn at a server; run a function with it, its task and server."""
+    name = next(iter(context.fleet.instances))
+    instance = context.fleet.instances[name]
+
+    def play():
+        context.clock.sleep(10.0)
+        for n in range(12):
+            sent = request(f"{name}/{n}", PATHS["safe"], context.clock.now())
+            gevent.spawn(serve, context, name, sent)
+        context.clock.sleep(900.0)
+        sent = request(f"{name}/waiting", PATHS["safe"], context.clock.now())
+        task = gevent.spawn(serve, context, name, sent)
+        context.clock.sleep(10.0)
+        running = {server: state.running for server, state in instance.router.states.items()}
+        server = next(one for one, number in running.items() if number)
+        then(task, server)
+        context.clock.sleep(1_500.0)
+
+    context.instance = instance
+    context.run(play)
+
+
+@when("a caller of an instance leaves while it waits for its turn")
+def leaves_waiting(context):
+    wait_for_turn(context, lambda task, server: task.kill())
+
+
+@then("its request reaches no server, and no server counts it as running")
+def reaches_none(context):
+    assert not [id_ for id_ in context.fleet.upstream.arrivals if id_.endswith("/waiting")]
+    assert not any(state.running for state in context.instance.router.states.values())
+    assert not context.instance.forwarder.context.picker.placer.homes
+
+
+@when("the server is drained at which a request waits for its turn")
+def drained_waiting(context):
+    def drain(task, server):
+        service, datacentre = context.servers[server]
+        context.fleet.add_server(server, service, datacentre, draining=True)
+        context.drained = server
+
+    wait_for_turn(context, drain)
+
+
+@then("it reaches another server only")
+def sent_elsewhere(context):
+    (arrived,) = [
+        to for id_, to in context.fleet.upstream.arrivals.items() if id_.endswith("/waiting")
+    ]
+    assert arrived and context.drained not in arrived, (arrived, context.drained)
+
+
+@given("a server has named {per_s} a second in an answer from {sent:d} to {seen:d} ms")
+def book_named(context, per_s, sent, seen):
+    context.book = LimitBook("me", context.clock, MemoryMetrics())
+    context.server = listed_server("i-1", "desk", "10.0.0.1:80", "a", 8, False)
+    context.clock.time = 1_000.0
+    context.book.hear(context.server, 2.0, 900.0)
+    answer_named(context, sent, seen, per_s)
+
+
+@when("one from {sent:d} to {seen:d} ms names {per_s}")
+def answer_named(context, sent, seen, per_s):
+    context.clock.time = 1_000.0 + seen
+    context.book.hear(context.server, _limit(per_s), 1_000.0 + sent)
+
+
+@then("it is taken to take {per_s}")
+def taken_to(context, per_s):
+    assert context.book.per_s("i-1") == _limit(per_s), context.book.words
+
+
+def _limit(text):
+    return UNLIMITED if text == "none" else float(text)
+
+
+@given("{number:d} instances in a ring, with links of {ms:d} ms")
+def ring(context, number, ms):
+    context.books = [LimitBook(f"i-{n}", context.clock, MemoryMetrics()) for n in range(number)]
+    context.messages = 0
+    context.under_way = 0
+
+    def tell(n, words, source):
+        for to in ((n - 1) % number, (n + 1) % number):
+            if f"{to}" == source:
+                continue
+            context.messages += 1
+            context.under_way += 1
+            ages = [one.as_ages(context.clock.now()) for one in words]
+            context.clock.call_later(float(ms), partial(take, to, ages, f"{n}"))
+
+    def take(to, ages, source):
+        context.under_way -= 1
+        context.books[to].take([one.told(context.clock.now()) for one in ages], source)
+
+    for n, book in enumerate(context.books):
+        book.on_news = lambda words, source, n=n: tell(n, words, source)
+
+
+@when("one is told a limit of {first:g}, and {ms:d} ms later another one a limit of {second:g}")
+def told_two(context, first, ms, second):
+    server = listed_server("i-1", "desk", "10.0.0.1:80", "a", 8, False)
+
+    def play():
+        context.clock.sleep(100.0)
+        context.books[0].hear(server, first, context.clock.now() - 5.0)
+        context.clock.sleep(float(ms))
+        context.books[2].hear(server, second, context.clock.now() - 5.0)
+
+    context.run(play)
+
+
+@then("after {ms:d} ms all of them hold the same, and no message is under way")
+def hold_same(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    assert len({book.per_s("i-1") for book in context.books}) == 1
+    assert context.under_way == 0, context.messages
+    assert context.messages <= 4 * len(context.books), context.messages
+
+
+@then("results are given up in less than half as many calls as pieces are made there")
+def few_frees(context):
+    calls = [one for one in context.sent if one[1].startswith("enc-")]
+    assert len(context.free_calls) < len(calls) / 2, (len(context.free_calls), len(calls))
+
+
+@then("no server got more than its limit allows with those counted")
+def within_with_frees(context):
+    context.sent += [(at, server, 1, "") for at, server in context.free_calls]
+    within_limits(context)
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -31,7 +31,7 @@
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
-from mountladder.serverlimits.limitbook import LimitBook
+from mountladder.serverlimits.serverlimits import ServerLimits
 
 # How soon the queue is looked at again where no event would do it.
 LOOK_AGAIN_MS = 40.0
@@ -41,6 +41,8 @@
 NO_SERVER_MS = 5_000.0
 # Pieces that wait longer than so many full calls wait for more than the next free server.
 CROWDED = 1.5
+# A server that limits what it takes is asked to give up results once so much of its room is taken.
+SHORT_ROOM = 0.5
 # The servers are taken to make at least this part of what full calls would make.
 LEAST_RATE = 0.3
 
@@ -63,7 +65,7 @@
         clock: The clock.
         metrics: Where calls are counted.
         cold: Limits what servers get that have just started.
-        limits: Knows how much servers say that they take.
+        limits: Keeps to what servers say that they take.
     """
 
     def __init__(
@@ -78,7 +80,7 @@
         clock: Clock,
         metrics: Metrics,
         cold: ColdServers,
-        limits: LimitBook,
+        limits: ServerLimits,
     ) -> None:
         self.service = service
         self.catalogue = catalogue
@@ -90,13 +92,14 @@
         self.metrics = metrics
         self.queue = PieceQueue()
         self.demand = StageDemand(clock)
-        self.limits_named = limits
-        self.servers = StageServers(service, division, router, cold)
+        self.servers = StageServers(service, division, router, cold, limits)
         self.room = ResultRoom()
         self.rate = PieceRate(clock)
         self.twice: set[Waiting] = set()
         self.told: tuple[float, Backlog] | None = None
-        self.releaser = Releaser(upstream, division.directory, clock, self.freed)
+        self.releaser = Releaser(
+            upstream, division.directory, clock, self.freed, self.servers.limited_addresses
+        )
         self.cancel_look: Callable[[], None] | None = None
 
     def submit(self, job: StageJob, done: Done) -> JobProgress:
@@ -127,6 +130,8 @@
         self.queue.drop_late(now)
         self.queue.drop_barred(self.quarantine)
         self.room.drop_old(now)
+        if self.releaser.held and limits is not None:
+            self.free_held(limits, now)
         if self.queue and limits is not None:
             self.queue.sort(now)
             for state in self.servers.free(limits, now):
@@ -150,6 +155,15 @@
         if self.queue:
             self.pump()
 
+    def free_held(self, limits: BatchLimits, now: float) -> None:
+        """Give up results that are held back at servers, where their room gets short."""
+        for state in self.servers.usable(now):
+            address, name = state.server.address, state.server.name
+            held = self.releaser.held.get(address)
+            is_short = self.room.taken(name, now) >= SHORT_ROOM * limits.room_bytes
+            if held and is_short and self.servers.take_request(state):
+                self.releaser.free_held(address, self.room.results.__contains__)
+
     def look_again(self) -> None:
         """Look at the queue a little later, unless that is arranged already."""
         if self.cancel_look is None:
@@ -192,8 +206,7 @@
         usable = self.servers.usable(now)
         if limits is None or not usable:
             return Backlog(self.service, (NO_SERVER_MS,) * len(PLACES))
-        full_ms = limits.expected_ms(limits.pieces)
-        rate = sum(limits.pieces / (full_ms * one.slowness_at(now)) for one in usable)
+        rate = sum(self.servers.pieces_per_ms(one, limits, now) for one in usable)
         measured = self.rate.measured()
         if measured is not None:
             rate = max(LEAST_RATE * rate, min(rate, measured))
--- a/packages/core/src/mountladder/forwarding/contacts.py
+++ b/packages/core/src/mountladder/forwarding/contacts.py
@@ -53,7 +53,8 @@
         for service in catalogue.services.values():
             if service.batch is not None:
                 self.topics.add(service.name)
-            if service.slots or service.cold_per_s:
+            # Requests for plain services meet where some of their servers limit what they take.
+            if service.slots or service.cold_per_s or service.batch is None:
                 self.topics.add(prompts_topic(service.name))
 
     def ranked(self, topic: str) -> list[Instance]:
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -50,6 +50,8 @@
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
 from mountladder.serverlimits.limitbook import LimitBook
+from mountladder.serverlimits.limitexchange import LimitExchange
+from mountladder.serverlimits.serverlimits import ServerLimits
 from mountladder.supervision import keep_running
 
 # Three missed heartbeats are silence, after which stages are handed to another instance: with
@@ -110,7 +112,6 @@
         self.fleet = Fleet(
             self.membership, network, clock, metrics, settings.seeds, self.follower, self.directory
         )
-        self.limits = LimitBook(clock, metrics)
         self.build(upstream)
 
     def build(self, upstream: Upstream) -> None:
@@ -125,10 +126,16 @@
             self.settings.datacentre,
             SPILL_MS,
         )
-        self.cold = ColdServers(self.directory, self.follower, Leadership(self.fleet, clock), clock)
-        desk = PlacementDesk(self.directory, self.router, clock, self.follower, self.cold)
+        leadership = Leadership(self.fleet, clock)
+        self.cold = ColdServers(self.directory, self.follower, leadership, clock)
+        book = LimitBook(self.me.incarnation, clock, metrics)
+        self.limits = ServerLimits(book, leadership, clock)
+        self.limit_exchange = LimitExchange(self.fleet, book, clock)
+        desk = PlacementDesk(
+            self.directory, self.router, clock, self.follower, self.cold, self.limits
+        )
         placer = PromptPlacer(self.fleet, desk, clock)
-        picker = ServerPicker(self.directory, self.router, placer, self.cold)
+        picker = ServerPicker(self.directory, self.router, placer, self.cold, self.limits)
         self.upstream = upstream
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
@@ -183,7 +190,7 @@
             departure=self.departure,
             fetch_time=FetchTime(),
             quarantine=self.quarantine,
-            limits=self.limits,
+            limits=self.limits.book,
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -20,6 +20,7 @@
 from mountladder.forwarding.keyholder import KeyHolder
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stageflow import StageFlow
+from mountladder.forwarding.turn import Turn
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 
@@ -58,6 +59,7 @@
         gives_way: Whether it cannot be on time and its stages give way to all that can.
         cancel_release: Keeps results that are about to be given up.
         case: The request as the quarantine sees it.
+        turn: Chooses servers, and waits for a turn at those that limit what they take.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.comes_back = self.age_ms > 0.0
         self.gives_way = False
+        self.turn = Turn(self)
         texts = (self.team, request.method, request.host, request.target)
         self.case = context.quarantine.case(request.id, texts, request.body)
         context.budget(self.service).earn()
@@ -112,6 +115,7 @@
             forecast = self.context.forecast
             expectation = forecast.admit(self.request, self.route, self.urgency, self.age_ms)
             self.expected_ms, self.gives_way = expectation.ms, expectation.gives_way
+            self.turn.book(expectation.stages_ms + expectation.waiting_ms)
         self.flow = StageFlow(
             self.request,
             self.route,
@@ -165,10 +169,7 @@
             MountladderError: No server can be used.
         """
         try:
-            self.case.admit(self.left())
-            picked = self.context.picker.pick(
-                self.request, self.service, self.left(), self.excluded, self.site
-            )
+            picked = self.turn.take()
         except RefusalError as error:
             raise self.final(error) from error
         self.sendings += 1
@@ -251,9 +252,13 @@
             return self.final(RunError(error.detail, Code.RETRY_BUDGET_SPENT))
         return None
 
+    def has_begun(self) -> bool:
+        """Tell whether any of it may have run, its stages included."""
+        return self.runs > 0 or (self.flow is not None and self.flow.begun)
+
     def final(self, error: MountladderError) -> MountladderError:
         """Return an error as the caller is told it: a refusal only where nothing ran."""
-        begun = self.runs > 0 or (self.flow is not None and self.flow.begun)
+        begun = self.has_begun()
         if begun and isinstance(error, RefusalError):
             barred = error.code is Code.QUARANTINED
             return RunError(error.detail, Code.SERVERS_ENDED if barred else None)
@@ -272,6 +277,7 @@
         """Give up the results of stages, and record how the request ended."""
         if self.flow is not None:
             self.flow.release()
+        self.turn.drop()
         metrics = self.context.metrics
         metrics.timing(Metric.REQUEST_MS, self.elapsed())
         if error is None:
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.contacts import HOMES_KEPT
 from mountladder.forwarding.fleet import Fleet
 
@@ -16,6 +17,9 @@
 # For how long an answer is kept: it looks at each link, and every prompt asks while servers are
 # cold. Silence of a link takes three heartbeats to show, at least 750 ms.
 KEPT_MS = 50.0
+# Those that cannot leave it to the instance where work surely meets spend this part of a common
+# limit, all of them together. Half as much again is borne.
+ALONE_PART = 0.4
 
 
 class Leadership:
@@ -47,6 +51,30 @@
             self.kept[topic] = (now + KEPT_MS, answer)
         return answer
 
+    def leads_at(self, topic: str, server: BackendServer) -> bool:
+        """Tell whether all that a topic's work sends to a server surely goes through here.
+
+        A data centre without servers of its own may use those that are another one's to use.
+        """
+        divided = self.fleet.division.is_divided(topic)
+        own = not divided or server.datacentre == self.fleet.membership.me.datacentre
+        return own and self.leads(topic)
+
+    def part(self, topic: str, server: BackendServer) -> float:
+        """Return which part of what all may send to a server together may be sent from here."""
+        if self.leads_at(topic, server):
+            return 1.0
+        return ALONE_PART * self.served(topic) / self.fleet.membership.sharing()
+
+    def served(self, topic: str) -> int:
+        """Return for how many instances this one decides: itself, and those that it reaches.
+
+        Those behind a cut leave their work to the first one there.
+        """
+        if self.fleet.home(topic) is not None:
+            return 1
+        return 1 + sum(self.fleet.is_answering(link) for link in self.fleet.links.values())
+
     def reaches_most(self, topic: str) -> bool:
         """Tell whether this instance is among the first, meets none before it, and most others."""
         firsts = self.fleet.contacts.ranked(topic)[:HOMES_KEPT]
--- a/packages/core/src/mountladder/forwarding/picked.py
+++ b/packages/core/src/mountladder/forwarding/picked.py
@@ -20,9 +20,11 @@
         placement: What stands for the prompt where prompts are placed, or 0 without one.
         source: The address of the server to fetch kept parts of the prompt from, or empty.
         read: How many tokens the server is believed to read.
+        ready_at: When its turn comes at a server that limits what it takes.
     """
 
     choice: Choice
     placement: int = 0
     source: str = ""
     read: int = 0
+    ready_at: float = 0.0
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping, Sequence
 
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.directory import Directory
@@ -19,8 +20,10 @@
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.ranking import prompts_topic
+from mountladder.forwarding.turnedaway import TurnedAway
 from mountladder.routing.promptplacement import PromptPlacement
 from mountladder.routing.router import Router
+from mountladder.serverlimits.serverlimits import ServerLimits
 
 # Stands for this instance among those that have prompts placed.
 HERE = 0
@@ -37,9 +40,11 @@
         clock: The clock.
         follower: The catalogue in force.
         cold: Limits what servers get that have just started.
+        limits: Keeps to what servers say that they take.
 
     Attributes:
         placed: The prompts that are at servers, by who placed them and the order's number.
+        turned_away: Whom servers that limit what they take left no turn, by their service.
     """
 
     def __init__(
@@ -49,15 +54,18 @@
         clock: Clock,
         follower: CatalogueFollower,
         cold: ColdServers,
+        limits: ServerLimits,
     ) -> None:
         self.directory = directory
         self.router = router
         self.clock = clock
         self.follower = follower
         self.cold = cold
+        self.limits = limits
         self.placement = PromptPlacement(clock, router)
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.unread: set[tuple[Hashable, int]] = set()
+        self.turned_away: dict[str, TurnedAway] = {}
 
     def place(self, order: PlacementOrder, owner: Hashable) -> PlacementReply:
         """Return where a prompt is to go, and remember that it is sent there.
@@ -67,27 +75,72 @@
             owner: Stands for the instance that sends it.
         """
         servers = self.directory.available(order.service)
+        topic = prompts_topic(order.service)
         cold = self.cold.cold(servers)
-        spent = self.cold.spent(servers, cold, prompts_topic(order.service))
+        spent = self.cold.spent(servers, cold, topic)
+        waits_ms = self.limits.waits_ms(servers, topic)
         excluded = frozenset(order.excluded) | spent
         service = self.follower.service(order.service)
         transfer = service.transfer if service else None
-        chosen = self.placement.choose(servers, order.prompt, excluded, order.site, transfer, cold)
+        chosen = None
+        if not self.gives_way(order, servers, waits_ms):
+            chosen = self.placement.choose(
+                servers,
+                order.prompt,
+                excluded,
+                order.site,
+                transfer,
+                cold,
+                waits_ms,
+                order.patience_ms,
+            )
         if chosen is None:
-            return PlacementReply(order.number, "", 0.0)
+            return self.turn_away(order, servers, waits_ms)
         choice = chosen.choice
         server = choice.state.server.name
         plan = chosen.plan
         ahead = self.placement.reading[server]
         choice.state.breaker.begin()
         self.cold.sent(choice.state.server)
+        self.limits.sent(choice.state.server, topic)
         key = (owner, order.number)
         self.placed[key] = PlacedPrompt(
             server, plan.read, choice.unloaded_ms, 0 if plan.source else ahead + plan.read
         )
         self.unread.add(key)
         self.placement.began(server, order.prompt, plan.read)
-        return PlacementReply(order.number, server, choice.expected_ms, plan.source, plan.read)
+        wait_ms = waits_ms.get(server, 0.0)
+        return PlacementReply(
+            order.number, server, choice.expected_ms, plan.source, plan.read, wait_ms
+        )
+
+    def gives_way(
+        self,
+        order: PlacementOrder,
+        servers: Sequence[BackendServer],
+        waits_ms: Mapping[str, float],
+    ) -> bool:
+        """Tell whether a request leaves what servers take to more urgent ones."""
+        turned_away = self.turned_away.get(order.service)
+        if turned_away is None or not turned_away.gives_way(order.urgency, self.clock.now()):
+            return False
+        return all(one.name in waits_ms for one in servers)
+
+    def turn_away(
+        self,
+        order: PlacementOrder,
+        servers: Sequence[BackendServer],
+        waits_ms: Mapping[str, float],
+    ) -> PlacementReply:
+        """Return that no server takes a request, and when it is to come back, if that is known."""
+        if not servers or any(one.name not in waits_ms for one in servers):
+            return PlacementReply(order.number, "", 0.0)
+        topic = prompts_topic(order.service)
+        turned_away = self.turned_away.setdefault(order.service, TurnedAway())
+        wait_ms = min(waits_ms.values()) - order.patience_ms
+        per_s = sum(self.limits.per_s(one, topic) for one in servers)
+        back_ms = turned_away.add(order.urgency, wait_ms, per_s, self.clock.now())
+        return PlacementReply(order.number, "", 0.0, wait_ms=back_ms)
 
     def note(self, note: PlacementNote, owner: Hashable) -> None:
         """Take in what became of a prompt."""
--- a/packages/core/src/mountladder/forwarding/placementorder.py
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -21,6 +21,8 @@
         prompt: The prompt.
         excluded: Names of servers that the asking instance does not want.
         site: The data centre where large inputs lie, or an empty string.
+        patience_ms: How long it may wait before it is sent, where servers limit what they take.
+        urgency: Its rank, 0 first.
     """
 
     number: int
@@ -28,3 +30,5 @@
     prompt: Prompt
     excluded: tuple[str, ...]
     site: str
+    patience_ms: float = 0.0
+    urgency: int = 0
--- a/packages/core/src/mountladder/forwarding/placementreply.py
+++ b/packages/core/src/mountladder/forwarding/placementreply.py
@@ -19,6 +19,8 @@
         expected_ms: The expected time to the first event there.
         source: The address of the server that it fetches kept parts of the prompt from, or empty.
         read: How many tokens it is believed to read.
+        wait_ms: How long it has to wait for its turn at a server that limits what it takes; without
+            a server, when it is to come back, or 0 where that is not known.
     """
 
     number: int
@@ -26,3 +28,4 @@
     expected_ms: float
     source: str = ""
     read: int = 0
+    wait_ms: float = 0.0
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -49,7 +49,13 @@
         fleet.peer_gone.append(lambda link: desk.drop(id(link)))
 
     def place(
-        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
+        self,
+        service: str,
+        prompt: Prompt,
+        excluded: frozenset[str],
+        site: str,
+        patience_ms: float = 0.0,
+        urgency: int = 0,
     ) -> PlacementReply:
         """Return where a prompt is to go; its number stands for it until it has ended.
 
@@ -58,8 +64,10 @@
             prompt: The prompt.
             excluded: Names of servers that are not wanted.
             site: The data centre where large inputs lie, or an empty string.
+            patience_ms: How long it may wait for its turn at a server that limits what it takes.
+            urgency: Its rank.
         """
-        order = self.order(service, prompt, excluded, site)
+        order = self.order(service, prompt, excluded, site, patience_ms, urgency)
         link = self.fleet.home(prompts_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
@@ -69,16 +77,30 @@
         return reply
 
     def place_here(
-        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
+        self,
+        service: str,
+        prompt: Prompt,
+        excluded: frozenset[str],
+        site: str,
+        patience_ms: float = 0.0,
+        urgency: int = 0,
     ) -> PlacementReply:
         """Return where a prompt is to go by what this instance alone knows; see place."""
-        return self.decide(self.order(service, prompt, excluded, site))
+        return self.decide(self.order(service, prompt, excluded, site, patience_ms, urgency))
 
     def order(
-        self, service: str, prompt: Prompt, excluded: frozenset[str], site: str
+        self,
+        service: str,
+        prompt: Prompt,
+        excluded: frozenset[str],
+        site: str,
+        patience_ms: float,
+        urgency: int,
     ) -> PlacementOrder:
         """Return a new order for a prompt; see place."""
-        return PlacementOrder(next(self.numbers), service, prompt, tuple(excluded), site)
+        return PlacementOrder(
+            next(self.numbers), service, prompt, tuple(excluded), site, patience_ms, urgency
+        )
 
     def decide(self, order: PlacementOrder) -> PlacementReply:
         """Place a prompt on this instance."""
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -26,6 +26,11 @@
         directory: Knows whose servers are to get nothing; what they keep is left to lapse there.
         clock: The clock.
         freed: Called with the handles once the servers have dropped the results.
+        limited: Returns the addresses of servers that limit what they take.
+
+    Attributes:
+        held: Handles of results at those, by address: giving them up takes one of the few requests
+            that such a server gets, so that they wait until there is need, or lapse.
     """
 
     def __init__(
@@ -34,11 +39,14 @@
         directory: Directory,
         clock: Clock,
         freed: Callable[[Sequence[str]], None],
+        limited: Callable[[], frozenset[str]],
     ) -> None:
         self.upstream = upstream
         self.directory = directory
         self.clock = clock
         self.freed = freed
+        self.limited = limited
+        self.held: dict[str, list[str]] = {}
         self.handles: list[str] = []
         self.cancel: Callable[[], None] | None = None
 
@@ -57,7 +65,24 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give up results, and tell when that is done."""
-        drained = self.directory.drained_addresses()
-        given_up = [one for one in handles if one.partition("/")[0] not in drained]
+        drained, limited = self.directory.drained_addresses(), self.limited()
+        given_up = []
+        for handle in handles:
+            address = handle.partition("/")[0]
+            if address in limited:
+                self.held.setdefault(address, []).append(handle)
+            elif address not in drained:
+                given_up.append(handle)
         self.upstream.free(given_up)
         self.freed(given_up)
+
+    def free_held(self, address: str, still: Callable[[str], bool]) -> None:
+        """Give up what was held back at a server, where it is still there; in one call."""
+        handles = [one for one in self.held.pop(address, ()) if still(one)]
+        if handles:
+            gevent.spawn(self.free_now, handles)
+
+    def free_now(self, handles: Sequence[str]) -> None:
+        """Give up results whatever their servers take, and tell when that is done."""
+        self.upstream.free(handles)
+        self.freed(handles)
--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -13,9 +13,6 @@
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.membership import Membership
 
-# How many instances are taken to share the retry budget while their number is not known.
-UNKNOWN_INSTANCES = 16
-
 
 class RetryBudgets:
     """Holds this instance's part of the retry budget that all share, for each service.
@@ -46,9 +43,7 @@
 
     def reserve(self) -> float:
         """Return this instance's part of the common reserve of retries."""
-        known = 1 + len(self.membership.known)
-        sharing = known if self.membership.listed else max(known, UNKNOWN_INSTANCES)
-        return self.settings().retry_reserve / sharing
+        return self.settings().retry_reserve / self.membership.sharing()
 
     def renew(self) -> None:
         """Make all budgets anew, after the settings have changed."""
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -21,10 +21,14 @@
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.routing.choice import Choice
-from mountladder.routing.router import Router
+from mountladder.routing.router import ROOMY, Router
+from mountladder.serverlimits.serverlimits import ServerLimits
 
 # When a caller may come back where no server can be used: about as long as a breaker stays open.
 NO_SERVER_RETRY_MS = 1_000.0
+# Servers that limit what they take are tried so often while others have room, by one instance or
+# another; only an answer tells that a limit has ended.
+TRY_MS = 250.0
 # What stands for the prompt of a request without one where its server is chosen with those.
 NO_PROMPT = Prompt(0, 0, ())
 # Failures that tell of the server itself, not of the request.
@@ -39,15 +43,23 @@
         router: Chooses and learns.
         placer: Places prompts.
         cold: Knows which servers have just started.
+        limits: Knows which servers limit what they take.
     """
 
     def __init__(
-        self, directory: Directory, router: Router, placer: PromptPlacer, cold: ColdServers
+        self,
+        directory: Directory,
+        router: Router,
+        placer: PromptPlacer,
+        cold: ColdServers,
+        limits: ServerLimits,
     ) -> None:
         self.directory = directory
         self.router = router
         self.placer = placer
         self.cold = cold
+        self.limits = limits
+        self.tried: dict[str, float] = {}
         self.stages: dict[str, Stage] = {}
 
     def pick(
@@ -57,30 +69,87 @@
         budget_ms: float,
         excluded: frozenset[str],
         site: str = "",
+        patience_ms: float = 0.0,
+        urgency: int = 0,
     ) -> Picked:
         """Choose a server and record that the request is sent to it.
 
+        Args:
+            request: The request.
+            service: The service.
+            budget_ms: The time that is left.
+            excluded: Names of servers that failed the request already.
+            site: The data centre where large inputs lie, or an empty string.
+            patience_ms: How long it may wait for its turn where all servers limit what they take.
+            urgency: Its rank, 0 first.
+
         Raises:
-            RefusalError: There is none, none is in use, or none can be reached.
+            RefusalError: There is none, none is in use, or none can be reached or takes it in time.
         """
         if self.directory.is_cut_off(service):
             # A connection that cannot come about costs the caller 300 ms for each server.
             raise self.none_available(service)
         if request.prompt is not None:
-            return self.pick_for_prompt(request.prompt, service, excluded, site)
+            return self.pick_for_prompt(
+                request.prompt, service, excluded, site, patience_ms, urgency
+            )
         servers = self.directory.available(service)
         warm = self.cold.warm(servers)
+        limited = self.limits.limited(warm)
+        free = tuple(one for one in warm if one.name not in limited) if limited else warm
+        if limited and free:
+            tried = self.try_limited(service, servers, free, excluded, site)
+            if tried is not None:
+                return tried
         length = len(request.body)
         try:
-            choice = self.router.pick(warm, self.stage(service), length, budget_ms, excluded)
+            choice = self.router.pick(free, self.stage(service), length, budget_ms, excluded)
         except StageError as error:
-            if len(warm) < len(servers):
-                # The rest is cold. Where their requests meet it is known what they may get yet.
-                unwanted = excluded | {one.name for one in warm}
-                return self.pick_for_prompt(NO_PROMPT, service, unwanted, site)
+            if len(free) < len(servers):
+                # Where their requests meet it is known what the others may get yet.
+                unwanted = excluded | {one.name for one in free}
+                return self.pick_for_prompt(
+                    NO_PROMPT, service, unwanted, site, patience_ms, urgency
+                )
             raise self.none_available(service) from error
         return Picked(choice)
 
+    def try_limited(
+        self,
+        service: str,
+        servers: tuple[BackendServer, ...],
+        free: tuple[BackendServer, ...],
+        excluded: frozenset[str],
+        site: str,
+    ) -> Picked | None:
+        """Use what servers with a limit take where the others are crowded, else now and then.
+
+        Only their answers tell that a limit has ended.
+        """
+        now = self.router.clock.now()
+        least = min(self.router.state(one).crowding(now) for one in free)
+        every_ms = TRY_MS * self.placer.fleet.membership.sharing()
+        due = now - self.tried.get(service, -every_ms) >= every_ms
+        if not due and least <= ROOMY:
+            return None
+        self.tried[service] = now
+        unwanted = excluded | {one.name for one in free} | self.cold.cold(servers)
+        try:
+            return self.pick_for_prompt(NO_PROMPT, service, unwanted, site, 0.0, 0)
+        except RefusalError:
+            log_message("limited-servers-spent", service=service, free=len(free))
+            return None
+
+    def is_scarce(self, service: str) -> bool:
+        """Tell whether all servers of a service limit what they take."""
+        servers = self.directory.available(service)
+        return bool(servers) and len(self.limits.limited(servers)) == len(servers)
+
+    def is_open(self, picked: Picked, service: str) -> bool:
+        """Tell whether a request may still be sent to the server that was picked for it."""
+        names = {one.name for one in self.directory.available(service)}
+        return picked.choice.state.server.name in names
+
     def check_drains(self, service: str) -> None:
         """Refuse what a service is needed for whose servers are all to get nothing.
 
@@ -90,34 +159,47 @@
         if self.directory.is_drained(service):
             raise self.none_available(service)
 
-    def none_available(self, service: str) -> RefusalError:
-        """Return the refusal of a request for whose service no server may be used now."""
+    def none_available(self, service: str, wait_ms: float = 0.0) -> RefusalError:
+        """Return the refusal of a request for whose service no server may be used now.
+
+        Args:
+            service: The service.
+            wait_ms: When it is to come back, where servers limit what they take, or 0.
+        """
+        if wait_ms > 0:
+            return RefusalError("", Code.SERVERS_LIMITED, retry_after_ms=wait_ms)
         drained = self.directory.is_drained(service)
         code = Code.DATACENTRES_DRAINED if drained else Code.NO_SERVER_AVAILABLE
         return RefusalError("", code, retry_after_ms=NO_SERVER_RETRY_MS)
 
     def pick_for_prompt(
-        self, prompt: Prompt, service: str, excluded: frozenset[str], site: str
+        self,
+        prompt: Prompt,
+        service: str,
+        excluded: frozenset[str],
+        site: str,
+        patience_ms: float,
+        urgency: int,
     ) -> Picked:
         """Choose a model server and record that a prompt is sent to it."""
         servers = {one.name: one for one in self.directory.available(service)}
         unwanted = excluded | self.out_of_use(servers.values())
-        reply = self.placer.place(service, prompt, unwanted, site)
+        reply = self.placer.place(service, prompt, unwanted, site, patience_ms, urgency)
         if reply.server and reply.server not in servers:
             # Where prompts meet it is not known yet that the server is not to be used any more.
             log_message("placement-outdated", service=service, server=reply.server)
             self.placer.note(reply.number, ended=True)
-            reply = self.placer.place_here(service, prompt, unwanted, site)
+            reply = self.placer.place_here(service, prompt, unwanted, site, patience_ms, urgency)
         server = servers.get(reply.server)
         if server is None:
-            raise self.none_available(service)
+            raise self.none_available(service, reply.wait_ms)
         now = self.router.clock.now()
         state = self.router.state(server)
         state.begin(now)
         expected_ms, compared = reply.expected_ms, len(servers) - len(unwanted)
         crowding = state.crowding(now)
         choice = Choice(state, expected_ms, expected_ms, crowding, len(servers), compared)
-        return Picked(choice, reply.number, reply.source, reply.read)
+        return Picked(choice, reply.number, reply.source, reply.read, now + reply.wait_ms)
 
     def out_of_use(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself has taken out of use."""
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -14,6 +14,8 @@
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
+from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.serverlimits.tokenbucket import MS_PER_SECOND
 
 # A server this much slower than usual is left alone while another is soon free.
 MUCH_SLOWER = 1.8
@@ -30,13 +32,22 @@
         division: Which servers pieces that meet here are made at.
         router: What is known of each server.
         cold: Limits what servers get that have just started.
+        limits: Keeps to what servers say that they take.
     """
 
-    def __init__(self, service: str, division: Division, router: Router, cold: ColdServers) -> None:
+    def __init__(
+        self,
+        service: str,
+        division: Division,
+        router: Router,
+        cold: ColdServers,
+        limits: ServerLimits,
+    ) -> None:
         self.service = service
         self.division = division
         self.router = router
         self.cold = cold
+        self.limits = limits
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
         self.overdue: dict[str, list[StageCallState]] = {}
@@ -45,6 +56,8 @@
     def begin(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call is sent."""
         self.cold.sent(state.server, call.pieces)
+        # A call is one request, however many pieces it holds.
+        self.limits.sent(state.server, self.service)
         self.calls.setdefault(state.server.name, []).append(call)
         state.begin(call.started)
 
@@ -78,6 +91,19 @@
         most = max(1, limits.pieces // PROBE_PART) if self.doubtful(state) else limits.pieces
         return min(most, self.cold.allowance(state.server, self.service))
 
+    def limited_addresses(self) -> frozenset[str]:
+        """Return the addresses of the servers that limit what they take."""
+        servers = self.division.directory.available(self.service)
+        limited = self.limits.limited(servers)
+        return frozenset(one.address for one in servers if one.name in limited)
+
+    def take_request(self, state: ServerState) -> bool:
+        """Take one of the requests that a server can be sent now; tell whether there was one."""
+        if self.limits.wait_ms(state.server, self.service) > 0:
+            return False
+        self.limits.sent(state.server, self.service)
+        return True
+
     def pause(self, state: ServerState, until: float) -> None:
         """Send a server nothing up to a time."""
         self.paused[state.server.name] = until
@@ -88,15 +114,35 @@
         return [one for one in states if one.usable(now)]
 
     def free(self, limits: BatchLimits, now: float) -> list[ServerState]:
-        """Return the servers that can take a call at once, the fastest first, cold ones last."""
+        """Return the servers that can take a call at once, the fastest first.
+
+        Those that limit what they take come behind the others, so that their calls hold what is
+        left then, and cold ones last.
+        """
         usable = self.usable(now)
         free = [one for one in usable if self.is_free(one, limits, now)]
-        cold = self.cold.cold([one.server for one in free])
-        return sorted(free, key=lambda one: (one.server.name in cold, one.slowness_at(now)))
+        servers = [one.server for one in free]
+        cold, limited = self.cold.cold(servers), self.limits.limited(servers)
+        return sorted(
+            free,
+            key=lambda one: (
+                one.server.name in cold,
+                one.server.name in limited,
+                one.slowness_at(now),
+            ),
+        )
 
     def left(self, state: ServerState, now: float) -> float:
-        """Return how long the calls at a server are expected to take yet."""
-        return max((call.left(now) for call in self.calls.get(state.server.name, ())), default=0.0)
+        """Return how long it is expected to take until a server can be sent another call."""
+        calls = self.calls.get(state.server.name, ())
+        busy_ms = max((call.left(now) for call in calls), default=0.0)
+        return max(busy_ms, self.limits.wait_ms(state.server, self.service))
+
+    def pieces_per_ms(self, state: ServerState, limits: BatchLimits, now: float) -> float:
+        """Return how many pieces a server makes in full calls, in a millisecond."""
+        per_ms = 1.0 / (limits.expected_ms(limits.pieces) * state.slowness_at(now))
+        named = self.limits.per_s(state.server, self.service) / MS_PER_SECOND
+        return limits.pieces * min(per_ms, named)
 
     def is_better_to_wait(
         self,
@@ -123,6 +169,8 @@
     def is_free(self, state: ServerState, limits: BatchLimits, now: float) -> bool:
         """Tell whether a server may be sent a call now."""
         paused = self.paused.get(state.server.name, 0.0) > now
+        if self.limits.wait_ms(state.server, self.service) > 0:
+            return False
         return not paused and self.running(state) + len(self.doubtful(state)) // 2 < limits.calls
 
     def running(self, state: ServerState) -> int:
--- a/packages/core/src/mountladder/membership/linkkeeper.py
+++ b/packages/core/src/mountladder/membership/linkkeeper.py
@@ -237,6 +237,22 @@
         """Send a message from a task of its own, so that the caller does not wait."""
         gevent.spawn(self.try_send, link, message)
 
+    def links_for_news(self, source: str) -> list[Link]:
+        """Return the links over which news is told, or passed on, at once.
+
+        Args:
+            source: The name of the peer that told it, or an empty string where it was seen here.
+        """
+        sender = self.membership.known.get(source)
+        here = self.membership.me.datacentre
+        # A neighbour has told all others of this data centre itself.
+        told_near = sender is not None and sender.datacentre == here
+        return [
+            link
+            for link in self.links.values()
+            if link.peer.name != source and not (told_near and link.peer.datacentre == here)
+        ]
+
     def try_send(self, link: Link, message: Message) -> None:
         """Send a message where the link still holds; its own tasks notice where it does not."""
         try:
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -22,6 +22,8 @@
 MISSED_HEARTBEATS = 3
 OUTSIDE_PEERS = 2
 GATHERED_FROM = 6
+# How many instances are taken to share a budget while their number is not known.
+UNKNOWN_INSTANCES = 16
 
 
 class Membership:
@@ -99,6 +101,11 @@
                 self.leaving.discard(incarnation)
                 self.changes += 1
 
+    def sharing(self) -> int:
+        """Return how many instances are taken to share what all may spend together."""
+        known = 1 + len(self.known)
+        return known if self.listed else max(known, UNKNOWN_INSTANCES)
+
     def silence_ms(self, instance: Instance) -> float:
         """Return how long ago an instance was heard of; infinite if never."""
         at = self.heard_at.get(instance.incarnation)
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -153,6 +153,8 @@
   parts @4 :List(PromptPart);
   excluded @5 :List(Text);
   site @6 :Text;
+  patienceMs @7 :Float32;
+  urgency @8 :UInt8;
 }
 
 struct PlacementReply {
@@ -161,6 +163,7 @@
   expectedMs @2 :Float32;
   source @3 :Text;
   read @4 :UInt32;
+  waitMs @5 :Float32;
 }
 
 struct PlacementNote {
@@ -213,6 +216,16 @@
   barredAt @6 :Float64;
 }
 
+struct LimitWord {
+  server @0 :Text;
+  perSecond @1 :Float32;
+  sentAt @2 :Float64;
+  seenAt @3 :Float64;
+  origin @4 :Text;
+  number @5 :UInt64;
+  slackMs @6 :Float32;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -236,5 +249,6 @@
     placementNote @18 :PlacementNote;
     stageNotice @19 :StageNotice;
     suspicions @20 :List(Suspicion);
+    limitWords @21 :List(LimitWord);
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -35,13 +35,14 @@
 from mountladder.membership.wirereader import READERS
 from mountladder.membership.wirewriter import fill
 from mountladder.quarantine.suspicions import Suspicions
+from mountladder.serverlimits.limitwords import LimitWords
 
-VERSION = 6
+VERSION = 7
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueSlice | DirectoryCopy | MemberList
 Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 Placing = PlacementOrder | PlacementReply | PlacementNote
-Message = Configuring | Forwarding | Stages | Placing | Suspicions
+Message = Configuring | Forwarding | Stages | Placing | Suspicions | LimitWords
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -38,6 +38,8 @@
 from mountladder.quarantine.serverend import ServerEnd
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
+from mountladder.serverlimits.limitword import LimitWord
+from mountladder.serverlimits.limitwords import LimitWords
 from mountladder.store.position import Position
 from mountladder.store.write import Write
 
@@ -173,7 +175,8 @@
     prompt = Prompt(order.tokens, order.mostOutput, parts)
     excluded = tuple(str(name) for name in order.excluded)
     number, service = order.number, str(order.service)
-    return PlacementOrder(number, service, prompt, excluded, str(order.site))
+    site, patience_ms = str(order.site), order.patienceMs
+    return PlacementOrder(number, service, prompt, excluded, site, patience_ms, order.urgency)
 
 
 def _read_slice(part) -> CatalogueSlice:
@@ -195,6 +198,18 @@
     )
 
 
+def _read_word(one) -> LimitWord:
+    return LimitWord(
+        str(one.server),
+        one.perSecond,
+        one.sentAt,
+        one.seenAt,
+        str(one.origin),
+        one.number,
+        one.slackMs,
+    )
+
+
 READERS = {
     "hello": _read_hello,
     "heartbeat": _read_heartbeat,
@@ -212,13 +227,14 @@
     "stageWithdrawal": StageWithdrawal,
     "placementOrder": _read_placement,
     "placementReply": lambda one: PlacementReply(
-        one.number, str(one.server), one.expectedMs, str(one.source), one.read
+        one.number, str(one.server), one.expectedMs, str(one.source), one.read, one.waitMs
     ),
     "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended, one.gone),
     "stageNotice": lambda one: StageNotice(
         str(one.request), one.stage, str(one.service), one.pieces, one.urgency, one.givesWay
     ),
     "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
+    "limitWords": lambda words: LimitWords(tuple(_read_word(one) for one in words)),
     "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
 }
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -30,6 +30,7 @@
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
 from mountladder.quarantine.suspicions import Suspicions
+from mountladder.serverlimits.limitwords import LimitWords
 
 ANY_VERSION = -1
 MOST_AGE_MS = 2**32 - 1
@@ -214,6 +215,7 @@
     for part, to in zip(prompt.parts, parts, strict=True):
         to.id, to.tokens = part.id, part.tokens
     order.excluded, order.site = list(message.excluded), message.site
+    order.patienceMs, order.urgency = message.patience_ms, min(message.urgency, MOST_URGENCY)
 
 
 @fill.register
@@ -222,6 +224,7 @@
     reply.number, reply.server = message.number, message.server
     reply.expectedMs = message.expected_ms
     reply.source, reply.read = message.source, message.read
+    reply.waitMs = message.wait_ms
 
 
 @fill.register
@@ -244,6 +247,15 @@
             told.alone = end.alone
 
 
+@fill.register
+def _(message: LimitWords, frame) -> None:
+    words = frame.init("limitWords", len(message.words))
+    for one, to in zip(message.words, words, strict=True):
+        to.server, to.perSecond = one.server, one.per_s
+        to.sentAt, to.seenAt = one.sent_at, one.seen_at
+        to.origin, to.number, to.slackMs = one.origin, one.number, one.slack_ms
+
+
 def _fill_position(position, to) -> None:
     to.era, to.version = position.era, position.version
 
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -44,13 +44,8 @@
             news: What it is.
             source: The name of the peer that told it, or an empty string where it was seen here.
         """
-        sender = self.keeper.membership.known.get(source)
-        here = self.keeper.membership.me.datacentre
-        for link in list(self.keeper.links.values()):
-            # A neighbour has told all others of this data centre itself.
-            told = sender is not None and sender.datacentre == here == link.peer.datacentre
-            if link.peer.name != source and not told:
-                self.send(link, news)
+        for link in self.keeper.links_for_news(source):
+            self.send(link, news)
 
     def greet(self, link: Link) -> None:
         """Tell a peer that has just connected all that is known here."""
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -8,6 +8,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 
 import xxhash
 
@@ -37,6 +38,8 @@
 # A cold server is taken to need this many times as long until its own answers tell: it is slow for
 # some seconds (the users' pages give no figure), and one that is as fast loses little by it.
 COLD_SLOWNESS = 2.0
+# What stands for servers of which none limits what it takes.
+NO_WAITS: Mapping[str, float] = MappingProxyType({})
 
 
 class PromptPlacement:
@@ -73,6 +76,8 @@
         site: str = "",
         transfer: PromptTransfer | None = None,
         cold: frozenset[str] = frozenset(),
+        waits_ms: Mapping[str, float] = NO_WAITS,
+        patience_ms: float = 0.0,
     ) -> PromptChoice | None:
         """Return the server with the least expected time to the first token, or None.
 
@@ -83,18 +88,26 @@
             site: The data centre where large inputs lie, or an empty string.
             transfer: What moving kept parts between servers takes, where they can.
             cold: Names of servers that have just started, and are slow.
+            waits_ms: How long a request has to wait for each server that limits what it takes.
+            patience_ms: How long it can wait; it does so only where no server takes it at once.
         """
         now = self.clock.now()
         states = [self.router.state(one) for one in servers if one.name not in excluded]
-        usable = [state for state in states if state.usable(now)]
+        usable = _soonest([one for one in states if one.usable(now)], waits_ms, patience_ms)
         if not usable:
             return None
-        first = max(usable, key=lambda state: _weight(prompt, state.server))
+        # What is kept where little can be sent is of use to few: other servers are to keep it too.
+        free = [state for state in usable if state.server.name not in waits_ms]
+        first = max(free or usable, key=lambda state: _weight(prompt, state.server))
         kept = {state.server.name: self.kept(state, prompt) for state in usable}
         source = max(usable, key=lambda state: kept[state.server.name])
         plans = [(state, self.plan(state, prompt, kept, source, transfer)) for state in usable]
         costs = [
-            (self.expected_ms(*one, one[0] is first, site, now) * _slower(one[0], cold), *one)
+            (
+                self.expected_ms(*one, one[0] is first, site, now) * _slower(one[0], cold)
+                + waits_ms.get(one[0].server.name, 0.0),
+                *one,
+            )
             for one in plans
         ]
         expected_ms, best, plan = min(costs, key=lambda one: one[0])
@@ -178,6 +191,13 @@
             del self.running[server]
 
 
+def _soonest(
+    states: Sequence[ServerState], waits_ms: Mapping[str, float], patience_ms: float
+) -> list[ServerState]:
+    at_once = [one for one in states if not waits_ms.get(one.server.name)]
+    return at_once or [one for one in states if waits_ms[one.server.name] <= patience_ms]
+
+
 def _slower(state: ServerState, cold: frozenset[str]) -> float:
     return COLD_SLOWNESS if state.server.name in cold else 1.0
 
--- a/packages/core/src/mountladder/serverlimits/limitword.py
+++ b/packages/core/src/mountladder/serverlimits/limitword.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # Stands for the limit of a server whose answer names none.
 UNLIMITED = math.inf
+# The way of a message between two instances takes less than this, or it is lost with its link.
+WAY_MS = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,12 +26,23 @@
         per_s: How many requests a second it takes, or UNLIMITED.
         sent_at: When the request was sent that is answered, in the clock's milliseconds.
         seen_at: When the answer was there, in the same.
+        origin: The incarnation of the instance that had the answer.
+        number: Which word of that instance this is; it is passed on once.
+        slack_ms: By how much the times may be too late, since the way to here took time.
     """
 
     server: str
     per_s: float
     sent_at: float
     seen_at: float
+    origin: str = ""
+    number: int = 0
+    slack_ms: float = 0.0
+
+    @property
+    def limits(self) -> bool:
+        """Tell whether the server takes only so many."""
+        return self.per_s < UNLIMITED
 
     def replaces(self, known: LimitWord) -> bool:
         """Tell whether this is to hold in place of what is known.
@@ -37,6 +50,15 @@
         What is surely newer does. Where that is open the lower limit holds: the next answer tells,
         and a server in need is spared until then.
         """
-        if self.sent_at >= known.seen_at:
+        if self.sent_at - self.slack_ms >= known.seen_at:
             return True
         return self.per_s < known.per_s and self.seen_at > known.sent_at
+
+    def as_ages(self, now: float) -> LimitWord:
+        """Return the same with times before now, so below zero, as it is told."""
+        return replace(self, sent_at=self.sent_at - now, seen_at=self.seen_at - now)
+
+    def told(self, now: float) -> LimitWord:
+        """Return what was told with ages by the clock here."""
+        sent_at, seen_at = self.sent_at + now, self.seen_at + now
+        return replace(self, sent_at=sent_at, seen_at=seen_at, slack_ms=self.slack_ms + WAY_MS)
--- /dev/null
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -0,0 +1,119 @@
+# serverlimits.py -- Keeping all instances together to what servers say that they take
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Keeping all instances together to what servers say that they take."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from eliot import log_message
+
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.forwarding.leadership import Leadership
+from mountladder.serverlimits.limitbook import LimitBook
+from mountladder.serverlimits.limitword import UNLIMITED
+from mountladder.serverlimits.tokenbucket import TokenBucket
+
+# A server that takes less is sent one request in ten seconds all the same, since only an answer
+# tells that its limit has ended.
+LEAST_PER_S = 0.1
+# How many requests may come at once after a pause, so that requests that come by chance use what a
+# server takes. Two in a row harm no server that takes so many a second.
+MOST_AT_ONCE = 2.0
+# Who spends a part by itself begins without any token again after this time without a request: all
+# that decide alone at the same moment must not send what each of them has saved.
+ALONE_KEPT_MS = 2_000.0
+
+
+class ServerLimits:
+    """Spends what servers say that they take from all instances together.
+
+    The instance where the work of a service meets spends it for all, at once or booked ahead; the
+    others ask there, and use servers without a limit by themselves. Who cannot reach that instance
+    spends a small part, so that all of them stay within half as much again (`Leadership.part`).
+
+    Args:
+        book: The limits that servers name.
+        leadership: Tells which part may be spent here.
+        clock: The clock.
+
+    Attributes:
+        buckets: What may be sent yet to each limited server from here, by its name, and whether all
+            of its limit is spent here.
+    """
+
+    def __init__(self, book: LimitBook, leadership: Leadership, clock: Clock) -> None:
+        self.book = book
+        self.leadership = leadership
+        self.clock = clock
+        self.buckets: dict[str, tuple[bool, TokenBucket]] = {}
+
+    def limited(self, servers: Iterable[BackendServer]) -> frozenset[str]:
+        """Return the names of the servers that name a limit."""
+        if not self.book.words:
+            return frozenset()
+        return frozenset(one.name for one in servers if self.book.per_s(one.name) < UNLIMITED)
+
+    def waits_ms(self, servers: Iterable[BackendServer], topic: str) -> dict[str, float]:
+        """Return how long a request for each limited server has to wait, by its name.
+
+        Args:
+            servers: The servers; those without a limit are left out.
+            topic: Under which topic the work that they are to get meets.
+        """
+        if not self.book.words:
+            return {}
+        return {
+            one.name: self.wait_ms(one, topic)
+            for one in servers
+            if self.book.per_s(one.name) < UNLIMITED
+        }
+
+    def wait_ms(self, server: BackendServer, topic: str) -> float:
+        """Return how long one more request for a server has to wait, in milliseconds."""
+        bucket = self.bucket(server, topic)
+        return bucket.wait_ms(self.clock.now()) if bucket is not None else 0.0
+
+    def sent(self, server: BackendServer, topic: str) -> None:
+        """Record that a request is sent to a server, or booked for when its turn comes."""
+        bucket = self.bucket(server, topic)
+        if bucket is None:
+            return
+        now = self.clock.now()
+        wait_ms = bucket.wait_ms(now)
+        bucket.take(now)
+        log_message(
+            "limited-server-sent",
+            server=server.name,
+            per_s=self.book.per_s(server.name),
+            spent_here_per_s=round(bucket.per_s, 3),
+            wait_ms=round(wait_ms),
+            left=round(bucket.tokens, 2),
+        )
+
+    def per_s(self, server: BackendServer, topic: str) -> float:
+        """Return how many requests a second a server may be sent from here, or UNLIMITED."""
+        bucket = self.bucket(server, topic)
+        return bucket.per_s if bucket is not None else UNLIMITED
+
+    def bucket(self, server: BackendServer, topic: str) -> TokenBucket | None:
+        """Return what may be sent yet to a server from here, or None where it names no limit."""
+        named = self.book.per_s(server.name)
+        if named == UNLIMITED:
+            self.buckets.pop(server.name, None)
+            return None
+        now = self.clock.now()
+        part = self.leadership.part(topic, server)
+        whole = part >= 1.0
+        per_s = max(LEAST_PER_S, named) * part
+        was_whole, bucket = self.buckets.get(server.name, (whole, None))
+        stale = bucket is not None and not whole and now - bucket.refilled_at > ALONE_KEPT_MS
+        if bucket is None or was_whole != whole or stale:
+            bucket = TokenBucket(per_s, MOST_AT_ONCE if whole else 1.0, now)
+        elif bucket.per_s != per_s:
+            bucket.change(per_s, now)
+        self.buckets[server.name] = (whole, bucket)
+        return bucket
