One exchange of news, one wish of a request, and its repeats in modules of their own

Callers see no difference. LimitExchange repeated SuspicionExchange: both are a NewsExchange now. What a request wants of its server travels as one ServerWish, what holds servers back as Restraints, in place of six arguments each through four layers. Whether a request is sent again, and what else its caller is told, moved out of ForwardRun (307 lines) into repeats.py.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -18,26 +18,15 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.keyholder import KeyHolder
+from mountladder.forwarding.repeats import told, why_not_again
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.turn import Turn
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 
-# How often a request is sent where no server says that it ran; each sending but the first also
-# costs a part of the retry budget.
-MOST_SENDINGS = 4
 # How often the stages are run again after a result was lost, such as by a crash or a cut.
 MOST_FLOWS_LOST = 2
-# How often a request is sent where nobody takes the connection, which costs some milliseconds while
-# a server is gone; where so many are, a caller is better told so.
-MOST_UNREACHED = 8
-# A repeat that would have less time than this is not worth a server's work.
-LEAST_LEFT_MS = 30.0
-# When a caller may come back after every server that was asked was full.
-FULL_RETRY_MS = 300.0
-# Codes of attempts that ended since no answer came in time.
-_SILENT = frozenset({Code.STAGE_STALLED, Code.DEADLINE_PASSED})
 
 
 class ForwardRun:
@@ -112,10 +101,7 @@
             return ()
         is_first = self.flow is None and self.sendings == 0
         if is_first:
-            forecast = self.context.forecast
-            expectation = forecast.admit(self.request, self.route, self.urgency, self.age_ms)
-            self.expected_ms, self.gives_way = expectation.ms, expectation.gives_way
-            self.turn.book(expectation.stages_ms + expectation.waiting_ms)
+            self.admit()
         self.flow = StageFlow(
             self.request,
             self.route,
@@ -140,6 +126,13 @@
         self.log("stages-done", results=len(inputs))
         return inputs
 
+    def admit(self) -> None:
+        """Let it in, and keep its turn at a server where that may be short; see StageForecast."""
+        forecast = self.context.forecast
+        expectation = forecast.admit(self.request, self.route, self.urgency, self.age_ms)
+        self.expected_ms, self.gives_way = expectation.ms, expectation.gives_way
+        self.turn.book(expectation.stages_ms + expectation.waiting_ms)
+
     def promised_ms(self) -> float:
         """Return within which time from its arrival the answer is to begin, in milliseconds.
 
@@ -155,11 +148,10 @@
 
     def given_up(self, error: RefusalError) -> RefusalError:
         """Return the refusal of a request whose stages were not begun in time."""
-        forecast = self.context.forecast
+        forecast, route = self.context.forecast, self.route
         if not self.gives_way:
-            forecast.learn(self.route, self.expected_ms, self.elapsed())
-        expectation = forecast.expect(self.request, self.route, self.urgency, self.gives_way)
-        back_ms = forecast.back_ms(self.request, self.route, expectation.ms)
+            forecast.learn(route, self.expected_ms, self.elapsed())
+        back_ms = forecast.back_now_ms(self.request, route, self.urgency, self.gives_way)
         return RefusalError(error.detail, error.code, retry_after_ms=back_ms)
 
     def begin(self) -> ForwardAttempt:
@@ -171,7 +163,7 @@
         try:
             picked = self.turn.take()
         except RefusalError as error:
-            raise self.final(error) from error
+            raise told(self, error) from error
         self.sendings += 1
         attempt = ForwardAttempt(picked, self.context.clock.now(), self.sendings)
         self.log(
@@ -222,7 +214,7 @@
         self.excluded |= {attempt.server}
         self.runs += error.dispatched
         self.unreached += error.code is Code.CONNECT_FAILED
-        problem = self.why_not_again(error)
+        problem = why_not_again(self, error)
         self.log(
             "attempt-failed",
             server=attempt.server,
@@ -236,36 +228,10 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
-    def why_not_again(self, error: StageError) -> MountladderError | None:
-        """Return what the caller is told where a failed request is not sent again, else None."""
-        if error.dispatched and not self.route.repeatable:
-            code = Code.DEADLINE_PASSED if error.code in _SILENT else Code.OUTCOME_UNKNOWN
-            return RunError(error.detail, code)
-        if self.left() < LEAST_LEFT_MS:
-            return self.final(RunError("no time is left for a repeat", Code.DEADLINE_PASSED))
-        arrivals = self.sendings - self.unreached
-        spent = arrivals >= MOST_SENDINGS or self.unreached >= MOST_UNREACHED
-        if self.runs >= self.route.most_attempts or spent:
-            return self.final(RunError(error.detail, error.code))
-        arrived = error.code is not Code.CONNECT_FAILED
-        if arrived and not self.context.budget(self.service).spend():
-            return self.final(RunError(error.detail, Code.RETRY_BUDGET_SPENT))
-        return None
-
     def has_begun(self) -> bool:
         """Tell whether any of it may have run, its stages included."""
         return self.runs > 0 or (self.flow is not None and self.flow.begun)
 
-    def final(self, error: MountladderError) -> MountladderError:
-        """Return an error as the caller is told it: a refusal only where nothing ran."""
-        begun = self.has_begun()
-        if begun and isinstance(error, RefusalError):
-            barred = error.code is Code.QUARANTINED
-            return RunError(error.detail, Code.SERVERS_ENDED if barred else None)
-        if begun or isinstance(error, RefusalError):
-            return error
-        return RefusalError(error.detail, Code.SERVERS_FULL, retry_after_ms=FULL_RETRY_MS)
-
     def succeeded(self, attempt: ForwardAttempt, load: int | None, goes_on: bool) -> None:
         """Learn from an attempt that was answered; a stream goes on after its first event."""
         elapsed_ms = self.context.clock.now() - attempt.started
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -21,7 +21,9 @@
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.turnedaway import TurnedAway
+from mountladder.routing.promptchoice import PromptChoice
 from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.restraints import Restraints
 from mountladder.routing.router import Router
 from mountladder.serverlimits.serverlimits import ServerLimits
 
@@ -76,26 +78,10 @@
         """
         servers = self.directory.available(order.service)
         topic = prompts_topic(order.service)
-        cold = self.cold.cold(servers)
-        spent = self.cold.spent(servers, cold, topic)
-        waits_ms = self.limits.waits_ms(servers, topic)
-        excluded = frozenset(order.excluded) | spent
-        service = self.follower.service(order.service)
-        transfer = service.transfer if service else None
-        chosen = None
-        if not self.gives_way(order, servers, waits_ms):
-            chosen = self.placement.choose(
-                servers,
-                order.prompt,
-                excluded,
-                order.site,
-                transfer,
-                cold,
-                waits_ms,
-                order.patience_ms,
-            )
+        restraints = Restraints(self.cold.cold(servers), self.limits.waits_ms(servers, topic))
+        chosen = self.choose(order, servers, restraints, topic)
         if chosen is None:
-            return self.turn_away(order, servers, waits_ms)
+            return self.turn_away(order, servers, restraints.waits_ms)
         choice = chosen.choice
         server = choice.state.server.name
         plan = chosen.plan
@@ -109,11 +95,26 @@
         )
         self.unread.add(key)
         self.placement.began(server, order.prompt, plan.read)
-        wait_ms = waits_ms.get(server, 0.0)
+        wait_ms = restraints.waits_ms.get(server, 0.0)
         return PlacementReply(
             order.number, server, choice.expected_ms, plan.source, plan.read, wait_ms
         )
 
+    def choose(
+        self,
+        order: PlacementOrder,
+        servers: Sequence[BackendServer],
+        restraints: Restraints,
+        topic: str,
+    ) -> PromptChoice | None:
+        """Choose a server for a prompt, or none."""
+        if self.gives_way(order, servers, restraints.waits_ms):
+            return None
+        wish = order.wish.without(self.cold.spent(servers, restraints.cold, topic))
+        service = self.follower.service(order.service)
+        transfer = service.transfer if service else None
+        return self.placement.choose(servers, order.prompt, wish, transfer, restraints)
+
     def gives_way(
         self,
         order: PlacementOrder,
--- a/packages/core/src/mountladder/forwarding/placementorder.py
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from mountladder.forwarding.prompt import Prompt
+from mountladder.routing.serverwish import ServerWish
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,3 +33,8 @@
     site: str
     patience_ms: float = 0.0
     urgency: int = 0
+
+    @property
+    def wish(self) -> ServerWish:
+        """Return what it wants of its server."""
+        return ServerWish(frozenset(self.excluded), self.site, self.patience_ms, self.urgency)
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.membership.link import Link
+from mountladder.routing.serverwish import ServerWish
 
 # How long the other instance is waited for: it answers in a millisecond or two, and a prompt that
 # is placed with less knowledge costs no more than this.
@@ -48,26 +49,9 @@
         fleet.subscribe(PlacementNote, self.take_note)
         fleet.peer_gone.append(lambda link: desk.drop(id(link)))
 
-    def place(
-        self,
-        service: str,
-        prompt: Prompt,
-        excluded: frozenset[str],
-        site: str,
-        patience_ms: float = 0.0,
-        urgency: int = 0,
-    ) -> PlacementReply:
-        """Return where a prompt is to go; its number stands for it until it has ended.
-
-        Args:
-            service: The service.
-            prompt: The prompt.
-            excluded: Names of servers that are not wanted.
-            site: The data centre where large inputs lie, or an empty string.
-            patience_ms: How long it may wait for its turn at a server that limits what it takes.
-            urgency: Its rank.
-        """
-        order = self.order(service, prompt, excluded, site, patience_ms, urgency)
+    def place(self, service: str, prompt: Prompt, wish: ServerWish) -> PlacementReply:
+        """Return where a prompt is to go; its number stands for it until it has ended."""
+        order = self.order(service, prompt, wish)
         link = self.fleet.home(prompts_topic(service))
         reply = self.ask(link, order) if link is not None else None
         if reply is None:
@@ -76,30 +60,15 @@
             self.homes[order.number] = link
         return reply
 
-    def place_here(
-        self,
-        service: str,
-        prompt: Prompt,
-        excluded: frozenset[str],
-        site: str,
-        patience_ms: float = 0.0,
-        urgency: int = 0,
-    ) -> PlacementReply:
+    def place_here(self, service: str, prompt: Prompt, wish: ServerWish) -> PlacementReply:
         """Return where a prompt is to go by what this instance alone knows; see place."""
-        return self.decide(self.order(service, prompt, excluded, site, patience_ms, urgency))
-
-    def order(
-        self,
-        service: str,
-        prompt: Prompt,
-        excluded: frozenset[str],
-        site: str,
-        patience_ms: float,
-        urgency: int,
-    ) -> PlacementOrder:
+        return self.decide(self.order(service, prompt, wish))
+
+    def order(self, service: str, prompt: Prompt, wish: ServerWish) -> PlacementOrder:
         """Return a new order for a prompt; see place."""
+        number, excluded = next(self.numbers), tuple(wish.excluded)
         return PlacementOrder(
-            next(self.numbers), service, prompt, tuple(excluded), site, patience_ms, urgency
+            number, service, prompt, excluded, wish.site, wish.patience_ms, wish.urgency
         )
 
     def decide(self, order: PlacementOrder) -> PlacementReply:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -22,6 +23,7 @@
 from mountladder.forwarding.promptplacer import PromptPlacer
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import ROOMY, Router
+from mountladder.routing.serverwish import ServerWish
 from mountladder.serverlimits.serverlimits import ServerLimits
 
 # When a caller may come back where no server can be used: about as long as a breaker stays open.
@@ -63,14 +65,7 @@
         self.stages: dict[str, Stage] = {}
 
     def pick(
-        self,
-        request: ForwardRequest,
-        service: str,
-        budget_ms: float,
-        excluded: frozenset[str],
-        site: str = "",
-        patience_ms: float = 0.0,
-        urgency: int = 0,
+        self, request: ForwardRequest, service: str, budget_ms: float, wish: ServerWish
     ) -> Picked:
         """Choose a server and record that the request is sent to it.
 
@@ -78,10 +73,7 @@
             request: The request.
             service: The service.
             budget_ms: The time that is left.
-            excluded: Names of servers that failed the request already.
-            site: The data centre where large inputs lie, or an empty string.
-            patience_ms: How long it may wait for its turn where all servers limit what they take.
-            urgency: Its rank, 0 first.
+            wish: What it wants of its server.
 
         Raises:
             RefusalError: There is none, none is in use, or none can be reached or takes it in time.
@@ -90,56 +82,75 @@
             # A connection that cannot come about costs the caller 300 ms for each server.
             raise self.none_available(service)
         if request.prompt is not None:
-            return self.pick_for_prompt(
-                request.prompt, service, excluded, site, patience_ms, urgency
-            )
+            return self.pick_for_prompt(request.prompt, service, wish)
         servers = self.directory.available(service)
-        warm = self.cold.warm(servers)
-        limited = self.limits.limited(warm)
-        free = tuple(one for one in warm if one.name not in limited) if limited else warm
-        if limited and free:
-            tried = self.try_limited(service, servers, free, excluded, site)
-            if tried is not None:
-                return tried
-        length = len(request.body)
+        free = self.free_of_limits(servers)
+        if len(free) == len(servers):
+            return self.pick_among(free, request, service, budget_ms, wish)
+        # Where their requests meet it is known what the others may get yet.
+        others = wish.without(one.name for one in free)
+        if not free:
+            return self.pick_for_prompt(NO_PROMPT, service, others)
+        tried = self.try_limited(service, servers, free, others)
+        if tried is not None:
+            return tried
+        try:
+            return self.pick_among(free, request, service, budget_ms, wish)
+        except RefusalError:
+            return self.pick_for_prompt(NO_PROMPT, service, others)
+
+    def pick_among(
+        self,
+        servers: tuple[BackendServer, ...],
+        request: ForwardRequest,
+        service: str,
+        budget_ms: float,
+        wish: ServerWish,
+    ) -> Picked:
+        """Choose a server that takes whatever is sent; see pick."""
+        stage, length = self.stage(service), len(request.body)
         try:
-            choice = self.router.pick(free, self.stage(service), length, budget_ms, excluded)
+            return Picked(self.router.pick(servers, stage, length, budget_ms, wish.excluded))
         except StageError as error:
-            if len(free) < len(servers):
-                # Where their requests meet it is known what the others may get yet.
-                unwanted = excluded | {one.name for one in free}
-                return self.pick_for_prompt(
-                    NO_PROMPT, service, unwanted, site, patience_ms, urgency
-                )
             raise self.none_available(service) from error
-        return Picked(choice)
+
+    def free_of_limits(self, servers: tuple[BackendServer, ...]) -> tuple[BackendServer, ...]:
+        """Return the servers that are not cold and name no limit."""
+        warm = self.cold.warm(servers)
+        limited = self.limits.limited(warm)
+        return tuple(one for one in warm if one.name not in limited) if limited else warm
 
     def try_limited(
         self,
         service: str,
         servers: tuple[BackendServer, ...],
         free: tuple[BackendServer, ...],
-        excluded: frozenset[str],
-        site: str,
+        others: ServerWish,
     ) -> Picked | None:
         """Use what servers with a limit take where the others are crowded, else now and then.
 
-        Only their answers tell that a limit has ended.
+        Only their answers tell that a limit has ended. Cold servers are left alone meanwhile.
         """
-        now = self.router.clock.now()
-        least = min(self.router.state(one).crowding(now) for one in free)
-        every_ms = TRY_MS * self.placer.fleet.membership.sharing()
-        due = now - self.tried.get(service, -every_ms) >= every_ms
-        if not due and least <= ROOMY:
+        cold = self.cold.cold(servers)
+        if len(free) + len(cold) == len(servers) or not self.is_due(service, free):
             return None
-        self.tried[service] = now
-        unwanted = excluded | {one.name for one in free} | self.cold.cold(servers)
         try:
-            return self.pick_for_prompt(NO_PROMPT, service, unwanted, site, 0.0, 0)
+            wish = replace(others.without(cold), patience_ms=0.0)
+            return self.pick_for_prompt(NO_PROMPT, service, wish)
         except RefusalError:
             log_message("limited-servers-spent", service=service, free=len(free))
             return None
 
+    def is_due(self, service: str, free: tuple[BackendServer, ...]) -> bool:
+        """Tell whether servers with a limit are to be tried beside those that are free of it."""
+        now = self.router.clock.now()
+        every_ms = TRY_MS * self.placer.fleet.membership.sharing()
+        due = now - self.tried.get(service, -every_ms) >= every_ms
+        if not due and min(self.router.state(one).crowding(now) for one in free) <= ROOMY:
+            return False
+        self.tried[service] = now
+        return True
+
     def is_scarce(self, service: str) -> bool:
         """Tell whether all servers of a service limit what they take."""
         servers = self.directory.available(service)
@@ -172,31 +183,23 @@
         code = Code.DATACENTRES_DRAINED if drained else Code.NO_SERVER_AVAILABLE
         return RefusalError("", code, retry_after_ms=NO_SERVER_RETRY_MS)
 
-    def pick_for_prompt(
-        self,
-        prompt: Prompt,
-        service: str,
-        excluded: frozenset[str],
-        site: str,
-        patience_ms: float,
-        urgency: int,
-    ) -> Picked:
-        """Choose a model server and record that a prompt is sent to it."""
+    def pick_for_prompt(self, prompt: Prompt, service: str, wish: ServerWish) -> Picked:
+        """Choose a server where the prompts of its service meet; see pick."""
         servers = {one.name: one for one in self.directory.available(service)}
-        unwanted = excluded | self.out_of_use(servers.values())
-        reply = self.placer.place(service, prompt, unwanted, site, patience_ms, urgency)
+        wish = wish.without(self.out_of_use(servers.values()))
+        reply = self.placer.place(service, prompt, wish)
         if reply.server and reply.server not in servers:
             # Where prompts meet it is not known yet that the server is not to be used any more.
             log_message("placement-outdated", service=service, server=reply.server)
             self.placer.note(reply.number, ended=True)
-            reply = self.placer.place_here(service, prompt, unwanted, site, patience_ms, urgency)
+            reply = self.placer.place_here(service, prompt, wish)
         server = servers.get(reply.server)
         if server is None:
             raise self.none_available(service, reply.wait_ms)
         now = self.router.clock.now()
         state = self.router.state(server)
         state.begin(now)
-        expected_ms, compared = reply.expected_ms, len(servers) - len(unwanted)
+        expected_ms, compared = reply.expected_ms, len(servers) - len(wish.excluded)
         crowding = state.crowding(now)
         choice = Choice(state, expected_ms, expected_ms, crowding, len(servers), compared)
         return Picked(choice, reply.number, reply.source, reply.read, now + reply.wait_ms)
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -14,6 +14,7 @@
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.repeats import why_not_again
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 
@@ -200,7 +201,7 @@
         self.case.failed(attempt.choice.state.server, attempt.started, cut)
         self.excluded |= {attempt.server}
         self.runs += 1
-        problem = self.why_not_again(cut)
+        problem = why_not_again(self, cut)
         self.log(
             "stream-cut",
             server=attempt.server,
--- a/packages/core/src/mountladder/forwarding/turn.py
+++ b/packages/core/src/mountladder/forwarding/turn.py
@@ -11,6 +11,7 @@
 from mountladder.code import Code
 from mountladder.forwarding.finishtime import finish_ms
 from mountladder.forwarding.picked import Picked
+from mountladder.routing.serverwish import ServerWish
 
 if TYPE_CHECKING:
     from mountladder.forwarding.forwardrun import ForwardRun
@@ -73,9 +74,8 @@
     def pick(self, patience_ms: float) -> Picked:
         """Choose a server; see ServerPicker."""
         run = self.run
-        return self.picker.pick(
-            run.request, run.service, run.left(), run.excluded, run.site, patience_ms, run.urgency
-        )
+        wish = ServerWish(run.excluded, run.site, patience_ms, run.urgency)
+        return self.picker.pick(run.request, run.service, run.left(), wish)
 
     def patience_ms(self) -> float:
         """Return how long the request may wait for its turn and be on time, in milliseconds.
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -249,8 +249,8 @@
 
 @fill.register
 def _(message: LimitWords, frame) -> None:
-    words = frame.init("limitWords", len(message.words))
-    for one, to in zip(message.words, words, strict=True):
+    words = frame.init("limitWords", len(message.entries))
+    for one, to in zip(message.entries, words, strict=True):
         to.server, to.perSecond = one.server, one.per_s
         to.sentAt, to.seenAt = one.sent_at, one.seen_at
         to.origin, to.number, to.slackMs = one.origin, one.number, one.slack_ms
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -6,22 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.messageparts import parts_of
-from mountladder.membership.link import Link
 from mountladder.membership.linkkeeper import LinkKeeper
+from mountladder.membership.newsexchange import NewsExchange
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
 
 
-class SuspicionExchange:
-    """Keeps the books of all instances alike, over the links that there are.
-
-    What is news here is passed on at once, so that it also reaches those without a link to whoever
-    saw it. Whoever connects is told all.
+class SuspicionExchange(NewsExchange[Suspicion]):
+    """Keeps the books of suspects of all instances alike.
 
     Args:
         keeper: Keeps the links to the other instances.
@@ -30,34 +26,18 @@
     """
 
     def __init__(self, keeper: LinkKeeper, quarantine: Quarantine, clock: Clock) -> None:
-        self.keeper = keeper
+        super().__init__(keeper, clock, Suspicions)
         self.quarantine = quarantine
-        self.clock = clock
         quarantine.on_news = self.tell
-        keeper.subscribe(Suspicions, self.take)
-        keeper.greeters.append(self.greet)
-
-    def tell(self, news: Sequence[Suspicion], source: str) -> None:
-        """Tell others what has become known.
-
-        Args:
-            news: What it is.
-            source: The name of the peer that told it, or an empty string where it was seen here.
-        """
-        for link in self.keeper.links_for_news(source):
-            self.send(link, news)
-
-    def greet(self, link: Link) -> None:
-        """Tell a peer that has just connected all that is known here."""
-        self.send(link, list(self.quarantine.known.values()))
-
-    def send(self, link: Link, entries: Sequence[Suspicion]) -> None:
-        """Send entries, in messages of bounded size."""
-        now = self.clock.now()
-        for part in parts_of([one.shifted(-now) for one in entries]):
-            self.keeper.send_later(link, Suspicions(part))
-
-    def take(self, message: Suspicions, link: Link) -> None:
-        """Take in what a peer tells."""
-        now = self.clock.now()
-        self.quarantine.take([one.shifted(now) for one in message.entries], link.peer.name)
+
+    def known(self) -> Iterable[Suspicion]:
+        """Return all suspects; see NewsExchange."""
+        return self.quarantine.known.values()
+
+    def as_ages(self, entry: Suspicion, now: float) -> Suspicion:
+        """Return a suspicion as it is told; see NewsExchange."""
+        return entry.shifted(-now)
+
+    def take_in(self, entries: Sequence[Suspicion], now: float, source: str) -> None:
+        """Take in suspicions; see NewsExchange."""
+        self.quarantine.take([one.shifted(now) for one in entries], source)
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -8,7 +8,6 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Mapping, Sequence
-from types import MappingProxyType
 
 import xxhash
 
@@ -21,8 +20,10 @@
 from mountladder.routing.promptchoice import PromptChoice
 from mountladder.routing.readingplan import ReadingPlan
 from mountladder.routing.readingspeed import ReadingSpeed
+from mountladder.routing.restraints import NO_RESTRAINTS, Restraints
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
+from mountladder.routing.serverwish import ServerWish
 
 # The least time to a first token: a step or two of the engines in use, 3 to 6 ms each.
 FIRST_TOKEN_MS = 10.0
@@ -38,8 +39,6 @@
 # A cold server is taken to need this many times as long until its own answers tell: it is slow for
 # some seconds (the users' pages give no figure), and one that is as fast loses little by it.
 COLD_SLOWNESS = 2.0
-# What stands for servers of which none limits what it takes.
-NO_WAITS: Mapping[str, float] = MappingProxyType({})
 
 
 class PromptPlacement:
@@ -72,42 +71,34 @@
         self,
         servers: Sequence[BackendServer],
         prompt: Prompt,
-        excluded: frozenset[str],
-        site: str = "",
+        wish: ServerWish,
         transfer: PromptTransfer | None = None,
-        cold: frozenset[str] = frozenset(),
-        waits_ms: Mapping[str, float] = NO_WAITS,
-        patience_ms: float = 0.0,
+        restraints: Restraints = NO_RESTRAINTS,
     ) -> PromptChoice | None:
         """Return the server with the least expected time to the first token, or None.
 
         Args:
             servers: The servers that may be used.
             prompt: The prompt.
-            excluded: Names of servers that failed this request already.
-            site: The data centre where large inputs lie, or an empty string.
+            wish: What the request wants of its server.
             transfer: What moving kept parts between servers takes, where they can.
-            cold: Names of servers that have just started, and are slow.
-            waits_ms: How long a request has to wait for each server that limits what it takes.
-            patience_ms: How long it can wait; it does so only where no server takes it at once.
+            restraints: Which servers are slow, and which a request has to wait for.
         """
         now = self.clock.now()
-        states = [self.router.state(one) for one in servers if one.name not in excluded]
-        usable = _soonest([one for one in states if one.usable(now)], waits_ms, patience_ms)
-        if not usable:
+        states = [self.router.state(one) for one in servers if one.name not in wish.excluded]
+        usable = [one for one in states if one.usable(now)]
+        waits_ms = restraints.waits_ms
+        soonest = _soonest(usable, waits_ms, wish.patience_ms)
+        if not soonest:
             return None
         # What is kept where little can be sent is of use to few: other servers are to keep it too.
-        free = [state for state in usable if state.server.name not in waits_ms]
-        first = max(free or usable, key=lambda state: _weight(prompt, state.server))
-        kept = {state.server.name: self.kept(state, prompt) for state in usable}
+        free = [one for one in soonest if one.server.name not in waits_ms]
+        first = max(free or soonest, key=lambda state: _weight(prompt, state.server))
+        kept = {one.server.name: self.kept(one, prompt) for one in usable}
         source = max(usable, key=lambda state: kept[state.server.name])
-        plans = [(state, self.plan(state, prompt, kept, source, transfer)) for state in usable]
+        plans = [(one, self.plan(one, prompt, kept, source, transfer)) for one in soonest]
         costs = [
-            (
-                self.expected_ms(*one, one[0] is first, site, now) * _slower(one[0], cold)
-                + waits_ms.get(one[0].server.name, 0.0),
-                *one,
-            )
+            (self.expected_ms(*one, one[0] is first, wish.site, restraints, now), *one)
             for one in plans
         ]
         expected_ms, best, plan = min(costs, key=lambda one: one[0])
@@ -147,15 +138,25 @@
         return ReadingPlan(read, 0, shared - there, fetch_ms, source.server.address)
 
     def expected_ms(
-        self, state: ServerState, plan: ReadingPlan, first: bool, site: str, now: float
+        self,
+        state: ServerState,
+        plan: ReadingPlan,
+        first: bool,
+        site: str,
+        restraints: Restraints,
+        now: float,
     ) -> float:
         """Return what a server costs a prompt: its time to the first token and what is paid."""
+        name = state.server.name
         again = plan.again if first else plan.again + plan.unknown
-        tokens = plan.read + again * (READ_AGAIN - 1.0) + self.reading[state.server.name]
+        tokens = plan.read + again * (READ_AGAIN - 1.0) + self.reading[name]
         expected = FIRST_TOKEN_MS + tokens / self.speed.tokens_per_ms + FETCH * plan.fetch_ms
-        crowding = (self.running[state.server.name] + 1) / state.server.slots
+        crowding = (self.running[name] + 1) / state.server.slots
         expected *= max(1.0, crowding) ** 2 * state.slowness_at(now)
-        return expected + (FAR_MS if site and state.server.datacentre != site else 0.0)
+        if site and state.server.datacentre != site:
+            expected += FAR_MS
+        slower = COLD_SLOWNESS if name in restraints.cold else 1.0
+        return expected * slower + restraints.waits_ms.get(name, 0.0)
 
     def kept(self, state: ServerState, prompt: Prompt) -> int:
         """Return how many tokens of a prompt's shared parts a server is believed to keep."""
@@ -198,10 +199,6 @@
     return at_once or [one for one in states if waits_ms[one.server.name] <= patience_ms]
 
 
-def _slower(state: ServerState, cold: frozenset[str]) -> float:
-    return COLD_SLOWNESS if state.server.name in cold else 1.0
-
-
 def _weight(prompt: Prompt, server: BackendServer) -> int:
     anchor = _anchor(prompt.parts)
     return xxhash.xxh64_intdigest(f"{anchor}\0{server.name}".encode())
--- a/packages/core/src/mountladder/serverlimits/limitwords.py
+++ b/packages/core/src/mountladder/serverlimits/limitwords.py
@@ -16,7 +16,7 @@
     """Telling what servers said of their limits.
 
     Attributes:
-        words: What they said, with times before now, so below zero.
+        entries: What they said, with times before now, so below zero.
     """
 
-    words: tuple[LimitWord, ...]
+    entries: tuple[LimitWord, ...]
