--- a/features/soak.feature
+++ b/features/soak.feature
@@ -34,6 +34,7 @@
       | a draining server got a request much later                | drained_left_alone |
       | a server of a drained data centre got a request           | emptied_left_alone |
       | a cold server got many requests in a second               | cold_spared        |
+      | a server that named a limit got more                      | limits_kept        |
       | a restart cut a request under way                         | planned_restarts   |
       | a service got more repeats than the budget allows         | retry_budget       |
       | requests reached servers long after their callers left    | gone_is_gone       |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -199,6 +199,12 @@
         arrive(context.record, f"x{number}", 6.0 + number * 0.05, "desk-7")
 
 
+@when("a server that named a limit got more")
+def limit_exceeded(context):
+    context.record.limits["desk-8"] = (2.0, 1.0)
+    context.record.reached["desk-8"] += [7.0 + number * 0.2 for number in range(12)]
+
+
 @when("a restart cut a request under way")
 def restart_cut(context):
     add(context.record, exchange("x", sent=4.9, ended=5.3, status=0))
