--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -166,6 +166,21 @@
     When one is told a limit of 1, and 20 ms later another one a limit of 3
     Then after 2000 ms all of them hold the same, and no message is under way
 
+  Scenario: Answers that are passed on over links that are slower than they should be
+    Given 5 instances in a ring, with links of 250 ms
+    When one is told a limit of 1, and 600 ms later another one a limit of 3
+    Then after 20000 ms no message is under way
+
+  Scenario: A word that got lost is told again while answers come
+    Given 5 instances in a ring, with links of 30 ms
+    When one is told a limit of 1 while its links are down, and each second again
+    Then after 6500 ms all of them hold the same, and no message is under way
+
+  Scenario: Servers that named a limit are remembered up to a number
+    Given an instance
+    When 1100 servers name a limit, one each 10 ms
+    Then it remembers the last 1024
+
   Scenario: Results at a server that limits what it takes
     When all enc servers name 2 requests a second, and 30 staged requests a second come for 9000 ms
     Then results are given up in less than half as many calls as pieces are made there
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -128,7 +128,7 @@
         )
         leadership = Leadership(self.fleet, clock)
         self.cold = ColdServers(self.directory, self.follower, leadership, clock)
-        book = LimitBook(self.me.incarnation, clock, metrics)
+        book = LimitBook(clock, metrics)
         self.limits = ServerLimits(book, leadership, clock)
         self.limit_exchange = LimitExchange(self.fleet, book, clock)
         desk = PlacementDesk(
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -221,9 +221,7 @@
   perSecond @1 :Float32;
   sentAt @2 :Float64;
   seenAt @3 :Float64;
-  origin @4 :Text;
-  number @5 :UInt64;
-  slackMs @6 :Float32;
+  slackMs @4 :Float32;
 }
 
 struct Frame {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -199,15 +199,7 @@
 
 
 def _read_word(one) -> LimitWord:
-    return LimitWord(
-        str(one.server),
-        one.perSecond,
-        one.sentAt,
-        one.seenAt,
-        str(one.origin),
-        one.number,
-        one.slackMs,
-    )
+    return LimitWord(str(one.server), one.perSecond, one.sentAt, one.seenAt, one.slackMs)
 
 
 READERS = {
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -253,7 +253,7 @@
     for one, to in zip(message.entries, words, strict=True):
         to.server, to.perSecond = one.server, one.per_s
         to.sentAt, to.seenAt = one.sent_at, one.seen_at
-        to.origin, to.number, to.slackMs = one.origin, one.number, one.slack_ms
+        to.slackMs = one.slack_ms
 
 
 def _fill_position(position, to) -> None:
--- a/packages/core/src/mountladder/serverlimits/limitbook.py
+++ b/packages/core/src/mountladder/serverlimits/limitbook.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable, Sequence
 
 from eliot import log_message
@@ -33,10 +32,11 @@
 class LimitBook:
     """The limits that servers name in their answers to any instance.
 
-    What an answer says first goes to all instances at once, and whoever hears of it passes it on.
+    What an answer says goes to all instances at once, and whoever learns by it passes it on. That
+    comes to an end: on each further way a word is less surely newer than another one, and a lower
+    limit stays where neither surely is.
 
     Args:
-        me: The incarnation of this instance.
         clock: The clock.
         metrics: Where the number of limited servers goes.
 
@@ -46,13 +46,10 @@
             string.
     """
 
-    def __init__(self, me: str, clock: Clock, metrics: Metrics) -> None:
-        self.me = me
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
         self.clock = clock
         self.metrics = metrics
-        self.numbers = itertools.count(1)
         self.words: dict[str, LimitWord] = {}
-        self.passed_on: dict[tuple[str, str], int] = {}
         self.told_at: dict[str, float] = {}
         self.on_news: Callable[[Sequence[LimitWord], str], None] = lambda words, source: None
 
@@ -73,7 +70,7 @@
         if known is None and per_s == UNLIMITED:
             return
         now = self.clock.now()
-        word = LimitWord(server.name, per_s, sent_at, now, self.me, next(self.numbers))
+        word = LimitWord(server.name, per_s, sent_at, now)
         if known is not None and not word.replaces(known):
             return
         self.put(word, known, "an answer")
@@ -92,18 +89,9 @@
             self.on_news(changes, source)
 
     def is_news(self, word: LimitWord) -> bool:
-        """Tell whether a word that was told comes for the first time and is to hold.
-
-        Each is looked at once, so that none goes round for ever.
-        """
-        key = (word.server, word.origin)
-        if word.origin == self.me or self.passed_on.get(key, 0) >= word.number:
-            return False
-        self.passed_on[key] = word.number
+        """Tell whether a word that was told is to hold."""
         known = self.words.get(word.server)
-        if known is None:
-            return word.limits
-        return word.replaces(known)
+        return word.limits if known is None else word.replaces(known)
 
     def put(self, word: LimitWord, known: LimitWord | None, source: str) -> None:
         """Let a word hold, and log what has changed for its server."""
@@ -129,9 +117,7 @@
         late = [one for one in ordered if one.seen_at + _kept_ms(one) <= now]
         for word in late or ordered[: max(0, len(ordered) - MOST_SERVERS)]:
             del self.words[word.server]
-        kept = self.words
-        self.told_at = {name: at for name, at in self.told_at.items() if name in kept}
-        self.passed_on = {key: n for key, n in self.passed_on.items() if key[0] in kept}
+        self.told_at = {name: at for name, at in self.told_at.items() if name in self.words}
 
 
 def _kept_ms(word: LimitWord) -> float:
--- a/packages/core/src/mountladder/serverlimits/limitword.py
+++ b/packages/core/src/mountladder/serverlimits/limitword.py
@@ -26,8 +26,6 @@
         per_s: How many requests a second it takes, or UNLIMITED.
         sent_at: When the request was sent that is answered, in the clock's milliseconds.
         seen_at: When the answer was there, in the same.
-        origin: The incarnation of the instance that had the answer.
-        number: Which word of that instance this is; it is passed on once.
         slack_ms: By how much the times may be too late, since the way to here took time.
     """
 
@@ -35,8 +33,6 @@
     per_s: float
     sent_at: float
     seen_at: float
-    origin: str = ""
-    number: int = 0
     slack_ms: float = 0.0
 
     @property
