Connections that wait are an instance's part of what a server accepts from all

Each instance kept up to 16 connections open to a server whatever that accepts from all together: 8 x 16 = 128 where a server of a plain service accepts 110, 390 x 16 where one accepts 1,200; what is beyond is reset. Now half of what the service's entry names is divided by the instances that share it (Membership.sharing, as with the retry budget); the other half is for calls. Two scenarios; the first fails with the part taken out.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -61,6 +61,9 @@
     When 60 safe requests are sent to each instance within 8000 ms
     Then services got at most 0.2 x 180 + 20 arrivals beyond the first of each request
 
+  Scenario: All instances together keep half of the connections open that a server accepts
+    Then of the 100 connections that desk-1 accepts they keep 40 to 50
+
   Scenario Outline: Who is refused
     When a request to "<host>" "<path>" with key "<key>" is sent to a-1
     Then request r ends with <outcome>
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -47,6 +47,11 @@
       | whole and closing | 2           |
       | no length         | 2           |
 
+  Scenario: Connections that wait are this instance's part of what a server accepts from all
+    Given a backend server that answers "whole", of which 3 connections may be kept
+    When 8 requests are sent to it at once
+    Then 3 connections to it are kept
+
   Scenario: A request that must not be repeated does not go over an old connection
     Given a backend server that answers "whole"
     When request r1 is sent to it and unsafe request r2 1200 ms later
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -255,3 +255,13 @@
     assert passed == [events(n, n) for n in range(1, last + 1)], passed
     assert context.splitter.last_id == str(last)
     assert context.splitter.rest == b"id: 6\ndata: cu"
+
+
+@then("of the {accepts:d} connections that {server} accepts they keep {least:d} to {most:d}")
+def connections_kept(context, accepts, server, least, most):
+    kept = 0
+    for instance in context.fleet.instances.values():
+        listed = instance.directory.find(server)
+        assert instance.follower.service("desk").most_connections == accepts
+        kept += instance.part_of_connections(listed)
+    assert least <= kept <= most, kept
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -106,6 +106,23 @@
     make_upstream(context, address)
 
 
+@given('a backend server that answers "{name}", of which {number:d} connections may be kept')
+def backend_part(context, name, number):
+    backend(context, name)
+    context.upstream.part_of_connections = lambda server: number
+
+
+@when("{number:d} requests are sent to it at once")
+def send_at_once(context, number):
+    gevent.joinall([gevent.spawn(send, context, f"r{n}") for n in range(number)])
+
+
+@then("{number:d} connections to it are kept")
+def kept(context, number):
+    assert context.connections == len(context.ended) == 8
+    assert len(context.upstream.pool.kept[context.server.address]) == number
+
+
 @given("a backend server that is not there")
 def nobody(context):
     listening = socket.socket()
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.forwardcall import ForwardCall, Heard
@@ -17,7 +17,14 @@
 
 
 class Upstream(ABC):
-    """Calls to backend servers."""
+    """Calls to backend servers.
+
+    Attributes:
+        part_of_connections: Returns how many connections to a server this instance may keep open
+            while no call uses them, or None for as many as it likes.
+    """
+
+    part_of_connections: Callable[[BackendServer], int | None] = staticmethod(lambda server: None)
 
     @abstractmethod
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
