Decisions about limits that no scenario noticed are tested, or gone

Each decision of the mend was taken out by itself. Gone, since nothing failed and none protects what a scenario could show: a bucket that begins anew when the work of a service comes to meet here (what is kept is two tokens at most), a place that uses another data centre's servers (it reaches too few others to lead), links to where plain calls meet before the first of them, and a first server by hash among those without a limit.

--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -81,6 +81,16 @@
       | desk    | safe   |
       | enc     | staged |
 
+  Scenario: Those behind a cut use their part of the limit together
+    When all llm servers name 4 requests a second, and 60 stream requests a second come for 10000 ms while a data centre is cut off from the others
+    Then those of data centre a sent over 12 requests behind the cut
+    And no server got more than its limit allows
+
+  Scenario: What instances have not used when they were alone is not sent when they are again
+    Given 4 more instances
+    When all llm servers name 1 requests a second, and 40 stream requests a second come for 45000 ms while all are cut off from each other, twice
+    Then no server got more than its limit allows
+
   Scenario: A large fleet
     Given 22 more instances
     When all llm servers name 1 requests a second, and 90 stream requests a second come for 9000 ms while the instance where its work meets is restarted
@@ -99,6 +109,12 @@
     When it names none, and they come for 6000 ms more
     Then it got over 20 of them
 
+  Scenario: Many come at once after a pause
+    # What was not sent for long is not sent at once.
+    Given all desk servers have named 1 request a second
+    When nothing comes for 20 s, and then 60 safe requests a second for 1000 ms
+    Then no server got more than 3 requests
+
   Scenario Outline: A limit that ends while others have room is noticed
     When server <server> names 1 request a second, and 30 <kind> requests a second come for 4000 ms
     And it names none, and they come for 6000 ms more
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -38,6 +38,8 @@
 # When something happens to instances, and for how long one is down that is restarted.
 EVENT_MS = 4_000.0
 DOWN_MS = 1_000.0
+# How long all are cut off from each other at first, and for how long not, before it comes again.
+TWICE_CUT_MS, TWICE_CALM_MS = 2_500.0, 33_000.0
 # By when all instances know of a limit: the first requests have had their stages and an answer.
 KNOWN_MS = 700.0
 # The aim of the routes in use here.
@@ -178,6 +180,20 @@
     context.fleet.network.parted |= {frozenset({first, one}) for one in others[:2]}
 
 
+def cut_all(context):
+    names = list(context.fleet.instances)
+    context.fleet.network.parted |= {frozenset({a, b}) for a in names for b in names if a != b}
+
+
+def cut_all_twice(context):
+    """Cut all off from each other, for a while and then again, with a calm time between."""
+    cut_all(context)
+    context.clock.sleep(TWICE_CUT_MS)
+    context.fleet.network.parted.clear()
+    context.clock.sleep(TWICE_CALM_MS)
+    cut_all(context)
+
+
 def start_two(context):
     for name in ("a-new", "b-new"):
         context.fleet.start(name)
@@ -198,6 +214,7 @@
     "three instances are cut off from the others": cut_three,
     "half of them lose the one where its work meets": lose_meeting,
     "two of them lose the one where its work meets": two_lose_meeting,
+    "all are cut off from each other, twice": cut_all_twice,
     "two more instances start": start_two,
     "all instances are restarted at once": restart_all,
     "a data centre is cut off from the others": cut_datacentre,
@@ -242,6 +259,13 @@
     assert took and in_time > part / 100 * len(took), (in_time, len(took))
 
 
+@then("those of data centre {there:w} sent over {least:d} requests behind the cut")
+def sent_behind(context, there, least):
+    since = context.series_at + EVENT_MS + SECOND_MS
+    sent = [one for one in context.sent if one[0] >= since and one[3].startswith(f"{there}-")]
+    assert len(sent) > least, len(sent)
+
+
 @then("calls held {least:d} pieces or more on the average")
 def fuller(context, least):
     calls = [n for at, server, n, _ in context.sent if server.startswith("enc-")]
@@ -270,7 +294,7 @@
 def knows(context, ms, server, per_s):
     context.run(context.clock.sleep, float(ms))
     assert context.new.limits.book.per_s(server) == per_s
-    assert context.new.limits.leadership.part("any topic", None) < 1.0
+    assert context.new.limits.leadership.part("any topic") < 1.0
 
 
 @when("it names {word}, and they come for {ms:d} ms more")
@@ -332,6 +356,18 @@
     send(context, rate, kind, ms)
 
 
+@when("nothing comes for {seconds:d} s, and then {rate:d} {kind} requests a second for {ms:d} ms")
+def pause_then(context, seconds, rate, kind, ms):
+    context.run(context.clock.sleep, seconds * SECOND_MS)
+    send(context, rate, kind, ms)
+
+
+@then("no server got more than {most:d} requests")
+def at_most(context, most):
+    got = {server: len(arrivals(context, server)) for server in context.named}
+    assert sum(got.values()) and max(got.values()) <= most, got
+
+
 @when("nothing comes for {minutes:d} minutes, and then {server} names {per_s:g} a second")
 def nothing_comes(context, minutes, server, per_s):
     context.run(context.clock.sleep, minutes * 60_000.0)
--- a/packages/core/src/mountladder/forwarding/coldservers.py
+++ b/packages/core/src/mountladder/forwarding/coldservers.py
@@ -99,7 +99,7 @@
         rate = self.rate(server) if self.is_cold(server) else 0.0
         if not rate:
             return MANY
-        return self.left(server, rate) if self.leadership.leads_at(topic, server) else 0
+        return self.left(server, rate) if self.leadership.leads(topic) else 0
 
     def spent(
         self, servers: Iterable[BackendServer], cold: frozenset[str], topic: str
--- a/packages/core/src/mountladder/forwarding/contacts.py
+++ b/packages/core/src/mountladder/forwarding/contacts.py
@@ -53,8 +53,7 @@
         for service in catalogue.services.values():
             if service.batch is not None:
                 self.topics.add(service.name)
-            # Requests for plain services meet where some of their servers limit what they take.
-            if service.slots or service.cold_per_s or service.batch is None:
+            if service.slots or service.cold_per_s:
                 self.topics.add(prompts_topic(service.name))
 
     def ranked(self, topic: str) -> list[Instance]:
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from mountladder.clocks.clock import Clock
-from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.contacts import HOMES_KEPT
 from mountladder.forwarding.fleet import Fleet
 
@@ -51,18 +50,9 @@
             self.kept[topic] = (now + KEPT_MS, answer)
         return answer
 
-    def leads_at(self, topic: str, server: BackendServer) -> bool:
-        """Tell whether all that a topic's work sends to a server surely goes through here.
-
-        A data centre without servers of its own may use those that are another one's to use.
-        """
-        divided = self.fleet.division.is_divided(topic)
-        own = not divided or server.datacentre == self.fleet.membership.me.datacentre
-        return own and self.leads(topic)
-
-    def part(self, topic: str, server: BackendServer) -> float:
+    def part(self, topic: str) -> float:
         """Return which part of what all may send to a server together may be sent from here."""
-        if self.leads_at(topic, server):
+        if self.leads(topic):
             return 1.0
         return ALONE_PART * self.served(topic) / self.fleet.membership.sharing()
 
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -91,9 +91,7 @@
         soonest = _soonest(usable, waits_ms, wish.patience_ms)
         if not soonest:
             return None
-        # What is kept where little can be sent is of use to few: other servers are to keep it too.
-        free = [one for one in soonest if one.server.name not in waits_ms]
-        first = max(free or soonest, key=lambda state: _weight(prompt, state.server))
+        first = max(soonest, key=lambda state: _weight(prompt, state.server))
         kept = {one.server.name: self.kept(one, prompt) for one in usable}
         source = max(usable, key=lambda state: kept[state.server.name])
         plans = [(one, self.plan(one, prompt, kept, source, transfer)) for one in soonest]
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -41,15 +41,14 @@
         clock: The clock.
 
     Attributes:
-        buckets: What may be sent yet to each limited server from here, by its name, and whether all
-            of its limit is spent here.
+        buckets: What may be sent yet to each limited server from here, by its name.
     """
 
     def __init__(self, book: LimitBook, leadership: Leadership, clock: Clock) -> None:
         self.book = book
         self.leadership = leadership
         self.clock = clock
-        self.buckets: dict[str, tuple[bool, TokenBucket]] = {}
+        self.buckets: dict[str, TokenBucket] = {}
 
     def limited(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that name a limit."""
@@ -106,14 +105,13 @@
             self.buckets.pop(server.name, None)
             return None
         now = self.clock.now()
-        part = self.leadership.part(topic, server)
+        part = self.leadership.part(topic)
         whole = part >= 1.0
-        per_s = max(LEAST_PER_S, named) * part
-        was_whole, bucket = self.buckets.get(server.name, (whole, None))
+        per_s, most = max(LEAST_PER_S, named) * part, MOST_AT_ONCE if whole else 1.0
+        bucket = self.buckets.get(server.name)
         stale = bucket is not None and not whole and now - bucket.refilled_at > ALONE_KEPT_MS
-        if bucket is None or was_whole != whole or stale:
-            bucket = TokenBucket(per_s, MOST_AT_ONCE if whole else 1.0, now)
+        if bucket is None or stale:
+            bucket = self.buckets[server.name] = TokenBucket(per_s, most, now)
         elif bucket.per_s != per_s:
-            bucket.change(per_s, now)
-        self.buckets[server.name] = (whole, bucket)
+            bucket.change(per_s, most, now)
         return bucket
--- a/packages/core/src/mountladder/serverlimits/tokenbucket.py
+++ b/packages/core/src/mountladder/serverlimits/tokenbucket.py
@@ -36,10 +36,10 @@
         self.tokens = min(self.most, self.tokens + come)
         self.refilled_at = now
 
-    def change(self, per_s: float, now: float) -> None:
-        """Change the rate; what is booked stays booked."""
+    def change(self, per_s: float, most: float, now: float) -> None:
+        """Change the rate, and how many are kept; what is booked stays booked."""
         self.refill(now)
-        self.per_s = per_s
+        self.per_s, self.most = per_s, most
 
     def wait_ms(self, now: float) -> float:
         """Return how long it takes until the next token that is not booked is there."""
