--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -201,3 +201,30 @@
     When all enc servers name 2 requests a second, and 30 staged requests a second come for 9000 ms
     Then results are given up in less than half as many calls as pieces are made there
     And no server got more than its limit allows with those counted
+
+  Scenario: Parts of a prompt at a server that it would have to wait for are fetched from there
+    Given servers s1 and s2, of which s1 keeps 6000 tokens of a prompt
+    When it would have to wait 500 ms for s1 and can wait 1000 ms
+    Then s2 takes it at once, and fetches them from s1
+
+  Scenario: Where it would have to wait everywhere, the shorter wait counts with the reading
+    Given servers s1 and s2, of which s1 keeps 60 tokens of a prompt
+    When it would have to wait 900 ms for s1, 100 ms for s2, and can wait 1000 ms
+    Then it goes to s2
+
+  Scenario: Who can wait comes back that much sooner
+    Given all desk servers have named 1 request a second
+    When requests that can wait 300 ms ask for a turn until one is turned away
+    Then that one is to come back when it would wait 300 ms
+
+  Scenario: A server with a limit is used where the others are crowded
+    Given server desk-1 has named 5 requests a second
+    When a safe request comes 1000 ms later, and the others have 30 calls each
+    Then it goes to desk-1
+
+  Scenario: A request waits for no limited server while others are free
+    # Cold servers are left alone as well: one may be used where none is free.
+    Given server desk-1 has named 1 request a second
+    And server desk-2 is cold
+    When a safe request that can wait 1000 ms is to try it
+    Then another one takes it at once
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -4,8 +4,10 @@
 
 """Steps about backend servers that name how much they take."""
 
+from collections import OrderedDict
 from dataclasses import replace
 from functools import partial
+from random import Random
 
 import gevent
 from behave import given, then, when
@@ -13,6 +15,7 @@
     PATHS,
     SECOND_MS,
     catalogue,
+    desk_of,
     meeting,
     request,
     send_steadily,
@@ -21,11 +24,20 @@
 )
 
 from mountladder.forwarding.keyholder import KeyHolder
+from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.prompttransfer import PromptTransfer
 from mountladder.forwarding.ranking import prompts_topic
-from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.serverpicker import NO_PROMPT
+from mountladder.forwarding.serverrecord import ID_LABEL, listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.restraints import Restraints
+from mountladder.routing.router import Router
+from mountladder.routing.serverwish import ServerWish
 from mountladder.serverlimits.limitbook import LimitBook
 from mountladder.serverlimits.limitword import UNLIMITED
 
@@ -274,6 +286,7 @@
 
 
 @given("server {server} has named {per_s:g} request a second")
+@given("server {server} has named {per_s:g} requests a second")
 @given("all {service:w} servers have named {per_s:g} request a second")
 def has_named(context, per_s, server="", service=""):
     for one in [server] if server else of_service(context, service):
@@ -604,3 +617,113 @@
 def within_with_frees(context):
     context.sent += [(at, server, 1, "") for at, server in context.free_calls]
     within_limits(context)
+
+
+@given("servers s1 and s2, of which s1 keeps {tokens:d} tokens of a prompt")
+def two_servers(context, tokens):
+    router = Router(
+        context.clock, Random(1), CostModel(), ExpectedCompletion(), MemoryMetrics(), "a"
+    )
+    context.placement = PromptPlacement(context.clock, router)
+    context.two = [listed_server(name, "llm", name, "a", 8, False) for name in ("s1", "s2")]
+    context.prompt = Prompt(tokens + 100, 10, (PromptPart("kept", tokens), PromptPart("own", 100)))
+    context.placement.held["s1"] = OrderedDict({"kept": None})
+
+
+@when("it would have to wait {first:d} ms for s1 and can wait {patience:d} ms")
+def waits_one(context, first, patience):
+    choose_between(context, {"s1": float(first)}, patience)
+
+
+@when(
+    "it would have to wait {first:d} ms for s1, {second:d} ms for s2, and can wait {patience:d} ms"
+)
+def waits_two(context, first, second, patience):
+    choose_between(context, {"s1": float(first), "s2": float(second)}, patience)
+
+
+def choose_between(context, waits_ms, patience):
+    context.chosen = context.placement.choose(
+        context.two,
+        context.prompt,
+        ServerWish(patience_ms=float(patience)),
+        PromptTransfer(163_840.0, 1_100_000.0),
+        Restraints(waits_ms=waits_ms),
+    )
+
+
+@then("s2 takes it at once, and fetches them from s1")
+def fetches(context):
+    assert context.chosen.choice.state.server.name == "s2"
+    assert context.chosen.plan.source == "s1", context.chosen.plan
+
+
+@when("requests that can wait {patience:d} ms ask for a turn until one is turned away")
+def ask_until(context, patience):
+    desk = desk_of(meeting(context, prompts_topic("desk")))
+    context.waits = []
+
+    def ask():
+        for n in range(100):
+            order = PlacementOrder(n, "desk", NO_PROMPT, (), "", float(patience))
+            servers = desk.directory.available("desk")
+            waits_ms = desk.limits.waits_ms(servers, prompts_topic("desk"))
+            reply = desk.place(order, "a peer")
+            if not reply.server:
+                context.waits = [min(waits_ms.values()), reply.wait_ms]
+                return
+
+    context.run(ask)
+
+
+@then("that one is to come back when it would wait {patience:d} ms")
+def back_sooner(context, patience):
+    wait_ms, told_ms = context.waits
+    assert abs(told_ms - (wait_ms - patience)) < 1.0, context.waits
+
+
+@when("a {kind} request comes {ms:d} ms later, and the others have {calls:d} calls each")
+def others_crowded(context, kind, ms, calls):
+    instance = meeting(context, prompts_topic("desk"))
+    picker = instance.forwarder.context.picker
+    # What may be sent counts from when somebody first wants to.
+    for server in context.named:
+        picker.limits.wait_ms(instance.directory.find(server), prompts_topic("desk"))
+    context.run(context.clock.sleep, float(ms))
+    now = context.clock.now()
+    picker.tried["desk"] = now
+    for server in instance.directory.available("desk"):
+        if server.name not in context.named:
+            instance.router.state(server).count(calls, now)
+    sent = request("x", PATHS[kind], now)
+    context.chosen = context.run(picker.pick, sent, "desk", 1_000.0, ServerWish())
+
+
+@then("it goes to {server}")
+def goes_to(context, server):
+    assert context.chosen.choice.state.server.name == server, context.chosen
+
+
+@given("server {server} is cold")
+def is_cold(context, server):
+    service, datacentre = context.servers[server]
+    context.fleet.add_server(server, service, datacentre, born=7, cold_ms=60_000.0)
+    context.cold = server
+    context.run(context.clock.sleep, 100.0)
+
+
+@when("a {kind} request that can wait {patience:d} ms is to try it")
+def to_try(context, kind, patience):
+    instance = meeting(context, prompts_topic("desk"))
+    picker = instance.forwarder.context.picker
+    picker.tried.clear()
+    sent = request("x", PATHS[kind], context.clock.now())
+    wish = ServerWish(patience_ms=float(patience))
+    context.chosen = context.run(picker.pick, sent, "desk", 2_000.0, wish)
+
+
+@then("another one takes it at once")
+def goes_to_free(context):
+    name = context.chosen.choice.state.server.labels[ID_LABEL]
+    assert name not in {*context.named, context.cold}, name
+    assert context.chosen.ready_at <= context.clock.now()
