A scenario for large results at servers that limit what they take

Held back for ever, results leave room for 61 of 180 requests, given up in calls that count for over 100; given up without counting, a server gets over the 10 requests in four seconds that it takes with two saved.

--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -253,3 +253,10 @@
     Given all enc servers have named 0.1 request a second
     When a staged request comes alone, 12000 ms later
     Then it is answered on time
+
+  Scenario: Large results at servers that limit what they take
+    # They are given up in time for others, by calls that count.
+    Given a result of a stage takes 12 of the 100 MB that a server has
+    When all enc servers name 2 requests a second, and 20 staged requests a second come for 9000 ms
+    Then over 100 requests were answered
+    And no server got more than 10 requests in 4 s, those counted
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -821,3 +821,23 @@
 def answered_on_time(context):
     (end,), (took,) = context.ends.values(), context.took.values()
     assert end[0] == 200 and took <= AIM_MS, (end, took)
+
+
+@given("a result of a stage takes {size:d} of the 100 MB that a server has")
+def large_results(context, size):
+    plain = catalogue(3)
+    large = tuple(
+        replace(one, stages=tuple(replace(stage, result_bytes=size * 1e6) for stage in one.stages))
+        for one in plain.routes["desk.x"]
+    )
+    context.fleet.configure(replace(plain, routes={"desk.x": large}))
+    context.run(context.clock.sleep, 300.0)
+
+
+@then("no server got more than {most:d} requests in 4 s, those counted")
+def in_span(context, most):
+    for server, (since, _) in limited(context).items():
+        times = [at for at in arrivals(context, server) if at >= since + TOLD_MS]
+        times += [at for at, name in context.free_calls if name == server and at >= since + TOLD_MS]
+        got = max(sum(at <= one < at + SPAN_S * SECOND_MS for one in times) for at in times)
+        assert got <= most, (server, got)
