What is kept about limits is forgotten with them

Found when the change was read again: handles of results that were held back at a server stayed when its limit had ended or the results had lapsed, and what may be sent to a server stayed after it had gone; both grew for as long as an instance ran. Held results are given up with the next ones once their server names no limit, those that lapsed are dropped, and what is counted goes with the book's word. Two scenarios, each fails without. The stage servers' limits of the service and those that servers name have different names now.

--- a/features/serverlimits.feature
+++ b/features/serverlimits.feature
@@ -140,6 +140,7 @@
     Given server desk-1 has named 1 request a second
     When nothing comes for 11 minutes, and then desk-2 names 1 a second
     Then no instance takes desk-1 to be limited
+    And only desk-2 is counted for
 
   Scenario: The more urgent are served first
     When all desk servers name 2 requests a second, and 20 urgent and 20 other safe requests a second come for 9000 ms
@@ -254,6 +255,11 @@
     When a staged request comes alone, 12000 ms later
     Then it is answered on time
 
+  Scenario: What was held back at a server whose limit has ended is given up
+    Given server enc-1 has named 3 requests a second
+    When 30 staged requests a second come for 3000 ms, and it names none for 1000 ms more
+    Then nothing is held back, and nothing is counted for it
+
   Scenario: Large results at servers that limit what they take
     # They are given up in time for others, by calls that count.
     Given a result of a stage takes 12 of the 100 MB that a server has
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -383,6 +383,7 @@
 
 @when("nothing comes for {minutes:d} minutes, and then {server} names {per_s:g} a second")
 def nothing_comes(context, minutes, server, per_s):
+    count_for(context, *context.named)
     context.run(context.clock.sleep, minutes * 60_000.0)
     has_named(context, per_s, server=server)
 
@@ -786,6 +787,18 @@
     send(context, 2, "staged", number * SECOND_MS / 2)
 
 
+def count_for(context, server):
+    """Have what a server may be sent yet counted where plain calls meet."""
+    meet = meeting(context, prompts_topic("desk"))
+    meet.limits.wait_ms(meet.directory.find(server), prompts_topic("desk"))
+    return meet.limits.buckets
+
+
+@then("only {server} is counted for")
+def only_counted(context, server):
+    assert set(count_for(context, server)) == {server}
+
+
 @then("{server} gets no call")
 def gets_none(context, server):
     assert len(context.ends) and not arrivals(context, server), arrivals(context, server)
@@ -841,3 +854,23 @@
         times += [at for at, name in context.free_calls if name == server and at >= since + TOLD_MS]
         got = max(sum(at <= one < at + SPAN_S * SECOND_MS for one in times) for at in times)
         assert got <= most, (server, got)
+
+
+@when(
+    "{rate:d} staged requests a second come for {ms:d} ms, and it names none for {more:d} ms more"
+)
+def held_then_none(context, rate, ms, more):
+    send(context, rate, "staged", ms)
+    batcher = meeting(context, "enc").dispatch.batchers["enc"]
+    batcher.releaser.held.setdefault("enc-1", []).append("enc-1/lapsed")
+    context.fleet.upstream.limits.clear()
+    send(context, rate, "staged", more, label="later-")
+    context.run(context.clock.sleep, SECOND_MS)
+
+
+@then("nothing is held back, and nothing is counted for it")
+def none_held(context):
+    meet = meeting(context, "enc")
+    assert not meet.dispatch.batchers["enc"].releaser.held
+    meet.limits.wait_ms(meet.directory.find("enc-1"), "enc")
+    assert not meet.limits.buckets
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -98,7 +98,12 @@
         self.twice: set[Waiting] = set()
         self.told: tuple[float, Backlog] | None = None
         self.releaser = Releaser(
-            upstream, division.directory, clock, self.freed, self.servers.limited_addresses
+            upstream,
+            division.directory,
+            clock,
+            self.freed,
+            self.servers.limited_addresses,
+            lambda handle: handle in self.room.results,
         )
         self.cancel_look: Callable[[], None] | None = None
 
@@ -162,7 +167,7 @@
             held = self.releaser.held.get(address)
             is_short = self.room.taken(name, now) >= SHORT_ROOM * limits.room_bytes
             if held and is_short and self.servers.take_request(state):
-                self.releaser.free_held(address, self.room.results.__contains__)
+                self.releaser.free_held(address)
 
     def look_again(self) -> None:
         """Look at the queue a little later, unless that is arranged already."""
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -27,6 +27,7 @@
         clock: The clock.
         freed: Called with the handles once the servers have dropped the results.
         limited: Returns the addresses of servers that limit what they take.
+        is_kept: Tells whether a result still takes up room.
 
     Attributes:
         held: Handles of results at those, by address: giving them up takes one of the few requests
@@ -40,12 +41,14 @@
         clock: Clock,
         freed: Callable[[Sequence[str]], None],
         limited: Callable[[], frozenset[str]],
+        is_kept: Callable[[str], bool],
     ) -> None:
         self.upstream = upstream
         self.directory = directory
         self.clock = clock
         self.freed = freed
         self.limited = limited
+        self.is_kept = is_kept
         self.held: dict[str, list[str]] = {}
         self.handles: list[str] = []
         self.cancel: Callable[[], None] | None = None
@@ -66,7 +69,7 @@
     def free(self, handles: Sequence[str]) -> None:
         """Give up results, and tell when that is done."""
         drained, limited = self.directory.drained_addresses(), self.limited()
-        given_up = []
+        given_up = self.take_back(limited)
         for handle in handles:
             address = handle.partition("/")[0]
             if address in limited:
@@ -76,9 +79,21 @@
         self.upstream.free(given_up)
         self.freed(given_up)
 
-    def free_held(self, address: str, still: Callable[[str], bool]) -> None:
+    def take_back(self, limited: frozenset[str]) -> list[str]:
+        """Return what was held back at servers without a limit now, and forget what has lapsed."""
+        given_up: list[str] = []
+        for address, handles in list(self.held.items()):
+            left = [one for one in handles if self.is_kept(one)]
+            if left and address in limited:
+                self.held[address] = left
+            else:
+                del self.held[address]
+                given_up += left
+        return given_up
+
+    def free_held(self, address: str) -> None:
         """Give up what was held back at a server, where it is still there; in one call."""
-        handles = [one for one in self.held.pop(address, ()) if still(one)]
+        handles = [one for one in self.held.pop(address, ()) if self.is_kept(one)]
         if handles:
             gevent.spawn(self.free_now, handles)
 
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -32,7 +32,7 @@
         division: Which servers pieces that meet here are made at.
         router: What is known of each server.
         cold: Limits what servers get that have just started.
-        limits: Keeps to what servers say that they take.
+        named_limits: Keeps to what servers say that they take.
     """
 
     def __init__(
@@ -41,13 +41,13 @@
         division: Division,
         router: Router,
         cold: ColdServers,
-        limits: ServerLimits,
+        named_limits: ServerLimits,
     ) -> None:
         self.service = service
         self.division = division
         self.router = router
         self.cold = cold
-        self.limits = limits
+        self.named_limits = named_limits
         self.calls: dict[str, list[StageCallState]] = {}
         self.paused: dict[str, float] = {}
         self.overdue: dict[str, list[StageCallState]] = {}
@@ -57,10 +57,10 @@
     def begin(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call is sent."""
         self.cold.sent(state.server, call.pieces)
-        if self.limits.limited((state.server,)):
+        if self.named_limits.limited((state.server,)):
             self.limited_call_at = call.started
         # A call is one request, however many pieces it holds.
-        self.limits.sent(state.server, self.service)
+        self.named_limits.sent(state.server, self.service)
         self.calls.setdefault(state.server.name, []).append(call)
         state.begin(call.started)
 
@@ -97,14 +97,14 @@
     def limited_addresses(self) -> frozenset[str]:
         """Return the addresses of the servers that limit what they take."""
         servers = self.division.directory.available(self.service)
-        limited = self.limits.limited(servers)
+        limited = self.named_limits.limited(servers)
         return frozenset(one.address for one in servers if one.name in limited)
 
     def take_request(self, state: ServerState) -> bool:
         """Take one of the requests that a server can be sent now; tell whether there was one."""
-        if self.limits.wait_ms(state.server, self.service) > 0:
+        if self.named_limits.wait_ms(state.server, self.service) > 0:
             return False
-        self.limits.sent(state.server, self.service)
+        self.named_limits.sent(state.server, self.service)
         return True
 
     def pause(self, state: ServerState, until: float) -> None:
@@ -125,7 +125,7 @@
         usable = self.usable(now)
         free = [one for one in usable if self.is_free(one, limits, now)]
         servers = [one.server for one in free]
-        cold, limited = self.cold.cold(servers), self.limits.limited(servers)
+        cold, limited = self.cold.cold(servers), self.named_limits.limited(servers)
         return sorted(
             free,
             key=lambda one: (
@@ -154,18 +154,18 @@
             limits: What a server takes at once.
             now: The clock's time.
         """
-        if pieces >= limits.pieces or not self.limits.limited(one.server for one in usable):
+        if pieces >= limits.pieces or not self.named_limits.limited(one.server for one in usable):
             return False
-        turns = sum(self.limits.wait_ms(one.server, self.service) <= 0 for one in usable)
+        turns = sum(self.named_limits.wait_ms(one.server, self.service) <= 0 for one in usable)
         if 2 * turns > len(usable):
             return False
-        per_s = sum(self.limits.per_s(one.server, self.service) for one in usable)
+        per_s = sum(self.named_limits.per_s(one.server, self.service) for one in usable)
         return now - self.limited_call_at < MS_PER_SECOND / per_s
 
     def pieces_per_ms(self, state: ServerState, limits: BatchLimits, now: float) -> float:
         """Return how many pieces a server makes in full calls, in a millisecond."""
         per_ms = 1.0 / (limits.expected_ms(limits.pieces) * state.slowness_at(now))
-        named = self.limits.per_s(state.server, self.service) / MS_PER_SECOND
+        named = self.named_limits.per_s(state.server, self.service) / MS_PER_SECOND
         return limits.pieces * min(per_ms, named)
 
     def is_better_to_wait(
@@ -193,7 +193,7 @@
     def is_free(self, state: ServerState, limits: BatchLimits, now: float) -> bool:
         """Tell whether a server may be sent a call now."""
         paused = self.paused.get(state.server.name, 0.0) > now
-        if self.limits.wait_ms(state.server, self.service) > 0:
+        if self.named_limits.wait_ms(state.server, self.service) > 0:
             return False
         return not paused and self.running(state) + len(self.doubtful(state)) // 2 < limits.calls
 
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -111,7 +111,14 @@
         bucket = self.buckets.get(server.name)
         stale = bucket is not None and not whole and now - bucket.refilled_at > ALONE_KEPT_MS
         if bucket is None or stale:
+            self.forget_gone()
             bucket = self.buckets[server.name] = TokenBucket(per_s, most, now)
         elif bucket.per_s != per_s:
             bucket.change(per_s, most, now)
         return bucket
+
+    def forget_gone(self) -> None:
+        """Forget the servers of which the book knows nothing any more."""
+        gone = [name for name in self.buckets if name not in self.book.words]
+        for name in gone:
+            del self.buckets[name]
