An end and its clearing are told once, however slow the links are

Cause: a storm of messages between instances. An end under a request and the clearing of it travel as ages, and each way adds its delay. Where both are less apart than that, a late copy of the end looks newer than its clearing, is news and passed on, then a late copy of the clearing looks newer than that end, and so on, with each way a little newer: for as long as links are slow, which the storm itself sees to.

Change: a server ends once, so that an end is known by its server. A suspicion names the servers of whose ends it was cleared, and what is cleared stays cleared whatever its age; the clearing's time counts for ends it did not know.

Why it holds: per request and server an entry moves from unknown to ended to cleared and never back, so that each is news once on each instance.

--- a/features/blame.feature
+++ b/features/blame.feature
@@ -106,3 +106,16 @@
     When a server ends under a request at the first, which sends it on
     Then within 3000 ms each of the others hears of it, in at most 60 messages
 
+  Scenario Outline: An end and its clearing are told once, over links that take longer than both are apart
+    # Each way adds to the age that both are told with, so that an end that was cleared came to look
+    # newer than its clearing, and that newer than the end, for as long as links were slow.
+    Given books of suspects of five instances whose links take 30 ms
+    When a server ends under a request at the first, and it is answered whole at the <other> <ms> ms later
+    Then within 3000 ms all have cleared it, in at most 60 messages
+
+    Examples:
+      | other  | ms |
+      | second | 5  |
+      | second | 20 |
+      | second | 40 |
+      | first  | 10 |
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -298,3 +298,27 @@
     for book in context.slow_books:
         assert book.known["f" * 32].under_way_since() > 0.0
     assert len(context.messages) <= most, len(context.messages)
+
+
+@when(
+    "a server ends under a request at the first, and it is answered whole at the {other} {ms:d} ms "
+    "later"
+)
+def ends_and_answered(context, other, ms):
+    book = context.slow_books[{"first": 0, "second": 1}[other]]
+
+    def end():
+        context.slow_clock.sleep(1_000.0)
+        lost = Interruption("f" * 32, "r", 60.0, context.slow_clock.now(), True)
+        context.slow_books[0].interrupted("llm-1", "llm", [lost])
+        context.slow_clock.sleep(float(ms))
+        book.answer("f" * 32)
+
+    context.slow_clock.run(gevent.spawn(end))
+
+
+@then("within {ms:d} ms all have cleared it, in at most {most:d} messages")
+def cleared_once(context, ms, most):
+    context.slow_clock.run(gevent.spawn(context.slow_clock.sleep, float(ms)))
+    assert len(context.messages) <= most, len(context.messages)
+    assert not any(book.is_suspect("f" * 32) for book in context.slow_books)
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -214,6 +214,7 @@
   clearedAt @4 :Float64;
   bars @5 :UInt16;
   barredAt @6 :Float64;
+  cleared @7 :List(Text);
 }
 
 struct LimitWord {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -195,6 +195,7 @@
         one.clearedAt,
         one.bars,
         one.barredAt,
+        tuple(str(server) for server in one.cleared),
     )
 
 
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -241,6 +241,7 @@
         to.fingerprint, to.service = bytes.fromhex(one.fingerprint), one.service
         to.sentAt, to.clearedAt = one.sent_at, one.cleared_at
         to.bars, to.barredAt = min(one.bars, MOST_BARS), one.barred_at
+        to.cleared = list(one.cleared)
         ends = to.init("ends", len(one.ends))
         for end, told in zip(one.ends, ends, strict=True):
             told.server, told.ranMs, told.at = end.server, end.ran_ms, end.at
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -24,6 +24,8 @@
 LASTING_ENDS = 2
 # How many ends are kept of a request; one with more is barred for long.
 ENDS_KEPT = 8
+# Of how many ends at most it is remembered that they were cleared, well more than are kept.
+CLEARED_KEPT = 16
 MINUTE_MS = 60_000.0
 HOUR_MS = 60.0 * MINUTE_MS
 # For how long a request is barred, after the first time and each further one: a model that was
@@ -54,6 +56,7 @@
         cleared_at: When it was last answered whole, or cleared by an operator.
         bars: How often it was barred since then.
         barred_at: When it was last barred.
+        cleared: The names of servers of whose ends it was cleared; each start has its own.
     """
 
     fingerprint: str
@@ -63,6 +66,7 @@
     cleared_at: float = NEVER
     bars: int = 0
     barred_at: float = NEVER
+    cleared: tuple[str, ...] = ()
 
     @property
     def is_suspect(self) -> bool:
@@ -126,19 +130,31 @@
     def lacks_fate(self, other: Suspicion) -> bool:
         """Tell whether another one knows more of what became of the request, not only a sending.
 
-        A sending is told by whoever makes it, and not passed on: each link adds its delay to the
-        age that it is told with, so that it would be news again and again.
+        Each link adds its delay to the ages that are told. So a sending is told by whoever makes it
+        and not passed on, and an end that was cleared is known by its server, whatever its age: else
+        they would be news again and again.
         """
-        known = {one.server for one in self.ends}
-        ended = any(one.at > self.cleared_at and one.server not in known for one in other.ends)
-        barred = other.bars > self.bars and other.barred_at > self.cleared_at
-        cleared = self.is_suspect and other.cleared_at >= self.ends[-1].at
-        return ended or barred or cleared
+        known = {one.server for one in self.ends} | set(self.cleared)
+        news = [one for one in other.ends if one.server not in known]
+        ended = any(one.at > self.cleared_at for one in news)
+        uncleared = any(one.server not in self.cleared for one in other.ends)
+        barred = uncleared and other.bars > self.bars and other.barred_at > self.cleared_at
+        return ended or barred or self.is_cleared_by(other)
+
+    def is_cleared_by(self, other: Suspicion) -> bool:
+        """Tell whether another one knows of a clearing of what this one holds against it."""
+        if not self.ends:
+            return False
+        named = any(one.server in other.cleared for one in self.ends)
+        return named or other.cleared_at >= self.ends[-1].at
 
     def merged(self, other: Suspicion) -> Suspicion:
         """Return what both know together."""
         cleared_at = max(self.cleared_at, other.cleared_at)
-        found = {one.server: one for one in (*other.ends, *self.ends) if one.at > cleared_at}
+        both = (*other.ends, *self.ends)
+        cleared = {one.server for one in both if one.at <= cleared_at}
+        cleared = cleared.union(self.cleared, other.cleared)
+        found = {one.server: one for one in both if one.server not in cleared}
         ends = tuple(sorted(found.values(), key=lambda one: one.at)[-ENDS_KEPT:])
         barred = [one for one in (self, other) if one.barred_at > cleared_at]
         return replace(
@@ -149,6 +165,7 @@
             cleared_at=cleared_at,
             bars=max((one.bars for one in barred), default=0),
             barred_at=max((one.barred_at for one in barred), default=NEVER),
+            cleared=tuple(sorted(cleared)[-CLEARED_KEPT:]),
         )
 
     def shifted(self, by_ms: float) -> Suspicion:
