--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -131,8 +131,8 @@
         """Tell whether another one knows more of what became of the request, not only a sending.
 
         Each link adds its delay to the ages that are told. So a sending is told by whoever makes it
-        and not passed on, and an end that was cleared is known by its server, whatever its age: else
-        they would be news again and again.
+        and not passed on, and an end that was cleared is known by its server, whatever its age:
+        else they would be news again and again.
         """
         known = {one.server for one in self.ends} | set(self.cleared)
         news = [one for one in other.ends if one.server not in known]
