--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -263,5 +263,5 @@
     for instance in context.fleet.instances.values():
         listed = instance.directory.find(server)
         assert instance.follower.service("desk").most_connections == accepts
-        kept += instance.part_of_connections(listed)
+        kept += instance.connections.of(listed)
     assert least <= kept <= most, kept
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -14,10 +14,10 @@
 import gevent
 
 from mountladder.clocks.clock import Clock
-from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
+from mountladder.forwarding.connectionshare import ConnectionShare
 from mountladder.forwarding.departure import Departure
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorylisting import DirectoryListing
@@ -34,7 +34,6 @@
 from mountladder.forwarding.readers import PULSE_MS
 from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.serverpicker import ServerPicker
-from mountladder.forwarding.serverrecord import SERVICE_LABEL
 from mountladder.forwarding.source import Source
 from mountladder.forwarding.sourcefollower import SourceFollower
 from mountladder.forwarding.sourcepage import SourcePage
@@ -139,7 +138,8 @@
         placer = PromptPlacer(self.fleet, desk, clock)
         picker = ServerPicker(self.directory, self.router, placer, self.cold, self.limits)
         self.upstream = upstream
-        upstream.part_of_connections = self.part_of_connections
+        self.connections = ConnectionShare(self.follower, self.membership)
+        upstream.part_of_connections = self.connections.of
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump)
@@ -172,16 +172,6 @@
         self.bar_keeper = BarKeeper(self.tables.bars, book, readers, self.clock)
         self.fleet.eras.listeners.append(self.bar_keeper.write_again)
 
-    def part_of_connections(self, server: BackendServer) -> int | None:
-        """Return this instance's part of the connections that a server accepts from all.
-
-        Half of them stay free for calls, which may come from any instance.
-        """
-        service = self.follower.service(server.labels[SERVICE_LABEL])
-        if service is None or not service.most_connections:
-            return None
-        return max(1, service.most_connections // (2 * self.membership.sharing()))
-
     def take_out(self, name: str) -> None:
         """Use a server no more that has ended, whoever noticed."""
         server = self.directory.find(name)
