After reading the change again: one reading of the part of a limit, twins joined

Callers see no difference: decisions, bounds and log lines are the same. Mended: where several servers limit what they take, each placement asked anew for each of them which part may be spent here and what time it is; it asks once. Placements before servers without a limit build no list for it. TokenBucket had an eighth copy of milliseconds a second; it and the clock take the timer's.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -179,6 +179,11 @@
     context.run(send_all)
 
 
+def most_within(times, span_ms):
+    """Return how many of some times lie within any span of a length, at most."""
+    return max((sum(at <= one < at + span_ms for one in times) for at in times), default=0)
+
+
 class QuietDispatch:
     """Stands for the dispatch of stages; says nothing of services and keeps no results."""
 
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -15,6 +15,7 @@
     catalogue,
     desk_of,
     meeting,
+    most_within,
     request,
     send_steadily,
     serve,
@@ -120,8 +121,7 @@
 @then("no cold server got more than {most:d} requests within a second")
 def within_second(context, most):
     for name in context.cold_since:
-        times = while_cold(context, name)
-        found = max((sum(at <= one < at + SECOND_MS for one in times) for at in times), default=0)
+        found = most_within(while_cold(context, name), SECOND_MS)
         assert found <= most, (name, found)
 
 
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -17,6 +17,7 @@
     catalogue,
     desk_of,
     meeting,
+    most_within,
     request,
     send_steadily,
     serve,
@@ -123,8 +124,8 @@
         times = [at for at in arrivals(context, server) if at >= since]
         counted = [at for at in times if at >= times[0] + TOLD_MS]
         most = OVERSHOOT * SPAN_S * per_s + BURST
-        spans = [sum(at <= one < at + SPAN_S * SECOND_MS for one in counted) for at in counted]
-        assert max(spans, default=0) <= most, (server, max(spans), most)
+        got = most_within(counted, SPAN_S * SECOND_MS)
+        assert got <= most, (server, got, most)
 
 
 def limited(context):
@@ -852,8 +853,8 @@
     for server, (since, _) in limited(context).items():
         times = [at for at in arrivals(context, server) if at >= since + TOLD_MS]
         times += [at for at, name in context.free_calls if name == server and at >= since + TOLD_MS]
-        got = max(sum(at <= one < at + SPAN_S * SECOND_MS for one in times) for at in times)
-        assert got <= most, (server, got)
+        got = most_within(times, SPAN_S * SECOND_MS)
+        assert times and got <= most, (server, got)
 
 
 @when(
--- a/packages/core/src/mountladder/clocks/systemclock.py
+++ b/packages/core/src/mountladder/clocks/systemclock.py
@@ -14,9 +14,8 @@
 from gevent.hub import Waiter
 
 from mountladder.clocks.clock import Clock
-from mountladder.clocks.timer import Timer
+from mountladder.clocks.timer import MS_PER_SECOND, Timer
 
-MS_PER_SECOND = 1000.0
 # Both clocks are read a moment apart; a machine is suspended for far longer than this.
 LEAST_SUSPENSION_MS = 50.0
 
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -148,10 +148,11 @@
 
     def given_up(self, error: RefusalError) -> RefusalError:
         """Return the refusal of a request whose stages were not begun in time."""
-        forecast, route = self.context.forecast, self.route
+        forecast = self.context.forecast
         if not self.gives_way:
-            forecast.learn(route, self.expected_ms, self.elapsed())
-        back_ms = forecast.back_now_ms(self.request, route, self.urgency, self.gives_way)
+            forecast.learn(self.route, self.expected_ms, self.elapsed())
+        expectation = forecast.expect(self.request, self.route, self.urgency, self.gives_way)
+        back_ms = forecast.back_ms(self.request, self.route, expectation.ms)
         return RefusalError(error.detail, error.code, retry_after_ms=back_ms)
 
     def begin(self) -> ForwardAttempt:
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -63,12 +63,15 @@
         """
         if self.fleet.home(topic) is not None:
             return 1
-        return 1 + sum(self.fleet.is_answering(link) for link in self.fleet.links.values())
+        return 1 + self.reached()
 
     def reaches_most(self, topic: str) -> bool:
         """Tell whether this instance is among the first, meets none before it, and most others."""
         firsts = self.fleet.contacts.ranked(topic)[:HOMES_KEPT]
         if self.fleet.membership.me not in firsts or self.fleet.home(topic) is not None:
             return False
-        reached = sum(self.fleet.is_answering(link) for link in self.fleet.links.values())
-        return 2 * reached >= len(self.fleet.dialers)
+        return 2 * self.reached() >= len(self.fleet.dialers)
+
+    def reached(self) -> int:
+        """Return how many of the others answer this instance."""
+        return sum(self.fleet.is_answering(link) for link in self.fleet.links.values())
--- a/packages/core/src/mountladder/forwarding/placementdesk.py
+++ b/packages/core/src/mountladder/forwarding/placementdesk.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Mapping, Sequence
+from collections.abc import Hashable, Sequence
 
 from eliot import log_message
 
@@ -81,7 +81,7 @@
         restraints = Restraints(self.cold.cold(servers), self.limits.waits_ms(servers, topic))
         chosen = self.choose(order, servers, restraints, topic)
         if chosen is None:
-            return self.turn_away(order, servers, restraints.waits_ms)
+            return self.turn_away(order, servers, restraints)
         choice = chosen.choice
         server = choice.state.server.name
         plan = chosen.plan
@@ -108,37 +108,30 @@
         topic: str,
     ) -> PromptChoice | None:
         """Choose a server for a prompt, or none."""
-        if self.gives_way(order, servers, restraints.waits_ms):
+        if restraints.limit_all(servers) and self.gives_way(order):
             return None
         wish = order.wish.without(self.cold.spent(servers, restraints.cold, topic))
         service = self.follower.service(order.service)
         transfer = service.transfer if service else None
         return self.placement.choose(servers, order.prompt, wish, transfer, restraints)
 
-    def gives_way(
-        self,
-        order: PlacementOrder,
-        servers: Sequence[BackendServer],
-        waits_ms: Mapping[str, float],
-    ) -> bool:
+    def gives_way(self, order: PlacementOrder) -> bool:
         """Tell whether a request leaves what servers take to more urgent ones."""
         turned_away = self.turned_away.get(order.service)
-        if turned_away is None or not turned_away.gives_way(order.urgency, self.clock.now()):
-            return False
-        return all(one.name in waits_ms for one in servers)
+        return turned_away is not None and turned_away.gives_way(order.urgency, self.clock.now())
 
     def turn_away(
         self,
         order: PlacementOrder,
         servers: Sequence[BackendServer],
-        waits_ms: Mapping[str, float],
+        restraints: Restraints,
     ) -> PlacementReply:
         """Return that no server takes a request, and when it is to come back, if that is known."""
-        if not servers or any(one.name not in waits_ms for one in servers):
+        if not servers or not restraints.limit_all(servers):
             return PlacementReply(order.number, "", 0.0)
         topic = prompts_topic(order.service)
         turned_away = self.turned_away.setdefault(order.service, TurnedAway())
-        wait_ms = min(waits_ms.values()) - order.patience_ms
+        wait_ms = min(restraints.waits_ms.values()) - order.patience_ms
         per_s = sum(self.limits.per_s(one, topic) for one in servers)
         back_ms = turned_away.add(order.urgency, wait_ms, per_s, self.clock.now())
         return PlacementReply(order.number, "", 0.0, wait_ms=back_ms)
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -76,8 +76,7 @@
                 self.held.setdefault(address, []).append(handle)
             elif address not in drained:
                 given_up.append(handle)
-        self.upstream.free(given_up)
-        self.freed(given_up)
+        self.free_now(given_up)
 
     def take_back(self, limited: frozenset[str]) -> list[str]:
         """Return what was held back at servers without a limit now, and forget what has lapsed."""
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -133,12 +133,6 @@
         back_ms = max(LEAST_BACK_MS, BACK_EXCESS * (expected_ms - route.aim_ms))
         return min(back_ms, MOST_BACK_MS, BACK_PART * request.allowed_ms)
 
-    def back_now_ms(
-        self, request: ForwardRequest, route: Route, urgency: int, gives_way: bool
-    ) -> float:
-        """Return when a request may come back by what is expected now; see expect."""
-        return self.back_ms(request, route, self.expect(request, route, urgency, gives_way).ms)
-
     def expect(
         self, request: ForwardRequest, route: Route, urgency: int, gives_way: bool = False
     ) -> Expectation:
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.division import Division
@@ -15,7 +16,6 @@
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
-from mountladder.serverlimits.tokenbucket import MS_PER_SECOND
 
 # A server this much slower than usual is left alone while another is soon free.
 MUCH_SLOWER = 1.8
--- a/packages/core/src/mountladder/forwarding/turnedaway.py
+++ b/packages/core/src/mountladder/forwarding/turnedaway.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from mountladder.serverlimits.tokenbucket import MS_PER_SECOND
+from mountladder.clocks.timer import MS_PER_SECOND
 
 # While more urgent requests were turned away so lately, others leave them what servers take.
 GIVES_WAY_MS = 1_000.0
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -191,8 +191,10 @@
 
 
 def _soonest(
-    states: Sequence[ServerState], waits_ms: Mapping[str, float], patience_ms: float
+    states: list[ServerState], waits_ms: Mapping[str, float], patience_ms: float
 ) -> list[ServerState]:
+    if not waits_ms:
+        return states
     at_once = [one for one in states if not waits_ms.get(one.server.name)]
     return at_once or [one for one in states if waits_ms[one.server.name] <= patience_ms]
 
--- a/packages/core/src/mountladder/routing/restraints.py
+++ b/packages/core/src/mountladder/routing/restraints.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from mountladder.configuration.backendserver import BackendServer
+
 
 @dataclass(frozen=True, slots=True)
 class Restraints:
@@ -23,5 +25,9 @@
     cold: frozenset[str] = frozenset()
     waits_ms: Mapping[str, float] = field(default_factory=dict)
 
+    def limit_all(self, servers: Iterable[BackendServer]) -> bool:
+        """Tell whether all of some servers limit what they take."""
+        return all(one.name in self.waits_ms for one in servers)
+
 
 NO_RESTRAINTS = Restraints()
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -63,13 +63,11 @@
             servers: The servers; those without a limit are left out.
             topic: Under which topic the work that they are to get meets.
         """
-        if not self.book.words:
+        limited = self.limited(servers)
+        if not limited:
             return {}
-        return {
-            one.name: self.wait_ms(one, topic)
-            for one in servers
-            if self.book.per_s(one.name) < UNLIMITED
-        }
+        now, part = self.clock.now(), self.leadership.part(topic)
+        return {name: self.bucket_of(name, part, now).wait_ms(now) for name in limited}
 
     def wait_ms(self, server: BackendServer, topic: str) -> float:
         """Return how long one more request for a server has to wait, in milliseconds."""
@@ -100,19 +98,27 @@
 
     def bucket(self, server: BackendServer, topic: str) -> TokenBucket | None:
         """Return what may be sent yet to a server from here, or None where it names no limit."""
-        named = self.book.per_s(server.name)
-        if named == UNLIMITED:
+        if self.book.per_s(server.name) == UNLIMITED:
             self.buckets.pop(server.name, None)
             return None
-        now = self.clock.now()
-        part = self.leadership.part(topic)
+        return self.bucket_of(server.name, self.leadership.part(topic), self.clock.now())
+
+    def bucket_of(self, name: str, part: float, now: float) -> TokenBucket:
+        """Return what may be sent yet to a limited server.
+
+        Args:
+            name: Its name.
+            part: Which part of its limit may be spent here.
+            now: The clock's time.
+        """
         whole = part >= 1.0
-        per_s, most = max(LEAST_PER_S, named) * part, MOST_AT_ONCE if whole else 1.0
-        bucket = self.buckets.get(server.name)
+        per_s = max(LEAST_PER_S, self.book.per_s(name)) * part
+        most = MOST_AT_ONCE if whole else 1.0
+        bucket = self.buckets.get(name)
         stale = bucket is not None and not whole and now - bucket.refilled_at > ALONE_KEPT_MS
         if bucket is None or stale:
             self.forget_gone()
-            bucket = self.buckets[server.name] = TokenBucket(per_s, most, now)
+            bucket = self.buckets[name] = TokenBucket(per_s, most, now)
         elif bucket.per_s != per_s:
             bucket.change(per_s, most, now)
         return bucket
--- a/packages/core/src/mountladder/serverlimits/tokenbucket.py
+++ b/packages/core/src/mountladder/serverlimits/tokenbucket.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-MS_PER_SECOND = 1_000.0
+from mountladder.clocks.timer import MS_PER_SECOND
 
 
 class TokenBucket:
