What answers say of their servers is read in one place, and logged

Logs could not tell which answers said so, and to whom.

Limits are handled as before. The others are only logged (server-leaving, server-rests); no decision changes. An answer of another server (421) or to another request tells nothing, as before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -95,6 +95,41 @@
       | limited to less than none  | request r1  | nothing        |
       | limited to no number       | request r1  | nothing        |
 
+  Scenario Outline: What an answer says of its server's leaving, and of the rest that it wants
+    # An answer of another server, or to another request, tells nothing of this one.
+    Given a backend server that answers "<answer>"
+    When <what> is sent to it
+    Then it is heard that the server <heard>
+
+    Examples:
+      | answer                      | what       | heard                         |
+      | leaving                     | request r1 | leaves                        |
+      | leaving, own failure        | request r1 | leaves                        |
+      | leaving, full               | request r1 | leaves                        |
+      | leaving, 503 without a mark | request r1 | leaves                        |
+      | leaving stream              | request r1 | leaves                        |
+      | leaving results             | a call     | leaves                        |
+      | leaving results full        | a call     | leaves                        |
+      | leaving, replaced           | request r1 | neither leaves nor wants rest |
+      | leaving, another id         | request r1 | neither leaves nor wants rest |
+      | leaving in words            | request r1 | neither leaves nor wants rest |
+      | whole                       | request r1 | neither leaves nor wants rest |
+      | full, not run               | request r1 | neither leaves nor wants rest |
+      | rest of 3 s                 | request r1 | wants rest for 3 s            |
+      | rest of 0.25 s              | request r1 | wants rest for 0.25 s         |
+      | rest with 429               | request r1 | wants rest for 2 s            |
+      | rest without a mark         | request r1 | wants rest for 2 s            |
+      | rest of results             | a call     | wants rest for 1.5 s          |
+      | rest of a day               | request r1 | wants rest for 600 s          |
+      | rest of 0 s                 | request r1 | neither leaves nor wants rest |
+      | rest of less than 0 s       | request r1 | neither leaves nor wants rest |
+      | rest of nan s               | request r1 | neither leaves nor wants rest |
+      | rest of inf s               | request r1 | neither leaves nor wants rest |
+      | rest up to a date           | request r1 | neither leaves nor wants rest |
+      | rest with an answer         | request r1 | neither leaves nor wants rest |
+      | rest, replaced              | request r1 | neither leaves nor wants rest |
+      | rest, another id            | request r1 | neither leaves nor wants rest |
+
   Scenario Outline: Results that cannot be matched with their pieces are refused
     Given a backend server that answers "<answer>"
     When three pieces are sent to it
--- a/features/rawanswers.py
+++ b/features/rawanswers.py
@@ -31,6 +31,11 @@
     return b"Server-Limit: %b\r\n" % per_s
 
 
+def rest(seconds, mark=MARK):
+    return mark + b"Retry-After: %b\r\n" % seconds
+
+
+LEAVING = b"Server-Leaving: 1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"2\r\nhe\r\n3\r\nllo\r\n"
 NOT_ITS_ID = b"Mountladder-Request-Id: zz\r\n"
@@ -77,4 +82,28 @@
     "limited to less than none": (answer(200, b"hello", HEAD + limited(b"-1")), False),
     "limited to no number": (answer(200, b"hello", HEAD + limited(b"nan")), False),
     "results full": (answer(503, b"", MARK), False),
+    "leaving": (answer(200, b"hello", HEAD + LEAVING), False),
+    "leaving, own failure": (answer(500, b"broken", HEAD + LEAVING), False),
+    "leaving, full": (answer(503, b"", MARK + LEAVING), False),
+    "leaving, 503 without a mark": (answer(503, b"x", HEAD + LEAVING), False),
+    "leaving stream": (answer(200, CHUNKS + b"0\r\n\r\n", CHUNKED + LEAVING, False), False),
+    "leaving results": (answer(200, RESULTS, LEAVING), False),
+    "leaving results full": (answer(503, b"", MARK + LEAVING), False),
+    "leaving, replaced": (answer(421, b"", LEAVING), False),
+    "leaving, another id": (answer(200, b"x", NOT_ITS_ID + LEAVING), False),
+    "leaving in words": (answer(200, b"hello", HEAD + b"Server-Leaving: soon\r\n"), False),
+    "rest of 3 s": (answer(503, b"", rest(b"3")), False),
+    "rest of 0.25 s": (answer(503, b"", rest(b"0.25")), False),
+    "rest with 429": (answer(429, b"", rest(b"2")), False),
+    "rest without a mark": (answer(503, b"x", rest(b"2", HEAD)), False),
+    "rest of results": (answer(503, b"", rest(b"1.5")), False),
+    "rest of a day": (answer(503, b"", rest(b"86400")), False),
+    "rest of 0 s": (answer(503, b"", rest(b"0")), False),
+    "rest of less than 0 s": (answer(503, b"", rest(b"-3")), False),
+    "rest of nan s": (answer(503, b"", rest(b"nan")), False),
+    "rest of inf s": (answer(503, b"", rest(b"inf")), False),
+    "rest up to a date": (answer(503, b"", rest(b"Thu, 03 Dec 2026 10:00:00 GMT")), False),
+    "rest with an answer": (answer(200, b"hello", rest(b"3", HEAD)), False),
+    "rest, replaced": (answer(421, b"", rest(b"3")), False),
+    "rest, another id": (answer(503, b"x", rest(b"3", NOT_ITS_ID)), False),
 }
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,7 +26,9 @@
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.serverrecord import listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
-from mountladder.serverlimits.limitword import UNLIMITED
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.ratelimit import UNLIMITED, RateLimit
+from mountladder.notices.rest import Rest
 from mountladder.store.position import Position
 from mountladder_entry.httpclient import HttpClient
 from mountladder_entry.logqueue import MOST_LINES, LogQueue
@@ -153,7 +155,7 @@
         now + 5_000.0,
         inputs,
         reusable=reusable,
-        heard=lambda server, per_s, sent_at: heard(per_s),
+        heard=lambda server, notices, sent_at: heard(notices),
     )
 
 
@@ -174,7 +176,24 @@
 def limit_heard(context, heard):
     named = {"nothing": [], "no limit": [UNLIMITED]}
     expected = named[heard] if heard in named else [float(heard.split()[0])]
-    assert context.heard == expected, context.heard
+    limits = [one.per_s for one in heard_of(context, RateLimit)]
+    assert limits == expected, context.heard
+
+
+def heard_of(context, kind):
+    """Return what was heard of one kind."""
+    return [one for notices in context.heard for one in notices if isinstance(one, kind)]
+
+
+@then("it is heard that the server {what}")
+def leaving_heard(context, what):
+    expected = {
+        "leaves": ([Leaving()], []),
+        "neither leaves nor wants rest": ([], []),
+    }
+    rest = [Rest(1000.0 * float(what.split()[-2]))] if what.startswith("wants rest for") else []
+    heard = (heard_of(context, Leaving), heard_of(context, Rest))
+    assert heard == expected.get(what, ([], rest)), context.heard
 
 
 @when("requests {first} and {second} are sent to it")
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -33,6 +33,7 @@
 from mountladder.forwarding.serverpicker import NO_PROMPT
 from mountladder.forwarding.serverrecord import ID_LABEL, listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.notices.ratelimit import UNLIMITED
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.promptplacement import PromptPlacement
@@ -40,7 +41,6 @@
 from mountladder.routing.router import Router
 from mountladder.routing.serverwish import ServerWish
 from mountladder.serverlimits.limitbook import LimitBook
-from mountladder.serverlimits.limitword import UNLIMITED
 
 SETTLE_MS = 1_500.0
 # The users' bound: from so long after a server first named its limit it gets in any span of so many
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -28,6 +28,7 @@
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metrics import Metrics
+from mountladder.notices.noticeboard import NoticeBoard
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
@@ -66,6 +67,7 @@
         metrics: Where calls are counted.
         cold: Limits what servers get that have just started.
         limits: Keeps to what servers say that they take.
+        notices: Takes in what answers say of their servers.
     """
 
     def __init__(
@@ -81,8 +83,10 @@
         metrics: Metrics,
         cold: ColdServers,
         limits: ServerLimits,
+        notices: NoticeBoard,
     ) -> None:
         self.service = service
+        self.notices = notices
         self.catalogue = catalogue
         self.upstream = upstream
         self.ends = quarantine.ends
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -83,7 +83,7 @@
         cancel = self.home.clock.call_later(late_ms, self.send_twice)
         try:
             results = self.home.upstream.run_pieces(
-                self.state.server, pieces, patience_ms, self.home.servers.named_limits.book.hear
+                self.state.server, pieces, patience_ms, self.home.notices.hear
             )
         except StageError as error:
             self.failed(error)
--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -9,10 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.forwardrequest import ForwardRequest
-
-Heard = Callable[[BackendServer, float, float], None]
+from mountladder.notices.notice import Heard
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,8 +25,7 @@
         after_event: The last event that the caller has already, or an empty string.
         reusable: Whether a connection that was idle may carry it.
         source: The address of the server to fetch kept parts of the prompt from, or empty.
-        heard: Called with the server, how many requests a second the answer says that it takes,
-            and when the request was sent.
+        heard: Called with the server, what its answer says of it, and when the request was sent.
         connected: Called once the server can be reached, as the request is about to be written.
     """
 
@@ -39,5 +36,5 @@
     after_event: str = ""
     reusable: bool = True
     source: str = ""
-    heard: Heard = lambda server, per_s, sent_at: None
+    heard: Heard = lambda server, notices, sent_at: None
     connected: Callable[[], None] = lambda: None
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -20,8 +20,8 @@
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.metrics.metrics import Metrics
+from mountladder.notices.noticeboard import NoticeBoard
 from mountladder.quarantine.quarantineservice import QuarantineService
-from mountladder.serverlimits.limitbook import LimitBook
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
         departure: Whether the instance is about to end.
         fetch_time: When servers have fetched the results of stages.
         quarantine: Knows under which requests servers end.
-        limits: Knows how much servers say that they take.
+        notices: Takes in what answers say of their servers.
     """
 
     clock: Clock
@@ -56,4 +56,4 @@
     departure: Departure
     fetch_time: FetchTime
     quarantine: QuarantineService
-    limits: LimitBook
+    notices: NoticeBoard
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -45,13 +45,12 @@
 from mountladder.membership.membership import Membership
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
+from mountladder.notices.noticeboard import NoticeBoard
 from mountladder.quarantine.barkeeper import BarKeeper
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
-from mountladder.serverlimits.limitbook import LimitBook
-from mountladder.serverlimits.limitexchange import LimitExchange
 from mountladder.serverlimits.serverlimits import ServerLimits
 from mountladder.supervision import keep_running
 
@@ -129,9 +128,8 @@
         )
         leadership = Leadership(self.fleet, clock)
         self.cold = ColdServers(self.directory, self.follower, leadership, clock)
-        book = LimitBook(clock, metrics)
-        self.limits = ServerLimits(book, leadership, clock)
-        self.limit_exchange = LimitExchange(self.fleet, book, clock)
+        self.notices = NoticeBoard(self.fleet, clock, metrics)
+        self.limits = ServerLimits(self.notices.limits, leadership, clock)
         desk = PlacementDesk(
             self.directory, self.router, clock, self.follower, self.cold, self.limits
         )
@@ -193,7 +191,7 @@
             departure=self.departure,
             fetch_time=FetchTime(),
             quarantine=self.quarantine,
-            limits=self.limits.book,
+            notices=self.notices,
         )
 
     def make_follower(
@@ -229,6 +227,7 @@
             self.metrics,
             self.cold,
             self.limits,
+            self.notices,
         )
 
     def pump(self) -> None:
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable, Sequence
 
 from mountladder.configuration.backendserver import BackendServer
-from mountladder.forwarding.forwardcall import ForwardCall, Heard
+from mountladder.forwarding.forwardcall import ForwardCall
 from mountladder.forwarding.piece import Piece
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.notices.notice import Heard
 
 
 class Upstream(ABC):
@@ -50,7 +51,7 @@
             server: The server.
             pieces: The pieces.
             limit_ms: How long the answer may take.
-            heard: Told what the answer says of the server's limit; see ForwardCall.
+            heard: Told what the answer says of the server; see ForwardCall.
 
         Raises:
             StageError: The server refused, or the answer broke or did not come within the limit.
--- /dev/null
+++ b/packages/core/src/mountladder/notices/noticeboard.py
@@ -0,0 +1,72 @@
+# noticeboard.py -- Takes in what answers say of their backend servers
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Takes in what answers say of their backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from functools import singledispatchmethod
+
+from eliot import log_message
+
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.membership.linkkeeper import LinkKeeper
+from mountladder.metrics.metrics import Metrics
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.notice import Notice
+from mountladder.notices.ratelimit import RateLimit
+from mountladder.notices.rest import Rest
+from mountladder.serverlimits.limitbook import LimitBook
+from mountladder.serverlimits.limitexchange import LimitExchange
+
+
+class NoticeBoard:
+    """Takes in what answers say of their servers, and hands each notice to who acts on it.
+
+    Args:
+        keeper: Keeps the links to the other instances.
+        clock: The clock.
+        metrics: Where the number of limited servers goes.
+
+    Attributes:
+        limits: The limits that servers name.
+    """
+
+    def __init__(self, keeper: LinkKeeper, clock: Clock, metrics: Metrics) -> None:
+        self.limits = LimitBook(clock, metrics)
+        self.exchange = LimitExchange(keeper, self.limits, clock)
+
+    def hear(self, server: BackendServer, notices: Sequence[Notice], sent_at: float) -> None:
+        """Take in what an answer says.
+
+        Args:
+            server: The server that answered.
+            notices: What it says of itself.
+            sent_at: When the request was sent that is answered.
+        """
+        for notice in notices:
+            self.take(notice, server, sent_at)
+
+    @singledispatchmethod
+    def take(self, notice: object, server: BackendServer, sent_at: float) -> None:
+        """Take in one notice.
+
+        Raises:
+            TypeError: It is none.
+        """
+        raise TypeError(f"no notice: {notice!r}")
+
+    @take.register
+    def _(self, notice: RateLimit, server: BackendServer, sent_at: float) -> None:
+        self.limits.hear(server, notice.per_s, sent_at)
+
+    @take.register
+    def _(self, notice: Leaving, server: BackendServer, sent_at: float) -> None:
+        log_message("server-leaving", server=server.name)
+
+    @take.register
+    def _(self, notice: Rest, server: BackendServer, sent_at: float) -> None:
+        log_message("server-rests", server=server.name, for_ms=round(notice.for_ms))
--- a/packages/core/src/mountladder/serverlimits/limitbook.py
+++ b/packages/core/src/mountladder/serverlimits/limitbook.py
@@ -14,7 +14,8 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
-from mountladder.serverlimits.limitword import UNLIMITED, LimitWord
+from mountladder.notices.ratelimit import UNLIMITED
+from mountladder.serverlimits.limitword import LimitWord
 
 # A limit that moves by less than this part is not worth a message to all instances.
 TOLD_CHANGE = 0.1
--- a/packages/core/src/mountladder/serverlimits/limitword.py
+++ b/packages/core/src/mountladder/serverlimits/limitword.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, replace
 
-# Stands for the limit of a server whose answer names none.
-UNLIMITED = math.inf
+from mountladder.notices.ratelimit import UNLIMITED
+
 # The way of a message between two instances takes less than this, or it is lost with its link.
 WAY_MS = 100.0
 
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -13,8 +13,8 @@
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.leadership import Leadership
+from mountladder.notices.ratelimit import UNLIMITED
 from mountladder.serverlimits.limitbook import LimitBook
-from mountladder.serverlimits.limitword import UNLIMITED
 from mountladder.serverlimits.tokenbucket import TokenBucket
 
 # A server that takes less is sent one request in ten seconds all the same, since only an answer
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -15,13 +15,16 @@
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError
-from mountladder.forwarding.forwardcall import ForwardCall, Heard
+from mountladder.forwarding.forwardcall import ForwardCall
 from mountladder.forwarding.piece import Piece
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.upstream import Upstream
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
-from mountladder.serverlimits.limitword import UNLIMITED
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.notice import Heard, Notice
+from mountladder.notices.ratelimit import UNLIMITED, RateLimit
+from mountladder.notices.rest import Rest
 from mountladder_standins.localanswer import LocalAnswer
 from mountladder_standins.piececall import PieceCall
 from mountladder_standins.serverfault import ServerFault
@@ -59,6 +62,8 @@
         dark: Whether those that have ended give no sign, in place of refusing connections.
         on_ended: Called with each server that a request has ended.
         limits: How many requests a second servers say that they take, by name.
+        leaving: The names of servers that say in their answers that they leave.
+        rests: For how long servers that refuse want no requests, in milliseconds, by name.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -76,14 +81,15 @@
         self.dark = False
         self.on_ended: Callable[[BackendServer], None] = lambda server: None
         self.limits: dict[str, float] = {}
+        self.leaving: set[str] = set()
+        self.rests: dict[str, float] = {}
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
         fault = self.faults.get(server.name)
         sent_at = self.clock.now()
         self.arrivals[call.request.id].append(server.name)
-        if fault in _REFUSALS:
-            raise StageError("", _REFUSALS[fault], False)
+        self.refuse(server, call.heard)
         self.check_listening(server)
         call.connected()
         self.runs[call.request.id].append(server.name)
@@ -93,11 +99,31 @@
         self.work(server, self.work_ms(call), (call.request.body,))
         if fault is ServerFault.RESET:
             raise StageError("", Code.STREAM_CUT)
-        call.heard(server, self.limits.get(server.name, UNLIMITED), sent_at)
+        call.heard(server, self.notices(server), sent_at)
         answer = self.answer(server, call, fault)
         self.answers.append(answer)
         return answer
 
+    def notices(self, server: BackendServer) -> tuple[Notice, ...]:
+        """Return what an answer of a server says of it."""
+        limit = RateLimit(self.limits.get(server.name, UNLIMITED))
+        return (limit, Leaving()) if server.name in self.leaving else (limit,)
+
+    def refuse(self, server: BackendServer, heard: Heard) -> None:
+        """Refuse a request where the server is to.
+
+        Raises:
+            StageError: It is.
+        """
+        fault = self.faults.get(server.name)
+        if fault is ServerFault.FULL:
+            leaving = (Leaving(),) if server.name in self.leaving else ()
+            rest_ms = self.rests.get(server.name, 0.0)
+            rest = (Rest(rest_ms),) if rest_ms else ()
+            heard(server, leaving + rest, self.clock.now())
+        if fault in _REFUSALS:
+            raise StageError("", _REFUSALS[fault], False)
+
     def work_ms(self, call: ForwardCall) -> float:
         """Return how long a request takes to its answer."""
         prompt = call.request.prompt
@@ -163,8 +189,7 @@
     ) -> tuple[PieceResult, ...]:
         """Work on pieces; see Upstream."""
         fault = self.faults.get(server.name)
-        if fault in _REFUSALS:
-            raise StageError("", _REFUSALS[fault], False)
+        self.refuse(server, heard)
         self.check_listening(server)
         sent_at = self.clock.now()
         self.calls.append(PieceCall(server.name, self.clock.now(), tuple(pieces)))
@@ -174,7 +199,7 @@
         slower = SLOWER if fault is ServerFault.SLOW else 1.0
         ms = (CALL_MS + PIECE_MS * len(pieces)) * slower
         self.work(server, ms, tuple(piece.key for piece in pieces))
-        heard(server, self.limits.get(server.name, UNLIMITED), sent_at)
+        heard(server, self.notices(server), sent_at)
         if fault is ServerFault.NO_ROOM:
             return tuple(PieceResult("", PieceFailure.NO_ROOM) for _ in pieces)
         return tuple(PieceResult(f"{server.address}/{next(self.numbers)}") for _ in pieces)
