One book and one message for what servers say to all instances

Limits of servers had a book, an exchange, a message and an order of newer and older of their own; the next header would have needed the same again. That a server leaves is such a kind, though no answer is taken in as one yet.

--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -33,14 +33,14 @@
 from mountladder.forwarding.serverpicker import NO_PROMPT
 from mountladder.forwarding.serverrecord import ID_LABEL, listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
-from mountladder.notices.ratelimit import UNLIMITED
+from mountladder.notices.noticebook import NoticeBook
+from mountladder.notices.ratelimit import UNLIMITED, RateLimit
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.promptplacement import PromptPlacement
 from mountladder.routing.restraints import Restraints
 from mountladder.routing.router import Router
 from mountladder.routing.serverwish import ServerWish
-from mountladder.serverlimits.limitbook import LimitBook
 
 SETTLE_MS = 1_500.0
 # The users' bound: from so long after a server first named its limit it gets in any span of so many
@@ -294,7 +294,7 @@
         name_limit(context, one, per_s)
         for instance in list(context.fleet.instances.values())[:1]:
             found = instance.directory.find(one)
-            instance.limits.book.hear(found, per_s, context.clock.now())
+            instance.limits.book.hear(found, RateLimit(per_s), context.clock.now())
     context.run(context.clock.sleep, 100.0)
 
 
@@ -501,22 +501,22 @@
 
 @given("a server has named {per_s} a second in an answer from {sent:d} to {seen:d} ms")
 def book_named(context, per_s, sent, seen):
-    context.book = LimitBook(context.clock, MemoryMetrics())
+    context.book = NoticeBook(context.clock, MemoryMetrics())
     context.server = listed_server("i-1", "desk", "10.0.0.1:80", "a", 8, False)
     context.clock.time = 1_000.0
-    context.book.hear(context.server, 2.0, 900.0)
+    context.book.hear(context.server, RateLimit(2.0), 900.0)
     answer_named(context, sent, seen, per_s)
 
 
 @when("one from {sent:d} to {seen:d} ms names {per_s}")
 def answer_named(context, sent, seen, per_s):
     context.clock.time = 1_000.0 + seen
-    context.book.hear(context.server, _limit(per_s), 1_000.0 + sent)
+    context.book.hear(context.server, RateLimit(_limit(per_s)), 1_000.0 + sent)
 
 
 @then("it is taken to take {per_s}")
 def taken_to(context, per_s):
-    assert context.book.per_s("i-1") == _limit(per_s), context.book.words
+    assert context.book.per_s("i-1") == _limit(per_s), context.book.limits
 
 
 def _limit(text):
@@ -525,7 +525,7 @@
 
 @given("{number:d} instances in a ring, with links of {ms:d} ms")
 def ring(context, number, ms):
-    context.books = [LimitBook(context.clock, MemoryMetrics()) for n in range(number)]
+    context.books = [NoticeBook(context.clock, MemoryMetrics()) for n in range(number)]
     context.messages = 0
     context.under_way = 0
 
@@ -552,9 +552,9 @@
 
     def play():
         context.clock.sleep(100.0)
-        context.books[0].hear(server, first, context.clock.now() - 5.0)
+        context.books[0].hear(server, RateLimit(first), context.clock.now() - 5.0)
         context.clock.sleep(float(ms))
-        context.books[2].hear(server, second, context.clock.now() - 5.0)
+        context.books[2].hear(server, RateLimit(second), context.clock.now() - 5.0)
 
     context.run(play)
 
@@ -566,11 +566,11 @@
     plain, book.on_news = book.on_news, lambda words, source: None
 
     def play():
-        book.hear(server, per_s, context.clock.now())
+        book.hear(server, RateLimit(per_s), context.clock.now())
         book.on_news = plain
         for _ in range(6):
             context.clock.sleep(SECOND_MS)
-            book.hear(server, per_s, context.clock.now() - 5.0)
+            book.hear(server, RateLimit(per_s), context.clock.now() - 5.0)
 
     context.run(play)
 
@@ -591,7 +591,7 @@
 
 @given("an instance")
 def one_book(context):
-    context.book = LimitBook(context.clock, MemoryMetrics())
+    context.book = NoticeBook(context.clock, MemoryMetrics())
 
 
 @when("{number:d} servers name a limit, one each {ms:d} ms")
@@ -599,14 +599,14 @@
     for n in range(number):
         context.clock.time += ms
         server = listed_server(f"i-{n}", "desk", "10.0.0.1:80", "a", 8, False)
-        context.book.hear(server, 1.0, context.clock.now())
+        context.book.hear(server, RateLimit(1.0), context.clock.now())
     context.number = number
 
 
 @then("it remembers the last {most:d}")
 def remembers(context, most):
     expected = {f"i-{n}" for n in range(context.number - most, context.number)}
-    assert set(context.book.words) == expected, len(context.book.words)
+    assert set(context.book.limits) == expected, len(context.book.limits)
 
 
 @then("results are given up in less than half as many calls as pieces are made there")
@@ -769,7 +769,9 @@
         context.clock.sleep(float(ms))
         instance = context.fleet.instances[names[0]]
         for server in of_service(context, "llm"):
-            instance.limits.book.hear(instance.directory.find(server), 1.0, context.clock.now())
+            instance.limits.book.hear(
+                instance.directory.find(server), RateLimit(1.0), context.clock.now()
+            )
         gevent.joinall(tasks)
 
     context.run(play)
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -217,12 +217,15 @@
   cleared @7 :List(Text);
 }
 
-struct LimitWord {
+struct ServerNotice {
   server @0 :Text;
-  perSecond @1 :Float32;
-  sentAt @2 :Float64;
-  seenAt @3 :Float64;
-  slackMs @4 :Float32;
+  sentAt @1 :Float64;
+  seenAt @2 :Float64;
+  slackMs @3 :Float32;
+  union {
+    perSecond @4 :Float32;
+    leaving @5 :Void;
+  }
 }
 
 struct Frame {
@@ -248,6 +251,6 @@
     placementNote @18 :PlacementNote;
     stageNotice @19 :StageNotice;
     suspicions @20 :List(Suspicion);
-    limitWords @21 :List(LimitWord);
+    serverNotices @21 :List(ServerNotice);
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -34,15 +34,15 @@
 from mountladder.membership.submitted import Submitted
 from mountladder.membership.wirereader import READERS
 from mountladder.membership.wirewriter import fill
+from mountladder.notices.servernotices import ServerNotices
 from mountladder.quarantine.suspicions import Suspicions
-from mountladder.serverlimits.limitwords import LimitWords
 
-VERSION = 7
+VERSION = 8
 Configuring = Hello | Heartbeat | Ask | Changes | Snapshot | Submit | Submitted
 Forwarding = Beacon | Want | CatalogueSlice | DirectoryCopy | MemberList
 Stages = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 Placing = PlacementOrder | PlacementReply | PlacementNote
-Message = Configuring | Forwarding | Stages | Placing | Suspicions | LimitWords
+Message = Configuring | Forwarding | Stages | Placing | Suspicions | ServerNotices
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -35,11 +35,13 @@
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
 from mountladder.membership.wirewriter import ANY_VERSION, FAILURES
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.ratelimit import RateLimit
+from mountladder.notices.servernotice import ServerNotice
+from mountladder.notices.servernotices import ServerNotices
 from mountladder.quarantine.serverend import ServerEnd
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
-from mountladder.serverlimits.limitword import LimitWord
-from mountladder.serverlimits.limitwords import LimitWords
 from mountladder.store.position import Position
 from mountladder.store.write import Write
 
@@ -199,8 +201,9 @@
     )
 
 
-def _read_word(one) -> LimitWord:
-    return LimitWord(str(one.server), one.perSecond, one.sentAt, one.seenAt, one.slackMs)
+def _read_notice(one) -> ServerNotice:
+    notice = Leaving() if str(one.which()) == "leaving" else RateLimit(one.perSecond)
+    return ServerNotice(str(one.server), notice, one.sentAt, one.seenAt, one.slackMs)
 
 
 READERS = {
@@ -227,7 +230,7 @@
         str(one.request), one.stage, str(one.service), one.pieces, one.urgency, one.givesWay
     ),
     "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
-    "limitWords": lambda words: LimitWords(tuple(_read_word(one) for one in words)),
+    "serverNotices": lambda all_: ServerNotices(tuple(_read_notice(one) for one in all_)),
     "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
 }
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -29,8 +29,10 @@
 from mountladder.membership.snapshot import Snapshot
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.ratelimit import RateLimit
+from mountladder.notices.servernotices import ServerNotices
 from mountladder.quarantine.suspicions import Suspicions
-from mountladder.serverlimits.limitwords import LimitWords
 
 ANY_VERSION = -1
 MOST_AGE_MS = 2**32 - 1
@@ -249,12 +251,32 @@
 
 
 @fill.register
-def _(message: LimitWords, frame) -> None:
-    words = frame.init("limitWords", len(message.entries))
-    for one, to in zip(message.entries, words, strict=True):
-        to.server, to.perSecond = one.server, one.per_s
+def _(message: ServerNotices, frame) -> None:
+    notices = frame.init("serverNotices", len(message.entries))
+    for one, to in zip(message.entries, notices, strict=True):
+        to.server, to.slackMs = one.server, one.slack_ms
         to.sentAt, to.seenAt = one.sent_at, one.seen_at
-        to.slackMs = one.slack_ms
+        fill_notice(one.notice, to)
+
+
+@singledispatch
+def fill_notice(notice: object, to: object) -> None:
+    """Write what a server says of itself into its frame.
+
+    Raises:
+        TypeError: It is no notice for all instances.
+    """
+    raise TypeError(f"no notice for all: {notice!r}")
+
+
+@fill_notice.register
+def _(notice: RateLimit, to) -> None:
+    to.perSecond = notice.per_s
+
+
+@fill_notice.register
+def _(notice: Leaving, to) -> None:
+    to.leaving = None
 
 
 def _fill_position(position, to) -> None:
--- a/packages/core/src/mountladder/notices/notice.py
+++ b/packages/core/src/mountladder/notices/notice.py
@@ -13,6 +13,8 @@
 from mountladder.notices.ratelimit import RateLimit
 from mountladder.notices.rest import Rest
 
-Notice = RateLimit | Leaving | Rest
+# What concerns all instances, and what concerns the one that is answered only.
+Shared = RateLimit | Leaving
+Notice = Shared | Rest
 # Takes the server, what its answer says of it, and when the request was sent that is answered.
 Heard = Callable[[BackendServer, Sequence[Notice], float], None]
--- a/packages/core/src/mountladder/notices/noticeboard.py
+++ b/packages/core/src/mountladder/notices/noticeboard.py
@@ -17,10 +17,10 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.notice import Notice
+from mountladder.notices.noticebook import NoticeBook
+from mountladder.notices.noticeexchange import NoticeExchange
 from mountladder.notices.ratelimit import RateLimit
 from mountladder.notices.rest import Rest
-from mountladder.serverlimits.limitbook import LimitBook
-from mountladder.serverlimits.limitexchange import LimitExchange
 
 
 class NoticeBoard:
@@ -29,15 +29,15 @@
     Args:
         keeper: Keeps the links to the other instances.
         clock: The clock.
-        metrics: Where the number of limited servers goes.
+        metrics: Where the numbers of servers go.
 
     Attributes:
-        limits: The limits that servers name.
+        book: What servers say to any instance.
     """
 
     def __init__(self, keeper: LinkKeeper, clock: Clock, metrics: Metrics) -> None:
-        self.limits = LimitBook(clock, metrics)
-        self.exchange = LimitExchange(keeper, self.limits, clock)
+        self.book = NoticeBook(clock, metrics)
+        self.exchange = NoticeExchange(keeper, self.book, clock)
 
     def hear(self, server: BackendServer, notices: Sequence[Notice], sent_at: float) -> None:
         """Take in what an answer says.
@@ -61,7 +61,7 @@
 
     @take.register
     def _(self, notice: RateLimit, server: BackendServer, sent_at: float) -> None:
-        self.limits.hear(server, notice.per_s, sent_at)
+        self.book.hear(server, notice, sent_at)
 
     @take.register
     def _(self, notice: Leaving, server: BackendServer, sent_at: float) -> None:
--- /dev/null
+++ b/packages/core/src/mountladder/notices/noticeexchange.py
@@ -0,0 +1,43 @@
+# noticeexchange.py -- Telling the other instances what backend servers said
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Telling the other instances what backend servers said."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from mountladder.clocks.clock import Clock
+from mountladder.membership.linkkeeper import LinkKeeper
+from mountladder.membership.newsexchange import NewsExchange
+from mountladder.notices.noticebook import NoticeBook
+from mountladder.notices.servernotice import ServerNotice
+from mountladder.notices.servernotices import ServerNotices
+
+
+class NoticeExchange(NewsExchange[ServerNotice]):
+    """Keeps the books of what servers said of all instances alike.
+
+    Args:
+        keeper: Keeps the links to the other instances.
+        book: This instance's book.
+        clock: The clock.
+    """
+
+    def __init__(self, keeper: LinkKeeper, book: NoticeBook, clock: Clock) -> None:
+        super().__init__(keeper, clock, ServerNotices)
+        self.book = book
+        book.on_news = self.tell
+
+    def known(self) -> Iterable[ServerNotice]:
+        """Return all notices in force; see NewsExchange."""
+        return self.book.all()
+
+    def as_ages(self, entry: ServerNotice, now: float) -> ServerNotice:
+        """Return a notice as it is told; see NewsExchange."""
+        return entry.as_ages(now)
+
+    def take_in(self, entries: Sequence[ServerNotice], now: float, source: str) -> None:
+        """Take in notices; see NewsExchange."""
+        self.book.take([one.told(now) for one in entries], source)
--- a/packages/core/src/mountladder/serverlimits/limitwords.py
+++ b/packages/core/src/mountladder/notices/servernotices.py
@@ -1,22 +1,22 @@
-# limitwords.py -- Telling what servers said of their limits
+# servernotices.py -- Telling what backend servers said
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Telling what servers said of their limits."""
+"""Telling what backend servers said."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from mountladder.serverlimits.limitword import LimitWord
+from mountladder.notices.servernotice import ServerNotice
 
 
 @dataclass(frozen=True, slots=True)
-class LimitWords:
-    """Telling what servers said of their limits.
+class ServerNotices:
+    """Telling what backend servers said of themselves.
 
     Attributes:
         entries: What they said, with times before now, so below zero.
     """
 
-    entries: tuple[LimitWord, ...]
+    entries: tuple[ServerNotice, ...]
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -13,8 +13,8 @@
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.leadership import Leadership
+from mountladder.notices.noticebook import NoticeBook
 from mountladder.notices.ratelimit import UNLIMITED
-from mountladder.serverlimits.limitbook import LimitBook
 from mountladder.serverlimits.tokenbucket import TokenBucket
 
 # A server that takes less is sent one request in ten seconds all the same, since only an answer
@@ -36,7 +36,7 @@
     spends a small part, so that all of them stay within half as much again (`Leadership.part`).
 
     Args:
-        book: The limits that servers name.
+        book: What servers say of themselves.
         leadership: Tells which part may be spent here.
         clock: The clock.
 
@@ -44,7 +44,7 @@
         buckets: What may be sent yet to each limited server from here, by its name.
     """
 
-    def __init__(self, book: LimitBook, leadership: Leadership, clock: Clock) -> None:
+    def __init__(self, book: NoticeBook, leadership: Leadership, clock: Clock) -> None:
         self.book = book
         self.leadership = leadership
         self.clock = clock
@@ -52,7 +52,7 @@
 
     def limited(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that name a limit."""
-        if not self.book.words:
+        if not self.book.limits:
             return frozenset()
         return frozenset(one.name for one in servers if self.book.per_s(one.name) < UNLIMITED)
 
@@ -125,6 +125,6 @@
 
     def forget_gone(self) -> None:
         """Forget the servers of which the book knows nothing any more."""
-        gone = [name for name in self.buckets if name not in self.book.words]
+        gone = [name for name in self.buckets if name not in self.book.limits]
         for name in gone:
             del self.buckets[name]
