A server that says in its answers that it leaves gets nothing more

Cause: no instance read Server-Leaving. What was known of leaving came from the list of servers only, or from refusals that close their connection, for 30 s and on one instance. Class: what a server says of itself in its answers, which no part of the system takes in.

Change: that a server leaves is a notice in the common book, told to all at once and to whoever connects. Directory leaves it out for every sender: plain calls, prompts, kept parts to fetch, pieces, retries, waiting requests; calls that give up results are left out as well. Where all servers of a service leave they are used for one second more, in which new ones may come; then requests are refused at once, before any stage runs (check_servers, which so far looked at drained data centres only). The twin of the store answers no reading either while it is silent.

--- /dev/null
+++ b/features/fleetevents.py
@@ -0,0 +1,94 @@
+# fleetevents.py -- What happens to instances while requests come
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""What happens to instances while requests come."""
+
+import gevent
+from forwardbasics import meeting
+
+# When something happens, and for how long an instance is down that is restarted, alone or in turn.
+EVENT_MS = 4_000.0
+DOWN_MS = 1_000.0
+TURN_MS = 500.0
+# How long all are cut off from each other at first, and for how long not, before it comes again.
+TWICE_CUT_MS, TWICE_CALM_MS = 2_500.0, 33_000.0
+
+
+def restart(context, name, down_ms=DOWN_MS):
+    context.fleet.instances[name].close()
+    context.clock.sleep(down_ms)
+    context.fleet.start(name)
+
+
+def restart_meeting(context):
+    restart(context, meeting(context, context.topic).settings.name)
+
+
+def end_meeting(context):
+    context.fleet.instances.pop(meeting(context, context.topic).settings.name).close()
+
+
+def cut_three(context):
+    names = list(context.fleet.instances)
+    for name in names[-3:]:
+        context.fleet.network.parted |= {frozenset({name, one}) for one in names if one != name}
+
+
+def lose_meeting(context):
+    first = meeting(context, context.topic).settings.name
+    others = [name for name in context.fleet.instances if name != first]
+    context.fleet.network.parted |= {frozenset({first, one}) for one in others[::2]}
+
+
+def two_lose_meeting(context):
+    first = meeting(context, context.topic).settings.name
+    others = [name for name in context.fleet.instances if name != first]
+    context.fleet.network.parted |= {frozenset({first, one}) for one in others[:2]}
+
+
+def cut_all(context):
+    names = list(context.fleet.instances)
+    context.fleet.network.parted |= {frozenset({a, b}) for a in names for b in names if a != b}
+
+
+def cut_all_twice(context):
+    """Cut all off from each other, for a while and then again, with a calm time between."""
+    cut_all(context)
+    context.clock.sleep(TWICE_CUT_MS)
+    context.fleet.network.parted.clear()
+    context.clock.sleep(TWICE_CALM_MS)
+    cut_all(context)
+
+
+def start_two(context):
+    for name in ("a-new", "b-new"):
+        context.fleet.start(name)
+
+
+def restart_all(context):
+    tasks = [gevent.spawn(restart, context, name) for name in list(context.fleet.instances)]
+    gevent.joinall(tasks)
+
+
+def cut_datacentre(context):
+    context.fleet.network.cut |= {frozenset({"a", "b"}), frozenset({"a", "c"})}
+
+
+def restart_in_turn(context):
+    for name in list(context.fleet.instances):
+        restart(context, name, TURN_MS)
+
+
+EVENTS = {
+    "the instance where its work meets is restarted": restart_meeting,
+    "the instance where its work meets dies": end_meeting,
+    "three instances are cut off from the others": cut_three,
+    "half of them lose the one where its work meets": lose_meeting,
+    "two of them lose the one where its work meets": two_lose_meeting,
+    "all are cut off from each other, twice": cut_all_twice,
+    "two more instances start": start_two,
+    "all instances are restarted at once": restart_all,
+    "instances are restarted one after the other": restart_in_turn,
+    "a data centre is cut off from the others": cut_datacentre,
+}
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -11,6 +11,7 @@
 
 import gevent
 from behave import given, then, when
+from fleetevents import EVENT_MS, EVENTS
 from forwardbasics import (
     PATHS,
     SECOND_MS,
@@ -33,6 +34,7 @@
 from mountladder.forwarding.serverpicker import NO_PROMPT
 from mountladder.forwarding.serverrecord import ID_LABEL, listed_server
 from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.notices.leaving import Leaving
 from mountladder.notices.noticebook import NoticeBook
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
 from mountladder.routing.costmodel import CostModel
@@ -48,11 +50,6 @@
 TOLD_MS = 3_000.0
 SPAN_S = 4.0
 OVERSHOOT, BURST = 1.5, 5
-# When something happens to instances, and for how long one is down that is restarted.
-EVENT_MS = 4_000.0
-DOWN_MS = 1_000.0
-# How long all are cut off from each other at first, and for how long not, before it comes again.
-TWICE_CUT_MS, TWICE_CALM_MS = 2_500.0, 33_000.0
 # By when all instances know of a limit: the first requests have had their stages and an answer.
 KNOWN_MS = 700.0
 # The aim of the routes in use here.
@@ -161,79 +158,6 @@
     all_name(context, service, per_s, rate, kind, ms)
 
 
-def restart(context, name):
-    context.fleet.instances[name].close()
-    context.clock.sleep(DOWN_MS)
-    context.fleet.start(name)
-
-
-def restart_meeting(context):
-    restart(context, meeting(context, context.topic).settings.name)
-
-
-def end_meeting(context):
-    context.fleet.instances.pop(meeting(context, context.topic).settings.name).close()
-
-
-def cut_three(context):
-    names = list(context.fleet.instances)
-    for name in names[-3:]:
-        context.fleet.network.parted |= {frozenset({name, one}) for one in names if one != name}
-
-
-def lose_meeting(context):
-    first = meeting(context, context.topic).settings.name
-    others = [name for name in context.fleet.instances if name != first]
-    context.fleet.network.parted |= {frozenset({first, one}) for one in others[::2]}
-
-
-def two_lose_meeting(context):
-    first = meeting(context, context.topic).settings.name
-    others = [name for name in context.fleet.instances if name != first]
-    context.fleet.network.parted |= {frozenset({first, one}) for one in others[:2]}
-
-
-def cut_all(context):
-    names = list(context.fleet.instances)
-    context.fleet.network.parted |= {frozenset({a, b}) for a in names for b in names if a != b}
-
-
-def cut_all_twice(context):
-    """Cut all off from each other, for a while and then again, with a calm time between."""
-    cut_all(context)
-    context.clock.sleep(TWICE_CUT_MS)
-    context.fleet.network.parted.clear()
-    context.clock.sleep(TWICE_CALM_MS)
-    cut_all(context)
-
-
-def start_two(context):
-    for name in ("a-new", "b-new"):
-        context.fleet.start(name)
-
-
-def restart_all(context):
-    tasks = [gevent.spawn(restart, context, name) for name in list(context.fleet.instances)]
-    gevent.joinall(tasks)
-
-
-def cut_datacentre(context):
-    context.fleet.network.cut |= {frozenset({"a", "b"}), frozenset({"a", "c"})}
-
-
-EVENTS = {
-    "the instance where its work meets is restarted": restart_meeting,
-    "the instance where its work meets dies": end_meeting,
-    "three instances are cut off from the others": cut_three,
-    "half of them lose the one where its work meets": lose_meeting,
-    "two of them lose the one where its work meets": two_lose_meeting,
-    "all are cut off from each other, twice": cut_all_twice,
-    "two more instances start": start_two,
-    "all instances are restarted at once": restart_all,
-    "a data centre is cut off from the others": cut_datacentre,
-}
-
-
 @given("{number:d} more instances")
 def more(context, number):
     for n in range(number):
@@ -491,6 +415,16 @@
     wait_for_turn(context, drain)
 
 
+@when("the server leaves at which a request waits for its turn")
+def says_it_leaves_waiting(context):
+    def leave(task, server):
+        told = next(iter(context.fleet.instances.values()))
+        told.notices.hear(told.directory.find(server), [Leaving()], context.clock.now())
+        context.drained = server
+
+    wait_for_turn(context, leave)
+
+
 @then("it reaches another server only")
 def sent_elsewhere(context):
     (arrived,) = [
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
 from eliot import log_message
@@ -42,6 +43,8 @@
         cold_until: Until when servers are cold that said so, by id.
         avoided: The data centres that are cut off, whose servers are not to be used meanwhile.
         drains: The data centres whose servers the operator lets get nothing.
+        leaving_since: Returns when a server first said in an answer that it leaves, by its name, or
+            None.
         listeners: Called after each change.
     """
 
@@ -59,6 +62,8 @@
         self.listeners: list[Callable[[], None]] = []
         self.drains = DatacentreDrains(clock)
         self.drains.listeners.append(self.renew)
+        self.leaving_since: Callable[[str], float | None] = lambda name: None
+        self.renew_at = math.inf
 
     @property
     def ready(self) -> bool:
@@ -179,6 +184,8 @@
         """Return the servers of a service that new work may be sent to."""
         if self.lapsed:
             self.drop_lapsed()
+        if self.renew_at < math.inf and self.clock.now() >= self.renew_at:
+            self.renew()
         return self.reachable.get(service, ())
 
     def find(self, name: str) -> BackendServer | None:
@@ -205,16 +212,25 @@
 
     def renew(self) -> None:
         """Sort the servers by service again and tell the listeners."""
-        sorted_: dict[str, list[BackendServer]] = {}
         records = [*self.records.values(), *(record for record, _ in self.lapsed.values())]
-        for record in records:
-            if record.server is not None and self.is_open(record.server):
-                sorted_.setdefault(record.service, []).append(record.server)
-        self.services = {name: tuple(servers) for name, servers in sorted_.items()}
+        listed = [one for one in records if one.server is not None and self.is_open(one.server)]
+        staying = [one for one in listed if self.leaving_since(one.server.name) is None]
+        self.services = _by_service(self.just_told(listed)) | _by_service(staying)
         self.reachable = {name: self.outside_cuts(all_) for name, all_ in self.services.items()}
         for listener in self.listeners:
             listener()
 
+    def just_told(self, records: Sequence[ServerRecord]) -> list[ServerRecord]:
+        """Return the entries of servers that began to leave only now.
+
+        Where a service has no others, some time is left to use them, in which new ones may come.
+        """
+        now = self.clock.now()
+        told = {one.id: self.leaving_since(one.server.name) for one in records}
+        until = {id_: since + KEPT_MS for id_, since in told.items() if since is not None}
+        self.renew_at = min((at for at in until.values() if at > now), default=math.inf)
+        return [one for one in records if until.get(one.id, now) > now]
+
     def is_open(self, server: BackendServer) -> bool:
         """Tell whether new work may be sent to a listed server."""
         return not server.draining and not self.drains.is_drained(server.datacentre)
@@ -233,15 +249,28 @@
         if not self.drains.any_active:
             return False
         listed = [one.server for one in self.records.values() if one.service == service]
-        found = [one for one in listed if one is not None and not one.draining]
+        found = [one for one in listed if one is not None and not self.is_leaving(one)]
         return bool(found) and all(self.drains.is_drained(one.datacentre) for one in found)
 
-    def drained_addresses(self) -> frozenset[str]:
-        """Return the addresses of the servers that are to get nothing by word of the operator."""
-        if not self.drains.any_active:
-            return frozenset()
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Tell whether a listed server leaves, as its entry or its answers say."""
+        return server.draining or self.leaving_since(server.name) is not None
+
+    def closed_addresses(self) -> frozenset[str]:
+        """Return the addresses of the listed servers that leave, or lie in a drained data centre.
+
+        They are sent nothing at all; what they keep is left to lapse.
+        """
         listed = [one.server for one in self.records.values() if one.server is not None]
-        return frozenset(one.address for one in listed if self.drains.is_drained(one.datacentre))
+        return frozenset(
+            one.address
+            for one in listed
+            if self.is_leaving(one) or self.drains.is_drained(one.datacentre)
+        )
+
+    def names(self) -> frozenset[str]:
+        """Return the names of the listed servers."""
+        return frozenset(one.server.name for one in self.records.values() if one.server is not None)
 
     def since(self, position: Position) -> list[ServerRecord]:
         """Return the entries that changed after a position, the oldest change first.
@@ -254,3 +283,10 @@
         ordered = sorted(changed, key=lambda one: one.position)
         cold_ms = {one.id: max(0.0, self.cold_until.get(one.id, now) - now) for one in ordered}
         return [replace(one, cold_ms=cold_ms[one.id]) for one in ordered]
+
+
+def _by_service(records: Iterable[ServerRecord]) -> dict[str, tuple[BackendServer, ...]]:
+    found: dict[str, list[BackendServer]] = {}
+    for record in records:
+        found.setdefault(record.service, []).append(record.server)
+    return {name: tuple(servers) for name, servers in found.items()}
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -87,7 +87,7 @@
         services = {stage.service for stage in route.stages}
         run.case.check(services)
         for service in (*services, run.service):
-            self.context.picker.check_drains(service)
+            self.context.picker.check_servers(service)
         return run
 
     def holder(
--- a/packages/core/src/mountladder/forwarding/memorysource.py
+++ b/packages/core/src/mountladder/forwarding/memorysource.py
@@ -76,6 +76,9 @@
     def read(self) -> SourcePage:
         """Return all rows; see Source."""
         self.check()
+        if self.silent:
+            self.clock.sleep(ANSWER_MS)
+            raise StoreUnavailableError("no answer came")
         rows = (row for row in self.rows.values() if row.value is not None)
         return SourcePage(tuple(rows), self.position)
 
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -23,7 +23,7 @@
 
     Args:
         upstream: Calls the servers.
-        directory: Knows whose servers are to get nothing; what they keep is left to lapse there.
+        directory: Knows which servers are to get nothing; what they keep is left to lapse there.
         clock: The clock.
         freed: Called with the handles once the servers have dropped the results.
         limited: Returns the addresses of servers that limit what they take.
@@ -68,13 +68,13 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give up results, and tell when that is done."""
-        drained, limited = self.directory.drained_addresses(), self.limited()
+        closed, limited = self.directory.closed_addresses(), self.limited()
         given_up = self.take_back(limited)
         for handle in handles:
             address = handle.partition("/")[0]
             if address in limited:
                 self.held.setdefault(address, []).append(handle)
-            elif address not in drained:
+            elif address not in closed:
                 given_up.append(handle)
         self.free_now(given_up)
 
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -161,13 +161,13 @@
         names = {one.name for one in self.directory.available(service)}
         return picked.choice.state.server.name in names
 
-    def check_drains(self, service: str) -> None:
-        """Refuse what a service is needed for whose servers are all to get nothing.
+    def check_servers(self, service: str) -> None:
+        """Refuse what a service is needed for that has no server which may be used.
 
         Raises:
-            RefusalError: They are.
+            RefusalError: It has none.
         """
-        if self.directory.is_drained(service):
+        if not self.directory.available(service):
             raise self.none_available(service)
 
     def none_available(self, service: str, wait_ms: float = 0.0) -> RefusalError:
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -44,6 +44,7 @@
     QUARANTINED = ("quarantined", "gauge", "requests barred since servers ended under them")
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
     LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
+    LEAVING_SERVERS = ("leaving_servers", "gauge", "servers that said in answers that they leave")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
--- a/packages/core/src/mountladder/notices/noticeboard.py
+++ b/packages/core/src/mountladder/notices/noticeboard.py
@@ -13,6 +13,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.forwarding.directory import Directory
 from mountladder.membership.linkkeeper import LinkKeeper
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.leaving import Leaving
@@ -28,6 +29,7 @@
 
     Args:
         keeper: Keeps the links to the other instances.
+        directory: Which servers there are, and which of them are used.
         clock: The clock.
         metrics: Where the numbers of servers go.
 
@@ -35,8 +37,13 @@
         book: What servers say to any instance.
     """
 
-    def __init__(self, keeper: LinkKeeper, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, keeper: LinkKeeper, directory: Directory, clock: Clock, metrics: Metrics
+    ) -> None:
         self.book = NoticeBook(clock, metrics)
+        self.book.listed = directory.names
+        self.book.on_leaving = directory.renew
+        directory.leaving_since = self.book.leaving_since
         self.exchange = NoticeExchange(keeper, self.book, clock)
 
     def hear(self, server: BackendServer, notices: Sequence[Notice], sent_at: float) -> None:
@@ -60,13 +67,9 @@
         raise TypeError(f"no notice: {notice!r}")
 
     @take.register
-    def _(self, notice: RateLimit, server: BackendServer, sent_at: float) -> None:
+    def _(self, notice: RateLimit | Leaving, server: BackendServer, sent_at: float) -> None:
         self.book.hear(server, notice, sent_at)
 
-    @take.register
-    def _(self, notice: Leaving, server: BackendServer, sent_at: float) -> None:
-        log_message("server-leaving", server=server.name)
-
     @take.register
     def _(self, notice: Rest, server: BackendServer, sent_at: float) -> None:
         log_message("server-rests", server=server.name, for_ms=round(notice.for_ms))
--- a/packages/core/src/mountladder/notices/noticebook.py
+++ b/packages/core/src/mountladder/notices/noticebook.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 from eliot import log_message
@@ -14,20 +15,18 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
+from mountladder.notices.description import described
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.notice import Shared
-from mountladder.notices.precedence import differs, is_usual, replaces
+from mountladder.notices.precedence import differs, is_usual, kept_ms, replaces
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
 from mountladder.notices.servernotice import ServerNotice
 
 # Whoever hears the same again tells it again after this time, so that instances that judged the
 # order of two answers in different ways come to the same.
 TELL_AGAIN_MS = 5_000.0
-# A notice of which nothing was heard for so long is one of a server that has gone, or that nobody
-# has asked for anything. That a limit has ended is remembered for as long as answers may be late.
-FORGET_MS = 600_000.0
-FORGET_END_MS = 60_000.0
-# How many servers are remembered for each kind, about half of all there are to be (2,100).
+# How many servers are remembered for each kind, about half of all there are to be (2,100); listed
+# servers that leave are remembered beyond that.
 MOST_SERVERS = 1_024
 
 
@@ -45,6 +44,8 @@
     Attributes:
         limits: The rate limit of each server that ever named one, by its name.
         leaving: The notices of servers that leave, by their names.
+        listed: Returns the names of the servers in the platform's list.
+        on_leaving: Called once it has become known of some server that it leaves.
         on_news: Called with notices that others should know, and with who told them, or an empty
             string.
     """
@@ -56,6 +57,8 @@
         self.leaving: dict[str, ServerNotice] = {}
         self.kinds = {RateLimit: self.limits, Leaving: self.leaving}
         self.told_at: dict[str, float] = {}
+        self.listed: Callable[[], frozenset[str]] = frozenset
+        self.on_leaving: Callable[[], None] = lambda: None
         self.on_news: Callable[[Sequence[ServerNotice], str], None] = lambda news, source: None
 
     def per_s(self, server: str) -> float:
@@ -63,6 +66,11 @@
         known = self.limits.get(server)
         return known.notice.per_s if known is not None else UNLIMITED
 
+    def leaving_since(self, server: str) -> float | None:
+        """Return when a server first said that it leaves, as far as is known here, or None."""
+        known = self.leaving.get(server)
+        return known.seen_at if known is not None else None
+
     def all(self) -> list[ServerNotice]:
         """Return all notices that hold."""
         return [one for kind in self.kinds.values() for one in kind.values()]
@@ -118,35 +126,29 @@
         if known is not None and known.notice == told.notice:
             return
         self.forget_old(self.kinds[type(told.notice)])
-        self.log(told, known, source)
+        before = known.notice if known is not None else None
+        event, fields = described(told.notice, before)
+        sent_ms_ago = round(self.clock.now() - told.sent_at)
+        log_message(event, server=told.server, **fields, sent_ms_ago=sent_ms_ago, source=source)
+        self.count()
+        if isinstance(told.notice, Leaving):
+            self.on_leaving()
+
+    def count(self) -> None:
+        """Tell how many servers limit what they take, and how many leave."""
         limited = sum(not is_usual(one.notice) for one in self.limits.values())
         self.metrics.gauge(Metric.LIMITED_SERVERS, limited)
-
-    def log(self, told: ServerNotice, known: ServerNotice | None, source: str) -> None:
-        """Log what has changed for a server."""
-        log_message(
-            "server-limit",
-            server=told.server,
-            per_s=_shown(told.notice.per_s),
-            before_per_s=_shown(known.notice.per_s) if known is not None else None,
-            sent_ms_ago=round(self.clock.now() - told.sent_at),
-            source=source,
-        )
+        self.metrics.gauge(Metric.LEAVING_SERVERS, len(self.leaving))
 
     def forget_old(self, kind: dict[str, ServerNotice]) -> None:
         """Forget servers of which nothing was heard for long, and the oldest of too many."""
-        now = self.clock.now()
-        ordered = sorted(kind.values(), key=lambda one: one.seen_at)
-        late = [one for one in ordered if one.seen_at + _kept_ms(one) <= now]
-        for one in late or ordered[: max(0, len(ordered) - MOST_SERVERS)]:
-            del kind[one.server]
+        now, listed = self.clock.now(), self.listed()
+        until = {
+            name: one.seen_at + kept_ms(one.notice, name in listed) for name, one in kind.items()
+        }
+        ordered = sorted((name for name in kind if until[name] < math.inf), key=until.__getitem__)
+        late = [name for name in ordered if until[name] <= now]
+        for name in late or ordered[: max(0, len(kind) - MOST_SERVERS)]:
+            del kind[name]
         known = {one.server for one in self.all()}
         self.told_at = {name: at for name, at in self.told_at.items() if name in known}
-
-
-def _kept_ms(one: ServerNotice) -> float:
-    return FORGET_END_MS if is_usual(one.notice) else FORGET_MS
-
-
-def _shown(per_s: float) -> float | None:
-    return None if per_s == UNLIMITED else per_s
--- a/packages/core/src/mountladder/notices/precedence.py
+++ b/packages/core/src/mountladder/notices/precedence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import singledispatch
 
 from mountladder.notices.leaving import Leaving
@@ -14,6 +15,10 @@
 
 # A limit that moves by less than this part is not worth a message to all instances.
 TOLD_CHANGE = 0.1
+# A notice of which nothing was heard for so long is one of a server that has gone, or that nobody
+# has asked for anything. That a limit has ended is remembered for as long as answers may be late.
+FORGET_MS = 600_000.0
+FORGET_END_MS = 60_000.0
 
 
 @singledispatch
@@ -60,6 +65,28 @@
     return False
 
 
+@singledispatch
+def kept_ms(notice: object, is_listed: bool) -> float:
+    """Return for how long a notice is remembered of which nothing more is heard, in milliseconds.
+
+    Args:
+        notice: The notice.
+        is_listed: Whether its server is in the platform's list.
+    """
+    raise TypeError(f"no notice for all: {notice!r}")
+
+
+@kept_ms.register
+def _(notice: RateLimit, is_listed: bool) -> float:
+    return FORGET_END_MS if is_usual(notice) else FORGET_MS
+
+
+@kept_ms.register
+def _(notice: Leaving, is_listed: bool) -> float:
+    # An entry that was removed may come back, while the server lives on.
+    return math.inf if is_listed else FORGET_MS
+
+
 @singledispatch
 def is_usual(notice: object) -> bool:
     """Tell whether a notice says of a server what holds for one of which nothing is known."""
