A server that asks an instance for rest gets nothing from it meanwhile

Where all servers of a service asked for rest, callers were told to come back after 0.3 or 1 s, in vain.

Cause: no instance read Retry-After of a server's refusal; each refusal counted as one of the three failures that open a breaker, for a second. Class: as of servers that leave, what a server says of itself in its answers.

Change: ServerState keeps until when a server wants nothing from this instance; the longest of what it asked for holds, whatever later answers, breakers or entries say, up to a later start. Plain calls, prompts, pieces, repeats, waiting requests and calls that give up results leave it alone. It concerns the instance that was asked only: the place where prompts meet chooses the server for others, by their own wishes (in_use beside usable). Where all servers want rest a request waits if that ends while it can be on time; else it is refused at once (2013), before its stages, and told when the rest ends, a little later the later in the rest it came, so that not all come back in one moment. Calls that give up results name their server, and their answers are heard too.

--- a/features/leavingservers.feature
+++ b/features/leavingservers.feature
@@ -109,7 +109,7 @@
 
   Scenario: A server that leaves while a request waits for its turn there
     Given all desk servers have named 1 request a second
-    When the server leaves at which a request waits for its turn
+    When a request waits for its turn, and its server leaves
     Then it reaches another server only
 
   Scenario: Results at a server that leaves are left to lapse
--- a/features/steps/serverlimit_steps.py
+++ b/features/steps/serverlimit_steps.py
@@ -37,6 +37,7 @@
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.noticebook import NoticeBook
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
+from mountladder.notices.rest import Rest
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.promptplacement import PromptPlacement
@@ -72,10 +73,9 @@
     """Note which servers are asked to give up results."""
     plain = context.fleet.upstream.free
 
-    def free(handles):
-        addresses = {handle.partition("/")[0] for handle in handles}
-        context.free_calls += [(context.clock.now(), address) for address in addresses]
-        plain(handles)
+    def free(server, handles, heard):
+        context.free_calls.append((context.clock.now(), server.address))
+        plain(server, handles, heard)
 
     context.fleet.upstream.free = free
 
@@ -415,14 +415,16 @@
     wait_for_turn(context, drain)
 
 
-@when("the server leaves at which a request waits for its turn")
-def says_it_leaves_waiting(context):
-    def leave(task, server):
-        told = next(iter(context.fleet.instances.values()))
-        told.notices.hear(told.directory.find(server), [Leaving()], context.clock.now())
+@when("a request waits for its turn, and its server {what}")
+def says_waiting(context, what):
+    notice = {"leaves": Leaving(), "asks for rest": Rest(5_000.0)}[what]
+
+    def say(task, server):
+        for one in context.fleet.instances.values():
+            one.notices.hear(one.directory.find(server), [notice], context.clock.now())
         context.drained = server
 
-    wait_for_turn(context, leave)
+    wait_for_turn(context, say)
 
 
 @then("it reaches another server only")
--- a/packages/core/src/mountladder/code.py
+++ b/packages/core/src/mountladder/code.py
@@ -63,6 +63,7 @@
         503,
         "all backend servers limit what they take, and that is used up",
     )
+    SERVERS_RESTING = (2013, _NOT_RUN, 503, "all backend servers asked this instance for rest")
     STAGE_FAILED = (3001, _FAILED, 502, "a stage failed")
     DEADLINE_PASSED = (3002, _FAILED, 504, "the deadline passed during a stage")
     STREAM_CUT = (3003, _FAILED, 502, "a stream ended before its end")
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -106,7 +106,8 @@
             division.directory,
             clock,
             self.freed,
-            self.servers.limited_addresses,
+            notices.hear,
+            self.servers.spared_addresses,
             lambda handle: handle in self.room.results,
         )
         self.cancel_look: Callable[[], None] | None = None
@@ -216,7 +217,8 @@
         limits = self.limits()
         usable = self.servers.usable(now)
         if limits is None or not usable:
-            return Backlog(self.service, (NO_SERVER_MS,) * len(PLACES))
+            wait_ms = self.servers.rest_ms(now) or NO_SERVER_MS
+            return Backlog(self.service, (wait_ms,) * len(PLACES))
         rate = sum(self.servers.pieces_per_ms(one, limits, now) for one in usable)
         measured = self.rate.measured()
         if measured is not None:
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -41,6 +41,9 @@
         position: The position of the store up to which the entries are known.
         newest: The highest position among the entries, which tells what a peer lacks.
         cold_until: Until when servers are cold that said so, by id.
+        listed_at: The listed servers by their addresses.
+        closed: The addresses of the listed servers that leave, or lie in a drained data centre.
+            They are sent nothing at all; what they keep is left to lapse.
         avoided: The data centres that are cut off, whose servers are not to be used meanwhile.
         drains: The data centres whose servers the operator lets get nothing.
         leaving_since: Returns when a server first said in an answer that it leaves, by its name, or
@@ -58,6 +61,8 @@
         self.lapsed: dict[str, tuple[ServerRecord, float]] = {}
         self.services: dict[str, tuple[BackendServer, ...]] = {}
         self.reachable: dict[str, tuple[BackendServer, ...]] = {}
+        self.listed_at: dict[str, BackendServer] = {}
+        self.closed: frozenset[str] = frozenset()
         self.avoided: frozenset[str] = frozenset()
         self.listeners: list[Callable[[], None]] = []
         self.drains = DatacentreDrains(clock)
@@ -217,6 +222,9 @@
         staying = [one for one in listed if self.leaving_since(one.server.name) is None]
         self.services = _by_service(self.just_told(listed)) | _by_service(staying)
         self.reachable = {name: self.outside_cuts(all_) for name, all_ in self.services.items()}
+        servers = [one.server for one in self.records.values() if one.server is not None]
+        self.listed_at = {one.address: one for one in servers}
+        self.closed = frozenset(one.address for one in servers if self.is_closed(one))
         for listener in self.listeners:
             listener()
 
@@ -256,17 +264,9 @@
         """Tell whether a listed server leaves, as its entry or its answers say."""
         return server.draining or self.leaving_since(server.name) is not None
 
-    def closed_addresses(self) -> frozenset[str]:
-        """Return the addresses of the listed servers that leave, or lie in a drained data centre.
-
-        They are sent nothing at all; what they keep is left to lapse.
-        """
-        listed = [one.server for one in self.records.values() if one.server is not None]
-        return frozenset(
-            one.address
-            for one in listed
-            if self.is_leaving(one) or self.drains.is_drained(one.datacentre)
-        )
+    def is_closed(self, server: BackendServer) -> bool:
+        """Tell whether a listed server leaves, or lies in a drained data centre."""
+        return self.is_leaving(server) or self.drains.is_drained(server.datacentre)
 
     def names(self) -> frozenset[str]:
         """Return the names of the listed servers."""
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -128,7 +128,7 @@
         )
         leadership = Leadership(self.fleet, clock)
         self.cold = ColdServers(self.directory, self.follower, leadership, clock)
-        self.notices = NoticeBoard(self.fleet, self.directory, clock, metrics)
+        self.notices = NoticeBoard(self.fleet, self.directory, self.router, clock, metrics)
         self.limits = ServerLimits(self.notices.book, leadership, clock)
         desk = PlacementDesk(
             self.directory, self.router, clock, self.follower, self.cold, self.limits
--- a/packages/core/src/mountladder/forwarding/releaser.py
+++ b/packages/core/src/mountladder/forwarding/releaser.py
@@ -13,6 +13,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.upstream import Upstream
+from mountladder.notices.notice import Heard
 
 # Results are given up in batches: soon enough that a server's room for results does not fill.
 RELEASE_MS = 25.0
@@ -25,13 +26,15 @@
         upstream: Calls the servers.
         directory: Knows which servers are to get nothing; what they keep is left to lapse there.
         clock: The clock.
+        heard: Told what answers say of their servers; see ForwardCall.
         freed: Called with the handles once the servers have dropped the results.
-        limited: Returns the addresses of servers that limit what they take.
+        spared: Returns the addresses of servers that limit what they take, or want rest.
         is_kept: Tells whether a result still takes up room.
 
     Attributes:
         held: Handles of results at those, by address: giving them up takes one of the few requests
-            that such a server gets, so that they wait until there is need, or lapse.
+            that such a server gets, or breaks its rest, so that they wait until there is need, or
+            lapse.
     """
 
     def __init__(
@@ -40,14 +43,16 @@
         directory: Directory,
         clock: Clock,
         freed: Callable[[Sequence[str]], None],
-        limited: Callable[[], frozenset[str]],
+        heard: Heard,
+        spared: Callable[[], frozenset[str]],
         is_kept: Callable[[str], bool],
     ) -> None:
         self.upstream = upstream
         self.directory = directory
         self.clock = clock
         self.freed = freed
-        self.limited = limited
+        self.heard = heard
+        self.spared = spared
         self.is_kept = is_kept
         self.held: dict[str, list[str]] = {}
         self.handles: list[str] = []
@@ -68,22 +73,22 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give up results, and tell when that is done."""
-        closed, limited = self.directory.closed_addresses(), self.limited()
-        given_up = self.take_back(limited)
+        closed, spared = self.directory.closed, self.spared()
+        given_up = self.take_back(spared)
         for handle in handles:
             address = handle.partition("/")[0]
-            if address in limited:
+            if address in spared:
                 self.held.setdefault(address, []).append(handle)
             elif address not in closed:
                 given_up.append(handle)
         self.free_now(given_up)
 
-    def take_back(self, limited: frozenset[str]) -> list[str]:
-        """Return what was held back at servers without a limit now, and forget what has lapsed."""
+    def take_back(self, spared: frozenset[str]) -> list[str]:
+        """Return what was held back at servers not spared now, and forget what has lapsed."""
         given_up: list[str] = []
         for address, handles in list(self.held.items()):
             left = [one for one in handles if self.is_kept(one)]
-            if left and address in limited:
+            if left and address in spared:
                 self.held[address] = left
             else:
                 del self.held[address]
@@ -98,5 +103,12 @@
 
     def free_now(self, handles: Sequence[str]) -> None:
         """Give up results whatever their servers take, and tell when that is done."""
-        self.upstream.free(handles)
+        by_address: dict[str, list[str]] = {}
+        for handle in handles:
+            by_address.setdefault(handle.partition("/")[0], []).append(handle)
+        for address, freed in by_address.items():
+            # Results do not outlive a server that is not listed any more.
+            server = self.directory.listed_at.get(address)
+            if server is not None:
+                self.upstream.free(server, freed, self.heard)
         self.freed(handles)
--- a/packages/core/src/mountladder/forwarding/repeats.py
+++ b/packages/core/src/mountladder/forwarding/repeats.py
@@ -53,4 +53,5 @@
         return RunError(error.detail, Code.SERVERS_ENDED if barred else None)
     if begun or isinstance(error, RefusalError):
         return error
-    return RefusalError(error.detail, Code.SERVERS_FULL, retry_after_ms=FULL_RETRY_MS)
+    back_ms = max(FULL_RETRY_MS, run.context.picker.rest_ms(run.service))
+    return RefusalError(error.detail, Code.SERVERS_FULL, retry_after_ms=back_ms)
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -33,6 +33,9 @@
 TRY_MS = 250.0
 # What stands for the prompt of a request without one where its server is chosen with those.
 NO_PROMPT = Prompt(0, 0, ())
+# Callers that were refused during a rest come back over this part of the time in which they came,
+# so at most three times as many as usual, those that come then included.
+RETURN_PART = 0.5
 # Failures that tell of the server itself, not of the request.
 GONE = frozenset({Code.CONNECT_FAILED, Code.SERVER_REPLACED, Code.SERVER_REFUSED})
 
@@ -158,8 +161,26 @@
 
     def is_open(self, picked: Picked, service: str) -> bool:
         """Tell whether a request may still be sent to the server that was picked for it."""
+        state = picked.choice.state
         names = {one.name for one in self.directory.available(service)}
-        return picked.choice.state.server.name in names
+        return state.server.name in names and state.rest_ms(self.router.clock.now()) <= 0
+
+    def rest_ms(self, service: str) -> float:
+        """Return for how much longer all servers of a service want no requests from here, or 0."""
+        now = self.router.clock.now()
+        states = (self.router.state(one) for one in self.directory.available(service))
+        return min((one.rest_ms(now) for one in states), default=0.0)
+
+    def resting(self, service: str) -> RefusalError:
+        """Return the refusal of a request while all servers of its service want rest.
+
+        Callers come back over a part of the time in which they were refused, not all at once.
+        """
+        now = self.router.clock.now()
+        states = [self.router.state(one) for one in self.directory.available(service)]
+        first = min(states, key=lambda one: one.rest_ms(now))
+        back_ms = first.rest_ms(now) + RETURN_PART * (now - first.rests_since)
+        return RefusalError("", Code.SERVERS_RESTING, retry_after_ms=back_ms)
 
     def check_servers(self, service: str) -> None:
         """Refuse what a service is needed for that has no server which may be used.
--- a/packages/core/src/mountladder/forwarding/turn.py
+++ b/packages/core/src/mountladder/forwarding/turn.py
@@ -45,8 +45,10 @@
             stages_ms: How long its stages are expected to take.
 
         Raises:
-            RefusalError: It would have to wait too long for it.
+            RefusalError: It would have to wait too long for it, or for servers that want rest.
         """
+        if self.picker.rest_ms(self.run.service) > max(stages_ms, self.patience_ms()):
+            raise self.picker.resting(self.run.service)
         if self.picker.is_scarce(self.run.service):
             self.booked = self.pick(max(stages_ms, self.patience_ms()))
 
@@ -58,6 +60,7 @@
         """
         while True:
             self.run.case.admit(self.run.left())
+            self.wait_for_rest()
             booked, self.booked = self.booked, None
             picked = booked or self.pick(self.patience_ms())
             waited = self.wait_for(picked)
@@ -65,6 +68,18 @@
                 return picked
             self.give_back(picked)
 
+    def wait_for_rest(self) -> None:
+        """Wait while all servers want no requests from here, where that ends soon enough.
+
+        Raises:
+            RefusalError: It does not.
+        """
+        while (rest_ms := self.picker.rest_ms(self.run.service)) > 0:
+            if rest_ms > self.patience_ms():
+                raise self.picker.resting(self.run.service)
+            self.run.log("waits", server="", wait_ms=round(rest_ms))
+            self.clock.sleep(rest_ms)
+
     def drop(self) -> None:
         """Give up a turn that was not taken."""
         if self.booked is not None:
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -65,8 +65,14 @@
         """
 
     @abstractmethod
-    def free(self, handles: Sequence[str]) -> None:
-        """Tell the servers that results are no longer needed; nothing is raised where it fails."""
+    def free(self, server: BackendServer, handles: Sequence[str], heard: Heard) -> None:
+        """Tell a server that results are no longer needed; nothing is raised where it fails.
+
+        Args:
+            server: The server that made them.
+            handles: The results.
+            heard: Told what the answer says of the server; see ForwardCall.
+        """
 
     @abstractmethod
     def close(self) -> None:
--- a/packages/core/src/mountladder/notices/noticeboard.py
+++ b/packages/core/src/mountladder/notices/noticeboard.py
@@ -22,6 +22,7 @@
 from mountladder.notices.noticeexchange import NoticeExchange
 from mountladder.notices.ratelimit import RateLimit
 from mountladder.notices.rest import Rest
+from mountladder.routing.router import Router
 
 
 class NoticeBoard:
@@ -30,6 +31,7 @@
     Args:
         keeper: Keeps the links to the other instances.
         directory: Which servers there are, and which of them are used.
+        router: Leaves servers alone that ask this instance for rest.
         clock: The clock.
         metrics: Where the numbers of servers go.
 
@@ -38,8 +40,14 @@
     """
 
     def __init__(
-        self, keeper: LinkKeeper, directory: Directory, clock: Clock, metrics: Metrics
+        self,
+        keeper: LinkKeeper,
+        directory: Directory,
+        router: Router,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self.router = router
         self.book = NoticeBook(clock, metrics)
         self.book.listed = directory.names
         self.book.on_leaving = directory.renew
@@ -72,4 +80,5 @@
 
     @take.register
     def _(self, notice: Rest, server: BackendServer, sent_at: float) -> None:
+        self.router.rest(server, notice.for_ms)
         log_message("server-rests", server=server.name, for_ms=round(notice.for_ms))
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -86,7 +86,8 @@
         """
         now = self.clock.now()
         states = [self.router.state(one) for one in servers if one.name not in wish.excluded]
-        usable = [one for one in states if one.usable(now)]
+        # Who must leave a server alone for a rest that it asked for excludes it by the wish.
+        usable = [one for one in states if one.in_use(now)]
         waits_ms = restraints.waits_ms
         soonest = _soonest(usable, waits_ms, wish.patience_ms)
         if not soonest:
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -230,6 +230,10 @@
         if state is not None:
             state.leave(self.clock.now())
 
+    def rest(self, server: BackendServer, for_ms: float) -> None:
+        """Send a server nothing from this instance for some time, as it asked."""
+        self.state(server).rest(for_ms, self.clock.now())
+
     def ended(self, server: BackendServer) -> None:
         """Take a server out of use that has ended, so that no further request is sent in vain."""
         breaker = self.state(server).breaker
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -38,6 +38,8 @@
         slowness: Its time over the time expected, smoothed; 1 where it is as expected.
         leaving_until: Until when it is taken to be leaving.
         without: Until when it is taken not to have a model loaded, by the model's name.
+        rests_since: When it first asked for the rest that goes on, or went on last.
+        rests_until: Until when it wants no requests from this instance.
     """
 
     def __init__(self, server: BackendServer, rng: random.Random) -> None:
@@ -53,6 +55,8 @@
         self.timed_at = 0.0
         self.leaving_until = 0.0
         self.without: dict[str, float] = {}
+        self.rests_since = 0.0
+        self.rests_until = 0.0
 
     def load(self, now: float) -> float:
         """Return the calls it is believed to have at a time."""
@@ -83,7 +87,11 @@
         return 1.0 + (self.slowness - 1.0) * fading
 
     def usable(self, now: float, model: str = "") -> bool:
-        """Tell whether new work for a model may be sent to it."""
+        """Tell whether new work for a model may be sent to it from this instance."""
+        return self.in_use(now, model) and self.rest_ms(now) <= 0
+
+    def in_use(self, now: float, model: str = "") -> bool:
+        """Tell whether new work for a model may be sent to it by whom it asked for no rest."""
         if now < self.leaving_until or now < self.without.get(model, 0.0):
             return False
         return self.breaker.allows(now)
@@ -92,6 +100,19 @@
         """Record that the server said it does not have a model loaded."""
         self.without[model] = now + WITHOUT_MS
 
+    def rest(self, for_ms: float, now: float) -> None:
+        """Record that it wants no requests from this instance for some time from now on.
+
+        A longer rest that it asked for before goes on, whatever its later answers say.
+        """
+        if self.rest_ms(now) <= 0:
+            self.rests_since = now
+        self.rests_until = max(self.rests_until, now + for_ms)
+
+    def rest_ms(self, now: float) -> float:
+        """Return for how much longer it wants no requests from this instance, in milliseconds."""
+        return max(0.0, self.rests_until - now)
+
     def begin(self, now: float) -> None:
         """Record that a call is sent."""
         self.count(1, now)
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -209,8 +209,12 @@
             return tuple(PieceResult("", PieceFailure.NO_ROOM) for _ in pieces)
         return tuple(PieceResult(f"{server.address}/{next(self.numbers)}") for _ in pieces)
 
-    def free(self, handles: Sequence[str]) -> None:
+    def free(self, server: BackendServer, handles: Sequence[str], heard: Heard) -> None:
         """Note which results were given up; see Upstream."""
+        try:
+            self.refuse(server, heard)
+        except StageError:
+            return
         self.freed += handles
 
     def close(self) -> None:
