--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,6 +35,9 @@
       | a server of a drained data centre got a request           | emptied_left_alone |
       | a cold server got many requests in a second               | cold_spared        |
       | a server that named a limit got more                      | limits_kept        |
+      | a server that told that it leaves got a request later     | leaving_left_alone |
+      | a stage server that told that it leaves got a call later  | leaving_left_alone |
+      | a server got three requests within a rest                 | rests_kept         |
       | a restart cut a request under way                         | planned_restarts   |
       | a service got more repeats than the budget allows         | retry_budget       |
       | requests reached servers long after their callers left    | gone_is_gone       |
@@ -54,6 +57,8 @@
       | down        | store  | an instance has an old configuration long after a change |
       | pause       | a-1    | a draining server got a request much later               |
       | kill        | a-1    | a restart cut a request under way                        |
+      | pause       | a-1    | a server that told that it leaves got a request later    |
+      | pause       | a-1    | a server got three requests within a rest                |
 
   Scenario: A request that comes while a process starts is answered once it knows enough
     Given a store whose answers are slow, and an instance as a process
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -205,6 +205,33 @@
     context.record.reached["desk-8"] += [7.0 + number * 0.2 for number in range(12)]
 
 
+@when("a server that told that it leaves got a request later")
+def leaving_used(context):
+    context.faults[:] = [one for one in context.faults if one is not RESTART]
+    add(context.record, exchange("told", "safe", sent=3.0))
+    context.record.told_leaving.append((3.1, "desk-1", "told"))
+    for id_ in list(context.record.exchanges):
+        if id_ != "told":
+            context.record.arrivals.pop(id_, None)
+    add(context.record, exchange("x", "safe", sent=8.0))
+
+
+@when("a stage server that told that it leaves got a call later")
+def leaving_called(context):
+    context.faults.remove(RESTART)
+    context.record.told_leaving.append((3.1, "enc-2", ""))
+    context.record.reached["enc-2"] += [3.0, 12.0]
+
+
+@when("a server got three requests within a rest")
+def rest_broken(context):
+    context.faults[:] = [one for one in context.faults if one is not RESTART]
+    add(context.record, exchange("told", "safe", sent=3.0))
+    context.record.rests.append((3.1, "desk-7", "told", 3.0))
+    for number in range(3):
+        arrive(context.record, "told", 4.0 + number / 10, "desk-7")
+
+
 @when("a restart cut a request under way")
 def restart_cut(context):
     add(context.record, exchange("x", sent=4.9, ended=5.3, status=0))
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -16,6 +16,7 @@
 from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
+from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.division import Division
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, Waiting, apart
@@ -101,16 +102,20 @@
         self.rate = PieceRate(clock)
         self.twice: set[Waiting] = set()
         self.told: tuple[float, Backlog] | None = None
-        self.releaser = Releaser(
-            upstream,
-            division.directory,
-            clock,
+        self.releaser = self.make_releaser(division.directory)
+        self.cancel_look: Callable[[], None] | None = None
+
+    def make_releaser(self, directory: Directory) -> Releaser:
+        """Return what gives up results."""
+        return Releaser(
+            self.upstream,
+            directory,
+            self.clock,
             self.freed,
-            notices.hear,
+            self.notices.hear,
             self.servers.spared_addresses,
             lambda handle: handle in self.room.results,
         )
-        self.cancel_look: Callable[[], None] | None = None
 
     def submit(self, job: StageJob, done: Done) -> JobProgress:
         """Take in the pieces of a stage; done is called with their results."""
