Rests of servers cost nothing while none rests

Each request asked every server of its service whether it rests, which grows with the servers; the look now ends at the first that does not rest, and the batcher's own looks while no server rests at all. Not measured apart. No decision changes, but that a rest counts from when it was last asked for: the branch for the first one changed no scenario. 28 scenarios of restingservers.feature pass.

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -222,7 +222,7 @@
         limits = self.limits()
         usable = self.servers.usable(now)
         if limits is None or not usable:
-            wait_ms = self.servers.rest_ms(now) or NO_SERVER_MS
+            wait_ms = self.servers.rest_ms() or NO_SERVER_MS
             return Backlog(self.service, (wait_ms,) * len(PLACES))
         rate = sum(self.servers.pieces_per_ms(one, limits, now) for one in usable)
         measured = self.rate.measured()
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -167,9 +167,7 @@
 
     def rest_ms(self, service: str) -> float:
         """Return for how much longer all servers of a service want no requests from here, or 0."""
-        now = self.router.clock.now()
-        states = (self.router.state(one) for one in self.directory.available(service))
-        return min((one.rest_ms(now) for one in states), default=0.0)
+        return self.router.rest_ms(self.directory.available(service))
 
     def resting(self, service: str) -> RefusalError:
         """Return the refusal of a request while all servers of its service want rest.
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -97,17 +97,13 @@
     def spared_addresses(self) -> frozenset[str]:
         """Return the addresses of the servers that limit what they take, or want rest."""
         servers = self.division.directory.available(self.service)
-        now, limited = self.router.clock.now(), self.named_limits.limited(servers)
-        return frozenset(
-            one.address
-            for one in servers
-            if one.name in limited or self.router.state(one).rest_ms(now) > 0
-        )
+        limited = self.named_limits.limited(servers)
+        spared = [one for one in servers if one.name in limited] if limited else []
+        return frozenset(one.address for one in (*spared, *self.router.resting(servers)))
 
-    def rest_ms(self, now: float) -> float:
+    def rest_ms(self) -> float:
         """Return for how much longer all servers want no calls from here, or 0."""
-        states = (self.router.state(one) for one in self.division.servers(self.service))
-        return min((one.rest_ms(now) for one in states), default=0.0)
+        return self.router.rest_ms(self.division.servers(self.service))
 
     def take_request(self, state: ServerState) -> bool:
         """Take one of the requests that a server can be sent now; tell whether there was one."""
--- a/packages/core/src/mountladder/forwarding/turn.py
+++ b/packages/core/src/mountladder/forwarding/turn.py
@@ -77,7 +77,7 @@
         while (rest_ms := self.picker.rest_ms(self.run.service)) > 0:
             if rest_ms > self.patience_ms():
                 raise self.picker.resting(self.run.service)
-            self.run.log("waits", server="", wait_ms=round(rest_ms))
+            self.run.log("waits-for-rest", wait_ms=round(rest_ms))
             self.clock.sleep(rest_ms)
 
     def drop(self) -> None:
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
@@ -46,6 +47,7 @@
         spill_ms: What a call to another data centre is taken to add, in milliseconds.
 
     Attributes:
+        rests_until: Until when any server wants no requests from this instance.
         on_leaving: Called with the name of a server that said it is leaving.
     """
 
@@ -71,6 +73,7 @@
         self.nearby = Nearby(datacentre)
         self.spill_ms = spill_ms
         self.heard_leaving: dict[str, float] = {}
+        self.rests_until = 0.0
         self.on_leaving: Callable[[str], None] = lambda name: None
 
     def set_peers(self, peers: int) -> None:
@@ -232,7 +235,27 @@
 
     def rest(self, server: BackendServer, for_ms: float) -> None:
         """Send a server nothing from this instance for some time, as it asked."""
-        self.state(server).rest(for_ms, self.clock.now())
+        now = self.clock.now()
+        self.state(server).rest(for_ms, now)
+        self.rests_until = max(self.rests_until, now + for_ms)
+
+    def rest_ms(self, servers: Iterable[BackendServer]) -> float:
+        """Return for how much longer all of some servers want no requests from here, or 0."""
+        now = self.clock.now()
+        least_ms = math.inf
+        for server in servers:
+            rest_ms = self.state(server).rest_ms(now)
+            if rest_ms <= 0:
+                return 0.0
+            least_ms = min(least_ms, rest_ms)
+        return 0.0 if math.isinf(least_ms) else least_ms
+
+    def resting(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
+        """Return those of some servers that want no requests from this instance now."""
+        now = self.clock.now()
+        if now >= self.rests_until:
+            return []
+        return [one for one in servers if self.state(one).rest_ms(now) > 0]
 
     def ended(self, server: BackendServer) -> None:
         """Take a server out of use that has ended, so that no further request is sent in vain."""
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -38,7 +38,7 @@
         slowness: Its time over the time expected, smoothed; 1 where it is as expected.
         leaving_until: Until when it is taken to be leaving.
         without: Until when it is taken not to have a model loaded, by the model's name.
-        rests_since: When it first asked for the rest that goes on, or went on last.
+        rests_since: When it last asked for rest.
         rests_until: Until when it wants no requests from this instance.
     """
 
@@ -88,7 +88,7 @@
 
     def usable(self, now: float, model: str = "") -> bool:
         """Tell whether new work for a model may be sent to it from this instance."""
-        return self.in_use(now, model) and self.rest_ms(now) <= 0
+        return now >= self.rests_until and self.in_use(now, model)
 
     def in_use(self, now: float, model: str = "") -> bool:
         """Tell whether new work for a model may be sent to it by whom it asked for no rest."""
@@ -105,8 +105,7 @@
 
         A longer rest that it asked for before goes on, whatever its later answers say.
         """
-        if self.rest_ms(now) <= 0:
-            self.rests_since = now
+        self.rests_since = now
         self.rests_until = max(self.rests_until, now + for_ms)
 
     def rest_ms(self, now: float) -> float:
