Two more decisions about what answers say have a scenario; one that decides nothing is gone

That a refusal without the not-run mark ends no limit, and that pieces wait for a rest as long as it takes, failed no scenario when they were taken out; each does now. Whether servers that leave count where all others lie in drained data centres chose between two codes only and is as before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -88,6 +88,7 @@
       | whole                      | request r1  | no limit       |
       | results                    | a call      | no limit       |
       | full, not run              | request r1  | nothing        |
+      | 503 without a mark         | request r1  | nothing        |
       | results full               | a call      | nothing        |
       | limited, replaced          | request r1  | nothing        |
       | limited, another id        | request r1  | nothing        |
--- a/features/restingservers.feature
+++ b/features/restingservers.feature
@@ -64,6 +64,10 @@
     When 10 staged requests come one after the other, 100 ms later
     Then each was refused with 2001 as not run, and no piece was made
 
+  Scenario: Pieces of a service whose servers all want rest are expected to wait for it
+    Given all enc servers have asked each instance for a rest of 200 ms
+    Then where its pieces meet new ones are expected to wait 150 to 200 ms
+
   Scenario Outline: A request waits for a rest that is soon over
     Given all <service> servers have asked each instance for a rest of 200 ms
     When 1 <kind> requests come one after the other, 100 ms later
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -541,6 +541,13 @@
     assert not context.fleet.upstream.calls
 
 
+@then("where its pieces meet new ones are expected to wait {least:d} to {most:d} ms")
+def expected_wait(context, least, most):
+    batcher = meeting(context, "enc").dispatch.batcher("enc")
+    waits_ms = batcher.newest_backlog(context.clock.now()).waits_ms
+    assert least <= min(waits_ms) and max(waits_ms) <= most, waits_ms
+
+
 @then("server {server:S} gets requests, but none from that one")
 def others_use(context, server):
     by = {one.instance for one in context.sendings if one.server == server}
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -260,7 +260,7 @@
         if not self.drains.any_active:
             return False
         listed = [one.server for one in self.records.values() if one.service == service]
-        found = [one for one in listed if one is not None and not self.is_leaving(one)]
+        found = [one for one in listed if one is not None and not one.draining]
         return bool(found) and all(self.drains.is_drained(one.datacentre) for one in found)
 
     def is_leaving(self, server: BackendServer) -> bool:
