Messages, fields and settings of the parts for hard load

The parts are built side by side, so their interfaces come first: ServerSpeeds and ResultUsage, the team and the releasable inputs of a stage, the pace of a stream, backups of placements, and a setting to switch each part off. Nothing uses them yet. The inner protocol is version 9.

features/messages.feature: seven messages arrive with all fields.

--- /dev/null
+++ b/features/messages.feature
@@ -0,0 +1,17 @@
+Feature: Messages between instances arrive as they were sent
+  # A field that the writer or the reader of the wire format leaves out is silently the default at
+  # the other end.
+
+  Scenario Outline: A message keeps all its fields
+    When <message> is sent to a peer
+    Then the peer receives the same message
+
+    Examples:
+      | message                          |
+      | a stage of a team                |
+      | the release of fetched results   |
+      | a placement order for a backup   |
+      | a placement reply with a backup  |
+      | a note on the pace of a stream   |
+      | the speeds of servers            |
+      | the memory that results take up  |
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -17,6 +17,8 @@
 # noticed after this wait and the time allowed for an answer. With the time that a successor needs
 # to take over (ReaderElection), over a quarter of the drain time is left to act on a change.
 FEED_WAIT_FRACTION = 0.25
+# The settings that switch decisions under load on or off.
+SWITCHES = ("learn_speeds", "share_fairly", "reserve_results", "continue_streams")
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,11 @@
             it is leaving.
         core_share: What fraction of a core the process may use.
         core_speed: The speed of that core as a multiple of an ordinary core.
+        memory_mb: The memory that the process may use, in megabytes, or 0 if it is not limited.
+        learn_speeds: Whether the speed of each backend server is learned and used.
+        share_fairly: Whether ranks and teams are kept from starving each other in an overload.
+        reserve_results: Whether memory for stage results is reserved and released early.
+        continue_streams: Whether streams that cannot be repeated continue from copies.
     """
 
     name: str
@@ -62,6 +69,11 @@
     drain_ms: float
     core_share: float
     core_speed: float
+    memory_mb: float = 0.0
+    learn_speeds: bool = True
+    share_fairly: bool = True
+    reserve_results: bool = True
+    continue_streams: bool = True
 
     @property
     def retry_window_ms(self) -> float:
@@ -83,6 +95,10 @@
         """Return how long one call for changes waits at the store, in milliseconds."""
         return FEED_WAIT_FRACTION * self.drain_ms
 
+    def enabled_parts(self) -> list[str]:
+        """Return the names of the settings that switch on decisions under load."""
+        return [name for name in SWITCHES if getattr(self, name)]
+
     @classmethod
     def read(cls, text: str, source: str) -> ForwardingSettings:
         """Read settings from a TOML text.
@@ -124,4 +140,9 @@
         drain_ms=fields.number("drain_ms"),
         core_share=fields.number("core_share"),
         core_speed=fields.number("core_speed"),
+        memory_mb=fields.number("memory_mb", 0.0),
+        learn_speeds=fields.flag("learn_speeds", True),
+        share_fairly=fields.flag("share_fairly", True),
+        reserve_results=fields.flag("reserve_results", True),
+        continue_streams=fields.flag("continue_streams", True),
     )
--- a/packages/core/src/mountladder/forwarding/placementnote.py
+++ b/packages/core/src/mountladder/forwarding/placementnote.py
@@ -18,9 +18,11 @@
         read_ms: The time from sending to the first event, in milliseconds, or 0 without one yet.
         ended: Whether the server has finished the request.
         gone: Whether the server was unreachable, refused the call or was replaced by another one.
+        event_ms: The mean time between the stream's events in milliseconds, or 0 if unknown.
     """
 
     number: int
     read_ms: float
     ended: bool
     gone: bool = False
+    event_ms: float = 0.0
--- a/packages/core/src/mountladder/forwarding/placementorder.py
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -24,6 +24,7 @@
         site: The data centre that holds large inputs, or an empty string.
         max_wait_ms: How long the request may wait for a rate-limited server, in milliseconds.
         urgency: The request's priority; 0 is the most urgent.
+        wants_backup: Whether a second server is to keep a copy of the request's cache.
     """
 
     number: int
@@ -33,6 +34,7 @@
     site: str
     max_wait_ms: float = 0.0
     urgency: int = 0
+    wants_backup: bool = False
 
     @property
     def constraints(self) -> ServerConstraints:
--- a/packages/core/src/mountladder/forwarding/placementreply.py
+++ b/packages/core/src/mountladder/forwarding/placementreply.py
@@ -21,6 +21,7 @@
         prefill_tokens: The number of prompt tokens that the server is expected to prefill.
         wait_ms: How long the request has to wait, in milliseconds, for a server that limits its
             request rate; without a server, the time to retry after, or 0 if unknown.
+        backup: The name of the server to keep a copy of the request's cache, or an empty string.
     """
 
     number: int
@@ -29,3 +30,4 @@
     source: str = ""
     prefill_tokens: int = 0
     wait_ms: float = 0.0
+    backup: str = ""
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -33,6 +33,9 @@
         give_up: When it is given up if none of its pieces is begun, in the clock's milliseconds.
         fingerprint: The fingerprint of the request at this service, equal for all its attempts, or
             empty.
+        team: The name of the request's team, or an empty string.
+        releases_inputs: Whether nothing else needs the inputs, so that they may be released once
+            the servers have fetched them.
     """
 
     request: str
@@ -48,6 +51,8 @@
     datacentre: str
     give_up: float = math.inf
     fingerprint: str = ""
+    team: str = ""
+    releases_inputs: bool = False
 
     def piece(self, fragment: int) -> Piece:
         """Return a piece of the stage."""
--- a/packages/core/src/mountladder/forwarding/stagerelease.py
+++ b/packages/core/src/mountladder/forwarding/stagerelease.py
@@ -16,7 +16,10 @@
     Attributes:
         service: The service that made them.
         handles: The handles of the results.
+        fetched: Whether the results are not needed any more only because servers have fetched them,
+            so that they may be kept while memory is left.
     """
 
     service: str
     handles: tuple[str, ...]
+    fetched: bool = False
--- /dev/null
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -0,0 +1,60 @@
+# serverreader.py -- Converts Cap'n Proto frames to messages about backend servers
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Converts Cap'n Proto frames to messages about backend servers."""
+
+from __future__ import annotations
+
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.ratelimit import RateLimit
+from mountladder.notices.servernotice import ServerNotice
+from mountladder.notices.servernotices import ServerNotices
+from mountladder.performance.serverspeed import ServerSpeed
+from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicions import Suspicions
+from mountladder.results.resultusage import ResultUsage
+from mountladder.results.serverusage import ServerUsage
+
+
+def _read_suspicion(one) -> Suspicion:
+    crashes = tuple(
+        ServerCrash(str(crash.server), crash.ranMs, crash.at, crash.alone) for crash in one.ends
+    )
+    return Suspicion(
+        bytes(one.fingerprint).hex(),
+        str(one.service),
+        crashes,
+        one.sentAt,
+        one.clearedAt,
+        one.bars,
+        one.barredAt,
+        tuple(str(server) for server in one.cleared),
+    )
+
+
+def _read_notice(one) -> ServerNotice:
+    notice = Leaving() if str(one.which()) == "leaving" else RateLimit(one.perSecond)
+    return ServerNotice(str(one.server), notice, one.sentAt, one.seenAt, one.slackMs)
+
+
+def _read_speeds(speeds) -> ServerSpeeds:
+    entries = (
+        ServerSpeed(str(one.server), one.factor, one.samples, one.ageMs) for one in speeds.entries
+    )
+    return ServerSpeeds(str(speeds.service), tuple(entries))
+
+
+def _read_usage(usage) -> ResultUsage:
+    entries = (ServerUsage(str(one.server), one.usedBytes, one.lapseMs) for one in usage.entries)
+    return ResultUsage(str(usage.service), tuple(entries))
+
+
+SERVER_READERS = {
+    "serverNotices": lambda all_: ServerNotices(tuple(_read_notice(one) for one in all_)),
+    "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
+    "serverSpeeds": _read_speeds,
+    "resultUsage": _read_usage,
+}
--- /dev/null
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -0,0 +1,84 @@
+# serverwriter.py -- Converts messages about backend servers to Cap'n Proto frames
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Converts messages about backend servers to Cap'n Proto frames.
+
+Importing this module registers its message types with `wirewriter.fill`.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from mountladder.membership.wirewriter import fill
+from mountladder.notices.leaving import Leaving
+from mountladder.notices.ratelimit import RateLimit
+from mountladder.notices.servernotices import ServerNotices
+from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.suspicions import Suspicions
+from mountladder.results.resultusage import ResultUsage
+
+MAX_BARS = 2**16 - 1
+
+
+@fill.register
+def _(message: Suspicions, frame) -> None:
+    entries = frame.init("suspicions", len(message.entries))
+    for one, to in zip(message.entries, entries, strict=True):
+        to.fingerprint, to.service = bytes.fromhex(one.fingerprint), one.service
+        to.sentAt, to.clearedAt = one.sent_at, one.cleared_at
+        to.bars, to.barredAt = min(one.bars, MAX_BARS), one.barred_at
+        to.cleared = list(one.cleared)
+        targets = to.init("ends", len(one.crashes))
+        for crash, target in zip(one.crashes, targets, strict=True):
+            target.server, target.ranMs, target.at = crash.server, crash.ran_ms, crash.at
+            target.alone = crash.alone
+
+
+@fill.register
+def _(message: ServerNotices, frame) -> None:
+    notices = frame.init("serverNotices", len(message.entries))
+    for one, to in zip(message.entries, notices, strict=True):
+        to.server, to.slackMs = one.server, one.slack_ms
+        to.sentAt, to.seenAt = one.sent_at, one.seen_at
+        fill_notice(one.notice, to)
+
+
+@singledispatch
+def fill_notice(notice: object, to: object) -> None:
+    """Write a server's notice into its struct of a frame.
+
+    Raises:
+        TypeError: The notice is not of a type that instances exchange.
+    """
+    raise TypeError(f"{notice!r} is not exchanged between instances")
+
+
+@fill_notice.register
+def _(notice: RateLimit, to) -> None:
+    to.perSecond = notice.per_s
+
+
+@fill_notice.register
+def _(notice: Leaving, to) -> None:
+    to.leaving = None
+
+
+@fill.register
+def _(message: ServerSpeeds, frame) -> None:
+    speeds = frame.init("serverSpeeds")
+    speeds.service = message.service
+    entries = speeds.init("entries", len(message.entries))
+    for one, to in zip(message.entries, entries, strict=True):
+        to.server, to.factor = one.server, one.factor
+        to.samples, to.ageMs = one.samples, one.age_ms
+
+
+@fill.register
+def _(message: ResultUsage, frame) -> None:
+    usage = frame.init("resultUsage")
+    usage.service = message.service
+    entries = usage.init("entries", len(message.entries))
+    for one, to in zip(message.entries, entries, strict=True):
+        to.server, to.usedBytes, to.lapseMs = one.server, one.used_bytes, one.lapse_ms
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -147,6 +147,8 @@
   giveUpMs @12 :Float32;
   lent @13 :Bool;
   fingerprint @14 :Data;
+  team @15 :Text;
+  releasesInputs @16 :Bool;
 }
 
 struct PromptPart {
@@ -164,6 +166,7 @@
   site @6 :Text;
   patienceMs @7 :Float32;
   urgency @8 :UInt8;
+  wantsBackup @9 :Bool;
 }
 
 struct PlacementReply {
@@ -173,6 +176,7 @@
   source @3 :Text;
   read @4 :UInt32;
   waitMs @5 :Float32;
+  backup @6 :Text;
 }
 
 struct PlacementNote {
@@ -180,6 +184,7 @@
   readMs @1 :Float32;
   ended @2 :Bool;
   gone @3 :Bool;
+  eventMs @4 :Float32;
 }
 
 struct StageNotice {
@@ -194,6 +199,7 @@
 struct StageRelease {
   service @0 :Text;
   handles @1 :List(Text);
+  fetched @2 :Bool;
 }
 
 struct PieceResult {
@@ -237,6 +243,29 @@
   }
 }
 
+struct ServerSpeed {
+  server @0 :Text;
+  factor @1 :Float32;
+  samples @2 :UInt32;
+  ageMs @3 :Float32;
+}
+
+struct ServerSpeeds {
+  service @0 :Text;
+  entries @1 :List(ServerSpeed);
+}
+
+struct ServerUsage {
+  server @0 :Text;
+  usedBytes @1 :Float64;
+  lapseMs @2 :Float32;
+}
+
+struct ResultUsage {
+  service @0 :Text;
+  entries @1 :List(ServerUsage);
+}
+
 # The root of every message between instances.
 struct Frame {
   union {
@@ -262,5 +291,7 @@
     stageNotice @19 :StageNotice;
     suspicions @20 :List(Suspicion);
     serverNotices @21 :List(ServerNotice);
+    serverSpeeds @22 :ServerSpeeds;
+    resultUsage @23 :ResultUsage;
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -25,31 +25,31 @@
 from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.forwarding.stagewithdrawal import StageWithdrawal
 from mountladder.forwarding.updaterequest import UpdateRequest
+from mountladder.membership import serverwriter as _serverwriter  # noqa: F401
 from mountladder.membership.changes import Changes
 from mountladder.membership.changesrequest import ChangesRequest
 from mountladder.membership.heartbeat import Heartbeat
 from mountladder.membership.hello import Hello
+from mountladder.membership.serverreader import SERVER_READERS
 from mountladder.membership.snapshot import Snapshot
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
 from mountladder.membership.wirereader import READERS
 from mountladder.membership.wirewriter import fill
 from mountladder.notices.servernotices import ServerNotices
+from mountladder.performance.serverspeeds import ServerSpeeds
 from mountladder.quarantine.suspicions import Suspicions
+from mountladder.results.resultusage import ResultUsage
 
-VERSION = 8
+VERSION = 9
 ConfigurationMessage = Hello | Heartbeat | ChangesRequest | Changes | Snapshot | Submit | Submitted
 StateMessage = Beacon | UpdateRequest | CatalogueSlice | DirectoryCopy | MemberList
 StageMessage = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 PlacementMessage = PlacementOrder | PlacementReply | PlacementNote
-Message = (
-    ConfigurationMessage
-    | StateMessage
-    | StageMessage
-    | PlacementMessage
-    | Suspicions
-    | ServerNotices
-)
+ServerMessage = Suspicions | ServerNotices | ServerSpeeds | ResultUsage
+Message = ConfigurationMessage | StateMessage | StageMessage | PlacementMessage | ServerMessage
+
+_READERS = READERS | SERVER_READERS
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
@@ -75,6 +75,6 @@
     try:
         with _SCHEMA.Frame.from_bytes(data) as frame:
             which = str(frame.which())
-            return READERS[which](getattr(frame, which))
+            return _READERS[which](getattr(frame, which))
     except (capnp.KjException, ValueError, KeyError, IndexError, UnicodeError) as error:
         raise PeerError(f"a message cannot be decoded: {error}", Code.BAD_MESSAGE) from error
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -35,13 +35,6 @@
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
 from mountladder.membership.wirewriter import ANY_VERSION, FAILURES
-from mountladder.notices.leaving import Leaving
-from mountladder.notices.ratelimit import RateLimit
-from mountladder.notices.servernotice import ServerNotice
-from mountladder.notices.servernotices import ServerNotices
-from mountladder.quarantine.servercrash import ServerCrash
-from mountladder.quarantine.suspicion import Suspicion
-from mountladder.quarantine.suspicions import Suspicions
 from mountladder.store.position import Position
 from mountladder.store.write import Write
 
@@ -136,6 +129,8 @@
         order.datacentre,
         order.giveUpMs,
         bytes(order.fingerprint).hex(),
+        str(order.team),
+        order.releasesInputs,
     )
     return StageOrder(order.number, job, order.lent)
 
@@ -178,7 +173,15 @@
     excluded = tuple(str(name) for name in order.excluded)
     number, service = order.number, str(order.service)
     site, max_wait_ms = str(order.site), order.patienceMs
-    return PlacementOrder(number, service, prompt, excluded, site, max_wait_ms, order.urgency)
+    urgency, wants_backup = order.urgency, order.wantsBackup
+    return PlacementOrder(
+        number, service, prompt, excluded, site, max_wait_ms, urgency, wants_backup
+    )
+
+
+def _read_reply(one) -> PlacementReply:
+    server, source, backup = str(one.server), str(one.source), str(one.backup)
+    return PlacementReply(one.number, server, one.expectedMs, source, one.read, one.waitMs, backup)
 
 
 def _read_slice(part) -> CatalogueSlice:
@@ -187,27 +190,6 @@
     )
 
 
-def _read_suspicion(one) -> Suspicion:
-    crashes = tuple(
-        ServerCrash(str(crash.server), crash.ranMs, crash.at, crash.alone) for crash in one.ends
-    )
-    return Suspicion(
-        bytes(one.fingerprint).hex(),
-        str(one.service),
-        crashes,
-        one.sentAt,
-        one.clearedAt,
-        one.bars,
-        one.barredAt,
-        tuple(str(server) for server in one.cleared),
-    )
-
-
-def _read_notice(one) -> ServerNotice:
-    notice = Leaving() if str(one.which()) == "leaving" else RateLimit(one.perSecond)
-    return ServerNotice(str(one.server), notice, one.sentAt, one.seenAt, one.slackMs)
-
-
 READERS = {
     "hello": _read_hello,
     "heartbeat": _read_heartbeat,
@@ -224,15 +206,15 @@
     "stageOutcome": _read_outcome,
     "stageWithdrawal": StageWithdrawal,
     "placementOrder": _read_placement,
-    "placementReply": lambda one: PlacementReply(
-        one.number, str(one.server), one.expectedMs, str(one.source), one.read, one.waitMs
+    "placementReply": _read_reply,
+    "placementNote": lambda one: PlacementNote(
+        one.number, one.readMs, one.ended, one.gone, one.eventMs
     ),
-    "placementNote": lambda one: PlacementNote(one.number, one.readMs, one.ended, one.gone),
     "stageNotice": lambda one: StageNotice(
         str(one.request), one.stage, str(one.service), one.pieces, one.urgency, one.givesWay
     ),
-    "stageRelease": lambda one: StageRelease(one.service, tuple(str(h) for h in one.handles)),
-    "serverNotices": lambda all_: ServerNotices(tuple(_read_notice(one) for one in all_)),
-    "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
+    "stageRelease": lambda one: StageRelease(
+        one.service, tuple(str(h) for h in one.handles), one.fetched
+    ),
     "submitted": lambda reply: Submitted(reply.number, reply.version, reply.code),
 }
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -29,15 +29,10 @@
 from mountladder.membership.snapshot import Snapshot
 from mountladder.membership.submit import Submit
 from mountladder.membership.submitted import Submitted
-from mountladder.notices.leaving import Leaving
-from mountladder.notices.ratelimit import RateLimit
-from mountladder.notices.servernotices import ServerNotices
-from mountladder.quarantine.suspicions import Suspicions
 
 ANY_VERSION = -1
 MAX_AGE_MS = 2**32 - 1
 MAX_URGENCY = 255
-MAX_BARS = 2**16 - 1
 FAILURES = (None, *PieceFailure)
 
 
@@ -175,6 +170,7 @@
     order.resultBytes, order.giveUpMs = job.result_bytes, job.give_up
     order.lent = message.lent
     order.fingerprint = bytes.fromhex(job.fingerprint)
+    order.team, order.releasesInputs = job.team, job.releases_inputs
 
 
 @fill.register
@@ -206,6 +202,7 @@
     release = frame.init("stageRelease")
     release.service = message.service
     release.handles = list(message.handles)
+    release.fetched = message.fetched
 
 
 @fill.register
@@ -218,6 +215,7 @@
         to.id, to.tokens = part.id, part.tokens
     order.excluded, order.site = list(message.excluded), message.site
     order.patienceMs, order.urgency = message.max_wait_ms, min(message.urgency, MAX_URGENCY)
+    order.wantsBackup = message.wants_backup
 
 
 @fill.register
@@ -226,57 +224,14 @@
     reply.number, reply.server = message.number, message.server
     reply.expectedMs = message.expected_ms
     reply.source, reply.read = message.source, message.prefill_tokens
-    reply.waitMs = message.wait_ms
+    reply.waitMs, reply.backup = message.wait_ms, message.backup
 
 
 @fill.register
 def _(message: PlacementNote, frame) -> None:
     note = frame.init("placementNote")
     note.number, note.readMs, note.ended = message.number, message.read_ms, message.ended
-    note.gone = message.gone
-
-
-@fill.register
-def _(message: Suspicions, frame) -> None:
-    entries = frame.init("suspicions", len(message.entries))
-    for one, to in zip(message.entries, entries, strict=True):
-        to.fingerprint, to.service = bytes.fromhex(one.fingerprint), one.service
-        to.sentAt, to.clearedAt = one.sent_at, one.cleared_at
-        to.bars, to.barredAt = min(one.bars, MAX_BARS), one.barred_at
-        to.cleared = list(one.cleared)
-        targets = to.init("ends", len(one.crashes))
-        for crash, target in zip(one.crashes, targets, strict=True):
-            target.server, target.ranMs, target.at = crash.server, crash.ran_ms, crash.at
-            target.alone = crash.alone
-
-
-@fill.register
-def _(message: ServerNotices, frame) -> None:
-    notices = frame.init("serverNotices", len(message.entries))
-    for one, to in zip(message.entries, notices, strict=True):
-        to.server, to.slackMs = one.server, one.slack_ms
-        to.sentAt, to.seenAt = one.sent_at, one.seen_at
-        fill_notice(one.notice, to)
-
-
-@singledispatch
-def fill_notice(notice: object, to: object) -> None:
-    """Write a server's notice into its struct of a frame.
-
-    Raises:
-        TypeError: The notice is not of a type that instances exchange.
-    """
-    raise TypeError(f"{notice!r} is not exchanged between instances")
-
-
-@fill_notice.register
-def _(notice: RateLimit, to) -> None:
-    to.perSecond = notice.per_s
-
-
-@fill_notice.register
-def _(notice: Leaving, to) -> None:
-    to.leaving = None
+    note.gone, note.eventMs = message.gone, message.event_ms
 
 
 def _fill_position(position, to) -> None:
