mountladder account reads logs with lines that count requests

Such a line names no request now.

features/lines.feature: the new scenario failed first with that error; 5 passed.

--- a/features/lines.feature
+++ b/features/lines.feature
@@ -19,3 +19,10 @@
     Given logs of 20 requests of a route, the 2 largest of which were refused at admission
     When the account of the logs is requested
     Then it shows the largest tenth with 2 refused, 2 of them at admission, and the others on time
+
+  Scenario: A line that counts requests in place of naming them
+    # Guards against an account that fails on logs of servers that have just started.
+    Given logs of a route with a latency target of 1000 ms
+    And one line more that says that a server was sent 3 requests
+    When the account of the logs is requested
+    Then it counts 1 on time, 2 late, 1 refused, 1 again, 1 left, 1 failed and 1 unended
--- a/features/steps/line_steps.py
+++ b/features/steps/line_steps.py
@@ -105,6 +105,13 @@
     context.path.write_text("\n".join(json.dumps(one) for one in reversed(messages)))
 
 
+@given("one line more that says that a server was sent {number:d} requests")
+def add_counting_line(context, number):
+    line = {"message_type": "cold-server-sent", "server": "llm-1", "requests": number}
+    with context.path.open("a") as log:
+        log.write("\n" + json.dumps(line) + "\n")
+
+
 @when("the account of the logs is requested")
 def request_account(context):
     plain = CliRunner().invoke(main, ["account", str(context.path)])
--- a/packages/cli/src/mountladder_cli/outcomereport.py
+++ b/packages/cli/src/mountladder_cli/outcomereport.py
@@ -29,8 +29,9 @@
     messages: dict[str, list[dict[str, object]]] = defaultdict(list)
     for line in lines:
         message = parse_message(line)
-        ids = message.get("requests") or [message.get("request")]
-        for request in ids:
+        # In lines about a number of requests the field holds that number.
+        ids = message.get("requests")
+        for request in ids if isinstance(ids, list) else [message.get("request")]:
             if isinstance(request, str):
                 messages[request].append(message)
     traces = (RequestTrace.of(request, found) for request, found in messages.items())
