Ask the servers of a data centre that is used again how much longer they are cold

A drained data centre's servers may have become cold without a report in their entries, and only their health answers say for how long (Mountladder-Cold-Ms); no instance asked. All were taken to be cold for the time of a start: warm ones were left idle for seconds, and one that is cold for longer could have got more than it tolerates.

The one instance that may send requests to cold servers asks each of them once when the drain ends (ColdChecks); without an answer the old assumption holds.

--- a/features/coldservers.feature
+++ b/features/coldservers.feature
@@ -100,3 +100,33 @@
     And 400 safe requests a second follow for 800 ms
     Then no cold server got more than 18 requests within a second
     And every instance considers desk-1 cold for 1900 to 2000 ms more
+
+  Scenario Outline: The coordinator asks the servers of an undrained data centre whether they are cold
+    # Guards against leaving warm servers idle after a drain, and against sending a server that is
+    # cold for longer than a start more than it tolerates.
+    Given the llm servers of data centre a answer health checks with <answer> ms
+    When data centre a is drained
+    And 500 ms go by
+    And data centre a is undrained
+    And 50 ms go by
+    Then each of them was asked once, by the placement coordinator alone
+    And the placement coordinator considers them <now>
+    When 3500 ms go by
+    Then the placement coordinator considers them <later>
+
+    Examples:
+      | answer | now  | later |
+      | 0      | warm | warm  |
+      | 5000   | cold | cold  |
+      | no     | cold | warm  |
+
+  Scenario Outline: The time that a health answer states
+    Then the cold time <text> of a health answer is read as <cold_ms>
+
+    Examples:
+      | text   | cold_ms |
+      | absent | 0.0     |
+      | 1250   | 1250.0  |
+      | -3     | None    |
+      | soon   | None    |
+      | inf    | None    |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -34,6 +34,18 @@
     When request r1 is sent to it
     Then it ends with code 3009, not run
 
+  Scenario Outline: How much longer a server is cold by its health check
+    Given a backend server that answers "<answer>"
+    When its health is checked
+    Then it is cold for <cold_ms> ms
+
+    Examples:
+      | answer           | cold_ms |
+      | cold for 1250 ms | 1250.0  |
+      | not cold         | 0.0     |
+      | failing          | None    |
+      | closed           | None    |
+
   Scenario Outline: Which connections are reused
     Given a backend server that answers "<answer>"
     When requests r1 and r2 are sent to it
--- a/features/rawanswers.py
+++ b/features/rawanswers.py
@@ -50,6 +50,9 @@
 ANSWERS = {
     "whole": (answer(200, b"hello"), False),
     "whole and closing": (answer(200, b"hello", HEAD + b"Connection: close\r\n"), True),
+    "cold for 1250 ms": (answer(200, b"", b"Mountladder-Cold-Ms: 1250\r\n"), False),
+    "not cold": (answer(200, b"", b""), False),
+    "failing": (answer(503, b"", b"Mountladder-Cold-Ms: 1250\r\n"), False),
     "chunked": (answer(200, CHUNKS + b"0\r\n\r\n", CHUNKED, False), False),
     "no length": (answer(200, b"hello", length=False), True),
     "server error": (answer(500, b"broken"), False),
--- a/features/steps/coldserver_steps.py
+++ b/features/steps/coldserver_steps.py
@@ -22,6 +22,7 @@
     serve,
 )
 from mountladder_platform.decoding import decode_server
+from mountladder_platform.reading import read_cold_ms
 
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.prompt import Prompt
@@ -46,7 +47,7 @@
 def cold_fleet(context, number, rate):
     plain = catalogue(2)
     services = {
-        name: replace(one, cold_ms=COLD_MS, cold_per_s=float(rate))
+        name: replace(one, cold_ms=COLD_MS, cold_per_s=float(rate), health_path="/health")
         for name, one in plain.services.items()
     }
     context.fleet.configure(replace(plain, services=services))
@@ -353,3 +354,31 @@
 @then("its record says that it is cold for {expected_ms:d} ms")
 def record_is_cold_for(context, expected_ms):
     assert (context.record.cold_ms, context.record.sequence) == (expected_ms, 4)
+
+
+@given("the llm servers of data centre a answer health checks with {answer} ms")
+def health_answers(context, answer):
+    context.asked = [name for name, one in context.servers.items() if one == ("llm", "a")]
+    if answer != "no":
+        context.fleet.upstream.reported_cold_ms = dict.fromkeys(context.asked, float(answer))
+
+
+@then("each of them was asked once, by the placement coordinator alone")
+def asked_once(context):
+    found = [one for one in context.fleet.upstream.health_checks if one in context.asked]
+    assert sorted(found) == sorted(context.asked), found
+
+
+@then("the placement coordinator considers them {state:w}")
+def considered(context, state):
+    instance = find_coordinator(context, prompts_topic("llm"))
+    servers = [one for one in instance.directory.available("llm") if one.name in context.asked]
+    cold = instance.cold.cold(servers)
+    assert len(servers) == len(context.asked), servers
+    assert len(cold) == (len(servers) if state == "cold" else 0), cold
+
+
+@then("the cold time {text} of a health answer is read as {cold_ms}")
+def cold_time(context, text, cold_ms):
+    found = read_cold_ms(None if text == "absent" else text)
+    assert str(found) == cold_ms, found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -174,6 +174,16 @@
     send(context, id_)
 
 
+@when("its health is checked")
+def check_health(context):
+    context.cold_ms = context.upstream.cold_ms(context.server, "/health", TIMEOUT_MS)
+
+
+@then("it is cold for {cold_ms} ms")
+def cold_for(context, cold_ms):
+    assert str(context.cold_ms) == cold_ms, context.cold_ms
+
+
 @then("its rate limit notices are {notices}")
 def limit_notices(context, notices):
     named = {"none": [], "unlimited": [UNLIMITED]}
--- a/packages/core/src/mountladder/forwarding/coldservers.py
+++ b/packages/core/src/mountladder/forwarding/coldservers.py
@@ -43,6 +43,8 @@
     Attributes:
         sent_at: Times of the requests sent to each cold server within the last second, by server
             name.
+        checked: When servers were asked for their health, and until when they are cold by their
+            answers, by server name.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.leadership = leadership
         self.clock = clock
         self.sent_at: dict[str, deque[float]] = {}
+        self.checked: dict[str, tuple[float, float]] = {}
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether a server reported to be cold, or may be after its data centre's return."""
@@ -78,14 +81,28 @@
 
         Servers of a drained data centre may have restarted without a report before its return.
         """
-        if self.directory.cold_until.get(server.labels[ID_LABEL], -math.inf) > now:
+        checked_at, checked_until = self.checked.get(server.name, (-math.inf, -math.inf))
+        reported_until = self.directory.cold_until.get(server.labels[ID_LABEL], -math.inf)
+        if max(reported_until, checked_until) > now:
             return True
         undrained_at = self.directory.drains.undrained_at.get(server.datacentre)
-        if undrained_at is None:
+        if undrained_at is None or checked_at >= undrained_at:
             return False
         service = self.follower.service(server.labels[SERVICE_LABEL])
         return service is not None and undrained_at + service.cold_ms > now
 
+    def record_check(self, server: BackendServer, asked_at: float, cold_ms: float) -> None:
+        """Record a server's answer to a health check.
+
+        Args:
+            server: The server.
+            asked_at: When it was asked, in the clock's milliseconds.
+            cold_ms: How much longer it is cold, in milliseconds.
+        """
+        listed = self.directory.names()
+        self.checked = {name: one for name, one in self.checked.items() if name in listed}
+        self.checked[server.name] = (asked_at, self.clock.now() + cold_ms)
+
     def warm(self, servers: tuple[BackendServer, ...]) -> tuple[BackendServer, ...]:
         """Return the servers that are not cold."""
         cold = self.cold(servers)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -16,6 +16,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
+from mountladder.forwarding.coldchecks import ColdChecks
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.connectionshare import ConnectionShare
 from mountladder.forwarding.directory import Directory
@@ -143,6 +144,8 @@
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump_batchers)
+        self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
+        self.cold_checks.on_checked = self.pump_batchers
         self.forwarder = Forwarder(self.make_context(picker))
         applier = PageApplier(
             self.tables, self.follower, self.directory, self.fleet.era_tracker, clock
--- a/packages/core/src/mountladder/forwarding/service.py
+++ b/packages/core/src/mountladder/forwarding/service.py
@@ -25,6 +25,7 @@
         transfer: The cost of prompt transfers between its model servers, or None if they have none.
         batch: The batch limits of a service that runs stages, or None.
         cold_ms: How long a server is cold after its start, in milliseconds.
+        health_path: The path of health checks at its servers, or an empty string.
         cold_per_s: How many requests per second a cold server tolerates, or 0 for no limit.
     """
 
@@ -36,3 +37,4 @@
     transfer: PromptTransfer | None = None
     cold_ms: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = ""
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -68,6 +68,19 @@
         A server that is unreachable or does not answer may still be running.
         """
 
+    @abstractmethod
+    def cold_ms(self, server: BackendServer, health_path: str, limit_ms: float) -> float | None:
+        """Return how much longer a server is cold by its health check, in milliseconds.
+
+        Args:
+            server: The server.
+            health_path: The path of its health checks.
+            limit_ms: The timeout for the answer, in milliseconds.
+
+        Returns:
+            The time, 0 if it is not cold, or None if it did not say so.
+        """
+
     @abstractmethod
     def free(
         self, server: BackendServer, handles: Sequence[str], on_notices: NoticeHandler
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -65,6 +65,9 @@
         leaving: The names of servers that announce in their answers that they are leaving.
         refuse_every: A server refuses one of this many requests, by name.
         backoff_ms: The back-off that servers announce in a refusal, in milliseconds, by name.
+        reported_cold_ms: How much longer servers are cold by their health checks, in milliseconds,
+            by name; servers that are missing do not answer.
+        health_checks: The names of the servers that were asked for their health, in order.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -85,6 +88,8 @@
         self.leaving: set[str] = set()
         self.refuse_every: dict[str, int] = {}
         self.backoff_ms: dict[str, float] = {}
+        self.reported_cold_ms: dict[str, float] = {}
+        self.health_checks: list[str] = []
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
@@ -160,6 +165,11 @@
             self.crashed.append(server.name)
             self.on_crashed(server)
 
+    def cold_ms(self, server: BackendServer, health_path: str, limit_ms: float) -> float | None:
+        """Return how much longer a server is cold by its health check; see Upstream."""
+        self.health_checks.append(server.name)
+        return self.reported_cold_ms.get(server.name)
+
     def check_connection(self, server: BackendServer) -> None:
         """Refuse a connection if the server has crashed.
 
