Dispatch messages in Fleet by its table of subscribers

functools.singledispatchmethod builds a function and looks for attributes to copy with update_wrapper on each call. Fleet now registers its own three types where the other subscribers are registered.

Measured: 3.9 us a call before, 0.2 us after (timeit, a class with the same shape). messages, fuzz and transfer features pass.

--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from functools import singledispatchmethod
 
 from eliot import log_message
 
@@ -33,6 +32,7 @@
 from mountladder.membership.linkmanager import LinkManager
 from mountladder.membership.membership import MISSED_HEARTBEATS, Membership
 from mountladder.membership.network import Network
+from mountladder.membership.wire import Message
 from mountladder.metrics.metrics import Metrics
 from mountladder.store.eratracker import EraTracker
 from mountladder.store.position import Position
@@ -96,6 +96,9 @@
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
         self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
         self.peer_gone: list[Callable[[Link], None]] = []
+        self.subscribe(Beacon, self.receive_beacon)
+        self.subscribe(UpdateRequest, self.receive_request)
+        self.subscribe(DirectoryCopy, self.receive_directory)
         self.subscribe(CatalogueSlice, self.transfer.receive)
         follower.listeners.append(self.add_topics)
         follower.listeners.append(lambda catalogue: self.announce_soon())
@@ -252,13 +255,13 @@
         reader_group = {one.peer for one in self.ranking.reader_group()}
         return [link for address, link in self.links.items() if address in reader_group]
 
-    @singledispatchmethod
-    def handle(self, message: object, link: Link) -> None:
-        """Handle a message; types not handled here go to their subscribers."""
+    def handle(self, message: Message, link: Link) -> None:
+        """Handle a message; see LinkManager."""
+        # A singledispatchmethod builds a function for each message: 3.9 us instead of 0.2 us.
         self.dispatch(message, link)
 
-    @handle.register
-    def _(self, message: Beacon, link: Link) -> None:
+    def receive_beacon(self, message: Beacon, link: Link) -> None:
+        """Apply what a peer's beacon announces, and reply if it asks for that."""
         source = f"peer {link.peer.name}"
         self.membership.mark_alive(link.peer, message.leaving)
         self.reader_election.record(link.peer, message)
@@ -290,8 +293,8 @@
         if catalogue >= 0 or directory is not None:
             self.send_later(link, UpdateRequest(catalogue, directory))
 
-    @handle.register
-    def _(self, message: UpdateRequest, link: Link) -> None:
+    def receive_request(self, message: UpdateRequest, link: Link) -> None:
+        """Send a peer the newer state that it requests."""
         if 0 <= message.catalogue < self.follower.version:
             self.transfer.start_sending(link)
         if message.directory is not None and message.directory < self.directory.newest:
@@ -304,7 +307,7 @@
         for copy in directory_copies(self.directory, since):
             self.send(link, copy)
 
-    @handle.register
-    def _(self, message: DirectoryCopy, link: Link) -> None:
+    def receive_directory(self, message: DirectoryCopy, link: Link) -> None:
+        """Apply changed entries of the list of servers."""
         source = f"peer {link.peer.name}"
         self.directory.apply(message.records, message.position, source, message.reappear_ms)
