Waiting for an event leaves no link behind, and is cheaper

Clock.wait linked a function to the event and never removed it. An event that is not set keeps its links, and the one that reports a broken link between instances is waited for at each heartbeat: an instance gained an event and a closure for each heartbeat, for as long as the link lasted. The link is now removed.

SystemClock waits with a Waiter that the event and the timer wake, in place of a second event. VirtualClock keeps the second event, since it fires timers outside the hub.

--- a/packages/core/src/mountladder/clocks/clock.py
+++ b/packages/core/src/mountladder/clocks/clock.py
@@ -51,12 +51,19 @@
             gevent.sleep(0)
             return event.is_set()
         waker = Event()
-        event.rawlink(lambda _: waker.set())
+
+        def wake(_: Event) -> None:
+            """Wake the calling task."""
+            waker.set()
+
+        event.rawlink(wake)
         cancel = self.call_later(delay_ms, waker.set)
         try:
             waker.wait()
         finally:
             cancel()
+            # An event that is not set keeps its links, so that a loop would add one each time.
+            event.unlink(wake)
         return event.is_set()
 
     @contextmanager
--- a/packages/core/src/mountladder/clocks/systemclock.py
+++ b/packages/core/src/mountladder/clocks/systemclock.py
@@ -11,6 +11,7 @@
 from functools import partial
 
 import gevent
+from gevent.event import Event
 from gevent.hub import Waiter
 
 from mountladder.clocks.clock import Clock
@@ -85,3 +86,19 @@
             waiter.get()
         finally:
             cancel()
+
+    def wait(self, event: Event, delay_ms: float) -> bool:
+        """Wait for an event with a timeout; see Clock."""
+        if event.is_set() or delay_ms <= 0:
+            return super().wait(event, delay_ms)
+        # A Waiter is woken directly by the event and the timer; Clock.wait needs a second event.
+        waiter = Waiter()
+        wake = waiter.switch
+        event.rawlink(wake)
+        cancel = self.call_later(delay_ms, partial(wake, None))
+        try:
+            waiter.get()
+        finally:
+            cancel()
+            event.unlink(wake)
+        return event.is_set()
