Compute the heartbeat interval once for each change of the membership

Each message that is received, each heartbeat and each choice of a coordinator asks for the interval, for which the list of neighbours was copied to be counted.

--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -50,6 +50,7 @@
         self.last_seen: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.changes = 0
+        self.cached_interval: tuple[int, float] = (-1, interval_ms)
         self.cached_neighbours: tuple[int, list[Instance]] = (-1, [])
         self.cached_remote_peers: tuple[int, list[Instance]] = (-1, [])
         self.last_cleanup_at = clock.now()
@@ -61,10 +62,11 @@
         It grows with the number of peers, which bounds the heartbeats that an instance sends in a
         second.
         """
-        return max(
-            self.min_interval_ms,
-            INTERVAL_PER_PEER_MS * (len(self.neighbours()) - PEERS_AT_MIN_INTERVAL),
-        )
+        if self.cached_interval[0] != self.changes:
+            # Each message that is received or sent needs it several times.
+            grown_ms = INTERVAL_PER_PEER_MS * (len(self.neighbours()) - PEERS_AT_MIN_INTERVAL)
+            self.cached_interval = (self.changes, max(self.min_interval_ms, grown_ms))
+        return self.cached_interval[1]
 
     def apply_list(self, instances: Iterable[Instance]) -> None:
         """Apply the platform's list; it lags, so live instances keep what they sent themselves."""
