--- a/packages/core/src/mountladder/notices/noticedispatcher.py
+++ b/packages/core/src/mountladder/notices/noticedispatcher.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from functools import singledispatchmethod
+from collections.abc import Callable, Sequence
 
 from eliot import log_message
 
@@ -53,6 +52,12 @@
         self.registry.on_leaving = directory.rebuild
         directory.leaving_since = self.registry.leaving_since
         self.exchange = NoticeExchange(link_manager, self.registry, clock)
+        # A singledispatchmethod builds a function for each answer of a server.
+        self.handlers: dict[type, Callable[..., None]] = {
+            RateLimit: self.share,
+            Leaving: self.share,
+            BackOff: self.back_off,
+        }
 
     def dispatch(self, server: BackendServer, notices: Sequence[Notice], sent_at: float) -> None:
         """Process the notices in an answer.
@@ -65,20 +70,22 @@
         for notice in notices:
             self.handle(notice, server, sent_at)
 
-    @singledispatchmethod
-    def handle(self, notice: object, server: BackendServer, sent_at: float) -> None:
+    def handle(self, notice: Notice, server: BackendServer, sent_at: float) -> None:
         """Process one notice.
 
         Raises:
             TypeError: It is not a notice.
         """
-        raise TypeError(f"not a notice: {notice!r}")
+        handler = self.handlers.get(type(notice))
+        if handler is None:
+            raise TypeError(f"not a notice: {notice!r}")
+        handler(notice, server, sent_at)
 
-    @handle.register
-    def _(self, notice: RateLimit | Leaving, server: BackendServer, sent_at: float) -> None:
+    def share(self, notice: RateLimit | Leaving, server: BackendServer, sent_at: float) -> None:
+        """Record a notice that is shared with the other instances."""
         self.registry.record(server, notice, sent_at)
 
-    @handle.register
-    def _(self, notice: BackOff, server: BackendServer, sent_at: float) -> None:
+    def back_off(self, notice: BackOff, server: BackendServer, sent_at: float) -> None:
+        """Leave a server alone for the time that it asks for."""
         self.router.back_off(server, notice.for_ms)
         log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
