--- a/packages/entry/src/mountladder_entry/logqueue.py
+++ b/packages/entry/src/mountladder_entry/logqueue.py
@@ -21,6 +21,8 @@
 MAX_LINES = 4_000
 # Lines that are joined into one write; a request logs about five.
 MAX_BATCH_LINES = 200
+# json.dumps with these options builds an encoder for each line.
+_ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
 
 
 class LogQueue:
@@ -48,7 +50,7 @@
             self.dropped += 1
             self.metrics.count(Metric.DROPPED_LINES)
             return
-        self.lines.append(json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n")
+        self.lines.append(_ENCODER.encode(message).encode() + b"\n")
         self.ready.set()
 
     def start(self) -> None:
