--- a/packages/core/src/mountladder/membership/tcplink.py
+++ b/packages/core/src/mountladder/membership/tcplink.py
@@ -12,7 +12,7 @@
 import struct
 
 from gevent import socket
-from gevent.lock import RLock
+from gevent.lock import BoundedSemaphore
 
 from mountladder.code import Code
 from mountladder.errors import PeerError
@@ -54,7 +54,7 @@
         self.connection = connection
         self.secret = secret
         self.me = me
-        self.lock = RLock()
+        self.lock = BoundedSemaphore(1)
         self.received = bytearray()
         self.sent_bytes = 0
         self.sent_messages = 0
