Stages carry the name of their request's team

The coordinator of a stage service is to be fair among teams, but StageJob.team was never set. StageFlow gets the team from ForwardRun and sets it in each job; StageOrder passes it on.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -120,6 +120,7 @@
             self.answer_target_ms(),
             is_first,
             self.tracked.fingerprint,
+            self.team,
         )
         try:
             inputs = self.flow.run()
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -53,6 +53,7 @@
         answer_target_ms: The time from its arrival until its answer should begin; 0 if that cannot
             be met, and its stages give way to those of other requests. None stands for the route's
             latency target.
+        team: The name of the request's team, or an empty string.
 
     Attributes:
         handles: The handles of the results of each completed stage, by its number.
@@ -73,6 +74,7 @@
         answer_target_ms: float | None = None,
         may_refuse: bool = True,
         fingerprint: str = "",
+        team: str = "",
     ) -> None:
         self.request = request
         self.route = route
@@ -90,6 +92,7 @@
         self.failure: PieceFailure | None = None
         self.changed = Event()
         self.fingerprint = fingerprint
+        self.team = team
         self.times = StageTimes(request, route, dispatch)
         self.begun = False
 
@@ -192,6 +195,7 @@
             datacentre=self.preferred_datacentre(number, pieces),
             give_up=self.give_up,
             fingerprint=self.stage_fingerprint(stage.service),
+            team=self.team,
         )
 
     def stage_fingerprint(self, service: str) -> str:
