Sharing: critical pieces first, floors of ranks, fairness among teams

Pieces that could wait went before less urgent ones that could not, nothing kept a rank or a team from being served last for as long as an overload lasted, and the expected waits promised the least urgent rank a third of the throughput that the order did not give it.

Package sharing: CallOrder, RankFloors with FloorFill and TeamShares decide the order of the next calls, ExpectedWaits the waits that admission uses, with the same floors; ServiceSharing and RankDemand hold the state of one service. The queue is sorted only when a server is free. The setting share_fairly = false leaves the former order and waits. The line order-shared and the counters floor_pieces and team_pieces tell what floors and shares changed.

In its overload of two servers (20 s, rank 0 asks for 1.7 times what they make, rank 2 for a seventh of all), all stages of rank 2 that were let in are in time, and 20 or more in the last 10 s; with share_fairly = false three are let in, and none is in time.

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
+from functools import partial
 
 import gevent
 
@@ -34,6 +36,7 @@
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.sharing.servicesharing import ServiceSharing
 
 # Interval between polls of a queue with waiting pieces, where no event triggers an earlier one.
 POLL_MS = 40.0
@@ -71,6 +74,7 @@
         cold: Limits the pieces sent to servers that have just started.
         limits: Enforces the rate limits that servers announce.
         notices: Receives the notices that answers carry about their servers.
+        share_fairly: Whether ranks and teams are kept from starving each other in an overload.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         cold: ColdServers,
         limits: ServerLimits,
         notices: NoticeDispatcher,
+        share_fairly: bool = True,
     ) -> None:
         self.service = service
         self.notices = notices
@@ -102,6 +107,7 @@
         self.servers = StageServers(service, division, router, cold, limits)
         self.result_memory = ResultMemory()
         self.rate = PieceRate(clock)
+        self.sharing = ServiceSharing(service, metrics) if share_fairly else None
         self.hedged: set[QueuedPiece] = set()
         self.cached_backlog: tuple[float, Backlog] | None = None
         self.releaser = self.make_releaser(division.directory)
@@ -125,6 +131,8 @@
         for _ in range(job.pieces):
             self.budget.earn()
         self.demand.record_arrival(job)
+        if self.sharing is not None:
+            self.sharing.record_arrival(job, self.clock.now())
         self.queue.add(progress)
         self.pump()
         return progress
@@ -150,17 +158,35 @@
         if self.releaser.held and limits is not None:
             self.release_held(limits, now)
         if self.queue and limits is not None:
-            self.queue.sort(now)
-            for state in self.servers.free(limits, now):
+            free = self.servers.free(limits, now)
+            if free:
+                self.sort_queue(len(free), limits, now)
+            for state in free:
                 self.offer(state, limits, now)
         self.rate.set_congested(limits is not None and self.is_congested(limits, now))
         if self.queue:
             self.schedule_poll()
 
+    def sort_queue(self, free: int, limits: BatchLimits, now: float) -> None:
+        """Sort the queue for the next calls, with floors and shares while it is congested."""
+        if self.sharing is None:
+            self.queue.sort(now)
+            return
+        congested = self.is_congested(limits, now)
+        arrange = partial(
+            self.sharing.arrange, limits=limits, free=free, congested=congested, now=now
+        )
+        self.queue.sort(now, arrange)
+
     def is_congested(self, limits: BatchLimits, now: float) -> bool:
         """Return whether pieces wait longer than until the next server is free."""
         return now - self.queue.oldest(now) > CONGESTED_CALLS * limits.expected_ms(limits.pieces)
 
+    def congestion_onset_ms(self, limits: BatchLimits, now: float) -> float:
+        """Return the time until the oldest piece has waited for so long that it is congested."""
+        waited_ms = now - self.queue.oldest(now)
+        return max(0.0, CONGESTED_CALLS * limits.expected_ms(limits.pieces) - waited_ms)
+
     def release(self, handles: Sequence[str]) -> None:
         """Release results that are no longer needed."""
         self.releaser.release(handles)
@@ -234,9 +260,15 @@
         if measured is not None:
             rate = max(MIN_RATE_FRACTION * rate, min(rate, measured))
         busy_ms = min(self.servers.remaining_ms(one, now) for one in usable)
-        return Backlog(
-            self.service, self.demand.waits_ms(self.queue.count_by_priority(now), rate, busy_ms)
+        waiting = self.queue.count_by_priority(now)
+        if self.sharing is None:
+            return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms))
+        floors = replace(
+            self.sharing.floors(self.demand.count_ahead(waiting), now),
+            onset_ms=self.congestion_onset_ms(limits, now),
+            call_ms=limits.expected_ms(limits.pieces),
         )
+        return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms, floors))
 
     def start(
         self, state: ServerState, batch: list[QueuedPiece], limits: BatchLimits, now: float
@@ -249,4 +281,6 @@
             if self.quarantine.needs_own_call(progress.job.fingerprint):
                 self.quarantine.record_sent(progress.job.fingerprint, progress.job.request)
             self.result_memory.reserve(state.server.name, progress.job.result_bytes)
+        if self.sharing is not None:
+            self.sharing.record_call(batch, limits, now)
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -234,6 +234,7 @@
             self.cold,
             self.limits,
             self.notices,
+            self.settings.share_fairly,
         )
 
     def pump_batchers(self) -> None:
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mountladder.forwarding.backlog import rank, value_for_rank
 from mountladder.forwarding.batchlimits import BatchLimits
@@ -29,6 +29,7 @@
 # Pieces that are late anyway can wait.
 LOCALITY_SLACK_CALLS = 1.5
 QueuedPiece = tuple[JobProgress, int]
+SortKey = Callable[[QueuedPiece, float], tuple[bool, bool, int, float]]
 
 
 class PieceQueue:
@@ -70,9 +71,22 @@
         """Return when the longest-waiting piece was queued, or now if none waits."""
         return min((progress.since for progress, _ in self.waiting), default=now)
 
-    def sort(self, now: float) -> None:
-        """Sort the pieces into the order in which they are sent."""
-        self.waiting.sort(key=lambda one: self.order(one, now))
+    def sort(
+        self,
+        now: float,
+        arrange: Callable[[list[QueuedPiece], SortKey], list[QueuedPiece]] | None = None,
+    ) -> None:
+        """Sort the pieces into the order in which they are sent.
+
+        Args:
+            now: The clock's time.
+            arrange: Returns the pieces in their order, given the sort key by rank and due time; see
+                ServiceSharing. None for the order of that key.
+        """
+        if arrange is None:
+            self.waiting.sort(key=lambda one: self.order(one, now))
+        else:
+            self.waiting = arrange(self.waiting, self.order)
 
     def order(self, waiting: QueuedPiece, now: float) -> tuple[bool, bool, int, float]:
         """Return the sort key of a piece.
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -13,12 +13,14 @@
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.limits.rankrates import RankRates
+from mountladder.sharing.expectedwaits import ExpectedWaits
+from mountladder.sharing.rankfloors import RankFloors
 
 # An announcement expires after this time if its pieces have not arrived.
 ANNOUNCEMENT_TTL_MS = 2_500.0
-# Minimum fraction of the throughput that is assumed to be left for the least urgent pieces, since
-# more urgent ones go first only if they are due soon. With 0.1, expected waits reached 30 s that
-# never occurred, and requests were refused for them.
+# Where ranks have no floors: minimum fraction of the throughput that is assumed to be left for the
+# least urgent pieces, since more urgent ones go first only if they are due soon. With 0.1, expected
+# waits reached 30 s that never occurred, and requests were refused for them.
 MIN_RATE_FRACTION = 0.35
 
 
@@ -55,15 +57,32 @@
             counts[priority_class(notice.urgency, notice.gives_way)] += notice.pieces
         return counts
 
-    def waits_ms(self, waiting: Counter[int], rate: float, busy_ms: float) -> tuple[float, ...]:
+    def count_ahead(self, waiting: Counter[int]) -> Counter[int]:
+        """Return the number of waiting and announced pieces, by priority class."""
+        return waiting + self.count_announced()
+
+    def waits_ms(
+        self,
+        waiting: Counter[int],
+        rate: float,
+        busy_ms: float,
+        floors: RankFloors | None = None,
+    ) -> tuple[float, ...]:
         """Return the expected waits of new pieces in milliseconds, by priority class.
 
         Args:
             waiting: The number of waiting pieces by priority class.
             rate: The throughput of all servers in pieces per millisecond.
             busy_ms: The time until the first server is free, in milliseconds.
+            floors: The floors of the ranks, or None without floors.
         """
-        ahead = waiting + self.count_announced()
+        ahead = self.count_ahead(waiting)
+        if floors is not None:
+            expected = ExpectedWaits(ahead, rate, floors)
+            return tuple(
+                busy_ms + expected.wait_ms(one, self.rates.rate_above(one))
+                for one in PRIORITY_CLASSES
+            )
         waits = []
         for priority in PRIORITY_CLASSES:
             # More urgent pieces that arrive meanwhile go first.
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -37,6 +37,12 @@
     STAGE_CALLS = ("stage_calls", "counter", "answered calls to servers of stage services")
     STAGE_PIECES = ("stage_pieces", "counter", "pieces in these calls")
     STAGE_CALL_MS = ("stage_call_ms", "timing", "time of one such call in milliseconds")
+    FLOOR_PIECES = ("floor_pieces", "counter", "stage pieces sent earlier for their rank's floor")
+    TEAM_PIECES = (
+        "team_pieces",
+        "counter",
+        "stage pieces sent in place of those of a team over its share",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
