Expected waits count announced pieces once

StageDemand.waits_ms now asks for the floors with the pieces that it has counted.

features/sharing, heavydays, pieces, room, largerequests, division, withdrawal, serverlimits, messages and documents: 275 passed.

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from functools import partial
 
 import gevent
@@ -263,11 +262,9 @@
         waiting = self.queue.count_by_priority(now)
         if self.sharing is None:
             return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms))
-        floors = replace(
-            self.sharing.floors(self.demand.count_ahead(waiting), now),
-            onset_ms=self.congestion_onset_ms(limits, now),
-            call_ms=limits.expected_ms(limits.pieces),
-        )
+        onset_ms = self.congestion_onset_ms(limits, now)
+        call_ms = limits.expected_ms(limits.pieces)
+        floors = partial(self.sharing.floors, now=now, onset_ms=onset_ms, call_ms=call_ms)
         return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms, floors))
 
     def start(
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import PRIORITY_CLASSES, priority_class
@@ -57,16 +58,12 @@
             counts[priority_class(notice.urgency, notice.gives_way)] += notice.pieces
         return counts
 
-    def count_ahead(self, waiting: Counter[int]) -> Counter[int]:
-        """Return the number of waiting and announced pieces, by priority class."""
-        return waiting + self.count_announced()
-
     def waits_ms(
         self,
         waiting: Counter[int],
         rate: float,
         busy_ms: float,
-        floors: RankFloors | None = None,
+        floors: Callable[[Counter[int]], RankFloors] | None = None,
     ) -> tuple[float, ...]:
         """Return the expected waits of new pieces in milliseconds, by priority class.
 
@@ -74,11 +71,12 @@
             waiting: The number of waiting pieces by priority class.
             rate: The throughput of all servers in pieces per millisecond.
             busy_ms: The time until the first server is free, in milliseconds.
-            floors: The floors of the ranks, or None without floors.
+            floors: Returns the floors of the ranks, given the number of waiting and announced
+                pieces by priority class. None without floors.
         """
-        ahead = self.count_ahead(waiting)
+        ahead = waiting + self.count_announced()
         if floors is not None:
-            expected = ExpectedWaits(ahead, rate, floors)
+            expected = ExpectedWaits(ahead, rate, floors(ahead))
             return tuple(
                 busy_ms + expected.wait_ms(one, self.rates.rate_above(one))
                 for one in PRIORITY_CLASSES
--- a/packages/core/src/mountladder/sharing/rankfloors.py
+++ b/packages/core/src/mountladder/sharing/rankfloors.py
@@ -36,33 +36,6 @@
     onset_ms: float = 0.0
     call_ms: float = 0.0
 
-    @classmethod
-    def divide(
-        cls,
-        arrived: Mapping[int, float],
-        waiting: Mapping[int, int],
-        sent: Mapping[int, float],
-        sent_late: Mapping[int, float],
-    ) -> RankFloors:
-        """Return the floors for what has arrived.
-
-        Args:
-            arrived: The pieces that arrived recently and could be on time then, by rank.
-            waiting: The waiting pieces that can be on time, by rank. They count as arrived even if
-                they have waited for longer than arrivals are remembered.
-            sent: The recently sent pieces that could be on time, by rank.
-            sent_late: The recently sent pieces that were late already, by rank.
-        """
-        ranks = arrived.keys() | waiting.keys()
-        demand = {rank: max(arrived.get(rank, 0.0), waiting.get(rank, 0)) for rank in ranks}
-        total = sum(demand.values())
-        fractions = {
-            rank: FLOOR_OF_SHARE * amount / total
-            for rank, amount in sorted(demand.items())
-            if amount > 0
-        }
-        return cls(fractions, sent, sent_late)
-
     def total_sent(self) -> float:
         """Return the recently sent pieces of all ranks."""
         return sum(self.sent.values()) + sum(self.sent_late.values())
@@ -70,3 +43,19 @@
     def fraction(self, rank: int) -> float:
         """Return the guaranteed fraction of the sent pieces of a rank."""
         return self.fractions.get(rank, 0.0)
+
+
+def guaranteed_fractions(
+    demand: Mapping[int, float], waiting: Mapping[int, int]
+) -> dict[int, float]:
+    """Return the fraction of the sent pieces that each rank is guaranteed, the most urgent first.
+
+    Args:
+        demand: The pieces that can be on time, as they arrive in some time, by rank.
+        waiting: The waiting pieces that can be on time, by rank. They count as demand even if they
+            have waited for longer than arrivals are remembered.
+    """
+    ranks = sorted(demand.keys() | waiting.keys())
+    amounts = {rank: max(demand.get(rank, 0.0), waiting.get(rank, 0)) for rank in ranks}
+    total = sum(amounts.values())
+    return {rank: FLOOR_OF_SHARE * one / total for rank, one in amounts.items() if one > 0}
--- a/packages/core/src/mountladder/sharing/servicesharing.py
+++ b/packages/core/src/mountladder/sharing/servicesharing.py
@@ -18,7 +18,7 @@
 from mountladder.sharing.callorder import BaseKey, CallOrder
 from mountladder.sharing.decayedsums import DecayedSums
 from mountladder.sharing.rankdemand import RankDemand
-from mountladder.sharing.rankfloors import RankFloors
+from mountladder.sharing.rankfloors import RankFloors, guaranteed_fractions
 from mountladder.sharing.sharingreport import SharingReport
 from mountladder.sharing.teamshares import TeamShares
 from mountladder.sharing.waitingstage import Piece, WaitingStage
@@ -61,16 +61,28 @@
             self.used_ms.add(job.team, pieces * piece_ms, now)
         self.report.record(batch, self.arrangement, now)
 
-    def floors(self, waiting: Mapping[int, int], now: float) -> RankFloors:
+    def floors(
+        self,
+        waiting: Mapping[int, int],
+        now: float,
+        onset_ms: float = 0.0,
+        call_ms: float = 0.0,
+    ) -> RankFloors:
         """Return the floors of the ranks.
 
         Args:
             waiting: The waiting pieces by priority class; late ones count for no floor.
             now: The clock's time.
+            onset_ms: The time until they take effect, in milliseconds; 0 in an overload.
+            call_ms: The expected time of a full call, in milliseconds.
         """
         in_time = {one: waiting[one] for one in waiting if one <= MAX_RANK}
-        return RankFloors.divide(
-            self.demand.amounts(now), in_time, self.sent.sums(now), self.sent_late.sums(now)
+        return RankFloors(
+            guaranteed_fractions(self.demand.amounts(now), in_time),
+            self.sent.sums(now),
+            self.sent_late.sums(now),
+            onset_ms,
+            call_ms,
         )
 
     def arrange(
