Scenarios for the floors that a coordinator promises

Three mutations had not been found: late waiting pieces earning a floor, and the batcher passing on neither the time until floors take effect nor the time of a call. Each now fails one scenario.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -92,6 +92,7 @@
     Given a service that is congested
     And 24 pieces of rank 2 have arrived that were late already
     And 24 pieces each of rank 0 and of rank 1 have arrived
+    When 24 pieces of rank 2 wait that are late
     Then ranks 0, 1 and 2 are guaranteed 0.25, 0.25 and 0 of the pieces
 
   Scenario Outline: A team that had more than its share goes behind the others of its rank
@@ -171,6 +172,16 @@
       | fairly  | nearly all | at least 20 |
       | by rank | few        | at most 5   |
 
+  @forwarding
+  Scenario: A floor is promised from the time on at which it takes effect
+    # Servers call for 230 ms with full calls; the service is congested after 345 ms.
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And servers desk-1, desk-2 of service desk and llm-1, llm-2 of service llm
+    And stage servers enc-1, enc-2 of service enc
+    And the coordinator of enc shares fairly
+    When rank 0 asks for more than its servers make, and a piece of it has just begun to wait
+    Then those of rank 2 are expected to wait for 575 ms there
+
   @forwarding
   Scenario: The team of a request decides its place at the coordinator
     Given a forwarding fleet of instances a-1, a-2, b-1
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -216,9 +216,14 @@
     context.sharing.record_arrival(stage(rank, -1.0, pieces).job, 0.0)
 
 
+@when("{pieces:d} pieces of rank {rank:d} wait that are late")
+def late_wait_in_queue(context, pieces, rank):
+    queue(context, rank, -1.0, pieces)
+
+
 @then("ranks 0, 1 and 2 are guaranteed {first:g}, {second:g} and {third:g} of the pieces")
 def guaranteed(context, first, second, third):
-    floors = context.sharing.floors({}, 0.0)
+    floors = context.sharing.floors(context.queue.count_by_priority(0.0), 0.0)
     assert [floors.fraction(one) for one in range(3)] == [first, second, third], floors
 
 
@@ -374,6 +379,20 @@
     assert round(context.waits[6]) == ms, context.waits
 
 
+@when("rank 0 asks for more than its servers make, and a piece of it has just begun to wait")
+def begins_to_wait(context):
+    now = context.clock.now()
+    batcher = context.coordinator.dispatch.batcher("enc")
+    batcher.demand.record_arrival(stage(0, now + FAR, 1_000).job)
+    batcher.queue.add(stage(0, now + FAR, since=now))
+    context.expected = batcher.compute_backlog(now).waits_ms
+
+
+@then("those of rank {rank:d} are expected to wait for {ms:d} ms there")
+def expected_there(context, rank, ms):
+    assert round(context.expected[rank]) == ms, context.expected
+
+
 @given("the coordinator of enc shares {how}")
 def coordinator_shares(context, how):
     context.coordinator = find_coordinator(context, "enc")
