--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -45,6 +45,14 @@
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
     LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
     LEAVING_SERVERS = ("leaving_servers", "gauge", "servers that said in answers that they leave")
+    UNEQUAL_SERVERS = (
+        "unequal_servers",
+        "gauge",
+        "servers found to be faster or slower than usual",
+    )
+    SPELLS = ("spells", "counter", "times a server was found to be much slower for a moment")
+    SPEEDS_SENT = ("speeds_sent", "counter", "speeds of servers sent to other coordinators")
+    SPEEDS_USED = ("speeds_used", "counter", "speeds of servers taken over from other coordinators")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
