Use learnt speeds in placements, stage calls and plain calls

Expected times at a server are multiplied by its lasting factor and by a spell. Slowness is now what lies beyond the lasting factor, and the learnt reading speed and the cost model hold the times of a usual server. A slow server gets calls with fewer pieces while faster servers can take the rest. Coordinators send what they have learnt to their standbys and to the coordinators of other data centres. learn_speeds = false leaves all of this out.

--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -199,7 +199,10 @@
         usable = self.servers.usable(now)
         served_datacentres = {one.server.datacentre for one in usable}
         used_bytes = self.result_memory.used_bytes(state.server.name, now)
-        max_pieces = self.servers.max_pieces(state, limits)
+        max_pieces = min(
+            self.servers.max_pieces(state, limits),
+            self.servers.slow_pieces(state, usable, len(self.queue), limits, now),
+        )
         chosen = self.queue.choose(state, used_bytes, served_datacentres, limits, now)[:max_pieces]
         batch = isolate_suspects(chosen, self.quarantine)
         if not batch:
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.metrics.metric import Metric
+from mountladder.performance.worktype import WorkType
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.trackedattempt import connection_broke
 from mountladder.routing.serverstate import ServerState
@@ -75,7 +76,7 @@
             - batcher.result_memory.used_bytes(state.server.name, now)
             - requested_bytes
         )
-        expected_ms = limits.expected_ms(len(batch)) * state.slowness_at(now)
+        expected_ms = limits.expected_ms(len(batch)) * state.time_factor(now)
         self.call = StageCallState(now, expected_ms, len(batch))
 
     def run(self) -> None:
@@ -102,9 +103,12 @@
     def hedge(self) -> None:
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
-        self.state.record_time_ratio(
-            (now - self.call.started) / self.limits.expected_ms(len(self.batch)), now
-        )
+        ratio = (now - self.call.started) / self.limits.expected_ms(len(self.batch))
+        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
+        if self.batcher.servers.router.speeds is not None:
+            self.batcher.servers.router.speeds.record_overdue(
+                self.state.server, WorkType.CALL, ratio
+            )
         self.batcher.servers.mark_overdue(self.state, self.call)
         requeued = [
             one
@@ -132,7 +136,7 @@
         elapsed_ms = now - self.call.started
         self.state.breaker.succeed()
         self.batcher.servers.answered(self.state, now)
-        self.state.record_time_ratio(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
+        self.learn_time(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
         self.batcher.rate.add(len(self.batch))
         self.batcher.metrics.count(Metric.STAGE_CALLS)
         self.batcher.metrics.count(Metric.STAGE_PIECES, number=len(self.batch))
@@ -146,6 +150,8 @@
             waiting=len(self.batcher.queue),
             elapsed_ms=round(elapsed_ms),
             slowness=round(self.state.slowness, 2),
+            factor=round(self.state.pace.factor, 2),
+            spell=round(self.state.pace.spell_at(now), 2),
             result_bytes_used=round(
                 self.batcher.result_memory.used_bytes(self.state.server.name, now)
             ),
@@ -157,6 +163,12 @@
         for waiting, result in zip(self.batch, results, strict=True):
             self.handle_result(waiting, result, now)
 
+    def learn_time(self, ratio: float, now: float) -> None:
+        """Update the server's slowness and speed from the ratio of actual to usual time."""
+        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
+        if self.batcher.servers.router.speeds is not None:
+            self.batcher.servers.router.speeds.record(self.state.server, WorkType.CALL, ratio)
+
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
         progress, fragment = waiting
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -46,6 +46,8 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
+from mountladder.performance.speedexchange import SpeedExchange
+from mountladder.performance.speedtable import SpeedTable
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.quarantine.suspicionpersister import SuspicionPersister
 from mountladder.routing.costmodel import CostModel
@@ -130,6 +132,7 @@
         )
         leadership = Leadership(self.fleet, clock)
         self.cold = ColdServers(self.directory, self.follower, leadership, clock)
+        self.build_speeds()
         self.notices = NoticeDispatcher(self.fleet, self.directory, self.router, clock, metrics)
         self.limits = ServerLimits(self.notices.registry, leadership, clock)
         coordinator = PlacementCoordinator(
@@ -158,6 +161,15 @@
         self.fleet.is_store_answering = self.follows_store
         self.follower.is_feed_live = self.is_feed_live
 
+    def build_speeds(self) -> None:
+        """Create and connect the components that learn the speed of servers, if they are used."""
+        table = None
+        if self.settings.learn_speeds:
+            table = SpeedTable(self.clock, self.metrics, self.cold.is_cold)
+            self.router.learn_speeds(table)
+            self.directory.listeners.append(lambda: table.drop_unlisted(self.directory.names()))
+        self.speed_exchange = SpeedExchange(self.fleet, table, self.clock, self.metrics)
+
     def build_quarantine(self, upstream: Upstream) -> None:
         """Create and connect the components that track which requests crash servers."""
         self.quarantine = QuarantineService(
@@ -274,6 +286,7 @@
             self.suspicion_persister.run,
             self.keep_announcing,
             self.keep_checking_reachability,
+            self.speed_exchange.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -21,8 +21,10 @@
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.retryschedule import RetrySchedule
+from mountladder.performance.worktype import WorkType
+from mountladder.routing.prefillspeed import MIN_TOKENS
 from mountladder.routing.promptchoice import PromptChoice
-from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.promptplacement import FIRST_TOKEN_MS, PromptPlacement
 from mountladder.routing.router import Router
 from mountladder.routing.serverdelays import ServerDelays
 from mountladder.serverlimits.serverlimits import ServerLimits
@@ -148,6 +150,8 @@
             self.record_prefill(key, placed, note.read_ms)
         if note.gone and owner != LOCAL_OWNER:
             self.trip_breaker(placed.server)
+        if note.event_ms > 0:
+            self.learn(placed.server, WorkType.EVENTS, note.event_ms)
         if note.ended:
             del self.placed[key]
             self.placement.record_end(placed.server)
@@ -175,17 +179,36 @@
             return
         self.prefilling.discard(key)
         self.placement.record_read(placed.server, placed.prefill_tokens)
-        if read_ms > 0:
-            self.placement.speed.learn(placed.queued_tokens, read_ms)
         state = self.router.states.get(placed.server)
+        factor = state.pace.factor if state is not None else 1.0
+        if read_ms > 0:
+            # The speed is that of a usual server; the factor of this one comes on top.
+            self.placement.speed.learn(placed.queued_tokens, read_ms / factor)
         if state is None:
             return
         if read_ms > 0:
             state.breaker.succeed()
-            state.record_time_ratio(read_ms / placed.expected_ms, self.clock.now())
+            state.record_time_ratio(read_ms / placed.expected_ms / factor, self.clock.now())
+            self.learn_prefill(placed, read_ms)
         else:
             state.breaker.abandon()
 
+    def learn_prefill(self, placed: PlacedPrompt, read_ms: float) -> None:
+        """Learn a server's speed from a prompt that was long enough to tell.
+
+        Tokens queued ahead of the prompt are included in the expected time, since the load is not
+        part of the speed. The time of a fetch depends on the network.
+        """
+        if placed.queued_tokens >= MIN_TOKENS:
+            tokens_ms = placed.queued_tokens / self.placement.speed.tokens_per_ms
+            self.learn(placed.server, WorkType.PREFILL, read_ms / (FIRST_TOKEN_MS + tokens_ms))
+
+    def learn(self, server: str, work: WorkType, ratio: float) -> None:
+        """Learn a server's speed from work that it has done; see SpeedTable.record."""
+        state = self.router.states.get(server)
+        if state is not None and self.router.speeds is not None:
+            self.router.speeds.record(state.server, work, ratio)
+
     def forget_owner(self, owner: Hashable) -> None:
         """Remove the prompts of an instance that is no longer reachable."""
         for key in [key for key in self.placed if key[0] == owner]:
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -119,13 +119,18 @@
         return replies[0]
 
     def report(
-        self, number: int, read_ms: float = 0.0, ended: bool = False, gone: bool = False
+        self,
+        number: int,
+        read_ms: float = 0.0,
+        ended: bool = False,
+        gone: bool = False,
+        event_ms: float = 0.0,
     ) -> None:
-        """Report the progress of a prompt to the instance that placed it."""
+        """Report the progress of a prompt to the instance that placed it; see PlacementNote."""
         if number not in self.placed_by:
             return
         link = self.placed_by.pop(number) if ended else self.placed_by[number]
-        note = PlacementNote(number, read_ms, ended, gone)
+        note = PlacementNote(number, read_ms, ended, gone, event_ms)
         if link is None:
             self.coordinator.apply_note(note, LOCAL_OWNER)
         else:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -261,17 +261,18 @@
     ) -> None:
         """Record a call that was answered; a stream continues after its first event."""
         stage, length = self.stage(service), len(request.body)
-        self.router.record_success(picked.choice, stage, length, elapsed_ms, load)
+        is_plain = not picked.placement_number
+        self.router.record_success(picked.choice, stage, length, elapsed_ms, load, is_plain)
         if streaming:
             picked.choice.state.change_running(1, self.router.clock.now())
             self.placer.report(picked.placement_number, read_ms=elapsed_ms)
         else:
             self.placer.report(picked.placement_number, ended=True)
 
-    def finished(self, picked: PickedServer) -> None:
-        """Record that a stream has ended."""
+    def finished(self, picked: PickedServer, event_ms: float = 0.0) -> None:
+        """Record that a stream has ended, with the mean time between its events or 0."""
         picked.choice.state.end(self.router.clock.now())
-        self.placer.report(picked.placement_number, ended=True)
+        self.placer.report(picked.placement_number, ended=True, event_ms=event_ms)
 
     def failed(
         self,
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -13,6 +13,7 @@
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.division import Division
 from mountladder.forwarding.stagecallstate import StageCallState
+from mountladder.performance.decisions import call_pieces
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
@@ -103,6 +104,21 @@
         )
         return min(limit, self.cold.allowance(state.server, self.service))
 
+    def slow_pieces(
+        self,
+        state: ServerState,
+        usable: Sequence[ServerState],
+        waiting: int,
+        limits: BatchLimits,
+        now: float,
+    ) -> int:
+        """Return the maximum pieces in a call by the server's speed alone; see call_pieces."""
+        factor = state.pace.expected_factor(now)
+        if factor <= 1.0:
+            return limits.pieces
+        faster = sum(one.time_factor(now) < factor for one in usable)
+        return call_pieces(limits.pieces, factor, waiting, faster * limits.pieces)
+
     def restricted_addresses(self) -> frozenset[str]:
         """Return the addresses of the servers that limit their rate or asked for back-off."""
         servers = self.division.directory.available(self.service)
@@ -145,7 +161,7 @@
             key=lambda one: (
                 one.server.name in cold,
                 one.server.name in limited,
-                one.slowness_at(now),
+                one.time_factor(now),
             ),
         )
 
@@ -180,7 +196,7 @@
 
     def pieces_per_ms(self, state: ServerState, limits: BatchLimits, now: float) -> float:
         """Return a server's throughput with full calls, in pieces per millisecond."""
-        per_ms = 1.0 / (limits.expected_ms(limits.pieces) * state.slowness_at(now))
+        per_ms = 1.0 / (limits.expected_ms(limits.pieces) * state.time_factor(now))
         limited = self.rate_limits.per_s(state.server, self.service) / MS_PER_SECOND
         return limits.pieces * min(per_ms, limited)
 
@@ -193,16 +209,16 @@
         now: float,
     ) -> bool:
         """Return whether busy servers would complete the waiting pieces sooner than a slow one."""
-        if slow.slowness_at(now) <= SLOW_FACTOR:
+        if slow.time_factor(now) <= SLOW_FACTOR:
             return False
         pieces = min(waiting, limits.pieces)
-        alone_ms = limits.expected_ms(pieces) * slow.slowness_at(now)
+        alone_ms = limits.expected_ms(pieces) * slow.time_factor(now)
         capacity = 0
         for state in usable:
-            if state is slow or state.slowness_at(now) > SLOW_FACTOR:
+            if state is slow or state.time_factor(now) > SLOW_FACTOR:
                 continue
             remaining_ms = self.remaining_ms(state, now)
-            if remaining_ms + limits.expected_ms(pieces) * state.slowness_at(now) < alone_ms:
+            if remaining_ms + limits.expected_ms(pieces) * state.time_factor(now) < alone_ms:
                 capacity += limits.pieces
         return waiting <= capacity
 
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.retryrules import no_retry_error
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
+from mountladder.performance.eventpace import EventPace
 
 SUCCESS_END = 300
 # A resumable stream moves to another server when its first event takes longer than this many
@@ -151,18 +152,20 @@
         """
         error: MountladderError | None = RunError("", Code.CANCELLED)
         active: ForwardAttempt | None = attempt
+        pace = EventPace(self.context.clock.now(), splitter.events)
         try:
             yield first
             while True:
                 try:
-                    yield from self.remaining_events(answer, splitter)
+                    yield from self.remaining_events(answer, splitter, pace)
                     break
                 except StageError as cut:
                     answer.close()
-                    self.context.picker.finished(attempt.picked)
+                    self.context.picker.finished(attempt.picked, pace.mean_ms())
                     active = None
                     attempt, answer, first = self.resume(attempt, cut, splitter)
                     active = attempt
+                    pace = EventPace(self.context.clock.now(), splitter.events)
                     yield first
             error = None
             self.tracked.answered()
@@ -172,10 +175,12 @@
         finally:
             answer.close()
             if active is not None:
-                self.context.picker.finished(active.picked)
+                self.context.picker.finished(active.picked, pace.mean_ms())
             self.finish(error, status=answer.status)
 
-    def remaining_events(self, answer: UpstreamAnswer, splitter: EventSplitter) -> Iterator[bytes]:
+    def remaining_events(
+        self, answer: UpstreamAnswer, splitter: EventSplitter, pace: EventPace
+    ) -> Iterator[bytes]:
         """Yield the remaining events of one server's answer.
 
         Raises:
@@ -187,7 +192,9 @@
                 break
             complete = self.split(splitter, data)
             if complete:
+                pace.arrived(self.context.clock.now(), splitter.events)
                 yield complete
+                pace.passed_on(self.context.clock.now())
         if splitter.incomplete.strip():
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
 
--- a/packages/core/src/mountladder/routing/candidate.py
+++ b/packages/core/src/mountladder/routing/candidate.py
@@ -19,7 +19,7 @@
         state: The instance's view of the server.
         unloaded_ms: The learned time of this call on the unloaded server, in milliseconds.
         load_factor: The factor by which its estimated load lengthens the call, at least 1.
-        slowness: The ratio of its observed to its expected call times, at least 1.
+        slowness: How much slower it is at present than expected, at least 1.
         delay_ms: The time that a call to another data centre adds, in milliseconds.
     """
 
@@ -34,7 +34,7 @@
         cls, state: ServerState, unloaded_ms: float, now: float, delay_ms: float = 0.0
     ) -> Candidate:
         """Return a candidate with the server's estimated load and slowness at a time."""
-        load_factor, slowness = state.load_factor(now), state.slowness_at(now)
+        load_factor, slowness = state.load_factor(now), state.excess_at(now)
         return cls(state, unloaded_ms, load_factor, slowness, delay_ms)
 
     @property
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -163,7 +163,7 @@
         )
         expected = FIRST_TOKEN_MS + tokens / self.speed.tokens_per_ms + FETCH_WEIGHT * plan.fetch_ms
         load_factor = (self.running_prompts[name] + 1) / state.server.slots
-        expected *= max(1.0, load_factor) ** 2 * state.slowness_at(now)
+        expected *= max(1.0, load_factor) ** 2 * state.time_factor(now)
         if site and state.server.datacentre != site:
             expected += REMOTE_MS
         cold_factor = COLD_SLOWNESS if name in delays.cold else 1.0
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -19,6 +19,9 @@
 from mountladder.errors import StageError
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
+from mountladder.performance.serverpace import ServerPace
+from mountladder.performance.speedtable import SpeedTable
+from mountladder.performance.worktype import WorkType
 from mountladder.routing.candidate import Candidate
 from mountladder.routing.choice import Choice
 from mountladder.routing.costmodel import CostModel
@@ -48,6 +51,7 @@
 
     Attributes:
         backoff_until: When the last back-off that any server asked this instance for ends.
+        speeds: Learns the lasting speed of each server, or None if it is not learnt.
         on_leaving: Called with the name of a server that announced that it is leaving.
     """
 
@@ -74,6 +78,7 @@
         self.spill_ms = spill_ms
         self.leaving_reported_at: dict[str, float] = {}
         self.backoff_until = 0.0
+        self.speeds: SpeedTable | None = None
         self.on_leaving: Callable[[str], None] = lambda name: None
 
     def set_peers(self, peers: int) -> None:
@@ -83,12 +88,25 @@
             for state in self.states.values():
                 state.peers = peers
 
+    def learn_speeds(self, speeds: SpeedTable) -> None:
+        """Learn and use the lasting speed of each server from now on."""
+        self.speeds = speeds
+        speeds.on_pace = self.set_pace
+
+    def set_pace(self, pace: ServerPace) -> None:
+        """Use a new entry of the speed table for a server whose state exists already."""
+        state = self.states.get(pace.server)
+        if state is not None:
+            state.pace = pace
+
     def state(self, server: BackendServer) -> ServerState:
         """Return the state of a server; a server at a new address gets a new state."""
         state = self.states.get(server.name)
         if state is None or state.server.address != server.address:
             state = self.states[server.name] = ServerState(server, self.rng)
             state.peers = self.peers
+            if self.speeds is not None:
+                state.pace = self.speeds.pace_of(server)
             if server.name in self.leaving_reported_at:
                 state.mark_leaving(self.leaving_reported_at.pop(server.name))
         elif state.server is not server:
@@ -191,6 +209,7 @@
         unloaded = self.cost_model.expected(stage, state.server.accelerator, length)
         if state.server.name == holder:
             unloaded *= PREFIX_HIT_FACTOR
+        unloaded *= state.pace.factor
         delay_ms = 0.0 if self.locality.is_local(state.server) else self.spill_ms
         return Candidate.at(state, unloaded, now, delay_ms)
 
@@ -202,9 +221,25 @@
             self.prefixes.popitem(last=False)
 
     def record_success(
-        self, choice: Choice, stage: Stage, length: int, elapsed_ms: float, load: int | None
+        self,
+        choice: Choice,
+        stage: Stage,
+        length: int,
+        elapsed_ms: float,
+        load: int | None,
+        is_plain: bool = False,
     ) -> None:
-        """Update a server's load, health and speed from a call that succeeded."""
+        """Update a server's load, health and speed from a call that succeeded.
+
+        Args:
+            choice: The server.
+            stage: The stage that was run.
+            length: The length of its input in bytes.
+            elapsed_ms: The time of the call in milliseconds.
+            load: The number of calls that the server reported, or None.
+            is_plain: Whether the server was chosen by this router, so that the time also
+                shows the server's lasting speed.
+        """
         state = choice.state
         now = self.clock.now()
         load_factor = self.mean_load_factor(choice, now)
@@ -212,7 +247,13 @@
         state.breaker.succeed()
         if load is not None:
             state.record_load(load, now)
-        self.cost_model.record(stage, state.server.accelerator, length, elapsed_ms / load_factor)
+        # The cost model holds the times of a server of usual speed.
+        usual_ms = elapsed_ms / load_factor / state.pace.factor
+        if is_plain and self.speeds is not None:
+            expected_ms = self.cost_model.expected(stage, state.server.accelerator, length)
+            ratio = elapsed_ms / max(1.0, expected_ms * load_factor)
+            self.speeds.record(state.server, WorkType.PLAIN, ratio)
+        self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
         state.record_time_ratio(elapsed_ms / max(1.0, choice.unloaded_ms * load_factor), now)
 
     def record_token_interval(self, choice: Choice, stage: Stage, interval_ms: float) -> None:
@@ -289,7 +330,8 @@
         ratio = elapsed_ms / max(1.0, choice.unloaded_ms * load_factor)
         if code in {Code.DEADLINE_PASSED, Code.STAGE_STALLED}:
             accelerator = state.server.accelerator
-            self.cost_model.record_timeout(stage, accelerator, length, elapsed_ms / load_factor)
+            usual_ms = elapsed_ms / load_factor / state.pace.factor
+            self.cost_model.record_timeout(stage, accelerator, length, usual_ms)
         if ratio > state.slowness_at(now):
             state.record_time_ratio(ratio, now)
         state.end(now)
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -9,6 +9,7 @@
 import random
 
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.performance.serverpace import UNKNOWN_PACE, ServerPace
 from mountladder.routing.breaker import Breaker
 
 SLOWNESS_WEIGHT = 0.3
@@ -35,7 +36,9 @@
         mean_running: The same, as a moving average with a half-life of half a second.
         peers: The number of other instances that send work to the same servers.
         others_running: The number of calls of other instances there, by the smoothed load reports.
-        slowness: The smoothed ratio of observed to expected call times, at least 1.
+        pace: What is known of its lasting speed.
+        slowness: The smoothed ratio of observed to expected call times, at least 1, beyond what its
+            lasting speed predicts.
         leaving_until: Until when it counts as leaving.
         missing_until: Until when it counts as lacking a model, by the model's name.
         backoff_since: When it last asked this instance to back off.
@@ -51,6 +54,7 @@
         self.peers = 0
         self.others_running = 0.0
         self.reported_at = 0.0
+        self.pace: ServerPace = UNKNOWN_PACE
         self.slowness = 1.0
         self.slowness_updated_at = 0.0
         self.leaving_until = 0.0
@@ -86,6 +90,14 @@
         decay = 0.5 ** ((now - self.slowness_updated_at) / SLOWNESS_HALF_LIFE_MS)
         return 1.0 + (self.slowness - 1.0) * decay
 
+    def excess_at(self, now: float) -> float:
+        """Return how much slower it is at present than its lasting speed predicts, at least 1."""
+        return max(self.slowness_at(now), self.pace.spell_at(now))
+
+    def time_factor(self, now: float) -> float:
+        """Return the expected time of work there as a multiple of the usual one."""
+        return self.pace.factor * self.excess_at(now)
+
     def usable(self, now: float, model: str = "") -> bool:
         """Return whether this instance may send the server new work for a model."""
         return now >= self.backoff_until and self.in_use(now, model)
