Decode the current speed that servers report into a notice

Servers of some services report in a fourth value of the load header how long work takes at this moment.

--- a/packages/core/src/mountladder/notices/notice.py
+++ b/packages/core/src/mountladder/notices/notice.py
@@ -10,11 +10,12 @@
 
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.notices.backoff import BackOff
+from mountladder.notices.currentspeed import CurrentSpeed
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.ratelimit import RateLimit
 
 # Shared notices concern all instances; the others concern only the instance that is answered.
 Shared = RateLimit | Leaving
-Notice = Shared | BackOff
+Notice = Shared | BackOff | CurrentSpeed
 # Called with the server, the notices in its answer, and when the answered request was sent.
 NoticeHandler = Callable[[BackendServer, Sequence[Notice], float], None]
--- a/packages/core/src/mountladder/notices/noticedispatcher.py
+++ b/packages/core/src/mountladder/notices/noticedispatcher.py
@@ -17,6 +17,7 @@
 from mountladder.membership.linkmanager import LinkManager
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.backoff import BackOff
+from mountladder.notices.currentspeed import CurrentSpeed
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.notice import Notice
 from mountladder.notices.noticeexchange import NoticeExchange
@@ -82,3 +83,8 @@
     def _(self, notice: BackOff, server: BackendServer, sent_at: float) -> None:
         self.router.back_off(server, notice.for_ms)
         log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
+
+    @handle.register
+    def _(self, notice: CurrentSpeed, server: BackendServer, sent_at: float) -> None:
+        if self.router.speeds is not None:
+            self.router.speeds.record_report(server, notice.factor)
