Test the decisions on the speed of backend servers

43 scenarios in features/performance.feature, on plain objects. They found that a multiple of two mean distances took 3 of 45 equal servers for unequal; with three, about two standard errors, the drawn case has none.

--- /dev/null
+++ b/features/performance.feature
@@ -0,0 +1,176 @@
+Feature: How fast each backend server is
+  # Each scenario guards one decision: without it a slow server gets as much work as a fast one, or
+  # a moment of slowness or plain chance is taken for a lasting difference.
+
+  Scenario Outline: A lasting difference is found within 10 samples
+    Given 9 servers of a service that take the usual time, and x at <times> times that
+    When each of them does work 10 times
+    Then the lasting factor of x is about <factor>, and that of the others exactly 1.0
+
+    Examples:
+      | times | factor |
+      | 1.7   | 1.7    |
+      | 0.6   | 0.6    |
+      | 1.1   | 1.0    |
+
+  Scenario Outline: Factors are limited to between a quarter and four times
+    Given 9 servers of a service that take the usual time, and x at <times> times that
+    When each of them does work 99 times
+    Then the lasting factor of x is exactly <factor>
+
+    Examples:
+      | times | factor |
+      | 20    | 4.0    |
+      | 0.05  | 0.25   |
+
+  Scenario: Fewer than 8 samples do not count
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    When each of them does work 7 times
+    Then the lasting factor of x is exactly 1.0
+
+  Scenario: A service of which all servers take longer than configured has no slow servers
+    Given 9 servers of a service that take 2.2 times the usual time
+    When each of them does work 30 times
+    Then all lasting factors are exactly 1.0
+
+  Scenario: Types of work with different units do not disturb each other
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    When each of them does work 10 times, each time also measured as a pause of 20 ms
+    Then the lasting factor of x is about 1.7, and that of the others exactly 1.0
+
+  Scenario: Spells are not learnt as speed
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And for 600 ms of each 4 s one after the other takes 2.5 times as long
+    When each of them does work 4 times a second for 40 s
+    Then the lasting factor of x is about 1.7, and that of the others exactly 1.0 all the time
+
+  Scenario: Equal servers whose times vary by chance stay equal
+    Given 45 servers of a service that take the usual time
+    When each of them does work 20 times, with times that vary by half
+    Then at most 1 of the lasting factors is not exactly 1.0
+
+  Scenario: Work of a cold server says nothing about its speed
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And x is cold
+    When each of them does work 10 times
+    Then the lasting factor of x is exactly 1.0
+
+  Scenario Outline: A spell is assumed for 600 ms after work that is slower than the lasting factor predicts
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And each of them has done work 10 times
+    When <work> on x <takes> <times> times as long as usual
+    Then x <is> assumed to be in a spell
+    And x is not assumed to be in a spell 600 ms later
+
+    Examples:
+      | work         | takes     | times | is     |
+      | work         | takes     | 4.2   | is     |
+      | work         | takes     | 2.8   | is not |
+      | overdue work | has taken | 4.2   | is     |
+      | overdue work | has taken | 2.8   | is not |
+
+  Scenario: Work on servers whose times vary widely is not taken for a spell
+    Given 9 servers of a service that take the usual time
+    And each of them has done work 40 times, with times that vary by half
+    When work on server-1 takes 2.2 times as long as usual
+    Then server-1 is not assumed to be in a spell
+
+  Scenario Outline: The current speed that a server reports counts for 200 ms and is never learnt
+    Given 9 servers of a service that take the usual time
+    And each of them has done work 10 times
+    When server-1 reports 20 times that work takes <times> times as long at present
+    Then server-1 <is> assumed to be in a spell
+    And the lasting factor of server-1 is exactly 1.0
+    And server-1 is not assumed to be in a spell 200 ms later
+
+    Examples:
+      | times | is     |
+      | 2.5   | is     |
+      | 1.2   | is not |
+
+  Scenario Outline: Of two coordinators the one with more samples is believed, then the younger
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And each of them has done work 10 times
+    When another coordinator reports that x takes 3.0 times as long, by <samples> samples <age> ms old
+    Then the lasting factor of x is about <factor>
+
+    Examples:
+      | samples | age   | factor |
+      | 11      | 100   | 3.0    |
+      | 9       | 0     | 1.7    |
+      | 10      | -5    | 3.0    |
+      | 10      | 100   | 1.7    |
+      | 18      | 70000 | 1.7    |
+      | 24      | 70000 | 3.0    |
+
+  Scenario: What was measured a minute ago loses half of its samples
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And each of them has done work 12 times
+    When 61 s pass in which the others do work
+    Then the lasting factor of x is exactly 1.0
+
+  Scenario: The entry of a server that is not listed any more is dropped
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    And each of them has done work 10 times
+    When x is no longer listed
+    Then nothing is known of x
+
+  Scenario Outline: A slow server gets calls with fewer pieces unless the others cannot take the rest
+    Then a server with factor <factor> gets <pieces> of <waiting> waiting pieces if the others can take <others>
+
+    Examples:
+      | factor | waiting | others | pieces |
+      | 1.0    | 100     | 40     | 40     |
+      | 0.7    | 100     | 40     | 40     |
+      | 2.0    | 30      | 40     | 20     |
+      | 2.0    | 60      | 40     | 20     |
+      | 2.0    | 61      | 40     | 40     |
+      | 50     | 30      | 40     | 1      |
+
+  Scenario: Stage calls go to faster servers first and count on their times
+    Given stage servers of which fast takes 0.6 times, usual 1.0 times and slow 1.7 times as long
+    Then free servers are used in the order fast, usual, slow
+    And the throughput of slow is expected to be 1.7 times lower than that of usual
+    And a call to slow is expected to take 1.7 times as long, and counts as on time at that speed
+    And a call to slow has fewer pieces while few wait, and one to usual has not
+
+  Scenario: Waiting pieces do not go to a server in a spell if busy ones would complete them sooner
+    Given stage servers of which fast takes 0.6 times, usual 1.0 times and slow 1.7 times as long
+    When slow is in a spell and the others are about to end their calls
+    Then it is better to wait than to send pieces to slow
+
+  Scenario: Prompts go to the faster one of two idle servers
+    Given model servers of which fast takes 0.6 times and slow 1.7 times as long
+    Then a prompt is placed on fast
+
+  Scenario: Prompts avoid a server in a spell
+    Given model servers of which fast takes 0.6 times and slow 1.7 times as long
+    When fast is in a spell of 4 times
+    Then a prompt is placed on slow
+
+  Scenario Outline: The speed of model servers is learnt from prompts and from events
+    Given model servers of equal speed so far, as their placement coordinator knows
+    When 12 prompts on each are reported with <measured>, on slow 1.7 times as long
+    Then the coordinator knows that slow takes about 1.7 times as long
+    And the usual reading speed is that of the usual servers
+
+    Examples:
+      | measured              |
+      | the first event's time |
+      | the pause of events   |
+
+  Scenario: Plain calls go to the faster server, whose time does not count as usual
+    Given servers of plain calls of which fast takes 0.6 times and slow 1.7 times as long
+    When 100 plain calls are sent, one at a time
+    Then the router expects about 0.6 times of fast and 1.7 times of slow
+
+  Scenario Outline: The pace of a stream is measured from its events, but not from its caller
+    When a stream delivers <events> more events 25 ms apart, its caller taking <held> ms for each
+    Then its mean pause is <pause> ms
+
+    Examples:
+      | events | held | pause |
+      | 20     | 0    | 25    |
+      | 20     | 2    | 25    |
+      | 20     | 10   | 0     |
+      | 7      | 0    | 0     |
--- a/packages/core/src/mountladder/performance/decisions.py
+++ b/packages/core/src/mountladder/performance/decisions.py
@@ -17,9 +17,10 @@
 # The lasting factor is 1.0 if the server is within 15 % of the usual time, so that services with
 # equal servers are served as if nothing was learnt.
 MIN_DIFFERENCE = math.log(1.15)
-# A difference must also exceed this many standard errors of the median, since times of prompts
-# vary by more than 15 % between equal servers.
-MIN_ERRORS = 2.0
+# A difference must also exceed this multiple of the samples' mean distance from the median, divided
+# by the square root of their number: about two standard errors. Times of prompts vary by half on
+# equal servers; with a multiple of 2, three of 45 equal servers were found to differ.
+MIN_SPREADS = 3.0
 MIN_FACTOR = 0.25
 MAX_FACTOR = 4.0
 # Work slower than the server's lasting factor by more than this ratio is evidence of a spell.
@@ -48,8 +49,8 @@
     if learnt.samples < MIN_SAMPLES:
         return 1.0
     difference = learnt.level - median
-    standard_error = learnt.spread / math.sqrt(min(learnt.samples, SPREAD_SAMPLES))
-    if abs(difference) <= max(MIN_DIFFERENCE, MIN_ERRORS * standard_error):
+    uncertainty = MIN_SPREADS * learnt.spread / math.sqrt(min(learnt.samples, SPREAD_SAMPLES))
+    if abs(difference) <= max(MIN_DIFFERENCE, uncertainty):
         return 1.0
     return min(MAX_FACTOR, max(MIN_FACTOR, math.exp(difference)))
 
