--- a/features/performance.feature
+++ b/features/performance.feature
@@ -174,3 +174,56 @@
       | 20     | 2    | 25    |
       | 20     | 10   | 0     |
       | 7      | 0    | 0     |
+
+  @forwarding
+  Scenario: The standby of a coordinator knows the speeds that the coordinator has learnt
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.7 times as long
+    When staged requests come for 12 s over all instances
+    And 2500 ms go by
+    Then the coordinator and the standby of service enc know that enc-0 takes 1.7 times
+    And the coordinator and the standby of the prompts know that llm-0 takes 1.7 times
+    And no other instance was sent speeds of service enc
+    When 6000 ms go by
+    Then no speeds were sent in that time
+
+  @forwarding
+  Scenario: The coordinators of a divided service tell each other what they have learnt
+    Given a forwarding fleet of instances a-1, a-2, b-1, b-2
+    And 6 stage servers of service enc in each of data centres a, b
+    When a coordinator in data centre a knows that enc-b0 takes 1.7 times as long as the others
+    And 2500 ms go by
+    Then the coordinator in data centre b knows it too
+
+  @forwarding
+  Scenario: Speeds of more servers than fit into one message follow in the next
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 70 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.0 times as long
+    When the coordinator of service enc has learnt the speed of 70 servers
+    And 2100 ms go by
+    Then its standby was sent 64 of them
+    When 2100 ms go by
+    Then its standby was sent 70 of them
+
+  @forwarding
+  Scenario: A server that is no longer listed is forgotten
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.7 times as long
+    When staged requests come for 6 s over all instances
+    And enc-0 is gone
+    Then no instance knows anything of enc-0
+
+  @forwarding
+  Scenario: With learn_speeds off nothing is learnt and messages of others are ignored
+    Given learn_speeds is off
+    And a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.7 times as long
+    When staged requests come for 6 s over all instances
+    And another instance sends speeds to a-1
+    Then every server counts as usual at every instance
+
+  @forwarding
+  Scenario: Equal servers are used the same with learning as without
+    Given a series of staged requests over 6 equal stage servers and 4 equal model servers
+    When it is sent with learn_speeds on and off
+    Then every call went to the same server at the same time with the same pieces
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -46,6 +46,7 @@
         instances: The instances by name; a name begins with its data centre and a hyphen.
         catalogues: Every catalogue that was written, by version.
         cores: How many processor cores an instance has, by its name; 1 for those not in it.
+        switches: Settings that switch parts off, for the instances started from now on.
         sequences: How often each server's entry was written, by the server's name.
     """
 
@@ -60,6 +61,7 @@
         self.catalogues: dict[int, Catalogue] = {}
         self.instances: dict[str, ForwardingInstance] = {}
         self.cores: dict[str, float] = {}
+        self.switches: dict[str, bool] = {}
         self.sequences: dict[str, int] = {}
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
@@ -153,6 +155,7 @@
             drain_ms=DRAIN_MS,
             core_share=1.0,
             core_speed=self.cores.get(name, 1.0),
+            **self.switches,
         )
         tables = PlatformTables(
             catalogue=self.catalogue,
