--- a/features/performance.feature
+++ b/features/performance.feature
@@ -227,3 +227,22 @@
     Given a series of staged requests over 6 equal stage servers and 4 equal model servers
     When it is sent with learn_speeds on and off
     Then every call went to the same server at the same time with the same pieces
+
+  Scenario Outline: The fourth value of a server's load is decoded as its current speed
+    Given a backend server that answers "<answer>"
+    When <what> is sent to it
+    Then its reports of its current speed are "<factors>"
+
+    Examples:
+      | answer                     | what         | factors |
+      | load of 4 values           | request r1   | 2.5     |
+      | load of 4 values, full     | request r1   | 0.7     |
+      | load of 4 values, results  | a stage call | 1.705   |
+      | load of 4 values, replaced | request r1   |         |
+      | load of 3 values           | request r1   |         |
+      | load with speed 0          | request r1   |         |
+      | load with a word           | request r1   |         |
+      | load with nan              | request r1   |         |
+      | load below zero            | request r1   |         |
+      | load ending in a comma     | request r1   |         |
+      | whole                      | request r1   |         |
--- a/features/rawanswers.py
+++ b/features/rawanswers.py
@@ -35,6 +35,10 @@
     return mark + b"Retry-After: %b\r\n" % seconds
 
 
+def loaded(load):
+    return b"Mountladder-Server-Load: %b\r\n" % load
+
+
 LEAVING = b"Server-Leaving: 1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"2\r\nhe\r\n3\r\nllo\r\n"
@@ -107,6 +111,16 @@
     "back-off of inf s": (answer(503, b"", backoff(b"inf")), False),
     "back-off until a date": (answer(503, b"", backoff(b"Thu, 03 Dec 2026 10:00:00 GMT")), False),
     "back-off with status 200": (answer(200, b"hello", backoff(b"3", HEAD)), False),
+    "load of 4 values": (answer(200, b"hello", HEAD + loaded(b"3,0,8,250")), False),
+    "load of 4 values, full": (answer(503, b"", NOT_EXECUTED + loaded(b"8,2,8, 70")), False),
+    "load of 4 values, results": (answer(200, RESULTS, loaded(b"1,0,1,170.5")), False),
+    "load of 4 values, replaced": (answer(421, b"", loaded(b"3,0,8,250")), False),
+    "load of 3 values": (answer(200, b"hello", HEAD + loaded(b"3,0,8")), False),
+    "load with speed 0": (answer(200, b"hello", HEAD + loaded(b"3,0,8,0")), False),
+    "load with a word": (answer(200, b"hello", HEAD + loaded(b"3,0,8,fast")), False),
+    "load with nan": (answer(200, b"hello", HEAD + loaded(b"3,0,8,nan")), False),
+    "load below zero": (answer(200, b"hello", HEAD + loaded(b"3,0,8,-20")), False),
+    "load ending in a comma": (answer(200, b"hello", HEAD + loaded(b"3,0,8,")), False),
     "back-off, replaced": (answer(421, b"", backoff(b"3")), False),
     "back-off, another id": (answer(503, b"x", backoff(b"3", OTHER_ID)), False),
 }
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -443,3 +443,19 @@
 @then("its mean pause is {ms:g} ms")
 def mean_pause(context, ms):
     assert context.pace.mean_ms() == ms, context.pace.mean_ms()
+
+
+@then('its reports of its current speed are "{factors}"')
+def current_speeds(context, factors):
+    reported = [
+        notice.factor
+        for notices in context.reported
+        for notice in notices
+        if isinstance(notice, CurrentSpeed)
+    ]
+    assert reported == [float(one) for one in factors.split()], context.reported
+
+
+@then('its reports of its current speed are ""')
+def no_current_speed(context):
+    current_speeds(context, "")
