Send speeds again after a reconnection, and bound the lines about spells

What was sent was kept by the receiver's address, so a standby that restarted under the same address within 2 s was never sent the speeds that had not changed since. It is kept by link now. A server whose reports begin a spell every 200 ms wrote a line each time; now one in 2 s.

--- a/features/performance.feature
+++ b/features/performance.feature
@@ -227,6 +227,22 @@
     When 2100 ms go by
     Then its standby was sent 70 of them
 
+  @forwarding
+  Scenario: A standby that restarts under its old address is sent everything again
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.0 times as long
+    When the coordinator of service enc has learnt the speed of 6 servers
+    And 2100 ms go by
+    And its standby restarts
+    And 4200 ms go by
+    Then its standby was sent 6 of them
+
+  Scenario: Spells and changes of speed are logged once in 2 s for each server
+    Given 9 servers of a service that take the usual time
+    And each of them has done work 10 times
+    When server-1 begins 20 spells within 6 s
+    Then 20 spells were counted and at most 4 logged
+
   @forwarding
   Scenario: A slow server gets fewer pieces of a stage, since faster ones will take the rest
     Given a forwarding fleet of instances a-1, a-2, b-1
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 from forwardbasics import BATCH, PROMPT
 
 from mountladder.clocks.virtualclock import VirtualClock
@@ -239,6 +240,23 @@
             work(context, name)
 
 
+@when("{name} begins {number:d} spells within 6 s")
+def many_spells(context, name, number):
+    context.logged = []
+    add_destinations(context.logged.append)
+    context.stack.callback(remove_destination, context.logged.append)
+    for _ in range(number):
+        pass_ms(context, 6_000.0 / number)
+        reports(context, name, 1, 2.5)
+
+
+@then("{number:d} spells were counted and at most {lines:d} logged")
+def spells_counted(context, number, lines):
+    assert context.speeds.metrics.counts["spells"] == number
+    logged = [one for one in context.logged if one["message_type"] == "server-spell"]
+    assert 0 < len(logged) <= lines, logged
+
+
 @when("x is no longer listed")
 def unlisted(context):
     context.speeds.drop_unlisted(frozenset(context.servers) - {"x"})
--- a/features/steps/speedexchange_steps.py
+++ b/features/steps/speedexchange_steps.py
@@ -203,8 +203,9 @@
     assert abs(factor / 1.7 - 1.0) < 0.1, factor
 
 
-@when("the coordinator of service enc has learnt the speed of 70 servers")
-def many_learnt(context):
+@when("the coordinator of service enc has learnt the speed of {number:d} servers")
+def many_learnt(context, number):
+    assert len(find_coordinator(context, "enc").directory.available("enc")) == number
     learn(find_coordinator(context, "enc"), "enc", {})
 
 
@@ -214,6 +215,13 @@
     assert sum(one.learnt.samples > 0 for one in known) == number
 
 
+@when("its standby restarts")
+def standby_restarts(context):
+    name = candidates(context, "enc")[1].settings.name
+    context.fleet.instances.pop(name).close()
+    context.fleet.start(name)
+
+
 @when("enc-0 is gone")
 def server_gone(context):
     context.fleet.servers.put("enc-0", None)
--- a/packages/core/src/mountladder/performance/serverpace.py
+++ b/packages/core/src/mountladder/performance/serverpace.py
@@ -21,6 +21,7 @@
         spell_until: Until when it is assumed to be that slow, in the clock's milliseconds.
         logged_factor: The factor in the last log line about it.
         logged_at: When that line was written.
+        spell_logged_at: When a spell of it was last logged.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "server",
         "service",
         "spell",
+        "spell_logged_at",
         "spell_until",
     )
 
@@ -42,7 +44,7 @@
         self.spell = 1.0
         self.spell_until = float("-inf")
         self.logged_factor = 1.0
-        self.logged_at = float("-inf")
+        self.logged_at = self.spell_logged_at = float("-inf")
 
     def spell_at(self, now: float) -> float:
         """Return how much slower than its lasting factor the server is assumed to be, 1 if not."""
--- a/packages/core/src/mountladder/performance/speedexchange.py
+++ b/packages/core/src/mountladder/performance/speedexchange.py
@@ -38,7 +38,8 @@
         metrics: Counts the entries that were sent and used.
 
     Attributes:
-        sent: The factor that was last sent, by the receiver's address, service and server.
+        sent: The factor that was last sent, by link, service and server. A receiver that restarts
+            or connects again has a new link, and is sent everything again.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         self.table = table
         self.clock = clock
         self.metrics = metrics
-        self.sent: dict[tuple[str, str], dict[str, float]] = {}
+        self.sent: dict[tuple[Link, str], dict[str, float]] = {}
         fleet.subscribe(ServerSpeeds, self.receive)
 
     def run(self) -> None:
@@ -61,14 +62,11 @@
         """Send the changes of the services that this instance coordinates."""
         if self.table is None:
             return
-        receivers = {
-            (link.peer.peer, service): link
-            for service in self.table.paces
-            for link in self.receivers(service)
-        }
-        self.sent = {key: sent for key, sent in self.sent.items() if key in receivers}
-        for (address, service), link in receivers.items():
-            sent = self.sent.setdefault((address, service), {})
+        receivers = [
+            (link, service) for service in self.table.paces for link in self.receivers(service)
+        ]
+        self.sent = {key: self.sent.get(key, {}) for key in receivers}
+        for (link, service), sent in self.sent.items():
             speeds = self.table.speeds(service)
             known = {one.server for one in speeds}
             for gone in sent.keys() - known:
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -37,7 +37,8 @@
 REPORT_MS = 200.0
 # The factors of a service are computed again at most this often: a factor changes over seconds.
 REFRESH_MS = 250.0
-# A factor is logged again after a change by more than this, at most every LOG_INTERVAL_MS.
+# A factor is logged again after a change by more than this. A server's factor and its spells are
+# each logged at most every LOG_INTERVAL_MS, so that 131 servers write at most 131 lines a second.
 LOGGED_CHANGE = math.log(1.1)
 LOG_INTERVAL_MS = 2_000.0
 
@@ -134,9 +135,12 @@
     def begin_spell(
         self, pace: ServerPace, ratio: float, now: float, for_ms: float, source: str
     ) -> None:
-        """Assume a spell, and log it if there was none."""
-        if pace.begin_spell(ratio, now, for_ms):
-            self.metrics.count(Metric.SPELLS)
+        """Assume a spell, and log it if there was none, at most once in LOG_INTERVAL_MS."""
+        if not pace.begin_spell(ratio, now, for_ms):
+            return
+        self.metrics.count(Metric.SPELLS)
+        if now - pace.spell_logged_at >= LOG_INTERVAL_MS:
+            pace.spell_logged_at = now
             log_message(
                 "server-spell",
                 server=pace.server,
