Move ResultMemory and Releaser to mountladder.results

The part that reserves and releases memory for stage results has a package of its own, and these two modules belong to it. Only the imports change.

--- a/features/steps/heavyday_steps.py
+++ b/features/steps/heavyday_steps.py
@@ -31,7 +31,6 @@
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.prompttransfer import PromptTransfer
 from mountladder.forwarding.ranking import Ranking
-from mountladder.forwarding.resultmemory import ResultMemory
 from mountladder.forwarding.routestage import RouteStage
 from mountladder.forwarding.serverrecord import listed_server
 from mountladder.forwarding.service import Service
@@ -43,6 +42,7 @@
 from mountladder.membership.instance import Instance
 from mountladder.membership.membership import Membership
 from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.results.resultmemory import ResultMemory
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -17,10 +17,10 @@
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue
 from mountladder.forwarding.piecerate import PieceRate
-from mountladder.forwarding.resultmemory import ResultMemory
 from mountladder.forwarding.serverrecord import listed_server
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.results.resultmemory import ResultMemory
 from mountladder.routing.serverstate import ServerState
 from mountladder_standins.serverfault import ServerFault
 
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -21,8 +21,6 @@
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, QueuedPiece, isolate_suspects
 from mountladder.forwarding.piecerate import PieceRate
-from mountladder.forwarding.releaser import Releaser
-from mountladder.forwarding.resultmemory import ResultMemory
 from mountladder.forwarding.stagedemand import StageDemand
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageservers import StageServers
@@ -31,6 +29,8 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.results.releaser import Releaser
+from mountladder.results.resultmemory import ResultMemory
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
