Release the inputs of a stage once its calls have fetched them

Results stayed in the memory of their server until the stage that reads them was done, about half a second after they had been fetched. In an observed burst, a stage service made calls with 26 of 43 possible pieces for lack of that memory while 373 pieces waited.

The coordinator of the reading service reports the inputs of a stage as fetched once the calls of all its pieces have begun and the time to fetch has passed. The coordinator of the servers that hold them keeps them as releasable, and releases the oldest ones at servers with half of their memory in use. A second release of a result costs no call. If more than one early release in fifty is needed after all, early release pauses for 5 s.

--- /dev/null
+++ b/features/results.feature
@@ -0,0 +1,214 @@
+Feature: Memory for stage results
+  # A result takes up memory on the server that made it until it is released or expires after four
+  # seconds. In the scenarios with a fleet, the servers of service scan have memory for five results,
+  # and its results are the inputs of service rank. A call takes 150 ms and 10 ms for each piece.
+
+  @forwarding
+  Scenario Outline: Inputs are released while their stage runs, if their server's memory is half full
+    # Results that stay until the next stage is done keep calls to their own servers from being full.
+    Given a fleet whose stages are scan and then rank
+    When request r with <scans> pieces of scan and 1 piece of rank is sent
+    Then the first result of scan is released <when> the call of rank ends
+    And no result is released twice
+    And <stages> stages had their inputs released early
+    And no result is kept as releasable
+
+    Examples:
+      | scans | when   | stages |
+      | 3     | before | 1      |
+      | 2     | after  | 1      |
+
+  @forwarding
+  Scenario: Inputs are not released early if the setting is off
+    Given a fleet whose stages are scan and then rank
+    And memory for results is not reserved
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then the first result of scan is released after the call of rank ends
+    And 0 stages had their inputs released early
+
+  @forwarding
+  Scenario: Inputs are not released while pieces that read them wait for a server
+    Given a fleet whose stages are scan and then rank
+    When request r with 3 pieces of scan and 20 pieces of rank is sent
+    Then the first result of scan is released before the call of rank ends
+    But not before all pieces of rank have begun
+    And no result is released twice
+
+  @forwarding
+  Scenario: Inputs that two stages read are not released early
+    # One stage would find the inputs missing that the other one has fetched.
+    Given a fleet whose stages are scan and then both rank and sum
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered and no stage ran twice
+    And the first result of scan is released after the call of rank ends
+    And 0 stages had their inputs released early
+
+  @forwarding
+  Scenario: Inputs that two stages may read are released early if only one of them has pieces
+    Given a fleet whose stages are scan and then both rank and sum
+    And the request has no piece of sum
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then the first result of scan is released before the call of rank ends
+
+  Scenario Outline: Inputs are only considered fetched if the call's turn has come at its server
+    # A call that waits behind an overdue one fetches its inputs when that one ends.
+    Given a stage of 1 piece that may release its inputs
+    When its call begins at a server that runs 1 call at once and has <calls>
+    And 1000 ms pass
+    Then its inputs are <state>
+
+    Examples:
+      | calls | state        |
+      | 1     | released     |
+      | 2     | not released |
+
+  Scenario: Inputs of a stage that was withdrawn are not released a second time
+    Given a stage of 1 piece that may release its inputs
+    When its call begins at a server that runs 1 call at once and has 1
+    And the stage is withdrawn
+    And 1000 ms pass
+    Then its inputs are not released
+
+  Scenario: A piece that is queued again needs its inputs until its next call has fetched them
+    Given a stage of 2 pieces that may release its inputs
+    When its first piece's call has fetched them and its piece is queued again
+    And the call of its second piece has fetched them
+    Then its inputs are not released
+    When the second call of its first piece has fetched them
+    Then its inputs are released
+
+  Scenario Outline: The wait for inputs to be fetched depends on their size and on both links
+    Given a stage of 1 piece that may release its inputs
+    And 4 inputs of 1.5 MB over links of <source> and <own> Mbit/s
+    When its call begins at a server that runs 1 call at once and has 1
+    Then its inputs are released after about <ms> ms
+
+    Examples:
+      | source | own   | ms  |
+      | 10000  | 10000 | 54  |
+      | 1000   | 10000 | 184 |
+      | 10000  | 1000  | 184 |
+      | 0      | 0     | 40  |
+
+  @forwarding
+  Scenario: Stages run again if inputs that were released early are needed after all
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank fails after 120 ms
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And 1 early release turned out to be needed
+    And every result of scan was released
+
+  @forwarding
+  Scenario: The coordinator of the reading stage dies after it released the inputs
+    Given a fleet whose stages are scan and then rank
+    And the coordinator of rank dies 120 ms after the first call of rank begins
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+
+  Scenario Outline: Inputs are kept for longer if a call found them already released
+    # A repeated call finds them released however long they are kept.
+    Given a stage of 1 piece that may release its inputs
+    When its inputs were released and missing in call <call>
+    And the call of the next stage begins
+    Then its inputs are released after about <ms> ms
+
+    Examples:
+      | call | ms |
+      | 1    | 80 |
+      | 2    | 40 |
+
+  Scenario: Inputs are not released early while that is paused
+    Given a stage of 1 piece that may release its inputs
+    When its inputs were released and missing in call 1
+    And its inputs were released and missing in call 2
+    And the call of the next stage begins
+    And 1000 ms pass
+    Then its inputs are not released
+
+  Scenario Outline: Early release pauses if more than one in fifty is needed after all
+    Given <releases> early releases
+    When <needed> of them turn out to be needed
+    Then early release <is> paused
+    And after 5001 ms it is not paused
+
+    Examples:
+      | releases | needed | is     |
+      | 500      | 10     | is not |
+      | 500      | 11     | is     |
+      | 10       | 1      | is not |
+      | 10       | 2      | is     |
+
+  @forwarding
+  Scenario: A fetched result is released by the coordinator of its server's data centre
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And an instance of data centre c reports their results as fetched
+    Then the oldest of them is released, by the coordinator of data centre a
+    When the instance that submitted them releases them too
+    Then each of them was released once
+
+  @forwarding
+  Scenario: A fetched result that was lent is released once
+    # Its release goes to the coordinator that had it made, although another one passed it on.
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan are lent by data centre a
+    And an instance of data centre c reports their results as fetched
+    Then the oldest of them is released, by the coordinator of data centre b
+    When the instance that submitted them releases them too
+    Then each of them was released once
+
+  @forwarding
+  Scenario: A coordinator passes on fetched results of another data centre
+    # In a large fleet, only coordinators have links to those of other data centres.
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And the coordinator of data centre c is told that their results are fetched
+    Then the oldest of them is released, by the coordinator of data centre a
+
+  @forwarding
+  Scenario: A fetched result of another coordinator is left to the release at the end of its stage
+    # A successor does not know how large it is, nor whether it was released.
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And the coordinator of data centre a is replaced
+    And an instance of data centre c reports their results as fetched
+    Then no result is released
+
+  @forwarding
+  Scenario: Kept results are released when a call needs half of their server's memory
+    Given a fleet with service scan divided among data centres a, b and c
+    When 2 pieces of scan run in data centre a
+    And an instance of data centre c reports their results as fetched
+    Then no result is released
+    When 2 more pieces of scan run there
+    Then the oldest of the first results is released
+
+  Scenario: Fetched results are released oldest first, until less than half of the memory is in use
+    Given a server with memory for 10 results that holds 7
+    When results 3, 1 and 2 are reported as fetched, in this order
+    Then results 3, 1 and 2 are released, in this order
+    Given a server with memory for 10 results that holds 6
+    When results 3, 1 and 2 are reported as fetched, in this order
+    Then results 3 and 1 are released, in this order
+    When the results are checked again before these two are released
+    Then no further result is released
+    When 1 more result is made there
+    Then result 2 is released
+
+  @forwarding
+  Scenario: A fetched result of a server that has restarted is not released at its successor
+    # The new server may have given the handle to a new result.
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And their servers restart
+    And an instance of data centre c reports their results as fetched
+    Then no result is released
+
+  @forwarding
+  Scenario: A handle that a restarted server gives to a new result is released again
+    Given a fleet whose stages are scan and then rank
+    When a result of scan is made and released twice
+    Then one call released it
+    When its server restarts, and makes and releases a result with the same handle
+    Then another call released it
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
+from eliot import log_message
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import PRIORITY_CLASSES, Backlog
@@ -26,9 +27,12 @@
 from mountladder.forwarding.stageservers import StageServers
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
+from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.results.inputrelease import InputRelease
+from mountladder.results.releasableresults import ReleasableResults
 from mountladder.results.releaser import Releaser
 from mountladder.results.resultmemory import ResultMemory
 from mountladder.routing.router import Router
@@ -71,6 +75,7 @@
         cold: Limits the pieces sent to servers that have just started.
         limits: Enforces the rate limits that servers announce.
         notices: Receives the notices that answers carry about their servers.
+        reserves_results: Returns whether memory for results is reserved and released early.
     """
 
     def __init__(
@@ -87,6 +92,7 @@
         cold: ColdServers,
         limits: ServerLimits,
         notices: NoticeDispatcher,
+        reserves_results: Callable[[], bool] = lambda: True,
     ) -> None:
         self.service = service
         self.notices = notices
@@ -102,6 +108,9 @@
         self.servers = StageServers(service, division, router, cold, limits)
         self.result_memory = ResultMemory()
         self.rate = PieceRate(clock)
+        self.reserves_results = reserves_results
+        self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
+        self.releasable = ReleasableResults()
         self.hedged: set[QueuedPiece] = set()
         self.cached_backlog: tuple[float, Backlog] | None = None
         self.releaser = self.make_releaser(division.directory)
@@ -149,6 +158,8 @@
         self.result_memory.drop_expired(now)
         if self.releaser.held and limits is not None:
             self.release_held(limits, now)
+        if self.releasable and limits is not None:
+            self.release_surplus(limits, now)
         if self.queue and limits is not None:
             self.queue.sort(now)
             for state in self.servers.free(limits, now):
@@ -163,8 +174,40 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Release results that are no longer needed."""
+        for handle in handles:
+            self.releasable.discard(handle)
         self.releaser.release(handles)
 
+    def release_fetched(self, handles: Sequence[str]) -> None:
+        """Release results that servers have fetched once their own servers need the memory."""
+        limits = self.limits()
+        if not self.reserves_results() or limits is None:
+            return
+        for handle in handles:
+            self.releasable.add(handle, self.result_memory)
+        self.release_surplus(limits, self.clock.now())
+
+    def release_surplus(self, limits: BatchLimits, now: float) -> None:
+        """Release fetched results at servers with half of their memory in use."""
+        capacity = limits.result_memory_bytes
+        taken = self.releasable.take(self.result_memory, capacity, now)
+        # After a restart, a server may give the handles of its lost results to new ones.
+        listed = {one.name for one in self.servers.division.directory.available(self.service)}
+        for server, handles in taken.items():
+            if server not in listed:
+                continue
+            self.metrics.count(Metric.EARLY_RELEASED_RESULTS, number=len(handles))
+            log_message(
+                "results-released-early",
+                service=self.service,
+                server=server,
+                results=len(handles),
+                used_bytes=round(self.result_memory.used_bytes(server, now)),
+                memory_bytes=round(capacity),
+                kept=len(self.releasable),
+            )
+            self.releaser.release(handles)
+
     def on_released(self, handles: Sequence[str]) -> None:
         """Free the memory accounted for results that servers have dropped."""
         for handle in handles:
@@ -244,8 +287,10 @@
         """Send a batch to a server in a new greenlet."""
         run = BatchRun(self, state, batch, limits, now)
         self.servers.begin(state, run.call)
-        for progress, _ in batch:
+        self.inputs.call_began(run, len(self.servers.calls[state.server.name]))
+        for progress, fragment in batch:
             progress.begun = True
+            progress.copies[fragment] += 1
             if self.quarantine.needs_own_call(progress.job.fingerprint):
                 self.quarantine.record_sent(progress.job.fingerprint, progress.job.request)
             self.result_memory.reserve(state.server.name, progress.job.result_bytes)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -55,6 +55,9 @@
         batch: The pieces.
         limits: The server's batch limits.
         now: The clock's time.
+
+    Attributes:
+        ended: Whether the call has ended.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         )
         expected_ms = limits.expected_ms(len(batch)) * state.slowness_at(now)
         self.call = StageCallState(now, expected_ms, len(batch))
+        self.ended = False
 
     def run(self) -> None:
         """Make the call, then settle or requeue its pieces."""
@@ -96,6 +100,7 @@
             self.succeeded(results)
         finally:
             cancel()
+            self.ended = True
             self.batcher.servers.end(self.state, self.call, self.batcher.clock.now())
             self.batcher.pump()
 
@@ -154,8 +159,11 @@
         )
         if PieceFailure.NO_ROOM.value in failed:
             self.batcher.servers.pause(self.state, now + NO_ROOM_PAUSE_MS)
+        for progress, fragment in self.batch:
+            progress.copies[fragment] -= 1
         for waiting, result in zip(self.batch, results, strict=True):
             self.handle_result(waiting, result, now)
+        self.batcher.inputs.call_answered(self, results)
 
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
@@ -169,6 +177,7 @@
             self.batcher.result_memory.record_result(
                 result.handle, server, size, now + self.limits.result_ttl_ms
             )
+            self.batcher.releaser.released.forget(result.handle)
         if result.failure is PieceFailure.NO_ROOM:
             # The server did not run the piece, so this counts as no retry. Result sizes are
             # approximate: a call that was to fill the memory may exceed it by about one result.
@@ -181,6 +190,9 @@
             self.repeat(progress, fragment, result)
         elif progress.is_settled(fragment):
             self.batcher.release([result.handle])
+        elif result.failure is PieceFailure.INPUT_GONE:
+            self.batcher.inputs.input_missing(progress, fragment)
+            progress.settle(fragment, result)
         else:
             progress.settle(fragment, replace(result, datacentre=self.state.server.datacentre))
             self.batcher.quarantine.record_answer(progress.job.fingerprint)
@@ -213,6 +225,7 @@
         self.report_interruptions(error)
         for progress, fragment in self.batch:
             size, server = progress.job.result_bytes, self.state.server.name
+            progress.copies[fragment] -= 1
             self.batcher.result_memory.unreserve(server, size)
             if error.dispatched:
                 self.batcher.result_memory.record_lost(
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -221,7 +221,7 @@
 
     def make_batcher(self, service: str) -> Batcher:
         """Return a new batcher of a service."""
-        return Batcher(
+        batcher = Batcher(
             service,
             self.follower,
             self.fleet.division,
@@ -234,7 +234,10 @@
             self.cold,
             self.limits,
             self.notices,
+            lambda: self.settings.reserve_results,
         )
+        batcher.inputs.release = self.dispatch.fetched_releases.send
+        return batcher
 
     def pump_batchers(self) -> None:
         """Have every batcher send the pieces that the current servers can accept."""
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -28,6 +28,9 @@
         results: The results so far, by the number of the piece.
         attempts: How often each piece was sent, by its number.
         begun: Whether any piece was put into a batch.
+        fetched: The numbers of the pieces whose running calls have fetched their inputs.
+        copies: The number of running calls with each piece, by its number.
+        inputs_released: Whether the inputs were released before the stage was done.
         ended: Whether the results were passed to done, or the stage was withdrawn.
     """
 
@@ -39,11 +42,20 @@
         self.attempts: Counter[int] = Counter()
         self.ended = False
         self.begun = False
+        self.fetched: set[int] = set()
+        self.copies: Counter[int] = Counter()
+        self.inputs_released = False
 
     def is_settled(self, fragment: int) -> bool:
         """Return whether a piece needs no result any more."""
         return self.ended or fragment in self.results
 
+    def has_all_inputs(self) -> bool:
+        """Return whether inputs that are still stored are not needed by any piece any more."""
+        if self.ended or self.inputs_released:
+            return False
+        return all(n in self.fetched or n in self.results for n in range(self.job.pieces))
+
     def settle(self, fragment: int, result: PieceResult) -> None:
         """Record the result of one piece; a failure ends the whole stage."""
         if self.is_settled(fragment):
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -50,7 +50,8 @@
         self.waiting += [(progress, fragment) for fragment in range(progress.job.pieces)]
 
     def requeue(self, waiting: QueuedPiece) -> None:
-        """Queue a piece again."""
+        """Queue a piece again; its next call fetches its inputs anew."""
+        waiting[0].fetched.discard(waiting[1])
         self.waiting.append(waiting)
 
     def withdraw(self, progress: JobProgress) -> None:
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -30,6 +30,7 @@
 from mountladder.forwarding.stagewithdrawal import StageWithdrawal
 from mountladder.forwarding.submission import Submission
 from mountladder.membership.link import Link
+from mountladder.results.fetchedreleases import FetchedReleases
 
 
 class StageDispatch:
@@ -51,6 +52,7 @@
         peer_submissions: Those of them that a peer handed over to this instance, by the link's id
             and the peer's number.
         lent_results: The origins of results that other data centres made for this one.
+        fetched_releases: Passes on which results servers have fetched.
     """
 
     def __init__(self, fleet: Fleet, make_batcher: Callable[[str], Batcher], clock: Clock) -> None:
@@ -62,6 +64,7 @@
         self.submissions: dict[int, Submission] = {}
         self.peer_submissions: dict[tuple[int, int], Submission] = {}
         self.lent_results = LentResults()
+        self.fetched_releases = FetchedReleases(fleet, self.batcher)
         self.lending = Lending(clock, fleet.membership.me.datacentre)
         self.backlogs = StageBacklogs(fleet, self.batchers, self.batcher, self.lending, clock)
         fleet.backlogs = self.backlogs.local_backlogs
@@ -213,7 +216,10 @@
 
     def handle_release(self, release: StageRelease, link: Link) -> None:
         """Handle the release of results by another instance."""
-        self.release_here(release.service, release.handles)
+        if release.fetched:
+            self.fetched_releases.handle(release)
+        else:
+            self.release_here(release.service, release.handles)
 
     def release_here(self, service: str, handles: Sequence[str]) -> None:
         """Release results; those that were lent out, through the coordinator that had them made."""
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -185,6 +185,7 @@
             pieces=pieces,
             key="" if stage.after else self.request.piece_key,
             inputs=inputs,
+            releases_inputs=self.may_release_inputs(number),
             deadline=self.deadline,
             due=due - self.times.following_ms(number),
             urgency=self.urgency,
@@ -194,6 +195,15 @@
             fingerprint=self.stage_fingerprint(stage.service),
         )
 
+    def may_release_inputs(self, number: int) -> bool:
+        """Return whether a stage has inputs that nothing else needs any more."""
+        needed = set(self.route.stages[number].after)
+        return bool(needed) and all(
+            n == number or n in self.handles or not self.times.has_pieces(n)
+            for n, one in enumerate(self.route.stages)
+            if needed.intersection(one.after)
+        )
+
     def stage_fingerprint(self, service: str) -> str:
         """Return the fingerprint of the request at a stage service, or an empty string."""
         return stage_fingerprint(self.fingerprint, service) if self.fingerprint else ""
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -37,6 +37,17 @@
     STAGE_CALLS = ("stage_calls", "counter", "answered calls to servers of stage services")
     STAGE_PIECES = ("stage_pieces", "counter", "pieces in these calls")
     STAGE_CALL_MS = ("stage_call_ms", "timing", "time of one such call in milliseconds")
+    EARLY_RELEASES = ("early_releases", "counter", "stages whose inputs were released once fetched")
+    EARLY_RELEASES_NEEDED = (
+        "early_releases_needed",
+        "counter",
+        "stages that failed since inputs released once fetched were needed again",
+    )
+    EARLY_RELEASED_RESULTS = (
+        "early_released_results",
+        "counter",
+        "results released at their servers before the stage that read them was done",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
--- a/packages/core/src/mountladder/results/releaser.py
+++ b/packages/core/src/mountladder/results/releaser.py
@@ -14,6 +14,7 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.upstream import Upstream
 from mountladder.notices.notice import NoticeHandler
+from mountladder.results.releasedhandles import ReleasedHandles
 
 # Releases are batched over this time, short enough that a server's result memory does not fill up.
 RELEASE_MS = 25.0
@@ -35,6 +36,7 @@
         held: Handles of results at those servers, by address. Releasing them would use up one of
             the few requests that such a server accepts, or violate its back-off, so they are held
             back until memory runs short or they expire.
+        released: The results that were released last; releasing them again does nothing.
     """
 
     def __init__(
@@ -55,12 +57,13 @@
         self.restricted = restricted
         self.is_stored = is_stored
         self.held: dict[str, list[str]] = {}
+        self.released = ReleasedHandles()
         self.handles: list[str] = []
         self.cancel: Callable[[], None] | None = None
 
     def release(self, handles: Sequence[str]) -> None:
         """Release results with the next batch."""
-        self.handles += [handle for handle in handles if handle]
+        self.handles += [handle for handle in handles if handle and self.released.add(handle)]
         if self.handles and self.cancel is None:
             self.cancel = self.clock.call_later(RELEASE_MS, self.flush)
 
