Keep a late piece whose second copy finds an input missing

The second copy of a late piece is sent when the first one has fetched its inputs long ago. If they were released or lost meanwhile, the copy reported a missing input, and the request failed with it, or ran its stages again, although the first copy was about to succeed.

A copy without an input is now dropped while another copy of the piece runs. A piece of which no other copy runs fails its stage as before, also if its second copy is only queued, since that would lack the input as well.

--- a/features/results.feature
+++ b/features/results.feature
@@ -93,7 +93,7 @@
   @forwarding
   Scenario: Stages run again if inputs that were released early are needed after all
     Given a fleet whose stages are scan and then rank
-    And the first call of rank fails after 120 ms
+    And the first call of rank takes 120 ms and then fails
     When request r with 3 pieces of scan and 1 piece of rank is sent
     Then it is answered
     And 1 early release turned out to be needed
@@ -212,3 +212,50 @@
     Then one call released it
     When its server restarts, and makes and releases a result with the same handle
     Then another call released it
+
+  @forwarding
+  Scenario Outline: A second copy of a late piece that lacks an input does not fail the request
+    # The first copy has fetched its inputs before they were released, and is just slow.
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes <ms> ms and then <ends>
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And <copies> copies of its pieces lacked an input
+    And the stages ran <times>
+
+    Examples:
+      | ms  | ends     | copies | times |
+      | 700 | succeeds | 1      | once  |
+      | 700 | fails    | 1      | twice |
+      | 100 | fails    | 0      | twice |
+
+  @forwarding
+  Scenario: A first copy that lacks an input leaves the piece to the second copy
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes 400 ms and then lacks an input
+    When request r with 2 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And 1 copies of its pieces lacked an input
+    And the stages ran once
+
+  @forwarding
+  Scenario: A first copy that lacks an input fails its stage while the second copy only waits
+    # The second copy would lack the input as well, after another call.
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes 400 ms and then lacks an input
+    And the servers of rank are paused for 600 ms from then on
+    When request r with 2 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And 0 copies of its pieces lacked an input
+    And the stages ran twice
+
+  @forwarding
+  Scenario: A second copy that lacks an input fails the request if the setting is off
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes 700 ms and then succeeds
+    And the second call of rank takes 0 ms and then lacks an input
+    And memory for results is not reserved
+    When request r with 2 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And 0 copies of its pieces lacked an input
+    And the stages ran twice
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -36,6 +36,7 @@
 SCAN_BYTES = 20_000.0
 SCAN = replace(BATCH, result_memory_mb=0.1)
 SETTLE_MS = 1_500.0
+LACKS = "lacks an input"
 STAGES = {
     "rank": (RouteStage("scan", (), SCAN_BYTES), RouteStage("rank", (0,), 8.0)),
     "both rank and sum": (
@@ -72,11 +73,14 @@
 
     def run(server, pieces, limit_ms, on_notices):
         call = SimpleNamespace(
-            service=server.labels["service"], began=context.clock.now(), pieces=pieces, ended=None
+            service=server.labels["service"],
+            began=context.clock.now(),
+            pieces=pieces,
+            ended=None,
         )
         context.calls.append(call)
         gone = {one for one in pieces if set(one.inputs) & set(upstream.released)}
-        context.disturb(call)
+        gone |= set(pieces) if context.disturb(call) == LACKS else set()
         results = run_pieces(server, pieces, limit_ms, on_notices)
         call.ended = context.clock.now()
         results = tuple(
@@ -113,14 +117,33 @@
     context.sums = 0
 
 
-@given("the first call of rank fails after {ms:d} ms")
-def first_fails(context, ms):
+@given("the {which} call of rank takes {ms:d} ms and then {ends}")
+def call_ends(context, which, ms, ends):
+    number, before = ("first", "second").index(which), context.disturb
+
     def disturb(call):
-        if call is next(one for one in context.calls if one.service == "rank"):
+        if call.service != "rank" or rank_calls(context).index(call) != number:
+            return before(call)
+        if ends == "fails":
             context.clock.sleep(float(ms))
             raise StageError("", Code.STAGE_FAILED)
+        context.clock.sleep(max(0.0, ms - BATCH.expected_ms(len(call.pieces))))
+        return ends
+
+    context.disturb = disturb
+
+
+@given("the servers of rank are paused for {ms:d} ms from then on")
+def servers_paused(context, ms):
+    servers = find_coordinator(context, "rank").dispatch.batcher("rank").servers
+    before = context.disturb
+
+    def disturb(call):
+        if call in rank_calls(context)[:1]:
+            servers.paused |= dict.fromkeys(("rank-1", "rank-2"), context.clock.now() + ms)
+        return before(call)
 
-    context.disturb = lambda call: disturb(call) if call.service == "rank" else None
+    context.disturb = disturb
 
 
 @given("the coordinator of rank dies {ms:d} ms after the first call of rank begins")
@@ -189,6 +212,17 @@
     assert count(context, "early_releases_needed") == number
 
 
+@then("{number:d} copies of its pieces lacked an input")
+def copies_lacked(context, number):
+    assert count(context, "copies_without_input") == number, count(context, "copies_without_input")
+
+
+@then("the stages ran {times}")
+def stages_ran(context, times):
+    scans = sum(one.service == "scan" for one in context.calls)
+    assert scans == ("once", "twice").index(times) + 1, scans
+
+
 @then("no result is kept as releasable")
 def none_kept(context):
     for one in context.fleet.instances.values():
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -191,12 +191,21 @@
         elif progress.is_settled(fragment):
             self.batcher.release([result.handle])
         elif result.failure is PieceFailure.INPUT_GONE:
-            self.batcher.inputs.input_missing(progress, fragment)
-            progress.settle(fragment, result)
+            self.input_gone(progress, fragment, result)
         else:
             progress.settle(fragment, replace(result, datacentre=self.state.server.datacentre))
             self.batcher.quarantine.record_answer(progress.job.fingerprint)
 
+    def input_gone(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
+        """Fail the stage of a piece with a missing input, unless another copy of it runs."""
+        if self.batcher.reserves_results() and progress.copies[fragment] > 0:
+            # That copy has fetched its inputs, or finds them missing as well.
+            self.batcher.hedged.discard((progress, fragment))
+            self.batcher.inputs.copy_without_input(progress, fragment)
+        else:
+            self.batcher.inputs.input_missing(progress, fragment)
+            progress.settle(fragment, result)
+
     def failed(self, error: StageError) -> None:
         """Handle a call without an answer: update the server's state and requeue the pieces."""
         now = self.batcher.clock.now()
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -48,6 +48,11 @@
         "counter",
         "results released at their servers before the stage that read them was done",
     )
+    COPIES_WITHOUT_INPUT = (
+        "copies_without_input",
+        "counter",
+        "copies of late pieces that found an input missing while the other copy ran",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
--- a/packages/core/src/mountladder/results/inputrelease.py
+++ b/packages/core/src/mountladder/results/inputrelease.py
@@ -114,6 +114,18 @@
         if released and any(one.failure is None for one in results):
             self.fetch_time.record_fetched()
 
+    def copy_without_input(self, progress: JobProgress, fragment: int) -> None:
+        """Record that one copy of a piece found an input missing while another one runs."""
+        self.metrics.count(Metric.COPIES_WITHOUT_INPUT)
+        log_message(
+            "copy-without-input",
+            request=progress.job.request,
+            service=progress.job.service,
+            piece=fragment,
+            copies=progress.copies[fragment],
+            released_early=progress.inputs_released,
+        )
+
     def input_missing(self, progress: JobProgress, fragment: int) -> None:
         """Record that a stage fails since an input is missing."""
         if not progress.inputs_released:
