Reserve memory for results by how long they are needed

The need of a stage's results is now its call plus the wait and call of the next step, as its coordinator announces it. While the memory of a server does not suffice for all that waits, a stage whose results would wait longer than half of the time after which they expire comes after all others, and gets at most half of the memory. Fetched results are handled by SurplusRelease, apart from Batcher.

features/results.feature: 58 passed; each of 17 conditions was removed once, and a scenario failed each time. heavydays, pieces, room, documents: 96 passed.

--- a/features/results.feature
+++ b/features/results.feature
@@ -259,3 +259,104 @@
     Then it is answered
     And 0 copies of its pieces lacked an input
     And the stages ran twice
+
+  Scenario Outline: How long results are needed follows from the call and the next step
+    # Results wait for the next step from the end of their own call on.
+    Given calls of 200 ms, results that are kept for 4000 ms, and next steps <steps>
+    Then their results wait <wait> ms and take up memory for <hold> ms
+    And the next step <is> too far behind
+
+    Examples:
+      | steps                            | wait | hold | is     |
+      | none                             | 0    | 200  | is not |
+      | 100+300                          | 0    | 500  | is not |
+      | 2200+300                         | 2000 | 2500 | is not |
+      | 2201+300                         | 2001 | 2501 | is     |
+      | 9000+300                         | 8800 | 4200 | is     |
+      | 100+300 and 2500+300             | 2300 | 2800 | is     |
+      | 2500+300, or 700+300 elsewhere   | 500  | 1000 | is not |
+
+  @forwarding
+  Scenario Outline: A stage whose next step is far behind gets memory after all others
+    # Its results would expire unused while the others find no memory.
+    Given a fleet whose stages are scan and then rank
+    And new pieces of rank are expected to wait <wait> ms
+    And the servers of scan have <used> results in their memory for 5
+    When stages that need rank with <held> pieces and others with <others> pieces wait for scan
+    Then the next call takes <taken> of the former and <rest> of the latter
+
+    Examples: The others need the memory
+      | wait | used | held | others | taken | rest |
+      | 3000 | 0    | 5    | 4      | 0     | 4    |
+      | 3000 | 0    | 5    | 8      | 0     | 5    |
+      | 3000 | 3    | 1    | 3      | 0     | 2    |
+
+    Examples: They leave less than half of it unused, which remains for those that arrive later
+      | wait | used | held | others | taken | rest |
+      | 3000 | 0    | 8    | 0      | 2     | 0    |
+      | 3000 | 0    | 8    | 1      | 1     | 1    |
+      | 3000 | 3    | 8    | 0      | 0     | 0    |
+
+    Examples: The next step is not far behind, or the memory suffices for all
+      | wait | used | held | others | taken | rest |
+      | 2100 | 0    | 8    | 4      | 5     | 0    |
+      | 3000 | 0    | 3    | 2      | 3     | 2    |
+
+  @forwarding
+  Scenario: A stage that has begun is not held back
+    # Its first results take up memory until it is complete.
+    Given a fleet whose stages are scan and then rank
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 0 results in their memory for 5
+    And the stages that need rank have begun
+    When stages that need rank with 5 pieces and others with 4 pieces wait for scan
+    Then the next call takes 5 of the former and 0 of the latter
+
+  @forwarding
+  Scenario: Memory that others wait for is not given to a stage whose next step is far behind
+    # All pieces of a stage need room, unless the memory is empty.
+    Given a fleet whose stages are scan and then rank
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 1 results in their memory for 5
+    When stages that need rank with 1 pieces and another one with 5 wait for scan
+    Then the next call takes 0 of the former and 0 of the latter
+
+  @forwarding
+  Scenario: No stage is held back if the setting is off
+    Given a fleet whose stages are scan and then rank
+    And memory for results is not reserved
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 0 results in their memory for 5
+    When stages that need rank with 5 pieces and others with 4 pieces wait for scan
+    Then the next call takes 5 of the former and 0 of the latter
+
+  @forwarding
+  Scenario: A result that is larger than half of the memory is made although its next step is behind
+    Given a fleet whose results of scan are as large as the memory for them
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 0 results in their memory for 1
+    When stages that need rank with 2 pieces and others with 0 pieces wait for scan
+    Then the next call takes 1 of the former and 0 of the latter
+
+  @forwarding
+  Scenario: A stage that was held back goes on once its next step has caught up
+    Given a fleet whose stages are scan and then rank
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 3 results in their memory for 5
+    When stages that need rank with 3 pieces and others with 0 pieces wait for scan
+    Then the next call takes 0 of the former and 0 of the latter
+    And the next call takes 0 of the former and 0 of the latter
+    And 3 stages were held back
+    When new pieces of rank are expected to wait 100 ms
+    And 30 ms go by
+    Then the next call takes 2 of the former and 0 of the latter
+
+  @forwarding
+  Scenario: The expected wait at the next step is the one that its coordinator announces
+    Given a fleet whose stages are scan and then rank
+    When 500 pieces wait at the coordinator of rank
+    And 1000 ms go by
+    Then the next step of pieces of scan is too far behind at the coordinator of scan
+    When stages that need rank with 5 pieces and others with 8 pieces wait for scan
+    And the coordinator of scan sends what waits
+    Then the first call takes none of the former
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -32,6 +32,7 @@
 from mountladder.results.releasableresults import ReleasableResults
 from mountladder.results.releaseguard import ReleaseGuard
 from mountladder.results.resultmemory import ResultMemory
+from mountladder.results.resultneed import need
 
 SCAN_BYTES = 20_000.0
 SCAN = replace(BATCH, result_memory_mb=0.1)
@@ -98,14 +99,21 @@
 
 
 @given("a fleet whose stages are scan and then {following}")
-def pipeline_fleet(context, following):
-    configure(context, STAGES[following])
+def pipeline_fleet(context, following, stages=None):
+    context.stages = stages or STAGES[following]
+    configure(context, context.stages)
     services = ("scan", "rank", "sum", "llm")
     servers = [(f"{one}-{n}", one, "ab"[n - 1]) for one in services for n in (1, 2)]
     start(context, ("a-1", "a-2", "b-1"), servers)
     context.sums = 1
 
 
+@given("a fleet whose results of scan are as large as the memory for them")
+def large_results_fleet(context):
+    stages = (replace(STAGES["rank"][0], result_bytes=SCAN.result_memory_bytes), STAGES["rank"][1])
+    pipeline_fleet(context, "rank", stages)
+
+
 @given("memory for results is not reserved")
 def not_reserved(context):
     for one in context.fleet.instances.values():
@@ -226,7 +234,9 @@
 @then("no result is kept as releasable")
 def none_kept(context):
     for one in context.fleet.instances.values():
-        assert not any(len(batcher.releasable) for batcher in one.dispatch.batchers.values())
+        assert not any(
+            len(batcher.surplus.releasable) for batcher in one.dispatch.batchers.values()
+        )
 
 
 @then("it is answered")
@@ -559,3 +569,109 @@
 def another_call(context):
     assert context.handles == context.before
     assert [one for _, one in context.freed] == context.before * 2, context.freed
+
+
+@given("calls of 200 ms, results that are kept for 4000 ms, and next steps {steps}")
+def next_steps(context, steps):
+    routes = [
+        [tuple(map(float, step.split("+"))) for step in route.split(" and ") if step != "none"]
+        for route in steps.removesuffix(" elsewhere").split(", or ")
+    ]
+    context.need = need(200.0, routes, 4_000.0)
+
+
+@then("their results wait {wait:d} ms and take up memory for {hold:d} ms")
+def result_need(context, wait, hold):
+    assert (context.need.wait_ms, context.need.hold_ms) == (wait, hold), context.need
+
+
+@then("the next step {is_} too far behind")
+def next_behind(context, is_):
+    assert context.need.is_behind == (is_ == "is")
+
+
+def scan_batcher(context):
+    return find_coordinator(context, "scan").dispatch.batcher("scan")
+
+
+@given("new pieces of rank are expected to wait {ms:d} ms")
+@when("new pieces of rank are expected to wait {ms:d} ms")
+def rank_wait(context, ms):
+    scan_batcher(context).reservation.backlogs = SimpleNamespace(
+        wait_ms=lambda service, urgency, gives_way: ms if service == "rank" else 0.0
+    )
+
+
+@given("the servers of scan have {used:d} results in their memory for {number:d}")
+def scan_memory(context, used, number):
+    context.used, context.begun = used * SCAN_BYTES, False
+
+
+@given("the stages that need rank have begun")
+def stages_begun(context):
+    context.begun = True
+
+
+def scan_job(context, stage):
+    now, size = context.clock.now(), context.stages[0].result_bytes
+    return StageJob("r", stage, "scan", 1, "key", (), now + 9e3, now + 9e3, 0, size, "")
+
+
+@when("stages that need rank with {held:d} pieces and others with {others:d} pieces wait for scan")
+def stages_wait(context, held, others):
+    context.begun = getattr(context, "begun", False)
+    context.queue = PieceQueue()
+    # No route has a stage with the second number, so that nothing is known to follow it.
+    for stage in [0] * held + [9] * others:
+        progress = JobProgress(scan_job(context, stage), lambda results: None, 0.0)
+        progress.begun = context.begun and stage == 0
+        context.queue.add(progress)
+
+
+@when("stages that need rank with {held:d} pieces and another one with {others:d} wait for scan")
+def other_stage_waits(context, held, others):
+    stages_wait(context, held, 0)
+    job = replace(scan_job(context, 9), pieces=others)
+    context.queue.add(JobProgress(job, lambda results: None, 0.0))
+
+
+@when("the coordinator of scan sends what waits")
+def sends_waiting(context):
+    batcher = scan_batcher(context)
+    batcher.queue.waiting += context.queue.waiting
+    context.run(batcher.pump)
+    context.run(context.clock.sleep, 10.0)
+
+
+@then("the first call takes none of the former")
+def first_takes_none(context):
+    first = next(one for one in context.calls if one.service == "scan")
+    assert {piece.stage for piece in first.pieces} == {9}, first.pieces
+
+
+@then("the next call takes {held:d} of the former and {others:d} of the latter")
+def call_takes(context, held, others):
+    batcher, now = scan_batcher(context), context.clock.now()
+    state = batcher.servers.usable(now)[0]
+    batch = batcher.reservation.choose(context.queue, state, context.used, {"a", "b"}, SCAN, now)
+    stages = [progress.job.stage for progress, _ in batch]
+    assert (stages.count(0), stages.count(9)) == (held, others), stages
+
+
+@then("{number:d} stages were held back")
+def were_held(context, number):
+    assert count(context, "stages_held_back") == number
+
+
+@when("{number:d} pieces wait at the coordinator of rank")
+def many_wait(context, number):
+    now = context.clock.now()
+    job = StageJob("r", 1, "rank", number, "key", (), now + 9e3, now + 9e3, 0, 8.0, "")
+    dispatch = find_coordinator(context, "rank").dispatch
+    context.run(dispatch.submit, job, lambda results: None)
+
+
+@then("the next step of pieces of scan is too far behind at the coordinator of scan")
+def scan_behind(context):
+    reservation, now = scan_batcher(context).reservation, context.clock.now()
+    assert reservation.need(scan_job(context, 0), SCAN, now).is_behind
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from eliot import log_message
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import PRIORITY_CLASSES, Backlog
@@ -27,14 +26,14 @@
 from mountladder.forwarding.stageservers import StageServers
 from mountladder.forwarding.upstream import Upstream
 from mountladder.limits.windowbudget import WindowBudget
-from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.results.inputrelease import InputRelease
-from mountladder.results.releasableresults import ReleasableResults
 from mountladder.results.releaser import Releaser
 from mountladder.results.resultmemory import ResultMemory
+from mountladder.results.resultreservation import ResultReservation
+from mountladder.results.surplusrelease import SurplusRelease
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
@@ -110,7 +109,8 @@
         self.rate = PieceRate(clock)
         self.reserves_results = reserves_results
         self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
-        self.releasable = ReleasableResults()
+        self.surplus = SurplusRelease(self)
+        self.reservation = ResultReservation(catalogue, metrics, reserves_results)
         self.hedged: set[QueuedPiece] = set()
         self.cached_backlog: tuple[float, Backlog] | None = None
         self.releaser = self.make_releaser(division.directory)
@@ -158,8 +158,8 @@
         self.result_memory.drop_expired(now)
         if self.releaser.held and limits is not None:
             self.release_held(limits, now)
-        if self.releasable and limits is not None:
-            self.release_surplus(limits, now)
+        if limits is not None:
+            self.surplus.check(limits, now)
         if self.queue and limits is not None:
             self.queue.sort(now)
             for state in self.servers.free(limits, now):
@@ -174,40 +174,9 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Release results that are no longer needed."""
-        for handle in handles:
-            self.releasable.discard(handle)
+        self.surplus.discard(handles)
         self.releaser.release(handles)
 
-    def release_fetched(self, handles: Sequence[str]) -> None:
-        """Release results that servers have fetched once their own servers need the memory."""
-        limits = self.limits()
-        if not self.reserves_results() or limits is None:
-            return
-        for handle in handles:
-            self.releasable.add(handle, self.result_memory)
-        self.release_surplus(limits, self.clock.now())
-
-    def release_surplus(self, limits: BatchLimits, now: float) -> None:
-        """Release fetched results at servers with half of their memory in use."""
-        capacity = limits.result_memory_bytes
-        taken = self.releasable.take(self.result_memory, capacity, now)
-        # After a restart, a server may give the handles of its lost results to new ones.
-        listed = {one.name for one in self.servers.division.directory.available(self.service)}
-        for server, handles in taken.items():
-            if server not in listed:
-                continue
-            self.metrics.count(Metric.EARLY_RELEASED_RESULTS, number=len(handles))
-            log_message(
-                "results-released-early",
-                service=self.service,
-                server=server,
-                results=len(handles),
-                used_bytes=round(self.result_memory.used_bytes(server, now)),
-                memory_bytes=round(capacity),
-                kept=len(self.releasable),
-            )
-            self.releaser.release(handles)
-
     def on_released(self, handles: Sequence[str]) -> None:
         """Free the memory accounted for results that servers have dropped."""
         for handle in handles:
@@ -243,7 +212,9 @@
         served_datacentres = {one.server.datacentre for one in usable}
         used_bytes = self.result_memory.used_bytes(state.server.name, now)
         max_pieces = self.servers.max_pieces(state, limits)
-        chosen = self.queue.choose(state, used_bytes, served_datacentres, limits, now)[:max_pieces]
+        chosen = self.reservation.choose(
+            self.queue, state, used_bytes, served_datacentres, limits, now
+        )[:max_pieces]
         batch = isolate_suspects(chosen, self.quarantine)
         if not batch:
             return
@@ -293,5 +264,8 @@
             progress.copies[fragment] += 1
             if self.quarantine.needs_own_call(progress.job.fingerprint):
                 self.quarantine.record_sent(progress.job.fingerprint, progress.job.request)
-            self.result_memory.reserve(state.server.name, progress.job.result_bytes)
+            hold_ms = self.reservation.need(progress.job, limits, now).hold_ms
+            self.result_memory.reserve(
+                state.server.name, progress.job.result_bytes, until=now + hold_ms
+            )
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -237,6 +237,7 @@
             lambda: self.settings.reserve_results,
         )
         batcher.inputs.release = self.dispatch.fetched_releases.send
+        batcher.reservation.backlogs = self.dispatch.backlogs
         return batcher
 
     def pump_batchers(self) -> None:
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -30,6 +30,7 @@
         begun: Whether any piece was put into a batch.
         fetched: The numbers of the pieces whose running calls have fetched their inputs.
         copies: The number of running calls with each piece, by its number.
+        held_back: Whether it had to wait since its results would not be used soon.
         inputs_released: Whether the inputs were released before the stage was done.
         ended: Whether the results were passed to done, or the stage was withdrawn.
     """
@@ -44,6 +45,7 @@
         self.begun = False
         self.fetched: set[int] = set()
         self.copies: Counter[int] = Counter()
+        self.held_back = False
         self.inputs_released = False
 
     def is_settled(self, fragment: int) -> bool:
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -135,6 +135,7 @@
         served_datacentres: set[str],
         limits: BatchLimits,
         now: float,
+        candidates: Sequence[QueuedPiece] | None = None,
     ) -> list[QueuedPiece]:
         """Return the first pieces that fit into a server's result memory and may run there.
 
@@ -144,11 +145,12 @@
             served_datacentres: The data centres that have usable servers.
             limits: The server's batch limits.
             now: The clock's time.
+            candidates: The pieces to choose among, in their order; all waiting ones if None.
         """
         free_bytes = limits.result_memory_bytes - used_bytes
         batch: list[QueuedPiece] = []
         skipped: set[JobProgress] = set()
-        for waiting in self.waiting:
+        for waiting in self.waiting if candidates is None else candidates:
             progress = waiting[0]
             size = progress.job.result_bytes
             begun = bool(progress.results) or any(progress is one for one, _ in batch)
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -53,6 +53,11 @@
         "counter",
         "copies of late pieces that found an input missing while the other copy ran",
     )
+    STAGES_HELD_BACK = (
+        "stages_held_back",
+        "counter",
+        "stages that waited since their results would not have been used soon",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
--- a/packages/core/src/mountladder/results/fetchedreleases.py
+++ b/packages/core/src/mountladder/results/fetchedreleases.py
@@ -41,7 +41,7 @@
             link = self.link_to_owner(owner)
             service = owner[0]
             if link is None:
-                self.batcher(service).release_fetched(grouped)
+                self.batcher(service).surplus.keep(grouped)
             else:
                 self.fleet.send_later(link, StageRelease(service, tuple(grouped), fetched=True))
 
@@ -50,7 +50,7 @@
         here = self.fleet.membership.me.datacentre
         for (service, datacentre), grouped in self.by_owner(release.handles).items():
             if datacentre in {"", here}:
-                self.batcher(service).release_fetched(grouped)
+                self.batcher(service).surplus.keep(grouped)
                 continue
             link = self.fleet.coordinator_links(service).get(datacentre)
             if link is not None:
--- a/packages/core/src/mountladder/results/resultmemory.py
+++ b/packages/core/src/mountladder/results/resultmemory.py
@@ -21,6 +21,7 @@
             expires.
         foreign: The size in bytes of results at a server that seem to be another instance's, with
             the times when that was detected and when all of them have expired.
+        needed_until: Until when the results at a server are expected to be needed, by its name.
         lost: The sizes in bytes of results whose handles were never received, and when they expire,
             by the server's name.
     """
@@ -29,6 +30,7 @@
         self.used: Counter[str] = Counter()
         self.results: dict[str, tuple[str, float, float]] = {}
         self.foreign: dict[str, tuple[float, float, float]] = {}
+        self.needed_until: dict[str, float] = {}
         self.lost: dict[str, list[tuple[float, float]]] = {}
 
     def used_bytes(self, server: str, now: float) -> float:
@@ -68,9 +70,16 @@
         if expected_free > 0.0:
             self.foreign[server] = (expected_free, now, now + result_ttl_ms)
 
-    def reserve(self, server: str, size: float) -> None:
-        """Reserve memory for a result of a call that begins."""
+    def reserve(self, server: str, size: float, until: float = 0.0) -> None:
+        """Reserve memory for a result of a call that begins.
+
+        Args:
+            server: The name of the server.
+            size: The approximate size of the result in bytes.
+            until: When the result is expected not to be needed any more.
+        """
         self.used[server] += size
+        self.needed_until[server] = max(until, self.needed_until.get(server, 0.0))
 
     def unreserve(self, server: str, size: float) -> None:
         """Cancel the reservation of a piece that has no result."""
