Hand the accounting of result memory over to the next coordinator

A successor started with empty accounting after a planned restart or the death of a coordinator, and sent calls to servers whose memory was full.

The coordinator of a service reports to the next candidate every 500 ms what differs by more than a tenth of a server's memory from what that one assumes by now, and everything when it begins to shut down. The receiver counts it as in use, decreasing linearly until the results are not needed any more. Reports hold only the sender's own results unless it leaves, so that two coordinators do not add up each other's.

--- a/features/results.feature
+++ b/features/results.feature
@@ -360,3 +360,80 @@
     When stages that need rank with 5 pieces and others with 8 pieces wait for scan
     And the coordinator of scan sends what waits
     Then the first call takes none of the former
+
+  Scenario Outline: Usage is reported once it differs enough from what the standby assumes
+    # The standby assumes that memory becomes free linearly until the reported time.
+    Given a usage of 60 of 100 bytes that was reported to lapse after 1000 ms
+    When the usage is <used> bytes <ms> ms later
+    Then it <is> reported again
+
+    Examples:
+      | used | ms   | is     |
+      | 60   | 100  | is not |
+      | 71   | 0    | is     |
+      | 69   | 0    | is not |
+      | 60   | 500  | is     |
+      | 30   | 500  | is not |
+      | 60   | 1500 | is     |
+
+  Scenario: A new standby is told of all usage
+    Given a usage of 60 of 100 bytes that was reported to lapse after 1000 ms
+    When another instance is the standby
+    Then it is reported again
+
+  Scenario: Only an instance that leaves passes on what it has inherited
+    # Two instances that both act as coordinator would add up each other's reports.
+    Given a coordinator with 30 bytes of its own and 40 inherited ones at a server
+    Then it reports 30 bytes, and 70 if it leaves
+
+  Scenario: A report replaces what a refusal had revealed
+    Given a coordinator with 30 bytes of its own and 40 inherited ones at a server
+    When the server refuses a piece, as 20 more bytes are in use
+    Then 90 bytes are assumed to be in use
+    When 40 inherited bytes are reported again
+    Then 70 bytes are assumed to be in use
+
+  Scenario Outline: Usage lapses when the results are not needed any more, else when they expire
+    Given results at a server that are needed for <needed> ms and expire after 4000 ms
+    Then after <ms> ms their usage is reported to lapse after <lapse> ms
+
+    Examples:
+      | needed | ms   | lapse |
+      | 1000   | 100  | 900   |
+      | 1000   | 1500 | 2500  |
+
+  @forwarding
+  Scenario Outline: The accounting of a coordinator outlives it
+    # Its successor would send calls to servers whose memory is full, and be refused.
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And the coordinator of data centre a <ends> after <ms> ms
+    Then its successor counts <fewest> to <most> bytes as in use
+    When 4500 ms go by
+    Then its successor counts 0 to 0 bytes as in use
+
+    Examples:
+      | ends   | ms   | fewest | most  |
+      | leaves | 10   | 30000  | 60000 |
+      | dies   | 1000 | 10000  | 60000 |
+
+  @forwarding
+  Scenario Outline: No accounting is handed over if the setting is off at either end
+    Given a fleet with service scan divided among data centres a, b and c
+    And memory for results is not reserved by <where>
+    When 3 pieces of scan run in data centre a
+    And the coordinator of data centre a leaves after 10 ms
+    Then its successor counts 0 to 0 bytes as in use
+
+    Examples:
+      | where                             |
+      | the coordinator of data centre a  |
+      | the other instances               |
+
+  @forwarding
+  Scenario: Reports of the accounting are small and rare
+    Given a fleet with service scan divided among data centres a, b and c
+    When 3 pieces of scan run in data centre a
+    And 10000 ms go by
+    # One for each report until the results have expired, at most.
+    Then between 1 and 8 usages were reported
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -33,6 +33,8 @@
 from mountladder.results.releaseguard import ReleaseGuard
 from mountladder.results.resultmemory import ResultMemory
 from mountladder.results.resultneed import need
+from mountladder.results.serverusage import ServerUsage
+from mountladder.results.usagereport import UsageReport
 
 SCAN_BYTES = 20_000.0
 SCAN = replace(BATCH, result_memory_mb=0.1)
@@ -120,6 +122,14 @@
         one.settings = replace(one.settings, reserve_results=False)
 
 
+@given("memory for results is not reserved by {where}")
+def not_reserved_by(context, where):
+    coordinator = find_coordinator(context, "scan", "a")
+    for one in context.fleet.instances.values():
+        if (one is coordinator) == (where == "the coordinator of data centre a"):
+            one.settings = replace(one.settings, reserve_results=False)
+
+
 @given("the request has no piece of sum")
 def no_sums(context):
     context.sums = 0
@@ -675,3 +685,99 @@
 def scan_behind(context):
     reservation, now = scan_batcher(context).reservation, context.clock.now()
     assert reservation.need(scan_job(context, 0), SCAN, now).is_behind
+
+
+@given("a usage of 60 of 100 bytes that was reported to lapse after 1000 ms")
+def usage_reported(context):
+    context.report, context.standby = UsageReport(), "standby"
+    assert context.report.changes([ServerUsage("scan-1", 60.0, 1_000.0)], "standby", 100.0, 0.0)
+    context.usage, context.at = ServerUsage("scan-1", 60.0, 1_000.0), 0.0
+
+
+@when("the usage is {used:d} bytes {ms:d} ms later")
+def usage_later(context, used, ms):
+    context.usage, context.at = ServerUsage("scan-1", used, 1_000.0), float(ms)
+
+
+@when("another instance is the standby")
+def other_standby(context):
+    context.standby = "other"
+
+
+@then("it {is_} reported again")
+def reported_again(context, is_):
+    sent = context.report.changes([context.usage], context.standby, 100.0, context.at)
+    assert bool(sent) == (is_ == "is"), sent
+
+
+@given("a coordinator with 30 bytes of its own and 40 inherited ones at a server")
+def inherited(context):
+    context.memory = ResultMemory()
+    context.memory.reserve("scan-1", 30.0, until=1_000.0)
+    inherit(context)
+
+
+@when("40 inherited bytes are reported again")
+def inherit(context):
+    context.memory.inherit(ServerUsage("scan-1", 40.0, 1_000.0), 0.0)
+
+
+@then("it reports {own:d} bytes, and {all_:d} if it leaves")
+def reports_bytes(context, own, all_):
+    reported = [context.memory.usages(0.0, everything) for everything in (False, True)]
+    assert [one.used_bytes for (one,) in reported] == [own, all_], reported
+
+
+@when("the server refuses a piece, as {size:d} more bytes are in use")
+def server_refuses(context, size):
+    context.memory.record_full("scan-1", float(size), 0.0, 4_000.0)
+
+
+@then("{number:d} bytes are assumed to be in use")
+def assumed_bytes(context, number):
+    assert context.memory.used_bytes("scan-1", 0.0) == number
+
+
+@given("results at a server that are needed for {needed:d} ms and expire after {ttl:d} ms")
+def needed_results(context, needed, ttl):
+    context.memory = ResultMemory()
+    context.memory.reserve("scan-1", 30.0, until=float(needed))
+    context.memory.record_result("scan-1/1", "scan-1", 30.0, float(ttl))
+
+
+@then("after {ms:d} ms their usage is reported to lapse after {lapse:d} ms")
+def usage_lapses(context, ms, lapse):
+    context.memory.drop_expired(float(ms))
+    (usage,) = context.memory.usages(float(ms), everything=False)
+    assert (usage.used_bytes, usage.lapse_ms) == (30.0, lapse), usage
+
+
+@when("the coordinator of data centre a {ends} after {ms:d} ms")
+def coordinator_ends(context, ends, ms):
+    context.run(context.clock.sleep, float(ms))
+    if ends == "leaves":
+        context.run(context.submitter.leave)
+        context.run(context.clock.sleep, 100.0)
+    else:
+        context.fleet.instances.pop(context.submitter.settings.name).close()
+        context.run(context.clock.sleep, 500.0)
+
+
+@then("its successor counts {fewest:d} to {most:d} bytes as in use")
+def successor_counts(context, fewest, most):
+    staying = [one for one in context.fleet.instances.values() if one is not context.submitter]
+    successor = next(
+        one
+        for one in staying
+        if one.settings.datacentre == "a" and one.fleet.coordinator("scan") is None
+    )
+    memory, now = successor.dispatch.batcher("scan").result_memory, context.clock.now()
+    used = sum(memory.used_bytes(f"scan-a{n}", now) for n in range(5))
+    assert fewest <= used <= most, used
+
+
+@then("between {fewest:d} and {most:d} usages were reported")
+def usages_reported(context, fewest, most):
+    assert fewest <= count(context, "result_usages_sent") <= most, count(
+        context, "result_usages_sent"
+    )
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -48,6 +48,7 @@
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.quarantine.suspicionpersister import SuspicionPersister
+from mountladder.results.usagehandover import UsageHandover
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
@@ -142,6 +143,9 @@
         upstream.connection_share = self.connections.of
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
+        self.handover = UsageHandover(
+            self.fleet, self.dispatch, clock, metrics, lambda: self.settings.reserve_results
+        )
         self.directory.listeners.append(self.pump_batchers)
         self.forwarder = Forwarder(self.make_context(picker))
         applier = PageApplier(
@@ -278,6 +282,7 @@
             self.suspicion_persister.run,
             self.keep_announcing,
             self.keep_checking_reachability,
+            self.handover.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
@@ -302,6 +307,7 @@
     def leave(self) -> None:
         """Begin the shutdown and announce it to the load balancer and the peers."""
         self.shutdown.begin()
+        self.handover.report_all()
         self.fleet.leaving = self.fleet.ranking.leaving = True
         self.fleet.send_heartbeats()
 
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -58,6 +58,11 @@
         "counter",
         "stages that waited since their results would not have been used soon",
     )
+    RESULT_USAGES_SENT = (
+        "result_usages_sent",
+        "counter",
+        "servers whose memory for results was reported to the next coordinator",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
--- a/packages/core/src/mountladder/results/resultmemory.py
+++ b/packages/core/src/mountladder/results/resultmemory.py
@@ -8,6 +8,9 @@
 
 from collections import Counter
 
+from mountladder.results.lapsingbytes import LapsingBytes
+from mountladder.results.serverusage import ServerUsage
+
 
 class ResultMemory:
     """Memory used by the results that one instance had made at the servers of a service.
@@ -19,8 +22,8 @@
         used: The bytes in use at each server, by its name.
         results: Each known result by its handle: the server's name, its size in bytes, and when it
             expires.
-        foreign: The size in bytes of results at a server that seem to be another instance's, with
-            the times when that was detected and when all of them have expired.
+        foreign: The results at a server that seem to be another instance's, by its name.
+        inherited: The results at a server that another coordinator reported, by its name.
         needed_until: Until when the results at a server are expected to be needed, by its name.
         lost: The sizes in bytes of results whose handles were never received, and when they expire,
             by the server's name.
@@ -29,7 +32,8 @@
     def __init__(self) -> None:
         self.used: Counter[str] = Counter()
         self.results: dict[str, tuple[str, float, float]] = {}
-        self.foreign: dict[str, tuple[float, float, float]] = {}
+        self.foreign: dict[str, LapsingBytes] = {}
+        self.inherited: dict[str, LapsingBytes] = {}
         self.needed_until: dict[str, float] = {}
         self.lost: dict[str, list[tuple[float, float]]] = {}
 
@@ -38,12 +42,43 @@
 
         Results of other instances are assumed to disappear linearly until the last one expires.
         """
-        known = self.used[server] + self.lost_bytes(server, now)
-        size, since, until = self.foreign.get(server, (0.0, 0.0, 0.0))
-        if until <= now:
-            self.foreign.pop(server, None)
-            return known
-        return known + size * (until - now) / (until - since)
+        return self.own_bytes(server, now) + sum(
+            known[server].used(now) for known in (self.foreign, self.inherited) if server in known
+        )
+
+    def own_bytes(self, server: str, now: float) -> float:
+        """Return the number of bytes that results of this instance take up at a server."""
+        return self.used[server] + self.lost_bytes(server, now)
+
+    def inherit(self, usage: ServerUsage, now: float) -> None:
+        """Record the memory that another coordinator reports as in use at a server."""
+        self.inherited[usage.server] = LapsingBytes(usage.used_bytes, now, now + usage.lapse_ms)
+        # What a refusal had revealed was the same memory.
+        self.foreign.pop(usage.server, None)
+
+    def usages(self, now: float, everything: bool) -> list[ServerUsage]:
+        """Return the memory in use at each server, to be reported to another instance.
+
+        Args:
+            now: The clock's time.
+            everything: Whether results of other instances are included.
+        """
+        until: Counter[str] = Counter()
+        for server, _, expires in self.results.values():
+            until[server] = max(until[server], expires)
+        # Most results are released when they are not needed any more, and before they expire.
+        until.update({name: at - until[name] for name, at in self.needed_until.items() if at > now})
+        for server, lost in self.lost.items():
+            until[server] = max(until[server], *(one[1] for one in lost))
+        if everything:
+            for server, one in [*self.foreign.items(), *self.inherited.items()]:
+                until[server] = max(until[server], one.until)
+        get = self.used_bytes if everything else self.own_bytes
+        return [
+            ServerUsage(server, get(server, now), at - now)
+            for server, at in until.items()
+            if at > now
+        ]
 
     def record_lost(self, server: str, size: float, until: float) -> None:
         """Record a result that may have been made but whose handle is unknown."""
@@ -68,7 +103,7 @@
             result_ttl_ms: How long a result is kept, in milliseconds.
         """
         if expected_free > 0.0:
-            self.foreign[server] = (expected_free, now, now + result_ttl_ms)
+            self.foreign[server] = LapsingBytes(expected_free, now, now + result_ttl_ms)
 
     def reserve(self, server: str, size: float, until: float = 0.0) -> None:
         """Reserve memory for a result of a call that begins.
@@ -100,3 +135,8 @@
         expired = [handle for handle, (_, _, until) in self.results.items() if until <= now]
         for handle in expired:
             self.release(handle)
+        for known in (self.foreign, self.inherited):
+            for server in [name for name, one in known.items() if one.until <= now]:
+                del known[server]
+        for server in [name for name, until in self.needed_until.items() if until <= now]:
+            del self.needed_until[server]
