--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -22,8 +22,6 @@
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, QueuedPiece, isolate_suspects
 from mountladder.forwarding.piecerate import PieceRate
-from mountladder.forwarding.releaser import Releaser
-from mountladder.forwarding.resultmemory import ResultMemory
 from mountladder.forwarding.stagedemand import StageDemand
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageservers import StageServers
@@ -32,6 +30,11 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.results.inputrelease import InputRelease
+from mountladder.results.releaser import Releaser
+from mountladder.results.resultmemory import ResultMemory
+from mountladder.results.resultreservation import ResultReservation
+from mountladder.results.surplusrelease import SurplusRelease
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
@@ -74,6 +77,7 @@
         limits: Enforces the rate limits that servers announce.
         notices: Receives the notices that answers carry about their servers.
         share_fairly: Whether ranks and teams are kept from starving each other in an overload.
+        reserves_results: Returns whether memory for results is reserved and released early.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         limits: ServerLimits,
         notices: NoticeDispatcher,
         share_fairly: bool = True,
+        reserves_results: Callable[[], bool] = lambda: True,
     ) -> None:
         self.service = service
         self.notices = notices
@@ -107,6 +112,10 @@
         self.result_memory = ResultMemory()
         self.rate = PieceRate(clock)
         self.sharing = ServiceSharing(service, metrics) if share_fairly else None
+        self.reserves_results = reserves_results
+        self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
+        self.surplus = SurplusRelease(self)
+        self.reservation = ResultReservation(catalogue, metrics, reserves_results)
         self.hedged: set[QueuedPiece] = set()
         self.cached_backlog: tuple[float, Backlog] | None = None
         self.releaser = self.make_releaser(division.directory)
@@ -156,6 +165,8 @@
         self.result_memory.drop_expired(now)
         if self.releaser.held and limits is not None:
             self.release_held(limits, now)
+        if limits is not None:
+            self.surplus.check(limits, now)
         if self.queue and limits is not None:
             free = self.servers.free(limits, now)
             if free:
@@ -188,6 +199,7 @@
 
     def release(self, handles: Sequence[str]) -> None:
         """Release results that are no longer needed."""
+        self.surplus.discard(handles)
         self.releaser.release(handles)
 
     def on_released(self, handles: Sequence[str]) -> None:
@@ -228,7 +240,9 @@
             self.servers.max_pieces(state, limits),
             self.servers.slow_pieces(state, usable, len(self.queue), limits, now),
         )
-        chosen = self.queue.choose(state, used_bytes, served_datacentres, limits, now)[:max_pieces]
+        chosen = self.reservation.choose(
+            self.queue, state, used_bytes, served_datacentres, limits, now
+        )[:max_pieces]
         batch = isolate_suspects(chosen, self.quarantine)
         if not batch:
             return
@@ -276,11 +290,16 @@
         """Send a batch to a server in a new greenlet."""
         run = BatchRun(self, state, batch, limits, now)
         self.servers.begin(state, run.call)
-        for progress, _ in batch:
+        self.inputs.call_began(run, len(self.servers.calls[state.server.name]))
+        for progress, fragment in batch:
             progress.begun = True
+            progress.copies[fragment] += 1
             if self.quarantine.needs_own_call(progress.job.fingerprint):
                 self.quarantine.record_sent(progress.job.fingerprint, progress.job.request)
-            self.result_memory.reserve(state.server.name, progress.job.result_bytes)
+            hold_ms = self.reservation.need(progress.job, limits, now).hold_ms
+            self.result_memory.reserve(
+                state.server.name, progress.job.result_bytes, until=now + hold_ms
+            )
         if self.sharing is not None:
             self.sharing.record_call(batch, limits, now)
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -56,6 +56,9 @@
         batch: The pieces.
         limits: The server's batch limits.
         now: The clock's time.
+
+    Attributes:
+        ended: Whether the call has ended.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         )
         expected_ms = limits.expected_ms(len(batch)) * state.time_factor(now)
         self.call = StageCallState(now, expected_ms, len(batch))
+        self.ended = False
 
     def run(self) -> None:
         """Make the call, then settle or requeue its pieces."""
@@ -97,6 +101,7 @@
             self.succeeded(results)
         finally:
             cancel()
+            self.ended = True
             self.batcher.servers.end(self.state, self.call, self.batcher.clock.now())
             self.batcher.pump()
 
@@ -160,8 +165,11 @@
         )
         if PieceFailure.NO_ROOM.value in failed:
             self.batcher.servers.pause(self.state, now + NO_ROOM_PAUSE_MS)
+        for progress, fragment in self.batch:
+            progress.copies[fragment] -= 1
         for waiting, result in zip(self.batch, results, strict=True):
             self.handle_result(waiting, result, now)
+        self.batcher.inputs.call_answered(self, results)
 
     def learn_time(self, ratio: float, now: float) -> None:
         """Update the server's slowness and speed from the ratio of actual to usual time."""
@@ -181,6 +189,7 @@
             self.batcher.result_memory.record_result(
                 result.handle, server, size, now + self.limits.result_ttl_ms
             )
+            self.batcher.releaser.released.forget(result.handle)
         if result.failure is PieceFailure.NO_ROOM:
             # The server did not run the piece, so this counts as no retry. Result sizes are
             # approximate: a call that was to fill the memory may exceed it by about one result.
@@ -193,10 +202,22 @@
             self.repeat(progress, fragment, result)
         elif progress.is_settled(fragment):
             self.batcher.release([result.handle])
+        elif result.failure is PieceFailure.INPUT_GONE:
+            self.input_gone(progress, fragment, result)
         else:
             progress.settle(fragment, replace(result, datacentre=self.state.server.datacentre))
             self.batcher.quarantine.record_answer(progress.job.fingerprint)
 
+    def input_gone(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
+        """Fail the stage of a piece with a missing input, unless another copy of it runs."""
+        if self.batcher.reserves_results() and progress.copies[fragment] > 0:
+            # That copy has fetched its inputs, or finds them missing as well.
+            self.batcher.hedged.discard((progress, fragment))
+            self.batcher.inputs.copy_without_input(progress, fragment)
+        else:
+            self.batcher.inputs.input_missing(progress, fragment)
+            progress.settle(fragment, result)
+
     def failed(self, error: StageError) -> None:
         """Handle a call without an answer: update the server's state and requeue the pieces."""
         now = self.batcher.clock.now()
@@ -225,6 +246,7 @@
         self.report_interruptions(error)
         for progress, fragment in self.batch:
             size, server = progress.job.result_bytes, self.state.server.name
+            progress.copies[fragment] -= 1
             self.batcher.result_memory.unreserve(server, size)
             if error.dispatched:
                 self.batcher.result_memory.record_lost(
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -51,6 +51,7 @@
 from mountladder.performance.speedtable import SpeedTable
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.quarantine.suspicionpersister import SuspicionPersister
+from mountladder.results.usagehandover import UsageHandover
 from mountladder.routing.costmodel import CostModel
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
@@ -146,6 +147,9 @@
         upstream.connection_share = self.connections.of
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
+        self.handover = UsageHandover(
+            self.fleet, self.dispatch, clock, metrics, lambda: self.settings.reserve_results
+        )
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
@@ -236,7 +240,7 @@
 
     def make_batcher(self, service: str) -> Batcher:
         """Return a new batcher of a service."""
-        return Batcher(
+        batcher = Batcher(
             service,
             self.follower,
             self.fleet.division,
@@ -250,7 +254,11 @@
             self.limits,
             self.notices,
             self.settings.share_fairly,
+            lambda: self.settings.reserve_results,
         )
+        batcher.inputs.release = self.dispatch.fetched_releases.send
+        batcher.reservation.backlogs = self.dispatch.backlogs
+        return batcher
 
     def pump_batchers(self) -> None:
         """Have every batcher send the pieces that the current servers can accept."""
@@ -291,6 +299,7 @@
             self.keep_announcing,
             self.keep_checking_reachability,
             self.speed_exchange.run,
+            self.handover.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
@@ -315,6 +324,7 @@
     def leave(self) -> None:
         """Begin the shutdown and announce it to the load balancer and the peers."""
         self.shutdown.begin()
+        self.handover.report_all()
         self.fleet.leaving = self.fleet.ranking.leaving = True
         self.fleet.send_heartbeats()
 
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -43,6 +43,32 @@
         "counter",
         "stage pieces sent in place of those of a team over its share",
     )
+    EARLY_RELEASES = ("early_releases", "counter", "stages whose inputs were released once fetched")
+    EARLY_RELEASES_NEEDED = (
+        "early_releases_needed",
+        "counter",
+        "stages that failed since inputs released once fetched were needed again",
+    )
+    EARLY_RELEASED_RESULTS = (
+        "early_released_results",
+        "counter",
+        "results released at their servers before the stage that read them was done",
+    )
+    COPIES_WITHOUT_INPUT = (
+        "copies_without_input",
+        "counter",
+        "copies of late pieces that found an input missing while the other copy ran",
+    )
+    STAGES_HELD_BACK = (
+        "stages_held_back",
+        "counter",
+        "stages that waited since their results would not have been used soon",
+    )
+    RESULT_USAGES_SENT = (
+        "result_usages_sent",
+        "counter",
+        "servers whose memory for results was reported to the next coordinator",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
