--- a/packages/core/src/mountladder/forwarding/service.py
+++ b/packages/core/src/mountladder/forwarding/service.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.continuation.backuplimits import BackupLimits
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.prompttransfer import PromptTransfer
 
@@ -26,6 +27,8 @@
         batch: The batch limits of a service that runs stages, or None.
         cold_ms: How long a server is cold after its start, in milliseconds.
         cold_per_s: How many requests per second a cold server tolerates, or 0 for no limit.
+        backups: The cost of copies of a run's cache at another of its model servers, or None if
+            they keep none.
     """
 
     name: str
@@ -36,3 +39,4 @@
     transfer: PromptTransfer | None = None
     cold_ms: float = 0.0
     cold_per_s: float = 0.0
+    backups: BackupLimits | None = None
