Continuation: the placement coordinator chooses the server of a copy

The coordinator knows the prompts of all servers. It chooses the least loaded other server in the data centre of the instance that asks, within a tenth of the server's cache, counts the tokens until the prompt ends, and those of an instance that is gone for as long as servers keep them. Orders without wants_backup, and services without copies, are placed as before.

--- a/packages/core/src/mountladder/forwarding/pickedserver.py
+++ b/packages/core/src/mountladder/forwarding/pickedserver.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.configuration.backendserver import BackendServer
 from mountladder.routing.choice import Choice
 
 
@@ -21,6 +22,7 @@
         source: The address of the server to fetch cached prompt parts from, or an empty string.
         prefill_tokens: The number of prompt tokens that the server is expected to prefill.
         ready_at: When a server that limits its request rate accepts the request.
+        backup: The server to keep a copy of the request's cache, or None.
     """
 
     choice: Choice
@@ -28,3 +30,4 @@
     source: str = ""
     prefill_tokens: int = 0
     ready_at: float = 0.0
+    backup: BackendServer | None = None
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -12,6 +12,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.continuation.backupplacement import BackupPlacement
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.directory import Directory
@@ -48,6 +49,7 @@
     Attributes:
         placed: The prompts on servers, by owner and order number.
         prefilling: Keys of the placed prompts whose prefill has not finished.
+        backups: Chooses the servers that keep copies of prompts' caches.
         retry_schedules: Assigns retry times to rejected requests, by service.
     """
 
@@ -67,16 +69,18 @@
         self.cold = cold
         self.limits = limits
         self.placement = PromptPlacement(clock, router)
+        self.backups = BackupPlacement(self.placement, clock)
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
 
-    def place(self, order: PlacementOrder, owner: Hashable) -> PlacementReply:
+    def place(self, order: PlacementOrder, owner: Hashable, datacentre: str = "") -> PlacementReply:
         """Choose a server for a prompt and record the prompt as sent to it.
 
         Args:
             order: The prompt and the constraints on its server.
             owner: Identifies the instance that sends the prompt.
+            datacentre: The data centre of that instance.
         """
         servers = self.directory.available(order.service)
         topic = prompts_topic(order.service)
@@ -100,9 +104,15 @@
         )
         self.prefilling.add(key)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
-        wait_ms = delays.waits_ms.get(server, 0.0)
+        service = self.follower.service(order.service)
         return PlacementReply(
-            order.number, server, choice.expected_ms, plan.source, plan.prefill_tokens, wait_ms
+            order.number,
+            server,
+            choice.expected_ms,
+            plan.source,
+            plan.prefill_tokens,
+            wait_ms=delays.waits_ms.get(server, 0.0),
+            backup=self.backups.place(key, order, server, servers, service, datacentre),
         )
 
     def choose(
@@ -150,6 +160,7 @@
             self.trip_breaker(placed.server)
         if note.ended:
             del self.placed[key]
+            self.backups.end(key)
             self.placement.record_end(placed.server)
 
     def trip_breaker(self, server: str) -> None:
@@ -188,5 +199,6 @@
 
     def forget_owner(self, owner: Hashable) -> None:
         """Remove the prompts of an instance that is no longer reachable."""
+        self.backups.lapse(owner)
         for key in [key for key in self.placed if key[0] == owner]:
             self.apply_note(PlacementNote(key[1], 0.0, True), owner)
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -84,11 +84,12 @@
             constraints.site,
             constraints.max_wait_ms,
             constraints.urgency,
+            constraints.wants_backup,
         )
 
     def place_order(self, order: PlacementOrder) -> PlacementReply:
         """Carry out a placement order on this instance."""
-        reply = self.coordinator.place(order, LOCAL_OWNER)
+        reply = self.coordinator.place(order, LOCAL_OWNER, self.fleet.membership.me.datacentre)
         if reply.server:
             self.placed_by[order.number] = None
         return reply
@@ -133,7 +134,8 @@
 
     def handle_order(self, order: PlacementOrder, link: Link) -> None:
         """Place a prompt for another instance and send the reply."""
-        self.fleet.send_later(link, self.coordinator.place(order, id(link)))
+        reply = self.coordinator.place(order, id(link), link.peer.datacentre)
+        self.fleet.send_later(link, reply)
 
     def handle_reply(self, reply: PlacementReply, link: Link) -> None:
         """Pass a reply to the request that waits for it."""
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -242,7 +242,12 @@
         load_factor = state.load_factor(now)
         choice = Choice(state, expected_ms, expected_ms, load_factor, len(servers), compared)
         return PickedServer(
-            choice, reply.number, reply.source, reply.prefill_tokens, now + reply.wait_ms
+            choice,
+            reply.number,
+            reply.source,
+            reply.prefill_tokens,
+            now + reply.wait_ms,
+            servers.get(reply.backup),
         )
 
     def unusable(self, servers: Iterable[BackendServer]) -> frozenset[str]:
--- a/packages/core/src/mountladder/routing/serverconstraints.py
+++ b/packages/core/src/mountladder/routing/serverconstraints.py
@@ -19,12 +19,14 @@
         site: The data centre where its large inputs are stored, or an empty string.
         max_wait_ms: How long it can wait for a rate-limited server, in milliseconds.
         urgency: Its rank; 0 is the most urgent.
+        wants_backup: Whether a second server is to keep a copy of its cache.
     """
 
     excluded: frozenset[str] = frozenset()
     site: str = ""
     max_wait_ms: float = 0.0
     urgency: int = 0
+    wants_backup: bool = False
 
     def without(self, names: Iterable[str]) -> ServerConstraints:
         """Return the same constraints with more servers excluded."""
