Continuation: copies in the calls to backend servers

Calls carry the server of the copy (Mountladder-Kv-Backup) or the copy to continue from (Kv-From); a copy is freed with DELETE /mountladder/kv-handle/ID. Upstream.reaches tells a silent server from one that cannot be reached. A call passes out a function that breaks its connection: closing a socket from another task would not wake the reader, and after a shutdown an answer without a length looks whole, so that the connection remembers that it was broken from here. In-memory servers keep copies, may fall silent and may be unreachable.

--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -25,8 +25,12 @@
         last_event_id: The id of the last event that the caller has, or an empty string.
         may_reuse_connection: Whether it may be sent on an idle connection that was kept open.
         source: The address of the server to fetch cached prompt parts from, or an empty string.
+        backup: The address of the server that keeps a copy of the run's cache, or an empty string.
+        copy: The handle of the copy to continue from, or an empty string.
         on_notices: Called with the server, the notices in its answer and the time of the request.
         connected: Called when the connection is open, before the request is written.
+        watch: Called then with a function that breaks the connection, so that waiting for the
+            answer or reading it fails.
     """
 
     request: ForwardRequest
@@ -36,5 +40,8 @@
     last_event_id: str = ""
     may_reuse_connection: bool = True
     source: str = ""
+    backup: str = ""
+    copy: str = ""
     on_notices: NoticeHandler = lambda server, notices, sent_at: None
     connected: Callable[[], None] = lambda: None
+    watch: Callable[[Callable[[], None]], None] = lambda break_connection: None
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -80,6 +80,20 @@
             on_notices: Called with the notices in the answer; see ForwardCall.
         """
 
+    @abstractmethod
+    def reaches(self, server: BackendServer) -> bool:
+        """Return whether a connection to a server can be opened."""
+
+    @abstractmethod
+    def free_copy(self, server: BackendServer, request: str, on_notices: NoticeHandler) -> None:
+        """Free the copy of a request's cache at a server; failures are ignored.
+
+        Args:
+            server: The server that keeps the copy.
+            request: The id of the request.
+            on_notices: Called with the notices in the answer; see ForwardCall.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close every connection."""
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -65,6 +65,12 @@
         leaving: The names of servers that announce in their answers that they are leaving.
         refuse_every: A server refuses one of this many requests, by name.
         backoff_ms: The back-off that servers announce in a refusal, in milliseconds, by name.
+        copies: The copies of requests' caches, as the address of their server and the request's id.
+        without_copies: The names of servers that have no room for copies.
+        freed_copies: The copies that were freed by request, in order.
+        continued: The name of the server and the call of each request that continued from a copy.
+        silent: The names of servers that run requests but send no more events.
+        unreachable: The names of servers to which no connection can be opened any more.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -85,6 +91,12 @@
         self.leaving: set[str] = set()
         self.refuse_every: dict[str, int] = {}
         self.backoff_ms: dict[str, float] = {}
+        self.copies: set[tuple[str, str]] = set()
+        self.without_copies: set[str] = set()
+        self.freed_copies: list[tuple[str, str]] = []
+        self.continued: list[tuple[str, ForwardCall]] = []
+        self.silent: set[str] = set()
+        self.unreachable: set[str] = set()
 
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
         """Run a request; see Upstream."""
@@ -94,6 +106,7 @@
         self.check_refusal(server, call.on_notices)
         self.check_connection(server)
         call.connected()
+        self.check_copy(server, call)
         self.runs[call.request.id].append(server.name)
         if fault is ServerFault.SILENT:
             self.clock.sleep(limit_ms)
@@ -103,9 +116,35 @@
             raise StageError("", Code.STREAM_CUT)
         call.on_notices(server, self.notices(server), sent_at)
         answer = self.answer(server, call, fault)
+        answer.headers = (("X-Server", server.name),)
+        call.watch(answer.shut_down.set)
         self.answers.append(answer)
         return answer
 
+    def check_copy(self, server: BackendServer, call: ForwardCall) -> None:
+        """Keep the copy that a request asks for, and look for the one that it continues from.
+
+        Raises:
+            StageError: The server does not have the copy.
+        """
+        if call.backup:
+            self.copies.add((call.backup, call.request.id))
+        if not call.copy:
+            return
+        self.continued.append((server.name, call))
+        address, _, id_ = call.copy.rpartition("/")
+        has_copy = (address, id_) in self.copies and server.name not in self.without_copies
+        if address != server.address or not has_copy:
+            raise StageError("the server has no copy", Code.SERVER_FULL, False)
+
+    def reaches(self, server: BackendServer) -> bool:
+        """Return whether a connection to a server can be opened; see Upstream."""
+        return not self.has_crashed(server) and server.name not in self.unreachable
+
+    def free_copy(self, server: BackendServer, request: str, on_notices: NoticeHandler) -> None:
+        """Free the copy of a request's cache; see Upstream."""
+        self.freed_copies.append((server.name, request))
+
     def notices(self, server: BackendServer) -> tuple[Notice, ...]:
         """Return the notices that a server's answers carry."""
         limit = RateLimit(self.limits.get(server.name, UNLIMITED))
@@ -166,7 +205,7 @@
         Raises:
             StageError: The server has crashed.
         """
-        if self.has_crashed(server):
+        if self.has_crashed(server) or server.name in self.unreachable:
             raise StageError("connection refused", Code.CONNECT_FAILED, False)
 
     def refuses(self, server: BackendServer) -> bool:
@@ -191,7 +230,10 @@
                 events = [events[0], events[1] + b"id: 3\nda"]
             cut = fault is ServerFault.CUT
             has_crashed = partial(self.has_crashed, server)
-            return LocalAnswer(self.clock, 200, signed, events, EVENT_MS, cut, has_crashed)
+            is_silent = partial(self.silent.__contains__, server.name)
+            return LocalAnswer(
+                self.clock, 200, signed, events, EVENT_MS, cut, has_crashed, is_silent
+            )
         return LocalAnswer(self.clock, 200, signed, [server.name.encode()])
 
     def run_pieces(
