Continuation: broken streams continue at the server that has their copy

StreamRun asks for a copy with its placement. When the stream breaks, its server is known to have crashed, its data centre is cut off, or it is silent for long and cannot be reached, the connection is closed, and the same request is sent to the server of the copy with Kv-From and the id of the last event that was passed on. This counts against the retry budget and is done once. If it is not possible, the stream ends incomplete as before, and its copy is freed. Log lines say what was decided and why; continue_streams = false restores the previous behaviour.

--- /dev/null
+++ b/features/steps/continuation_steps.py
@@ -0,0 +1,508 @@
+# continuation_steps.py -- Steps about streams that continue from copies
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about streams that continue from copies."""
+
+import json
+import random
+from dataclasses import replace
+
+import gevent
+from behave import given, then, when
+from forward_steps import SETTLE_MS, events
+from forwardbasics import catalogue, placement_coordinator, request, serve
+from mountladder_platform.decoding import decode_catalogue
+from platform_steps import TIMEOUT_MS, listen, make_call, make_upstream, receive_request
+
+from mountladder.clocks.virtualclock import VirtualClock
+from mountladder.continuation.backuplimits import BackupLimits
+from mountladder.continuation.backupplacement import BackupPlacement
+from mountladder.continuation.backuppolicy import BackupPolicy
+from mountladder.continuation.streampace import StreamPace
+from mountladder.errors import StageError
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.prompt import Prompt
+from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.serverrecord import listed_server
+from mountladder.forwarding.service import Service
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspicion import Suspicion
+from mountladder.routing.costmodel import CostModel
+from mountladder.routing.expectedcompletion import ExpectedCompletion
+from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.router import Router
+from mountladder_entry.callergone import CallerGoneError
+from mountladder_standins.serverfault import ServerFault
+
+TOKEN_BYTES = 262_144.0
+LIMITS = BackupLimits(TOKEN_BYTES, 10_000.0, 4_000.0)
+PARTS = (PromptPart("shared", 600), PromptPart("own", 100))
+PROMPTS = {
+    "narration": Prompt(700, 280, PARTS),
+    "brief": Prompt(9_200, 52, PARTS),
+    "resumable": Prompt(700, 280, PARTS),
+}
+PATHS = {"narration": "/stream/1", "brief": "/stream/1", "resumable": "/resumable/1"}
+# The stand-in sends its first event 50 ms after a request, and the others 10 ms apart.
+BREAK_MS = 55.0
+SILENT_MS = 75.0
+LOSS_SEEN_MS = 100.0
+# Enough prompts at the other servers that the coordinator prefers the wanted one.
+MANY_PROMPTS = 50
+# The placement of a prompt by another instance takes some milliseconds.
+PLACEMENT_MS = 5.0
+
+
+@given("a fleet whose model servers {keep} copies")
+def fleet_with_copies(context, keep):
+    fleet = context.fleet
+    plain = catalogue(1)
+    backups = LIMITS if keep == "keep" else None
+    service = Service("llm", 100, 8, 280_740, backups=backups)
+    fleet.configure(replace(plain, services={**plain.services, "llm": service}))
+    for name in ("a-1", "b-1"):
+        fleet.start(name)
+    fleet.add_server("llm-1", "llm", "a")
+    fleet.add_server("llm-2", "llm", "b")
+    context.run(context.clock.sleep, SETTLE_MS)
+    context.plans = []
+    context.calls = []
+    context.open_answers = []
+    record_calls(context)
+
+
+def record_calls(context):
+    """Record each call, and how many answers were still open when it continued a stream."""
+    upstream = context.fleet.upstream
+    plain_open, plain_free = upstream.open, upstream.free_copy
+
+    def open_(server, call, limit_ms):
+        context.calls.append((server.name, call))
+        if call.copy:
+            context.open_answers.append(sum(not one.closed for one in upstream.answers))
+        return plain_open(server, call, limit_ms)
+
+    def free_copy(server, id_, on_notices):
+        context.open_answers.append(sum(not one.closed for one in upstream.answers))
+        plain_free(server, id_, on_notices)
+
+    upstream.open, upstream.free_copy = open_, free_copy
+
+
+@given("server {name} of data centre {datacentre} may get copies too")
+def third_server(context, name, datacentre):
+    context.fleet.add_server(name, "llm", datacentre)
+    context.run(context.clock.sleep, SETTLE_MS)
+    placement_load(context, name)
+
+
+@given("server {name} runs it first")
+def first_server(context, name):
+    for other in {"llm-1", "llm-2"} - {name}:
+        placement_load(context, other)
+
+
+def placement_load(context, server):
+    for instance in context.fleet.instances.values():
+        placement_coordinator(instance).placement.running_prompts[server] = MANY_PROMPTS
+
+
+@given("the first server is {name} and it breaks off within the third event")
+def first_breaks(context, name):
+    first_server(context, name)
+    context.fleet.upstream.faults[name] = ServerFault.CUT
+
+
+@given("the first server is {name} and it breaks off after the last event")
+def first_breaks_late(context, name):
+    first_server(context, name)
+    upstream = context.fleet.upstream
+    plain = upstream.answer
+
+    def answer(server, call, fault):
+        found = plain(server, call, fault)
+        found.cut = server.name == name
+        return found
+
+    upstream.answer = answer
+
+
+@given("the first server is {name} and it crashes after {ms:d} ms")
+def first_crashes(context, name, ms):
+    first_server(context, name)
+    context.plans.append((float(ms), lambda: crash(context, name)))
+
+
+def crash(context, name):
+    context.fleet.upstream.crash(context.fleet.instances["a-1"].directory.find(name))
+
+
+@given("the first server is {name} and it is silent, and {loss}")
+def first_silent(context, name, loss):
+    first_server(context, name)
+    instance = context.fleet.instances["a-1"]
+    seen = {
+        "a peer sees its crash": lambda: instance.quarantine.registry.on_server_crashed(name),
+        "its data centre is cut off": lambda: instance.directory.avoid(frozenset({"b"})),
+    }
+    context.plans.append((SILENT_MS, lambda: context.fleet.upstream.silent.add(name)))
+    context.plans.append((LOSS_SEEN_MS, seen[loss]))
+
+
+@given("the first server is {name} and it is silent and unreachable")
+def first_unreachable(context, name):
+    first_server(context, name)
+    upstream = context.fleet.upstream
+    context.plans.append((SILENT_MS, lambda: upstream.silent.add(name)))
+    context.plans.append((SILENT_MS, lambda: upstream.unreachable.add(name)))
+
+
+@given("the first server is {name} and it is silent for {ms:d} ms")
+def first_pauses(context, name, ms):
+    first_server(context, name)
+    silent = context.fleet.upstream.silent
+    context.plans.append((SILENT_MS, lambda: silent.add(name)))
+    context.plans.append((SILENT_MS + ms, lambda: silent.discard(name)))
+
+
+@given("server {name} has no room for copies")
+def no_room(context, name):
+    context.fleet.upstream.without_copies.add(name)
+
+
+@given("server {name} crashes before the break")
+def copy_crashes(context, name):
+    context.plans.append((BREAK_MS, lambda: crash(context, name)))
+
+
+@given("server {name} drains before the break")
+def copy_drains(context, name):
+    def drain():
+        context.fleet.add_server(name, "llm", "a", draining=True)
+
+    context.plans.append((BREAK_MS, drain))
+
+
+@given("the request is barred before the break")
+def barred(context):
+    quarantine = context.fleet.instances["a-1"].quarantine
+
+    def bar():
+        sent = narration(context, "narration")
+        texts = ("desk", sent.method, sent.host, sent.target)
+        fingerprint = quarantine.track(sent.id, texts, sent.body).fingerprint
+        now = context.clock.now()
+        crashes = (ServerCrash("llm-9", 10.0, now, True),)
+        found = Suspicion(fingerprint, "llm", crashes, bars=1, barred_at=now)
+        quarantine.registry.suspicions[fingerprint] = found
+
+    context.plans.append((BREAK_MS, bar))
+
+
+@given("the setting changes before the break")
+def setting_changes(context):
+    context.plans.append((BREAK_MS, lambda: switch(context, "false", "a-1")))
+
+
+@given("the setting continue_streams is {value} at {name}")
+def switch(context, value, name):
+    instance = context.fleet.instances[name]
+    instance.settings = replace(instance.settings, continue_streams=value == "true")
+
+
+def narration(context, kind):
+    return request("r", PATHS[kind], context.clock.now(), prompt=PROMPTS[kind])
+
+
+@when("a {kind} r is sent to {name}")
+def send_kind(context, kind, name):
+    fleet = context.fleet
+
+    def send():
+        for delay_ms, plan in context.plans:
+            context.clock.call_later(delay_ms, plan)
+        serve(context, name, narration(context, kind))
+        # Copies are freed in the background.
+        context.clock.sleep(PLACEMENT_MS)
+
+    plain = fleet.send
+
+    def keep_headers(to, sent):
+        context.answer = plain(to, sent)
+        return context.answer
+
+    fleet.send = keep_headers
+    context.run(send)
+
+
+@when("the caller of narration r to {name} leaves after {ms:d} ms")
+def caller_of_narration_leaves(context, name, ms):
+    def leave():
+        task = gevent.spawn(serve, context, name, narration(context, "narration"))
+        context.clock.sleep(float(ms))
+        task.kill(CallerGoneError())
+        context.clock.sleep(PLACEMENT_MS)
+
+    context.run(leave)
+
+
+@then("narration r ends with status {status:d} and events {first:d} to {last:d}")
+def ends_whole(context, status, first, last):
+    assert context.ends["r"][:3] == (status, events(first, last), 0), context.ends["r"]
+
+
+@then("narration r ends incomplete with code {code:d} after events {first:d} to {last:d}")
+def ends_incomplete(context, code, first, last):
+    _, body, found, how, _ = context.ends["r"]
+    assert (body, found, how) == (events(first, last), code, "broken"), context.ends["r"]
+
+
+@then('it continued at {name} from the copy of its run after event "{last}"')
+@then('it continued at {name} from the copy of its run after event ""')
+def continued_at(context, name, last=""):
+    ((server, call),) = context.fleet.upstream.continued
+    assert (server, call.copy, call.last_event_id) == (name, f"{name}/r", last), call
+    assert call.request.id == "r" and call.backup == ""
+    first = context.calls[0][1]
+    assert (first.backup, first.copy) == (name, ""), first
+
+
+@then("it was sent to {names}")
+def sent_to(context, names):
+    arrivals = context.fleet.upstream.arrivals["r"]
+    assert arrivals == names.split(", "), arrivals
+
+
+@then("every earlier connection was closed before it continued")
+@then("the connection was closed before the copy was freed")
+def closed_before(context):
+    assert context.open_answers == [0], context.open_answers
+
+
+@then("its answer has the headers of {name}")
+def headers_of(context, name):
+    assert context.answer.headers == (("X-Server", name),), context.answer.headers
+
+
+@then("instance {name} counts {copies:d} copies and {continued:d} continued")
+def counts_copies(context, name, copies, continued):
+    counts = context.fleet.instances[name].metrics.counts
+    assert (counts["copies"], counts["continued"]) == (copies, continued), counts
+    size = round(980 * TOKEN_BYTES) * copies
+    assert counts["copied_bytes"] == size, counts
+
+
+@then("instance {name} counts {continued:d} continued and {others:d} not_continued")
+def counts_continued(context, name, continued, others):
+    counts = context.fleet.instances[name].metrics.counts
+    assert (counts["continued"], counts["not_continued"]) == (continued, others), counts
+
+
+@then("it took less than {ms:d} ms")
+def took_less(context, ms):
+    took_ms = context.ended_at["r"] - context.arrived["r"]
+    assert took_ms < ms, took_ms
+
+
+@then("the copies that are freed by request are {names}")
+def freed(context, names):
+    expected = [] if names == "none" else [(one, "r") for one in names.split(", ")]
+    assert context.fleet.upstream.freed_copies == expected, context.fleet.upstream.freed_copies
+
+
+@then("none of its calls continued from a copy")
+def none_continued(context):
+    assert not any(call.copy for _, call in context.calls), context.calls
+
+
+@then("{number:d} of its calls asked for a copy")
+def asked_for_copy(context, number):
+    assert sum(bool(call.backup) for _, call in context.calls) == number, context.calls
+
+
+@then("no stream is watched at {name}")
+def none_watched(context, name):
+    assert not context.fleet.instances[name].continuations.watched
+
+
+@given("a prompt of {prompt:d} tokens and at most {output:d} of output, with {mbps:d} Mbit/s")
+def prompt_of(context, prompt, output, mbps):
+    context.prompt = Prompt(prompt, output, PARTS)
+    context.limits = BackupLimits(TOKEN_BYTES, mbps, 4_000.0)
+
+
+@given("streams of its route that had {number:d} events over {ms:d} ms")
+def streams_before(context, number, ms):
+    context.pace = StreamPace()
+    for _ in range(5):
+        context.pace.learn(context.prompt.max_output, number, float(ms))
+
+
+@then("it is {wanted} a copy")
+def is_wanted(context, wanted):
+    decision = BackupPolicy().decide(context.prompt, context.limits, context.pace)
+    assert decision.wanted == (wanted == "worth"), decision
+
+
+@given("model servers {names} with {tokens:d} tokens of cache")
+def model_servers(context, names, tokens):
+    context.placement_clock = VirtualClock()
+    costs, policy = CostModel(), ExpectedCompletion()
+    rng, metrics = random.Random(1), MemoryMetrics()
+    router = Router(context.placement_clock, rng, costs, policy, metrics, "a", 3.0)
+    context.servers = [
+        listed_server(name, "llm", name, name[0], 8, False) for name in names.split(", ")
+    ]
+    context.service = Service("llm", 100, 8, tokens, backups=LIMITS)
+    placement = PromptPlacement(context.placement_clock, router)
+    context.placement = BackupPlacement(placement, context.placement_clock)
+
+
+@given("server {name} is out of use there")
+def out_of_use(context, name):
+    server = next(one for one in context.servers if one.name == name)
+    context.placement.placement.router.mark_crashed(server)
+
+
+def place_copy(context, number, tokens, datacentre, first, excluded=()):
+    prompt = Prompt(tokens - 100, 100, PARTS)
+    order = PlacementOrder(number, "llm", prompt, tuple(excluded), "", wants_backup=True)
+    key = ("a peer", number)
+    servers, service = context.servers, context.service
+    return context.placement.place(key, order, first, servers, service, datacentre) or "none"
+
+
+@when(
+    "a copy of {tokens:d} tokens is placed for an instance in {datacentre}, run by {first}, "
+    "not at {excluded}"
+)
+@when(
+    "a copy of {tokens:d} tokens is placed for an instance in {datacentre}, run by {first}, not at "
+)
+def place_one(context, tokens, datacentre, first, excluded=""):
+    context.placed_at = [place_copy(context, 1, tokens, datacentre, first, [excluded])]
+
+
+@when(
+    "{number:d} copies of {tokens:d} tokens are placed for an instance in {where}, run by {first}"
+)
+def place_several(context, number, tokens, where, first):
+    begin = len(context.placement.copies) + 1
+    numbers = range(begin, begin + number)
+    context.placed_at = [place_copy(context, n, tokens, where, first) for n in numbers]
+
+
+@when("the prompt of copy {number:d} ends")
+def copy_ends(context, number):
+    context.placement.end(("a peer", number))
+
+
+@when("the instance is gone for {ms:d} ms")
+def instance_gone(context, ms):
+    context.placement.lapse("a peer")
+    clock = context.placement_clock
+    clock.run(gevent.spawn(clock.sleep, float(ms)))
+
+
+@then("its server is {name}")
+@then("their servers are {name}")
+def placed_at(context, name):
+    assert context.placed_at == name.split(", "), context.placed_at
+
+
+@when('a request with a copy at "{backup}" is sent to it, continuing from "{copy}"')
+def send_with_copy(context, backup, copy):
+    call = replace(make_call(context, "r1"), backup=backup, copy=copy)
+    context.upstream.open(context.server, call, TIMEOUT_MS).read(TIMEOUT_MS)
+
+
+@then('the server gets "{name}" "{value}" and "{other}" "{handle}"')
+def gets_headers(context, name, value, other, handle):
+    ((head, _),) = context.received_requests
+    lines = head.decode().split("\r\n")
+    assert f"{name}: {value}" in lines and f"{other}: {handle}" in lines, lines
+
+
+@when('the copy of request "{id_}" is freed there')
+def free_copy(context, id_):
+    context.upstream.free_copy(context.server, id_, lambda server, notices, sent_at: None)
+
+
+@then('the server gets the request line "{line}"')
+def gets_line(context, line):
+    ((head, _),) = context.received_requests
+    assert head.decode().split("\r\n")[0] == line, head
+
+
+HALVES = {
+    "with a length": (b"Content-Length: 10\r\n", b"hello"),
+    "without a length": (b"", b"hello"),
+    "in chunks": (b"Transfer-Encoding: chunked\r\n", b"5\r\nhello\r\n"),
+}
+
+
+@given("a backend server that sends half of an answer {framing} and then nothing")
+def half_answer(context, framing):
+    header, half = HALVES[framing]
+    head = b"HTTP/1.1 200 X\r\nMountladder-Request-Id: r1\r\nMountladder-Server-Stamp: s\r\n"
+
+    def handle(connection, address):
+        receive_request(connection, b"")
+        connection.sendall(head + header + b"\r\n" + half)
+        gevent.sleep(2.0)
+
+    make_upstream(context, listen(context, handle))
+
+
+@when("its connection is broken from here after {ms:d} ms while the answer is read")
+def broken_from_here(context, ms):
+    clock = context.upstream.clock
+    breaks = []
+    call = replace(make_call(context, "r1"), watch=breaks.append)
+    answer = context.upstream.open(context.server, call, TIMEOUT_MS)
+    gevent.spawn_later(ms / 1000, breaks[0])
+    began = clock.now()
+    try:
+        context.read = answer.read(1_000.0)
+    except StageError as error:
+        context.read = error
+    context.read_ms = clock.now() - began
+
+
+@then("reading ends with code {code:d} within {ms:d} ms")
+def reading_ends(context, code, ms):
+    assert isinstance(context.read, StageError), context.read
+    assert context.read.code.number == code and context.read_ms < ms, (
+        context.read,
+        context.read_ms,
+    )
+
+
+@then("it can be reached")
+def can_be_reached(context):
+    assert context.upstream.reaches(context.server)
+
+
+@then("it cannot be reached")
+def cannot_be_reached(context):
+    assert not context.upstream.reaches(context.server)
+
+
+@when("a service with the engine {engine} is decoded")
+def decode_engine(context, engine):
+    services = [{"name": "s", "engine": json.loads(engine)}]
+    encoded = json.dumps({"version": 1, "services": services}).encode()
+    context.backups = decode_catalogue(encoded).services["s"].backups
+
+
+@then("its copies are {copies}")
+def decoded_copies(context, copies):
+    found = context.backups
+    text = (
+        f"{found.token_bytes:.0f} bytes, {found.link_mbps:.0f}, {found.handle_ms:.0f}"
+        if found
+        else "none"
+    )
+    assert text == copies, text
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from mountladder.clocks.clock import Clock
+from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.fetchtime import FetchTime
 from mountladder.forwarding.serverpicker import ServerPicker
@@ -42,6 +43,7 @@
         fetch_time: Estimates when servers have fetched stage results.
         quarantine: Tracks requests during which servers crash.
         notices: Applies the notices that servers send with their answers.
+        continuations: The streams that can continue from copies.
     """
 
     clock: Clock
@@ -57,3 +59,4 @@
     fetch_time: FetchTime
     quarantine: QuarantineService
     notices: NoticeDispatcher
+    continuations: Continuations
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -14,6 +14,7 @@
 import gevent
 
 from mountladder.clocks.clock import Clock
+from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
@@ -143,6 +144,15 @@
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.directory.listeners.append(self.pump_batchers)
+        self.continuations = Continuations(
+            lambda: self.settings.continue_streams,
+            self.follower,
+            self.directory,
+            self.router,
+            upstream,
+            self.notices.dispatch,
+            clock,
+        )
         self.forwarder = Forwarder(self.make_context(picker))
         applier = PageApplier(
             self.tables, self.follower, self.directory, self.fleet.era_tracker, clock
@@ -181,6 +191,7 @@
         server = self.directory.find(name)
         if server is not None:
             self.router.mark_crashed(server)
+        self.continuations.handle_crash(name)
 
     def make_context(self, picker: ServerPicker) -> ForwardContext:
         """Return the state that forwarded requests share."""
@@ -198,6 +209,7 @@
             fetch_time=FetchTime(),
             quarantine=self.quarantine,
             notices=self.notices,
+            continuations=self.continuations,
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -95,6 +95,11 @@
         """Return the name of the team, or an empty string."""
         return self.caller.team if self.caller else ""
 
+    @property
+    def wants_backup(self) -> bool:
+        """Return whether a second server is to keep a copy of the request's cache."""
+        return False
+
     def remaining_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
         return self.deadline - self.context.clock.now()
@@ -194,8 +199,11 @@
         last_event_id: str,
         limit_ms: float,
         connected: Callable[[], None] = lambda: None,
+        watch: Callable[[Callable[[], None]], None] = lambda break_connection: None,
+        copy: str = "",
     ) -> UpstreamAnswer:
         """Send the request to an attempt's server and return the answer once its head is there."""
+        backup = attempt.picked.backup
         call = ForwardCall(
             request=self.request,
             team=self.team,
@@ -206,6 +214,9 @@
             source=attempt.picked.source,
             on_notices=self.context.notices.dispatch,
             connected=connected,
+            watch=watch,
+            backup=backup.address if backup else "",
+            copy=copy,
         )
         return self.context.upstream.open(attempt.choice.state.server, call, limit_ms)
 
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -89,7 +89,9 @@
     def pick(self, max_wait_ms: float) -> PickedServer:
         """Choose a server; see ServerPicker."""
         run = self.run
-        constraints = ServerConstraints(run.excluded, run.site, max_wait_ms, run.urgency)
+        constraints = ServerConstraints(
+            run.excluded, run.site, max_wait_ms, run.urgency, run.wants_backup
+        )
         return self.picker.pick(run.request, run.service, run.remaining_ms(), constraints)
 
     def max_wait_ms(self) -> float:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -9,12 +9,17 @@
 from collections.abc import Iterator
 
 from mountladder.code import Code
+from mountladder.continuation.continuation import Continuation
 from mountladder.errors import MountladderError, RunError, StageError
+from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
+from mountladder.forwarding.forwardcontext import ForwardContext
+from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.retryrules import no_retry_error
+from mountladder.forwarding.route import Route
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 
@@ -34,9 +39,25 @@
     after the last complete one.
     """
 
+    def __init__(
+        self,
+        request: ForwardRequest,
+        route: Route,
+        caller: CallerTeam | None,
+        context: ForwardContext,
+    ) -> None:
+        super().__init__(request, route, caller, context)
+        self.splitter = EventSplitter(request.last_event_id)
+        self.continuation = Continuation(self)
+
+    @property
+    def wants_backup(self) -> bool:
+        """Return whether a second server is to keep a copy; see ForwardRun."""
+        return self.continuation.wants_copy
+
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
-        splitter = EventSplitter(self.request.last_event_id)
+        splitter = self.splitter
         try:
             attempt, answer, first = self.open(splitter)
             if answer.status >= SUCCESS_END:
@@ -55,7 +76,7 @@
             # stream that breaks has its stages rerun.
             self.flow.release()
         body = self.events(attempt, answer, splitter, first)
-        return ForwardAnswer(answer.status, answer.headers, body)
+        return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
@@ -78,6 +99,7 @@
         inputs = self.run_stages()
         while True:
             attempt = self.start_attempt()
+            self.continuation.begin(attempt)
             answer = None
             try:
                 answer = self.call(
@@ -86,6 +108,7 @@
                     splitter.last_id,
                     self.first_event_timeout_ms(attempt),
                     self.schedule_release,
+                    self.continuation.connected,
                 )
                 if answer.status >= SUCCESS_END:
                     return attempt, answer, b""
@@ -94,7 +117,10 @@
                 if answer is not None:
                     answer.close()
                 self.cancel_release()
-                self.failed(attempt, error)
+                try:
+                    self.failed(attempt, error)
+                except MountladderError as problem:
+                    return self.continuation.reopen(answer, error, splitter, problem)
                 if error.code is Code.RESULT_GONE:
                     self.record_missing_results()
                 inputs = self.run_stages()
@@ -161,9 +187,10 @@
                     answer.close()
                     self.context.picker.finished(attempt.picked)
                     active = None
-                    attempt, answer, first = self.resume(attempt, cut, splitter)
+                    attempt, answer, first = self.resume(attempt, answer, cut, splitter)
                     active = attempt
-                    yield first
+                    if first:
+                        yield first
             error = None
             self.tracked.answered()
         except MountladderError as caught:
@@ -192,9 +219,13 @@
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
 
     def resume(
-        self, attempt: ForwardAttempt, cut: StageError, splitter: EventSplitter
+        self,
+        attempt: ForwardAttempt,
+        answer: UpstreamAnswer,
+        cut: StageError,
+        splitter: EventSplitter,
     ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
-        """Resume a broken stream at another server.
+        """Resume a broken stream at another server, or continue it where its copy is.
 
         Raises:
             MountladderError: The stream may not be resumed, or that failed.
@@ -213,7 +244,7 @@
         )
         attempt.choice.state.breaker.fail(self.context.clock.now())
         if problem is not None:
-            raise problem from cut
+            return self.continuation.reopen(answer, cut, splitter, problem)
         self.context.metrics.count(Metric.RESUMED)
         resumed = self.open(splitter)
         if resumed[1].status >= SUCCESS_END:
@@ -235,9 +266,17 @@
             StageError: An event is too long.
         """
         try:
-            return splitter.feed(data)
+            complete = splitter.feed(data)
         except ValueError as error:
             raise StageError(str(error), Code.BAD_ANSWER) from error
+        if complete:
+            self.continuation.record_events()
+        return complete
+
+    def finish(self, error: MountladderError | None = None, status: int = 0) -> None:
+        """Record the outcome of the request, and of its copy; see ForwardRun."""
+        super().finish(error, status)
+        self.continuation.end(self.splitter.events, error is None and status < SUCCESS_END)
 
     def first_event_timeout_ms(self, attempt: ForwardAttempt) -> float:
         """Return the timeout for the first event, in milliseconds."""
