Continuation: coordinators' counts in scenarios, and no work for streams without copies

Scenarios did not show that a placement coordinator subtracts the tokens of a copy when its prompt ends, goes on counting those of an instance that is gone, or that a wait for an answer's head can be broken. Streams whose routes need no copy no longer read the clock at each event.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -113,6 +113,7 @@
     And the copies that are freed by request are none
     And instance a-1 counts 1 copies and 0 continued
     And no stream is watched at a-1
+    And the coordinators count 0 tokens of copies
 
   @forwarding
   Scenario Outline: Only streams that can be neither repeated nor resumed get copies
@@ -184,6 +185,18 @@
     And 1 copies of 600 tokens are placed for an instance in a, run by b-x
     Then their servers are a-x
 
+  @forwarding
+  Scenario: A coordinator goes on counting the copies of an instance that is gone
+    Given a fleet whose model servers keep copies
+    When another instance in a has a narration placed at b-1
+    Then the coordinators count 980 tokens of copies
+    When that instance is gone and 3900 ms go by
+    And another instance in a has a brief placed at b-1
+    Then the coordinators count 10232 tokens of copies
+    When that instance is gone and 200 ms go by
+    And another instance in a has a narration placed at b-1
+    Then the coordinators count 10232 tokens of copies
+
   Scenario: A server that is out of use gets no copies
     Given model servers a-x, a-y, b-x with 10000 tokens of cache
     And server a-x is out of use there
@@ -216,6 +229,7 @@
       | with a length    |
       | without a length |
       | in chunks        |
+      | before its head  |
 
   Scenario: A server can be reached as long as its port accepts connections
     Given a backend server that answers "whole"
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -327,6 +327,29 @@
     assert not context.fleet.instances[name].continuations.watched
 
 
+@when("another instance in {datacentre} has a {kind} placed at {name}")
+def place_for_other(context, datacentre, kind, name):
+    context.number = getattr(context, "number", 0) + 1
+    coordinator = placement_coordinator(context.fleet.instances[name])
+    order = PlacementOrder(context.number, "llm", PROMPTS[kind], (), "", wants_backup=True)
+    coordinator.placement.running_prompts["llm-1"] = MANY_PROMPTS
+    context.run(coordinator.place, order, "a peer", datacentre)
+
+
+@when("that instance is gone and {ms:d} ms go by")
+def other_gone(context, ms):
+    for instance in context.fleet.instances.values():
+        placement_coordinator(instance).forget_owner("a peer")
+    context.run(context.clock.sleep, float(ms))
+
+
+@then("the coordinators count {tokens:d} tokens of copies")
+def count_tokens(context, tokens):
+    coordinators = [placement_coordinator(one) for one in context.fleet.instances.values()]
+    counted = sum(sum(one.backups.tokens.values()) for one in coordinators)
+    assert counted == tokens, counted
+
+
 @given("a prompt of {prompt:d} tokens and at most {output:d} of output, with {mbps:d} Mbit/s")
 def prompt_of(context, prompt, output, mbps):
     context.prompt = Prompt(prompt, output, PARTS)
@@ -440,6 +463,7 @@
     "with a length": (b"Content-Length: 10\r\n", b"hello"),
     "without a length": (b"", b"hello"),
     "in chunks": (b"Transfer-Encoding: chunked\r\n", b"5\r\nhello\r\n"),
+    "before its head": (b"", None),
 }
 
 
@@ -450,7 +474,8 @@
 
     def handle(connection, address):
         receive_request(connection, b"")
-        connection.sendall(head + header + b"\r\n" + half)
+        if half is not None:
+            connection.sendall(head + header + b"\r\n" + half)
         gevent.sleep(2.0)
 
     make_upstream(context, listen(context, handle))
@@ -459,13 +484,11 @@
 @when("its connection is broken from here after {ms:d} ms while the answer is read")
 def broken_from_here(context, ms):
     clock = context.upstream.clock
-    breaks = []
-    call = replace(make_call(context, "r1"), watch=breaks.append)
-    answer = context.upstream.open(context.server, call, TIMEOUT_MS)
-    gevent.spawn_later(ms / 1000, breaks[0])
+    call = make_call(context, "r1")
+    call = replace(call, watch=lambda break_: gevent.spawn_later(ms / 1000, break_))
     began = clock.now()
     try:
-        context.read = answer.read(1_000.0)
+        context.read = context.upstream.open(context.server, call, 1_000.0).read(1_000.0)
     except StageError as error:
         context.read = error
     context.read_ms = clock.now() - began
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -108,6 +108,8 @@
 
     def record_events(self) -> None:
         """Record that whole events arrived."""
+        if self.decision is None:
+            return
         self.last_event_at = self.clock.now()
         if self.first_event_at is None:
             self.first_event_at = self.last_event_at
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -28,7 +28,11 @@
 
 
 def no_retry_error(run: ForwardRun, error: StageError) -> MountladderError | None:
-    """Return the error for the caller if a failed request is not retried, or None if it is."""
+    """Return the error for the caller if a failed request is not retried, or None if it is.
+
+    A stream that may have run is not run again unless its route allows it. Its run may still go on
+    from a copy, which is no retry; see mountladder.continuation.
+    """
     if error.dispatched and not run.route.repeatable:
         code = Code.DEADLINE_PASSED if error.code in _TIMEOUT_CODES else Code.OUTCOME_UNKNOWN
         return RunError(error.detail, code)
