--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -77,6 +77,16 @@
     Then narration r ends with status 200 and events 1 to 6
     And it was sent to llm-2
 
+  @forwarding
+  Scenario: A stream is left to its server while no other one could continue it
+    Given a fleet whose model servers keep copies
+    And the first server is llm-2 and it is silent for 300 ms
+    And the data centre of the first server is cut off meanwhile
+    And server llm-1 drains before the break
+    When a narration r is sent to a-1
+    Then narration r ends with status 200 and events 1 to 6
+    And it was sent to llm-2
+
   @forwarding
   Scenario: A malformed answer is not continued, as its run may be another one
     Given a fleet whose model servers keep copies
@@ -96,6 +106,17 @@
     And none of its calls continued from a copy
     And instance a-1 counts 0 continued and 0 not_continued
 
+  @forwarding
+  Scenario: A request that was refused and is not sent anew has no copy to free
+    Given a fleet whose model servers keep copies
+    And server llm-2 has fault "full"
+    And server llm-2 runs it first
+    And the retry budget is spent
+    When a narration r is sent to a-1
+    Then request r ends with code 2009 as not_run
+    And the copies that are freed by request are none
+    And instance a-1 counts 0 continued and 0 not_continued
+
   @forwarding
   Scenario: The copy of a caller who left is freed after the run was ended
     Given a fleet whose model servers keep copies
@@ -203,6 +224,12 @@
     When 1 copies of 600 tokens are placed for an instance in a, run by b-x
     Then their servers are a-y
 
+  Scenario: The server with the least to do gets the copy
+    Given model servers a-x, a-y, b-x with 10000 tokens of cache
+    And server a-x runs many prompts there
+    When 1 copies of 600 tokens are placed for an instance in a, run by b-x
+    Then their servers are a-y
+
   Scenario: The headers of copies reach the server as the platform names them
     Given a backend server that answers "whole"
     When a request with a copy at "10.0.0.9:80" is sent to it, continuing from "10.0.0.8:80/r1"
@@ -231,6 +258,17 @@
       | in chunks        |
       | before its head  |
 
+  Scenario Outline: An answer whose connection was broken before it is read does not count as whole
+    Given a backend server that sends half of an answer <framing> and then nothing
+    When its connection is broken from here before the answer is read
+    Then reading ends with code 3003 within 250 ms
+
+    Examples:
+      | framing          |
+      | with a length    |
+      | without a length |
+      | in chunks        |
+
   Scenario: A server can be reached as long as its port accepts connections
     Given a backend server that answers "whole"
     Then it can be reached
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -167,6 +167,12 @@
     context.plans.append((SILENT_MS + ms, lambda: silent.discard(name)))
 
 
+@given("the data centre of the first server is cut off meanwhile")
+def first_cut_off(context):
+    directory = context.fleet.instances["a-1"].directory
+    context.plans.append((LOSS_SEEN_MS, lambda: directory.avoid(frozenset({"b"}))))
+
+
 @given("server {name} has no room for copies")
 def no_room(context, name):
     context.fleet.upstream.without_copies.add(name)
@@ -389,6 +395,11 @@
     context.placement.placement.router.mark_crashed(server)
 
 
+@given("server {name} runs many prompts there")
+def runs_many(context, name):
+    context.placement.placement.running_prompts[name] = MANY_PROMPTS
+
+
 def place_copy(context, number, tokens, datacentre, first, excluded=()):
     prompt = Prompt(tokens - 100, 100, PARTS)
     order = PlacementOrder(number, "llm", prompt, tuple(excluded), "", wants_backup=True)
@@ -494,6 +505,22 @@
     context.read_ms = clock.now() - began
 
 
+@when("its connection is broken from here before the answer is read")
+def broken_before(context):
+    clock = context.upstream.clock
+    breaks = []
+    call = replace(make_call(context, "r1"), watch=breaks.append)
+    answer = context.upstream.open(context.server, call, TIMEOUT_MS)
+    gevent.sleep(0.02)
+    breaks[0]()
+    began = clock.now()
+    try:
+        context.read = answer.read(TIMEOUT_MS)
+    except StageError as error:
+        context.read = error
+    context.read_ms = clock.now() - began
+
+
 @then("reading ends with code {code:d} within {ms:d} ms")
 def reading_ends(context, code, ms):
     assert isinstance(context.read, StageError), context.read
