Continuation: shorter functions, and scenarios for the log lines of decisions

The scenarios check the lines copy-decided, stream-continuing and stream-not-continued with the request's id and inputs.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -10,6 +10,8 @@
     And every earlier connection was closed before it continued
     And its answer has the headers of <headers>
     And instance a-1 counts 1 copies and 1 continued
+    And its copy was logged as copied, for 101944889 bytes a second at risk of at most 400000000
+    And its break was logged as stream-continuing
 
     Examples:
       | loss                                         | last | headers |
@@ -48,6 +50,7 @@
     And it was sent to <servers>
     And the copies that are freed by request are <freed>
     And instance a-1 counts 0 continued and 1 not_continued
+    And its break was logged as stream-not-continued
 
     Examples:
       | obstacle                                    | code | servers      | freed        |
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -8,6 +8,7 @@
 import random
 from dataclasses import replace
 
+import eliot
 import gevent
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
@@ -69,6 +70,9 @@
     context.run(context.clock.sleep, SETTLE_MS)
     context.plans = []
     context.calls = []
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.stack.callback(eliot.remove_destination, context.lines.append)
     context.open_answers = []
     record_calls(context)
 
@@ -328,6 +332,27 @@
     assert sum(bool(call.backup) for _, call in context.calls) == number, context.calls
 
 
+def lines_of(context, name):
+    found = [one for one in context.lines if one.get("message_type") == name]
+    assert all(one["request"] == "r" for one in found), found
+    return found
+
+
+@then(
+    "its copy was logged as {outcome}, for {rate:d} bytes a second at risk of at most {maximum:d}"
+)
+def copy_logged(context, outcome, rate, maximum):
+    (line,) = lines_of(context, "copy-decided")
+    found = (line["outcome"], line["bytes_per_s"], line["max_bytes_per_s"], line["samples"])
+    assert found == (outcome, rate, maximum, 0), line
+
+
+@then("its break was logged as {name}")
+def break_logged(context, name):
+    line = (lines_of(context, "stream-continuing") + lines_of(context, "stream-not-continued"))[-1]
+    assert line["message_type"] == name and line["reason"], line
+
+
 @then("no stream is watched at {name}")
 def none_watched(context, name):
     assert not context.fleet.instances[name].continuations.watched
--- a/packages/core/src/mountladder/continuation/backupplacement.py
+++ b/packages/core/src/mountladder/continuation/backupplacement.py
@@ -70,17 +70,10 @@
             return ""
         self.expire()
         tokens = order.prompt.tokens + order.prompt.max_output
+        near = [one for one in servers if one.datacentre == datacentre]
+        unsuitable = {first, *order.excluded}
         room = MAX_CACHE_FRACTION * service.kv_tokens - tokens
-        now = self.clock.now()
-        suitable = [
-            one
-            for one in servers
-            if one.datacentre == datacentre
-            and one.name != first
-            and one.name not in order.excluded
-            and self.tokens[one.name] <= room
-            and self.placement.router.state(one).in_use(now)
-        ]
+        suitable = [one for one in near if one.name not in unsuitable and self.has_room(one, room)]
         if not suitable:
             return ""
         chosen = min(suitable, key=self.load).name
@@ -88,6 +81,11 @@
         self.tokens[chosen] += tokens
         return chosen
 
+    def has_room(self, server: BackendServer, room: float) -> bool:
+        """Return whether a server is in use, with copies of at most a number of tokens."""
+        in_use = self.placement.router.state(server).in_use(self.clock.now())
+        return in_use and self.tokens[server.name] <= room
+
     def load(self, server: BackendServer) -> tuple[float, int]:
         """Return how much a server has to do: its running prompts, then its copies."""
         running = self.placement.running_prompts[server.name]
--- a/packages/core/src/mountladder/continuation/backuppolicy.py
+++ b/packages/core/src/mountladder/continuation/backuppolicy.py
@@ -18,9 +18,10 @@
 # The most bytes that are copied for each second that a stream runs. On a day with many failures
 # about 4 % of the streams break for each second that they run (101 of 906 that ran for 2.5 s), so
 # that at this rate one caller in 10 GB is spared an incomplete answer and a second run, which is
-# 8 s of a link of 10 Gbit/s. Long answers to short prompts need a quarter of the rate. Short
-# answers to long prompts need ten times the rate: a broken one would cost 80 s of such a link,
-# which delays many other callers whose inputs and prompt parts pass the same link.
+# 8 s of a link of 10 Gbit/s. Long answers to short prompts need a quarter of this rate (980 tokens
+# of 262,144 bytes, 2.5 s). Short answers to long prompts need twelve times the rate (9,252 tokens,
+# 0.5 s): one spared caller would cost 120 GB, which delay the many other callers whose inputs and
+# prompt parts pass the same links.
 MAX_BYTES_PER_S = 400e6
 
 
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -13,7 +13,6 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.continuation.serverwatch import ServerWatch
 from mountladder.errors import MountladderError, RefusalError, StageError
-from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardrequest import Headers
 from mountladder.forwarding.pickedserver import PickedServer
@@ -121,19 +120,34 @@
         if self.watch is not None:
             self.watch.stop()
 
+    def recover(
+        self, attempt: ForwardAttempt, answer: UpstreamAnswer | None, error: StageError
+    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes] | None:
+        """Return the continuation of an attempt that failed before its first event.
+
+        Returns:
+            None if the request is to be sent again; otherwise see reopen.
+
+        Raises:
+            MountladderError: The request is not sent again, and cannot continue.
+        """
+        if answer is not None:
+            answer.close()
+        self.run.cancel_release()
+        try:
+            self.run.failed(attempt, error)
+        except MountladderError as problem:
+            return self.reopen(answer, error, problem)
+        return None
+
     def reopen(
-        self,
-        answer: UpstreamAnswer | None,
-        cut: StageError,
-        splitter: EventSplitter,
-        problem: MountladderError,
+        self, answer: UpstreamAnswer | None, cut: StageError, problem: MountladderError
     ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
         """Continue a broken stream at the server that has the copy.
 
         Args:
             answer: The answer of the first server, or None if there was none.
             cut: How the stream broke.
-            splitter: The events that were passed on.
             problem: The error for the caller if the stream cannot continue.
 
         Returns:
@@ -156,8 +170,8 @@
         if obstacle:
             self.fail(obstacle, cut, problem)
         self.used = True
-        attempt = self.start_attempt(cut, splitter)
-        return attempt, *self.send(attempt, splitter, problem)
+        attempt = self.start_attempt(cut)
+        return attempt, *self.send(attempt, problem)
 
     def obstacle(self, cut: StageError) -> str:
         """Return why a broken stream cannot continue, or an empty string if it can.
@@ -183,7 +197,7 @@
             return f"the request is barred: {error.detail}"
         return "" if self.context.budget(run.service).spend() else "the retry budget is spent"
 
-    def start_attempt(self, cut: StageError, splitter: EventSplitter) -> ForwardAttempt:
+    def start_attempt(self, cut: StageError) -> ForwardAttempt:
         """Return the attempt at the server that has the copy."""
         run, now = self.run, self.clock.now()
         state = self.streams.router.state(self.copy)
@@ -196,16 +210,16 @@
             backup=self.copy.name,
             attempt=run.attempts,
             reason=self.reason(cut),
-            last_event_id=splitter.last_id,
+            last_event_id=run.splitter.last_id,
             silent_ms=round(now - self.last_event_at),
         )
         return ForwardAttempt(PickedServer(choice), now, run.attempts)
 
     def send(
-        self, attempt: ForwardAttempt, splitter: EventSplitter, problem: MountladderError
+        self, attempt: ForwardAttempt, problem: MountladderError
     ) -> tuple[UpstreamAnswer, bytes]:
         """Send the request to the server that has the copy; see reopen."""
-        run, answer = self.run, None
+        run, splitter, answer = self.run, self.run.splitter, None
         inputs = run.flow.inputs() if run.flow is not None and run.flow.handles else ()
         handle = f"{self.copy.address}/{run.request.id}"
         try:
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -88,9 +88,8 @@
         chosen = self.choose(order, servers, delays, topic)
         if chosen is None:
             return self.reject(order, servers, delays)
-        choice = chosen.choice
+        choice, plan = chosen.choice, chosen.plan
         server = choice.state.server.name
-        plan = chosen.plan
         ahead = self.placement.pending_tokens[server]
         choice.state.breaker.begin()
         self.cold.record_sent(choice.state.server)
@@ -105,14 +104,15 @@
         self.prefilling.add(key)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
         service = self.follower.service(order.service)
+        backup = self.backups.place(key, order, server, servers, service, datacentre)
         return PlacementReply(
             order.number,
             server,
             choice.expected_ms,
             plan.source,
             plan.prefill_tokens,
-            wait_ms=delays.waits_ms.get(server, 0.0),
-            backup=self.backups.place(key, order, server, servers, service, datacentre),
+            delays.waits_ms.get(server, 0.0),
+            backup,
         )
 
     def choose(
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -57,9 +57,8 @@
 
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
-        splitter = self.splitter
         try:
-            attempt, answer, first = self.open(splitter)
+            attempt, answer, first = self.open(self.splitter)
             if answer.status >= SUCCESS_END:
                 return self.buffered_answer(attempt, answer)
         except MountladderError as error:
@@ -75,7 +74,7 @@
             # The server has fetched the results. Memory for results runs short under load, and a
             # stream that breaks has its stages rerun.
             self.flow.release()
-        body = self.events(attempt, answer, splitter, first)
+        body = self.events(attempt, answer, self.splitter, first)
         return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
@@ -114,13 +113,9 @@
                     return attempt, answer, b""
                 first = self.first_events(attempt, answer, splitter)
             except StageError as error:
-                if answer is not None:
-                    answer.close()
-                self.cancel_release()
-                try:
-                    self.failed(attempt, error)
-                except MountladderError as problem:
-                    return self.continuation.reopen(answer, error, splitter, problem)
+                continued = self.continuation.recover(attempt, answer, error)
+                if continued is not None:
+                    return continued
                 if error.code is Code.RESULT_GONE:
                     self.record_missing_results()
                 inputs = self.run_stages()
@@ -187,7 +182,7 @@
                     answer.close()
                     self.context.picker.finished(attempt.picked)
                     active = None
-                    attempt, answer, first = self.resume(attempt, answer, cut, splitter)
+                    attempt, answer, first = self.resume(attempt, answer, cut)
                     active = attempt
                     if first:
                         yield first
@@ -219,11 +214,7 @@
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
 
     def resume(
-        self,
-        attempt: ForwardAttempt,
-        answer: UpstreamAnswer,
-        cut: StageError,
-        splitter: EventSplitter,
+        self, attempt: ForwardAttempt, answer: UpstreamAnswer, cut: StageError
     ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
         """Resume a broken stream at another server, or continue it where its copy is.
 
@@ -239,14 +230,14 @@
             server=attempt.server,
             code=cut.code.number,
             reason=cut.detail,
-            last_event_id=splitter.last_id,
+            last_event_id=self.splitter.last_id,
             outcome="not resumed" if problem else "resumed",
         )
         attempt.choice.state.breaker.fail(self.context.clock.now())
         if problem is not None:
-            return self.continuation.reopen(answer, cut, splitter, problem)
+            return self.continuation.reopen(answer, cut, problem)
         self.context.metrics.count(Metric.RESUMED)
-        resumed = self.open(splitter)
+        resumed = self.open(self.splitter)
         if resumed[1].status >= SUCCESS_END:
             resumed[1].close()
             self.record_failure(resumed[0], Code.STAGE_FAILED)
