Continuation: scenarios for the requesting instance's data centre, pauses, drains and time left

The data centre of a remote instance comes from its link and was only covered by chance; the pause after which a server is probed, a drain of the first server and the least remaining time were not covered. Each fails a scenario when it is removed.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -16,6 +16,7 @@
     Examples:
       | loss                                         | last | headers |
       | breaks off within the third event            | 2    | llm-2   |
+      | drains, and breaks off in the third event    | 2    | llm-2   |
       | crashes after 20 ms                          |      | llm-1   |
       | crashes after 45 ms                          |      | llm-2   |
       | crashes after 65 ms                          | 2    | llm-2   |
@@ -60,6 +61,7 @@
       | the retry budget is spent                   | 3006 | llm-2        | llm-1        |
       | the request is barred before the break      | 3006 | llm-2        | llm-1        |
       | the setting changes before the break        | 3006 | llm-2        | llm-1        |
+      | the request must be answered within 90 ms   | 3006 | llm-2        | llm-1        |
 
   @forwarding
   Scenario: A stream continues once only
@@ -191,6 +193,28 @@
       | 1000   | a          | b-x   |          | a-x    |
       | 1001   | a          | b-x   |          | none   |
 
+  @forwarding
+  Scenario Outline: A copy is placed for the instance that asks, whichever instance places it
+    Given a fleet whose model servers keep copies
+    And server <first> runs it first
+    When a narration r is sent to <instance>
+    Then its copy was kept at <server>
+
+    Examples:
+      | instance | first | server |
+      | a-1      | llm-2 | llm-1  |
+      | b-1      | llm-1 | llm-2  |
+
+  Scenario Outline: A server is probed only after a pause that is long for its route
+    Given a stream with a copy, of a route whose longest pause is <gap> ms
+    Then its server is probed after a pause of <pause> ms
+
+    Examples:
+      | gap | pause |
+      | 0   | 1000  |
+      | 100 | 1000  |
+      | 500 | 2500  |
+
   Scenario: Copies are spread, and take a tenth of a cache at most until their prompts end
     Given model servers a-x, a-y, b-x with 10000 tokens of cache
     When 4 copies of 600 tokens are placed for an instance in a, run by b-x
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -12,7 +12,7 @@
 import gevent
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
-from forwardbasics import catalogue, placement_coordinator, request, serve
+from forwardbasics import catalogue, placement_coordinator, request, route, serve
 from mountladder_platform.decoding import decode_catalogue
 from platform_steps import TIMEOUT_MS, listen, make_call, make_upstream, receive_request
 
@@ -20,11 +20,13 @@
 from mountladder.continuation.backuplimits import BackupLimits
 from mountladder.continuation.backupplacement import BackupPlacement
 from mountladder.continuation.backuppolicy import BackupPolicy
+from mountladder.continuation.serverwatch import ServerWatch
 from mountladder.continuation.streampace import StreamPace
 from mountladder.errors import StageError
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.routekind import RouteKind
 from mountladder.forwarding.serverrecord import listed_server
 from mountladder.forwarding.service import Service
 from mountladder.metrics.memorymetrics import MemoryMetrics
@@ -54,6 +56,7 @@
 MANY_PROMPTS = 50
 # The placement of a prompt by another instance takes some milliseconds.
 PLACEMENT_MS = 5.0
+ALLOWED_MS = 3_000.0
 
 
 @given("a fleet whose model servers {keep} copies")
@@ -119,6 +122,12 @@
     context.fleet.upstream.faults[name] = ServerFault.CUT
 
 
+@given("the first server is {name} and it drains, and breaks off in the third event")
+def first_drains(context, name):
+    first_breaks(context, name)
+    context.plans.append((BREAK_MS, lambda: drain(context, name, "b")))
+
+
 @given("the first server is {name} and it breaks off after the last event")
 def first_breaks_late(context, name):
     first_server(context, name)
@@ -189,10 +198,11 @@
 
 @given("server {name} drains before the break")
 def copy_drains(context, name):
-    def drain():
-        context.fleet.add_server(name, "llm", "a", draining=True)
+    context.plans.append((BREAK_MS, lambda: drain(context, name, "a")))
+
 
-    context.plans.append((BREAK_MS, drain))
+def drain(context, name, datacentre):
+    context.fleet.add_server(name, "llm", datacentre, draining=True)
 
 
 @given("the request is barred before the break")
@@ -216,6 +226,11 @@
     context.plans.append((BREAK_MS, lambda: switch(context, "false", "a-1")))
 
 
+@given("the request must be answered within {ms:d} ms")
+def answered_within(context, ms):
+    context.allowed_ms = float(ms)
+
+
 @given("the setting continue_streams is {value} at {name}")
 def switch(context, value, name):
     instance = context.fleet.instances[name]
@@ -223,7 +238,9 @@
 
 
 def narration(context, kind):
-    return request("r", PATHS[kind], context.clock.now(), prompt=PROMPTS[kind])
+    allowed_ms = getattr(context, "allowed_ms", ALLOWED_MS)
+    now = context.clock.now()
+    return request("r", PATHS[kind], now, allowed_ms=allowed_ms, prompt=PROMPTS[kind])
 
 
 @when("a {kind} r is sent to {name}")
@@ -353,6 +370,23 @@
     assert line["message_type"] == name and line["reason"], line
 
 
+@then("its copy was kept at {name}")
+def kept_at(context, name):
+    assert [call.backup for _, call in context.calls] == [name], context.calls
+
+
+@given("a stream with a copy, of a route whose longest pause is {gap:d} ms")
+def stream_of_route(context, gap):
+    found = replace(route("r", "/", RouteKind.STREAM, "llm"), gap_ms=float(gap))
+    first, second = (listed_server(name, "llm", name, "a", 8, False) for name in ("one", "two"))
+    context.watch = ServerWatch(first, second, found, None, VirtualClock())
+
+
+@then("its server is probed after a pause of {ms:d} ms")
+def probed_after(context, ms):
+    assert context.watch.max_silence_ms == ms, context.watch.max_silence_ms
+
+
 @then("no stream is watched at {name}")
 def none_watched(context, name):
     assert not context.fleet.instances[name].continuations.watched
