Continuation: scenarios for the stage results that a continuation names

A continuation before the first event names the results that are still held, and one after it names none, since they were released and the prompt is in the copy; stages do not run again. Neither was covered. Both fail a scenario when they are changed.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -33,6 +33,23 @@
     Then narration r ends with status 200 and events 1 to 6
     And it continued at llm-1 from the copy of its run after event "6"
 
+  @forwarding
+  Scenario Outline: A continuation names the stage results that are still held
+    Given a fleet whose model servers keep copies
+    And stage servers enc-1, enc-2 of service enc
+    And results are held for 4 times as long as usual at a-1
+    And the first server is llm-2 and it <loss>
+    When a staged r is sent to a-1
+    Then narration r ends with status 200 and events 1 to 6
+    And it was sent to llm-2, llm-1
+    And it continued with <inputs> inputs
+    And the stages ran once
+
+    Examples:
+      | loss                                    | inputs   |
+      | crashes within 20 ms of the request     | the same |
+      | breaks off within the third event       | no       |
+
   @forwarding
   Scenario: A loss that a peer or the directory reports is acted on at once
     Given a fleet whose model servers keep copies
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -46,8 +46,14 @@
     "narration": Prompt(700, 280, PARTS),
     "brief": Prompt(9_200, 52, PARTS),
     "resumable": Prompt(700, 280, PARTS),
+    "staged": Prompt(700, 280, PARTS),
+}
+PATHS = {
+    "narration": "/stream/1",
+    "brief": "/stream/1",
+    "resumable": "/resumable/1",
+    "staged": "/staged/1",
 }
-PATHS = {"narration": "/stream/1", "brief": "/stream/1", "resumable": "/resumable/1"}
 # The stand-in sends its first event 50 ms after a request, and the others 10 ms apart.
 BREAK_MS = 55.0
 SILENT_MS = 75.0
@@ -148,6 +154,25 @@
     context.plans.append((float(ms), lambda: crash(context, name)))
 
 
+@given("the first server is {name} and it crashes within {ms:d} ms of the request")
+def first_crashes_soon(context, name, ms):
+    first_server(context, name)
+    upstream = context.fleet.upstream
+    plain = upstream.open
+
+    def open_(server, call, limit_ms):
+        if server.name == name:
+            context.clock.call_later(float(ms), lambda: crash(context, name))
+        return plain(server, call, limit_ms)
+
+    upstream.open = open_
+
+
+@given("results are held for {factor:d} times as long as usual at {name}")
+def results_held(context, factor, name):
+    context.fleet.instances[name].forwarder.context.fetch_time.factor = float(factor)
+
+
 def crash(context, name):
     context.fleet.upstream.crash(context.fleet.instances["a-1"].directory.find(name))
 
@@ -296,6 +321,19 @@
     assert (first.backup, first.copy) == (name, ""), first
 
 
+@then("it continued with {which} inputs")
+def continued_with(context, which):
+    first, second = (call for _, call in context.calls)
+    assert first.inputs and second.copy, context.calls
+    assert second.inputs == (first.inputs if which == "the same" else ()), second.inputs
+
+
+@then("the stages ran once")
+def stages_once(context):
+    pieces = [one for call in context.fleet.upstream.piece_calls for one in call.pieces]
+    assert len(pieces) == len({(one.stage, one.fragment) for one in pieces}), pieces
+
+
 @then("it was sent to {names}")
 def sent_to(context, names):
     arrivals = context.fleet.upstream.arrivals["r"]
