Continuation: stop watching a server that refused the request

The watch of a server starts with its connection. When the server then refused and the request was sent again, the watch was replaced without being stopped: it stayed registered and probed the server every second for as long as the instance ran. Continuation.recover stops it. The stand-in started the watch only with the answer and hid this; it now does so with the connection, like HttpUpstream, and refuses afterwards.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -127,6 +127,7 @@
     Then narration r ends with status 200 and events 1 to 6
     And none of its calls continued from a copy
     And instance a-1 counts 0 continued and 0 not_continued
+    And no stream is watched at a-1
 
   @forwarding
   Scenario: A request that was refused and is not sent anew has no copy to free
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -131,6 +131,7 @@
         Raises:
             MountladderError: The request is not sent again, and cannot continue.
         """
+        self.stop_watching()
         if answer is not None:
             answer.close()
         self.run.cancel_release()
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
+from gevent.event import Event
+
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
@@ -103,9 +105,11 @@
         fault = self.faults.get(server.name)
         sent_at = self.clock.now()
         self.arrivals[call.request.id].append(server.name)
-        self.check_refusal(server, call.on_notices)
         self.check_connection(server)
         call.connected()
+        shut_down = Event()
+        call.watch(shut_down.set)
+        self.check_refusal(server, call.on_notices)
         self.check_copy(server, call)
         self.runs[call.request.id].append(server.name)
         if fault is ServerFault.SILENT:
@@ -117,7 +121,7 @@
         call.on_notices(server, self.notices(server), sent_at)
         answer = self.answer(server, call, fault)
         answer.headers = (("X-Server", server.name),)
-        call.watch(answer.shut_down.set)
+        answer.shut_down = shut_down
         self.answers.append(answer)
         return answer
 
