Continuation: free no copy after a refusal that is followed by no other attempt

The server of the copy of a refused attempt was kept while the request was sent again. If no other server was found, a copy that never existed was freed, a request for each such refusal under load.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -140,6 +140,16 @@
     And the copies that are freed by request are none
     And instance a-1 counts 0 continued and 0 not_continued
 
+  @forwarding
+  Scenario: A request that was refused and finds no other server has no copy to free
+    Given a fleet whose model servers keep copies
+    And server llm-2 has fault "full"
+    And server llm-2 runs it first
+    And server llm-1 goes out of use at a-1 once llm-2 is reached
+    When a narration r is sent to a-1
+    Then it was sent to llm-2
+    And the copies that are freed by request are none
+
   @forwarding
   Scenario: The copy of a caller who left is freed after the run was ended
     Given a fleet whose model servers keep copies
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -230,6 +230,19 @@
     context.fleet.add_server(name, "llm", datacentre, draining=True)
 
 
+@given("server {name} goes out of use at {instance} once {first} is reached")
+def out_of_use_meanwhile(context, name, instance, first):
+    found, upstream = context.fleet.instances[instance], context.fleet.upstream
+    plain = upstream.check_refusal
+
+    def check_refusal(server, on_notices):
+        if server.name == first:
+            found.router.mark_crashed(found.directory.find(name))
+        plain(server, on_notices)
+
+    upstream.check_refusal = check_refusal
+
+
 @given("the request is barred before the break")
 def barred(context):
     quarantine = context.fleet.instances["a-1"].quarantine
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -139,6 +139,8 @@
             self.run.failed(attempt, error)
         except MountladderError as problem:
             return self.reopen(answer, error, problem)
+        # The server did not run the request, so that there is no copy to free.
+        self.copy = None
         return None
 
     def reopen(
