Continuation: log why a continuation broke, not why the stream was continued

After a continuation the watch of the first server was kept with its reason, and the log line of a later break named the first server and that reason. The continuation now takes over the second server and drops the watch, which is stopped by then.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -91,6 +91,15 @@
     And it was sent to llm-2, llm-1
     And the copies that are freed by request are llm-1
 
+  @forwarding
+  Scenario: The log says why a continuation broke, not why the stream was continued
+    Given a fleet whose model servers keep copies
+    And the first server is llm-2 and it is silent, and a peer sees its crash
+    And server llm-1 has fault "cut"
+    When a narration r is sent to a-1
+    Then it was sent to llm-2, llm-1
+    And its last break was logged for llm-1 as "the connection broke within the answer"
+
   @forwarding
   Scenario: A silent server that can be reached goes on with its stream
     Given a fleet whose model servers keep copies
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -421,6 +421,12 @@
     assert line["message_type"] == name and line["reason"], line
 
 
+@then('its last break was logged for {name} as "{reason}"')
+def last_break_logged(context, name, reason):
+    (line,) = lines_of(context, "stream-not-continued")
+    assert (line["server"], line["reason"]) == (name, reason), line
+
+
 @then("its copy was kept at {name}")
 def kept_at(context, name):
     assert [call.backup for _, call in context.calls] == [name], context.calls
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -243,6 +243,8 @@
             self.close_failed(attempt, answer, Code.CANCELLED)
             raise
         attempt.choice.state.breaker.succeed()
+        # From here on, the log names the second server, and why that one fails.
+        self.server, self.watch = self.copy, None
         self.context.metrics.count(Metric.CONTINUED)
         return answer, first
 
