--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -14,6 +14,7 @@
 import gevent
 
 from mountladder.clocks.clock import Clock
+from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldchecks import ColdChecks
@@ -153,6 +154,15 @@
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
+        self.continuations = Continuations(
+            lambda: self.settings.continue_streams,
+            self.follower,
+            self.directory,
+            self.router,
+            upstream,
+            self.notices.dispatch,
+            clock,
+        )
         self.forwarder = Forwarder(self.make_context(picker))
         applier = PageApplier(
             self.tables, self.follower, self.directory, self.fleet.era_tracker, clock
@@ -200,6 +210,7 @@
         server = self.directory.find(name)
         if server is not None:
             self.router.mark_crashed(server)
+        self.continuations.handle_crash(name)
 
     def make_context(self, picker: ServerPicker) -> ForwardContext:
         """Return the state that forwarded requests share."""
@@ -217,6 +228,7 @@
             fetch_time=FetchTime(),
             quarantine=self.quarantine,
             notices=self.notices,
+            continuations=self.continuations,
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -9,12 +9,17 @@
 from collections.abc import Iterator
 
 from mountladder.code import Code
+from mountladder.continuation.continuation import Continuation
 from mountladder.errors import MountladderError, RunError, StageError
+from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
+from mountladder.forwarding.forwardcontext import ForwardContext
+from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.retryrules import no_retry_error
+from mountladder.forwarding.route import Route
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
@@ -35,11 +40,26 @@
     after the last complete one.
     """
 
+    def __init__(
+        self,
+        request: ForwardRequest,
+        route: Route,
+        caller: CallerTeam | None,
+        context: ForwardContext,
+    ) -> None:
+        super().__init__(request, route, caller, context)
+        self.splitter = EventSplitter(request.last_event_id)
+        self.continuation = Continuation(self)
+
+    @property
+    def wants_backup(self) -> bool:
+        """Return whether a second server is to keep a copy; see ForwardRun."""
+        return self.continuation.wants_copy
+
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
-        splitter = EventSplitter(self.request.last_event_id)
         try:
-            attempt, answer, first = self.open(splitter)
+            attempt, answer, first = self.open(self.splitter)
             if answer.status >= SUCCESS_END:
                 return self.buffered_answer(attempt, answer)
         except MountladderError as error:
@@ -55,8 +75,8 @@
             # The server has fetched the results. Memory for results runs short under load, and a
             # stream that breaks has its stages rerun.
             self.flow.release()
-        body = self.events(attempt, answer, splitter, first)
-        return ForwardAnswer(answer.status, answer.headers, body)
+        body = self.events(attempt, answer, self.splitter, first)
+        return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
@@ -79,6 +99,7 @@
         inputs = self.run_stages()
         while True:
             attempt = self.start_attempt()
+            self.continuation.begin(attempt)
             answer = None
             try:
                 answer = self.call(
@@ -87,15 +108,15 @@
                     splitter.last_id,
                     self.first_event_timeout_ms(attempt),
                     self.schedule_release,
+                    self.continuation.connected,
                 )
                 if answer.status >= SUCCESS_END:
                     return attempt, answer, b""
                 first = self.first_events(attempt, answer, splitter)
             except StageError as error:
-                if answer is not None:
-                    answer.close()
-                self.cancel_release()
-                self.failed(attempt, error)
+                continued = self.continuation.recover(attempt, answer, error)
+                if continued is not None:
+                    return continued
                 if error.code is Code.RESULT_GONE:
                     self.record_missing_results()
                 inputs = self.run_stages()
@@ -163,10 +184,11 @@
                     answer.close()
                     self.context.picker.finished(attempt.picked, pace.mean_ms())
                     active = None
-                    attempt, answer, first = self.resume(attempt, cut, splitter)
+                    attempt, answer, first = self.resume(attempt, answer, cut)
                     active = attempt
                     pace = EventPace(self.context.clock.now(), splitter.events)
-                    yield first
+                    if first:
+                        yield first
             error = None
             self.tracked.answered()
         except MountladderError as caught:
@@ -199,9 +221,9 @@
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
 
     def resume(
-        self, attempt: ForwardAttempt, cut: StageError, splitter: EventSplitter
+        self, attempt: ForwardAttempt, answer: UpstreamAnswer, cut: StageError
     ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
-        """Resume a broken stream at another server.
+        """Resume a broken stream at another server, or continue it where its copy is.
 
         Raises:
             MountladderError: The stream may not be resumed, or that failed.
@@ -215,14 +237,14 @@
             server=attempt.server,
             code=cut.code.number,
             reason=cut.detail,
-            last_event_id=splitter.last_id,
+            last_event_id=self.splitter.last_id,
             outcome="not resumed" if problem else "resumed",
         )
         attempt.choice.state.breaker.fail(self.context.clock.now())
         if problem is not None:
-            raise problem from cut
+            return self.continuation.reopen(answer, cut, problem)
         self.context.metrics.count(Metric.RESUMED)
-        resumed = self.open(splitter)
+        resumed = self.open(self.splitter)
         if resumed[1].status >= SUCCESS_END:
             resumed[1].close()
             self.record_failure(resumed[0], Code.STAGE_FAILED)
@@ -242,9 +264,17 @@
             StageError: An event is too long.
         """
         try:
-            return splitter.feed(data)
+            complete = splitter.feed(data)
         except ValueError as error:
             raise StageError(str(error), Code.BAD_ANSWER) from error
+        if complete:
+            self.continuation.record_events()
+        return complete
+
+    def finish(self, error: MountladderError | None = None, status: int = 0) -> None:
+        """Record the outcome of the request, and of its copy; see ForwardRun."""
+        super().finish(error, status)
+        self.continuation.end(self.splitter.events, error is None and status < SUCCESS_END)
 
     def first_event_timeout_ms(self, attempt: ForwardAttempt) -> float:
         """Return the timeout for the first event, in milliseconds."""
