Dispatch notices by a singledispatch function

The project varies behaviour with singledispatch; a function of it costs no new object for each answer, unlike the method.

--- a/packages/core/src/mountladder/notices/noticedispatcher.py
+++ b/packages/core/src/mountladder/notices/noticedispatcher.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
+from functools import singledispatch
 
 from eliot import log_message
 
@@ -53,12 +54,6 @@
         self.registry.on_leaving = directory.rebuild
         directory.leaving_since = self.registry.leaving_since
         self.exchange = NoticeExchange(link_manager, self.registry, clock)
-        # A singledispatchmethod builds a function for each answer of a server.
-        self.handlers: dict[type, Callable[..., None]] = {
-            RateLimit: self.share,
-            Leaving: self.share,
-            BackOff: self.back_off,
-        }
 
     def dispatch(self, server: BackendServer, notices: Sequence[Notice], sent_at: float) -> None:
         """Process the notices in an answer.
@@ -69,29 +64,42 @@
             sent_at: When the answered request was sent, in the clock's milliseconds.
         """
         for notice in notices:
-            self.handle(notice, server, sent_at)
+            handle(notice, self, server, sent_at)
 
-    def handle(self, notice: Notice, server: BackendServer, sent_at: float) -> None:
-        """Process one notice.
 
-        Raises:
-            TypeError: It is not a notice.
-        """
-        handler = self.handlers.get(type(notice))
-        if handler is None:
-            raise TypeError(f"not a notice: {notice!r}")
-        handler(notice, server, sent_at)
-
-    def share(self, notice: RateLimit | Leaving, server: BackendServer, sent_at: float) -> None:
-        """Record a notice that is shared with the other instances."""
-        self.registry.record(server, notice, sent_at)
-
-    def back_off(self, notice: BackOff, server: BackendServer, sent_at: float) -> None:
-        """Leave a server alone for the time that it asks for."""
-        self.router.back_off(server, notice.for_ms)
-        log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
-
-    @handle.register
-    def _(self, notice: CurrentSpeed, server: BackendServer, sent_at: float) -> None:
-        if self.router.speeds is not None:
-            self.router.speeds.record_report(server, notice.factor)
+# A function: a singledispatchmethod would build a new function for each answer of a server.
+@singledispatch
+def handle(
+    notice: object, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float
+) -> None:
+    """Process one notice.
+
+    Raises:
+        TypeError: It is not a notice.
+    """
+    raise TypeError(f"not a notice: {notice!r}")
+
+
+@handle.register(RateLimit)
+@handle.register(Leaving)
+def _(
+    notice: RateLimit | Leaving,
+    dispatcher: NoticeDispatcher,
+    server: BackendServer,
+    sent_at: float,
+) -> None:
+    dispatcher.registry.record(server, notice, sent_at)
+
+
+@handle.register(BackOff)
+def _(notice: BackOff, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float) -> None:
+    dispatcher.router.back_off(server, notice.for_ms)
+    log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
+
+
+@handle.register(CurrentSpeed)
+def _(
+    notice: CurrentSpeed, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float
+) -> None:
+    if dispatcher.router.speeds is not None:
+        dispatcher.router.speeds.record_report(server, notice.factor)
