Test that a coordinator with the setting off keeps no fetched results

Removing this check of reserve_results at the servers' coordinator failed no scenario.

features/results.feature: 75 passed; without the check, the new scenario fails.

--- a/features/results.feature
+++ b/features/results.feature
@@ -166,6 +166,14 @@
     And the coordinator of data centre c is told that their results are fetched
     Then the oldest of them is released, by the coordinator of data centre a
 
+  @forwarding
+  Scenario: A coordinator whose setting is off ignores which results were fetched
+    Given a fleet with service scan divided among data centres a, b and c
+    And memory for results is not reserved by the coordinator of data centre a
+    When 3 pieces of scan run in data centre a
+    And an instance of data centre c reports their results as fetched
+    Then no result is released
+
   @forwarding
   Scenario: A fetched result of another coordinator is left to the release at the end of its stage
     # A successor does not know how large it is, nor whether it was released.
