--- a/features/run.py
+++ b/features/run.py
@@ -17,11 +17,6 @@
 from behave.configuration import Configuration
 from behave.runner import Runner
 
-from mountladder_entry import headparser
-
-# As in the processes of instances.
-headparser.install()
-
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -27,9 +27,6 @@
 
 import click
 
-from mountladder_entry import headparser
-
-headparser.install()
 # A crash in a library must leave a traceback in the log of the process.
 faulthandler.enable()
 
