--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -10,11 +10,8 @@
 # The collector is enabled again after the last module is loaded: below, or by the adapter.
 gc.disable()
 
-from gevent import config, events, monkey
+from gevent import config, monkey
 
-# gevent looks for plugins in the metadata of all installed packages at each of its 25 patches, some
-# 70 ms where 43 packages have any. An instance uses no plugins.
-events.notify_and_call_entry_points = events.notify
 # All addresses are IP addresses and need no name server. gevent's default resolver uses a thread
 # for each, which takes eight times the processor time (0.16 instead of 0.02 ms).
 config.resolver = "block"
