Give back the memory of a result whose handle is used again

A server that restarts under the same name gives the handles of its lost results to new ones. ResultMemory replaced the entry but kept the old reservation, which then counted as in use for good. It now gives the old one back first.

Ran features/results.feature: 76 passed; without the change the new scenario fails.

--- a/features/results.feature
+++ b/features/results.feature
@@ -401,6 +401,12 @@
     When 40 inherited bytes are reported again
     Then 70 bytes are assumed to be in use
 
+  Scenario: A result that replaces one with the same handle gives the memory of that one back
+    # The memory of a result that a server lost in a restart would count as in use for good.
+    Given a server with memory for 10 results that holds 2
+    When its result 1 is replaced by a new one with its handle
+    Then 2 results are accounted for, and none once they have expired
+
   Scenario Outline: Usage lapses when the results are not needed any more, else when they expire
     Given results at a server that are needed for <needed> ms and expire after 4000 ms
     Then after <ms> ms their usage is reported to lapse after <lapse> ms
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -752,6 +752,18 @@
     assert (usage.used_bytes, usage.lapse_ms) == (30.0, lapse), usage
 
 
+@when("its result 1 is replaced by a new one with its handle")
+def same_handle_again(context):
+    make_results(context, [1])
+
+
+@then("2 results are accounted for, and none once they have expired")
+def accounted_results(context):
+    assert context.memory.used_bytes("scan-1", 0.0) == 2.0
+    context.memory.drop_expired(2e9)
+    assert context.memory.used_bytes("scan-1", 0.0) == 0.0
+
+
 @when("the coordinator of data centre a {ends} after {ms:d} ms")
 def coordinator_ends(context, ends, ms):
     context.run(context.clock.sleep, float(ms))
--- a/packages/core/src/mountladder/results/resultmemory.py
+++ b/packages/core/src/mountladder/results/resultmemory.py
@@ -122,6 +122,8 @@
 
     def record_result(self, handle: str, server: str, size: float, until: float) -> None:
         """Record a result and when it expires."""
+        # A restarted server may give the handle of a lost result to a new one.
+        self.release(handle)
         self.results[handle] = (server, size, until)
 
     def release(self, handle: str) -> None:
