Count no needed release during a pause of early release

Releases are counted from zero when a pause begins, but those that were needed during it were still added, although they had been released before it. A crash whose calls fail at once begins a pause with the second of them, and the others then began the next pause too early. None is counted during a pause now.

Ran features/results.feature: 77 passed; without the change the new scenario fails.

--- a/features/results.feature
+++ b/features/results.feature
@@ -139,6 +139,14 @@
       | 10       | 1      | is not |
       | 10       | 2      | is     |
 
+  Scenario: Inputs that are needed during a pause do not count after it
+    # They were released before the pause, which their like began; counted again, they would begin
+    # the next one although none of the later releases was needed.
+    Given 10 early releases
+    When 10 of them turn out to be needed
+    And 500 more early releases follow after 5001 ms, of which 7 are needed
+    Then early release is not paused after that
+
   @forwarding
   Scenario: A fetched result is released by the coordinator of its server's data centre
     Given a fleet with service scan divided among data centres a, b and c
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -386,6 +386,19 @@
         context.guard.record_needed(0.0)
 
 
+@when("{number:d} more early releases follow after {ms:d} ms, of which {needed:d} are needed")
+def guard_later(context, number, ms, needed):
+    context.later = float(ms)
+    context.guard.record_releases(number, context.later)
+    for _ in range(needed):
+        context.guard.record_needed(context.later)
+
+
+@then("early release is not paused after that")
+def guard_not_paused_later(context):
+    assert not context.guard.is_paused(context.later), context.guard
+
+
 @then("early release {is_} paused")
 def guard_paused(context, is_):
     assert context.guard.is_paused(0.0) == (is_ == "is")
--- a/packages/core/src/mountladder/results/releaseguard.py
+++ b/packages/core/src/mountladder/results/releaseguard.py
@@ -48,12 +48,14 @@
     def record_needed(self, now: float) -> bool:
         """Record that inputs were needed after all; return whether a pause begins.
 
-        A single such release does not start a pause, however few others there were.
+        A single such release does not start a pause, however few others there were. During a pause
+        nothing is counted: these inputs were released before it.
         """
+        if self.is_paused(now):
+            return False
         self.decay(now)
         self.needed += 1.0
-        exceeded = self.needed > max(1.0, MAX_NEEDED_FRACTION * self.releases)
-        if self.is_paused(now) or not exceeded:
+        if self.needed <= max(1.0, MAX_NEEDED_FRACTION * self.releases):
             return False
         self.paused_until = now + PAUSE_MS
         self.releases = self.needed = 0.0
