List the servers only when kept results are released

The check runs at each pump, up to a hundred times a second, and mostly releases nothing; it built the set of listed servers each time.

The outcome is the same, so there is no new scenario.

--- a/packages/core/src/mountladder/results/surplusrelease.py
+++ b/packages/core/src/mountladder/results/surplusrelease.py
@@ -53,9 +53,12 @@
             return
         batcher, memory = self.batcher, self.batcher.result_memory
         capacity = limits.result_memory_bytes
+        taken = self.releasable.take(memory, capacity, now)
+        if not taken:
+            return
         # After a restart, a server may give the handles of its lost results to new ones.
         listed = {one.name for one in batcher.servers.division.directory.available(batcher.service)}
-        for server, handles in self.releasable.take(memory, capacity, now).items():
+        for server, handles in taken.items():
             if server not in listed:
                 continue
             batcher.metrics.count(Metric.EARLY_RELEASED_RESULTS, number=len(handles))
