Learn the time to fetch only from pieces whose inputs were released

A call shortened the wait before early release if any of its pieces succeeded, also if those were of other stages and the piece with released inputs lacked them.

--- a/features/results.feature
+++ b/features/results.feature
@@ -118,6 +118,14 @@
       | 1    | 80 |
       | 2    | 40 |
 
+  Scenario: A piece without released inputs does not show that another one's were fetched in time
+    # The wait would become shorter again although each call with released inputs lacked them.
+    Given a stage of 1 piece that may release its inputs
+    When its inputs were released and missing in call 1
+    And that call is answered, and made a piece of another stage
+    And the call of the next stage begins
+    Then its inputs are released after about 80 ms
+
   Scenario: Inputs are not released early while that is paused
     Given a stage of 1 piece that may release its inputs
     When its inputs were released and missing in call 1
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -368,6 +368,14 @@
     context.inputs.input_missing(context.progress, 0)
 
 
+@when("that call is answered, and made a piece of another stage")
+def answered_with_other(context):
+    other = JobProgress(context.progress.job, lambda results: None, 0.0)
+    run = SimpleNamespace(batch=[(context.progress, 0), (other, 0)])
+    results = (PieceResult("", PieceFailure.INPUT_GONE), PieceResult("rank-1/1"))
+    context.inputs.call_answered(run, results)
+
+
 @when("the call of the next stage begins")
 def next_begins(context):
     context.progress = JobProgress(context.progress.job, lambda results: None, 0.0)
--- a/packages/core/src/mountladder/results/inputrelease.py
+++ b/packages/core/src/mountladder/results/inputrelease.py
@@ -110,8 +110,8 @@
 
     def call_answered(self, run: BatchRun, results: Sequence[PieceResult]) -> None:
         """Record whether a call found the inputs that were released during it."""
-        released = any(progress.inputs_released for progress, _ in run.batch)
-        if released and any(one.failure is None for one in results):
+        pairs = zip(run.batch, results, strict=True)
+        if any(one[0].inputs_released and result.failure is None for one, result in pairs):
             self.fetch_time.record_fetched()
 
     def copy_without_input(self, progress: JobProgress, fragment: int) -> None:
