Keep inputs when the copy of a piece that fetched them fails

If the second copy of a late piece fetched its inputs and then failed, the piece still counted as fetched, although the first copy may wait for its turn at its server. The inputs could then be released before that copy had read them.

--- a/features/results.feature
+++ b/features/results.feature
@@ -126,6 +126,13 @@
     And the call of the next stage begins
     Then its inputs are released after about 80 ms
 
+  Scenario: A piece whose second copy fails needs its inputs until its first copy has fetched them
+    # The first copy may wait behind an overdue call, and would find them missing.
+    Given a stage of 2 pieces that may release its inputs
+    When the call of its first piece's second copy has fetched them and then fails
+    And the call of its second piece has fetched them
+    Then its inputs are not released
+
   Scenario: Inputs are not released early while that is paused
     Given a stage of 1 piece that may release its inputs
     When its inputs were released and missing in call 1
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -16,6 +16,7 @@
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.code import Code
 from mountladder.errors import StageError
+from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.catalogue import Catalogue
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -376,6 +377,15 @@
     context.inputs.call_answered(run, results)
 
 
+@when("the call of its first piece's second copy has fetched them and then fails")
+def second_copy_fails(context):
+    begin(context, 0)
+    pass_ms(context, 1_000)
+    batcher = SimpleNamespace(hedged={(context.progress, 0)})
+    failed = PieceResult("", PieceFailure.FAILED)
+    BatchRun.repeat(SimpleNamespace(batcher=batcher), context.progress, 0, failed)
+
+
 @when("the call of the next stage begins")
 def next_begins(context):
     context.progress = JobProgress(context.progress.job, lambda results: None, 0.0)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -264,6 +264,8 @@
         """Requeue a piece, or settle it as failed if no attempt or retry budget is left."""
         if progress.is_settled(fragment):
             return
+        # A copy that still runs may wait for its turn, and has not fetched its inputs then.
+        progress.fetched.discard(fragment)
         if (progress, fragment) in self.batcher.hedged:
             # Its other copy is still queued or running; only a failure of that one is retried.
             self.batcher.hedged.discard((progress, fragment))
