Do not count inputs that are gone with their server as released early

An input that was missing because its server had crashed or restarted counted as an early release that was needed after all, lengthened the wait to fetch and could pause early release, which had not caused it. The names of the servers that held the inputs are now compared with those listed at their addresses when the input is missing; the log line says so (servers_gone). A crash that is not listed yet still counts.

--- a/features/results.feature
+++ b/features/results.feature
@@ -118,6 +118,21 @@
       | 1    | 80 |
       | 2    | 40 |
 
+  @forwarding
+  Scenario Outline: An input that is gone with its server does not count as released too early
+    # Crashes of the servers that hold inputs would pause early release, and lengthen the wait.
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes 300 ms and then lacks an input
+    And the servers of scan <restart> 120 ms after it begins
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And <number> early release turned out to be needed
+
+    Examples:
+      | restart       | number |
+      | restart       | 0      |
+      | don't restart | 1      |
+
   Scenario: A piece without released inputs does not show that another one's were fetched in time
     # The wait would become shorter again although each call with released inputs lacked them.
     Given a stage of 1 piece that may release its inputs
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -181,6 +181,22 @@
     context.sender = next(name for name, one in context.fleet.instances.items() if one is not dying)
 
 
+@given("the servers of scan {restart} {ms:d} ms after it begins")
+def scan_servers_restart(context, restart, ms):
+    before = context.disturb
+
+    def restart_servers():
+        for number, datacentre in ((1, "a"), (2, "b")):
+            context.fleet.add_server(f"scan-{number}", "scan", datacentre, born=1)
+
+    def disturb(call):
+        if restart == "restart" and call in rank_calls(context)[:1]:
+            context.clock.call_later(float(ms), restart_servers)
+        return before(call)
+
+    context.disturb = disturb
+
+
 @when("request r with {scans:d} pieces of scan and {ranks:d} {noun:w} of rank is sent")
 def send(context, scans, ranks, noun):
     pieces = (scans, ranks, context.sums)
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -109,6 +109,7 @@
         self.rate = PieceRate(clock)
         self.reserves_results = reserves_results
         self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
+        self.inputs.server_names = self.server_names
         self.surplus = SurplusRelease(self)
         self.reservation = ResultReservation(catalogue, metrics, reserves_results)
         self.hedged: set[QueuedPiece] = set()
@@ -177,6 +178,12 @@
         self.surplus.discard(handles)
         self.releaser.release(handles)
 
+    def server_names(self, handles: Sequence[str]) -> frozenset[str]:
+        """Return the names of the listed servers that hold results."""
+        by_address = self.servers.division.directory.by_address
+        addresses = {handle.partition("/")[0] for handle in handles}
+        return frozenset(by_address[one].name for one in addresses if one in by_address)
+
     def on_released(self, handles: Sequence[str]) -> None:
         """Free the memory accounted for results that servers have dropped."""
         for handle in handles:
--- a/packages/core/src/mountladder/forwarding/jobprogress.py
+++ b/packages/core/src/mountladder/forwarding/jobprogress.py
@@ -32,6 +32,7 @@
         copies: The number of running calls with each piece, by its number.
         held_back: Whether it had to wait since its results would not be used soon.
         inputs_released: Whether the inputs were released before the stage was done.
+        input_servers: The names of the servers that held these inputs when they were released.
         ended: Whether the results were passed to done, or the stage was withdrawn.
     """
 
@@ -47,6 +48,7 @@
         self.copies: Counter[int] = Counter()
         self.held_back = False
         self.inputs_released = False
+        self.input_servers: frozenset[str] = frozenset()
 
     def is_settled(self, fragment: int) -> bool:
         """Return whether a piece needs no result any more."""
--- a/packages/core/src/mountladder/results/inputrelease.py
+++ b/packages/core/src/mountladder/results/inputrelease.py
@@ -39,6 +39,8 @@
 
     Attributes:
         release: Releases results of any service, given by their handles.
+        server_names: Returns the names of the listed servers that hold results, each name being
+            unique to one start of a server.
         fetch_time: Learns how long servers take to fetch inputs.
         guard: Pauses early release.
     """
@@ -56,6 +58,7 @@
         self.is_enabled = is_enabled
         self.steps = PipelineSteps(follower)
         self.release: Callable[[Sequence[str]], None] = lambda handles: None
+        self.server_names: Callable[[Sequence[str]], frozenset[str]] = lambda handles: frozenset()
         self.fetch_time = FetchTime()
         self.guard = ReleaseGuard()
 
@@ -94,6 +97,7 @@
         handles = []
         for progress in ready:
             progress.inputs_released = True
+            progress.input_servers = self.server_names(progress.job.inputs)
             handles += progress.job.inputs
         self.guard.record_releases(len(ready), now)
         self.metrics.count(Metric.EARLY_RELEASES, number=len(ready))
@@ -130,17 +134,21 @@
         """Record that a stage fails since an input is missing."""
         if not progress.inputs_released:
             return
-        now = self.clock.now()
         first_call = progress.attempts[fragment] <= 1
-        if first_call:
-            self.fetch_time.record_early_release()
-        pauses = self.guard.record_needed(now)
-        self.metrics.count(Metric.EARLY_RELEASES_NEEDED)
+        # An input that may be gone with its server says nothing about early release.
+        servers_gone = progress.input_servers != self.server_names(progress.job.inputs)
+        pauses = False
+        if not servers_gone:
+            if first_call:
+                self.fetch_time.record_early_release()
+            pauses = self.guard.record_needed(self.clock.now())
+            self.metrics.count(Metric.EARLY_RELEASES_NEEDED)
         log_message(
             "released-input-missing",
             request=progress.job.request,
             service=progress.job.service,
             first_call=first_call,
+            servers_gone=servers_gone,
             fetch_factor=round(self.fetch_time.factor, 2),
             pauses=pauses,
         )
