Set the times until which results are needed directly

ResultMemory.usages added differences to a Counter in order to replace its entries.

Ran features/results.feature: 81 passed. The outcome is the same.

--- a/packages/core/src/mountladder/results/resultmemory.py
+++ b/packages/core/src/mountladder/results/resultmemory.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from mountladder.results.lapsingbytes import LapsingBytes
 from mountladder.results.serverusage import ServerUsage
@@ -63,11 +63,11 @@
             now: The clock's time.
             everything: Whether results of other instances are included.
         """
-        until: Counter[str] = Counter()
+        until: defaultdict[str, float] = defaultdict(float)
         for server, _, expires in self.results.values():
             until[server] = max(until[server], expires)
         # Most results are released when they are not needed any more, and before they expire.
-        until.update({name: at - until[name] for name, at in self.needed_until.items() if at > now})
+        until |= {name: at for name, at in self.needed_until.items() if at > now}
         for server, lost in self.lost.items():
             until[server] = max(until[server], *(one[1] for one in lost))
         if everything:
