--- a/features/results.feature
+++ b/features/results.feature
@@ -118,6 +118,36 @@
       | 1    | 80 |
       | 2    | 40 |
 
+  @forwarding
+  Scenario Outline: An input that is gone with its server does not count as released too early
+    # Crashes of the servers that hold inputs would pause early release, and lengthen the wait.
+    Given a fleet whose stages are scan and then rank
+    And the first call of rank takes 300 ms and then lacks an input
+    And the servers of scan <restart> 120 ms after it begins
+    When request r with 3 pieces of scan and 1 piece of rank is sent
+    Then it is answered
+    And <number> early release turned out to be needed
+
+    Examples:
+      | restart       | number |
+      | restart       | 0      |
+      | don't restart | 1      |
+
+  Scenario: A piece without released inputs does not show that another one's were fetched in time
+    # The wait would become shorter again although each call with released inputs lacked them.
+    Given a stage of 1 piece that may release its inputs
+    When its inputs were released and missing in call 1
+    And that call is answered, and made a piece of another stage
+    And the call of the next stage begins
+    Then its inputs are released after about 80 ms
+
+  Scenario: A piece whose second copy fails needs its inputs until its first copy has fetched them
+    # The first copy may wait behind an overdue call, and would find them missing.
+    Given a stage of 2 pieces that may release its inputs
+    When the call of its first piece's second copy has fetched them and then fails
+    And the call of its second piece has fetched them
+    Then its inputs are not released
+
   Scenario: Inputs are not released early while that is paused
     Given a stage of 1 piece that may release its inputs
     When its inputs were released and missing in call 1
@@ -139,6 +169,14 @@
       | 10       | 1      | is not |
       | 10       | 2      | is     |
 
+  Scenario: Inputs that are needed during a pause do not count after it
+    # They were released before the pause, which their like began; counted again, they would begin
+    # the next one although none of the later releases was needed.
+    Given 10 early releases
+    When 10 of them turn out to be needed
+    And 500 more early releases follow after 5001 ms, of which 7 are needed
+    Then early release is not paused after that
+
   @forwarding
   Scenario: A fetched result is released by the coordinator of its server's data centre
     Given a fleet with service scan divided among data centres a, b and c
@@ -401,6 +439,12 @@
     When 40 inherited bytes are reported again
     Then 70 bytes are assumed to be in use
 
+  Scenario: A result that replaces one with the same handle gives the memory of that one back
+    # The memory of a result that a server lost in a restart would count as in use for good.
+    Given a server with memory for 10 results that holds 2
+    When its result 1 is replaced by a new one with its handle
+    Then 2 results are accounted for, and none once they have expired
+
   Scenario Outline: Usage lapses when the results are not needed any more, else when they expire
     Given results at a server that are needed for <needed> ms and expire after 4000 ms
     Then after <ms> ms their usage is reported to lapse after <lapse> ms
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -16,6 +16,7 @@
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.code import Code
 from mountladder.errors import StageError
+from mountladder.forwarding.batchrun import BatchRun
 from mountladder.forwarding.catalogue import Catalogue
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.forwarding.piecefailure import PieceFailure
@@ -180,6 +181,22 @@
     context.sender = next(name for name, one in context.fleet.instances.items() if one is not dying)
 
 
+@given("the servers of scan {restart} {ms:d} ms after it begins")
+def scan_servers_restart(context, restart, ms):
+    before = context.disturb
+
+    def restart_servers():
+        for number, datacentre in ((1, "a"), (2, "b")):
+            context.fleet.add_server(f"scan-{number}", "scan", datacentre, born=1)
+
+    def disturb(call):
+        if restart == "restart" and call in rank_calls(context)[:1]:
+            context.clock.call_later(float(ms), restart_servers)
+        return before(call)
+
+    context.disturb = disturb
+
+
 @when("request r with {scans:d} pieces of scan and {ranks:d} {noun:w} of rank is sent")
 def send(context, scans, ranks, noun):
     pieces = (scans, ranks, context.sums)
@@ -368,6 +385,23 @@
     context.inputs.input_missing(context.progress, 0)
 
 
+@when("that call is answered, and made a piece of another stage")
+def answered_with_other(context):
+    other = JobProgress(context.progress.job, lambda results: None, 0.0)
+    run = SimpleNamespace(batch=[(context.progress, 0), (other, 0)])
+    results = (PieceResult("", PieceFailure.INPUT_GONE), PieceResult("rank-1/1"))
+    context.inputs.call_answered(run, results)
+
+
+@when("the call of its first piece's second copy has fetched them and then fails")
+def second_copy_fails(context):
+    begin(context, 0)
+    pass_ms(context, 1_000)
+    batcher = SimpleNamespace(hedged={(context.progress, 0)})
+    failed = PieceResult("", PieceFailure.FAILED)
+    BatchRun.repeat(SimpleNamespace(batcher=batcher), context.progress, 0, failed)
+
+
 @when("the call of the next stage begins")
 def next_begins(context):
     context.progress = JobProgress(context.progress.job, lambda results: None, 0.0)
@@ -386,6 +420,19 @@
         context.guard.record_needed(0.0)
 
 
+@when("{number:d} more early releases follow after {ms:d} ms, of which {needed:d} are needed")
+def guard_later(context, number, ms, needed):
+    context.later = float(ms)
+    context.guard.record_releases(number, context.later)
+    for _ in range(needed):
+        context.guard.record_needed(context.later)
+
+
+@then("early release is not paused after that")
+def guard_not_paused_later(context):
+    assert not context.guard.is_paused(context.later), context.guard
+
+
 @then("early release {is_} paused")
 def guard_paused(context, is_):
     assert context.guard.is_paused(0.0) == (is_ == "is")
@@ -752,6 +799,18 @@
     assert (usage.used_bytes, usage.lapse_ms) == (30.0, lapse), usage
 
 
+@when("its result 1 is replaced by a new one with its handle")
+def same_handle_again(context):
+    make_results(context, [1])
+
+
+@then("2 results are accounted for, and none once they have expired")
+def accounted_results(context):
+    assert context.memory.used_bytes("scan-1", 0.0) == 2.0
+    context.memory.drop_expired(2e9)
+    assert context.memory.used_bytes("scan-1", 0.0) == 0.0
+
+
 @when("the coordinator of data centre a {ends} after {ms:d} ms")
 def coordinator_ends(context, ends, ms):
     context.run(context.clock.sleep, float(ms))
