Send the speeds of servers as the sender uses them

Factors were sent without regard to how much the samples vary, and a receiver knows nothing of that, so it took differences by chance for lasting ones: with 45 equal servers, 20 samples each that vary by half, the sender found 0 or 1 of them to differ and the receiver 10 to 13.

--- a/features/performance.feature
+++ b/features/performance.feature
@@ -115,6 +115,12 @@
       | 18      | 70000 | 1.7    |
       | 24      | 70000 | 3.0    |
 
+  Scenario: Equal servers whose times vary by chance are equal for those who are sent their speeds
+    Given 45 servers of a service that take the usual time
+    When each of them does work 20 times, with times that vary by half
+    And an instance that knows nothing is sent the speeds
+    Then it assumes no more servers to differ than the sender
+
   Scenario: What was measured a minute ago loses half of its samples
     Given 9 servers of a service that take the usual time, and x at 1.7 times that
     And each of them has done work 12 times
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -232,6 +232,20 @@
     context.speeds.merge(SERVICE, [ServerSpeed("x", times, samples, age)])
 
 
+@when("an instance that knows nothing is sent the speeds")
+def send_to_new(context):
+    context.receiver = SpeedTable(context.clock, MemoryMetrics(), lambda server: False)
+    context.receiver.merge(SERVICE, context.speeds.speeds(SERVICE))
+
+
+@then("it assumes no more servers to differ than the sender")
+def no_more_differ(context):
+    sent = {one.server for one in context.speeds.paces[SERVICE].values() if one.factor != 1.0}
+    received = context.receiver.paces[SERVICE].values()
+    assert len(received) == len(context.servers)
+    assert {one.server for one in received if one.factor != 1.0} <= sent
+
+
 @when("61 s pass in which the others do work")
 def minute_passes(context):
     pass_ms(context, 61_000.0)
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -184,16 +184,14 @@
         pace.logged_factor, pace.logged_at = pace.factor, now
 
     def speeds(self, service: str) -> list[ServerSpeed]:
-        """Return the speeds of a service's servers that have enough samples, to send to a peer."""
+        """Return the speeds of a service's servers that have enough samples, to send to a peer.
+
+        The message does not tell how much the samples vary, so the factor is sent as it is used
+        here: a peer would take a difference by chance for a lasting one.
+        """
         now = self.clock.now()
-        median = self.medians.get(service, 0.0)
         return [
-            ServerSpeed(
-                one.server,
-                math.exp(one.learnt.level - median),
-                one.learnt.samples,
-                now - one.learnt.measured_at,
-            )
+            ServerSpeed(one.server, one.factor, one.learnt.samples, now - one.learnt.measured_at)
             for one in self.paces.get(service, {}).values()
             if one.learnt.samples >= MIN_SAMPLES
         ]
