Compare slow work with the spread of its service too before assuming a spell

A server known from a peer's message has no spread, so that times which vary by half on equal servers were taken for spells after a change of coordinator: 102 to 128 in 900 samples, against 3 to 10 at the sender.

The new scenario fails without the bound. performance.feature: 70 scenarios passed.

--- a/features/performance.feature
+++ b/features/performance.feature
@@ -121,6 +121,13 @@
     And an instance that knows nothing is sent the speeds
     Then it assumes no more servers to differ than the sender
 
+  Scenario: Times that vary widely show no spells to those who were sent the speeds of the servers
+    Given 45 servers of a service that take the usual time
+    When each of them does work 20 times, with times that vary by half
+    And an instance that knows nothing is sent the speeds
+    And that instance measures 450 times of work that vary by half
+    Then it finds at most 15 spells
+
   Scenario: What was measured a minute ago loses half of its samples
     Given 9 servers of a service that take the usual time, and x at 1.7 times that
     And each of them has done work 12 times
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -246,6 +246,21 @@
     assert {one.server for one in received if one.factor != 1.0} <= sent
 
 
+@when("that instance measures {number:d} times of work that vary by half")
+def receiver_measures(context, number):
+    servers = list(context.servers.values())
+    for measured in range(number):
+        pass_ms(context, 20.0)
+        times = math.exp(context.rng.gauss(0.0, 0.5))
+        context.receiver.record(servers[measured % len(servers)], WorkType.CALL, times)
+
+
+@then("it finds at most {number:d} spells")
+def few_spells(context, number):
+    found = context.receiver.metrics.counts["spells"]
+    assert found <= number, found
+
+
 @when("61 s pass in which the others do work")
 def minute_passes(context):
     pass_ms(context, 61_000.0)
--- a/packages/core/src/mountladder/performance/decisions.py
+++ b/packages/core/src/mountladder/performance/decisions.py
@@ -25,8 +25,8 @@
 MAX_FACTOR = 4.0
 # Work slower than the server's lasting factor by more than this ratio is evidence of a spell.
 SPELL_RATIO = 1.8
-# Nor is work a sign of a spell if the server's samples differ that much anyway: it must be beyond
-# this multiple of their mean distance from the median.
+# Nor is work a sign of a spell if samples differ that much anyway: it must be beyond this multiple
+# of their mean distance from the median.
 SPELL_SPREADS = 3.0
 
 
@@ -55,17 +55,17 @@
     return min(MAX_FACTOR, max(MIN_FACTOR, math.exp(difference)))
 
 
-def spell_ratio(sample: float, learnt: LearntLevel, median: float, factor: float) -> float:
+def spell_ratio(sample: float, spread: float, median: float, factor: float) -> float:
     """Return by what ratio a sample shows a spell of its server, or 1.0 if it shows none.
 
     Args:
         sample: The natural logarithm of the measured ratio.
-        learnt: What was known of the server before.
+        spread: The mean distance of samples from their median, on the server or in its service.
         median: The median level of the servers of its service.
         factor: The server's lasting factor.
     """
     excess = sample - median - math.log(factor)
-    if excess <= max(math.log(SPELL_RATIO), SPELL_SPREADS * learnt.spread):
+    if excess <= max(math.log(SPELL_RATIO), SPELL_SPREADS * spread):
         return 1.0
     return min(MAX_FACTOR, math.exp(excess))
 
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -128,7 +128,9 @@
         if usual is None or usual.samples < MIN_SAMPLES:
             return
         sample = math.log(ratio) - usual.level
-        spell = spell_ratio(sample, pace.learnt, self.medians.get(pace.service, 0.0), pace.factor)
+        # A server known from a peer's message has no spread of its own yet.
+        spread = max(pace.learnt.spread, usual.spread)
+        spell = spell_ratio(sample, spread, self.medians.get(pace.service, 0.0), pace.factor)
         if spell > 1.0:
             self.begin_spell(pace, spell, now, SPELL_MS, work.value)
 
