Count slowness only once when the lasting factor of a server becomes known

Slowness that was measured while the factor was still 1.0 was multiplied by the factor once it was known: a server that takes 1.7 times as long was expected to take 2.4 times, above the limit beyond which servers are skipped, and decayed with a half-life of 5 s only if it got work. Slowness now keeps the factor that it comes on top of.

--- a/features/performance.feature
+++ b/features/performance.feature
@@ -192,6 +192,11 @@
     Then the usual reading speed is that of the usual servers
     And slow is as fast as its lasting speed predicts
 
+  Scenario: Slowness measured before the lasting factor was known does not come on top of it
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    When each of them does work 12 times, which also counts for its slowness
+    Then x was never expected to take more than 1.8 times as long
+
   Scenario: Plain calls go to the faster server, whose time does not count as usual
     Given servers of plain calls of which fast takes 0.6 times and slow 1.7 times as long
     When 100 plain calls are sent, one at a time
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -261,6 +261,22 @@
     assert found <= number, found
 
 
+@when("each of them does work {rounds:d} times, which also counts for its slowness")
+def work_and_slowness(context, rounds):
+    context.expected = []
+    for _ in range(rounds):
+        for name, state in context.router.states.items():
+            ratio = context.factors[name] / state.pace.factor
+            state.record_time_ratio(ratio, context.clock.now())
+        all_work(context, 1)
+        context.expected.append(context.router.states["x"].time_factor(context.clock.now()))
+
+
+@then("x was never expected to take more than {times:g} times as long")
+def never_expected(context, times):
+    assert max(context.expected) <= times, context.expected
+
+
 @when("61 s pass in which the others do work")
 def minute_passes(context):
     pass_ms(context, 61_000.0)
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -39,6 +39,7 @@
         pace: What is known of its lasting speed.
         slowness: The smoothed ratio of observed to expected call times, at least 1, beyond what its
             lasting speed predicts.
+        slowness_factor: The lasting factor that the slowness comes on top of.
         leaving_until: Until when it counts as leaving.
         missing_until: Until when it counts as lacking a model, by the model's name.
         backoff_since: When it last asked this instance to back off.
@@ -57,6 +58,7 @@
         self.pace: ServerPace = UNKNOWN_PACE
         self.slowness = 1.0
         self.slowness_updated_at = 0.0
+        self.slowness_factor = 1.0
         self.leaving_until = 0.0
         self.missing_until: dict[str, float] = {}
         self.backoff_since = 0.0
@@ -88,7 +90,11 @@
         if self.slowness <= 1.0:
             return 1.0
         decay = 0.5 ** ((now - self.slowness_updated_at) / SLOWNESS_HALF_LIFE_MS)
-        return 1.0 + (self.slowness - 1.0) * decay
+        slowness = 1.0 + (self.slowness - 1.0) * decay
+        if self.pace.factor > self.slowness_factor:
+            # What was slowness before is predicted by the factor learnt since, so counts once.
+            slowness = max(1.0, slowness * self.slowness_factor / self.pace.factor)
+        return slowness
 
     def excess_at(self, now: float) -> float:
         """Return how much slower it is at present than its lasting speed predicts, at least 1."""
@@ -155,6 +161,7 @@
         bounded = min(MAX_SLOWNESS, max(0.1, ratio))
         self.slowness = max(1.0, known + SLOWNESS_WEIGHT * (bounded - known))
         self.slowness_updated_at = now
+        self.slowness_factor = self.pace.factor
 
     def mark_leaving(self, now: float) -> None:
         """Record that the server announced that it is leaving."""
