Keep the speed of servers whose entries are missing for a moment

A server whose entry has expired stays in use until it could have reappeared, for example after an outage of the store, but its learnt speed was dropped at once, since the list of names leaves such servers out. They are now kept as long as they are used. Servers that do not reappear were dropped only by the next request for a service; the loop that sends speeds now drops them as well.

--- a/features/performance.feature
+++ b/features/performance.feature
@@ -297,6 +297,14 @@
     And enc-0 is gone
     Then no instance knows anything of enc-0
 
+  @forwarding
+  Scenario: The speed of a server whose entry is missing for a moment is not forgotten
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.7 times as long
+    When staged requests come for 6 s over all instances
+    And the entry of enc-0 has been missing for 500 ms
+    Then the coordinator of service enc still knows that enc-0 takes 1.7 times as long
+
   @forwarding
   Scenario: With learn_speeds off nothing is learnt and messages of others are ignored
     Given learn_speeds is off
--- a/features/steps/speedexchange_steps.py
+++ b/features/steps/speedexchange_steps.py
@@ -228,6 +228,20 @@
     context.run(context.clock.sleep, 3_500.0)
 
 
+@when("the entry of enc-0 has been missing for 500 ms")
+def server_missing(context):
+    context.fleet.servers.put("enc-0", None)
+    context.run(context.clock.sleep, 500.0)
+
+
+@then("the coordinator of service enc still knows that enc-0 takes 1.7 times as long")
+def still_known(context):
+    coordinator = candidates(context, "enc")[0]
+    assert "enc-0" not in coordinator.directory.names()
+    found = paces(coordinator, "enc")["enc-0"].factor
+    assert abs(found / 1.7 - 1.0) < 0.15, found
+
+
 @then("no instance knows anything of enc-0")
 def nothing_known(context):
     for instance in context.fleet.instances.values():
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -284,6 +284,11 @@
         """Return the names of the listed servers."""
         return frozenset(one.server.name for one in self.records.values() if one.server is not None)
 
+    def kept_names(self) -> frozenset[str]:
+        """Return the names of the listed servers and of those whose entries may reappear."""
+        expiring = (record.server.name for record, _ in self.expiring.values() if record.server)
+        return self.names().union(expiring)
+
     def changed_since(self, position: Position) -> list[ServerRecord]:
         """Return the entries that changed after a position, the oldest change first.
 
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -167,7 +167,9 @@
         if self.settings.learn_speeds:
             table = SpeedTable(self.clock, self.metrics, self.cold.is_cold)
             self.router.learn_speeds(table)
-            self.directory.listeners.append(lambda: table.drop_unlisted(self.directory.names()))
+            self.directory.listeners.append(
+                lambda: table.drop_unlisted(self.directory.kept_names())
+            )
         self.speed_exchange = SpeedExchange(self.fleet, table, self.clock, self.metrics)
 
     def build_quarantine(self, upstream: Upstream) -> None:
--- a/packages/core/src/mountladder/performance/speedexchange.py
+++ b/packages/core/src/mountladder/performance/speedexchange.py
@@ -62,6 +62,8 @@
         """Send the changes of the services that this instance coordinates."""
         if self.table is None:
             return
+        # Without requests, nothing else drops servers whose entries have not reappeared.
+        self.fleet.division.directory.drop_expired()
         receivers = [
             (link, service) for service in self.table.paces for link in self.receivers(service)
         ]
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -220,7 +220,7 @@
         return used
 
     def drop_unlisted(self, listed: frozenset[str]) -> None:
-        """Drop the entries of servers that are not in the list of servers."""
+        """Drop the entries of servers that are neither listed nor may be listed again soon."""
         for paces in self.paces.values():
             for name in [name for name in paces if name not in listed]:
                 # Its state may keep the entry, which then says nothing.
