--- a/features/performance.feature
+++ b/features/performance.feature
@@ -115,6 +115,19 @@
       | 18      | 70000 | 1.7    |
       | 24      | 70000 | 3.0    |
 
+  Scenario: Equal servers whose times vary by chance are equal for those who are sent their speeds
+    Given 45 servers of a service that take the usual time
+    When each of them does work 20 times, with times that vary by half
+    And an instance that knows nothing is sent the speeds
+    Then it assumes no more servers to differ than the sender
+
+  Scenario: Times that vary widely show no spells to those who were sent the speeds of the servers
+    Given 45 servers of a service that take the usual time
+    When each of them does work 20 times, with times that vary by half
+    And an instance that knows nothing is sent the speeds
+    And that instance measures 450 times of work that vary by half
+    Then it finds at most 15 spells
+
   Scenario: What was measured a minute ago loses half of its samples
     Given 9 servers of a service that take the usual time, and x at 1.7 times that
     And each of them has done work 12 times
@@ -179,6 +192,11 @@
     Then the usual reading speed is that of the usual servers
     And slow is as fast as its lasting speed predicts
 
+  Scenario: Slowness measured before the lasting factor was known does not come on top of it
+    Given 9 servers of a service that take the usual time, and x at 1.7 times that
+    When each of them does work 12 times, which also counts for its slowness
+    Then x was never expected to take more than 1.8 times as long
+
   Scenario: Plain calls go to the faster server, whose time does not count as usual
     Given servers of plain calls of which fast takes 0.6 times and slow 1.7 times as long
     When 100 plain calls are sent, one at a time
@@ -279,6 +297,14 @@
     And enc-0 is gone
     Then no instance knows anything of enc-0
 
+  @forwarding
+  Scenario: The speed of a server whose entry is missing for a moment is not forgotten
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And 6 stage servers and 4 model servers, of which enc-0 and llm-0 take 1.7 times as long
+    When staged requests come for 6 s over all instances
+    And the entry of enc-0 has been missing for 500 ms
+    Then the coordinator of service enc still knows that enc-0 takes 1.7 times as long
+
   @forwarding
   Scenario: With learn_speeds off nothing is learnt and messages of others are ignored
     Given learn_speeds is off
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -232,6 +232,51 @@
     context.speeds.merge(SERVICE, [ServerSpeed("x", times, samples, age)])
 
 
+@when("an instance that knows nothing is sent the speeds")
+def send_to_new(context):
+    context.receiver = SpeedTable(context.clock, MemoryMetrics(), lambda server: False)
+    context.receiver.merge(SERVICE, context.speeds.speeds(SERVICE))
+
+
+@then("it assumes no more servers to differ than the sender")
+def no_more_differ(context):
+    sent = {one.server for one in context.speeds.paces[SERVICE].values() if one.factor != 1.0}
+    received = context.receiver.paces[SERVICE].values()
+    assert len(received) == len(context.servers)
+    assert {one.server for one in received if one.factor != 1.0} <= sent
+
+
+@when("that instance measures {number:d} times of work that vary by half")
+def receiver_measures(context, number):
+    servers = list(context.servers.values())
+    for measured in range(number):
+        pass_ms(context, 20.0)
+        times = math.exp(context.rng.gauss(0.0, 0.5))
+        context.receiver.record(servers[measured % len(servers)], WorkType.CALL, times)
+
+
+@then("it finds at most {number:d} spells")
+def few_spells(context, number):
+    found = context.receiver.metrics.counts["spells"]
+    assert found <= number, found
+
+
+@when("each of them does work {rounds:d} times, which also counts for its slowness")
+def work_and_slowness(context, rounds):
+    context.expected = []
+    for _ in range(rounds):
+        for name, state in context.router.states.items():
+            ratio = context.factors[name] / state.pace.factor
+            state.record_time_ratio(ratio, context.clock.now())
+        all_work(context, 1)
+        context.expected.append(context.router.states["x"].time_factor(context.clock.now()))
+
+
+@then("x was never expected to take more than {times:g} times as long")
+def never_expected(context, times):
+    assert max(context.expected) <= times, context.expected
+
+
 @when("61 s pass in which the others do work")
 def minute_passes(context):
     pass_ms(context, 61_000.0)
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -128,7 +128,9 @@
         if usual is None or usual.samples < MIN_SAMPLES:
             return
         sample = math.log(ratio) - usual.level
-        spell = spell_ratio(sample, pace.learnt, self.medians.get(pace.service, 0.0), pace.factor)
+        # A server known from a peer's message has no spread of its own yet.
+        spread = max(pace.learnt.spread, usual.spread)
+        spell = spell_ratio(sample, spread, self.medians.get(pace.service, 0.0), pace.factor)
         if spell > 1.0:
             self.begin_spell(pace, spell, now, SPELL_MS, work.value)
 
@@ -184,16 +186,14 @@
         pace.logged_factor, pace.logged_at = pace.factor, now
 
     def speeds(self, service: str) -> list[ServerSpeed]:
-        """Return the speeds of a service's servers that have enough samples, to send to a peer."""
+        """Return the speeds of a service's servers that have enough samples, to send to a peer.
+
+        The message does not tell how much the samples vary, so the factor is sent as it is used
+        here: a peer would take a difference by chance for a lasting one.
+        """
         now = self.clock.now()
-        median = self.medians.get(service, 0.0)
         return [
-            ServerSpeed(
-                one.server,
-                math.exp(one.learnt.level - median),
-                one.learnt.samples,
-                now - one.learnt.measured_at,
-            )
+            ServerSpeed(one.server, one.factor, one.learnt.samples, now - one.learnt.measured_at)
             for one in self.paces.get(service, {}).values()
             if one.learnt.samples >= MIN_SAMPLES
         ]
@@ -220,7 +220,7 @@
         return used
 
     def drop_unlisted(self, listed: frozenset[str]) -> None:
-        """Drop the entries of servers that are not in the list of servers."""
+        """Drop the entries of servers that are neither listed nor may be listed again soon."""
         for paces in self.paces.values():
             for name in [name for name in paces if name not in listed]:
                 # Its state may keep the entry, which then says nothing.
