--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -177,7 +177,7 @@
   Scenario: What is expected of late pieces is what those in time leave over
     Given ranks 0 and 2 with floors of 0.3 and 0.2 at 0.1 pieces a millisecond, congested
     When 10 pieces of rank 0 and 0 of rank 2 wait and rank 0 asks for 1.0 of the throughput
-    Then late pieces are expected to wait 1000 ms
+    Then late pieces are expected to wait 286 ms
 
   @forwarding
   Scenario Outline: In an overload every rank is served within the wait that was promised
--- a/packages/core/src/mountladder/sharing/expectedwaits.py
+++ b/packages/core/src/mountladder/sharing/expectedwaits.py
@@ -14,8 +14,9 @@
 from mountladder.sharing.rankfloors import RankFloors
 
 # Fraction of the throughput that is assumed to be left for late pieces while those that can be on
-# time ask for all of it. They have no floor and may get nothing; this keeps their wait finite.
-LATE_RATE_FRACTION = 0.1
+# time ask for all of it, as for the least urgent rank without floors. With 0.1, expected waits
+# reached 18 s that never occurred, and stages whose next step they announced were held back.
+LATE_RATE_FRACTION = 0.35
 
 
 @dataclass(frozen=True, slots=True)
