Hold a stage back for half of the time after which results expire at most

A stage whose next step was announced to be far behind was held back as long as other pieces waited, until its caller's deadline. After 2 s it competes like any other again.

--- a/features/results.feature
+++ b/features/results.feature
@@ -384,6 +384,22 @@
     When stages that need rank with 2 pieces and others with 0 pieces wait for scan
     Then the next call takes 1 of the former and 0 of the latter
 
+  @forwarding
+  Scenario Outline: A stage is held back for half of the time after which results expire at most
+    # Guards against stages that are held back until their caller's deadline, for a wait that was
+    # announced and never occurred.
+    Given a fleet whose stages are scan and then rank
+    And new pieces of rank are expected to wait 3000 ms
+    And the servers of scan have 0 results in their memory for 5
+    When stages that need rank with 5 pieces and others with 4 pieces wait for scan
+    And <ms> ms go by
+    Then the next call takes <taken> of the former and <rest> of the latter
+
+    Examples:
+      | ms   | taken | rest |
+      | 1900 | 0     | 4    |
+      | 2100 | 5     | 0    |
+
   @forwarding
   Scenario: A stage that was held back goes on once its next step has caught up
     Given a fleet whose stages are scan and then rank
--- a/features/steps/result_steps.py
+++ b/features/steps/result_steps.py
@@ -680,7 +680,8 @@
     context.queue = PieceQueue()
     # No route has a stage with the second number, so that nothing is known to follow it.
     for stage in [0] * held + [9] * others:
-        progress = JobProgress(scan_job(context, stage), lambda results: None, 0.0)
+        since = context.clock.now()
+        progress = JobProgress(scan_job(context, stage), lambda results: None, since)
         progress.begun = context.begun and stage == 0
         context.queue.add(progress)
 
@@ -689,7 +690,7 @@
 def other_stage_waits(context, held, others):
     stages_wait(context, held, 0)
     job = replace(scan_job(context, 9), pieces=others)
-    context.queue.add(JobProgress(job, lambda results: None, 0.0))
+    context.queue.add(JobProgress(job, lambda results: None, context.clock.now()))
 
 
 @when("the coordinator of scan sends what waits")
--- a/packages/core/src/mountladder/results/resultreservation.py
+++ b/packages/core/src/mountladder/results/resultreservation.py
@@ -29,6 +29,9 @@
 # Stages whose next step is behind get at most this fraction of a server's memory: the rest is for
 # those that arrive before their results have expired.
 HELD_FRACTION = 0.5
+# A stage is held back for at most this fraction of the time after which results expire. What was
+# expected of the next step has proved wrong by then, and a caller gains nothing by a longer wait.
+MAX_HELD_FRACTION = 0.5
 # How long a need is cached, in milliseconds: as long as a computed backlog.
 CACHE_MS = 20.0
 # Maximum number of cached needs: stages differ by their route, rank and number of pieces.
@@ -128,10 +131,12 @@
         """Return the stages that get memory at a server only after all others.
 
         There are none if the results of all waiting pieces fit. A stage that has begun already is
-        not among them, since its first results take up memory until it is complete.
+        not among them, since its first results take up memory until it is complete, nor is one
+        that has waited for long.
         """
         if not self.is_enabled():
             return set()
+        held_since = now - MAX_HELD_FRACTION * limits.result_ttl_ms
         needed_bytes = sum(progress.job.result_bytes for progress, _ in waiting)
         if used_bytes + needed_bytes <= limits.result_memory_bytes:
             return set()
@@ -142,7 +147,7 @@
             if progress is last or progress.begun:
                 continue
             last = progress
-            if self.need(progress.job, limits, now).is_behind:
+            if progress.since >= held_since and self.need(progress.job, limits, now).is_behind:
                 held.add(progress)
         return held
 
