Store and exchange presumed crashes of a request

Cause: a crash counts only once it is certain, up to some seconds after the connection broke, and the table of bars has no form for a suspicion that is not certain. Change: a suspicion may carry presumed crashes. Their fields in rows and messages are new, so that earlier versions ignore them in messages and skip rows that hold nothing else.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -270,11 +270,17 @@
     Then it is the same bar
 
     Examples:
-      | fault              |
-      | no JSON            |
-      | no servers         |
-      | a list too short   |
-      | a time before 1970 |
+      | fault                     |
+      | no JSON                   |
+      | no servers                |
+      | a list too short          |
+      | a presumed list too short |
+      | a time before 1970        |
+
+  Scenario: A row with presumed crashes is read as such, and skipped by earlier versions
+    Given a store that keeps rows of bars
+    When presumed crashes are written there and read again
+    Then they are the same, and fields that earlier versions read show no crash and no bar
 
   Scenario: An operator lists and clears requests under which servers crashed
     Given an instance's operator pages with one barred request
--- a/features/steps/bar_steps.py
+++ b/features/steps/bar_steps.py
@@ -26,12 +26,14 @@
 WALL = 1_790_000_000_000.0
 CRASHES = tuple(ServerCrash(f"i-{n}", 60.0 + n, WALL + 1_000.0 * n) for n in range(3))
 BAR = Suspicion("ab" * 16, "llm", CRASHES, bars=1, barred_at=WALL + 2_000.0)
+PRESUMED = Suspicion("ef" * 16, "llm", presumed=CRASHES)
 TOKEN = "secret"
 FAULTS = {
     "no JSON": b"{",
     "no servers": {"servers": [], "ran_ms": [], "ended_at": []},
     "a list too short": {"ran_ms": [1.0]},
     "a time before 1970": {"barred_at": -5.0},
+    "a presumed list too short": {"presumed_servers": ["i-9"], "presumed_ran_ms": [1.0]},
 }
 
 
@@ -94,6 +96,21 @@
     assert context.read == (BAR,), context.read
 
 
+@when("presumed crashes are written there and read again")
+def presumed_written(context):
+    context.bars.write(PRESUMED)
+    context.read = context.bars.read()
+
+
+@then("they are the same, and fields that earlier versions read show no crash and no bar")
+def same_presumed(context):
+    assert context.read == (PRESUMED,), context.read
+    (value,) = context.rows.values()
+    fields = json.loads(base64.b64decode(value))
+    # Earlier versions skip a row without servers as malformed.
+    assert (fields["servers"], fields["bars"]) == ([], 0), fields
+
+
 @when("it is removed")
 def removed(context):
     context.bars.remove(BAR.fingerprint)
--- a/packages/core/src/mountladder/membership/serverreader.py
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -19,19 +19,21 @@
 from mountladder.results.serverusage import ServerUsage
 
 
+def _read_crashes(ends) -> tuple[ServerCrash, ...]:
+    return tuple(ServerCrash(str(one.server), one.ranMs, one.at, one.alone) for one in ends)
+
+
 def _read_suspicion(one) -> Suspicion:
-    crashes = tuple(
-        ServerCrash(str(crash.server), crash.ranMs, crash.at, crash.alone) for crash in one.ends
-    )
     return Suspicion(
         bytes(one.fingerprint).hex(),
         str(one.service),
-        crashes,
+        _read_crashes(one.ends),
         one.sentAt,
         one.clearedAt,
         one.bars,
         one.barredAt,
         tuple(str(server) for server in one.cleared),
+        _read_crashes(one.presumed),
     )
 
 
--- a/packages/core/src/mountladder/membership/serverwriter.py
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from functools import singledispatch
 
 from mountladder.membership.wirewriter import fill
@@ -16,6 +17,7 @@
 from mountladder.notices.ratelimit import RateLimit
 from mountladder.notices.servernotices import ServerNotices
 from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.servercrash import ServerCrash
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
 
@@ -30,10 +32,15 @@
         to.sentAt, to.clearedAt = one.sent_at, one.cleared_at
         to.bars, to.barredAt = min(one.bars, MAX_BARS), one.barred_at
         to.cleared = list(one.cleared)
-        targets = to.init("ends", len(one.crashes))
-        for crash, target in zip(one.crashes, targets, strict=True):
-            target.server, target.ranMs, target.at = crash.server, crash.ran_ms, crash.at
-            target.alone = crash.alone
+        fill_crashes(one.crashes, to.init("ends", len(one.crashes)))
+        fill_crashes(one.presumed, to.init("presumed", len(one.presumed)))
+
+
+def fill_crashes(crashes: Sequence[ServerCrash], targets) -> None:
+    """Write server crashes into a list of structs of a frame."""
+    for crash, target in zip(crashes, targets, strict=True):
+        target.server, target.ranMs, target.at = crash.server, crash.ran_ms, crash.at
+        target.alone = crash.alone
 
 
 @fill.register
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -230,6 +230,7 @@
   bars @5 :UInt16;
   barredAt @6 :Float64;
   cleared @7 :List(Text);
+  presumed @8 :List(ServerEnd);
 }
 
 struct ServerNotice {
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -36,6 +36,9 @@
 SUSPECT_TTL_MS = 600_000.0
 # How long a clearing is remembered, so that late reports of older crashes do not count again.
 CLEARED_TTL_MS = 60_000.0
+# How long the list of servers can still tell what became of a presumed crash. A loss of all
+# instances takes some seconds; later a missing server may as well have been restarted since.
+PRESUMED_TTL_MS = 60_000.0
 # Bars are remembered this long after they expire, so that the next one lasts longer.
 BAR_MEMORY_MS = 24 * 3_600_000.0
 # Sends closer together than this are announced as one.
@@ -58,6 +61,8 @@
         bars: The number of times it was barred since then.
         barred_at: When it was last barred.
         cleared: The names of server incarnations whose crashes it was cleared of.
+        presumed: The servers whose connections broke and that may have crashed, the latest last.
+            Only rows of the store and messages have them: they make no request suspect.
     """
 
     fingerprint: str
@@ -68,6 +73,7 @@
     bars: int = 0
     barred_at: float = NEVER
     cleared: tuple[str, ...] = ()
+    presumed: tuple[ServerCrash, ...] = ()
 
     @property
     def is_suspect(self) -> bool:
@@ -99,6 +105,8 @@
     @property
     def expires_at(self) -> float:
         """Return when the suspicion may be dropped."""
+        if self.presumed:
+            return self.presumed[-1].at + PRESUMED_TTL_MS
         if self.bars:
             return self.barred_until + BAR_MEMORY_MS
         return self.changed_at + (SUSPECT_TTL_MS if self.is_suspect else CLEARED_TTL_MS)
@@ -178,4 +186,5 @@
             sent_at=self.sent_at + by_ms,
             cleared_at=self.cleared_at + by_ms,
             barred_at=self.barred_at + by_ms,
+            presumed=tuple(replace(one, at=one.at + by_ms) for one in self.presumed),
         )
--- a/packages/core/src/mountladder/quarantine/suspicionstore.py
+++ b/packages/core/src/mountladder/quarantine/suspicionstore.py
@@ -14,6 +14,8 @@
 class SuspicionStore(ABC):
     """A table of suspicions on the platform, with times in milliseconds since the Unix epoch.
 
+    A row with presumed crashes makes no request suspect before the list of servers was checked.
+
     Every call raises StoreUnavailableError or StoreAmbiguousError if the platform does not answer.
     Writes are idempotent.
     """
