Store the suspicion of a request at its second broken connection, marked as presumed

Cause: a crash at a machine that does not answer is certain only when the list of servers shows it, about 3.6 s later. If all instances were killed in between, nothing was remembered, and the request went on to crash further servers. Change: each instance reports broken connections that are not yet explained to the coordinator of the service, one message each. The coordinator writes one row with presumed crashes at the second independent one, at most once in 5 s for a request, and announces it. The row is replaced by the confirmed suspicion, or deleted after 5 s or once any instance has answered the request. The instance that loads the rows decides about them by the list of servers, and drops rows over 60 s old, whose servers may have been restarted since.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -143,6 +143,99 @@
     Then at most 3 servers have crashed
     And the last 3 attempts are refused with code 2010 as not_run within 5 ms
 
+  Scenario: A request that broke off at two silent servers is known after the loss of all instances
+    # Guards against a loss of all instances before the list of servers shows the second crash.
+    Given no connection to a crashed server is refused
+    # Its connection breaks 60 ms after it was sent, so that all are killed 500 ms later.
+    When a deadly stream request comes 2 times every 560 ms, each time at the next instance
+    And all instances are killed and restart
+    And a deadly stream request comes 6 times every 1000 ms, each time at the next instance
+    Then at most 4 servers have crashed
+
+  Scenario: Presumed crashes that the list of servers shows after a restart are stored as confirmed
+    Given the table of bars holds one with presumed crashes of 2 unlisted servers 1 s ago
+    When all instances are killed and restart
+    Then the table of bars holds 2 confirmed crashes
+
+  Scenario: Answers lost on live servers before the loss of all instances make no request suspect
+    Given every model server has fault "reset"
+    When a plain stream request comes every 300 ms until its answer was lost at 2 servers
+    Then the table of bars holds only presumed crashes of 2 servers
+    When all instances are killed and restart
+    And 5000 ms go by
+    Then no request is suspect
+    And the table of bars is empty
+
+  Scenario: A row with presumed crashes makes no request suspect before the list was checked
+    Given the table of bars holds 3 presumed crashes of a plain request on listed servers
+    When all instances are killed and restart
+    Then no request is suspect
+    When a plain stream request comes 3 times every 200 ms, each time at the next instance
+    Then the last 3 attempts are served
+
+  Scenario: A row with presumed crashes that is too old to be checked is dropped
+    # Guards against a row left by a crashed instance, whose servers were restarted since.
+    Given the table of bars holds one with presumed crashes of 2 unlisted servers 61 s ago
+    When all instances are killed and restart
+    Then no request is suspect
+    And the table of bars is empty
+
+  Scenario: A single broken connection is not written to the table
+    Given every model server has fault "reset"
+    When a plain stream request comes 1 times every 800 ms, each time at the next instance
+    Then the table of bars was written at most 0 times
+
+  Scenario: The connections of one request are written once in 5 s, and deleted
+    Given every model server has fault "reset"
+    When a plain stream request comes 14 times every 300 ms, each time at the next instance
+    Then the table of bars was written at most 1 times
+    And the table of bars holds only presumed crashes of 2 servers
+    When 5500 ms go by
+    Then the table of bars is empty
+
+  Scenario Outline: The row with presumed crashes of a request is deleted once it is answered
+    Given every model server has fault "reset"
+    When a plain stream request comes every 300 ms until its answer was lost at 2 servers
+    Then the table of bars holds only presumed crashes of 2 servers
+    When no model server has a fault
+    And a plain stream request comes 1 times every 100 ms, each time at instance <name>
+    Then the last 1 attempts are served
+    And the table of bars is empty
+
+    Examples:
+      | name |
+      | a-1  |
+      | a-2  |
+      | b-1  |
+
+  Scenario: A row with presumed crashes is replaced once the list of servers shows the crashes
+    Given no connection to a crashed server is refused
+    When a deadly stream request comes 2 times every 800 ms, each time at the next instance
+    Then the table of bars holds only presumed crashes of 2 servers
+    When 5500 ms go by
+    Then the table of bars holds 2 confirmed crashes
+
+  Scenario: Crashes that two instances find out at the same time replace the presumed ones
+    # Guards against a row that stays presumed since neither instance saw the second crash alone.
+    When all model servers but 7 crash while 20 plain stream requests are in flight
+    And a request breaks off at 2 servers, each time at the next instance
+    And all instances find at the same time that neither server is listed any more
+    And 5500 ms go by
+    Then the table of bars holds 2 confirmed crashes
+
+  Scenario Outline: Lost answers of a request that was answered a short time ago are not written
+    When a plain stream request comes 1 times every 200 ms, each time at instance <name>
+    Then the last 1 attempts are served
+    Given every model server has fault "reset"
+    When a plain stream request comes 6 times every 300 ms, each time at instance <name>
+    Then the table of bars was written at most 0 times
+
+    Examples:
+      | name |
+      | a-1  |
+      | a-2  |
+      | b-1  |
+
   Scenario: A request that comes again after its server crashed is served
     When all model servers but 2 crash while 20 plain stream requests are in flight
     And the same 20 requests come again
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -155,6 +155,11 @@
     send_series(context, context.fleet.instances, times, ms, kind, b"plain")
 
 
+@when("a plain stream request comes {times:d} times every {ms:d} ms, each time at instance {name}")
+def plain_at_one(context, times, ms, name):
+    send_series(context, [name], times, ms, body=b"plain")
+
+
 @when("instance {name} crashes {ms:d} ms after the last server crash")
 def instance_crashes(context, name, ms):
     # The crash was detected 800 ms ago; its announcement has been in transit for no longer.
@@ -629,3 +634,82 @@
     assert len(context.fleet.suspicion_store.rows) == number, len(
         context.fleet.suspicion_store.rows
     )
+
+
+@given("the table of bars holds {number:d} presumed crashes of a plain request on listed servers")
+def presumed_listed(context, number):
+    model_fault(context, "reset")
+    send_series(context, ["a-1"], 1, 10, "stream", b"plain")
+    context.fleet.upstream.faults.clear()
+    unresolved = context.fleet.instances["a-1"].quarantine.detector.unresolved
+    ((_, (lost,)),) = unresolved.values()
+    put_presumed(context, lost.fingerprint, model_names(context)[:number], 0.0)
+
+
+@given("the table of bars holds one with presumed crashes of 2 unlisted servers {seconds:d} s ago")
+def presumed_old(context, seconds):
+    put_presumed(context, "0a" * 16, ["gone-1", "gone-2"], 1_000.0 * seconds)
+
+
+def put_presumed(context, fingerprint, servers, age_ms):
+    """Store presumed crashes that are independent of each other."""
+    at = context.clock.wall() - age_ms
+    # After 900 ms a crash is too late to bar the request with only one other.
+    presumed = tuple(ServerCrash(one, 900.0, at - 100.0 * n) for n, one in enumerate(servers))[::-1]
+    context.fleet.suspicion_store.write(Suspicion(fingerprint, "llm", presumed=presumed))
+
+
+@when("a plain stream request comes every {ms:d} ms until its answer was lost at 2 servers")
+def lost_at_two(context, ms):
+    names = itertools.cycle(context.fleet.instances)
+    servers = set()
+    while len(servers) < 2:
+        send_series(context, [next(names)], 1, ms, "stream", b"plain")
+        assert len(context.ends) < 20, servers
+        servers.update(context.fleet.upstream.arrivals[context.attempts[0]])
+
+
+@when("a request breaks off at {number:d} servers, each time at the next instance")
+def breaks_off(context, number):
+    context.lost_at = model_names(context)[:number]
+    for server, instance in zip(context.lost_at, context.fleet.instances.values(), strict=False):
+        lost = Interruption("0a" * 16, "r", 900.0, context.clock.now())
+        detector = instance.quarantine.detector
+        record = instance.directory.records[server]
+        context.run(detector.investigate, record.server, [lost])
+        context.run(context.clock.sleep, 300.0)
+
+
+@when("all instances find at the same time that neither server is listed any more")
+def both_unlisted(context):
+    def find():
+        for instance in context.fleet.instances.values():
+            for server in context.lost_at:
+                del instance.directory.records[server]
+            instance.quarantine.detector.check_listing()
+
+    context.run(find)
+
+
+@when("no model server has a fault")
+def no_fault(context):
+    context.fleet.upstream.faults.clear()
+
+
+@then("the table of bars holds only presumed crashes of {number:d} servers")
+def only_presumed(context, number):
+    (one,) = context.fleet.suspicion_store.rows.values()
+    assert not one.crashes and not one.bars, one
+    assert len(one.presumed) == number, one
+
+
+@then("the table of bars holds {number:d} confirmed crashes")
+def only_confirmed(context, number):
+    (one,) = context.fleet.suspicion_store.rows.values()
+    assert len(one.crashes) == number and not one.presumed, one
+
+
+@then("the table of bars was written at most {number:d} times")
+def written_at_most(context, number):
+    writes = context.fleet.suspicion_store.writes
+    assert len(writes) <= number, writes
--- a/packages/core/src/mountladder/forwarding/directorylisting.py
+++ b/packages/core/src/mountladder/forwarding/directorylisting.py
@@ -36,6 +36,10 @@
         record = self.record(server)
         return record is None or record.server is None or record.server.name != server.name
 
+    def incarnations(self) -> frozenset[str] | None:
+        """Return the listed names, or None before the list is read; see ServerListing."""
+        return self.directory.names() if self.directory.ready else None
+
     def incarnation_name(self, server: BackendServer, crashed_at: float) -> str:
         """Return the server's name, which is unique to each incarnation; see ServerListing."""
         return server.name
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -32,6 +32,7 @@
 from mountladder.forwarding.placementcoordinator import PlacementCoordinator
 from mountladder.forwarding.platformtables import PlatformTables
 from mountladder.forwarding.promptplacer import PromptPlacer
+from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.readerelection import READER_BEACON_MS
 from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.serverpicker import ServerPicker
@@ -47,6 +48,8 @@
 from mountladder.membership.network import Network
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
+from mountladder.quarantine.presumedcrashes import PresumedCrashes
+from mountladder.quarantine.presumedjudge import PresumedJudge
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.quarantine.suspicionpersister import SuspicionPersister
 from mountladder.routing.costmodel import CostModel
@@ -174,8 +177,12 @@
         self.directory.listeners.append(self.quarantine.detector.check_listing)
         registry, reader_election = self.quarantine.registry, self.fleet.reader_election
         registry.on_server_crashed = self.disable_server
+        presumed = PresumedCrashes(
+            self.quarantine, lambda service: self.fleet.coordinator(prompts_topic(service))
+        )
+        judge = PresumedJudge(registry, DirectoryListing(self.directory), self.clock)
         self.suspicion_persister = SuspicionPersister(
-            self.tables.suspicion_store, registry, reader_election, self.clock
+            self.tables.suspicion_store, registry, presumed, judge, reader_election, self.clock
         )
         self.fleet.era_tracker.listeners.append(self.suspicion_persister.rewrite_recent)
 
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -41,6 +41,7 @@
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
     SUSPECTS_EVICTED = ("suspects_evicted", "counter", "suspects forgotten for want of room")
+    PRESUMED_ROWS = ("presumed_rows", "counter", "suspicions stored before crashes were certain")
     QUARANTINED = ("quarantined", "gauge", "requests barred since servers ended under them")
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
     LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
--- a/packages/core/src/mountladder/quarantine/crashdetector.py
+++ b/packages/core/src/mountladder/quarantine/crashdetector.py
@@ -45,6 +45,7 @@
     Attributes:
         on_crashed: Called with the name of the crashed incarnation of a server, the service it ran,
             and the requests that it had in flight.
+        on_unresolved: Called like on_crashed if it is not known yet whether the server has crashed.
         unresolved: Servers with broken connections that may have crashed, and the interrupted
             requests, by the server's name.
         probes: The probes in flight, by the server's name.
@@ -59,6 +60,8 @@
         self.clock = clock
         self.on_crashed: Callable[[str, str, Sequence[Interruption]], None]
         self.on_crashed = lambda server, service, interrupted: None
+        self.on_unresolved: Callable[[str, str, Sequence[Interruption]], None]
+        self.on_unresolved = lambda server, service, interrupted: None
         self.unresolved: dict[str, tuple[BackendServer, list[Interruption]]] = {}
         self.probes: dict[str, Event] = {}
         self.crashed: OrderedDict[str, tuple[float, str]] = OrderedDict()
@@ -85,6 +88,9 @@
             probe_done = self.probes[server.name] = Event()
             gevent.spawn(self.probe, server, probe_done)
         self.clock.wait(probe_done, PROBE_MS)
+        if server.name in self.unresolved:
+            incarnation = self.listing.incarnation_name(server, self.clock.now())
+            self.on_unresolved(incarnation, self.listing.service(server), interrupted)
 
     def probe(self, server: BackendServer, probe_done: Event) -> None:
         """Probe whether a server refuses connections."""
--- a/packages/core/src/mountladder/quarantine/memorysuspicionstore.py
+++ b/packages/core/src/mountladder/quarantine/memorysuspicionstore.py
@@ -18,12 +18,14 @@
         rows: The stored suspicions, by fingerprint.
         down: Whether calls fail.
         calls: The number of calls.
+        writes: The suspicions that were written, in order.
     """
 
     def __init__(self) -> None:
         self.rows: dict[str, Suspicion] = {}
         self.down = False
         self.calls = 0
+        self.writes: list[Suspicion] = []
 
     def read(self) -> tuple[Suspicion, ...]:
         """Return all stored suspicions; see SuspicionStore."""
@@ -34,6 +36,7 @@
         """Store a suspicion; see SuspicionStore."""
         self.check()
         self.rows[suspicion.fingerprint] = suspicion
+        self.writes.append(suspicion)
 
     def remove(self, fingerprint: str) -> None:
         """Delete a suspicion; see SuspicionStore."""
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -59,6 +59,7 @@
         on_persist: Called with each suspicion that is to be persisted but not barred, if this
             instance observed its last crash.
         on_cleared: Called with the fingerprint of each persisted suspicion that is cleared here.
+        on_answered: Called with the fingerprint of each request that is answered completely here.
         on_server_crashed: Called with the name of a server that has just crashed.
     """
 
@@ -73,6 +74,7 @@
         self.on_barred: Callable[[Suspicion, bool], None] = lambda suspicion, seen_here: None
         self.on_persist: Callable[[Suspicion], None] = lambda suspicion: None
         self.on_cleared: Callable[[str], None] = lambda fingerprint: None
+        self.on_answered: Callable[[str], None] = lambda fingerprint: None
         self.on_server_crashed: Callable[[str], None] = lambda server: None
 
     def check(self, fingerprint: str, request: str) -> None:
@@ -214,6 +216,7 @@
         self.answered.move_to_end(fingerprint)
         if len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
+        self.on_answered(fingerprint)
         if self.is_suspect(fingerprint):
             self.clear(fingerprint, "it was answered completely")
 
--- a/packages/core/src/mountladder/quarantine/serverlisting.py
+++ b/packages/core/src/mountladder/quarantine/serverlisting.py
@@ -22,6 +22,10 @@
     def is_unlisted(self, server: BackendServer) -> bool:
         """Return whether the list no longer has an entry of this incarnation of a server."""
 
+    @abstractmethod
+    def incarnations(self) -> frozenset[str] | None:
+        """Return the names of all listed incarnations, or None if they are not known."""
+
     @abstractmethod
     def incarnation_name(self, server: BackendServer, crashed_at: float) -> str:
         """Return a name for the crashed incarnation of a server, unique among incarnations."""
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from mountladder.clocks.clock import Clock
 from mountladder.membership.gossip import Gossip
@@ -23,12 +23,16 @@
         link_manager: Keeps the links to the other instances.
         quarantine: The quarantine of this instance.
         clock: The clock.
+
+    Attributes:
+        on_received: Called with all received suspicions, those with presumed crashes included.
     """
 
     def __init__(self, link_manager: LinkManager, quarantine: Quarantine, clock: Clock) -> None:
         super().__init__(link_manager, clock, Suspicions)
         self.quarantine = quarantine
         quarantine.on_update = self.broadcast
+        self.on_received: Callable[[Sequence[Suspicion]], None] = lambda received: None
 
     def known(self) -> Iterable[Suspicion]:
         """Return all suspicions; see Gossip."""
@@ -40,4 +44,6 @@
 
     def merge(self, entries: Sequence[Suspicion], now: float, source: str) -> None:
         """Merge received suspicions into the quarantine; see Gossip."""
-        self.quarantine.merge([suspicion.shifted(now) for suspicion in entries], source)
+        received = [suspicion.shifted(now) for suspicion in entries]
+        self.on_received(received)
+        self.quarantine.merge([one for one in received if not one.presumed], source)
--- a/packages/core/src/mountladder/quarantine/suspicionpersister.py
+++ b/packages/core/src/mountladder/quarantine/suspicionpersister.py
@@ -14,6 +14,8 @@
 from mountladder.clocks.clock import Clock
 from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.readerelection import ReaderElection
+from mountladder.quarantine.presumedcrashes import PresumedCrashes
+from mountladder.quarantine.presumedjudge import SOURCE, PresumedJudge
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicionstore import SuspicionStore
@@ -23,8 +25,6 @@
 # that is settled within half a second.
 POLL_MS = 100.0
 RETRY_MS = 1_000.0
-# The store's name as a source in log lines of the quarantine.
-SOURCE = "the store"
 
 
 class SuspicionPersister:
@@ -38,6 +38,8 @@
     Args:
         store: The platform's table of suspicions.
         quarantine: The quarantine of this instance.
+        presumed: Finds requests that probably crashed two servers.
+        judge: Decides whether the presumed crashes in rows of the store have happened.
         reader_election: Knows which instance reads the store.
         clock: The clock.
 
@@ -51,11 +53,14 @@
         self,
         store: SuspicionStore,
         quarantine: Quarantine,
+        presumed: PresumedCrashes,
+        judge: PresumedJudge,
         reader_election: ReaderElection,
         clock: Clock,
     ) -> None:
         self.store = store
         self.quarantine = quarantine
+        self.judge = judge
         self.reader_election = reader_election
         self.clock = clock
         self.pending: OrderedDict[str, Suspicion | None] = OrderedDict()
@@ -65,6 +70,8 @@
         quarantine.on_barred = self.queue_bar
         quarantine.on_persist = self.queue_suspicion
         quarantine.on_cleared = self.queue_removal
+        presumed.on_write = judge.on_confirmed = self.queue_suspicion
+        presumed.on_remove = judge.on_dropped = self.queue_removal
 
     def queue_bar(self, suspicion: Suspicion, seen_here: bool) -> None:
         """Queue a bar to be written, if this instance has to write it."""
@@ -75,7 +82,7 @@
             self.wake.set()
 
     def queue_suspicion(self, suspicion: Suspicion) -> None:
-        """Queue a suspicion to be written that one more crash would turn into a bar."""
+        """Queue a suspicion to be written, which one more crash would turn into a bar."""
         self.pending[suspicion.fingerprint] = suspicion
         self.wake.set()
 
@@ -128,9 +135,9 @@
         for suspicion in known:
             if suspicion.expires_at < now:
                 self.queue_removal(suspicion.fingerprint)
-        self.quarantine.merge(
-            [suspicion for suspicion in known if suspicion.expires_at >= now], SOURCE
-        )
+        valid = [suspicion for suspicion in known if suspicion.expires_at >= now]
+        self.quarantine.merge([one for one in valid if not one.presumed], SOURCE)
+        self.judge.start([one for one in valid if one.presumed])
         return True
 
     def write(self) -> bool:
--- a/packages/core/src/mountladder/requests/configuredlisting.py
+++ b/packages/core/src/mountladder/requests/configuredlisting.py
@@ -25,6 +25,10 @@
         """Return False, since the configuration does not show restarts; see ServerListing."""
         return False
 
+    def incarnations(self) -> frozenset[str] | None:
+        """Return None, since the configuration does not show restarts; see ServerListing."""
+        return None
+
     def incarnation_name(self, server: BackendServer, crashed_at: float) -> str:
         """Return the server's name and the time of the crash; see ServerListing."""
         return f"{server.name}@{crashed_at:.0f}"
