Report answers after a broken connection to the coordinator from every instance

Cause: an instance that was not the coordinator did not remember the broken connections it had reported, so it reported the answer of a later attempt only once a row had been announced. The broken connections before and after an answer then counted together, and a row was written. Change: each instance also keeps the broken connections that it reports.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -236,6 +236,21 @@
       | a-2  |
       | b-1  |
 
+  Scenario Outline: An answer between two broken connections is reported to the coordinator
+    # Guards against an instance that does not remember which broken connections it reported.
+    Given every model server has fault "reset"
+    When a plain stream request comes 1 times every 100 ms, each time at instance <name>
+    And no model server has a fault
+    And a plain stream request comes 1 times every 100 ms, each time at instance <name>
+    Then the last 1 attempts are served
+    And no instance remembers a broken connection
+
+    Examples:
+      | name |
+      | a-1  |
+      | a-2  |
+      | b-1  |
+
   Scenario: A request that comes again after its server crashed is served
     When all model servers but 2 crash while 20 plain stream requests are in flight
     And the same 20 requests come again
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -713,3 +713,10 @@
 def written_at_most(context, number):
     writes = context.fleet.suspicion_store.writes
     assert len(writes) <= number, writes
+
+
+@then("no instance remembers a broken connection")
+def none_remembered(context):
+    for name, instance in context.fleet.instances.items():
+        recent = instance.quarantine.exchange.on_received.__self__.recent
+        assert not recent, (name, recent)
--- a/packages/core/src/mountladder/quarantine/presumedcrashes.py
+++ b/packages/core/src/mountladder/quarantine/presumedcrashes.py
@@ -82,23 +82,21 @@
             )
             for one in lost
         ]
-        self.send(service, entries)
+        # Also kept here, so that the answer of a later attempt at this instance is reported.
+        self.receive(entries)
+        link = self.find_coordinator(service)
+        if link is not None:
+            self.exchange.send(link, entries)
 
     def report_answer(self, fingerprint: str) -> None:
         """Report a complete answer to the coordinator, if the request broke off recently."""
         known = self.recent.get(fingerprint)
         if known is not None:
-            now = self.clock.now()
-            self.send(known.service, [Suspicion(fingerprint, known.service, cleared_at=now)])
             self.clear(fingerprint)
-
-    def send(self, service: str, entries: Sequence[Suspicion]) -> None:
-        """Send entries to the coordinator of a service, which may be this instance."""
-        link = self.find_coordinator(service)
-        if link is None:
-            self.receive(entries)
-        else:
-            self.exchange.send(link, entries)
+            link = self.find_coordinator(known.service)
+            if link is not None:
+                now = self.clock.now()
+                self.exchange.send(link, [Suspicion(fingerprint, known.service, cleared_at=now)])
 
     def receive(self, entries: Sequence[Suspicion]) -> None:
         """Record broken connections, and forget those of requests that were cleared since."""
