Limit the rows with presumed crashes that are written within 5 s

Cause: an outage of the network that breaks off many requests at two servers had a row written, an announcement broadcast and a line logged for each of them, and bars wait in the same queue. Change: a coordinator has at most 64 rows written within 5 s.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -236,6 +236,12 @@
       | a-2  |
       | b-1  |
 
+  Scenario: An outage that breaks off many requests has a bounded number of rows written
+    # Guards against a queue of presumed rows that delays the writing of bars.
+    When 200 requests break off at 2 servers, at the coordinator
+    Then the table of bars was written at most 64 times
+    And the table of bars was written at least 64 times
+
   Scenario Outline: An answer between two broken connections is reported to the coordinator
     # Guards against an instance that does not remember which broken connections it reported.
     Given every model server has fault "reset"
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 from forwardbasics import PATHS, catalogue, request, serve
 
+from mountladder.forwarding.ranking import prompts_topic
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.memorysuspicionstore import MemorySuspicionStore
 from mountladder.quarantine.servercrash import ServerCrash
@@ -720,3 +721,24 @@
     for name, instance in context.fleet.instances.items():
         recent = instance.quarantine.exchange.on_received.__self__.recent
         assert not recent, (name, recent)
+
+
+@when("{number:d} requests break off at 2 servers, at the coordinator")
+def many_break_off(context, number):
+    instances = context.fleet.instances.values()
+    # Every instance but the coordinator has a link to it.
+    (coordinator,) = (one for one in instances if one.fleet.coordinator(prompts_topic("llm")) is None)
+    for server in model_names(context)[:2]:
+        now = context.clock.now()
+        lost = [Interruption(f"{n:032x}", f"r-{n}", 900.0, now) for n in range(number)]
+        record = coordinator.directory.records[server]
+        for start in range(0, number, 50):
+            part = lost[start : start + 50]
+            context.run(coordinator.quarantine.detector.investigate, record.server, part)
+        context.run(context.clock.sleep, 300.0)
+
+
+@then("the table of bars was written at least {number:d} times")
+def written_at_least(context, number):
+    writes = context.fleet.suspicion_store.writes
+    assert len(writes) >= number, len(writes)
--- a/packages/core/src/mountladder/quarantine/presumedcrashes.py
+++ b/packages/core/src/mountladder/quarantine/presumedcrashes.py
@@ -24,6 +24,9 @@
 # Min. time between two writes of the presumed suspicion of one request. By then the list of servers
 # has shown what became of the servers of the first write.
 WRITE_INTERVAL_MS = LISTING_DELAY_MS
+# Max. number of requests whose rows are written within that interval. An outage of the network
+# breaks off thousands of requests at two servers; bars wait for the store in the same queue.
+MAX_WRITTEN = 64
 
 
 class PresumedCrashes:
@@ -142,6 +145,8 @@
             return
         if now - self.written_at.get(fingerprint, NEVER) < WRITE_INTERVAL_MS:
             return
+        if fingerprint not in self.written_at and len(self.written_at) >= MAX_WRITTEN:
+            return
         confirmed = {one.server for one in known.crashes}
         left = tuple(one for one in likely.crashes if one.server not in confirmed)
         log_message(
