Record all crashes of a message or of stored rows before any request is barred

Cause: two fast crashes bar a request if no server crashed without it. After a restart the rows with presumed crashes were merged one after another, so the first one looked isolated, and a request was barred although an outage had ended the servers of other requests too. Peers merged received suspicions likewise. Change: Quarantine.merge records the crashes of all entries first; PresumedJudge merges the decided crashes of all rows at once. Ran: quarantine.feature, 53 passed; without the change the new scenario fails.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -173,6 +173,12 @@
     When a plain stream request comes 3 times every 200 ms, each time at the next instance
     Then the last 3 attempts are served
 
+  Scenario: Requests that broke off in one outage are not barred after a restart
+    # Guards against crashes that look isolated since those of the other rows are not known yet.
+    Given the table of bars holds 2 requests with fast presumed crashes, each of 2 other servers
+    When all instances are killed and restart
+    Then both requests are suspect, and neither is barred
+
   Scenario: A row with presumed crashes that is too old to be checked is dropped
     # Guards against a row left by a crashed instance, whose servers were restarted since.
     Given the table of bars holds one with presumed crashes of 2 unlisted servers 61 s ago
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -742,3 +742,22 @@
 def written_at_least(context, number):
     writes = context.fleet.suspicion_store.writes
     assert len(writes) >= number, len(writes)
+
+
+@given("the table of bars holds 2 requests with fast presumed crashes, each of 2 other servers")
+def fast_presumed(context):
+    now = context.clock.wall()
+    for n in range(2):
+        presumed = tuple(
+            ServerCrash(f"gone-{n}-{m}", 60.0, now - 1_000.0 + 100.0 * m) for m in range(2)
+        )
+        row = Suspicion(f"{n:032x}", "llm", presumed=presumed)
+        context.fleet.suspicion_store.write(row)
+
+
+@then("both requests are suspect, and neither is barred")
+def both_suspect(context):
+    for name, instance in context.fleet.instances.items():
+        suspicions = instance.quarantine.registry.suspicions
+        assert len(suspicions) == 2, (name, suspicions)
+        assert not any(one.bars for one in suspicions.values()), (name, suspicions)
--- a/packages/core/src/mountladder/quarantine/presumedjudge.py
+++ b/packages/core/src/mountladder/quarantine/presumedjudge.py
@@ -65,23 +65,32 @@
         """Check the list of servers, until every row is decided."""
         listed = self.listing.incarnations()
         if listed is not None:
-            for row in list(self.undecided.values()):
-                self.decide(row, listed)
+            found = [self.decide(row, listed) for row in list(self.undecided.values())]
+            # Merged at once, since crashes of different rows may have one cause.
+            self.quarantine.merge([one for one in found if one.crashes], SOURCE)
+            for one in found:
+                if not self.undecided[one.fingerprint].presumed:
+                    self.finish(one.fingerprint)
         if self.undecided:
             self.clock.call_later(CHECK_MS, self.check)
 
-    def decide(self, row: Suspicion, listed: frozenset[str]) -> None:
+    def decide(self, row: Suspicion, listed: frozenset[str]) -> Suspicion:
         """Decide about the presumed crashes of a row as far as the list of servers shows them.
 
+        The row stays in `undecided` with the crashes that are left.
+
         Args:
             row: The row.
             listed: The names of the listed server incarnations.
+
+        Returns:
+            A suspicion with the crashes that have happened.
         """
         now = self.clock.now()
         if row.expires_at < now:
             log_message("presumed-row-expired", fingerprint=row.fingerprint)
-            self.finish(row.fingerprint)
-            return
+            self.undecided[row.fingerprint] = replace(row, presumed=())
+            return Suspicion(row.fingerprint, row.service)
         crashed = tuple(one for one in row.presumed if one.server not in listed)
         alive = [
             one.server
@@ -98,11 +107,8 @@
                 undecided=[one.server for one in left],
                 ages_ms={one.server: round(now - one.at) for one in row.presumed},
             )
-        if crashed:
-            self.quarantine.merge([Suspicion(row.fingerprint, row.service, crashed)], SOURCE)
         self.undecided[row.fingerprint] = replace(row, presumed=left)
-        if not left:
-            self.finish(row.fingerprint)
+        return Suspicion(row.fingerprint, row.service, crashed)
 
     def finish(self, fingerprint: str) -> None:
         """Replace a row by the confirmed suspicion, or delete it if too few servers crashed."""
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -252,13 +252,17 @@
         now = self.clock.now()
         updates: list[Suspicion] = []
         answers: list[Suspicion] = []
+        received = list(received)
+        # All crashes are recorded first, so that none of them looks isolated.
+        for one in received:
+            if self.suspicions.get(one.fingerprint, Suspicion(one.fingerprint)).lacks_outcome(one):
+                self.record_remote_crashes(one)
         for one in received:
             known = self.suspicions.get(one.fingerprint, Suspicion(one.fingerprint))
             if not known.lacks_outcome(one):
                 if known.lacks(one):
                     self.apply([known.merged(one)])
                 continue
-            self.record_remote_crashes(one)
             merged = known.merged(one)
             if merged.bars > known.bars:
                 self.on_barred(merged, False)
