--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -727,7 +727,9 @@
 def many_break_off(context, number):
     instances = context.fleet.instances.values()
     # Every instance but the coordinator has a link to it.
-    (coordinator,) = (one for one in instances if one.fleet.coordinator(prompts_topic("llm")) is None)
+    (coordinator,) = (
+        one for one in instances if one.fleet.coordinator(prompts_topic("llm")) is None
+    )
     for server in model_names(context)[:2]:
         now = context.clock.now()
         lost = [Interruption(f"{n:032x}", f"r-{n}", 900.0, now) for n in range(number)]
