Judge presumed crashes only once the store's list of servers is complete again

Cause: after an outage of the store the entries of live servers are missing until they are written again, and PresumedJudge took a missing server for a crashed one. Change: DirectoryListing.incarnations returns None while removed entries may still reappear.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -179,6 +179,14 @@
     When all instances are killed and restart
     Then both requests are suspect, and neither is barred
 
+  Scenario: Servers whose entries may reappear after an outage of the store do not count as crashed
+    # Guards against live servers that count as crashed before they have written their entries.
+    Given presumed crashes of 2 unlisted servers are read right after an outage of the store
+    When 1500 ms go by
+    Then no request is suspect
+    When 1000 ms go by
+    Then the table of bars holds 2 confirmed crashes
+
   Scenario: A row with presumed crashes that is too old to be checked is dropped
     # Guards against a row left by a crashed instance, whose servers were restarted since.
     Given the table of bars holds one with presumed crashes of 2 unlisted servers 61 s ago
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -763,3 +763,13 @@
         suspicions = instance.quarantine.registry.suspicions
         assert len(suspicions) == 2, (name, suspicions)
         assert not any(one.bars for one in suspicions.values()), (name, suspicions)
+
+
+@given("presumed crashes of 2 unlisted servers are read right after an outage of the store")
+def read_after_outage(context):
+    now = context.clock.now()
+    presumed = tuple(ServerCrash(f"gone-{n}", 900.0, now - 500.0 + 100.0 * n) for n in range(2))
+    instance = context.fleet.instances["a-1"]
+    instance.directory.mark_store_reachable()
+    row = Suspicion("0a" * 16, "llm", presumed=presumed)
+    context.run(instance.suspicion_persister.judge.start, [row])
--- a/packages/core/src/mountladder/forwarding/directorylisting.py
+++ b/packages/core/src/mountladder/forwarding/directorylisting.py
@@ -37,8 +37,11 @@
         return record is None or record.server is None or record.server.name != server.name
 
     def incarnations(self) -> frozenset[str] | None:
-        """Return the listed names, or None before the list is read; see ServerListing."""
-        return self.directory.names() if self.directory.ready else None
+        """Return the listed names, or None while the list may lack servers; see ServerListing."""
+        # After an outage of the store, live servers write their entries again.
+        if not self.directory.ready or self.directory.reappear_ms() > 0.0:
+            return None
+        return self.directory.names()
 
     def incarnation_name(self, server: BackendServer, crashed_at: float) -> str:
         """Return the server's name, which is unique to each incarnation; see ServerListing."""
