--- a/packages/core/src/mountladder/results/releaseguard.py
+++ b/packages/core/src/mountladder/results/releaseguard.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 # Early release pauses if more than this fraction of the releases were needed after all: such a
 # request runs all its stages again, while a release saves memory for about one call.
 MAX_NEEDED_FRACTION = 0.02
@@ -18,7 +16,6 @@
 HALF_LIFE_MS = 5_000.0
 
 
-@dataclass(slots=True)
 class ReleaseGuard:
     """Decides whether the inputs of stages may be released before the stages are done.
 
@@ -31,10 +28,11 @@
         paused_until: Until when there is no early release.
     """
 
-    releases: float = 0.0
-    needed: float = 0.0
-    updated: float = 0.0
-    paused_until: float = float("-inf")
+    def __init__(self) -> None:
+        self.releases = 0.0
+        self.needed = 0.0
+        self.updated = 0.0
+        self.paused_until = float("-inf")
 
     def is_paused(self, now: float) -> bool:
         """Return whether early release pauses."""
