--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import gevent
 
@@ -21,8 +22,6 @@
 from mountladder.forwarding.jobprogress import Done, JobProgress
 from mountladder.forwarding.piecequeue import PieceQueue, QueuedPiece, isolate_suspects
 from mountladder.forwarding.piecerate import PieceRate
-from mountladder.forwarding.releaser import Releaser
-from mountladder.forwarding.resultmemory import ResultMemory
 from mountladder.forwarding.stagedemand import StageDemand
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stageservers import StageServers
@@ -31,9 +30,15 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.results.inputrelease import InputRelease
+from mountladder.results.releaser import Releaser
+from mountladder.results.resultmemory import ResultMemory
+from mountladder.results.resultreservation import ResultReservation
+from mountladder.results.surplusrelease import SurplusRelease
 from mountladder.routing.router import Router
 from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.sharing.servicesharing import ServiceSharing
 
 # Interval between polls of a queue with waiting pieces, where no event triggers an earlier one.
 POLL_MS = 40.0
@@ -71,6 +76,8 @@
         cold: Limits the pieces sent to servers that have just started.
         limits: Enforces the rate limits that servers announce.
         notices: Receives the notices that answers carry about their servers.
+        share_fairly: Whether ranks and teams are kept from starving each other in an overload.
+        reserves_results: Returns whether memory for results is reserved and released early.
     """
 
     def __init__(
@@ -87,6 +94,8 @@
         cold: ColdServers,
         limits: ServerLimits,
         notices: NoticeDispatcher,
+        share_fairly: bool = True,
+        reserves_results: Callable[[], bool] = lambda: True,
     ) -> None:
         self.service = service
         self.notices = notices
@@ -102,6 +111,12 @@
         self.servers = StageServers(service, division, router, cold, limits)
         self.result_memory = ResultMemory()
         self.rate = PieceRate(clock)
+        self.sharing = ServiceSharing(service, metrics) if share_fairly else None
+        self.reserves_results = reserves_results
+        self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
+        self.inputs.server_names = self.server_names
+        self.surplus = SurplusRelease(self)
+        self.reservation = ResultReservation(catalogue, metrics, reserves_results)
         self.hedged: set[QueuedPiece] = set()
         self.cached_backlog: tuple[float, Backlog] | None = None
         self.releaser = self.make_releaser(division.directory)
@@ -125,6 +140,8 @@
         for _ in range(job.pieces):
             self.budget.earn()
         self.demand.record_arrival(job)
+        if self.sharing is not None:
+            self.sharing.record_arrival(job, self.clock.now())
         self.queue.add(progress)
         self.pump()
         return progress
@@ -149,22 +166,49 @@
         self.result_memory.drop_expired(now)
         if self.releaser.held and limits is not None:
             self.release_held(limits, now)
+        if limits is not None:
+            self.surplus.check(limits, now)
         if self.queue and limits is not None:
-            self.queue.sort(now)
-            for state in self.servers.free(limits, now):
+            free = self.servers.free(limits, now)
+            if free:
+                self.sort_queue(len(free), limits, now)
+            for state in free:
                 self.offer(state, limits, now)
         self.rate.set_congested(limits is not None and self.is_congested(limits, now))
         if self.queue:
             self.schedule_poll()
 
+    def sort_queue(self, free: int, limits: BatchLimits, now: float) -> None:
+        """Sort the queue for the next calls, with floors and shares while it is congested."""
+        if self.sharing is None:
+            self.queue.sort(now)
+            return
+        congested = self.is_congested(limits, now)
+        arrange = partial(
+            self.sharing.arrange, limits=limits, free=free, congested=congested, now=now
+        )
+        self.queue.sort(now, arrange)
+
     def is_congested(self, limits: BatchLimits, now: float) -> bool:
         """Return whether pieces wait longer than until the next server is free."""
         return now - self.queue.oldest(now) > CONGESTED_CALLS * limits.expected_ms(limits.pieces)
 
+    def congestion_onset_ms(self, limits: BatchLimits, now: float) -> float:
+        """Return the time until the oldest piece has waited for so long that it is congested."""
+        waited_ms = now - self.queue.oldest(now)
+        return max(0.0, CONGESTED_CALLS * limits.expected_ms(limits.pieces) - waited_ms)
+
     def release(self, handles: Sequence[str]) -> None:
         """Release results that are no longer needed."""
+        self.surplus.discard(handles)
         self.releaser.release(handles)
 
+    def server_names(self, handles: Sequence[str]) -> frozenset[str]:
+        """Return the names of the listed servers that hold results."""
+        by_address = self.servers.division.directory.by_address
+        addresses = {handle.partition("/")[0] for handle in handles}
+        return frozenset(by_address[one].name for one in addresses if one in by_address)
+
     def on_released(self, handles: Sequence[str]) -> None:
         """Free the memory accounted for results that servers have dropped."""
         for handle in handles:
@@ -199,8 +243,13 @@
         usable = self.servers.usable(now)
         served_datacentres = {one.server.datacentre for one in usable}
         used_bytes = self.result_memory.used_bytes(state.server.name, now)
-        max_pieces = self.servers.max_pieces(state, limits)
-        chosen = self.queue.choose(state, used_bytes, served_datacentres, limits, now)[:max_pieces]
+        max_pieces = min(
+            self.servers.max_pieces(state, limits),
+            self.servers.slow_pieces(state, usable, len(self.queue), limits, now),
+        )
+        chosen = self.reservation.choose(
+            self.queue, state, used_bytes, served_datacentres, limits, now
+        )[:max_pieces]
         batch = isolate_suspects(chosen, self.quarantine)
         if not batch:
             return
@@ -234,9 +283,13 @@
         if measured is not None:
             rate = max(MIN_RATE_FRACTION * rate, min(rate, measured))
         busy_ms = min(self.servers.remaining_ms(one, now) for one in usable)
-        return Backlog(
-            self.service, self.demand.waits_ms(self.queue.count_by_priority(now), rate, busy_ms)
-        )
+        waiting = self.queue.count_by_priority(now)
+        if self.sharing is None:
+            return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms))
+        onset_ms = self.congestion_onset_ms(limits, now)
+        call_ms = limits.expected_ms(limits.pieces)
+        floors = partial(self.sharing.floors, now=now, onset_ms=onset_ms, call_ms=call_ms)
+        return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms, floors))
 
     def start(
         self, state: ServerState, batch: list[QueuedPiece], limits: BatchLimits, now: float
@@ -244,9 +297,16 @@
         """Send a batch to a server in a new greenlet."""
         run = BatchRun(self, state, batch, limits, now)
         self.servers.begin(state, run.call)
-        for progress, _ in batch:
+        self.inputs.call_began(run, len(self.servers.calls[state.server.name]))
+        for progress, fragment in batch:
             progress.begun = True
+            progress.copies[fragment] += 1
             if self.quarantine.needs_own_call(progress.job.fingerprint):
                 self.quarantine.record_sent(progress.job.fingerprint, progress.job.request)
-            self.result_memory.reserve(state.server.name, progress.job.result_bytes)
+            hold_ms = self.reservation.need(progress.job, limits, now).hold_ms
+            self.result_memory.reserve(
+                state.server.name, progress.job.result_bytes, until=now + hold_ms
+            )
+        if self.sharing is not None:
+            self.sharing.record_call(batch, limits, now)
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.metrics.metric import Metric
+from mountladder.performance.worktype import WorkType
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.trackedattempt import connection_broke
 from mountladder.routing.serverstate import ServerState
@@ -55,6 +56,9 @@
         batch: The pieces.
         limits: The server's batch limits.
         now: The clock's time.
+
+    Attributes:
+        ended: Whether the call has ended.
     """
 
     def __init__(
@@ -75,8 +79,9 @@
             - batcher.result_memory.used_bytes(state.server.name, now)
             - requested_bytes
         )
-        expected_ms = limits.expected_ms(len(batch)) * state.slowness_at(now)
+        expected_ms = limits.expected_ms(len(batch)) * state.time_factor(now)
         self.call = StageCallState(now, expected_ms, len(batch))
+        self.ended = False
 
     def run(self) -> None:
         """Make the call, then settle or requeue its pieces."""
@@ -96,15 +101,19 @@
             self.succeeded(results)
         finally:
             cancel()
+            self.ended = True
             self.batcher.servers.end(self.state, self.call, self.batcher.clock.now())
             self.batcher.pump()
 
     def hedge(self) -> None:
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
-        self.state.record_time_ratio(
-            (now - self.call.started) / self.limits.expected_ms(len(self.batch)), now
-        )
+        ratio = (now - self.call.started) / self.limits.expected_ms(len(self.batch))
+        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
+        if self.batcher.servers.router.speeds is not None:
+            self.batcher.servers.router.speeds.record_overdue(
+                self.state.server, WorkType.CALL, ratio
+            )
         self.batcher.servers.mark_overdue(self.state, self.call)
         requeued = [
             one
@@ -132,7 +141,7 @@
         elapsed_ms = now - self.call.started
         self.state.breaker.succeed()
         self.batcher.servers.answered(self.state, now)
-        self.state.record_time_ratio(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
+        self.learn_time(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
         self.batcher.rate.add(len(self.batch))
         self.batcher.metrics.count(Metric.STAGE_CALLS)
         self.batcher.metrics.count(Metric.STAGE_PIECES, number=len(self.batch))
@@ -146,6 +155,8 @@
             waiting=len(self.batcher.queue),
             elapsed_ms=round(elapsed_ms),
             slowness=round(self.state.slowness, 2),
+            factor=round(self.state.pace.factor, 2),
+            spell=round(self.state.pace.spell_at(now), 2),
             result_bytes_used=round(
                 self.batcher.result_memory.used_bytes(self.state.server.name, now)
             ),
@@ -154,8 +165,17 @@
         )
         if PieceFailure.NO_ROOM.value in failed:
             self.batcher.servers.pause(self.state, now + NO_ROOM_PAUSE_MS)
+        for progress, fragment in self.batch:
+            progress.copies[fragment] -= 1
         for waiting, result in zip(self.batch, results, strict=True):
             self.handle_result(waiting, result, now)
+        self.batcher.inputs.call_answered(self, results)
+
+    def learn_time(self, ratio: float, now: float) -> None:
+        """Update the server's slowness and speed from the ratio of actual to usual time."""
+        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
+        if self.batcher.servers.router.speeds is not None:
+            self.batcher.servers.router.speeds.record(self.state.server, WorkType.CALL, ratio)
 
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
@@ -169,6 +189,7 @@
             self.batcher.result_memory.record_result(
                 result.handle, server, size, now + self.limits.result_ttl_ms
             )
+            self.batcher.releaser.released.forget(result.handle)
         if result.failure is PieceFailure.NO_ROOM:
             # The server did not run the piece, so this counts as no retry. Result sizes are
             # approximate: a call that was to fill the memory may exceed it by about one result.
@@ -181,10 +202,22 @@
             self.repeat(progress, fragment, result)
         elif progress.is_settled(fragment):
             self.batcher.release([result.handle])
+        elif result.failure is PieceFailure.INPUT_GONE:
+            self.input_gone(progress, fragment, result)
         else:
             progress.settle(fragment, replace(result, datacentre=self.state.server.datacentre))
             self.batcher.quarantine.record_answer(progress.job.fingerprint)
 
+    def input_gone(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
+        """Fail the stage of a piece with a missing input, unless another copy of it runs."""
+        if self.batcher.reserves_results() and progress.copies[fragment] > 0:
+            # That copy has fetched its inputs, or finds them missing as well.
+            self.batcher.hedged.discard((progress, fragment))
+            self.batcher.inputs.copy_without_input(progress, fragment)
+        else:
+            self.batcher.inputs.input_missing(progress, fragment)
+            progress.settle(fragment, result)
+
     def failed(self, error: StageError) -> None:
         """Handle a call without an answer: update the server's state and requeue the pieces."""
         now = self.batcher.clock.now()
@@ -213,6 +246,7 @@
         self.report_interruptions(error)
         for progress, fragment in self.batch:
             size, server = progress.job.result_bytes, self.state.server.name
+            progress.copies[fragment] -= 1
             self.batcher.result_memory.unreserve(server, size)
             if error.dispatched:
                 self.batcher.result_memory.record_lost(
@@ -242,6 +276,8 @@
         """Requeue a piece, or settle it as failed if no attempt or retry budget is left."""
         if progress.is_settled(fragment):
             return
+        # A copy that still runs may wait for its turn, and has not fetched its inputs then.
+        progress.fetched.discard(fragment)
         if (progress, fragment) in self.batcher.hedged:
             # Its other copy is still queued or running; only a failure of that one is retried.
             self.batcher.hedged.discard((progress, fragment))
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mountladder.forwarding.backlog import rank, value_for_rank
 from mountladder.forwarding.batchlimits import BatchLimits
@@ -29,6 +29,7 @@
 # Pieces that are late anyway can wait.
 LOCALITY_SLACK_CALLS = 1.5
 QueuedPiece = tuple[JobProgress, int]
+SortKey = Callable[[QueuedPiece, float], tuple[bool, bool, int, float]]
 
 
 class PieceQueue:
@@ -50,7 +51,8 @@
         self.waiting += [(progress, fragment) for fragment in range(progress.job.pieces)]
 
     def requeue(self, waiting: QueuedPiece) -> None:
-        """Queue a piece again."""
+        """Queue a piece again; its next call fetches its inputs anew."""
+        waiting[0].fetched.discard(waiting[1])
         self.waiting.append(waiting)
 
     def withdraw(self, progress: JobProgress) -> None:
@@ -70,9 +72,22 @@
         """Return when the longest-waiting piece was queued, or now if none waits."""
         return min((progress.since for progress, _ in self.waiting), default=now)
 
-    def sort(self, now: float) -> None:
-        """Sort the pieces into the order in which they are sent."""
-        self.waiting.sort(key=lambda one: self.order(one, now))
+    def sort(
+        self,
+        now: float,
+        arrange: Callable[[list[QueuedPiece], SortKey], list[QueuedPiece]] | None = None,
+    ) -> None:
+        """Sort the pieces into the order in which they are sent.
+
+        Args:
+            now: The clock's time.
+            arrange: Returns the pieces in their order, given the sort key by rank and due time; see
+                ServiceSharing. None for the order of that key.
+        """
+        if arrange is None:
+            self.waiting.sort(key=lambda one: self.order(one, now))
+        else:
+            self.waiting = arrange(self.waiting, self.order)
 
     def order(self, waiting: QueuedPiece, now: float) -> tuple[bool, bool, int, float]:
         """Return the sort key of a piece.
@@ -134,6 +149,7 @@
         served_datacentres: set[str],
         limits: BatchLimits,
         now: float,
+        candidates: Sequence[QueuedPiece] | None = None,
     ) -> list[QueuedPiece]:
         """Return the first pieces that fit into a server's result memory and may run there.
 
@@ -143,11 +159,12 @@
             served_datacentres: The data centres that have usable servers.
             limits: The server's batch limits.
             now: The clock's time.
+            candidates: The pieces to choose among, in their order; all waiting ones if None.
         """
         free_bytes = limits.result_memory_bytes - used_bytes
         batch: list[QueuedPiece] = []
         skipped: set[JobProgress] = set()
-        for waiting in self.waiting:
+        for waiting in self.waiting if candidates is None else candidates:
             progress = waiting[0]
             size = progress.job.result_bytes
             begun = bool(progress.results) or any(progress is one for one, _ in batch)
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -12,6 +12,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.continuation.backupplacement import BackupPlacement
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldservers import ColdServers
 from mountladder.forwarding.directory import Directory
@@ -21,8 +22,10 @@
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.retryschedule import RetrySchedule
+from mountladder.performance.worktype import WorkType
+from mountladder.routing.prefillspeed import INITIAL_TOKENS_PER_MS, MIN_TOKENS
 from mountladder.routing.promptchoice import PromptChoice
-from mountladder.routing.promptplacement import PromptPlacement
+from mountladder.routing.promptplacement import FIRST_TOKEN_MS, PromptPlacement
 from mountladder.routing.router import Router
 from mountladder.routing.serverdelays import ServerDelays
 from mountladder.serverlimits.serverlimits import ServerLimits
@@ -48,6 +51,7 @@
     Attributes:
         placed: The prompts on servers, by owner and order number.
         prefilling: Keys of the placed prompts whose prefill has not finished.
+        backups: Chooses the servers that keep copies of prompts' caches.
         retry_schedules: Assigns retry times to rejected requests, by service.
     """
 
@@ -67,16 +71,18 @@
         self.cold = cold
         self.limits = limits
         self.placement = PromptPlacement(clock, router)
+        self.backups = BackupPlacement(self.placement, clock)
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
 
-    def place(self, order: PlacementOrder, owner: Hashable) -> PlacementReply:
+    def place(self, order: PlacementOrder, owner: Hashable, datacentre: str = "") -> PlacementReply:
         """Choose a server for a prompt and record the prompt as sent to it.
 
         Args:
             order: The prompt and the constraints on its server.
             owner: Identifies the instance that sends the prompt.
+            datacentre: The data centre of that instance.
         """
         servers = self.directory.available(order.service)
         topic = prompts_topic(order.service)
@@ -84,9 +90,8 @@
         chosen = self.choose(order, servers, delays, topic)
         if chosen is None:
             return self.reject(order, servers, delays)
-        choice = chosen.choice
+        choice, plan = chosen.choice, chosen.plan
         server = choice.state.server.name
-        plan = chosen.plan
         ahead = self.placement.pending_tokens[server]
         choice.state.breaker.begin()
         self.cold.record_sent(choice.state.server)
@@ -100,9 +105,16 @@
         )
         self.prefilling.add(key)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
-        wait_ms = delays.waits_ms.get(server, 0.0)
+        service = self.follower.service(order.service)
+        backup = self.backups.place(key, order, server, servers, service, datacentre)
         return PlacementReply(
-            order.number, server, choice.expected_ms, plan.source, plan.prefill_tokens, wait_ms
+            order.number,
+            server,
+            choice.expected_ms,
+            plan.source,
+            plan.prefill_tokens,
+            delays.waits_ms.get(server, 0.0),
+            backup,
         )
 
     def choose(
@@ -148,8 +160,11 @@
             self.record_prefill(key, placed, note.read_ms)
         if note.gone and owner != LOCAL_OWNER:
             self.trip_breaker(placed.server)
+        if note.event_ms > 0:
+            self.learn(placed.server, WorkType.EVENTS, note.event_ms)
         if note.ended:
             del self.placed[key]
+            self.backups.end(key)
             self.placement.record_end(placed.server)
 
     def trip_breaker(self, server: str) -> None:
@@ -175,18 +190,39 @@
             return
         self.prefilling.discard(key)
         self.placement.record_read(placed.server, placed.prefill_tokens)
-        if read_ms > 0:
-            self.placement.speed.learn(placed.queued_tokens, read_ms)
         state = self.router.states.get(placed.server)
+        factor = state.pace.factor if state is not None else 1.0
+        if read_ms > 0:
+            # The speed is that of a usual server; the factor of this one comes on top.
+            self.placement.speed.learn(placed.queued_tokens, read_ms / factor)
         if state is None:
             return
         if read_ms > 0:
             state.breaker.succeed()
-            state.record_time_ratio(read_ms / placed.expected_ms, self.clock.now())
+            state.record_time_ratio(read_ms / placed.expected_ms / factor, self.clock.now())
+            self.learn_prefill(placed, read_ms)
         else:
             state.breaker.abandon()
 
+    def learn_prefill(self, placed: PlacedPrompt, read_ms: float) -> None:
+        """Learn a server's speed from a prompt that was long enough to tell.
+
+        Tokens queued ahead of the prompt are included in the expected time, since the load is not
+        part of the speed. The time of a fetch depends on the network. The reading speed assumed
+        here is constant, so that what is learnt about one does not change the other.
+        """
+        if placed.queued_tokens >= MIN_TOKENS:
+            tokens_ms = placed.queued_tokens / INITIAL_TOKENS_PER_MS
+            self.learn(placed.server, WorkType.PREFILL, read_ms / (FIRST_TOKEN_MS + tokens_ms))
+
+    def learn(self, server: str, work: WorkType, ratio: float) -> None:
+        """Learn a server's speed from work that it has done; see SpeedTable.record."""
+        state = self.router.states.get(server)
+        if state is not None and self.router.speeds is not None:
+            self.router.speeds.record(state.server, work, ratio)
+
     def forget_owner(self, owner: Hashable) -> None:
         """Remove the prompts of an instance that is no longer reachable."""
+        self.backups.lapse(owner)
         for key in [key for key in self.placed if key[0] == owner]:
             self.apply_note(PlacementNote(key[1], 0.0, True), owner)
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -84,11 +84,12 @@
             constraints.site,
             constraints.max_wait_ms,
             constraints.urgency,
+            constraints.wants_backup,
         )
 
     def place_order(self, order: PlacementOrder) -> PlacementReply:
         """Carry out a placement order on this instance."""
-        reply = self.coordinator.place(order, LOCAL_OWNER)
+        reply = self.coordinator.place(order, LOCAL_OWNER, self.fleet.membership.me.datacentre)
         if reply.server:
             self.placed_by[order.number] = None
         return reply
@@ -119,13 +120,18 @@
         return replies[0]
 
     def report(
-        self, number: int, read_ms: float = 0.0, ended: bool = False, gone: bool = False
+        self,
+        number: int,
+        read_ms: float = 0.0,
+        ended: bool = False,
+        gone: bool = False,
+        event_ms: float = 0.0,
     ) -> None:
-        """Report the progress of a prompt to the instance that placed it."""
+        """Report the progress of a prompt to the instance that placed it; see PlacementNote."""
         if number not in self.placed_by:
             return
         link = self.placed_by.pop(number) if ended else self.placed_by[number]
-        note = PlacementNote(number, read_ms, ended, gone)
+        note = PlacementNote(number, read_ms, ended, gone, event_ms)
         if link is None:
             self.coordinator.apply_note(note, LOCAL_OWNER)
         else:
@@ -133,7 +139,8 @@
 
     def handle_order(self, order: PlacementOrder, link: Link) -> None:
         """Place a prompt for another instance and send the reply."""
-        self.fleet.send_later(link, self.coordinator.place(order, id(link)))
+        reply = self.coordinator.place(order, id(link), link.peer.datacentre)
+        self.fleet.send_later(link, reply)
 
     def handle_reply(self, reply: PlacementReply, link: Link) -> None:
         """Pass a reply to the request that waits for it."""
--- a/packages/core/src/mountladder/forwarding/service.py
+++ b/packages/core/src/mountladder/forwarding/service.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mountladder.continuation.backuplimits import BackupLimits
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.prompttransfer import PromptTransfer
 
@@ -27,6 +28,8 @@
         cold_ms: How long a server is cold after its start, in milliseconds.
         health_path: The path of health checks at its servers, or an empty string.
         cold_per_s: How many requests per second a cold server tolerates, or 0 for no limit.
+        backups: The cost of copies of a run's cache at another of its model servers, or None if
+            they keep none.
     """
 
     name: str
@@ -38,3 +41,4 @@
     cold_ms: float = 0.0
     cold_per_s: float = 0.0
     health_path: str = ""
+    backups: BackupLimits | None = None
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -24,6 +24,10 @@
     REPLAYED = ("replayed", "counter", "repeats answered from a kept answer")
     RELAYED = ("relayed", "counter", "requests relayed to the instance that issued their key")
     RESUMED = ("resumed", "counter", "streams resumed after a cut")
+    COPIES = ("copies", "counter", "streams whose cache is copied to a second server")
+    COPIED_BYTES = ("copied_bytes", "counter", "bytes that these copies have at most")
+    CONTINUED = ("continued", "counter", "broken streams continued from a copy")
+    NOT_CONTINUED = ("not_continued", "counter", "broken streams that no copy could continue")
     CANCELLED = ("cancelled", "counter", "calls cancelled at backend servers")
     EJECTED = ("ejected", "counter", "times a backend server was taken out of use")
     CLAIMS = ("claims", "counter", "keys claimed in the store")
@@ -37,14 +41,55 @@
     STAGE_CALLS = ("stage_calls", "counter", "answered calls to servers of stage services")
     STAGE_PIECES = ("stage_pieces", "counter", "pieces in these calls")
     STAGE_CALL_MS = ("stage_call_ms", "timing", "time of one such call in milliseconds")
+    FLOOR_PIECES = ("floor_pieces", "counter", "stage pieces sent earlier for their rank's floor")
+    TEAM_PIECES = (
+        "team_pieces",
+        "counter",
+        "stage pieces sent in place of those of a team over its share",
+    )
+    EARLY_RELEASES = ("early_releases", "counter", "stages whose inputs were released once fetched")
+    EARLY_RELEASES_NEEDED = (
+        "early_releases_needed",
+        "counter",
+        "stages that failed since inputs released once fetched were needed again",
+    )
+    EARLY_RELEASED_RESULTS = (
+        "early_released_results",
+        "counter",
+        "results released at their servers before the stage that read them was done",
+    )
+    COPIES_WITHOUT_INPUT = (
+        "copies_without_input",
+        "counter",
+        "copies of late pieces that found an input missing while the other copy ran",
+    )
+    STAGES_HELD_BACK = (
+        "stages_held_back",
+        "counter",
+        "stages that waited since their results would not have been used soon",
+    )
+    RESULT_USAGES_SENT = (
+        "result_usages_sent",
+        "counter",
+        "servers whose memory for results was reported to the next coordinator",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
     SUSPECTS_EVICTED = ("suspects_evicted", "counter", "suspects forgotten for want of room")
+    PRESUMED_ROWS = ("presumed_rows", "counter", "suspicions stored before crashes were certain")
     QUARANTINED = ("quarantined", "gauge", "requests barred since servers ended under them")
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
     LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
     LEAVING_SERVERS = ("leaving_servers", "gauge", "servers that said in answers that they leave")
+    UNEQUAL_SERVERS = (
+        "unequal_servers",
+        "gauge",
+        "servers found to be faster or slower than usual",
+    )
+    SPELLS = ("spells", "counter", "times a server was found to be much slower for a moment")
+    SPEEDS_SENT = ("speeds_sent", "counter", "speeds of servers sent to other coordinators")
+    SPEEDS_USED = ("speeds_used", "counter", "speeds of servers taken over from other coordinators")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
--- a/packages/core/src/mountladder/notices/noticedispatcher.py
+++ b/packages/core/src/mountladder/notices/noticedispatcher.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from eliot import log_message
 
@@ -17,6 +17,7 @@
 from mountladder.membership.linkmanager import LinkManager
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.backoff import BackOff
+from mountladder.notices.currentspeed import CurrentSpeed
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.notice import Notice
 from mountladder.notices.noticeexchange import NoticeExchange
@@ -63,22 +64,42 @@
             sent_at: When the answered request was sent, in the clock's milliseconds.
         """
         for notice in notices:
-            self.handle(notice, server, sent_at)
+            handle(notice, self, server, sent_at)
 
-    @singledispatchmethod
-    def handle(self, notice: object, server: BackendServer, sent_at: float) -> None:
-        """Process one notice.
 
-        Raises:
-            TypeError: It is not a notice.
-        """
-        raise TypeError(f"not a notice: {notice!r}")
+# A function: a singledispatchmethod would build a new function for each answer of a server.
+@singledispatch
+def handle(
+    notice: object, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float
+) -> None:
+    """Process one notice.
+
+    Raises:
+        TypeError: It is not a notice.
+    """
+    raise TypeError(f"not a notice: {notice!r}")
+
+
+@handle.register(RateLimit)
+@handle.register(Leaving)
+def _(
+    notice: RateLimit | Leaving,
+    dispatcher: NoticeDispatcher,
+    server: BackendServer,
+    sent_at: float,
+) -> None:
+    dispatcher.registry.record(server, notice, sent_at)
+
+
+@handle.register(BackOff)
+def _(notice: BackOff, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float) -> None:
+    dispatcher.router.back_off(server, notice.for_ms)
+    log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
 
-    @handle.register
-    def _(self, notice: RateLimit | Leaving, server: BackendServer, sent_at: float) -> None:
-        self.registry.record(server, notice, sent_at)
 
-    @handle.register
-    def _(self, notice: BackOff, server: BackendServer, sent_at: float) -> None:
-        self.router.back_off(server, notice.for_ms)
-        log_message("server-backoff", server=server.name, for_ms=round(notice.for_ms))
+@handle.register(CurrentSpeed)
+def _(
+    notice: CurrentSpeed, dispatcher: NoticeDispatcher, server: BackendServer, sent_at: float
+) -> None:
+    if dispatcher.router.speeds is not None:
+        dispatcher.router.speeds.record_report(server, notice.factor)
