--- a/packages/core/src/mountladder/performance/serverpace.py
+++ b/packages/core/src/mountladder/performance/serverpace.py
@@ -39,6 +39,10 @@
     def __init__(self, server: str = "", service: str = "") -> None:
         self.server = server
         self.service = service
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget what is known of the server, of which some state may keep this object."""
         self.learnt = LearntLevel()
         self.factor = 1.0
         self.spell = 1.0
--- a/packages/core/src/mountladder/performance/speedtable.py
+++ b/packages/core/src/mountladder/performance/speedtable.py
@@ -223,6 +223,4 @@
         """Drop the entries of servers that are neither listed nor may be listed again soon."""
         for paces in self.paces.values():
             for name in [name for name in paces if name not in listed]:
-                # Its state may keep the entry, which then says nothing.
-                paces[name].__init__()
-                del paces[name]
+                paces.pop(name).reset()
