--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -10,7 +10,7 @@
     And every earlier connection was closed before it continued
     And its answer has the headers of <headers>
     And instance a-1 counts 1 copies and 1 continued
-    And its copy was logged as copied, for 101944889 bytes a second at risk of at most 400000000
+    And its copy was logged as copied, for 101944889 bytes a second at risk of at most 150000000
     And its break was logged as stream-continuing
 
     Examples:
@@ -216,6 +216,7 @@
       | prompt | output | mbps  | events | ms   | wanted    |
       | 700    | 280    | 10000 | 70     | 2500 | worth     |
       | 700    | 280    | 10000 | 0      | 0    | worth     |
+      | 1040   | 600    | 10000 | 34     | 1060 | not worth |
       | 9200   | 52     | 10000 | 13     | 500  | not worth |
       | 9200   | 52     | 10000 | 0      | 0    | not worth |
       | 9200   | 52     | 90000 | 13     | 500  | not worth |
--- a/packages/core/src/mountladder/continuation/backuppolicy.py
+++ b/packages/core/src/mountladder/continuation/backuppolicy.py
@@ -16,13 +16,12 @@
 from mountladder.forwarding.prompt import Prompt
 
 # The most bytes that are copied for each second that a stream runs. On a day with many failures
-# about 4 % of the streams break for each second that they run (101 of 906 that ran for 2.5 s), so
-# that at this rate one caller in 10 GB is spared an incomplete answer and a second run, which is
-# 8 s of a link of 10 Gbit/s. Long answers to short prompts need a quarter of this rate (980 tokens
-# of 262,144 bytes, 2.5 s). Short answers to long prompts need twelve times the rate (9,252 tokens,
-# 0.5 s): one spared caller would cost 120 GB, which delay the many other callers whose inputs and
-# prompt parts pass the same links.
-MAX_BYTES_PER_S = 400e6
+# about 4 % of the streams break for each second that they run, so that at this rate one caller in
+# 3.75 GB is spared an incomplete answer and a second run. That is 3 s of a link of 10 Gbit/s, about
+# as long as the stream itself, and other callers' inputs and prompt parts pass the same links.
+# Long answers to short prompts need two thirds of this rate (980 tokens of 262,144 bytes, 2.5 s),
+# short answers to long prompts thirty times the rate (9,252 tokens, 0.5 s).
+MAX_BYTES_PER_S = 150e6
 
 
 class BackupPolicy:
