--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,10 @@
       | a server got a request after it announced that it leaves       | leaving_server_unused     |
       | a stage server got a call after it announced that it leaves    | leaving_server_unused     |
       | a server got three requests within a back-off                  | backoff_kept              |
+      | a server works on a stream long after it continued elsewhere   | continued_once            |
+      | a stream continued twice                                       | continued_once            |
+      | a stream continued with an event of another run                | complete_answers          |
+      | a stream that broke has an event twice                         | complete_answers          |
       | a restart cut a request in flight                              | restarts_cut_nothing      |
       | a service got more retries than the budget allows              | retry_budget              |
       | requests reached servers long after their callers disconnected | abandoned_not_forwarded   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,6 +20,7 @@
 sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "tests"))
 
 from soak.arrival import Arrival
+from soak.caller import stream_error
 from soak.checks import check
 from soak.exchange import Exchange
 from soak.fault import Fault
@@ -232,6 +233,39 @@
         arrive(context.record, "told", 4.0 + number / 10, "desk-7")
 
 
+def continue_stream(record, ended):
+    record.continuations["r2"].append((1.2, "llm-2"))
+    record.run_ends["r2", "desk-1"] = ended
+
+
+@when("a server works on a stream long after it continued elsewhere")
+def first_server_works(context):
+    continue_stream(context.record, ended=1.7)
+
+
+@when("a stream continued twice")
+def continued_twice(context):
+    continue_stream(context.record, ended=1.1)
+    context.record.continuations["r2"].append((1.3, "llm-3"))
+
+
+def receive(record, numbers, runs, ended):
+    events = zip(numbers, runs, strict=True)
+    data = "".join(f"id: {number}\ndata: r2 {number} {run}\n\n" for number, run in events)
+    error = stream_error("r2", data.encode(), ended)
+    record.exchanges["r2"] = replace(record.exchanges["r2"], answer_error=error)
+
+
+@when("a stream continued with an event of another run")
+def mixed_runs(context):
+    receive(context.record, range(1, 7), "aaaaab", True)
+
+
+@when("a stream that broke has an event twice")
+def event_twice(context):
+    receive(context.record, (1, 2, 2), "aaa", False)
+
+
 @when("a restart cut a request in flight")
 def restart_cut(context):
     add(context.record, exchange("x", sent=4.9, ended=5.3, status=0))
