Sharing and reservation apply to services with six servers or more

A checked setting says from how many available servers on share_fairly and reserve_results apply (1 by default, 6 on the platform). features/sharing.feature: a service below it is served as before; sharing, results, documents, platform: 294 passed.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -224,3 +224,16 @@
     When 24 pieces of team large due in 2000 ms wait, and behind them 24 pieces of team small
     And the next call is sent
     Then 12 pieces are counted and logged as sent in place of those of team large
+
+  @forwarding
+  Scenario Outline: A service with few servers is served by rank and due time alone
+    # Guards against floors and reservations where one call is a large part of what a service makes.
+    Given a forwarding fleet of instances a-1, a-2
+    And stage servers enc-1, enc-2 of service enc
+    And decisions under load apply from <number> servers on
+    Then at a-1 pieces of enc are <shared> fairly and memory for their results is <reserved>
+
+    Examples:
+      | number | shared     | reserved     |
+      | 2      | shared     | reserved     |
+      | 3      | not shared | not reserved |
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -491,3 +491,16 @@
     assert 0 < len(lines) <= number, len(lines)
     assert 0 < sum(one["floor_pieces"] for one in lines) <= counted
     assert all(one["requests"] == ["r"] and one["service"] == "enc" for one in lines), lines
+
+
+@given("decisions under load apply from {number:d} servers on")
+def min_servers(context, number):
+    for one in context.fleet.instances.values():
+        one.settings = replace(one.settings, load_min_servers=number)
+
+
+@then("at {name} pieces of enc are {shared} fairly and memory for their results is {reserved}")
+def applies(context, name, shared, reserved):
+    batcher = context.fleet.instances[name].dispatch.batcher("enc")
+    found = (batcher.share_fairly(), batcher.reserves_results())
+    assert found == (shared == "shared", reserved == "reserved"), found
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -76,7 +76,7 @@
         cold: Limits the pieces sent to servers that have just started.
         limits: Enforces the rate limits that servers announce.
         notices: Receives the notices that answers carry about their servers.
-        share_fairly: Whether ranks and teams are kept from starving each other in an overload.
+        share_fairly: Returns whether ranks and teams are kept from starving each other.
         reserves_results: Returns whether memory for results is reserved and released early.
     """
 
@@ -94,7 +94,7 @@
         cold: ColdServers,
         limits: ServerLimits,
         notices: NoticeDispatcher,
-        share_fairly: bool = True,
+        share_fairly: Callable[[], bool] = lambda: True,
         reserves_results: Callable[[], bool] = lambda: True,
     ) -> None:
         self.service = service
@@ -111,7 +111,8 @@
         self.servers = StageServers(service, division, router, cold, limits)
         self.result_memory = ResultMemory()
         self.rate = PieceRate(clock)
-        self.sharing = ServiceSharing(service, metrics) if share_fairly else None
+        self.share_fairly = share_fairly
+        self.sharing = ServiceSharing(service, metrics)
         self.reserves_results = reserves_results
         self.inputs = InputRelease(catalogue, clock, metrics, reserves_results)
         self.inputs.server_names = self.server_names
@@ -140,7 +141,7 @@
         for _ in range(job.pieces):
             self.budget.earn()
         self.demand.record_arrival(job)
-        if self.sharing is not None:
+        if self.share_fairly():
             self.sharing.record_arrival(job, self.clock.now())
         self.queue.add(progress)
         self.pump()
@@ -180,7 +181,7 @@
 
     def sort_queue(self, free: int, limits: BatchLimits, now: float) -> None:
         """Sort the queue for the next calls, with floors and shares while it is congested."""
-        if self.sharing is None:
+        if not self.share_fairly():
             self.queue.sort(now)
             return
         congested = self.is_congested(limits, now)
@@ -284,7 +285,7 @@
             rate = max(MIN_RATE_FRACTION * rate, min(rate, measured))
         busy_ms = min(self.servers.remaining_ms(one, now) for one in usable)
         waiting = self.queue.count_by_priority(now)
-        if self.sharing is None:
+        if not self.share_fairly():
             return Backlog(self.service, self.demand.waits_ms(waiting, rate, busy_ms))
         onset_ms = self.congestion_onset_ms(limits, now)
         call_ms = limits.expected_ms(limits.pieces)
@@ -307,6 +308,6 @@
             self.result_memory.reserve(
                 state.server.name, progress.job.result_bytes, until=now + hold_ms
             )
-        if self.sharing is not None:
+        if self.share_fairly():
             self.sharing.record_call(batch, limits, now)
         gevent.spawn(run.run)
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -143,7 +143,7 @@
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.handover = UsageHandover(
-            self.fleet, self.dispatch, clock, metrics, lambda: self.settings.reserve_results
+            self.fleet, self.dispatch, clock, metrics, self.reserves_results
         )
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
@@ -269,13 +269,21 @@
             self.cold,
             self.limits,
             self.notices,
-            self.settings.share_fairly,
-            lambda: self.settings.reserve_results,
+            lambda: self.settings.share_fairly and self.has_enough_servers(service),
+            lambda: self.reserves_results(service),
         )
         batcher.inputs.release = self.dispatch.fetched_releases.send
         batcher.reservation.backlogs = self.dispatch.backlogs
         return batcher
 
+    def reserves_results(self, service: str) -> bool:
+        """Return whether memory for the results of a service is reserved and released early."""
+        return self.settings.reserve_results and self.has_enough_servers(service)
+
+    def has_enough_servers(self, service: str) -> bool:
+        """Return whether a service has the servers from which on decisions under load apply."""
+        return len(self.directory.available(service)) >= self.settings.load_min_servers
+
     def pump_batchers(self) -> None:
         """Have every batcher send the pieces that the current servers can accept."""
         for batcher in self.dispatch.batchers.values():
--- a/packages/core/src/mountladder/results/usagehandover.py
+++ b/packages/core/src/mountladder/results/usagehandover.py
@@ -36,7 +36,7 @@
         dispatch: Holds the batchers, which account for the memory.
         clock: The clock.
         metrics: Counts the reported servers.
-        is_enabled: Returns whether memory for results is reserved.
+        is_enabled: Returns whether memory for the results of a service is reserved.
 
     Attributes:
         reports: What was reported of each service.
@@ -49,7 +49,7 @@
         dispatch: StageDispatch,
         clock: Clock,
         metrics: Metrics,
-        is_enabled: Callable[[], bool],
+        is_enabled: Callable[[str], bool],
     ) -> None:
         self.fleet = fleet
         self.dispatch = dispatch
@@ -95,7 +95,7 @@
         """
         batcher, link = self.dispatch.batcher(service), self.standby_link(service)
         limits = batcher.limits()
-        if limits is None or link is None or not self.is_enabled():
+        if limits is None or link is None or not self.is_enabled(service):
             return
         now = self.clock.now()
         usages = batcher.result_memory.usages(now, everything)
@@ -124,7 +124,7 @@
 
     def handle(self, message: ResultUsage, link: Link) -> None:
         """Count the memory that another coordinator reports as in use."""
-        if not self.is_enabled():
+        if not self.is_enabled(message.service):
             return
         batcher: Batcher = self.dispatch.batcher(message.service)
         now = self.clock.now()
