Streams: one callback for an open connection, one limit of silence

Cause: a call of a streamed request had two callbacks for the same moment, one to schedule the release of stage results and one to watch the connection, and every layer down to the adapter passed both on. The longest pause after which a server may be lost was computed in StreamRun and again in ServerWatch, each with constants of its own, and the status from which on an answer is no success was defined twice.

Change: ForwardCall.connected is given the function that breaks the connection, and StreamRun does both with it. Route.max_silence_ms is the limit of a pause for both. StreamRun uses the constant of Continuation. The steps of two scenarios name the callback that is left; their assertions are the same.

--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -617,7 +617,7 @@
 def broken_from_here(context, ms):
     clock = context.upstream.clock
     call = make_call(context, "r1")
-    call = replace(call, watch=lambda break_: gevent.spawn_later(ms / 1000, break_))
+    call = replace(call, connected=lambda break_: gevent.spawn_later(ms / 1000, break_))
     began = clock.now()
     try:
         context.read = context.upstream.open(context.server, call, 1_000.0).read(1_000.0)
@@ -630,7 +630,7 @@
 def broken_before(context):
     clock = context.upstream.clock
     breaks = []
-    call = replace(make_call(context, "r1"), watch=breaks.append)
+    call = replace(make_call(context, "r1"), connected=breaks.append)
     answer = context.upstream.open(context.server, call, TIMEOUT_MS)
     gevent.sleep(0.02)
     breaks[0]()
--- a/packages/core/src/mountladder/continuation/serverwatch.py
+++ b/packages/core/src/mountladder/continuation/serverwatch.py
@@ -15,11 +15,6 @@
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.route import Route
 
-# A server is probed after a pause of this many times the route's longest pause, at least of this
-# time: shorter pauses occur while servers are busy.
-SILENCE_MULTIPLE = 5.0
-MIN_SILENCE_MS = 1_000.0
-
 
 class ServerWatch:
     """Breaks the connection to the server of a stream once the server is lost.
@@ -51,7 +46,7 @@
         self.backup = backup
         self.streams = streams
         self.clock = clock
-        self.max_silence_ms = max(MIN_SILENCE_MS, SILENCE_MULTIPLE * route.gap_ms)
+        self.max_silence_ms = route.max_silence_ms
         self.break_connection: Callable[[], None] | None = None
         self.cancel_check: Callable[[], None] = lambda: None
         self.last_event_at = clock.now()
--- a/packages/core/src/mountladder/forwarding/forwardcall.py
+++ b/packages/core/src/mountladder/forwarding/forwardcall.py
@@ -28,9 +28,8 @@
         backup: The address of the server that keeps a copy of the run's cache, or an empty string.
         copy: The handle of the copy to continue from, or an empty string.
         on_notices: Called with the server, the notices in its answer and the time of the request.
-        connected: Called when the connection is open, before the request is written.
-        watch: Called then with a function that breaks the connection, so that waiting for the
-            answer or reading it fails.
+        connected: Called when the connection is open, before the request is written, with a
+            function that breaks it, so that waiting for the answer or reading it fails.
     """
 
     request: ForwardRequest
@@ -43,5 +42,4 @@
     backup: str = ""
     copy: str = ""
     on_notices: NoticeHandler = lambda server, notices, sent_at: None
-    connected: Callable[[], None] = lambda: None
-    watch: Callable[[Callable[[], None]], None] = lambda break_connection: None
+    connected: Callable[[Callable[[], None]], None] = lambda break_connection: None
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -199,8 +199,7 @@
         inputs: tuple[str, ...],
         last_event_id: str,
         limit_ms: float,
-        connected: Callable[[], None] = lambda: None,
-        watch: Callable[[Callable[[], None]], None] = lambda break_connection: None,
+        connected: Callable[[Callable[[], None]], None] = lambda break_connection: None,
         copy: str = "",
     ) -> UpstreamAnswer:
         """Send the request to an attempt's server and return the answer once its head is there."""
@@ -215,7 +214,6 @@
             source=attempt.picked.source,
             on_notices=self.context.notices.dispatch,
             connected=connected,
-            watch=watch,
             backup=backup.address if backup else "",
             copy=copy,
         )
--- a/packages/core/src/mountladder/forwarding/route.py
+++ b/packages/core/src/mountladder/forwarding/route.py
@@ -13,6 +13,12 @@
 from mountladder.forwarding.routestage import RouteStage
 from mountladder.forwarding.target import Target
 
+# A server that pauses within a stream may only be busy, and still send the next event sooner than
+# another server would, until the pause is this many times the route's longest one, and at least
+# this long.
+SILENCE_MULTIPLE = 5.0
+MIN_SILENCE_MS = 1_000.0
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -57,6 +63,11 @@
             return self.resumable
         return self.kind is RouteKind.SAFE
 
+    @property
+    def max_silence_ms(self) -> float:
+        """Return the pause in a stream beyond which its server may be lost, in milliseconds."""
+        return max(MIN_SILENCE_MS, SILENCE_MULTIPLE * self.gap_ms)
+
     def draw_service(self, rng: random.Random) -> str:
         """Return a service for one request, drawn at random by the targets' weights."""
         if len(self.targets) == 1:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from mountladder.code import Code
-from mountladder.continuation.continuation import Continuation
+from mountladder.continuation.continuation import SUCCESS_END, Continuation
 from mountladder.errors import MountladderError, RunError, StageError
 from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.eventsplitter import EventSplitter
@@ -24,13 +24,9 @@
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
 
-SUCCESS_END = 300
 # A resumable stream moves to another server when its first event takes longer than this many
-# latency targets, or a pause longer than this many times the route's longest pause. Until then a
-# slow server may still answer sooner than another one.
+# latency targets. Until then a slow server may still answer sooner than another one.
 FIRST_EVENT_TARGETS = 1.0
-GAP_MULTIPLE = 5.0
-MIN_GAP_TIMEOUT_MS = 1_000.0
 
 
 class StreamRun(ForwardRun):
@@ -107,8 +103,7 @@
                     inputs,
                     splitter.last_id,
                     self.first_event_timeout_ms(attempt),
-                    self.schedule_release,
-                    self.continuation.connected,
+                    self.connected,
                 )
                 if answer.status >= SUCCESS_END:
                     return attempt, answer, b""
@@ -130,6 +125,11 @@
                 self.context.fetch_time.record_fetched()
                 return attempt, answer, first
 
+    def connected(self, break_connection: Callable[[], None]) -> None:
+        """Handle the connection to a server being open, given a function that breaks it."""
+        self.schedule_release()
+        self.continuation.connected(break_connection)
+
     def schedule_release(self) -> None:
         """Schedule the release of stage results for when the server should have fetched them."""
         if self.flow is not None and self.flow.handles:
@@ -289,7 +289,7 @@
         """Return the timeout for the next event, in milliseconds."""
         if not self.route.resumable or self.possible_runs + 1 >= self.route.max_attempts:
             return self.remaining_ms()
-        return min(self.remaining_ms(), max(MIN_GAP_TIMEOUT_MS, GAP_MULTIPLE * self.route.gap_ms))
+        return min(self.remaining_ms(), self.route.max_silence_ms)
 
     def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
         """Record a failed attempt that is not retried."""
