Settings: take memory_mb out until something reads it

Cause: the setting was added for the bound on memory held for callers, which was not begun. docs/SETTINGS.md offered an operator a limit that had no effect.

Result: nothing read the value, so that no decision changes.

--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -45,7 +45,6 @@
             it is leaving.
         core_share: What fraction of a core the process may use.
         core_speed: The speed of that core as a multiple of an ordinary core.
-        memory_mb: The memory that the process may use, in megabytes, or 0 if it is not limited.
         load_min_servers: From how many available servers on share_fairly and reserve_results apply
             to a service.
         learn_speeds: Whether the speed of each backend server is learned and used.
@@ -71,7 +70,6 @@
     drain_ms: float
     core_share: float
     core_speed: float
-    memory_mb: float = 0.0
     load_min_servers: int = 1
     learn_speeds: bool = True
     share_fairly: bool = True
@@ -143,7 +141,6 @@
         drain_ms=fields.number("drain_ms"),
         core_share=fields.number("core_share"),
         core_speed=fields.number("core_speed"),
-        memory_mb=fields.number("memory_mb", 0.0),
         load_min_servers=fields.integer("load_min_servers", 1),
         learn_speeds=fields.flag("learn_speeds", True),
         share_fairly=fields.flag("share_fairly", True),
