Median, bandwidth and list of servers: call what exists

Cause: median_level had a median of its own beside the standard library's, BackupLimits its own conversion of Mbit/s beside linktime, and the quarantine's parts were given two adapters of the same list of servers.

Change: statistics.median, linktime.link_bytes_per_s, and one DirectoryListing.

--- a/packages/core/src/mountladder/continuation/backuplimits.py
+++ b/packages/core/src/mountladder/continuation/backuplimits.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-BYTES_PER_MBIT = 125_000.0
+from mountladder.forwarding.linktime import link_bytes_per_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,4 +29,4 @@
     @property
     def link_bytes_per_s(self) -> float:
         """Return the bandwidth of a server's link in bytes per second."""
-        return self.link_mbps * BYTES_PER_MBIT
+        return link_bytes_per_s(self.link_mbps)
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -189,9 +189,10 @@
 
     def build_quarantine(self, upstream: Upstream) -> None:
         """Create and connect the components that track which requests crash servers."""
+        listing = DirectoryListing(self.directory)
         self.quarantine = QuarantineService(
             upstream.refuses,
-            DirectoryListing(self.directory),
+            listing,
             self.fleet,
             lambda: self.settings.secret,
             self.clock,
@@ -203,7 +204,7 @@
         presumed = PresumedCrashes(
             self.quarantine, lambda service: self.fleet.coordinator(prompts_topic(service))
         )
-        judge = PresumedJudge(registry, DirectoryListing(self.directory), self.clock)
+        judge = PresumedJudge(registry, listing, self.clock)
         self.suspicion_persister = SuspicionPersister(
             self.tables.suspicion_store, registry, presumed, judge, reader_election, self.clock
         )
--- a/packages/core/src/mountladder/performance/decisions.py
+++ b/packages/core/src/mountladder/performance/decisions.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Iterable
 
+
 from mountladder.performance.learntlevel import SPREAD_SAMPLES, LearntLevel
 
 # The lasting factor is 1.0 below this number of samples: fewer do not tell a slow server from one
@@ -32,11 +34,8 @@
 
 def median_level(levels: Iterable[LearntLevel]) -> float:
     """Return the median over the servers of a service that have enough samples; 0 without any."""
-    known = sorted(one.level for one in levels if one.samples >= MIN_SAMPLES)
-    if not known:
-        return 0.0
-    middle = len(known) // 2
-    return known[middle] if len(known) % 2 else (known[middle - 1] + known[middle]) / 2.0
+    known = [one.level for one in levels if one.samples >= MIN_SAMPLES]
+    return statistics.median(known) if known else 0.0
 
 
 def lasting_factor(learnt: LearntLevel, median: float) -> float:
