--- a/packages/core/src/mountladder/performance/decisions.py
+++ b/packages/core/src/mountladder/performance/decisions.py
@@ -10,7 +10,6 @@
 import statistics
 from collections.abc import Iterable
 
-
 from mountladder.performance.learntlevel import SPREAD_SAMPLES, LearntLevel
 
 # The lasting factor is 1.0 below this number of samples: fewer do not tell a slow server from one
