Messages and settings of the next parts for hard load

RefusedDemand tells a coordinator what other instances refused, DemandReport what a data centre asks for and can serve.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -13,6 +13,8 @@
       | a placement order for a backup   |
       | a placement reply with a backup  |
       | a note on the pace of a stream   |
+      | the refused demand               |
+      | the demand of a data centre      |
       | the speeds of servers            |
       | the memory that results take up  |
 
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -8,6 +8,8 @@
 
 from behave import then, when
 
+from mountladder.admission.refuseddemand import RefusedDemand
+from mountladder.demand.demandreport import DemandReport
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.datacentredrain import DatacentreDrain
@@ -39,6 +41,8 @@
     ),
     "a placement reply with a backup": PlacementReply(7, "s-1", 40.0, "s:2", 20, 0.0, "s-3"),
     "a note on the pace of a stream": PlacementNote(7, 40.0, True, False, 12.5),
+    "the refused demand": RefusedDemand("enc", (3, 0, 12)),
+    "the demand of a data centre": DemandReport("enc", 120.0, -4.5, 96.0),
     "the speeds of servers": ServerSpeeds("llm", (ServerSpeed("s-1", 1.75, 12, 500.0),)),
     "the memory that results take up": ResultUsage("enc", (ServerUsage("s-1", 1.5e6, 4_000.0),)),
 }
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -18,7 +18,16 @@
 # to take over (ReaderElection), over a quarter of the drain time is left to act on a change.
 FEED_WAIT_FRACTION = 0.25
 # The settings that switch decisions under load on or off.
-SWITCHES = ("learn_speeds", "share_fairly", "reserve_results", "continue_streams")
+SWITCHES = (
+    "learn_speeds",
+    "share_fairly",
+    "reserve_results",
+    "continue_streams",
+    "admit_pipeline",
+    "schedule_retries",
+    "bound_memory",
+    "plan_demand",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +60,13 @@
         share_fairly: Whether ranks and teams are kept from starving each other in an overload.
         reserve_results: Whether memory for stage results is reserved and released early.
         continue_streams: Whether streams that cannot be repeated continue from copies.
+        admit_pipeline: Whether the work that waits at model servers and the patience of callers
+            count when a request is admitted.
+        schedule_retries: Whether coordinators are told what was refused, and refused callers retry
+            when capacity is expected.
+        bound_memory: Whether the bytes held for others are limited by memory_mb.
+        plan_demand: Whether data centres plan ahead how much of their work others serve.
+        memory_mb: The memory that the process may use in megabytes, or 0 if that is not known.
     """
 
     name: str
@@ -75,6 +91,11 @@
     share_fairly: bool = True
     reserve_results: bool = True
     continue_streams: bool = True
+    admit_pipeline: bool = True
+    schedule_retries: bool = True
+    bound_memory: bool = True
+    plan_demand: bool = True
+    memory_mb: float = 0.0
 
     @property
     def retry_window_ms(self) -> float:
@@ -146,4 +167,9 @@
         share_fairly=fields.flag("share_fairly", True),
         reserve_results=fields.flag("reserve_results", True),
         continue_streams=fields.flag("continue_streams", True),
+        admit_pipeline=fields.flag("admit_pipeline", True),
+        schedule_retries=fields.flag("schedule_retries", True),
+        bound_memory=fields.flag("bound_memory", True),
+        plan_demand=fields.flag("plan_demand", True),
+        memory_mb=fields.number("memory_mb", 0.0),
     )
--- a/packages/core/src/mountladder/membership/serverreader.py
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from mountladder.admission.refuseddemand import RefusedDemand
+from mountladder.demand.demandreport import DemandReport
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.ratelimit import RateLimit
 from mountladder.notices.servernotice import ServerNotice
@@ -59,4 +61,8 @@
     "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
     "serverSpeeds": _read_speeds,
     "resultUsage": _read_usage,
+    "refusedDemand": lambda one: RefusedDemand(str(one.service), tuple(one.pieces)),
+    "demandReport": lambda one: DemandReport(
+        str(one.service), one.askedPerS, one.trendPerS, one.capacityPerS
+    ),
 }
--- a/packages/core/src/mountladder/membership/serverwriter.py
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 from functools import singledispatch
 
+from mountladder.admission.refuseddemand import RefusedDemand
+from mountladder.demand.demandreport import DemandReport
 from mountladder.membership.wirewriter import fill
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.ratelimit import RateLimit
@@ -89,3 +91,16 @@
     entries = usage.init("entries", len(message.entries))
     for one, to in zip(message.entries, entries, strict=True):
         to.server, to.usedBytes, to.lapseMs = one.server, one.used_bytes, one.lapse_ms
+
+
+@fill.register
+def _(message: RefusedDemand, frame) -> None:
+    refused = frame.init("refusedDemand")
+    refused.service, refused.pieces = message.service, list(message.pieces)
+
+
+@fill.register
+def _(message: DemandReport, frame) -> None:
+    report = frame.init("demandReport")
+    report.service, report.askedPerS = message.service, message.asked_per_s
+    report.trendPerS, report.capacityPerS = message.trend_per_s, message.capacity_per_s
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -267,6 +267,18 @@
   entries @1 :List(ServerUsage);
 }
 
+struct RefusedDemand {
+  service @0 :Text;
+  pieces @1 :List(UInt32);
+}
+
+struct DemandReport {
+  service @0 :Text;
+  askedPerS @1 :Float32;
+  trendPerS @2 :Float32;
+  capacityPerS @3 :Float32;
+}
+
 # The root of every message between instances.
 struct Frame {
   union {
@@ -294,5 +306,7 @@
     serverNotices @21 :List(ServerNotice);
     serverSpeeds @22 :ServerSpeeds;
     resultUsage @23 :ResultUsage;
+    refusedDemand @24 :RefusedDemand;
+    demandReport @25 :DemandReport;
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -11,7 +11,9 @@
 
 import capnp
 
+from mountladder.admission.refuseddemand import RefusedDemand
 from mountladder.code import Code
+from mountladder.demand.demandreport import DemandReport
 from mountladder.errors import PeerError
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.catalogueslice import CatalogueSlice
@@ -51,7 +53,9 @@
 StageMessage = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 PlacementMessage = PlacementOrder | PlacementReply | PlacementNote
 ServerMessage = Suspicions | ServerNotices | ServerSpeeds | ResultUsage
-Message = ConfigurationMessage | StateMessage | StageMessage | PlacementMessage | ServerMessage
+DemandMessage = RefusedDemand | DemandReport
+SharedWorkMessage = StageMessage | PlacementMessage | DemandMessage
+Message = ConfigurationMessage | StateMessage | SharedWorkMessage | ServerMessage
 
 _READERS = READERS | SERVER_READERS
 
