Demand: coordinators report, plan and lend by the plan

Cause: data centres whose demand rises and falls in turn served each other only once pieces had queued: with peaks of 1.25 of the capacity in turn, the slowest tenth of stages took 444 ms or more.

Change: DemandExchange measures, reports and plans every 500 ms for the divided services coordinated here. StageLending, taken out of StageDispatch, sends a stage by the plan's shares, unless it has large inputs or would begin over 250 ms later there, and else by current backlogs as before. Planned pieces no longer count as arriving here. Settings plan_demand; metrics demand_reports, planned_pieces and planned_share; log lines demand-measured, demand-planned, and the reason in stage-lent.

--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -13,6 +13,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.continuation.continuations import Continuations
+from mountladder.demand.demandexchange import DemandExchange
 from mountladder.forwarding.batcher import Batcher
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.coldchecks import ColdChecks
@@ -145,6 +146,7 @@
         self.handover = UsageHandover(
             self.fleet, self.dispatch, clock, metrics, self.reserves_results
         )
+        self.demand = DemandExchange(self.fleet, self.dispatch, clock, lambda: self.settings)
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -46,6 +46,7 @@
             self.keep_checking_reachability,
             self.speed_exchange.run,
             self.handover.run,
+            self.demand.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
--- a/packages/core/src/mountladder/forwarding/lending.py
+++ b/packages/core/src/mountladder/forwarding/lending.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from mountladder.clocks.clock import Clock
@@ -64,6 +65,20 @@
         # The reported wait is not reduced by its age: about as many pieces have arrived since.
         return backlog.local_waits_ms[priority] + self.added_wait_ms.get((service, datacentre), 0.0)
 
+    def begins_about_as_soon(
+        self, service: str, datacentre: str, priority: int, local_wait_ms: float
+    ) -> bool:
+        """Return whether pieces begin in another data centre at most MIN_GAIN_MS later than here.
+
+        Args:
+            service: The service.
+            datacentre: The other data centre.
+            priority: The pieces' priority class, one of PRIORITY_CLASSES.
+            local_wait_ms: Their expected wait in this data centre, in milliseconds.
+        """
+        wait_ms = self.wait_ms(service, datacentre, priority)
+        return math.isfinite(wait_ms) and wait_ms <= local_wait_ms + MIN_GAIN_MS
+
     def min_waits_ms(self, service: str, datacentres: Iterable[str]) -> tuple[float, ...]:
         """Return the shortest expected waits if lent, plus the minimum gain, by priority class."""
         names = list(datacentres)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections.abc import Callable, Mapping, Sequence
 
 from eliot import log_message
@@ -23,6 +22,7 @@
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stagebacklogs import StageBacklogs
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagelending import StageLending
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
@@ -38,8 +38,8 @@
 
     If that instance becomes unreachable, its stages are sent to the next one. Two instances that
     coordinate the same service for a time only make batches less full. A divided service has a
-    coordinator in each data centre, which lends stages that would wait long to the coordinator of
-    another data centre.
+    coordinator in each data centre, which lends stages to the coordinator of another data centre if
+    they would wait long, or if the demand here is planned to be served there.
 
     Args:
         fleet: The other instances.
@@ -53,6 +53,7 @@
             and the peer's number.
         lent_results: The origins of results that other data centres made for this one.
         fetched_releases: Passes on which results servers have fetched.
+        stage_lending: Decides which stages other data centres run.
     """
 
     def __init__(self, fleet: Fleet, make_batcher: Callable[[str], Batcher], clock: Clock) -> None:
@@ -66,6 +67,7 @@
         self.lent_results = LentResults()
         self.fetched_releases = FetchedReleases(fleet, self.batcher)
         self.lending = Lending(clock, fleet.membership.me.datacentre)
+        self.stage_lending = StageLending(fleet, self.batcher, self.lending, clock)
         self.backlogs = StageBacklogs(fleet, self.batchers, self.batcher, self.lending, clock)
         fleet.backlogs = self.backlogs.local_backlogs
         fleet.on_backlog = self.backlogs.record
@@ -116,9 +118,11 @@
         coordinators = (
             self.fleet.coordinator_links(job.service) if self.is_divided(job.service) else {}
         )
+        if not submission.lent:
+            # One that was lent before and is reassigned has been counted.
+            self.stage_lending.plans.record(job.service, job.pieces)
         target = self.lending_target(job, coordinators)
         if target:
-            self.batcher(job.service).demand.record_arrival(job)
             self.send_to(submission, coordinators[target], lent=True)
         else:
             self.run_here(submission)
@@ -129,31 +133,7 @@
 
     def lending_target(self, job: StageJob, coordinators: Mapping[str, Link]) -> str:
         """Return the data centre to lend a stage to, or an empty string to run it here."""
-        if not coordinators:
-            return ""
-        batcher = self.batcher(job.service)
-        now = self.clock.now()
-        priority = job.priority_class(now)
-        local_wait_ms = math.inf
-        if self.fleet.division.has_local_servers(job.service):
-            local_wait_ms = batcher.compute_backlog(now).waits_ms[priority]
-        target = self.lending.choose(job, local_wait_ms, coordinators)
-        limits = batcher.limits()
-        if target and limits is not None:
-            servers = self.fleet.division.count(job.service, target)
-            piece_ms = limits.expected_ms(limits.pieces) / (limits.pieces * max(1, servers))
-            log_message(
-                "stage-lent",
-                request=job.request,
-                service=job.service,
-                pieces=job.pieces,
-                datacentre=target,
-                preferred=job.datacentre,
-                local_wait_ms=local_wait_ms if math.isinf(local_wait_ms) else round(local_wait_ms),
-                remote_wait_ms=round(self.lending.wait_ms(job.service, target, priority)),
-            )
-            self.lending.lend(job, target, piece_ms)
-        return target
+        return self.stage_lending.choose(job, coordinators)
 
     def run_here(self, submission: Submission) -> None:
         """Queue the pieces of a stage at this instance's batcher."""
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -90,6 +90,21 @@
     SPELLS = ("spells", "counter", "times a server was found to be much slower for a moment")
     SPEEDS_SENT = ("speeds_sent", "counter", "speeds of servers sent to other coordinators")
     SPEEDS_USED = ("speeds_used", "counter", "speeds of servers taken over from other coordinators")
+    DEMAND_REPORTS = (
+        "demand_reports",
+        "counter",
+        "reports of demand sent to coordinators of other data centres",
+    )
+    PLANNED_PIECES = (
+        "planned_pieces",
+        "counter",
+        "stage pieces sent to other data centres by plan",
+    )
+    PLANNED_SHARE = (
+        "planned_share",
+        "gauge",
+        "largest part of a service's pieces that is planned to be served elsewhere",
+    )
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
