--- a/features/demandfleet.feature
+++ b/features/demandfleet.feature
@@ -45,6 +45,11 @@
       | data centre b is empty  | 1100 |
       | data centre b is cut    | 1100 |
 
+  Scenario: A plan leaves out a data centre that is known to be cut off, however recent its report
+    Given callers have asked for 1.3, 0.2 and 0.2 of the capacity of a, b and c for 7 s
+    When b is cut off, and plans of a leave it out within 1500 ms
+    Then the last report of b was still valid then
+
   Scenario: Stages that run elsewhere when a data centre is cut off are measured once
     When callers ask for 1.3, 0 and 0 for 5 s, and after 4600 ms b is cut off
     And 300 ms go by
@@ -58,6 +63,13 @@
     And a stage was lent by the plan of a within 7000 ms
     And every stage was completed once
 
+  Scenario: An instance that coordinates again does not continue its old plan
+    Given callers have asked for 2, 0.1 and 0.1 of the capacity of a, b and c for 6 s
+    And plans were switched off for 600 ms
+    When callers ask for 2, 0.1 and 0.1 of the capacity of a, b and c for 5 s
+    Then no stage was lent by the plan of a up to 2000 ms
+    And a stage was lent by the plan of a within 5000 ms
+
   Scenario: Two coordinators of a data centre are counted together elsewhere
     Given the instances of a do not reach each other
     When callers ask for 0.9, 0.2 and 0.2 of the capacity of a, b and c for 8 s
--- a/features/demandplan.feature
+++ b/features/demandplan.feature
@@ -106,14 +106,29 @@
     Then 8 of them are sent to b in all
 
   Scenario: Two coordinators of a data centre count with all demand and one capacity
-    Given two coordinators of data centre b report 40 and 30 pieces per second of 100
-    Then data centre b counts with 70 of 100 pieces per second
+    # Demand is that in half a second, until the next plan.
+    Given two coordinators of data centre b report 40 and 30 pieces per second of 100, rising by 8
+    Then data centre b counts with 78 of 100 pieces per second
     When 1500 ms go by and the second reports again
     And 600 ms more go by
-    Then data centre b counts with 30 of 100 pieces per second
+    Then data centre b counts with 34 of 100 pieces per second
     When 1500 ms more go by
     Then data centre b is unknown
 
+  Scenario Outline: The plan sends no stage to where it would begin much later than here
+    Given pieces wait <b> ms in data centre b and <c> ms in data centre c
+    And these waits were reported <age> ms ago
+    Then the plan may send a stage that would wait <own> ms here to <names>
+
+    # Without a recent report a data centre may be cut off, or its coordinator may have died.
+    Examples:
+      | own | b   | c   | age  | names   |
+      | 100 | 0   | 340 | 100  | b and c |
+      | 100 | 0   | 360 | 100  | b       |
+      | 500 | 0   | 0   | 1100 | nothing |
+      | inf | 0   | 900 | 100  | b and c |
+      | inf | 0   | 900 | 1100 | nothing |
+
   Scenario Outline: When demand is reported
     Given demand and capacity were reported as 100 and 200 to <receivers> receivers
     When they are <demand> and <capacity>, and <elsewhere> is asked for elsewhere
--- a/features/steps/demandfleet_steps.py
+++ b/features/steps/demandfleet_steps.py
@@ -171,11 +171,40 @@
     context.run(context.clock.sleep, SETTLE_MS)
 
 
+def switch(context, plans, ms):
+    """Set the setting, as an operator does with a reload, and wait."""
+    for one in context.fleet.instances.values():
+        one.settings = replace(one.settings, plan_demand=plans)
+    context.run(context.clock.sleep, ms)
+
+
 @given("every instance has plan_demand switched {state}")
 def switched(context, state):
-    for one in context.fleet.instances.values():
-        one.settings = replace(one.settings, plan_demand=state == "on")
-    context.run(context.clock.sleep, SETTLE_MS)
+    switch(context, state == "on", SETTLE_MS)
+
+
+@given("plans were switched off for {ms:d} ms")
+def switched_off_for(context, ms):
+    switch(context, False, float(ms))
+    switch(context, True, 0.0)
+
+
+@when("b is cut off, and plans of a leave it out within {ms:d} ms")
+def left_out(context, ms):
+    plans = find_coordinator(context, "enc", "a").dispatch.stage_lending.plans
+    shares = plans.services["enc"].plan.shares
+    assert "b" in shares, shares
+    cut_off_b(context)
+    until = context.clock.now() + ms
+    while "b" in plans.services["enc"].plan.shares and context.clock.now() < until:
+        context.run(context.clock.sleep, 10.0)
+    context.plans = plans
+    assert set(plans.services["enc"].plan.shares) == {"c"}, plans.services["enc"].plan
+
+
+@then("the last report of b was still valid then")
+def still_valid(context):
+    assert "b" in context.plans.reports.loads("enc", context.clock.now())
 
 
 def lent(context, reason="plan", **fields):
--- a/features/steps/demandplan_steps.py
+++ b/features/steps/demandplan_steps.py
@@ -251,11 +251,14 @@
     assert len(sent_to(context, "b")) == number, context.sent
 
 
-@given("two coordinators of data centre b report {one:d} and {two:d} pieces per second of {of:d}")
-def two_report(context, one, two, of):
+@given(
+    "two coordinators of data centre b report {one:d} and {two:d} pieces per second of {of:d},"
+    " rising by {trend:d}"
+)
+def two_report(context, one, two, of, trend):
     context.reported, context.now = ReportTable(), 0.0
-    context.reports = {"b-1": DemandReport("enc", one, 0.0, of)}
-    context.reports["b-2"] = DemandReport("enc", two, 0.0, of)
+    context.reports = {"b-1": DemandReport("enc", one, trend, of)}
+    context.reports["b-2"] = DemandReport("enc", two, trend, of)
     for peer, report in context.reports.items():
         context.reported.record(report, peer, "b", context.now)
 
@@ -313,3 +316,10 @@
 @then("the next report is sent after {ms} ms")
 def sent_after(context, ms):
     assert context.due_after == (None if ms == "never" else int(ms)), context.due_after
+
+
+@then("the plan may send a stage that would wait {own:g} ms here to {names}")
+def may_send(context, own, names):
+    lending = context.lending
+    found = [name for name in "bc" if lending.begins_about_as_soon("enc", name, 0, own)]
+    assert found == ([] if names == "nothing" else names.split(" and ")), found
