Admission: the backlog of model servers and the patience of callers count

A request whose stages were free was admitted although every model server had prompts to read for seconds, and a request was admitted up to its deadline although its caller leaves earlier.

The placement coordinator computes how long a new prompt waits for a model server (tokens to read, slots, memory) and announces it in its beacons under the topic of the prompts. StageForecast adds it to the expected time, and refuses what is expected after the caller has left.

--- a/packages/core/src/mountladder/forwarding/expectation.py
+++ b/packages/core/src/mountladder/forwarding/expectation.py
@@ -20,6 +20,8 @@
         usual_ms: The usual time of a request of its route without waits.
         factor: The ratio of actual to expected time on its route.
         gives_way: Whether it can't be on time and its stages are queued behind all that can.
+        model_wait_ms: The time that its prompt waits for a model server, 0 if nothing is known.
+        model_age_ms: The age of what is known about that, or None if nothing is known.
     """
 
     stages_ms: float
@@ -28,29 +30,38 @@
     usual_ms: float
     factor: float
     gives_way: bool = False
+    model_wait_ms: float = 0.0
+    model_age_ms: float | None = None
 
     @property
     def processing_ms(self) -> float:
         """Return its expected time without waits, uncorrected by the factor, in milliseconds."""
         return self.stages_ms + self.reading_ms
 
+    @property
+    def all_waiting_ms(self) -> float:
+        """Return its expected waits at stages and model servers, in milliseconds."""
+        return self.waiting_ms + self.model_wait_ms
+
     @property
     def ms(self) -> float:
         """Return its expected time in milliseconds."""
-        return (self.processing_ms + self.waiting_ms) * self.factor
+        return (self.processing_ms + self.all_waiting_ms) * self.factor
 
     @property
     def route_ms(self) -> float:
         """Return the expected time of a usual request of its route now, in milliseconds."""
-        return (self.usual_ms + self.waiting_ms) * self.factor
+        return (self.usual_ms + self.all_waiting_ms) * self.factor
 
-    def log_fields(self) -> dict[str, float | bool]:
+    def log_fields(self) -> dict[str, float | bool | None]:
         """Return its fields for log lines."""
         return {
             "expected_ms": round(self.ms),
             "stages_ms": round(self.stages_ms),
             "reading_ms": round(self.reading_ms),
             "waiting_ms": round(self.waiting_ms),
+            "model_wait_ms": round(self.model_wait_ms),
+            "model_age_ms": None if self.model_age_ms is None else round(self.model_age_ms),
             "usual_ms": round(self.usual_ms),
             "factor": round(self.factor, 2),
             "gives_way": self.gives_way,
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+from mountladder.admission.wiring import connect_admission
 from mountladder.clocks.clock import Clock
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.batcher import Batcher
@@ -142,6 +143,7 @@
         upstream.connection_share = self.connections.of
         self.build_quarantine(upstream)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
+        self.admission = connect_admission(self, coordinator)
         self.handover = UsageHandover(
             self.fleet, self.dispatch, clock, metrics, self.reserves_results
         )
@@ -226,7 +228,7 @@
             picker=picker,
             upstream=self.upstream,
             dispatch=self.dispatch,
-            forecast=StageForecast(self.dispatch, self.follower),
+            forecast=StageForecast(self.dispatch, self.follower, self.admission),
             budget=self.budgets.of,
             metrics=self.metrics,
             shutdown=self.shutdown,
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -10,6 +10,7 @@
 
 from eliot import log_message
 
+from mountladder.admission.promptusage import PromptUsage
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.continuation.backupplacement import BackupPlacement
@@ -52,6 +53,7 @@
         placed: The prompts on servers, by owner and order number.
         prefilling: Keys of the placed prompts whose prefill has not finished.
         backups: Chooses the servers that keep copies of prompts' caches.
+        usage: What placed prompts take up, and for how long.
         retry_schedules: Assigns retry times to rejected requests, by service.
     """
 
@@ -72,6 +74,7 @@
         self.limits = limits
         self.placement = PromptPlacement(clock, router)
         self.backups = BackupPlacement(self.placement, clock)
+        self.usage = PromptUsage()
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
@@ -97,13 +100,19 @@
         self.cold.record_sent(choice.state.server)
         self.limits.record_sent(choice.state.server, topic)
         key = (owner, order.number)
-        self.placed[key] = PlacedPrompt(
+        cached = self.placement.cached_tokens(choice.state, order.prompt)
+        self.placed[key] = placed = PlacedPrompt(
             server,
             plan.prefill_tokens,
             choice.unloaded_ms,
             0 if plan.source else ahead + plan.prefill_tokens,
+            order.service,
+            order.urgency,
+            max(0, order.prompt.tokens - cached) + order.prompt.max_output,
+            self.clock.now(),
         )
         self.prefilling.add(key)
+        self.usage.record_start(placed)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
         service = self.follower.service(order.service)
         backup = self.backups.place(key, order, server, servers, service, datacentre)
@@ -156,6 +165,7 @@
         placed = self.placed.get(key)
         if placed is None:
             return
+        was_read = key not in self.prefilling or note.read_ms > 0
         if note.read_ms > 0 or note.ended:
             self.record_prefill(key, placed, note.read_ms)
         if note.gone and owner != LOCAL_OWNER:
@@ -166,6 +176,7 @@
             del self.placed[key]
             self.backups.end(key)
             self.placement.record_end(placed.server)
+            self.usage.record_end(placed, was_read, self.clock.now())
 
     def trip_breaker(self, server: str) -> None:
         """Trip the circuit breaker of a server that an instance could not reach.
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
+from dataclasses import replace
 
 from eliot import log_message
 
+from mountladder.admission.modelwait import UNKNOWN_WAIT, ModelWait
+from mountladder.admission.pipelineadmission import PipelineAdmission
 from mountladder.code import Code
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import value_for_rank
@@ -20,6 +24,7 @@
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageflow import GIVE_UP_TARGETS
+from mountladder.metrics.metric import Metric
 
 # A request counts as on time while a usual request of its route is expected to take at most this
 # multiple of the latency target, by rank; the least valuable requests give way first.
@@ -51,6 +56,8 @@
     Args:
         dispatch: Returns the expected waits at stage services.
         follower: The catalogue in force.
+        pipeline: Returns the waits for model servers and the patience of callers; None if neither
+            counts.
 
     Attributes:
         max_allowed_ms: The longest time that a request of each route was allowed, in milliseconds.
@@ -58,9 +65,15 @@
         usual_ms: The usual time of a request of each route without waits, in milliseconds.
     """
 
-    def __init__(self, dispatch: StageDispatch, follower: CatalogueFollower) -> None:
+    def __init__(
+        self,
+        dispatch: StageDispatch,
+        follower: CatalogueFollower,
+        pipeline: PipelineAdmission | None = None,
+    ) -> None:
         self.dispatch = dispatch
         self.follower = follower
+        self.pipeline = pipeline
         self.max_allowed_ms: dict[str, float] = {}
         self.factors: dict[str, float] = {}
         self.usual_ms: dict[str, float] = {}
@@ -73,23 +86,39 @@
         return max_allowed_ms - request.allowed_ms if is_retry else 0.0
 
     def admit(
-        self, request: ForwardRequest, route: Route, urgency: int, age_ms: float
+        self,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        age_ms: float,
+        service: str = "",
     ) -> Expectation:
         """Admit a request and return its expected time; see predict and check."""
-        expectation = self.predict(request, route, urgency, age_ms)
+        expectation = self.predict(request, route, urgency, age_ms, service)
         fields = expectation.log_fields() | {"request": request.id, "route": route.name}
         try:
             self.check(expectation, request, route)
         except RefusalError as error:
+            reason = self.refusal_reason(expectation, request, route)
+            self.count_refusal(reason, expectation, request, route)
             log_message(
-                "request-refused", retry_after_ms=round(error.retry_after_ms or 0.0), **fields
+                "request-refused",
+                reason=reason,
+                patience_ms=_rounded(self.patience_ms(route)),
+                retry_after_ms=round(error.retry_after_ms or 0.0),
+                **fields,
             )
             raise
         log_message("let-in", comes_back=age_ms > 0.0, **fields)
         return expectation
 
     def predict(
-        self, request: ForwardRequest, route: Route, urgency: int, age_ms: float
+        self,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        age_ms: float,
+        service: str = "",
     ) -> Expectation:
         """Return the expected time of a request, and whether it gives way to others.
 
@@ -101,17 +130,18 @@
             route: Its route.
             urgency: Its rank.
             age_ms: The time since its caller's first attempt, in milliseconds.
+            service: The service of its model servers; see expect.
         """
-        expectation = self.expect(request, route, urgency)
+        expectation = self.expect(request, route, urgency, service=service)
         self.learn_usual(route, expectation.processing_ms)
         in_time = (
             expectation.route_ms + age_ms
             <= value_for_rank(ON_TIME_TARGETS, urgency) * route.target_ms
         )
-        nothing_waits = expectation.waiting_ms <= NORMAL_WAIT_MS
+        nothing_waits = expectation.all_waiting_ms <= NORMAL_WAIT_MS
         if in_time or (nothing_waits and age_ms <= 0.0):
             return expectation
-        return self.expect(request, route, urgency, gives_way=True)
+        return self.expect(request, route, urgency, True, service)
 
     def check(self, expectation: Expectation, request: ForwardRequest, route: Route) -> None:
         """Refuse a request that is not expected to be answered in time.
@@ -122,19 +152,44 @@
             route: Its route.
 
         Raises:
-            RefusalError: It is not expected to be answered before its deadline, or gives way and
-                its stages would be dropped first; carries the time after which to retry.
+            RefusalError: It is not expected to be answered before its deadline or before its caller
+                leaves, or gives way and its stages would be dropped first; carries the time after
+                which to retry.
         """
-        in_time = expectation.ms <= min(request.allowed_ms, route.timeout_ms)
-        if expectation.gives_way:
-            # Its stages would be dropped before the deadline.
-            in_time = in_time and expectation.route_ms <= GIVE_UP_TARGETS * route.target_ms
-        if in_time:
+        if not self.refusal_reason(expectation, request, route):
             return
         retry_after_ms = self.retry_after_ms(request, route, expectation.ms)
         detail = f"expected {expectation.ms:.0f} ms, latency target {route.target_ms:.0f} ms"
         raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=retry_after_ms)
 
+    def refusal_reason(
+        self, expectation: Expectation, request: ForwardRequest, route: Route
+    ) -> str:
+        """Return why a request is refused, or an empty string if it is admitted."""
+        if expectation.ms > min(request.allowed_ms, route.timeout_ms):
+            return "deadline"
+        if expectation.ms > self.patience_ms(route):
+            return "patience"
+        # Its stages would be dropped before the deadline.
+        if expectation.gives_way and expectation.route_ms > GIVE_UP_TARGETS * route.target_ms:
+            return "gives way"
+        return ""
+
+    def count_refusal(
+        self, reason: str, expectation: Expectation, request: ForwardRequest, route: Route
+    ) -> None:
+        """Count a refusal that the stages and the deadline alone would not have led to."""
+        if self.pipeline is None:
+            return
+        if reason == "patience":
+            self.pipeline.metrics.count(Metric.REFUSED_BY_PATIENCE)
+        if not self.refusal_reason(replace(expectation, model_wait_ms=0.0), request, route):
+            self.pipeline.metrics.count(Metric.REFUSED_BY_MODEL_WAIT)
+
+    def patience_ms(self, route: Route) -> float:
+        """Return how long callers wait in milliseconds, infinite if their patience is ignored."""
+        return math.inf if self.pipeline is None else self.pipeline.patience_ms(route)
+
     def retry_after_ms(self, request: ForwardRequest, route: Route, expected_ms: float) -> float:
         """Return the time after which a refused request may be retried, in milliseconds."""
         retry_after_ms = max(
@@ -143,7 +198,12 @@
         return min(retry_after_ms, MAX_RETRY_AFTER_MS, RETRY_AFTER_FRACTION * request.allowed_ms)
 
     def expect(
-        self, request: ForwardRequest, route: Route, urgency: int, gives_way: bool = False
+        self,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        gives_way: bool = False,
+        service: str = "",
     ) -> Expectation:
         """Return the expected time of a request until its first event.
 
@@ -152,6 +212,8 @@
             route: Its route.
             urgency: Its rank.
             gives_way: Whether its pieces are queued behind all that can be on time.
+            service: The service of its model servers; if empty, the one that most requests of the
+                route are sent to.
         """
         stages = range(len(route.stages))
         reading_ms = first_event_ms(request.prompt)
@@ -162,7 +224,19 @@
         waiting_ms = max(queued, default=0.0) - alone_ms
         usual_ms = self.usual_ms.get(route.name, alone_ms + reading_ms)
         factor = self.factors.get(route.name, INITIAL_FACTOR)
-        return Expectation(alone_ms, reading_ms, waiting_ms, usual_ms, factor, gives_way)
+        model = self.model_wait(request, route, urgency, gives_way, service)
+        return Expectation(
+            alone_ms, reading_ms, waiting_ms, usual_ms, factor, gives_way, model.ms, model.age_ms
+        )
+
+    def model_wait(
+        self, request: ForwardRequest, route: Route, urgency: int, gives_way: bool, service: str
+    ) -> ModelWait:
+        """Return the expected wait of a request's prompt for a model server; see expect."""
+        if self.pipeline is None or request.prompt is None:
+            return UNKNOWN_WAIT
+        main = service or max(route.targets, key=lambda one: one.weight).service
+        return self.pipeline.wait(main, urgency, gives_way)
 
     def learn_usual(self, route: Route, processing_ms: float) -> None:
         """Update the usual time of a route with a request's time without waits."""
@@ -197,3 +271,7 @@
         free_ms = waits[number] if waits else 0.0
         call_ms = service.batch.expected_ms(min(pieces, service.batch.pieces))
         return max(start_ms, free_ms) + call_ms
+
+
+def _rounded(ms: float) -> int | None:
+    return None if math.isinf(ms) else round(ms)
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -73,6 +73,26 @@
         "counter",
         "servers whose memory for results was reported to the next coordinator",
     )
+    MODEL_WAIT_MS = (
+        "model_wait_ms",
+        "gauge",
+        "longest expected wait for a model server of the services whose prompts are placed here",
+    )
+    REFUSED_BY_MODEL_WAIT = (
+        "refused_by_model_wait",
+        "counter",
+        "requests refused that would have been admitted without a wait for model servers",
+    )
+    REFUSED_BY_PATIENCE = (
+        "refused_by_patience",
+        "counter",
+        "requests refused since their callers would have left before the first event",
+    )
+    HELD_TOO_LONG = (
+        "held_too_long",
+        "counter",
+        "requests ended during their stages just before their callers would have left",
+    )
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
