Admission: streams are not held until their callers leave

Hold ends the stages of a stream 200 ms and the stream itself 100 ms before its caller's patience, as long as no first event has arrived. Coordinators drop unbegun stages at that time and report them so; StageFlow refuses the request if no stage has run, and otherwise lets it fail with 3002. Waits for a back-off, a slot or a quarantine after the stages have the same limit.

Measured in features/patience.feature: a stream held by busy stage servers ends as refused between 2,200 and 2,350 ms with a patience of 2,400 ms; with admit_pipeline off it fails at its deadline of 6,000 ms.

--- /dev/null
+++ b/features/patience.feature
@@ -0,0 +1,63 @@
+Feature: Streams are not held until their callers leave
+  # The failure: 83 requests of one kind were held by fully loaded stage services until their callers
+  # left. They had waited for the whole time, and no server had been sent their requests.
+
+  Scenario Outline: A stream is held until shortly before its caller leaves
+    # The stages end before the request does, so that it is known whether any piece was begun.
+    Given a <kind> request with a latency target of 600 ms that is allowed <allowed> ms
+    And <state>
+    Then it must have been sent to a server by <deadline>, and its stages end by <end>
+
+    Examples:
+      | kind   | allowed | state                          | deadline | end  |
+      | stream | 6000    | the patience of callers counts | 2300     | 2200 |
+      | stream | 1500    | the patience of callers counts | 1500     | 1400 |
+      | stream | 6000    | its first event has arrived    | 6000     | inf  |
+      | stream | 6000    | admit_pipeline is switched off | 6000     | inf  |
+      | safe   | 6000    | the patience of callers counts | 6000     | inf  |
+
+  Scenario Outline: A request whose stages end with its caller's patience is only refused if none has run
+    # The failure: all of them ended as failed, so that their callers did not retry them. A refusal
+    # states that nothing has run, so one piece that may have run must prevent it.
+    Given a stream with two initial stages that end at 2200 ms, and a third after the second
+    When the first stage <first> and the second <second>
+    Then it ends as <outcome> at <ms> ms
+
+    Examples:
+      | first                | second               | outcome     | ms   |
+      | is never begun       | is never begun       | refused     | 2200 |
+      | is never begun       | is begun and cut off | failed 3002 | 2200 |
+      | is begun and cut off | is never begun       | failed 3002 | 2200 |
+      | is never begun       | is done in 500 ms    | failed 3002 | 2200 |
+      | is never begun       | is done in 2250 ms   | failed 3002 | 2250 |
+      | is never begun       | does not come back   | failed 3002 | 2300 |
+      | has no pieces        | is never begun       | refused     | 1200 |
+      | is done in 500 ms    | is done in 700 ms    | done        | 1400 |
+
+  @forwarding
+  Scenario: A stream held by busy stage servers is refused just before its caller leaves
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And its stage servers are busy for 5000 ms with calls that are expected to end soon
+    When request r of a held stream is sent to a-1
+    Then request r ends between 2200 and 2350 ms as refused 2001
+    And no piece of it has run, and none is waiting
+    And line held-too-long says that it was refused
+    And 1 requests count as held_too_long
+
+  @forwarding
+  Scenario: With admit_pipeline off such a stream is held until its deadline
+    Given admit_pipeline is off
+    And a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And its stage servers are busy for 9000 ms with calls that are expected to end soon
+    When request r of a held stream is sent to a-1
+    Then request r ends between 5900 and 6100 ms as failed 3002
+
+  @forwarding
+  Scenario: A stream does not wait for its model servers until its caller leaves
+    # The failure: once its stages have run, a request waited for three quarters of the time up to its
+    # deadline while servers asked for rest.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And its model servers ask all instances to back off for 3000 ms once the stages run
+    When request r of a held stream is sent to a-1
+    Then request r ends between 100 and 1000 ms as failed 3001
+    And no model server was sent it
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -10,6 +10,7 @@
 
 from eliot import log_message
 
+from mountladder.admission.hold import Hold
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 from mountladder.forwarding.callerteam import CallerTeam
@@ -57,6 +58,7 @@
         cancel_release: Cancels the scheduled release of stage results.
         tracked: The request as tracked by the quarantine.
         reservation: Chooses servers and waits for a slot at those that limit their request rate.
+        hold: Limits how long the request is held before a server is sent it.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.is_returning = self.age_ms > 0.0
         self.gives_way = False
         self.reservation = Reservation(self)
+        self.hold = Hold(self)
         texts = (self.team, request.method, request.host, request.target)
         self.tracked = context.quarantine.track(request.id, texts, request.body)
         context.budget(self.service).earn()
@@ -118,7 +121,7 @@
         self.flow = StageFlow(
             self.request,
             self.route,
-            self.deadline,
+            self.hold.deadline(),
             self.urgency,
             self.context.dispatch,
             self.context.clock,
@@ -126,24 +129,27 @@
             is_first,
             self.tracked.fingerprint,
             self.team,
+            self.hold.stages_end(),
         )
         try:
             inputs = self.flow.run()
         except RefusalError as error:
+            self.hold.record_end(error)
             raise self.late_refusal(error) from error
         except RunError as error:
             if error.code is not Code.RESULT_GONE or not self.may_rerun_stages():
+                self.hold.record_end(error)
                 raise
             self.log("stages-rerun", reason=error.detail, elapsed_ms=round(self.elapsed_ms()))
             return self.run_stages()
-        self.site = self.flow.input_datacentre()
+        self.site = self.flow.results.input_datacentre()
         self.log("stages-done", results=len(inputs))
         return inputs
 
     def admit(self) -> None:
         """Admit the request; reserve a slot if all servers limit their rate. See StageForecast."""
-        forecast = self.context.forecast
-        expectation = forecast.admit(self.request, self.route, self.urgency, self.age_ms)
+        admit = self.context.forecast.admit
+        expectation = admit(self.request, self.route, self.urgency, self.age_ms, self.service)
         self.expected_ms, self.gives_way = expectation.ms, expectation.gives_way
         self.reservation.reserve(expectation.stages_ms + expectation.waiting_ms)
 
@@ -253,6 +259,7 @@
 
     def succeeded(self, attempt: ForwardAttempt, load: int | None, streaming: bool) -> None:
         """Record an attempt that was answered; a stream continues after its first event."""
+        self.hold.is_over = True
         elapsed_ms = self.context.clock.now() - attempt.started
         self.context.picker.succeeded(
             attempt.picked, self.request, self.service, elapsed_ms, load, streaming
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -59,7 +59,7 @@
             RefusalError: No server is available, or none accepts the request in time.
         """
         while True:
-            self.run.tracked.admit(self.run.remaining_ms())
+            self.run.tracked.admit(self.run.hold.remaining_ms())
             self.wait_for_backoff()
             reserved, self.reserved = self.reserved, None
             picked = reserved or self.pick(self.max_wait_ms())
@@ -98,14 +98,16 @@
         """Return how long the request may wait for a slot, in milliseconds.
 
         That is as long as it can still meet its latency target, or longer once work was spent on
-        its stages: then a late answer is better than an error.
+        its stages: then a late answer is better than an error, while the caller is there.
         """
         run = self.run
         target_ms, prompt = run.route.target_ms, run.request.prompt
         own_ms = first_event_ms(prompt) if prompt is not None else OWN_TIME_FRACTION * target_ms
         wait_ms = target_ms - own_ms - run.elapsed_ms() - run.age_ms
         return max(
-            0.0, wait_ms, BEGUN_WAIT_FRACTION * run.remaining_ms() if run.may_have_run() else 0.0
+            0.0,
+            wait_ms,
+            BEGUN_WAIT_FRACTION * run.hold.remaining_ms() if run.may_have_run() else 0.0,
         )
 
     def wait_for(self, picked: PickedServer) -> bool:
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 
 from gevent.event import Event
 
@@ -22,6 +21,7 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
+from mountladder.forwarding.stageresults import StageResults
 from mountladder.forwarding.stagetimes import StageTimes
 from mountladder.forwarding.submission import Submission
 from mountladder.quarantine.fingerprint import stage_fingerprint
@@ -29,9 +29,6 @@
 # A request with no stage begun after this multiple of its latency target is refused, so that its
 # caller can retry later instead of waiting for an answer that would be late.
 GIVE_UP_TARGETS = 2.0
-# A stage that reads or makes more than this runs in the data centre that holds or needs the data:
-# transfers between data centres are charged by the gigabyte.
-LARGE_BYTES = 1_000_000.0
 _FAILURE_CODES = {
     PieceFailure.INPUT_GONE: Code.RESULT_GONE,
     PieceFailure.QUARANTINED: Code.SERVERS_ENDED,
@@ -54,13 +51,18 @@
             be met, and its stages give way to those of other requests. None stands for the route's
             latency target.
         team: The name of the request's team, or an empty string.
+        stages_end: When coordinators end its stages, in the clock's milliseconds: before the
+            deadline, so that it learns whether any piece was begun. Infinite for the deadline.
 
     Attributes:
-        handles: The handles of the results of each completed stage, by its number.
-        locations: The data centres that store these results, by the stage's number.
+        results: The results of its stages.
+        handles: Their handles, by the number of each completed stage; see StageResults.
+        locations: The data centres that store them; see StageResults.
         waiting: The submitted stages that are not done, by their number.
         failure: The failure that ended the run, or None.
         begun: Whether any piece may have been worked on.
+        has_run: Whether a piece of a completed or failed stage has been worked on.
+        unbegun: Whether a stage was ended of which no piece was begun, while others were open.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         may_refuse: bool = True,
         fingerprint: str = "",
         team: str = "",
+        stages_end: float = math.inf,
     ) -> None:
         self.request = request
         self.route = route
@@ -83,18 +86,21 @@
         self.dispatch = dispatch
         self.clock = clock
         self.answer_target_ms = route.target_ms if answer_target_ms is None else answer_target_ms
-        self.give_up = math.inf
+        self.stages_end = stages_end
+        self.may_refuse = may_refuse
+        self.give_up = self.last_give_up = math.inf
         if may_refuse:
+            self.last_give_up = stages_end
             self.give_up = request.arrived + GIVE_UP_TARGETS * route.target_ms
-        self.handles: dict[int, tuple[str, ...]] = {}
-        self.locations: dict[int, tuple[str, ...]] = {}
+        self.results = StageResults(route, dispatch)
+        self.handles, self.locations = self.results.handles, self.results.locations
         self.waiting: dict[int, Submission] = {}
         self.failure: PieceFailure | None = None
         self.changed = Event()
         self.fingerprint = fingerprint
         self.team = team
         self.times = StageTimes(request, route, dispatch)
-        self.begun = False
+        self.begun = self.has_run = self.unbegun = False
 
     @property
     def gives_way(self) -> bool:
@@ -141,7 +147,11 @@
             raise RefusalError("no server began a stage in time", Code.DEADLINE_UNMEETABLE)
         if self.failure is not None:
             code = _FAILURE_CODES.get(self.failure, Code.STAGE_FAILED)
+            if self.failure is PieceFailure.LATE and self.has_ended():
+                code = Code.DEADLINE_PASSED
             raise RunError(f"a stage failed: {self.failure.value}", code)
+        if not in_time and not self.begun and self.may_refuse:
+            raise RefusalError("no stage was begun in time", Code.DEADLINE_UNMEETABLE)
         if not in_time:
             raise RunError("the deadline passed during the stages", Code.DEADLINE_PASSED)
 
@@ -155,8 +165,12 @@
                 self.start(number)
 
     def has_begun_others(self) -> bool:
-        """Return whether any other stage is submitted or has results."""
-        return bool(self.waiting) or any(self.handles.values())
+        """Return whether any other stage is submitted or has run."""
+        return bool(self.waiting) or self.has_run
+
+    def has_ended(self) -> bool:
+        """Return whether the coordinators have ended the stages because of their time limit."""
+        return self.clock.now() >= self.stages_end
 
     def start(self, number: int) -> None:
         """Submit a stage, or mark it as done if it has no pieces."""
@@ -189,12 +203,12 @@
             key="" if stage.after else self.request.piece_key,
             inputs=inputs,
             releases_inputs=self.may_release_inputs(number),
-            deadline=self.deadline,
+            deadline=min(self.deadline, self.stages_end),
             due=due - self.times.following_ms(number),
             urgency=self.urgency,
             result_bytes=stage.result_bytes,
-            datacentre=self.preferred_datacentre(number, pieces),
-            give_up=self.give_up,
+            datacentre=self.results.preferred_datacentre(number, pieces),
+            give_up=min(self.give_up, self.last_give_up),
             fingerprint=self.stage_fingerprint(stage.service),
             team=self.team,
         )
@@ -212,35 +226,9 @@
         """Return the fingerprint of the request at a stage service, or an empty string."""
         return stage_fingerprint(self.fingerprint, service) if self.fingerprint else ""
 
-    def preferred_datacentre(self, number: int, pieces: int) -> str:
-        """Return the preferred data centre of a stage, or an empty string for any."""
-        stage = self.route.stages[number]
-        sources = [location for needed in stage.after for location in self.locations[needed]]
-        fetched = sum(
-            self.route.stages[needed].result_bytes * len(self.locations[needed])
-            for needed in stage.after
-        )
-        if sources and fetched * pieces > LARGE_BYTES:
-            return max(set(sources), key=sources.count)
-        return ""
-
-    def input_datacentre(self) -> str:
-        """Return the data centre with most of the request's input, or empty if that is small."""
-        sizes: Counter[str] = Counter()
-        for number in self.route.last_stages():
-            for location in self.locations.get(number, ()):
-                sizes[location] += self.route.stages[number].result_bytes
-        location, size = max(sizes.items(), key=lambda one: one[1], default=("", 0.0))
-        return location if size > LARGE_BYTES else ""
-
-    def has_large_results(self, number: int) -> bool:
-        """Return whether the request itself fetches large results of a stage."""
-        stage = self.route.stages[number]
-        return number in self.route.last_stages() and stage.result_bytes > LARGE_BYTES
-
     def should_delay(self, number: int) -> bool:
         """Return whether a stage's large results would just wait for slower stages."""
-        if not self.has_large_results(number):
+        if not self.results.has_large_results(number):
             return False
         wait_ms = self.dispatch.wait_ms(self.service(number), self.urgency, self.gives_way)
         return self.other_stages_ms(number) > wait_ms + self.times.stage_ms(number)
@@ -260,18 +248,36 @@
         """Record the results of a stage, or its failure."""
         self.waiting.pop(number, None)
         failures = [one.failure for one in results if one.failure is not None]
-        if PieceFailure.NOT_BEGUN in failures and self.has_begun_others():
-            self.start(number)
+        is_unbegun = PieceFailure.NOT_BEGUN in failures
+        if is_unbegun and self.has_begun_others():
+            self.handle_unbegun(number)
             return
+        self.has_run = self.has_run or not is_unbegun
         if failures:
-            self.failure = failures[0]
+            self.failure = self.failure or failures[0]
             self.dispatch.release(self.service(number), [one.handle for one in results])
         else:
             self.handles[number] = tuple(one.handle for one in results)
             self.locations[number] = tuple(one.datacentre for one in results)
             self.release_used()
+            if self.unbegun:
+                self.failure = PieceFailure.LATE
         self.changed.set()
 
+    def handle_unbegun(self, number: int) -> None:
+        """Handle a stage of which no piece was begun while other stages are open or have run.
+
+        It is submitted again as long as there is time. After that the request fails if another
+        stage has run; otherwise the outcome of the open ones decides whether it is refused.
+        """
+        if not self.has_ended():
+            self.start(number)
+            return
+        self.unbegun = True
+        if self.has_run:
+            self.failure = self.failure or PieceFailure.LATE
+            self.changed.set()
+
     def release_used(self) -> None:
         """Release the results that neither a stage nor the request needs any more."""
         last = self.route.last_stages()
@@ -285,17 +291,6 @@
         """Return the handles of the results that the request itself needs."""
         return tuple(h for number in self.route.last_stages() for h in self.handles[number])
 
-    def link_mbps(self) -> float:
-        """Return the lowest bandwidth of the links it fetches over in Mbit/s, or 0 if unknown."""
-        services = (self.dispatch.limits(self.service(n)) for n in self.route.last_stages())
-        known = [one.link_mbps for one in services if one is not None and one.link_mbps]
-        return min(known, default=0.0)
-
-    def result_bytes(self) -> float:
-        """Return the number of bytes that the request itself fetches."""
-        last = self.route.last_stages()
-        return sum(self.route.stages[n].result_bytes * len(self.handles.get(n, ())) for n in last)
-
     def withdraw(self) -> None:
         """Withdraw all open stages and announcements, and release all results."""
         for submission in list(self.waiting.values()):
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -133,8 +133,8 @@
     def schedule_release(self) -> None:
         """Schedule the release of stage results for when the server should have fetched them."""
         if self.flow is not None and self.flow.handles:
-            size = self.flow.result_bytes()
-            wait_ms = self.context.fetch_time.wait_ms(size, self.flow.link_mbps())
+            size = self.flow.results.result_bytes()
+            wait_ms = self.context.fetch_time.wait_ms(size, self.flow.results.link_mbps())
             self.cancel_release = self.context.clock.call_later(wait_ms, self.flow.release)
 
     def record_missing_results(self) -> None:
