Admission: scenarios for what no scenario guarded yet

Taking each decision out once showed five that no scenario noticed: a server with full memory but nothing to read, an instance that is not the coordinator, the hold after the first event, the deadline of the stages' run and the limit of a quarantine's wait. Each has a scenario now and fails without its decision. A branch of StageFlow.complete that changed no outcome is gone.

--- a/features/admissionpipeline.feature
+++ b/features/admissionpipeline.feature
@@ -16,6 +16,7 @@
       | servers                                  | urgent | other |
       | nothing at all                           | 0      | 0     |
       | 40000/8/0/0/1, 0/7/0/0/1                 | 0      | 0     |
+      | 0/3/2000/9000/1                          | 0      | 0     |
       | 40000/3/0/0/1, 8000/3/0/0/1              | 200    | 200   |
       | 12000/3/0/0/1, 8000/3/0/0/2              | 300    | 300   |
       | 0/8/0/0/1                                | 400    | 400   |
@@ -127,6 +128,12 @@
       | is cold and was sent enough        | 1000 |
       | takes its next request in 500 ms   | 1000 |
 
+  Scenario: An instance that placed prompts for itself does not announce them as the coordinator
+    # The failure: others took its few prompts for the whole backlog.
+    Given a placement coordinator of one model server
+    When prompts of ranks 0 and 2 with 3000 tokens and 500 to generate are placed
+    Then their backlog is announced only while no other instance is the coordinator
+
   Scenario Outline: Waits for model servers count like waits for stages
     # The failure: only the backlog of stages decided, and requests waited at model servers instead.
     Given a route with a latency target of 1700 ms and a deadline of 10000 ms
--- a/features/patience.feature
+++ b/features/patience.feature
@@ -52,6 +52,22 @@
     When request r of a held stream is sent to a-1
     Then request r ends between 5900 and 6100 ms as failed 3002
 
+  @forwarding
+  Scenario: A stream whose coordinator does not report its stages ends before its caller leaves
+    # Nothing is known of its pieces, so that it must not be refused.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And nothing comes back of the stages that a-1 hands over
+    When request r of a held stream is sent to a-1
+    Then request r ends between 2290 and 2310 ms as failed 3002
+
+  @forwarding
+  Scenario: Patience limits a stream up to its first event only
+    # The failure: streams that break later would not be resumed, as if their callers had left.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    When a stream is answered by a-1, and its waits for a quarantine are recorded
+    Then it was allowed to wait for less than 2300 ms
+    And after its first event it may be held until its deadline
+
   @forwarding
   Scenario: A stream does not wait for its model servers until its caller leaves
     # The failure: once its stages have run, a request waited for three quarters of the time up to its
--- a/features/steps/admissionpipeline_steps.py
+++ b/features/steps/admissionpipeline_steps.py
@@ -363,6 +363,18 @@
     assert {round(one) for one in found.waits_ms} == {ms}, found
 
 
+@then("their backlog is announced only while no other instance is the coordinator")
+def only_as_coordinator(context):
+    links = [None]
+    fleet = SimpleNamespace(coordinator=lambda topic: links[0])
+    backlogs = ModelBacklogs(
+        fleet, context.coordinator, lambda: True, context.clock, context.metrics
+    )
+    assert [one.service for one in backlogs.local_backlogs()] == [TOPIC]
+    links[0] = "a link"
+    assert backlogs.local_backlogs() == ()
+
+
 class FixedPipeline:
     """Waits for model servers and patience of callers that a scenario sets."""
 
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -22,6 +22,7 @@
 from mountladder.forwarding.routestage import RouteStage
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.submission import Submission
 
 SETTLE_MS = 700.0
 STAGED = next(one for one in ROUTES if one.name == "staged")
@@ -221,3 +222,31 @@
 @then("no model server was sent it")
 def not_sent(context):
     assert not context.fleet.upstream.arrivals["r"]
+
+
+@given("nothing comes back of the stages that a-1 hands over")
+def nothing_back(context):
+    context.fleet.instances["a-1"].dispatch.submit = lambda job, done: Submission(0, job, done)
+
+
+@when("a stream is answered by a-1, and its waits for a quarantine are recorded")
+def answered(context):
+    sent = request("r", PATHS["staged"], context.clock.now(), allowed_ms=6_000.0)
+    context.held_run = run = context.fleet.instances["a-1"].forwarder.admit(sent)
+    context.limits_ms = []
+    run.tracked = SimpleNamespace(
+        fingerprint="", admit=context.limits_ms.append, answered=lambda: None
+    )
+    context.run(lambda: list(run.answer().body))
+
+
+@then("it was allowed to wait for less than 2300 ms")
+def allowed_wait(context):
+    assert len(context.limits_ms) == 1 and 0 < context.limits_ms[0] < 2_300, context.limits_ms
+
+
+@then("after its first event it may be held until its deadline")
+def held_until_deadline(context):
+    run = context.held_run
+    assert run.hold.deadline() == run.deadline == run.request.arrived + 6_000.0
+    assert math.isinf(run.hold.stages_end())
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -62,7 +62,6 @@
         failure: The failure that ended the run, or None.
         begun: Whether any piece may have been worked on.
         has_run: Whether a piece of a completed or failed stage has been worked on.
-        unbegun: Whether a stage was ended of which no piece was begun, while others were open.
     """
 
     def __init__(
@@ -100,7 +99,7 @@
         self.fingerprint = fingerprint
         self.team = team
         self.times = StageTimes(request, route, dispatch)
-        self.begun = self.has_run = self.unbegun = False
+        self.begun = self.has_run = False
 
     @property
     def gives_way(self) -> bool:
@@ -260,8 +259,6 @@
             self.handles[number] = tuple(one.handle for one in results)
             self.locations[number] = tuple(one.datacentre for one in results)
             self.release_used()
-            if self.unbegun:
-                self.failure = PieceFailure.LATE
         self.changed.set()
 
     def handle_unbegun(self, number: int) -> None:
@@ -273,7 +270,6 @@
         if not self.has_ended():
             self.start(number)
             return
-        self.unbegun = True
         if self.has_run:
             self.failure = self.failure or PieceFailure.LATE
             self.changed.set()
