Bytes held for callers, servers and peers are counted and limited

Cause: an instance held whatever slow callers, servers and peers left unread, and was killed when that exceeded its memory. A caller that paused also left its server's response unread, which servers end after some seconds.

Change: MemoryAccount counts bodies, whole answers, data that waits for callers and messages that wait for peers, by holder. CallerWriter writes without blocking: up to 64 KB wait for a caller before the reading at the server stops, and a caller that takes nothing for 5 s is cut. MemoryPolicy refuses new requests above 70 % of the budget (code 2014) and has connections ended above 90 %, those that make no progress first. A request has at most 5 s to be written to a server, and the time counts towards that for the answer. The system's buffers are limited to 64 KB of unread bytes from a server and 64 KB of unsent bytes to a caller.

--- /dev/null
+++ b/features/boundedmemory.feature
@@ -0,0 +1,185 @@
+Feature: What an instance holds for callers, servers and peers stays within its memory
+  # The failures: callers that read slowly, or large bodies that come at once, filled an instance's
+  # memory until the platform killed the process, and every request in progress with it.
+
+  Scenario Outline: The budget is the process's memory without what it uses at rest and a margin
+    Then <memory> MB of memory with <rest> MB at rest give a budget of <budget> MB
+
+    Examples:
+      | memory | rest | budget | because                                        |
+      | 160    | 40   | 80     | a quarter of the memory is the margin          |
+      | 552    | 40   | 374    | the same                                       |
+      | 100    | 80   | 10     | less would have every request refused for ever |
+
+  Scenario Outline: Above 70 % of the budget new requests are refused, with a true Retry-After
+    Given a budget of 100 MB of which <held> MB are held
+    Then a new request is <outcome> by the policy
+
+    Examples:
+      | held | outcome  |
+      | 70   | accepted |
+      | 71   | refused  |
+
+  Scenario Outline: A refused caller returns when enough has been released
+    Given a budget of 100 MB of which <held> MB are held
+    Then with <rate> KB released per ms it may return after <ms> ms
+
+    Examples:
+      | held | rate | ms   | because                                            |
+      | 90   | 10   | 2000 | 20 MB have to be released                          |
+      | 71   | 10   | 800  | nothing has changed before                         |
+      | 90   | 1    | 5000 | callers that do not read have been cut by then     |
+      | 90   | 0    | 5000 | the same                                           |
+
+  Scenario Outline: Above 90 % of the budget those that make no progress are cut first
+    # The failure: the largest answer was cut although its caller read it.
+    Given a budget of 100 MB of which <held> MB are held
+    And holders <holders>
+    Then the policy cuts <cut>
+
+    Examples:
+      | held | holders                                      | cut        |
+      | 90   | reader: 40 0, stalled: 5 900                 | none       |
+      | 91   | reader: 40 0, stalled: 5 900, other: 7 400   | other, stalled |
+      | 91   | reader: 40 0, stalled: 5 900, small: 1 0     | stalled, reader |
+      | 91   | reader: 40 200, stalled: 20 300              | stalled    |
+      | 91   | reader: 40 0, small: 3 0                     | reader     |
+
+  Scenario: A greenlet that dies releases the bytes that it holds
+    Given an account of which a greenlet holds 5000 bytes
+    When the greenlet is killed
+    Then 0 bytes are held
+
+  Scenario Outline: Nothing is limited where the memory is not known or the limit is off
+    Given a guard with <memory> MB of memory whose limit is <switch>
+    And 900 MB are held for a caller
+    Then the guard has a new request <outcome>, and cuts <number> holders
+
+    Examples:
+      | memory | switch | outcome  | number |
+      | 0      | on     | accepted | 0      |
+      | 100    | off    | accepted | 0      |
+      | 100    | on     | refused  | 1      |
+
+  Scenario: A holder that was cut counts as released until it is
+    # The failure: while one cut connection was closing, further ones were cut for its bytes.
+    Given a guard with 100 MB of memory whose limit is on
+    And 60 MB are held for a caller
+    And 10 MB are held for another caller
+    When the limit is checked again
+    Then 1 holder is cut, with a log line that gives the bytes and the budget
+
+  Scenario: A short pause of a caller does not leave a server's response unread
+    # The failure: a server ended its response since it stayed unread while the caller paused.
+    Given a server that sends a stream of 1000 events of 100 bytes
+    When a caller requests it and reads nothing for 300 ms
+    Then the stream has been read to its end at the server
+    And the caller gets each event once and in order, and the end of the stream
+
+  Scenario: A full buffer stops the reading at the server
+    # The failure: an instance read on and held whole streams for callers that did not read.
+    Given a server that sends a stream of 40000 events of 100 bytes
+    When a caller requests it and reads nothing for 300 ms
+    Then at most 300000 bytes have been read at the server, and at least 65536 are held
+    And the caller gets each event once and in order, and the end of the stream
+    And 0 bytes are held within 500 ms
+
+  Scenario: An event is passed on as soon as it arrives while the caller reads
+    Given a server that sends a stream of 40 events of 100 bytes, one each 10 ms
+    When a caller requests it and reads all the time
+    Then no event took longer than 40 ms, and no bytes were held while it read
+
+  Scenario: A caller that takes nothing for the time limit is cut, and its call at the server ends
+    Given callers that take nothing for 400 ms are cut
+    And a server that sends a stream of 40000 events of 100 bytes
+    When a caller requests it and reads nothing for 900 ms
+    Then its connection was reset, and the call at the server has ended
+    And 0 bytes are held within 500 ms
+    And 1 slow reader was cut, with a log line that names its request
+
+  Scenario: A caller that reads slowly is not cut
+    # The failure: the event loop reports a socket as writable only when half of its buffer is empty,
+    # so a caller that read all the time seemed to take nothing.
+    Given callers that take nothing for 400 ms are cut
+    And a server that sends a stream of 40000 events of 100 bytes
+    When a caller requests it and reads 8192 bytes each 100 ms for 2000 ms
+    Then it was not cut
+    And the caller gets each event once and in order, and the end of the stream
+
+  Scenario: A caller that does not read the end of a finished stream is cut as well
+    Given callers that take nothing for 400 ms are cut
+    And a server that sends a stream of 1000 events of 100 bytes
+    When a caller requests it and reads nothing for 900 ms
+    Then its connection was reset, and the call at the server has ended
+    And 0 bytes are held within 500 ms
+
+  Scenario: The next request on a connection waits until the last answer is written
+    Given a server that sends a stream of 1000 events of 100 bytes
+    When a caller sends two requests at once and reads nothing for 300 ms
+    Then only the first has reached the server
+    And the caller gets the events of both, one stream after the other
+
+  Scenario: Events that arrived before a stream broke reach a caller that reads slowly
+    # The failure: the buffer was dropped when the server's connection broke.
+    Given a server that sends a stream of 1000 events of 100 bytes and breaks it
+    When a caller requests it and reads nothing for 300 ms
+    Then the caller gets each event once and in order, but no end of the stream
+
+  Scenario: A whole answer counts until its caller has taken it
+    Given a server that answers with 1000000 bytes
+    When a caller requests it and reads nothing for 300 ms
+    Then at least 1000000 bytes are held
+    When the caller reads the whole answer of 1000000 bytes
+    Then 0 bytes are held within 500 ms
+
+  Scenario: Above 90 % of the budget a caller that does not read is cut, and one that reads is not
+    Given a budget of 3.2 MB at the ingress
+    And a server that answers with 1000000 bytes
+    When a caller requests it and reads 100000 bytes each 50 ms from then on
+    And 2 callers request it and read nothing
+    Then 1 caller that read nothing is cut
+    And the caller that reads gets the whole answer of 1000000 bytes
+
+  Scenario: A new request is refused before its body is read while too much is held
+    Given a budget of 1 MB at the ingress
+    And a server that answers with 800000 bytes
+    When a caller requests it and reads nothing for 300 ms
+    And another caller sends the head of a request with a body of 500000 bytes
+    Then it gets 503 with code 2014 and a Retry-After of 5 seconds
+    And the refusal is logged with its request and counted as "refused.memory_full"
+    And only the first has reached the server
+
+  Scenario Outline: The body of a request counts from when it is announced or read
+    Given a server that answers with 10 bytes
+    When a caller sends <what> of a request with a body of 300000 bytes
+    Then <bytes> bytes are held within 500 ms
+    When it closes the connection
+    Then 0 bytes are held within 500 ms
+
+    Examples:
+      | what                          | bytes  |
+      | the head                      | 300000 |
+      | a first chunk of 65536 bytes  | 65536  |
+
+  Scenario: A server that does not read a request's body is given up, and may have run it
+    Given a server that accepts connections and reads nothing
+    And requests have to be read within 300 ms
+    When a request with a body of 8000000 bytes is sent to it with 5000 ms left
+    Then the attempt fails after 300 to 1500 ms with code 3011 and may have run
+
+  Scenario: A request to a server that does not read ends with its deadline
+    Given a server that accepts connections and reads nothing
+    When a request with a body of 8000000 bytes is sent to it with 200 ms left
+    Then the attempt fails after 200 to 1500 ms with code 3011 and may have run
+
+  Scenario: The time to write a request counts towards the time for its answer
+    Given a server that reads slowly and then answers nothing
+    When a request with a body of 8000000 bytes is sent to it with 600 ms left
+    Then the attempt fails after 600 to 900 ms with code 3011 and may have run
+
+  Scenario: Messages for a peer that does not read count until the link ends
+    Given a link to a peer that reads nothing
+    When 40 messages of 200000 bytes are sent over it
+    Then at least 4000000 bytes are held
+    When the link is cut
+    Then 0 bytes are held within 500 ms
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -53,6 +53,11 @@
             raise
         return run.answer()
 
+    def refuse(self, request: ForwardRequest, error: RefusalError) -> None:
+        """Record a request that is refused before its body is read."""
+        self.context.metrics.count(Metric.REQUESTS)
+        self.record_refusal(request, error)
+
     def admit(self, request: ForwardRequest) -> ForwardRun:
         """Check a request against the catalogue in force.
 
--- a/packages/core/src/mountladder/forwarding/forwardrequest.py
+++ b/packages/core/src/mountladder/forwarding/forwardrequest.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mountladder.forwarding.prompt import Prompt
+from mountladder.memory.holder import Holder
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -32,6 +33,7 @@
         pieces: The number of pieces of each stage.
         piece_key: Identifies the input of the first stages.
         last_event_id: The id of the last event received of a stream to resume, or "".
+        holder: Counts the bytes held for the request, or None.
     """
 
     id: str
@@ -48,3 +50,4 @@
     pieces: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: str = ""
+    holder: Holder | None = field(default=None, compare=False, repr=False)
--- a/packages/core/src/mountladder/membership/tcplink.py
+++ b/packages/core/src/mountladder/membership/tcplink.py
@@ -20,6 +20,7 @@
 from mountladder.membership.instance import Instance
 from mountladder.membership.link import Link
 from mountladder.membership.wire import VERSION, Message, decode, encode
+from mountladder.memory.memoryaccount import MemoryAccount
 
 NONCE_BYTES = 16
 PROOF_BYTES = 32
@@ -43,14 +44,24 @@
         connection: The connected socket, which the link owns.
         secret: The fleet's key.
         me: This instance.
+        account: Counts the bytes of messages that wait to be sent, or None.
 
     Attributes:
+        holder: Counts them for this link, or None.
         received: The bytes that arrived and were not read yet.
         sent_bytes: How many bytes were sent.
     """
 
-    def __init__(self, connection: socket.socket, secret: bytes, me: Instance) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        secret: bytes,
+        me: Instance,
+        account: MemoryAccount | None = None,
+    ) -> None:
         super().__init__()
+        self.account = account
+        self.holder = account.open("peer", self.cut) if account else None
         self.connection = connection
         self.secret = secret
         self.me = me
@@ -100,11 +111,18 @@
             PeerError: The connection is broken.
         """
         data = encode(message)
-        with self.lock:
-            mac = _mac(self.send_key, self.sent_messages, data)
-            self.sent_messages += 1
-            self.write(_HEAD.pack(len(data), mac) + data)
-        return len(data) + _HEAD.size
+        size = len(data) + _HEAD.size
+        if self.holder is not None:
+            self.holder.add(size)
+        try:
+            with self.lock:
+                mac = _mac(self.send_key, self.sent_messages, data)
+                self.sent_messages += 1
+                self.write(_HEAD.pack(len(data), mac) + data)
+        finally:
+            if self.holder is not None:
+                self.holder.add(-size)
+        return size
 
     def receive(self) -> Message:
         """Return the next message.
@@ -146,11 +164,29 @@
             # and starts its chunking for each of them.
             sent = self.connection.send(data)
             if sent < len(data):
-                self.connection.sendall(data[sent:])
+                self.write_rest(data[sent:])
         except OSError as error:
             raise PeerError(f"the connection broke: {error}") from error
         self.sent_bytes += len(data)
 
+    def write_rest(self, data: bytes) -> None:
+        """Write bytes to a peer that does not take them at once."""
+        if self.holder is not None:
+            self.holder.sending_since = self.account.clock.now()
+        try:
+            self.connection.sendall(data)
+        finally:
+            if self.holder is not None:
+                self.holder.sending_since = None
+
+    def cut(self, reason: str) -> None:
+        """Break the connection, so that the tasks that read and write fail."""
+        try:
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer has closed it before.
+            return
+
     def read(self, size: int) -> bytes:
         """Read an exact number of bytes.
 
@@ -173,6 +209,9 @@
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
+        if self.holder is not None:
+            # Tasks that still wait to send release their own messages.
+            self.account.holders.discard(self.holder)
 
 
 def _mac(key: bytes, number: int, data: bytes) -> bytes:
--- a/packages/core/src/mountladder/membership/tcpnetwork.py
+++ b/packages/core/src/mountladder/membership/tcpnetwork.py
@@ -18,6 +18,7 @@
 from mountladder.membership.listener import listening_socket, split_address
 from mountladder.membership.network import Network
 from mountladder.membership.tcplink import TcpLink
+from mountladder.memory.memoryaccount import MemoryAccount
 
 CONNECT_SECONDS = 1.0
 MAX_LINKS = 1_024
@@ -31,10 +32,14 @@
         secret: The fleet's key.
         listen_address: The IP number and port to listen on, or an empty string for the address that
             peers connect to.
+        account: Counts the bytes of messages that wait to be sent, or None.
     """
 
-    def __init__(self, secret: bytes, listen_address: str = "") -> None:
+    def __init__(
+        self, secret: bytes, listen_address: str = "", account: MemoryAccount | None = None
+    ) -> None:
         self.secret = secret
+        self.account = account
         self.listen_address = listen_address
 
     def connect(self, address: str, me: Instance) -> Link:
@@ -45,14 +50,14 @@
         except OSError as error:
             raise PeerError(f"{address}: {error}") from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return TcpLink(connection, self.secret, me)
+        return TcpLink(connection, self.secret, me, self.account)
 
     def listen(self, me: Instance, serve: Callable[[Link], None], stack: ExitStack) -> None:
         """Serve links; see Network."""
 
         def accept(connection: socket.socket, _: tuple[str, int]) -> None:
             """Serve one link."""
-            serve(TcpLink(connection, self.secret, me))
+            serve(TcpLink(connection, self.secret, me, self.account))
 
         server = StreamServer(
             listening_socket(self.listen_address or me.peer), accept, spawn=MAX_LINKS
--- /dev/null
+++ b/packages/core/src/mountladder/memory/holder.py
@@ -0,0 +1,100 @@
+# holder.py -- Bytes held for one caller, server or peer
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Bytes held for one caller, server or peer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mountladder.memory.memoryaccount import MemoryAccount
+
+
+class Holder:
+    """Counts the bytes that are held for one caller, server or peer; see MemoryAccount.
+
+    Args:
+        account: The account that it belongs to.
+        kind: For whom the bytes are held: "caller", "server" or "peer".
+        end: Ends the connection, given the reason, so that the bytes are released soon.
+
+    Attributes:
+        request: The id of the request that the bytes belong to, or an empty string.
+        bytes: The number of bytes held.
+        body_bytes: Those of them that are the body of a request.
+        answer_bytes: Those of them that are a server's whole answer.
+        is_streaming: Whether an answer is passed on while it is read from a server.
+        waiting_since: When data last began to wait for the other side or was last taken by it, in
+            the clock's milliseconds, or None if no data waits.
+        sending_since: When data began to be written to a server or a peer that does not take it at
+            once, in the clock's milliseconds, or None.
+        is_cut: Whether its connection was ended to release the bytes.
+        measure: Updates waiting_since.
+    """
+
+    __slots__ = (
+        "account",
+        "answer_bytes",
+        "body_bytes",
+        "bytes",
+        "end",
+        "is_cut",
+        "is_streaming",
+        "kind",
+        "measure",
+        "request",
+        "sending_since",
+        "waiting_since",
+    )
+
+    def __init__(self, account: MemoryAccount, kind: str, end: Callable[[str], None]) -> None:
+        self.account = account
+        self.kind = kind
+        self.end = end
+        self.request = ""
+        self.bytes = 0
+        self.body_bytes = 0
+        self.answer_bytes = 0
+        self.is_streaming = False
+        self.waiting_since: float | None = None
+        self.sending_since: float | None = None
+        self.is_cut = False
+        self.measure: Callable[[], None] = lambda: None
+
+    def add(self, number: int) -> None:
+        """Count bytes that are held from now on, or, if negative, that are not held any more."""
+        self.bytes += number
+        self.account.add(number)
+
+    def set_body(self, number: int) -> None:
+        """Set how many bytes of a request's body are held."""
+        added = number - self.body_bytes
+        self.body_bytes = number
+        self.add(added)
+
+    def set_answer(self, number: int) -> None:
+        """Set how many bytes of a server's whole answer are held."""
+        added = number - self.answer_bytes
+        self.answer_bytes = number
+        self.add(added)
+
+    def stalled_ms(self, now: float) -> float:
+        """Return how long data has waited without any of it being taken, in milliseconds."""
+        self.measure()
+        times = (self.waiting_since, self.sending_since)
+        return max(0.0 if since is None else now - since for since in times)
+
+    def end_request(self) -> None:
+        """Release the body and the answer of a request; what waits to be written stays counted."""
+        self.set_body(0)
+        self.set_answer(0)
+        self.is_streaming = False
+
+    def release(self) -> None:
+        """Release every byte."""
+        self.body_bytes = self.answer_bytes = 0
+        self.waiting_since = self.sending_since = None
+        self.add(-self.bytes)
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -90,6 +90,8 @@
     SPELLS = ("spells", "counter", "times a server was found to be much slower for a moment")
     SPEEDS_SENT = ("speeds_sent", "counter", "speeds of servers sent to other coordinators")
     SPEEDS_USED = ("speeds_used", "counter", "speeds of servers taken over from other coordinators")
+    HELD_BYTES = ("held_bytes", "gauge", "bytes held for callers, servers and peers")
+    CUT_SLOW_READERS = ("cut_slow_readers", "counter", "callers cut since they left data unread")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -11,10 +11,14 @@
 
 from gevent.pywsgi import WSGIHandler
 
+from mountladder.clocks.systemclock import SystemClock
 from mountladder.forwarding.callerlimits import CallerLimits
+from mountladder.memory.memoryaccount import MemoryAccount
+from mountladder.metrics.memorymetrics import MemoryMetrics
+from mountladder_entry.callerwriter import CallerWriter
 
 MS_PER_SECOND = 1000.0
-# The socket's timeout during a request: a caller that neither reads nor sends is dropped after it.
+# The socket's timeout while a body is read: a caller that does not send is dropped after it.
 IO_TIMEOUT_SECONDS = 30.0
 _LENGTH = re.compile(r"[0-9]{1,15}")
 
@@ -23,15 +27,42 @@
     """Serves one connection within the limits of the catalogue in force.
 
     A head that is too long, too slow or ambiguous is refused before it reaches the application, and
-    the connection is closed.
+    the connection is closed. Answers are written by CallerWriter.
 
     Attributes:
         limits: Returns the limits in force.
         is_leaving: Returns whether the instance is shutting down, so that connections are closed.
+        account: Counts the bytes held for the caller.
     """
 
     limits: Callable[[], CallerLimits] = staticmethod(CallerLimits)
     is_leaving: Callable[[], bool] = staticmethod(lambda: False)
+    account = MemoryAccount(SystemClock(), MemoryMetrics())
+
+    def handle(self) -> None:
+        """Serve the connection until it ends, and release the bytes held for it."""
+        with self.account.hold("caller", lambda reason: self.writer.cut(reason)) as self.holder:
+            self.writer = CallerWriter(self.socket, self.holder)
+            try:
+                super().handle()
+            finally:
+                self.writer.close()
+
+    def _sendall(self, data: bytes | bytearray) -> None:
+        """Write a part of an answer; see CallerWriter."""
+        self.writer.write(data)
+        self.response_length += len(data)
+
+    def handle_one_response(self) -> None:
+        """Answer a request, and wait until the caller has taken the answer.
+
+        An answer that was interrupted is written up to there as well.
+        """
+        super().handle_one_response()
+        try:
+            self.writer.flush()
+        except OSError:
+            self.close_connection = True
 
     def read_requestline(self) -> str:
         """Read the next request line, waiting at most as long as a connection may be idle."""
@@ -91,11 +122,12 @@
         return super().start_response(status, headers, exc_info)
 
     def get_environ(self) -> dict[str, object]:
-        """Return the WSGI environment with the raw target, the headers and the socket added."""
+        """Return the WSGI environment with what is needed of the connection added."""
         environ = super().get_environ()
         environ["mountladder.target"] = self.path
         environ["mountladder.headers"] = self.headers.items()
         environ["mountladder.socket"] = self.socket
+        environ["mountladder.holder"] = self.holder
         return environ
 
 
