Model servers are not sent more bytes of requests than they hold

Cause: a server crashes if the requests that it holds exceed its memory, which it does not report. The requests then went to other servers.

Change: placement orders carry the size of the request, and the placement coordinator counts the bytes at each server (ServerBytes).

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -11,6 +11,8 @@
       | a stage of a team                |
       | the release of fetched results   |
       | a placement order for a backup   |
+      | a placement order with a size    |
+      | a reply that servers are full    |
       | a placement reply with a backup  |
       | a note on the pace of a stream   |
       | the refused demand               |
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -39,6 +39,8 @@
     "a placement order for a backup": PlacementOrder(
         7, "llm", PROMPT, ("s-1",), "a", 250.0, 1, True
     ),
+    "a placement order with a size": PlacementOrder(8, "llm", PROMPT, (), "", size=4_000_000),
+    "a reply that servers are full": PlacementReply(8, "", 0.0, is_full=True),
     "a placement reply with a backup": PlacementReply(7, "s-1", 40.0, "s:2", 20, 0.0, "s-3"),
     "a note on the pace of a stream": PlacementNote(7, 40.0, True, False, 12.5),
     "the refused demand": RefusedDemand("enc", (3, 0, 12)),
--- a/packages/core/src/mountladder/errors.py
+++ b/packages/core/src/mountladder/errors.py
@@ -153,6 +153,10 @@
     default_code = Code.OVERLOADED
 
 
+class NoRoomError(RefusalError):
+    """The backend servers of a request hold as many bytes of requests as they may."""
+
+
 class RunError(MountladderError):
     """A request ran but did not complete."""
 
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -44,6 +44,7 @@
 from mountladder.membership.instance import Instance
 from mountladder.membership.membership import Membership
 from mountladder.membership.network import Network
+from mountladder.memory.crashwatch import watch_crashes
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.performance.speedexchange import SpeedExchange
@@ -141,6 +142,7 @@
         self.connections = ConnectionShare(self.follower, self.membership)
         upstream.connection_share = self.connections.of
         self.build_quarantine(upstream)
+        watch_crashes(self, coordinator.bytes)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
         self.handover = UsageHandover(
             self.fleet, self.dispatch, clock, metrics, self.reserves_results
--- a/packages/core/src/mountladder/forwarding/placedprompt.py
+++ b/packages/core/src/mountladder/forwarding/placedprompt.py
@@ -19,9 +19,11 @@
         expected_ms: The expected time to the first event, in milliseconds.
         queued_tokens: The number of tokens queued for prefill up to this prompt's end, or 0 if
             cached parts are fetched from another server.
+        size: The size of the request's body, in bytes.
     """
 
     server: str
     prefill_tokens: int
     expected_ms: float
     queued_tokens: int = 0
+    size: int = 0
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -22,6 +22,7 @@
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.retryschedule import RetrySchedule
+from mountladder.memory.serverbytes import ServerBytes
 from mountladder.performance.worktype import WorkType
 from mountladder.routing.prefillspeed import INITIAL_TOKENS_PER_MS, MIN_TOKENS
 from mountladder.routing.promptchoice import PromptChoice
@@ -52,6 +53,7 @@
         placed: The prompts on servers, by owner and order number.
         prefilling: Keys of the placed prompts whose prefill has not finished.
         backups: Chooses the servers that keep copies of prompts' caches.
+        bytes: Counts and limits the bytes of requests at each server.
         retry_schedules: Assigns retry times to rejected requests, by service.
     """
 
@@ -72,6 +74,7 @@
         self.limits = limits
         self.placement = PromptPlacement(clock, router)
         self.backups = BackupPlacement(self.placement, clock)
+        self.bytes = ServerBytes()
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
@@ -102,7 +105,10 @@
             plan.prefill_tokens,
             choice.unloaded_ms,
             0 if plan.source else ahead + plan.prefill_tokens,
+            order.size,
         )
+        if order.size:
+            self.bytes.begin(order.service, server, order.size, self.clock.now())
         self.prefilling.add(key)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
         service = self.follower.service(order.service)
@@ -127,11 +133,16 @@
         """Return the server chosen for a prompt, or None if none accepts it."""
         if delays.all_limited(servers) and self.must_yield(order):
             return None
-        constraints = order.constraints.without(self.cold.exhausted(servers, delays.cold, topic))
+        exhausted = self.cold.exhausted(servers, delays.cold, topic)
+        constraints = order.constraints.without(exhausted | self.full(order, servers))
         service = self.follower.service(order.service)
         transfer = service.transfer if service else None
         return self.placement.choose(servers, order.prompt, constraints, transfer, delays)
 
+    def full(self, order: PlacementOrder, servers: Sequence[BackendServer]) -> frozenset[str]:
+        """Return the servers that hold too many bytes for a request; see ServerBytes."""
+        return self.bytes.full(order.service, (one.name for one in servers), order.size)
+
     def must_yield(self, order: PlacementOrder) -> bool:
         """Return whether a request must leave limited capacity to more urgent ones."""
         schedule = self.retry_schedules.get(order.service)
@@ -141,6 +152,8 @@
         self, order: PlacementOrder, servers: Sequence[BackendServer], delays: ServerDelays
     ) -> PlacementReply:
         """Return a reply without a server, with the time to retry after if that is known."""
+        if self.full(order, servers):
+            return PlacementReply(order.number, "", 0.0, is_full=True)
         if not servers or not delays.all_limited(servers):
             return PlacementReply(order.number, "", 0.0)
         topic = prompts_topic(order.service)
@@ -165,6 +178,8 @@
         if note.ended:
             del self.placed[key]
             self.backups.end(key)
+            if placed.size:
+                self.bytes.end(placed.server, placed.size, self.clock.now())
             self.placement.record_end(placed.server)
 
     def trip_breaker(self, server: str) -> None:
--- a/packages/core/src/mountladder/forwarding/placementorder.py
+++ b/packages/core/src/mountladder/forwarding/placementorder.py
@@ -25,6 +25,7 @@
         max_wait_ms: How long the request may wait for a rate-limited server, in milliseconds.
         urgency: The request's priority; 0 is the most urgent.
         wants_backup: Whether a second server is to keep a copy of the request's cache.
+        size: The size of the request's body, in bytes.
     """
 
     number: int
@@ -35,6 +36,7 @@
     max_wait_ms: float = 0.0
     urgency: int = 0
     wants_backup: bool = False
+    size: int = 0
 
     @property
     def constraints(self) -> ServerConstraints:
--- a/packages/core/src/mountladder/forwarding/placementreply.py
+++ b/packages/core/src/mountladder/forwarding/placementreply.py
@@ -22,6 +22,7 @@
         wait_ms: How long the request has to wait, in milliseconds, for a server that limits its
             request rate; without a server, the time to retry after, or 0 if unknown.
         backup: The name of the server to keep a copy of the request's cache, or an empty string.
+        is_full: Whether no server was found because they hold as many bytes as they may.
     """
 
     number: int
@@ -31,3 +32,4 @@
     prefill_tokens: int = 0
     wait_ms: float = 0.0
     backup: str = ""
+    is_full: bool = False
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -13,6 +13,8 @@
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import NoRoomError
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.placementcoordinator import LOCAL_OWNER, PlacementCoordinator
 from mountladder.forwarding.placementnote import PlacementNote
@@ -26,6 +28,9 @@
 # Timeout for the coordinator's reply, which usually takes 1 to 2 ms. Placing a prompt locally, with
 # less information, costs no more than this wait.
 REPLY_TIMEOUT_MS = 60.0
+# When a caller may retry if servers hold as many bytes as they may, in milliseconds: about as long
+# as a request with a prompt runs.
+ROOM_RETRY_MS = 1_000.0
 
 
 class PromptPlacer:
@@ -55,7 +60,11 @@
         fleet.peer_gone.append(lambda link: coordinator.forget_owner(id(link)))
 
     def place(self, service: str, prompt: Prompt, constraints: ServerConstraints) -> PlacementReply:
-        """Return the placement of a prompt; its number identifies the prompt until it ends."""
+        """Return the placement of a prompt; its number identifies the prompt until it ends.
+
+        Raises:
+            NoRoomError: The servers that could be chosen hold as many bytes as they may.
+        """
         order = self.make_order(service, prompt, constraints)
         link = self.fleet.coordinator(prompts_topic(service))
         reply = self.ask(link, order) if link is not None else None
@@ -63,7 +72,7 @@
             return self.place_order(order)
         if reply.server:
             self.placed_by[order.number] = link
-        return reply
+        return check_room(reply)
 
     def place_locally(
         self, service: str, prompt: Prompt, constraints: ServerConstraints
@@ -85,6 +94,7 @@
             constraints.max_wait_ms,
             constraints.urgency,
             constraints.wants_backup,
+            constraints.size,
         )
 
     def place_order(self, order: PlacementOrder) -> PlacementReply:
@@ -92,7 +102,7 @@
         reply = self.coordinator.place(order, LOCAL_OWNER, self.fleet.membership.me.datacentre)
         if reply.server:
             self.placed_by[order.number] = None
-        return reply
+        return check_room(reply)
 
     def ask(self, link: Link, order: PlacementOrder) -> PlacementReply | None:
         """Send an order to another instance; return None if the reply does not come in time."""
@@ -151,3 +161,15 @@
     def handle_note(self, note: PlacementNote, link: Link) -> None:
         """Apply a progress report of another instance."""
         self.coordinator.apply_note(note, id(link))
+
+
+def check_room(reply: PlacementReply) -> PlacementReply:
+    """Return a reply unless it says that the servers hold as many bytes as they may.
+
+    Raises:
+        NoRoomError: It says so.
+    """
+    if reply.is_full:
+        detail = "the servers hold as many bytes of requests as they may"
+        raise NoRoomError(detail, Code.SERVERS_LIMITED, retry_after_ms=ROOM_RETRY_MS)
+    return reply
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
+from mountladder.errors import NoRoomError
 from mountladder.forwarding.firsteventtime import first_event_ms
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -20,6 +21,9 @@
 OWN_TIME_FRACTION = 0.5
 # After work was spent on its stages, a request may wait for this fraction of its remaining time.
 BEGUN_WAIT_FRACTION = 0.75
+# How often a request that waits for servers with room asks the coordinator, in milliseconds: a
+# fraction of latency targets of one to two seconds, at a few messages a second.
+ROOM_POLL_MS = 200.0
 
 
 class Reservation:
@@ -62,7 +66,7 @@
             self.run.tracked.admit(self.run.remaining_ms())
             self.wait_for_backoff()
             reserved, self.reserved = self.reserved, None
-            picked = reserved or self.pick(self.max_wait_ms())
+            picked = reserved or self.pick_with_room()
             waited = self.wait_for(picked)
             if not (reserved or waited) or self.picker.still_accepts(picked, self.run.service):
                 return picked
@@ -86,11 +90,34 @@
             self.cancel(self.reserved)
             self.reserved = None
 
+    def pick_with_room(self) -> PickedServer:
+        """Choose a server; wait while the servers hold as many bytes as they may.
+
+        Raises:
+            RefusalError: No server is available, or none accepts the request in time.
+        """
+        waited_ms = 0.0
+        while True:
+            try:
+                return self.pick(self.max_wait_ms())
+            except NoRoomError:
+                if self.max_wait_ms() < ROOM_POLL_MS:
+                    raise
+            if not waited_ms:
+                self.run.log("room-wait", size=len(self.run.request.body))
+            waited_ms += ROOM_POLL_MS
+            self.clock.sleep(ROOM_POLL_MS)
+
     def pick(self, max_wait_ms: float) -> PickedServer:
         """Choose a server; see ServerPicker."""
         run = self.run
         constraints = ServerConstraints(
-            run.excluded, run.site, max_wait_ms, run.urgency, run.wants_backup
+            run.excluded,
+            run.site,
+            max_wait_ms,
+            run.urgency,
+            run.wants_backup,
+            len(run.request.body),
         )
         return self.picker.pick(run.request, run.service, run.remaining_ms(), constraints)
 
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -167,6 +167,7 @@
   patienceMs @7 :Float32;
   urgency @8 :UInt8;
   wantsBackup @9 :Bool;
+  size @10 :UInt32;
 }
 
 struct PlacementReply {
@@ -177,6 +178,7 @@
   read @4 :UInt32;
   waitMs @5 :Float32;
   backup @6 :Text;
+  isFull @7 :Bool;
 }
 
 struct PlacementNote {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -175,13 +175,15 @@
     site, max_wait_ms = str(order.site), order.patienceMs
     urgency, wants_backup = order.urgency, order.wantsBackup
     return PlacementOrder(
-        number, service, prompt, excluded, site, max_wait_ms, urgency, wants_backup
+        number, service, prompt, excluded, site, max_wait_ms, urgency, wants_backup, order.size
     )
 
 
 def _read_reply(one) -> PlacementReply:
     server, source, backup = str(one.server), str(one.source), str(one.backup)
-    return PlacementReply(one.number, server, one.expectedMs, source, one.read, one.waitMs, backup)
+    return PlacementReply(
+        one.number, server, one.expectedMs, source, one.read, one.waitMs, backup, one.isFull
+    )
 
 
 def _read_slice(part) -> CatalogueSlice:
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -215,7 +215,7 @@
         to.id, to.tokens = part.id, part.tokens
     order.excluded, order.site = list(message.excluded), message.site
     order.patienceMs, order.urgency = message.max_wait_ms, min(message.urgency, MAX_URGENCY)
-    order.wantsBackup = message.wants_backup
+    order.wantsBackup, order.size = message.wants_backup, message.size
 
 
 @fill.register
@@ -225,6 +225,7 @@
     reply.expectedMs = message.expected_ms
     reply.source, reply.read = message.source, message.prefill_tokens
     reply.waitMs, reply.backup = message.wait_ms, message.backup
+    reply.isFull = message.is_full
 
 
 @fill.register
--- a/packages/core/src/mountladder/routing/serverconstraints.py
+++ b/packages/core/src/mountladder/routing/serverconstraints.py
@@ -20,6 +20,7 @@
         max_wait_ms: How long it can wait for a rate-limited server, in milliseconds.
         urgency: Its rank; 0 is the most urgent.
         wants_backup: Whether a second server is to keep a copy of its cache.
+        size: The size of its body, in bytes.
     """
 
     excluded: frozenset[str] = frozenset()
@@ -27,6 +28,7 @@
     max_wait_ms: float = 0.0
     urgency: int = 0
     wants_backup: bool = False
+    size: int = 0
 
     def without(self, names: Iterable[str]) -> ServerConstraints:
         """Return the same constraints with more servers excluded."""
