A caller that announces a body and sends none makes no progress

Cause: the announced length is counted before the body is read, so callers that send nothing could take up the budget while others were cut.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -141,6 +141,16 @@
     Then the first of them is cut
     And the caller that reads gets the whole answer of 1000000 bytes
 
+  Scenario: Above 90 % of the budget a caller that does not send its body is cut first
+    # The failure: callers that announced large bodies and sent none had others cut.
+    Given a budget of 3.2 MB at the ingress
+    And a server that answers with 1000000 bytes
+    When a caller requests it and reads 100000 bytes each 20 ms from then on
+    And a caller sends the head of a request with a body of 900000 bytes and waits for 1200 ms
+    And 1 callers request it 0 ms apart and read nothing
+    Then the caller that sent no body is cut
+    And the caller that reads gets the whole answer of 1000000 bytes
+
   Scenario: A new request is refused before its body is read while too much is held
     Given a budget of 1 MB at the ingress
     And a server that answers with 800000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -384,6 +384,20 @@
     context.caller.sendall(HEAD % b"r1" + part)
 
 
+@when("a caller sends {what} of a request with a body of {size:d} bytes and waits for {ms:d} ms")
+def send_part_and_wait(context, what, size, ms):
+    reader = context.caller
+    send_part(context, what, size)
+    context.caller = reader
+    gevent.sleep(ms / 1000)
+
+
+@then("the caller that sent no body is cut")
+def sender_cut(context):
+    cut = [one for one in context.lines if one.get("message_type") == "memory-cut"]
+    assert [(one["request"], one["bytes"]) for one in cut] == [("r1", 900_000)], cut
+
+
 @when("it closes the connection")
 def close_connection(context):
     context.caller.close()
--- a/packages/core/src/mountladder/membership/tcplink.py
+++ b/packages/core/src/mountladder/membership/tcplink.py
@@ -172,12 +172,12 @@
     def write_rest(self, data: bytes) -> None:
         """Write bytes to a peer that does not take them at once."""
         if self.holder is not None:
-            self.holder.sending_since = self.account.clock.now()
+            self.holder.blocked_since = self.account.clock.now()
         try:
             self.connection.sendall(data)
         finally:
             if self.holder is not None:
-                self.holder.sending_since = None
+                self.holder.blocked_since = None
 
     def cut(self, reason: str) -> None:
         """Break the connection, so that the tasks that read and write fail."""
--- a/packages/core/src/mountladder/memory/holder.py
+++ b/packages/core/src/mountladder/memory/holder.py
@@ -29,8 +29,8 @@
         is_streaming: Whether an answer is passed on while it is read from a server.
         waiting_since: When data last began to wait for the other side or was last taken by it, in
             the clock's milliseconds, or None if no data waits.
-        sending_since: When data began to be written to a server or a peer that does not take it at
-            once, in the clock's milliseconds, or None.
+        blocked_since: When a caller began to send a body, or a server or a peer to take data, in
+            the clock's milliseconds, or None if none of this is in progress.
         is_cut: Whether its connection was ended to release the bytes.
         measure: Updates waiting_since.
     """
@@ -46,7 +46,7 @@
         "kind",
         "measure",
         "request",
-        "sending_since",
+        "blocked_since",
         "waiting_since",
     )
 
@@ -60,7 +60,7 @@
         self.answer_bytes = 0
         self.is_streaming = False
         self.waiting_since: float | None = None
-        self.sending_since: float | None = None
+        self.blocked_since: float | None = None
         self.is_cut = False
         self.measure: Callable[[], None] = lambda: None
 
@@ -84,7 +84,7 @@
     def stalled_ms(self, now: float) -> float:
         """Return how long data has waited without any of it being taken, in milliseconds."""
         self.measure()
-        times = (self.waiting_since, self.sending_since)
+        times = (self.waiting_since, self.blocked_since)
         return max(0.0 if since is None else now - since for since in times)
 
     def end_request(self) -> None:
@@ -96,5 +96,5 @@
     def release(self) -> None:
         """Release every byte."""
         self.body_bytes = self.answer_bytes = 0
-        self.waiting_since = self.sending_since = None
+        self.waiting_since = self.blocked_since = None
         self.add(-self.bytes)
