--- a/packages/core/src/mountladder/forwarding/placedprompt.py
+++ b/packages/core/src/mountladder/forwarding/placedprompt.py
@@ -23,6 +23,7 @@
         urgency: The rank of its request; 0 is the most urgent.
         held_tokens: How many tokens of the server's memory it needs in addition to cached parts.
         placed_at: When it was placed, in the clock's milliseconds.
+        size: The size of the request's body, in bytes.
     """
 
     server: str
@@ -33,3 +34,4 @@
     urgency: int = 0
     held_tokens: int = 0
     placed_at: float = 0.0
+    size: int = 0
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -125,6 +125,8 @@
         "gauge",
         "largest part of a service's pieces that is planned to be served elsewhere",
     )
+    HELD_BYTES = ("held_bytes", "gauge", "bytes held for callers, servers and peers")
+    CUT_SLOW_READERS = ("cut_slow_readers", "counter", "callers cut since they left data unread")
     RUNNING = ("running", "gauge", "requests running")
     WAITING = ("waiting", "gauge", "requests waiting to be admitted")
     REVISION = ("revision", "gauge", "configuration revision in force")
