Compile all packages of an instance, independently of file times

Cause: only the project's own packages were compiled by build.sh, and compiled files were tied to the modification times of their sources. Where target/deps is copied without its times, and instances cannot write there, every start compiled all 340 modules again.

Change: build.sh compiles everything under target/deps with unchecked hashes.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,5 +15,6 @@
 rm -rf "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
 cp -R packages/core/src/mountladder packages/entry/src/mountladder_entry \
     platform/src/mountladder_platform "$deps"
-# Instances cannot write there: without this, each start would compile the packages again.
-python3 -m compileall -q "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
+# Instances cannot write there: without this, each start would compile the packages again. The
+# compiled files are valid whatever the times of the sources, which a copy of target/deps may change.
+python3 -m compileall -q -f --invalidation-mode unchecked-hash "$deps"
