--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.notready import NOT_READY_RETRY_MS
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.routekind import RouteKind
 from mountladder.forwarding.streamrun import StreamRun
@@ -25,8 +26,6 @@
 # A catalogue that was not confirmed for this long may be outdated, so an unknown route or key is
 # reported as "not ready" instead.
 STALE_MS = 6_000.0
-# When a caller may retry at an instance that has no current catalogue.
-NOT_READY_RETRY_MS = 500.0
 
 
 class Forwarder:
