Retries: their place among requests that cannot be on time

Cause: pieces that cannot be on time were ordered by rank alone, so that the request of a caller that returned as it was told waited behind first attempts that could not be on time either.

Change: stages and their announcements carry the kind of attempt (first, return, early return) to the coordinator. Nothing sets the kind yet.

Two stand-ins of the dispatch in the steps take the new argument of wait_ms, and messages.feature has one more message.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.errors import MountladderError
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.callerteam import CallerTeam
@@ -198,7 +199,7 @@
     def withdraw(self, submission):
         pass
 
-    def wait_ms(self, service, urgency, gives_way=False):
+    def wait_ms(self, service, urgency, gives_way=False, attempt=AttemptKind.FIRST):
         return 0.0
 
     def limits(self, service):
--- a/features/messages.feature
+++ b/features/messages.feature
@@ -7,16 +7,17 @@
     Then the peer receives the same message
 
     Examples:
-      | message                          |
-      | a stage of a team                |
-      | the release of fetched results   |
-      | a placement order for a backup   |
-      | a placement reply with a backup  |
-      | a note on the pace of a stream   |
-      | the refused demand               |
-      | the demand of a data centre      |
-      | the speeds of servers            |
-      | the memory that results take up  |
+      | message                                  |
+      | a stage of a team                        |
+      | the announcement of a stage that returns |
+      | the release of fetched results           |
+      | a placement order for a backup           |
+      | a placement reply with a backup          |
+      | a note on the pace of a stream           |
+      | the refused demand                       |
+      | the demand of a data centre              |
+      | the speeds of servers                    |
+      | the memory that results take up          |
 
   # Beacons are kept encoded and decoded, since most of them repeat an earlier one. A kept one must
   # never stand for another that differs in one field only.
--- a/features/steps/large_steps.py
+++ b/features/steps/large_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 from forwardbasics import NullDispatch, request, route, serve
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import FIRST_CLASS_GIVING_WAY
@@ -281,7 +282,7 @@
     def __init__(self):
         self.ms = 0.0
 
-    def wait_ms(self, service, urgency, gives_way=False):
+    def wait_ms(self, service, urgency, gives_way=False, attempt=AttemptKind.FIRST):
         return self.ms
 
 
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -8,6 +8,7 @@
 
 from behave import then, when
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.admission.refuseddemand import RefusedDemand
 from mountladder.demand.demandreport import DemandReport
 from mountladder.forwarding.backlog import Backlog
@@ -19,6 +20,7 @@
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.stagejob import StageJob
+from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.membership import wire
@@ -30,11 +32,29 @@
 from mountladder.store.position import Position
 
 JOB = StageJob(
-    "r1", 1, "enc", 3, "", ("s:1/a",), 900.0, 700.0, 2, 64.0, "a", 800.0, "ab", "front-desk", True
+    "r1",
+    1,
+    "enc",
+    3,
+    "",
+    ("s:1/a",),
+    900.0,
+    700.0,
+    2,
+    64.0,
+    "a",
+    800.0,
+    "ab",
+    "front-desk",
+    True,
+    AttemptKind.RETURN,
 )
 PROMPT = Prompt(30, 20, (PromptPart("p", 10), PromptPart("q", 20)))
 MESSAGES = {
     "a stage of a team": StageOrder(7, JOB, True),
+    "the announcement of a stage that returns": StageNotice(
+        "r1", 1, "enc", 3, 2, True, AttemptKind.EARLY_RETURN
+    ),
     "the release of fetched results": StageRelease("enc", ("s:1/a",), True),
     "a placement order for a backup": PlacementOrder(
         7, "llm", PROMPT, ("s-1",), "a", 250.0, 1, True
--- a/packages/core/src/mountladder/forwarding/piecequeue.py
+++ b/packages/core/src/mountladder/forwarding/piecequeue.py
@@ -101,7 +101,7 @@
         return (
             not progress.results,
             late,
-            urgency if late else 0,
+            job.late_group() if late else 0,
             job.due + RANK_ADVANTAGE_MS * urgency,
         )
 
--- a/packages/core/src/mountladder/forwarding/stagebacklogs.py
+++ b/packages/core/src/mountladder/forwarding/stagebacklogs.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import Backlog, priority_class
 from mountladder.forwarding.batcher import Batcher
@@ -67,12 +68,18 @@
         else:
             self.reported[backlog.service] = (backlog, self.clock.now())
 
-    def wait_ms(self, service: str, urgency: int, gives_way: bool = False) -> float:
+    def wait_ms(
+        self,
+        service: str,
+        urgency: int,
+        gives_way: bool = False,
+        attempt: AttemptKind = AttemptKind.FIRST,
+    ) -> float:
         """Return how long new pieces of a service are expected to wait, in milliseconds.
 
         A wait that another instance reported is reduced by the time since the report.
         """
-        priority = priority_class(urgency, gives_way)
+        priority = priority_class(urgency, gives_way, attempt)
         if self.fleet.coordinator(service) is None:
             return self.local_backlog(service).waits_ms[priority]
         backlog, reported_at = self.reported.get(service, (None, 0.0))
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -55,7 +55,8 @@
         self.announced = {key: one for key, one in self.announced.items() if one[1] > now}
         counts: Counter[int] = Counter()
         for notice, _ in self.announced.values():
-            counts[priority_class(notice.urgency, notice.gives_way)] += notice.pieces
+            priority = priority_class(notice.urgency, notice.gives_way, notice.attempt)
+            counts[priority] += notice.pieces
         return counts
 
     def waits_ms(
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -53,6 +53,7 @@
             and the peer's number.
         lent_results: The origins of results that other data centres made for this one.
         fetched_releases: Passes on which results servers have fetched.
+        wait_ms: Returns how long new pieces are expected to wait; see StageBacklogs.
     """
 
     def __init__(self, fleet: Fleet, make_batcher: Callable[[str], Batcher], clock: Clock) -> None:
@@ -67,6 +68,7 @@
         self.fetched_releases = FetchedReleases(fleet, self.batcher)
         self.lending = Lending(clock, fleet.membership.me.datacentre)
         self.backlogs = StageBacklogs(fleet, self.batchers, self.batcher, self.lending, clock)
+        self.wait_ms = self.backlogs.wait_ms
         fleet.backlogs = self.backlogs.local_backlogs
         fleet.on_backlog = self.backlogs.record
         fleet.subscribe(StageOrder, self.handle_order)
@@ -278,10 +280,6 @@
         if handles:
             self.fleet.send_later(link, StageRelease(outcome.backlog.service, handles))
 
-    def wait_ms(self, service: str, urgency: int, gives_way: bool = False) -> float:
-        """Return how long new pieces of a service are expected to wait, in milliseconds."""
-        return self.backlogs.wait_ms(service, urgency, gives_way)
-
     def handle_withdrawal(self, withdrawal: StageWithdrawal, link: Link) -> None:
         """Handle the withdrawal of a stage by the instance that handed it over."""
         submission = self.peer_submissions.pop((id(link), withdrawal.number), None)
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -11,6 +11,7 @@
 
 from gevent.event import Event
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import RefusalError, RunError
@@ -54,6 +55,7 @@
             be met, and its stages give way to those of other requests. None stands for the route's
             latency target.
         team: The name of the request's team, or an empty string.
+        attempt: Whether the request returns after a refusal.
 
     Attributes:
         handles: The handles of the results of each completed stage, by its number.
@@ -75,6 +77,7 @@
         may_refuse: bool = True,
         fingerprint: str = "",
         team: str = "",
+        attempt: AttemptKind = AttemptKind.FIRST,
     ) -> None:
         self.request = request
         self.route = route
@@ -93,6 +96,7 @@
         self.changed = Event()
         self.fingerprint = fingerprint
         self.team = team
+        self.attempt = attempt
         self.times = StageTimes(request, route, dispatch)
         self.begun = False
 
@@ -128,7 +132,9 @@
     def announce_stage(self, number: int, pieces: int) -> None:
         """Announce pieces of a stage; 0 withdraws the announcement."""
         service = self.service(number)
-        notice = StageNotice(self.request.id, number, service, pieces, self.urgency, self.gives_way)
+        notice = StageNotice(
+            self.request.id, number, service, pieces, self.urgency, self.gives_way, self.attempt
+        )
         self.dispatch.announce(notice)
 
     def wait(self) -> None:
@@ -197,6 +203,7 @@
             give_up=self.give_up,
             fingerprint=self.stage_fingerprint(stage.service),
             team=self.team,
+            attempt=self.attempt,
         )
 
     def may_release_inputs(self, number: int) -> bool:
--- a/packages/core/src/mountladder/forwarding/stagejob.py
+++ b/packages/core/src/mountladder/forwarding/stagejob.py
@@ -9,7 +9,8 @@
 import math
 from dataclasses import dataclass, replace
 
-from mountladder.forwarding.backlog import priority_class
+from mountladder.admission.attemptkind import AttemptKind
+from mountladder.forwarding.backlog import late_group, priority_class
 from mountladder.forwarding.piece import Piece
 
 
@@ -36,6 +37,7 @@
         team: The name of the request's team, or an empty string.
         releases_inputs: Whether nothing else needs the inputs, so that they may be released once
             the servers have fetched them.
+        attempt: Whether its request returns after a refusal.
     """
 
     request: str
@@ -53,6 +55,7 @@
     fingerprint: str = ""
     team: str = ""
     releases_inputs: bool = False
+    attempt: AttemptKind = AttemptKind.FIRST
 
     def piece(self, fragment: int) -> Piece:
         """Return a piece of the stage."""
@@ -64,7 +67,11 @@
 
     def priority_class(self, now: float) -> int:
         """Return the priority class of the pieces, one of PRIORITY_CLASSES."""
-        return priority_class(self.urgency, self.gives_way(now))
+        return priority_class(self.urgency, self.gives_way(now), self.attempt)
+
+    def late_group(self) -> int:
+        """Return the place of the pieces among those that give way; 0 goes first."""
+        return late_group(self.urgency, self.attempt)
 
     def shifted(self, by_ms: float) -> StageJob:
         """Return a copy with its times shifted, such as relative times to send to a peer."""
--- a/packages/core/src/mountladder/forwarding/stagenotice.py
+++ b/packages/core/src/mountladder/forwarding/stagenotice.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from mountladder.admission.attemptkind import AttemptKind
+
 
 @dataclass(frozen=True, slots=True)
 class StageNotice:
@@ -20,6 +22,7 @@
         pieces: The number of pieces, or 0 to withdraw the announcement.
         urgency: The rank of the request.
         gives_way: Whether it can't be on time and its pieces are queued behind all that can.
+        attempt: Whether it returns after a refusal.
     """
 
     request: str
@@ -28,3 +31,4 @@
     pieces: int
     urgency: int
     gives_way: bool = False
+    attempt: AttemptKind = AttemptKind.FIRST
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -149,6 +149,7 @@
   fingerprint @14 :Data;
   team @15 :Text;
   releasesInputs @16 :Bool;
+  attempt @17 :UInt8;
 }
 
 struct PromptPart {
@@ -194,6 +195,7 @@
   pieces @3 :UInt16;
   urgency @4 :UInt8;
   givesWay @5 :Bool;
+  attempt @6 :UInt8;
 }
 
 struct StageRelease {
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.catalogueslice import CatalogueSlice
@@ -131,6 +132,7 @@
         bytes(order.fingerprint).hex(),
         str(order.team),
         order.releasesInputs,
+        AttemptKind(order.attempt),
     )
     return StageOrder(order.number, job, order.lent)
 
@@ -211,7 +213,13 @@
         one.number, one.readMs, one.ended, one.gone, one.eventMs
     ),
     "stageNotice": lambda one: StageNotice(
-        str(one.request), one.stage, str(one.service), one.pieces, one.urgency, one.givesWay
+        str(one.request),
+        one.stage,
+        str(one.service),
+        one.pieces,
+        one.urgency,
+        one.givesWay,
+        AttemptKind(one.attempt),
     ),
     "stageRelease": lambda one: StageRelease(
         one.service, tuple(str(h) for h in one.handles), one.fetched
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -171,6 +171,7 @@
     order.lent = message.lent
     order.fingerprint = bytes.fromhex(job.fingerprint)
     order.team, order.releasesInputs = job.team, job.releases_inputs
+    order.attempt = job.attempt.value
 
 
 @fill.register
@@ -194,7 +195,7 @@
     notice = frame.init("stageNotice")
     notice.request, notice.stage, notice.service = message.request, message.stage, message.service
     notice.pieces, notice.urgency = message.pieces, min(message.urgency, MAX_URGENCY)
-    notice.givesWay = message.gives_way
+    notice.givesWay, notice.attempt = message.gives_way, message.attempt.value
 
 
 @fill.register
