Retries: refused demand is told to coordinators, and refused callers get a time that is true

Cause: refused callers got their time to return from a formula that knew neither the capacity nor each other, and were refused again; the queue of a service did not know what was refused elsewhere.

Change: RefusalReports sends the pieces of refused first attempts to the coordinator of each stage service (RefusedDemand, at most every 200 ms), which counts them in the floors of ranks and in the expected waits of less urgent ranks. ReturnSchedule gives each refused caller the earliest time at which it can be answered and a turn within the instance's share of what the service can make for retries, or tells that the request is hopeless. Late refusals use it as well. Retries are admitted in the class of returns. schedule_retries = false keeps the formula. Counters refused_pieces and returns_*; lines return-scheduled and refused-demand-counted.

--- a/features/steps/retryorder_steps.py
+++ b/features/steps/retryorder_steps.py
@@ -5,6 +5,7 @@
 """Steps about the place of retries among requests that cannot be on time."""
 
 from behave import given, then, when
+from retrybasics import KINDS
 
 from mountladder.admission.attemptkind import AttemptKind, attempt_kind
 from mountladder.clocks.virtualclock import VirtualClock
@@ -19,12 +20,6 @@
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 
-KINDS = {
-    "first attempt": AttemptKind.FIRST,
-    "return": AttemptKind.RETURN,
-    "retry sooner than it was told to": AttemptKind.EARLY_RETURN,
-}
-
 
 def stage(urgency, due, attempt, pieces=1):
     job = StageJob("r", 0, "enc", pieces, "key", (), 1e9, due, urgency, 8e3, "", attempt=attempt)
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -147,6 +147,12 @@
         self.pump()
         return progress
 
+    def record_refused(self, pieces: Sequence[int]) -> None:
+        """Count the pieces of refused requests, by rank, as asked for."""
+        self.demand.record_refused(pieces)
+        if self.share_fairly():
+            self.sharing.record_refused(pieces, self.clock.now())
+
     def withdraw(self, progress: JobProgress) -> None:
         """Cancel a stage: drop its waiting pieces and release the results that it has."""
         progress.ended = True
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+from mountladder.admission.retrytimes import make_retry_times
 from mountladder.clocks.clock import Clock
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.batcher import Batcher
@@ -226,7 +227,7 @@
             picker=picker,
             upstream=self.upstream,
             dispatch=self.dispatch,
-            forecast=StageForecast(self.dispatch, self.follower),
+            forecast=StageForecast(self.dispatch, self.follower, make_retry_times(self)),
             budget=self.budgets.of,
             metrics=self.metrics,
             shutdown=self.shutdown,
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -126,6 +126,7 @@
             is_first,
             self.tracked.fingerprint,
             self.team,
+            self.context.forecast.attempt(self.age_ms),
         )
         try:
             inputs = self.flow.run()
@@ -167,7 +168,11 @@
             forecast.learn(self.route, self.expected_ms, self.elapsed_ms())
         expectation = forecast.expect(self.request, self.route, self.urgency, self.gives_way)
         retry_after_ms = forecast.retry_after_ms(self.request, self.route, expectation.ms)
-        return RefusalError(error.detail, error.code, retry_after_ms=retry_after_ms)
+        refusal = RefusalError(error.detail, error.code, retry_after_ms=retry_after_ms)
+        forecast.schedule_return(
+            refusal, self.request, self.route, self.urgency, self.age_ms, self.elapsed_ms()
+        )
+        return refusal
 
     def start_attempt(self) -> ForwardAttempt:
         """Choose a server for the next attempt.
--- a/packages/core/src/mountladder/forwarding/stagedemand.py
+++ b/packages/core/src/mountladder/forwarding/stagedemand.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from mountladder.clocks.clock import Clock
-from mountladder.forwarding.backlog import PRIORITY_CLASSES, priority_class
+from mountladder.forwarding.backlog import MAX_RANK, PRIORITY_CLASSES, priority_class, rank
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.limits.rankrates import RankRates
@@ -30,11 +30,17 @@
 
     Args:
         clock: The clock.
+
+    Attributes:
+        rates: The pieces that arrived, by priority class.
+        refused: The pieces of refused requests, by rank.
+        announced: The announcements whose pieces have not arrived, and when they expire.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.rates = RankRates(clock)
+        self.refused = RankRates(clock)
         self.announced: dict[tuple[str, int], tuple[StageNotice, float]] = {}
 
     def announce(self, notice: StageNotice) -> None:
@@ -49,6 +55,21 @@
         self.announced.pop((job.request, job.stage), None)
         self.rates.add(job.priority_class(self.clock.now()), job.pieces)
 
+    def record_refused(self, pieces: Sequence[int]) -> None:
+        """Record the pieces of refused requests, by rank, as if they had arrived."""
+        for urgency, number in enumerate(pieces):
+            if number:
+                self.refused.add(rank(urgency), number)
+
+    def rate_above(self, priority: int) -> float:
+        """Return the rate of more urgent pieces that were asked for, in pieces per millisecond.
+
+        Classes that give way get what the ranks leave, and refused pieces take nothing. Counted for
+        them too, these had so few requests admitted that calls were not full.
+        """
+        arrived = self.rates.rate_above(priority)
+        return arrived + self.refused.rate_above(priority) if priority <= MAX_RANK else arrived
+
     def count_announced(self) -> Counter[int]:
         """Return the number of announced pieces that have not arrived, by priority class."""
         now = self.clock.now()
@@ -79,12 +100,11 @@
         if floors is not None:
             expected = ExpectedWaits(ahead, rate, floors(ahead))
             return tuple(
-                busy_ms + expected.wait_ms(one, self.rates.rate_above(one))
-                for one in PRIORITY_CLASSES
+                busy_ms + expected.wait_ms(one, self.rate_above(one)) for one in PRIORITY_CLASSES
             )
         waits = []
         for priority in PRIORITY_CLASSES:
             # More urgent pieces that arrive meanwhile go first.
-            left_rate = max(MIN_RATE_FRACTION * rate, rate - self.rates.rate_above(priority))
+            left_rate = max(MIN_RATE_FRACTION * rate, rate - self.rate_above(priority))
             waits.append(busy_ms + sum(ahead[one] for one in range(priority + 1)) / left_rate)
         return tuple(waits)
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -10,6 +10,8 @@
 
 from eliot import log_message
 
+from mountladder.admission.attemptkind import MIN_RETURN_MS, AttemptKind
+from mountladder.admission.retrytimes import RetryTimes
 from mountladder.code import Code
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import value_for_rank
@@ -36,11 +38,10 @@
 MIN_FACTOR, MAX_FACTOR = 0.8, 2.0
 # A request that arrives with less than this fraction of its route's full deadline is a retry.
 FIRST_ATTEMPT_FRACTION = 0.97
-# When a refused request may be retried: after a multiple of the time by which it would exceed its
-# latency target, within these limits and this fraction of the caller's remaining time; callers wait
-# at most a third of it.
+# When a refused request may be retried where no times are scheduled: after a multiple of the time
+# by which it would exceed its latency target, at least MIN_RETURN_MS, within this limit and this
+# fraction of the caller's remaining time; callers wait at most a third of it.
 RETRY_EXCESS_FACTOR = 2.0
-MIN_RETRY_AFTER_MS = 800.0
 MAX_RETRY_AFTER_MS = 2_600.0
 RETRY_AFTER_FRACTION = 0.3
 
@@ -51,6 +52,7 @@
     Args:
         dispatch: Returns the expected waits at stage services.
         follower: The catalogue in force.
+        retries: Schedules the times at which refused callers return, or None for a formula.
 
     Attributes:
         max_allowed_ms: The longest time that a request of each route was allowed, in milliseconds.
@@ -58,9 +60,15 @@
         usual_ms: The usual time of a request of each route without waits, in milliseconds.
     """
 
-    def __init__(self, dispatch: StageDispatch, follower: CatalogueFollower) -> None:
+    def __init__(
+        self,
+        dispatch: StageDispatch,
+        follower: CatalogueFollower,
+        retries: RetryTimes | None = None,
+    ) -> None:
         self.dispatch = dispatch
         self.follower = follower
+        self.retries = retries
         self.max_allowed_ms: dict[str, float] = {}
         self.factors: dict[str, float] = {}
         self.usual_ms: dict[str, float] = {}
@@ -72,6 +80,10 @@
         is_retry = request.allowed_ms < FIRST_ATTEMPT_FRACTION * max_allowed_ms
         return max_allowed_ms - request.allowed_ms if is_retry else 0.0
 
+    def attempt(self, age_ms: float) -> AttemptKind:
+        """Return the kind of an attempt, given the time since the caller's first one."""
+        return AttemptKind.FIRST if self.retries is None else self.retries.attempt(age_ms)
+
     def admit(
         self, request: ForwardRequest, route: Route, urgency: int, age_ms: float
     ) -> Expectation:
@@ -81,10 +93,15 @@
         try:
             self.check(expectation, request, route)
         except RefusalError as error:
+            if self.retries is not None:
+                self.retries.record_refused(request, route, urgency, age_ms)
+            self.schedule_return(error, request, route, urgency, age_ms)
             log_message(
                 "request-refused", retry_after_ms=round(error.retry_after_ms or 0.0), **fields
             )
             raise
+        if self.retries is not None:
+            self.retries.record_admitted(request, route, age_ms)
         log_message("let-in", comes_back=age_ms > 0.0, **fields)
         return expectation
 
@@ -111,7 +128,7 @@
         nothing_waits = expectation.waiting_ms <= NORMAL_WAIT_MS
         if in_time or (nothing_waits and age_ms <= 0.0):
             return expectation
-        return self.expect(request, route, urgency, gives_way=True)
+        return self.expect(request, route, urgency, True, self.attempt(age_ms))
 
     def check(self, expectation: Expectation, request: ForwardRequest, route: Route) -> None:
         """Refuse a request that is not expected to be answered in time.
@@ -136,14 +153,51 @@
         raise RefusalError(detail, Code.DEADLINE_UNMEETABLE, retry_after_ms=retry_after_ms)
 
     def retry_after_ms(self, request: ForwardRequest, route: Route, expected_ms: float) -> float:
-        """Return the time after which a refused request may be retried, in milliseconds."""
-        retry_after_ms = max(
-            MIN_RETRY_AFTER_MS, RETRY_EXCESS_FACTOR * (expected_ms - route.target_ms)
-        )
+        """Return the time after which a refused request may be retried, in milliseconds.
+
+        It holds where no times are scheduled; see schedule_return.
+        """
+        retry_after_ms = max(MIN_RETURN_MS, RETRY_EXCESS_FACTOR * (expected_ms - route.target_ms))
         return min(retry_after_ms, MAX_RETRY_AFTER_MS, RETRY_AFTER_FRACTION * request.allowed_ms)
 
+    def schedule_return(
+        self,
+        error: RefusalError,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        age_ms: float,
+        elapsed_ms: float = 0.0,
+    ) -> None:
+        """Set the time after which a refused request may be retried, where times are scheduled.
+
+        Args:
+            error: The refusal.
+            request: The request.
+            route: Its route.
+            urgency: Its rank.
+            age_ms: The time since its caller's first attempt, in milliseconds.
+            elapsed_ms: The time since this attempt arrived, in milliseconds.
+        """
+        if self.retries is None or not self.retries.is_enabled():
+            return
+        error.retry_after_ms = self.retries.retry_after_ms(
+            request,
+            route,
+            urgency,
+            self.expect(request, route, urgency, True, AttemptKind.RETURN),
+            GIVE_UP_TARGETS * route.target_ms,
+            request.allowed_ms - elapsed_ms,
+            age_ms,
+        )
+
     def expect(
-        self, request: ForwardRequest, route: Route, urgency: int, gives_way: bool = False
+        self,
+        request: ForwardRequest,
+        route: Route,
+        urgency: int,
+        gives_way: bool = False,
+        attempt: AttemptKind = AttemptKind.FIRST,
     ) -> Expectation:
         """Return the expected time of a request until its first event.
 
@@ -152,10 +206,13 @@
             route: Its route.
             urgency: Its rank.
             gives_way: Whether its pieces are queued behind all that can be on time.
+            attempt: Whether it returns after a refusal.
         """
         stages = range(len(route.stages))
         reading_ms = first_event_ms(request.prompt)
-        waits = [self.dispatch.wait_ms(one.service, urgency, gives_way) for one in route.stages]
+        waits = [
+            self.dispatch.wait_ms(one.service, urgency, gives_way, attempt) for one in route.stages
+        ]
         alone = (self.stage_ms(request, route, n) for n in stages)
         queued = (self.stage_ms(request, route, n, waits) for n in stages)
         alone_ms = max(alone, default=0.0)
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -73,6 +73,24 @@
         "counter",
         "servers whose memory for results was reported to the next coordinator",
     )
+    REFUSED_PIECES = (
+        "refused_pieces",
+        "counter",
+        "stage pieces of refused requests that count as asked for at their coordinator",
+    )
+    RETURNS_SCHEDULED = (
+        "returns_scheduled",
+        "counter",
+        "refused requests with a time at which a retry can be answered",
+    )
+    RETURNS_HOPELESS = (
+        "returns_hopeless",
+        "counter",
+        "refused requests that no retry can have answered in time",
+    )
+    RETURNS_ADMITTED = ("returns_admitted", "counter", "retries that were admitted")
+    RETURNS_REFUSED = ("returns_refused", "counter", "retries that were refused again")
+    RETURNS_EARLY = ("returns_early", "counter", "retries sooner than any refusal asked for")
     DROPPED_LINES = ("dropped_lines", "counter", "log lines dropped since the queue was full")
     REQUEST_MS = ("request_ms", "timing", "time of one request in milliseconds")
     SERVER_ENDS = ("server_ends", "counter", "servers that ended with requests of this instance")
--- a/packages/core/src/mountladder/sharing/servicesharing.py
+++ b/packages/core/src/mountladder/sharing/servicesharing.py
@@ -50,6 +50,12 @@
         if not job.gives_way(now):
             self.demand.record(rank(job.urgency), job.pieces, now)
 
+    def record_refused(self, pieces: Sequence[int], now: float) -> None:
+        """Record the pieces of refused requests, by rank, as demand for a floor."""
+        for urgency, number in enumerate(pieces):
+            if number:
+                self.demand.record(rank(urgency), number, now)
+
     def record_call(self, batch: Sequence[Piece], limits: BatchLimits, now: float) -> None:
         """Record a call that is sent: its pieces by rank, and its time by team."""
         call_ms = limits.expected_ms(len(batch))
