--- a/features/refuseddemand.feature
+++ b/features/refuseddemand.feature
@@ -54,14 +54,16 @@
   @forwarding
   Scenario Outline: What an operator sees of refused demand
     Given a fleet with a stage service whose queue is full
-    And schedule_retries is <switch> everywhere
+    And schedule_retries is off at <where>
     When 10 requests are refused at another, one every 60 ms
     Then the coordinator has written <lines> line about refused demand and counted <pieces> pieces
+    And it was sent <messages> messages about them
 
     Examples:
-      | switch | lines | pieces |
-      | on     | 1     | 20     |
-      | off    | 0     | 0      |
+      | where           | lines | pieces | messages |
+      | no instance     | 1     | 20     | 4        |
+      | the coordinator | 0     | 0      | 4        |
+      | the others      | 0     | 0      | 0        |
 
   @forwarding
   Scenario: Refused demand for a service that the catalogue lacks, or of unknown ranks, is ignored
--- a/features/retrytimes.feature
+++ b/features/retrytimes.feature
@@ -120,6 +120,7 @@
     Given a fleet with a stage service whose queue is full of late first attempts
     When an attempt <age> ms after the first one of a request is made
     Then the attempt is <outcome>
+    And if it is refused, a return would be admitted after 800 ms
 
     Examples:
       | age  | outcome  |
@@ -160,7 +161,7 @@
   @forwarding
   Scenario: A refused caller without scheduled times gets the time of the formula
     Given a fleet with a stage service whose queue is full
-    And schedule_retries is off everywhere
+    And schedule_retries is off at the others
     When 1 requests are refused at another, one every 1 ms
     Then no return was scheduled
     And its time to retry is 0.3 of the time it has left at most
--- a/features/steps/refuseddemand_steps.py
+++ b/features/steps/refuseddemand_steps.py
@@ -87,10 +87,17 @@
         context.run(context.clock.sleep, 600.0)
 
 
-@given("schedule_retries is {switch} everywhere")
-def switched(context, switch):
-    for one in context.fleet.instances.values():
-        one.settings = replace(one.settings, schedule_retries=switch == "on")
+@given("schedule_retries is off at {where}")
+def switched_off(context, where):
+    off = {
+        "no instance": [],
+        "the coordinator": [context.coordinator],
+        "the others": [
+            one for one in context.fleet.instances.values() if one is not context.coordinator
+        ],
+    }
+    for one in off[where]:
+        one.settings = replace(one.settings, schedule_retries=False)
 
 
 @when("{number:d} requests are refused at {instance}, one every {ms:d} ms")
--- a/features/steps/returnfleet_steps.py
+++ b/features/steps/returnfleet_steps.py
@@ -63,6 +63,12 @@
     assert at_once == (outcome == "refused"), context.ended_at
 
 
+@then("if it is refused, a return would be admitted after {ms:d} ms")
+def return_admitted(context, ms):
+    scheduled = [one["earliest_ms"] for one in lines_of(context, "return-scheduled")]
+    assert scheduled == ([ms] if context.ends["attempt"][4] else []), scheduled
+
+
 @when(
     "2 requests that take {alone:g} ms alone and wait {wait:g} ms are refused on a route with a"
     " deadline of 2000 ms"
--- a/packages/core/src/mountladder/admission/refusedrequest.py
+++ b/packages/core/src/mountladder/admission/refusedrequest.py
@@ -77,8 +77,5 @@
         return after_ms + answer_ms <= self.allowed_ms
 
     def latest_ms(self) -> float:
-        """Return the time after which it is too late to return, in milliseconds."""
-        return min(
-            MAX_RETURN_FRACTION * self.allowed_ms,
-            self.allowed_ms - self.factor * self.processing_ms,
-        )
+        """Return the time after which its caller does not wait any more, in milliseconds."""
+        return MAX_RETURN_FRACTION * self.allowed_ms
--- a/packages/core/src/mountladder/admission/returntime.py
+++ b/packages/core/src/mountladder/admission/returntime.py
@@ -20,7 +20,7 @@
         earliest_ms: The time after which a retry would be admitted if no other caller returned;
             infinite if there is none.
         turn_ms: The time after which the service can serve one more retry from this instance.
-        latest_ms: The time after which it is too late to return.
+        latest_ms: The time after which its caller does not wait any more.
     """
 
     after_ms: float
