Retries: a scenario for turns of callers that were refused again

Cause: RetryTimes could have assigned a turn to a refused retry, whose caller does not return, without failing a scenario.

Change: the scenario "Callers that were refused again leave their turns to others".

--- a/features/retrytimes.feature
+++ b/features/retrytimes.feature
@@ -135,6 +135,12 @@
     # Nothing waits at its services any more, so that neither has to wait for the turn of the other.
     Then their callers return after 1000 and 1000 ms
 
+  @forwarding
+  Scenario: Callers that were refused again leave their turns to others, as they do not return
+    Given a fleet with a stage service whose queue is full
+    When 3 retries and then a first attempt are refused at the same time
+    Then all of them were offered the same turn
+
   @forwarding
   Scenario: Instances draw different phases
     Given a fleet with a stage service whose queue is empty
--- a/features/steps/returnfleet_steps.py
+++ b/features/steps/returnfleet_steps.py
@@ -89,6 +89,22 @@
     assert context.after_ms == [first, second], context.after_ms
 
 
+@when("{number:d} retries and then a first attempt are refused at the same time")
+def retries_refused(context, number):
+    context.other.forwarder.context.forecast.max_allowed_ms["staged"] = ALLOWED_MS
+    for one in range(number):
+        context.run(send, context, context.other, f"retry {one}", ALLOWED_MS - 900.0)
+    context.run(send, context, context.other, "first")
+    context.offered = number + 1
+
+
+@then("all of them were offered the same turn")
+def same_turn(context):
+    lines = lines_of(context, "return-scheduled")
+    assert len(lines) == context.offered and all(one["in_time"] for one in lines), str(lines)
+    assert len({one["turn_ms"] for one in lines}) == 1, str(lines)
+
+
 @then("no two instances draw the same phase")
 def phases_differ(context):
     instances = context.fleet.instances.values()
