--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+from mountladder.admission.retrytimes import make_retry_times
 from mountladder.admission.wiring import connect_admission
 from mountladder.clocks.clock import Clock
 from mountladder.continuation.continuations import Continuations
@@ -232,7 +233,9 @@
             picker=picker,
             upstream=self.upstream,
             dispatch=self.dispatch,
-            forecast=StageForecast(self.dispatch, self.follower, self.admission),
+            forecast=StageForecast(
+                self.dispatch, self.follower, self.admission, make_retry_times(self)
+            ),
             budget=self.budgets.of,
             metrics=self.metrics,
             shutdown=self.shutdown,
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -10,6 +10,7 @@
 
 from gevent.event import Event
 
+from mountladder.admission.attemptkind import AttemptKind
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.errors import RefusalError, RunError
@@ -53,6 +54,7 @@
         team: The name of the request's team, or an empty string.
         stages_end: When coordinators end its stages, in the clock's milliseconds: before the
             deadline, so that it learns whether any piece was begun. Infinite for the deadline.
+        attempt: Whether the request returns after a refusal.
 
     Attributes:
         results: The results of its stages.
@@ -77,6 +79,7 @@
         fingerprint: str = "",
         team: str = "",
         stages_end: float = math.inf,
+        attempt: AttemptKind = AttemptKind.FIRST,
     ) -> None:
         self.request = request
         self.route = route
@@ -98,6 +101,7 @@
         self.changed = Event()
         self.fingerprint = fingerprint
         self.team = team
+        self.attempt = attempt
         self.times = StageTimes(request, route, dispatch)
         self.begun = self.has_run = False
 
@@ -133,7 +137,9 @@
     def announce_stage(self, number: int, pieces: int) -> None:
         """Announce pieces of a stage; 0 withdraws the announcement."""
         service = self.service(number)
-        notice = StageNotice(self.request.id, number, service, pieces, self.urgency, self.gives_way)
+        notice = StageNotice(
+            self.request.id, number, service, pieces, self.urgency, self.gives_way, self.attempt
+        )
         self.dispatch.announce(notice)
 
     def wait(self) -> None:
@@ -210,6 +216,7 @@
             give_up=min(self.give_up, self.last_give_up),
             fingerprint=self.stage_fingerprint(stage.service),
             team=self.team,
+            attempt=self.attempt,
         )
 
     def may_release_inputs(self, number: int) -> bool:
