A new instance asks one peer at a time for the whole list of servers

Cause: an instance that had no list yet asked every peer whose beacon named one, dozens within a few hundred milliseconds, and each sent all of it.

Changes of a list that is whole are requested from every peer as before.

--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -20,6 +20,7 @@
 from mountladder.forwarding.coordinators import Coordinators
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.directorycopy import DirectoryCopy
+from mountladder.forwarding.directoryrequests import WHOLE_LIST_MS, DirectoryRequests
 from mountladder.forwarding.division import Division
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.messageparts import chunked, directory_copies
@@ -86,6 +87,7 @@
         self.directory = directory
         self.era_tracker = EraTracker()
         self.transfer = CatalogueTransfer(follower, clock, self.send)
+        self.directory_requests = DirectoryRequests()
         self.ranking = Ranking(membership)
         self.division = Division(directory, membership.me.datacentre)
         self.coordinators = Coordinators(membership, self.ranking, self.division)
@@ -289,7 +291,14 @@
         """Request what a peer announced, unless the store has delivered it meanwhile."""
         lacks = announced.catalogue > self.follower.version and not self.transfer.is_receiving()
         catalogue = self.follower.version if lacks else -1
-        directory = self.directory.newest if announced.directory > self.directory.newest else None
+        newest = self.directory.newest
+        directory = newest if announced.directory > newest else None
+        if directory is not None and not self.directory_requests.begin(
+            self.directory.ready, self.clock.now()
+        ):
+            # Another peer is sending the whole list; this one is asked if that fails.
+            directory = None
+            self.clock.call_later(WHOLE_LIST_MS, lambda: self.request_updates(announced, link))
         if catalogue >= 0 or directory is not None:
             self.send_later(link, UpdateRequest(catalogue, directory))
 
@@ -310,4 +319,5 @@
     def receive_directory(self, message: DirectoryCopy, link: Link) -> None:
         """Apply changed entries of the list of servers."""
         source = f"peer {link.peer.name}"
+        self.directory_requests.record_part(self.clock.now())
         self.directory.apply(message.records, message.position, source, message.reappear_ms)
