No stage is started once another one has failed

An instance that coordinates a stage itself may end it while it is submitted, for example because the request's body took longer to arrive than a stage may wait (time counts from the request's head). StageFlow then started the next initial stage and refused the request as not executed.

--- a/features/patience.feature
+++ b/features/patience.feature
@@ -77,3 +77,13 @@
     When request r of a held stream is sent to a-1
     Then request r ends between 100 and 1000 ms as failed 3001
     And no model server was sent it
+
+  @forwarding
+  Scenario: A stream whose first stage is given up as it is submitted begins no other stage
+    # The failure: an instance that coordinates its stages itself gave up the first one at once, began
+    # the second one, and refused the request as not executed. A body that takes longer to arrive than
+    # a stage may wait is enough, since time counts from the head of the request.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    When request r of a stream whose body took 1300 ms is sent to the coordinator of its stages
+    Then request r ends between 1300 and 1400 ms as refused 2001
+    And no piece of it has run, and none is waiting
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -173,6 +173,18 @@
     context.run(serve, context, "a-1", sent)
 
 
+@when("request r of a stream whose body took {ms:d} ms is sent to the coordinator of its stages")
+def late_body_sent(context, ms):
+    sent = request("r", PATHS["staged"], context.clock.now() - ms, allowed_ms=6_000.0)
+    coordinator = find_coordinator(context, "enc").settings.name
+
+    def send():
+        serve(context, coordinator, sent)
+        context.clock.sleep(SETTLE_MS)
+
+    context.run(send)
+
+
 @then("request r ends between {first:d} and {last:d} ms as {outcome}")
 def ends_between(context, first, last, outcome):
     elapsed_ms = context.ended_at["r"] - context.arrived["r"]
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -155,8 +155,14 @@
             raise RunError("the deadline passed during the stages", Code.DEADLINE_PASSED)
 
     def start_ready(self) -> None:
-        """Start each stage whose dependencies are done."""
+        """Start each stage whose dependencies are done, until one has failed.
+
+        A coordinator on this instance may end a stage while it is submitted. A stage that is
+        started after that would run although the request may be refused as not executed.
+        """
         for number, stage in enumerate(self.route.stages):
+            if self.failure is not None:
+                return
             if number in self.handles or number in self.waiting:
                 continue
             is_ready = all(needed in self.handles for needed in stage.after)
