A stage can be lent where the wait is not known

A coordinator without servers in its data centre lends a stage to the data centre of its large inputs even if no backlog of the last second is known there.

--- a/features/demandfleet.feature
+++ b/features/demandfleet.feature
@@ -86,6 +86,14 @@
     When callers whose stages have large inputs in a ask for 1.3 of its capacity for 8 s
     Then no stage was lent by the plan
 
+  Scenario: A stage is lent to its large inputs although the wait there is not known
+    # The failure: without servers of its own, the coordinator failed to log an unknown wait. The
+    # error ended the link over which the stage had come.
+    Given data centre a has no servers, and the backlogs of the others are not known there
+    When a stage with large inputs in b is submitted in a
+    Then every stage was completed once
+    And it was lent to b with an unknown wait, and no link was lost
+
   Scenario: A coordinator predicts waits without the pieces that others will serve
     # With them, more requests would be refused than have to wait.
     When callers ask for 1.3, 0.2 and 0.2 of the capacity of a, b and c for 10 s
--- a/packages/core/src/mountladder/forwarding/stagelending.py
+++ b/packages/core/src/mountladder/forwarding/stagelending.py
@@ -95,8 +95,8 @@
             pieces=job.pieces,
             datacentre=datacentre,
             preferred=job.datacentre,
-            local_wait_ms=local_wait_ms if math.isinf(local_wait_ms) else round(local_wait_ms),
-            remote_wait_ms=round(self.lending.wait_ms(job.service, datacentre, priority)),
+            local_wait_ms=_rounded(local_wait_ms),
+            remote_wait_ms=_rounded(self.lending.wait_ms(job.service, datacentre, priority)),
             **self.plans.describe(job.service, datacentre, is_planned),
         )
         servers = self.fleet.division.count(job.service, datacentre)
@@ -112,3 +112,11 @@
             self.fleet.metrics.count(Metric.PLANNED_PIECES, number=job.pieces)
         else:
             batcher.demand.record_arrival(job)
+
+
+def _rounded(wait_ms: float) -> float:
+    """Return a wait in whole milliseconds; infinite if it is not known or there is no server.
+
+    A stage is lent to its large inputs although the wait there is not known, if no server is here.
+    """
+    return wait_ms if math.isinf(wait_ms) else round(wait_ms)
