A request does not wait for room at a server that it must not be sent to

PlacementCoordinator.reject replied that the servers are full if any server of the service was, including those that the order excludes because the request failed there or the server asked to back off. Reservation then polled for room until the request could not wait any longer, instead of refusing it at once for want of a server.

--- a/features/serverbytes.feature
+++ b/features/serverbytes.feature
@@ -45,6 +45,19 @@
     And the limit on memory is switched off
     Then it is sent a request of 4 MB
 
+  Scenario Outline: A request does not wait for room at a server that it must not be sent to
+    # The failure: a request that had failed at a server waited for room there, up to the time that it
+    # may wait, instead of being refused at once.
+    Given a placement coordinator of one model server
+    And this server holds 12 MB and is known to hold 15 MB
+    When a prompt of 4 MB is placed that <may> be sent there
+    Then the reply <says> that servers are full
+
+    Examples:
+      | may     | says         |
+      | may     | says         |
+      | may not | does not say |
+
   Scenario: A request waits until a server has room, as it would for a slot
     Given a forwarding fleet of instances a-1, a-2
     And servers desk-1, desk-2 of service desk and llm-1, llm-2 of service llm
--- a/features/steps/serverbytes_steps.py
+++ b/features/steps/serverbytes_steps.py
@@ -16,6 +16,8 @@
     serve,
 )
 
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.memory.serverbytes import ServerBytes
 
@@ -77,6 +79,25 @@
     assert (not full) == (outcome == "sent"), full
 
 
+@given("this server holds {held:d} MB and is known to hold {limit:d} MB")
+def only_server_holds(context, held, limit):
+    context.coordinator.bytes.limits["llm"] = limit * MB
+    context.coordinator.bytes.begin("llm", "llm-0", held * MB, 0.0)
+
+
+@when("a prompt of {size:d} MB is placed that {may} be sent there")
+def large_prompt(context, size, may):
+    excluded = ("llm-0",) if may == "may not" else ()
+    order = PlacementOrder(1, "llm", Prompt(10, 10, ()), excluded, "", size=size * MB)
+    context.reply = context.coordinator.place(order, "me")
+
+
+@then("the reply {says} that servers are full")
+def reply_says(context, says):
+    assert not context.reply.server
+    assert context.reply.is_full == (says == "says"), context.reply
+
+
 def coordinator_bytes(context):
     return placement_coordinator(find_coordinator(context, prompts_topic("llm"))).bytes
 
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -161,7 +161,7 @@
         self, order: PlacementOrder, servers: Sequence[BackendServer], delays: ServerDelays
     ) -> PlacementReply:
         """Return a reply without a server, with the time to retry after if that is known."""
-        if self.full(order, servers):
+        if self.full(order, servers) - set(order.excluded):
             return PlacementReply(order.number, "", 0.0, is_full=True)
         if not servers or not delays.all_limited(servers):
             return PlacementReply(order.number, "", 0.0)
