The retry time of a held request counts its own model servers

ForwardRun.late_refusal asked for the expected time without the service that was drawn for the request, so that StageForecast.expect used the backlog of the route's main target, unlike ForwardRun.admit.

--- a/features/patience.feature
+++ b/features/patience.feature
@@ -87,3 +87,10 @@
     When request r of a stream whose body took 1300 ms is sent to the coordinator of its stages
     Then request r ends between 1300 and 1400 ms as refused 2001
     And no piece of it has run, and none is waiting
+
+  @forwarding
+  Scenario: The retry time of a held stream counts the model servers that it was to be sent to
+    # The failure: it was given for those of the route's main target, whatever target was drawn.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And a held stream for service big, whose servers keep prompts waiting for 900 ms and others for 0 ms
+    Then the time to retry after its late refusal counts 900 ms for model servers
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -14,9 +14,11 @@
 from forwardbasics import PATHS, ROUTES, NullDispatch, catalogue, find_coordinator, request, serve
 
 from mountladder.admission.hold import Hold
+from mountladder.admission.modelwait import ModelWait
 from mountladder.admission.patience import patience_ms
 from mountladder.clocks.virtualclock import VirtualClock
-from mountladder.errors import MountladderError
+from mountladder.code import Code
+from mountladder.errors import MountladderError, RefusalError
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.routestage import RouteStage
@@ -262,3 +264,35 @@
     run = context.held_run
     assert run.hold.deadline() == run.deadline == run.request.arrived + 6_000.0
     assert math.isinf(run.hold.stages_end())
+
+
+@given(
+    "a held stream for service {service}, whose servers keep prompts waiting for {ms:d} ms"
+    " and others for {other:d} ms"
+)
+def held_for_service(context, service, ms, other):
+    instance = context.fleet.instances["a-1"]
+    waits = {service: ModelWait(float(ms), 0.0)}
+    instance.forwarder.context.forecast.pipeline.wait = lambda name, urgency, gives_way: waits.get(
+        name, ModelWait(float(other), 0.0)
+    )
+    sent = request("r", PATHS["staged"], context.clock.now(), allowed_ms=6_000.0)
+    context.held_run = run = instance.forwarder.admit(sent)
+    run.service = service
+
+
+@then("the time to retry after its late refusal counts {ms:d} ms for model servers")
+def late_retry(context, ms):
+    run, expected = context.held_run, []
+    forecast = run.context.forecast
+    plain = forecast.retry_after_ms
+
+    def retry_after_ms(sent, route, expected_ms):
+        expected.append(expected_ms)
+        return plain(sent, route, expected_ms)
+
+    forecast.retry_after_ms = retry_after_ms
+    run.late_refusal(RefusalError("", Code.DEADLINE_UNMEETABLE))
+    without = forecast.expect(run.request, run.route, run.urgency, service="other")
+    counted_ms = (expected[0] - without.ms) / without.factor
+    assert round(counted_ms) == ms, (expected, without)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -168,11 +168,11 @@
 
     def late_refusal(self, error: RefusalError) -> RefusalError:
         """Return the refusal of a request whose stages did not start in time."""
-        forecast = self.context.forecast
+        forecast, sent = self.context.forecast, (self.request, self.route)
         if not self.gives_way:
             forecast.learn(self.route, self.expected_ms, self.elapsed_ms())
-        expectation = forecast.expect(self.request, self.route, self.urgency, self.gives_way)
-        retry_after_ms = forecast.retry_after_ms(self.request, self.route, expectation.ms)
+        expectation = forecast.expect(*sent, self.urgency, self.gives_way, self.service)
+        retry_after_ms = forecast.retry_after_ms(*sent, expectation.ms)
         return RefusalError(error.detail, error.code, retry_after_ms=retry_after_ms)
 
     def start_attempt(self) -> ForwardAttempt:
