A stage that ends as it is submitted no longer counts as open

StageFlow.start added a stage to the open ones after its coordinator, if that is the same instance, had already ended it. A request whose stages were submitted after their end (stages_end) then never saw its last stage come back: it waited until its deadline and failed with 3002, although no piece had been begun. A stage is now marked as open before it is submitted.

--- a/features/patience.feature
+++ b/features/patience.feature
@@ -34,6 +34,13 @@
       | has no pieces        | is never begun       | refused     | 1200 |
       | is done in 500 ms    | is done in 700 ms    | done        | 1400 |
 
+  Scenario: A stage that ends as it is submitted does not count as open
+    # The failure: it counted as open for ever, so that a request of which nothing had run waited until
+    # its deadline and ended as failed.
+    Given a stream with two initial stages that end at 2200 ms, and a third after the second
+    When both are submitted at 2250 ms, the second to a coordinator on the same instance
+    Then it ends as refused at 2255 ms
+
   @forwarding
   Scenario: A stream held by busy stage servers is refused just before its caller leaves
     Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
--- /dev/null
+++ b/features/steps/latestart_steps.py
@@ -0,0 +1,49 @@
+# latestart_steps.py -- Steps about requests whose stages are submitted after their time has passed
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about requests whose stages are submitted after their time has passed."""
+
+import gevent
+from behave import when
+from forwardbasics import PATHS, request
+from patience_steps import FLOW_DEADLINE_MS, FLOW_END_MS, EndingDispatch
+
+from mountladder.errors import MountladderError
+from mountladder.forwarding.piecefailure import PieceFailure
+from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.stageflow import StageFlow
+
+REMOTE_MS = 5.0
+
+
+class LateDispatch(EndingDispatch):
+    """Reports stages as not begun: the second as it is submitted, the first by a message."""
+
+    def submit(self, job, done):
+        results = (PieceResult("", PieceFailure.NOT_BEGUN),)
+        if job.stage == 1:
+            done(results)
+        else:
+            self.clock.call_later(REMOTE_MS, lambda: done(results))
+        return object()
+
+
+@when("both are submitted at {ms:d} ms, the second to a coordinator on the same instance")
+def submitted_late(context, ms):
+    sent = request("r", PATHS["staged"], 0.0, pieces=(1, 1, 1))
+    dispatch = LateDispatch(context.clock, ())
+    context.flow = StageFlow(
+        sent, context.route, FLOW_DEADLINE_MS, 0, dispatch, context.clock, stages_end=FLOW_END_MS
+    )
+
+    def run():
+        context.clock.sleep(float(ms))
+        try:
+            context.flow.run()
+            context.ended = "done"
+        except MountladderError as error:
+            is_refusal = error.result.value == "not_run"
+            context.ended = "refused" if is_refusal else f"failed {error.code.number}"
+
+    context.clock.run(gevent.spawn(run))
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -58,7 +58,8 @@
         results: The results of its stages.
         handles: Their handles, by the number of each completed stage; see StageResults.
         locations: The data centres that store them; see StageResults.
-        waiting: The submitted stages that are not done, by their number.
+        waiting: The submitted stages that are not done, by their number; None while one is being
+            submitted.
         failure: The failure that ended the run, or None.
         begun: Whether any piece may have been worked on.
         has_run: Whether a piece of a completed or failed stage has been worked on.
@@ -93,7 +94,7 @@
             self.give_up = request.arrived + GIVE_UP_TARGETS * route.target_ms
         self.results = StageResults(route, dispatch)
         self.handles, self.locations = self.results.handles, self.results.locations
-        self.waiting: dict[int, Submission] = {}
+        self.waiting: dict[int, Submission | None] = {}
         self.failure: PieceFailure | None = None
         self.changed = Event()
         self.fingerprint = fingerprint
@@ -189,10 +190,12 @@
             # A piece may have run already, so the request can no longer be refused as not executed.
             self.give_up = math.inf
         self.begun = True
+        # A coordinator on this instance may end the stage while it is submitted.
+        self.waiting[number] = None
         submission = self.dispatch.submit(
             self.job(number, pieces), lambda results: self.complete(number, results)
         )
-        if number not in self.handles:
+        if self.waiting.get(number, submission) is None:
             self.waiting[number] = submission
 
     def job(self, number: int, pieces: int) -> StageJob:
@@ -296,7 +299,8 @@
     def withdraw(self) -> None:
         """Withdraw all open stages and announcements, and release all results."""
         for submission in list(self.waiting.values()):
-            self.dispatch.withdraw(submission)
+            if submission is not None:
+                self.dispatch.withdraw(submission)
         for number, stage in enumerate(self.route.stages):
             begun = number in self.handles or number in self.waiting
             if stage.after and self.times.has_pieces(number) and not begun:
