Admission counts the time since a request arrived

The specification counts the expected time from the arrival of the attempt, but StageForecast.refusal_reason compared the time from now on with the patience and the deadline. A request whose body took long was admitted as if it had just been sent and was held until its caller was about to leave. Expectation has a field elapsed_ms, which the lines let-in and request-refused give as well.

--- a/features/patience.feature
+++ b/features/patience.feature
@@ -101,3 +101,17 @@
     Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
     And a held stream for service big, whose servers keep prompts waiting for 900 ms and others for 0 ms
     Then the time to retry after its late refusal counts 900 ms for model servers
+
+  @forwarding
+  Scenario Outline: The time that a request's body took counts when it is admitted
+    # The failure: callers count from when they send a request. One with a slow body was admitted as if
+    # it had just been sent, and held until its caller was about to leave.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And model servers are expected to keep prompts waiting for 500 ms
+    When request r of a stream whose body took <body> ms is sent to the coordinator of its stages
+    Then request r was <outcome> at its admission
+
+    Examples:
+      | body | outcome              |
+      | 0    | admitted             |
+      | 1900 | refused for patience |
--- a/features/steps/latestart_steps.py
+++ b/features/steps/latestart_steps.py
@@ -5,7 +5,7 @@
 """Steps about requests whose stages are submitted after their time has passed."""
 
 import gevent
-from behave import when
+from behave import then, when
 from forwardbasics import PATHS, request
 from patience_steps import FLOW_DEADLINE_MS, FLOW_END_MS, EndingDispatch
 
@@ -47,3 +47,11 @@
             context.ended = "refused" if is_refusal else f"failed {error.code.number}"
 
     context.clock.run(gevent.spawn(run))
+
+
+@then("request r was {outcome} at its admission")
+def at_admission(context, outcome):
+    kinds = {"let-in": "admitted", "request-refused": "refused for"}
+    (line,) = [one for one in context.lines if one.get("message_type") in kinds]
+    found = f"{kinds[line['message_type']]} {line.get('reason', '')}".strip()
+    assert found == outcome, line
--- a/packages/core/src/mountladder/forwarding/expectation.py
+++ b/packages/core/src/mountladder/forwarding/expectation.py
@@ -22,6 +22,7 @@
         gives_way: Whether it can't be on time and its stages are queued behind all that can.
         model_wait_ms: The time that its prompt waits for a model server, 0 if nothing is known.
         model_age_ms: The age of what is known about that, or None if nothing is known.
+        elapsed_ms: The time since the request arrived, such as that in which its body was read.
     """
 
     stages_ms: float
@@ -32,6 +33,7 @@
     gives_way: bool = False
     model_wait_ms: float = 0.0
     model_age_ms: float | None = None
+    elapsed_ms: float = 0.0
 
     @property
     def processing_ms(self) -> float:
@@ -62,6 +64,7 @@
             "waiting_ms": round(self.waiting_ms),
             "model_wait_ms": round(self.model_wait_ms),
             "model_age_ms": None if self.model_age_ms is None else round(self.model_age_ms),
+            "elapsed_ms": round(self.elapsed_ms),
             "usual_ms": round(self.usual_ms),
             "factor": round(self.factor, 2),
             "gives_way": self.gives_way,
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -94,7 +94,9 @@
         service: str = "",
     ) -> Expectation:
         """Admit a request and return its expected time; see predict and check."""
+        elapsed_ms = self.dispatch.clock.now() - request.arrived
         expectation = self.predict(request, route, urgency, age_ms, service)
+        expectation = replace(expectation, elapsed_ms=elapsed_ms)
         fields = expectation.log_fields() | {"request": request.id, "route": route.name}
         try:
             self.check(expectation, request, route)
@@ -166,9 +168,10 @@
         self, expectation: Expectation, request: ForwardRequest, route: Route
     ) -> str:
         """Return why a request is refused, or an empty string if it is admitted."""
-        if expectation.ms > min(request.allowed_ms, route.timeout_ms):
+        answered_ms = expectation.elapsed_ms + expectation.ms
+        if answered_ms > min(request.allowed_ms, route.timeout_ms):
             return "deadline"
-        if expectation.ms > self.patience_ms(route):
+        if answered_ms > self.patience_ms(route):
             return "patience"
         # Its stages would be dropped before the deadline.
         if expectation.gives_way and expectation.route_ms > GIVE_UP_TARGETS * route.target_ms:
