--- a/features/patience.feature
+++ b/features/patience.feature
@@ -34,6 +34,13 @@
       | has no pieces        | is never begun       | refused     | 1200 |
       | is done in 500 ms    | is done in 700 ms    | done        | 1400 |
 
+  Scenario: A stage that ends as it is submitted does not count as open
+    # The failure: it counted as open for ever, so that a request of which nothing had run waited until
+    # its deadline and ended as failed.
+    Given a stream with two initial stages that end at 2200 ms, and a third after the second
+    When both are submitted at 2250 ms, the second to a coordinator on the same instance
+    Then it ends as refused at 2255 ms
+
   @forwarding
   Scenario: A stream held by busy stage servers is refused just before its caller leaves
     Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
@@ -77,3 +84,34 @@
     When request r of a held stream is sent to a-1
     Then request r ends between 100 and 1000 ms as failed 3001
     And no model server was sent it
+
+  @forwarding
+  Scenario: A stream whose first stage is given up as it is submitted begins no other stage
+    # The failure: an instance that coordinates its stages itself gave up the first one at once, began
+    # the second one, and refused the request as not executed. A body that takes longer to arrive than
+    # a stage may wait is enough, since time counts from the head of the request.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    When request r of a stream whose body took 1300 ms is sent to the coordinator of its stages
+    Then request r ends between 1300 and 1400 ms as refused 2001
+    And no piece of it has run, and none is waiting
+
+  @forwarding
+  Scenario: The retry time of a held stream counts the model servers that it was to be sent to
+    # The failure: it was given for those of the route's main target, whatever target was drawn.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And a held stream for service big, whose servers keep prompts waiting for 900 ms and others for 0 ms
+    Then the time to retry after its late refusal counts 900 ms for model servers
+
+  @forwarding
+  Scenario Outline: The time that a request's body took counts when it is admitted
+    # The failure: callers count from when they send a request. One with a slow body was admitted as if
+    # it had just been sent, and held until its caller was about to leave.
+    Given a fleet whose callers wait 2400 ms for streams with two initial stages, and 6000 ms in all
+    And model servers are expected to keep prompts waiting for 500 ms
+    When request r of a stream whose body took <body> ms is sent to the coordinator of its stages
+    Then request r was <outcome> at its admission
+
+    Examples:
+      | body | outcome              |
+      | 0    | admitted             |
+      | 1900 | refused for patience |
