An answer to a HEAD request has no body

Cause: the web server writes whatever the application yields, also to a HEAD request. A refusal's JSON body and the last chunk of a stream followed the head on a kept connection, where the caller took them for the next answer. Change: CallerConnection writes no body and no last chunk to a HEAD request. Result: the two new scenarios failed before (57 bytes of a refusal, a last chunk) and pass now; features/boundedmemory.feature: 42 passed, 0 failed.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -129,6 +129,20 @@
     Then only the first has reached the server
     And the caller gets the events of both, one stream after the other
 
+  Scenario Outline: An answer to a HEAD request has no body
+    # The failure: the body of a refusal and the last chunk of a stream came before the next answer
+    # on the connection, whose caller took them for its beginning.
+    Given a budget of 1 MB at the ingress
+    And a server that sends a stream of <number> events of 100 bytes
+    And <held> other bytes are held
+    When a caller sends two HEAD requests on a connection
+    Then it gets two heads with status <status> and nothing else
+
+    Examples:
+      | number | held   | status |
+      | 0      | 0      | 200    |
+      | 0      | 800000 | 503    |
+
   Scenario: Events that arrived before a stream broke reach a caller that reads slowly
     # The failure: the buffer was dropped when the server's connection broke.
     Given a server that sends a stream of 1000 events of 100 bytes and breaks it
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -217,6 +217,27 @@
     gevent.sleep(ms / 1000)
 
 
+@given("{number:d} other bytes are held")
+def other_bytes(context, number):
+    account = readers(context).account
+    context.stack.enter_context(account.hold("caller", lambda _: None)).add(number)
+
+
+@when("a caller sends two HEAD requests on a connection")
+def send_heads(context):
+    context.caller = context.readers.connect()
+    request = HEAD.replace(b"POST", b"HEAD") + b"Connection: %b\r\n\r\n"
+    context.caller.sendall(request % (b"r1", b"keep-alive") + request % (b"r2", b"close"))
+    context.received = read_until(context.caller, b"the end of the connection")
+
+
+@then("it gets two heads with status {status:d} and nothing else")
+def gets_heads(context, status):
+    parts = context.received.split(b"\r\n\r\n")
+    assert len(parts) == 3 and not parts[2], parts
+    assert all(one.startswith(b"HTTP/1.1 %d " % status) for one in parts[:2]), parts
+
+
 @when("a caller requests it and reads {size:d} bytes each {ms:d} ms for {span:d} ms")
 def read_slowly(context, size, ms, span):
     context.caller = context.readers.request()
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -53,6 +53,20 @@
         self.writer.write(data)
         self.response_length += len(data)
 
+    def finalize_headers(self) -> None:
+        """Complete the headers; an answer to a HEAD request has no body, and so no last chunk."""
+        super().finalize_headers()
+        if self.command == "HEAD":
+            self.response_use_chunked = False
+
+    def _write(self, data: bytes | bytearray) -> None:
+        """Write a part of a body, except to a HEAD request.
+
+        The caller would take it for the beginning of the next answer on the connection.
+        """
+        if self.command != "HEAD":
+            super()._write(data)
+
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
 
