Bytes at servers: what ends after a crash does not show that it was safe

Cause: ServerBytes.end records what the server holds before it takes a request off. After a crash had cleared the peaks, the first late end recorded the bytes of the crash again, and 10 s later they counted as safe for the service, so that no further crash there could set a lower limit. Change: while nothing is recorded for a server, an end records nothing. Result: the new scenario failed before (20 MB safe) and passes now; features/serverbytes.feature: 17 passed, 0 failed.

--- a/features/serverbytes.feature
+++ b/features/serverbytes.feature
@@ -31,6 +31,15 @@
     And its requests are released 20000 ms later
     Then the most that is safe is 6 MB
 
+  Scenario: Requests of a crashed server that end after its crash do not show that it was safe
+    # The failure: the first of them recorded again what the server held when it crashed, which
+    # counted as safe 10 s later, so that no further crash set a lower limit.
+    Given a server that held 6 MB for 20000 ms
+    When another server crashes while it holds 20 MB
+    And its requests are released 100 ms later
+    And it holds 1 MB 20000 ms later
+    Then the most that is safe is 6 MB
+
   Scenario: What ended long before a crash does not count
     Given a server that held 6 MB for 20000 ms
     When another server holds 20 MB and its requests end 3000 ms before its crash is reported
--- a/features/steps/serverbytes_steps.py
+++ b/features/steps/serverbytes_steps.py
@@ -54,6 +54,11 @@
     context.bytes.end("s-2", 20 * MB, START_MS + ms)
 
 
+@when("it holds {held:d} MB {ms:d} ms later")
+def holds_later(context, held, ms):
+    context.bytes.begin("llm", "s-2", held * MB, START_MS + ms)
+
+
 @then("the most that is safe is {safe:d} MB")
 def most_safe(context, safe):
     assert context.bytes.safe["llm"] == safe * MB, context.bytes.safe
--- a/packages/core/src/mountladder/memory/serverbytes.py
+++ b/packages/core/src/mountladder/memory/serverbytes.py
@@ -57,7 +57,9 @@
     def end(self, server: str, size: int, now: float) -> None:
         """Count a request that has ended."""
         if server in self.services:
-            self.record(server, now)
+            # After a crash nothing is recorded until a request begins: what it held was not safe.
+            if self.peaks[server]:
+                self.record(server, now)
             self.held[server] -= size
 
     def record(self, server: str, now: float) -> None:
