A caller refused while it waits to send its body is told to close

Cause: a request with Expect: 100-continue can be refused before its body is read. The connection was kept and the announced length discarded, although the caller may leave the body out; then the beginning of its next request was discarded and the rest answered with 400. Change: such an answer announces Connection: close.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -188,6 +188,15 @@
     And the refusal is logged with its request and counted as "refused.memory_full"
     And only the first has reached the server
 
+  Scenario: A caller that was refused while it waited to send its body has to use a new connection
+    # The failure: the caller sent its next request instead of the body, and the beginning of that
+    # request was discarded as the body.
+    Given a budget of 1 MB at the ingress
+    And a server that answers with 10 bytes
+    And 800000 other bytes are held
+    When a caller asks whether to send a body of 50 bytes
+    Then it is refused, and the answer says that the connection is closed
+
   Scenario Outline: The body of a request counts from when it is announced or read
     Given a server that answers with 10 bytes
     When a caller sends <what> of a request with a body of 300000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -223,6 +223,20 @@
     context.stack.enter_context(account.hold("caller", lambda _: None)).add(number)
 
 
+@when("a caller asks whether to send a body of {size:d} bytes")
+def ask_to_send(context, size):
+    context.caller = context.readers.connect()
+    expect = b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n" % size
+    context.caller.sendall(HEAD % b"r1" + expect)
+    context.received = context.caller.recv(65_536)
+
+
+@then("it is refused, and the answer says that the connection is closed")
+def refused_and_closed(context):
+    assert context.received.startswith(b"HTTP/1.1 503 "), context.received
+    assert b"\r\nConnection: close\r\n" in context.received, context.received
+
+
 @when("a caller sends two HEAD requests on a connection")
 def send_heads(context):
     context.caller = context.readers.connect()
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -131,10 +131,18 @@
         exc_info: object = None,
     ) -> Callable[[bytes], None]:
         """Start an answer, and announce in it if the connection is closed afterwards."""
-        if self.is_leaving() or self.close_connection:
+        if self.is_leaving() or self.close_connection or self.awaits_continue():
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def awaits_continue(self) -> bool:
+        """Return whether the caller may still send the body or leave it out.
+
+        It waited for a status 100 that it was not sent, so what follows cannot be told apart.
+        """
+        body = self.wsgi_input
+        return body.socket is not None and bool(body.content_length or body.chunked_input)
+
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environment with what is needed of the connection added."""
         environ = super().get_environ()
