A stream that broke does not look complete to a caller of HTTP 1.0

Cause: such a stream has no chunks, so its end is the end of the connection, and a connection whose stream was interrupted was closed like any other. Change: if the application fails after the head was sent and the answer has no chunks, the connection is reset when it is closed.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -149,6 +149,13 @@
     When a caller requests it and reads nothing for 300 ms
     Then the caller gets each event once and in order, but no end of the stream
 
+  Scenario: A stream that broke does not look complete to a caller of HTTP 1.0
+    # The failure: such a stream has no last chunk, and its connection was closed as after a whole
+    # answer.
+    Given a server that sends a stream of 100 events of 100 bytes and breaks it
+    When a caller of HTTP 1.0 requests it
+    Then its connection was reset
+
   Scenario: A whole answer counts while it is read
     Given a server that has sent 500000 of 1000000 bytes of its answer
     When a caller requests it and reads nothing for 300 ms
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -237,6 +237,22 @@
     assert b"\r\nConnection: close\r\n" in context.received, context.received
 
 
+@when("a caller of HTTP 1.0 requests it")
+def request_old(context):
+    context.caller = context.readers.connect()
+    head = (HEAD % b"r1").replace(b"HTTP/1.1", b"HTTP/1.0")
+    context.caller.sendall(head + b"Content-Length: 2\r\n\r\nhi")
+
+
+@then("its connection was reset")
+def connection_reset(context):
+    try:
+        received = read_until(context.caller, b"the end of the connection")
+    except ConnectionResetError:
+        return
+    raise AssertionError(f"the connection was closed after {len(received)} bytes")
+
+
 @when("a caller sends two HEAD requests on a connection")
 def send_heads(context):
     context.caller = context.readers.connect()
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -8,6 +8,7 @@
 
 import re
 from collections.abc import Callable
+from contextlib import suppress
 
 from gevent.pywsgi import WSGIHandler
 
@@ -67,6 +68,16 @@
         if self.command != "HEAD":
             super()._write(data)
 
+    def run_application(self) -> None:
+        """Run the application; without chunks only a reset shows that an answer is incomplete."""
+        try:
+            super().run_application()
+        except BaseException:
+            if self.headers_sent and not self.response_use_chunked:
+                with suppress(OSError):
+                    self.writer.reset_at_close()
+            raise
+
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
 
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -205,13 +205,21 @@
         """Drop what waits and end the connection, which also ends the request in progress."""
         self.fail(ConnectionResetError(errno.ECONNRESET, f"cut: {reason}"))
         try:
-            self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
+            self.reset_at_close()
             # The watch of the caller's connection sees its end, and the request is cancelled.
             self.socket.shutdown(sockets.SHUT_RDWR)
         except OSError:
             # The caller has closed it before.
             return
 
+    def reset_at_close(self) -> None:
+        """Have the connection reset when it is closed, without what the system still holds.
+
+        Raises:
+            OSError: The connection is closed.
+        """
+        self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
+
     def fail(self, error: OSError) -> None:
         """Drop what waits, and fail every further write."""
         self.error = error
