Start: idle connections accepted early are served by the instance

Cause: from 750 ms after it listens, a loading process accepts connections to refuse their requests. A connection on which no request had arrived when the instance took over stayed with the refusals, had its later request refused as not ready by an instance that was serving, and had no limit on idle time. Change: a connection without a request waits for one or for the instance's server, whichever comes first, and is then served by that server.

--- a/features/start.feature
+++ b/features/start.feature
@@ -28,6 +28,15 @@
     And the instance takes the socket over
     Then a new caller is served by the instance
 
+  Scenario: A caller that connects during a slow start and sends nothing yet is served later
+    # Guards against a request that is refused as not ready although the instance serves callers,
+    # because its connection was opened before.
+    Given a socket for callers that listens while modules load, and a waiting caller
+    And an idle connection
+    When 750 ms have passed
+    And the instance takes the socket over
+    Then a request on the idle connection is served by the instance
+
   Scenario: A process that is slow to start refuses before it has loaded
     Given a slow store, and an instance as a process
     When it is paused for 1.0 s as soon as its socket listens, and a request arrives
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -71,13 +71,18 @@
     context.caller = connect(context)
 
 
-def connect(context):
+def connect(context, data=REQUEST):
     caller = socket.create_connection(context.listening.getsockname(), TIMEOUT_S)
     context.stack.callback(caller.close)
-    caller.sendall(REQUEST)
+    caller.sendall(data)
     return caller
 
 
+@given("an idle connection")
+def idle_connection(context):
+    context.idle = connect(context, b"")
+
+
 @when("{time:d} ms have passed")
 def time_passes(context, time):
     context.clock.time = float(time)
@@ -121,6 +126,7 @@
     context.refusals.stop()
     server = WSGIServer(context.listening, serve, log=None)
     server.start()
+    context.refusals.hand_over(server)
     context.stack.callback(server.stop)
 
 
@@ -131,6 +137,15 @@
     assert context.refusals.number == 1
 
 
+@then("a request on the idle connection is served by the instance")
+def idle_served(context):
+    # Longer than the idle connection takes to notice the instance.
+    gevent.sleep(0.2)
+    context.idle.sendall(REQUEST)
+    assert read_all(context.idle).startswith(b"HTTP/1.1 200 ")
+    assert context.refusals.number == 1
+
+
 @when("it is paused for {pause:g} s as soon as its socket listens, and a request arrives")
 def paused_start(context, pause):
     wait_until_listening(context)
