Bytes held: a caller that sends a large body steadily makes progress

Cause: the time without progress was counted from the beginning of a body. Above 90 % of the budget a caller that had been sending for 1 s was cut before callers that do not read.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -186,6 +186,18 @@
     Then the caller that sent no body is cut
     And the caller that reads gets the whole answer of 1000000 bytes
 
+  Scenario Outline: A caller that sends a large body steadily makes progress
+    # The failure: the time since the beginning of a body counted, so that a caller that had sent
+    # for a second was cut before callers that did not read.
+    Given a server that answers with 10 bytes
+    When a caller sends 900000 bytes of a body with <framing>, 100000 each 150 ms
+    Then it has never made no progress for 600 ms
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+
   Scenario: A new request is refused before its body is read while too much is held
     Given a budget of 1 MB at the ingress
     And a server that answers with 800000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -223,6 +223,25 @@
     context.stack.enter_context(account.hold("caller", lambda _: None)).add(number)
 
 
+@when("a caller sends {total:d} bytes of a body with {framing}, {size:d} each {ms:d} ms")
+def send_steadily(context, total, framing, size, ms):
+    caller = context.readers.connect()
+    is_chunked = framing == "chunks"
+    head = b"Transfer-Encoding: chunked" if is_chunked else b"Content-Length: %d" % (total + 1)
+    caller.sendall(HEAD % b"r1" + head + b"\r\n\r\n")
+    data = b"x" * size
+    context.stalled = []
+    for _ in range(total // size):
+        caller.sendall(b"%x\r\n%b\r\n" % (size, data) if is_chunked else data)
+        gevent.sleep(ms / 1000)
+        context.stalled += [one.stalled_ms for one in context.readers.account.shares()]
+
+
+@then("it has never made no progress for {ms:d} ms")
+def made_progress(context, ms):
+    assert context.stalled and max(context.stalled) < ms, context.stalled
+
+
 @when("a caller asks whether to send a body of {size:d} bytes")
 def ask_to_send(context, size):
     context.caller = context.readers.connect()
--- a/packages/core/src/mountladder/memory/holder.py
+++ b/packages/core/src/mountladder/memory/holder.py
@@ -29,8 +29,8 @@
         is_streaming: Whether an answer is passed on while it is read from a server.
         waiting_since: When data last began to wait for the other side or was last taken by it, in
             the clock's milliseconds, or None if no data waits.
-        blocked_since: When a caller began to send a body, or a server or a peer to take data, in
-            the clock's milliseconds, or None if none of this is in progress.
+        blocked_since: When a caller last sent a part of a body, or a server or a peer began to
+            take data, in the clock's milliseconds, or None if none of this is in progress.
         is_cut: Whether its connection was ended to release the bytes.
         measure: Updates waiting_since.
     """
