--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -129,12 +129,33 @@
     Then only the first has reached the server
     And the caller gets the events of both, one stream after the other
 
+  Scenario Outline: An answer to a HEAD request has no body
+    # The failure: the body of a refusal and the last chunk of a stream came before the next answer
+    # on the connection, whose caller took them for its beginning.
+    Given a budget of 1 MB at the ingress
+    And a server that sends a stream of <number> events of 100 bytes
+    And <held> other bytes are held
+    When a caller sends two HEAD requests on a connection
+    Then it gets two heads with status <status> and nothing else
+
+    Examples:
+      | number | held   | status |
+      | 0      | 0      | 200    |
+      | 0      | 800000 | 503    |
+
   Scenario: Events that arrived before a stream broke reach a caller that reads slowly
     # The failure: the buffer was dropped when the server's connection broke.
     Given a server that sends a stream of 1000 events of 100 bytes and breaks it
     When a caller requests it and reads nothing for 300 ms
     Then the caller gets each event once and in order, but no end of the stream
 
+  Scenario: A stream that broke does not look complete to a caller of HTTP 1.0
+    # The failure: such a stream has no last chunk, and its connection was closed as after a whole
+    # answer.
+    Given a server that sends a stream of 100 events of 100 bytes and breaks it
+    When a caller of HTTP 1.0 requests it
+    Then its connection was reset
+
   Scenario: A whole answer counts while it is read
     Given a server that has sent 500000 of 1000000 bytes of its answer
     When a caller requests it and reads nothing for 300 ms
@@ -165,6 +186,18 @@
     Then the caller that sent no body is cut
     And the caller that reads gets the whole answer of 1000000 bytes
 
+  Scenario Outline: A caller that sends a large body steadily makes progress
+    # The failure: the time since the beginning of a body counted, so that a caller that had sent
+    # for a second was cut before callers that did not read.
+    Given a server that answers with 10 bytes
+    When a caller sends 900000 bytes of a body with <framing>, 100000 each 150 ms
+    Then it has never made no progress for 600 ms
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+
   Scenario: A new request is refused before its body is read while too much is held
     Given a budget of 1 MB at the ingress
     And a server that answers with 800000 bytes
@@ -174,6 +207,15 @@
     And the refusal is logged with its request and counted as "refused.memory_full"
     And only the first has reached the server
 
+  Scenario: A caller that was refused while it waited to send its body has to use a new connection
+    # The failure: the caller sent its next request instead of the body, and the beginning of that
+    # request was discarded as the body.
+    Given a budget of 1 MB at the ingress
+    And a server that answers with 10 bytes
+    And 800000 other bytes are held
+    When a caller asks whether to send a body of 50 bytes
+    Then it is refused, and the answer says that the connection is closed
+
   Scenario Outline: The body of a request counts from when it is announced or read
     Given a server that answers with 10 bytes
     When a caller sends <what> of a request with a body of 300000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -217,6 +217,76 @@
     gevent.sleep(ms / 1000)
 
 
+@given("{number:d} other bytes are held")
+def other_bytes(context, number):
+    account = readers(context).account
+    context.stack.enter_context(account.hold("caller", lambda _: None)).add(number)
+
+
+@when("a caller sends {total:d} bytes of a body with {framing}, {size:d} each {ms:d} ms")
+def send_steadily(context, total, framing, size, ms):
+    caller = context.readers.connect()
+    is_chunked = framing == "chunks"
+    head = b"Transfer-Encoding: chunked" if is_chunked else b"Content-Length: %d" % (total + 1)
+    caller.sendall(HEAD % b"r1" + head + b"\r\n\r\n")
+    data = b"x" * size
+    context.stalled = []
+    for _ in range(total // size):
+        caller.sendall(b"%x\r\n%b\r\n" % (size, data) if is_chunked else data)
+        gevent.sleep(ms / 1000)
+        context.stalled += [one.stalled_ms for one in context.readers.account.shares()]
+
+
+@then("it has never made no progress for {ms:d} ms")
+def made_progress(context, ms):
+    assert context.stalled and max(context.stalled) < ms, context.stalled
+
+
+@when("a caller asks whether to send a body of {size:d} bytes")
+def ask_to_send(context, size):
+    context.caller = context.readers.connect()
+    expect = b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n" % size
+    context.caller.sendall(HEAD % b"r1" + expect)
+    context.received = context.caller.recv(65_536)
+
+
+@then("it is refused, and the answer says that the connection is closed")
+def refused_and_closed(context):
+    assert context.received.startswith(b"HTTP/1.1 503 "), context.received
+    assert b"\r\nConnection: close\r\n" in context.received, context.received
+
+
+@when("a caller of HTTP 1.0 requests it")
+def request_old(context):
+    context.caller = context.readers.connect()
+    head = (HEAD % b"r1").replace(b"HTTP/1.1", b"HTTP/1.0")
+    context.caller.sendall(head + b"Content-Length: 2\r\n\r\nhi")
+
+
+@then("its connection was reset")
+def connection_reset(context):
+    try:
+        received = read_until(context.caller, b"the end of the connection")
+    except ConnectionResetError:
+        return
+    raise AssertionError(f"the connection was closed after {len(received)} bytes")
+
+
+@when("a caller sends two HEAD requests on a connection")
+def send_heads(context):
+    context.caller = context.readers.connect()
+    request = HEAD.replace(b"POST", b"HEAD") + b"Connection: %b\r\n\r\n"
+    context.caller.sendall(request % (b"r1", b"keep-alive") + request % (b"r2", b"close"))
+    context.received = read_until(context.caller, b"the end of the connection")
+
+
+@then("it gets two heads with status {status:d} and nothing else")
+def gets_heads(context, status):
+    parts = context.received.split(b"\r\n\r\n")
+    assert len(parts) == 3 and not parts[2], parts
+    assert all(one.startswith(b"HTTP/1.1 %d " % status) for one in parts[:2]), parts
+
+
 @when("a caller requests it and reads {size:d} bytes each {ms:d} ms for {span:d} ms")
 def read_slowly(context, size, ms, span):
     context.caller = context.readers.request()
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -8,6 +8,7 @@
 
 import re
 from collections.abc import Callable
+from contextlib import suppress
 
 from gevent.pywsgi import WSGIHandler
 
@@ -53,6 +54,30 @@
         self.writer.write(data)
         self.response_length += len(data)
 
+    def finalize_headers(self) -> None:
+        """Complete the headers; an answer to a HEAD request has no body, and so no last chunk."""
+        super().finalize_headers()
+        if self.command == "HEAD":
+            self.response_use_chunked = False
+
+    def _write(self, data: bytes | bytearray) -> None:
+        """Write a part of a body, except to a HEAD request.
+
+        The caller would take it for the beginning of the next answer on the connection.
+        """
+        if self.command != "HEAD":
+            super()._write(data)
+
+    def run_application(self) -> None:
+        """Run the application; without chunks only a reset shows that an answer is incomplete."""
+        try:
+            super().run_application()
+        except BaseException:
+            if self.headers_sent and not self.response_use_chunked:
+                with suppress(OSError):
+                    self.writer.reset_at_close()
+            raise
+
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
 
@@ -117,10 +142,18 @@
         exc_info: object = None,
     ) -> Callable[[bytes], None]:
         """Start an answer, and announce in it if the connection is closed afterwards."""
-        if self.is_leaving() or self.close_connection:
+        if self.is_leaving() or self.close_connection or self.awaits_continue():
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def awaits_continue(self) -> bool:
+        """Return whether the caller may still send the body or leave it out.
+
+        It waited for a status 100 that it was not sent, so what follows cannot be told apart.
+        """
+        body = self.wsgi_input
+        return body.socket is not None and bool(body.content_length or body.chunked_input)
+
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environment with what is needed of the connection added."""
         environ = super().get_environ()
