Bytes held: the request of a caller that is cut ends in any case

Cause: bytes of a further request stop the watch of a caller's connection, so that it does not see the end of a connection that is cut. The request went on and kept its bytes, which counted as released. Change: CallerWriter.cut raises the error in the request's task itself.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -198,6 +198,14 @@
       | a length |
       | chunks   |
 
+  Scenario: The request of a caller that is cut ends, also if a further one has arrived
+    # The failure: bytes of a further request hide the end of the connection, and the first request
+    # went on and kept its bytes, which counted as released.
+    Given a server that has sent 10 of 1000000 bytes of its answer
+    When a caller sends two requests 100 ms apart
+    And the caller is cut
+    Then 0 bytes are held within 500 ms
+
   Scenario: A new request is refused before its body is read while too much is held
     Given a budget of 1 MB at the ingress
     And a server that answers with 800000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -242,6 +242,21 @@
     assert context.stalled and max(context.stalled) < ms, context.stalled
 
 
+@when("a caller sends two requests {ms:d} ms apart")
+def send_two_apart(context, ms):
+    context.caller = context.readers.request()
+    gevent.sleep(ms / 1000)
+    context.caller.sendall(HEAD % b"r2" + b"Content-Length: 2\r\n\r\nhi")
+    gevent.sleep(ms / 1000)
+
+
+@when("the caller is cut")
+def cut_caller(context):
+    account = context.readers.account
+    (share,) = account.shares()
+    account.cut(share.holder, "memory")
+
+
 @when("a caller asks whether to send a body of {size:d} bytes")
 def ask_to_send(context, size):
     context.caller = context.readers.connect()
--- a/packages/core/src/mountladder/memory/holder.py
+++ b/packages/core/src/mountladder/memory/holder.py
@@ -33,6 +33,7 @@
             take data, in the clock's milliseconds, or None if none of this is in progress.
         is_cut: Whether its connection was ended to release the bytes.
         measure: Updates waiting_since.
+        interrupt: Ends the request in progress, of a caller whose connection is ended.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         "body_bytes",
         "bytes",
         "end",
+        "interrupt",
         "is_cut",
         "is_streaming",
         "kind",
@@ -63,6 +65,7 @@
         self.blocked_since: float | None = None
         self.is_cut = False
         self.measure: Callable[[], None] = lambda: None
+        self.interrupt: Callable[[], None] = lambda: None
 
     def add(self, number: int) -> None:
         """Count bytes that are held from now on, or, if negative, that are not held any more."""
@@ -92,6 +95,7 @@
         self.set_body(0)
         self.set_answer(0)
         self.is_streaming = False
+        self.interrupt = lambda: None
 
     def release(self) -> None:
         """Release every byte."""
--- a/packages/entry/src/mountladder_entry/callerwatch.py
+++ b/packages/entry/src/mountladder_entry/callerwatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import socket as sockets
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import gevent
@@ -18,10 +18,11 @@
 
 
 @contextmanager
-def caller_watch(socket: sockets.socket) -> Iterator[None]:
+def caller_watch(socket: sockets.socket) -> Iterator[Callable[[], None]]:
     """Raise CallerGoneError in the calling greenlet when the caller closes its connection.
 
     Bytes of a further request stop the watch: they hide a later close from peeking at the socket.
+    The block gets a function that raises the error soon, for a connection that is ended from here.
 
     Args:
         socket: The caller's connection, from which nothing else reads meanwhile.
@@ -33,7 +34,9 @@
 
     def throw() -> None:
         """Raise the error in the greenlet if the block still runs."""
+        nonlocal active
         if active:
+            active = False
             task.throw(CallerGoneError())
 
     def on_readable() -> None:
@@ -44,7 +47,7 @@
 
     watcher.start(on_readable)
     try:
-        yield
+        yield lambda: loop.run_callback(throw)
     finally:
         active = False
         watcher.stop()
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -204,9 +204,10 @@
     def cut(self, reason: str) -> None:
         """Drop what waits and end the connection, which also ends the request in progress."""
         self.fail(ConnectionResetError(errno.ECONNRESET, f"cut: {reason}"))
+        # The watch of the connection does not see its end if a further request has arrived.
+        self.holder.interrupt()
         try:
             self.reset_at_close()
-            # The watch of the caller's connection sees its end, and the request is cancelled.
             self.socket.shutdown(sockets.SHUT_RDWR)
         except OSError:
             # The caller has closed it before.
