Soak: callers and servers that read slowly

Neither bounded memory nor the time limits for slow readers were exercised by real processes. New faults, each from a random generator of its own: callers that read one event a second or nothing for 8 s, servers that read bodies slowly, and servers that end a response unread for 3 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -53,6 +53,9 @@
       | a request that crashed servers keeps reaching servers          | deadly_quarantined        |
       | no request is served at the end                                | service_recovers          |
       | a process exited unasked                                       | no_unplanned_exits        |
+      | a process used more memory than its limit                      | memory_kept               |
+      | an answer was kept long for a caller that read nothing         | stalled_callers_cut       |
+      | an instance that cut a slow reader answered no other caller    | cut_leaves_others         |
 
   Scenario Outline: A violation that a fault explains is excused
     Given a record of a soak without violations
@@ -68,6 +71,38 @@
       | kill        | a-1    | a restart cut a request in flight                        |
       | pause       | a-1    | a server got a request after it announced that it leaves |
       | pause       | a-1    | a server got three requests within a back-off            |
+      | pause       | a-1    | an answer was kept long for a caller that read nothing   |
+      | pause       | a-1    | an instance that cut a slow reader answered no other caller |
+
+  Scenario: Callers that read nothing for seconds are cut, and harm neither memory nor others
+    When these faults are played with seed 7 for 11 seconds with 2 instances
+      | kind            | target  | at  | seconds | strength |
+      | stalled-callers | callers | 1.0 | 8.0     | 80       |
+    Then every promise is kept
+    And at least 10 slow readers were cut
+
+  Scenario: Slow callers and servers that read bodies slowly keep every promise
+    When these faults are played with seed 7 for 10 seconds with 2 instances
+      | kind         | target  | at  | seconds | strength |
+      | slow-callers | callers | 1.0 | 4.0     | 20       |
+      | slow-body    | desk    | 1.0 | 6.0     | 1        |
+      | slow-body    | llm     | 1.0 | 6.0     | 1        |
+    Then every promise is kept
+    And at least 3 streams were read whole by slow callers
+
+  Scenario: Servers that end unread responses leave the order of events intact
+    When these faults are played with seed 7 for 10 seconds with 2 instances
+      | kind            | target  | at  | seconds | strength |
+      | stalled-callers | callers | 1.0 | 8.0     | 20       |
+      | unread-ended    | llm     | 1.0 | 8.0     | 1        |
+    Then every promise is kept
+    And servers ended at least 1 unread response
+
+  Scenario: Many whole answers that stay unread at once keep the memory within its limit
+    When these faults are played at once with seed 7 for 6 seconds with 2 instances
+      | kind            | target  | at  | seconds | strength |
+      | stalled-callers | callers | 1.0 | 8.0     | 60       |
+    Then every promise is kept
 
   Scenario: A request that arrives while a process starts waits for the configuration
     Given a slow store, and an instance as a process
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,13 +24,14 @@
 from soak.checks import check
 from soak.exchange import Exchange
 from soak.fault import Fault
-from soak.play import Play, instance_names, service_names
+from soak.instanceprocess import MEMORY_MB
+from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
-from soak.schedule import FAULTS, draw
+from soak.schedule import CALLERS, FAULTS, SERVERS, draw
 
 LENGTH_S = 20.0
-CALLERS = 12
+STEADY_CALLERS = 12
 # How long the caller of a starting instance waits for an answer, as callers of the platform do.
 ANSWER_TIMEOUT_S = 1.0
 RESTART = Fault(5.0, "restart", ("a-1",), 1.0)
@@ -40,10 +41,63 @@
 def play(context, seed, seconds, instances):
     folder = Path(context.stack.enter_context(TemporaryDirectory()))
     faults = draw(seed, seconds, instance_names(instances), service_names())
-    verdict = Play(seed, float(seconds), instances, CALLERS, folder, faults).run()
+    verdict = Play(seed, float(seconds), instances, STEADY_CALLERS, folder, faults).run()
     context.record, context.faults, context.length = verdict.record, faults, verdict.length
 
 
+def play_faults(context, seed, seconds, instances, spread_s=SPREAD_S):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    faults = [
+        Fault(
+            float(row["at"]),
+            row["kind"],
+            (row["target"],) if row["target"] == CALLERS else (row["target"], SERVERS),
+            float(row["seconds"]),
+            float(row["strength"]),
+        )
+        for row in context.table
+    ]
+    one = Play(seed, float(seconds), instances, STEADY_CALLERS, folder, faults)
+    one.spread_s = spread_s
+    verdict = one.run()
+    context.record, context.faults, context.length = verdict.record, faults, verdict.length
+
+
+@when(
+    "these faults are played with seed {seed:d} for {seconds:d} seconds with {instances:d} "
+    "instances"
+)
+def play_spread(context, seed, seconds, instances):
+    play_faults(context, seed, seconds, instances)
+
+
+@when(
+    "these faults are played at once with seed {seed:d} for {seconds:d} seconds with "
+    "{instances:d} instances"
+)
+def play_at_once(context, seed, seconds, instances):
+    play_faults(context, seed, seconds, instances, spread_s=0.0)
+
+
+@then("at least {number:d} slow readers were cut")
+def readers_cut(context, number):
+    cut = sum(one.cut_at is not None for one in context.record.exchanges.values())
+    assert cut >= number, cut
+
+
+@then("at least {number:d} streams were read whole by slow callers")
+def streams_read(context, number):
+    streams = [one for one in context.record.exchanges.values() if one.reads_slowly]
+    whole = sum(one.status == 200 and one.service == "llm" for one in streams)
+    assert whole >= number, whole
+
+
+@then("servers ended at least {number:d} unread response")
+def responses_ended(context, number):
+    ended = context.record.ended_unread
+    assert len(ended) >= number, ended
+
+
 @then("every promise is kept")
 def no_violations(context):
     broken = check(context.record, context.faults, context.length)
@@ -304,6 +358,26 @@
     context.record.unplanned_exits.append("a-1 exited with status 1 at 3.00 s")
 
 
+@when("a process used more memory than its limit")
+def memory_exceeded(context):
+    context.record.memory_mb["a-1", 1] = MEMORY_MB + 1.0
+
+
+@when("an answer was kept long for a caller that read nothing")
+def kept_long(context):
+    context.faults.remove(RESTART)
+    add(context.record, exchange("x", sent=2.0, ended=10.0, reads_slowly=True, unread_s=8.0))
+
+
+@when("an instance that cut a slow reader answered no other caller")
+def others_not_answered(context):
+    context.faults.remove(RESTART)
+    slow = {"status": 0, "reads_slowly": True, "cut_at": 8.0}
+    add(context.record, exchange("x", sent=2.0, ended=8.0, **slow))
+    for number in range(8):
+        add(context.record, exchange(f"x{number}", sent=8.1, ended=12.0, status=0))
+
+
 def start_alone(context, fault):
     folder = Path(context.stack.enter_context(TemporaryDirectory()))
     play = Play(1, 0.0, 1, 1, folder, [])
