--- a/packages/core/src/mountladder/demand/demandmeter.py
+++ b/packages/core/src/mountladder/demand/demandmeter.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 # The time over which the rate is measured, in milliseconds: some dozens of stages, and a small part
-# of the 17 s in which the demand of a data centre rises and falls.
+# of the time in which the demand of a data centre rises and falls.
 WINDOW_MS = 2_000.0
 # The time over which the trend is measured, in milliseconds: its first and its last WINDOW_MS are
 # compared, so that chance in one of them changes the demand foreseen by a few percent only.
--- a/packages/core/src/mountladder/demand/demandplan.py
+++ b/packages/core/src/mountladder/demand/demandplan.py
@@ -18,8 +18,8 @@
 # Load below which a data centre may be sent work, and no longer sends any. The distance to
 # BEGIN_LOAD keeps demand that varies by chance from starting and ending a plan again and again.
 END_LOAD = 0.8
-# By how much a share may change in a second: demand that rises and falls by half within 17 s needs
-# about this, and what reports of different age suggest changes faster than that.
+# By how much a share may change in a second: as fast as demand that rises and falls by half within
+# some 20 s. What reports of different age suggest changes faster than that.
 MAX_CHANGE_PER_S = 0.1
 # The longest time for which a change counts, in milliseconds, two plans. After a longer pause of
 # the process the shares continue from where they were.
