--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -131,16 +131,7 @@
             self.settings.datacentre,
             CROSS_DATACENTRE_MS,
         )
-        leadership = Leadership(self.fleet, clock)
-        self.cold = ColdServers(self.directory, self.follower, leadership, clock)
-        self.build_speeds()
-        self.notices = NoticeDispatcher(self.fleet, self.directory, self.router, clock, metrics)
-        self.limits = ServerLimits(self.notices.registry, leadership, clock)
-        coordinator = PlacementCoordinator(
-            self.directory, self.router, clock, self.follower, self.cold, self.limits
-        )
-        placer = PromptPlacer(self.fleet, coordinator, clock)
-        picker = ServerPicker(self.directory, self.router, placer, self.cold, self.limits)
+        coordinator, picker = self.build_placement()
         self.upstream = upstream
         self.connections = ConnectionShare(self.follower, self.membership)
         upstream.connection_share = self.connections.of
@@ -167,6 +158,23 @@
         self.forwarder = Forwarder(self.make_context(picker))
         self.build_followers()
 
+    def build_placement(self) -> tuple[PlacementCoordinator, ServerPicker]:
+        """Create and connect the components that choose servers."""
+        clock = self.clock
+        leadership = Leadership(self.fleet, clock)
+        self.cold = ColdServers(self.directory, self.follower, leadership, clock)
+        self.build_speeds()
+        self.notices = NoticeDispatcher(
+            self.fleet, self.directory, self.router, clock, self.metrics
+        )
+        self.limits = ServerLimits(self.notices.registry, leadership, clock)
+        coordinator = PlacementCoordinator(
+            self.directory, self.router, clock, self.follower, self.cold, self.limits
+        )
+        placer = PromptPlacer(self.fleet, coordinator, clock)
+        picker = ServerPicker(self.directory, self.router, placer, self.cold, self.limits)
+        return coordinator, picker
+
     def build_followers(self) -> None:
         """Create and connect the components that follow the platform's tables."""
         applier = PageApplier(
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -98,11 +98,30 @@
             return self.reject(order, servers, delays)
         choice, plan = chosen.choice, chosen.plan
         server = choice.state.server.name
-        ahead = self.placement.pending_tokens[server]
         choice.state.breaker.begin()
         self.cold.record_sent(choice.state.server)
         self.limits.record_sent(choice.state.server, topic)
         key = (owner, order.number)
+        self.record_placed(key, order, chosen)
+        service = self.follower.service(order.service)
+        backup = self.backups.place(key, order, server, servers, service, datacentre)
+        return PlacementReply(
+            order.number,
+            server,
+            choice.expected_ms,
+            plan.source,
+            plan.prefill_tokens,
+            delays.waits_ms.get(server, 0.0),
+            backup,
+        )
+
+    def record_placed(
+        self, key: tuple[Hashable, int], order: PlacementOrder, chosen: PromptChoice
+    ) -> None:
+        """Record that a prompt is sent to its server."""
+        choice, plan, now = chosen.choice, chosen.plan, self.clock.now()
+        server = choice.state.server.name
+        ahead = self.placement.pending_tokens[server]
         cached = self.placement.cached_tokens(choice.state, order.prompt)
         self.placed[key] = placed = PlacedPrompt(
             server,
@@ -112,25 +131,14 @@
             order.service,
             order.urgency,
             max(0, order.prompt.tokens - cached) + order.prompt.max_output,
-            self.clock.now(),
+            now,
             order.size,
         )
         if order.size:
-            self.bytes.begin(order.service, server, order.size, self.clock.now())
+            self.bytes.begin(order.service, server, order.size, now)
         self.prefilling.add(key)
         self.usage.record_start(placed)
         self.placement.record_start(server, order.prompt, plan.prefill_tokens)
-        service = self.follower.service(order.service)
-        backup = self.backups.place(key, order, server, servers, service, datacentre)
-        return PlacementReply(
-            order.number,
-            server,
-            choice.expected_ms,
-            plan.source,
-            plan.prefill_tokens,
-            delays.waits_ms.get(server, 0.0),
-            backup,
-        )
 
     def choose(
         self,
