Demand, continuation, retries: the clock's milliseconds in a second

Six modules of demand, BackupDecision and a log line defined the number again that mountladder.clocks.timer has as MS_PER_SECOND. They import it now; values are the same.

--- a/packages/core/src/mountladder/admission/retrytimes.py
+++ b/packages/core/src/mountladder/admission/retrytimes.py
@@ -17,6 +17,7 @@
 from mountladder.admission.refusalreports import RefusalReports
 from mountladder.admission.refusedrequest import RefusedRequest
 from mountladder.admission.returnschedule import ReturnSchedule, return_rate
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.forwarding.backlog import rank
 from mountladder.forwarding.expectation import Expectation
 from mountladder.forwarding.forwardrequest import ForwardRequest
@@ -147,7 +148,7 @@
             age_ms=round(age_ms),
             allowed_ms=round(allowed_ms),
             waits_ms={one: round(wait_ms) for one, wait_ms in waits.items()},
-            pieces_per_s={one: round(1_000.0 * rate, 2) for one, rate in rates.items()},
+            pieces_per_s={one: round(MS_PER_SECOND * rate, 2) for one, rate in rates.items()},
             **found.log_fields(),
         )
         return found.after_ms
--- a/packages/core/src/mountladder/continuation/backupdecision.py
+++ b/packages/core/src/mountladder/continuation/backupdecision.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-MS_PER_SECOND = 1000.0
+from mountladder.clocks.timer import MS_PER_SECOND
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/demand/datacentreload.py
+++ b/packages/core/src/mountladder/demand/datacentreload.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.demand.demandreport import DemandReport
 
 # How far ahead demand is foreseen, in milliseconds: the interval between two plans.
@@ -17,7 +18,6 @@
 # Load up to which a data centre is used, its own work and that of others: above it, the pieces of
 # each call wait for about one more call.
 FULL_LOAD = 0.9
-SECOND_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,4 +69,4 @@
 
 
 def _foreseen_per_s(report: DemandReport) -> float:
-    return max(0.0, report.asked_per_s + report.trend_per_s * LOOK_AHEAD_MS / SECOND_MS)
+    return max(0.0, report.asked_per_s + report.trend_per_s * LOOK_AHEAD_MS / MS_PER_SECOND)
--- a/packages/core/src/mountladder/demand/demandexchange.py
+++ b/packages/core/src/mountladder/demand/demandexchange.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.demand.demandreport import DemandReport
 from mountladder.demand.planlog import PlanLog
 from mountladder.demand.reportschedule import REPORT_MS
@@ -25,8 +26,6 @@
     from mountladder.forwarding.forwardingsettings import ForwardingSettings
     from mountladder.forwarding.stagedispatch import StageDispatch
 
-SECOND_MS = 1_000.0
-
 
 class DemandExchange:
     """Measures, reports and plans for the divided services that this instance coordinates.
@@ -127,6 +126,6 @@
         return 0.0
     local = [one for one in servers.usable(now) if one.server.datacentre == datacentre]
     cold = servers.cold.cold(one.server for one in local)
-    return SECOND_MS * sum(
+    return MS_PER_SECOND * sum(
         servers.pieces_per_ms(one, limits, now) for one in local if one.server.name not in cold
     )
--- a/packages/core/src/mountladder/demand/demandmeter.py
+++ b/packages/core/src/mountladder/demand/demandmeter.py
@@ -8,6 +8,8 @@
 
 from collections import deque
 
+from mountladder.clocks.timer import MS_PER_SECOND
+
 # The time over which the rate is measured, in milliseconds: some dozens of stages, and a small part
 # of the time in which the demand of a data centre rises and falls.
 WINDOW_MS = 2_000.0
@@ -16,7 +18,6 @@
 TREND_MS = 6_000.0
 # Arrivals are summed over this time, in milliseconds, so that a meter holds 60 numbers at any rate.
 BUCKET_MS = 100.0
-SECOND_MS = 1_000.0
 _WINDOW_BUCKETS = round(WINDOW_MS / BUCKET_MS)
 _TREND_BUCKETS = round(TREND_MS / BUCKET_MS)
 
@@ -60,7 +61,7 @@
         bucket = int(now // BUCKET_MS)
         # The current bucket counts for the part of it that has passed.
         span_ms = (_WINDOW_BUCKETS - 1) * BUCKET_MS + now % BUCKET_MS
-        return self.sum_between(bucket - _WINDOW_BUCKETS, bucket) * SECOND_MS / span_ms
+        return self.sum_between(bucket - _WINDOW_BUCKETS, bucket) * MS_PER_SECOND / span_ms
 
     def trend_per_s(self, now: float) -> float:
         """Return by how much the rate rises in a second; 0 until it is known over TREND_MS."""
@@ -69,8 +70,8 @@
         bucket = int(now // BUCKET_MS)
         self.drop_old(bucket)
         first = bucket - _TREND_BUCKETS
-        before_per_s = self.sum_between(first, first + _WINDOW_BUCKETS) * SECOND_MS / WINDOW_MS
-        return (self.rate_per_s(now) - before_per_s) * SECOND_MS / (TREND_MS - WINDOW_MS)
+        before_per_s = self.sum_between(first, first + _WINDOW_BUCKETS) * MS_PER_SECOND / WINDOW_MS
+        return (self.rate_per_s(now) - before_per_s) * MS_PER_SECOND / (TREND_MS - WINDOW_MS)
 
     def sum_between(self, after: int, last: int) -> int:
         """Return the pieces in the buckets after one, up to the last one."""
--- a/packages/core/src/mountladder/demand/demandplan.py
+++ b/packages/core/src/mountladder/demand/demandplan.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.demand.datacentreload import DatacentreLoad
 from mountladder.demand.reporttable import REPORT_TTL_MS
 
@@ -24,7 +25,6 @@
 # The longest time for which a change counts, in milliseconds, two plans. After a longer pause of
 # the process the shares continue from where they were.
 MAX_STEP_MS = 1_000.0
-SECOND_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,7 @@
         """
         senders = frozenset(name for name, one in loads.items() if self.sends(name, one))
         wanted = wanted_shares(here, loads, senders)
-        step = MAX_CHANGE_PER_S * min(now - self.made_at, MAX_STEP_MS) / SECOND_MS
+        step = MAX_CHANGE_PER_S * min(now - self.made_at, MAX_STEP_MS) / MS_PER_SECOND
         shares = {
             name: limited(wanted.get(name, 0.0), self.shares.get(name, 0.0), step)
             for name, one in loads.items()
--- a/packages/core/src/mountladder/demand/reportschedule.py
+++ b/packages/core/src/mountladder/demand/reportschedule.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.demand.demandreport import DemandReport
 
 # The interval between plans, and between reports at the shortest, in milliseconds: about two calls
@@ -15,7 +16,6 @@
 # 6 receivers or less that allows a report in each REPORT_MS, with 15 one in 1.2 s.
 REPORT_BYTES = 80
 MAX_BYTES_PER_S = 1_000.0
-SECOND_MS = 1_000.0
 # The interval between reports that say the same, in milliseconds: less than REPORT_TTL_MS.
 REPEAT_MS = 1_500.0
 # The relative change of rate or capacity that is reported before that.
@@ -49,7 +49,7 @@
         if self.last is None:
             return report.asked_per_s > 0.0 or is_used_elsewhere
         age_ms = now - self.sent_at
-        if age_ms < receivers * REPORT_BYTES * SECOND_MS / MAX_BYTES_PER_S:
+        if age_ms < receivers * REPORT_BYTES * MS_PER_SECOND / MAX_BYTES_PER_S:
             return False
         if has_changed(self.last.asked_per_s, report.asked_per_s):
             return True
--- a/packages/core/src/mountladder/demand/serviceplan.py
+++ b/packages/core/src/mountladder/demand/serviceplan.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.demand.datacentreload import DatacentreLoad, combined
 from mountladder.demand.demandmeter import DemandMeter
 from mountladder.demand.demandplan import DemandPlan
@@ -15,8 +16,6 @@
 from mountladder.demand.reportschedule import REPORT_MS, ReportSchedule
 from mountladder.demand.sharecounter import ShareCounter
 
-SECOND_MS = 1_000.0
-
 
 class ServicePlan:
     """The state of one service while this instance coordinates it for its data centre.
@@ -60,5 +59,5 @@
         shares = self.plan.valid_shares(now)
         last = self.schedule.last
         asked_per_s = last.asked_per_s if last is not None else 0.0
-        self.counter.add(shares, pieces, asked_per_s * REPORT_MS / SECOND_MS)
+        self.counter.add(shares, pieces, asked_per_s * REPORT_MS / MS_PER_SECOND)
         return shares
