Demand: a result that nobody used, and a condition written twice

ServicePlan.count returned shares that no caller read, and ReportSchedule.is_due asked twice whether the service is used. No decision changes; the 59 scenarios of demand pass.

--- a/packages/core/src/mountladder/demand/reportschedule.py
+++ b/packages/core/src/mountladder/demand/reportschedule.py
@@ -46,8 +46,9 @@
             receivers: The number of coordinators that it would be sent to.
             now: The clock's time.
         """
+        is_used = report.asked_per_s > 0.0 or is_used_elsewhere
         if self.last is None:
-            return report.asked_per_s > 0.0 or is_used_elsewhere
+            return is_used
         age_ms = now - self.sent_at
         if age_ms < receivers * REPORT_BYTES * MS_PER_SECOND / MAX_BYTES_PER_S:
             return False
@@ -55,7 +56,6 @@
             return True
         if has_changed(self.last.capacity_per_s, report.capacity_per_s):
             return True
-        is_used = report.asked_per_s > 0.0 or is_used_elsewhere
         return is_used and age_ms >= REPEAT_MS
 
     def record(self, report: DemandReport, now: float) -> None:
--- a/packages/core/src/mountladder/demand/serviceplan.py
+++ b/packages/core/src/mountladder/demand/serviceplan.py
@@ -54,10 +54,9 @@
         own = {} if last is None else {here: combined([(last, self.schedule.sent_at)])}
         self.plan = self.plan.revised(here, {**others, **own}, now)
 
-    def count(self, pieces: int, now: float) -> dict[str, float]:
-        """Count the pieces of a stage against the plan; return the shares that are valid now."""
-        shares = self.plan.valid_shares(now)
+    def count(self, pieces: int, now: float) -> None:
+        """Count the pieces of a stage against the shares of the plan that are valid now."""
         last = self.schedule.last
         asked_per_s = last.asked_per_s if last is not None else 0.0
-        self.counter.add(shares, pieces, asked_per_s * REPORT_MS / MS_PER_SECOND)
-        return shares
+        recent_pieces = asked_per_s * REPORT_MS / MS_PER_SECOND
+        self.counter.add(self.plan.valid_shares(now), pieces, recent_pieces)
