Admission, memory: use the age limit of backlogs and the shortest time to return that exist

PipelineAdmission had a limit of its own for the age of a reported backlog beside Lending's, and MemoryPolicy its own shortest Retry-After beside the one that every other refusal under load has, each with the same value and reason. Scenarios of admission, bounded memory and division pass.

--- a/packages/core/src/mountladder/admission/pipelineadmission.py
+++ b/packages/core/src/mountladder/admission/pipelineadmission.py
@@ -14,16 +14,13 @@
 from mountladder.admission.patience import patience_ms
 from mountladder.forwarding.backlog import priority_class
 from mountladder.forwarding.fleet import Fleet
+from mountladder.forwarding.lending import BACKLOG_TTL_MS
 from mountladder.forwarding.placementcoordinator import PlacementCoordinator
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.stagebacklogs import StageBacklogs
 from mountladder.metrics.metrics import Metrics
 
-# A report that is older than this says nothing about the servers any more: four heartbeats between
-# coordinators.
-MAX_REPORT_AGE_MS = 1_000.0
-
 
 class PipelineAdmission:
     """Returns the expected waits for model servers and the patience of callers.
@@ -69,7 +66,7 @@
             return ModelWait(self.local.local_backlog(service).waits_ms[priority], 0.0)
         backlog, reported_at = self.backlogs.reported.get(topic, (None, 0.0))
         age_ms = self.clock.now() - reported_at
-        if backlog is None or age_ms > MAX_REPORT_AGE_MS:
+        if backlog is None or age_ms > BACKLOG_TTL_MS:
             return UNKNOWN_WAIT
         return ModelWait(backlog.waits_ms[priority], age_ms)
 
--- a/packages/core/src/mountladder/memory/memorypolicy.py
+++ b/packages/core/src/mountladder/memory/memorypolicy.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 
+from mountladder.admission.attemptkind import MIN_RETURN_MS
 from mountladder.memory.heldshare import HeldShare
 from mountladder.memory.memoryaccount import SLOW_READER_MS
 from mountladder.memory.memorybudget import MemoryBudget
@@ -19,9 +20,6 @@
 # for the second, it likely makes none. A lost packet is retransmitted after 200 ms, and a reader
 # with a small window is sent more after that time only; on a loaded machine it takes longer.
 STALLED_MS = (1_000.0, 250.0)
-# A refused caller that returned sooner would find the same requests in progress; the same as for
-# other refusals under load.
-MIN_RETRY_MS = 800.0
 
 
 class MemoryPolicy:
@@ -43,7 +41,7 @@
         if released_per_ms <= 0.0 or excess / released_per_ms > SLOW_READER_MS:
             # By then callers that do not read have been cut.
             return SLOW_READER_MS
-        return max(MIN_RETRY_MS, excess / released_per_ms)
+        return max(MIN_RETURN_MS, excess / released_per_ms)
 
     def cuts(
         self, held: int, shares: Iterable[HeldShare], budget: MemoryBudget
