Retries: no work for routes without scheduled times to return

With the setting off, which the platform has, each admitted request still added its pieces to sums that only the schedule reads, and built a set of its services twice. Both are left out for routes that the part does not apply to. The scenarios of retries pass.

--- a/packages/core/src/mountladder/admission/retrytimes.py
+++ b/packages/core/src/mountladder/admission/retrytimes.py
@@ -71,7 +71,7 @@
 
     def applies_to(self, route: Route) -> bool:
         """Return whether times to return are scheduled for requests of a route."""
-        return self.is_enabled({one.service for one in route.stages})
+        return self.is_enabled(one.service for one in route.stages)
 
     def attempt(self, route: Route, age_ms: float) -> AttemptKind:
         """Return the kind of an attempt, given the time since the caller's first one."""
@@ -82,6 +82,8 @@
         if age_ms > 0.0:
             self.record_return(age_ms, Metric.RETURNS_ADMITTED)
             return
+        if not self.applies_to(route):
+            return
         now = self.clock.now()
         for stage, pieces in zip(route.stages, request.pieces, strict=False):
             self.asked.add(stage.service, pieces, now)
