--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -9,6 +9,7 @@
 import gevent
 
 from mountladder.admission.attemptkind import AttemptKind
+from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.errors import MountladderError
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.callerteam import CallerTeam
@@ -22,6 +23,7 @@
 from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.forwarding.service import Service
 from mountladder.forwarding.target import Target
+from mountladder_standins.forwardfleet import ForwardFleet
 
 SECOND_MS = 1_000.0
 BATCH = BatchLimits(1, 2, 8, 150.0, 10.0, 100.0, 4_000.0)
@@ -109,6 +111,17 @@
     return instance.forwarder.context.picker.placer.coordinator
 
 
+def fleets_with_and_without(context, switch):
+    """Make a new fleet the context's, first with a setting on, then with it off, and yield it."""
+    for is_on in (True, False):
+        context.clock = clock = VirtualClock()
+        context.fleet = fleet = ForwardFleet(clock)
+        context.stack.callback(fleet.stop)
+        context.run = lambda function, *args, at=clock: at.run(gevent.spawn(function, *args))
+        fleet.switches[switch] = is_on
+        yield fleet
+
+
 def serve(context, name, sent):
     """Send a request; record its outcome (status, body, code, class, error), and when it ended."""
     context.arrived[sent.id] = sent.arrived
--- a/features/retrybasics.py
+++ b/features/retrybasics.py
@@ -4,7 +4,6 @@
 
 """Helpers for scenarios about refused and retried requests."""
 
-from eliot import add_destinations, remove_destination
 from forwardbasics import PATHS, catalogue, request, serve
 
 from mountladder.admission.attemptkind import AttemptKind
@@ -24,12 +23,6 @@
     return StageJob("x", 0, "enc", pieces, "key", (), due, due, urgency, 1.0, "")
 
 
-def record_lines(context):
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
-
-
 def lines_of(context, kind):
     return [one for one in context.lines if one["message_type"] == kind]
 
--- a/features/steps/admissionpipeline_steps.py
+++ b/features/steps/admissionpipeline_steps.py
@@ -11,7 +11,6 @@
 
 import gevent
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from forwardbasics import (
     PATHS,
     NoColdServers,
@@ -22,7 +21,8 @@
     route,
     serve,
 )
-from large_steps import deck_request
+from large_steps import check_admission, deck_request
+from logrecorder import record_lines
 
 from mountladder.admission.modelbacklogs import ModelBacklogs
 from mountladder.admission.modelwait import ModelWait
@@ -31,7 +31,6 @@
 from mountladder.admission.promptbacklog import PromptBacklog
 from mountladder.admission.serverload import ServerLoad
 from mountladder.clocks.virtualclock import VirtualClock
-from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import FIRST_CLASS_GIVING_WAY, PRIORITY_CLASSES, Backlog
 from mountladder.forwarding.placementcoordinator import PlacementCoordinator
 from mountladder.forwarding.placementnote import PlacementNote
@@ -206,9 +205,7 @@
 @given("model servers read {speed:g} tokens a millisecond")
 def reading_speed(context, speed):
     context.fleet.upstream.tokens_per_ms = speed
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
+    record_lines(context)
 
 
 @given("admit_pipeline is off")
@@ -411,11 +408,7 @@
     sent = deck_request(context, "r", tokens, 0.0, float(left))
     age_ms = context.deadline_ms - left
     context.expectation = context.forecast.predict(sent, context.route, 0, age_ms)
-    context.refusal = None
-    try:
-        context.forecast.check(context.expectation, sent, context.route)
-    except RefusalError as error:
-        context.refusal = error
+    check_admission(context, sent)
 
 
 @given("model servers are expected to keep prompts waiting for {ms:d} ms")
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -8,11 +8,11 @@
 import random
 from dataclasses import replace
 
-import eliot
 import gevent
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
 from forwardbasics import catalogue, placement_coordinator, request, route, serve
+from logrecorder import record_lines
 from mountladder_platform.decoding import decode_catalogue
 from platform_steps import TIMEOUT_MS, listen, make_call, make_upstream, receive_request
 
@@ -79,9 +79,7 @@
     context.run(context.clock.sleep, SETTLE_MS)
     context.plans = []
     context.calls = []
-    context.lines = []
-    eliot.add_destinations(context.lines.append)
-    context.stack.callback(eliot.remove_destination, context.lines.append)
+    record_lines(context)
     context.open_answers = []
     record_calls(context)
 
--- a/features/steps/demandfleet_steps.py
+++ b/features/steps/demandfleet_steps.py
@@ -31,6 +31,8 @@
 
     eliot.add_destinations(keep)
     context.stack.callback(eliot.remove_destination, keep)
+    # The first destination in a process is sent what was logged before, by other scenarios.
+    context.lines.clear()
 
 
 ASKED = "{a:g}, {b:g} and {c:g} of the capacity of a, b and c for {seconds:d} s"
--- a/features/steps/large_steps.py
+++ b/features/steps/large_steps.py
@@ -73,6 +73,15 @@
     return replace(sent, prompt=prompt, pieces=PIECES)
 
 
+def check_admission(context, sent):
+    """Record whether a request with the context's expectation is refused."""
+    context.refusal = None
+    try:
+        context.forecast.check(context.expectation, sent, context.route)
+    except RefusalError as error:
+        context.refusal = error
+
+
 @given("{number:d} stage servers that complete {rate:d} of its requests a second")
 def stage_servers(context, number, rate):
     full_s = BATCH.expected_ms(BATCH.pieces) / 1_000.0
@@ -305,11 +314,7 @@
     context.dispatch.ms = float(wait)
     sent = deck_request(context, "r", tokens, 0.0, context.deadline_ms)
     context.expectation = context.forecast.predict(sent, context.route, 0, 0.0)
-    context.refusal = None
-    try:
-        context.forecast.check(context.expectation, sent, context.route)
-    except RefusalError as error:
-        context.refusal = error
+    check_admission(context, sent)
 
 
 @then("it is admitted")
--- a/features/steps/latestart_steps.py
+++ b/features/steps/latestart_steps.py
@@ -4,12 +4,10 @@
 
 """Steps about requests whose stages are submitted after their time has passed."""
 
-import gevent
 from behave import then, when
 from forwardbasics import PATHS, request
-from patience_steps import FLOW_DEADLINE_MS, FLOW_END_MS, EndingDispatch
+from patience_steps import FLOW_DEADLINE_MS, FLOW_END_MS, EndingDispatch, run_flow
 
-from mountladder.errors import MountladderError
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
 from mountladder.forwarding.stageflow import StageFlow
@@ -36,17 +34,7 @@
     context.flow = StageFlow(
         sent, context.route, FLOW_DEADLINE_MS, 0, dispatch, context.clock, stages_end=FLOW_END_MS
     )
-
-    def run():
-        context.clock.sleep(float(ms))
-        try:
-            context.flow.run()
-            context.ended = "done"
-        except MountladderError as error:
-            is_refusal = error.result.value == "not_run"
-            context.ended = "refused" if is_refusal else f"failed {error.code.number}"
-
-    context.clock.run(gevent.spawn(run))
+    run_flow(context, float(ms))
 
 
 @then("request r was {outcome} at its admission")
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -15,8 +15,8 @@
 
 import gevent
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from gevent import socket
+from logrecorder import record_lines
 from mountladder_platform import serverconnection
 from slowreaders import HEAD, SlowReaders, read_until, send_stream, send_whole, unchunked
 
@@ -32,12 +32,6 @@
 STREAM_END = b"0\r\n\r\n"
 
 
-def record_lines(context):
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
-
-
 def readers(context):
     if "readers" not in context:
         context.readers = SlowReaders(context.stack)
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -10,8 +10,8 @@
 
 import gevent
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from forwardbasics import PATHS, ROUTES, NullDispatch, catalogue, find_coordinator, request, serve
+from logrecorder import record_lines
 
 from mountladder.admission.hold import Hold
 from mountladder.admission.modelwait import ModelWait
@@ -107,8 +107,14 @@
         context.clock,
         stages_end=FLOW_END_MS,
     )
+    run_flow(context)
+
+
+def run_flow(context, start_ms=0.0):
+    """Run the context's stages from a time on, and record how they end."""
 
     def run():
+        context.clock.sleep(start_ms)
         try:
             context.flow.run()
             context.ended = "done"
@@ -140,9 +146,7 @@
         fleet.add_server(f"enc-{number}", "enc", "ab"[number])
         fleet.add_server(f"llm-{number}", "llm", "ab"[number])
     context.run(context.clock.sleep, SETTLE_MS)
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
+    record_lines(context)
 
 
 @given("its stage servers are busy for {ms:d} ms with calls that are expected to end soon")
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -9,8 +9,8 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from forwardbasics import BATCH, PROMPT
+from logrecorder import record_lines
 
 from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.configuration.stage import Stage
@@ -287,9 +287,7 @@
 
 @when("{name} begins {number:d} spells within 6 s")
 def many_spells(context, name, number):
-    context.logged = []
-    add_destinations(context.logged.append)
-    context.stack.callback(remove_destination, context.logged.append)
+    record_lines(context)
     for _ in range(number):
         pass_ms(context, 6_000.0 / number)
         reports(context, name, 1, 2.5)
@@ -298,7 +296,7 @@
 @then("{number:d} spells were counted and at most {lines:d} logged")
 def spells_counted(context, number, lines):
     assert context.speeds.metrics.counts["spells"] == number
-    logged = [one for one in context.logged if one["message_type"] == "server-spell"]
+    logged = [one for one in context.lines if one["message_type"] == "server-spell"]
     assert 0 < len(logged) <= lines, logged
 
 
--- a/features/steps/refuseddemand_steps.py
+++ b/features/steps/refuseddemand_steps.py
@@ -9,7 +9,8 @@
 
 from behave import given, then, when
 from forwardbasics import find_coordinator
-from retrybasics import ALLOWED_MS, job, lines_of, record_lines, send, start
+from logrecorder import record_lines
+from retrybasics import ALLOWED_MS, job, lines_of, send, start
 
 from mountladder.admission.refuseddemand import RefusedDemand
 from mountladder.code import Code
--- a/features/steps/returnfleet_steps.py
+++ b/features/steps/returnfleet_steps.py
@@ -6,18 +6,15 @@
 
 from dataclasses import replace
 
-import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, catalogue, request, send_steadily
+from forwardbasics import PATHS, catalogue, fleets_with_and_without, request, send_steadily
 from retrybasics import ALLOWED_MS, KINDS, job, lines_of, send, start
 
 from mountladder.admission.attemptkind import AttemptKind
-from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.code import Code
 from mountladder.forwarding.expectation import Expectation
 from mountladder.forwarding.jobprogress import JobProgress
 from mountladder.metrics.metric import Metric
-from mountladder_standins.forwardfleet import ForwardFleet
 
 IN_TIME_PIECES = 16
 
@@ -213,12 +210,7 @@
 @when("the same requests are sent with schedule_retries on and off")
 def sent_on_and_off(context):
     context.calls = []
-    for switch in (True, False):
-        context.clock = clock = VirtualClock()
-        context.fleet = fleet = ForwardFleet(clock)
-        context.stack.callback(fleet.stop)
-        context.run = lambda function, *args, at=clock: at.run(gevent.spawn(function, *args))
-        fleet.switches["schedule_retries"] = switch
+    for fleet in fleets_with_and_without(context, "schedule_retries"):
         servers = {f"enc{n}-{dc}": "enc" for n in range(3) for dc in "ab"} | {"llm-a1": "llm"}
         start(context, ("a-1", "a-2", "b-1"), servers)
         send_steadily(context, 30, "staged", 4_000.0)
--- a/features/steps/serverbytes_steps.py
+++ b/features/steps/serverbytes_steps.py
@@ -6,7 +6,6 @@
 
 import gevent
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from forwardbasics import (
     PATHS,
     find_coordinator,
@@ -15,6 +14,7 @@
     request,
     serve,
 )
+from logrecorder import record_lines
 
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.prompt import Prompt
@@ -172,9 +172,7 @@
 
 @when("a stream with a body of {size:d} MB crashes its server")
 def stream_crashes(context, size):
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
+    record_lines(context)
     body = b"x" * (size * MB)
     context.fleet.upstream.crash_after_ms[body] = 20.0
 
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -10,8 +10,8 @@
 
 import gevent
 from behave import given, then, when
-from eliot import add_destinations, remove_destination
 from forwardbasics import BATCH, PATHS, find_coordinator, request, serve
+from logrecorder import record_lines
 
 from mountladder.forwarding.batchlimits import BatchLimits
 from mountladder.forwarding.jobprogress import JobProgress
@@ -150,12 +150,6 @@
     context.due_in = due
 
 
-def record_lines(context):
-    context.lines = []
-    add_destinations(context.lines.append)
-    context.stack.callback(remove_destination, context.lines.append)
-
-
 @when("the next call is sent")
 def call_sent(context):
     record_lines(context)
--- a/features/steps/speedexchange_steps.py
+++ b/features/steps/speedexchange_steps.py
@@ -9,9 +9,15 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, catalogue, find_coordinator, request, serve
+from forwardbasics import (
+    PATHS,
+    catalogue,
+    find_coordinator,
+    fleets_with_and_without,
+    request,
+    serve,
+)
 
-from mountladder.clocks.virtualclock import VirtualClock
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
 from mountladder.forwarding.ranking import prompts_topic
@@ -20,7 +26,6 @@
 from mountladder.performance.serverspeeds import ServerSpeeds
 from mountladder.performance.worktype import WorkType
 from mountladder_standins import localupstream
-from mountladder_standins.forwardfleet import ForwardFleet
 
 SETTLE_MS = 1_200.0
 # More than an instance needs to measure the pace of a stream.
@@ -273,17 +278,12 @@
 @when("it is sent with learn_speeds on and off")
 def on_and_off(context):
     context.calls = []
-    for switch in (True, False):
-        context.clock = clock = VirtualClock()
-        context.fleet = fleet = ForwardFleet(clock)
-        context.stack.callback(fleet.stop)
-        context.run = lambda function, *args, at=clock: at.run(gevent.spawn(function, *args))
-        fleet.switches["learn_speeds"] = switch
+    for fleet in fleets_with_and_without(context, "learn_speeds"):
         fleet.configure(catalogue(1))
         for name in ("a-1", "a-2", "b-1"):
             fleet.start(name)
         add_servers(fleet, 6, 4)
-        context.run(clock.sleep, SETTLE_MS)
+        context.run(context.clock.sleep, SETTLE_MS)
         send_series(context, 6)
         assert {end[0] for end in context.ends.values()} == {200}, context.ends
         calls = [(one.server, one.at, one.pieces) for one in fleet.upstream.piece_calls]
