Isolation: instances notice that they can reach no backend server, and log it

An instance that lost its connections to all servers logged failures of servers one by one, which look the same as failures of these servers, so that the record of the incident could not tell when it had lost them, and nothing in the system knew.

IsolationDetector opens connections to servers of different services when a call is not answered, a connection fails, or no server has answered for 1.5 s. The log lines servers-unreachable and servers-reachable and the gauge 'isolated' show the result. No decision uses it yet.

--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -44,6 +44,9 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
+from mountladder.isolation.isolationdetector import IsolationDetector
+from mountladder.isolation.serversample import ServerSample
+from mountladder.isolation.watchedupstream import WatchedUpstream
 from mountladder.membership.instance import Instance
 from mountladder.membership.membership import Membership
 from mountladder.membership.network import Network
@@ -99,6 +102,7 @@
         self.network = network
         self.metrics = metrics
         self.stack = ExitStack()
+        self.seed = seed
         self.rng = random.Random(seed)
         self.shutdown = Shutdown(clock, lambda: self.settings.grace_ms)
         self.me = Instance(
@@ -132,9 +136,11 @@
             CROSS_DATACENTRE_MS,
         )
         coordinator, picker = self.build_placement()
-        self.upstream = upstream
         self.connections = ConnectionShare(self.follower, self.membership)
         upstream.connection_share = self.connections.of
+        sample = ServerSample(self.directory, random.Random(self.seed))
+        self.isolation = IsolationDetector(sample.draw, upstream.reaches, clock, metrics)
+        self.upstream = upstream = WatchedUpstream(upstream, self.isolation)
         self.build_quarantine(upstream)
         watch_crashes(self, coordinator.bytes)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -47,6 +47,7 @@
             self.speed_exchange.run,
             self.handover.run,
             self.demand.run,
+            self.isolation.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
