--- /dev/null
+++ b/features/isolation.feature
@@ -0,0 +1,25 @@
+@forwarding
+Feature: Instances that are partitioned from all backend servers
+  # Guards against refusing most first tries while instances lose their connections to all servers,
+  # but not to callers, the store and the other instances. They had no other way to a server,
+  # went on coordinating stages and prompts, and reported sound servers as unreachable to others.
+  Background:
+    Given a fleet of 8 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+
+  Scenario Outline: Five of eight instances lose all servers
+    When 5 instances with the coordinator of <topic> lose all servers, whose connections <how>, and <rate> <kind> requests a second come for 9000 ms
+    Then over 90 of 100 requests at each instance that come over 3000 ms later were answered
+
+    Examples:
+      | topic          | kind      | rate | how                                |
+      | enc            | staged    | 16   | hang                               |
+      | enc            | staged    | 16   | are reset                          |
+      | enc            | staged    | 16   | live on while new ones are refused |
+      | prompts of llm | stream    | 40   | hang                               |
+      | prompts of llm | stream    | 40   | are reset                          |
+      | prompts of llm | stream    | 40   | live on while new ones are refused |
+      | prompts of llm | resumable | 40   | hang                               |
+      | prompts of llm | safe      | 40   | hang                               |
+      | prompts of llm | unsafe    | 40   | hang                               |
+      | prompts of llm | unsafe    | 40   | are reset                          |
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -26,6 +26,8 @@
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.store.memoryinstancelist import MemoryInstanceList
 from mountladder_standins.localupstream import LocalUpstream
+from mountladder_standins.partitionedupstream import PartitionedUpstream
+from mountladder_standins.serverpartition import ServerPartition
 
 CATALOGUE = "catalogue"
 DRAIN = "drain/"
@@ -48,6 +50,7 @@
         cores: How many processor cores an instance has, by its name; 1 for those not in it.
         switches: Settings that switch parts off, for the instances started from now on.
         sequences: How often each server's entry was written, by the server's name.
+        partitions: How instances are partitioned from all backend servers, by their names.
     """
 
     def __init__(self, clock: VirtualClock) -> None:
@@ -63,6 +66,7 @@
         self.cores: dict[str, float] = {}
         self.switches: dict[str, bool] = {}
         self.sequences: dict[str, int] = {}
+        self.partitions: dict[str, ServerPartition] = {}
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
@@ -169,8 +173,9 @@
                 key.removeprefix(DRAIN) if key.startswith(DRAIN) else ""
             ),
         )
+        upstream = PartitionedUpstream(self.upstream, lambda: self.partitions.get(name), self.clock)
         instance = ForwardingInstance(
-            settings, self.clock, tables, self.upstream, self.network, MemoryMetrics(), seed=1
+            settings, self.clock, tables, upstream, self.network, MemoryMetrics(), seed=1
         )
         self.instances[name] = instance
         instance.start()
