Coordinators: an instance that reaches no backend server coordinates nothing

Callers of all instances were refused stages for as long as the coordinator of a stage service was cut off from the servers: it went on queueing everybody's pieces, and announced waits of up to 5 s, by which all requests were turned away at admission. Nothing moved a coordinator that answers its peers.

Beacons now say whether their sender is isolated, at once when that changes. Isolated instances rank behind all others for shared work, but not for polling the store; stages that were left to one are reassigned and withdrawn there, and it hands its own over. The mark lapses after three heartbeats, so that an instance whose link was closed can come back.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -23,3 +23,23 @@
       | prompts of llm | safe      | 40   | hang                               |
       | prompts of llm | unsafe    | 40   | hang                               |
       | prompts of llm | unsafe    | 40   | are reset                          |
+
+  Scenario Outline: Work is not left to an instance without servers, and returns after it recovers
+    When 5 instances with the coordinator of <topic> lose all servers, whose connections <how>
+    Then 3000 ms later no instance leaves work of <topic> to one of them
+    When they reach the servers again
+    Then 4000 ms later all instances agree on the coordinator of <topic>
+
+    Examples:
+      | topic          | how                                |
+      | enc            | hang                               |
+      | enc            | live on while new ones are refused |
+      | prompts of llm | are reset                          |
+
+  Scenario: An instance without servers goes on polling the store
+    When 1 instance with the coordinator of the store loses all servers, whose connections hang
+    Then 3000 ms later it still polls the store
+
+  Scenario: All instances lose all servers
+    When 8 instances with the coordinator of enc lose all servers, whose connections hang
+    Then 3000 ms later all instances agree on the coordinator of enc
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -4,9 +4,10 @@
 
 """Steps about instances that are partitioned from all backend servers."""
 
-from behave import then, when
+from behave import register_type, then, when
 from forwardbasics import find_coordinator
 from noticerecorder import send
+from parse import with_pattern
 
 from mountladder_standins.serverpartition import ServerPartition
 
@@ -14,6 +15,14 @@
 WARM_UP_MS = 2_000.0
 
 
+@with_pattern("hang|are reset|live on while new ones are refused")
+def parse_partition(text):
+    return text
+
+
+register_type(Partition=parse_partition)
+
+
 def partition(context, names, how):
     context.fleet.partitions = {name: ServerPartition(how) for name in names}
     context.partitioned_at = context.clock.now()
@@ -28,7 +37,7 @@
 
 @when(
     "{number:d} instances with the coordinator of {topic} lose all servers, whose connections "
-    "{how}, and {rate:d} {kind:w} requests a second come for {ms:d} ms"
+    "{how:Partition}, and {rate:d} {kind:w} requests a second come for {ms:d} ms"
 )
 def lose_servers(context, number, topic, how, rate, kind, ms):
     send(context, rate, kind, WARM_UP_MS, label="before")
@@ -36,6 +45,60 @@
     send(context, rate, kind, ms)
 
 
+@when(
+    "{number:d} instances with the coordinator of {topic} lose all servers, whose connections "
+    "{how:Partition}"
+)
+def lose_servers_idle(context, number, topic, how):
+    partition(context, with_coordinator(context, number, topic), how)
+
+
+@when("1 instance with the coordinator of the store loses all servers, whose connections hang")
+def store_reader_loses_servers(context):
+    reader = next(
+        name for name, one in context.fleet.instances.items() if one.fleet.reader_election.reading
+    )
+    partition(context, [reader], ServerPartition.HANG.value)
+
+
+@then("{ms:d} ms later it still polls the store")
+def still_polls(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    (name,) = context.fleet.partitions
+    instance = context.fleet.instances[name]
+    assert instance.isolation.isolated
+    assert instance.fleet.reader_election.reading
+
+
+@when("they reach the servers again")
+def reach_again(context):
+    context.cut_off = list(context.fleet.partitions)
+    context.fleet.partitions.clear()
+
+
+def coordinators(context, topic):
+    """Return the name of the instance that each instance leaves the work of a topic to."""
+    links = {name: one.fleet.coordinator(topic) for name, one in context.fleet.instances.items()}
+    return {name: link.peer.name if link else name for name, link in links.items()}
+
+
+@then("{ms:d} ms later no instance leaves work of {topic} to one of them")
+def not_left_to_cut_off(context, ms, topic):
+    context.run(context.clock.sleep, float(ms))
+    found = coordinators(context, topic)
+    assert not set(found.values()) & set(context.fleet.partitions), found
+
+
+@then("{ms:d} ms later all instances agree on the coordinator of {topic}")
+def agree(context, ms, topic):
+    context.run(context.clock.sleep, float(ms))
+    found = coordinators(context, topic)
+    assert len(set(found.values())) == 1, found
+    assert not any(one.isolation.isolated for one in context.fleet.instances.values()) or len(
+        context.fleet.partitions
+    ) == len(context.fleet.instances)
+
+
 @then(
     "over {minimum:d} of 100 requests at each instance that come over {after:d} ms later were "
     "answered"
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -80,6 +80,7 @@
     "detects_partitions": True,
     "unreachable": ("b",),
     "drains": (DatacentreDrain("b", Position(1, 4), True),),
+    "isolated": True,
 }
 
 
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -29,6 +29,7 @@
             `unreachable` counts.
         unreachable: The data centres that it then considers unreachable.
         drains: Every data centre that the operator drains, or has drained before.
+        isolated: Whether it can reach no backend server.
     """
 
     catalogue: int
@@ -41,3 +42,4 @@
     detects_partitions: bool = False
     unreachable: tuple[str, ...] = ()
     drains: tuple[DatacentreDrain, ...] = ()
+    isolated: bool = False
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -152,6 +152,9 @@
 
     def is_usable(self, link: Link) -> bool:
         """Return whether work may be left to the other end of a link."""
+        members = self.membership
+        if members.is_isolated(link.peer) and not members.is_isolated(members.me):
+            return False
         return link.peer.datacentre not in self.directory.avoided and self.is_answering(link)
 
     def targets(self) -> list[Instance]:
@@ -206,6 +209,7 @@
             bool(self.coordinators.remote_candidates()),
             tuple(sorted(self.partitions.silent)),
             self.directory.drains.all_entries(),
+            self.membership.is_isolated(self.membership.me),
         )
 
     def announce_soon(self) -> None:
@@ -266,6 +270,7 @@
         """Apply what a peer's beacon announces, and reply if it asks for that."""
         source = f"peer {link.peer.name}"
         self.membership.mark_alive(link.peer, message.leaving)
+        self.record_isolation(link, message.isolated)
         self.reader_election.record(link.peer, message)
         self.directory.drains.apply(message.drains, source)
         self.era_tracker.observe(message.directory.era, source)
@@ -287,6 +292,20 @@
             wait_ms = STORE_HEAD_START_MS if self.reader_election.reading else 0.0
             self.clock.call_later(wait_ms, lambda: self.request_updates(message, link))
 
+    def record_isolation(self, link: Link, isolated: bool) -> None:
+        """Record whether a peer can reach no backend server, and move the work left to it."""
+        if not self.membership.mark_isolated(link.peer, isolated):
+            return
+        log_message("peer-isolated" if isolated else "peer-not-isolated", peer=link.peer.name)
+        if isolated:
+            self.on_link_lost(link.peer.peer)
+
+    def set_isolated(self, isolated: bool) -> None:
+        """Record and announce at once whether this instance can reach no backend server."""
+        self.membership.mark_isolated(self.membership.me, isolated)
+        for link in list(self.links.values()):
+            self.send_later(link, self.beacon(wants_reply=False))
+
     def request_updates(self, announced: Beacon, link: Link) -> None:
         """Request what a peer announced, unless the store has delivered it meanwhile."""
         lacks = announced.catalogue > self.follower.version and not self.transfer.is_receiving()
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -149,6 +149,7 @@
             self.fleet, self.dispatch, clock, metrics, self.reserves_results
         )
         self.demand = DemandExchange(self.fleet, self.dispatch, clock, lambda: self.settings)
+        self.isolation.listeners.append(self.handle_isolation)
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
@@ -308,6 +309,12 @@
         """Return whether a service has the servers from which on decisions under load apply."""
         return len(self.directory.available(service)) >= self.settings.load_min_servers
 
+    def handle_isolation(self) -> None:
+        """Hand over what this instance coordinates once it can reach no backend server."""
+        self.fleet.set_isolated(self.isolation.isolated)
+        if self.isolation.isolated:
+            self.dispatch.reassign_local()
+
     def pump_batchers(self) -> None:
         """Have every batcher send the pieces that the current servers can accept."""
         for batcher in self.dispatch.batchers.values():
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -41,9 +41,10 @@
     def ranked(self, topic: str, datacentre: str = "") -> list[Instance]:
         """Return the candidates to coordinate a topic, the best first.
 
-        Instances with few processor cores rank behind those with many, and the younger half behind
-        the older one: a restarted instance does not become coordinator again, since each move loses
-        the coordinator's state. Within these groups the hash spreads the topics.
+        Instances that reach no backend server rank behind those that do, except for polling the
+        store. Next, those with few processor cores rank behind those with many, and the younger
+        half behind the older one: a restarted instance does not become coordinator again, since
+        each move loses the coordinator's state. Within these groups the hash spreads the topics.
 
         Args:
             topic: The topic.
@@ -59,7 +60,12 @@
         older = set(map(id, _older_half(ample)))
         ranked = sorted(
             staying,
-            key=lambda one: (one.cores >= min_cores, id(one) in older, _weight(topic, one)),
+            key=lambda one: (
+                topic == STORE_TOPIC or not self.membership.is_isolated(one),
+                one.cores >= min_cores,
+                id(one) in older,
+                _weight(topic, one),
+            ),
             reverse=True,
         )
         self.ranks[topic, datacentre] = (stamp, ranked)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -213,11 +213,35 @@
                 self.fleet.send_later(link, StageRelease(service, tuple(grouped)))
 
     def reassign_from(self, address: str) -> None:
-        """Reassign the stages of an instance that has become unreachable."""
+        """Reassign the stages of an instance that is unreachable, or reaches no backend server."""
         lost = [one for one in self.submissions.values() if one.assignee == address]
         if lost:
             log_message("stages-reassigned", instance=address, stages=len(lost))
+        link = self.fleet.links.get(address)
         for submission in lost:
+            if link is not None:
+                self.fleet.send_later(link, StageWithdrawal(submission.number))
+            submission.reassigned = True
+            self.assign(submission)
+
+    def reassign_local(self) -> None:
+        """Reassign the stages that are queued here, since no backend server can be reached.
+
+        Peers reassign their own stages. Where no other instance can coordinate, nothing moves.
+        """
+        of_peers = {one.number for one in self.peer_submissions.values()}
+        queued = [
+            one
+            for one in self.submissions.values()
+            if one.progress is not None
+            and one.number not in of_peers
+            and self.fleet.coordinator(one.job.service) is not None
+        ]
+        if queued:
+            log_message("local-stages-reassigned", stages=len(queued))
+        for submission in queued:
+            self.batcher(submission.job.service).withdraw(submission.progress)
+            submission.progress = None
             submission.reassigned = True
             self.assign(submission)
 
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -21,6 +21,10 @@
 INTERVAL_PER_PEER_MS = 200.0
 # An instance or link that is silent for this many heartbeat intervals counts as failed.
 MISSED_HEARTBEATS = 3
+# For how many heartbeat intervals an instance counts as isolated after it last said so, and how
+# long that is at least, in milliseconds. Links to it may be closed before it recovers.
+ISOLATED_HEARTBEATS = 3
+MIN_ISOLATED_MS = 3_000.0
 # How many instances of other data centres each instance keeps links to.
 REMOTE_PEERS = 2
 # In a data centre with at least this many instances, one of them commits the claims of all.
@@ -39,6 +43,8 @@
 
     Attributes:
         changes: Counts the changes, so that derived values can be cached.
+        isolated_until: Until when instances count as unable to reach any backend server, by
+            incarnation.
     """
 
     def __init__(self, me: Instance, clock: Clock, interval_ms: float = MIN_INTERVAL_MS) -> None:
@@ -49,6 +55,7 @@
         self.listed: frozenset[str] = frozenset()
         self.last_seen: dict[str, float] = {}
         self.leaving: set[str] = set()
+        self.isolated_until: dict[str, float] = {}
         self.changes = 0
         self.cached_interval: tuple[int, float] = (-1, interval_ms)
         self.cached_neighbours: tuple[int, list[Instance]] = (-1, [])
@@ -91,6 +98,23 @@
             self.changes += 1
         self.drop_expired()
 
+    def mark_isolated(self, instance: Instance, isolated: bool) -> bool:
+        """Record whether an instance can reach no backend server; return whether that changed."""
+        was_isolated = self.is_isolated(instance)
+        if isolated and instance is self.me:
+            self.isolated_until[instance.incarnation] = float("inf")
+        elif isolated:
+            for_ms = max(MIN_ISOLATED_MS, ISOLATED_HEARTBEATS * self.interval_ms)
+            self.isolated_until[instance.incarnation] = self.clock.now() + for_ms
+        else:
+            self.isolated_until.pop(instance.incarnation, None)
+        self.changes += isolated != was_isolated
+        return isolated != was_isolated
+
+    def is_isolated(self, instance: Instance) -> bool:
+        """Return whether an instance can reach no backend server, as far as this one knows."""
+        return instance.incarnation in self.isolated_until
+
     def add_reported(self, instance: Instance) -> None:
         """Add an instance that a peer knows, unless it is known already."""
         if instance.name != self.me.name and instance.name not in self.known:
@@ -103,6 +127,9 @@
         if now - self.last_cleanup_at < self.min_interval_ms:
             return
         self.last_cleanup_at = now
+        for incarnation in [one for one, until in self.isolated_until.items() if until < now]:
+            del self.isolated_until[incarnation]
+            self.changes += 1
         horizon = now - 10 * MISSED_HEARTBEATS * self.interval_ms
         for incarnation, at in list(self.last_seen.items()):
             if at < horizon:
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -82,6 +82,7 @@
   judges @7 :Bool;
   cut @8 :List(Text);
   drains @9 :List(DatacentreDrain);
+  isolated @10 :Bool;
 }
 
 # Requests newer state; a catalogue of -1 stands for none, and the directory is only requested if
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -154,6 +154,7 @@
         one.judges,
         tuple(str(name) for name in one.cut),
         tuple(_read_drain(drain) for drain in one.drains),
+        one.isolated,
     )
 
 
