Placement: a report that a server cannot be reached is verified

Callers everywhere had prompts refused while some instances were cut off from the servers: each failure to connect that such an instance reported had the placement coordinator take a sound server out of use for all, for 1 s and more each time.

A note now says whether its sender could not connect. The server is still taken out of use at once, since a crashed one would be chosen first for the next prompts; the coordinator then opens a connection itself and uses the server again if that succeeds. Other reports (refused, replaced) hold as before.

New scenarios fail without the verification.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -43,3 +43,13 @@
   Scenario: All instances lose all servers
     When 8 instances with the coordinator of enc lose all servers, whose connections hang
     Then 3000 ms later all instances agree on the coordinator of enc
+
+  Scenario Outline: A report that a server is unreachable is verified by the placement coordinator
+    When an instance reports that it cannot connect to a model server, which <state>
+    Then 400 ms later the placement coordinator <uses> that server
+
+    Examples:
+      | state                     | uses         |
+      | other instances reach     | uses         |
+      | no instance can reach     | does not use |
+      | refuses all that it sends | does not use |
--- a/features/messages.feature
+++ b/features/messages.feature
@@ -16,6 +16,7 @@
       | a reply that servers are full            |
       | a placement reply with a backup          |
       | a note on the pace of a stream           |
+      | a note on an unreachable server          |
       | the refused demand                       |
       | the demand of a data centre              |
       | the speeds of servers                    |
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -5,10 +5,13 @@
 """Steps about instances that are partitioned from all backend servers."""
 
 from behave import register_type, then, when
-from forwardbasics import find_coordinator
+from forwardbasics import PROMPT, find_coordinator, placement_coordinator
 from noticerecorder import send
 from parse import with_pattern
 
+from mountladder.forwarding.placementnote import PlacementNote
+from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.ranking import prompts_topic
 from mountladder_standins.serverpartition import ServerPartition
 
 # Requests before the partition, so that instances have learned times and opened links.
@@ -20,7 +23,12 @@
     return text
 
 
-register_type(Partition=parse_partition)
+@with_pattern("uses|does not use")
+def parse_uses(text):
+    return text
+
+
+register_type(Partition=parse_partition, Uses=parse_uses)
 
 
 def partition(context, names, how):
@@ -99,6 +107,26 @@
     ) == len(context.fleet.instances)
 
 
+@when("an instance reports that it cannot connect to a model server, which {state}")
+def report_unreachable(context, state):
+    coordinator = placement_coordinator(find_coordinator(context, prompts_topic("llm")))
+    order = PlacementOrder(1, "llm", PROMPT, (), "", 0.0, 5)
+    context.reported = coordinator.place(order, "a peer").server
+    if state == "no instance can reach":
+        context.fleet.upstream.unreachable.add(context.reported)
+    unreachable = state != "refuses all that it sends"
+    note = PlacementNote(1, 0.0, True, gone=True, unreachable=unreachable)
+    context.run(coordinator.apply_note, note, "a peer")
+
+
+@then("{ms:d} ms later the placement coordinator {uses:Uses} that server")
+def uses_reported(context, ms, uses):
+    context.run(context.clock.sleep, float(ms))
+    instance = find_coordinator(context, prompts_topic("llm"))
+    state = instance.router.states[context.reported]
+    assert state.usable(context.clock.now()) == (uses == "uses"), context.reported
+
+
 @then(
     "over {minimum:d} of 100 requests at each instance that come over {after:d} ms later were "
     "answered"
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -63,6 +63,7 @@
     "a reply that servers are full": PlacementReply(8, "", 0.0, is_full=True),
     "a placement reply with a backup": PlacementReply(7, "s-1", 40.0, "s:2", 20, 0.0, "s-3"),
     "a note on the pace of a stream": PlacementNote(7, 40.0, True, False, 12.5),
+    "a note on an unreachable server": PlacementNote(7, 0.0, True, True, 0.0, True),
     "the refused demand": RefusedDemand("enc", (3, 0, 12)),
     "the demand of a data centre": DemandReport("enc", 120.0, -4.5, 96.0),
     "the speeds of servers": ServerSpeeds("llm", (ServerSpeed("s-1", 1.75, 12, 500.0),)),
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -141,6 +141,7 @@
         sample = ServerSample(self.directory, random.Random(self.seed))
         self.isolation = IsolationDetector(sample.draw, upstream.reaches, clock, metrics)
         self.upstream = upstream = WatchedUpstream(upstream, self.isolation)
+        coordinator.reaches = upstream.reaches
         self.build_quarantine(upstream)
         watch_crashes(self, coordinator.bytes)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Sequence
+from collections.abc import Callable, Hashable, Sequence
 
+import gevent
 from eliot import log_message
 
 from mountladder.admission.promptusage import PromptUsage
@@ -30,6 +31,7 @@
 from mountladder.routing.promptplacement import FIRST_TOKEN_MS, PromptPlacement
 from mountladder.routing.router import Router
 from mountladder.routing.serverdelays import ServerDelays
+from mountladder.routing.serverstate import ServerState
 from mountladder.serverlimits.serverlimits import ServerLimits
 
 # The owner id of this instance's own prompts; peers are identified by their link.
@@ -57,6 +59,7 @@
         usage: What placed prompts take up, and for how long.
         bytes: Counts and limits the bytes of requests at each server.
         retry_schedules: Assigns retry times to rejected requests, by service.
+        reaches: Returns whether this instance can open a connection to a server.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
+        self.reaches: Callable[[BackendServer], bool] = lambda server: False
 
     def place(self, order: PlacementOrder, owner: Hashable, datacentre: str = "") -> PlacementReply:
         """Choose a server for a prompt and record the prompt as sent to it.
@@ -190,7 +194,7 @@
         if note.read_ms > 0 or note.ended:
             self.record_prefill(key, placed, note.read_ms)
         if note.gone and owner != LOCAL_OWNER:
-            self.trip_breaker(placed.server)
+            self.trip_breaker(placed.server, note.unreachable)
         if note.event_ms > 0:
             self.learn(placed.server, WorkType.EVENTS, note.event_ms)
         if note.ended:
@@ -201,11 +205,16 @@
             self.placement.record_end(placed.server)
             self.usage.record_end(placed, was_read, self.clock.now())
 
-    def trip_breaker(self, server: str) -> None:
-        """Trip the circuit breaker of a server that an instance could not reach.
+    def trip_breaker(self, server: str, unreachable: bool) -> None:
+        """Trip the circuit breaker of a server that an instance could not reach or use.
 
         An unreachable server has no prompts to process, so it would be chosen first, and one
         instance after the other would have a request fail there.
+
+        Args:
+            server: The server's name.
+            unreachable: Whether the instance could not connect, which is verified from here: it may
+                have lost its own connections to all servers.
         """
         state = self.router.states.get(server)
         now = self.clock.now()
@@ -215,6 +224,14 @@
             log_message(
                 "server-unreachable", server=server, reason="an instance could not connect to it"
             )
+            if unreachable:
+                gevent.spawn(self.verify_unreachable, state)
+
+    def verify_unreachable(self, state: ServerState) -> None:
+        """Use a server again that another instance could not connect to, if this one can."""
+        if self.reaches(state.server):
+            state.breaker.succeed()
+            log_message("server-reached", server=state.server.name)
 
     def record_prefill(
         self, key: tuple[Hashable, int], placed: PlacedPrompt, read_ms: float
--- a/packages/core/src/mountladder/forwarding/placementnote.py
+++ b/packages/core/src/mountladder/forwarding/placementnote.py
@@ -19,6 +19,8 @@
         ended: Whether the server has finished the request.
         gone: Whether the server was unreachable, refused the call or was replaced by another one.
         event_ms: The mean time between the stream's events in milliseconds, or 0 if unknown.
+        unreachable: Whether the sender could not connect to the server. That may be due to the
+            sender's own connections.
     """
 
     number: int
@@ -26,3 +28,4 @@
     ended: bool
     gone: bool = False
     event_ms: float = 0.0
+    unreachable: bool = False
--- a/packages/core/src/mountladder/forwarding/promptplacer.py
+++ b/packages/core/src/mountladder/forwarding/promptplacer.py
@@ -136,12 +136,13 @@
         ended: bool = False,
         gone: bool = False,
         event_ms: float = 0.0,
+        unreachable: bool = False,
     ) -> None:
         """Report the progress of a prompt to the instance that placed it; see PlacementNote."""
         if number not in self.placed_by:
             return
         link = self.placed_by.pop(number) if ended else self.placed_by[number]
-        note = PlacementNote(number, read_ms, ended, gone, event_ms)
+        note = PlacementNote(number, read_ms, ended, gone, event_ms, unreachable)
         if link is None:
             self.coordinator.apply_note(note, LOCAL_OWNER)
         else:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -290,7 +290,12 @@
         """Record a call that failed."""
         stage = self.stage(service)
         self.router.record_failure(picked.choice, code, elapsed_ms, stage, len(request.body))
-        self.placer.report(picked.placement_number, ended=True, gone=code in SERVER_FAILURE_CODES)
+        self.placer.report(
+            picked.placement_number,
+            ended=True,
+            gone=code in SERVER_FAILURE_CODES,
+            unreachable=code is Code.CONNECT_FAILED,
+        )
 
     def stage(self, service: str) -> Stage:
         """Return the key under which the router keeps the learned times of a service."""
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -189,6 +189,7 @@
   ended @2 :Bool;
   gone @3 :Bool;
   eventMs @4 :Float32;
+  unreachable @5 :Bool;
 }
 
 struct StageNotice {
