Isolation: requests are relayed while an instance reaches no backend server

Such an instance now sends requests to another instance over HTTP, on a second internal port: the same request, with the time that it has waited, so that deadlines, admission and the answer's bytes are those of one instance. Of two instances drawn at random the one with fewer of its requests for its size is taken; one that is isolated or shuts down declines. A request is relayed at once while the instance is isolated, or after its attempts failed to connect and a check shows that no server is reachable. It is not relayed twice, is not sent again where it may have run and may not be repeated, and a refusal of the other instance is not passed on for a request of which stages ran. An instance that reaches neither servers nor instances is not ready.

Weighed: not ready instead of relaying (open connections stay, and a data centre of which most is cut off is used all the same); tunnelling connections to servers through another instance (servers' back-offs, limits and crashes would be seen at the wrong instance).

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -53,3 +53,25 @@
       | other instances reach     | uses         |
       | no instance can reach     | does not use |
       | refuses all that it sends | does not use |
+
+  Scenario: A request that may have run at another instance is not sent again
+    Given the answers to relayed requests are lost
+    When 5 instances with the coordinator of prompts of llm lose all servers, whose connections hang, and 40 unsafe requests a second come for 9000 ms
+    Then each request was sent to one server at most
+    And no request that ran was reported as not run
+
+  Scenario: A request that was relayed is not relayed again
+    When 5 instances with the coordinator of prompts of llm lose all servers, whose connections are reset, and 40 safe requests a second come for 6000 ms
+    Then no request was relayed by two instances
+    And all instances that reach the servers ran relayed requests
+
+  Scenario: A refusal by the other instance is passed on, but not for a request of which stages ran
+    Given all llm servers refuse all requests
+    When 5 instances with the coordinator of enc lose all servers, whose connections hang, and 16 staged requests a second come for 9000 ms
+    Then no request of which a stage ran was reported as not run
+
+  Scenario: An instance that reaches neither servers nor instances is not ready
+    When 1 instance loses all servers and all other instances
+    Then it is not ready 4000 ms later
+    When it reaches the servers again
+    Then it is ready 4000 ms later
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -4,14 +4,17 @@
 
 """Steps about instances that are partitioned from all backend servers."""
 
-from behave import register_type, then, when
+from behave import given, register_type, then, when
 from forwardbasics import PROMPT, find_coordinator, placement_coordinator
 from noticerecorder import send
 from parse import with_pattern
 
+from mountladder.code import Code
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.ranking import prompts_topic
+from mountladder.resultclass import ResultClass
+from mountladder_standins.serverfault import ServerFault
 from mountladder_standins.serverpartition import ServerPartition
 
 # Requests before the partition, so that instances have learned times and opened links.
@@ -138,3 +141,79 @@
             answered[id_.partition("/")[0]].append(context.ends[id_][:3:2] == (200, 0))
     shares = {name: round(100 * sum(ends) / len(ends)) for name, ends in answered.items()}
     assert min(shares.values()) > minimum, (shares, sorted(context.fleet.partitions))
+
+
+@given("the answers to relayed requests are lost")
+def relays_broken(context):
+    context.fleet.broken_relays.update(context.fleet.instances)
+
+
+@then("each request was sent to one server at most")
+def sent_once(context):
+    runs = context.fleet.upstream.runs
+    assert context.fleet.relayed
+    assert all(len(servers) == 1 for servers in runs.values()), runs
+
+
+@then("no request that ran was reported as not run")
+def not_run_is_true(context):
+    ran = {id_ for id_, servers in context.fleet.upstream.runs.items() if servers}
+    wrong = [id_ for id_ in ran if is_refused(context.ends[id_])]
+    assert ran and not wrong, wrong
+
+
+def is_refused(end):
+    """Return whether a caller was told that its request was not run."""
+    return end[0] == Code.NO_SERVER_AVAILABLE.status or end[3] == ResultClass.NOT_RUN.value
+
+
+@then("no request was relayed by two instances")
+def relayed_once(context):
+    ids = [id_ for _, _, id_ in context.fleet.relayed]
+    assert ids and len(ids) == len(set(ids))
+
+
+@then("all instances that reach the servers ran relayed requests")
+def relays_spread(context):
+    used = {there for _, there, _ in context.fleet.relayed}
+    assert used >= set(context.fleet.instances) - set(context.fleet.partitions), used
+
+
+@given("all llm servers refuse all requests")
+def llm_refuses(context):
+    for name in context.servers:
+        if name.startswith("llm-"):
+            context.fleet.upstream.faults[name] = ServerFault.FULL
+
+
+@then("no request of which a stage ran was reported as not run")
+def stages_not_denied(context):
+    ran = {one.request for call in context.fleet.upstream.piece_calls for one in call.pieces}
+    wrong = [id_ for id_ in ran if is_refused(context.ends[id_])]
+    assert ran and not wrong, (len(wrong), len(ran))
+
+
+@when("1 instance loses all servers and all other instances")
+def loses_all(context):
+    name = next(iter(context.fleet.instances))
+    partition(context, [name], ServerPartition.HANG.value)
+    others = [one for one in context.fleet.instances if one != name]
+    context.fleet.network.cut_instances |= {frozenset({name, one}) for one in others}
+    context.cut_off = [name]
+
+
+@when("it reaches the servers again")
+def one_reaches_again(context):
+    context.fleet.partitions.clear()
+
+
+@then("it is not ready {ms:d} ms later")
+def not_ready_later(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    assert not context.fleet.instances[context.cut_off[0]].ready
+
+
+@then("it is ready {ms:d} ms later")
+def ready_later(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    assert context.fleet.instances[context.cut_off[0]].ready
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from mountladder.clocks.clock import Clock
 from mountladder.continuation.continuations import Continuations
@@ -24,6 +25,9 @@
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
 
+if TYPE_CHECKING:
+    from mountladder.isolation.requestrelay import RequestRelay
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardContext:
@@ -44,6 +48,7 @@
         quarantine: Tracks requests during which servers crash.
         notices: Applies the notices that servers send with their answers.
         continuations: The streams that can continue from copies.
+        relay: Relays requests while this instance can reach no backend server.
     """
 
     clock: Clock
@@ -60,3 +65,4 @@
     quarantine: QuarantineService
     notices: NoticeDispatcher
     continuations: Continuations
+    relay: RequestRelay
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -38,31 +38,44 @@
     def __init__(self, context: ForwardContext) -> None:
         self.context = context
 
-    def serve(self, request: ForwardRequest) -> ForwardAnswer:
+    def serve(self, request: ForwardRequest, relayed: bool = False) -> ForwardAnswer:
         """Run a request and return its answer.
 
+        Args:
+            request: The request.
+            relayed: Whether another instance relays it, so that it is not relayed again.
+
         Raises:
             MountladderError: The request was refused or failed.
         """
         self.context.metrics.count(Metric.REQUESTS)
+        relay = self.context.relay
         try:
+            if not relayed and relay.is_needed():
+                route, _ = self.match(request)
+                return relay.run(request, route)
             run = self.admit(request)
         except MountladderError as error:
             self.record_refusal(request, error)
             raise
-        return run.answer()
+        try:
+            return run.answer()
+        except MountladderError:
+            if relayed or not relay.can_take_over(run):
+                raise
+            return relay.run(request, run.route, may_have_run=run.may_have_run())
 
     def refuse(self, request: ForwardRequest, error: RefusalError) -> None:
         """Record a request that is refused before its body is read."""
         self.context.metrics.count(Metric.REQUESTS)
         self.record_refusal(request, error)
 
-    def admit(self, request: ForwardRequest) -> ForwardRun:
-        """Check a request against the catalogue in force.
+    def match(self, request: ForwardRequest) -> tuple[Route, CallerTeam | None]:
+        """Return the route of a request and its team, by the catalogue in force.
 
         Raises:
-            RefusalError: The route or key is unknown, no catalogue is loaded, the instance is
-                shutting down, the request is quarantined, or a service has no server for it.
+            RefusalError: The route or key is unknown, no catalogue is loaded, or the instance is
+                shutting down.
         """
         catalogue = self.context.follower.catalogue
         if catalogue is None:
@@ -72,13 +85,23 @@
             raise self.unknown_refusal(Code.UNKNOWN_ROUTE)
         caller = self.find_caller(request, route, catalogue)
         self.context.shutdown.check(route)
+        return route, caller
+
+    def admit(self, request: ForwardRequest) -> ForwardRun:
+        """Check a request that is run here against the catalogue in force.
+
+        Raises:
+            RefusalError: See match; or the request is quarantined, or a service has no server for
+                it.
+        """
+        route, caller = self.match(request)
         run_class = StreamRun if route.kind is RouteKind.STREAM else WholeRun
         run = run_class(request, route, caller, self.context)
         run.log(
             "received",
             team=run.team,
             service=run.service,
-            version=catalogue.version,
+            version=self.context.follower.version,
             catalogue_age_ms=self.context.follower.rounded_age_ms(),
             allowed_ms=round(request.allowed_ms),
             pieces=request.pieces,
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -45,6 +45,9 @@
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
 from mountladder.isolation.isolationdetector import IsolationDetector
+from mountladder.isolation.peerrelay import PeerRelay
+from mountladder.isolation.relaypeers import RelayPeers
+from mountladder.isolation.requestrelay import RequestRelay
 from mountladder.isolation.serversample import ServerSample
 from mountladder.isolation.watchedupstream import WatchedUpstream
 from mountladder.membership.instance import Instance
@@ -83,6 +86,7 @@
         upstream: Sends calls to backend servers.
         network: Connects to the other instances.
         metrics: Receives metrics.
+        peer_relay: Sends requests to other instances, or None if they cannot be sent any.
         seed: The seed of the random number generator, or None for a random one.
     """
 
@@ -94,6 +98,7 @@
         upstream: Upstream,
         network: Network,
         metrics: Metrics,
+        peer_relay: PeerRelay | None = None,
         seed: int | None = None,
     ) -> None:
         self.settings = settings
@@ -101,6 +106,7 @@
         self.tables = tables
         self.network = network
         self.metrics = metrics
+        self.peer_relay = peer_relay
         self.stack = ExitStack()
         self.seed = seed
         self.rng = random.Random(seed)
@@ -109,7 +115,7 @@
             settings.name,
             uuid.uuid4().hex[:12],
             settings.datacentre,
-            "",
+            settings.relay,
             settings.peer,
             cores=settings.cores,
             since=int(clock.wall()),
@@ -259,6 +265,13 @@
             quarantine=self.quarantine,
             notices=self.notices,
             continuations=self.continuations,
+            relay=RequestRelay(
+                self.isolation,
+                RelayPeers(self.fleet, self.rng),
+                self.peer_relay,
+                self.clock,
+                self.metrics,
+            ),
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -32,7 +32,20 @@
     @property
     def ready(self) -> bool:
         """Return whether the instance can accept requests."""
-        return not self.leaving and self.follower.catalogue is not None and self.directory.ready
+        is_loaded = self.follower.catalogue is not None and self.directory.ready
+        return is_loaded and not self.leaving and not self.is_cut_off
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the instance reaches neither a backend server nor any known instance."""
+        if not self.isolation.isolated or not self.membership.addressed():
+            return False
+        return not any(self.fleet.is_answering(link) for link in self.fleet.links.values())
+
+    @property
+    def accepts_relayed(self) -> bool:
+        """Return whether the instance runs requests for others that reach no backend server."""
+        return self.ready and not self.isolation.isolated
 
     def start(self) -> None:
         """Start the background tasks; closing the stack stops them."""
--- a/packages/core/src/mountladder/forwarding/forwardingsettings.py
+++ b/packages/core/src/mountladder/forwarding/forwardingsettings.py
@@ -67,6 +67,8 @@
         bound_memory: Whether the bytes held for others are limited by memory_mb.
         plan_demand: Whether data centres plan ahead how much of their work others serve.
         memory_mb: The memory that the process may use in megabytes, or 0 if that is not known.
+        relay: The IP number and port that other instances send requests to while they can reach no
+            backend server, or an empty string if they cannot.
     """
 
     name: str
@@ -96,6 +98,7 @@
     bound_memory: bool = True
     plan_demand: bool = True
     memory_mb: float = 0.0
+    relay: str = ""
 
     @property
     def retry_window_ms(self) -> float:
@@ -172,4 +175,5 @@
         bound_memory=fields.flag("bound_memory", True),
         plan_demand=fields.flag("plan_demand", True),
         memory_mb=fields.number("memory_mb", 0.0),
+        relay=fields.text("relay", ""),
     )
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -40,6 +40,9 @@
         return caller_error(run, RunError("not enough time left for a retry", Code.DEADLINE_PASSED))
     reached = run.attempts - run.connect_failures
     exhausted = reached >= MAX_REACHED_ATTEMPTS or run.connect_failures >= MAX_CONNECT_FAILURES
+    if run.context.relay.can_take_over(run):
+        # Each further attempt would wait for a connection in vain.
+        return caller_error(run, RunError(error.detail, error.code))
     if run.possible_runs >= run.route.max_attempts or exhausted:
         return caller_error(run, RunError(error.detail, error.code))
     was_reached = error.code is not Code.CONNECT_FAILED
--- a/packages/core/src/mountladder/isolation/isolationdetector.py
+++ b/packages/core/src/mountladder/isolation/isolationdetector.py
@@ -22,6 +22,8 @@
 IDLE_MS = 1_500.0
 # The interval of checks after failed calls. A crashed server fails many calls.
 MIN_INTERVAL_MS = 400.0
+# A check counts as current for this long.
+RECENT_CHECK_MS = 100.0
 # The interval of checks while no server can be reached.
 RECHECK_MS = 500.0
 # How many servers are probed in a check. Single servers may be silent for a second or crash, so
@@ -103,6 +105,12 @@
         idle = self.clock.now() - self.answered_at >= IDLE_MS
         return self.isolated or self.has_failures or idle
 
+    def confirm(self) -> bool:
+        """Return whether no server can be reached, by a check that is at most a moment old."""
+        if self.isolated or self.clock.now() - self.checked_at < RECENT_CHECK_MS:
+            return self.isolated
+        return self.check()
+
     def check(self, suspect: BackendServer | None = None) -> bool:
         """Probe some servers and return whether none of them can be reached.
 
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -23,6 +23,11 @@
     RETRIED = ("retried.", "counter", "stage attempts repeated, by the code of the failed one")
     REPLAYED = ("replayed", "counter", "repeats answered from a kept answer")
     RELAYED = ("relayed", "counter", "requests relayed to the instance that issued their key")
+    RELAYED_TO_PEERS = (
+        "relayed_to_peers",
+        "counter",
+        "requests relayed to other instances since no backend server could be reached",
+    )
     RESUMED = ("resumed", "counter", "streams resumed after a cut")
     COPIES = ("copies", "counter", "streams whose cache is copied to a second server")
     COPIED_BYTES = ("copied_bytes", "counter", "bytes that these copies have at most")
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -25,6 +25,7 @@
 from mountladder.quarantine.memorysuspicionstore import MemorySuspicionStore
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.store.memoryinstancelist import MemoryInstanceList
+from mountladder_standins.localpeerrelay import LocalPeerRelay
 from mountladder_standins.localupstream import LocalUpstream
 from mountladder_standins.partitionedupstream import PartitionedUpstream
 from mountladder_standins.serverpartition import ServerPartition
@@ -51,6 +52,8 @@
         switches: Settings that switch parts off, for the instances started from now on.
         sequences: How often each server's entry was written, by the server's name.
         partitions: How instances are partitioned from all backend servers, by their names.
+        relayed: The requests that an instance ran for another one: the names of both, and the id.
+        broken_relays: The names of instances whose answers to relayed requests are lost.
     """
 
     def __init__(self, clock: VirtualClock) -> None:
@@ -67,6 +70,8 @@
         self.switches: dict[str, bool] = {}
         self.sequences: dict[str, int] = {}
         self.partitions: dict[str, ServerPartition] = {}
+        self.relayed: list[tuple[str, str, str]] = []
+        self.broken_relays: set[str] = set()
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
@@ -149,6 +154,7 @@
             peer=name,
             peer_listen=name,
             metrics="",
+            relay=name,
             store="",
             secret="",
             seeds=tuple(one for one in self.instances if one != name),
@@ -175,7 +181,14 @@
         )
         upstream = PartitionedUpstream(self.upstream, lambda: self.partitions.get(name), self.clock)
         instance = ForwardingInstance(
-            settings, self.clock, tables, upstream, self.network, MemoryMetrics(), seed=1
+            settings,
+            self.clock,
+            tables,
+            upstream,
+            self.network,
+            MemoryMetrics(),
+            LocalPeerRelay(self, name),
+            seed=1,
         )
         self.instances[name] = instance
         instance.start()
