Quarantine: connections that are reset by a partition show no crash of a server

While an instance was partitioned and its connections were reset, each server looked crashed to it: the connection broke and new ones were refused. It told all other instances, which took the sound servers out of use and could bar the requests that had been in progress.

A refused connection counts as a crash only if another server can be reached.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -75,3 +75,19 @@
     Then it is not ready 4000 ms later
     When it reaches the servers again
     Then it is ready 4000 ms later
+
+  Scenario Outline: No request is suspected and no server counts as crashed when all connections are reset
+    When 5 instances with the coordinator of <topic> lose all servers, whose connections are reset, and 60 <kind> requests a second are in progress
+    Then 2000 ms later no instance suspects a request
+    And no instance has recorded a crashed server
+
+    Examples:
+      | topic          | kind   |
+      | prompts of llm | stream |
+      | prompts of llm | unsafe |
+      | enc            | staged |
+
+  Scenario: A server that crashes is still recognised by instances that reach the others
+    Given requests with body "deadly" crash a server after 20 ms
+    When a request with body "deadly" is sent
+    Then its crash is recorded
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -4,8 +4,10 @@
 
 """Steps about instances that are partitioned from all backend servers."""
 
+from functools import partial
+
 from behave import given, register_type, then, when
-from forwardbasics import PROMPT, find_coordinator, placement_coordinator
+from forwardbasics import PATHS, PROMPT, find_coordinator, placement_coordinator, request, serve
 from noticerecorder import send
 from parse import with_pattern
 
@@ -217,3 +219,53 @@
 def ready_later(context, ms):
     context.run(context.clock.sleep, float(ms))
     assert context.fleet.instances[context.cut_off[0]].ready
+
+
+@when(
+    "{number:d} instances with the coordinator of {topic} lose all servers, whose connections "
+    "are reset, and {rate:d} {kind:w} requests a second are in progress"
+)
+def lose_servers_in_progress(context, number, topic, rate, kind):
+    names = with_coordinator(context, number, topic)
+    cut = partial(partition, context, names, ServerPartition.RESET.value)
+    context.clock.call_later(WARM_UP_MS / 2, cut)
+    send(context, rate, kind, WARM_UP_MS)
+
+
+@then("{ms:d} ms later no instance suspects a request")
+def no_suspicions(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    suspected = {
+        name: list(one.quarantine.registry.suspicions)
+        for name, one in context.fleet.instances.items()
+        if one.quarantine.registry.suspicions
+    }
+    assert not suspected, suspected
+
+
+def crashed_servers(context):
+    return {
+        name for one in context.fleet.instances.values() for name in one.quarantine.detector.crashed
+    }
+
+
+@then("no instance has recorded a crashed server")
+def none_crashed(context):
+    assert not crashed_servers(context), crashed_servers(context)
+
+
+@given('requests with body "{body:w}" crash a server after {ms:d} ms')
+def crash_by_body(context, body, ms):
+    context.fleet.upstream.crash_after_ms[body.encode()] = float(ms)
+
+
+@when('a request with body "{body:w}" is sent')
+def send_body(context, body):
+    name = next(iter(context.fleet.instances))
+    sent = request(f"{name}/1", PATHS["safe"], context.clock.now(), body=body.encode())
+    context.run(serve, context, name, sent)
+
+
+@then("its crash is recorded")
+def crash_recorded(context):
+    assert crashed_servers(context) == set(context.fleet.upstream.crashed)
--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -97,7 +97,10 @@
     follower.adopt(b"1", "store")
     follower.confirm(context.clock.now())
     shutdown = Shutdown(context.clock, lambda: 8_000.0)
-    shared = SimpleNamespace(follower=follower, shutdown=shutdown, metrics=MemoryMetrics())
+    relay = SimpleNamespace(is_needed=lambda: False)
+    shared = SimpleNamespace(
+        follower=follower, shutdown=shutdown, metrics=MemoryMetrics(), relay=relay
+    )
     context.follower, context.forwarder = follower, Forwarder(shared)
 
 
--- a/packages/core/src/mountladder/isolation/watchedupstream.py
+++ b/packages/core/src/mountladder/isolation/watchedupstream.py
@@ -73,8 +73,11 @@
             return self.inner.run_pieces(server, pieces, limit_ms, on_notices)
 
     def refuses(self, server: BackendServer) -> bool:
-        """Return whether connections to a server are refused; see Upstream."""
-        return self.inner.refuses(server)
+        """Return whether connections to a server are refused; see Upstream.
+
+        That shows no crash while other servers cannot be reached either.
+        """
+        return self.inner.refuses(server) and not self.detector.check(suspect=server)
 
     def cold_ms(self, server: BackendServer, health_path: str, limit_ms: float) -> float | None:
         """Return how much longer a server is cold by its health check; see Upstream."""
