Isolation: a test of what instances do after the partition ends

In the record model servers got 6 requests in the four seconds after a partition, since breakers had opened again and again meanwhile. Requests that are relayed open no breakers: with no change of code, 1 s after the partition the instances answer over 95 of 100 requests themselves.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -91,3 +91,16 @@
     Given requests with body "deadly" crash a server after 20 ms
     When a request with body "deadly" is sent
     Then its crash is recorded
+
+  Scenario Outline: Servers are used again at once after the partition
+    When 5 instances with the coordinator of <topic> lose all servers, whose connections <how>, and <rate> <kind> requests a second come for 6000 ms
+    And they reach the servers again
+    And 1000 ms later they are sent <rate> <kind> requests a second for 3000 ms
+    Then over 95 of 100 of these were answered, none of them by another instance
+
+    Examples:
+      | topic          | kind   | rate | how       |
+      | prompts of llm | safe   | 40   | hang      |
+      | prompts of llm | unsafe | 40   | are reset |
+      | prompts of llm | stream | 40   | hang      |
+      | enc            | staged | 16   | hang      |
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -269,3 +269,17 @@
 @then("its crash is recorded")
 def crash_recorded(context):
     assert crashed_servers(context) == set(context.fleet.upstream.crashed)
+
+
+@when("{ms:d} ms later they are sent {rate:d} {kind:w} requests a second for {for_ms:d} ms")
+def send_after(context, ms, rate, kind, for_ms):
+    context.run(context.clock.sleep, float(ms))
+    context.fleet.relayed.clear()
+    send(context, rate, kind, float(for_ms), label="after")
+
+
+@then("over {minimum:d} of 100 of these were answered, none of them by another instance")
+def answered_after(context, minimum):
+    ends = [end[:3:2] == (200, 0) for id_, end in context.ends.items() if "/after" in id_]
+    assert sum(ends) > minimum / 100 * len(ends), (sum(ends), len(ends))
+    assert not context.fleet.relayed, context.fleet.relayed[:3]
