Continuation: a server that is silent for a moment is not taken to be lost

A sound server may fall silent for a second or so, accept no connection meanwhile, and go on. Streams with a copy were then continued at the other server after 1.0 to 1.3 s of silence, so that two servers could work on one request: our closing its connection does not reach a server that is silent.

A server that refuses connections counts as lost at once, as before; one that only does not answer, after 2.5 s of silence. Streams of servers that went dark go on 1.2 s later than before; they were late already.

The new scenario (2 s of silence, then the rest of the stream) was sent to two servers before, to one now. The scenarios of continuation get routes of 6 s in place of 2 s, since a silent server is given up later; what they check is unchanged. A further scenario guards that no connection to a server has a user timeout or keep-alive probes, which would end it during such a silence: none of our sockets sets either.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -112,6 +112,16 @@
     Then it was sent to llm-2, llm-1
     And its last break was logged for llm-1 as "the connection broke within the answer"
 
+  # Guards against two servers that work on one request: a sound server may neither send nor accept
+  # connections for a second or so and then go on.
+  @forwarding
+  Scenario: A server that is silent and unreachable for a moment goes on with its stream
+    Given a fleet whose model servers keep copies
+    And the first server is llm-2 and it is silent and unreachable for 2000 ms
+    When a narration r is sent to a-1
+    Then narration r ends with status 200 and events 1 to 6
+    And it was sent to llm-2
+
   @forwarding
   Scenario: A silent server that can be reached goes on with its stream
     Given a fleet whose model servers keep copies
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -110,6 +110,13 @@
       | limit below zero         | request r1   | none         |
       | limit is nan             | request r1   | none         |
 
+  Scenario: A connection to a server is not ended by the kernel while the server is silent
+    # A user timeout also ends connections whose keep-alive probes go unanswered, although the
+    # server goes on after a moment.
+    Given a backend server that answers "whole"
+    When a connection to it is opened
+    Then its user timeout is that of the system, and it sends no keep-alive probes
+
   Scenario Outline: Rejection limits that answers report
     # A refusal need not carry the header, so its absence does not lift a limit. An answer of
     # another server, or to another request, does not count.
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -7,6 +7,7 @@
 import json
 import random
 from dataclasses import replace
+from functools import partial
 
 import gevent
 from behave import given, then, when
@@ -62,7 +63,9 @@
 MANY_PROMPTS = 50
 # The placement of a prompt by another instance takes some milliseconds.
 PLACEMENT_MS = 5.0
-ALLOWED_MS = 3_000.0
+ALLOWED_MS = 6_000.0
+# Long enough for a server to be silent for a while and the stream to go on after that.
+ROUTE_TIMEOUT_MS = 6_000.0
 
 
 @given("a fleet whose model servers {keep} copies")
@@ -71,7 +74,12 @@
     plain = catalogue(1)
     backups = LIMITS if keep == "keep" else None
     service = Service("llm", 100, 8, 280_740, backups=backups)
-    fleet.configure(replace(plain, services={**plain.services, "llm": service}))
+    routes = {
+        host: tuple(replace(one, timeout_ms=ROUTE_TIMEOUT_MS) for one in all_)
+        for host, all_ in plain.routes.items()
+    }
+    services = {**plain.services, "llm": service}
+    fleet.configure(replace(plain, services=services, routes=routes))
     for name in ("a-1", "b-1"):
         fleet.start(name)
     fleet.add_server("llm-1", "llm", "a")
@@ -195,6 +203,15 @@
     context.plans.append((SILENT_MS, lambda: upstream.unreachable.add(name)))
 
 
+@given("the first server is {name} and it is silent and unreachable for {ms:d} ms")
+def first_unreachable_for(context, name, ms):
+    first_server(context, name)
+    upstream = context.fleet.upstream
+    for names in (upstream.silent, upstream.unreachable):
+        context.plans.append((SILENT_MS, partial(names.add, name)))
+        context.plans.append((SILENT_MS + ms, partial(names.discard, name)))
+
+
 @given("the first server is {name} and it is silent for {ms:d} ms")
 def first_pauses(context, name, ms):
     first_server(context, name)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,6 +16,7 @@
 from mountladder_platform.decoding import decode_catalogue
 from mountladder_platform.httpupstream import HttpUpstream
 from mountladder_platform.reading import read_request
+from mountladder_platform.serverconnection import ServerConnection
 from mountladder_platform.store import StoreTable
 from rawanswers import ANSWERS, CLOSED, NO_ANSWER, REPEATED_LATER, RESET
 
@@ -503,3 +504,17 @@
         gevent.sleep(0.001)
     line = next(json.loads(one) for one in text.split(b"\n") if b"log-lines-dropped" in one)
     assert 0 < line["lines"] <= dropped
+
+
+@when("a connection to it is opened")
+def open_connection(context):
+    context.connection = ServerConnection(context.server.address)
+    context.connection.connect()
+    context.stack.callback(context.connection.close)
+
+
+@then("its user timeout is that of the system, and it sends no keep-alive probes")
+def no_user_timeout(context):
+    opened = context.connection.socket
+    assert opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 0
+    assert opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 0
--- a/packages/core/src/mountladder/continuation/serverwatch.py
+++ b/packages/core/src/mountladder/continuation/serverwatch.py
@@ -15,6 +15,10 @@
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.route import Route
 
+# A sound server may neither send nor accept connections for a second or so and then go on. Only one
+# that is silent for longer, or refuses connections, is taken to be lost.
+LOST_MS = 2_500.0
+
 
 class ServerWatch:
     """Breaks the connection to the server of a stream once the server is lost.
@@ -79,13 +83,25 @@
             gevent.spawn(self.probe)
 
     def probe(self) -> None:
-        """Break the connection to the silent server if the server cannot be reached either."""
+        """Break the connection to the silent server if the server is lost.
+
+        That is so if it refuses connections, or cannot be reached after a long silence either.
+        """
         silent_since = self.last_event_at
-        is_reached = self.streams.upstream.reaches(self.server)
-        if not is_reached and self.last_event_at == silent_since:
-            self.interrupt("the server is silent and cannot be reached")
+        silent_ms = self.clock.now() - silent_since
+        if self.streams.upstream.reaches(self.server):
+            reason = ""
+        elif self.streams.upstream.refuses(self.server):
+            reason = "the server is silent and refuses connections"
+        else:
+            reason = "the server is silent and cannot be reached" if silent_ms >= LOST_MS else ""
+        if reason and self.last_event_at == silent_since:
+            self.interrupt(reason)
         if self.break_connection is not None:
-            self.check_later(self.max_silence_ms)
+            remaining_ms = LOST_MS - (self.clock.now() - silent_since)
+            self.check_later(
+                min(self.max_silence_ms, remaining_ms) if remaining_ms > 0 else self.max_silence_ms
+            )
 
     def interrupt(self, reason: str) -> None:
         """Break the connection to the server, if the stream can continue elsewhere."""
