--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,7 @@
       | a server got a request after it announced that it leaves       | leaving_server_unused     |
       | a stage server got a call after it announced that it leaves    | leaving_server_unused     |
       | a server got three requests within a back-off                  | backoff_kept              |
+      | fragile servers crashed three times                            | fragile_not_overfilled    |
       | a server works on a stream long after it continued elsewhere   | continued_once            |
       | a stream continued twice                                       | continued_once            |
       | a stream continued with an event of another run                | complete_answers          |
@@ -71,9 +72,17 @@
       | kill        | a-1    | a restart cut a request in flight                        |
       | pause       | a-1    | a server got a request after it announced that it leaves |
       | pause       | a-1    | a server got three requests within a back-off            |
+      | pause       | a-1    | fragile servers crashed three times                      |
       | pause       | a-1    | an answer was kept long for a caller that read nothing   |
       | pause       | a-1    | an instance that cut a slow reader answered no other caller |
 
+  Scenario: Servers that crash if they reject many requests are not overfilled
+    When these faults are played with seed 7 for 12 seconds with 4 instances
+      | kind    | target | at  | seconds | strength |
+      | fragile | enc    | 1.0 | 10.0    | 1        |
+      | fragile | desk   | 1.0 | 10.0    | 1        |
+    Then every promise is kept
+
   Scenario: Callers that read nothing for seconds are cut, and harm neither memory nor others
     When these faults are played with seed 7 for 11 seconds with 2 instances
       | kind            | target  | at  | seconds | strength |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -287,6 +287,16 @@
         arrive(context.record, "told", 4.0 + number / 10, "desk-7")
 
 
+@when("fragile servers crashed three times")
+def fragile_broken(context):
+    context.faults[:] = [one for one in context.faults if one is not RESTART]
+    add(context.record, exchange("rejected", "safe", sent=5.0))
+    context.record.fragile.append((1.0, 8.0, 3))
+    for number in range(3):
+        at = 5.1 + number / 10
+        context.record.overfilled.append((at, f"desk-{number}", ((at, "rejected"),)))
+
+
 def continue_stream(record, ended):
     record.continuations["r2"].append((1.2, "llm-2"))
     record.run_ends["r2", "desk-1"] = ended
