Isolation: half of the probed servers are of the instance's own data centre

While a data centre is partitioned from the others its instances reach their own servers only. Four servers drawn at random were all remote in about a fifth of the checks, so that an instance took itself for isolated for half a second and left what it coordinates to others.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -104,3 +104,9 @@
       | prompts of llm | unsafe | 40   | are reset |
       | prompts of llm | stream | 40   | hang      |
       | enc            | staged | 16   | hang      |
+
+  Scenario: Servers of this data centre and of others are probed, of different services
+    # Guards against taking an instance for isolated that is partitioned from the other data
+    # centres only.
+    Then 4 probed servers are always 2 local ones and 2 others, of 2 services each
+    And without server llm-1 it is not among them
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -283,3 +283,23 @@
     ends = [end[:3:2] == (200, 0) for id_, end in context.ends.items() if "/after" in id_]
     assert sum(ends) > minimum / 100 * len(ends), (sum(ends), len(ends))
     assert not context.fleet.relayed, context.fleet.relayed[:3]
+
+
+@then("4 probed servers are always 2 local ones and 2 others, of 2 services each")
+def probed_servers(context):
+    instance = next(iter(context.fleet.instances.values()))
+    here = instance.settings.datacentre
+    for _ in range(50):
+        drawn = instance.isolation.sample(4, None)
+        for is_local in (True, False):
+            half = [one for one in drawn if (one.datacentre == here) == is_local]
+            services = {one.name.partition("-")[0] for one in half}
+            assert len(half) == len(services) == 2, drawn
+
+
+@then("without server {name} it is not among them")
+def without_server(context, name):
+    instance = next(iter(context.fleet.instances.values()))
+    left_out = instance.directory.find(name)
+    drawn = [one for _ in range(50) for one in instance.isolation.sample(4, left_out)]
+    assert left_out is not None and left_out not in drawn
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -144,7 +144,8 @@
         coordinator, picker = self.build_placement()
         self.connections = ConnectionShare(self.follower, self.membership)
         upstream.connection_share = self.connections.of
-        sample = ServerSample(self.directory, random.Random(self.seed))
+        rng = random.Random(self.seed)
+        sample = ServerSample(self.directory, self.settings.datacentre, rng)
         self.isolation = IsolationDetector(sample.draw, upstream.reaches, clock, metrics)
         self.upstream = upstream = WatchedUpstream(upstream, self.isolation)
         coordinator.reaches = upstream.reaches
