Relay: coordinators are spared where other instances can run the requests

Every instance has links to the coordinators and their standbys, but to two other instances elsewhere only. With a whole data centre cut off in a fleet of 24, the coordinators ran 13 to 46 of 109 to 254 relayed requests, up to three times an instance's share, beside the work of the whole fleet; fewer than 5 now.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -24,6 +24,18 @@
       | prompts of llm | unsafe    | 40   | hang                               |
       | prompts of llm | unsafe    | 40   | are reset                          |
 
+  Scenario Outline: All instances of a data centre lose all servers, in a fleet without a full mesh
+    Given a fleet of 24 instances in data centres a, b, c
+    When all instances of data centre a lose all servers, whose connections <how>, and <rate> <kind> requests a second come for 8000 ms
+    Then over 90 of 100 requests that come over 3000 ms later were answered in each data centre
+    And the coordinators of enc, prompts of llm ran fewer than 5 relayed requests
+
+    Examples:
+      | kind   | rate | how                                |
+      | staged | 40   | hang                               |
+      | unsafe | 100  | hang                               |
+      | stream | 80   | live on while new ones are refused |
+
   Scenario Outline: Work is not left to an instance without servers, and returns after it recovers
     When 5 instances with the coordinator of <topic> lose all servers, whose connections <how>
     Then 3000 ms later no instance leaves work of <topic> to one of them
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -303,3 +303,36 @@
     left_out = instance.directory.find(name)
     drawn = [one for _ in range(50) for one in instance.isolation.sample(4, left_out)]
     assert left_out is not None and left_out not in drawn
+
+
+@when(
+    "all instances of data centre {datacentre:w} lose all servers, whose connections "
+    "{how:Partition}, and {rate:d} {kind:w} requests a second come for {ms:d} ms"
+)
+def datacentre_loses_servers(context, datacentre, how, rate, kind, ms):
+    send(context, rate, kind, WARM_UP_MS, label="before")
+    names = [one for one in context.fleet.instances if one.startswith(f"{datacentre}-")]
+    partition(context, names, how)
+    send(context, rate, kind, ms)
+
+
+@then(
+    "over {minimum:d} of 100 requests that come over {after:d} ms later were answered in each "
+    "data centre"
+)
+def answered_in_each(context, minimum, after):
+    answered = {}
+    for id_, arrived_at in context.arrived.items():
+        if arrived_at > context.partitioned_at + after:
+            ends = answered.setdefault(id_[0], [])
+            ends.append(context.ends[id_][:3:2] == (200, 0))
+    shares = {name: round(100 * sum(ends) / len(ends)) for name, ends in answered.items()}
+    assert len(shares) == 3 and min(shares.values()) > minimum, shares
+
+
+@then("the coordinators of {topics} ran fewer than {number:d} relayed requests")
+def coordinators_spared(context, topics, number):
+    names = {find_coordinator(context, one).settings.name for one in topics.split(", ")}
+    since = context.partitioned_at
+    ran = [there for _, there, id_ in context.fleet.relayed if context.arrived[id_] > since + 3_000]
+    assert ran and sum(one in names for one in ran) < number, ran
--- a/packages/core/src/mountladder/isolation/relaypeers.py
+++ b/packages/core/src/mountladder/isolation/relaypeers.py
@@ -17,7 +17,8 @@
     """Chooses the instances that run requests for this one while it can reach no backend server.
 
     Of two instances drawn at random the one with fewer relayed requests for its size is taken, so
-    that many isolated instances do not all choose the same ones.
+    that many isolated instances do not all choose the same ones. Coordinators and standbys, which
+    every instance has links to, are left to their work where there are others.
 
     Args:
         fleet: The other instances.
@@ -49,6 +50,8 @@
             excluded: The names of instances that have failed to run the request.
         """
         peers = [one for one in self.available() if one.name not in excluded]
+        busy = {one.name for one in self.fleet.coordinators.candidates()}
+        peers = [one for one in peers if one.name not in busy] or peers
         drawn = self.rng.sample(peers, min(2, len(peers)))
         return min(drawn, key=self.load, default=None)
 
