--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -222,9 +222,7 @@
         """Handle a call without an answer: update the server's state and requeue the pieces."""
         now = self.batcher.clock.now()
         if error.code in {Code.SERVER_FULL, Code.SERVER_REFUSED}:
-            rooms = self.batcher.servers.rate_limits.rooms
-            pause_ms = max(FULL_PAUSE_MS, rooms.pause_ms(self.state.server))
-            self.batcher.servers.pause(self.state, now + pause_ms)
+            self.batcher.servers.pause(self.state, now + self.full_pause_ms())
             self.state.breaker.abandon()
         elif error.code is Code.SERVER_REPLACED:
             self.state.mark_leaving(now)
@@ -260,6 +258,11 @@
                 progress.attempts[fragment] -= 1
                 self.batcher.queue.requeue((progress, fragment))
 
+    def full_pause_ms(self) -> float:
+        """Return how long the server is left alone after it refused a call as full."""
+        rooms = self.batcher.servers.rate_limits.rooms
+        return max(FULL_PAUSE_MS, rooms.pause_ms(self.state.server))
+
     def report_interruptions(self, error: StageError) -> None:
         """Report the pieces of a broken call to the check for a crash of the server."""
         if not connection_broke(error):
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -44,12 +44,9 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
-from mountladder.isolation.isolationdetector import IsolationDetector
 from mountladder.isolation.peerrelay import PeerRelay
-from mountladder.isolation.relaypeers import RelayPeers
-from mountladder.isolation.requestrelay import RequestRelay
-from mountladder.isolation.serversample import ServerSample
 from mountladder.isolation.watchedupstream import WatchedUpstream
+from mountladder.isolation.wiring import make_detector, make_relay
 from mountladder.membership.instance import Instance
 from mountladder.membership.membership import Membership
 from mountladder.membership.network import Network
@@ -144,9 +141,7 @@
         coordinator, picker = self.build_placement()
         self.connections = ConnectionShare(self.follower, self.membership)
         upstream.connection_share = self.connections.of
-        rng = random.Random(self.seed)
-        sample = ServerSample(self.directory, self.settings.datacentre, rng)
-        self.isolation = IsolationDetector(sample.draw, upstream.reaches, clock, metrics)
+        self.isolation = make_detector(self, upstream)
         self.upstream = upstream = WatchedUpstream(upstream, self.isolation)
         coordinator.reaches = upstream.reaches
         self.build_quarantine(upstream)
@@ -157,7 +152,6 @@
             self.fleet, self.dispatch, clock, metrics, self.reserves_results
         )
         self.demand = DemandExchange(self.fleet, self.dispatch, clock, lambda: self.settings)
-        self.isolation.listeners.append(self.handle_isolation)
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
@@ -266,13 +260,7 @@
             quarantine=self.quarantine,
             notices=self.notices,
             continuations=self.continuations,
-            relay=RequestRelay(
-                self.isolation,
-                RelayPeers(self.fleet, self.rng),
-                self.peer_relay,
-                self.clock,
-                self.metrics,
-            ),
+            relay=make_relay(self),
         )
 
     def make_follower(
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -225,10 +225,7 @@
             self.assign(submission)
 
     def reassign_local(self) -> None:
-        """Reassign the stages that are queued here, since no backend server can be reached.
-
-        Peers reassign their own stages. Where no other instance can coordinate, nothing moves.
-        """
+        """Reassign this instance's stages that are queued here, if another one can coordinate."""
         of_peers = {one.number for one in self.peer_submissions.values()}
         queued = [
             one
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -144,9 +144,9 @@
         for source in (self.catalogue, self.servers):
             source.restore_copy()
 
-    def start(self, name: str) -> ForwardingInstance:
-        """Start an instance, or start it again with a new incarnation."""
-        settings = ForwardingSettings(
+    def settings(self, name: str) -> ForwardingSettings:
+        """Return the settings of an instance."""
+        return ForwardingSettings(
             name=name,
             datacentre=name.partition("-")[0],
             callers="",
@@ -167,6 +167,9 @@
             core_speed=self.cores.get(name, 1.0),
             **self.switches,
         )
+
+    def start(self, name: str) -> ForwardingInstance:
+        """Start an instance, or start it again with a new incarnation."""
         tables = PlatformTables(
             catalogue=self.catalogue,
             servers=self.servers,
@@ -181,7 +184,7 @@
         )
         upstream = PartitionedUpstream(self.upstream, lambda: self.partitions.get(name), self.clock)
         instance = ForwardingInstance(
-            settings,
+            self.settings(name),
             self.clock,
             tables,
             upstream,
--- a/packages/standins/src/mountladder_standins/localpeerrelay.py
+++ b/packages/standins/src/mountladder_standins/localpeerrelay.py
@@ -9,52 +9,17 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
-from mountladder.errors import MountladderError, RunError, StageError
+from mountladder.errors import MountladderError, StageError
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.isolation.peerrelay import PeerRelay
+from mountladder_standins.relayedlocalanswer import RelayedLocalAnswer
 
 if TYPE_CHECKING:
     from mountladder_standins.forwardfleet import ForwardFleet
 
 
-class RelayedLocalAnswer(UpstreamAnswer):
-    """The answer of an instance in this process to a relayed request.
-
-    Args:
-        answer: The answer.
-        signed: Whether it is a server's answer.
-    """
-
-    def __init__(self, answer: ForwardAnswer, signed: bool) -> None:
-        self.status = answer.status
-        self.headers = answer.headers
-        self.signed = signed
-        self.load = None
-        self.body = answer.body
-        self.parts = iter([answer.body] if isinstance(answer.body, bytes) else answer.body)
-
-    def read(self, limit_ms: float) -> bytes:
-        """Return the whole body; see UpstreamAnswer."""
-        parts = []
-        while part := self.read_some(limit_ms):
-            parts.append(part)
-        return b"".join(parts)
-
-    def read_some(self, limit_ms: float) -> bytes:
-        """Return the next part of the body; see UpstreamAnswer."""
-        try:
-            return next(self.parts, b"")
-        except RunError as error:
-            raise StageError(error.detail, Code.STREAM_CUT) from error
-
-    def close(self) -> None:
-        """Close the answer; see UpstreamAnswer."""
-        if not isinstance(self.body, bytes):
-            self.body.close()
-
-
 class LocalPeerRelay(PeerRelay):
     """Sends requests from one instance of a fleet to others.
 
