Isolation: a process that was paused while it probed servers concludes nothing

Timers that came due during the pause fire before the connections' events, so that no probe had succeeded when the check ended, and an instance that wakes up took itself for isolated for half a second: it handed over what it coordinates and relayed its requests. The scenario failed before.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -122,3 +122,7 @@
     # centres only.
     Then 4 probed servers are always 2 local ones and 2 others, of 2 services each
     And without server llm-1 it is not among them
+
+  Scenario: An instance that is paused while it probes servers does not take itself for isolated
+    When an instance is paused for 5000 ms while it probes servers
+    Then it is not isolated
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -336,3 +336,23 @@
     since = context.partitioned_at
     ran = [there for _, there, id_ in context.fleet.relayed if context.arrived[id_] > since + 3_000]
     assert ran and sum(one in names for one in ran) < number, ran
+
+
+@when("an instance is paused for {ms:d} ms while it probes servers")
+def paused_while_probing(context, ms):
+    context.instance = next(iter(context.fleet.instances.values()))
+    detector = context.instance.isolation
+
+    def reaches(server):
+        context.clock.time += ms
+        context.clock.sleep(1.0)
+        return True
+
+    detector.reaches = reaches
+    detector.record_failure()
+    context.run(detector.check)
+
+
+@then("it is not isolated")
+def not_isolated(context):
+    assert not context.instance.isolation.isolated
--- a/packages/core/src/mountladder/isolation/isolationdetector.py
+++ b/packages/core/src/mountladder/isolation/isolationdetector.py
@@ -32,6 +32,8 @@
 MIN_PROBED_SERVERS = 2
 # A little longer than the connect timeout of a probe, 300 ms.
 PROBE_MS = 400.0
+# If a check takes longer than this, the process itself was paused, which shows nothing.
+PAUSED_MS = 2 * PROBE_MS
 
 
 class IsolationDetector:
@@ -143,7 +145,11 @@
             self.set_isolated(not self.probe_any(servers), servers)
 
     def probe_any(self, servers: Sequence[BackendServer]) -> bool:
-        """Return whether a connection to any of some servers can be opened; try all at once."""
+        """Return whether a connection to any of some servers can be opened; try all at once.
+
+        If this process was paused meanwhile, nothing has changed.
+        """
+        began = self.clock.now()
         decided = Event()
         results: list[bool] = []
 
@@ -156,6 +162,8 @@
         tasks = [gevent.spawn(probe, server) for server in servers]
         self.clock.wait(decided, PROBE_MS)
         gevent.killall(tasks, block=False)
+        if self.clock.now() - began > PAUSED_MS:
+            return any(results) or not self.isolated
         return any(results)
 
     def set_isolated(self, isolated: bool, servers: Sequence[BackendServer]) -> None:
