Isolation: scenarios of other faults during a partition

The store falls silent, instances restart one after the other, two more start, and two lose the coordinator, while five of eight reach no server. All passed on the code as it is.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -24,6 +24,18 @@
       | prompts of llm | unsafe    | 40   | hang                               |
       | prompts of llm | unsafe    | 40   | are reset                          |
 
+  Scenario Outline: Other faults come during the partition
+    When 5 instances with the coordinator of enc lose all servers, whose connections <how>, and <rate> <kind> requests a second come for 12000 ms while <what>
+    Then over <served> of 100 requests that come over 3000 ms later were answered in each data centre
+
+    Examples:
+      | kind   | rate | how                                | what                                              | served |
+      | staged | 16   | hang                               | the store is silent                               | 90     |
+      | unsafe | 40   | are reset                          | the store is silent                               | 90     |
+      | safe   | 40   | hang                               | instances are restarted one after the other       | 80     |
+      | stream | 40   | live on while new ones are refused | two more instances start                          | 90     |
+      | safe   | 40   | hang                               | two of the others lose the service's coordinator  | 90     |
+
   Scenario Outline: All instances of a data centre lose all servers, in a fleet without a full mesh
     Given a fleet of 24 instances in data centres a, b, c
     When all instances of data centre a lose all servers, whose connections <how>, and <rate> <kind> requests a second come for 8000 ms
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -6,7 +6,9 @@
 
 from functools import partial
 
+import gevent
 from behave import given, register_type, then, when
+from fleetevents import EVENT_MS, EVENTS
 from forwardbasics import PATHS, PROMPT, find_coordinator, placement_coordinator, request, serve
 from noticerecorder import send
 from parse import with_pattern
@@ -356,3 +358,18 @@
 @then("it is not isolated")
 def not_isolated(context):
     assert not context.instance.isolation.isolated
+
+
+def silence_store(context):
+    context.fleet.catalogue.silent = context.fleet.servers.silent = True
+
+
+@when(
+    "{number:d} instances with the coordinator of {topic} lose all servers, whose connections "
+    "{how:Partition}, and {rate:d} {kind:w} requests a second come for {ms:d} ms while {what}"
+)
+def lose_servers_while(context, number, topic, how, rate, kind, ms, what):
+    context.topic = topic
+    event = silence_store if what == "the store is silent" else EVENTS[what]
+    context.clock.call_later(WARM_UP_MS + EVENT_MS, lambda: gevent.spawn(event, context))
+    lose_servers(context, number, topic, how, rate, kind, ms)
