--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -30,7 +30,7 @@
 from mountladder.notices.backoff import BackOff
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
-from mountladder.notices.rejectionlimit import NO_REJECTION_LIMIT, RejectionLimit
+from mountladder.notices.rejectionlimit import RejectionLimit
 from mountladder.store.position import Position
 from mountladder_entry.httpclient import HttpClient
 from mountladder_entry.logqueue import MAX_LINES, LogQueue
@@ -196,7 +196,7 @@
 
 @then("its rejection limit notices are {notices}")
 def rejection_notices(context, notices):
-    named = {"none": [], "unlimited": [NO_REJECTION_LIMIT]}
+    named = {"none": [], "unlimited": [UNLIMITED]}
     expected = named[notices] if notices in named else [float(notices.split()[0])]
     limits = [notice.per_s for notice in reported_notices(context, RejectionLimit)]
     assert limits == expected, context.reported
--- a/packages/core/src/mountladder/notices/noticelog.py
+++ b/packages/core/src/mountladder/notices/noticelog.py
@@ -27,17 +27,12 @@
 
 @log_line.register
 def _(notice: RateLimit, before: RateLimit | None) -> tuple[str, dict[str, object]]:
-    before_per_s = None if before is None else _loggable(before.per_s)
-    return "server-limit", {"per_s": _loggable(notice.per_s), "before_per_s": before_per_s}
+    return "server-limit", _rates(notice, before)
 
 
 @log_line.register
 def _(notice: RejectionLimit, before: RejectionLimit | None) -> tuple[str, dict[str, object]]:
-    before_per_s = None if before is None else _loggable(before.per_s)
-    return "server-rejection-limit", {
-        "per_s": _loggable(notice.per_s),
-        "before_per_s": before_per_s,
-    }
+    return "server-rejection-limit", _rates(notice, before)
 
 
 @log_line.register
@@ -45,5 +40,12 @@
     return "server-leaving", {}
 
 
+def _rates(
+    notice: RateLimit | RejectionLimit, before: RateLimit | RejectionLimit | None
+) -> dict[str, object]:
+    before_per_s = None if before is None else _loggable(before.per_s)
+    return {"per_s": _loggable(notice.per_s), "before_per_s": before_per_s}
+
+
 def _loggable(per_s: float) -> float | None:
     return None if per_s == UNLIMITED else per_s
--- a/packages/core/src/mountladder/notices/noticeregistry.py
+++ b/packages/core/src/mountladder/notices/noticeregistry.py
@@ -20,7 +20,7 @@
 from mountladder.notices.noticelog import log_line
 from mountladder.notices.precedence import differs_significantly, is_default, replaces, retention_ms
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
-from mountladder.notices.rejectionlimit import NO_REJECTION_LIMIT, RejectionLimit
+from mountladder.notices.rejectionlimit import RejectionLimit
 from mountladder.notices.servernotice import ServerNotice
 
 # A notice that answers repeat is announced again after this time, so that instances that ordered
@@ -76,9 +76,9 @@
         return known.notice.per_s if known is not None else UNLIMITED
 
     def max_rejections_per_s(self, server: str) -> float:
-        """Return how many requests a server can reject in a second, or NO_REJECTION_LIMIT."""
+        """Return how many requests a server can reject in a second, or UNLIMITED."""
         known = self.rejection_limits.get(server)
-        return known.notice.per_s if known is not None else NO_REJECTION_LIMIT
+        return known.notice.per_s if known is not None else UNLIMITED
 
     def leaving_since(self, server: str) -> float | None:
         """Return when a server was first seen to be leaving, or None if it is not."""
--- a/packages/core/src/mountladder/notices/rejectionlimit.py
+++ b/packages/core/src/mountladder/notices/rejectionlimit.py
@@ -6,19 +6,15 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
-# The limit of a server that announces none.
-NO_REJECTION_LIMIT = math.inf
-
 
 @dataclass(frozen=True, slots=True)
 class RejectionLimit:
     """Notice that a backend server crashes if it has to reject many requests for lack of room.
 
     Attributes:
-        per_s: How many it can reject in a second, from all instances, or NO_REJECTION_LIMIT.
+        per_s: How many it can reject in a second, from all instances, or UNLIMITED.
     """
 
     per_s: float
--- a/packages/core/src/mountladder/serverlimits/roomlimits.py
+++ b/packages/core/src/mountladder/serverlimits/roomlimits.py
@@ -14,7 +14,7 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.leadership import Leadership
 from mountladder.notices.noticeregistry import NoticeRegistry
-from mountladder.notices.rejectionlimit import NO_REJECTION_LIMIT
+from mountladder.notices.ratelimit import UNLIMITED
 from mountladder.serverlimits.serverroom import SECOND_MS, ServerRoom
 
 # A server gets no further requests within a second in which it rejected this fraction of what it
@@ -52,7 +52,7 @@
 
     def is_fragile(self, name: str) -> bool:
         """Return whether a server crashes if it rejects many requests."""
-        return self.registry.max_rejections_per_s(name) < NO_REJECTION_LIMIT
+        return self.registry.max_rejections_per_s(name) < UNLIMITED
 
     def full(
         self, servers: Iterable[BackendServer], running: Mapping[str, int], topic: str
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -27,7 +27,7 @@
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.notice import Notice, NoticeHandler
 from mountladder.notices.ratelimit import UNLIMITED, RateLimit
-from mountladder.notices.rejectionlimit import NO_REJECTION_LIMIT, RejectionLimit
+from mountladder.notices.rejectionlimit import RejectionLimit
 from mountladder_standins.fragileservers import FragileServers
 from mountladder_standins.localanswer import LocalAnswer
 from mountladder_standins.piececall import PieceCall
@@ -164,7 +164,7 @@
     def notices(self, server: BackendServer) -> tuple[Notice, ...]:
         """Return the notices that a server's answers carry."""
         limit = RateLimit(self.limits.get(server.name, UNLIMITED))
-        per_s = self.fragile.max_rejections.get(server.name, NO_REJECTION_LIMIT)
+        per_s = self.fragile.max_rejections.get(server.name, UNLIMITED)
         notices = (limit, RejectionLimit(per_s))
         return (*notices, Leaving()) if server.name in self.leaving else notices
 
