Relay: use the retry rules, deadline and constants that requests already have

Cause: RelayedRun wrote again what forwarding knew: the error of a request that may have run and is not sent again, the codes of a time-out, the statuses that promise that nothing ran, the end of successful statuses, and the deadline of a request on a route.

No decision changes.

--- a/packages/core/src/mountladder/forwarding/forwardrequest.py
+++ b/packages/core/src/mountladder/forwarding/forwardrequest.py
@@ -51,3 +51,7 @@
     piece_key: str = ""
     last_event_id: str = ""
     holder: Holder | None = field(default=None, compare=False, repr=False)
+
+    def deadline(self, timeout_ms: float) -> float:
+        """Return when the caller's timeout or another one expires, in the clock's milliseconds."""
+        return self.arrived + min(self.allowed_ms, timeout_ms)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -74,7 +74,7 @@
         self.context = context
         self.urgency = context.follower.catalogue.urgency(caller, route)
         self.service = route.draw_service(context.rng)
-        self.deadline = request.arrived + min(request.allowed_ms, route.timeout_ms)
+        self.deadline = request.deadline(route.timeout_ms)
         self.attempts = 0
         self.possible_runs = 0
         self.connect_failures = 0
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -23,6 +23,8 @@
 MIN_REMAINING_MS = 30.0
 # When a caller may retry after all tried servers were full.
 FULL_RETRY_MS = 300.0
+# HTTP statuses that promise callers that a request has not run and will not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Codes of attempts that timed out.
 _TIMEOUT_CODES = frozenset({Code.STAGE_STALLED, Code.DEADLINE_PASSED})
 
@@ -34,8 +36,7 @@
     from a copy, which is no retry; see mountladder.continuation.
     """
     if error.dispatched and not run.route.repeatable:
-        code = Code.DEADLINE_PASSED if error.code in _TIMEOUT_CODES else Code.OUTCOME_UNKNOWN
-        return RunError(error.detail, code)
+        return unknown_outcome(error)
     if run.remaining_ms() < MIN_REMAINING_MS:
         return caller_error(run, RunError("not enough time left for a retry", Code.DEADLINE_PASSED))
     reached = run.attempts - run.connect_failures
@@ -51,6 +52,12 @@
     return None
 
 
+def unknown_outcome(error: StageError) -> RunError:
+    """Return the error for the caller of a request that may have run and is not sent again."""
+    code = Code.DEADLINE_PASSED if error.code in _TIMEOUT_CODES else Code.OUTCOME_UNKNOWN
+    return RunError(error.detail, code)
+
+
 def caller_error(run: ForwardRun, error: MountladderError) -> MountladderError:
     """Return an error as the caller gets it: a refusal only if nothing was executed."""
     may_have_run = run.may_have_run()
--- a/packages/core/src/mountladder/isolation/relayedrun.py
+++ b/packages/core/src/mountladder/isolation/relayedrun.py
@@ -12,10 +12,15 @@
 from eliot import log_message
 
 from mountladder.code import Code
+from mountladder.continuation.continuation import SUCCESS_END
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardrequest import ForwardRequest
-from mountladder.forwarding.retryrules import MIN_REMAINING_MS
+from mountladder.forwarding.retryrules import (
+    MIN_REMAINING_MS,
+    NOT_RUN_STATUSES,
+    unknown_outcome,
+)
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.routekind import RouteKind
 from mountladder.forwarding.serverpicker import NO_SERVER_RETRY_MS
@@ -30,12 +35,8 @@
 ANSWER_MARGIN_MS = 100.0
 # How often a request that may be repeated is relayed again after the connection to a peer broke.
 MAX_REPEATS = 1
-SUCCESS_END = 300
-# Statuses by which this system tells callers that a request was not run.
-REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 # Statuses of a peer that does not know the route or the key, although this instance does.
 UNKNOWN_STATUSES = frozenset({401, 404})
-TIMEOUT_CODES = frozenset({Code.STAGE_STALLED, Code.DEADLINE_PASSED})
 
 
 class RelayedRun:
@@ -59,7 +60,7 @@
         self.request = request
         self.route = route
         self.may_have_run = may_have_run
-        self.deadline = request.arrived + min(request.allowed_ms, route.timeout_ms)
+        self.deadline = request.deadline(route.timeout_ms)
         self.repeats = 0
 
     def remaining_ms(self) -> float:
@@ -129,7 +130,7 @@
             answer.close()
             raise
         self.log("relay-ended", peer, status=answer.status, signed=answer.signed)
-        if self.may_have_run and not answer.signed and answer.status in REFUSAL_STATUSES:
+        if self.may_have_run and not answer.signed and answer.status in NOT_RUN_STATUSES:
             raise RunError(f"{peer.name} refused it", Code.STAGE_FAILED)
         return ForwardAnswer(answer.status, answer.headers, body)
 
@@ -169,9 +170,7 @@
         if error.dispatched:
             self.repeats += 1
             if not self.route.repeatable or self.repeats > MAX_REPEATS:
-                timed_out = error.code in TIMEOUT_CODES
-                code = Code.DEADLINE_PASSED if timed_out else Code.OUTCOME_UNKNOWN
-                raise RunError(error.detail, code) from error
+                raise unknown_outcome(error) from error
         if self.remaining_ms() < MIN_REMAINING_MS:
             raise self.failure(error.detail, Code.DEADLINE_PASSED) from error
 
