Relay: no connection pool where no connection is kept

Cause: HttpPeerRelay sends each request over a connection of its own, and kept a pool only since ServerAnswer wanted one. PeerRelay.close was called by nobody.

--- a/packages/core/src/mountladder/isolation/peerrelay.py
+++ b/packages/core/src/mountladder/isolation/peerrelay.py
@@ -31,7 +31,3 @@
             StageError: No answer came; the field `dispatched` says whether the request may have
                 been run.
         """
-
-    @abstractmethod
-    def close(self) -> None:
-        """Close every connection."""
--- a/packages/standins/src/mountladder_standins/localpeerrelay.py
+++ b/packages/standins/src/mountladder_standins/localpeerrelay.py
@@ -47,6 +47,3 @@
         if address in self.fleet.broken_relays:
             raise StageError("the connection broke", Code.STREAM_CUT)
         return RelayedLocalAnswer(answer, True)
-
-    def close(self) -> None:
-        """Do nothing, as there are no connections."""
