--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -139,12 +139,22 @@
     "answered"
 )
 def answered_at_each(context, minimum, after):
-    answered = {name: [] for name in context.fleet.instances}
+    shares = answered_shares(context, after, "/")
+    assert shares.keys() == set(context.fleet.instances)
+    assert min(shares.values()) > minimum, (shares, sorted(context.fleet.partitions))
+
+
+def answered_shares(context, after, separator):
+    """Return how many of 100 requests were answered, by what precedes a separator in their ids.
+
+    Requests count that came over a time after the partition began, in milliseconds.
+    """
+    answered = {}
     for id_, arrived_at in context.arrived.items():
         if arrived_at > context.partitioned_at + after:
-            answered[id_.partition("/")[0]].append(context.ends[id_][:3:2] == (200, 0))
-    shares = {name: round(100 * sum(ends) / len(ends)) for name, ends in answered.items()}
-    assert min(shares.values()) > minimum, (shares, sorted(context.fleet.partitions))
+            ends = answered.setdefault(id_.partition(separator)[0], [])
+            ends.append(context.ends[id_][:3:2] == (200, 0))
+    return {name: round(100 * sum(ends) / len(ends)) for name, ends in answered.items()}
 
 
 @given("the answers to relayed requests are lost")
@@ -323,12 +333,7 @@
     "data centre"
 )
 def answered_in_each(context, minimum, after):
-    answered = {}
-    for id_, arrived_at in context.arrived.items():
-        if arrived_at > context.partitioned_at + after:
-            ends = answered.setdefault(id_[0], [])
-            ends.append(context.ends[id_][:3:2] == (200, 0))
-    shares = {name: round(100 * sum(ends) / len(ends)) for name, ends in answered.items()}
+    shares = answered_shares(context, after, "-")
     assert len(shares) == 3 and min(shares.values()) > minimum, shares
 
 
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -229,11 +229,10 @@
             return False
         if self.rate_limits.rooms.is_fragile(state.server.name):
             # An overdue call may still wait there, and another one would be rejected.
-            return not paused and len(self.calls.get(state.server.name, ())) < limits.calls
-        return (
-            not paused
-            and self.running(state) + len(self.uncertain_calls(state)) // 2 < limits.calls
-        )
+            running = len(self.calls.get(state.server.name, ()))
+        else:
+            running = self.running(state) + len(self.uncertain_calls(state)) // 2
+        return not paused and running < limits.calls
 
     def running(self, state: ServerState) -> int:
         """Return the number of calls running at a server, without the overdue ones."""
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -101,11 +101,10 @@
     def mark_isolated(self, instance: Instance, isolated: bool) -> bool:
         """Record whether an instance can reach no backend server; return whether that changed."""
         was_isolated = self.is_isolated(instance)
-        if isolated and instance is self.me:
-            self.isolated_until[instance.incarnation] = float("inf")
-        elif isolated:
+        if isolated:
             for_ms = max(MIN_ISOLATED_MS, ISOLATED_HEARTBEATS * self.interval_ms)
-            self.isolated_until[instance.incarnation] = self.clock.now() + for_ms
+            until = float("inf") if instance is self.me else self.clock.now() + for_ms
+            self.isolated_until[instance.incarnation] = until
         else:
             self.isolated_until.pop(instance.incarnation, None)
         self.changes += isolated != was_isolated
