Isolation: scenarios check that isolated instances relay nothing for each other

Cause: the scenario about requests that were relayed looked at what the fleet did as a whole, so that an instance which relays a relayed request again, or chooses an isolated peer, was not seen where it made no difference.

Change: two further checks at the isolated instances themselves.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -88,6 +88,8 @@
     When 5 instances with the coordinator of prompts of llm lose all servers, whose connections are reset, and 40 safe requests a second come for 6000 ms
     Then no request was relayed by two instances
     And all instances that reach the servers ran relayed requests
+    And isolated instances choose none of themselves to relay to
+    And an isolated instance that is sent a relayed request does not relay it
 
   Scenario: A refusal by the other instance is passed on, but not for a request of which stages ran
     Given all llm servers refuse all requests
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -14,6 +14,7 @@
 from parse import with_pattern
 
 from mountladder.code import Code
+from mountladder.errors import MountladderError
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.ranking import prompts_topic
@@ -378,3 +379,22 @@
     event = silence_store if what == "the store is silent" else EVENTS[what]
     context.clock.call_later(WARM_UP_MS + EVENT_MS, lambda: gevent.spawn(event, context))
     lose_servers(context, number, topic, how, rate, kind, ms)
+
+
+@then("isolated instances choose none of themselves to relay to")
+def choose_none_isolated(context):
+    isolated = set(context.fleet.partitions)
+    for name in isolated:
+        peers = context.fleet.instances[name].forwarder.context.relay.peers.available()
+        assert peers and not isolated & {one.name for one in peers}, peers
+
+
+@then("an isolated instance that is sent a relayed request does not relay it")
+def not_relayed_again(context):
+    name = next(iter(context.fleet.partitions))
+    sent = request("again", PATHS["safe"], context.clock.now())
+    try:
+        context.run(partial(context.fleet.instances[name].forwarder.serve, sent, relayed=True))
+    except MountladderError:
+        pass
+    assert "again" not in {id_ for _, _, id_ in context.fleet.relayed}
