Logs: what each decision about a retry was based on

Cause: the log of a request said whether the retry budget was spent, but not what the instance had counted, since when, and what its part of the reserve was. So the hypotheses of the incident (counts forgotten, reserve divided by too few, sendings that are not counted) could not be told apart.

No decision changed.

--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -205,7 +205,7 @@
             run.tracked.admit(run.remaining_ms())
         except RefusalError as error:
             return f"the request is barred: {error.detail}"
-        return "" if self.context.budget(run.service).spend() else "the retry budget is spent"
+        return "" if run.spend_retry() else "the retry budget is spent"
 
     def start_attempt(self, cut: StageError) -> ForwardAttempt:
         """Return the attempt at the server that has the copy."""
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -256,6 +256,18 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
+    def spend_retry(self) -> bool:
+        """Take one retry out of the service's budget; return whether the budget allowed it."""
+        budget = self.context.budget(self.service)
+        allowed = budget.spend()
+        self.log(
+            "retry-budget",
+            service=self.service,
+            **budget.inputs(),
+            outcome="allowed" if allowed else "denied",
+        )
+        return allowed
+
     def may_have_run(self) -> bool:
         """Return whether the request or one of its stages may have been executed."""
         return self.possible_runs > 0 or (self.flow is not None and self.flow.begun)
--- a/packages/core/src/mountladder/limits/windowbudget.py
+++ b/packages/core/src/mountladder/limits/windowbudget.py
@@ -32,6 +32,7 @@
         self.ratio = ratio
         self.window_ms = window_ms
         self.reserve = reserve
+        self.started_at = clock.now()
         self.requests: deque[float] = deque()
         self.retries: deque[float] = deque()
 
@@ -50,6 +51,18 @@
         self.retries.append(now)
         return True
 
+    def inputs(self) -> dict[str, float]:
+        """Return what a decision is based on at present, for the log.
+
+        The reserve is this instance's part of it, and the age that of these counts, in ms.
+        """
+        return {
+            "requests": len(self.requests),
+            "retries": len(self.retries),
+            "reserve": round(self.reserve(), 2),
+            "age_ms": round(self.clock.now() - self.started_at),
+        }
+
     def expire(self, times: deque[float], now: float) -> None:
         """Drop times that are older than the window."""
         while times and times[0] < now - self.window_ms:
