Steps: suppress in place of try and pass, as the linter asks

Cause: the checks of isolated instances went in without a run of the linter. Change: the same step with contextlib.suppress. Measured: make lint passes; the scenario passes (1 passed).

--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -4,6 +4,7 @@
 
 """Steps about instances that are partitioned from all backend servers."""
 
+from contextlib import suppress
 from functools import partial
 
 import gevent
@@ -393,8 +394,6 @@
 def not_relayed_again(context):
     name = next(iter(context.fleet.partitions))
     sent = request("again", PATHS["safe"], context.clock.now())
-    try:
+    with suppress(MountladderError):
         context.run(partial(context.fleet.instances[name].forwarder.serve, sent, relayed=True))
-    except MountladderError:
-        pass
     assert "again" not in {id_ for _, _, id_ in context.fleet.relayed}
