Settings: one method applies settings that were read again

Cause: what a reload does to an instance stood in the platform's signal handler, where no scenario without a process could reach it. No behaviour changed. Measured: features/forwarding.feature passes.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -238,8 +238,7 @@
 @given("the retry budget is spent")
 def budget_spent(context):
     instance = context.fleet.instances["a-1"]
-    instance.settings = replace(instance.settings, retry_ratio=0.0, retry_reserve=0.0)
-    instance.budgets.renew()
+    instance.apply_settings(replace(instance.settings, retry_ratio=0.0, retry_reserve=0.0))
 
 
 @when("{number:d} events come byte by byte")
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -126,6 +126,11 @@
         )
         self.build(upstream)
 
+    def apply_settings(self, settings: ForwardingSettings) -> None:
+        """Apply settings that were read again."""
+        self.settings = settings
+        self.budgets.renew()
+
     def build(self, upstream: Upstream) -> None:
         """Create and connect the components of the request path."""
         clock, metrics = self.clock, self.metrics
