--- /dev/null
+++ b/features/steps/retrybudget_steps.py
@@ -0,0 +1,146 @@
+# retrybudget_steps.py -- Steps about the retry budget that all instances share
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about the retry budget that all instances share."""
+
+import gevent
+from behave import given, then, when
+from fleetevents import EVENT_MS, EVENTS, restart, restart_all
+from forwardbasics import SECOND_MS
+from noticerecorder import send
+
+from mountladder.errors import StoreUnavailableError
+
+# For longer than a window before requests come, so that nothing is left of the start.
+AGE_MS = 13_000.0
+# How long after a reload or a restart of all instances the next one follows.
+AGAIN_MS = 2_500.0
+
+
+@given("all servers refuse half of all requests")
+def refuse_half(context):
+    context.fleet.upstream.refuse_every = dict.fromkeys(context.servers, 2)
+
+
+@given("arrivals at servers are recorded")
+def record_arrivals(context):
+    upstream = context.fleet.upstream
+    context.arrivals = []
+    plain_open = upstream.open
+
+    def open_(server, call, limit_ms):
+        context.arrivals.append((context.clock.now(), call.request.id))
+        return plain_open(server, call, limit_ms)
+
+    upstream.open = open_
+
+
+def nothing(context):
+    pass
+
+
+def reload_twice(context):
+    for _ in range(2):
+        for instance in context.fleet.instances.values():
+            instance.apply_settings(instance.settings)
+        context.clock.sleep(AGAIN_MS)
+
+
+def restart_all_often(context):
+    for _ in range(3):
+        restart_all(context)
+        context.clock.sleep(AGAIN_MS)
+
+
+def lose_store(context):
+    """Have the store answer no instance that starts or reads the list from now on."""
+
+    def unavailable(*_):
+        raise StoreUnavailableError("down")
+
+    context.fleet.catalogue.down = context.fleet.servers.down = True
+    context.fleet.instance_list.instances = context.fleet.instance_list.announce = unavailable
+
+
+def restart_two_thirds(context):
+    lose_store(context)
+    names = list(context.fleet.instances)[2:]
+    gevent.joinall([gevent.spawn(restart, context, name) for name in names])
+
+
+def restart_alone(context):
+    """Restart all instances but one, of which each reaches only that one."""
+    lose_store(context)
+    first, *names = context.fleet.instances
+    context.fleet.network.cut_instances |= {
+        frozenset({a, b}) for a in names for b in names if a != b
+    }
+    gevent.joinall([gevent.spawn(restart, context, name) for name in names])
+
+
+def forget_half(context):
+    """Restore a store that has no entry of three instances, which their peers cannot reach."""
+    names = list(context.fleet.instances)
+    lost = names[3:]
+    context.fleet.network.cut_instances |= {
+        frozenset({a, b}) for a in lost for b in names if a != b
+    }
+    for name in lost:
+        del context.fleet.instance_list.history[name]
+    context.clock.sleep(SECOND_MS)
+    for name in names[:3]:
+        context.fleet.instances[name].member_reader.read()
+
+
+def turn_to_others(context):
+    """Have callers use half of the instances only; the others run on."""
+    for name in list(context.fleet.instances)[3:]:
+        context.stack.callback(context.fleet.instances.pop(name).close)
+
+
+BUDGET_EVENTS = EVENTS | {
+    "nothing else happens": nothing,
+    "all instances reload their settings, twice": reload_twice,
+    "all instances are restarted at once, three times": restart_all_often,
+    "two thirds of the instances restart without a store": restart_two_thirds,
+    "all but one restart without a store, and reach only that one": restart_alone,
+    "the restored store has lost three unreachable instances": forget_half,
+    "the callers of half of the instances turn to the others": turn_to_others,
+}
+
+
+@when("{rate:d} {kind:w} requests a second come for {ms:d} ms while {what}")
+def come_while(context, rate, kind, ms, what):
+    context.run(context.clock.sleep, AGE_MS)
+    event = BUDGET_EVENTS[what]
+    context.clock.call_later(EVENT_MS, lambda: gevent.spawn(event, context))
+    send(context, rate, kind, ms)
+
+
+@then(
+    "no service gets more than {ratio:g} retries for each request and {reserve:d} more in any "
+    "{window_ms:d} ms"
+)
+def within_shared_budget(context, ratio, reserve, window_ms):
+    """Check any window.
+
+    The requests are those of the window, of the one before it or of the one half a window before
+    it, whichever has most.
+    """
+    seen, retries = set(), []
+    for at, request in context.arrivals:
+        if request in seen:
+            retries.append(at)
+        seen.add(request)
+    arrived = context.arrived.values()
+    worst = (0.0, 0.0)
+    for start in retries:
+        got = sum(start <= at < start + window_ms for at in retries)
+        counts = [
+            sum(start - earlier <= at < start - earlier + window_ms for at in arrived)
+            for earlier in (0.0, window_ms / 2, window_ms)
+        ]
+        worst = max(worst, (got - ratio * max(counts) - reserve, start))
+    print(f"{len(retries)} retries, excess {worst[0]:.1f}")
+    assert retries and worst[0] <= 0, f"{worst[0]:.1f} too many from {worst[1]:.0f} ms on"
