Retry budget: a reload keeps the counts of earlier retries

What callers saw: nothing by itself. A service got 156 second sendings within 10 s where 97 are allowed: each instance made its part twice.

Cause: a reload created all budgets anew, so that new limits came into force, and the retries of the last window were forgotten with the old ones. Besides, a coordinator of stages kept the old budget and its limits.

Change: a budget asks for its limits at each decision, and nothing is created anew.

With limits read once, the new scenario of changed limits fails as well.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -31,6 +31,12 @@
       | resumable | 60   |
       | safe      | 12   |
 
+  Scenario: Reloaded limits hold for requests that come later
+    Given all servers refuse half of all requests
+    When 20 safe requests a second come for 3000 ms while nothing else happens
+    And all instances reload settings that allow no retries, and 20 safe requests a second come for 3000 ms
+    Then the latter were not retried
+
   Scenario Outline: Restarts do not renew the budget: <rate> <kind> requests a second while <what>
     Given all servers refuse half of all requests
     When <rate> <kind> requests a second come for 16000 ms while <what>
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -4,6 +4,8 @@
 
 """Steps about the retry budget that all instances share."""
 
+from dataclasses import replace
+
 import gevent
 from behave import given, then, when
 from fleetevents import EVENT_MS, EVENTS, restart, restart_all
@@ -118,6 +120,16 @@
     send(context, rate, kind, ms)
 
 
+def retry_times(context):
+    """Return when requests that had reached a server before reached one again."""
+    seen, times = set(), []
+    for at, request in context.arrivals:
+        if request in seen:
+            times.append(at)
+        seen.add(request)
+    return times
+
+
 @then(
     "no service gets more than {ratio:g} retries for each request and {reserve:d} more in any "
     "{window_ms:d} ms"
@@ -128,11 +140,7 @@
     The requests are those of the window, of the one before it or of the one half a window before
     it, whichever has most.
     """
-    seen, retries = set(), []
-    for at, request in context.arrivals:
-        if request in seen:
-            retries.append(at)
-        seen.add(request)
+    retries = retry_times(context)
     arrived = context.arrived.values()
     worst = (0.0, 0.0)
     for start in retries:
@@ -142,5 +150,21 @@
             for earlier in (0.0, window_ms / 2, window_ms)
         ]
         worst = max(worst, (got - ratio * max(counts) - reserve, start))
-    print(f"{len(retries)} retries, excess {worst[0]:.1f}")
     assert retries and worst[0] <= 0, f"{worst[0]:.1f} too many from {worst[1]:.0f} ms on"
+
+
+@when(
+    "all instances reload settings that allow no retries, and {rate:d} {kind:w} requests a second "
+    "come for {ms:d} ms"
+)
+def reload_without_retries(context, rate, kind, ms):
+    context.retried_before = len(retry_times(context))
+    for instance in context.fleet.instances.values():
+        limits = {"retry_ratio": 0.0, "retry_reserve": 0.0}
+        instance.apply_settings(replace(instance.settings, **limits))
+    send(context, rate, kind, ms, label="later")
+
+
+@then("the latter were not retried")
+def not_retried(context):
+    assert 0 < context.retried_before == len(retry_times(context))
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -129,7 +129,6 @@
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Apply settings that were read again."""
         self.settings = settings
-        self.budgets.renew()
 
     def build(self, upstream: Upstream) -> None:
         """Create and connect the components of the request path."""
--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -10,6 +10,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.forwardingsettings import ForwardingSettings
+from mountladder.limits.retrylimits import RetryLimits
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.membership import Membership
 
@@ -35,16 +36,14 @@
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            settings = self.settings()
-            budget = self.budgets[service] = WindowBudget(
-                self.clock, settings.retry_ratio, settings.retry_window_ms, self.reserve
-            )
+            budget = self.budgets[service] = WindowBudget(self.clock, self.limits)
         return budget
 
+    def limits(self) -> RetryLimits:
+        """Return how many retries this instance may make for one service."""
+        settings = self.settings()
+        return RetryLimits(settings.retry_ratio, settings.retry_window_ms, self.reserve())
+
     def reserve(self) -> float:
         """Return this instance's share of the common reserve of retries."""
         return self.settings().retry_reserve / self.membership.budget_sharers()
-
-    def renew(self) -> None:
-        """Recreate all budgets after a change of settings."""
-        self.budgets.clear()
--- a/packages/core/src/mountladder/limits/windowbudget.py
+++ b/packages/core/src/mountladder/limits/windowbudget.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from mountladder.clocks.clock import Clock
+from mountladder.limits.retrylimits import RetryLimits
 
 
 class WindowBudget:
@@ -20,18 +21,12 @@
 
     Args:
         clock: The clock.
-        ratio: The number of retries that each request in the window allows.
-        window_ms: The length of the window, in milliseconds.
-        reserve: Returns this instance's present part of the reserve.
+        limits: Returns the present limits.
     """
 
-    def __init__(
-        self, clock: Clock, ratio: float, window_ms: float, reserve: Callable[[], float]
-    ) -> None:
+    def __init__(self, clock: Clock, limits: Callable[[], RetryLimits]) -> None:
         self.clock = clock
-        self.ratio = ratio
-        self.window_ms = window_ms
-        self.reserve = reserve
+        self.limits = limits
         self.started_at = clock.now()
         self.requests: deque[float] = deque()
         self.retries: deque[float] = deque()
@@ -42,10 +37,10 @@
 
     def spend(self) -> bool:
         """Take one retry out of the budget; return whether the budget allowed it."""
-        now = self.clock.now()
-        self.expire(self.requests, now)
-        self.expire(self.retries, now)
-        allowed = self.ratio * len(self.requests) + self.reserve()
+        now, limits = self.clock.now(), self.limits()
+        self.expire(self.requests, now - limits.window_ms)
+        self.expire(self.retries, now - limits.window_ms)
+        allowed = limits.ratio * len(self.requests) + limits.reserve
         if len(self.retries) + 1 > allowed:
             return False
         self.retries.append(now)
@@ -59,11 +54,11 @@
         return {
             "requests": len(self.requests),
             "retries": len(self.retries),
-            "reserve": round(self.reserve(), 2),
+            "reserve": round(self.limits().reserve, 2),
             "age_ms": round(self.clock.now() - self.started_at),
         }
 
-    def expire(self, times: deque[float], now: float) -> None:
-        """Drop times that are older than the window."""
-        while times and times[0] < now - self.window_ms:
+    def expire(self, times: deque[float], start: float) -> None:
+        """Drop the times before the start of the window."""
+        while times and times[0] < start:
             times.popleft()
