Retry budget: restarts do not renew it

What callers saw: nothing by itself. Servers that refuse many requests got up to 139 second sendings within 10 s where 103 are allowed, as instances were killed or restarted meanwhile.

Cause: each process counted its own requests and retries of the last window. A process that starts again counts from nothing, so that the reserve and a part for each request were spent a second time in the same window; callers that turn to another instance allowed retries at both.

Change: SharedRetryBudget. Each request earns its part of a retry, once; a quarter of the instance's part of the reserve can be saved up that way, from nothing in a new process. Seven tenths of the part may be spent in each window, by processes that have run for one. So in any window the retries of all are at most 0.95 of the reserve and what its requests earn, whoever restarts. Pieces of stages, which one instance sends for all, keep the window; they no longer share their counts with plain requests to the same service.

Scenarios elsewhere that expect a retry from a fleet that has just started have it run for a window first, and one with back-offs gets twice the load, since an instance learns of them from refusals; what they check is as before.

--- a/features/drains.feature
+++ b/features/drains.feature
@@ -73,7 +73,8 @@
     Then no instance considers data centre a drained
 
   Scenario Outline: A stream that breaks is resumed elsewhere
-    Given server <there> has fault "cut"
+    Given the instances have received requests before
+    And server <there> has fault "cut"
     And a third model server llm-3 in data centre <own>
     When data centre <datacentre> is drained 15 ms after a resumable request came to <there>
     Then request r ends with status 200
--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -26,6 +26,9 @@
 from mountladder_standins.forwardfleet import ForwardFleet
 
 SECOND_MS = 1_000.0
+# After this time and so many requests an instance has as many retries as it can have.
+RETRY_AGE_MS = 12_000.0
+EARLIER_REQUESTS = 50
 BATCH = BatchLimits(1, 2, 8, 150.0, 10.0, 100.0, 4_000.0)
 PROMPT = Prompt(1_000, 30, (PromptPart("shared", 800), PromptPart("own", 200)))
 
@@ -97,6 +100,15 @@
     return replace(plain, **fields)
 
 
+def save_retries(context):
+    """Have the instances run for longer than the retry budget's window, and save up retries."""
+    context.run(context.clock.sleep, RETRY_AGE_MS)
+    for instance in context.fleet.instances.values():
+        for service in catalogue(1).services:
+            for _ in range(EARLIER_REQUESTS):
+                instance.budgets.of_requests(service).earn()
+
+
 def find_coordinator(context, topic, datacentre=""):
     """Return an instance that is the coordinator of a topic, in a data centre or anywhere."""
     return next(
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -3,6 +3,7 @@
   Background:
     Given a forwarding fleet of instances a-1, a-2, b-1
     And servers desk-1, desk-2 of service desk and llm-1, llm-2 of service llm
+    And the instances have received requests before
 
   Scenario Outline: Which requests are repeated after which failure
     When the first server that <kind> request r reaches has fault "<server fault>"
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -111,6 +111,7 @@
 
   Scenario Outline: Retries within the instance consult the quarantine as well
     Given every route allows 6 attempts
+    And the instances have received requests before
     When a deadly <kind> request comes 3 times every 800 ms, each time at the next instance
     Then at most 3 servers have crashed
     And attempt d0 ends with code <code> as <class>
--- a/features/restingservers.feature
+++ b/features/restingservers.feature
@@ -51,7 +51,8 @@
       | llm     | staged |
 
   Scenario: A caller that retries after the back-off is served
-    When all desk servers refuse all requests with a back-off of 2000 ms, and 20 safe requests a second come for 1900 ms
+    Given the instances have received requests before
+    When all desk servers refuse all requests with a back-off of 2000 ms, and 40 safe requests a second come for 1900 ms
     And they stop refusing requests
     And the callers refused for that retry when they were told to
     Then over 97 of 100 of these retries were served
--- a/features/room.feature
+++ b/features/room.feature
@@ -11,7 +11,8 @@
     Then every result was released
 
   Scenario: A resumed stream runs its stages again, since their results were released
-    Given the stream of the first server that runs request r is cut after its first events
+    Given the instances have received requests before
+    And the stream of the first server that runs request r is cut after its first events
     When lasting request r is sent to a-1
     Then request r was answered completely by 2 servers
     And each of its stages ran twice
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -12,7 +12,7 @@
 import gevent
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
-from forwardbasics import catalogue, placement_coordinator, request, route, serve
+from forwardbasics import catalogue, placement_coordinator, request, route, save_retries, serve
 from logrecorder import record_lines
 from mountladder_platform.decoding import decode_catalogue
 from platform_steps import TIMEOUT_MS, listen, make_call, make_upstream, receive_request
@@ -85,6 +85,7 @@
     fleet.add_server("llm-1", "llm", "a")
     fleet.add_server("llm-2", "llm", "b")
     context.run(context.clock.sleep, SETTLE_MS)
+    save_retries(context)
     context.plans = []
     context.calls = []
     record_lines(context)
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -8,7 +8,7 @@
 
 import gevent
 from behave import given, then, when
-from forwardbasics import PATHS, catalogue, request, serve
+from forwardbasics import PATHS, catalogue, request, save_retries, serve
 
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.streamrun import StreamRun
@@ -37,6 +37,11 @@
     context.run(context.clock.sleep, SETTLE_MS)
 
 
+@given("the instances have received requests before")
+def requests_before(context):
+    save_retries(context)
+
+
 @given("stage servers {first}, {second} of service {service}")
 def stage_servers(context, first, second, service):
     context.fleet.add_server(first, service, "a")
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -9,13 +9,11 @@
 import gevent
 from behave import given, then, when
 from fleetevents import EVENT_MS, EVENTS, restart, restart_all
-from forwardbasics import SECOND_MS
+from forwardbasics import SECOND_MS, save_retries
 from noticerecorder import send
 
 from mountladder.errors import StoreUnavailableError
 
-# For longer than a window before requests come, so that nothing is left of the start.
-AGE_MS = 13_000.0
 # How long after a reload or a restart of all instances the next one follows.
 AGAIN_MS = 2_500.0
 
@@ -114,7 +112,7 @@
 
 @when("{rate:d} {kind:w} requests a second come for {ms:d} ms while {what}")
 def come_while(context, rate, kind, ms, what):
-    context.run(context.clock.sleep, AGE_MS)
+    save_retries(context)
     event = BUDGET_EVENTS[what]
     context.clock.call_later(EVENT_MS, lambda: gevent.spawn(event, context))
     send(context, rate, kind, ms)
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -70,7 +70,7 @@
         router: Holds the state of each server.
         upstream: Calls the servers.
         quarantine: Tracks requests whose pieces crash servers.
-        budget: Retry budget of the service.
+        budget: Retry budget for pieces of the service.
         clock: The clock.
         metrics: Counts and times calls.
         cold: Limits the pieces sent to servers that have just started.
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -20,7 +20,7 @@
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
-from mountladder.limits.windowbudget import WindowBudget
+from mountladder.limits.sharedretrybudget import SharedRetryBudget
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
@@ -41,7 +41,7 @@
         upstream: Sends calls to servers.
         dispatch: Runs stages.
         forecast: Refuses requests whose stages cannot be done in time.
-        budget: Returns the retry budget of a service.
+        budget: Returns the retry budget for requests to a service.
         metrics: Receives metrics.
         shutdown: Tracks the shutdown of the instance.
         fetch_time: Estimates when servers have fetched stage results.
@@ -58,7 +58,7 @@
     upstream: Upstream
     dispatch: StageDispatch
     forecast: StageForecast
-    budget: Callable[[str], WindowBudget]
+    budget: Callable[[str], SharedRetryBudget]
     metrics: Metrics
     shutdown: Shutdown
     fetch_time: FetchTime
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -257,7 +257,7 @@
             forecast=StageForecast(
                 self.dispatch, self.follower, self.admission, make_retry_times(self)
             ),
-            budget=self.budgets.of,
+            budget=self.budgets.of_requests,
             metrics=self.metrics,
             shutdown=self.shutdown,
             fetch_time=FetchTime(),
@@ -295,7 +295,7 @@
             self.router,
             self.upstream,
             self.quarantine,
-            self.budgets.of(service),
+            self.budgets.of_pieces(service),
             self.clock,
             self.metrics,
             self.cold,
--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -11,17 +11,22 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.forwardingsettings import ForwardingSettings
 from mountladder.limits.retrylimits import RetryLimits
+from mountladder.limits.sharedretrybudget import SharedRetryBudget
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.membership import Membership
 
 
 class RetryBudgets:
-    """Holds this instance's share of each service's retry budget.
+    """Holds this instance's parts of the retry budgets of services.
 
     Args:
         settings: Returns the current settings.
-        membership: The instances that share the budget.
+        membership: The instances that share the budgets.
         clock: The clock.
+
+    Attributes:
+        requests: The budgets for requests, by service; all instances send to it.
+        pieces: The budgets for pieces of stages, by service; one instance sends to it.
     """
 
     def __init__(
@@ -30,13 +35,23 @@
         self.settings = settings
         self.membership = membership
         self.clock = clock
-        self.budgets: dict[str, WindowBudget] = {}
+        self.started_at = clock.now()
+        self.requests: dict[str, SharedRetryBudget] = {}
+        self.pieces: dict[str, WindowBudget] = {}
+
+    def of_requests(self, service: str) -> SharedRetryBudget:
+        """Return the retry budget for requests to a service."""
+        budget = self.requests.get(service)
+        if budget is None:
+            budget = SharedRetryBudget(self.clock, self.limits, self.started_at)
+            self.requests[service] = budget
+        return budget
 
-    def of(self, service: str) -> WindowBudget:
-        """Return the retry budget of a service."""
-        budget = self.budgets.get(service)
+    def of_pieces(self, service: str) -> WindowBudget:
+        """Return the retry budget for pieces of a service's stages."""
+        budget = self.pieces.get(service)
         if budget is None:
-            budget = self.budgets[service] = WindowBudget(self.clock, self.limits)
+            budget = self.pieces[service] = WindowBudget(self.clock, self.limits)
         return budget
 
     def limits(self) -> RetryLimits:
@@ -45,5 +60,5 @@
         return RetryLimits(settings.retry_ratio, settings.retry_window_ms, self.reserve())
 
     def reserve(self) -> float:
-        """Return this instance's share of the common reserve of retries."""
+        """Return this instance's part of the common reserve of retries."""
         return self.settings().retry_reserve / self.membership.budget_sharers()
--- a/packages/core/src/mountladder/limits/windowbudget.py
+++ b/packages/core/src/mountladder/limits/windowbudget.py
@@ -1,8 +1,8 @@
-# windowbudget.py -- Retry budget over a sliding window, shared by instances
+# windowbudget.py -- Retry budget over a sliding window
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Retry budget over a sliding window, shared by instances."""
+"""Retry budget over a sliding window."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class WindowBudget:
-    """Allows retries as a fraction of the requests in a sliding window, plus a shared reserve.
+    """Allows retries as a fraction of the requests in a sliding window, plus a reserve.
 
-    Each instance counts only its own requests and spends only its part of the reserve, so that
-    all together stay within the common limit without exchanging messages.
+    It bounds what one process adds to a service under load; see SharedRetryBudget for a limit that
+    holds for all instances.
 
     Args:
         clock: The clock.
@@ -27,7 +27,6 @@
     def __init__(self, clock: Clock, limits: Callable[[], RetryLimits]) -> None:
         self.clock = clock
         self.limits = limits
-        self.started_at = clock.now()
         self.requests: deque[float] = deque()
         self.retries: deque[float] = deque()
 
@@ -46,18 +45,6 @@
         self.retries.append(now)
         return True
 
-    def inputs(self) -> dict[str, float]:
-        """Return what a decision is based on at present, for the log.
-
-        The reserve is this instance's part of it, and the age that of these counts, in ms.
-        """
-        return {
-            "requests": len(self.requests),
-            "retries": len(self.retries),
-            "reserve": round(self.limits().reserve, 2),
-            "age_ms": round(self.clock.now() - self.started_at),
-        }
-
     def expire(self, times: deque[float], start: float) -> None:
         """Drop the times before the start of the window."""
         while times and times[0] < start:
