Retry budget: instances that were dropped from the list still count

What callers saw: nothing by itself. Where a store was restored from an older copy without the entries of three of six instances, and these could not be reached, retries exceeded the budget by 10 to 12.

Cause: the reserve is divided by the instances that are known. An instance that is neither listed nor responding was forgotten at once, although it may be cut off and serve its callers with its own part of the reserve.

Change: an instance that is dropped counts among those that share budgets for an hour, about as long as data centres lose each other. The same count divides the connections to servers and the probes of limited ones.

--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -31,6 +31,9 @@
 GATHERING_MIN_INSTANCES = 6
 # How many instances are assumed to share a budget while their number is unknown.
 ASSUMED_INSTANCES = 16
+# How long an instance that is not listed any more counts as sharing the budgets. It may serve its
+# callers all the same: data centres lose each other for up to an hour.
+DROPPED_MS = 3_600_000.0
 
 
 class Membership:
@@ -45,6 +48,7 @@
         changes: Counts the changes, so that derived values can be cached.
         isolated_until: Until when instances count as unable to reach any backend server, by
             incarnation.
+        dropped_at: When instances that are not known any more were dropped, by name.
     """
 
     def __init__(self, me: Instance, clock: Clock, interval_ms: float = MIN_INTERVAL_MS) -> None:
@@ -56,6 +60,7 @@
         self.last_seen: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.isolated_until: dict[str, float] = {}
+        self.dropped_at: dict[str, float] = {}
         self.changes = 0
         self.cached_interval: tuple[int, float] = (-1, interval_ms)
         self.cached_neighbours: tuple[int, list[Instance]] = (-1, [])
@@ -85,6 +90,7 @@
         for name in list(self.known):
             if name not in listed and not self.is_responding(self.known[name]):
                 del self.known[name]
+                self.dropped_at[name] = self.clock.now()
         self.changes += 1
 
     def mark_alive(self, instance: Instance, leaving: bool = False) -> None:
@@ -138,9 +144,17 @@
 
     def budget_sharers(self) -> int:
         """Return how many instances are assumed to share a common budget."""
-        known = 1 + len(self.known)
+        known = 1 + len(self.known) + self.count_dropped()
         return known if self.listed else max(known, ASSUMED_INSTANCES)
 
+    def count_dropped(self) -> int:
+        """Return how many instances were dropped recently and may still serve callers."""
+        oldest = self.clock.now() - DROPPED_MS
+        for name, at in list(self.dropped_at.items()):
+            if name in self.known or at < oldest:
+                del self.dropped_at[name]
+        return len(self.dropped_at)
+
     def silence_ms(self, instance: Instance) -> float:
         """Return the time since an instance last sent something, in ms; infinite if never."""
         at = self.last_seen.get(instance.incarnation)
