Relay: requests that are relayed again take from the retry budget

What callers saw: nothing by itself. Where instances are cut off from all servers and the answers of the instances that they relay to are lost, each request that may be repeated reached a server a second time: 112 retries more than the budget allows within 10 s on virtual time.

Cause: the relay decided by itself whether to send a request to a second peer, by how often it had been sent, and did not ask the retry budget. The class is another than that of the other faults: a way past the budget, not a wrong count.

Change: RelayedRun asks RetryBudgets.spend, which takes a retry and logs the decision for all who ask; requests and continued streams ask there too.

--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,12 +14,12 @@
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.cataloguefollower import CatalogueFollower
 from mountladder.forwarding.fetchtime import FetchTime
+from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.serverpicker import ServerPicker
 from mountladder.forwarding.shutdown import Shutdown
 from mountladder.forwarding.stagedispatch import StageDispatch
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
-from mountladder.limits.sharedretrybudget import SharedRetryBudget
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
@@ -41,7 +40,7 @@
         upstream: Sends calls to servers.
         dispatch: Runs stages.
         forecast: Refuses requests whose stages cannot be done in time.
-        budget: Returns the retry budget for requests to a service.
+        budgets: The retry budgets of services.
         metrics: Receives metrics.
         shutdown: Tracks the shutdown of the instance.
         fetch_time: Estimates when servers have fetched stage results.
@@ -58,7 +57,7 @@
     upstream: Upstream
     dispatch: StageDispatch
     forecast: StageForecast
-    budget: Callable[[str], SharedRetryBudget]
+    budgets: RetryBudgets
     metrics: Metrics
     shutdown: Shutdown
     fetch_time: FetchTime
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -257,7 +257,7 @@
             forecast=StageForecast(
                 self.dispatch, self.follower, self.admission, make_retry_times(self)
             ),
-            budget=self.budgets.of_requests,
+            budgets=self.budgets,
             metrics=self.metrics,
             shutdown=self.shutdown,
             fetch_time=FetchTime(),
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -91,7 +91,7 @@
         self.hold = Hold(self)
         texts = (self.team, request.method, request.host, request.target)
         self.tracked = context.quarantine.track(request.id, texts, request.body)
-        context.budget(self.service).earn()
+        context.budgets.of_requests(self.service).earn()
 
     @property
     def team(self) -> str:
@@ -258,15 +258,7 @@
 
     def spend_retry(self) -> bool:
         """Take one retry out of the service's budget; return whether the budget allowed it."""
-        budget = self.context.budget(self.service)
-        allowed = budget.spend()
-        self.log(
-            "retry-budget",
-            service=self.service,
-            **budget.inputs(),
-            outcome="allowed" if allowed else "denied",
-        )
-        return allowed
+        return self.context.budgets.spend(self.service, self.request.id)
 
     def may_have_run(self) -> bool:
         """Return whether the request or one of its stages may have been executed."""
--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable
 
+from eliot import log_message
+
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.forwardingsettings import ForwardingSettings
 from mountladder.limits.retrylimits import RetryLimits
@@ -47,6 +49,28 @@
             self.requests[service] = budget
         return budget
 
+    def spend(self, service: str, request: str) -> bool:
+        """Take one retry of a request out of a service's budget, and log the decision.
+
+        Args:
+            service: The service.
+            request: The id of the request.
+
+        Returns:
+            Whether the budget allowed it.
+        """
+        budget = self.of_requests(service)
+        inputs = budget.inputs()
+        allowed = budget.spend()
+        log_message(
+            "retry-budget",
+            request=request,
+            service=service,
+            **inputs,
+            outcome="allowed" if allowed else "denied",
+        )
+        return allowed
+
     def of_pieces(self, service: str) -> WindowBudget:
         """Return the retry budget for pieces of a service's stages."""
         budget = self.pieces.get(service)
--- a/packages/core/src/mountladder/isolation/relayedrun.py
+++ b/packages/core/src/mountladder/isolation/relayedrun.py
@@ -49,6 +49,8 @@
         may_have_run: Whether a part of it may have run.
 
     Attributes:
+        service: The service whose budget its retries are taken from. Where a route has several,
+            the instance that runs the request draws one by itself.
         deadline: When the caller's or the route's timeout expires, in the clock's milliseconds.
         repeats: How often it was sent again although it may have run.
     """
@@ -60,6 +62,7 @@
         self.request = request
         self.route = route
         self.may_have_run = may_have_run
+        self.service = route.draw_service(relay.peers.rng)
         self.deadline = request.deadline(route.timeout_ms)
         self.repeats = 0
 
@@ -171,6 +174,8 @@
             self.repeats += 1
             if not self.route.repeatable or self.repeats > MAX_REPEATS:
                 raise unknown_outcome(error) from error
+            if not self.relay.budgets.spend(self.service, self.request.id):
+                raise RunError(error.detail, Code.RETRY_BUDGET_SPENT) from error
         if self.remaining_ms() < MIN_REMAINING_MS:
             raise self.failure(error.detail, Code.DEADLINE_PASSED) from error
 
--- a/packages/core/src/mountladder/isolation/requestrelay.py
+++ b/packages/core/src/mountladder/isolation/requestrelay.py
@@ -10,6 +10,7 @@
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.retrybudgets import RetryBudgets
 from mountladder.forwarding.retryrules import MIN_REMAINING_MS
 from mountladder.forwarding.route import Route
 from mountladder.isolation.isolationdetector import IsolationDetector
@@ -26,6 +27,7 @@
         isolation: Detects whether this instance can reach a backend server.
         peers: Chooses the other instances.
         transport: Sends requests to them, or None if they cannot be sent any.
+        budgets: The retry budgets of services.
         clock: The clock.
         metrics: Counts relayed requests.
     """
@@ -35,12 +37,14 @@
         isolation: IsolationDetector,
         peers: RelayPeers,
         transport: PeerRelay | None,
+        budgets: RetryBudgets,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.isolation = isolation
         self.peers = peers
         self.transport = transport
+        self.budgets = budgets
         self.clock = clock
         self.metrics = metrics
 
--- a/packages/core/src/mountladder/isolation/wiring.py
+++ b/packages/core/src/mountladder/isolation/wiring.py
@@ -41,6 +41,7 @@
         components.isolation,
         RelayPeers(components.fleet, components.rng),
         components.peer_relay,
+        components.budgets,
         components.clock,
         components.metrics,
     )
