Relay: a request that is relayed earns retries at one instance only

What callers saw: nothing. A request that failed here and was then relayed was counted by both instances, so that it allowed two fifths of a retry.

Cause: each run of a request counts it, also that of the instance it is relayed to.

Change: the instance that gives up a request takes back what it has earned. The one that runs it counts it, since it makes the retries.

Measured: the new scenario fails without that (0.4 in place of 0.2).

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -77,3 +77,8 @@
       | rate | how       |
       | 40   | hang      |
       | 12   | are reset |
+
+  Scenario: A request that is relayed after it failed here earns retries at one instance only
+    Given an instance that is cut off from all servers and has not noticed it yet
+    When a safe request to it is relayed to another instance
+    Then the two instances have saved 0.2 retries more in all
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -9,10 +9,11 @@
 import gevent
 from behave import given, then, when
 from fleetevents import EVENT_MS, EVENTS, restart, restart_all
-from forwardbasics import SECOND_MS, save_retries
+from forwardbasics import PATHS, SECOND_MS, request, save_retries, serve
 from noticerecorder import send
 
 from mountladder.errors import StoreUnavailableError
+from mountladder_standins.serverpartition import ServerPartition
 
 # How long after a reload or a restart of all instances the next one follows.
 AGAIN_MS = 2_500.0
@@ -121,10 +122,10 @@
 def retry_times(context):
     """Return when requests that had reached a server before reached one again."""
     seen, times = set(), []
-    for at, request in context.arrivals:
-        if request in seen:
+    for at, id_ in context.arrivals:
+        if id_ in seen:
             times.append(at)
-        seen.add(request)
+        seen.add(id_)
     return times
 
 
@@ -166,3 +167,29 @@
 @then("the latter were not retried")
 def not_retried(context):
     assert 0 < context.retried_before == len(retry_times(context))
+
+
+@given("an instance that is cut off from all servers and has not noticed it yet")
+def unnoticed_partition(context):
+    context.cut_off = next(iter(context.fleet.instances))
+    context.fleet.partitions[context.cut_off] = ServerPartition.RESET
+    context.saved_before = saved_retries(context)
+
+
+@when("a safe request to it is relayed to another instance")
+def relay_one(context):
+    sent = request("r", PATHS["safe"], context.clock.now())
+    context.run(serve, context, context.cut_off, sent)
+    assert context.ends["r"][0] == 200, context.ends["r"]
+    assert [(one, id_) for one, _, id_ in context.fleet.relayed] == [(context.cut_off, "r")]
+
+
+def saved_retries(context):
+    """Return how many retries all instances have saved up for the service of plain requests."""
+    budgets = (one.budgets.of_requests("desk") for one in context.fleet.instances.values())
+    return sum(one.saved for one in budgets)
+
+
+@then("the two instances have saved {number:g} retries more in all")
+def saved_more(context, number):
+    assert abs(saved_retries(context) - context.saved_before - number) < 1e-6
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -63,7 +63,7 @@
         except MountladderError:
             if relayed or not relay.can_take_over(run):
                 raise
-            return relay.run(request, run.route, may_have_run=run.may_have_run())
+            return relay.take_over(run)
 
     def refuse(self, request: ForwardRequest, error: RefusalError) -> None:
         """Record a request that is refused before its body is read."""
--- a/packages/core/src/mountladder/isolation/requestrelay.py
+++ b/packages/core/src/mountladder/isolation/requestrelay.py
@@ -64,6 +64,14 @@
             return False
         return self.isolation.confirm() and self.is_needed()
 
+    def take_over(self, run: ForwardRun) -> ForwardAnswer:
+        """Relay a request that failed here; see run.
+
+        The instance that runs it counts it for the retry budget.
+        """
+        self.budgets.of_requests(run.service).take_back()
+        return self.run(run.request, run.route, may_have_run=run.may_have_run())
+
     def run(
         self, request: ForwardRequest, route: Route, may_have_run: bool = False
     ) -> ForwardAnswer:
--- a/packages/core/src/mountladder/limits/sharedretrybudget.py
+++ b/packages/core/src/mountladder/limits/sharedretrybudget.py
@@ -53,6 +53,10 @@
         limits = self.limits()
         self.saved = min(self.saved + limits.ratio, limits.max_saved)
 
+    def take_back(self) -> None:
+        """Take back what a request has earned that another instance counts."""
+        self.saved = max(0.0, self.saved - self.limits().ratio)
+
     def spend(self) -> bool:
         """Take one retry out of the budget; return whether the budget allowed it."""
         self.saved = min(self.saved, self.limits().max_saved)
