Retry budget: callers ask the budgets themselves

Cause: after the relay asked for retries too, a method of ForwardRun only passed the question on. Change: retryrules and Continuation ask RetryBudgets.spend. No behaviour. Measured: continuation, forwarding and retrybudget features pass.

--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -205,7 +205,8 @@
             run.tracked.admit(run.remaining_ms())
         except RefusalError as error:
             return f"the request is barred: {error.detail}"
-        return "" if run.spend_retry() else "the retry budget is spent"
+        allowed = self.context.budgets.spend(run.service, run.request.id)
+        return "" if allowed else "the retry budget is spent"
 
     def start_attempt(self, cut: StageError) -> ForwardAttempt:
         """Return the attempt at the server that has the copy."""
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -256,10 +256,6 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
-    def spend_retry(self) -> bool:
-        """Take one retry out of the service's budget; return whether the budget allowed it."""
-        return self.context.budgets.spend(self.service, self.request.id)
-
     def may_have_run(self) -> bool:
         """Return whether the request or one of its stages may have been executed."""
         return self.possible_runs > 0 or (self.flow is not None and self.flow.begun)
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -47,7 +47,7 @@
     if run.possible_runs >= run.route.max_attempts or exhausted:
         return caller_error(run, RunError(error.detail, error.code))
     was_reached = error.code is not Code.CONNECT_FAILED
-    if was_reached and not run.spend_retry():
+    if was_reached and not run.context.budgets.spend(run.service, run.request.id):
         return caller_error(run, RunError(error.detail, Code.RETRY_BUDGET_SPENT))
     return None
 
