Retry budget: what a process that has just started may retry

Cause: with a full bucket at the start of a process only a scenario about relayed requests failed, by chance.

Change: a scenario that restarts all instances and asks each for retries: none at first, one after five requests, none of the reserve until 11 s after its start, then its part.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -52,6 +52,13 @@
       | resumable | 20   | instances are restarted one after the other         |
       | safe      | 12   | two thirds of the instances restart without a store |
 
+  Scenario: A process that has just started retries only what its requests have earned
+    Given the instances have received requests before
+    When all instances are killed and start again
+    Then each allows 0 retries, and 1 retry after 5 more requests
+    And 10900 ms after its start each allows 0 retries
+    And 11100 ms after its start each allows 2 retries
+
   Scenario Outline: The reserve is not divided by too few: <rate> <kind> requests a second while <what>
     Given all servers refuse half of all requests
     When <rate> <kind> requests a second come for 16000 ms while <what>
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -152,6 +152,36 @@
     assert retries and worst[0] <= 0, f"{worst[0]:.1f} too many from {worst[1]:.0f} ms on"
 
 
+@when("all instances are killed and start again")
+def all_start_again(context):
+    context.run(restart_all, context)
+
+
+def allowed_retries(instance):
+    """Take retries out of an instance's budget until it allows no more; return how many."""
+    budget, allowed = instance.budgets.of_requests("desk"), 0
+    while budget.spend():
+        allowed += 1
+    return allowed
+
+
+@then("each allows 0 retries, and 1 retry after {number:d} more requests")
+def allows_earned(context, number):
+    for instance in context.fleet.instances.values():
+        assert allowed_retries(instance) == 0
+        for sent in range(1, number + 1):
+            instance.budgets.of_requests("desk").earn()
+            assert allowed_retries(instance) == (sent == number), sent
+
+
+@then("{ms:d} ms after its start each allows {number:d} retries")
+def allows_later(context, ms, number):
+    started_at = {name: one.budgets.started_at for name, one in context.fleet.instances.items()}
+    context.run(context.clock.sleep, ms + min(started_at.values()) - context.clock.now())
+    allowed = [allowed_retries(one) for one in context.fleet.instances.values()]
+    assert allowed == [number] * len(allowed), allowed
+
+
 @when(
     "all instances reload settings that allow no retries, and {rate:d} {kind:w} requests a second "
     "come for {ms:d} ms"
