Logs: versions of servers, and which stream a request resumes

Nothing in the logs told at which software version a stream ran, or that a request takes a stream up, so that the causes of streams of two versions could not be told apart: versions had to come from the operator's log, and requests were matched by their fingerprint.

The version of a server's entry becomes one of its labels and travels with the entry between instances; server-listed, sent, first-event, stream-cut and stream-continuing name it. A request's Resumes is read; received names it and the last event. No decision uses either.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -23,6 +23,7 @@
       | the demand of a data centre              |
       | the speeds of servers                    |
       | the memory that results take up          |
+      | the entries of servers with versions     |
 
   # Beacons are kept encoded and decoded, since most of them repeat an earlier one. A kept one must
   # never stand for another that differs in one field only.
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -14,11 +14,13 @@
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.datacentredrain import DatacentreDrain
+from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptpart import PromptPart
+from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.forwarding.stagejob import StageJob
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
@@ -81,6 +83,21 @@
     "the demand of a data centre": DemandReport("enc", 120.0, -4.5, 96.0),
     "the speeds of servers": ServerSpeeds("llm", (ServerSpeed("s-1", 1.75, 12, 500.0),)),
     "the memory that results take up": ResultUsage("enc", (ServerUsage("s-1", 1.5e6, 4_000.0),)),
+    "the entries of servers with versions": DirectoryCopy(
+        Position(1, 9),
+        (
+            ServerRecord(
+                "s-1",
+                Position(1, 8),
+                "llm",
+                listed_server("s-1", "llm", "s:1", "a", 8, False, 5, "v1.1"),
+                5,
+                2,
+            ),
+            ServerRecord("s-2", Position(1, 9), born=5, sequence=3),
+        ),
+        0.0,
+    ),
 }
 BEACON = Beacon(1, Position(1, 5), False, True)
 OTHER_FIELDS = {
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.forwardrequest import Headers
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.retryrules import MIN_REMAINING_MS
+from mountladder.forwarding.serverrecord import version_of
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 from mountladder.routing.choice import Choice
@@ -218,7 +219,9 @@
         run.log(
             "stream-continuing",
             server=self.server.name,
+            software=version_of(self.server),
             backup=self.copy.name,
+            backup_software=version_of(self.copy),
             attempt=run.attempts,
             reason=self.reason(cut),
             last_event_id=run.splitter.last_id,
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -15,7 +15,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.datacentredrains import DatacentreDrains
-from mountladder.forwarding.serverrecord import ServerRecord
+from mountladder.forwarding.serverrecord import ServerRecord, version_of
 from mountladder.store.position import BEGINNING, Position
 
 # Entries that expired during an outage of the store are rewritten within about two seconds of its
@@ -145,6 +145,7 @@
             service=record.service,
             address=record.server.address if record.server else "",
             draining=bool(record.server and record.server.draining),
+            software=version_of(record.server) if record.server else "",
             born=record.born,
             started_again=bool(known and known.born < record.born),
             era=record.position.era,
--- a/packages/core/src/mountladder/forwarding/forwardattempt.py
+++ b/packages/core/src/mountladder/forwarding/forwardattempt.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from mountladder.forwarding.pickedserver import PickedServer
+from mountladder.forwarding.serverrecord import version_of
 from mountladder.routing.choice import Choice
 
 
@@ -35,3 +36,8 @@
     def server(self) -> str:
         """Return the name of the server."""
         return self.choice.state.server.name
+
+    @property
+    def version(self) -> str:
+        """Return the version of the server's software, or an empty string if that is unknown."""
+        return version_of(self.choice.state.server)
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -112,6 +112,8 @@
             aim_ms=round(route.target_ms),
             comes_back=run.is_returning,
             fingerprint=run.tracked.fingerprint,
+            last_event_id=request.last_event_id,
+            resumes=request.resumes,
         )
         services = {stage.service for stage in route.stages}
         run.tracked.check(services)
--- a/packages/core/src/mountladder/forwarding/forwardrequest.py
+++ b/packages/core/src/mountladder/forwarding/forwardrequest.py
@@ -33,6 +33,7 @@
         pieces: The number of pieces of each stage.
         piece_key: Identifies the input of the first stages.
         last_event_id: The id of the last event received of a stream to resume, or "".
+        resumes: The id of the request that brought the first event of that stream, or "".
         holder: Counts the bytes held for the request, or None.
     """
 
@@ -50,6 +51,7 @@
     pieces: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: str = ""
+    resumes: str = ""
     holder: Holder | None = field(default=None, compare=False, repr=False)
 
     def deadline(self, timeout_ms: float) -> float:
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -193,6 +193,7 @@
         self.log(
             "sent",
             server=attempt.server,
+            software=attempt.version,
             attempt=self.attempts,
             reason=picked.choice.reason(),
             prefix_source=picked.source,
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -15,6 +15,8 @@
 ID_LABEL = "id"
 # The label that holds its service.
 SERVICE_LABEL = "service"
+# The label that holds the version of its software, which is missing where that is not known.
+VERSION_LABEL = "version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,7 @@
     slots: int,
     draining: bool,
     born: int = 0,
+    version: str = "",
 ) -> BackendServer:
     """Return a server of the platform's list, with defaults for what the list does not contain.
 
@@ -74,10 +77,12 @@
         slots: How many calls it runs at the same time.
         draining: Whether it is to get no new work.
         born: When it started, in milliseconds since 1970, or 0 if that is unknown.
+        version: The version of its software, or an empty string if that is unknown.
     """
+    labels = {SERVICE_LABEL: service, ID_LABEL: id_}
     return BackendServer(
         name=f"{id_}@{born}" if born else id_,
-        labels={SERVICE_LABEL: service, ID_LABEL: id_},
+        labels=labels | {VERSION_LABEL: version} if version else labels,
         serves="service",
         address=address,
         datacentre=datacentre,
@@ -87,3 +92,8 @@
         draining=draining,
         models=(),
     )
+
+
+def version_of(server: BackendServer) -> str:
+    """Return the version of a server's software, or an empty string if that is unknown."""
+    return server.labels.get(VERSION_LABEL, "")
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -66,7 +66,12 @@
             raise
         if self.expected_ms and not self.gives_way:
             self.context.forecast.learn(self.route, self.expected_ms, self.elapsed_ms())
-        self.log("first-event", server=attempt.server, elapsed_ms=round(self.elapsed_ms()))
+        self.log(
+            "first-event",
+            server=attempt.server,
+            software=attempt.version,
+            elapsed_ms=round(self.elapsed_ms()),
+        )
         if self.flow is not None:
             # The server has fetched the results. Memory for results runs short under load, and a
             # stream that breaks has its stages rerun.
@@ -235,6 +240,7 @@
         self.log(
             "stream-cut",
             server=attempt.server,
+            software=attempt.version,
             code=cut.code.number,
             reason=cut.detail,
             last_event_id=self.splitter.last_id,
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -115,6 +115,7 @@
   born @8 :UInt64;
   sequence @9 :UInt64;
   coldMs @10 :Float32;
+  softwareVersion @11 :Text;
 }
 
 # Changed entries of the list of backend servers.
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -102,6 +102,7 @@
         record.slots,
         record.draining,
         record.born,
+        str(record.softwareVersion),
     )
     return ServerRecord(
         record.id,
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -16,6 +16,7 @@
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
+from mountladder.forwarding.serverrecord import version_of
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
@@ -150,6 +151,7 @@
         if record.server is not None:
             to.address, to.datacentre = record.server.address, record.server.datacentre
             to.slots, to.draining = record.server.slots, record.server.draining
+            to.softwareVersion = version_of(record.server)
 
 
 @fill.register
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -95,6 +95,7 @@
         draining: bool = False,
         born: int = 0,
         cold_ms: float = 0.0,
+        version: str = "",
     ) -> None:
         """Write the entry of a server, new or again.
 
@@ -105,9 +106,10 @@
             draining: Whether it is to get no new requests.
             born: When it started, as its entry says.
             cold_ms: For how long it is still cold, in milliseconds.
+            version: The version of its software; unknown if empty.
         """
         self.sequences[name] = self.sequences.get(name, 0) + 1
-        value = [service, datacentre, draining, born, self.sequences[name], cold_ms]
+        value = [service, datacentre, draining, born, self.sequences[name], cold_ms, version]
         self.servers.put(name, json.dumps(value).encode())
 
     def decode_server(self, row: SourceRow) -> ServerRecord:
@@ -118,8 +120,8 @@
             service, datacentre, draining, *rest = json.loads(row.value)
         except ValueError as error:
             raise BadRowError("no such entry") from error
-        born, sequence, cold_ms = rest if rest else (0, 0, 0.0)
-        server = listed_server(row.key, service, row.key, datacentre, 8, draining, born)
+        born, sequence, cold_ms, version = rest if rest else (0, 0, 0.0, "")
+        server = listed_server(row.key, service, row.key, datacentre, 8, draining, born, version)
         return ServerRecord(row.key, row.position, service, server, born, sequence, cold_ms)
 
     def drain(self, datacentre: str) -> None:
