--- /dev/null
+++ b/features/streamversions.feature
@@ -0,0 +1,48 @@
+@forwarding
+Feature: Streams go on at the software version that began them
+  # What two versions of a service's software write does not fit together, and servers do not check
+  # it. Versions have no order.
+
+  Background:
+    Given instances a-1, a-2, b-1 and model servers of two versions
+      | server | datacentre | version |
+      | llm-1  | a          | v1      |
+      | llm-2  | b          | v2      |
+      | llm-3  | b          | v1      |
+
+  # Guards against streams of two versions within one answer.
+  Scenario Outline: A stream that breaks goes on at a server of the version that began it
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 <fault>
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, of servers llm-1, llm-3
+
+    Examples:
+      | fault                             |
+      | breaks off within the third event |
+      | crashes after 65 ms               |
+
+  # Guards against streams of two versions over a caller's tries: an instance that takes a stream up
+  # may not have begun it.
+  Scenario Outline: A caller takes a stream up at a server of the version that began it
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when <loss>
+    When the caller takes stream r up at <instance>
+    Then stream r has events 1 to 6, of servers llm-1, llm-3
+
+    Examples:
+      | loss                                  | instance |
+      | its connection breaks                 | a-1      |
+      | its connection breaks                 | b-1      |
+      | a-1 is killed                         | a-2      |
+      | a-1 is killed                         | b-1      |
+      | a-1 is killed and starts again        | a-1      |
+      | a-1 is cut off from its peers         | b-1      |
+
+  # Guards against streams that continue from a copy at a server of another version.
+  Scenario: A stream that may not be resumed has its copy at a server of its version
+    Given model servers keep copies
+    And server llm-3 runs the next stream, and llm-1 has the least to do after it
+    And server llm-3 breaks off within the third event
+    When narration stream r is sent to b-1
+    Then stream r has events 1 to 6, of servers llm-3, llm-1
