Streams: a broken stream is resumed at the version that began it

The version of a stream is settled at its first event, by the server's newest entry then. Resuming it asks the picker for a server of that version; one that broke the stream is used again where it is the only one, and without any the stream breaks at once (code 2015 before anything ran). Before the first event of a resumed stream is passed on, the server's newest entry is looked at again, since it may have started again at another version.

Without the second look the scenario of a server that started again fails.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -16,6 +16,7 @@
     request,
     save_retries,
     send_and_record,
+    serve,
 )
 
 from mountladder.forwarding.service import Service
@@ -24,6 +25,7 @@
 # More than the servers without any have, and less than the most loaded ones.
 FEW_PROMPTS = MANY_PROMPTS // 2
 ROUTE_TIMEOUT_MS = 6_000.0
+MAX_ATTEMPTS = 3
 KINDS = {"resumable": "resumable", "narration": "stream"}
 
 
@@ -44,7 +46,9 @@
 def configure(context, backups):
     plain = catalogue(len(context.fleet.catalogues) + 1)
     routes = {
-        host: tuple(replace(one, timeout_ms=ROUTE_TIMEOUT_MS) for one in all_)
+        host: tuple(
+            replace(one, timeout_ms=ROUTE_TIMEOUT_MS, max_attempts=MAX_ATTEMPTS) for one in all_
+        )
         for host, all_ in plain.routes.items()
     }
     services = {**plain.services, "llm": Service("llm", 100, 8, 280_740, backups=backups)}
@@ -73,6 +77,35 @@
     context.fleet.upstream.faults[name] = ServerFault.CUT
 
 
+@given("server {name} breaks off within the third event, once")
+def breaks_off_once(context, name):
+    breaks_off(context, name)
+    context.plans.append((BREAK_MS, context.fleet.upstream.faults.clear))
+
+
+@given("servers {names} have drained")
+def have_drained(context, names):
+    for name in names.split(", "):
+        context.fleet.add_server(name, "llm", "b", draining=True, version=context.versions[name])
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("server {name} has started again at version {version}")
+def started_again(context, name, version):
+    list_version(context, name, version)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("server {name} is found to run version {version} after {ms:d} ms")
+def found_to_run(context, name, version, ms):
+    context.plans.append((float(ms), lambda: list_version(context, name, version)))
+
+
+def list_version(context, name, version):
+    context.versions[name] = version
+    context.fleet.add_server(name, "llm", "b", version=version)
+
+
 @given("server {name} crashes after {ms:d} ms")
 def crashes(context, name, ms):
     context.plans.append((float(ms), lambda: crash(context, name)))
@@ -92,7 +125,7 @@
 def send_stream(context, kind, id_, name):
     for ms, act in context.plans:
         context.clock.call_later(ms, act)
-    context.run(send_and_record, context, name, stream(context, id_, kind))
+    context.run(serve, context, name, stream(context, id_, kind))
     context.bodies[id_] = context.ends[id_][1]
 
 
@@ -138,7 +171,13 @@
     context.bodies[id_] += context.ends[sent.id][1]
 
 
-@then("stream {id_} has events {first:d} to {last:d}, of servers {servers}")
+@then("stream {id_} ended within {ms:d} ms")
+def ended_within(context, id_, ms):
+    took_ms = context.ended_at[id_] - context.arrived[id_]
+    assert took_ms <= ms, took_ms
+
+
+@then("stream {id_} has events {first:d} to {last:d}, and ran on {servers}")
 def whole_stream(context, id_, first, last, servers):
     runs = context.fleet.upstream.runs
     found = [*runs[id_], *runs[f"{id_}-again"]]
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -15,20 +15,46 @@
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And server llm-1 <fault>
     When resumable stream r is sent to a-1
-    Then stream r has events 1 to 6, of servers llm-1, llm-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
     Examples:
       | fault                             |
       | breaks off within the third event |
       | crashes after 65 ms               |
 
+  # Guards against a refusal where a server of the version is left, though it has broken the stream.
+  Scenario: A stream goes on at the server that broke it where no other runs its version
+    Given servers llm-3 have drained
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 breaks off within the third event, once
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-1
+
+  Scenario: A stream breaks at once where no server of its version is left
+    Given servers llm-3 have drained
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 crashes after 65 ms
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 2, and ran on llm-1
+    And stream r ended within 500 ms
+
+  # Guards against events of a server that started again at another version before its new entry was
+  # known.
+  Scenario: A server that is found to have started again at another version does not go on
+    Given server llm-2 has started again at version v1
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 crashes after 65 ms
+    And server llm-2 is found to run version v2 after 80 ms
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-2, llm-3
+
   # Guards against streams of two versions over a caller's tries: an instance that takes a stream up
   # may not have begun it.
   Scenario Outline: A caller takes a stream up at a server of the version that began it
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when <loss>
     When the caller takes stream r up at <instance>
-    Then stream r has events 1 to 6, of servers llm-1, llm-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
     Examples:
       | loss                                  | instance |
@@ -45,4 +71,4 @@
     And server llm-3 runs the next stream, and llm-1 has the least to do after it
     And server llm-3 breaks off within the third event
     When narration stream r is sent to b-1
-    Then stream r has events 1 to 6, of servers llm-3, llm-1
+    Then stream r has events 1 to 6, and ran on llm-3, llm-1
--- a/packages/core/src/mountladder/code.py
+++ b/packages/core/src/mountladder/code.py
@@ -65,6 +65,12 @@
     )
     SERVERS_RESTING = (2013, _NOT_RUN, 503, "all backend servers asked this instance for rest")
     MEMORY_FULL = (2014, _NOT_RUN, 503, "the instance holds as many bytes for others as it may")
+    VERSION_UNAVAILABLE = (
+        2015,
+        _NOT_RUN,
+        503,
+        "no backend server of the software version that began the stream can be used",
+    )
     STAGE_FAILED = (3001, _FAILED, 502, "a stage failed")
     DEADLINE_PASSED = (3002, _FAILED, 504, "the deadline passed during a stage")
     STREAM_CUT = (3003, _FAILED, 502, "a stream ended before its end")
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -15,7 +15,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.datacentredrains import DatacentreDrains
-from mountladder.forwarding.serverrecord import ServerRecord, version_of
+from mountladder.forwarding.serverrecord import ID_LABEL, ServerRecord, version_of
 from mountladder.store.position import BEGINNING, Position
 
 # Entries that expired during an outage of the store are rewritten within about two seconds of its
@@ -205,6 +205,15 @@
                 return record.server
         return None
 
+    def current_version(self, server: BackendServer) -> str:
+        """Return the software version by the newest entry with a server's id.
+
+        It differs from that of the given server if that has started again at another version.
+        """
+        record = self.records.get(server.labels[ID_LABEL])
+        newest = record.server if record is not None else None
+        return version_of(newest or server)
+
     def avoid(self, datacentres: frozenset[str]) -> None:
         """Exclude the servers of unreachable data centres from services that have others."""
         self.avoided = datacentres
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -59,6 +59,7 @@
         tracked: The request as tracked by the quarantine.
         reservation: Chooses servers and waits for a slot at those that limit their request rate.
         hold: Limits how long the request is held before a server is sent it.
+        version: The software version that its server must run, or None if any will do.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.gives_way = False
         self.reservation = Reservation(self)
         self.hold = Hold(self)
+        self.version: str | None = None
         texts = (self.team, request.method, request.host, request.target)
         self.tracked = context.quarantine.track(request.id, texts, request.body)
         context.budgets.of_requests(self.service).earn()
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -122,6 +122,7 @@
             run.urgency,
             run.wants_backup,
             len(run.request.body),
+            run.version,
         )
         return self.picker.pick(run.request, run.service, run.remaining_ms(), constraints)
 
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -21,6 +21,7 @@
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
+from mountladder.forwarding.serverrecord import running_version
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import SPILL_LOAD_FACTOR, Router
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -94,9 +95,11 @@
         if self.directory.is_unreachable(service):
             # Each failing connection attempt would cost the caller 300 ms.
             raise self.unavailable_refusal(service)
+        servers = self.allowed(service, constraints)
+        if constraints.version is not None:
+            constraints = self.for_version(servers, service, constraints)
         if request.prompt is not None:
             return self.pick_for_prompt(request.prompt, service, constraints)
-        servers = self.directory.available(service)
         free = self.unlimited(servers)
         if len(free) == len(servers):
             return self.pick_among(free, request, service, budget_ms, constraints)
@@ -112,6 +115,36 @@
         except RefusalError:
             return self.pick_for_prompt(EMPTY_PROMPT, service, others)
 
+    def allowed(self, service: str, constraints: ServerConstraints) -> tuple[BackendServer, ...]:
+        """Return the available servers of a service that run the version asked for."""
+        return running_version(self.directory.available(service), constraints.version)
+
+    def for_version(
+        self,
+        servers: tuple[BackendServer, ...],
+        service: str,
+        constraints: ServerConstraints,
+    ) -> ServerConstraints:
+        """Return the constraints of a request that only servers of one version may run.
+
+        They exclude all other servers. The servers that have failed the request are used again if
+        there are no others of the version.
+
+        Raises:
+            RefusalError: No server of the version is available.
+        """
+        names = {one.name for one in servers}
+        if not names:
+            raise RefusalError(
+                f"version {constraints.version or 'unknown'} of {service}",
+                Code.VERSION_UNAVAILABLE,
+                retry_after_ms=NO_SERVER_RETRY_MS,
+            )
+        if names <= constraints.excluded:
+            constraints = replace(constraints, excluded=frozenset())
+        available = self.directory.available(service)
+        return constraints.without(one.name for one in available if one.name not in names)
+
     def pick_among(
         self,
         servers: tuple[BackendServer, ...],
@@ -224,7 +257,7 @@
         self, prompt: Prompt, service: str, constraints: ServerConstraints
     ) -> PickedServer:
         """Choose a server through the service's coordinator; see pick."""
-        servers = {one.name: one for one in self.directory.available(service)}
+        servers = {one.name: one for one in self.allowed(service, constraints)}
         constraints = constraints.without(self.unusable(servers.values()))
         reply = self.placer.place(service, prompt, constraints)
         if reply.server and reply.server not in servers:
@@ -238,7 +271,7 @@
         now = self.router.clock.now()
         state = self.router.state(server)
         state.begin(now)
-        expected_ms, compared = reply.expected_ms, len(servers) - len(constraints.excluded)
+        expected_ms, compared = reply.expected_ms, len(servers.keys() - constraints.excluded)
         load_factor = state.load_factor(now)
         choice = Choice(state, expected_ms, expected_ms, load_factor, len(servers), compared)
         return PickedServer(
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from mountladder.configuration.backendserver import BackendServer
@@ -94,6 +95,23 @@
     )
 
 
+def running_version(
+    servers: Sequence[BackendServer], version: str | None
+) -> tuple[BackendServer, ...]:
+    """Return the servers that run a software version.
+
+    Args:
+        servers: The servers of a service.
+        version: The version; an empty string if it is unknown, or None if any will do. An unknown
+            one is only taken to be the same where the version of no server is known.
+    """
+    if version is None:
+        return tuple(servers)
+    if not version and any(version_of(one) for one in servers):
+        return ()
+    return tuple(one for one in servers if version_of(one) == version)
+
+
 def version_of(server: BackendServer) -> str:
     """Return the version of a server's software, or an empty string if that is unknown."""
     return server.labels.get(VERSION_LABEL, "")
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -164,10 +164,25 @@
             data = answer.read_some(self.first_event_timeout_ms(attempt))
             if not data:
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
+            version = self.check_version(attempt)
             complete = self.split(splitter, data)
             if complete:
+                self.version = version
                 return complete
 
+    def check_version(self, attempt: ForwardAttempt) -> str:
+        """Return the software version that sends the events of an attempt.
+
+        Raises:
+            StageError: The stream was begun by another version; the server has started again since
+                it was chosen.
+        """
+        version = self.context.picker.directory.current_version(attempt.choice.state.server)
+        if self.version is not None and version != self.version:
+            detail = f"the server runs version {version}, not {self.version}"
+            raise StageError(detail, Code.SERVER_REPLACED)
+        return version
+
     def events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter, first: bytes
     ) -> Iterator[bytes]:
--- a/packages/core/src/mountladder/routing/serverconstraints.py
+++ b/packages/core/src/mountladder/routing/serverconstraints.py
@@ -21,6 +21,7 @@
         urgency: Its rank; 0 is the most urgent.
         wants_backup: Whether a second server is to keep a copy of its cache.
         size: The size of its body, in bytes.
+        version: The software version that the server must run, or None if any will do.
     """
 
     excluded: frozenset[str] = frozenset()
@@ -29,6 +30,7 @@
     urgency: int = 0
     wants_backup: bool = False
     size: int = 0
+    version: str | None = None
 
     def without(self, names: Iterable[str]) -> ServerConstraints:
         """Return the same constraints with more servers excluded."""
