Copies: kept by a server of the version that runs the stream

Streams that may not be repeated continued at another software version where the server of their copy had one: the coordinator chose it by room and data centre.

The coordinator chooses among the servers of the version; from other data centres only where that of the sender has none of it. An instance has no copy kept by a server of another version, which a coordinator of an older build may name, and does not continue at a server that has another version by then.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -101,6 +101,12 @@
     context.plans.append((float(ms), lambda: list_version(context, name, version)))
 
 
+@given("a coordinator of an older build has {name} keep the copy")
+def older_coordinator(context, name):
+    for instance in context.fleet.instances.values():
+        placement_coordinator(instance).backups.place = lambda *arguments: name
+
+
 def list_version(context, name, version):
     context.versions[name] = version
     context.fleet.add_server(name, "llm", "b", version=version)
@@ -184,3 +190,8 @@
     continued = [name for name, _ in context.fleet.upstream.continued]
     assert found == servers.split(", "), (found, continued, context.ends)
     assert context.bodies[id_] == events(first, last), (context.bodies, context.ends)
+
+
+@then("no server was sent a copy of it")
+def no_copy(context):
+    assert not context.fleet.upstream.copies, context.fleet.upstream.copies
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -72,3 +72,20 @@
     And server llm-3 breaks off within the third event
     When narration stream r is sent to b-1
     Then stream r has events 1 to 6, and ran on llm-3, llm-1
+
+  Scenario: A stream that may not be resumed does not continue at another version
+    Given model servers keep copies
+    And server llm-3 runs the next stream, and llm-1 has the least to do after it
+    And server llm-1 is found to run version v2 after 20 ms
+    And server llm-3 breaks off within the third event
+    When narration stream r is sent to b-1
+    Then stream r has events 1 to 2, and ran on llm-3
+
+  Scenario: No copy is sent to a server of another version that a coordinator of an older build names
+    Given model servers keep copies
+    And server llm-3 runs the next stream, and llm-1 has the least to do after it
+    And a coordinator of an older build has llm-2 keep the copy
+    And server llm-3 breaks off within the third event
+    When narration stream r is sent to b-1
+    Then stream r has events 1 to 2, and ran on llm-3
+    And no server was sent a copy of it
--- a/packages/core/src/mountladder/continuation/backupplacement.py
+++ b/packages/core/src/mountladder/continuation/backupplacement.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable, Iterable, Sequence
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.continuation.placedcopy import PlacedCopy
 from mountladder.forwarding.placementorder import PlacementOrder
+from mountladder.forwarding.serverrecord import running_version, version_of
 from mountladder.forwarding.service import Service
 from mountladder.routing.promptplacement import PromptPlacement
 
@@ -70,8 +71,8 @@
             return ""
         self.expire()
         tokens = order.prompt.tokens + order.prompt.max_output
-        near = [one for one in servers if one.datacentre == datacentre]
         unsuitable = {first, *order.excluded}
+        near = self.eligible(first, tuple(servers), datacentre)
         room = MAX_CACHE_FRACTION * service.kv_tokens - tokens
         suitable = [one for one in near if one.name not in unsuitable and self.has_room(one, room)]
         if not suitable:
@@ -81,6 +82,20 @@
         self.tokens[chosen] += tokens
         return chosen
 
+    def eligible(
+        self, first: str, servers: Sequence[BackendServer], datacentre: str
+    ) -> list[BackendServer]:
+        """Return the servers of a data centre that could continue a run of another server.
+
+        Those are of the same software version. Where the data centre has only servers of other
+        versions, the ones of other data centres can.
+        """
+        version = next((version_of(one) for one in servers if one.name == first), None)
+        same = running_version(servers, version)
+        near = [one for one in same if one.datacentre == datacentre]
+        is_alone = all(one.name == first for one in near)
+        return list(same) if is_alone and len(same) < len(servers) else near
+
     def has_room(self, server: BackendServer, room: float) -> bool:
         """Return whether a server is in use, with copies of at most a number of tokens."""
         in_use = self.placement.router.state(server).in_use(self.clock.now())
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -200,6 +200,8 @@
             return "the settings do not allow it"
         if run.remaining_ms() < MIN_REMAINING_MS:
             return "there is not enough time left"
+        if self.streams.directory.current_version(self.copy) != run.version:
+            return "the server of the copy runs another version"
         if not self.streams.is_available(self.copy):
             return "the server of the copy is not available"
         try:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -21,7 +21,7 @@
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
-from mountladder.forwarding.serverrecord import running_version
+from mountladder.forwarding.serverrecord import running_version, version_of
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import SPILL_LOAD_FACTOR, Router
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -280,9 +280,19 @@
             reply.source,
             reply.prefill_tokens,
             now + reply.wait_ms,
-            servers.get(reply.backup),
+            self.backup(servers.get(reply.backup), server),
         )
 
+    def backup(self, backup: BackendServer | None, server: BackendServer) -> BackendServer | None:
+        """Return the server that keeps a copy if it can continue a run of another one, or None.
+
+        A coordinator of an older build chooses it without regard to versions.
+        """
+        if backup is None or version_of(backup) == version_of(server):
+            return backup
+        log_message("backup-version-differs", server=server.name, backup=backup.name)
+        return None
+
     def unusable(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself does not use at present."""
         now = self.router.clock.now()
