Streams: taken up at the version that began them, at any instance

Cause: which version began a stream was known to no process but the one that had passed on its first event, and Resumes was read by none.

Each instance remembers the origin of the resumable streams that it runs until their callers give up. While several versions serve, it tells others as the first event comes: all in a small fleet, else the first instance of its own and up to three other data centres by rank; while one serves nothing is told, and what is known is told once a second version is listed. A request that takes a stream up looks here, then asks those that were told, for 100 ms at most. An origin is found by the fingerprint of its request and the id in Resumes, so that nobody finds the stream of another caller. Where nobody knows it, a stream goes on if only one version can have begun it in the last minute, as this instance and those that replied know; otherwise it is refused at once as not run (2016), as where no server of its version is left (2015), before any stage.

The messages are sent to instances only that say in their hello that they understand them; builds before this one stay linked.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -24,6 +24,10 @@
       | the speeds of servers                    |
       | the memory that results take up          |
       | the entries of servers with versions     |
+      | the origins of streams                   |
+      | the query for the origin of a stream     |
+      | the reply with the origin of a stream    |
+      | the reply without an origin              |
 
   # Beacons are kept encoded and decoded, since most of them repeat an earlier one. A kept one must
   # never stand for another that differs in one field only.
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -37,6 +37,10 @@
 from mountladder.results.resultusage import ResultUsage
 from mountladder.results.serverusage import ServerUsage
 from mountladder.store.position import Position
+from mountladder.streams.originannouncement import OriginAnnouncement
+from mountladder.streams.originquery import OriginQuery
+from mountladder.streams.originreply import OriginReply
+from mountladder.streams.streamorigin import StreamOrigin
 
 JOB = StageJob(
     "r1",
@@ -57,6 +61,7 @@
     AttemptKind.RETURN,
 )
 PROMPT = Prompt(30, 20, (PromptPart("p", 10), PromptPart("q", 20)))
+ORIGIN = StreamOrigin(b"0123456789abcdef", "llm", "v1.1", 7_500.0)
 MESSAGES = {
     "a stage of a team": StageOrder(7, JOB, True),
     "the announcement of a stage that returns": StageNotice(
@@ -83,6 +88,10 @@
     "the demand of a data centre": DemandReport("enc", 120.0, -4.5, 96.0),
     "the speeds of servers": ServerSpeeds("llm", (ServerSpeed("s-1", 1.75, 12, 500.0),)),
     "the memory that results take up": ResultUsage("enc", (ServerUsage("s-1", 1.5e6, 4_000.0),)),
+    "the origins of streams": OriginAnnouncement((ORIGIN,)),
+    "the query for the origin of a stream": OriginQuery(7, ORIGIN.stream, "llm"),
+    "the reply with the origin of a stream": OriginReply(7, ORIGIN, frozenset({"v1", "v2"})),
+    "the reply without an origin": OriginReply(7, None, frozenset()),
     "the entries of servers with versions": DirectoryCopy(
         Position(1, 9),
         (
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -4,6 +4,7 @@
 
 """Steps about streams that go on while several software versions serve."""
 
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -18,15 +19,29 @@
     send_and_record,
     serve,
 )
+from logrecorder import record_lines
 
+from mountladder.forwarding.callerteam import CallerTeam
+from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.service import Service
+from mountladder.forwarding.target import Target
+from mountladder.streams.originregistry import MAX_ORIGINS, MAX_STREAM_MS
+from mountladder.streams.streamorigin import KEY_BYTES, StreamOrigin
 from mountladder_standins.serverfault import ServerFault
+from mountladder_standins.serverpartition import ServerPartition
 
 # More than the servers without any have, and less than the most loaded ones.
 FEW_PROMPTS = MANY_PROMPTS // 2
 ROUTE_TIMEOUT_MS = 6_000.0
 MAX_ATTEMPTS = 3
-KINDS = {"resumable": "resumable", "narration": "stream"}
+PLAIN_TARGETS = (Target("llm", 1.0),)
+KINDS = {"resumable": "resumable", "narration": "stream", "lasting": "lasting"}
+# A removed entry is used for a while, since it may come back.
+REMOVED_MS = 3_000.0
+# By then an instance has noticed that it is cut off from its peers, or from all servers.
+CUT_OFF_MS = 3_000.0
+ISOLATION_REQUESTS = 2
+MANY_START_MS = 4_000.0
 
 
 @given("instances {names} and model servers of two versions")
@@ -43,16 +58,22 @@
     context.bodies = {}
 
 
-def configure(context, backups):
+def configure(context, backups, targets=PLAIN_TARGETS):
     plain = catalogue(len(context.fleet.catalogues) + 1)
+    fields = {"timeout_ms": ROUTE_TIMEOUT_MS, "max_attempts": MAX_ATTEMPTS}
     routes = {
         host: tuple(
-            replace(one, timeout_ms=ROUTE_TIMEOUT_MS, max_attempts=MAX_ATTEMPTS) for one in all_
+            replace(one, **fields, targets=targets if one.resumable else one.targets)
+            for one in all_
         )
         for host, all_ in plain.routes.items()
     }
-    services = {**plain.services, "llm": Service("llm", 100, 8, 280_740, backups=backups)}
-    context.fleet.configure(replace(plain, services=services, routes=routes))
+    model_services = {
+        name: Service(name, 100, 8, 280_740, backups=backups) for name in ("llm", "alt")
+    }
+    services = {**plain.services, **model_services}
+    keys = {**plain.keys, "other": CallerTeam("other")}
+    context.fleet.configure(replace(plain, services=services, routes=routes, keys=keys))
 
 
 @given("model servers keep copies")
@@ -83,6 +104,20 @@
     context.plans.append((BREAK_MS, context.fleet.upstream.faults.clear))
 
 
+@given("server {name} drains before it breaks a stream off")
+def drains_and_breaks_off(context, name):
+    breaks_off(context, name)
+    upstream, version = context.fleet.upstream, context.versions[name]
+    plain = upstream.open
+
+    def open_(server, call, limit_ms):
+        if server.name == name:
+            context.fleet.add_server(name, "llm", "a", draining=True, version=version)
+        return plain(server, call, limit_ms)
+
+    upstream.open = open_
+
+
 @given("servers {names} have drained")
 def have_drained(context, names):
     for name in names.split(", "):
@@ -118,13 +153,13 @@
 
 
 def crash(context, name):
-    upstream = context.fleet.upstream
-    upstream.crash(context.fleet.instances["a-1"].directory.find(name))
+    instance = next(iter(context.fleet.instances.values()))
+    context.fleet.upstream.crash(instance.directory.find(name))
 
 
 def stream(context, id_, kind="resumable", **fields):
     plain = request(id_, PATHS[KINDS[kind]], context.clock.now(), **fields)
-    return replace(plain, allowed_ms=ROUTE_TIMEOUT_MS, prompt=PROMPTS[kind])
+    return replace(plain, allowed_ms=ROUTE_TIMEOUT_MS, prompt=PROMPTS["resumable"])
 
 
 @when("{kind} stream {id_} is sent to {name}")
@@ -135,20 +170,22 @@
     context.bodies[id_] = context.ends[id_][1]
 
 
-@given("a caller of resumable stream {id_} at {name} has {number:d} events when {loss}")
-def lose_stream(context, id_, name, number, loss):
+@given("a caller of {kind} stream {id_} at {name} has {number:d} events when {loss}")
+def lose_stream(context, kind, id_, name, number, loss):
+    context.kind = kind
     context.run(read_until, context, name, id_, number)
     lose(context, name, loss)
-    # A server of the other version has the least to do, and the one that began it the most.
+    # The server has crashed too, and one of the other version has the least to do.
     server = context.fleet.upstream.runs[id_][0]
     version = context.versions[server]
     other = next(one for one, found in context.versions.items() if found != version)
-    set_load(context, {server: 2 * MANY_PROMPTS, other: 0})
+    crash(context, server)
+    set_load(context, {other: 0})
 
 
 def read_until(context, name, id_, number):
     """Read a stream until a number of events have arrived, and break the connection."""
-    answer = context.fleet.send(name, stream(context, id_))
+    answer = context.fleet.send(name, stream(context, id_, context.kind))
     body = b""
     for part in answer.body:
         body += part
@@ -167,13 +204,16 @@
         context.run(context.clock.sleep, SETTLE_MS)
     if "cut off" in loss:
         cut_off(context, name)
+    if "is listed" in loss:
+        version_listed(context, loss.split()[1])
 
 
 @when("the caller takes stream {id_} up at {name}")
 def take_up(context, id_, name):
     last = str(context.bodies[id_].count(b"\n\n"))
-    sent = stream(context, f"{id_}-again", last_event_id=last, resumes=id_)
-    context.run(send_and_record, context, name, sent)
+    sent = stream(context, f"{id_}-again", context.kind, last_event_id=last, resumes=id_)
+    record_lines(context)
+    context.run(serve, context, name, sent)
     context.bodies[id_] += context.ends[sent.id][1]
 
 
@@ -195,3 +235,232 @@
 @then("no server was sent a copy of it")
 def no_copy(context):
     assert not context.fleet.upstream.copies, context.fleet.upstream.copies
+
+
+@given("only version {version} is listed")
+def only_version(context, version):
+    only_version_for(context, version, MAX_STREAM_MS)
+
+
+def only_version_for(context, version, ms):
+    for name, found in context.versions.items():
+        if found != version:
+            context.fleet.servers.put(name, None)
+    context.run(context.clock.sleep, ms + SETTLE_MS)
+
+
+@given("only version {version} has been listed for long")
+def only_version_for_long(context, version):
+    only_version_for(context, version, MAX_STREAM_MS)
+
+
+@given("no server of version {version} is listed")
+def version_gone(context, version):
+    for name, found in context.versions.items():
+        if found == version:
+            context.fleet.servers.put(name, None)
+    context.run(context.clock.sleep, REMOVED_MS)
+
+
+@given("both versions are listed")
+def both_listed(context):
+    listed = {one.id for one in records(context) if one.server is not None}
+    assert listed == set(context.versions), listed
+
+
+def records(context):
+    return next(iter(context.fleet.instances.values())).directory.records.values()
+
+
+@given("version {version} is listed")
+def version_listed(context, version):
+    for name, found in context.versions.items():
+        if found == version:
+            context.fleet.add_server(name, "llm", "b", version=version)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("{name} is killed")
+def is_killed(context, name):
+    kill(context, [name])
+
+
+@given("{name} is killed and starts again")
+def is_restarted(context, name):
+    lose(context, name, "killed and starts again")
+
+
+@given("the route leads mostly to service alt with server {name} from now on")
+def route_leads_to_alt(context, name):
+    context.fleet.add_server(name, "alt", "a", version="v1")
+    context.versions[name] = "v1"
+    configure(context, None, targets=(Target("alt", 1_000_000.0), Target("llm", 0.000_001)))
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("all instances are killed and start again")
+def all_killed(context):
+    names = list(context.fleet.instances)
+    for name in names:
+        context.fleet.instances.pop(name).close()
+    for name in names:
+        context.fleet.start(name)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("{name} is cut off from the store and its peers")
+def cut_off_from_all(context, name):
+    cut_off(context, name)
+    instance = context.fleet.instances[name]
+    for source in (instance.catalogue_source, instance.directory_source):
+        source.source = MemorySource(context.clock)
+        source.source.down = True
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+@given("{name} reaches no backend server")
+def reaches_none(context, name):
+    context.fleet.partitions = {name: ServerPartition("hang")}
+    context.run(context.clock.sleep, CUT_OFF_MS)
+    for n in range(ISOLATION_REQUESTS):
+        context.run(send_and_record, context, name, stream(context, f"earlier-{n}"))
+
+
+@given("all instances but {name} are of an older build")
+def older_build(context, name):
+    for instance in context.fleet.instances.values():
+        if instance.settings.name != name:
+            instance.forwarder.context.origins.exchange.announce = lambda *arguments: 0
+    for link in context.fleet.instances[name].fleet.links.values():
+        link.peer = replace(link.peer, message_set=0)
+
+
+@when("a caller takes stream {id_} up at {name}")
+def take_up_other(context, id_, name):
+    take_up_as(context, name, resumes=id_)
+
+
+@when("a caller takes a stream up at {name} without naming it")
+def take_up_unnamed(context, name):
+    take_up_as(context, name, resumes="")
+
+
+@when("a caller of another path takes stream {id_} up at {name}")
+def take_up_other_path(context, id_, name):
+    path = PATHS["resumable"] + "/other"
+    take_up_as(context, name, resumes=id_, path=path, target=path)
+
+
+@when("a caller of another team takes stream {id_} up at {name}")
+def take_up_other_team(context, id_, name):
+    take_up_as(context, name, resumes=id_, key="other")
+
+
+def take_up_as(context, name, **fields):
+    sent = replace(stream(context, "r-again"), last_event_id="2", **fields)
+    record_lines(context)
+    context.run(serve, context, name, sent)
+
+
+@then("it is refused as not run with code {code:d} within {ms:d} ms, and a Retry-After")
+def refused_at_once(context, code, ms):
+    _, body, found, class_, error = context.ends["r-again"]
+    assert (body, found, class_) == (b"", code, "not_run"), context.ends["r-again"]
+    assert error.retry_after_ms > 0
+    took_ms = context.ended_at["r-again"] - context.arrived["r-again"]
+    assert took_ms <= ms, took_ms
+    assert not context.fleet.upstream.runs["r-again"]
+
+
+@then("no stage of its second attempt ran")
+def no_stage(context):
+    calls = context.fleet.upstream.piece_calls
+    assert all(piece.request != "r-again" for call in calls for piece in call.pieces)
+
+
+@then("it is answered with events {first:d} to {last:d}")
+def answered_with(context, first, last):
+    assert context.ends["r-again"][:3] == (200, events(first, last), 0), context.ends["r-again"]
+
+
+@then("the log says that {number:d} instances were asked")
+def log_says_asked(context, number):
+    asked = [one["asked"] for one in context.lines if one.get("message_type") == "stream-origin"]
+    assert asked == [number], asked
+
+
+@when("an instance is told malformed origins, and more than it keeps")
+def tell_origins(context):
+    instance = context.fleet.instances["a-1"]
+    context.registry = registry = instance.forwarder.context.origins.registry
+    now = context.clock.now()
+    context.malformed = (
+        StreamOrigin(b"short", "llm", "v1", now + 1_000.0),
+        StreamOrigin(bytes(KEY_BYTES), "llm", "v1", now - 1.0),
+        StreamOrigin(bytes(KEY_BYTES), "llm", "v1", float("inf")),
+        StreamOrigin(bytes(KEY_BYTES), "llm", "v1", float("nan")),
+    )
+    for one in context.malformed:
+        registry.add(one)
+    context.kept = [
+        StreamOrigin(n.to_bytes(KEY_BYTES, "big"), "llm", "v1", now + 1_000.0)
+        for n in range(MAX_ORIGINS + 10)
+    ]
+    for one in context.kept:
+        registry.add(one)
+
+
+@then("it keeps the newest ones that are well-formed")
+def keeps_newest(context):
+    assert list(context.registry.origins.values()) == context.kept[10:]
+    assert not any(one.stream in context.registry.origins for one in context.malformed)
+
+
+@given("{number:d} more instances in data centres a, b, c")
+def more_instances(context, number):
+    for n in range(number):
+        context.fleet.start(f"{'abc'[n % 3]}-{n // 3 + 3}")
+    context.run(context.clock.sleep, MANY_START_MS)
+
+
+@given("the instances of data centre {datacentre} are killed")
+def datacentre_killed(context, datacentre):
+    kill(context, [one for one in context.fleet.instances if one.startswith(datacentre)])
+
+
+@given("the first holder in data centre {datacentre} and {name} are killed")
+def holder_killed(context, datacentre, name):
+    holders = context.fleet.instances[name].forwarder.context.origins.holders
+    first = [one.name for one in holders.instances("llm") if one.datacentre == datacentre]
+    kill(context, {*first, name})
+
+
+def kill(context, names):
+    context.knew = count_known(context)
+    for name in names:
+        context.fleet.instances.pop(name).close()
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def count_known(context):
+    registries = [
+        one.forwarder.context.origins.registry for one in context.fleet.instances.values()
+    ]
+    return sum(bool(one.origins) for one in registries)
+
+
+@then("at most {number:d} instances other than {name} knew of it")
+def at_most_knew(context, number, name):
+    assert 1 < context.knew <= number + 1, context.knew
+
+
+@then("its stages ran {times}")
+def stages_ran(context, times):
+    expected = {"never": 0, "once": 1}[times]
+    runs = Counter(
+        (piece.stage, piece.fragment)
+        for call in context.fleet.upstream.piece_calls
+        for piece in call.pieces
+    )
+    assert all(number == expected for number in runs.values()), runs
+    assert bool(runs) == bool(expected), runs
--- /dev/null
+++ b/features/streamorigins.feature
@@ -0,0 +1,141 @@
+@forwarding
+Feature: Instances know which software version began a stream
+  # A caller may take a stream up at an instance that did not begin it, while the one that did has
+  # ended, was restarted or cannot be reached.
+
+  Background:
+    Given instances a-1, a-2, b-1 and model servers of two versions
+      | server | datacentre | version |
+      | llm-1  | a          | v1      |
+      | llm-2  | b          | v2      |
+      | llm-3  | b          | v1      |
+
+  # Guards against streams that began while one version served, of which nobody was told.
+  Scenario: The second version is listed while a stream runs
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when version v2 is listed
+    And a-1 is killed
+    When the caller takes stream r up at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+  # Guards against streams that go on at a new version where all servers of the old one are gone, and
+  # against refusals that come late or are not true.
+  Scenario Outline: A stream whose version is gone is refused at once
+    Given stage servers enc-1, enc-2 of service enc
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of <kind> stream r at a-1 has 2 events when its connection breaks
+    And no server of version v1 is listed
+    When the caller takes stream r up at b-1
+    Then it is refused as not run with code 2015 within 5 ms, and a Retry-After
+    And no stage of its second attempt ran
+
+    Examples:
+      | kind      |
+      | resumable |
+      | lasting   |
+
+  Scenario Outline: A stream that nobody knows
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And <versions>
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When <attempt>
+    Then <outcome>
+
+    Examples: While two versions serve nothing tells which of them may go on
+      | versions                         | attempt                                               | outcome                                                            |
+      | both versions are listed         | a caller takes stream x up at b-1                     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller takes a stream up at b-1 without naming it   | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller of another path takes stream r up at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller of another team takes stream r up at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | no server of version v2 is listed | a caller takes stream x up at b-1                    | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+
+    Examples: While only one has served for long, that one goes on
+      | versions                         | attempt                                               | outcome                                                            |
+      | only version v1 has been listed for long | a caller takes stream x up at b-1             | it is answered with events 3 to 6                                  |
+      | only version v1 has been listed for long | a caller takes a stream up at b-1 without naming it | it is answered with events 3 to 6                            |
+
+  # Guards against an instance that has just started and does not know which version served before.
+  Scenario: A stream that nobody knows is taken up at an instance that started after its version left
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And no server of version v1 is listed
+    And b-1 is killed and starts again
+    When a caller takes stream x up at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+
+  # Guards against streams that go on at another service of their route.
+  Scenario: A route leads to two services
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the route leads mostly to service alt with server alt-1 from now on
+    When the caller takes stream r up at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+  # Guards against an instance with an old list, which knows of one version only.
+  Scenario Outline: An instance that is cut off from all others
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And <instance> is cut off from the store and its peers
+    And version v2 is listed
+    When the caller takes stream r up at <instance>
+    Then <outcome>
+
+    Examples:
+      | instance | outcome                                                                   |
+      | a-1      | stream r has events 1 to 6, and ran on llm-1, llm-3                       |
+      | b-1      | it is refused as not run with code 2016 within 300 ms, and a Retry-After  |
+
+  # Guards against streams that are lost with the instances of a data centre, in a fleet in which not
+  # every instance has links to all others.
+  Scenario Outline: The instances of a large fleet
+    Given 21 more instances in data centres a, b, c
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And <loss>
+    When the caller takes stream r up at <instance>
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+    And at most 4 instances other than a-1 knew of it
+
+    Examples:
+      | loss                                    | instance |
+      | a-1 is killed                           | a-5      |
+      | a-1 is killed                           | c-3      |
+      | the instances of data centre a are killed | b-4    |
+      | the instances of data centre a are killed | c-4    |
+      | the first holder in data centre a and a-1 are killed | c-3 |
+
+  Scenario: All instances are killed
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And all instances are killed and start again
+    When the caller takes stream r up at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+
+  Scenario: An instance that reaches no server relays a stream that is taken up
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And a-2 reaches no backend server
+    When the caller takes stream r up at a-2
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+  # Guards against a second version of an entry that is written again without a restart.
+  Scenario: The entry of the server that runs a stream gets another version
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 is found to run version v2 after 20 ms
+    And server llm-1 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-2
+
+  Scenario: Instances of an older build are neither told nor asked
+    Given all instances but b-1 are of an older build
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller takes stream r up at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+    And the log says that 0 instances were asked
+
+  Scenario: Malformed origins are ignored, and many are bounded
+    When an instance is told malformed origins, and more than it keeps
+    Then it keeps the newest ones that are well-formed
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -38,6 +38,21 @@
     Then stream r has events 1 to 2, and ran on llm-1
     And stream r ended within 500 ms
 
+  Scenario Outline: A stream breaks at once where the last server of its version leaves
+    Given servers llm-3 have drained
+    And stage servers enc-1, enc-2 of service enc
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 drains before it breaks a stream off
+    When <kind> stream r is sent to a-1
+    Then stream r has events 1 to 2, and ran on llm-1
+    And stream r ended within <ms> ms
+    And its stages ran <times>
+
+    Examples:
+      | kind      | ms   | times |
+      | resumable | 200  | never |
+      | lasting   | 1000 | once  |
+
   # Guards against events of a server that started again at another version before its new entry was
   # known.
   Scenario: A server that is found to have started again at another version does not go on
--- a/packages/core/src/mountladder/code.py
+++ b/packages/core/src/mountladder/code.py
@@ -71,6 +71,12 @@
         503,
         "no backend server of the software version that began the stream can be used",
     )
+    STREAM_UNKNOWN = (
+        2016,
+        _NOT_RUN,
+        503,
+        "it is not known which software version began the stream",
+    )
     STAGE_FAILED = (3001, _FAILED, 502, "a stage failed")
     DEADLINE_PASSED = (3002, _FAILED, 504, "the deadline passed during a stage")
     STREAM_CUT = (3003, _FAILED, 502, "a stream ended before its end")
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -66,6 +66,7 @@
         peer_gone: Called with each link that a peer had opened, when it closes.
         era_tracker: Detects that the store was restored from an older copy.
         backlogs: Returns how long pieces wait at the services that this instance coordinates.
+        further_targets: Return further instances to keep links to in a large fleet.
         on_backlog: Called with the backlog of a service that a peer coordinates, and the peer's
             data centre.
     """
@@ -98,6 +99,7 @@
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
         self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
         self.peer_gone: list[Callable[[Link], None]] = []
+        self.further_targets: list[Callable[[], list[Instance]]] = []
         self.subscribe(Beacon, self.receive_beacon)
         self.subscribe(UpdateRequest, self.receive_request)
         self.subscribe(DirectoryCopy, self.receive_directory)
@@ -164,6 +166,7 @@
             return known
         chosen = {one.name: one for one in super().targets()}
         shared = [*self.coordinators.candidates(), *self.coordinators.remote_candidates()]
+        shared += [one for further in self.further_targets for one in further()]
         chosen |= {one.name: one for one in shared}
         return list(chosen.values())
 
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -23,6 +23,7 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.streams.streamorigins import StreamOrigins
 
 if TYPE_CHECKING:
     from mountladder.isolation.requestrelay import RequestRelay
@@ -47,6 +48,7 @@
         quarantine: Tracks requests during which servers crash.
         notices: Applies the notices that servers send with their answers.
         continuations: The streams that can continue from copies.
+        origins: Finds the software versions that began streams.
         relay: Relays requests while this instance can reach no backend server.
     """
 
@@ -64,4 +66,5 @@
     quarantine: QuarantineService
     notices: NoticeDispatcher
     continuations: Continuations
+    origins: StreamOrigins
     relay: RequestRelay
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -64,6 +64,7 @@
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
 from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.streams.streamorigins import StreamOrigins
 
 # After three missed heartbeats a peer counts as unreachable, and stages move to another instance.
 # With 250 ms that takes about as long as three stages.
@@ -264,6 +265,7 @@
             quarantine=self.quarantine,
             notices=self.notices,
             continuations=self.continuations,
+            origins=StreamOrigins(self.fleet, self.directory, self.clock),
             relay=make_relay(self),
         )
 
--- a/packages/core/src/mountladder/forwarding/route.py
+++ b/packages/core/src/mountladder/forwarding/route.py
@@ -68,6 +68,10 @@
         """Return the pause in a stream beyond which its server may be lost, in milliseconds."""
         return max(MIN_SILENCE_MS, SILENCE_MULTIPLE * self.gap_ms)
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests may be sent to a service."""
+        return any(target.service == service for target in self.targets)
+
     def draw_service(self, rng: random.Random) -> str:
         """Return a service for one request, drawn at random by the targets' weights."""
         if len(self.targets) == 1:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -133,13 +133,8 @@
         Raises:
             RefusalError: No server of the version is available.
         """
+        self.check_servers(service, constraints.version)
         names = {one.name for one in servers}
-        if not names:
-            raise RefusalError(
-                f"version {constraints.version or 'unknown'} of {service}",
-                Code.VERSION_UNAVAILABLE,
-                retry_after_ms=NO_SERVER_RETRY_MS,
-            )
         if names <= constraints.excluded:
             constraints = replace(constraints, excluded=frozenset())
         available = self.directory.available(service)
@@ -231,14 +226,22 @@
         )
         return RefusalError("", Code.SERVERS_RESTING, retry_after_ms=retry_after_ms)
 
-    def check_servers(self, service: str) -> None:
+    def check_servers(self, service: str, version: str | None = None) -> None:
         """Check that a service has a server that may be used.
 
+        Args:
+            service: The service.
+            version: The version of its software, or None if any will do.
+
         Raises:
             RefusalError: It has none.
         """
-        if not self.directory.available(service):
+        available = self.directory.available(service)
+        if not available:
             raise self.unavailable_refusal(service)
+        if not running_version(available, version):
+            detail = f"version {version or 'unknown'} of {service}"
+            raise RefusalError(detail, Code.VERSION_UNAVAILABLE, retry_after_ms=NO_SERVER_RETRY_MS)
 
     def unavailable_refusal(self, service: str, wait_ms: float = 0.0) -> RefusalError:
         """Return the refusal of a request whose service has no available server.
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -10,7 +10,7 @@
 
 from mountladder.code import Code
 from mountladder.continuation.continuation import SUCCESS_END, Continuation
-from mountladder.errors import MountladderError, RunError, StageError
+from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.forwardanswer import ForwardAnswer
@@ -18,7 +18,7 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
-from mountladder.forwarding.retryrules import no_retry_error
+from mountladder.forwarding.retryrules import caller_error, no_retry_error
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
@@ -55,6 +55,8 @@
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
         try:
+            if self.request.last_event_id:
+                self.find_origin()
             attempt, answer, first = self.open(self.splitter)
             if answer.status >= SUCCESS_END:
                 return self.buffered_answer(attempt, answer)
@@ -79,6 +81,23 @@
         body = self.events(attempt, answer, self.splitter, first)
         return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
 
+    def find_origin(self) -> None:
+        """Have a stream that its caller takes up go on at the version that began it.
+
+        Raises:
+            RefusalError: The version is not known, or no server runs it.
+        """
+        context = self.context
+        fingerprint = self.tracked.fingerprint
+        origin = context.origins.find(self.request, fingerprint, self.service)
+        if origin.service != self.service and self.route.leads_to(origin.service):
+            context.budgets.of_requests(self.service).take_back()
+            self.service = origin.service
+            context.budgets.of_requests(self.service).earn()
+        if origin.service == self.service:
+            self.version = origin.version
+            context.picker.check_servers(self.service, self.version)
+
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
         try:
@@ -167,9 +186,16 @@
             version = self.check_version(attempt)
             complete = self.split(splitter, data)
             if complete:
-                self.version = version
+                self.settle_version(version)
                 return complete
 
+    def settle_version(self, version: str) -> None:
+        """Have the stream go on at a version from here on, in this answer and later ones."""
+        self.version = version
+        if self.route.resumable:
+            fingerprint = self.tracked.fingerprint
+            self.context.origins.record(self.request, fingerprint, self.service, version)
+
     def check_version(self, attempt: ForwardAttempt) -> str:
         """Return the software version that sends the events of an attempt.
 
@@ -251,7 +277,7 @@
         self.tracked.failed(attempt.choice.state.server, attempt.started, cut)
         self.excluded |= {attempt.server}
         self.possible_runs += 1
-        problem = no_retry_error(self, cut)
+        problem = self.version_error() or no_retry_error(self, cut)
         self.log(
             "stream-cut",
             server=attempt.server,
@@ -272,6 +298,14 @@
             raise RunError(f"status {resumed[1].status} while resuming the stream", Code.STREAM_CUT)
         return resumed
 
+    def version_error(self) -> MountladderError | None:
+        """Return the error for the caller if no server of the stream's version is left, or None."""
+        try:
+            self.context.picker.check_servers(self.service, self.version)
+        except RefusalError as error:
+            return caller_error(self, error)
+        return None
+
     def run_stages(self) -> tuple[str, ...]:
         """Return the handles of stage results; rerun the stages only if they were released."""
         if self.flow is not None and self.flow.handles:
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -8,6 +8,11 @@
 
 from dataclasses import dataclass
 
+# Messages that are added without a new version of the protocol are only sent to instances that
+# understand them. Builds that do not tell their set have 0; 1 adds those about the origins of
+# streams.
+MESSAGE_SET = 1
+
 
 @dataclass(frozen=True, slots=True)
 class Instance:
@@ -23,6 +28,7 @@
         cores: How many processor cores it may use; those with many are preferred as coordinators.
         since: When it started, in milliseconds since 1970; older ones are preferred as
             coordinators.
+        message_set: The newest set of messages that it understands; see MESSAGE_SET.
     """
 
     name: str
@@ -33,3 +39,4 @@
     leaving: bool = False
     cores: float = 1.0
     since: int = 0
+    message_set: int = MESSAGE_SET
--- a/packages/core/src/mountladder/membership/serverreader.py
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -20,6 +20,10 @@
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
 from mountladder.results.serverusage import ServerUsage
+from mountladder.streams.originannouncement import OriginAnnouncement
+from mountladder.streams.originquery import OriginQuery
+from mountladder.streams.originreply import OriginReply
+from mountladder.streams.streamorigin import StreamOrigin
 
 
 def _read_crashes(ends) -> tuple[ServerCrash, ...]:
@@ -64,6 +68,15 @@
     return ResultUsage(str(usage.service), tuple(entries))
 
 
+def _read_origin(one) -> StreamOrigin:
+    return StreamOrigin(bytes(one.stream), str(one.service), str(one.version), one.remainingMs)
+
+
+def _read_origin_reply(reply) -> OriginReply:
+    origin = _read_origin(reply.origin) if reply.known else None
+    return OriginReply(reply.number, origin, frozenset(str(one) for one in reply.versions))
+
+
 SERVER_READERS = {
     "serverNotices": lambda all_: ServerNotices(tuple(_read_notice(one) for one in all_)),
     "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
@@ -73,4 +86,7 @@
     "demandReport": lambda one: DemandReport(
         str(one.service), one.askedPerS, one.trendPerS, one.capacityPerS
     ),
+    "originAnnouncement": lambda all_: OriginAnnouncement(tuple(_read_origin(one) for one in all_)),
+    "originQuery": lambda one: OriginQuery(one.number, bytes(one.stream), str(one.service)),
+    "originReply": _read_origin_reply,
 }
--- a/packages/core/src/mountladder/membership/serverwriter.py
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -23,6 +23,10 @@
 from mountladder.quarantine.servercrash import ServerCrash
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
+from mountladder.streams.originannouncement import OriginAnnouncement
+from mountladder.streams.originquery import OriginQuery
+from mountladder.streams.originreply import OriginReply
+from mountladder.streams.streamorigin import StreamOrigin
 
 MAX_BARS = 2**16 - 1
 
@@ -110,3 +114,31 @@
     report = frame.init("demandReport")
     report.service, report.askedPerS = message.service, message.asked_per_s
     report.trendPerS, report.capacityPerS = message.trend_per_s, message.capacity_per_s
+
+
+@fill.register
+def _(message: OriginAnnouncement, frame) -> None:
+    origins = frame.init("originAnnouncement", len(message.origins))
+    for one, to in zip(message.origins, origins, strict=True):
+        fill_origin(one, to)
+
+
+def fill_origin(origin: StreamOrigin, target) -> None:
+    """Write the origin of a stream into its struct of a frame."""
+    target.stream, target.service, target.version = origin.stream, origin.service, origin.version
+    target.remainingMs = origin.until
+
+
+@fill.register
+def _(message: OriginQuery, frame) -> None:
+    query = frame.init("originQuery")
+    query.number, query.stream, query.service = message.number, message.stream, message.service
+
+
+@fill.register
+def _(message: OriginReply, frame) -> None:
+    reply = frame.init("originReply")
+    reply.number, reply.known = message.number, message.origin is not None
+    if message.origin is not None:
+        fill_origin(message.origin, reply.origin)
+    reply.versions = sorted(message.versions)
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -14,6 +14,7 @@
   nonce @6 :Data;
   cores @7 :Float32;
   since @8 :UInt64;
+  messageSet @9 :UInt16;
 }
 
 struct Heartbeat {
@@ -288,6 +289,26 @@
   capacityPerS @3 :Float32;
 }
 
+struct StreamOrigin {
+  stream @0 :Data;
+  service @1 :Text;
+  version @2 :Text;
+  remainingMs @3 :Float32;
+}
+
+struct OriginQuery {
+  number @0 :UInt64;
+  stream @1 :Data;
+  service @2 :Text;
+}
+
+struct OriginReply {
+  number @0 :UInt64;
+  known @1 :Bool;
+  origin @2 :StreamOrigin;
+  versions @3 :List(Text);
+}
+
 # The root of every message between instances.
 struct Frame {
   union {
@@ -317,5 +338,8 @@
     resultUsage @23 :ResultUsage;
     refusedDemand @24 :RefusedDemand;
     demandReport @25 :DemandReport;
+    originAnnouncement @26 :List(StreamOrigin);
+    originQuery @27 :OriginQuery;
+    originReply @28 :OriginReply;
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -43,6 +43,9 @@
 from mountladder.performance.serverspeeds import ServerSpeeds
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
+from mountladder.streams.originannouncement import OriginAnnouncement
+from mountladder.streams.originquery import OriginQuery
+from mountladder.streams.originreply import OriginReply
 
 VERSION = 10
 # How many beacons are kept encoded, and as many decoded. They are most of the messages, and most of
@@ -53,9 +56,10 @@
 StageMessage = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 PlacementMessage = PlacementOrder | PlacementReply | PlacementNote
 ServerMessage = Suspicions | ServerNotices | ServerSpeeds | ResultUsage
+OriginMessage = OriginAnnouncement | OriginQuery | OriginReply
 DemandMessage = RefusedDemand | DemandReport
 SharedWorkMessage = StageMessage | PlacementMessage | DemandMessage
-Message = ConfigurationMessage | StateMessage | SharedWorkMessage | ServerMessage
+Message = ConfigurationMessage | StateMessage | SharedWorkMessage | ServerMessage | OriginMessage
 
 _READERS = READERS | SERVER_READERS
 
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -49,6 +49,7 @@
         hello.peer,
         cores=hello.cores,
         since=hello.since,
+        message_set=hello.messageSet,
     )
     return Hello(hello.version, instance, bytes(hello.nonce))
 
--- /dev/null
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -0,0 +1,70 @@
+# originholders.py -- Chooses the instances that are told and asked which version began a stream
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Chooses the instances that are told and asked which version began a stream."""
+
+from __future__ import annotations
+
+import xxhash
+
+from mountladder.forwarding.fleet import Fleet
+from mountladder.forwarding.ranking import SMALL_FLEET, prompts_topic
+from mountladder.membership.instance import Instance
+from mountladder.membership.link import Link
+from mountladder.streams.versionhistory import VersionHistory
+
+# In so many data centres besides an instance's own one instance is told: a stream of a data centre
+# that is lost is taken up in another one.
+MAX_DATACENTRES = 3
+# The first set of messages between instances that contains those about the origins of streams.
+ORIGIN_MESSAGES = 1
+
+
+class OriginHolders:
+    """Chooses the instances that hold the origins of a service's streams.
+
+    In a small fleet, all do. In a larger one, these are the first one of this data centre and of a
+    few others by rank, alike for all instances of a data centre.
+
+    Args:
+        fleet: The other instances.
+        history: The services that several versions serve.
+    """
+
+    def __init__(self, fleet: Fleet, history: VersionHistory) -> None:
+        self.fleet = fleet
+        self.history = history
+        fleet.further_targets.append(self.targets)
+
+    def targets(self) -> list[Instance]:
+        """Return the instances to keep links to in a large fleet."""
+        return [one for service in self.history.several() for one in self.instances(service)]
+
+    def instances(self, service: str) -> list[Instance]:
+        """Return the holders of a service's streams in a large fleet, without this instance."""
+        ranking, me = self.fleet.ranking, self.fleet.membership.me
+        topic = prompts_topic(service)
+        names = {one.datacentre for one in ranking.staying()}
+        by_weight = sorted(names, key=lambda name: _weight(topic, name))
+        chosen = {me.datacentre, *by_weight[:MAX_DATACENTRES]}
+        first = [ranking.ranked(topic, name)[:1] for name in sorted(chosen)]
+        return [one for ranked in first for one in ranked if one is not me]
+
+    def links(self, service: str) -> list[Link]:
+        """Return the links to the holders of a service's streams that answer and understand."""
+        fleet = self.fleet
+        if len(fleet.membership.known) <= SMALL_FLEET:
+            links = list(fleet.links.values())
+        else:
+            addresses = [one.peer for one in self.instances(service)]
+            links = [fleet.links[one] for one in addresses if one in fleet.links]
+        return [
+            link
+            for link in links
+            if link.peer.message_set >= ORIGIN_MESSAGES and fleet.is_answering(link)
+        ]
+
+
+def _weight(topic: str, datacentre: str) -> int:
+    return xxhash.xxh64_intdigest(f"{topic}\0{datacentre}".encode())
--- /dev/null
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -0,0 +1,139 @@
+# streamorigins.py -- Finds the software version at which a stream may go on
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Finds the software version at which a stream may go on."""
+
+from __future__ import annotations
+
+from eliot import log_message
+
+from mountladder.clocks.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import RefusalError
+from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.fleet import Fleet
+from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.streams.originexchange import OriginExchange
+from mountladder.streams.originholders import OriginHolders
+from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
+from mountladder.streams.streamorigin import StreamOrigin, stream_key
+from mountladder.streams.versionhistory import VersionHistory
+
+# When a caller may retry if nobody knows which version began its stream, in milliseconds: an
+# instance that could not be reached may be back by then.
+UNKNOWN_RETRY_MS = 1_000.0
+# Once a second version of a service is listed, origins are told at once, and again after links to
+# the instances that hold them have been opened.
+ANNOUNCE_AGAIN_MS = 1_000.0
+
+
+class StreamOrigins:
+    """Remembers which software version began each resumable stream, and finds it again.
+
+    Callers may take a stream up at an instance that did not begin it. Each instance remembers the
+    streams that it runs. While several versions serve, it tells others when a stream begins; while
+    only one does, it does not need to, and does so once a second version is listed.
+
+    Args:
+        fleet: The other instances.
+        directory: Lists the backend servers.
+        clock: The clock.
+    """
+
+    def __init__(self, fleet: Fleet, directory: Directory, clock: Clock) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.registry = OriginRegistry(clock)
+        self.history = VersionHistory(directory, clock)
+        self.holders = OriginHolders(fleet, self.history)
+        self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.history.on_several = self.announce_all
+
+    def record(self, request: ForwardRequest, fingerprint: str, service: str, version: str) -> None:
+        """Record that a stream has its first event, before the caller gets it.
+
+        Args:
+            request: The request, which may take up a stream that an earlier one began.
+            fingerprint: The fingerprint that all attempts at the request share.
+            service: The service that runs it.
+            version: The version of the server's software.
+        """
+        stream = stream_key(fingerprint, request.resumes or request.id)
+        until = request.deadline(MAX_STREAM_MS)
+        origin = StreamOrigin(stream, service, version, min(until, self.latest()))
+        if self.registry.add(origin) and len(self.history.recent(service)) > 1:
+            self.exchange.announce(service, [origin])
+
+    def latest(self) -> float:
+        """Return the latest time at which the caller of a present stream gives it up."""
+        return self.clock.now() + MAX_STREAM_MS
+
+    def announce_all(self, service: str) -> None:
+        """Tell the origins of a service's streams, since a second version of it is listed."""
+        self.fleet.retarget.set()
+        self.announce_known(service)
+        self.clock.call_later(ANNOUNCE_AGAIN_MS, lambda: self.announce_known(service))
+
+    def announce_known(self, service: str) -> None:
+        """Tell all known origins of a service's streams."""
+        origins = self.registry.of_service(service)
+        told = self.exchange.announce(service, origins)
+        log_message(
+            "stream-origins-announced",
+            service=service,
+            versions=sorted(self.history.recent(service)),
+            origins=len(origins),
+            instances=told,
+        )
+
+    def find(self, request: ForwardRequest, fingerprint: str, service: str) -> StreamOrigin:
+        """Return the origin of the stream that a request takes up.
+
+        Args:
+            request: The request.
+            fingerprint: The fingerprint that all attempts at the request share.
+            service: The service that is to run it.
+
+        Raises:
+            RefusalError: Several versions may have begun it, and it is not known which did.
+        """
+        started = self.clock.now()
+        stream = stream_key(fingerprint, request.resumes)
+        origin, asked, replied = self.registry.find(stream), 0, 0
+        versions, source = self.history.recent(service), "own"
+        if origin is None:
+            source = "peer"
+            replies, asked = self.exchange.ask(stream, service)
+            replied = len(replies)
+            versions = versions.union(*(one.versions for one in replies))
+            origin = next((one.origin for one in replies if one.origin is not None), None)
+        if origin is not None:
+            origin = origin if source == "own" else origin.from_remaining(self.clock.now())
+        elif len(versions) == 1 and (replied or self.is_current()):
+            source = "only version"
+            origin = StreamOrigin(stream, service, next(iter(versions)), self.latest())
+        log_message(
+            "stream-origin",
+            request=request.id,
+            resumes=request.resumes,
+            last_event_id=request.last_event_id,
+            service=origin.service if origin else service,
+            software=origin.version if origin else "",
+            source=source if origin else "unknown",
+            versions=sorted(versions),
+            asked=asked,
+            replied=replied,
+            waited_ms=round(self.clock.now() - started),
+        )
+        if origin is None:
+            detail = f"versions {sorted(versions)} of {service} may have begun the stream"
+            raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=UNKNOWN_RETRY_MS)
+        return origin
+
+    def is_current(self) -> bool:
+        """Return whether this instance alone knows which versions serve.
+
+        One that is cut off from all others may not know of a version that they have used.
+        """
+        return self.fleet.is_store_answering() or not self.fleet.membership.addressed()
