Messages: a hello says which messages its sender understands

Cause: the writer of the hello left the field out, so that each peer counted as an older build; links on virtual time have no hello.

The hello carries it, and a scenario sends a hello through the encoding; it failed before.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -24,6 +24,7 @@
       | the speeds of servers                    |
       | the memory that results take up          |
       | the entries of servers with versions     |
+      | a hello                                  |
       | the origins of streams                   |
       | the query for the origin of a stream     |
       | the reply with the origin of a stream    |
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -26,6 +26,8 @@
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stagerelease import StageRelease
 from mountladder.membership import wire
+from mountladder.membership.hello import Hello
+from mountladder.membership.instance import Instance
 from mountladder.membership.wire import decode, encode
 from mountladder.notices.leaving import Leaving
 from mountladder.notices.ratelimit import RateLimit
@@ -88,6 +90,9 @@
     "the demand of a data centre": DemandReport("enc", 120.0, -4.5, 96.0),
     "the speeds of servers": ServerSpeeds("llm", (ServerSpeed("s-1", 1.75, 12, 500.0),)),
     "the memory that results take up": ResultUsage("enc", (ServerUsage("s-1", 1.5e6, 4_000.0),)),
+    "a hello": Hello(
+        10, Instance("a-1", "i1", "a", "h:1", "h:2", cores=2.0, since=7, message_set=3), b"nonce"
+    ),
     "the origins of streams": OriginAnnouncement((ORIGIN,)),
     "the query for the origin of a stream": OriginQuery(7, ORIGIN.stream, "llm"),
     "the reply with the origin of a stream": OriginReply(7, ORIGIN, frozenset({"v1", "v2"})),
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -58,6 +58,7 @@
     hello.peer = message.instance.peer
     hello.nonce = message.nonce
     hello.cores, hello.since = message.instance.cores, message.instance.since
+    hello.messageSet = message.instance.message_set
 
 
 @fill.register
