Soak: two software versions, and callers that take streams up

Two checks: at most two streams hold events of two versions, and streams that are taken up go on half as often as new ones begin at least, at undisturbed instances.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,7 +28,9 @@
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
-from soak.schedule import CALLERS, FAULTS, SERVERS, draw
+from soak.schedule import FAULTS, SERVERS, draw
+from soak.serverfleet import SERVICES
+from soak.streamattempt import StreamAttempt
 
 LENGTH_S = 20.0
 STEADY_CALLERS = 12
@@ -51,7 +53,7 @@
         Fault(
             float(row["at"]),
             row["kind"],
-            (row["target"],) if row["target"] == CALLERS else (row["target"], SERVERS),
+            (row["target"], SERVERS) if row["target"] in SERVICES else (row["target"],),
             float(row["seconds"]),
             float(row["strength"]),
         )
@@ -92,6 +94,12 @@
     assert whole >= number, whole
 
 
+@then("at least {number:d} streams were taken up")
+def streams_were_taken_up(context, number):
+    taken_up = sum(len(one) - 1 for one in context.record.stream_attempts.values())
+    assert taken_up >= number, taken_up
+
+
 @then("servers ended at least {number:d} unread response")
 def responses_ended(context, number):
     ended = context.record.ended_unread
@@ -474,3 +482,32 @@
     for child in context.children:
         command = Path(f"/proc/{child}/cmdline")
         assert not command.exists() or b"mountladder_entry" not in command.read_bytes(), child
+
+
+def take_up(context, number, version, status=200):
+    """Have callers take streams of version v1 up at b-1 while two versions serve."""
+    context.record.two_versions.append((0.0, LENGTH_S))
+    for n in range(number):
+        first = StreamAttempt(f"v{n}", "b-1", 5.0, 5.1, ("v1", "v1"), 0)
+        again = StreamAttempt(f"v{n}t1", "b-1", 5.2, 5.3, (version,) if version else (), status)
+        context.record.stream_attempts[first.id] = [first, again]
+
+
+@when("three streams have events of two versions")
+def mixed_streams(context):
+    take_up(context, 3, "v2")
+
+
+@when("three streams continued from copies at another version")
+def mixed_continuations(context):
+    context.record.versions.update({"llm-1": "v1", "llm-2": "v2"})
+    for n in range(3):
+        context.record.runs[f"v{n}"].append("llm-1")
+        context.record.run_ends[f"v{n}", "llm-1"] = 5.0
+        context.record.continuations[f"v{n}"].append((5.1, "llm-2"))
+
+
+@when("most streams that callers took up were refused")
+def refused_streams(context):
+    take_up(context, 30, "", 503)
+    take_up(context, 10, "v1")
