Pipelines: a stream that is cut goes on at an engine of its version

The product's own interface resumed a cut stream at any engine, whatever its software version: same cause as on the platform, found by looking for it elsewhere. Two engines labelled v1 and v2 that cut streams after three tokens: eight tokens came from both.

The label version of a server is its software version. A stream whose first token has come is resumed only at servers of the same one; where no server has the label nothing changes. The functions about versions move to the configuration, which both interfaces use.

The scenario of two versions failed before (both engines), that of one version holds either way.

--- a/packages/core/src/mountladder/continuation/backupplacement.py
+++ b/packages/core/src/mountladder/continuation/backupplacement.py
@@ -11,9 +11,9 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.softwareversion import running_version, version_of
 from mountladder.continuation.placedcopy import PlacedCopy
 from mountladder.forwarding.placementorder import PlacementOrder
-from mountladder.forwarding.serverrecord import running_version, version_of
 from mountladder.forwarding.service import Service
 from mountladder.routing.promptplacement import PromptPlacement
 
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -11,13 +11,13 @@
 
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.softwareversion import version_of
 from mountladder.continuation.serverwatch import ServerWatch
 from mountladder.errors import MountladderError, RefusalError, StageError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardrequest import Headers
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.retryrules import MIN_REMAINING_MS
-from mountladder.forwarding.serverrecord import version_of
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 from mountladder.routing.choice import Choice
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -14,8 +14,9 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.datacentredrains import DatacentreDrains
-from mountladder.forwarding.serverrecord import ID_LABEL, ServerRecord, version_of
+from mountladder.forwarding.serverrecord import ID_LABEL, ServerRecord
 from mountladder.store.position import BEGINNING, Position
 
 # Entries that expired during an outage of the store are rewritten within about two seconds of its
--- a/packages/core/src/mountladder/forwarding/forwardattempt.py
+++ b/packages/core/src/mountladder/forwarding/forwardattempt.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
+from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.pickedserver import PickedServer
-from mountladder.forwarding.serverrecord import version_of
 from mountladder.routing.choice import Choice
 
 
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -13,6 +13,7 @@
 
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.softwareversion import running_version, version_of
 from mountladder.configuration.stage import Stage
 from mountladder.errors import RefusalError, StageError
 from mountladder.forwarding.coldservers import ColdServers
@@ -21,7 +22,6 @@
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
-from mountladder.forwarding.serverrecord import running_version, version_of
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import SPILL_LOAD_FACTOR, Router
 from mountladder.routing.serverconstraints import ServerConstraints
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -6,18 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.configuration.softwareversion import VERSION_LABEL
 from mountladder.store.position import Position
 
 # The label of a listed server that holds its id.
 ID_LABEL = "id"
 # The label that holds its service.
 SERVICE_LABEL = "service"
-# The label that holds the version of its software, which is missing where that is not known.
-VERSION_LABEL = "version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,25 +91,3 @@
         draining=draining,
         models=(),
     )
-
-
-def running_version(
-    servers: Sequence[BackendServer], version: str | None
-) -> tuple[BackendServer, ...]:
-    """Return the servers that run a software version.
-
-    Args:
-        servers: The servers of a service.
-        version: The version; an empty string if it is unknown, or None if any will do. An unknown
-            one is only taken to be the same where the version of no server is known.
-    """
-    if version is None:
-        return tuple(servers)
-    if not version and any(version_of(one) for one in servers):
-        return ()
-    return tuple(one for one in servers if version_of(one) == version)
-
-
-def version_of(server: BackendServer) -> str:
-    """Return the version of a server's software, or an empty string if that is unknown."""
-    return server.labels.get(VERSION_LABEL, "")
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -8,6 +8,7 @@
 
 from functools import singledispatch
 
+from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.directorycopy import DirectoryCopy
@@ -16,7 +17,6 @@
 from mountladder.forwarding.placementnote import PlacementNote
 from mountladder.forwarding.placementorder import PlacementOrder
 from mountladder.forwarding.placementreply import PlacementReply
-from mountladder.forwarding.serverrecord import version_of
 from mountladder.forwarding.stagenotice import StageNotice
 from mountladder.forwarding.stageorder import StageOrder
 from mountladder.forwarding.stageoutcome import StageOutcome
--- a/packages/core/src/mountladder/requests/attempts.py
+++ b/packages/core/src/mountladder/requests/attempts.py
@@ -12,6 +12,7 @@
 
 from mountladder.accounts.charge import Charge
 from mountladder.code import Code
+from mountladder.configuration.softwareversion import running_version
 from mountladder.configuration.stage import Stage
 from mountladder.errors import RunError, StageError
 from mountladder.metrics.metric import Metric
@@ -105,7 +106,9 @@
             self.context.cost_model, self.request.pipeline, stage, remaining_stages, remaining_ms
         )
         choice = self.context.router.pick(
-            configuration.servers_for(stage, self.request.team),
+            running_version(
+                configuration.servers_for(stage, self.request.team), retry_state.version
+            ),
             stage,
             len(body),
             budget,
--- a/packages/core/src/mountladder/requests/pipelinerun.py
+++ b/packages/core/src/mountladder/requests/pipelinerun.py
@@ -13,6 +13,7 @@
 import gevent
 
 from mountladder.code import Code
+from mountladder.configuration.softwareversion import version_of
 from mountladder.configuration.stage import Stage
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 from mountladder.requests.answer import Answer
@@ -91,7 +92,7 @@
                 self.results[stage.name] = result.value
 
     def stream(self, stage: Stage) -> Iterator[Chunk]:
-        """Run a streamed stage; if the stream is cut, resume it on another server."""
+        """Run a streamed stage; if it is cut, resume it on a server of the same version."""
         retry_state = RetryState(stage, self.body(stage), self.context.clock.now())
         while stage.name not in self.results:
             attempt = self.attempts.start(retry_state, self.remaining_stages())
@@ -101,6 +102,8 @@
                 for chunk in self.context.backend.stream(attempt.choice.state.server, attempt.call):
                     load = chunk.load
                     interval.add(chunk)
+                    if not retry_state.tokens:
+                        retry_state.version = version_of(attempt.choice.state.server)
                     retry_state.tokens += chunk.count
                     self.events.append(chunk.events)
                     yield chunk
--- a/packages/core/src/mountladder/requests/retrystate.py
+++ b/packages/core/src/mountladder/requests/retrystate.py
@@ -21,6 +21,7 @@
         count: The number of attempts started.
         failed: The names of the servers that failed.
         tokens: The number of tokens of its stream received.
+        version: The software version of the server that sent the first token, or None before it.
     """
 
     def __init__(self, stage: Stage, body: bytes, started: float) -> None:
@@ -30,3 +31,4 @@
         self.count = 0
         self.failed: frozenset[str] = frozenset()
         self.tokens = 0
+        self.version: str | None = None
--- a/packages/core/src/mountladder/streams/versionhistory.py
+++ b/packages/core/src/mountladder/streams/versionhistory.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 
 from mountladder.clocks.clock import Clock
+from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.directory import Directory
-from mountladder.forwarding.serverrecord import version_of
 from mountladder.streams.originregistry import MAX_STREAM_MS
 
 
