Streams: rules about versions in modules of their own

What a stream knows of its version moves to StreamVersion, what restricts the choice of a server to versionrules, the search for an origin is split. A request that names a stream but has no event of it begins one of its own.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -59,7 +59,6 @@
         tracked: The request as tracked by the quarantine.
         reservation: Chooses servers and waits for a slot at those that limit their request rate.
         hold: Limits how long the request is held before a server is sent it.
-        version: The software version that its server must run, or None if any will do.
     """
 
     def __init__(
@@ -90,7 +89,6 @@
         self.gives_way = False
         self.reservation = Reservation(self)
         self.hold = Hold(self)
-        self.version: str | None = None
         texts = (self.team, request.method, request.host, request.target)
         self.tracked = context.quarantine.track(request.id, texts, request.body)
         context.budgets.of_requests(self.service).earn()
@@ -105,6 +103,11 @@
         """Return whether a second server is to keep a copy of the request's cache."""
         return False
 
+    @property
+    def version(self) -> str | None:
+        """Return the software version that the server must run, or None if any will do."""
+        return None
+
     def remaining_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
         return self.deadline - self.context.clock.now()
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -13,7 +13,7 @@
 
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
-from mountladder.configuration.softwareversion import running_version, version_of
+from mountladder.configuration.softwareversion import running_version
 from mountladder.configuration.stage import Stage
 from mountladder.errors import RefusalError, StageError
 from mountladder.forwarding.coldservers import ColdServers
@@ -22,6 +22,7 @@
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
+from mountladder.forwarding.versionrules import constrain, suitable_backup
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import SPILL_LOAD_FACTOR, Router
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -95,9 +96,8 @@
         if self.directory.is_unreachable(service):
             # Each failing connection attempt would cost the caller 300 ms.
             raise self.unavailable_refusal(service)
+        constraints = constrain(self.directory, service, constraints)
         servers = self.allowed(service, constraints)
-        if constraints.version is not None:
-            constraints = self.for_version(servers, service, constraints)
         if request.prompt is not None:
             return self.pick_for_prompt(request.prompt, service, constraints)
         free = self.unlimited(servers)
@@ -119,27 +119,6 @@
         """Return the available servers of a service that run the version asked for."""
         return running_version(self.directory.available(service), constraints.version)
 
-    def for_version(
-        self,
-        servers: tuple[BackendServer, ...],
-        service: str,
-        constraints: ServerConstraints,
-    ) -> ServerConstraints:
-        """Return the constraints of a request that only servers of one version may run.
-
-        They exclude all other servers. The servers that have failed the request are used again if
-        there are no others of the version.
-
-        Raises:
-            RefusalError: No server of the version is available.
-        """
-        self.check_servers(service, constraints.version)
-        names = {one.name for one in servers}
-        if names <= constraints.excluded:
-            constraints = replace(constraints, excluded=frozenset())
-        available = self.directory.available(service)
-        return constraints.without(one.name for one in available if one.name not in names)
-
     def pick_among(
         self,
         servers: tuple[BackendServer, ...],
@@ -226,22 +205,14 @@
         )
         return RefusalError("", Code.SERVERS_RESTING, retry_after_ms=retry_after_ms)
 
-    def check_servers(self, service: str, version: str | None = None) -> None:
+    def check_servers(self, service: str) -> None:
         """Check that a service has a server that may be used.
 
-        Args:
-            service: The service.
-            version: The version of its software, or None if any will do.
-
         Raises:
             RefusalError: It has none.
         """
-        available = self.directory.available(service)
-        if not available:
+        if not self.directory.available(service):
             raise self.unavailable_refusal(service)
-        if not running_version(available, version):
-            detail = f"version {version or 'unknown'} of {service}"
-            raise RefusalError(detail, Code.VERSION_UNAVAILABLE, retry_after_ms=NO_SERVER_RETRY_MS)
 
     def unavailable_refusal(self, service: str, wait_ms: float = 0.0) -> RefusalError:
         """Return the refusal of a request whose service has no available server.
@@ -283,19 +254,9 @@
             reply.source,
             reply.prefill_tokens,
             now + reply.wait_ms,
-            self.backup(servers.get(reply.backup), server),
+            suitable_backup(servers.get(reply.backup), server),
         )
 
-    def backup(self, backup: BackendServer | None, server: BackendServer) -> BackendServer | None:
-        """Return the server that keeps a copy if it can continue a run of another one, or None.
-
-        A coordinator of an older build chooses it without regard to versions.
-        """
-        if backup is None or version_of(backup) == version_of(server):
-            return backup
-        log_message("backup-version-differs", server=server.name, backup=backup.name)
-        return None
-
     def unusable(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself does not use at present."""
         now = self.router.clock.now()
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -10,7 +10,7 @@
 
 from mountladder.code import Code
 from mountladder.continuation.continuation import SUCCESS_END, Continuation
-from mountladder.errors import MountladderError, RefusalError, RunError, StageError
+from mountladder.errors import MountladderError, RunError, StageError
 from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.forwardanswer import ForwardAnswer
@@ -18,11 +18,12 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
-from mountladder.forwarding.retryrules import caller_error, no_retry_error
+from mountladder.forwarding.retryrules import no_retry_error
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
+from mountladder.streams.streamversion import StreamVersion
 
 # A resumable stream moves to another server when its first event takes longer than this many
 # latency targets. Until then a slow server may still answer sooner than another one.
@@ -45,6 +46,7 @@
     ) -> None:
         super().__init__(request, route, caller, context)
         self.splitter = EventSplitter(request.last_event_id)
+        self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
 
     @property
@@ -52,11 +54,16 @@
         """Return whether a second server is to keep a copy; see ForwardRun."""
         return self.continuation.wants_copy
 
+    @property
+    def version(self) -> str | None:
+        """Return the software version that the server must run; see ForwardRun."""
+        return self.stream_version.required
+
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
         try:
             if self.request.last_event_id:
-                self.find_origin()
+                self.stream_version.find()
             attempt, answer, first = self.open(self.splitter)
             if answer.status >= SUCCESS_END:
                 return self.buffered_answer(attempt, answer)
@@ -81,23 +88,6 @@
         body = self.events(attempt, answer, self.splitter, first)
         return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
 
-    def find_origin(self) -> None:
-        """Have a stream that its caller takes up go on at the version that began it.
-
-        Raises:
-            RefusalError: The version is not known, or no server runs it.
-        """
-        context = self.context
-        fingerprint = self.tracked.fingerprint
-        origin = context.origins.find(self.request, fingerprint, self.service)
-        if origin.service != self.service and self.route.leads_to(origin.service):
-            context.budgets.of_requests(self.service).take_back()
-            self.service = origin.service
-            context.budgets.of_requests(self.service).earn()
-        if origin.service == self.service:
-            self.version = origin.version
-            context.picker.check_servers(self.service, self.version)
-
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
         try:
@@ -183,32 +173,12 @@
             data = answer.read_some(self.first_event_timeout_ms(attempt))
             if not data:
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
-            version = self.check_version(attempt)
+            version = self.stream_version.check(attempt)
             complete = self.split(splitter, data)
             if complete:
-                self.settle_version(version)
+                self.stream_version.settle(version)
                 return complete
 
-    def settle_version(self, version: str) -> None:
-        """Have the stream go on at a version from here on, in this answer and later ones."""
-        self.version = version
-        if self.route.resumable:
-            fingerprint = self.tracked.fingerprint
-            self.context.origins.record(self.request, fingerprint, self.service, version)
-
-    def check_version(self, attempt: ForwardAttempt) -> str:
-        """Return the software version that sends the events of an attempt.
-
-        Raises:
-            StageError: The stream was begun by another version; the server has started again since
-                it was chosen.
-        """
-        version = self.context.picker.directory.current_version(attempt.choice.state.server)
-        if self.version is not None and version != self.version:
-            detail = f"the server runs version {version}, not {self.version}"
-            raise StageError(detail, Code.SERVER_REPLACED)
-        return version
-
     def events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter, first: bytes
     ) -> Iterator[bytes]:
@@ -277,7 +247,7 @@
         self.tracked.failed(attempt.choice.state.server, attempt.started, cut)
         self.excluded |= {attempt.server}
         self.possible_runs += 1
-        problem = self.version_error() or no_retry_error(self, cut)
+        problem = self.stream_version.error() or no_retry_error(self, cut)
         self.log(
             "stream-cut",
             server=attempt.server,
@@ -298,14 +268,6 @@
             raise RunError(f"status {resumed[1].status} while resuming the stream", Code.STREAM_CUT)
         return resumed
 
-    def version_error(self) -> MountladderError | None:
-        """Return the error for the caller if no server of the stream's version is left, or None."""
-        try:
-            self.context.picker.check_servers(self.service, self.version)
-        except RefusalError as error:
-            return caller_error(self, error)
-        return None
-
     def run_stages(self) -> tuple[str, ...]:
         """Return the handles of stage results; rerun the stages only if they were released."""
         if self.flow is not None and self.flow.handles:
--- /dev/null
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -0,0 +1,30 @@
+# originlookup.py -- The result of a search for the origin of a stream
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""The result of a search for the origin of a stream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mountladder.streams.streamorigin import StreamOrigin
+
+
+@dataclass(frozen=True, slots=True)
+class OriginLookup:
+    """The result of a search for the origin of a stream, and what it is based on.
+
+    Attributes:
+        origin: The origin, or None if it is not known.
+        source: Where it is known from: "own", "peer", "only version" or "unknown".
+        versions: The versions that may have begun it, as known to those that were asked as well.
+        asked: The number of instances that were asked.
+        replied: The number of those that replied.
+    """
+
+    origin: StreamOrigin | None
+    source: str
+    versions: frozenset[str]
+    asked: int = 0
+    replied: int = 0
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -16,6 +16,7 @@
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.streams.originexchange import OriginExchange
 from mountladder.streams.originholders import OriginHolders
+from mountladder.streams.originlookup import OriginLookup
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.streamorigin import StreamOrigin, stream_key
 from mountladder.streams.versionhistory import VersionHistory
@@ -59,7 +60,8 @@
             service: The service that runs it.
             version: The version of the server's software.
         """
-        stream = stream_key(fingerprint, request.resumes or request.id)
+        takes_up = bool(request.last_event_id and request.resumes)
+        stream = stream_key(fingerprint, request.resumes if takes_up else request.id)
         until = request.deadline(MAX_STREAM_MS)
         origin = StreamOrigin(stream, service, version, min(until, self.latest()))
         if self.registry.add(origin) and len(self.history.recent(service)) > 1:
@@ -99,37 +101,42 @@
             RefusalError: Several versions may have begun it, and it is not known which did.
         """
         started = self.clock.now()
-        stream = stream_key(fingerprint, request.resumes)
-        origin, asked, replied = self.registry.find(stream), 0, 0
-        versions, source = self.history.recent(service), "own"
-        if origin is None:
-            source = "peer"
-            replies, asked = self.exchange.ask(stream, service)
-            replied = len(replies)
-            versions = versions.union(*(one.versions for one in replies))
-            origin = next((one.origin for one in replies if one.origin is not None), None)
-        if origin is not None:
-            origin = origin if source == "own" else origin.from_remaining(self.clock.now())
-        elif len(versions) == 1 and (replied or self.is_current()):
-            source = "only version"
-            origin = StreamOrigin(stream, service, next(iter(versions)), self.latest())
+        found = self.look_up(stream_key(fingerprint, request.resumes), service)
         log_message(
             "stream-origin",
             request=request.id,
             resumes=request.resumes,
             last_event_id=request.last_event_id,
-            service=origin.service if origin else service,
-            software=origin.version if origin else "",
-            source=source if origin else "unknown",
-            versions=sorted(versions),
-            asked=asked,
-            replied=replied,
+            service=found.origin.service if found.origin else service,
+            software=found.origin.version if found.origin else "",
+            source=found.source,
+            versions=sorted(found.versions),
+            asked=found.asked,
+            replied=found.replied,
             waited_ms=round(self.clock.now() - started),
         )
-        if origin is None:
-            detail = f"versions {sorted(versions)} of {service} may have begun the stream"
+        if found.origin is None:
+            detail = f"versions {sorted(found.versions)} of {service} may have begun the stream"
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=UNKNOWN_RETRY_MS)
-        return origin
+        return found.origin
+
+    def look_up(self, stream: bytes, service: str) -> OriginLookup:
+        """Search for the origin of a stream here, then at other instances."""
+        versions = self.history.recent(service)
+        origin = self.registry.find(stream)
+        if origin is not None:
+            return OriginLookup(origin, "own", versions)
+        replies, asked = self.exchange.ask(stream, service)
+        versions = versions.union(*(one.versions for one in replies))
+        counts = (asked, len(replies))
+        for reply in replies:
+            if reply.origin is not None:
+                told = reply.origin.from_remaining(self.clock.now())
+                return OriginLookup(told, "peer", versions, *counts)
+        if len(versions) == 1 and (replies or self.is_current()):
+            only = StreamOrigin(stream, service, next(iter(versions)), self.latest())
+            return OriginLookup(only, "only version", versions, *counts)
+        return OriginLookup(None, "unknown", versions, *counts)
 
     def is_current(self) -> bool:
         """Return whether this instance alone knows which versions serve.
