Streams: two other data centres are told of an origin, not three

Three instances besides the one that runs a stream suffice: any two data centres choose one other in common, so that a stream of a lost data centre is found.

--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -14,9 +14,9 @@
 from mountladder.membership.link import Link
 from mountladder.streams.versionhistory import VersionHistory
 
-# In so many data centres besides an instance's own one instance is told: a stream of a data centre
-# that is lost is taken up in another one.
-MAX_DATACENTRES = 3
+# One instance is told in so many data centres besides an instance's own, since a stream of a data
+# centre that is lost is taken up in another one. Any two data centres choose one in common.
+MAX_DATACENTRES = 2
 # The first set of messages between instances that contains those about the origins of streams.
 ORIGIN_MESSAGES = 1
 
@@ -45,10 +45,10 @@
         """Return the holders of a service's streams in a large fleet, without this instance."""
         ranking, me = self.fleet.ranking, self.fleet.membership.me
         topic = prompts_topic(service)
-        names = {one.datacentre for one in ranking.staying()}
-        by_weight = sorted(names, key=lambda name: _weight(topic, name))
-        chosen = {me.datacentre, *by_weight[:MAX_DATACENTRES]}
-        first = [ranking.ranked(topic, name)[:1] for name in sorted(chosen)]
+        others = {one.datacentre for one in ranking.staying()} - {me.datacentre}
+        by_weight = sorted(others, key=lambda name: _weight(topic, name))
+        chosen = [me.datacentre, *by_weight[:MAX_DATACENTRES]]
+        first = [ranking.ranked(topic, name)[:1] for name in chosen]
         return [one for ranked in first for one in ranked if one is not me]
 
     def links(self, service: str) -> list[Link]:
