Servers: versions that an instance of an older build did not pass on

An entry keeps the version that is known of the same start of its server; one at the same position that adds it is taken; and an instance that lacks versions asks each peer of the new build that connects for the list.

Three scenarios; each of the three decisions taken out fails one.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -21,7 +21,9 @@
 )
 from logrecorder import record_lines
 
+from mountladder.configuration.softwareversion import VERSION_LABEL
 from mountladder.forwarding.callerteam import CallerTeam
+from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.service import Service
 from mountladder.forwarding.target import Target
@@ -464,3 +466,22 @@
     )
     assert all(number == expected for number in runs.values()), runs
     assert bool(runs) == bool(expected), runs
+
+
+@given("a-1 gets the entry of {server} {entry} from an instance of an older build")
+def entry_without_version(context, server, entry):
+    instance = context.fleet.instances["a-1"]
+    known = instance.directory.records[server]
+    if "new address" in entry:
+        # Its state here is one of another start.
+        del instance.directory.records[server]
+    plain = {name: text for name, text in known.server.labels.items() if name != VERSION_LABEL}
+    record = replace(known, server=replace(known.server, labels=plain))
+    position = known.position
+    if "once more" in entry:
+        position = replace(position, version=instance.directory.newest.version + 1)
+    link = next(iter(instance.fleet.links.values()))
+    copy = DirectoryCopy(position, (replace(record, position=position),), 0.0)
+    context.run(instance.fleet.handle, copy, link)
+    if "b-1 starts again" in entry:
+        lose(context, "b-1", "killed and starts again")
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -136,6 +136,21 @@
     Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
     And the log says that 0 instances were asked
 
+  # Guards against streams that are refused for long after an upgrade, since entries that came through
+  # an older build lack the version.
+  Scenario Outline: An entry comes from an instance of an older build
+    Given a-1 gets the entry of llm-3 <entry> from an instance of an older build
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 breaks off within the third event, once
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on <servers>
+
+    Examples:
+      | entry                                  | servers      |
+      | once more                              | llm-1, llm-3 |
+      | at a new address                       | llm-1, llm-1 |
+      | at a new address, and b-1 starts again | llm-1, llm-3 |
+
   Scenario: Malformed origins are ignored, and many are bounded
     When an instance is told malformed origins, and more than it keeps
     Then it keeps the newest ones that are well-formed
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -16,7 +16,7 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.datacentredrains import DatacentreDrains
-from mountladder.forwarding.serverrecord import ID_LABEL, ServerRecord
+from mountladder.forwarding.serverrecord import ID_LABEL, ServerRecord, lacks_version
 from mountladder.store.position import BEGINNING, Position
 
 # Entries that expired during an outage of the store are rewritten within about two seconds of its
@@ -123,7 +123,14 @@
     def is_newer(self, record: ServerRecord) -> bool:
         """Return whether an entry is newer than the known one."""
         known = self.records.get(record.id)
-        return known is None or record.position > known.position
+        if known is None or record.position > known.position:
+            return True
+        # An instance of an older build passes entries on without versions.
+        return record.position == known.position and lacks_version(known) > lacks_version(record)
+
+    def lacks_versions(self) -> bool:
+        """Return whether the software version of a listed server is unknown."""
+        return any(lacks_version(one) for one in self.records.values())
 
     def apply_record(self, record: ServerRecord, source: str, until: float) -> None:
         """Apply one newer entry; a removed server stays in use while its entry may reappear."""
@@ -131,6 +138,8 @@
         if known is not None and record.is_older_copy(known):
             self.keep_known(known, record, source)
             return
+        if known is not None:
+            record = record.with_version_of(known)
         if known is not None and record.server is None:
             record = replace(record, born=known.born, sequence=known.sequence)
         self.records[record.id] = record
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -36,13 +36,15 @@
 from mountladder.membership.wire import Message
 from mountladder.metrics.metrics import Metrics
 from mountladder.store.eratracker import EraTracker
-from mountladder.store.position import Position
+from mountladder.store.position import BEGINNING, Position
 
 # How long an instance that polls the store waits for a change from there before it requests it from
 # a peer.
 STORE_HEAD_START_MS = 150.0
 # Several changes are often read at once; this delay lets one message announce them all.
 ANNOUNCE_DELAY_MS = 15.0
+# The first set of messages between instances in which entries of servers have software versions.
+VERSIONS_MESSAGE_SET = 1
 
 
 class Fleet(LinkManager):
@@ -107,6 +109,7 @@
         follower.listeners.append(self.add_topics)
         follower.listeners.append(lambda catalogue: self.announce_soon())
         directory.listeners.append(self.announce_soon)
+        self.accept_listeners.append(self.request_versions)
 
     def add_topics(self, catalogue: Catalogue) -> None:
         """Open links to the coordinators of a catalogue's services before the first request.
@@ -324,6 +327,14 @@
         if catalogue >= 0 or directory is not None:
             self.send_later(link, UpdateRequest(catalogue, directory))
 
+    def request_versions(self, link: Link) -> None:
+        """Request the whole list of servers from a peer if entries lack their software versions.
+
+        Instances of older builds pass entries on without them.
+        """
+        if link.peer.message_set >= VERSIONS_MESSAGE_SET and self.directory.lacks_versions():
+            self.send_later(link, UpdateRequest(-1, BEGINNING))
+
     def receive_request(self, message: UpdateRequest, link: Link) -> None:
         """Send a peer the newer state that it requests."""
         if 0 <= message.catalogue < self.follower.version:
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mountladder.configuration.backendserver import BackendServer
-from mountladder.configuration.softwareversion import VERSION_LABEL
+from mountladder.configuration.softwareversion import VERSION_LABEL, version_of
 from mountladder.store.position import Position
 
 # The label of a listed server that holds its id.
@@ -41,6 +41,19 @@
     sequence: int = 0
     cold_ms: float = 0.0
 
+    def with_version_of(self, known: ServerRecord) -> ServerRecord:
+        """Return the same with the software version of an earlier entry, if this one lacks it.
+
+        Both must be of one start of the server, during which its version stays the same.
+        """
+        before, server = known.server, self.server
+        if before is None or server is None or not lacks_version(self):
+            return self
+        if (before.name, before.address) != (server.name, server.address) or lacks_version(known):
+            return self
+        labels = server.labels | {VERSION_LABEL: before.labels[VERSION_LABEL]}
+        return replace(self, server=replace(server, labels=labels))
+
     def is_older_copy(self, known: ServerRecord) -> bool:
         """Return whether this entry comes from a restored store and is older than the known one.
 
@@ -91,3 +104,8 @@
         draining=draining,
         models=(),
     )
+
+
+def lacks_version(record: ServerRecord) -> bool:
+    """Return whether an entry names a server, but not the version of its software."""
+    return record.server is not None and not version_of(record.server)
