Streams: a full server is not sent a stream again at once

A stream whose version only one server runs was sent to it up to four times within milliseconds when it refused for lack of room, each time out of the retry budget (by reading; the scenario: three sendings). Cause: all servers that had failed the request were used again where no other ran its version.

Only a server that broke the stream is, where it is alone; one that refuses is left as without versions. The scenario sees one sending, and a true refusal.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -485,3 +485,17 @@
     context.run(instance.fleet.handle, copy, link)
     if "b-1 starts again" in entry:
         lose(context, "b-1", "killed and starts again")
+
+
+@given("server {name} has started again, and is full")
+def started_again_full(context, name):
+    context.fleet.upstream.crashed.remove(name)
+    context.fleet.upstream.faults[name] = ServerFault.FULL
+    for instance in context.fleet.instances.values():
+        instance.router.states.pop(name, None)
+
+
+@then("{number:d} server was sent it")
+def sent_to_servers(context, number):
+    arrivals = context.fleet.upstream.arrivals["r-again"]
+    assert len(arrivals) == number, arrivals
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -30,6 +30,15 @@
     When resumable stream r is sent to a-1
     Then stream r has events 1 to 6, and ran on llm-1, llm-1
 
+  Scenario: A full server is not sent a stream again though no other runs its version
+    Given servers llm-3 have drained
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And server llm-1 has started again, and is full
+    When the caller takes stream r up at b-1
+    Then it is refused as not run with code 2008 within 100 ms, and a Retry-After
+    And 1 server was sent it
+
   Scenario: A stream breaks at once where no server of its version is left
     Given servers llm-3 have drained
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -245,7 +245,8 @@
             MountladderError: The stream may not be resumed, or that failed.
         """
         self.tracked.failed(attempt.choice.state.server, attempt.started, cut)
-        self.excluded |= {attempt.server}
+        if not self.stream_version.is_alone(attempt.server):
+            self.excluded |= {attempt.server}
         self.possible_runs += 1
         problem = self.stream_version.error() or no_retry_error(self, cut)
         self.log(
--- a/packages/core/src/mountladder/forwarding/versionrules.py
+++ b/packages/core/src/mountladder/forwarding/versionrules.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from eliot import log_message
 
 from mountladder.code import Code
@@ -44,8 +42,6 @@
 ) -> ServerConstraints:
     """Return the constraints of a request, with all servers of other versions excluded.
 
-    The servers that have failed the request are used again if no others run the version.
-
     Raises:
         RefusalError: No server of the version is available.
     """
@@ -54,8 +50,6 @@
     check_version(directory, service, constraints.version)
     available = directory.available(service)
     names = {one.name for one in running_version(available, constraints.version)}
-    if names <= constraints.excluded:
-        constraints = replace(constraints, excluded=frozenset())
     return constraints.without(one.name for one in available if one.name not in names)
 
 
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
+from mountladder.configuration.softwareversion import running_version
 from mountladder.errors import MountladderError, RefusalError, StageError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.retryrules import caller_error
@@ -70,6 +71,11 @@
             origins, fingerprint = self.context.origins, run.tracked.fingerprint
             origins.record(run.request, fingerprint, run.service, version)
 
+    def is_alone(self, server: str) -> bool:
+        """Return whether no other server could go on, so that one that broke the stream is to."""
+        available = running_version(self.directory.available(self.run.service), self.required)
+        return all(one.name in self.run.excluded | {server} for one in available)
+
     def error(self) -> MountladderError | None:
         """Return the error for the caller if no server of the version is left, or None."""
         try:
