Servers: an entry without a version keeps one only if its start is told

Where entries do not tell a start, a server that starts again under its id and address cannot be told from one that writes its entry again, so that its old version was kept for the new one (by reading). An unknown version lets no stream go on there.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -21,12 +21,14 @@
 )
 from logrecorder import record_lines
 
-from mountladder.configuration.softwareversion import VERSION_LABEL
+from mountladder.configuration.softwareversion import VERSION_LABEL, version_of
 from mountladder.forwarding.callerteam import CallerTeam
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.memorysource import MemorySource
+from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.forwarding.service import Service
 from mountladder.forwarding.target import Target
+from mountladder.store.position import Position
 from mountladder.streams.originregistry import MAX_ORIGINS, MAX_STREAM_MS
 from mountladder.streams.streamorigin import KEY_BYTES, StreamOrigin
 from mountladder_standins.serverfault import ServerFault
@@ -472,16 +474,12 @@
 def entry_without_version(context, server, entry):
     instance = context.fleet.instances["a-1"]
     known = instance.directory.records[server]
-    if "new address" in entry:
-        # Its state here is one of another start.
-        del instance.directory.records[server]
+    # What is known of it here is dropped, as if it had another start.
+    del instance.directory.records[server]
     plain = {name: text for name, text in known.server.labels.items() if name != VERSION_LABEL}
     record = replace(known, server=replace(known.server, labels=plain))
-    position = known.position
-    if "once more" in entry:
-        position = replace(position, version=instance.directory.newest.version + 1)
     link = next(iter(instance.fleet.links.values()))
-    copy = DirectoryCopy(position, (replace(record, position=position),), 0.0)
+    copy = DirectoryCopy(known.position, (record,), 0.0)
     context.run(instance.fleet.handle, copy, link)
     if "b-1 starts again" in entry:
         lose(context, "b-1", "killed and starts again")
@@ -499,3 +497,26 @@
 def sent_to_servers(context, number):
     arrivals = context.fleet.upstream.arrivals["r-again"]
     assert len(arrivals) == number, arrivals
+
+
+def entry(position, born, version=""):
+    server = listed_server("i-1", "llm", "i-1", "a", 8, False, born, version)
+    return ServerRecord("i-1", Position(0, position), "llm", server, born)
+
+
+@given("a-1 knows an entry with start {born:d} and version {version}")
+def knows_entry(context, born, version):
+    directory = context.fleet.instances["a-1"].directory
+    directory.apply([entry(1_000, born, version)], Position(0, 1_000), "test")
+
+
+@when("it gets a newer one with start {born:d} from an instance of an older build")
+def gets_entry(context, born):
+    directory = context.fleet.instances["a-1"].directory
+    directory.apply([entry(1_001, born)], Position(0, 1_001), "test")
+
+
+@then("it takes the server to run version {version}")
+def takes_version(context, version):
+    server = context.fleet.instances["a-1"].directory.records["i-1"].server
+    assert version_of(server) == ("" if version == "unknown" else version), server
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -138,6 +138,17 @@
 
   # Guards against streams that are refused for long after an upgrade, since entries that came through
   # an older build lack the version.
+  Scenario Outline: A newer entry comes from an instance of an older build
+    Given a-1 knows an entry with start <first> and version v1
+    When it gets a newer one with start <second> from an instance of an older build
+    Then it takes the server to run version <version>
+
+    Examples:
+      | first | second | version |
+      | 5     | 5      | v1      |
+      | 5     | 6      | unknown |
+      | 0     | 0      | unknown |
+
   Scenario Outline: An entry comes from an instance of an older build
     Given a-1 gets the entry of llm-3 <entry> from an instance of an older build
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
@@ -147,7 +158,6 @@
 
     Examples:
       | entry                                  | servers      |
-      | once more                              | llm-1, llm-3 |
       | at a new address                       | llm-1, llm-1 |
       | at a new address, and b-1 starts again | llm-1, llm-3 |
 
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -47,9 +47,9 @@
         Both must be of one start of the server, during which its version stays the same.
         """
         before, server = known.server, self.server
-        if before is None or server is None or not lacks_version(self):
+        if before is None or server is None or not lacks_version(self) or lacks_version(known):
             return self
-        if (before.name, before.address) != (server.name, server.address) or lacks_version(known):
+        if not self.born or self.born != known.born:
             return self
         labels = server.labels | {VERSION_LABEL: before.labels[VERSION_LABEL]}
         return replace(self, server=replace(server, labels=labels))
