Streams: comments, scenarios and pages say resume and continue

Names of one check and some variables of the soak, texts of steps, comments and pages; no behaviour.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,7 +59,7 @@
       | an instance that cut a slow reader answered no other caller    | cut_leaves_others         |
       | three streams have events of two versions                      | streams_of_one_version    |
       | three streams continued from copies at another version         | streams_of_one_version    |
-      | most streams that callers took up were refused                 | streams_taken_up          |
+      | most streams that callers resumed were refused                 | resumed_streams_continue          |
 
   Scenario Outline: A violation that a fault explains is excused
     Given a record of a soak without violations
@@ -78,7 +78,7 @@
       | pause       | a-1    | fragile servers crashed three times                      |
       | pause       | a-1    | an answer was kept long for a caller that read nothing   |
       | pause       | a-1    | an instance that cut a slow reader answered no other caller |
-      | pause       | b-1    | most streams that callers took up were refused              |
+      | pause       | b-1    | most streams that callers resumed were refused              |
 
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
@@ -95,7 +95,7 @@
       | kill     | b-1    | 4.5 | 1.0     | 1        |
       | kill     | a-2    | 6.5 | 1.0     | 1        |
     Then every promise is kept
-    And at least 40 streams were taken up
+    And at least 40 streams were resumed
 
   Scenario: Callers that read nothing for seconds are cut, and harm neither memory nor others
     When these faults are played with seed 7 for 11 seconds with 2 instances
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -94,10 +94,10 @@
     assert whole >= number, whole
 
 
-@then("at least {number:d} streams were taken up")
-def streams_were_taken_up(context, number):
-    taken_up = sum(len(one) - 1 for one in context.record.stream_attempts.values())
-    assert taken_up >= number, taken_up
+@then("at least {number:d} streams were resumed")
+def streams_were_resumed(context, number):
+    resumed = sum(len(one) - 1 for one in context.record.stream_attempts.values())
+    assert resumed >= number, resumed
 
 
 @then("servers ended at least {number:d} unread response")
@@ -484,7 +484,7 @@
         assert not command.exists() or b"mountladder_entry" not in command.read_bytes(), child
 
 
-def take_up(context, number, version, status=200):
+def resume(context, number, version, status=200):
     """Have callers take streams of version v1 up at b-1 while two versions serve."""
     context.record.two_versions.append((0.0, LENGTH_S))
     for n in range(number):
@@ -495,7 +495,7 @@
 
 @when("three streams have events of two versions")
 def mixed_streams(context):
-    take_up(context, 3, "v2")
+    resume(context, 3, "v2")
 
 
 @when("three streams continued from copies at another version")
@@ -507,7 +507,7 @@
         context.record.continuations[f"v{n}"].append((5.1, "llm-2"))
 
 
-@when("most streams that callers took up were refused")
+@when("most streams that callers resumed were refused")
 def refused_streams(context):
-    take_up(context, 30, "", 503)
-    take_up(context, 10, "v1")
+    resume(context, 30, "", 503)
+    resume(context, 10, "v1")
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -1,8 +1,8 @@
-# streamversion_steps.py -- Steps about streams that go on while several software versions serve
+# streamversion_steps.py -- Steps about streams that continue while several software versions serve
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Steps about streams that go on while several software versions serve."""
+"""Steps about streams that continue while several software versions serve."""
 
 from collections import Counter
 from dataclasses import replace
@@ -212,8 +212,8 @@
         version_listed(context, loss.split()[1])
 
 
-@when("the caller takes stream {id_} up at {name}")
-def take_up(context, id_, name):
+@when("the caller resumes stream {id_} at {name}")
+def resume(context, id_, name):
     last = str(context.bodies[id_].count(b"\n\n"))
     sent = stream(context, f"{id_}-again", context.kind, last_event_id=last, resumes=id_)
     record_lines(context)
@@ -339,28 +339,28 @@
         link.peer = replace(link.peer, message_set=0)
 
 
-@when("a caller takes stream {id_} up at {name}")
-def take_up_other(context, id_, name):
-    take_up_as(context, name, resumes=id_)
+@when("a caller resumes stream {id_} at {name}")
+def resume_other(context, id_, name):
+    resume_as(context, name, resumes=id_)
 
 
-@when("a caller takes a stream up at {name} without naming it")
-def take_up_unnamed(context, name):
-    take_up_as(context, name, resumes="")
+@when("a caller resumes a stream at {name} without naming it")
+def resume_unnamed(context, name):
+    resume_as(context, name, resumes="")
 
 
-@when("a caller of another path takes stream {id_} up at {name}")
-def take_up_other_path(context, id_, name):
+@when("a caller of another path resumes stream {id_} at {name}")
+def resume_other_path(context, id_, name):
     path = PATHS["resumable"] + "/other"
-    take_up_as(context, name, resumes=id_, path=path, target=path)
+    resume_as(context, name, resumes=id_, path=path, target=path)
 
 
-@when("a caller of another team takes stream {id_} up at {name}")
-def take_up_other_team(context, id_, name):
-    take_up_as(context, name, resumes=id_, key="other")
+@when("a caller of another team resumes stream {id_} at {name}")
+def resume_other_team(context, id_, name):
+    resume_as(context, name, resumes=id_, key="other")
 
 
-def take_up_as(context, name, **fields):
+def resume_as(context, name, **fields):
     sent = replace(stream(context, "r-again"), last_event_id="2", **fields)
     record_lines(context)
     context.run(serve, context, name, sent)
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -1,6 +1,6 @@
 @forwarding
 Feature: Instances know which software version began a stream
-  # A caller may take a stream up at an instance that did not begin it, while the one that did has
+  # A caller may resume a stream at an instance that did not begin it, while the one that did has
   # ended, was restarted or cannot be reached.
 
   Background:
@@ -16,17 +16,17 @@
     And server llm-1 runs the next stream, and llm-3 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when version v2 is listed
     And a-1 is killed
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
-  # Guards against streams that go on at a new version where all servers of the old one are gone, and
+  # Guards against streams that continue at a new version where all servers of the old one are gone, and
   # against refusals that come late or are not true.
   Scenario Outline: A stream whose version is gone is refused at once
     Given stage servers enc-1, enc-2 of service enc
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of <kind> stream r at a-1 has 2 events when its connection breaks
     And no server of version v1 is listed
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then it is refused as not run with code 2015 within 5 ms, and a Retry-After
     And no stage of its second attempt ran
 
@@ -42,34 +42,34 @@
     When <attempt>
     Then <outcome>
 
-    Examples: While two versions serve nothing tells which of them may go on
+    Examples: While two versions serve nothing tells which of them may continue
       | versions                         | attempt                                               | outcome                                                            |
-      | both versions are listed         | a caller takes stream x up at b-1                     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller takes a stream up at b-1 without naming it   | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller of another path takes stream r up at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller of another team takes stream r up at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | no server of version v2 is listed | a caller takes stream x up at b-1                    | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller resumes stream x at b-1                     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller resumes a stream at b-1 without naming it   | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller of another path resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller of another team resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | no server of version v2 is listed | a caller resumes stream x at b-1                    | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
 
-    Examples: While only one has served for long, that one goes on
+    Examples: While only one has served for long, that one continues
       | versions                         | attempt                                               | outcome                                                            |
-      | only version v1 has been listed for long | a caller takes stream x up at b-1             | it is answered with events 3 to 6                                  |
-      | only version v1 has been listed for long | a caller takes a stream up at b-1 without naming it | it is answered with events 3 to 6                            |
+      | only version v1 has been listed for long | a caller resumes stream x at b-1             | it is answered with events 3 to 6                                  |
+      | only version v1 has been listed for long | a caller resumes a stream at b-1 without naming it | it is answered with events 3 to 6                            |
 
   # Guards against an instance that has just started and does not know which version served before.
-  Scenario: A stream that nobody knows is taken up at an instance that started after its version left
+  Scenario: A stream that nobody knows is resumed at an instance that started after its version left
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And no server of version v1 is listed
     And b-1 is killed and starts again
-    When a caller takes stream x up at b-1
+    When a caller resumes stream x at b-1
     Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
 
-  # Guards against streams that go on at another service of their route.
+  # Guards against streams that continue at another service of their route.
   Scenario: A route leads to two services
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And the route leads mostly to service alt with server alt-1 from now on
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
   # Guards against an instance with an old list, which knows of one version only.
@@ -79,7 +79,7 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And <instance> is cut off from the store and its peers
     And version v2 is listed
-    When the caller takes stream r up at <instance>
+    When the caller resumes stream r at <instance>
     Then <outcome>
 
     Examples:
@@ -94,7 +94,7 @@
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And <loss>
-    When the caller takes stream r up at <instance>
+    When the caller resumes stream r at <instance>
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
     And at most 3 instances other than a-1 knew of it
 
@@ -110,14 +110,14 @@
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And all instances are killed and start again
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
 
-  Scenario: An instance that reaches no server relays a stream that is taken up
+  Scenario: An instance that reaches no server relays a stream that is resumed
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And a-2 reaches no backend server
-    When the caller takes stream r up at a-2
+    When the caller resumes stream r at a-2
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
   # Guards against a second version of an entry that is written again without a restart.
@@ -132,7 +132,7 @@
     Given all instances but b-1 are of an older build
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
     And the log says that 0 instances were asked
 
--- a/features/streamversionpipelines.feature
+++ b/features/streamversionpipelines.feature
@@ -6,7 +6,7 @@
   Background:
     Given a fleet of instances a-1
 
-  Scenario Outline: A stream that is cut goes on at an engine of the version that began it
+  Scenario Outline: A stream that is cut continues at an engine of the version that began it
     Given engine large-1 has the label version <first> and engine large-2 <second>
     And the server large-1 has faults {"cut_after": 3}
     And the server large-2 has faults {"cut_after": 3}
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -1,5 +1,5 @@
 @forwarding
-Feature: Streams go on at the software version that began them
+Feature: Streams continue at the software version that began them
   # What two versions of a service's software write does not fit together, and servers do not check
   # it. Versions have no order.
 
@@ -11,7 +11,7 @@
       | llm-3  | b          | v1      |
 
   # Guards against streams of two versions within one answer.
-  Scenario Outline: A stream that breaks goes on at a server of the version that began it
+  Scenario Outline: A stream that breaks continues at a server of the version that began it
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And server llm-1 <fault>
     When resumable stream r is sent to a-1
@@ -23,7 +23,7 @@
       | crashes after 65 ms               |
 
   # Guards against a refusal where a server of the version is left, though it has broken the stream.
-  Scenario: A stream goes on at the server that broke it where no other runs its version
+  Scenario: A stream continues at the server that broke it where no other runs its version
     Given servers llm-3 have drained
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And server llm-1 breaks off within the third event, once
@@ -35,7 +35,7 @@
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And server llm-1 has started again, and is full
-    When the caller takes stream r up at b-1
+    When the caller resumes stream r at b-1
     Then it is refused as not run with code 2008 within 100 ms, and a Retry-After
     And 1 server was sent it
 
@@ -64,7 +64,7 @@
 
   # Guards against events of a server that started again at another version before its new entry was
   # known.
-  Scenario: A server that is found to have started again at another version does not go on
+  Scenario: A server that is found to have started again at another version does not continue
     Given server llm-2 has started again at version v1
     And server llm-1 runs the next stream, and llm-2 has the least to do after it
     And server llm-1 crashes after 65 ms
@@ -72,12 +72,12 @@
     When resumable stream r is sent to a-1
     Then stream r has events 1 to 6, and ran on llm-1, llm-2, llm-3
 
-  # Guards against streams of two versions over a caller's tries: an instance that takes a stream up
+  # Guards against streams of two versions over a caller's tries: an instance that resumes a stream
   # may not have begun it.
-  Scenario Outline: A caller takes a stream up at a server of the version that began it
+  Scenario Outline: A caller resumes a stream at a server of the version that began it
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when <loss>
-    When the caller takes stream r up at <instance>
+    When the caller resumes stream r at <instance>
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
     Examples:
--- a/packages/core/src/mountladder/streams/__init__.py
+++ b/packages/core/src/mountladder/streams/__init__.py
@@ -1,5 +1,5 @@
-# __init__.py -- Streams that go on at the software version that began them
+# __init__.py -- Streams that continue at the software version that began them
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Streams that go on at the software version that began them."""
+"""Streams that continue at the software version that began them."""
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -15,7 +15,7 @@
 from mountladder.streams.versionhistory import VersionHistory
 
 # One instance is told in so many data centres besides an instance's own, since a stream of a data
-# centre that is lost is taken up in another one. Any two data centres choose one in common.
+# centre that is lost is resumed in another one. Any two data centres choose one in common.
 MAX_DATACENTRES = 2
 # The first set of messages between instances that contains those about the origins of streams.
 ORIGIN_MESSAGES = 1
--- a/packages/core/src/mountladder/streams/originquery.py
+++ b/packages/core/src/mountladder/streams/originquery.py
@@ -16,7 +16,7 @@
     Attributes:
         number: Identifies the query; the reply carries the same number.
         stream: Identifies the stream; see stream_key.
-        service: The service that is to go on with it.
+        service: The service that is to continue with it.
     """
 
     number: int
--- a/packages/core/src/mountladder/streams/originregistry.py
+++ b/packages/core/src/mountladder/streams/originregistry.py
@@ -13,7 +13,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.streams.streamorigin import KEY_BYTES, StreamOrigin
 
-# Callers take a stream up within this time; their deadlines are shorter.
+# Callers resume a stream within this time; their deadlines are shorter.
 MAX_STREAM_MS = 60_000.0
 # At some 300 bytes each these take 10 MB.
 MAX_ORIGINS = 32_768
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -1,8 +1,8 @@
-# streamorigins.py -- Finds the software version at which a stream may go on
+# streamorigins.py -- Finds the software version at which a stream may continue
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Finds the software version at which a stream may go on."""
+"""Finds the software version at which a stream may continue."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 class StreamOrigins:
     """Remembers which software version began each resumable stream, and finds it again.
 
-    Callers may take a stream up at an instance that did not begin it. Each instance remembers the
+    Callers may resume a stream at an instance that did not begin it. Each instance remembers the
     streams that it runs. While several versions serve, it tells others when a stream begins; while
     only one does, it does not need to, and does so once a second version is listed.
 
@@ -55,13 +55,13 @@
         """Record that a stream has its first event, before the caller gets it.
 
         Args:
-            request: The request, which may take up a stream that an earlier one began.
+            request: The request, which may resume a stream that an earlier one began.
             fingerprint: The fingerprint that all attempts at the request share.
             service: The service that runs it.
             version: The version of the server's software.
         """
-        takes_up = bool(request.last_event_id and request.resumes)
-        stream = stream_key(fingerprint, request.resumes if takes_up else request.id)
+        is_resumed = bool(request.last_event_id and request.resumes)
+        stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
         until = request.deadline(MAX_STREAM_MS)
         origin = StreamOrigin(stream, service, version, min(until, self.latest()))
         if self.registry.add(origin) and len(self.history.recent(service)) > 1:
@@ -90,7 +90,7 @@
         )
 
     def find(self, request: ForwardRequest, fingerprint: str, service: str) -> StreamOrigin:
-        """Return the origin of the stream that a request takes up.
+        """Return the origin of the stream that a request resumes.
 
         Args:
             request: The request.
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -1,8 +1,8 @@
-# streamversion.py -- The software version at which one stream goes on
+# streamversion.py -- The software version at which one stream continues
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""The software version at which one stream goes on."""
+"""The software version at which one stream continues."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class StreamVersion:
-    """The software version of the server that began a stream, which others that go on must run.
+    """The software version of the server that began a stream, which its next servers must run.
 
     Args:
         run: The execution of the request.
@@ -36,7 +36,7 @@
         self.required: str | None = None
 
     def find(self) -> None:
-        """Find the version of a stream that its caller takes up.
+        """Find the version of a stream that its caller resumes.
 
         Raises:
             RefusalError: The version is not known, or no server runs it.
@@ -64,7 +64,7 @@
         return version
 
     def settle(self, version: str) -> None:
-        """Have the stream go on at a version from here on, in this answer and later ones."""
+        """Have the stream continue at a version from here on, in this answer and later ones."""
         self.required = version
         run = self.run
         if run.route.resumable:
@@ -72,7 +72,7 @@
             origins.record(run.request, fingerprint, run.service, version)
 
     def is_alone(self, server: str) -> bool:
-        """Return whether no other server could go on, so that one that broke the stream is to."""
+        """Return whether a server is the only one left that could continue the stream."""
         available = running_version(self.directory.available(self.run.service), self.required)
         return all(one.name in self.run.excluded | {server} for one in available)
 
