--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -485,7 +485,7 @@
 
 
 def resume(context, number, version, status=200):
-    """Have callers take streams of version v1 up at b-1 while two versions serve."""
+    """Have callers resume streams of version v1 at b-1 while two versions serve."""
     context.record.two_versions.append((0.0, LENGTH_S))
     for n in range(number):
         first = StreamAttempt(f"v{n}", "b-1", 5.0, 5.1, ("v1", "v1"), 0)
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -242,20 +242,11 @@
 
 
 @given("only version {version} is listed")
-def only_version(context, version):
-    only_version_for(context, version, MAX_STREAM_MS)
-
-
-def only_version_for(context, version, ms):
-    for name, found in context.versions.items():
-        if found != version:
-            context.fleet.servers.put(name, None)
-    context.run(context.clock.sleep, ms + SETTLE_MS)
-
-
 @given("only version {version} has been listed for long")
-def only_version_for_long(context, version):
-    only_version_for(context, version, MAX_STREAM_MS)
+def only_version(context, version):
+    for other in {*context.versions.values()} - {version}:
+        version_gone(context, other)
+    context.run(context.clock.sleep, MAX_STREAM_MS)
 
 
 @given("no server of version {version} is listed")
--- a/packages/core/src/mountladder/continuation/backupplacement.py
+++ b/packages/core/src/mountladder/continuation/backupplacement.py
@@ -71,10 +71,12 @@
             return ""
         self.expire()
         tokens = order.prompt.tokens + order.prompt.max_output
-        unsuitable = {first, *order.excluded}
-        near = self.eligible(first, tuple(servers), datacentre)
+        eligible = self.eligible(first, tuple(servers), datacentre)
+        excluded = {first, *order.excluded}
         room = MAX_CACHE_FRACTION * service.kv_tokens - tokens
-        suitable = [one for one in near if one.name not in unsuitable and self.has_room(one, room)]
+        suitable = [
+            one for one in eligible if one.name not in excluded and self.has_room(one, room)
+        ]
         if not suitable:
             return ""
         chosen = min(suitable, key=self.load).name
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -126,7 +126,8 @@
         if known is None or record.position > known.position:
             return True
         # An instance of an older build passes entries on without versions.
-        return record.position == known.position and lacks_version(known) > lacks_version(record)
+        adds_version = lacks_version(known) and not lacks_version(record)
+        return record.position == known.position and adds_version
 
     def lacks_versions(self) -> bool:
         """Return whether the software version of a listed server is unknown."""
@@ -139,9 +140,7 @@
             self.keep_known(known, record, source)
             return
         if known is not None:
-            record = record.with_version_of(known)
-        if known is not None and record.server is None:
-            record = replace(record, born=known.born, sequence=known.sequence)
+            record = record.after(known)
         self.records[record.id] = record
         self.newest = max(self.newest, record.position)
         self.note_cold(record)
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -43,8 +43,6 @@
 STORE_HEAD_START_MS = 150.0
 # Several changes are often read at once; this delay lets one message announce them all.
 ANNOUNCE_DELAY_MS = 15.0
-# The first set of messages between instances in which entries of servers have software versions.
-VERSIONS_MESSAGE_SET = 1
 
 
 class Fleet(LinkManager):
@@ -332,7 +330,7 @@
 
         Instances of older builds pass entries on without them.
         """
-        if link.peer.message_set >= VERSIONS_MESSAGE_SET and self.directory.lacks_versions():
+        if link.peer.knows_versions and self.directory.lacks_versions():
             self.send_later(link, UpdateRequest(-1, BEGINNING))
 
     def receive_request(self, message: UpdateRequest, link: Link) -> None:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -22,7 +22,7 @@
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.prompt import Prompt
 from mountladder.forwarding.promptplacer import PromptPlacer
-from mountladder.forwarding.versionrules import constrain, suitable_backup
+from mountladder.forwarding.versionrules import check_version, suitable_backup
 from mountladder.routing.choice import Choice
 from mountladder.routing.router import SPILL_LOAD_FACTOR, Router
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -96,10 +96,10 @@
         if self.directory.is_unreachable(service):
             # Each failing connection attempt would cost the caller 300 ms.
             raise self.unavailable_refusal(service)
-        constraints = constrain(self.directory, service, constraints)
-        servers = self.allowed(service, constraints)
+        check_version(self.directory, service, constraints.version)
         if request.prompt is not None:
             return self.pick_for_prompt(request.prompt, service, constraints)
+        servers = running_version(self.directory.available(service), constraints.version)
         free = self.unlimited(servers)
         if len(free) == len(servers):
             return self.pick_among(free, request, service, budget_ms, constraints)
@@ -115,10 +115,6 @@
         except RefusalError:
             return self.pick_for_prompt(EMPTY_PROMPT, service, others)
 
-    def allowed(self, service: str, constraints: ServerConstraints) -> tuple[BackendServer, ...]:
-        """Return the available servers of a service that run the version asked for."""
-        return running_version(self.directory.available(service), constraints.version)
-
     def pick_among(
         self,
         servers: tuple[BackendServer, ...],
@@ -231,8 +227,10 @@
         self, prompt: Prompt, service: str, constraints: ServerConstraints
     ) -> PickedServer:
         """Choose a server through the service's coordinator; see pick."""
-        servers = {one.name: one for one in self.allowed(service, constraints)}
-        constraints = constraints.without(self.unusable(servers.values()))
+        available = self.directory.available(service)
+        servers = {one.name: one for one in running_version(available, constraints.version)}
+        others = {one.name for one in available} - servers.keys()
+        constraints = constraints.without(others | self.unusable(servers.values()))
         reply = self.placer.place(service, prompt, constraints)
         if reply.server and reply.server not in servers:
             # The coordinator has not learned yet that the server is no longer available.
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -41,13 +41,16 @@
     sequence: int = 0
     cold_ms: float = 0.0
 
-    def with_version_of(self, known: ServerRecord) -> ServerRecord:
-        """Return the same with the software version of an earlier entry, if this one lacks it.
+    def after(self, known: ServerRecord) -> ServerRecord:
+        """Return the same with what it does not tell but the known entry does.
 
-        Both must be of one start of the server, during which its version stays the same.
+        A removed entry tells no start, and one that an instance of an older build passed on no
+        software version, which stays the same from a server's start to its end.
         """
         before, server = known.server, self.server
-        if before is None or server is None or not lacks_version(self) or lacks_version(known):
+        if server is None:
+            return replace(self, born=known.born, sequence=known.sequence)
+        if before is None or not lacks_version(self) or lacks_version(known):
             return self
         if not self.born or self.born != known.born:
             return self
--- a/packages/core/src/mountladder/forwarding/versionrules.py
+++ b/packages/core/src/mountladder/forwarding/versionrules.py
@@ -13,7 +13,6 @@
 from mountladder.configuration.softwareversion import running_version, version_of
 from mountladder.errors import RefusalError
 from mountladder.forwarding.directory import Directory
-from mountladder.routing.serverconstraints import ServerConstraints
 
 # When a caller may retry if no server of the version is available: one that has crashed may be back
 # by then.
@@ -37,22 +36,6 @@
         raise RefusalError(detail, Code.VERSION_UNAVAILABLE, retry_after_ms=retry_after_ms)
 
 
-def constrain(
-    directory: Directory, service: str, constraints: ServerConstraints
-) -> ServerConstraints:
-    """Return the constraints of a request, with all servers of other versions excluded.
-
-    Raises:
-        RefusalError: No server of the version is available.
-    """
-    if constraints.version is None:
-        return constraints
-    check_version(directory, service, constraints.version)
-    available = directory.available(service)
-    names = {one.name for one in running_version(available, constraints.version)}
-    return constraints.without(one.name for one in available if one.name not in names)
-
-
 def suitable_backup(backup: BackendServer | None, server: BackendServer) -> BackendServer | None:
     """Return the server that keeps a copy if it can continue a run of another one, or None.
 
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -8,10 +8,11 @@
 
 from dataclasses import dataclass
 
-# Messages that are added without a new version of the protocol are only sent to instances that
-# understand them. Builds that do not tell their set have 0; 1 adds those about the origins of
-# streams.
-MESSAGE_SET = 1
+# Messages and fields that are added without a new version of the protocol are only sent to, or
+# expected of, instances that know them. Builds that do not tell their set have 0; 1 adds software
+# versions in the entries of servers, and the messages about the origins of streams.
+VERSIONS_MESSAGE_SET = 1
+MESSAGE_SET = VERSIONS_MESSAGE_SET
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,3 +41,8 @@
     cores: float = 1.0
     since: int = 0
     message_set: int = MESSAGE_SET
+
+    @property
+    def knows_versions(self) -> bool:
+        """Return whether it knows the software versions of servers."""
+        return self.message_set >= VERSIONS_MESSAGE_SET
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -17,8 +17,6 @@
 # One instance is told in so many data centres besides an instance's own, since a stream of a data
 # centre that is lost is resumed in another one. Any two data centres choose one in common.
 MAX_DATACENTRES = 2
-# The first set of messages between instances that contains those about the origins of streams.
-ORIGIN_MESSAGES = 1
 
 
 class OriginHolders:
@@ -59,11 +57,7 @@
         else:
             addresses = [one.peer for one in self.instances(service)]
             links = [fleet.links[one] for one in addresses if one in fleet.links]
-        return [
-            link
-            for link in links
-            if link.peer.message_set >= ORIGIN_MESSAGES and fleet.is_answering(link)
-        ]
+        return [one for one in links if one.peer.knows_versions and fleet.is_answering(one)]
 
 
 def _weight(topic: str, datacentre: str) -> int:
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -62,15 +62,10 @@
         """
         is_resumed = bool(request.last_event_id and request.resumes)
         stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
-        until = request.deadline(MAX_STREAM_MS)
-        origin = StreamOrigin(stream, service, version, min(until, self.latest()))
+        origin = StreamOrigin(stream, service, version, request.deadline(MAX_STREAM_MS))
         if self.registry.add(origin) and len(self.history.recent(service)) > 1:
             self.exchange.announce(service, [origin])
 
-    def latest(self) -> float:
-        """Return the latest time at which the caller of a present stream gives it up."""
-        return self.clock.now() + MAX_STREAM_MS
-
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
@@ -134,7 +129,8 @@
                 told = reply.origin.from_remaining(self.clock.now())
                 return OriginLookup(told, "peer", versions, *counts)
         if len(versions) == 1 and (replies or self.is_current()):
-            only = StreamOrigin(stream, service, next(iter(versions)), self.latest())
+            until = self.clock.now() + MAX_STREAM_MS
+            only = StreamOrigin(stream, service, next(iter(versions)), until)
             return OriginLookup(only, "only version", versions, *counts)
         return OriginLookup(None, "unknown", versions, *counts)
 
