Forwarding: log the silence before an attempt ends, and the time left

The lines of an attempt that ends did not tell a timeout of the instance's own from the deadline, or from a timeout that a version of the configuration had shortened. stream-cut and attempt-failed have silent_ms and remaining_ms, ended has remaining_ms and the version of the catalogue.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -46,6 +46,8 @@
         attempts: The number of attempts so far.
         connect_failures: The number of attempts that could not connect to the server.
         possible_runs: The number of attempts in which a server may have executed it.
+        heard_at: When the server of the latest attempt was last heard of, or the request was sent
+            there, in the clock's milliseconds.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -78,6 +80,7 @@
         self.attempts = 0
         self.possible_runs = 0
         self.connect_failures = 0
+        self.heard_at = request.arrived
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -116,6 +119,10 @@
         """Return the time since the request was received, in milliseconds."""
         return self.context.clock.now() - self.request.arrived
 
+    def silent_ms(self) -> float:
+        """Return for how long the server of the latest attempt was not heard of."""
+        return self.context.clock.now() - self.heard_at
+
     def run_stages(self) -> tuple[str, ...]:
         """Run the stages and return the handles of the results that the request needs."""
         if not self.route.stages:
@@ -195,6 +202,7 @@
             raise caller_error(self, error) from error
         self.attempts += 1
         attempt = ForwardAttempt(picked, self.context.clock.now(), self.attempts)
+        self.heard_at = attempt.started
         self.log(
             "sent",
             server=attempt.server,
@@ -256,6 +264,8 @@
             reason=error.detail,
             may_have_run=error.dispatched,
             elapsed_ms=round(elapsed_ms),
+            silent_ms=round(self.silent_ms()),
+            remaining_ms=round(self.remaining_ms()),
             outcome="not retried" if problem else "retried",
         )
         if problem is not None:
@@ -293,6 +303,8 @@
             attempts=self.attempts,
             possible_runs=self.possible_runs,
             elapsed_ms=round(self.elapsed_ms()),
+            remaining_ms=round(self.remaining_ms()),
+            version=self.context.follower.version,
         )
 
     def log(self, event: str, **fields: object) -> None:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -171,6 +171,7 @@
         splitter.incomplete = b""
         while True:
             data = answer.read_some(self.first_event_timeout_ms(attempt))
+            self.heard_at = self.context.clock.now()
             if not data:
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
             version = self.stream_version.check(attempt)
@@ -226,6 +227,7 @@
         """
         while True:
             data = answer.read_some(self.gap_timeout_ms())
+            self.heard_at = self.context.clock.now()
             if not data:
                 break
             complete = self.split(splitter, data)
@@ -256,6 +258,8 @@
             code=cut.code.number,
             reason=cut.detail,
             last_event_id=self.splitter.last_id,
+            silent_ms=round(self.silent_ms()),
+            remaining_ms=round(self.remaining_ms()),
             outcome="not resumed" if problem else "resumed",
         )
         attempt.choice.state.breaker.fail(self.context.clock.now())
