Streams: an attempt is kept while its server is silent

What callers saw: a stream that may be resumed was cut off 1.0 to 1.5 s after its server had fallen silent, with seconds left, although the server went on a moment later; before the first event, a 502.

Cause: the silence ended the attempt, and only then was it asked whether the request may be sent elsewhere (budget, version, room, attempts). Each no came when the answer under way was gone.

Fix: a silence ends nothing. Once the server has been silent for as long as before, the request is sent to a second server beside the first one (Hedge), if that is allowed; the server that is heard of first goes on, and the other attempt is cancelled. If no second attempt is allowed, or it fails, the first one is kept and the question asked again. A server that has been silent for 2.5 s and cannot be reached is lost, as it is for streams with copies. The time that a slow caller takes does not count as silence.

--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -244,7 +244,10 @@
                 raise StageError(f"status {answer.status}, or unsigned", Code.STREAM_CUT)
             splitter.incomplete = b""
             # A stream that broke after its last event ends without a further one.
-            first = b"" if splitter.events else run.first_events(attempt, answer, splitter)
+            first = b""
+            if not splitter.events:
+                first, version = run.first_events(attempt, answer, splitter)
+                run.stream_version.settle(version)
         except StageError as error:
             self.close_failed(attempt, answer, error.code)
             if not error.dispatched:
--- a/packages/core/src/mountladder/continuation/serverwatch.py
+++ b/packages/core/src/mountladder/continuation/serverwatch.py
@@ -14,10 +14,7 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.route import Route
-
-# A sound server may neither send nor accept connections for a second or so and then go on. Only one
-# that is silent for longer, or refuses connections, is taken to be lost.
-LOST_MS = 2_500.0
+from mountladder.forwarding.serverloss import LOST_MS
 
 
 class ServerWatch:
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -19,9 +19,12 @@
 from mountladder.forwarding.forwardcall import ForwardCall
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.forwarding.hedge import Hedge
+from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.forwarding.reservation import Reservation
 from mountladder.forwarding.retryrules import caller_error, no_retry_error
 from mountladder.forwarding.route import Route
+from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
@@ -46,8 +49,10 @@
         attempts: The number of attempts so far.
         connect_failures: The number of attempts that could not connect to the server.
         possible_runs: The number of attempts in which a server may have executed it.
-        heard_at: When the server of the latest attempt was last heard of, or the request was sent
-            there, in the clock's milliseconds.
+        hedge: The second attempt beside the one in progress, or None before the first attempt.
+        heard_at: Since when the server of the attempt in progress is awaited, in the clock's
+            milliseconds: since it was last heard of, or the request was sent there.
+        is_waiting: Whether the server is awaited, and not the caller.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -80,7 +85,9 @@
         self.attempts = 0
         self.possible_runs = 0
         self.connect_failures = 0
+        self.hedge: Hedge | None = None
         self.heard_at = request.arrived
+        self.is_waiting = False
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -120,8 +127,13 @@
         return self.context.clock.now() - self.request.arrived
 
     def silent_ms(self) -> float:
-        """Return for how long the server of the latest attempt was not heard of."""
-        return self.context.clock.now() - self.heard_at
+        """Return for how long the server of the attempt in progress is awaited."""
+        return self.context.clock.now() - self.heard_at if self.is_waiting else 0.0
+
+    def wait_for_server(self) -> None:
+        """Record that the server is awaited from now on."""
+        self.heard_at = self.context.clock.now()
+        self.is_waiting = True
 
     def run_stages(self) -> tuple[str, ...]:
         """Run the stages and return the handles of the results that the request needs."""
@@ -191,18 +203,31 @@
         return refusal
 
     def start_attempt(self) -> ForwardAttempt:
-        """Choose a server for the next attempt.
+        """Choose a server for the next attempt, and begin to watch it.
+
+        Raises:
+            MountladderError: No server is available.
+        """
+        attempt = self.begin_attempt(self.acquire())
+        self.wait_for_server()
+        self.hedge = Hedge(self, attempt)
+        return attempt
+
+    def acquire(self) -> PickedServer:
+        """Choose a server.
 
         Raises:
             MountladderError: No server is available.
         """
         try:
-            picked = self.reservation.acquire()
+            return self.reservation.acquire()
         except RefusalError as error:
             raise caller_error(self, error) from error
+
+    def begin_attempt(self, picked: PickedServer) -> ForwardAttempt:
+        """Begin an attempt at a server that was chosen for the request."""
         self.attempts += 1
         attempt = ForwardAttempt(picked, self.context.clock.now(), self.attempts)
-        self.heard_at = attempt.started
         self.log(
             "sent",
             server=attempt.server,
@@ -248,29 +273,94 @@
         Raises:
             MountladderError: It may not be retried; this is the error for the caller.
         """
-        elapsed_ms = self.context.clock.now() - attempt.started
-        self.context.picker.failed(
-            attempt.picked, self.request, self.service, error.code, elapsed_ms
-        )
+        self.record_failed(attempt, error)
+        problem = no_retry_error(self, error)
+        self.log_failed(attempt, error, "not retried" if problem else "retried")
+        if problem is not None:
+            raise problem from error
+        self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
+
+    def superseded(self, attempt: ForwardAttempt) -> None:
+        """Record an attempt whose server was silent until a second one answered."""
+        error = StageError("another server was heard of first", Code.STAGE_STALLED)
+        self.record_failed(attempt, error)
+        self.log_failed(attempt, error, "hedged")
+        self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
+
+    def record_failed(self, attempt: ForwardAttempt, error: StageError) -> None:
+        """Update what is known of a server and of the request from a failed attempt."""
+        self.record_failure(attempt, error.code)
         self.tracked.failed(attempt.choice.state.server, attempt.started, error)
         self.excluded |= {attempt.server}
         self.possible_runs += error.dispatched
         self.connect_failures += error.code is Code.CONNECT_FAILED
-        problem = no_retry_error(self, error)
+
+    def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
+        """Update what is known of a server from an attempt that ended with a code."""
+        elapsed_ms = self.context.clock.now() - attempt.started
+        self.context.picker.failed(attempt.picked, self.request, self.service, code, elapsed_ms)
+
+    def log_failed(self, attempt: ForwardAttempt, error: StageError, outcome: str) -> None:
+        """Log a failed attempt and what follows from it."""
         self.log(
             "attempt-failed",
             server=attempt.server,
             code=error.code.number,
             reason=error.detail,
             may_have_run=error.dispatched,
-            elapsed_ms=round(elapsed_ms),
+            elapsed_ms=round(self.context.clock.now() - attempt.started),
             silent_ms=round(self.silent_ms()),
             remaining_ms=round(self.remaining_ms()),
-            outcome="not retried" if problem else "retried",
+            outcome=outcome,
         )
-        if problem is not None:
-            raise problem from error
-        self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
+
+    def max_silence_ms(self) -> float:
+        """Return for how long its server may be silent before a second one is sent the request."""
+        raise NotImplementedError
+
+    def version_obstacle(self) -> str:
+        """Return why no other server runs a suitable version, or an empty string if one does."""
+        return ""
+
+    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
+        """Send the request to a second server while the first one is silent; return its answer.
+
+        Raises:
+            MountladderError: No other server is available, or it did not answer.
+        """
+        inputs = self.run_stages()
+        excluded, self.excluded = self.excluded, self.excluded | {first.server}
+        try:
+            picked = self.acquire()
+        finally:
+            self.excluded = excluded
+        if picked.choice.state.server.name == first.server:
+            self.reservation.cancel(picked)
+            raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
+        attempt = self.begin_attempt(picked)
+        try:
+            return self.read_second(attempt, inputs)
+        except StageError as error:
+            self.record_failed(attempt, error)
+            self.log_failed(attempt, error, "first attempt kept")
+            raise
+        except BaseException:
+            self.record_cancelled(attempt)
+            raise
+
+    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+        """Return the answer of a second server; see send_second."""
+        raise NotImplementedError
+
+    def discard(self, second: SecondAnswer) -> None:
+        """Cancel a second attempt that has an answer, since the first server answers."""
+        second.answer.close()
+        self.record_cancelled(second.attempt)
+
+    def record_cancelled(self, attempt: ForwardAttempt) -> None:
+        """Record an attempt that was cancelled, although its server may have run it."""
+        self.record_failure(attempt, Code.CANCELLED)
+        self.possible_runs += 1
 
     def may_have_run(self) -> bool:
         """Return whether the request or one of its stages may have been executed."""
@@ -286,6 +376,8 @@
 
     def finish(self, error: MountladderError | None = None, status: int = 0) -> None:
         """Release the results of stages and record the outcome of the request."""
+        if self.hedge is not None:
+            self.hedge.stop()
         if self.flow is not None:
             self.flow.release()
         self.reservation.release()
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -39,12 +39,10 @@
         return unknown_outcome(error)
     if run.remaining_ms() < MIN_REMAINING_MS:
         return caller_error(run, RunError("not enough time left for a retry", Code.DEADLINE_PASSED))
-    reached = run.attempts - run.connect_failures
-    exhausted = reached >= MAX_REACHED_ATTEMPTS or run.connect_failures >= MAX_CONNECT_FAILURES
     if run.context.relay.can_take_over(run):
         # Each further attempt would wait for a connection in vain.
         return caller_error(run, RunError(error.detail, error.code))
-    if run.possible_runs >= run.route.max_attempts or exhausted:
+    if is_exhausted(run, run.possible_runs):
         return caller_error(run, RunError(error.detail, error.code))
     was_reached = error.code is not Code.CONNECT_FAILED
     if was_reached and not run.context.budgets.spend(run.service, run.request.id):
@@ -52,6 +50,33 @@
     return None
 
 
+def hedge_obstacle(run: ForwardRun) -> str:
+    """Return why a request whose server is silent is not sent to a second one, or "" if it is.
+
+    If it is, this takes a retry out of the service's budget.
+    """
+    if run.remaining_ms() < MIN_REMAINING_MS:
+        return "there is not enough time left"
+    # The silent server may have run it.
+    if is_exhausted(run, run.possible_runs + 1):
+        return "no further attempt is allowed"
+    obstacle = run.version_obstacle()
+    if obstacle:
+        return obstacle
+    allowed = run.context.budgets.spend(run.service, run.request.id)
+    return "" if allowed else "the retry budget is spent"
+
+
+def is_exhausted(run: ForwardRun, possible_runs: int) -> bool:
+    """Return whether a request may not be attempted again if so many servers may have run it."""
+    reached = run.attempts - run.connect_failures
+    return (
+        possible_runs >= run.route.max_attempts
+        or reached >= MAX_REACHED_ATTEMPTS
+        or run.connect_failures >= MAX_CONNECT_FAILURES
+    )
+
+
 def unknown_outcome(error: StageError) -> RunError:
     """Return the error for the caller of a request that may have run and is not sent again."""
     code = Code.DEADLINE_PASSED if error.code in _TIMEOUT_CODES else Code.OUTCOME_UNKNOWN
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable, Iterator
 
+from gevent import GreenletExit
+
 from mountladder.code import Code
 from mountladder.continuation.continuation import SUCCESS_END, Continuation
 from mountladder.errors import MountladderError, RunError, StageError
@@ -18,23 +20,27 @@
 from mountladder.forwarding.forwardcontext import ForwardContext
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.hedge import Hedge
 from mountladder.forwarding.retryrules import no_retry_error
 from mountladder.forwarding.route import Route
+from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
 from mountladder.streams.streamversion import StreamVersion
 
-# A resumable stream moves to another server when its first event takes longer than this many
-# latency targets. Until then a slow server may still answer sooner than another one.
-FIRST_EVENT_TARGETS = 1.0
-
 
 class StreamRun(ForwardRun):
     """A request whose answer is forwarded event by event.
 
     Only complete events are forwarded, so that a stream that breaks within an event can be resumed
     after the last complete one.
+
+    Attributes:
+        splitter: Splits the answer into events.
+        has_begun: Whether the server of the attempt in progress has sent an event.
+        stream_version: The software version at which the stream continues.
+        continuation: The copy of its cache, and its continuation from there.
     """
 
     def __init__(
@@ -46,6 +52,7 @@
     ) -> None:
         super().__init__(request, route, caller, context)
         self.splitter = EventSplitter(request.last_event_id)
+        self.has_begun = False
         self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
 
@@ -109,20 +116,23 @@
         inputs = self.run_stages()
         while True:
             attempt = self.start_attempt()
+            self.has_begun = False
             self.continuation.begin(attempt, inputs)
             answer = None
             try:
-                answer = self.call(
-                    attempt,
-                    inputs,
-                    splitter.last_id,
-                    self.first_event_timeout_ms(attempt),
-                    self.connected,
-                )
+                limit_ms = self.remaining_ms()
+                answer = self.call(attempt, inputs, splitter.last_id, limit_ms, self.connected)
                 if answer.status >= SUCCESS_END:
+                    self.hedge.stop()
                     return attempt, answer, b""
-                first = self.first_events(attempt, answer, splitter)
+                first, version = self.first_events(attempt, answer, splitter)
+                self.heard()
+                self.stream_version.settle(version)
             except StageError as error:
+                second = self.hedge.outcome()
+                if second is not None:
+                    self.superseded(attempt)
+                    return self.adopt(second, answer)
                 continued = self.continuation.recover(attempt, answer, error)
                 if continued is not None:
                     return continued
@@ -143,6 +153,46 @@
         """Handle the connection to a server being open, given a function that breaks it."""
         self.schedule_release()
         self.continuation.connected(break_connection)
+        self.hedge.start(break_connection)
+
+    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+        """Return the first events of a second server; see ForwardRun."""
+        splitter = EventSplitter(self.splitter.last_id)
+        breaks: list[Callable[[], None]] = []
+        answer = None
+        try:
+            answer = self.call(
+                attempt, inputs, splitter.last_id, self.remaining_ms(), breaks.append
+            )
+            if answer.status >= SUCCESS_END:
+                raise StageError(f"status {answer.status}", Code.STAGE_FAILED)
+            first, version = self.first_events(attempt, answer, splitter)
+        except BaseException as error:
+            if answer is not None:
+                answer.close()
+            if getattr(error, "code", None) is Code.RESULT_GONE:
+                self.record_missing_results()
+            raise
+        return SecondAnswer(attempt, answer, first + splitter.incomplete, breaks[0], version)
+
+    def adopt(
+        self, second: SecondAnswer, first_answer: UpstreamAnswer | None
+    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        """Go on with the answer of a second server, and close that of the first one.
+
+        Returns:
+            The attempt, its answer and the events received so far.
+        """
+        if first_answer is not None:
+            first_answer.close()
+        self.splitter.incomplete = b""
+        events = self.split(self.splitter, second.data)
+        self.stream_version.settle(second.version)
+        self.heard()
+        self.hedge = Hedge(self, second.attempt)
+        self.hedge.start(second.break_connection)
+        self.succeeded(second.attempt, second.answer.load, streaming=True)
+        return second.attempt, second.answer, events
 
     def schedule_release(self) -> None:
         """Schedule the release of stage results for when the server should have fetched them."""
@@ -160,8 +210,8 @@
 
     def first_events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter
-    ) -> bytes:
-        """Return the first complete events of an answer.
+    ) -> tuple[bytes, str]:
+        """Return the first complete events of an answer, and the version of its server's software.
 
         Raises:
             StageError: The answer is unsigned, malformed or ended early, or no event came in time.
@@ -170,15 +220,13 @@
             raise StageError("a successful answer without the server's signature", Code.BAD_ANSWER)
         splitter.incomplete = b""
         while True:
-            data = answer.read_some(self.first_event_timeout_ms(attempt))
-            self.heard_at = self.context.clock.now()
+            data = answer.read_some(self.remaining_ms())
             if not data:
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
             version = self.stream_version.check(attempt)
             complete = self.split(splitter, data)
             if complete:
-                self.stream_version.settle(version)
-                return complete
+                return complete, version
 
     def events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter, first: bytes
@@ -223,11 +271,12 @@
         """Yield the remaining events of one server's answer.
 
         Raises:
-            StageError: The stream broke, or a pause was too long.
+            StageError: The stream broke, or a second server has gone on with it.
         """
         while True:
-            data = answer.read_some(self.gap_timeout_ms())
-            self.heard_at = self.context.clock.now()
+            self.wait_for_server()
+            data = answer.read_some(self.remaining_ms())
+            self.heard()
             if not data:
                 break
             complete = self.split(splitter, data)
@@ -246,11 +295,16 @@
         Raises:
             MountladderError: The stream may not be resumed, or that failed.
         """
+        second = self.hedge.outcome()
+        if second is not None:
+            cut = StageError("another server was heard of first", Code.STAGE_STALLED)
         self.tracked.failed(attempt.choice.state.server, attempt.started, cut)
         if not self.stream_version.is_alone(attempt.server):
             self.excluded |= {attempt.server}
         self.possible_runs += 1
-        problem = self.stream_version.error() or no_retry_error(self, cut)
+        problem = None
+        if second is None:
+            problem = self.stream_version.error() or no_retry_error(self, cut)
         self.log(
             "stream-cut",
             server=attempt.server,
@@ -266,6 +320,8 @@
         if problem is not None:
             return self.continuation.reopen(answer, cut, problem)
         self.context.metrics.count(Metric.RESUMED)
+        if second is not None:
+            return self.adopt(second, answer)
         resumed = self.open(self.splitter)
         if resumed[1].status >= SUCCESS_END:
             resumed[1].close()
@@ -298,22 +354,26 @@
         super().finish(error, status)
         self.continuation.end(self.splitter.events, error is None and status < SUCCESS_END)
 
-    def first_event_timeout_ms(self, attempt: ForwardAttempt) -> float:
-        """Return the timeout for the first event, in milliseconds."""
-        if not self.route.resumable or self.attempts >= self.route.max_attempts:
-            return self.remaining_ms()
-        waited = self.context.clock.now() - attempt.started
-        return min(
-            self.remaining_ms(), max(1.0, FIRST_EVENT_TARGETS * self.route.target_ms - waited)
-        )
+    def heard(self) -> None:
+        """Record that the server has sent a part of its stream."""
+        self.is_waiting, self.has_begun = False, True
+        self.hedge.heard()
+
+    def max_silence_ms(self) -> float:
+        """Return for how long its server may be silent; see ForwardRun."""
+        return self.route.max_silence_ms if self.has_begun else self.route.target_ms
 
-    def gap_timeout_ms(self) -> float:
-        """Return the timeout for the next event, in milliseconds."""
-        if not self.route.resumable or self.possible_runs + 1 >= self.route.max_attempts:
-            return self.remaining_ms()
-        return min(self.remaining_ms(), self.route.max_silence_ms)
+    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
+        """Send the request to a second server; see ForwardRun."""
+        try:
+            return super().send_second(first)
+        except GreenletExit:
+            # The first server goes on, and has the results of the stages.
+            if self.flow is not None and self.has_begun:
+                self.flow.release()
+            raise
 
-    def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
-        """Record a failed attempt that is not retried."""
-        elapsed_ms = self.context.clock.now() - attempt.started
-        self.context.picker.failed(attempt.picked, self.request, self.service, code, elapsed_ms)
+    def version_obstacle(self) -> str:
+        """Return why no other server runs a suitable version; see ForwardRun."""
+        problem = self.stream_version.error()
+        return problem.detail if problem is not None else ""
--- a/packages/core/src/mountladder/isolation/isolationdetector.py
+++ b/packages/core/src/mountladder/isolation/isolationdetector.py
@@ -85,6 +85,14 @@
         self.has_failures = True
         self.wake.set()
 
+    def record_unanswered(self, since: float) -> None:
+        """Record that a server has not answered since a time.
+
+        A slow server is no sign of a partition if another one has answered meanwhile.
+        """
+        if self.answered_at <= since:
+            self.record_failure()
+
     def run(self) -> None:
         """Check whenever a call has failed or no server has answered for a while, forever."""
         while True:
--- a/packages/core/src/mountladder/isolation/watchedupstream.py
+++ b/packages/core/src/mountladder/isolation/watchedupstream.py
@@ -40,8 +40,8 @@
     def watch(self) -> Iterator[None]:
         """Report whether the call in the block was answered.
 
-        A slow server is no sign of a partition if another one has answered meanwhile. A failed
-        connection is one all the same: connections that were open before may still work.
+        A failed connection is a sign of a partition also if another server has answered meanwhile:
+        connections that were open before may still work.
         """
         began = self.detector.clock.now()
         try:
@@ -51,8 +51,8 @@
                 self.detector.record_failure()
             elif error.code not in UNANSWERED_CODES:
                 self.detector.record_answer()
-            elif self.detector.answered_at <= began:
-                self.detector.record_failure()
+            else:
+                self.detector.record_unanswered(began)
             raise
         self.detector.record_answer()
 
--- a/packages/standins/src/mountladder_standins/localanswer.py
+++ b/packages/standins/src/mountladder_standins/localanswer.py
@@ -15,7 +15,7 @@
 from mountladder.errors import StageError
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 
-SILENCE_POLL_MS = 50.0
+SILENCE_POLL_MS = 10.0
 
 
 class LocalAnswer(UpstreamAnswer):
