Requests: an answer is awaited while its server is silent

What callers saw: requests that may be repeated got a 502 of the instance's own 0.9 s after they were sent, with five seconds left, when their server was silent and no retry was allowed.

Cause: as with streams, the attempt was given up before it was known whether another one is allowed.

Fix: the second attempt is made beside the first one, and the first whole answer counts. An error of one server is answered by the other one, if that has an answer.

--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -6,19 +6,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from mountladder.code import Code
 from mountladder.errors import MountladderError, RunError, StageError
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 
 # The lowest HTTP status that reports an error of the server.
 SERVER_ERROR = 500
-# An idempotent request is sent to another server if no answer begins within this fraction of its
-# latency target. Calls take about a third of the target, so the second answer can be on time.
+# The lowest HTTP status that is no success.
+SUCCESS_END = 300
+# An idempotent request is sent to another server as well if there is no answer within this fraction
+# of its latency target. Calls take about a third of that, so the second answer can be on time.
 FIRST_ATTEMPT_FRACTION = 0.6
-MIN_ANSWER_TIMEOUT_MS = 100.0
+MIN_SILENCE_MS = 100.0
 
 
 class WholeRun(ForwardRun):
@@ -41,57 +46,78 @@
         """Send the request to one server after another until one answers."""
         while True:
             attempt = self.start_attempt()
-            answer = None
             try:
-                answer = self.call(
-                    attempt, inputs, self.request.last_event_id, self.answer_timeout_ms()
-                )
-                body = answer.read(self.remaining_ms())
-                self.check(answer)
+                answer, body = self.exchange(attempt, inputs, self.hedge.start)
             except StageError as error:
-                self.failed(attempt, error)
-                continue
+                second = self.hedge.outcome()
+                if second is None:
+                    self.failed(attempt, error)
+                    continue
+                self.superseded(attempt)
+                attempt, answer, body = second.attempt, second.answer, second.data
             except BaseException:
-                self.record_cancelled(attempt)
-                if answer is not None:
-                    answer.close()
+                self.record_failure(attempt, Code.CANCELLED)
                 raise
-            if answer.status >= SERVER_ERROR and self.retries_after(attempt, answer):
-                continue
+            if answer.status >= SERVER_ERROR:
+                second = self.hedge.outcome()
+                if second is not None:
+                    self.record_failed(attempt, status_error(answer))
+                    attempt, answer, body = second.attempt, second.answer, second.data
+                elif self.retries_after(attempt, answer):
+                    continue
             if answer.status < SERVER_ERROR:
+                self.hedge.stop()
                 self.succeeded(attempt, answer.load, streaming=False)
                 self.tracked.answered()
             return ForwardAnswer(answer.status, answer.headers, body)
 
-    def check(self, answer: UpstreamAnswer) -> None:
-        """Check that a successful answer has the server's signature.
+    def exchange(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        connected: Callable[[Callable[[], None]], None],
+    ) -> tuple[UpstreamAnswer, bytes]:
+        """Send the request to one server and return its answer with the whole body.
 
         Raises:
-            StageError: The signature is missing or wrong.
+            StageError: There is no valid answer.
         """
-        if answer.status < 300 and not answer.signed:
-            raise StageError("a successful answer without the server's signature", Code.BAD_ANSWER)
+        answer = None
+        try:
+            limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
+            answer = self.call(attempt, inputs, last_event_id, limit_ms, connected)
+            body = answer.read(self.remaining_ms())
+        except BaseException:
+            if answer is not None:
+                answer.close()
+            raise
+        # A successful answer needs the server's signature.
+        if answer.status < SUCCESS_END and not answer.signed:
+            detail = "a successful answer without the server's signature"
+            raise StageError(detail, Code.BAD_ANSWER)
+        return answer, body
+
+    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+        """Return the whole answer of a second server; see ForwardRun."""
+        breaks: list[Callable[[], None]] = []
+        answer, body = self.exchange(attempt, inputs, breaks.append)
+        if answer.status >= SERVER_ERROR:
+            raise status_error(answer)
+        return SecondAnswer(attempt, answer, body, breaks[0])
 
     def retries_after(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> bool:
         """Record an error status of a server; return whether the request is retried."""
-        error = StageError(f"status {answer.status}", Code.STAGE_FAILED)
         try:
-            self.failed(attempt, error)
+            self.failed(attempt, status_error(answer))
         except MountladderError:
             return False
         return True
 
-    def answer_timeout_ms(self) -> float:
-        """Return the timeout for the head of the answer, in milliseconds."""
-        is_last = self.attempts >= self.route.max_attempts
-        if not self.route.repeatable or is_last:
-            return self.remaining_ms()
-        timeout_ms = max(MIN_ANSWER_TIMEOUT_MS, FIRST_ATTEMPT_FRACTION * self.route.target_ms)
-        return min(self.remaining_ms(), timeout_ms)
-
-    def record_cancelled(self, attempt: ForwardAttempt) -> None:
-        """Record an attempt that was cancelled because the caller disconnected."""
-        elapsed_ms = self.context.clock.now() - attempt.started
-        self.context.picker.failed(
-            attempt.picked, self.request, self.service, Code.CANCELLED, elapsed_ms
-        )
+    def max_silence_ms(self) -> float:
+        """Return for how long its server may be silent; see ForwardRun."""
+        return max(MIN_SILENCE_MS, FIRST_ATTEMPT_FRACTION * self.route.target_ms)
+
+
+def status_error(answer: UpstreamAnswer) -> StageError:
+    """Return the error for an answer with an error status."""
+    return StageError(f"status {answer.status}", Code.STAGE_FAILED)
