--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -11,6 +11,7 @@
     And <obstacle>
     When instance a-1 gets a <kind> request r
     Then request r is answered whole by the first server
+    And it was logged and counted at a-1 why the attempt was kept
 
     Examples: Streams, in a pause between events and before the first one
       | kind      | from | ms   | obstacle                                        |
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -168,6 +168,18 @@
         assert context.ends["r"][1] == first.encode(), context.ends["r"]
 
 
+@then("it was logged and counted at {name} why the attempt was kept")
+def kept_logged(context, name):
+    if context.kind not in {"safe", "resumable", "lasting"}:
+        return
+    kept = [one for one in context.lines if one.get("message_type") == "attempt-kept"]
+    counts = context.fleet.instances[name].metrics.counts
+    assert counts["attempts_kept"] == len(kept), counts
+    assert all(one["reason"] and one["silent_ms"] > 0 for one in kept), kept
+    # A second server that stays silent longer is cancelled once the first one goes on.
+    assert kept or counts["hedged"], counts
+
+
 @then("request r is answered whole by two servers within {ms:d} ms")
 def answered_by_two(context, ms):
     assert is_whole(context), (context.ends["r"], context.sent_calls)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -338,6 +338,7 @@
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
         attempt = self.begin_attempt(picked)
+        self.context.metrics.count(Metric.HEDGED)
         try:
             return self.read_second(attempt, inputs)
         except StageError as error:
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -17,6 +17,7 @@
 from mountladder.forwarding.retryrules import hedge_obstacle
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.serverloss import is_lost
+from mountladder.metrics.metric import Metric
 
 if TYPE_CHECKING:
     from mountladder.forwarding.forwardrun import ForwardRun
@@ -131,6 +132,7 @@
     def keep_first(self, obstacle: str) -> None:
         """Leave the request to the first server, unless that one is lost."""
         run, server = self.run, self.attempt.choice.state.server
+        run.context.metrics.count(Metric.ATTEMPTS_KEPT)
         run.log(
             "attempt-kept",
             server=server.name,
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -28,6 +28,16 @@
         "counter",
         "requests relayed to other instances since no backend server could be reached",
     )
+    HEDGED = (
+        "hedged",
+        "counter",
+        "requests sent to a second server while the first one was silent",
+    )
+    ATTEMPTS_KEPT = (
+        "attempts_kept",
+        "counter",
+        "times a silent server was waited for, as no second one could answer",
+    )
     RESUMED = ("resumed", "counter", "streams resumed after a cut")
     COPIES = ("copies", "counter", "streams whose cache is copied to a second server")
     COPIED_BYTES = ("copied_bytes", "counter", "bytes that these copies have at most")
