Hedges: bytes of the second attempt are counted apart

A whole answer of a second server replaced that of the first one at the caller's holder, so that one of two was not counted, and the time in which a server takes a request was that of whichever began last. The second attempt has a holder of its own; a scenario fails without it (the caller's holder is used twice). An unexpected error of the second attempt is logged and leaves the first one alone.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -105,3 +105,12 @@
       | kind      | from |
       | resumable | 75   |
       | resumable | 5    |
+
+  # Guards against answers of second servers that the memory account does not know.
+  @forwarding
+  Scenario: The bytes of a second attempt are counted, and released with the request
+    Given two instances and the servers of each kind of request
+    And the first server of the safe request is silent for 9000 ms from 5 ms on
+    When instance a-1 gets a safe request r whose bytes are counted
+    Then a second holder of server bytes existed while the second server was asked
+    And the bytes of the whole answer are counted for the caller alone
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -13,6 +13,8 @@
 from logrecorder import record_lines
 
 from mountladder.forwarding.serverrecord import SERVICE_LABEL
+from mountladder.memory.memoryaccount import MemoryAccount
+from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
 
@@ -129,8 +131,9 @@
     context.run(context.clock.sleep, SETTLE_MS)
 
 
-def send(context, kind, name):
-    sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=ROUTE_TIMEOUT_MS)
+def send(context, kind, name, holder=None):
+    now = context.clock.now()
+    sent = request("r", PATHS[kind], now, allowed_ms=ROUTE_TIMEOUT_MS, holder=holder)
     serve(context, name, sent)
 
 
@@ -140,6 +143,37 @@
     context.run(send, context, kind, name)
 
 
+@when("instance {name} gets a {kind} request r whose bytes are counted")
+def get_counted_request(context, name, kind):
+    context.kind = kind
+    context.account = MemoryAccount(context.clock, MemoryMetrics())
+    context.holder = context.account.open("caller", lambda reason: None)
+    context.kinds_held = []
+    upstream = context.fleet.upstream
+    recorded_open = upstream.open
+
+    def open_(server, call, limit_ms):
+        """Record the kinds of holders while a call is made."""
+        context.kinds_held.append((call.request.holder.kind, len(context.account.holders)))
+        return recorded_open(server, call, limit_ms)
+
+    upstream.open = open_
+    context.run(send, context, kind, name, context.holder)
+
+
+@then("a second holder of server bytes existed while the second server was asked")
+def second_holder(context):
+    assert context.kinds_held == [("caller", 1), ("server", 2)], context.kinds_held
+
+
+@then("the bytes of the whole answer are counted for the caller alone")
+def counted_once(context):
+    assert is_whole(context), context.ends["r"]
+    body = context.ends["r"][1]
+    assert list(context.account.holders) == [context.holder], context.account.holders
+    assert context.holder.answer_bytes == len(body) > 0, context.holder.answer_bytes
+
+
 @when("the caller of the {kind} request r to {name} leaves after {ms:d} ms")
 def caller_of_request_leaves(context, kind, name, ms):
     def leave():
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -27,6 +29,7 @@
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 from mountladder.metrics.metric import Metric
 
 # How often the stages are rerun after a result was lost, for example in a crash or a broken stream.
@@ -249,11 +252,15 @@
         limit_ms: float,
         connected: Callable[[Callable[[], None]], None] = lambda break_connection: None,
         copy: str = "",
+        holder: Holder | None = None,
     ) -> UpstreamAnswer:
-        """Send the request to an attempt's server and return the answer once its head is there."""
+        """Send the request to an attempt's server and return the answer once its head is there.
+
+        The bytes that are held for the call are counted by a holder, or by that of the caller.
+        """
         backup = attempt.picked.backup
         call = ForwardCall(
-            request=self.request,
+            request=replace(self.request, holder=holder or self.request.holder),
             team=self.team,
             deadline=self.deadline,
             inputs=inputs,
@@ -339,20 +346,51 @@
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
         attempt = self.begin_attempt(picked)
         self.context.metrics.count(Metric.HEDGED)
+        breaks: list[Callable[[], None]] = []
         try:
-            return self.read_second(attempt, inputs)
+            with self.hold_second(breaks) as holder:
+                return self.read_second(attempt, inputs, breaks, holder)
         except StageError as error:
             self.record_failed(attempt, error)
-            self.log_failed(attempt, error, "first attempt kept")
+            self.log_failed(attempt, error, "second attempt failed")
             raise
         except BaseException:
             self.record_cancelled(attempt)
             raise
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
-        """Return the answer of a second server; see send_second."""
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
+        """Return the answer of a second server; see send_second.
+
+        Args:
+            attempt: The attempt at that server.
+            inputs: The handles of the stage results that the request needs.
+            breaks: Is appended the function that breaks the connection to the server.
+            holder: Counts the bytes held for the attempt, or None.
+        """
         raise NotImplementedError
 
+    @contextmanager
+    def hold_second(self, breaks: list[Callable[[], None]]) -> Iterator[Holder | None]:
+        """Count the bytes held for a second attempt, which functions break to release them."""
+
+        def end(reason: str) -> None:
+            """Break the connection to the second server."""
+            for break_connection in breaks:
+                break_connection()
+
+        if self.request.holder is None:
+            yield None
+            return
+        with self.request.holder.account.hold("server", end) as holder:
+            holder.request = self.request.id
+            yield holder
+
     def discard(self, second: SecondAnswer) -> None:
         """Cancel a second attempt that has an answer, since the first server answers."""
         second.answer.close()
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -10,8 +10,10 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from eliot import write_traceback
 from gevent import Greenlet
 
+from mountladder.code import Code
 from mountladder.errors import MountladderError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.retryrules import hedge_obstacle
@@ -120,17 +122,23 @@
                 answer = run.send_second(self.attempt)
             except MountladderError as error:
                 obstacle = error.detail
-        if answer is None:
+            except Exception:  # the first attempt goes on
+                write_traceback()
+                obstacle = Code.INTERNAL.meaning
+        if self.task is not task or self.is_over:
+            # The first server was heard of just before this task could be cancelled.
+            if answer is not None:
+                run.discard(answer)
+        elif answer is None:
             self.keep_first(obstacle)
-        elif self.task is not task:
-            # The first server was heard of while this task was about to run.
-            run.discard(answer)
         else:
             self.answer = answer
             self.break_connection()
 
     def keep_first(self, obstacle: str) -> None:
         """Leave the request to the first server, unless that one is lost."""
+        if self.is_alone:
+            return
         run, server = self.run, self.attempt.choice.state.server
         run.context.metrics.count(Metric.ATTEMPTS_KEPT)
         run.log(
@@ -140,8 +148,6 @@
             remaining_ms=round(run.remaining_ms()),
             reason=obstacle,
         )
-        if self.is_alone or self.is_over:
-            return
         if is_lost(run.context.upstream, server, run.silent_ms()):
             self.break_connection()
         else:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -25,6 +25,7 @@
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
 from mountladder.streams.streamversion import StreamVersion
@@ -155,22 +156,26 @@
         self.continuation.connected(break_connection)
         self.hedge.start(break_connection)
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
         """Return the first events of a second server; see ForwardRun."""
         splitter = EventSplitter(self.splitter.last_id)
-        breaks: list[Callable[[], None]] = []
         answer = None
         try:
-            answer = self.call(
-                attempt, inputs, splitter.last_id, self.remaining_ms(), breaks.append
-            )
+            limit_ms, last_id = self.remaining_ms(), splitter.last_id
+            answer = self.call(attempt, inputs, last_id, limit_ms, breaks.append, holder=holder)
             if answer.status >= SUCCESS_END:
                 raise StageError(f"status {answer.status}", Code.STAGE_FAILED)
             first, version = self.first_events(attempt, answer, splitter)
         except BaseException as error:
             if answer is not None:
                 answer.close()
-            if getattr(error, "code", None) is Code.RESULT_GONE:
+            if isinstance(error, StageError) and error.code is Code.RESULT_GONE:
                 self.record_missing_results()
             raise
         return SecondAnswer(attempt, answer, first + splitter.incomplete, breaks[0], version)
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -15,6 +15,7 @@
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 
 # The lowest HTTP status that reports an error of the server.
 SERVER_ERROR = 500
@@ -54,7 +55,7 @@
                     self.failed(attempt, error)
                     continue
                 self.superseded(attempt)
-                attempt, answer, body = second.attempt, second.answer, second.data
+                attempt, answer, body = self.adopt(second)
             except BaseException:
                 self.record_failure(attempt, Code.CANCELLED)
                 raise
@@ -62,7 +63,7 @@
                 second = self.hedge.outcome()
                 if second is not None:
                     self.record_failed(attempt, status_error(answer))
-                    attempt, answer, body = second.attempt, second.answer, second.data
+                    attempt, answer, body = self.adopt(second)
                 elif self.retries_after(attempt, answer):
                     continue
             if answer.status < SERVER_ERROR:
@@ -76,6 +77,7 @@
         attempt: ForwardAttempt,
         inputs: tuple[str, ...],
         connected: Callable[[Callable[[], None]], None],
+        holder: Holder | None = None,
     ) -> tuple[UpstreamAnswer, bytes]:
         """Send the request to one server and return its answer with the whole body.
 
@@ -85,7 +87,7 @@
         answer = None
         try:
             limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
-            answer = self.call(attempt, inputs, last_event_id, limit_ms, connected)
+            answer = self.call(attempt, inputs, last_event_id, limit_ms, connected, holder=holder)
             body = answer.read(self.remaining_ms())
         except BaseException:
             if answer is not None:
@@ -97,14 +99,25 @@
             raise StageError(detail, Code.BAD_ANSWER)
         return answer, body
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
         """Return the whole answer of a second server; see ForwardRun."""
-        breaks: list[Callable[[], None]] = []
-        answer, body = self.exchange(attempt, inputs, breaks.append)
+        answer, body = self.exchange(attempt, inputs, breaks.append, holder)
         if answer.status >= SERVER_ERROR:
             raise status_error(answer)
         return SecondAnswer(attempt, answer, body, breaks[0])
 
+    def adopt(self, second: SecondAnswer) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        """Return the attempt, the answer and the body of a second server, for the caller."""
+        if self.request.holder is not None:
+            self.request.holder.set_answer(len(second.data))
+        return second.attempt, second.answer, second.data
+
     def retries_after(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> bool:
         """Record an error status of a server; return whether the request is retried."""
         try:
