Hedges: nothing is taken out of the retry budget without another server

A silent server whose service has no other one in use, or none of the stream's version, had a retry taken out of the budget each second, for a second attempt that no server could get.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -43,6 +43,21 @@
       | stream    | 75   | 1500 | nothing else happens                            |
       | stream    | 5    | 1500 | nothing else happens                            |
 
+  # Guards against a retry budget that is spent on second attempts that no server could get.
+  @forwarding
+  Scenario Outline: A silent server takes nothing out of the retry budget if there is no other one
+    Given two instances and the servers of each kind of request
+    And the first server of the resumable request is silent for 4000 ms from 75 ms on
+    And every other server <state>
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by the first server
+    And no retry was asked for
+
+    Examples:
+      | state                |
+      | is draining          |
+      | runs another version |
+
   # Guards against callers that wait for a silent server although another one can answer.
   @forwarding
   Scenario Outline: Another server answers while the first one stays silent
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -214,6 +214,12 @@
     assert kept or counts["hedged"], counts
 
 
+@then("no retry was asked for")
+def no_retry_asked(context):
+    asked = [one for one in context.lines if one.get("message_type") == "retry-budget"]
+    assert not asked, asked
+
+
 @then("request r is answered whole by two servers within {ms:d} ms")
 def answered_by_two(context, ms):
     assert is_whole(context), (context.ends["r"], context.sent_calls)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -325,10 +325,6 @@
         """Return for how long its server may be silent before a second one is sent the request."""
         raise NotImplementedError
 
-    def version_obstacle(self) -> str:
-        """Return why no other server runs a suitable version, or an empty string if one does."""
-        return ""
-
     def send_second(self, first: ForwardAttempt) -> SecondAnswer:
         """Send the request to a second server while the first one is silent; return its answer.
 
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -115,7 +115,7 @@
         """Make a second attempt, and break the connection to the first server if it is answered."""
         run, task = self.run, gevent.getcurrent()
         run.context.relay.isolation.record_unanswered(run.heard_at)
-        obstacle = hedge_obstacle(run)
+        obstacle = hedge_obstacle(run, self.attempt.server)
         answer = None
         if not obstacle:
             try:
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -201,6 +201,12 @@
         )
         return RefusalError("", Code.SERVERS_RESTING, retry_after_ms=retry_after_ms)
 
+    def has_server(self, service: str, version: str | None, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a server in use, of a version or any, but some of them."""
+        servers = running_version(self.directory.available(service), version)
+        unusable = self.unusable(servers)
+        return any(one.name not in excluded | unusable for one in servers)
+
     def check_servers(self, service: str) -> None:
         """Check that a service has a server that may be used.
 
