--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -104,3 +104,80 @@
       | kind      | from |
       | resumable | 75   |
       | resumable | 5    |
+
+  # Guards against counters and connections of a first attempt that failed, left over when the caller
+  # leaves while the second attempt is awaited.
+  @forwarding
+  Scenario Outline: A caller that leaves after the first server has failed ends both attempts
+    Given two instances and the servers of each kind of request
+    And the first server of the <kind> request is silent for <ms> ms from 5 ms on
+    And it breaks the connection then
+    And every other server is silent for longer
+    When the caller of the <kind> request r to a-1 leaves after 1200 ms
+    Then two servers were sent request r
+    And no server works on request r any more
+
+    Examples:
+      | kind      | ms  |
+      | resumable | 800 |
+      | safe      | 500 |
+
+  # Guards against a retry budget that is spent although no further server is sent the request.
+  @forwarding
+  Scenario Outline: Retries that are not made are not taken out of the budget
+    Given two instances and the servers of each kind of request
+    And the first server of the <kind> request is silent for 3500 ms from <from> ms on
+    And every other server is draining
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole by the first server
+    And no retry was taken out of the budget
+
+    Examples:
+      | kind      | from |
+      | resumable | 75   |
+      | safe      | 5    |
+
+  # Guards against callers that are held for a second server that is silent, too.
+  @forwarding
+  Scenario Outline: A third server answers while two are silent
+    Given two instances and the servers of each kind of request
+    And a third server of each service
+    And each request may reach three servers
+    And the first two servers of the <kind> request are silent for 9000 ms from <from> ms on
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole within 3500 ms
+
+    Examples:
+      | kind      | from |
+      | resumable | 75   |
+      | resumable | 5    |
+      | safe      | 5    |
+
+  # Guards against results of stages that are kept to the end of a stream.
+  @forwarding
+  Scenario: The results of stages are released once a second server goes on with a stream
+    Given two instances and the servers of each kind of request
+    And the first two servers of the lasting request are silent for 3000 ms from 35 ms on
+    When instance a-1 gets a lasting request r
+    Then request r is answered whole within 5500 ms
+    And the results of its stages were released a second before the stream ended
+
+  # Guards against counters of a second attempt that is answered in the moment of the first one: they
+  # are never taken back, so that its server looks loaded from then on.
+  @forwarding
+  Scenario: Both servers answer in the same moment
+    Given two instances and the servers of each kind of request
+    And both servers of the request answer together after 700 ms
+    When instance a-1 gets a safe request r
+    Then request r is answered whole by the first server
+    And no server works on request r any more
+
+  # Guards against a second attempt at a request whose answer is arriving: both servers work on it,
+  # and the retry budget is spent.
+  @forwarding
+  Scenario: A whole answer that arrives in parts needs no second server
+    Given two instances and the servers of each kind of request
+    And the first server of the safe request sends its answer in parts for 900 ms
+    When instance a-1 gets a safe request r
+    Then request r is answered whole by the first server
+    And one server was sent request r
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
 from forwardbasics import PATHS, PROMPT_KINDS, catalogue, request, save_retries, serve
+from gevent.event import Event
 from logrecorder import record_lines
 
 from mountladder.forwarding.serverrecord import SERVICE_LABEL
@@ -41,8 +42,22 @@
     record_lines(context)
     context.plans = []
     context.sent_calls = []
+    context.made, context.released = [], {}
     upstream = context.fleet.upstream
-    plain_open = upstream.open
+    plain_open, plain_free, plain_pieces = upstream.open, upstream.free, upstream.run_pieces
+
+    def free(server, handles, on_notices):
+        """Record when results are released."""
+        context.released.update(dict.fromkeys(handles, context.clock.now()))
+        plain_free(server, handles, on_notices)
+
+    def run_pieces(*args):
+        """Record which results are made."""
+        results = plain_pieces(*args)
+        context.made += [one.handle for one in results]
+        return results
+
+    upstream.free, upstream.run_pieces = free, run_pieces
 
     def open_(server, call, limit_ms):
         """Record a call, and carry out the plans once the first one has arrived."""
@@ -103,13 +118,14 @@
     }
 
     def plan(first):
+        service = first.partition("-")[0]
         for name in others(context, first):
             if state in faults:
                 context.fleet.upstream.faults[name] = faults[state]
             elif state == "is draining":
-                context.fleet.add_server(name, "llm", "a", draining=True)
+                context.fleet.add_server(name, service, "a", draining=True)
             elif state == "runs another version":
-                context.fleet.add_server(name, "llm", "a", version="v2")
+                context.fleet.add_server(name, service, "a", version="v2")
             else:
                 assert state == "is silent for longer", state
                 be_silent(context, name, 0.0, sum(context.silence) + LONGER_MS)
@@ -119,10 +135,15 @@
 
 @given("the request may reach one server only")
 def one_attempt(context):
+    allow_attempts(context, 1)
+
+
+def allow_attempts(context, number):
+    """Set the number of servers that may run a request."""
     fleet = context.fleet
     plain = fleet.catalogues[max(fleet.catalogues)]
     routes = {
-        host: tuple(replace(one, max_attempts=1) for one in all_)
+        host: tuple(replace(one, max_attempts=number) for one in all_)
         for host, all_ in plain.routes.items()
     }
     fleet.configure(replace(plain, version=plain.version + 1, routes=routes))
@@ -196,3 +217,93 @@
     _, _, found, _, _ = context.ends["r"]
     took_ms = context.ended_at["r"] - context.arrived["r"]
     assert found == code and least <= took_ms <= most, (context.ends["r"], took_ms)
+
+
+@given("it breaks the connection then")
+def breaks_connection(context):
+    faults = context.fleet.upstream.faults
+    context.plans.append(lambda first: faults.__setitem__(first, ServerFault.RESET))
+
+
+@given("a third server of each service")
+def third_servers(context):
+    for service in SERVERS:
+        context.fleet.add_server(f"{service}-3", service, "a")
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("each request may reach three servers")
+def three_attempts(context):
+    allow_attempts(context, 3)
+
+
+@given("the first two servers of the {kind} request are silent for {ms:d} ms from {start:d} ms on")
+def first_two_are_silent(context, kind, ms, start):
+    plain_open = context.fleet.upstream.open
+    silent = []
+
+    def open_(server, call, limit_ms):
+        """Record a call; the first two servers that are sent the request fall silent."""
+        if len(silent) < 2 and server.name not in silent:
+            silent.append(server.name)
+            be_silent(context, server.name, float(start), float(ms))
+        return plain_open(server, call, limit_ms)
+
+    context.fleet.upstream.open = open_
+
+
+@then("request r is answered whole within {ms:d} ms")
+def answered_within(context, ms):
+    assert is_whole(context), (context.ends["r"], context.sent_calls)
+    took_ms = context.ended_at["r"] - context.arrived["r"]
+    assert took_ms <= ms, took_ms
+
+
+@then("no retry was taken out of the budget")
+def no_retry_taken(context):
+    taken = [one for one in context.lines if one.get("message_type") == "retry-budget"]
+    assert not [one for one in taken if one["outcome"] == "allowed"], taken
+
+
+@then("the results of its stages were released a second before the stream ended")
+def released_before_end(context):
+    latest = context.ended_at["r"] - 1_000.0
+    released = context.released
+    assert context.made, "no stage ran"
+    assert all(released.get(one, latest) < latest for one in context.made), (released, latest)
+
+
+@given("both servers of the request answer together after {ms:d} ms")
+def both_answer_together(context, ms):
+    plain_open = context.fleet.upstream.open
+    moment = Event()
+    context.plans.append(lambda first: context.clock.call_later(float(ms), moment.set))
+
+    def open_(server, call, limit_ms):
+        """Hold an answer back until the moment."""
+        answer = plain_open(server, call, limit_ms)
+        moment.wait()
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@given("the first server of the safe request sends its answer in parts for {ms:d} ms")
+def answers_in_parts(context, ms):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Send the first answer byte by byte."""
+        answer = plain_open(server, call, limit_ms)
+        if len(context.sent_calls) == 1:
+            (body,) = answer.parts
+            answer.parts = [bytes([one]) for one in body]
+            answer.pause_ms = ms / len(body)
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@then("one server was sent request r")
+def sent_to_one(context):
+    assert len(context.sent_calls) == 1, context.sent_calls
