Second attempts: a caller that leaves while one is awaited leaves no counter behind

What was seen: the first server had failed, the caller left while the second one was awaited, and the first server counted as working on the request for good, so that it looked loaded from then on.

Cause: the wait for the second attempt stands in the handler of the first one's failure, where its cancellation is not recorded; an answer that was refused stayed open meanwhile.

Fix: ForwardRun.second_answer records the attempt if the wait is broken off, and the first answer is closed before the wait.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -280,6 +280,17 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
+    def second_answer(self, attempt: ForwardAttempt) -> SecondAnswer | None:
+        """Return the answer of the second server after an attempt has failed, or None.
+
+        If the caller leaves while it is awaited, the failed attempt is recorded here.
+        """
+        try:
+            return self.hedge.outcome()
+        except BaseException:
+            self.record_failure(attempt, Code.CANCELLED)
+            raise
+
     def superseded(self, attempt: ForwardAttempt) -> None:
         """Record an attempt whose server was silent until a second one answered."""
         error = StageError("another server was heard of first", Code.STAGE_STALLED)
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -129,10 +129,12 @@
                 self.heard()
                 self.stream_version.settle(version)
             except StageError as error:
-                second = self.hedge.outcome()
+                if answer is not None:
+                    answer.close()
+                second = self.second_answer(attempt)
                 if second is not None:
                     self.superseded(attempt)
-                    return self.adopt(second, answer)
+                    return self.adopt(second)
                 continued = self.continuation.recover(attempt, answer, error)
                 if continued is not None:
                     return continued
@@ -175,16 +177,12 @@
             raise
         return SecondAnswer(attempt, answer, first + splitter.incomplete, breaks[0], version)
 
-    def adopt(
-        self, second: SecondAnswer, first_answer: UpstreamAnswer | None
-    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
-        """Go on with the answer of a second server, and close that of the first one.
+    def adopt(self, second: SecondAnswer) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        """Go on with the answer of a second server, once that of the first one is closed.
 
         Returns:
             The attempt, its answer and the events received so far.
         """
-        if first_answer is not None:
-            first_answer.close()
         self.splitter.incomplete = b""
         events = self.split(self.splitter, second.data)
         self.stream_version.settle(second.version)
@@ -321,7 +319,7 @@
             return self.continuation.reopen(answer, cut, problem)
         self.context.metrics.count(Metric.RESUMED)
         if second is not None:
-            return self.adopt(second, answer)
+            return self.adopt(second)
         resumed = self.open(self.splitter)
         if resumed[1].status >= SUCCESS_END:
             resumed[1].close()
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -49,7 +49,7 @@
             try:
                 answer, body = self.exchange(attempt, inputs, self.hedge.start)
             except StageError as error:
-                second = self.hedge.outcome()
+                second = self.second_answer(attempt)
                 if second is None:
                     self.failed(attempt, error)
                     continue
@@ -59,7 +59,7 @@
                 self.record_failure(attempt, Code.CANCELLED)
                 raise
             if answer.status >= SERVER_ERROR:
-                second = self.hedge.outcome()
+                second = self.second_answer(attempt)
                 if second is not None:
                     self.record_failed(attempt, status_error(answer))
                     attempt, answer, body = second.attempt, second.answer, second.data
