Second attempts: an answer in the moment of the first one is discarded

What was seen: where both servers answered in the same turn of the loop, the second one counted as working on the request for good. The connection to the first one was broken then, though it may have been kept, and served another request.

Cause: a task that is cancelled goes on until its next switch. Hedge.stop left it the current one, so that it kept its answer after everything was over; a server that was probed had the same gap.

Fix: a cancelled task is no longer the current one, and one that is not current does nothing but discard its answer.

Evidence: the scenario of it failed before and passes (features/silentservers.feature).

--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -66,8 +66,7 @@
         """Cancel the second attempt, and make no other one."""
         self.is_over = True
         self.cancel_check()
-        if self.task is not None:
-            self.task.kill(block=False)
+        self.cancel_task()
         if self.answer is not None:
             self.run.discard(self.answer)
             self.answer = None
@@ -77,10 +76,15 @@
         if self.task is None or self.is_over:
             return
         self.cancel_check()
-        self.task.kill(block=False)
-        self.task = None
+        self.cancel_task()
         self.check_later(self.run.max_silence_ms())
 
+    def cancel_task(self) -> None:
+        """Cancel the second attempt, which may have an answer before it is told."""
+        task, self.task = self.task, None
+        if task is not None:
+            task.kill(block=False)
+
     def outcome(self) -> SecondAnswer | None:
         """Return the answer of the second server, once there is one, or None.
 
@@ -119,11 +123,12 @@
                 answer = run.send_second(self.attempt)
             except MountladderError as error:
                 obstacle = error.detail
-        if answer is None:
+        if self.task is not task:
+            # The first server was heard of, or the request ended, while this task was about to run.
+            if answer is not None:
+                run.discard(answer)
+        elif answer is None:
             self.keep_first(obstacle)
-        elif self.task is not task:
-            # The first server was heard of while this task was about to run.
-            run.discard(answer)
         else:
             self.answer = answer
             self.break_connection()
@@ -140,7 +145,11 @@
         )
         if self.is_alone or self.is_over:
             return
-        if is_lost(run.context.upstream, server, run.silent_ms()):
+        lost = is_lost(run.context.upstream, server, run.silent_ms())
+        if self.task is not gevent.getcurrent():
+            # The first server has answered meanwhile. Its connection may serve another request.
+            return
+        if lost:
             self.break_connection()
         else:
             self.check_later(max(RECHECK_MS, run.max_silence_ms()))
