--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -69,8 +69,7 @@
         """Cancel the second attempt, and make no other one."""
         self.is_over = True
         self.cancel_check()
-        if self.task is not None:
-            self.task.kill(block=False)
+        self.cancel_task()
         if self.answer is not None:
             self.run.discard(self.answer)
             self.answer = None
@@ -80,10 +79,15 @@
         if self.task is None or self.is_over:
             return
         self.cancel_check()
-        self.task.kill(block=False)
-        self.task = None
+        self.cancel_task()
         self.check_later(self.run.max_silence_ms())
 
+    def cancel_task(self) -> None:
+        """Cancel the second attempt, which may have an answer before it is told."""
+        task, self.task = self.task, None
+        if task is not None:
+            task.kill(block=False)
+
     def outcome(self) -> SecondAnswer | None:
         """Return the answer of the second server, once there is one, or None.
 
@@ -125,8 +129,8 @@
             except Exception:  # the first attempt goes on
                 write_traceback()
                 obstacle = Code.INTERNAL.meaning
-        if self.task is not task or self.is_over:
-            # The first server was heard of just before this task could be cancelled.
+        if self.task is not task:
+            # The first server was heard of, or the request ended, while this task was about to run.
             if answer is not None:
                 run.discard(answer)
         elif answer is None:
@@ -148,7 +152,11 @@
             remaining_ms=round(run.remaining_ms()),
             reason=obstacle,
         )
-        if is_lost(run.context.upstream, server, run.silent_ms()):
+        lost = is_lost(run.context.upstream, server, run.silent_ms())
+        if self.task is not gevent.getcurrent():
+            # The first server has answered meanwhile. Its connection may serve another request.
+            return
+        if lost:
             self.break_connection()
         else:
             self.check_later(max(RECHECK_MS, run.max_silence_ms()))
