Hedges: a second server that is silent as well is replaced; parts of an answer count

A whole answer that arrived in parts for longer than the silence was asked for at a second server.

Cause: only the first server was watched, and a whole answer was heard of only at its end.

Fix: a second attempt that is silent for as long is replaced by a further one once that is allowed; the first one is kept all the while. Each part of a whole answer counts as heard.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -56,6 +56,7 @@
         heard_at: Since when the server of the attempt in progress is awaited, in the clock's
             milliseconds: since it was last heard of, or the request was sent there.
         is_waiting: Whether the server is awaited, and not the caller.
+        has_begun: Whether the server of the attempt in progress has begun to answer.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -90,7 +91,7 @@
         self.connect_failures = 0
         self.hedge: Hedge | None = None
         self.heard_at = request.arrived
-        self.is_waiting = False
+        self.is_waiting = self.has_begun = False
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -212,6 +213,7 @@
             MountladderError: No server is available.
         """
         attempt = self.begin_attempt(self.acquire())
+        self.has_begun = False
         self.wait_for_server()
         self.hedge = Hedge(self, attempt)
         return attempt
@@ -332,26 +334,36 @@
             outcome=outcome,
         )
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent before a second one is sent the request."""
+    def heard(self) -> None:
+        """Record that the server of the attempt in progress has sent something."""
+        self.wait_for_server()
+        self.hedge.heard()
+
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent before a further one is sent the request.
+
+        Args:
+            has_begun: Whether the server has begun to answer.
+        """
         raise NotImplementedError
 
-    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
-        """Send the request to a second server while the first one is silent; return its answer.
+    def send_second(self, hedge: Hedge) -> SecondAnswer:
+        """Send the request to a second server while others are silent; return its answer.
 
         Raises:
             MountladderError: No other server is available, or it did not answer.
         """
         inputs = self.run_stages()
-        excluded, self.excluded = self.excluded, self.excluded | {first.server}
+        excluded, self.excluded = self.excluded, self.excluded | hedge.asked
         try:
             picked = self.acquire()
         finally:
             self.excluded = excluded
-        if picked.choice.state.server.name == first.server:
+        if picked.choice.state.server.name in hedge.asked:
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
         attempt = self.begin_attempt(picked)
+        hedge.record_sent(attempt.server)
         self.context.metrics.count(Metric.HEDGED)
         breaks: list[Callable[[], None]] = []
         try:
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -33,7 +33,8 @@
 
     A sound server may be silent for a moment and go on, so that the first attempt is kept until the
     second one has an answer. The server that is heard of first answers the request, and the attempt
-    at the other one is cancelled.
+    at the other one is cancelled. A second server that is silent as well is replaced by a further
+    one, if the request may be sent to so many.
 
     Args:
         run: The execution of the request.
@@ -42,7 +43,10 @@
     Attributes:
         break_connection: Breaks the connection to the first server, so that reading from it fails.
         cancel_check: Cancels the next check.
-        task: Makes the second attempt, or None if none was made yet.
+        task: Makes the second attempt, or None if there is none.
+        asked: The names of the servers that were sent the request.
+        second_sent_at: When the second server was sent the request, in the clock's milliseconds, or
+            None if it was not yet.
         answer: The answer of the second server, or None.
         is_alone: Whether the first attempt has ended, so that the second one is the only one left.
         is_over: Whether no second attempt is made any more.
@@ -55,6 +59,8 @@
         self.break_connection: Callable[[], None] = lambda: None
         self.cancel_check: Callable[[], None] = lambda: None
         self.task: Greenlet | None = None
+        self.asked = frozenset({attempt.server})
+        self.second_sent_at: float | None = None
         self.answer: SecondAnswer | None = None
         self.is_alone = False
         self.is_over = not run.route.repeatable
@@ -63,7 +69,7 @@
         """Start to watch the first server, given a function that breaks the connection to it."""
         self.break_connection = break_connection
         if not self.is_over:
-            self.check_later(self.run.max_silence_ms())
+            self.check_later(self.run.max_silence_ms(self.run.has_begun))
 
     def stop(self) -> None:
         """Cancel the second attempt, and make no other one."""
@@ -80,11 +86,12 @@
             return
         self.cancel_check()
         self.cancel_task()
-        self.check_later(self.run.max_silence_ms())
+        self.check_later(self.run.max_silence_ms(self.run.has_begun))
 
     def cancel_task(self) -> None:
         """Cancel the second attempt, which may have an answer before it is told."""
         task, self.task = self.task, None
+        self.second_sent_at = None
         if task is not None:
             task.kill(block=False)
 
@@ -94,46 +101,73 @@
         The first attempt has ended.
         """
         self.is_alone = True
-        self.cancel_check()
-        if self.task is not None:
+        while self.is_in_progress():
             self.task.join()
         self.is_over = True
+        self.cancel_check()
         answer, self.answer = self.answer, None
         return answer
 
+    def is_in_progress(self) -> bool:
+        """Return whether a second attempt is in progress."""
+        return self.task is not None and not self.task.dead
+
+    def record_sent(self, server: str) -> None:
+        """Record that a second server is sent the request."""
+        self.asked |= {server}
+        self.second_sent_at = self.clock.now()
+
     def check_later(self, delay_ms: float) -> None:
-        """Check after a delay in milliseconds whether the first server is silent."""
+        """Check after a delay in milliseconds whether the servers are silent."""
         self.cancel_check = self.clock.call_later(delay_ms, self.check)
 
     def check(self) -> None:
-        """Make a second attempt if the first server is silent, otherwise check again later."""
-        if self.is_over or self.is_alone:
+        """Make a further attempt if the servers are silent, otherwise check again later."""
+        if self.is_over:
             return
-        remaining_ms = self.run.max_silence_ms() - self.run.silent_ms()
+        remaining_ms = self.remaining_silence_ms()
         if remaining_ms > 0:
             self.check_later(remaining_ms)
-        else:
+            return
+        is_second = self.is_in_progress()
+        if self.is_alone and not is_second:
+            return
+        self.run.context.relay.isolation.record_unanswered(self.run.heard_at)
+        obstacle = hedge_obstacle(self.run, self.asked, 1 + is_second)
+        if not obstacle:
+            self.cancel_task()
             self.task = gevent.spawn(self.make_attempt)
+        elif not is_second:
+            self.task = gevent.spawn(self.keep_first, obstacle)
+        self.check_later(max(RECHECK_MS, self.run.max_silence_ms(self.run.has_begun)))
+
+    def remaining_silence_ms(self) -> float:
+        """Return for how long the servers may still be silent, in milliseconds."""
+        run, remaining_ms = self.run, 0.0
+        if not self.is_alone:
+            remaining_ms = run.max_silence_ms(run.has_begun) - run.silent_ms()
+        if self.is_in_progress():
+            sent_at = self.second_sent_at
+            waited_ms = 0.0 if sent_at is None else self.clock.now() - sent_at
+            remaining_ms = max(remaining_ms, run.max_silence_ms(False) - waited_ms)
+        return remaining_ms
 
     def make_attempt(self) -> None:
         """Make a second attempt, and break the connection to the first server if it is answered."""
-        run, task = self.run, gevent.getcurrent()
-        run.context.relay.isolation.record_unanswered(run.heard_at)
-        obstacle = hedge_obstacle(run, self.attempt.server)
-        answer = None
-        if not obstacle:
-            try:
-                answer = run.send_second(self.attempt)
-            except MountladderError as error:
-                obstacle = error.detail
-            except Exception:  # the first attempt goes on
-                write_traceback()
-                obstacle = Code.INTERNAL.meaning
+        run, task, answer = self.run, gevent.getcurrent(), None
+        try:
+            answer = run.send_second(self)
+        except MountladderError as error:
+            obstacle = error.detail
+        except Exception:  # the first attempt goes on
+            write_traceback()
+            obstacle = Code.INTERNAL.meaning
         if self.task is not task:
             # The first server was heard of, or the request ended, while this task was about to run.
             if answer is not None:
                 run.discard(answer)
         elif answer is None:
+            self.second_sent_at = None
             self.keep_first(obstacle)
         else:
             self.answer = answer
@@ -153,10 +187,6 @@
             reason=obstacle,
         )
         lost = is_lost(run.context.upstream, server, run.silent_ms())
-        if self.task is not gevent.getcurrent():
-            # The first server has answered meanwhile. Its connection may serve another request.
-            return
-        if lost:
+        # The first server may have answered meanwhile, and its connection serve another request.
+        if lost and self.task is gevent.getcurrent():
             self.break_connection()
-        else:
-            self.check_later(max(RECHECK_MS, run.max_silence_ms()))
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -50,21 +50,21 @@
     return None
 
 
-def hedge_obstacle(run: ForwardRun, silent: str) -> str:
-    """Return why a request whose server is silent is not sent to a second one, or "" if it is.
+def hedge_obstacle(run: ForwardRun, asked: frozenset[str], in_progress: int) -> str:
+    """Return why a request is not sent to a further server while others are silent, or "" if it is.
 
     If it is, this takes a retry out of the service's budget.
 
     Args:
         run: The execution of the request.
-        silent: The name of the server.
+        asked: The names of the servers that were sent it.
+        in_progress: The number of attempts in progress; their servers may run it.
     """
     if run.remaining_ms() < MIN_REMAINING_MS:
         return "there is not enough time left"
-    # The silent server may have run it.
-    if is_exhausted(run, run.possible_runs + 1):
+    if is_exhausted(run, run.possible_runs + in_progress):
         return "no further attempt is allowed"
-    if not run.context.picker.has_server(run.service, run.version, run.excluded | {silent}):
+    if not run.context.picker.has_server(run.service, run.version, run.excluded | asked):
         return "no other server is available"
     allowed = run.context.budgets.spend(run.service, run.request.id)
     return "" if allowed else "the retry budget is spent"
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -39,7 +39,6 @@
 
     Attributes:
         splitter: Splits the answer into events.
-        has_begun: Whether the server of the attempt in progress has sent an event.
         stream_version: The software version at which the stream continues.
         continuation: The copy of its cache, and its continuation from there.
     """
@@ -53,7 +52,6 @@
     ) -> None:
         super().__init__(request, route, caller, context)
         self.splitter = EventSplitter(request.last_event_id)
-        self.has_begun = False
         self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
 
@@ -117,7 +115,6 @@
         inputs = self.run_stages()
         while True:
             attempt = self.start_attempt()
-            self.has_begun = False
             self.continuation.begin(attempt, inputs)
             answer = None
             try:
@@ -361,21 +358,21 @@
         self.continuation.end(self.splitter.events, error is None and status < SUCCESS_END)
 
     def heard(self) -> None:
-        """Record that the server has sent a part of its stream."""
+        """Record that the server has sent a part of its stream; see ForwardRun."""
         self.is_waiting, self.has_begun = False, True
         if self.flow is not None and self.hedge.task is not None:
             # They were kept, or made again, for a second server.
             self.flow.release()
         self.hedge.heard()
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent; see ForwardRun."""
-        return self.route.max_silence_ms if self.has_begun else self.route.target_ms
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent; see ForwardRun."""
+        return self.route.max_silence_ms if has_begun else self.route.target_ms
 
-    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
+    def send_second(self, hedge: Hedge) -> SecondAnswer:
         """Send the request to a second server; see ForwardRun."""
         try:
-            return super().send_second(first)
+            return super().send_second(hedge)
         except GreenletExit:
             # The first server goes on, and has the results of the stages.
             if self.flow is not None and self.has_begun:
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -48,7 +48,7 @@
         while True:
             attempt = self.start_attempt()
             try:
-                answer, body = self.exchange(attempt, inputs, self.hedge.start)
+                answer, body = self.exchange(attempt, inputs, self.hedge.start, self.heard)
             except StageError as error:
                 second = self.second_answer(attempt)
                 if second is None:
@@ -77,10 +77,18 @@
         attempt: ForwardAttempt,
         inputs: tuple[str, ...],
         connected: Callable[[Callable[[], None]], None],
+        heard: Callable[[], None],
         holder: Holder | None = None,
     ) -> tuple[UpstreamAnswer, bytes]:
         """Send the request to one server and return its answer with the whole body.
 
+        Args:
+            attempt: The attempt at the server.
+            inputs: The handles of the stage results that the request needs.
+            connected: Called when the connection is open; see ForwardCall.
+            heard: Called with each part of the answer.
+            holder: Counts the bytes held for the attempt, or None for that of the caller.
+
         Raises:
             StageError: There is no valid answer.
         """
@@ -88,7 +96,8 @@
         try:
             limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
             answer = self.call(attempt, inputs, last_event_id, limit_ms, connected, holder=holder)
-            body = answer.read(self.remaining_ms())
+            heard()
+            body = answer.read(self.remaining_ms(), heard)
         except BaseException:
             if answer is not None:
                 answer.close()
@@ -107,7 +116,7 @@
         holder: Holder | None,
     ) -> SecondAnswer:
         """Return the whole answer of a second server; see ForwardRun."""
-        answer, body = self.exchange(attempt, inputs, breaks.append, holder)
+        answer, body = self.exchange(attempt, inputs, breaks.append, lambda: None, holder)
         if answer.status >= SERVER_ERROR:
             raise status_error(answer)
         return SecondAnswer(attempt, answer, body, breaks[0])
@@ -126,8 +135,8 @@
             return False
         return True
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent; see ForwardRun."""
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent; see ForwardRun."""
         return max(MIN_SILENCE_MS, FIRST_ATTEMPT_FRACTION * self.route.target_ms)
 
 
--- a/packages/standins/src/mountladder_standins/localanswer.py
+++ b/packages/standins/src/mountladder_standins/localanswer.py
@@ -60,10 +60,11 @@
         self.shut_down = Event()
         self.closed = False
 
-    def read(self, limit_ms: float) -> bytes:
+    def read(self, limit_ms: float, heard: Callable[[], None] = lambda: None) -> bytes:
         """Return the whole body; see UpstreamAnswer."""
         parts = []
         while part := self.read_some(limit_ms):
+            heard()
             parts.append(part)
         return b"".join(parts)
 
