Second attempts: a retry is taken out of the budget only for a server that is sent one

What callers saw: a silence used up the retries of other requests. Each check of a silent server took a retry out of the budget, although no other server was there or none could be reached: 3 for a stream and 7 for a plain request whose server was silent for 3.5 s.

Cause: the retry was paid before a server was chosen, and again after each connection that failed.

Fix: without another server of the version nothing is paid, and no stages run again; the retry is paid once a server is chosen, and kept while none is reached. The lines of attempts that are kept name a reason also where the refusal has no detail of its own.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -130,13 +130,23 @@
     And every other server is draining
     When instance a-1 gets a <kind> request r
     Then request r is answered whole by the first server
-    And no retry was taken out of the budget
+    And 0 retries were taken out of the budget
 
     Examples:
       | kind      | from |
       | resumable | 75   |
       | safe      | 5    |
 
+  # Guards against a retry for each try to connect to servers that cannot be reached.
+  @forwarding
+  Scenario: One retry is taken out of the budget until a second server is reached
+    Given two instances and the servers of each kind of request
+    And the first server of the resumable request is silent for 3500 ms from 75 ms on
+    And every other server cannot be reached
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by the first server
+    And 1 retries were taken out of the budget
+
   # Guards against callers that are held for a second server that is silent, too.
   @forwarding
   Scenario Outline: A third server answers while two are silent
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -265,10 +265,10 @@
     assert took_ms <= ms, took_ms
 
 
-@then("no retry was taken out of the budget")
-def no_retry_taken(context):
-    taken = [one for one in context.lines if one.get("message_type") == "retry-budget"]
-    assert not [one for one in taken if one["outcome"] == "allowed"], taken
+@then("{number:d} retries were taken out of the budget")
+def retries_taken(context, number):
+    decided = [one for one in context.lines if one.get("message_type") == "retry-budget"]
+    assert sum(one["outcome"] == "allowed" for one in decided) == number, decided
 
 
 @then("the results of its stages were released {ms:d} ms before the stream ended")
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -53,6 +53,8 @@
         heard_at: Since when the server of the attempt in progress is awaited, in the clock's
             milliseconds: since it was last heard of, or the request was sent there.
         is_waiting: Whether the server is awaited, and not the caller.
+        is_retry_paid: Whether a retry was taken out of the budget for a second server that was
+            not reached, so that the next one needs no other.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -88,6 +90,7 @@
         self.hedge: Hedge | None = None
         self.heard_at = request.arrived
         self.is_waiting = False
+        self.is_retry_paid = False
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -329,10 +332,6 @@
         """Return for how long its server may be silent before a second one is sent the request."""
         raise NotImplementedError
 
-    def version_obstacle(self) -> str:
-        """Return why no other server runs a suitable version, or an empty string if one does."""
-        return ""
-
     def send_second(self, first: ForwardAttempt) -> SecondAnswer:
         """Send the request to a second server while the first one is silent; return its answer.
 
@@ -348,10 +347,15 @@
         if picked.choice.state.server.name == first.server:
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
+        if not (self.is_retry_paid or self.context.budgets.spend(self.service, self.request.id)):
+            self.reservation.cancel(picked)
+            raise RefusalError("the retry budget is spent", Code.NO_SERVER_AVAILABLE)
+        self.is_retry_paid = False
         attempt = self.begin_attempt(picked)
         try:
             return self.read_second(attempt, inputs)
         except StageError as error:
+            self.is_retry_paid = error.code is Code.CONNECT_FAILED
             self.record_failed(attempt, error)
             self.log_failed(attempt, error, "first attempt kept")
             raise
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -116,13 +116,13 @@
         """Make a second attempt, and break the connection to the first server if it is answered."""
         run, task = self.run, gevent.getcurrent()
         run.context.relay.isolation.record_unanswered(run.heard_at)
-        obstacle = hedge_obstacle(run)
+        obstacle = hedge_obstacle(run, self.attempt)
         answer = None
         if not obstacle:
             try:
                 answer = run.send_second(self.attempt)
             except MountladderError as error:
-                obstacle = error.detail
+                obstacle = error.detail or error.code.name.lower()
         if self.task is not task:
             # The first server was heard of, or the request ended, while this task was about to run.
             if answer is not None:
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -9,9 +9,11 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
+from mountladder.configuration.softwareversion import running_version
 from mountladder.errors import MountladderError, RefusalError, RunError, StageError
 
 if TYPE_CHECKING:
+    from mountladder.forwarding.forwardattempt import ForwardAttempt
     from mountladder.forwarding.forwardrun import ForwardRun
 
 # Maximum number of attempts that reached a server. Each retry also spends from the retry budget.
@@ -50,21 +52,23 @@
     return None
 
 
-def hedge_obstacle(run: ForwardRun) -> str:
-    """Return why a request whose server is silent is not sent to a second one, or "" if it is.
+def hedge_obstacle(run: ForwardRun, first: ForwardAttempt) -> str:
+    """Return why a request whose server is silent may not be sent to a second one, or "" if it may.
 
-    If it is, this takes a retry out of the service's budget.
+    The retry is taken out of the service's budget once there is a second server.
     """
     if run.remaining_ms() < MIN_REMAINING_MS:
         return "there is not enough time left"
     # The silent server may have run it.
     if is_exhausted(run, run.possible_runs + 1):
         return "no further attempt is allowed"
-    obstacle = run.version_obstacle()
-    if obstacle:
-        return obstacle
-    allowed = run.context.budgets.spend(run.service, run.request.id)
-    return "" if allowed else "the retry budget is spent"
+    servers = running_version(run.context.picker.directory.available(run.service), run.version)
+    if all(one.name == first.server for one in servers):
+        # Its stages would be run again for nothing.
+        return "no other server is available"
+    if run.is_retry_paid or run.context.budgets.of_requests(run.service).allows():
+        return ""
+    return "the retry budget is spent"
 
 
 def is_exhausted(run: ForwardRun, possible_runs: int) -> bool:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -376,8 +376,3 @@
             if self.flow is not None and self.has_begun:
                 self.flow.release()
             raise
-
-    def version_obstacle(self) -> str:
-        """Return why no other server runs a suitable version; see ForwardRun."""
-        problem = self.stream_version.error()
-        return problem.detail if problem is not None else ""
--- a/packages/core/src/mountladder/limits/sharedretrybudget.py
+++ b/packages/core/src/mountladder/limits/sharedretrybudget.py
@@ -57,10 +57,14 @@
         """Take back what a request has earned that another instance counts."""
         self.saved = max(0.0, self.saved - self.limits().ratio)
 
+    def allows(self) -> bool:
+        """Return whether one retry may be taken out of the budget at present."""
+        self.saved = min(self.saved, self.limits().max_saved)
+        return self.saved + self.reserve_left() >= 1.0 - ROUNDING
+
     def spend(self) -> bool:
         """Take one retry out of the budget; return whether the budget allowed it."""
-        self.saved = min(self.saved, self.limits().max_saved)
-        if self.saved + self.reserve_left() < 1.0 - ROUNDING:
+        if not self.allows():
             return False
         from_saved = min(self.saved, 1.0)
         self.saved -= from_saved
