--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -57,6 +57,8 @@
             milliseconds: since it was last heard of, or the request was sent there.
         is_waiting: Whether the server is awaited, and not the caller.
         has_begun: Whether the server of the attempt in progress has begun to answer.
+        is_retry_paid: Whether a retry was taken out of the budget for a second server that was
+            not reached, so that the next one needs no other.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -91,7 +93,7 @@
         self.connect_failures = 0
         self.hedge: Hedge | None = None
         self.heard_at = request.arrived
-        self.is_waiting = self.has_begun = False
+        self.is_waiting = self.has_begun = self.is_retry_paid = False
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -362,6 +364,10 @@
         if picked.choice.state.server.name in hedge.asked:
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
+        if not (self.is_retry_paid or self.context.budgets.spend(self.service, self.request.id)):
+            self.reservation.cancel(picked)
+            raise RefusalError("the retry budget is spent", Code.NO_SERVER_AVAILABLE)
+        self.is_retry_paid = False
         attempt = self.begin_attempt(picked)
         hedge.record_sent(attempt.server)
         self.context.metrics.count(Metric.HEDGED)
@@ -370,6 +376,7 @@
             with self.hold_second(breaks) as holder:
                 return self.read_second(attempt, inputs, breaks, holder)
         except StageError as error:
+            self.is_retry_paid = error.code is Code.CONNECT_FAILED
             self.record_failed(attempt, error)
             self.log_failed(attempt, error, "second attempt failed")
             raise
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -51,9 +51,9 @@
 
 
 def hedge_obstacle(run: ForwardRun, asked: frozenset[str], in_progress: int) -> str:
-    """Return why a request is not sent to a further server while others are silent, or "" if it is.
+    """Return why a request may not be sent to a further server while others are silent, or "".
 
-    If it is, this takes a retry out of the service's budget.
+    The retry is taken out of the service's budget once a server is chosen.
 
     Args:
         run: The execution of the request.
@@ -66,8 +66,9 @@
         return "no further attempt is allowed"
     if not run.context.picker.has_server(run.service, run.version, run.excluded | asked):
         return "no other server is available"
-    allowed = run.context.budgets.spend(run.service, run.request.id)
-    return "" if allowed else "the retry budget is spent"
+    if run.is_retry_paid or run.context.budgets.of_requests(run.service).allows():
+        return ""
+    return "the retry budget is spent"
 
 
 def is_exhausted(run: ForwardRun, possible_runs: int) -> bool:
