--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -140,6 +140,42 @@
     Then narration r ends with status 200 and events 1 to 6
     And it was sent to llm-2
 
+  # Guards against an answer that is given up before it is known whether it can continue elsewhere:
+  # its caller gets a cut answer, although its server was only silent for a moment.
+  @forwarding
+  Scenario Outline: A stream that cannot continue elsewhere is left to its silent server
+    Given a fleet whose model servers keep copies
+    And the first server is llm-2 and it is silent from <from> ms to <until> ms
+    And <report>
+    And <obstacle>
+    When a narration r is sent to a-1
+    Then narration r ends with status 200 and events 1 to 6
+    And it was sent to llm-2
+    And its stream was logged as left to its server
+
+    Examples:
+      | from | until | report                                  | obstacle                               |
+      | 75   | 1600  | a peer reports its crash meanwhile      | the retry budget is spent              |
+      | 75   | 1600  | a peer reports its crash meanwhile      | the request is barred before the break |
+      | 75   | 1600  | a peer reports its crash meanwhile      | the setting changes before the break   |
+      | 75   | 1600  | its data centre is cut off meanwhile    | the retry budget is spent              |
+      | 75   | 3000  | no connection can be opened meanwhile   | the retry budget is spent              |
+      | 75   | 1600  | its port refuses connections meanwhile  | the retry budget is spent              |
+      | 20   | 1600  | a peer reports its crash meanwhile      | it has sent no event yet               |
+      | 20   | 3000  | no connection can be opened meanwhile   | it has sent no event yet               |
+
+  # Guards against a retry that is counted when the question is asked and again when the stream is
+  # continued.
+  @forwarding
+  Scenario: A stream that continues after a silence takes one retry out of the budget
+    Given a fleet whose model servers keep copies
+    And the first server is llm-2 and it is silent, and a peer sees its crash
+    When a narration r is sent to a-1
+    Then narration r ends with status 200 and events 1 to 6
+    And it was sent to llm-2, llm-1
+    And every earlier connection was closed before it continued
+    And it took 1 retries out of the budget
+
   @forwarding
   Scenario: A malformed answer is not continued, as its run may be another one
     Given a fleet whose model servers keep copies
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -56,6 +56,7 @@
     "staged": "/staged/1",
 }
 # The stand-in sends its first event 50 ms after a request, and the others 10 ms apart.
+FIRST_EVENT_MS = 50.0
 BREAK_MS = 55.0
 SILENT_MS = 75.0
 LOSS_SEEN_MS = 100.0
@@ -221,6 +222,44 @@
     context.plans.append((SILENT_MS + ms, lambda: silent.discard(name)))
 
 
+@given("the first server is {name} and it is silent from {start:d} ms to {end:d} ms")
+def first_is_silent_from(context, name, start, end):
+    first_server(context, name)
+    silent = context.fleet.upstream.silent
+    context.plans.append((float(start), lambda: silent.add(name)))
+    context.plans.append((float(end), lambda: silent.discard(name)))
+    context.silence = (name, float(start), float(end))
+
+
+@given("a peer reports its crash meanwhile")
+def crash_reported(context):
+    name, _, _ = context.silence
+    registry = context.fleet.instances["a-1"].quarantine.registry
+    context.plans.append((LOSS_SEEN_MS, lambda: registry.on_server_crashed(name)))
+
+
+@given("no connection can be opened meanwhile")
+def not_reached_meanwhile(context):
+    name, start, end = context.silence
+    unreachable = context.fleet.upstream.unreachable
+    context.plans.append((start, lambda: unreachable.add(name)))
+    context.plans.append((end, lambda: unreachable.discard(name)))
+
+
+@given("its port refuses connections meanwhile")
+def refused_meanwhile(context):
+    name, _, _ = context.silence
+    upstream = context.fleet.upstream
+    plain = upstream.refuses
+    upstream.refuses = lambda server: server.name == name or plain(server)
+
+
+@given("it has sent no event yet")
+def no_event_yet(context):
+    assert context.silence[1] < FIRST_EVENT_MS, context.silence
+
+
+@given("its data centre is cut off meanwhile")
 @given("the data centre of the first server is cut off meanwhile")
 def first_cut_off(context):
     directory = context.fleet.instances["a-1"].directory
@@ -448,6 +487,18 @@
     assert (line["server"], line["reason"]) == (name, reason), line
 
 
+@then("its stream was logged as left to its server")
+def left_logged(context):
+    lines = lines_of(context, "stream-left")
+    assert lines and all(one["server"] == "llm-2" and one["outcome"] for one in lines), lines
+
+
+@then("it took {number:d} retries out of the budget")
+def retries_taken(context, number):
+    lines = [one["outcome"] for one in lines_of(context, "retry-budget")]
+    assert lines == ["allowed"] * number, lines
+
+
 @then("its copy was kept at {name}")
 def kept_at(context, name):
     assert [call.backup for _, call in context.calls] == [name], context.calls
