Copies: a connection is broken only if its stream may continue

What callers saw: a stream with a copy whose server was silent for 1.5 s was cut off with code 3006 when a peer reported a crash of the server, its data centre was avoided, its port refused a connection, or no connection could be opened for 2.5 s, although the server went on later. Before its first event the caller got a 502.

Cause: ServerWatch broke the connection once the server of the copy was available. Only then did Continuation ask the rest: whether there had been an event, the settings, time, version, the quarantine and the retry budget. Each no came when the answer under way was gone.

Fix: the watch asks Continuation.admit first, which takes the retry out of the budget, and leaves the stream to its server if the answer is no (stream-left in the log, with the obstacle); it asks again after the next silence. The questions are asked once more when the connection is closed, since a caller that reads slowly may let time pass until then, but the retry is taken once. The continuation is still sent only after the first connection is closed.

--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -507,8 +507,8 @@
 @given("a stream with a copy, of a route whose longest pause is {gap:d} ms")
 def stream_of_route(context, gap):
     found = replace(route("r", "/", RouteKind.STREAM, "llm"), gap_ms=float(gap))
-    first, second = (listed_server(name, "llm", name, "a", 8, False) for name in ("one", "two"))
-    context.watch = ServerWatch(first, second, found, None, VirtualClock())
+    server = listed_server("one", "llm", "one", "a", 8, False)
+    context.watch = ServerWatch(server, lambda reason: True, found, None, VirtualClock())
 
 
 @then("its server is probed after a pause of {ms:d} ms")
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -46,6 +46,7 @@
         inputs: The handles of the stage results that the first server was sent. A continuation
             names them again, released or not, since model servers refuse requests without them.
         used: Whether the stream was continued, which is done once.
+        is_admitted: Whether the retry budget has allowed the continuation.
         headers: The headers of the first server's answer, or None if there was none.
         watch: Watches the first server if another one may have a copy, otherwise None.
         first_event_at: When the first event arrived, in the clock's milliseconds.
@@ -62,6 +63,7 @@
         self.copy: BackendServer | None = None
         self.inputs: tuple[str, ...] = ()
         self.used = False
+        self.is_admitted = False
         self.headers: Headers | None = None
         self.watch: ServerWatch | None = None
         self.first_event_at: float | None = None
@@ -82,7 +84,7 @@
         self.watch = None
         if self.copy is not None:
             route = self.run.route
-            self.watch = ServerWatch(self.server, self.copy, route, self.streams, self.clock)
+            self.watch = ServerWatch(self.server, self.admit, route, self.streams, self.clock)
             self.context.metrics.count(Metric.COPIES)
             self.context.metrics.count(Metric.COPIED_BYTES, number=round(self.decision.size))
         self.run.log(
@@ -173,18 +175,53 @@
             # The first server did not run the request, so that there is nothing to continue.
             self.copy = None
             raise problem from cut
-        obstacle = self.obstacle(cut)
+        obstacle = self.cut_obstacle(cut)
         if obstacle:
             self.fail(obstacle, cut, problem)
         self.used = True
         attempt = self.start_attempt(cut)
         return attempt, *self.send(attempt, problem)
 
-    def obstacle(self, cut: StageError) -> str:
+    def admit(self, reason: str) -> bool:
+        """Return whether a stream whose server seems to be lost may continue elsewhere.
+
+        If so, this counts the continuation against the service's retry budget.
+
+        Args:
+            reason: Why the server seems to be lost.
+        """
+        obstacle = self.obstacle() or self.spend()
+        if obstacle:
+            self.run.log(
+                "stream-left",
+                server=self.server.name,
+                backup=self.copy.name if self.copy else "",
+                reason=reason,
+                silent_ms=round(self.clock.now() - self.last_event_at),
+                remaining_ms=round(self.run.remaining_ms()),
+                outcome=obstacle,
+            )
+        return not obstacle
+
+    def cut_obstacle(self, cut: StageError) -> str:
         """Return why a broken stream cannot continue, or an empty string if it can.
 
-        This counts the continuation against the service's retry budget.
+        This counts the continuation against the service's retry budget, unless that was done when
+        the connection was broken from here.
         """
+        if cut.code is not Code.STREAM_CUT:
+            return "its answer was not cut off"
+        obstacle = self.obstacle()
+        if obstacle:
+            return obstacle
+        try:
+            self.run.tracked.admit(self.run.remaining_ms())
+        except RefusalError as error:
+            return f"the request is barred: {error.detail}"
+        return self.spend()
+
+    def obstacle(self) -> str:
+        """Return why a stream cannot continue, or an empty string if the retry budget decides."""
         run = self.run
         if self.copy is None:
             return "it has no copy"
@@ -194,8 +231,6 @@
             return "it has sent no event"
         if self.used:
             return "it was continued before"
-        if cut.code is not Code.STREAM_CUT:
-            return "its answer was not cut off"
         if not self.streams.enabled():
             return "the settings do not allow it"
         if run.remaining_ms() < MIN_REMAINING_MS:
@@ -205,11 +240,16 @@
         if not self.streams.is_available(self.copy):
             return "the server of the copy is not available"
         try:
-            run.tracked.admit(run.remaining_ms())
+            run.tracked.check(())
         except RefusalError as error:
             return f"the request is barred: {error.detail}"
-        allowed = self.context.budgets.spend(run.service, run.request.id)
-        return "" if allowed else "the retry budget is spent"
+        return ""
+
+    def spend(self) -> str:
+        """Take the continuation out of the retry budget once; return why not, or ""."""
+        if not self.is_admitted:
+            self.is_admitted = self.context.budgets.spend(self.run.service, self.run.request.id)
+        return "" if self.is_admitted else "the retry budget is spent"
 
     def start_attempt(self, cut: StageError) -> ForwardAttempt:
         """Return the attempt at the server that has the copy."""
--- a/packages/core/src/mountladder/continuation/serverwatch.py
+++ b/packages/core/src/mountladder/continuation/serverwatch.py
@@ -20,9 +20,12 @@
 class ServerWatch:
     """Breaks the connection to the server of a stream once the server is lost.
 
+    The connection is kept if the stream may not continue elsewhere, since the server may only be
+    silent for a moment.
+
     Args:
         server: The server that runs the stream.
-        backup: The server that has the copy.
+        admit: Returns whether the stream may continue elsewhere if the server is lost for a reason.
         route: The route of the stream.
         streams: The streams of this instance that can continue.
         clock: The clock.
@@ -38,13 +41,13 @@
     def __init__(
         self,
         server: BackendServer,
-        backup: BackendServer,
+        admit: Callable[[str], bool],
         route: Route,
         streams: Continuations,
         clock: Clock,
     ) -> None:
         self.server = server
-        self.backup = backup
+        self.admit = admit
         self.streams = streams
         self.clock = clock
         self.max_silence_ms = route.max_silence_ms
@@ -99,8 +102,8 @@
             self.check_later(lost_in_ms if is_soon else self.max_silence_ms)
 
     def interrupt(self, reason: str) -> None:
-        """Break the connection to the server, if the stream can continue elsewhere."""
-        if self.break_connection is None or not self.streams.is_available(self.backup):
+        """Break the connection to the server, if the stream may continue elsewhere."""
+        if self.break_connection is None or not self.admit(reason):
             return
         break_connection = self.break_connection
         self.stop()
