--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -104,3 +104,56 @@
       | kind      | from |
       | resumable | 75   |
       | resumable | 5    |
+
+  # Guards against a request that fails with a 502 as a call with its pieces is given up, although
+  # the call would have been answered a moment later.
+  @forwarding
+  Scenario Outline: A call with pieces is kept while the stage servers are silent
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for <ms> ms from <from> ms on
+    And <obstacle>
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole by the first server
+    And no call with pieces runs any more
+    When 3000 ms go by
+    Then no batcher holds a piece or a result
+
+    Examples:
+      | kind    | from | ms   | obstacle                                    |
+      | staged  | 50   | 1500 | no piece may be sent again                  |
+      | lasting | 50   | 1500 | no piece may be sent again                  |
+      | staged  | 50   | 1500 | nothing stands in the way                   |
+      | staged  | 50   | 3000 | no piece may be sent again                  |
+      | staged  | 50   | 3000 | nothing stands in the way                   |
+      | staged  | 50   | 1500 | no connection can be opened to them, either |
+
+  # Guards against callers that wait for a silent stage server although another one can answer.
+  @forwarding
+  Scenario: Another stage server runs the pieces while the first one stays silent
+    Given two instances and the servers of each kind of request
+    And the first stage server is silent for 3000 ms from 50 ms on
+    When instance a-1 gets a staged request r
+    Then request r is answered whole by the first server
+    And request r took at most 1000 ms
+    When 6000 ms go by
+    Then no batcher holds a piece or a result
+
+  # Guards against callers that are held for stage servers that are lost.
+  @forwarding
+  Scenario: Stage servers that cannot be reached after a long silence are given up
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for 9000 ms from 50 ms on
+    And no connection can be opened to them, either
+    And no piece may be sent again
+    When instance a-1 gets a staged request r
+    Then request r ends between 2500 and 3600 ms after it was sent, with code 3001
+    And no call with pieces runs any more
+
+  # Guards against calls for callers that are gone.
+  @forwarding
+  Scenario: A caller that leaves ends the calls with its pieces
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for 5000 ms from 50 ms on
+    When the caller of the staged request r to a-1 leaves after 1500 ms
+    And 500 ms go by
+    Then no call with pieces runs any more
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -196,3 +196,57 @@
     _, _, found, _, _ = context.ends["r"]
     took_ms = context.ended_at["r"] - context.arrived["r"]
     assert found == code and least <= took_ms <= most, (context.ends["r"], took_ms)
+
+
+@given("the stage servers are silent for {ms:d} ms from {start:d} ms on")
+def stages_are_silent(context, ms, start):
+    context.silence = (float(start), float(ms))
+    for name in SERVERS["enc"]:
+        be_silent(context, name, *context.silence)
+
+
+@given("the first stage server is silent for {ms:d} ms from {start:d} ms on")
+def first_stage_is_silent(context, ms, start):
+    upstream = context.fleet.upstream
+    plain = upstream.run_pieces
+
+    def run_pieces(server, pieces, limit_ms, on_notices):
+        if not upstream.piece_calls:
+            be_silent(context, server.name, float(start), float(ms))
+        return plain(server, pieces, limit_ms, on_notices)
+
+    upstream.run_pieces = run_pieces
+
+
+@given("no connection can be opened to them, either")
+def stages_not_reached(context):
+    start, ms = context.silence
+    unreachable = context.fleet.upstream.unreachable
+    context.clock.call_later(start, lambda: unreachable.update(SERVERS["enc"]))
+    context.clock.call_later(start + ms, lambda: unreachable.difference_update(SERVERS["enc"]))
+
+
+@given("no piece may be sent again")
+def no_piece_again(context):
+    for instance in context.fleet.instances.values():
+        settings = replace(instance.settings, retry_ratio=0.0, retry_reserve=0.0)
+        instance.apply_settings(settings)
+
+
+@given("nothing stands in the way")
+def nothing_in_the_way(context):
+    assert not context.plans
+
+
+@then("no call with pieces runs any more")
+def no_call_runs(context):
+    for instance in context.fleet.instances.values():
+        for batcher in instance.dispatch.batchers.values():
+            running = {name: calls for name, calls in batcher.servers.calls.items() if calls}
+            assert not running, running
+
+
+@then("request r took at most {ms:d} ms")
+def took_at_most(context, ms):
+    took_ms = context.ended_at["r"] - context.arrived["r"]
+    assert took_ms <= ms, took_ms
