Pieces: a call is kept while its server is silent

What callers saw: requests with stages got a 502 (3001) 1.05 s after a call with their pieces was sent, with seconds left, when the stage servers were silent for 1.5 s and no piece could be sent again (the budget was spent, or the pieces had been sent four times). Model routes with another call time 5 times the expected time of a call and 250 ms.

Cause: the call was ended by that timeout, and only then was it asked whether its pieces may be sent again. A piece also failed while a third call with it still ran.

Fix: the call has as long as its requests. At the moment of the former timeout the server is taken out of use as before, the isolation detector is told, and the pieces that no other call has are sent again beside the call where that is allowed; every 500 ms that is asked again (pieces-kept in the log). The call ends once no piece needs it, or its server was silent for 2.5 s and cannot be reached. A piece is settled as failed only if no other call has it, and as late at its deadline. The time of a kept call is not learnt as the server's speed. What a kept call costs: its slot, as an overdue call does (the server is probed with one further call of a quarter of the pieces until it answers).

Evidence: the scenarios of calls with pieces in features/silentservers.feature.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -110,6 +110,7 @@
   @forwarding
   Scenario Outline: A call with pieces is kept while the stage servers are silent
     Given two instances and the servers of each kind of request
+    And streams have a latency target of 2000 ms
     And the stage servers are silent for <ms> ms from <from> ms on
     And <obstacle>
     When instance a-1 gets a <kind> request r
@@ -142,6 +143,7 @@
   @forwarding
   Scenario: Stage servers that cannot be reached after a long silence are given up
     Given two instances and the servers of each kind of request
+    And streams have a latency target of 2000 ms
     And the stage servers are silent for 9000 ms from 50 ms on
     And no connection can be opened to them, either
     And no piece may be sent again
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -117,18 +117,26 @@
     context.plans.append(plan)
 
 
-@given("the request may reach one server only")
-def one_attempt(context):
+def change_routes(context, **fields):
     fleet = context.fleet
     plain = fleet.catalogues[max(fleet.catalogues)]
     routes = {
-        host: tuple(replace(one, max_attempts=1) for one in all_)
-        for host, all_ in plain.routes.items()
+        host: tuple(replace(one, **fields) for one in all_) for host, all_ in plain.routes.items()
     }
     fleet.configure(replace(plain, version=plain.version + 1, routes=routes))
     context.run(context.clock.sleep, SETTLE_MS)
 
 
+@given("the request may reach one server only")
+def one_attempt(context):
+    change_routes(context, max_attempts=1)
+
+
+@given("streams have a latency target of {ms:d} ms")
+def latency_target(context, ms):
+    change_routes(context, target_ms=float(ms))
+
+
 def send(context, kind, name):
     sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=ROUTE_TIMEOUT_MS)
     serve(context, name, sent)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import gevent
 from eliot import log_message
+from gevent import Greenlet
 
 from mountladder.code import Code
 from mountladder.errors import StageError
@@ -19,6 +21,7 @@
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.piecequeue import QueuedPiece
 from mountladder.forwarding.pieceresult import PieceResult
+from mountladder.forwarding.serverloss import is_lost
 from mountladder.forwarding.stagecallstate import StageCallState
 from mountladder.metrics.metric import Metric
 from mountladder.performance.worktype import WorkType
@@ -34,10 +37,13 @@
 # and continues with a call that its caller has abandoned.
 HEDGE_FACTOR = 1.6
 HEDGE_MARGIN_MS = 100.0
-# A call times out after this multiple of its expected time plus a margin; an unreachable or
-# hung server never answers.
-TIMEOUT_FACTOR = 5.0
-TIMEOUT_MARGIN_MS = 250.0
+# A server that has not answered a call after this multiple of its expected time plus a margin is
+# taken to be out of use. It may only be silent for a moment: the call is kept while its pieces have
+# no other result, and their requests have time.
+SILENCE_FACTOR = 5.0
+SILENCE_MARGIN_MS = 250.0
+# Interval between checks whether a kept call is still needed.
+RECHECK_MS = 500.0
 # Maximum number of times that a piece is sent; the retry budget of the service is usually spent
 # before.
 MAX_ATTEMPTS = 4
@@ -58,6 +64,9 @@
         now: The clock's time.
 
     Attributes:
+        task: Makes the call, or None before it.
+        cancel_check: Cancels the next check of a call that is late.
+        is_kept: Whether the call was kept although its server was silent for long.
         ended: Whether the call has ended.
     """
 
@@ -81,6 +90,9 @@
         )
         expected_ms = limits.expected_ms(len(batch)) * state.time_factor(now)
         self.call = StageCallState(now, expected_ms, len(batch))
+        self.task: Greenlet | None = None
+        self.cancel_check: Callable[[], None] = lambda: None
+        self.is_kept = False
         self.ended = False
 
     def run(self) -> None:
@@ -88,23 +100,94 @@
         pieces = [progress.job.piece(fragment) for progress, fragment in self.batch]
         for progress, fragment in self.batch:
             progress.attempts[fragment] += 1
-        timeout_ms = TIMEOUT_FACTOR * self.call.expected_ms + TIMEOUT_MARGIN_MS
+        self.task = gevent.getcurrent()
+        clock = self.batcher.clock
+        limit_ms = max(progress.job.deadline for progress, _ in self.batch) - clock.now()
+        silence_ms = SILENCE_FACTOR * self.call.expected_ms + SILENCE_MARGIN_MS
         hedge_after_ms = HEDGE_FACTOR * self.call.expected_ms + HEDGE_MARGIN_MS
-        cancel = self.batcher.clock.call_later(hedge_after_ms, self.hedge)
+        cancel_hedge = clock.call_later(hedge_after_ms, self.hedge)
+        self.check_later(silence_ms)
         try:
             results = self.batcher.upstream.run_pieces(
-                self.state.server, pieces, timeout_ms, self.batcher.notices.dispatch
+                self.state.server, pieces, limit_ms, self.batcher.notices.dispatch
             )
         except StageError as error:
             self.failed(error)
         else:
             self.succeeded(results)
         finally:
-            cancel()
+            cancel_hedge()
+            self.cancel_check()
             self.ended = True
-            self.batcher.servers.end(self.state, self.call, self.batcher.clock.now())
+            self.batcher.servers.end(self.state, self.call, clock.now())
             self.batcher.pump()
 
+    def check_later(self, delay_ms: float) -> None:
+        """Check after a delay in milliseconds whether the call is to be kept."""
+        check = lambda: gevent.spawn(self.check_silence)  # noqa: E731
+        self.cancel_check = self.batcher.clock.call_later(delay_ms, check)
+
+    def check_silence(self) -> None:
+        """Keep the call of a silent server while its pieces have no other result.
+
+        The pieces are also sent to another server where that is allowed.
+        """
+        if self.ended:
+            return
+        if not self.is_kept:
+            self.is_kept = True
+            self.record_silence()
+        unsettled = [one for one in self.batch if not one[0].is_settled(one[1])]
+        requeued = [one for one in unsettled if self.may_repeat(one)]
+        silent_ms = self.batcher.clock.now() - self.call.started
+        log_message(
+            "pieces-kept",
+            service=self.batcher.service,
+            server=self.state.server.name,
+            pieces=len(self.batch),
+            unsettled=len(unsettled),
+            requeued=len(requeued),
+            silent_ms=round(silent_ms),
+            requests=sorted({progress.job.request for progress, _ in unsettled}),
+        )
+        for waiting in requeued:
+            self.batcher.metrics.count(Metric.RETRIED, Code.STAGE_STALLED.name.lower())
+            self.batcher.hedged.add(waiting)
+            self.batcher.queue.requeue(waiting)
+        self.batcher.pump()
+        if not unsettled:
+            self.end("no answer in time")
+        elif is_lost(self.batcher.upstream, self.state.server, silent_ms):
+            self.end("the server is silent and cannot be reached")
+        elif not self.ended:
+            self.check_later(RECHECK_MS)
+
+    def end(self, reason: str) -> None:
+        """End a call that is not kept any longer."""
+        if not self.ended:
+            self.task.kill(StageError(reason, Code.STAGE_STALLED), block=False)
+
+    def may_repeat(self, waiting: QueuedPiece) -> bool:
+        """Return whether an unsettled piece is sent again; if so, take that out of the budget."""
+        progress, fragment = waiting
+        if waiting in self.batcher.hedged or progress.attempts[fragment] >= MAX_ATTEMPTS:
+            return False
+        has_time = progress.job.deadline > self.batcher.clock.now()
+        return has_time and self.batcher.budget.spend()
+
+    def record_silence(self) -> None:
+        """Update the state of a server that has not answered for long."""
+        self.batcher.upstream.record_unanswered(self.call.started)
+        self.trip()
+
+    def trip(self) -> None:
+        """Take the server out of use, unless it has answered another call since this one."""
+        if self.batcher.servers.has_answered_since(self.state, self.call):
+            # Only this answer was lost.
+            self.state.breaker.abandon()
+        else:
+            self.state.breaker.trip(self.batcher.clock.now())
+
     def hedge(self) -> None:
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
@@ -141,7 +224,9 @@
         elapsed_ms = now - self.call.started
         self.state.breaker.succeed()
         self.batcher.servers.answered(self.state, now)
-        self.learn_time(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
+        if not self.is_kept:
+            # The time of a silence says nothing about the server's speed.
+            self.learn_time(elapsed_ms / self.limits.expected_ms(len(self.batch)), now)
         self.batcher.rate.add(len(self.batch))
         self.batcher.metrics.count(Metric.STAGE_CALLS)
         self.batcher.metrics.count(Metric.STAGE_PIECES, number=len(self.batch))
@@ -227,11 +312,8 @@
         elif error.code is Code.SERVER_REPLACED:
             self.state.mark_leaving(now)
             self.state.breaker.abandon()
-        elif self.batcher.servers.has_answered_since(self.state, self.call):
-            # The server has answered another call since, so only this answer was lost.
-            self.state.breaker.abandon()
         else:
-            self.state.breaker.trip(now)
+            self.trip()
         log_message(
             "pieces-failed",
             service=self.batcher.service,
@@ -252,7 +334,9 @@
                 self.batcher.result_memory.record_lost(
                     server, size, now + self.limits.result_ttl_ms
                 )
-                self.repeat(progress, fragment, PieceResult("", PieceFailure.FAILED))
+                is_late = progress.job.deadline <= now
+                failure = PieceFailure.LATE if is_late else PieceFailure.FAILED
+                self.repeat(progress, fragment, PieceResult("", failure))
             else:
                 # No server has begun the piece, so this counts as no retry.
                 progress.attempts[fragment] -= 1
@@ -278,7 +362,10 @@
         self.batcher.detector.investigate(self.state.server, interruptions)
 
     def repeat(self, progress: JobProgress, fragment: int, result: PieceResult) -> None:
-        """Requeue a piece, or settle it as failed if no attempt or retry budget is left."""
+        """Requeue a piece, or settle it as failed if it can have no other result.
+
+        That is so if no attempt or retry budget is left, and no other call has it.
+        """
         if progress.is_settled(fragment):
             return
         # A copy that still runs may wait for its turn, and has not fetched its inputs then.
@@ -287,7 +374,11 @@
             # Its other copy is still queued or running; only a failure of that one is retried.
             self.batcher.hedged.discard((progress, fragment))
             return
-        if progress.attempts[fragment] < MAX_ATTEMPTS and self.batcher.budget.spend():
+        if self.may_repeat((progress, fragment)):
             self.batcher.queue.requeue((progress, fragment))
-        else:
+        elif not self.has_copy(progress, fragment):
             progress.settle(fragment, result)
+
+    def has_copy(self, progress: JobProgress, fragment: int) -> bool:
+        """Return whether another call has a piece, or it waits for one."""
+        return progress.copies[fragment] > 0 or (progress, fragment) in self.batcher.queue.waiting
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -23,9 +23,12 @@
     Attributes:
         connection_share: Returns how many idle connections to a server this instance may keep
             open, or None for no limit.
+        record_unanswered: Records that a server has not answered a call since a time, in the
+            clock's milliseconds. The call still runs.
     """
 
     connection_share: Callable[[BackendServer], int | None] = staticmethod(lambda server: None)
+    record_unanswered: Callable[[float], None] = staticmethod(lambda since: None)
 
     @abstractmethod
     def open(self, server: BackendServer, call: ForwardCall, limit_ms: float) -> UpstreamAnswer:
--- a/packages/core/src/mountladder/isolation/watchedupstream.py
+++ b/packages/core/src/mountladder/isolation/watchedupstream.py
@@ -97,6 +97,10 @@
         """Free the copy of a request's cache at a server; see Upstream."""
         self.inner.free_copy(server, request, on_notices)
 
+    def record_unanswered(self, since: float) -> None:
+        """Record that a server has not answered a call since a time; see Upstream."""
+        self.detector.record_unanswered(since)
+
     def close(self) -> None:
         """Close every connection; see Upstream."""
         self.inner.close()
