--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -10,9 +10,12 @@
 from behave import given, then, when
 from forward_steps import SETTLE_MS, events
 from forwardbasics import PATHS, PROMPT_KINDS, catalogue, request, save_retries, serve
+from gevent.event import Event
 from logrecorder import record_lines
 
 from mountladder.forwarding.serverrecord import SERVICE_LABEL
+from mountladder.memory.memoryaccount import MemoryAccount
+from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
 
@@ -41,8 +44,22 @@
     record_lines(context)
     context.plans = []
     context.sent_calls = []
+    context.made, context.released = [], {}
     upstream = context.fleet.upstream
-    plain_open = upstream.open
+    plain_open, plain_free, plain_pieces = upstream.open, upstream.free, upstream.run_pieces
+
+    def free(server, handles, on_notices):
+        """Record when results are released."""
+        context.released.update(dict.fromkeys(handles, context.clock.now()))
+        plain_free(server, handles, on_notices)
+
+    def run_pieces(*args):
+        """Record which results are made."""
+        results = plain_pieces(*args)
+        context.made += [one.handle for one in results]
+        return results
+
+    upstream.free, upstream.run_pieces = free, run_pieces
 
     def open_(server, call, limit_ms):
         """Record a call, and carry out the plans once the first one has arrived."""
@@ -103,13 +120,14 @@
     }
 
     def plan(first):
+        service = first.partition("-")[0]
         for name in others(context, first):
             if state in faults:
                 context.fleet.upstream.faults[name] = faults[state]
             elif state == "is draining":
-                context.fleet.add_server(name, "llm", "a", draining=True)
+                context.fleet.add_server(name, service, "a", draining=True)
             elif state == "runs another version":
-                context.fleet.add_server(name, "llm", "a", version="v2")
+                context.fleet.add_server(name, service, "a", version="v2")
             else:
                 assert state == "is silent for longer", state
                 be_silent(context, name, 0.0, sum(context.silence) + LONGER_MS)
@@ -129,7 +147,12 @@
 
 @given("the request may reach one server only")
 def one_attempt(context):
-    change_routes(context, max_attempts=1)
+    allow_attempts(context, 1)
+
+
+def allow_attempts(context, number):
+    """Set the number of servers that may run a request."""
+    change_routes(context, max_attempts=number)
 
 
 @given("streams have a latency target of {ms:d} ms")
@@ -137,8 +160,9 @@
     change_routes(context, target_ms=float(ms))
 
 
-def send(context, kind, name):
-    sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=ROUTE_TIMEOUT_MS)
+def send(context, kind, name, holder=None):
+    now = context.clock.now()
+    sent = request("r", PATHS[kind], now, allowed_ms=ROUTE_TIMEOUT_MS, holder=holder)
     serve(context, name, sent)
 
 
@@ -148,6 +172,37 @@
     context.run(send, context, kind, name)
 
 
+@when("instance {name} gets a {kind} request r whose bytes are counted")
+def get_counted_request(context, name, kind):
+    context.kind = kind
+    context.account = MemoryAccount(context.clock, MemoryMetrics())
+    context.holder = context.account.open("caller", lambda reason: None)
+    context.kinds_held = []
+    upstream = context.fleet.upstream
+    recorded_open = upstream.open
+
+    def open_(server, call, limit_ms):
+        """Record the kinds of holders while a call is made."""
+        context.kinds_held.append((call.request.holder.kind, len(context.account.holders)))
+        return recorded_open(server, call, limit_ms)
+
+    upstream.open = open_
+    context.run(send, context, kind, name, context.holder)
+
+
+@then("a second holder of server bytes existed while the second server was asked")
+def second_holder(context):
+    assert context.kinds_held == [("caller", 1), ("server", 2)], context.kinds_held
+
+
+@then("the bytes of the whole answer are counted for the caller alone")
+def counted_once(context):
+    assert is_whole(context), context.ends["r"]
+    body = context.ends["r"][1]
+    assert list(context.account.holders) == [context.holder], context.account.holders
+    assert context.holder.answer_bytes == len(body) > 0, context.holder.answer_bytes
+
+
 @when("the caller of the {kind} request r to {name} leaves after {ms:d} ms")
 def caller_of_request_leaves(context, kind, name, ms):
     def leave():
@@ -176,6 +231,18 @@
         assert context.ends["r"][1] == first.encode(), context.ends["r"]
 
 
+@then("it was logged and counted at {name} why the attempt was kept")
+def kept_logged(context, name):
+    if context.kind not in {"safe", "resumable", "lasting"}:
+        return
+    kept = [one for one in context.lines if one.get("message_type") == "attempt-kept"]
+    counts = context.fleet.instances[name].metrics.counts
+    assert counts["attempts_kept"] == len(kept), counts
+    assert all(one["reason"] and one["silent_ms"] > 0 for one in kept), kept
+    # A second server that stays silent longer is cancelled once the first one goes on.
+    assert kept or counts["hedged"], counts
+
+
 @then("request r is answered whole by two servers within {ms:d} ms")
 def answered_by_two(context, ms):
     assert is_whole(context), (context.ends["r"], context.sent_calls)
@@ -206,6 +273,102 @@
     assert found == code and least <= took_ms <= most, (context.ends["r"], took_ms)
 
 
+@given("it breaks the connection then")
+def breaks_connection(context):
+    faults = context.fleet.upstream.faults
+    context.plans.append(lambda first: faults.__setitem__(first, ServerFault.RESET))
+
+
+@given("it is silent again for {ms:d} ms, {pause:d} ms later")
+def silent_again(context, ms, pause):
+    start = sum(context.silence) + pause
+    context.plans.append(lambda first: be_silent(context, first, start, float(ms)))
+
+
+@given("a third server of each service")
+def third_servers(context):
+    for service in SERVERS:
+        context.fleet.add_server(f"{service}-3", service, "a")
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("each request may reach three servers")
+def three_attempts(context):
+    allow_attempts(context, 3)
+
+
+@given("the first two servers of the {kind} request are silent for {ms:d} ms from {start:d} ms on")
+def first_two_are_silent(context, kind, ms, start):
+    plain_open = context.fleet.upstream.open
+    silent = []
+
+    def open_(server, call, limit_ms):
+        """Record a call; the first two servers that are sent the request fall silent."""
+        if len(silent) < 2 and server.name not in silent:
+            silent.append(server.name)
+            be_silent(context, server.name, float(start), float(ms))
+        return plain_open(server, call, limit_ms)
+
+    context.fleet.upstream.open = open_
+
+
+@then("request r is answered whole within {ms:d} ms")
+def answered_within(context, ms):
+    assert is_whole(context), (context.ends["r"], context.sent_calls)
+    took_ms = context.ended_at["r"] - context.arrived["r"]
+    assert took_ms <= ms, took_ms
+
+
+@then("{number:d} retries were taken out of the budget")
+def retries_taken(context, number):
+    decided = [one for one in context.lines if one.get("message_type") == "retry-budget"]
+    assert sum(one["outcome"] == "allowed" for one in decided) == number, decided
+
+
+@then("the results of its stages were released {ms:d} ms before the stream ended")
+def released_before_end(context, ms):
+    latest = context.ended_at["r"] - ms
+    released = context.released
+    assert context.made, "no stage ran"
+    assert all(released.get(one, latest) < latest for one in context.made), (released, latest)
+
+
+@given("both servers of the request answer together after {ms:d} ms")
+def both_answer_together(context, ms):
+    plain_open = context.fleet.upstream.open
+    moment = Event()
+    context.plans.append(lambda first: context.clock.call_later(float(ms), moment.set))
+
+    def open_(server, call, limit_ms):
+        """Hold an answer back until the moment."""
+        answer = plain_open(server, call, limit_ms)
+        moment.wait()
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@given("the first server of the safe request sends its answer in parts for {ms:d} ms")
+def answers_in_parts(context, ms):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Send the first answer byte by byte."""
+        answer = plain_open(server, call, limit_ms)
+        if len(context.sent_calls) == 1:
+            (body,) = answer.parts
+            answer.parts = [bytes([one]) for one in body]
+            answer.pause_ms = ms / len(body)
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@then("one server was sent request r")
+def sent_to_one(context):
+    assert len(context.sent_calls) == 1, context.sent_calls
+
+
 @given("the stage servers are silent for {ms:d} ms from {start:d} ms on")
 def stages_are_silent(context, ms, start):
     context.silence = (float(start), float(ms))
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -27,6 +29,7 @@
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.stageflow import StageFlow
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 from mountladder.metrics.metric import Metric
 
 # How often the stages are rerun after a result was lost, for example in a crash or a broken stream.
@@ -53,6 +56,9 @@
         heard_at: Since when the server of the attempt in progress is awaited, in the clock's
             milliseconds: since it was last heard of, or the request was sent there.
         is_waiting: Whether the server is awaited, and not the caller.
+        has_begun: Whether the server of the attempt in progress has begun to answer.
+        is_retry_paid: Whether a retry was taken out of the budget for a second server that was
+            not reached, so that the next one needs no other.
         excluded: Names of the servers at which it failed.
         flow: The current execution of its stages, or None.
         site: The data centre that holds the results of its stages, or an empty string.
@@ -87,7 +93,7 @@
         self.connect_failures = 0
         self.hedge: Hedge | None = None
         self.heard_at = request.arrived
-        self.is_waiting = False
+        self.is_waiting = self.has_begun = self.is_retry_paid = False
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -209,6 +215,7 @@
             MountladderError: No server is available.
         """
         attempt = self.begin_attempt(self.acquire())
+        self.has_begun = False
         self.wait_for_server()
         self.hedge = Hedge(self, attempt)
         return attempt
@@ -249,11 +256,15 @@
         limit_ms: float,
         connected: Callable[[Callable[[], None]], None] = lambda break_connection: None,
         copy: str = "",
+        holder: Holder | None = None,
     ) -> UpstreamAnswer:
-        """Send the request to an attempt's server and return the answer once its head is there."""
+        """Send the request to an attempt's server and return the answer once its head is there.
+
+        The bytes that are held for the call are counted by a holder, or by that of the caller.
+        """
         backup = attempt.picked.backup
         call = ForwardCall(
-            request=self.request,
+            request=replace(self.request, holder=holder or self.request.holder),
             team=self.team,
             deadline=self.deadline,
             inputs=inputs,
@@ -280,6 +291,17 @@
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
+    def second_answer(self, attempt: ForwardAttempt) -> SecondAnswer | None:
+        """Return the answer of the second server after an attempt has failed, or None.
+
+        If the caller leaves while it is awaited, the failed attempt is recorded here.
+        """
+        try:
+            return self.hedge.outcome()
+        except BaseException:
+            self.record_failure(attempt, Code.CANCELLED)
+            raise
+
     def superseded(self, attempt: ForwardAttempt) -> None:
         """Record an attempt whose server was silent until a second one answered."""
         error = StageError("another server was heard of first", Code.STAGE_STALLED)
@@ -314,44 +336,87 @@
             outcome=outcome,
         )
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent before a second one is sent the request."""
-        raise NotImplementedError
+    def heard(self) -> None:
+        """Record that the server of the attempt in progress has sent something."""
+        self.wait_for_server()
+        self.hedge.heard()
 
-    def version_obstacle(self) -> str:
-        """Return why no other server runs a suitable version, or an empty string if one does."""
-        return ""
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent before a further one is sent the request.
 
-    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
-        """Send the request to a second server while the first one is silent; return its answer.
+        Args:
+            has_begun: Whether the server has begun to answer.
+        """
+        raise NotImplementedError
+
+    def send_second(self, hedge: Hedge) -> SecondAnswer:
+        """Send the request to a second server while others are silent; return its answer.
 
         Raises:
             MountladderError: No other server is available, or it did not answer.
         """
         inputs = self.run_stages()
-        excluded, self.excluded = self.excluded, self.excluded | {first.server}
+        excluded, self.excluded = self.excluded, self.excluded | hedge.asked
         try:
             picked = self.acquire()
         finally:
             self.excluded = excluded
-        if picked.choice.state.server.name == first.server:
+        if picked.choice.state.server.name in hedge.asked:
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
+        if not (self.is_retry_paid or self.context.budgets.spend(self.service, self.request.id)):
+            self.reservation.cancel(picked)
+            raise RefusalError("the retry budget is spent", Code.NO_SERVER_AVAILABLE)
+        self.is_retry_paid = False
         attempt = self.begin_attempt(picked)
+        hedge.record_sent(attempt.server)
+        self.context.metrics.count(Metric.HEDGED)
+        breaks: list[Callable[[], None]] = []
         try:
-            return self.read_second(attempt, inputs)
+            with self.hold_second(breaks) as holder:
+                return self.read_second(attempt, inputs, breaks, holder)
         except StageError as error:
+            self.is_retry_paid = error.code is Code.CONNECT_FAILED
             self.record_failed(attempt, error)
-            self.log_failed(attempt, error, "first attempt kept")
+            self.log_failed(attempt, error, "second attempt failed")
             raise
         except BaseException:
             self.record_cancelled(attempt)
             raise
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
-        """Return the answer of a second server; see send_second."""
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
+        """Return the answer of a second server; see send_second.
+
+        Args:
+            attempt: The attempt at that server.
+            inputs: The handles of the stage results that the request needs.
+            breaks: Is appended the function that breaks the connection to the server.
+            holder: Counts the bytes held for the attempt, or None.
+        """
         raise NotImplementedError
 
+    @contextmanager
+    def hold_second(self, breaks: list[Callable[[], None]]) -> Iterator[Holder | None]:
+        """Count the bytes held for a second attempt, which functions break to release them."""
+
+        def end(reason: str) -> None:
+            """Break the connection to the second server."""
+            for break_connection in breaks:
+                break_connection()
+
+        if self.request.holder is None:
+            yield None
+            return
+        with self.request.holder.account.hold("server", end) as holder:
+            holder.request = self.request.id
+            yield holder
+
     def discard(self, second: SecondAnswer) -> None:
         """Cancel a second attempt that has an answer, since the first server answers."""
         second.answer.close()
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -15,6 +15,7 @@
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 
 # The lowest HTTP status that reports an error of the server.
 SERVER_ERROR = 500
@@ -47,22 +48,22 @@
         while True:
             attempt = self.start_attempt()
             try:
-                answer, body = self.exchange(attempt, inputs, self.hedge.start)
+                answer, body = self.exchange(attempt, inputs, self.hedge.start, self.heard)
             except StageError as error:
-                second = self.hedge.outcome()
+                second = self.second_answer(attempt)
                 if second is None:
                     self.failed(attempt, error)
                     continue
                 self.superseded(attempt)
-                attempt, answer, body = second.attempt, second.answer, second.data
+                attempt, answer, body = self.adopt(second)
             except BaseException:
                 self.record_failure(attempt, Code.CANCELLED)
                 raise
             if answer.status >= SERVER_ERROR:
-                second = self.hedge.outcome()
+                second = self.second_answer(attempt)
                 if second is not None:
                     self.record_failed(attempt, status_error(answer))
-                    attempt, answer, body = second.attempt, second.answer, second.data
+                    attempt, answer, body = self.adopt(second)
                 elif self.retries_after(attempt, answer):
                     continue
             if answer.status < SERVER_ERROR:
@@ -76,17 +77,27 @@
         attempt: ForwardAttempt,
         inputs: tuple[str, ...],
         connected: Callable[[Callable[[], None]], None],
+        heard: Callable[[], None],
+        holder: Holder | None = None,
     ) -> tuple[UpstreamAnswer, bytes]:
         """Send the request to one server and return its answer with the whole body.
 
+        Args:
+            attempt: The attempt at the server.
+            inputs: The handles of the stage results that the request needs.
+            connected: Called when the connection is open; see ForwardCall.
+            heard: Called with each part of the answer.
+            holder: Counts the bytes held for the attempt, or None for that of the caller.
+
         Raises:
             StageError: There is no valid answer.
         """
         answer = None
         try:
             limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
-            answer = self.call(attempt, inputs, last_event_id, limit_ms, connected)
-            body = answer.read(self.remaining_ms())
+            answer = self.call(attempt, inputs, last_event_id, limit_ms, connected, holder=holder)
+            heard()
+            body = answer.read(self.remaining_ms(), heard)
         except BaseException:
             if answer is not None:
                 answer.close()
@@ -97,14 +108,25 @@
             raise StageError(detail, Code.BAD_ANSWER)
         return answer, body
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
         """Return the whole answer of a second server; see ForwardRun."""
-        breaks: list[Callable[[], None]] = []
-        answer, body = self.exchange(attempt, inputs, breaks.append)
+        answer, body = self.exchange(attempt, inputs, breaks.append, lambda: None, holder)
         if answer.status >= SERVER_ERROR:
             raise status_error(answer)
         return SecondAnswer(attempt, answer, body, breaks[0])
 
+    def adopt(self, second: SecondAnswer) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        """Return the attempt, the answer and the body of a second server, for the caller."""
+        if self.request.holder is not None:
+            self.request.holder.set_answer(len(second.data))
+        return second.attempt, second.answer, second.data
+
     def retries_after(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> bool:
         """Record an error status of a server; return whether the request is retried."""
         try:
@@ -113,8 +135,8 @@
             return False
         return True
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent; see ForwardRun."""
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent; see ForwardRun."""
         return max(MIN_SILENCE_MS, FIRST_ATTEMPT_FRACTION * self.route.target_ms)
 
 
