--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -135,6 +135,16 @@
     context.plans.append(plan)
 
 
+def change_routes(context, **fields):
+    fleet = context.fleet
+    plain = fleet.catalogues[max(fleet.catalogues)]
+    routes = {
+        host: tuple(replace(one, **fields) for one in all_) for host, all_ in plain.routes.items()
+    }
+    fleet.configure(replace(plain, version=plain.version + 1, routes=routes))
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
 @given("the request may reach one server only")
 def one_attempt(context):
     allow_attempts(context, 1)
@@ -142,14 +152,12 @@
 
 def allow_attempts(context, number):
     """Set the number of servers that may run a request."""
-    fleet = context.fleet
-    plain = fleet.catalogues[max(fleet.catalogues)]
-    routes = {
-        host: tuple(replace(one, max_attempts=number) for one in all_)
-        for host, all_ in plain.routes.items()
-    }
-    fleet.configure(replace(plain, version=plain.version + 1, routes=routes))
-    context.run(context.clock.sleep, SETTLE_MS)
+    change_routes(context, max_attempts=number)
+
+
+@given("streams have a latency target of {ms:d} ms")
+def latency_target(context, ms):
+    change_routes(context, target_ms=float(ms))
 
 
 def send(context, kind, name, holder=None):
