Choice after a silence: scenarios that fail, listed

What callers saw: after one second of silence of a few servers, requests were refused since "every allowed backend server is out of use", and streams by a forecast of 6 s.

Measured on virtual time, two instances, three servers a service, a silence of 1.2 s (the last second of it and 6 s after): at 60 requests a second that may be repeated, a server is avoided for the 6 s and more (breaker open for up to 30 s, since each call that was under way when it opened doubles its period; slowness 4 to 9 with a half-life of 5 s), also where all were silent at once. Where servers take no connections in turn, 38 of 816 requests are refused; where all take none at once, 72 of 72 meanwhile, and the servers are avoided for up to 2.0 s after. With stages, 7 of 112 requests are refused where all servers of a stage are silent, and 25 refused and 7 failed where none takes connections. The stand-in's servers can be silent while they run pieces, too.

Three about servers that stay silent pass and have to go on passing.

--- /dev/null
+++ b/features/silentchoice.feature
@@ -0,0 +1,52 @@
+Feature: Choice of servers that were silent for a moment
+  # A sound server may be silent for a second or so, with or without taking connections meanwhile,
+  # and go on where it was.
+
+  # Guards against a server that is avoided for seconds after a silence (up to 30 s were seen), and
+  # against a service that has no server to use since all were silent.
+  @forwarding
+  Scenario Outline: A server that goes on after a silence is used again at once
+    Given two instances and three servers of each service
+    When <which> server of <service> is silent amid <per_s> <kind> requests a second, taking <how>
+    Then each of them is used as before within <ms> ms after it goes on
+    And at most <n> requests are not answered
+
+    Examples: Servers that accept connections
+      | which | service | per_s | kind      | how         | ms   | n  |
+      | one   | desk    | 60    | safe      | connections | 1000 | 0  |
+      | every | desk    | 60    | safe      | connections | 1000 | 0  |
+      | each  | desk    | 60    | safe      | connections | 1000 | 0  |
+      | one   | desk    | 60    | unsafe    | connections | 1000 | 0  |
+      | every | desk    | 60    | unsafe    | connections | 1000 | 0  |
+      | one   | llm     | 60    | resumable | connections | 1000 | 0  |
+      | every | llm     | 60    | resumable | connections | 1000 | 0  |
+      | each  | llm     | 60    | resumable | connections | 1000 | 0  |
+      | one   | llm     | 60    | stream    | connections | 1000 | 0  |
+      | every | llm     | 60    | stream    | connections | 1000 | 0  |
+      | one   | enc     | 10    | staged    | connections | 1000 | 0  |
+      | every | enc     | 10    | staged    | connections | 1000 | 3  |
+      | each  | enc     | 10    | staged    | connections | 1000 | 0  |
+
+    Examples: Servers that cannot be reached while they are silent
+      | which | service | per_s | kind      | how     | ms   | n  |
+      | one   | desk    | 60    | safe      | nothing | 1000 | 0  |
+      | every | desk    | 60    | safe      | nothing | 1000 | 72 |
+      | each  | desk    | 60    | safe      | nothing | 1000 | 0  |
+      | one   | llm     | 60    | resumable | nothing | 1000 | 0  |
+      | every | llm     | 60    | resumable | nothing | 1000 | 73 |
+      | one   | enc     | 10    | staged    | nothing | 1000 | 0  |
+      | every | enc     | 10    | staged    | nothing | 1000 | 12 |
+
+  # A server that stays silent is probed only, less and less often.
+  @forwarding
+  Scenario Outline: A server that stays silent is hardly sent requests
+    Given two instances and three servers of each service
+    When one server of <service> stays silent amid <per_s> <kind> requests a second
+    Then it is sent at most <most> requests from 4000 ms of its silence on
+    And at most 0 requests are not answered
+
+    Examples:
+      | service | per_s | kind      | most |
+      | desk    | 60    | safe      | 6    |
+      | llm     | 60    | resumable | 6    |
+      | enc     | 10    | staged    | 8    |
--- /dev/null
+++ b/features/steps/silentchoice_steps.py
@@ -0,0 +1,118 @@
+# silentchoice_steps.py -- Steps about the choice of servers that were silent for a moment
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about the choice of servers that were silent for a moment."""
+
+from collections import Counter
+from dataclasses import replace
+
+from behave import given, then, when
+from forward_steps import SETTLE_MS
+from forwardbasics import catalogue, record_sends, save_retries, send_steadily
+from logrecorder import record_lines
+
+ROUTE_TIMEOUT_MS = 6_000.0
+SERVERS = {
+    service: tuple(f"{service}-{n}" for n in range(1, 4)) for service in ("desk", "llm", "enc")
+}
+STEADY_MS = 4_000.0
+SILENT_MS = 1_200.0
+AFTER_MS = 6_000.0
+LONG_MS = 20_000.0
+POLL_MS = 25.0
+# A server that is expected to take this much longer than usual is hardly chosen any more.
+MAX_TIME_FACTOR = 1.5
+
+
+@given("two instances and three servers of each service")
+def fleet_with_servers(context):
+    fleet = context.fleet
+    plain = catalogue(1)
+    routes = {
+        host: tuple(replace(one, timeout_ms=ROUTE_TIMEOUT_MS) for one in all_)
+        for host, all_ in plain.routes.items()
+    }
+    fleet.configure(replace(plain, routes=routes))
+    for name in ("a-1", "b-1"):
+        fleet.start(name)
+    for service, names in SERVERS.items():
+        for name in names:
+            fleet.add_server(name, service, "a")
+    context.run(context.clock.sleep, SETTLE_MS)
+    save_retries(context)
+    record_lines(context)
+    record_sends(context)
+    context.silences = {}
+    context.avoided_until = {}
+
+
+def be_silent(context, name, from_ms, accepts):
+    upstream, until_ms = context.fleet.upstream, from_ms + SILENT_MS
+    for one in [upstream.silent] if accepts else [upstream.silent, upstream.unreachable]:
+        context.clock.call_later(from_ms, lambda names=one: names.add(name))
+        context.clock.call_later(until_ms, lambda names=one: names.discard(name))
+    now = context.clock.now()
+    context.silences[name] = (now + from_ms, now + until_ms)
+
+
+def watch(context):
+    """Record until when an instance avoids each server that was silent."""
+    now = context.clock.now()
+    for name, (_, until) in context.silences.items():
+        for instance in context.fleet.instances.values():
+            state = instance.router.states.get(name)
+            if now < until or state is None:
+                continue
+            if not state.in_use(now) or state.time_factor(now) > MAX_TIME_FACTOR:
+                context.avoided_until[name] = now
+    context.clock.call_later(POLL_MS, lambda: watch(context))
+
+
+@when("{which} server of {service} is silent amid {per_s:d} {kind} requests a second, taking {how}")
+def silent_amid_load(context, which, service, per_s, kind, how):
+    def begin():
+        sent = Counter(one for _, one, *_ in context.sent)
+        names = sorted(SERVERS[service], key=lambda one: -sent[one])
+        for n, name in enumerate(names[:1] if which == "one" else names):
+            be_silent(context, name, n * SILENT_MS if which == "each" else 0.0, how != "nothing")
+        watch(context)
+
+    context.clock.call_later(STEADY_MS, begin)
+    silences = len(SERVERS[service]) if which == "each" else 1
+    total_ms = STEADY_MS + silences * SILENT_MS + AFTER_MS
+    context.began = context.clock.now()
+    send_steadily(context, per_s, kind, total_ms, fields=lambda n: {"allowed_ms": ROUTE_TIMEOUT_MS})
+
+
+@then("each of them is used as before within {ms:d} ms after it goes on")
+def used_as_before(context, ms):
+    avoided = {
+        name: context.avoided_until.get(name, until) - until
+        for name, (_, until) in context.silences.items()
+    }
+    assert max(avoided.values()) <= ms, avoided
+
+
+@then("at most {most:d} requests are not answered")
+def hardly_any_unanswered(context, most):
+    start = context.began + STEADY_MS
+    ends = context.ends.items()
+    failed = [(context.arrived[id_] - start, end[2]) for id_, end in ends if end[2]]
+    assert len(failed) <= most, failed
+
+
+@when("one server of {service} stays silent amid {per_s:d} {kind} requests a second")
+def stays_silent(context, service, per_s, kind):
+    context.lost = SERVERS[service][0]
+    context.clock.call_later(STEADY_MS, lambda: context.fleet.upstream.silent.add(context.lost))
+    context.began = context.clock.now()
+    fields = {"allowed_ms": ROUTE_TIMEOUT_MS}
+    send_steadily(context, per_s, kind, STEADY_MS + LONG_MS, fields=lambda n: fields)
+
+
+@then("it is sent at most {most:d} requests from {start:d} ms of its silence on")
+def hardly_sent(context, most, start):
+    since = context.began + STEADY_MS + start
+    sent = sum(one == context.lost and at >= since for at, one, *_ in context.sent)
+    assert sent <= most, sent
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -301,6 +301,7 @@
         self.check_room(server, on_notices)
         with self.fragile.request(server.name):
             self.work(server, ms, tuple(piece.key for piece in pieces))
+        self.wait_until_heard(server, Event(), sent_at + limit_ms)
         on_notices(server, self.notices(server), sent_at)
         if fault is ServerFault.NO_ROOM:
             return tuple(PieceResult("", PieceFailure.NO_ROOM) for _ in pieces)
