Breaker: a moment's silence does not keep a server out of use

What callers saw: requests waited for, or were refused, by the few servers that were left, while servers that had been silent for a second stayed out of use for up to 30 s after they went on.

Cause: each call that was under way when the breaker opened and failed afterwards doubled its period, so that eight concurrent calls that a second server answered instead made it 30 s. A call that was cut for the silence of its server counted as a failure like any other, and as time that the server takes.

Fix: a call that was sent before the breaker opened is no new evidence. The time of a call that another server answered says nothing about speed.

Servers count as avoided now if expected to take twice as long as at most before; the scenarios about servers that stay silent use the busiest one, where the model server was idle.

--- a/features/steps/silentchoice_steps.py
+++ b/features/steps/silentchoice_steps.py
@@ -4,6 +4,7 @@
 
 """Steps about the choice of servers that were silent for a moment."""
 
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -21,8 +22,8 @@
 AFTER_MS = 6_000.0
 LONG_MS = 20_000.0
 POLL_MS = 25.0
-# A server that is expected to take this much longer than usual is hardly chosen any more.
-MAX_TIME_FACTOR = 1.5
+# A server that is expected to take this much longer than before is hardly chosen.
+MAX_RATIO = 2.0
 
 
 @given("two instances and three servers of each service")
@@ -45,6 +46,7 @@
     record_sends(context)
     context.silences = {}
     context.avoided_until = {}
+    context.usual_factor = 1.0
 
 
 def be_silent(context, name, from_ms, accepts):
@@ -56,15 +58,22 @@
     context.silences[name] = (now + from_ms, now + until_ms)
 
 
+def by_use(context, service):
+    """Return the servers of a service, the one that was sent most first."""
+    sent = Counter(one for _, one, *_ in context.sent)
+    return sorted(SERVERS[service], key=lambda one: -sent[one])
+
+
 def watch(context):
-    """Record until when an instance avoids each server that was silent."""
-    now = context.clock.now()
-    for name, (_, until) in context.silences.items():
-        for instance in context.fleet.instances.values():
-            state = instance.router.states.get(name)
-            if now < until or state is None:
-                continue
-            if not state.in_use(now) or state.time_factor(now) > MAX_TIME_FACTOR:
+    """Record until when an instance avoids each server that was silent, and what is usual there."""
+    now, usual = context.clock.now(), context.usual_factor
+    for instance in context.fleet.instances.values():
+        for name, state in instance.router.states.items():
+            _, until = context.silences.get(name, (now, math.inf))
+            factor = state.time_factor(now)
+            if not context.silences:
+                context.usual_factor = max(factor, context.usual_factor)
+            elif now >= until and (not state.in_use(now) or factor > MAX_RATIO * usual):
                 context.avoided_until[name] = now
     context.clock.call_later(POLL_MS, lambda: watch(context))
 
@@ -72,13 +81,12 @@
 @when("{which} server of {service} is silent amid {per_s:d} {kind} requests a second, taking {how}")
 def silent_amid_load(context, which, service, per_s, kind, how):
     def begin():
-        sent = Counter(one for _, one, *_ in context.sent)
-        names = sorted(SERVERS[service], key=lambda one: -sent[one])
+        names = by_use(context, service)
         for n, name in enumerate(names[:1] if which == "one" else names):
             be_silent(context, name, n * SILENT_MS if which == "each" else 0.0, how != "nothing")
-        watch(context)
 
     context.clock.call_later(STEADY_MS, begin)
+    watch(context)
     silences = len(SERVERS[service]) if which == "each" else 1
     total_ms = STEADY_MS + silences * SILENT_MS + AFTER_MS
     context.began = context.clock.now()
@@ -104,8 +112,11 @@
 
 @when("one server of {service} stays silent amid {per_s:d} {kind} requests a second")
 def stays_silent(context, service, per_s, kind):
-    context.lost = SERVERS[service][0]
-    context.clock.call_later(STEADY_MS, lambda: context.fleet.upstream.silent.add(context.lost))
+    def begin():
+        context.lost = by_use(context, service)[0]
+        context.fleet.upstream.silent.add(context.lost)
+
+    context.clock.call_later(STEADY_MS, begin)
     context.began = context.clock.now()
     fields = {"allowed_ms": ROUTE_TIMEOUT_MS}
     send_steadily(context, per_s, kind, STEADY_MS + LONG_MS, fields=lambda n: fields)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -231,7 +231,8 @@
             # The server has answered another call since, so only this answer was lost.
             self.state.breaker.abandon()
         else:
-            self.state.breaker.trip(now)
+            is_silent = error.code is Code.STAGE_STALLED
+            self.state.breaker.trip(now, self.call.started, is_silent)
         log_message(
             "pieces-failed",
             service=self.batcher.service,
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -283,13 +283,18 @@
     def superseded(self, attempt: ForwardAttempt) -> None:
         """Record an attempt whose server was silent until a second one answered."""
         error = StageError("another server was heard of first", Code.STAGE_STALLED)
-        self.record_failed(attempt, error)
+        self.context.picker.fell_silent(attempt.picked, self.silent_ms())
+        self.record_tried(attempt, error)
         self.log_failed(attempt, error, "hedged")
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
     def record_failed(self, attempt: ForwardAttempt, error: StageError) -> None:
         """Update what is known of a server and of the request from a failed attempt."""
         self.record_failure(attempt, error.code)
+        self.record_tried(attempt, error)
+
+    def record_tried(self, attempt: ForwardAttempt, error: StageError) -> None:
+        """Update what is known of the request from a failed attempt."""
         self.tracked.failed(attempt.choice.state.server, attempt.started, error)
         self.excluded |= {attempt.server}
         self.possible_runs += error.dispatched
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -303,6 +303,11 @@
             rejected=code is Code.SERVER_FULL,
         )
 
+    def fell_silent(self, picked: PickedServer, silent_ms: float) -> None:
+        """Record a call that ended since its server had been silent for a time."""
+        self.router.record_silence(picked.choice, silent_ms)
+        self.placer.report(picked.placement_number, ended=True)
+
     def stage(self, service: str) -> Stage:
         """Return the key under which the router keeps the learned times of a service."""
         stage = self.stages.get(service)
