Choice: one late call makes no server slow

What callers saw: after a second of silence a server got no work for more than 6 s, and where all servers had been silent, the whole load went to the one or two that had been sent least.

Cause: each call that had waited for the silent server raised its slowness, up to 20 times the usual time, and that halves only each 5 s; its lasting speed and the expected time of the service learnt from the same calls. One second counted as often as calls had waited for it.

Fix: a late call (1.8 times as long as expected) says nothing about speed unless it was sent after another one had been late; calls that waited at the same time are one observation. A call counts as at most four times slower than those before. The spell of 600 ms after late work stays, and so does that of overdue pieces, which do not count as slowness a second time.

Two steps that recorded a slow server by a single call record a second one that was sent after it.

--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -267,7 +267,8 @@
     for _ in range(rounds):
         for name, state in context.router.states.items():
             ratio = context.factors[name] / state.pace.factor
-            state.record_time_ratio(ratio, context.clock.now())
+            now = context.clock.now()
+            state.record_time_ratio(ratio, now, now)
         all_work(context, 1)
         context.expected.append(context.router.states["x"].time_factor(context.clock.now()))
 
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -89,7 +89,10 @@
     for instance in context.fleet.instances.values():
         server = listed(instance, id_)
         placement(instance).record_start(server.name, SHARED, 0)
-        state(instance, id_).record_time_ratio(4.0, context.clock.now())
+        # A server is slow that is late again at a call that was sent after another one was late.
+        now = context.clock.now()
+        state(instance, id_).record_time_ratio(4.0, now, now - 1.0)
+        state(instance, id_).record_time_ratio(4.0, now, now + 1.0)
         instance.dispatch.batcher("enc").result_memory.reserve(server.name, RESULT_BYTES)
 
 
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -109,7 +109,6 @@
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
         ratio = (now - self.call.started) / self.limits.expected_ms(len(self.batch))
-        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
         if self.batcher.servers.router.speeds is not None:
             self.batcher.servers.router.speeds.record_overdue(
                 self.state.server, WorkType.CALL, ratio
@@ -173,9 +172,12 @@
 
     def learn_time(self, ratio: float, now: float) -> None:
         """Update the server's slowness and speed from the ratio of actual to usual time."""
-        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
-        if self.batcher.servers.router.speeds is not None:
-            self.batcher.servers.router.speeds.record(self.state.server, WorkType.CALL, ratio)
+        own_ratio = ratio / self.state.pace.factor
+        tells_speed = self.state.record_time_ratio(own_ratio, now, self.call.started)
+        speeds = self.batcher.servers.router.speeds
+        if speeds is not None:
+            learn = speeds.record if tells_speed else speeds.record_overdue
+            learn(self.state.server, WorkType.CALL, ratio)
 
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -256,17 +256,18 @@
         self.placement.record_read(placed.server, placed.prefill_tokens)
         state = self.router.states.get(placed.server)
         factor = state.pace.factor if state is not None else 1.0
-        if read_ms > 0:
-            # The speed is that of a usual server; the factor of this one comes on top.
-            self.placement.speed.learn(placed.queued_tokens, read_ms / factor)
-        if state is None:
-            return
-        if read_ms > 0:
+        tells_speed = read_ms > 0
+        if state is not None and read_ms > 0:
             state.breaker.succeed()
-            state.record_time_ratio(read_ms / placed.expected_ms / factor, self.clock.now())
-            self.learn_prefill(placed, read_ms)
-        else:
+            ratio = read_ms / placed.expected_ms / factor
+            tells_speed = state.record_time_ratio(ratio, self.clock.now(), placed.placed_at)
+            if tells_speed:
+                self.learn_prefill(placed, read_ms)
+        elif state is not None:
             state.breaker.abandon()
+        if tells_speed:
+            # The speed is that of a usual server; the factor of this one comes on top.
+            self.placement.speed.learn(placed.queued_tokens, read_ms / factor)
 
     def learn_prefill(self, placed: PlacedPrompt, read_ms: float) -> None:
         """Learn a server's speed from a prompt that was long enough to tell.
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -202,14 +202,17 @@
         state.breaker.succeed()
         if load is not None:
             state.record_load(load, now)
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * load_factor)
+        tells_speed = state.record_time_ratio(ratio, now, now - elapsed_ms)
         # The cost model holds the times of a server of usual speed.
         usual_ms = elapsed_ms / load_factor / state.pace.factor
         if is_plain and self.speeds is not None:
             expected_ms = self.cost_model.expected(stage, state.server.accelerator, length)
             ratio = elapsed_ms / max(1.0, expected_ms * load_factor)
-            self.speeds.record(state.server, WorkType.PLAIN, ratio)
-        self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
-        state.record_time_ratio(elapsed_ms / max(1.0, choice.unloaded_ms * load_factor), now)
+            learn = self.speeds.record if tells_speed else self.speeds.record_overdue
+            learn(state.server, WorkType.PLAIN, ratio)
+        if tells_speed:
+            self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
 
     def record_token_interval(self, choice: Choice, stage: Stage, interval_ms: float) -> None:
         """Update a server's load from the time between tokens of a running stream."""
@@ -253,7 +256,7 @@
             usual_ms = elapsed_ms / load_factor / state.pace.factor
             self.cost_model.record_timeout(stage, accelerator, length, usual_ms)
         if ratio > state.slowness_at(now):
-            state.record_time_ratio(ratio, now)
+            state.record_time_ratio(ratio, now, now - elapsed_ms)
         state.end(now)
         if code is Code.SERVER_REFUSED:
             state.mark_leaving(now)
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -18,6 +18,13 @@
 AVERAGE_HALF_LIFE_MS = 500.0
 SLOWNESS_HALF_LIFE_MS = 5_000.0
 MAX_SLOWNESS = 20.0
+# A call is late if it took longer than expected by more than this ratio. A sound server may be
+# silent for a second or so, and all calls that wait for it then are late once; one that is slow is
+# late again at the next call.
+LATE_RATIO = 1.8
+# One call counts as at most this many times slower than those before: slow servers are 4 to 5 times
+# slower, and what takes longer is likely a silence.
+MAX_RISE = 4.0
 MIN_NOTICED_LOAD_FACTOR = 1.15
 LEAVING_MS = 30_000.0
 MISSING_MODEL_MS = 3_000.0
@@ -40,6 +47,7 @@
         slowness: The smoothed ratio of observed to expected call times, at least 1, beyond what its
             lasting speed predicts.
         slowness_factor: The lasting factor that the slowness comes on top of.
+        late_at: When a call was last late, or None if one that was sent after that was on time.
         leaving_until: Until when it counts as leaving.
         missing_until: Until when it counts as lacking a model, by the model's name.
         backoff_since: When it last asked this instance to back off.
@@ -59,6 +67,7 @@
         self.slowness = 1.0
         self.slowness_updated_at = 0.0
         self.slowness_factor = 1.0
+        self.late_at: float | None = None
         self.leaving_until = 0.0
         self.missing_until: dict[str, float] = {}
         self.backoff_since = 0.0
@@ -155,13 +164,35 @@
         else:
             self.record_load(min(self.load(now), self.server.slots), now)
 
-    def record_time_ratio(self, ratio: float, now: float) -> None:
-        """Update the slowness from the ratio of a call's time to the time expected."""
+    def record_time_ratio(self, ratio: float, now: float, sent_at: float) -> bool:
+        """Update the slowness from the ratio of a call's time to the time expected.
+
+        Args:
+            ratio: The ratio.
+            now: The clock's time.
+            sent_at: When the call was sent.
+
+        Returns:
+            Whether the time says something about the server's speed. That of a late call says
+            nothing, unless the call was sent after another one had been late.
+        """
         known = self.slowness_at(now)
-        bounded = min(MAX_SLOWNESS, max(0.1, ratio))
+        bounded = min(MAX_SLOWNESS, MAX_RISE * known, max(0.1, ratio))
+        is_late = bounded > LATE_RATIO * known
+        if self.late_at is not None and sent_at <= self.late_at:
+            if bounded > known:
+                return False
+        elif is_late:
+            is_first = self.late_at is None
+            self.late_at = now
+            if is_first:
+                return False
+        else:
+            self.late_at = None
         self.slowness = max(1.0, known + SLOWNESS_WEIGHT * (bounded - known))
         self.slowness_updated_at = now
         self.slowness_factor = self.pace.factor
+        return True
 
     def mark_leaving(self, now: float) -> None:
         """Record that the server announced that it is leaving."""
