--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -11,6 +11,7 @@
     And <obstacle>
     When instance a-1 gets a <kind> request r
     Then request r is answered whole by the first server
+    And it was logged and counted at a-1 why the attempt was kept
 
     Examples: Streams, in a pause between events and before the first one
       | kind      | from | ms   | obstacle                                        |
@@ -104,3 +105,164 @@
       | kind      | from |
       | resumable | 75   |
       | resumable | 5    |
+
+  # Guards against answers of second servers that the memory account does not know.
+  @forwarding
+  Scenario: The bytes of a second attempt are counted, and released with the request
+    Given two instances and the servers of each kind of request
+    And the first server of the safe request is silent for 9000 ms from 5 ms on
+    When instance a-1 gets a safe request r whose bytes are counted
+    Then a second holder of server bytes existed while the second server was asked
+    And the bytes of the whole answer are counted for the caller alone
+
+  # Guards against counters and connections of a first attempt that failed, left over when the caller
+  # leaves while the second attempt is awaited.
+  @forwarding
+  Scenario Outline: A caller that leaves after the first server has failed ends both attempts
+    Given two instances and the servers of each kind of request
+    And the first server of the <kind> request is silent for <ms> ms from 5 ms on
+    And it breaks the connection then
+    And every other server is silent for longer
+    When the caller of the <kind> request r to a-1 leaves after 1200 ms
+    Then two servers were sent request r
+    And no server works on request r any more
+
+    Examples:
+      | kind      | ms  |
+      | resumable | 800 |
+      | safe      | 500 |
+
+  # Guards against a retry budget that is spent although no further server is sent the request.
+  @forwarding
+  Scenario Outline: Retries that are not made are not taken out of the budget
+    Given two instances and the servers of each kind of request
+    And the first server of the <kind> request is silent for 3500 ms from <from> ms on
+    And every other server <state>
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole by the first server
+    And 0 retries were taken out of the budget
+
+    Examples:
+      | kind      | from | state                |
+      | resumable | 75   | is draining          |
+      | resumable | 75   | runs another version |
+      | safe      | 5    | is draining          |
+
+  # Guards against a retry for each try to connect to servers that cannot be reached.
+  @forwarding
+  Scenario: One retry is taken out of the budget until a second server is reached
+    Given two instances and the servers of each kind of request
+    And the first server of the resumable request is silent for 3500 ms from 75 ms on
+    And every other server cannot be reached
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by the first server
+    And 1 retries were taken out of the budget
+
+  # Guards against callers that are held for a second server that is silent, too.
+  @forwarding
+  Scenario Outline: A third server answers while two are silent
+    Given two instances and the servers of each kind of request
+    And a third server of each service
+    And each request may reach three servers
+    And the first two servers of the <kind> request are silent for 9000 ms from <from> ms on
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole within 3500 ms
+
+    Examples:
+      | kind      | from |
+      | resumable | 75   |
+      | resumable | 5    |
+      | safe      | 5    |
+
+  # Guards against results of stages that are kept to the end of a stream.
+  @forwarding
+  Scenario: The results of stages are released once a second server goes on with a stream
+    Given two instances and the servers of each kind of request
+    And the first two servers of the lasting request are silent for 3000 ms from 55 ms on
+    When instance a-1 gets a lasting request r
+    Then request r is answered whole within 5500 ms
+    And the results of its stages were released 800 ms before the stream ended
+
+  # Guards against results of stages that are kept for a second server that has failed.
+  @forwarding
+  Scenario: The results of stages are released once the first server goes on with a stream
+    Given two instances and the servers of each kind of request
+    And the first server of the lasting request is silent for 1500 ms from 475 ms on
+    And it is silent again for 900 ms, 20 ms later
+    And every other server breaks connections
+    When instance a-1 gets a lasting request r
+    Then request r is answered whole by the first server
+    And the results of its stages were released 800 ms before the stream ended
+
+  # Guards against counters of a second attempt that is answered in the moment of the first one: they
+  # are never taken back, so that its server looks loaded from then on.
+  @forwarding
+  Scenario: Both servers answer in the same moment
+    Given two instances and the servers of each kind of request
+    And both servers of the request answer together after 700 ms
+    When instance a-1 gets a safe request r
+    Then request r is answered whole by the first server
+    And no server works on request r any more
+
+  # Guards against a second attempt at a request whose answer is arriving: both servers work on it,
+  # and the retry budget is spent.
+  @forwarding
+  Scenario: A whole answer that arrives in parts needs no second server
+    Given two instances and the servers of each kind of request
+    And the first server of the safe request sends its answer in parts for 900 ms
+    When instance a-1 gets a safe request r
+    Then request r is answered whole by the first server
+    And one server was sent request r
+
+  # Guards against a request that fails with a 502 as a call with its pieces is given up, although
+  # the call would have been answered a moment later.
+  @forwarding
+  Scenario Outline: A call with pieces is kept while the stage servers are silent
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for <ms> ms from <from> ms on
+    And <obstacle>
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole by the first server
+    And no call with pieces runs any more
+    When 3000 ms go by
+    Then no batcher holds a piece or a result
+
+    Examples:
+      | kind    | from | ms   | obstacle                                    |
+      | staged  | 50   | 1500 | no piece may be sent again                  |
+      | lasting | 50   | 1500 | no piece may be sent again                  |
+      | staged  | 50   | 1500 | nothing stands in the way                   |
+      | staged  | 50   | 3000 | no piece may be sent again                  |
+      | staged  | 50   | 3000 | nothing stands in the way                   |
+      | staged  | 50   | 1500 | no connection can be opened to them, either |
+
+  # Guards against callers that wait for a silent stage server although another one can answer.
+  @forwarding
+  Scenario: Another stage server runs the pieces while the first one stays silent
+    Given two instances and the servers of each kind of request
+    And the first stage server is silent for 3000 ms from 50 ms on
+    When instance a-1 gets a staged request r
+    Then request r is answered whole by the first server
+    And request r took at most 1000 ms
+    When 6000 ms go by
+    Then no batcher holds a piece or a result
+
+  # Guards against callers that are held for stage servers that are lost.
+  @forwarding
+  Scenario: Stage servers that cannot be reached after a long silence are given up
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for 9000 ms from 50 ms on
+    And no connection can be opened to them, either
+    And no piece may be sent again
+    When instance a-1 gets a staged request r
+    Then request r ends between 2500 and 3600 ms after it was sent, with code 3001
+    And no call with pieces runs any more
+
+  # Guards against calls for callers that are gone.
+  @forwarding
+  Scenario: A caller that leaves ends the calls with its pieces
+    Given two instances and the servers of each kind of request
+    And the stage servers are silent for 5000 ms from 50 ms on
+    When the caller of the staged request r to a-1 leaves after 1500 ms
+    And 500 ms go by
+    Then no call with pieces runs any more
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -25,6 +25,7 @@
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
+from mountladder.memory.holder import Holder
 from mountladder.metrics.metric import Metric
 from mountladder.performance.eventpace import EventPace
 from mountladder.streams.streamversion import StreamVersion
@@ -38,7 +39,6 @@
 
     Attributes:
         splitter: Splits the answer into events.
-        has_begun: Whether the server of the attempt in progress has sent an event.
         stream_version: The software version at which the stream continues.
         continuation: The copy of its cache, and its continuation from there.
     """
@@ -52,7 +52,6 @@
     ) -> None:
         super().__init__(request, route, caller, context)
         self.splitter = EventSplitter(request.last_event_id)
-        self.has_begun = False
         self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
 
@@ -116,7 +115,6 @@
         inputs = self.run_stages()
         while True:
             attempt = self.start_attempt()
-            self.has_begun = False
             self.continuation.begin(attempt, inputs)
             answer = None
             try:
@@ -129,10 +127,12 @@
                 self.heard()
                 self.stream_version.settle(version)
             except StageError as error:
-                second = self.hedge.outcome()
+                if answer is not None:
+                    answer.close()
+                second = self.second_answer(attempt)
                 if second is not None:
                     self.superseded(attempt)
-                    return self.adopt(second, answer)
+                    return self.adopt(second)
                 continued = self.continuation.recover(attempt, answer, error)
                 if continued is not None:
                     return continued
@@ -155,36 +155,36 @@
         self.continuation.connected(break_connection)
         self.hedge.start(break_connection)
 
-    def read_second(self, attempt: ForwardAttempt, inputs: tuple[str, ...]) -> SecondAnswer:
+    def read_second(
+        self,
+        attempt: ForwardAttempt,
+        inputs: tuple[str, ...],
+        breaks: list[Callable[[], None]],
+        holder: Holder | None,
+    ) -> SecondAnswer:
         """Return the first events of a second server; see ForwardRun."""
         splitter = EventSplitter(self.splitter.last_id)
-        breaks: list[Callable[[], None]] = []
         answer = None
         try:
-            answer = self.call(
-                attempt, inputs, splitter.last_id, self.remaining_ms(), breaks.append
-            )
+            limit_ms, last_id = self.remaining_ms(), splitter.last_id
+            answer = self.call(attempt, inputs, last_id, limit_ms, breaks.append, holder=holder)
             if answer.status >= SUCCESS_END:
                 raise StageError(f"status {answer.status}", Code.STAGE_FAILED)
             first, version = self.first_events(attempt, answer, splitter)
         except BaseException as error:
             if answer is not None:
                 answer.close()
-            if getattr(error, "code", None) is Code.RESULT_GONE:
+            if isinstance(error, StageError) and error.code is Code.RESULT_GONE:
                 self.record_missing_results()
             raise
         return SecondAnswer(attempt, answer, first + splitter.incomplete, breaks[0], version)
 
-    def adopt(
-        self, second: SecondAnswer, first_answer: UpstreamAnswer | None
-    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
-        """Go on with the answer of a second server, and close that of the first one.
+    def adopt(self, second: SecondAnswer) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        """Go on with the answer of a second server, once that of the first one is closed.
 
         Returns:
             The attempt, its answer and the events received so far.
         """
-        if first_answer is not None:
-            first_answer.close()
         self.splitter.incomplete = b""
         events = self.split(self.splitter, second.data)
         self.stream_version.settle(second.version)
@@ -192,6 +192,9 @@
         self.hedge = Hedge(self, second.attempt)
         self.hedge.start(second.break_connection)
         self.succeeded(second.attempt, second.answer.load, streaming=True)
+        if self.flow is not None:
+            # The server has fetched the results.
+            self.flow.release()
         return second.attempt, second.answer, events
 
     def schedule_release(self) -> None:
@@ -327,7 +330,7 @@
             return self.continuation.reopen(answer, cut, problem)
         self.context.metrics.count(Metric.RESUMED)
         if second is not None:
-            return self.adopt(second, answer)
+            return self.adopt(second)
         resumed = self.open(self.splitter)
         if resumed[1].status >= SUCCESS_END:
             resumed[1].close()
@@ -361,25 +364,23 @@
         self.continuation.end(self.splitter.events, error is None and status < SUCCESS_END)
 
     def heard(self) -> None:
-        """Record that the server has sent a part of its stream."""
+        """Record that the server has sent a part of its stream; see ForwardRun."""
         self.is_waiting, self.has_begun = False, True
+        if self.flow is not None and self.hedge.task is not None:
+            # They were kept, or made again, for a second server.
+            self.flow.release()
         self.hedge.heard()
 
-    def max_silence_ms(self) -> float:
-        """Return for how long its server may be silent; see ForwardRun."""
-        return self.route.max_silence_ms if self.has_begun else self.route.target_ms
+    def max_silence_ms(self, has_begun: bool) -> float:
+        """Return for how long a server may be silent; see ForwardRun."""
+        return self.route.max_silence_ms if has_begun else self.route.target_ms
 
-    def send_second(self, first: ForwardAttempt) -> SecondAnswer:
+    def send_second(self, hedge: Hedge) -> SecondAnswer:
         """Send the request to a second server; see ForwardRun."""
         try:
-            return super().send_second(first)
+            return super().send_second(hedge)
         except GreenletExit:
             # The first server goes on, and has the results of the stages.
             if self.flow is not None and self.has_begun:
                 self.flow.release()
             raise
-
-    def version_obstacle(self) -> str:
-        """Return why no other server runs a suitable version; see ForwardRun."""
-        problem = self.stream_version.error()
-        return problem.detail if problem is not None else ""
