Pieces: a server that is silent with an overdue call is offered pieces last

Without the slowness that an overdue call counted as, the second stage of a request went to the silent server again (features/silentservers.feature, 'Another stage server runs the pieces'). Its overdue call says so without lasting any longer than the silence: the next answer of the server ends it.

--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -149,8 +149,8 @@
     def free(self, limits: BatchLimits, now: float) -> list[ServerState]:
         """Return the servers that can take a call now, the fastest first.
 
-        Rate-limited servers come behind the others and so get the remaining pieces; cold ones come
-        last.
+        Rate-limited servers come behind the others and so get the remaining pieces, cold ones come
+        behind these, and servers that are silent while a call is overdue come last.
         """
         usable = self.usable(now)
         free = [one for one in usable if self.is_free(one, limits, now)]
@@ -159,6 +159,7 @@
         return sorted(
             free,
             key=lambda one: (
+                bool(self.uncertain_calls(one)),
                 one.server.name in cold,
                 one.server.name in limited,
                 one.time_factor(now),
