--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -178,21 +178,25 @@
     def record_silence(self) -> None:
         """Update the state of a server that has not answered for long."""
         self.batcher.upstream.record_unanswered(self.call.started)
-        self.trip()
+        self.trip(is_silent=True)
 
-    def trip(self) -> None:
-        """Take the server out of use, unless it has answered another call since this one."""
+    def trip(self, is_silent: bool) -> None:
+        """Take the server out of use, unless it has answered another call since this one.
+
+        Args:
+            is_silent: Whether it has only not answered in time.
+        """
         if self.batcher.servers.has_answered_since(self.state, self.call):
             # Only this answer was lost.
             self.state.breaker.abandon()
         else:
-            self.state.breaker.trip(self.batcher.clock.now())
+            now = self.batcher.clock.now()
+            self.state.breaker.trip(now, self.call.started, is_silent)
 
     def hedge(self) -> None:
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
         ratio = (now - self.call.started) / self.limits.expected_ms(len(self.batch))
-        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
         if self.batcher.servers.router.speeds is not None:
             self.batcher.servers.router.speeds.record_overdue(
                 self.state.server, WorkType.CALL, ratio
@@ -258,9 +262,12 @@
 
     def learn_time(self, ratio: float, now: float) -> None:
         """Update the server's slowness and speed from the ratio of actual to usual time."""
-        self.state.record_time_ratio(ratio / self.state.pace.factor, now)
-        if self.batcher.servers.router.speeds is not None:
-            self.batcher.servers.router.speeds.record(self.state.server, WorkType.CALL, ratio)
+        own_ratio = ratio / self.state.pace.factor
+        tells_speed = self.state.record_time_ratio(own_ratio, now, self.call.started)
+        speeds = self.batcher.servers.router.speeds
+        if speeds is not None:
+            learn = speeds.record if tells_speed else speeds.record_overdue
+            learn(self.state.server, WorkType.CALL, ratio)
 
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
@@ -313,7 +320,7 @@
             self.state.mark_leaving(now)
             self.state.breaker.abandon()
         else:
-            self.trip()
+            self.trip(is_silent=error.code is Code.STAGE_STALLED)
         log_message(
             "pieces-failed",
             service=self.batcher.service,
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -11,6 +11,8 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
+from eliot import log_message
+
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
@@ -200,14 +202,17 @@
         state.breaker.succeed()
         if load is not None:
             state.record_load(load, now)
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * load_factor)
+        tells_speed = state.record_time_ratio(ratio, now, now - elapsed_ms)
         # The cost model holds the times of a server of usual speed.
         usual_ms = elapsed_ms / load_factor / state.pace.factor
         if is_plain and self.speeds is not None:
             expected_ms = self.cost_model.expected(stage, state.server.accelerator, length)
             ratio = elapsed_ms / max(1.0, expected_ms * load_factor)
-            self.speeds.record(state.server, WorkType.PLAIN, ratio)
-        self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
-        state.record_time_ratio(elapsed_ms / max(1.0, choice.unloaded_ms * load_factor), now)
+            learn = self.speeds.record if tells_speed else self.speeds.record_overdue
+            learn(state.server, WorkType.PLAIN, ratio)
+        if tells_speed:
+            self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
 
     def record_token_interval(self, choice: Choice, stage: Stage, interval_ms: float) -> None:
         """Update a server's load from the time between tokens of a running stream."""
@@ -222,6 +227,17 @@
         choice.state.end(self.clock.now())
         choice.state.breaker.abandon()
 
+    def record_silence(self, choice: Choice, silent_ms: float) -> None:
+        """Update a server's load and health from a call that ended since the server was silent.
+
+        The time of such a call says nothing about the server's speed.
+        """
+        state, now = choice.state, self.clock.now()
+        state.end(now)
+        if state.breaker.fail(now, now - silent_ms, is_silent=True):
+            self.metrics.count(Metric.EJECTED)
+            log_message("server-silent", server=state.server.name, silent_ms=round(silent_ms))
+
     def mean_load_factor(self, choice: Choice, now: float) -> float:
         """Return the estimated mean load factor during a call that is about to end."""
         at_end = max(1.0, choice.state.load(now) / choice.state.server.slots)
@@ -240,7 +256,7 @@
             usual_ms = elapsed_ms / load_factor / state.pace.factor
             self.cost_model.record_timeout(stage, accelerator, length, usual_ms)
         if ratio > state.slowness_at(now):
-            state.record_time_ratio(ratio, now)
+            state.record_time_ratio(ratio, now, now - elapsed_ms)
         state.end(now)
         if code is Code.SERVER_REFUSED:
             state.mark_leaving(now)
@@ -252,7 +268,7 @@
         elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
             state.breaker.abandon()
         elif code is Code.CONNECT_FAILED:
-            state.breaker.trip(now)
-            self.metrics.count(Metric.EJECTED)
-        elif state.breaker.fail(now):
+            if state.breaker.trip(now, now - elapsed_ms):
+                self.metrics.count(Metric.EJECTED)
+        elif state.breaker.fail(now, now - elapsed_ms):
             self.metrics.count(Metric.EJECTED)
