Soak: an instance that is being started is not replaced

While Popen ran, which switches greenlets, the instance did not count as being replaced any more, so that the second fault started a process, too; the first one was forgotten.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -166,6 +166,12 @@
     And a request for a known route arrives as soon as its socket listens
     Then it is answered with 200
 
+  # Guards against a process that no stop of the soak finds: two faults each started one.
+  Scenario: An instance that is replaced while its next process starts is started once
+    Given a store that is down, and an instance as a process
+    When it is killed, and asked to shut down while its next process starts
+    Then it has had 2 processes
+
   Scenario: A soak that is terminated leaves no process behind
     Given a soak that has started its instances
     When the soak is terminated
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,7 +24,7 @@
 from soak.checks import check
 from soak.exchange import Exchange
 from soak.fault import Fault
-from soak.instanceprocess import MEMORY_MB
+from soak.instanceprocess import MEMORY_MB, RESTART_DELAY_S, START_LOCK
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
@@ -487,6 +487,22 @@
     assert context.exchange.retry_after_s > 0
 
 
+@when("it is killed, and asked to shut down while its next process starts")
+def replaced_twice(context):
+    with START_LOCK:
+        tasks = [gevent.spawn(context.instance.kill)]
+        # The start waits for the lock by then.
+        gevent.sleep(3 * RESTART_DELAY_S)
+        tasks.append(gevent.spawn(context.instance.restart))
+        gevent.sleep(3 * RESTART_DELAY_S)
+    gevent.joinall(tasks)
+
+
+@then("it has had {number:d} processes")
+def processes_started(context, number):
+    assert context.instance.process_number == number, context.instance.process_number
+
+
 @given("a soak that has started its instances")
 def soak_started(context):
     command = [sys.executable, "-m", "soak.run", "--seed", "1", "--instances", "3"]
