Choice: servers that fall silent together do not leave a service without any

What callers saw: "every allowed backend server is out of use" (503, 2008) or a forecast of 6 s (2001) while all that was wrong with the servers was a second's silence.

Cause: a breaker that is open for silence excluded its server like one that is lost, and a stage service without a usable server is expected to take five seconds.

Fix: if no other server is usable, those are used whose breaker opened for silence alone, for the 2.5 s in which a sound server may be silent. Servers that cannot be reached, refuse, fail or have been silent for longer stay out, and their requests are refused at once with the time to retry after.

--- a/features/silentchoice.feature
+++ b/features/silentchoice.feature
@@ -50,3 +50,25 @@
       | desk    | 60    | safe      | 6    |
       | llm     | 60    | resumable | 6    |
       | enc     | 10    | staged    | 8    |
+
+  # Guards against a service without a server to use since all were silent at the same time, and
+  # against callers that are held for servers that are lost.
+  @forwarding
+  Scenario Outline: Servers that fall silent together are used, and lost ones are not
+    Given two instances and three servers of each service
+    And every instance found all servers <state>
+    When instance a-1 gets a <kind> request after their silence
+    Then that request is <outcome>
+
+    Examples:
+      | kind      | state                | outcome         |
+      | safe      | silent for 1000 ms   | answered        |
+      | unsafe    | silent for 1000 ms   | answered        |
+      | resumable | silent for 1000 ms   | answered        |
+      | staged    | silent for 1000 ms   | answered        |
+      | safe      | silent for 4000 ms   | refused at once |
+      | resumable | silent for 4000 ms   | refused at once |
+      | staged    | silent for 4000 ms   | refused at once |
+      | safe      | out of reach         | refused at once |
+      | resumable | out of reach         | refused at once |
+      | staged    | out of reach         | refused at once |
--- a/features/steps/silentchoice_steps.py
+++ b/features/steps/silentchoice_steps.py
@@ -10,9 +10,19 @@
 
 from behave import given, then, when
 from forward_steps import SETTLE_MS
-from forwardbasics import catalogue, record_sends, save_retries, send_steadily
+from forwardbasics import (
+    PATHS,
+    catalogue,
+    record_sends,
+    request,
+    save_retries,
+    send_steadily,
+    serve,
+)
 from logrecorder import record_lines
 
+from mountladder.resultclass import ResultClass
+
 ROUTE_TIMEOUT_MS = 6_000.0
 SERVERS = {
     service: tuple(f"{service}-{n}" for n in range(1, 4)) for service in ("desk", "llm", "enc")
@@ -22,6 +32,8 @@
 AFTER_MS = 6_000.0
 LONG_MS = 20_000.0
 POLL_MS = 25.0
+# Another instance, which coordinates a service, is asked meanwhile.
+AT_ONCE_MS = 5.0
 # A server that is expected to take this much longer than before is hardly chosen.
 MAX_RATIO = 2.0
 
@@ -127,3 +139,31 @@
     since = context.began + STEADY_MS + start
     sent = sum(one == context.lost and at >= since for at, one, *_ in context.sent)
     assert sent <= most, sent
+
+
+@given("every instance found all servers {state}")
+def all_servers_found(context, state):
+    now = context.clock.now()
+    silent_ms = float(state.split()[2]) if state.startswith("silent") else 0.0
+    for instance in context.fleet.instances.values():
+        for name in (one for names in SERVERS.values() for one in names):
+            server = instance.router.state(instance.directory.find(name))
+            server.breaker.trip(now, now - silent_ms, is_silent=silent_ms > 0)
+
+
+@when("instance {name} gets a {kind} request after their silence")
+def get_request_after_silence(context, name, kind):
+    sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=ROUTE_TIMEOUT_MS)
+    context.run(serve, context, name, sent)
+
+
+@then("that request is answered")
+def is_answered(context):
+    assert context.ends["r"][0] == 200 and not context.ends["r"][2], context.ends["r"]
+
+
+@then("that request is refused at once")
+def is_refused(context):
+    *_, class_, error = context.ends["r"]
+    assert class_ == ResultClass.NOT_RUN.value and error.retry_after_ms > 0, context.ends["r"]
+    assert context.ended_at["r"] - context.arrived["r"] <= AT_ONCE_MS, context.ended_at
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -264,7 +264,11 @@
     def unusable(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself does not use at present."""
         now = self.router.clock.now()
-        return frozenset(one.name for one in servers if not self.router.state(one).usable(now))
+        states = [self.router.state(one) for one in servers]
+        unusable = [one for one in states if not one.usable(now)]
+        if len(unusable) == len(states):
+            unusable = [one for one in states if not one.usable(now, suspects=True)]
+        return frozenset(one.server.name for one in unusable)
 
     def succeeded(
         self,
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -143,8 +143,9 @@
 
     def usable(self, now: float) -> list[ServerState]:
         """Return the servers that may be sent calls, busy ones included."""
-        states = (self.router.state(one) for one in self.division.servers(self.service))
-        return [one for one in states if one.usable(now)]
+        states = [self.router.state(one) for one in self.division.servers(self.service)]
+        usable = [one for one in states if one.usable(now)]
+        return usable or [one for one in states if one.usable(now, suspects=True)]
 
     def free(self, limits: BatchLimits, now: float) -> list[ServerState]:
         """Return the servers that can take a call now, the fastest first.
--- a/packages/core/src/mountladder/routing/promptplacement.py
+++ b/packages/core/src/mountladder/routing/promptplacement.py
@@ -89,7 +89,9 @@
         now = self.clock.now()
         states = [self.router.state(one) for one in servers if one.name not in constraints.excluded]
         # An instance that a server has asked to back off excludes that server in its request.
-        usable = [one for one in states if one.in_use(now)]
+        usable = [one for one in states if one.in_use(now)] or [
+            one for one in states if one.in_use(now, suspects=True)
+        ]
         waits_ms = delays.waits_ms
         soonest = _soonest_available(usable, waits_ms, constraints.max_wait_ms)
         if not soonest:
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -94,9 +94,12 @@
         if not allowed:
             raise StageError("no backend server meets the selectors", Code.NO_SERVER_ALLOWED, False)
         holder = self.prefixes.get(prefix) if prefix is not None else None
-        candidates = self.candidates(allowed, excluded, stage, length, holder)
-        candidates = candidates or self.candidates(allowed, frozenset(), stage, length, holder)
-        if not candidates:
+        # Servers that fall silent together do not leave a service without any.
+        for suspects, names in itertools.product((False, True), (excluded, frozenset())):
+            candidates = self.candidates(allowed, names, stage, length, holder, suspects)
+            if candidates:
+                break
+        else:
             raise StageError("", Code.NO_SERVER_AVAILABLE, False)
         chosen = choose(self.policy, candidates, budget_ms, next(self.choice_numbers), self.rng)
         if prefix is not None:
@@ -111,24 +114,29 @@
         stage: Stage,
         length: int,
         holder: str | None,
+        suspects: bool = False,
     ) -> list[Candidate]:
         """Return the servers to compare, remote ones only where all local ones are overloaded."""
         now = self.clock.now()
         local, remote = self.locality.split(allowed)
-        sampled = self.sample(local, excluded, holder, stage.model) if local else []
+        sampled = self.sample(local, excluded, holder, stage.model, suspects) if local else []
         found = [self.candidate(state, stage, length, holder, now) for state in sampled]
         if remote and all(one.load_factor > SPILL_LOAD_FACTOR for one in found):
-            sampled = self.sample(remote, excluded, holder, stage.model)
+            sampled = self.sample(remote, excluded, holder, stage.model, suspects)
             found += [self.candidate(state, stage, length, holder, now) for state in sampled]
         return found
 
     def usable(
-        self, allowed: Sequence[BackendServer], excluded: frozenset[str], model: str
+        self,
+        allowed: Sequence[BackendServer],
+        excluded: frozenset[str],
+        model: str,
+        suspects: bool = False,
     ) -> list[ServerState]:
         """Return the states of the allowed servers to which new work may be sent."""
         now = self.clock.now()
         states = (self.state(server) for server in allowed if server.name not in excluded)
-        return [state for state in states if state.usable(now, model)]
+        return [state for state in states if state.usable(now, model, suspects)]
 
     def sample(
         self,
@@ -136,6 +144,7 @@
         excluded: frozenset[str],
         holder: str | None,
         model: str,
+        suspects: bool,
     ) -> list[ServerState]:
         """Sample as many usable servers as the policy compares.
 
@@ -144,17 +153,18 @@
         """
         size = sample_size(self.policy, len(allowed))
         if len(allowed) <= OVERSAMPLING * size:
-            return self.usable(allowed, excluded, model)[: max(size, MAX_UNSAMPLED)]
-        sampled = self.usable(self.rng.sample(allowed, OVERSAMPLING * size), excluded, model)[:size]
+            return self.usable(allowed, excluded, model, suspects)[: max(size, MAX_UNSAMPLED)]
+        drawn = self.rng.sample(allowed, OVERSAMPLING * size)
+        sampled = self.usable(drawn, excluded, model, suspects)[:size]
         if not sampled:
-            sampled = self.usable(allowed, excluded, model)[:size]
+            sampled = self.usable(allowed, excluded, model, suspects)[:size]
         holder_state = self.states.get(holder) if holder is not None else None
         if (
             holder_state is not None
             and holder_state not in sampled
             and holder_state.server in allowed
         ):
-            sampled += self.usable([holder_state.server], excluded, model)
+            sampled += self.usable([holder_state.server], excluded, model, suspects)
         return sampled
 
     def candidate(
--- a/packages/core/src/mountladder/routing/serverstate.py
+++ b/packages/core/src/mountladder/routing/serverstate.py
@@ -113,15 +113,21 @@
         """Return the expected time of work there as a multiple of the usual one."""
         return self.pace.factor * self.excess_at(now)
 
-    def usable(self, now: float, model: str = "") -> bool:
-        """Return whether this instance may send the server new work for a model."""
-        return now >= self.backoff_until and self.in_use(now, model)
+    def usable(self, now: float, model: str = "", suspects: bool = False) -> bool:
+        """Return whether this instance may send the server new work for a model; see in_use."""
+        return now >= self.backoff_until and self.in_use(now, model, suspects)
 
-    def in_use(self, now: float, model: str = "") -> bool:
-        """Return whether the server accepts new work for a model, regardless of back-offs."""
+    def in_use(self, now: float, model: str = "", suspects: bool = False) -> bool:
+        """Return whether the server accepts new work for a model, regardless of back-offs.
+
+        Args:
+            now: The clock's time.
+            model: The model.
+            suspects: Whether a server is used that may just be silent for a moment.
+        """
         if now < self.leaving_until or now < self.missing_until.get(model, 0.0):
             return False
-        return self.breaker.allows(now)
+        return self.breaker.allows(now) or (suspects and self.breaker.is_suspect(now))
 
     def record_missing_model(self, model: str, now: float) -> None:
         """Record that the server answered that it does not have a model loaded."""
