Requests: a whole answer that is arriving is not asked for again

What servers saw: a request whose answer was arriving in parts was sent to a second server after six tenths of its latency target, so that two servers worked on it, both sent it over the same links, and a retry was taken out of the budget.

Cause: nothing but the whole answer counted as heard of.

Fix: the head and each part of the body count, so that the silence is measured from the last one.

--- a/packages/core/src/mountladder/forwarding/upstreamanswer.py
+++ b/packages/core/src/mountladder/forwarding/upstreamanswer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from mountladder.forwarding.forwardrequest import Headers
 
@@ -27,9 +28,13 @@
     load: int | None
 
     @abstractmethod
-    def read(self, limit_ms: float) -> bytes:
+    def read(self, limit_ms: float, on_part: Callable[[], None] = lambda: None) -> bytes:
         """Return the complete body and keep the connection for another call.
 
+        Args:
+            limit_ms: The timeout in milliseconds.
+            on_part: Called with each part that has arrived.
+
         Raises:
             StageError: The connection broke, or reading took longer than the limit.
         """
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -47,7 +47,9 @@
         while True:
             attempt = self.start_attempt()
             try:
-                answer, body = self.exchange(attempt, inputs, self.hedge.start)
+                answer, body = self.exchange(
+                    attempt, inputs, self.hedge.start, self.wait_for_server
+                )
             except StageError as error:
                 second = self.second_answer(attempt)
                 if second is None:
@@ -76,9 +78,16 @@
         attempt: ForwardAttempt,
         inputs: tuple[str, ...],
         connected: Callable[[Callable[[], None]], None],
+        on_part: Callable[[], None] = lambda: None,
     ) -> tuple[UpstreamAnswer, bytes]:
         """Send the request to one server and return its answer with the whole body.
 
+        Args:
+            attempt: The attempt at the server.
+            inputs: The handles of the stage results that the request needs.
+            connected: Called once the connection is open, with a function that breaks it.
+            on_part: Called with the head of the answer and each part of its body.
+
         Raises:
             StageError: There is no valid answer.
         """
@@ -86,7 +95,8 @@
         try:
             limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
             answer = self.call(attempt, inputs, last_event_id, limit_ms, connected)
-            body = answer.read(self.remaining_ms())
+            on_part()
+            body = answer.read(self.remaining_ms(), on_part)
         except BaseException:
             if answer is not None:
                 answer.close()
--- a/packages/standins/src/mountladder_standins/localanswer.py
+++ b/packages/standins/src/mountladder_standins/localanswer.py
@@ -60,11 +60,12 @@
         self.shut_down = Event()
         self.closed = False
 
-    def read(self, limit_ms: float) -> bytes:
+    def read(self, limit_ms: float, on_part: Callable[[], None] = lambda: None) -> bytes:
         """Return the whole body; see UpstreamAnswer."""
         parts = []
         while part := self.read_some(limit_ms):
             parts.append(part)
+            on_part()
         return b"".join(parts)
 
     def read_some(self, limit_ms: float) -> bytes:
--- a/packages/standins/src/mountladder_standins/relayedlocalanswer.py
+++ b/packages/standins/src/mountladder_standins/relayedlocalanswer.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from mountladder.code import Code
 from mountladder.errors import RunError, StageError
 from mountladder.forwarding.forwardanswer import ForwardAnswer
@@ -28,11 +30,12 @@
         self.body = answer.body
         self.parts = iter([answer.body] if isinstance(answer.body, bytes) else answer.body)
 
-    def read(self, limit_ms: float) -> bytes:
+    def read(self, limit_ms: float, on_part: Callable[[], None] = lambda: None) -> bytes:
         """Return the whole body; see UpstreamAnswer."""
         parts = []
         while part := self.read_some(limit_ms):
             parts.append(part)
+            on_part()
         return b"".join(parts)
 
     def read_some(self, limit_ms: float) -> bytes:
