Silent servers: scenarios for decisions that no scenario noticed

Evidence: the new code was broken on purpose, one decision at a time. Slow callers counted as silence, events put together from the bytes of two servers, cancelled attempts not counted, a request sent twice to one server, an error passed on before the second answer, a failed second attempt that is not recorded and repeats beyond the budget failed no scenario of silent servers, and fail at least one now.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -11,6 +11,7 @@
     And <obstacle>
     When instance a-1 gets a <kind> request r
     Then request r is answered whole by the first server
+    And no server works on request r any more
 
     Examples: Streams, in a pause between events and before the first one
       | kind      | from | ms   | obstacle                                        |
@@ -141,6 +142,7 @@
   @forwarding
   Scenario: One retry is taken out of the budget until a second server is reached
     Given two instances and the servers of each kind of request
+    And a third server of each service
     And the first server of the resumable request is silent for 3500 ms from 75 ms on
     And every other server cannot be reached
     When instance a-1 gets a resumable request r
@@ -202,3 +204,77 @@
     When instance a-1 gets a safe request r
     Then request r is answered whole by the first server
     And one server was sent request r
+
+  # Guards against repeats beyond the retry budget: a refused request has arrived at its server, too.
+  @forwarding
+  Scenario Outline: Each arrival at a further server is taken out of the budget
+    Given two instances and the servers of each kind of request
+    And a third server of each service
+    And the first server of the <kind> request is silent for 3500 ms from <from> ms on
+    And every other server is full
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole by the first server
+    And a retry was taken out of the budget for each further call
+
+    Examples:
+      | kind      | from |
+      | resumable | 75   |
+      | safe      | 5    |
+
+  # Guards against a request that runs on more servers than its route allows: one that was sent it
+  # and then cancelled counts.
+  @forwarding
+  Scenario: A server that is silent twice has the request sent to one other server
+    Given two instances and the servers of each kind of request
+    And a third server of each service
+    And the first server of the resumable request is silent for 1010 ms from 75 ms on
+    And it is silent again for 1500 ms, 15 ms later
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by the first server
+    And two servers were sent request r
+
+  # Guards against a caller that reads slowly being taken for a silent server.
+  @forwarding
+  Scenario: A caller that reads slowly needs no second server
+    Given two instances and the servers of each kind of request
+    When a caller of a-1 reads the resumable request r with pauses of 1200 ms
+    Then request r is answered whole by the first server
+    And one server was sent request r
+
+  # Guards against an event that is put together from the bytes of two servers, or lost between them.
+  @forwarding
+  Scenario Outline: An event that is incomplete is sent whole by the second server
+    Given two instances and the servers of each kind of request
+    And the servers send their events in halves
+    And the first server of the resumable request is silent for 9000 ms from <from> ms on
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by two servers within 1500 ms
+
+    Examples:
+      | from |
+      | 55   |
+      | 68   |
+      | 78   |
+
+  # Guards against an error that is passed on although the second server is about to answer.
+  @forwarding
+  Scenario: An error of the first server is answered by the second one
+    Given two instances and the servers of each kind of request
+    And the first server of the safe request is silent for 500 ms from 5 ms on
+    And it answers with an error then
+    And every other server is silent for longer
+    When instance a-1 gets a safe request r
+    Then request r is answered whole within 2000 ms
+    And two servers were sent request r
+
+  # Guards against a stream whose events come from servers of two versions.
+  @forwarding
+  Scenario: A stream goes on at the version of the second server that began it
+    Given two instances and the servers of each kind of request
+    And servers of another version than the first one's
+    And each request may reach three servers
+    And the first server of the resumable request is silent for 9000 ms from 5 ms on
+    And the second server breaks the connection after its second event
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole within 2000 ms
+    And the second and third server run the same version
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -74,7 +74,8 @@
     """Return the other servers of a server's service."""
     directory = context.fleet.instances["a-1"].directory
     service = directory.find(first).labels[SERVICE_LABEL]
-    return [one for one in SERVERS[service] if one != first]
+    names = [one.name for one in directory.available(service)]
+    return [one for one in names if one != first]
 
 
 def be_silent(context, name, from_ms, ms):
@@ -182,6 +183,7 @@
 def answered_by_first(context):
     assert is_whole(context), (context.ends["r"], context.sent_calls)
     first = context.sent_calls[0]
+    assert context.sent_calls.count(first) == 1, context.sent_calls
     if context.kind in PROMPT_KINDS:
         ended = [one for one in context.lines if one.get("message_type") == "stream-cut"]
         assert not ended, ended
@@ -313,3 +315,86 @@
 @then("one server was sent request r")
 def sent_to_one(context):
     assert len(context.sent_calls) == 1, context.sent_calls
+
+
+@then("a retry was taken out of the budget for each further call")
+def retry_for_each(context):
+    further = len(context.sent_calls) - 1
+    assert further, context.sent_calls
+    retries_taken(context, further)
+
+
+@when("a caller of {name} reads the {kind} request r with pauses of {ms:d} ms")
+def reads_slowly(context, name, kind, ms):
+    context.kind = kind
+
+    def read():
+        sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=2 * ROUTE_TIMEOUT_MS)
+        answer = context.fleet.send(name, sent)
+        body = b""
+        for part in answer.body:
+            body += part
+            context.clock.sleep(float(ms))
+        context.ends["r"] = (answer.status, body, 0, "", None)
+
+    context.run(read)
+
+
+@given("the servers send their events in halves")
+def events_in_halves(context):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Send the bytes from the middle of one event to that of the next."""
+        answer = plain_open(server, call, limit_ms)
+        whole, half = b"".join(answer.parts), len(answer.parts[0]) // 2
+        size = 2 * half
+        starts = range(half, len(whole), size)
+        answer.parts = [whole[:half], *(whole[start : start + size] for start in starts)]
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@given("it answers with an error then")
+def answers_with_error(context):
+    faults = context.fleet.upstream.faults
+    context.plans.append(lambda first: faults.__setitem__(first, ServerFault.ERROR))
+
+
+@given("servers of another version than the first one's")
+def two_versions(context):
+    versions = {"llm-1": "v1", "llm-2": "v2", "llm-3": "v1", "llm-4": "v2"}
+    for name, version in versions.items():
+        context.fleet.add_server(name, "llm", "a", version=version)
+    context.versions = versions
+
+    def plan(first):
+        """Have no other server of the first one's version left."""
+        for name, version in versions.items():
+            if version == versions[first] and name != first:
+                context.fleet.add_server(name, "llm", "a", draining=True, version=version)
+
+    context.plans.append(plan)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("the second server breaks the connection after its second event")
+def second_breaks(context):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Cut the second answer off."""
+        answer = plain_open(server, call, limit_ms)
+        if len(context.sent_calls) == 2:
+            answer.parts, answer.cut = answer.parts[:2], True
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@then("the second and third server run the same version")
+def same_version(context):
+    assert len(context.sent_calls) == 3, context.sent_calls
+    first, second, third = (context.versions[one] for one in context.sent_calls)
+    assert first != second == third, context.sent_calls
