Silent servers: a second server that falls silent, and versions after it, noticed by scenarios

Evidence: a stream that goes on at a second server without being watched there, and one that does not keep to the version of that server, failed no scenario; each fails one now.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -164,6 +164,7 @@
       | resumable | 75   |
       | resumable | 5    |
       | safe      | 5    |
+      | resumable | 55   |
 
   # Guards against results of stages that are kept to the end of a stream.
   @forwarding
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -384,10 +384,12 @@
     plain_open = context.fleet.upstream.open
 
     def open_(server, call, limit_ms):
-        """Cut the second answer off."""
+        """Cut the second answer off, with servers of both versions there."""
         answer = plain_open(server, call, limit_ms)
         if len(context.sent_calls) == 2:
             answer.parts, answer.cut = answer.parts[:2], True
+            for name, version in context.versions.items():
+                context.fleet.add_server(name, "llm", "a", version=version)
         return answer
 
     context.fleet.upstream.open = open_
