--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -96,6 +96,9 @@
         try:
             limit_ms, last_event_id = self.remaining_ms(), self.request.last_event_id
             answer = self.call(attempt, inputs, last_event_id, limit_ms, connected, holder=holder)
+            if answer.status >= SERVER_ERROR:
+                # A second server may still answer.
+                heard = _ignore
             heard()
             body = answer.read(self.remaining_ms(), heard)
         except BaseException:
@@ -116,7 +119,7 @@
         holder: Holder | None,
     ) -> SecondAnswer:
         """Return the whole answer of a second server; see ForwardRun."""
-        answer, body = self.exchange(attempt, inputs, breaks.append, lambda: None, holder)
+        answer, body = self.exchange(attempt, inputs, breaks.append, _ignore, holder)
         if answer.status >= SERVER_ERROR:
             raise status_error(answer)
         return SecondAnswer(attempt, answer, body, breaks[0])
@@ -143,3 +146,7 @@
 def status_error(answer: UpstreamAnswer) -> StageError:
     """Return the error for an answer with an error status."""
     return StageError(f"status {answer.status}", Code.STAGE_FAILED)
+
+
+def _ignore() -> None:
+    """Ignore that a part of an answer has arrived."""
