Second attempts: one that is cancelled while its server is looked into counts

What servers saw: a request ran on more servers than its route allows. A second server broke its connection, and the first one was heard of within 25 ms, while it was found out whether the second one had crashed; when the first one fell silent again, the request was sent to a further server.

Cause: the run was counted after that wait, in which the task is cancelled.

Fix: what is known of the attempt is recorded before the wait.

Evidence: the new scenario failed before and passes.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -234,6 +234,20 @@
     Then request r is answered whole by the first server
     And two servers were sent request r
 
+  # Guards against a run that is not counted, so that the request runs on more servers than its route
+  # allows: the first server was heard of while the second one's broken connection was looked into.
+  @forwarding
+  Scenario: A second server that breaks its connection counts although the first one goes on
+    Given two instances and the servers of each kind of request
+    And a third server of each service
+    And the first server of the resumable request is silent for 1045 ms from 75 ms on
+    And it is silent again for 1500 ms, 15 ms later
+    And every other server breaks connections
+    And it takes 150 ms to find out whether a server refuses connections
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole by the first server
+    And two servers were sent request r
+
   # Guards against a caller that reads slowly being taken for a silent server.
   @forwarding
   Scenario: A caller that reads slowly needs no second server
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -400,3 +400,15 @@
     assert len(context.sent_calls) == 3, context.sent_calls
     first, second, third = (context.versions[one] for one in context.sent_calls)
     assert first != second == third, context.sent_calls
+
+
+@given("it takes {ms:d} ms to find out whether a server refuses connections")
+def slow_probes(context, ms):
+    upstream = context.fleet.upstream
+    plain_refuses = upstream.refuses
+
+    def refuses(server):
+        context.clock.sleep(float(ms))
+        return plain_refuses(server)
+
+    upstream.refuses = refuses
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -304,10 +304,11 @@
     def record_failed(self, attempt: ForwardAttempt, error: StageError) -> None:
         """Update what is known of a server and of the request from a failed attempt."""
         self.record_failure(attempt, error.code)
-        self.tracked.failed(attempt.choice.state.server, attempt.started, error)
         self.excluded |= {attempt.server}
         self.possible_runs += error.dispatched
         self.connect_failures += error.code is Code.CONNECT_FAILED
+        # This may wait, and a second attempt may be cancelled meanwhile.
+        self.tracked.failed(attempt.choice.state.server, attempt.started, error)
 
     def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
         """Update what is known of a server from an attempt that ended with a code."""
