--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -317,10 +317,11 @@
 
     def record_tried(self, attempt: ForwardAttempt, error: StageError) -> None:
         """Update what is known of the request from a failed attempt."""
-        self.tracked.failed(attempt.choice.state.server, attempt.started, error)
         self.excluded |= {attempt.server}
         self.possible_runs += error.dispatched
         self.connect_failures += error.code is Code.CONNECT_FAILED
+        # Last, since it looks into the server, meanwhile the attempt may be cancelled.
+        self.tracked.failed(attempt.choice.state.server, attempt.started, error)
 
     def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
         """Update what is known of a server from an attempt that ended with a code."""
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -192,9 +192,6 @@
         self.hedge = Hedge(self, second.attempt)
         self.hedge.start(second.break_connection)
         self.succeeded(second.attempt, second.answer.load, streaming=True)
-        if self.flow is not None:
-            # The server has fetched the results.
-            self.flow.release()
         return second.attempt, second.answer, events
 
     def schedule_release(self) -> None:
