Requests: one whose stages have run waits for the retry budget

What callers saw: a 502 within 0.15 to 3.6 s, with seconds left, 4 to 6 of some 950 requests beside silent servers. The servers that went on rejected requests as full, since the silent ones held theirs.

Cause: the rejection alone would be a refusal, but the stages had run, so that it could not be passed on as not run; and a retry was denied at that moment. The request was given up, although the server had run nothing of it.

Fix: such a request waits for the retry budget, for three quarters of the time that it may be held, and fails only then. The budget is as large as before.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -368,3 +368,29 @@
     And instance a-1 loses all servers 5 ms after a request is sent
     When instance a-1 gets a safe request r
     Then instance a-1 knew within 1000 ms that it reaches no server
+
+  # Guards against a 502 for a request that its server rejects as full, with most of its time left:
+  # its stages have run, so that it cannot be refused any more, and no retry is allowed at the moment.
+  @forwarding
+  Scenario Outline: A rejected request whose stages have run waits for the retry budget
+    Given two instances and the servers of each kind of request
+    And streams have a latency target of 2000 ms
+    And the model server that the <kind> request reaches first rejects it
+    And the retry budget is spent until <ms> ms after that
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole within <most> ms
+
+    Examples:
+      | kind    | ms   | most |
+      | staged  | 600  | 1300 |
+      | lasting | 600  | 1300 |
+      | staged  | 2500 | 3300 |
+
+  @forwarding
+  Scenario: A rejected request whose stages have run fails if the budget stays spent
+    Given two instances and the servers of each kind of request
+    And streams have a latency target of 2000 ms
+    And the model server that the staged request reaches first rejects it
+    And the retry budget is spent
+    When instance a-1 gets a staged request r
+    Then request r ends between 4000 and 5000 ms after it was sent, with code 3005
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -8,7 +8,7 @@
 
 import gevent
 from behave import given, then, when
-from forward_steps import SETTLE_MS, events
+from forward_steps import SETTLE_MS, budget_spent, events
 from forwardbasics import PATHS, PROMPT_KINDS, catalogue, request, save_retries, serve
 from gevent.event import Event
 from logrecorder import record_lines
@@ -540,3 +540,23 @@
 def knew_within(context, name, ms):
     assert context.known_at, "it never knew"
     assert context.known_at[0] - context.lost_at <= ms, (context.known_at, context.lost_at)
+
+
+@given("the model server that the {kind} request reaches first rejects it")
+def first_rejects(context, kind):
+    faults = context.fleet.upstream.faults
+
+    def plan(first):
+        faults[first] = ServerFault.FULL
+
+    context.plans.append(plan)
+
+
+@given("the retry budget is spent until {ms:d} ms after that")
+def spent_until(context, ms):
+    instance = context.fleet.instances["a-1"]
+    usual = instance.settings
+    budget_spent(context)
+    context.plans.append(
+        lambda first: context.clock.call_later(float(ms), lambda: instance.apply_settings(usual))
+    )
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -32,6 +32,10 @@
 from mountladder.memory.holder import Holder
 from mountladder.metrics.metric import Metric
 
+# A request whose stages have run waits for the retry budget for this fraction of its remaining
+# time, and asks for a retry at this interval in milliseconds.
+BUDGET_WAIT_FRACTION = 0.75
+BUDGET_POLL_MS = 100.0
 # How often the stages are rerun after a result was lost, for example in a crash or a broken stream.
 MAX_STAGE_RERUNS = 2
 
@@ -286,8 +290,9 @@
         """
         self.record_failed(attempt, error)
         problem = no_retry_error(self, error)
-        self.log_failed(attempt, error, "not retried" if problem else "retried")
-        if problem is not None:
+        waits = problem is not None and self.may_wait_for_budget(error, problem)
+        self.log_failed(attempt, error, _outcome(problem, waits))
+        if problem is not None and not (waits and self.wait_for_budget()):
             raise problem from error
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
@@ -302,6 +307,26 @@
             self.record_failure(attempt, Code.CANCELLED)
             raise
 
+    def may_wait_for_budget(self, error: StageError, problem: MountladderError) -> bool:
+        """Return whether a request that its server rejected waits for the retry budget.
+
+        That is so if its stages have run, so that it cannot be refused any more. A late answer is
+        better than an error then, while the caller is there.
+        """
+        is_denied = problem.code is Code.RETRY_BUDGET_SPENT
+        return is_denied and not error.dispatched and self.may_have_run()
+
+    def wait_for_budget(self) -> bool:
+        """Wait until the retry budget allows a retry; return False if that takes too long."""
+        clock = self.context.clock
+        until = clock.now() + BUDGET_WAIT_FRACTION * self.hold.remaining_ms()
+        budget = self.context.budgets.of_requests(self.service)
+        while clock.now() < until:
+            clock.sleep(BUDGET_POLL_MS)
+            if budget.allows() and self.context.budgets.spend(self.service, self.request.id):
+                return True
+        return False
+
     def superseded(self, attempt: ForwardAttempt) -> None:
         """Record an attempt whose server was silent until a second one answered."""
         error = StageError("another server was heard of first", Code.STAGE_STALLED)
@@ -481,3 +506,9 @@
             MountladderError: The request was refused or failed.
         """
         raise NotImplementedError
+
+
+def _outcome(problem: MountladderError | None, waits: bool) -> str:
+    if problem is None:
+        return "retried"
+    return "waits for the retry budget" if waits else "not retried"
