Second attempts: one place that releases results, and a scenario of isolation

An adopted attempt released the results of stages twice; StreamRun.heard is enough. A silent server makes the instance check whether it reaches any server, which no scenario noticed while the retry budget is spent; one fails without it now.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -293,3 +293,12 @@
     When instance a-1 gets a resumable request r
     Then request r is answered whole within 2000 ms
     And the second and third server run the same version
+
+  # Guards against an instance that learns late that it reaches no server, since its attempts are kept.
+  @forwarding
+  Scenario: A silent server makes an instance check whether it reaches any server
+    Given two instances and the servers of each kind of request
+    And the retry budget is spent
+    And instance a-1 loses all servers 5 ms after a request is sent
+    When instance a-1 gets a safe request r
+    Then instance a-1 knew within 1000 ms that it reaches no server
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -16,6 +16,7 @@
 from mountladder.forwarding.serverrecord import SERVICE_LABEL
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
+from mountladder_standins.serverpartition import ServerPartition
 
 # Longer than the silences, so that a server can go on.
 ROUTE_TIMEOUT_MS = 6_000.0
@@ -412,3 +413,22 @@
         return plain_refuses(server)
 
     upstream.refuses = refuses
+
+
+@given("instance {name} loses all servers {ms:d} ms after a request is sent")
+def loses_servers(context, name, ms):
+    isolation = context.fleet.instances[name].forwarder.context.relay.isolation
+    context.known_at = []
+
+    def lose():
+        context.lost_at = context.clock.now()
+        context.fleet.partitions = {name: ServerPartition.HANG}
+        isolation.listeners.append(lambda: context.known_at.append(context.clock.now()))
+
+    context.plans.append(lambda first: context.clock.call_later(float(ms), lose))
+
+
+@then("instance {name} knew within {ms:d} ms that it reaches no server")
+def knew_within(context, name, ms):
+    assert context.known_at, "it never knew"
+    assert context.known_at[0] - context.lost_at <= ms, (context.known_at, context.lost_at)
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -190,9 +190,6 @@
         self.hedge = Hedge(self, second.attempt)
         self.hedge.start(second.break_connection)
         self.succeeded(second.attempt, second.answer.load, streaming=True)
-        if self.flow is not None:
-            # The server has fetched the results.
-            self.flow.release()
         return second.attempt, second.answer, events
 
     def schedule_release(self) -> None:
@@ -359,7 +356,7 @@
         """Record that the server has sent a part of its stream."""
         self.is_waiting, self.has_begun = False, True
         if self.flow is not None and self.hedge.task is not None:
-            # They were kept, or made again, for a second server.
+            # They were held for a second server, which has them or is cancelled.
             self.flow.release()
         self.hedge.heard()
 
