--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -364,7 +364,7 @@
         """Record that the server has sent a part of its stream; see ForwardRun."""
         self.is_waiting, self.has_begun = False, True
         if self.flow is not None and self.hedge.task is not None:
-            # They were kept, or made again, for a second server.
+            # They were held for a second server, which has them or is cancelled.
             self.flow.release()
         self.hedge.heard()
 
