Streams: an error of the first server is answered by the second one

What callers saw: a stream whose server was silent and then answered with an error status got that error, although a second server was about to answer; before attempts were kept, the first one had been given up by then. Plain requests got the second answer already.

Fix: from status 500 on, the answer of a second attempt in progress is awaited and used if there is one; without one the error is passed on as before.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -273,14 +273,20 @@
 
   # Guards against an error that is passed on although the second server is about to answer.
   @forwarding
-  Scenario: An error of the first server is answered by the second one
+  Scenario Outline: An error of the first server is answered by the second one
     Given two instances and the servers of each kind of request
-    And the first server of the safe request is silent for 500 ms from 5 ms on
+    And the first server of the <kind> request is silent for <ms> ms from 5 ms on
     And it answers with an error then
     And every other server is silent for longer
-    When instance a-1 gets a safe request r
-    Then request r is answered whole within 2000 ms
+    When instance a-1 gets a <kind> request r
+    Then request r is answered whole within 2500 ms
     And two servers were sent request r
+    And no server works on request r any more
+
+    Examples:
+      | kind      | ms  |
+      | safe      | 500 |
+      | resumable | 800 |
 
   # Guards against a stream whose events come from servers of two versions.
   @forwarding
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from mountladder.forwarding.forwardattempt import ForwardAttempt
     from mountladder.forwarding.forwardrun import ForwardRun
+    from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 
 # Maximum number of attempts that reached a server. Each retry also spends from the retry budget.
 MAX_REACHED_ATTEMPTS = 4
@@ -23,6 +24,8 @@
 MAX_CONNECT_FAILURES = 8
 # A retry with less time than this is unlikely to finish and would waste a server's work.
 MIN_REMAINING_MS = 30.0
+# The lowest HTTP status that reports an error of the server.
+SERVER_ERROR = 500
 # When a caller may retry after all tried servers were full.
 FULL_RETRY_MS = 300.0
 # HTTP statuses that promise callers that a request has not run and will not run.
@@ -81,6 +84,11 @@
     )
 
 
+def status_error(answer: UpstreamAnswer) -> StageError:
+    """Return the error for an answer with an error status."""
+    return StageError(f"status {answer.status}", Code.STAGE_FAILED)
+
+
 def unknown_outcome(error: StageError) -> RunError:
     """Return the error for the caller of a request that may have run and is not sent again."""
     code = Code.DEADLINE_PASSED if error.code in _TIMEOUT_CODES else Code.OUTCOME_UNKNOWN
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -21,7 +21,7 @@
 from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.forwardrun import ForwardRun
 from mountladder.forwarding.hedge import Hedge
-from mountladder.forwarding.retryrules import no_retry_error
+from mountladder.forwarding.retryrules import SERVER_ERROR, no_retry_error, status_error
 from mountladder.forwarding.route import Route
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
@@ -122,6 +122,12 @@
             try:
                 limit_ms = self.remaining_ms()
                 answer = self.call(attempt, inputs, splitter.last_id, limit_ms, self.connected)
+                if answer.status >= SERVER_ERROR:
+                    second = self.hedge.outcome()
+                    if second is not None:
+                        answer.close()
+                        self.record_failed(attempt, status_error(answer))
+                        return self.adopt(second)
                 if answer.status >= SUCCESS_END:
                     self.hedge.stop()
                     return attempt, answer, b""
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -13,11 +13,10 @@
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardrun import ForwardRun
+from mountladder.forwarding.retryrules import SERVER_ERROR, status_error
 from mountladder.forwarding.secondanswer import SecondAnswer
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 
-# The lowest HTTP status that reports an error of the server.
-SERVER_ERROR = 500
 # The lowest HTTP status that is no success.
 SUCCESS_END = 300
 # An idempotent request is sent to another server as well if there is no answer within this fraction
@@ -126,8 +125,3 @@
     def max_silence_ms(self) -> float:
         """Return for how long its server may be silent; see ForwardRun."""
         return max(MIN_SILENCE_MS, FIRST_ATTEMPT_FRACTION * self.route.target_ms)
-
-
-def status_error(answer: UpstreamAnswer) -> StageError:
-    """Return the error for an answer with an error status."""
-    return StageError(f"status {answer.status}", Code.STAGE_FAILED)
