--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -8,7 +8,7 @@
 
 import gevent
 from behave import given, then, when
-from forward_steps import SETTLE_MS, events
+from forward_steps import SETTLE_MS, budget_spent, events
 from forwardbasics import PATHS, PROMPT_KINDS, catalogue, request, save_retries, serve
 from gevent.event import Event
 from logrecorder import record_lines
@@ -18,6 +18,7 @@
 from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
+from mountladder_standins.serverpartition import ServerPartition
 
 # Longer than the silences, so that a server can go on.
 ROUTE_TIMEOUT_MS = 6_000.0
@@ -76,7 +77,8 @@
     """Return the other servers of a server's service."""
     directory = context.fleet.instances["a-1"].directory
     service = directory.find(first).labels[SERVICE_LABEL]
-    return [one for one in SERVERS[service] if one != first]
+    names = [one.name for one in directory.available(service)]
+    return [one for one in names if one != first]
 
 
 def be_silent(context, name, from_ms, ms):
@@ -224,6 +226,7 @@
 def answered_by_first(context):
     assert is_whole(context), (context.ends["r"], context.sent_calls)
     first = context.sent_calls[0]
+    assert context.sent_calls.count(first) == 1, context.sent_calls
     if context.kind in PROMPT_KINDS:
         ended = [one for one in context.lines if one.get("message_type") == "stream-cut"]
         assert not ended, ended
@@ -421,3 +424,139 @@
 def took_at_most(context, ms):
     took_ms = context.ended_at["r"] - context.arrived["r"]
     assert took_ms <= ms, took_ms
+
+
+@then("a retry was taken out of the budget for each further call")
+def retry_for_each(context):
+    further = len(context.sent_calls) - 1
+    assert further, context.sent_calls
+    retries_taken(context, further)
+
+
+@when("a caller of {name} reads the {kind} request r with pauses of {ms:d} ms")
+def reads_slowly(context, name, kind, ms):
+    context.kind = kind
+
+    def read():
+        sent = request("r", PATHS[kind], context.clock.now(), allowed_ms=2 * ROUTE_TIMEOUT_MS)
+        answer = context.fleet.send(name, sent)
+        body = b""
+        for part in answer.body:
+            body += part
+            context.clock.sleep(float(ms))
+        context.ends["r"] = (answer.status, body, 0, "", None)
+
+    context.run(read)
+
+
+@given("the servers send their events in halves")
+def events_in_halves(context):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Send the bytes from the middle of one event to that of the next."""
+        answer = plain_open(server, call, limit_ms)
+        whole, half = b"".join(answer.parts), len(answer.parts[0]) // 2
+        size = 2 * half
+        starts = range(half, len(whole), size)
+        answer.parts = [whole[:half], *(whole[start : start + size] for start in starts)]
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@given("it answers with an error then")
+def answers_with_error(context):
+    faults = context.fleet.upstream.faults
+    context.plans.append(lambda first: faults.__setitem__(first, ServerFault.ERROR))
+
+
+@given("servers of another version than the first one's")
+def two_versions(context):
+    versions = {"llm-1": "v1", "llm-2": "v2", "llm-3": "v1", "llm-4": "v2"}
+    for name, version in versions.items():
+        context.fleet.add_server(name, "llm", "a", version=version)
+    context.versions = versions
+
+    def plan(first):
+        """Have no other server of the first one's version left."""
+        for name, version in versions.items():
+            if version == versions[first] and name != first:
+                context.fleet.add_server(name, "llm", "a", draining=True, version=version)
+
+    context.plans.append(plan)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("the second server breaks the connection after its second event")
+def second_breaks(context):
+    plain_open = context.fleet.upstream.open
+
+    def open_(server, call, limit_ms):
+        """Cut the second answer off, with servers of both versions there."""
+        answer = plain_open(server, call, limit_ms)
+        if len(context.sent_calls) == 2:
+            answer.parts, answer.cut = answer.parts[:2], True
+            for name, version in context.versions.items():
+                context.fleet.add_server(name, "llm", "a", version=version)
+        return answer
+
+    context.fleet.upstream.open = open_
+
+
+@then("the second and third server run the same version")
+def same_version(context):
+    assert len(context.sent_calls) == 3, context.sent_calls
+    first, second, third = (context.versions[one] for one in context.sent_calls)
+    assert first != second == third, context.sent_calls
+
+
+@given("it takes {ms:d} ms to find out whether a server refuses connections")
+def slow_probes(context, ms):
+    upstream = context.fleet.upstream
+    plain_refuses = upstream.refuses
+
+    def refuses(server):
+        context.clock.sleep(float(ms))
+        return plain_refuses(server)
+
+    upstream.refuses = refuses
+
+
+@given("instance {name} loses all servers {ms:d} ms after a request is sent")
+def loses_servers(context, name, ms):
+    isolation = context.fleet.instances[name].forwarder.context.relay.isolation
+    context.known_at = []
+
+    def lose():
+        context.lost_at = context.clock.now()
+        context.fleet.partitions = {name: ServerPartition.HANG}
+        isolation.listeners.append(lambda: context.known_at.append(context.clock.now()))
+
+    context.plans.append(lambda first: context.clock.call_later(float(ms), lose))
+
+
+@then("instance {name} knew within {ms:d} ms that it reaches no server")
+def knew_within(context, name, ms):
+    assert context.known_at, "it never knew"
+    assert context.known_at[0] - context.lost_at <= ms, (context.known_at, context.lost_at)
+
+
+@given("the model server that the {kind} request reaches first rejects it")
+def first_rejects(context, kind):
+    faults = context.fleet.upstream.faults
+
+    def plan(first):
+        faults[first] = ServerFault.FULL
+
+    context.plans.append(plan)
+
+
+@given("the retry budget is spent until {ms:d} ms after that")
+def spent_until(context, ms):
+    instance = context.fleet.instances["a-1"]
+    usual = instance.settings
+    budget_spent(context)
+    context.plans.append(
+        lambda first: context.clock.call_later(float(ms), lambda: instance.apply_settings(usual))
+    )
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -181,7 +181,11 @@
         self.trip(is_silent=True)
 
     def trip(self, is_silent: bool) -> None:
-        """Take the server out of use, unless it has answered another call since this one."""
+        """Take the server out of use, unless it has answered another call since this one.
+
+        Args:
+            is_silent: Whether it has only not answered in time.
+        """
         if self.batcher.servers.has_answered_since(self.state, self.call):
             # Only this answer was lost.
             self.state.breaker.abandon()
