--- a/features/retries.feature
+++ b/features/retries.feature
@@ -36,6 +36,22 @@
     Then "one" ends as done
     And "one" has tokens 1 to 8 once each
 
+  # Guards against an attempt that is given up for the silence of its server when no retry is allowed:
+  # its caller gets an error with most of its time left.
+  Scenario Outline: An attempt is kept while its server is silent and no retry is allowed
+    Given the servers of <servers> are silent from <from> ms to <until> ms
+    And the retry budget of every stage is spent
+    When "a-1" is sent "reply" as "one" with {"deadline_ms": 6000}
+    Then "one" ends as done
+    And "one" has tokens 1 to 8 once each
+    And "<stage>" ran 1 times
+
+    Examples: A whole result, a first token and a further token
+      | servers | from | until | stage    |
+      | small   | 5    | 1600  | encode   |
+      | large   | 5    | 2600  | generate |
+      | large   | 30   | 1800  | generate |
+
   Scenario: An answer to another attempt is never delivered
     Given the server large-1 has faults {"foreign": true}
     And the server large-2 has faults {"foreign": true}
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 
 from mountladder.configuration.documents import parse_documents
+from mountladder.limits.retrybudget import RetryBudget
 from mountladder_standins.faults import Faults
 
 
@@ -55,6 +56,23 @@
         context.fleet.servers[name].faults = settings
 
 
+@given("the servers of {kind} are silent from {start:d} ms to {end:d} ms")
+def silent_servers(context, kind, start, end):
+    until = context.clock.now() + end
+    for name, server in context.fleet.servers.items():
+        if name.startswith(kind):
+            context.clock.call_later(
+                float(start), lambda server=server: setattr(server, "silent_until", until)
+            )
+
+
+@given("the retry budget of every stage is spent")
+def stage_budgets_spent(context):
+    for runtime in context.fleet.runtimes.values():
+        runtime.context.budgets.clear()
+        runtime.context.budgets.default_factory = lambda: RetryBudget(0.0, 0.0)
+
+
 @when("instance {name} is killed")
 def kill_instance(context, name):
     context.run(context.fleet.kill, name)
--- a/packages/standins/src/mountladder_standins/standinserver.py
+++ b/packages/standins/src/mountladder_standins/standinserver.py
@@ -58,6 +58,7 @@
         crash_after_ms: After how many milliseconds a request crashes the server, by the hash of
             its input.
         start_count: How often it has started.
+        silent_until: Until when it is silent, after which it goes on, in the clock's milliseconds.
     """
 
     def __init__(self, name: str, clock: Clock, speeds: Speeds | None = None) -> None:
@@ -75,6 +76,7 @@
         self.prefixes: OrderedDict[int, bool] = OrderedDict()
         self.crash_after_ms: dict[str, float] = {}
         self.start_count = 1
+        self.silent_until = 0.0
 
     def run(self, work: str, attempt: str, body: bytes) -> bytes:
         """Run a call and return its result as JSON.
@@ -213,6 +215,8 @@
             load_factor = max(1.0, self.running / self.speeds.slots)
             self.clock.sleep(step * load_factor + self.faults.slow_ms)
             remaining_ms -= step
+            if self.clock.now() < self.silent_until:
+                self.clock.sleep(self.silent_until - self.clock.now())
             self.check_not_crashed(start)
             if attempt in self.cancelled:
                 self.busy_ms -= remaining_ms
