Own interface: an attempt is given up only if another may follow

What callers saw: a request of the product's own interface ended with 3005 about 1.0 s after it was sent, with 6 s allowed, when the server of a stage was silent for 1.6 to 2.6 s and the stage's retry budget was spent; so did a stream, before its first token and between tokens.

Cause: Backend ended a call by a timeout of its own (four times the expected time, 1 s between tokens), and only then did Attempts ask whether a retry is allowed.

Fix: a SilenceWatch asks at that moment. The call is given up if it may be repeated, attempts are left, another server of a suitable version is usable and the budget allows the retry, which is taken once; otherwise it is kept to its deadline, and the question is asked again every 500 ms (attempt-given-up and attempt-kept in the log). One timer serves all waits of a call. Backend servers are told the request's deadline, not that of the attempt. Still open: once it was admitted, the first attempt is not kept beside the second one.

--- a/features/http.feature
+++ b/features/http.feature
@@ -59,6 +59,19 @@
     When a complete answer is requested from b-1
     Then the status is 502 and the problem is 3010 of class failed
 
+  # Guards against an answer that is given up while its servers are silent and no retry is allowed.
+  Scenario Outline: An answer is awaited over HTTP while its servers are silent
+    Given no stage may be retried at a-1
+    And the servers of role <role> are silent for 1500 ms from <from> ms on
+    When a stream of 12 tokens is requested from a-1
+    Then the stream holds tokens 1 to 12 and ends with the event done
+
+    Examples:
+      | role  | from |
+      | small | 0    |
+      | large | 0    |
+      | large | 60   |
+
   Scenario: A key that one instance issued is accepted by another
     When a push is sent to b-1 with a key that a-1 issued, and again to a-1
     Then both have the same answer
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -18,6 +18,7 @@
 from mountladder.clocks.systemclock import SystemClock
 from mountladder.configuration.documents import parse_documents
 from mountladder.errors import PeerError
+from mountladder.limits.retrybudget import RetryBudget
 from mountladder.membership.instance import Instance
 from mountladder.membership.tcpnetwork import TcpNetwork
 from mountladder_cli import porcelain
@@ -172,6 +173,23 @@
             standin.faults = Faults.read(json.loads(faults))
 
 
+@given("the servers of role {role} are silent for {ms:d} ms from {start:d} ms on")
+def role_silent(context, role, ms, start):
+    def be_silent():
+        for name, standin in context.fleet.standins.items():
+            if name.startswith(role):
+                standin.silent_until = context.fleet.clock.now() + ms
+
+    context.fleet.clock.call_later(float(start), be_silent)
+
+
+@given("no stage may be retried at a-1")
+def no_retries(context):
+    budgets = context.fleet.nodes[0].context.budgets
+    budgets.clear()
+    budgets.default_factory = lambda: RetryBudget(0.0, 0.0)
+
+
 @when("a push is sent to b-1 with a key that a-1 issued, and again to a-1")
 def push_issued_key(context):
     key = porcelain.issue_keys(web(context), TOKEN)[0]
--- a/packages/core/src/mountladder/requests/attempts.py
+++ b/packages/core/src/mountladder/requests/attempts.py
@@ -9,6 +9,7 @@
 from contextlib import contextmanager
 
 import gevent
+from eliot import log_message
 
 from mountladder.accounts.charge import Charge
 from mountladder.code import Code
@@ -32,9 +33,10 @@
 BACKOFF_MS = 20.0
 # How much of a request's input is hashed to route equal prompt prefixes to the same engine.
 PREFIX_BYTES = 256
-# The first attempt times out after this multiple of its expected time; see timeout_ms().
+# The first attempt is given up after this multiple of its expected time, if another one is allowed;
+# see timeout_ms().
 TIMEOUT_FACTOR = 4.0
-# Min. timeout of an attempt, and the longest gap between tokens of a stream.
+# Min. timeout of an attempt, and of a gap between tokens of a stream.
 STALL_TIMEOUT_MS = 1_000.0
 # How long a stage that must not be repeated may run past the deadline.
 GRACE_MS = 30_000.0
@@ -119,7 +121,7 @@
         retry_state.count += 1
         if not self.may_repeat(stage):
             self.unrepeatable.add(stage.name)
-        call = self.make_call(retry_state, choice.expected_ms, remaining_ms)
+        call = self.make_call(retry_state, choice, remaining_ms)
         self.trace.add(
             "sent", stage.name, call.attempt, choice.state.server.name, 0, choice.reason()
         )
@@ -137,29 +139,65 @@
             detail = f"it was expected to take {choice.expected_ms:.0f} ms"
             raise StageError(detail, Code.DEADLINE_PASSED, False)
 
-    def make_call(
-        self, retry_state: RetryState, expected_ms: float, remaining_ms: float
-    ) -> StageCall:
+    def make_call(self, retry_state: RetryState, choice: Choice, remaining_ms: float) -> StageCall:
         """Return the call of the next attempt.
 
-        An attempt that may be repeated times out early enough for another one. One that must not
+        An attempt that may be repeated is given up early enough for another one. One that must not
         be repeated may run past the deadline, so that its outcome becomes known.
         """
         stage = retry_state.stage
-        timeout_ms = self.timeout_ms(retry_state, expected_ms, remaining_ms)
-        deadline = self.context.clock.now() + (remaining_ms if stage.stream else timeout_ms)
+        timeout_ms = self.timeout_ms(retry_state, choice.expected_ms, remaining_ms)
+        limit_ms = remaining_ms if stage.stream else max(remaining_ms, timeout_ms)
         return StageCall(
             request=self.request.id,
             attempt=f"{self.request.id}.{stage.name}.{retry_state.count}",
             stage=stage,
             body=retry_state.body,
-            deadline=deadline,
+            deadline=self.context.clock.now() + limit_ms,
             priority=self.request.pipeline.urgency,
             tokens_held=retry_state.tokens,
             first_token_timeout_ms=timeout_ms,
             stall_timeout_ms=STALL_TIMEOUT_MS,
+            may_give_up=lambda: self.may_give_up(choice, retry_state),
         )
 
+    def may_give_up(self, choice: Choice, retry_state: RetryState) -> bool:
+        """Return whether an attempt whose server is silent may be given up for another one.
+
+        If so, this takes the retry out of the stage's budget.
+        """
+        stage, server = retry_state.stage, choice.state.server
+        obstacle = self.retry_obstacle(choice, retry_state)
+        if not obstacle:
+            retry_state.is_admitted = self.context.budgets[self.budget_name(stage)].spend()
+            obstacle = "" if retry_state.is_admitted else "the retry budget is spent"
+        log_message(
+            "attempt-kept" if obstacle else "attempt-given-up",
+            request=self.request.id,
+            stage=stage.name,
+            server=server.name,
+            attempt=retry_state.count,
+            remaining_ms=round(self.request.deadline - self.context.clock.now()),
+            reason=obstacle,
+        )
+        return not obstacle
+
+    def retry_obstacle(self, choice: Choice, retry_state: RetryState) -> str:
+        """Return why no other attempt may follow, or an empty string if the budget decides."""
+        stage, now = retry_state.stage, self.context.clock.now()
+        if not self.may_repeat(stage):
+            return "it must not be repeated"
+        if retry_state.count >= MAX_ATTEMPTS:
+            return "no further attempt is allowed"
+        allowed = self.context.follower.configuration.servers_for(stage, self.request.team)
+        failed = retry_state.failed | {choice.state.server.name}
+        others = [
+            one
+            for one in running_version(allowed, retry_state.version)
+            if one.name not in failed and self.context.router.state(one).usable(now)
+        ]
+        return "" if others else "no other server is available"
+
     def timeout_ms(self, retry_state: RetryState, expected_ms: float, remaining_ms: float) -> float:
         """Return the timeout of an attempt, or of its first token if it streams.
 
@@ -239,7 +277,8 @@
             raise RunError(error.detail, error.code, stage.name) from error
         if retry_state.count >= MAX_ATTEMPTS:
             raise RunError(error.detail, error.code, stage.name) from error
-        if not self.context.budgets[self.budget_name(stage)].spend():
+        is_admitted, retry_state.is_admitted = retry_state.is_admitted, False
+        if not is_admitted and not self.context.budgets[self.budget_name(stage)].spend():
             raise RunError(error.detail, Code.RETRY_BUDGET_SPENT, stage.name) from error
 
     def record_cancelled(self, attempt: Attempt) -> None:
--- a/packages/core/src/mountladder/requests/retrystate.py
+++ b/packages/core/src/mountladder/requests/retrystate.py
@@ -22,6 +22,7 @@
         failed: The names of the servers that failed.
         tokens: The number of tokens of its stream received.
         version: The software version of the server that sent the first token, or None before it.
+        is_admitted: Whether the retry budget has allowed the next attempt.
     """
 
     def __init__(self, stage: Stage, body: bytes, started: float) -> None:
@@ -32,3 +33,4 @@
         self.failed: frozenset[str] = frozenset()
         self.tokens = 0
         self.version: str | None = None
+        self.is_admitted = False
--- a/packages/core/src/mountladder/requests/stagecall.py
+++ b/packages/core/src/mountladder/requests/stagecall.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from mountladder.configuration.stage import Stage
 
@@ -23,8 +24,11 @@
         deadline: When the answer must be complete, in the clock's milliseconds.
         priority: The urgency passed to engines; a lower number is served first.
         tokens_held: The number of tokens of the stream received by earlier attempts.
-        first_token_timeout_ms: The timeout of the first token of a stream.
-        stall_timeout_ms: The timeout between tokens of a stream.
+        first_token_timeout_ms: After how long without a result, or without the first token of a
+            stream, the call is given up if that is allowed.
+        stall_timeout_ms: The same between tokens of a stream.
+        may_give_up: Returns whether the call may be given up before its deadline, as another
+            attempt follows.
     """
 
     request: str
@@ -36,3 +40,4 @@
     tokens_held: int = 0
     first_token_timeout_ms: float = 5_000.0
     stall_timeout_ms: float = 1_000.0
+    may_give_up: Callable[[], bool] = field(default=lambda: True, compare=False)
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -21,6 +21,7 @@
 from mountladder.requests.backend import Backend
 from mountladder.requests.chunk import Chunk
 from mountladder.requests.eventreader import EventReader
+from mountladder.requests.silencewatch import SilenceWatch
 from mountladder.requests.stagecall import StageCall
 from mountladder.requests.stageresult import StageResult
 from mountladder_entry.dialect import (
@@ -58,9 +59,19 @@
 
     def run(self, server: BackendServer, call: StageCall) -> StageResult:
         """Run a stage and return its result; see Backend."""
-        response = self.open(server, call, call.deadline - self.clock.now(), False)
+        watch = SilenceWatch(call, self.clock)
         try:
-            data = self.read(response, call.deadline - self.clock.now())
+            return self.run_watched(server, call, watch)
+        finally:
+            watch.stop()
+
+    def run_watched(
+        self, server: BackendServer, call: StageCall, watch: SilenceWatch
+    ) -> StageResult:
+        """Run a stage while its server is watched; see run."""
+        response = self.open(server, call, watch, False)
+        try:
+            data = self.read(response, watch)
             if len(data) > MAX_RESULT_BYTES:
                 raise StageError("a result is too long", Code.BAD_ANSWER)
             json.loads(data)
@@ -75,10 +86,20 @@
 
     def stream(self, server: BackendServer, call: StageCall) -> Iterator[Chunk]:
         """Run a stage and yield its tokens; see Backend."""
+        watch = SilenceWatch(call, self.clock)
+        try:
+            yield from self.stream_watched(server, call, watch)
+        finally:
+            watch.stop()
+
+    def stream_watched(
+        self, server: BackendServer, call: StageCall, watch: SilenceWatch
+    ) -> Iterator[Chunk]:
+        """Run a stage and yield its tokens while its server is watched; see stream."""
         reader = EventReader(call.tokens_held)
-        response = self.open(server, call, call.first_token_timeout_ms, True)
+        response = self.open(server, call, watch, True)
         load = _load(response)
-        parts = self.read_parts(response, call)
+        parts = self.read_parts(response, call, watch)
         try:
             while not reader.ended:
                 data = next(parts, b"")
@@ -93,31 +114,35 @@
         response.drain_conn()
         response.release_conn()
 
-    def read_parts(self, response: urllib3.BaseHTTPResponse, call: StageCall) -> Iterator[bytes]:
+    def read_parts(
+        self, response: urllib3.BaseHTTPResponse, call: StageCall, watch: SilenceWatch
+    ) -> Iterator[bytes]:
         """Yield the parts of a stream's body as they arrive, while they arrive in time.
 
-        The socket's timeout limits the time between two parts, which costs less than a timer for
-        each of them.
+        The socket's timeout is the deadline. The watch limits the time between two parts with one
+        timer, which costs less than one for each of them.
         """
         body = response.stream(READ_BYTES)
         connection = response.connection
         socket = connection.sock if connection is not None else None
-        timeout_ms = call.first_token_timeout_ms
         remaining_ms = call.deadline - self.clock.now()
         while remaining_ms > 0:
             try:
                 if socket is not None:
-                    socket.settimeout(min(timeout_ms, remaining_ms) / 1000.0)
-                part = next(body, b"")
+                    socket.settimeout(remaining_ms / 1000.0)
+                with watch.waiting():
+                    part = next(body, b"")
+            except WaitTimeoutError as error:
+                raise StageError("no data came in time", Code.STAGE_STALLED) from error
             except (urllib3.exceptions.HTTPError, OSError) as error:
                 raise _read_error(error) from error
-            timeout_ms = call.stall_timeout_ms
+            watch.heard()
             yield part
             remaining_ms = call.deadline - self.clock.now()
         raise StageError("the deadline passed during the stream", Code.STAGE_STALLED)
 
     def open(
-        self, server: BackendServer, call: StageCall, limit_ms: float, stream: bool
+        self, server: BackendServer, call: StageCall, watch: SilenceWatch, stream: bool
     ) -> urllib3.BaseHTTPResponse:
         """Send a call and return the answer once its head is read and checked."""
         dialect = dialect_of(server)
@@ -125,7 +150,7 @@
         headers = self.headers(call, stream)
         timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=None)
         try:
-            with self.clock.time_limit(limit_ms):
+            with watch.waiting():
                 response = self.pool.request(
                     "POST",
                     url,
@@ -182,10 +207,10 @@
         if response.status != 200:
             raise StageError(f"{url}: status {response.status}", Code.STAGE_FAILED)
 
-    def read(self, response: urllib3.BaseHTTPResponse, limit_ms: float) -> bytes:
+    def read(self, response: urllib3.BaseHTTPResponse, watch: SilenceWatch) -> bytes:
         """Read a whole body."""
         try:
-            with self.clock.time_limit(limit_ms):
+            with watch.waiting():
                 return response.read()
         except WaitTimeoutError as error:
             raise StageError("no data came in time", Code.STAGE_STALLED) from error
--- a/packages/standins/src/mountladder_standins/localbackend.py
+++ b/packages/standins/src/mountladder_standins/localbackend.py
@@ -15,6 +15,7 @@
 from mountladder.requests.backend import Backend
 from mountladder.requests.chunk import Chunk
 from mountladder.requests.eventreader import EventReader
+from mountladder.requests.silencewatch import SilenceWatch
 from mountladder.requests.stagecall import StageCall
 from mountladder.requests.stageresult import StageResult
 from mountladder_standins.servererror import (
@@ -43,11 +44,14 @@
         """Run a stage; see Backend."""
         standin = self.find_standin(server)
         work = call.stage.work if server.serves == "engine" else call.stage.name
+        watch = SilenceWatch(call, self.clock)
         try:
-            with self.clock.time_limit(call.deadline - self.clock.now()):
+            with watch.waiting():
                 value = standin.run(work, call.attempt, call.body)
         except _FAILURES as error:
             raise _stage_error(error) from error
+        finally:
+            watch.stop()
         self.apply_faults(standin, value)
         return StageResult(value, standin.reported_load())
 
@@ -57,21 +61,21 @@
         self.apply_faults(standin, b"")
         reader = EventReader(call.tokens_held)
         events = standin.stream(call.attempt, call.body, call.tokens_held)
-        timeout_ms = call.first_token_timeout_ms
+        watch = SilenceWatch(call, self.clock)
         try:
             while not reader.ended:
-                limit = min(timeout_ms, call.deadline - self.clock.now())
-                with self.clock.time_limit(limit):
+                with watch.waiting():
                     event = next(events, b"")
                 if not event:
                     raise StageError("the stream broke off before its last event", Code.STREAM_CUT)
                 chunk = reader.feed(event, standin.reported_load())
                 if chunk is not None:
-                    timeout_ms = call.stall_timeout_ms
+                    watch.heard()
                     yield chunk
         except _FAILURES as error:
             raise _stage_error(error) from error
         finally:
+            watch.stop()
             events.close()
 
     def find_standin(self, server: BackendServer) -> StandinServer:
