--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -264,7 +264,11 @@
     def unusable(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that this instance itself does not use at present."""
         now = self.router.clock.now()
-        return frozenset(one.name for one in servers if not self.router.state(one).usable(now))
+        states = [self.router.state(one) for one in servers]
+        unusable = [one for one in states if not one.usable(now)]
+        if len(unusable) == len(states):
+            unusable = [one for one in states if not one.usable(now, suspects=True)]
+        return frozenset(one.server.name for one in unusable)
 
     def succeeded(
         self,
@@ -309,6 +313,11 @@
             rejected=code is Code.SERVER_FULL,
         )
 
+    def fell_silent(self, picked: PickedServer, silent_ms: float) -> None:
+        """Record a call that ended since its server had been silent for a time."""
+        self.router.record_silence(picked.choice, silent_ms)
+        self.placer.report(picked.placement_number, ended=True)
+
     def stage(self, service: str) -> Stage:
         """Return the key under which the router keeps the learned times of a service."""
         stage = self.stages.get(service)
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -143,14 +143,15 @@
 
     def usable(self, now: float) -> list[ServerState]:
         """Return the servers that may be sent calls, busy ones included."""
-        states = (self.router.state(one) for one in self.division.servers(self.service))
-        return [one for one in states if one.usable(now)]
+        states = [self.router.state(one) for one in self.division.servers(self.service)]
+        usable = [one for one in states if one.usable(now)]
+        return usable or [one for one in states if one.usable(now, suspects=True)]
 
     def free(self, limits: BatchLimits, now: float) -> list[ServerState]:
         """Return the servers that can take a call now, the fastest first.
 
-        Rate-limited servers come behind the others and so get the remaining pieces; cold ones come
-        last.
+        Rate-limited servers come behind the others and so get the remaining pieces, cold ones come
+        behind these, and servers that are silent while a call is overdue come last.
         """
         usable = self.usable(now)
         free = [one for one in usable if self.is_free(one, limits, now)]
@@ -159,6 +160,7 @@
         return sorted(
             free,
             key=lambda one: (
+                bool(self.uncertain_calls(one)),
                 one.server.name in cold,
                 one.server.name in limited,
                 one.time_factor(now),
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -11,6 +11,8 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
+from eliot import log_message
+
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
@@ -92,9 +94,12 @@
         if not allowed:
             raise StageError("no backend server meets the selectors", Code.NO_SERVER_ALLOWED, False)
         holder = self.prefixes.get(prefix) if prefix is not None else None
-        candidates = self.candidates(allowed, excluded, stage, length, holder)
-        candidates = candidates or self.candidates(allowed, frozenset(), stage, length, holder)
-        if not candidates:
+        # Servers that fall silent together do not leave a service without any.
+        for suspects, names in itertools.product((False, True), (excluded, frozenset())):
+            candidates = self.candidates(allowed, names, stage, length, holder, suspects)
+            if candidates:
+                break
+        else:
             raise StageError("", Code.NO_SERVER_AVAILABLE, False)
         chosen = choose(self.policy, candidates, budget_ms, next(self.choice_numbers), self.rng)
         if prefix is not None:
@@ -109,24 +114,29 @@
         stage: Stage,
         length: int,
         holder: str | None,
+        suspects: bool = False,
     ) -> list[Candidate]:
         """Return the servers to compare, remote ones only where all local ones are overloaded."""
         now = self.clock.now()
         local, remote = self.locality.split(allowed)
-        sampled = self.sample(local, excluded, holder, stage.model) if local else []
+        sampled = self.sample(local, excluded, holder, stage.model, suspects) if local else []
         found = [self.candidate(state, stage, length, holder, now) for state in sampled]
         if remote and all(one.load_factor > SPILL_LOAD_FACTOR for one in found):
-            sampled = self.sample(remote, excluded, holder, stage.model)
+            sampled = self.sample(remote, excluded, holder, stage.model, suspects)
             found += [self.candidate(state, stage, length, holder, now) for state in sampled]
         return found
 
     def usable(
-        self, allowed: Sequence[BackendServer], excluded: frozenset[str], model: str
+        self,
+        allowed: Sequence[BackendServer],
+        excluded: frozenset[str],
+        model: str,
+        suspects: bool = False,
     ) -> list[ServerState]:
         """Return the states of the allowed servers to which new work may be sent."""
         now = self.clock.now()
         states = (self.state(server) for server in allowed if server.name not in excluded)
-        return [state for state in states if state.usable(now, model)]
+        return [state for state in states if state.usable(now, model, suspects)]
 
     def sample(
         self,
@@ -134,6 +144,7 @@
         excluded: frozenset[str],
         holder: str | None,
         model: str,
+        suspects: bool,
     ) -> list[ServerState]:
         """Sample as many usable servers as the policy compares.
 
@@ -142,17 +153,18 @@
         """
         size = sample_size(self.policy, len(allowed))
         if len(allowed) <= OVERSAMPLING * size:
-            return self.usable(allowed, excluded, model)[: max(size, MAX_UNSAMPLED)]
-        sampled = self.usable(self.rng.sample(allowed, OVERSAMPLING * size), excluded, model)[:size]
+            return self.usable(allowed, excluded, model, suspects)[: max(size, MAX_UNSAMPLED)]
+        drawn = self.rng.sample(allowed, OVERSAMPLING * size)
+        sampled = self.usable(drawn, excluded, model, suspects)[:size]
         if not sampled:
-            sampled = self.usable(allowed, excluded, model)[:size]
+            sampled = self.usable(allowed, excluded, model, suspects)[:size]
         holder_state = self.states.get(holder) if holder is not None else None
         if (
             holder_state is not None
             and holder_state not in sampled
             and holder_state.server in allowed
         ):
-            sampled += self.usable([holder_state.server], excluded, model)
+            sampled += self.usable([holder_state.server], excluded, model, suspects)
         return sampled
 
     def candidate(
@@ -200,14 +212,17 @@
         state.breaker.succeed()
         if load is not None:
             state.record_load(load, now)
+        ratio = elapsed_ms / max(1.0, choice.unloaded_ms * load_factor)
+        tells_speed = state.record_time_ratio(ratio, now, now - elapsed_ms)
         # The cost model holds the times of a server of usual speed.
         usual_ms = elapsed_ms / load_factor / state.pace.factor
         if is_plain and self.speeds is not None:
             expected_ms = self.cost_model.expected(stage, state.server.accelerator, length)
             ratio = elapsed_ms / max(1.0, expected_ms * load_factor)
-            self.speeds.record(state.server, WorkType.PLAIN, ratio)
-        self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
-        state.record_time_ratio(elapsed_ms / max(1.0, choice.unloaded_ms * load_factor), now)
+            learn = self.speeds.record if tells_speed else self.speeds.record_overdue
+            learn(state.server, WorkType.PLAIN, ratio)
+        if tells_speed:
+            self.cost_model.record(stage, state.server.accelerator, length, usual_ms)
 
     def record_token_interval(self, choice: Choice, stage: Stage, interval_ms: float) -> None:
         """Update a server's load from the time between tokens of a running stream."""
@@ -222,6 +237,17 @@
         choice.state.end(self.clock.now())
         choice.state.breaker.abandon()
 
+    def record_silence(self, choice: Choice, silent_ms: float) -> None:
+        """Update a server's load and health from a call that ended since the server was silent.
+
+        The time of such a call says nothing about the server's speed.
+        """
+        state, now = choice.state, self.clock.now()
+        state.end(now)
+        if state.breaker.fail(now, now - silent_ms, is_silent=True):
+            self.metrics.count(Metric.EJECTED)
+            log_message("server-silent", server=state.server.name, silent_ms=round(silent_ms))
+
     def mean_load_factor(self, choice: Choice, now: float) -> float:
         """Return the estimated mean load factor during a call that is about to end."""
         at_end = max(1.0, choice.state.load(now) / choice.state.server.slots)
@@ -240,7 +266,7 @@
             usual_ms = elapsed_ms / load_factor / state.pace.factor
             self.cost_model.record_timeout(stage, accelerator, length, usual_ms)
         if ratio > state.slowness_at(now):
-            state.record_time_ratio(ratio, now)
+            state.record_time_ratio(ratio, now, now - elapsed_ms)
         state.end(now)
         if code is Code.SERVER_REFUSED:
             state.mark_leaving(now)
@@ -252,7 +278,7 @@
         elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
             state.breaker.abandon()
         elif code is Code.CONNECT_FAILED:
-            state.breaker.trip(now)
-            self.metrics.count(Metric.EJECTED)
-        elif state.breaker.fail(now):
+            if state.breaker.trip(now, now - elapsed_ms):
+                self.metrics.count(Metric.EJECTED)
+        elif state.breaker.fail(now, now - elapsed_ms):
             self.metrics.count(Metric.EJECTED)
