Hedges: the servers that are asked are not swapped into the request's excluded ones

While a second server was chosen the request's excluded servers were replaced and put back, which a cancelled task could do after the first attempt had changed them. They are passed to the choice instead. silentservers, forwarding and serverlimits pass (185 scenarios).

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -224,14 +224,17 @@
         self.hedge = Hedge(self, attempt)
         return attempt
 
-    def acquire(self) -> PickedServer:
+    def acquire(self, asked: frozenset[str] = frozenset()) -> PickedServer:
         """Choose a server.
 
+        Args:
+            asked: The names of the servers that are sent the request at present.
+
         Raises:
             MountladderError: No server is available.
         """
         try:
-            return self.reservation.acquire()
+            return self.reservation.acquire(asked)
         except RefusalError as error:
             raise caller_error(self, error) from error
 
@@ -387,11 +390,7 @@
             MountladderError: No other server is available, or it did not answer.
         """
         inputs = self.run_stages()
-        excluded, self.excluded = self.excluded, self.excluded | hedge.asked
-        try:
-            picked = self.acquire()
-        finally:
-            self.excluded = excluded
+        picked = self.acquire(hedge.asked)
         if picked.choice.state.server.name in hedge.asked:
             self.reservation.cancel(picked)
             raise RefusalError("no other server is available", Code.NO_SERVER_AVAILABLE)
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -59,9 +59,12 @@
         if self.picker.all_limited(self.run.service):
             self.reserved = self.pick(max(stages_ms, self.max_wait_ms()))
 
-    def acquire(self) -> PickedServer:
+    def acquire(self, asked: frozenset[str] = frozenset()) -> PickedServer:
         """Choose a server, or use the reserved one, and wait until it accepts the request.
 
+        Args:
+            asked: The names of the servers that are sent the request at present.
+
         Raises:
             RefusalError: No server is available, or none accepts the request in time.
         """
@@ -69,7 +72,7 @@
             self.run.tracked.admit(self.run.hold.remaining_ms())
             self.wait_for_backoff()
             reserved, self.reserved = self.reserved, None
-            picked = reserved or self.pick_with_room()
+            picked = reserved or self.pick_with_room(asked)
             waited = self.wait_for(picked)
             if not (reserved or waited) or self.picker.still_accepts(picked, self.run.service):
                 return picked
@@ -93,7 +96,7 @@
             self.cancel(self.reserved)
             self.reserved = None
 
-    def pick_with_room(self) -> PickedServer:
+    def pick_with_room(self, asked: frozenset[str]) -> PickedServer:
         """Choose a server; wait while the servers hold as many bytes as they may.
 
         Raises:
@@ -103,7 +106,7 @@
         poll_ms = PLAIN_ROOM_POLL_MS if self.run.request.prompt is None else ROOM_POLL_MS
         while True:
             try:
-                return self.pick(self.max_wait_ms())
+                return self.pick(self.max_wait_ms(), asked)
             except NoRoomError:
                 if self.max_wait_ms() < poll_ms:
                     raise
@@ -112,11 +115,11 @@
             waited_ms += poll_ms
             self.clock.sleep(poll_ms)
 
-    def pick(self, max_wait_ms: float) -> PickedServer:
+    def pick(self, max_wait_ms: float, asked: frozenset[str] = frozenset()) -> PickedServer:
         """Choose a server; see ServerPicker."""
         run = self.run
         constraints = ServerConstraints(
-            run.excluded,
+            run.excluded | asked,
             run.site,
             max_wait_ms,
             run.urgency,
