Processes: SIGHUP is ignored before the modules of an instance load

Cause: the signal was ignored only once gevent and the adapter had been loaded.

Fix: it is ignored first of all; some 20 ms of Python's own start remain.

Evidence: a scenario of features/processes.feature fails without it.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -27,3 +27,8 @@
   Scenario: A process with bad settings exits with status 2 and reports every error
     When mountladderd is started with bad settings
     Then it exits with status 2 and reports 7001 for 6 errors
+
+  # Guards against an instance that a SIGHUP ends while its modules load, as its settings change.
+  Scenario: SIGHUP is ignored before an instance behind an adapter loads its modules
+    When an instance behind an adapter loads its first module
+    Then SIGHUP is ignored there
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -242,3 +243,20 @@
 def ended(context, status, code, number):
     assert context.ended.returncode == status, context.ended
     assert context.ended.stderr.count(str(code)) == number, context.ended.stderr
+
+
+@when("an instance behind an adapter loads its first module")
+def first_module(context):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    # Stands for the first module that is not part of Python, and ends the process.
+    lines = ["import signal", "print(signal.getsignal(signal.SIGHUP).name)", "raise SystemExit"]
+    (folder / "gevent.py").write_text("\n".join(lines))
+    command = [sys.executable, "-m", "mountladder_entry.main", "--adapter", "an.adapter"]
+    environment = os.environ | {"PYTHONPATH": str(folder)}
+    done = subprocess.run(command, env=environment, capture_output=True, text=True, check=True)
+    context.handling = done.stdout.strip()
+
+
+@then("SIGHUP is ignored there")
+def hup_ignored(context):
+    assert context.handling == signal.SIG_IGN.name, context.handling
--- a/packages/entry/src/mountladder_entry/main.py
+++ b/packages/entry/src/mountladder_entry/main.py
@@ -5,6 +5,13 @@
 """Command line of mountladderd, the entry instance."""
 
 import gc
+import signal
+import sys
+
+if "--adapter" in sys.argv:
+    # A platform may send SIGHUP at any time. It would end the process while the modules below load,
+    # before the adapter has installed its handler.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # Loading modules makes almost no garbage, and collecting it took a tenth of the time of a start.
 # The collector is enabled again after the last module is loaded: below, or by the adapter.
@@ -19,7 +26,6 @@
 
 import faulthandler
 import importlib
-import sys
 from pathlib import Path
 
 import click
