Watches: a check does not come again at the same time

A remainder of rounding had a check of a virtual clock come again at the same time for ever, as was seen with the watch of the own interface's calls; the other two had the same gap. One constant for the three.

--- a/packages/core/src/mountladder/clocks/clock.py
+++ b/packages/core/src/mountladder/clocks/clock.py
@@ -15,6 +15,10 @@
 
 from mountladder.errors import WaitTimeoutError
 
+# The least delay of a check that is repeated until a time has passed. The remainder that rounding
+# leaves would otherwise have the next check come at the same time, again and again.
+MIN_DELAY_MS = 1.0
+
 
 class Clock(ABC):
     """A source of time in milliseconds; all waits and timeouts are based on one."""
--- a/packages/core/src/mountladder/continuation/serverwatch.py
+++ b/packages/core/src/mountladder/continuation/serverwatch.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from mountladder.clocks.clock import Clock
+from mountladder.clocks.clock import MIN_DELAY_MS, Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.continuation.continuations import Continuations
 from mountladder.forwarding.route import Route
@@ -70,7 +70,7 @@
 
     def check_later(self, delay_ms: float) -> None:
         """Check after a delay in milliseconds whether the server has been silent for long."""
-        self.cancel_check = self.clock.call_later(delay_ms, self.check_silence)
+        self.cancel_check = self.clock.call_later(max(MIN_DELAY_MS, delay_ms), self.check_silence)
 
     def check_silence(self) -> None:
         """Probe the server if no event has arrived for long, otherwise check again later."""
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -348,7 +348,7 @@
         self.excluded |= {attempt.server}
         self.possible_runs += error.dispatched
         self.connect_failures += error.code is Code.CONNECT_FAILED
-        # Last, since it looks into the server, meanwhile the attempt may be cancelled.
+        # Last, since this may wait, and a second attempt may be cancelled meanwhile.
         self.tracked.failed(attempt.choice.state.server, attempt.started, error)
 
     def record_failure(self, attempt: ForwardAttempt, code: Code) -> None:
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -13,6 +13,7 @@
 from eliot import write_traceback
 from gevent import Greenlet
 
+from mountladder.clocks.clock import MIN_DELAY_MS
 from mountladder.code import Code
 from mountladder.errors import MountladderError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
@@ -119,7 +120,7 @@
 
     def check_later(self, delay_ms: float) -> None:
         """Check after a delay in milliseconds whether the servers are silent."""
-        self.cancel_check = self.clock.call_later(delay_ms, self.check)
+        self.cancel_check = self.clock.call_later(max(MIN_DELAY_MS, delay_ms), self.check)
 
     def check(self) -> None:
         """Make a further attempt if the servers are silent, otherwise check again later."""
--- a/packages/core/src/mountladder/requests/silencewatch.py
+++ b/packages/core/src/mountladder/requests/silencewatch.py
@@ -12,14 +12,12 @@
 import gevent
 from gevent import Greenlet
 
-from mountladder.clocks.clock import Clock
+from mountladder.clocks.clock import MIN_DELAY_MS, Clock
 from mountladder.errors import WaitTimeoutError
 from mountladder.requests.stagecall import StageCall
 
 # Interval between questions whether a call that is overdue may be given up.
 RECHECK_MS = 500.0
-# A remainder from rounding would have the next check come at the same time, again and again.
-MIN_DELAY_MS = 1.0
 
 
 class SilenceWatch:
