Tests, requests: one fleet of two instances, one constant for successful statuses

Two step files started the same fleet with servers line by line; both call start_two_instances of forwardbasics now. The lowest status that is no success stood in two modules. Behaviour and assertions are as before: silentservers, silentchoice, forwarding and http pass (175 scenarios, the six listed ones fail as before), start and relay pass, lint is clean.

--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -100,6 +100,31 @@
     return replace(plain, **fields)
 
 
+def start_two_instances(context, servers, timeout_ms, settle_ms):
+    """Start two instances, with servers in a data centre of theirs and saved up retries.
+
+    Args:
+        context: The scenario's context.
+        servers: The names of the servers, by service.
+        timeout_ms: The timeout of all routes.
+        settle_ms: How long the instances need to find each other and the servers.
+    """
+    fleet = context.fleet
+    plain = catalogue(1)
+    routes = {
+        host: tuple(replace(one, timeout_ms=timeout_ms) for one in all_)
+        for host, all_ in plain.routes.items()
+    }
+    fleet.configure(replace(plain, routes=routes))
+    for name in ("a-1", "b-1"):
+        fleet.start(name)
+    for service, names in servers.items():
+        for name in names:
+            fleet.add_server(name, service, "a")
+    context.run(context.clock.sleep, settle_ms)
+    save_retries(context)
+
+
 def save_retries(context):
     """Have the instances run for longer than the retry budget's window, and save up retries."""
     context.run(context.clock.sleep, RETRY_AGE_MS)
--- a/features/steps/silentchoice_steps.py
+++ b/features/steps/silentchoice_steps.py
@@ -6,18 +6,16 @@
 
 import math
 from collections import Counter
-from dataclasses import replace
 
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import (
     PATHS,
-    catalogue,
     record_sends,
     request,
-    save_retries,
     send_steadily,
     serve,
+    start_two_instances,
 )
 from logrecorder import record_lines
 
@@ -40,20 +38,7 @@
 
 @given("two instances and three servers of each service")
 def fleet_with_servers(context):
-    fleet = context.fleet
-    plain = catalogue(1)
-    routes = {
-        host: tuple(replace(one, timeout_ms=ROUTE_TIMEOUT_MS) for one in all_)
-        for host, all_ in plain.routes.items()
-    }
-    fleet.configure(replace(plain, routes=routes))
-    for name in ("a-1", "b-1"):
-        fleet.start(name)
-    for service, names in SERVERS.items():
-        for name in names:
-            fleet.add_server(name, service, "a")
-    context.run(context.clock.sleep, SETTLE_MS)
-    save_retries(context)
+    start_two_instances(context, SERVERS, ROUTE_TIMEOUT_MS, SETTLE_MS)
     record_lines(context)
     record_sends(context)
     context.silences = {}
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -9,7 +9,7 @@
 import gevent
 from behave import given, then, when
 from forward_steps import SETTLE_MS, budget_spent, events
-from forwardbasics import PATHS, PROMPT_KINDS, catalogue, request, save_retries, serve
+from forwardbasics import PATHS, PROMPT_KINDS, request, serve, start_two_instances
 from gevent.event import Event
 from logrecorder import record_lines
 
@@ -28,20 +28,7 @@
 
 @given("two instances and the servers of each kind of request")
 def fleet_with_servers(context):
-    fleet = context.fleet
-    plain = catalogue(1)
-    routes = {
-        host: tuple(replace(one, timeout_ms=ROUTE_TIMEOUT_MS) for one in all_)
-        for host, all_ in plain.routes.items()
-    }
-    fleet.configure(replace(plain, routes=routes))
-    for name in ("a-1", "b-1"):
-        fleet.start(name)
-    for service, names in SERVERS.items():
-        for name in names:
-            fleet.add_server(name, service, "a")
-    context.run(context.clock.sleep, SETTLE_MS)
-    save_retries(context)
+    start_two_instances(context, SERVERS, ROUTE_TIMEOUT_MS, SETTLE_MS)
     record_lines(context)
     context.plans = []
     context.sent_calls = []
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from mountladder.forwarding.streamrun import StreamRun
 
+# The lowest HTTP status that is no success.
 SUCCESS_END = 300
 
 
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from mountladder.code import Code
+from mountladder.continuation.continuation import SUCCESS_END
 from mountladder.errors import MountladderError, RunError, StageError
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
@@ -18,8 +19,6 @@
 from mountladder.forwarding.upstreamanswer import UpstreamAnswer
 from mountladder.memory.holder import Holder
 
-# The lowest HTTP status that is no success.
-SUCCESS_END = 300
 # An idempotent request is sent to another server as well if there is no answer within this fraction
 # of its latency target. Calls take about a third of that, so the second answer can be on time.
 FIRST_ATTEMPT_FRACTION = 0.6
