Quarantine: log lines name the prompt parts of what a crashed server had in flight

No line tells which prompt parts a request has, so that a part in common cannot be told from a caller, a route or chance.

Change: 'received' and 'server-crashed' name the keyed fingerprints of the parts that other requests may share (8 digits), and for how long each interrupted request had been answered; 16 requests a crash at most. Interruptions carry both; nothing is decided by them yet.

--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from mountladder.forwarding.streamrun import StreamRun
 from mountladder.forwarding.wholerun import WholeRun
 from mountladder.metrics.metric import Metric
+from mountladder.quarantine.fingerprint import abbreviated
 
 # A catalogue that was not confirmed for this long may be outdated, so an unknown route or key is
 # reported as "not ready" instead.
@@ -112,6 +113,7 @@
             aim_ms=round(route.target_ms),
             comes_back=run.is_returning,
             fingerprint=run.tracked.fingerprint,
+            parts=abbreviated(run.tracked.parts),
             last_event_id=request.last_event_id,
             resumes=request.resumes,
         )
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -60,7 +60,8 @@
         heard_at: Since when the server of the attempt in progress is awaited, in the clock's
             milliseconds: since it was last heard of, or the request was sent there.
         is_waiting: Whether the server is awaited, and not the caller.
-        has_begun: Whether the server of the attempt in progress has begun to answer.
+        begun_at: Since when the server of the attempt in progress has been answering, in the
+            clock's milliseconds, or None.
         is_retry_paid: Whether a retry was taken out of the budget for a second server that was
             not reached, so that the next one needs no other.
         excluded: Names of the servers at which it failed.
@@ -97,7 +98,8 @@
         self.connect_failures = 0
         self.hedge: Hedge | None = None
         self.heard_at = request.arrived
-        self.is_waiting = self.has_begun = self.is_retry_paid = False
+        self.is_waiting = self.is_retry_paid = False
+        self.begun_at: float | None = None
         self.excluded: frozenset[str] = frozenset()
         self.flow: StageFlow | None = None
         self.site = ""
@@ -110,7 +112,8 @@
         self.reservation = Reservation(self)
         self.hold = Hold(self)
         texts = (self.team, request.method, request.host, request.target)
-        self.tracked = context.quarantine.track(request.id, texts, request.body)
+        parts = request.prompt.shared_parts() if request.prompt else ()
+        self.tracked = context.quarantine.track(request.id, texts, request.body, parts)
         context.budgets.of_requests(self.service).earn()
 
     @property
@@ -128,6 +131,15 @@
         """Return the software version that the server must run, or None if any will do."""
         return None
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the server of the attempt in progress has begun to answer."""
+        return self.begun_at is not None
+
+    def begun_ms(self) -> float:
+        """Return for how long the server of the attempt in progress has been answering, or 0."""
+        return 0.0 if self.begun_at is None else self.context.clock.now() - self.begun_at
+
     def remaining_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
         return self.deadline - self.context.clock.now()
@@ -219,7 +231,7 @@
             MountladderError: No server is available.
         """
         attempt = self.begin_attempt(self.acquire())
-        self.has_begun = False
+        self.begun_at = None
         self.wait_for_server()
         self.hedge = Hedge(self, attempt)
         return attempt
--- a/packages/core/src/mountladder/forwarding/prompt.py
+++ b/packages/core/src/mountladder/forwarding/prompt.py
@@ -24,3 +24,7 @@
     tokens: int
     max_output: int
     parts: tuple[PromptPart, ...]
+
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests may share."""
+        return tuple(one.id for one in self.parts[:-1])
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -100,7 +100,9 @@
             body = answer.read(self.remaining_ms())
         except StageError as error:
             self.record_failure(attempt, error.code)
-            self.tracked.failed(attempt.choice.state.server, attempt.started, error)
+            self.tracked.failed(
+                attempt.choice.state.server, attempt.started, error, self.begun_ms()
+            )
             raise RunError(error.detail, error.code) from error
         self.record_failure(attempt, Code.STAGE_FAILED)
         self.finish(status=answer.status)
@@ -194,6 +196,7 @@
         self.splitter.incomplete = b""
         events = self.split(self.splitter, second.data)
         self.stream_version.settle(second.version)
+        self.begun_at = None
         self.heard()
         self.hedge = Hedge(self, second.attempt)
         self.hedge.start(second.break_connection)
@@ -309,7 +312,7 @@
         second = self.hedge.outcome()
         if second is not None:
             cut = StageError("another server was heard of first", Code.STAGE_STALLED)
-        self.tracked.failed(attempt.choice.state.server, attempt.started, cut)
+        self.tracked.failed(attempt.choice.state.server, attempt.started, cut, self.begun_ms())
         if not self.stream_version.is_alone(attempt.server):
             self.excluded |= {attempt.server}
         self.possible_runs += 1
@@ -368,7 +371,9 @@
 
     def heard(self) -> None:
         """Record that the server has sent a part of its stream; see ForwardRun."""
-        self.is_waiting, self.has_begun = False, True
+        self.is_waiting = False
+        if self.begun_at is None:
+            self.begun_at = self.context.clock.now()
         if self.flow is not None and self.hedge.task is not None:
             # They were held for a second server, which has them or is cancelled.
             self.flow.release()
--- a/packages/core/src/mountladder/quarantine/crashdetector.py
+++ b/packages/core/src/mountladder/quarantine/crashdetector.py
@@ -15,6 +15,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
+from mountladder.quarantine.fingerprint import abbreviated
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.serverlisting import ServerListing
 
@@ -28,6 +29,9 @@
 BREAK_WINDOW_MS = 500.0
 # Max. number of crashed servers that are remembered.
 MAX_CRASHED = 256
+# Max. number of interrupted requests whose details are logged; those that the server had not begun
+# to answer come first.
+MAX_LOGGED = 16
 
 
 class CrashDetector:
@@ -139,6 +143,7 @@
             reason=reason,
             requests=sorted({one.request for one in interrupted}),
             fingerprints=sorted({one.fingerprint for one in interrupted}),
+            details=[_detail(one) for one in sorted(interrupted, key=_log_order)[:MAX_LOGGED]],
         )
         self.report(server, incarnation, interrupted)
 
@@ -147,3 +152,16 @@
     ) -> None:
         """Report which requests an incarnation of a server had in flight when it crashed."""
         self.on_crashed(incarnation, self.listing.service(server), interrupted)
+
+
+def _log_order(one: Interruption) -> tuple[bool, float]:
+    return one.begun_ms > 0.0, one.ran_ms
+
+
+def _detail(one: Interruption) -> dict[str, object]:
+    return {
+        "request": one.request,
+        "ran_ms": round(one.ran_ms),
+        "begun_ms": round(one.begun_ms),
+        "parts": abbreviated(one.parts),
+    }
--- a/packages/core/src/mountladder/quarantine/fingerprint.py
+++ b/packages/core/src/mountladder/quarantine/fingerprint.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 # With 16 bytes, two different requests among all that a fleet receives in a year collide with a
 # probability of about 1e-16.
 DIGEST_BYTES = 16
 # Separator of the hashed texts; none of them can contain it.
 SEPARATOR = b"\0"
+# The number of digits of a part's fingerprint in the log lines of requests.
+LOGGED_DIGITS = 8
 
 
 def fingerprint(secret: str, texts: Sequence[str], body: bytes) -> str:
@@ -37,6 +39,21 @@
     return digest.hexdigest()
 
 
+def part_fingerprint(secret: str, part: str) -> str:
+    """Return the fingerprint of a part of a prompt, which reveals no content.
+
+    Args:
+        secret: The key that all instances share.
+        part: The id of the part, whose letters may be of either case.
+    """
+    return fingerprint(secret, ("prompt part",), part.lower().encode())
+
+
+def abbreviated(fingerprints: Iterable[str]) -> list[str]:
+    """Return the first digits of fingerprints, by which they are found in other log lines."""
+    return [one[:LOGGED_DIGITS] for one in fingerprints]
+
+
 def stage_fingerprint(request_fingerprint: str, service: str) -> str:
     """Return the fingerprint of a request's pieces at a stage service.
 
--- a/packages/core/src/mountladder/quarantine/interruption.py
+++ b/packages/core/src/mountladder/quarantine/interruption.py
@@ -19,6 +19,8 @@
         ran_ms: How long the server had had it.
         at: When the connection broke, in the clock's milliseconds.
         alone: Whether it was the only request of its call.
+        begun_ms: For how long the server had been answering it; 0 if it had not begun to.
+        parts: The fingerprints of the parts of its prompt that other requests may share.
     """
 
     fingerprint: str
@@ -26,3 +28,5 @@
     ran_ms: float
     at: float
     alone: bool = True
+    begun_ms: float = 0.0
+    parts: tuple[str, ...] = ()
--- a/packages/core/src/mountladder/quarantine/quarantineservice.py
+++ b/packages/core/src/mountladder/quarantine/quarantineservice.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.membership.linkmanager import LinkManager
 from mountladder.metrics.metrics import Metrics
 from mountladder.quarantine.crashdetector import CrashDetector
-from mountladder.quarantine.fingerprint import fingerprint
+from mountladder.quarantine.fingerprint import fingerprint, part_fingerprint
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.serverlisting import ServerListing
 from mountladder.quarantine.suspicionexchange import SuspicionExchange
@@ -48,13 +48,18 @@
         self.detector.on_crashed = self.registry.handle_crash
         self.exchange = SuspicionExchange(link_manager, self.registry, clock)
 
-    def track(self, request: str, texts: Sequence[str], body: bytes) -> TrackedAttempt:
+    def track(
+        self, request: str, texts: Sequence[str], body: bytes, parts: Iterable[str] = ()
+    ) -> TrackedAttempt:
         """Return an attempt at a request that is tracked by the quarantine.
 
         Args:
             request: The id of the attempt.
             texts: The sending team and what the request asks for, without the body.
             body: The body of the request.
+            parts: The ids of the parts of its prompt that other requests may share.
         """
-        digest = fingerprint(self.secret(), texts, body)
-        return TrackedAttempt(digest, request, self.registry, self.detector, self.clock)
+        secret = self.secret()
+        digest = fingerprint(secret, texts, body)
+        shared = tuple(part_fingerprint(secret, one) for one in dict.fromkeys(parts))
+        return TrackedAttempt(digest, request, self.registry, self.detector, self.clock, shared)
--- a/packages/core/src/mountladder/quarantine/trackedattempt.py
+++ b/packages/core/src/mountladder/quarantine/trackedattempt.py
@@ -27,6 +27,7 @@
         quarantine: The quarantine of this instance.
         detector: Finds out whether a server has crashed when a connection to it breaks.
         clock: The clock.
+        parts: The fingerprints of the parts of its prompt that other requests may share.
     """
 
     def __init__(
@@ -36,12 +37,14 @@
         quarantine: Quarantine,
         detector: CrashDetector,
         clock: Clock,
+        parts: tuple[str, ...] = (),
     ) -> None:
         self.fingerprint = fingerprint
         self.request = request
         self.quarantine = quarantine
         self.detector = detector
         self.clock = clock
+        self.parts = parts
 
     def of_stage(self, name: str) -> TrackedAttempt:
         """Return the same attempt at one stage, or at the pieces of one stage service."""
@@ -71,17 +74,27 @@
         """
         self.quarantine.admit(self.fingerprint, self.request, remaining_ms)
 
-    def failed(self, server: BackendServer, started: float, error: StageError) -> None:
+    def failed(
+        self, server: BackendServer, started: float, error: StageError, begun_ms: float = 0.0
+    ) -> None:
         """Find out whether a server has crashed, if the connection to it broke.
 
         Args:
             server: The server.
             started: When the request was sent there, in the clock's milliseconds.
             error: How the attempt failed.
+            begun_ms: For how long the server had been answering; 0 if it had not begun to.
         """
         if connection_broke(error):
             now = self.clock.now()
-            lost = Interruption(self.fingerprint, self.request, now - started, now)
+            lost = Interruption(
+                self.fingerprint,
+                self.request,
+                now - started,
+                now,
+                begun_ms=begun_ms,
+                parts=self.parts,
+            )
             self.detector.investigate(server, (lost,))
 
     def answered(self) -> None:
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -18,6 +18,7 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError
 from mountladder.forwarding.forwardcall import ForwardCall
+from mountladder.forwarding.forwardrequest import ForwardRequest
 from mountladder.forwarding.piece import Piece
 from mountladder.forwarding.piecefailure import PieceFailure
 from mountladder.forwarding.pieceresult import PieceResult
@@ -61,7 +62,10 @@
         answers: The answers that were returned.
         tokens_per_ms: How fast prompts are read; None if every request takes the same time.
         crash_after_ms: After how many milliseconds a server that works on a request crashes, by
-            the request's body; or on a piece, by the piece's key.
+            the request's body or the id of a part of its prompt; or on a piece, by its key.
+        late_crash_ms: How long after its first event a server that answers a request crashes, in
+            milliseconds, by the id of a part of the request's prompt.
+        event_ms: The time between the events of a stream, in milliseconds.
         crashed: The names of the crashed servers, in order; they refuse connections.
         silent_crashes: Whether crashed servers do not answer probes, in place of refusing them.
         on_crashed: Called with each server that a request crashed.
@@ -93,6 +97,8 @@
         self.numbers = itertools.count(1)
         self.tokens_per_ms: float | None = None
         self.crash_after_ms: dict[bytes | str, float] = {}
+        self.late_crash_ms: dict[str, float] = {}
+        self.event_ms = EVENT_MS
         self.crashed: list[str] = []
         self.silent_crashes = False
         self.on_crashed: Callable[[BackendServer], None] = lambda server: None
@@ -126,7 +132,7 @@
             self.clock.wait(shut_down, limit_ms)
             raise StageError("", Code.STAGE_STALLED)
         with self.fragile.request(server.name):
-            self.work(server, self.work_ms(call), (call.request.body,))
+            self.work(server, self.work_ms(call), _contents(call.request))
         self.wait_until_heard(server, shut_down, sent_at + limit_ms)
         if fault is ServerFault.RESET:
             raise StageError("", Code.STREAM_CUT)
@@ -135,8 +141,15 @@
         answer.headers = (("X-Server", server.name),)
         answer.shut_down = shut_down
         self.answers.append(answer)
+        self.crash_late(server, call)
         return answer
 
+    def crash_late(self, server: BackendServer, call: ForwardCall) -> None:
+        """Crash a server some time after the first event of an answer, if a part does that."""
+        contents = _contents(call.request)
+        for ms in [ms for part, ms in self.late_crash_ms.items() if part in contents]:
+            self.clock.call_later(self.event_ms + ms, lambda: self.crash(server))
+
     def wait_until_heard(self, server: BackendServer, shut_down: Event, until: float) -> None:
         """Wait while a server is silent.
 
@@ -276,7 +289,7 @@
             has_crashed = partial(self.has_crashed, server)
             is_silent = partial(self.silent.__contains__, server.name)
             return LocalAnswer(
-                self.clock, 200, signed, events, EVENT_MS, cut, has_crashed, is_silent
+                self.clock, 200, signed, events, self.event_ms, cut, has_crashed, is_silent
             )
         return LocalAnswer(self.clock, 200, signed, [server.name.encode()])
 
@@ -319,3 +332,7 @@
 
     def close(self) -> None:
         """Do nothing, as there are no connections."""
+
+
+def _contents(request: ForwardRequest) -> tuple[bytes | str, ...]:
+    return (request.body, *(request.prompt.shared_parts() if request.prompt else ()))
