Known red: prompt parts that crash servers, on virtual time

Requests that have one prompt part in common, and are unlike otherwise, crash each server that begins to answer them; sound requests share their team, route and other parts.

--- a/features/promptparts.feature
+++ b/features/promptparts.feature
@@ -15,3 +15,106 @@
     When a request with parts "f1, p" comes at a-1
     Then the lines about the crash name the fingerprints of "f1" and "p" and no request begun
     And the line about the receipt of the request names them as well
+
+  Scenario Outline: A prompt part that crashes servers is kept from them, and sound requests are served
+    Given a deadly prompt part "p" <where> in the prompt
+    When requests with it come every <every> ms for 38 s, beside sound ones
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most <crashes> servers have crashed
+    And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
+    And each instance refuses a request with it with code 2010 as not_run within 5 ms
+
+    Examples: How often they come
+      | where                         | every | crashes |
+      | second                        | 900   | 4       |
+      | second                        | 300   | 6       |
+      | second                        | 4000  | 4       |
+      | first                         | 900   | 4       |
+      | first                         | 300   | 6       |
+
+    Examples: What is beside the part
+      | where                         | every | crashes |
+      | second after one first part   | 900   | 4       |
+      | second after two first parts  | 900   | 6       |
+      | among parts of one request    | 900   | 4       |
+      | fourth after three alike      | 900   | 4       |
+      | last of 24 shared parts       | 900   | 4       |
+
+  Scenario Outline: Requests with it are kept from servers whichever kind they are, and when they crash
+    Given a deadly prompt part "p" second in the prompt
+    And <detail>
+    When <kind> requests with it come every 900 ms for 20 s, beside sound ones
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most <crashes> servers have crashed
+    And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
+
+    Examples:
+      | detail                                           | kind      | crashes |
+      | it crashes servers as they begin to answer       | resumable | 4       |
+      | it crashes servers as they begin to answer       | staged    | 5       |
+      | it crashes servers 100 ms after the first event  | stream    | 5       |
+      | it crashes servers 400 ms after the first event  | stream    | 5       |
+      | it crashes servers 100 ms after the first event  | resumable | 5       |
+      | its letters are of either case                   | stream    | 4       |
+
+  Scenario Outline: Instances that start again keep it from servers
+    # Guards against a bar that one process alone remembers.
+    Given a deadly prompt part "p" second in the prompt
+    And <event> after the third crash
+    When requests with it come every 900 ms for 38 s, beside sound ones
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most 6 servers have crashed
+    And over 0.9 of the sound requests from 9000 ms after the last free crash on are served
+
+    Examples:
+      | event                                       |
+      | all instances restart one after the other   |
+      | all instances are killed and restart        |
+      | all instances restart 3 times in a row      |
+      | the store is restored from an older copy    |
+
+  Scenario: Instances cut off from each other keep it from servers, each side by what it sees
+    Given a deadly prompt part "p" second in the prompt
+    And data centres a and b cannot reach each other
+    When requests with it come every 900 ms for 20 s, beside sound ones
+    Then at most 8 servers have crashed
+    When data centres a and b are connected again
+    And requests with it come every 900 ms for 5 s, beside sound ones
+    Then at most 8 servers have crashed
+
+  Scenario: Two parts that crash servers, by turns
+    Given a deadly prompt part "p" second in the prompt
+    And a deadly prompt part "q" second in the prompt
+    When requests with either come by turns every 900 ms for 38 s, beside sound ones
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most 9 servers have crashed
+    And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
+
+  Scenario Outline: Sound requests that share the part beside it with the deadly ones are served
+    # Guards against blame for a part that is at every crash only because the deadly part is.
+    Given a deadly prompt part "p" second in the prompt
+    When requests with parts "f0, p" come every 900 ms for 38 s, and with parts "f0, s1" every <ms> ms
+    Then at most 5 servers have crashed
+    And over <share> of the sound requests from 6000 ms after the last free crash on are served
+
+    Examples:
+      | ms    | share |
+      | 200   | 0.95  |
+      | 1000  | 0.95  |
+      | 5000  | 0.95  |
+
+  Scenario: A part that most requests share begins to crash servers
+    # Guards against earlier answers that clear a part for ever.
+    Given requests with parts "f0, s1" come every 100 ms for 5 s, and with parts "f1, s1" every 500 ms
+    And a deadly prompt part "f0" first in the prompt
+    When requests with parts "f0, s1" come every 400 ms for 20 s, and with parts "f1, s1" every 500 ms
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
+
+  Scenario: A deadly part beside a request that is deadly by itself
+    Given a deadly prompt part "p" second in the prompt
+    And a deadly stream request with parts "f3, s3" comes every 1300 ms as well
+    When requests with it come every 900 ms for 20 s, beside sound ones
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most 8 servers have crashed
+    And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
