Quarantine: what is common to suspects of any kind is a class of its own

Cause: quarantine knows one kind of suspect, a request by its whole content. Prompt parts need the same book: crashes, answers that clear, bars, merging, bounds.

Change: SuspicionRegistry holds what does not depend on what a suspect is; Quarantine keeps what concerns requests. No change of behaviour.

--- a/packages/core/src/mountladder/quarantine/presumedcrashes.py
+++ b/packages/core/src/mountladder/quarantine/presumedcrashes.py
@@ -16,10 +16,10 @@
 from mountladder.metrics.metric import Metric
 from mountladder.quarantine.crashdetector import LISTING_DELAY_MS
 from mountladder.quarantine.interruption import Interruption
-from mountladder.quarantine.quarantine import MAX_ENTRIES, MAX_SUSPECTS
 from mountladder.quarantine.quarantineservice import QuarantineService
 from mountladder.quarantine.servercrash import ServerCrash
 from mountladder.quarantine.suspicion import MAX_CRASHES, NEVER, Suspicion
+from mountladder.quarantine.suspicionregistry import MAX_ENTRIES, MAX_SUSPECTS
 
 # Min. time between two writes of the presumed suspicion of one request. By then the list of servers
 # has shown what became of the servers of the first write.
--- a/packages/core/src/mountladder/quarantine/presumedjudge.py
+++ b/packages/core/src/mountladder/quarantine/presumedjudge.py
@@ -13,9 +13,9 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.quarantine.crashdetector import LISTING_DELAY_MS
-from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.serverlisting import ServerListing
 from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicionregistry import SuspicionRegistry
 
 # The store's name as a source in log lines of the quarantine.
 SOURCE = "the store"
@@ -42,7 +42,7 @@
         on_dropped: Called with the fingerprint of a row that is to be deleted.
     """
 
-    def __init__(self, quarantine: Quarantine, listing: ServerListing, clock: Clock) -> None:
+    def __init__(self, quarantine: SuspicionRegistry, listing: ServerListing, clock: Clock) -> None:
         self.quarantine = quarantine
         self.listing = listing
         self.clock = clock
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -11,8 +11,8 @@
 from mountladder.clocks.clock import Clock
 from mountladder.membership.gossip import Gossip
 from mountladder.membership.linkmanager import LinkManager
-from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicionregistry import SuspicionRegistry
 from mountladder.quarantine.suspicions import Suspicions
 
 
@@ -28,7 +28,9 @@
         on_received: Called with all received suspicions, those with presumed crashes included.
     """
 
-    def __init__(self, link_manager: LinkManager, quarantine: Quarantine, clock: Clock) -> None:
+    def __init__(
+        self, link_manager: LinkManager, quarantine: SuspicionRegistry, clock: Clock
+    ) -> None:
         super().__init__(link_manager, clock, Suspicions)
         self.quarantine = quarantine
         quarantine.on_update = self.broadcast
--- a/packages/core/src/mountladder/quarantine/suspicionpersister.py
+++ b/packages/core/src/mountladder/quarantine/suspicionpersister.py
@@ -16,8 +16,8 @@
 from mountladder.forwarding.readerelection import ReaderElection
 from mountladder.quarantine.presumedcrashes import PresumedCrashes
 from mountladder.quarantine.presumedjudge import SOURCE, PresumedJudge
-from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicionregistry import SuspicionRegistry
 from mountladder.quarantine.suspicionstore import SuspicionStore
 from mountladder.store.eratracker import MAX_COPY_AGE_MS
 
@@ -52,7 +52,7 @@
     def __init__(
         self,
         store: SuspicionStore,
-        quarantine: Quarantine,
+        quarantine: SuspicionRegistry,
         presumed: PresumedCrashes,
         judge: PresumedJudge,
         reader_election: ReaderElection,
