--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -4,6 +4,8 @@
 
 import os
 import shutil
+import signal
+import sys
 import tempfile
 import threading
 import time
@@ -39,6 +41,8 @@
     def note(self, text: str) -> None:
         """Write a line to the record."""
         with self.lock:
+            if self.record.closed:
+                return
             self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
 
     def start(self) -> None:
@@ -64,11 +68,14 @@
             print("logs:", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
-        self.record.close()
+        with self.lock:
+            self.record.close()
 
 
 def play(case, folder: Path, instances: int) -> int:
     """Play a case and return the exit status: HELD, BROKEN or NOT_RUN."""
+    # An ended script ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     scene = Scene(folder, instances)
     try:
         broken = case(scene)
