--- a/review/2/case.py
+++ b/review/2/case.py
@@ -119,7 +119,16 @@
     def send(id_: str, number: int, name: str, deadline_ms: int) -> None:
         """Send one request on a new connection."""
         port = scene.instances[number % INSTANCES].callers
-        answer = call(port, id_, "POST", f"/{name}/x", deadline_ms, deadline_ms / 1000, b"room 12")
+        answer = call(
+            port,
+            id_,
+            "POST",
+            f"/{name}/x",
+            deadline_ms,
+            deadline_ms / 1000,
+            b"room 12",
+            note=scene.note,
+        )
         scene.note(f"client: {answer}")
         if name == UNSAFE[0]:
             answers.append(answer)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -139,6 +139,8 @@
         if stream.last:
             headers |= {"Last-Event-Id": str(stream.last), "Resumes": stream.begun_by}
         instance = self.rng.choice(self.scene.instances)
+        after = f" after event {stream.last}" if stream.last else ""
+        self.scene.note(f"client: sends {id_}{after} to {instance.name}")
         with socket.create_connection(("127.0.0.1", instance.callers), timeout=1.0) as connection:
             connection.settimeout(PATIENCE_S)
             body = f"question {stream.number}".encode()
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from standins.http1 import Headers, Reader, message
@@ -36,9 +37,11 @@
     wait_s: float,
     body: bytes = b"",
     headers: Headers | None = None,
+    note: Callable[[str], None] = lambda text: None,
 ) -> Answer:
     """Send one request on a connection of its own; wait for the answer at most wait_s."""
     began = time.monotonic()
+    note(f"client: sends {id_}, {method} {path}, to port {port}")
     sent = {
         "Host": HOST,
         "Mountladder-Request-Id": id_,
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -26,6 +27,9 @@
     "limits.memory_mb": "300",
 }
 READY_S = 20.0
+FIRST_PORT, LAST_PORT = 12_000, 30_000
+# The ports of the instances of this script.
+TAKEN: set[int] = set()
 
 
 class Instance:
@@ -105,11 +109,21 @@
 
 
 def free_ports(number: int) -> list[int]:
-    """Return ports that are free."""
-    sockets = [socket.socket() for _ in range(number)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports that are free.
+
+    They are below the range of ephemeral ports, so that no outgoing connection takes the port of an
+    instance while it is down.
+    """
+    ports: list[int] = []
+    while len(ports) < number:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports and port not in TAKEN:
+            ports.append(port)
+    TAKEN.update(ports)
     return ports
