Review, case 2: the trouble strikes servers that have work

Cause: requests are placed unevenly, so that the faulty servers got few of them in some runs, and the first spoiled answer came late.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,7 +29,7 @@
 EVENTS, EVENT_S, WORK_S = 6, 0.05, 0.06
 # The dose of the site file for the kind "garble": 0.6 of the servers, 0.03 of their answers, 5 s;
 # three times.
-FAULTY_SHARE, SPOILED_SHARE, TROUBLE_S = 0.6, 0.03, 5.0
+FAULTY, SPOILED_SHARE, TROUBLE_S = int(0.6 * POOL[1]), 0.03, 5.0
 TIMES, CALM_S = 3, 3.0
 NOISE_BYTES = 4
 # A machine's link has 1,000 Mbit/s, which is 125 MB/s; a spoiled answer takes a third of that.
@@ -111,8 +111,6 @@
         one.start()
     scene.start()
     dose = Dose(SPOILED_SHARE)
-    for one in pool[: int(FAULTY_SHARE * len(pool))]:
-        one.dose = dose
     answers: list[Answer] = []
     threads: list[threading.Thread] = []
 
@@ -149,6 +147,10 @@
         one.start()
     for _ in range(TIMES):
         time.sleep(CALM_S)
+        if not dose.answers:
+            # The load is uneven: the faulty servers are those that have work.
+            for one in sorted(pool, key=lambda server: -len(server.runs))[:FAULTY]:
+                one.dose = dose
         dose.is_active = scene.trouble
         time.sleep(TROUBLE_S)
         dose.is_active = False
