Quarantine: what differs between kinds of suspects is in SuspectKind

Cause: the suspicions, their exchange and their rows are those of requests only: the durations of bars and what counts as one cause are constants of Suspicion, the persister knows the presumed crashes of requests, and an attempt at a request is bound to one registry.

Change: SuspectKind holds the name, the common cause and the durations of a kind; the exchange is given its message, the persister is wired from outside, an attempt has the quarantine service, and several suspects are cleared at once. Log lines about suspects name the kind. No decision changes.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -16,7 +16,8 @@
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.memorysuspicionstore import MemorySuspicionStore
 from mountladder.quarantine.servercrash import ServerCrash
-from mountladder.quarantine.suspicion import BAR_DURATIONS_MS, NEVER, Suspicion
+from mountladder.quarantine.suspectkind import REQUEST_BARS_MS
+from mountladder.quarantine.suspicion import NEVER, Suspicion
 from mountladder_standins.serverfault import ServerFault
 
 SETTLE_MS = 700.0
@@ -418,7 +419,7 @@
 @given("its bar has expired")
 def bar_expired(context):
     # The clock jumps, so that ten minutes of heartbeats need not be played.
-    context.clock.time += BAR_DURATIONS_MS[0]
+    context.clock.time += REQUEST_BARS_MS[0]
     context.run(context.clock.sleep, 5_000.0)
 
 
@@ -598,7 +599,7 @@
 def old_bars(context, hours):
     wall = context.clock.wall()
     for fingerprint, at in (
-        ("0a" * 16, wall - BAR_DURATIONS_MS[0] - 3_600_000.0 * hours),
+        ("0a" * 16, wall - REQUEST_BARS_MS[0] - 3_600_000.0 * hours),
         ("0b" * 16, wall),
     ):
         server_crashes = (ServerCrash("s", 60.0, at),)
--- a/packages/core/src/mountladder/forwarding/forwarder.py
+++ b/packages/core/src/mountladder/forwarding/forwarder.py
@@ -113,7 +113,7 @@
             aim_ms=round(route.target_ms),
             comes_back=run.is_returning,
             fingerprint=run.tracked.fingerprint,
-            parts=abbreviated(run.tracked.parts),
+            parts=[abbreviated(part) for part in run.tracked.parts],
             last_event_id=request.last_event_id,
             resumes=request.resumes,
         )
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -235,8 +235,10 @@
         )
         judge = PresumedJudge(registry, listing, self.clock)
         self.suspicion_persister = SuspicionPersister(
-            self.tables.suspicion_store, registry, presumed, judge, reader_election, self.clock
+            self.tables.suspicion_store, registry, judge, reader_election, self.clock
         )
+        presumed.on_write = self.suspicion_persister.queue_suspicion
+        presumed.on_remove = self.suspicion_persister.queue_removal
         self.fleet.era_tracker.listeners.append(self.suspicion_persister.rewrite_recent)
 
     def disable_server(self, name: str) -> None:
--- a/packages/core/src/mountladder/quarantine/crashdetector.py
+++ b/packages/core/src/mountladder/quarantine/crashdetector.py
@@ -163,5 +163,5 @@
         "request": one.request,
         "ran_ms": round(one.ran_ms),
         "begun_ms": round(one.begun_ms),
-        "parts": abbreviated(one.parts),
+        "parts": [abbreviated(part) for part in one.parts],
     }
--- a/packages/core/src/mountladder/quarantine/fingerprint.py
+++ b/packages/core/src/mountladder/quarantine/fingerprint.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 # With 16 bytes, two different requests among all that a fleet receives in a year collide with a
 # probability of about 1e-16.
 DIGEST_BYTES = 16
 # Separator of the hashed texts; none of them can contain it.
 SEPARATOR = b"\0"
-# The number of digits of a part's fingerprint in the log lines of requests.
+# The number of digits of an abbreviated fingerprint.
 LOGGED_DIGITS = 8
 
 
@@ -49,9 +49,9 @@
     return fingerprint(secret, ("prompt part",), part.lower().encode())
 
 
-def abbreviated(fingerprints: Iterable[str]) -> list[str]:
-    """Return the first digits of fingerprints, by which they are found in other log lines."""
-    return [one[:LOGGED_DIGITS] for one in fingerprints]
+def abbreviated(fingerprint: str) -> str:
+    """Return the first digits of a fingerprint, by which it is found in other log lines."""
+    return fingerprint[:LOGGED_DIGITS]
 
 
 def stage_fingerprint(request_fingerprint: str, service: str) -> str:
--- a/packages/core/src/mountladder/quarantine/quarantine.py
+++ b/packages/core/src/mountladder/quarantine/quarantine.py
@@ -18,6 +18,7 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.quarantine.barpolicy import MIN_BAR_CRASHES, should_bar
 from mountladder.quarantine.interruption import Interruption
+from mountladder.quarantine.suspectkind import SuspectKind
 from mountladder.quarantine.suspicion import MAX_WAIT_MS, NEVER, Suspicion
 from mountladder.quarantine.suspicionregistry import (
     MAX_ENTRIES,
@@ -44,7 +45,7 @@
         on_server_crashed: Called with the name of a server that has just crashed.
     """
 
-    noun = "request"
+    kind = SuspectKind.REQUEST
     barred_metric = Metric.QUARANTINED
     suspected_metric = Metric.SUSPECTED
     # About a minute of complete answers of an instance of a large fleet, at about 19 a second.
--- a/packages/core/src/mountladder/quarantine/quarantineservice.py
+++ b/packages/core/src/mountladder/quarantine/quarantineservice.py
@@ -17,6 +17,7 @@
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.serverlisting import ServerListing
 from mountladder.quarantine.suspicionexchange import SuspicionExchange
+from mountladder.quarantine.suspicions import Suspicions
 from mountladder.quarantine.trackedattempt import TrackedAttempt
 
 
@@ -46,7 +47,7 @@
         self.registry = Quarantine(clock, metrics)
         self.detector = CrashDetector(refuses, listing, clock)
         self.detector.on_crashed = self.registry.handle_crash
-        self.exchange = SuspicionExchange(link_manager, self.registry, clock)
+        self.exchange = SuspicionExchange(link_manager, self.registry, clock, Suspicions)
 
     def track(
         self, request: str, texts: Sequence[str], body: bytes, parts: Iterable[str] = ()
@@ -62,4 +63,4 @@
         secret = self.secret()
         digest = fingerprint(secret, texts, body)
         shared = tuple(part_fingerprint(secret, one) for one in dict.fromkeys(parts))
-        return TrackedAttempt(digest, request, self.registry, self.detector, self.clock, shared)
+        return TrackedAttempt(digest, request, self, shared)
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -1,20 +1,17 @@
-# suspicion.py -- The record of server crashes under one request
+# suspicion.py -- The record of server crashes under one suspect
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""The record of server crashes under one request."""
+"""The record of server crashes under one suspect."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
 
 from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspectkind import SuspectKind
 
 NEVER = float("-inf")
-# Servers that crash this close together have one cause, such as a rack or a switch. Under a request
-# that is responsible they crash at times that depend on their queues, in the observed cases 60 to
-# 480 ms after it was sent.
-COMMON_CAUSE_MS = 50.0
 # Other copies of a suspect wait while one is in flight: for twice the longest time that it ran
 # before a crash, plus the time until a server begins it. The limit is a second, after which callers
 # try elsewhere.
@@ -27,11 +24,6 @@
 MAX_CRASHES = 8
 # Max. number of cleared crashes that are remembered; well above the number of crashes kept.
 MAX_CLEARED = 16
-MINUTE_MS = 60_000.0
-HOUR_MS = 60.0 * MINUTE_MS
-# How long a request is barred, the first time and each further time. Requests to a model that was
-# repaired run again; one that was not repaired loses three servers to trials in seven hours.
-BAR_DURATIONS_MS = (10.0 * MINUTE_MS, HOUR_MS, 6.0 * HOUR_MS, 24.0 * HOUR_MS)
 # Suspects expire after this time without a further crash; a first bar lasts as long.
 SUSPECT_TTL_MS = 600_000.0
 # How long a clearing is remembered, so that late reports of older crashes do not count again.
@@ -47,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """The server crashes under one request, with what was done about it, in the whole fleet.
+    """The server crashes under one suspect, with what was done about it, in the whole fleet.
 
     Merging is commutative, so that instances may receive each other's updates in any order. Times
     are the clock's milliseconds.
@@ -63,6 +55,7 @@
         cleared: The names of server incarnations whose crashes it was cleared of.
         presumed: The servers whose connections broke and that may have crashed, the latest last.
             Only rows of the store and messages have them: they make no request suspect.
+        kind: What is suspected.
     """
 
     fingerprint: str
@@ -74,6 +67,7 @@
     barred_at: float = NEVER
     cleared: tuple[str, ...] = ()
     presumed: tuple[ServerCrash, ...] = ()
+    kind: SuspectKind = SuspectKind.REQUEST
 
     @property
     def is_suspect(self) -> bool:
@@ -100,7 +94,8 @@
         """Return until when the request is barred; NEVER if it is not."""
         if not self.crashes or not self.bars:
             return NEVER
-        return self.barred_at + BAR_DURATIONS_MS[min(self.bars, len(BAR_DURATIONS_MS)) - 1]
+        bars_ms = self.kind.bars_ms
+        return self.barred_at + bars_ms[min(self.bars, len(bars_ms)) - 1]
 
     @property
     def expires_at(self) -> float:
@@ -126,9 +121,10 @@
 
     def independent_crashes(self) -> tuple[ServerCrash, ...]:
         """Return the crashes without those that share a cause with the previous crash."""
+        apart_ms = self.kind.common_cause_ms
         independent: list[ServerCrash] = []
         for one in self.crashes:
-            if not independent or one.at - independent[-1].at > COMMON_CAUSE_MS:
+            if not independent or one.at - independent[-1].at > apart_ms:
                 independent.append(one)
         return tuple(independent)
 
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -17,21 +17,26 @@
 
 
 class SuspicionExchange(Gossip[Suspicion]):
-    """Keeps the suspicions of all instances in sync.
+    """Keeps the suspicions of all instances in sync, for suspects of one kind.
 
     Args:
         link_manager: Keeps the links to the other instances.
         quarantine: The quarantine of this instance.
         clock: The clock.
+        message: The type of the messages.
 
     Attributes:
         on_received: Called with all received suspicions, those with presumed crashes included.
     """
 
     def __init__(
-        self, link_manager: LinkManager, quarantine: SuspicionRegistry, clock: Clock
+        self,
+        link_manager: LinkManager,
+        quarantine: SuspicionRegistry,
+        clock: Clock,
+        message: type[Suspicions],
     ) -> None:
-        super().__init__(link_manager, clock, Suspicions)
+        super().__init__(link_manager, clock, message)
         self.quarantine = quarantine
         quarantine.on_update = self.broadcast
         self.on_received: Callable[[Sequence[Suspicion]], None] = lambda received: None
--- a/packages/core/src/mountladder/quarantine/suspicionpersister.py
+++ b/packages/core/src/mountladder/quarantine/suspicionpersister.py
@@ -14,7 +14,6 @@
 from mountladder.clocks.clock import Clock
 from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.readerelection import ReaderElection
-from mountladder.quarantine.presumedcrashes import PresumedCrashes
 from mountladder.quarantine.presumedjudge import SOURCE, PresumedJudge
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicionregistry import SuspicionRegistry
@@ -28,7 +27,7 @@
 
 
 class SuspicionPersister:
-    """Persists barred requests and strong suspects, so that they survive a loss of all instances.
+    """Persists bars and strong suspects of one kind, so that they survive a loss of all instances.
 
     A bar is written by the instance that observed the last crash, and also by the instance that
     reads the store, in case the first one is lost. The reading instance loads all rows once after
@@ -38,7 +37,6 @@
     Args:
         store: The platform's table of suspicions.
         quarantine: The quarantine of this instance.
-        presumed: Finds requests that probably crashed two servers.
         judge: Decides whether the presumed crashes in rows of the store have happened.
         reader_election: Knows which instance reads the store.
         clock: The clock.
@@ -53,7 +51,6 @@
         self,
         store: SuspicionStore,
         quarantine: SuspicionRegistry,
-        presumed: PresumedCrashes,
         judge: PresumedJudge,
         reader_election: ReaderElection,
         clock: Clock,
@@ -70,8 +67,8 @@
         quarantine.on_barred = self.queue_bar
         quarantine.on_persist = self.queue_suspicion
         quarantine.on_cleared = self.queue_removal
-        presumed.on_write = judge.on_confirmed = self.queue_suspicion
-        presumed.on_remove = judge.on_dropped = self.queue_removal
+        judge.on_confirmed = self.queue_suspicion
+        judge.on_dropped = self.queue_removal
 
     def queue_bar(self, suspicion: Suspicion, seen_here: bool) -> None:
         """Queue a bar to be written, if this instance has to write it."""
@@ -127,7 +124,7 @@
         except (StoreUnavailableError, StoreAmbiguousError) as error:
             log_message("quarantine-load-failed", reason=str(error))
             return False
-        log_message("quarantine-loaded", entries=len(rows))
+        log_message("quarantine-loaded", kind=self.quarantine.kind.noun, entries=len(rows))
         to_clock_ms = self.clock.now() - self.clock.wall()
         known = [suspicion.shifted(to_clock_ms) for suspicion in rows]
         self.stored_bars = {suspicion.fingerprint: suspicion.bars for suspicion in known}
--- a/packages/core/src/mountladder/quarantine/suspicionregistry.py
+++ b/packages/core/src/mountladder/quarantine/suspicionregistry.py
@@ -19,6 +19,7 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.quarantine.interruption import Interruption
 from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspectkind import SuspectKind
 from mountladder.quarantine.suspicion import Suspicion
 
 # Max. number of requests that are suspected of one crash; those that the server had for the
@@ -52,8 +53,8 @@
         on_answered: Called with the fingerprint of each request that is answered completely here.
     """
 
-    # What a suspect is, in the log.
-    noun: str
+    # What the suspects are.
+    kind: SuspectKind
     # The metrics with the numbers of bars and of suspects.
     barred_metric: Metric
     suspected_metric: Metric
@@ -92,6 +93,14 @@
     def record_remote_crashes(self, received: Suspicion) -> None:
         """Record the crashes of a suspicion that another instance observed."""
 
+    def crash(self, server: str, lost: Interruption) -> ServerCrash:
+        """Return the record of the crash of a server that had a request in flight."""
+        return ServerCrash(server, lost.ran_ms, lost.at, lost.alone)
+
+    def of(self, fingerprint: str) -> Suspicion:
+        """Return what is known of a fingerprint, which may be nothing."""
+        return self.suspicions.get(fingerprint) or Suspicion(fingerprint, kind=self.kind)
+
     def is_barred(self, fingerprint: str) -> bool:
         """Return whether a suspect is barred at present."""
         known = self.suspicions.get(fingerprint)
@@ -108,7 +117,13 @@
         if known is None or not known.is_suspect:
             return
         crashed = [one.server for one in known.crashes]
-        log_message("suspect-sent", request=request, fingerprint=fingerprint, servers=crashed)
+        log_message(
+            "suspect-sent",
+            kind=self.kind.noun,
+            request=request,
+            fingerprint=fingerprint,
+            servers=crashed,
+        )
         self.publish([replace(known, sent_at=self.clock.now())], "")
 
     def handle_crash(self, server: str, service: str, lost: Sequence[Interruption]) -> None:
@@ -122,12 +137,11 @@
         suspects = self.suspects(lost)
         found = []
         for fingerprint, one in suspects:
-            crash = ServerCrash(server, one.ran_ms, one.at, one.alone)
-            known = self.suspicions.get(fingerprint) or Suspicion(fingerprint)
-            found.append(known.merged(Suspicion(fingerprint, service, (crash,))))
+            crash = self.crash(server, one)
+            found.append(self.of(fingerprint).merged(Suspicion(fingerprint, service, (crash,))))
         requests = {one.request for _, one in suspects}
         log_message(
-            f"{self.noun}s-suspected",
+            f"{self.kind.noun}s-suspected",
             server=server,
             requests=sorted(requests),
             fingerprints={one.fingerprint: len(one.crashes) for one in found},
@@ -146,7 +160,7 @@
             return suspicion
         barred = replace(suspicion, bars=suspicion.bars + 1, barred_at=now)
         log_message(
-            f"{self.noun}-barred",
+            f"{self.kind.noun}-barred",
             fingerprint=barred.fingerprint,
             service=barred.service,
             servers=[one.server for one in barred.crashes],
@@ -157,36 +171,44 @@
         self.on_barred(barred, seen_here)
         return barred
 
-    def record_answer(self, fingerprint: str) -> None:
-        """Record a complete answer, which clears a suspect of earlier crashes."""
-        self.answered[fingerprint] = self.clock.now()
-        self.answered.move_to_end(fingerprint)
-        if len(self.answered) > self.max_answered:
-            self.answered.popitem(last=False)
-        self.on_answered(fingerprint)
-        if self.is_suspect(fingerprint):
-            self.clear(fingerprint, "it was answered completely")
-
-    def clear(self, fingerprint: str, reason: str) -> None:
-        """Clear a suspect and announce that."""
-        known = self.suspicions[fingerprint]
-        log_message(
-            "suspect-cleared",
-            fingerprint=fingerprint,
-            servers=[one.server for one in known.crashes],
-            bars=known.bars,
-            reason=reason,
-        )
+    def record_answer(self, *fingerprints: str) -> None:
+        """Record a complete answer, which clears suspects of earlier crashes."""
+        now = self.clock.now()
+        for fingerprint in fingerprints:
+            self.answered[fingerprint] = now
+            self.answered.move_to_end(fingerprint)
+            if len(self.answered) > self.max_answered:
+                self.answered.popitem(last=False)
+            self.on_answered(fingerprint)
+        suspects = [one for one in fingerprints if self.is_suspect(one)]
+        if suspects:
+            self.clear(suspects, "it was answered completely")
+
+    def clear(self, fingerprints: Sequence[str], reason: str) -> None:
+        """Clear suspects and announce that."""
         now = self.clock.now()
-        self.publish([known.merged(Suspicion(fingerprint, cleared_at=now))], "")
-        if known.is_persisted:
-            self.on_cleared(fingerprint)
+        all_known = [self.suspicions[fingerprint] for fingerprint in fingerprints]
+        for known in all_known:
+            log_message(
+                "suspect-cleared",
+                kind=self.kind.noun,
+                fingerprint=known.fingerprint,
+                servers=[one.server for one in known.crashes],
+                bars=known.bars,
+                reason=reason,
+            )
+        self.publish(
+            [one.merged(Suspicion(one.fingerprint, cleared_at=now)) for one in all_known], ""
+        )
+        for known in all_known:
+            if known.is_persisted:
+                self.on_cleared(known.fingerprint)
 
     def lift(self, fingerprint: str) -> bool:
         """Clear a suspect for an operator; return whether it was one."""
         if not self.is_suspect(fingerprint):
             return False
-        self.clear(fingerprint, "an operator cleared it")
+        self.clear([fingerprint], "an operator cleared it")
         return True
 
     def merge(self, received: Iterable[Suspicion], source: str) -> None:
@@ -202,10 +224,10 @@
         received = list(received)
         # All crashes are recorded first, so that none of them looks isolated.
         for one in received:
-            if self.suspicions.get(one.fingerprint, Suspicion(one.fingerprint)).lacks_outcome(one):
+            if self.of(one.fingerprint).lacks_outcome(one):
                 self.record_remote_crashes(one)
         for one in received:
-            known = self.suspicions.get(one.fingerprint, Suspicion(one.fingerprint))
+            known = self.of(one.fingerprint)
             if not known.lacks_outcome(one):
                 if known.lacks(one):
                     self.apply([known.merged(one)])
@@ -254,4 +276,9 @@
         for one in oldest:
             del self.suspicions[one.fingerprint]
         self.metrics.count(Metric.SUSPECTS_EVICTED, number=over)
-        log_message("suspects-evicted", entries=over, barred=sum(one.bars > 0 for one in oldest))
+        log_message(
+            "suspects-evicted",
+            kind=self.kind.noun,
+            entries=over,
+            barred=sum(one.bars > 0 for one in oldest),
+        )
--- a/packages/core/src/mountladder/quarantine/trackedattempt.py
+++ b/packages/core/src/mountladder/quarantine/trackedattempt.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
-from mountladder.clocks.clock import Clock
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError
-from mountladder.quarantine.crashdetector import CrashDetector
 from mountladder.quarantine.fingerprint import stage_fingerprint
 from mountladder.quarantine.interruption import Interruption
-from mountladder.quarantine.quarantine import Quarantine
+
+if TYPE_CHECKING:
+    from mountladder.quarantine.quarantineservice import QuarantineService
 
 
 class TrackedAttempt:
@@ -24,9 +25,7 @@
     Args:
         fingerprint: The hash that all attempts at the same request share.
         request: The id of this attempt.
-        quarantine: The quarantine of this instance.
-        detector: Finds out whether a server has crashed when a connection to it breaks.
-        clock: The clock.
+        service: The quarantine of this instance.
         parts: The fingerprints of the parts of its prompt that other requests may share.
     """
 
@@ -34,22 +33,20 @@
         self,
         fingerprint: str,
         request: str,
-        quarantine: Quarantine,
-        detector: CrashDetector,
-        clock: Clock,
+        service: QuarantineService,
         parts: tuple[str, ...] = (),
     ) -> None:
         self.fingerprint = fingerprint
         self.request = request
-        self.quarantine = quarantine
-        self.detector = detector
-        self.clock = clock
+        self.service = service
+        self.quarantine = service.registry
+        self.clock = service.clock
         self.parts = parts
 
     def of_stage(self, name: str) -> TrackedAttempt:
         """Return the same attempt at one stage, or at the pieces of one stage service."""
         digest = stage_fingerprint(self.fingerprint, name)
-        return TrackedAttempt(digest, self.request, self.quarantine, self.detector, self.clock)
+        return TrackedAttempt(digest, self.request, self.service)
 
     def check(self, stages: Iterable[str]) -> None:
         """Refuse the request if it, or its pieces at one of its stages, is barred.
@@ -95,7 +92,7 @@
                 begun_ms=begun_ms,
                 parts=self.parts,
             )
-            self.detector.investigate(server, (lost,))
+            self.service.detector.investigate(server, (lost,))
 
     def answered(self) -> None:
         """Record that the request was answered completely."""
