Quarantine: prompt parts that crash servers are barred, whichever requests have them

Callers saw requests answered 502 as one server after the other crashed under them, and their streams cut with the servers: requests that are all different have one part of their prompts in common, which crashes each server that begins to answer it.

Cause: what crashes are blamed on is a request by its whole content. Each of these requests is a first offence, and what they have in common comes back in the next one. Class: a failure is charged to one unit and comes back as another.

Change: parts are suspects of a second kind, with the same record, gossip and bounds as requests. Three early crashes without an answer between bar a part, or four of any kind, and two more where most servers crash without it; any whole answer to a request with it clears it everywhere. From the second crash on its requests are sent one at a time. Crashes under a part that are explained by another barred one keep nobody out. Peers of earlier builds are not told of parts.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -29,6 +29,8 @@
       | the query for the origin of a stream     |
       | the reply with the origin of a stream    |
       | the reply without an origin              |
+      | the suspicions of requests               |
+      | the suspicions of prompt parts           |
 
   # Beacons are kept encoded and decoded, since most of them repeat an earlier one. A kept one must
   # never stand for another that differs in one field only.
--- a/features/partload.py
+++ b/features/partload.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 from collections import namedtuple
+from dataclasses import replace
 
 import gevent
 from forwardbasics import PATHS, SECOND_MS, request, serve
@@ -45,7 +46,7 @@
         crashes: The time and name of each crashed server.
         sound: The id, the time of arrival and the parts of each sound request.
         names: The instances that get requests; those that have crashed are left out.
-        unlike: Whether each request has a body of its own.
+        retries: Whether callers send a request with a deadly part again at once if it fails.
     """
 
     def __init__(self, context, seed=1):
@@ -55,6 +56,7 @@
         self.sent, self.crashes, self.sound = [], [], []
         self.numbers = itertools.count()
         self.tasks = []
+        self.retries = False
         self.record()
 
     def record(self):
@@ -90,9 +92,16 @@
             return ""
         id_ = f"{label}{next(self.numbers)}"
         sent = self.make(id_, parts, kind, body)
-        self.tasks.append(gevent.spawn(serve, self.context, self.rng.choice(names), sent))
+        self.tasks.append(gevent.spawn(self.call, sent, names, label))
         return id_
 
+    def call(self, sent, names, label):
+        """Send a request to an instance, and again to another one if its caller retries it."""
+        serve(self.context, self.rng.choice(names), sent)
+        if self.retries and label == "d" and self.context.ends[sent.id][2]:
+            again = replace(sent, id=f"{sent.id}-again", arrived=self.context.clock.now())
+            serve(self.context, self.rng.choice(names), again)
+
     def make(self, id_, parts, kind="stream", body=None):
         """Return a request with some shared parts, and a last one of its own."""
         own = PromptPart(f"own-{id_}", PART_TOKENS)
--- a/features/promptparts.feature
+++ b/features/promptparts.feature
@@ -40,6 +40,12 @@
       | fourth after three alike      | 900   | 4       |
       | last of 24 shared parts       | 900   | 4       |
 
+  Scenario: For as long as requests with it come, few servers are lost to trials
+    Given a deadly prompt part "p" second in the prompt
+    When requests with it come every 900 ms for 180 s, beside 2 sound ones a second
+    Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
+    And at most 5 servers have crashed
+
   Scenario Outline: Requests with it are kept from servers whichever kind they are, and when they crash
     Given a deadly prompt part "p" second in the prompt
     And <detail>
@@ -55,6 +61,7 @@
       | it crashes servers 100 ms after the first event  | stream    | 5       |
       | it crashes servers 400 ms after the first event  | stream    | 5       |
       | it crashes servers 100 ms after the first event  | resumable | 5       |
+      | their callers retry them at once                 | resumable | 5       |
       | its letters are of either case                   | stream    | 4       |
 
   Scenario Outline: Instances that start again keep it from servers
@@ -111,6 +118,24 @@
     Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
     And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
 
+  Scenario: Servers that crash by themselves bar no part
+    When sound requests come for 40 s while a server crashes every 800 ms
+    Then no part is barred
+    And over 0.8 of the sound requests are served
+
+  Scenario Outline: Servers that crash together bar no part that all requests share
+    # Guards against a loss of all servers that is blamed on what their requests have in common.
+    When requests with parts "f0, s1" come every 40 ms for <ms> ms
+    And all model servers crash within <within> ms
+    And requests with parts "f0, s1" come every 40 ms for 12000 ms
+    Then no part is barred
+    And over 0.9 of the sound requests of the last 6000 ms are served
+
+    Examples:
+      | ms   | within |
+      | 3000 | 0      |
+      | 3000 | 200    |
+
   Scenario: A deadly part beside a request that is deadly by itself
     Given a deadly prompt part "p" second in the prompt
     And a deadly stream request with parts "f3, s3" comes every 1300 ms as well
@@ -118,3 +143,68 @@
     Then at most 3 requests with it are sent later than 3000 ms after the fifth crash
     And at most 8 servers have crashed
     And over 0.9 of the sound requests from 6000 ms after the last free crash on are served
+
+  Scenario: A bar expires, and one request at a time tries the part
+    # Guards against all callers returning at once, each to a server of its own.
+    Given a deadly prompt part "p" second in the prompt
+    And it was barred, and its bar has expired
+    When requests with it come at every instance at once, every 500 ms for 8 s
+    Then one more server has crashed
+    And all refuse it for 600 s
+
+  Scenario: A part that is answered after its bar is cleared everywhere
+    Given a deadly prompt part "p" second in the prompt
+    And it was barred, and its bar has expired
+    When the model is repaired
+    And requests with it come at every instance at once, every 500 ms for 8 s
+    Then the last 6 of them are served
+    And the part is suspect nowhere
+
+  Scenario: An operator clears a part at one instance, and all apply it
+    Given a deadly prompt part "p" second in the prompt
+    And it was barred
+    When the model is repaired
+    And an operator clears the part at b-2
+    And requests with it come at every instance at once, every 500 ms for 1 s
+    Then the last 6 of them are served
+
+  Scenario: An instance that reaches no server has a request with a barred part refused
+    Given the instances have received requests before
+    And a-1 reaches no backend server
+    And part "p" was barred at b-1
+    When a stream request with part "p" comes at a-1
+    Then its answer has status 503, and no server was sent it
+
+  Scenario: Peers of an older build are not told of parts
+    Given all peers of a-1 are of a build that does not know prompt parts
+    When part "p" is barred at a-1
+    Then only a-1 knows of it
+
+  Scenario: An instance that starts late gets all suspicions of parts
+    Given part "p" was barred at a-1
+    When instance a-4 starts
+    Then a-4 knows of it
+
+  Scenario: What a crash makes suspect is bounded, and holds what was suspect before
+    Given part "p" was suspect before
+    When a server crashes while it had 100 requests with 24 parts each, the last one with "p"
+    Then at most 64 parts are suspect of that crash, "p" among them
+
+  Scenario: A part that nearly all requests share is cleared with few messages
+    Given sound requests with part "f0" come every 20 ms for 3 s
+    When a server crashes meanwhile
+    Then at most 60 messages about parts were sent
+    And no part is suspect
+
+  Scenario Outline: What is no answer clears no part
+    # Guards against a stream that ends within an event, and a deadly part that it clears.
+    Given part "p" was suspect before
+    And every model server has fault "<fault>"
+    When a stream request with part "p" comes at a-1
+    Then part "p" is still suspect
+
+    Examples:
+      | fault    |
+      | cut      |
+      | error    |
+      | unsigned |
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -36,6 +36,11 @@
 from mountladder.notices.servernotices import ServerNotices
 from mountladder.performance.serverspeed import ServerSpeed
 from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.partsuspicions import PartSuspicions
+from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspectkind import SuspectKind
+from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
 from mountladder.results.serverusage import ServerUsage
 from mountladder.store.position import Position
@@ -64,6 +69,18 @@
 )
 PROMPT = Prompt(30, 20, (PromptPart("p", 10), PromptPart("q", 20)))
 ORIGIN = StreamOrigin(b"0123456789abcdef", "llm", "v1.1", 7_500.0)
+SUSPICION = Suspicion(
+    "ab" * 16,
+    "llm",
+    (ServerCrash("s-1", 60.0, -20.0, False, True, "0123abcd"), ServerCrash("s-2", 90.0, -10.0)),
+    -15.0,
+    -30.0,
+    2,
+    -10.0,
+    ("s-0",),
+    (ServerCrash("s-3", 45.0, -5.0),),
+    SuspectKind.PART,
+)
 MESSAGES = {
     "a stage of a team": StageOrder(7, JOB, True),
     "the announcement of a stage that returns": StageNotice(
@@ -97,6 +114,8 @@
     "the query for the origin of a stream": OriginQuery(7, ORIGIN.stream, "llm"),
     "the reply with the origin of a stream": OriginReply(7, ORIGIN, frozenset({"v1", "v2"})),
     "the reply without an origin": OriginReply(7, None, frozenset()),
+    "the suspicions of requests": Suspicions((replace(SUSPICION, kind=SuspectKind.REQUEST),)),
+    "the suspicions of prompt parts": PartSuspicions((SUSPICION,)),
     "the entries of servers with versions": DirectoryCopy(
         Position(1, 9),
         (
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -222,23 +222,23 @@
     return [one.quarantine.registry for one in context.fleet.instances.values()]
 
 
+def all_suspicions(context):
+    """Return what the instances know of requests, and of the parts of their prompts."""
+    quarantines = [one.quarantine for one in context.fleet.instances.values()]
+    registries = [one for each in quarantines for one in (each.registry, each.parts)]
+    return [one for registry in registries for one in registry.suspicions.values()]
+
+
 @then("no request is suspect")
 def nothing_suspect(context):
     context.run(context.clock.sleep, UPDATE_MS)
-    suspects = [
-        one
-        for registry in registries(context)
-        for one in registry.suspicions.values()
-        if one.is_suspect
-    ]
+    suspects = [one for one in all_suspicions(context) if one.is_suspect]
     assert not suspects, suspects
 
 
 @then("no request is barred")
 def nothing_barred(context):
-    barred = [
-        one for registry in registries(context) for one in registry.suspicions.values() if one.bars
-    ]
+    barred = [one for one in all_suspicions(context) if one.bars]
     assert not barred, barred
 
 
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -240,6 +240,7 @@
         presumed.on_write = self.suspicion_persister.queue_suspicion
         presumed.on_remove = self.suspicion_persister.queue_removal
         self.fleet.era_tracker.listeners.append(self.suspicion_persister.rewrite_recent)
+        self.quarantine.parts.position = self.fleet.ranking.position
 
     def disable_server(self, name: str) -> None:
         """Stop using a server that has crashed, whichever instance noticed it."""
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -71,6 +71,11 @@
         self.ranks[topic, datacentre] = (stamp, ranked)
         return ranked
 
+    def position(self, topic: str) -> int:
+        """Return how many of the instances come before this one for a topic, by the hash alone."""
+        weight = _weight(topic, self.membership.me)
+        return sum(_weight(topic, one) > weight for one in self.staying())
+
     def staying(self) -> list[Instance]:
         """Return the known instances that are not shutting down, this one included."""
         members = self.membership
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -10,9 +10,11 @@
 
 # Messages and fields that are added without a new version of the protocol are only sent to, or
 # expected of, instances that know them. Builds that do not tell their set have 0; 1 adds software
-# versions in the entries of servers, and the messages about the origins of streams.
+# versions in the entries of servers, and the messages about the origins of streams; 2 adds the
+# suspicions of prompt parts.
 VERSIONS_MESSAGE_SET = 1
-MESSAGE_SET = VERSIONS_MESSAGE_SET
+PARTS_MESSAGE_SET = 2
+MESSAGE_SET = PARTS_MESSAGE_SET
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,3 +48,8 @@
     def knows_versions(self) -> bool:
         """Return whether it knows the software versions of servers."""
         return self.message_set >= VERSIONS_MESSAGE_SET
+
+    @property
+    def knows_prompt_parts(self) -> bool:
+        """Return whether it knows suspicions of prompt parts."""
+        return self.message_set >= PARTS_MESSAGE_SET
--- a/packages/core/src/mountladder/membership/serverreader.py
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -15,7 +15,9 @@
 from mountladder.notices.servernotices import ServerNotices
 from mountladder.performance.serverspeed import ServerSpeed
 from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.partsuspicions import PartSuspicions
 from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspectkind import SuspectKind
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
@@ -27,10 +29,13 @@
 
 
 def _read_crashes(ends) -> tuple[ServerCrash, ...]:
-    return tuple(ServerCrash(str(one.server), one.ranMs, one.at, one.alone) for one in ends)
+    return tuple(
+        ServerCrash(str(one.server), one.ranMs, one.at, one.alone, one.late, str(one.request))
+        for one in ends
+    )
 
 
-def _read_suspicion(one) -> Suspicion:
+def _read_suspicion(one, kind: SuspectKind = SuspectKind.REQUEST) -> Suspicion:
     return Suspicion(
         bytes(one.fingerprint).hex(),
         str(one.service),
@@ -41,6 +46,7 @@
         one.barredAt,
         tuple(str(server) for server in one.cleared),
         _read_crashes(one.presumed),
+        kind,
     )
 
 
@@ -80,6 +86,9 @@
 SERVER_READERS = {
     "serverNotices": lambda all_: ServerNotices(tuple(_read_notice(one) for one in all_)),
     "suspicions": lambda entries: Suspicions(tuple(_read_suspicion(one) for one in entries)),
+    "partSuspicions": lambda entries: PartSuspicions(
+        tuple(_read_suspicion(one, SuspectKind.PART) for one in entries)
+    ),
     "serverSpeeds": _read_speeds,
     "resultUsage": _read_usage,
     "refusedDemand": lambda one: RefusedDemand(str(one.service), tuple(one.pieces)),
--- a/packages/core/src/mountladder/membership/serverwriter.py
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -20,7 +20,9 @@
 from mountladder.notices.rejectionlimit import RejectionLimit
 from mountladder.notices.servernotices import ServerNotices
 from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.partsuspicions import PartSuspicions
 from mountladder.quarantine.servercrash import ServerCrash
+from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
 from mountladder.streams.originannouncement import OriginAnnouncement
@@ -33,8 +35,17 @@
 
 @fill.register
 def _(message: Suspicions, frame) -> None:
-    entries = frame.init("suspicions", len(message.entries))
-    for one, to in zip(message.entries, entries, strict=True):
+    fill_suspicions(message.entries, frame.init("suspicions", len(message.entries)))
+
+
+@fill.register
+def _(message: PartSuspicions, frame) -> None:
+    fill_suspicions(message.entries, frame.init("partSuspicions", len(message.entries)))
+
+
+def fill_suspicions(suspicions: Sequence[Suspicion], targets) -> None:
+    """Write suspicions into a list of structs of a frame."""
+    for one, to in zip(suspicions, targets, strict=True):
         to.fingerprint, to.service = bytes.fromhex(one.fingerprint), one.service
         to.sentAt, to.clearedAt = one.sent_at, one.cleared_at
         to.bars, to.barredAt = min(one.bars, MAX_BARS), one.barred_at
@@ -47,7 +58,7 @@
     """Write server crashes into a list of structs of a frame."""
     for crash, target in zip(crashes, targets, strict=True):
         target.server, target.ranMs, target.at = crash.server, crash.ran_ms, crash.at
-        target.alone = crash.alone
+        target.alone, target.late, target.request = crash.alone, crash.late, crash.request
 
 
 @fill.register
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -228,6 +228,8 @@
   ranMs @1 :Float32;
   at @2 :Float64;
   alone @3 :Bool;
+  late @4 :Bool;
+  request @5 :Text;
 }
 
 struct Suspicion {
@@ -341,5 +343,6 @@
     originAnnouncement @26 :List(StreamOrigin);
     originQuery @27 :OriginQuery;
     originReply @28 :OriginReply;
+    partSuspicions @29 :List(Suspicion);
   }
 }
--- a/packages/core/src/mountladder/membership/wire.py
+++ b/packages/core/src/mountladder/membership/wire.py
@@ -41,6 +41,7 @@
 from mountladder.membership.wirewriter import fill
 from mountladder.notices.servernotices import ServerNotices
 from mountladder.performance.serverspeeds import ServerSpeeds
+from mountladder.quarantine.partsuspicions import PartSuspicions
 from mountladder.quarantine.suspicions import Suspicions
 from mountladder.results.resultusage import ResultUsage
 from mountladder.streams.originannouncement import OriginAnnouncement
@@ -55,7 +56,7 @@
 StateMessage = Beacon | UpdateRequest | CatalogueSlice | DirectoryCopy | MemberList
 StageMessage = StageOrder | StageOutcome | StageWithdrawal | StageRelease | StageNotice
 PlacementMessage = PlacementOrder | PlacementReply | PlacementNote
-ServerMessage = Suspicions | ServerNotices | ServerSpeeds | ResultUsage
+ServerMessage = Suspicions | PartSuspicions | ServerNotices | ServerSpeeds | ResultUsage
 OriginMessage = OriginAnnouncement | OriginQuery | OriginReply
 DemandMessage = RefusedDemand | DemandReport
 SharedWorkMessage = StageMessage | PlacementMessage | DemandMessage
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -133,6 +133,16 @@
     PRESUMED_ROWS = ("presumed_rows", "counter", "suspicions stored before crashes were certain")
     QUARANTINED = ("quarantined", "gauge", "requests barred since servers ended under them")
     SUSPECTED = ("suspected", "gauge", "requests under which a server ended, not cleared since")
+    PARTS_QUARANTINED = (
+        "parts_quarantined",
+        "gauge",
+        "prompt parts barred since servers ended under them",
+    )
+    PARTS_SUSPECTED = (
+        "parts_suspected",
+        "gauge",
+        "prompt parts under which a server ended, not cleared since",
+    )
     LIMITED_SERVERS = ("limited_servers", "gauge", "servers that named how much they take")
     LEAVING_SERVERS = ("leaving_servers", "gauge", "servers that said in answers that they leave")
     FRAGILE_SERVERS = (
--- a/packages/core/src/mountladder/quarantine/quarantineservice.py
+++ b/packages/core/src/mountladder/quarantine/quarantineservice.py
@@ -14,6 +14,9 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.quarantine.crashdetector import CrashDetector
 from mountladder.quarantine.fingerprint import fingerprint, part_fingerprint
+from mountladder.quarantine.interruption import Interruption
+from mountladder.quarantine.partquarantine import PartQuarantine
+from mountladder.quarantine.partsuspicions import PartSuspicions
 from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.serverlisting import ServerListing
 from mountladder.quarantine.suspicionexchange import SuspicionExchange
@@ -31,6 +34,12 @@
         secret: Returns the key that all instances share, for fingerprints.
         clock: The clock.
         metrics: Receives the metrics.
+
+    Attributes:
+        registry: The requests that are suspect or barred.
+        parts: The prompt parts that are suspect or barred.
+        exchange: Keeps the first ones in sync with other instances.
+        part_exchange: Keeps the second ones in sync.
     """
 
     def __init__(
@@ -45,9 +54,11 @@
         self.secret = secret
         self.clock = clock
         self.registry = Quarantine(clock, metrics)
+        self.parts = PartQuarantine(clock, metrics, self.registry)
         self.detector = CrashDetector(refuses, listing, clock)
-        self.detector.on_crashed = self.registry.handle_crash
+        self.detector.on_crashed = self.handle_crash
         self.exchange = SuspicionExchange(link_manager, self.registry, clock, Suspicions)
+        self.part_exchange = SuspicionExchange(link_manager, self.parts, clock, PartSuspicions)
 
     def track(
         self, request: str, texts: Sequence[str], body: bytes, parts: Iterable[str] = ()
@@ -64,3 +75,10 @@
         digest = fingerprint(secret, texts, body)
         shared = tuple(part_fingerprint(secret, one) for one in dict.fromkeys(parts))
         return TrackedAttempt(digest, request, self, shared)
+
+    def handle_crash(self, server: str, service: str, lost: Sequence[Interruption]) -> None:
+        """Handle the crash of a server that had requests of this instance in flight."""
+        # Requests first: one that is barred explains crashes under the parts of its prompt.
+        self.registry.handle_crash(server, service, lost)
+        if any(one.parts for one in lost):
+            self.parts.handle_crash(server, service, lost)
--- a/packages/core/src/mountladder/quarantine/servercrash.py
+++ b/packages/core/src/mountladder/quarantine/servercrash.py
@@ -18,9 +18,14 @@
         ran_ms: How long the server had had the request.
         at: When it crashed, in the clock's milliseconds.
         alone: Whether the request was the only one of its call.
+        late: Whether the server had been answering the request for some time.
+        request: The first digits of the request's fingerprint; empty where the suspect is a
+            request itself.
     """
 
     server: str
     ran_ms: float
     at: float
     alone: bool = True
+    late: bool = False
+    request: str = ""
--- a/packages/core/src/mountladder/quarantine/suspicion.py
+++ b/packages/core/src/mountladder/quarantine/suspicion.py
@@ -41,11 +41,14 @@
 class Suspicion:
     """The server crashes under one suspect, with what was done about it, in the whole fleet.
 
+    A suspect is a request, with all attempts at it, or a part of prompts, with all requests that
+    have it.
+
     Merging is commutative, so that instances may receive each other's updates in any order. Times
     are the clock's milliseconds.
 
     Attributes:
-        fingerprint: The hash that all attempts at the same request share.
+        fingerprint: The hash that all attempts at a request share, or that of a part.
         service: The service of the server that crashed last.
         crashes: The crashes of servers that had it in flight since it was cleared, the latest last.
         sent_at: When it was last sent to a server although it was suspect.
@@ -79,9 +82,13 @@
         """Return whether the suspicion is persisted, to survive a loss of all instances.
 
         A single crash may be chance and would keep an unaffected request suspect. Each further
-        independent crash that is forgotten costs another server.
+        independent crash that is forgotten costs another server. For a prompt part, those count
+        that came as servers began to answer different requests.
         """
-        return bool(self.bars) or len(self.independent_crashes()) >= PERSIST_CRASHES
+        crashes = len(self.independent_crashes())
+        if self.kind is SuspectKind.PART:
+            crashes = len({one.request for one in self.independent_crashes() if not one.late})
+        return bool(self.bars) or crashes >= PERSIST_CRASHES
 
     @property
     def changed_at(self) -> float:
@@ -160,7 +167,9 @@
         both = (*other.crashes, *self.crashes)
         cleared = {one.server for one in both if one.at <= cleared_at}
         cleared = cleared.union(self.cleared, other.cleared)
-        found = {one.server: one for one in both if one.server not in cleared}
+        # Of two requests at one server, one that had just begun tells more.
+        ordered = sorted(both, key=lambda one: not one.late)
+        found = {one.server: one for one in ordered if one.server not in cleared}
         crashes = tuple(sorted(found.values(), key=lambda one: one.at)[-MAX_CRASHES:])
         barred = [one for one in (self, other) if one.barred_at > cleared_at]
         return replace(
--- a/packages/core/src/mountladder/quarantine/suspicionexchange.py
+++ b/packages/core/src/mountladder/quarantine/suspicionexchange.py
@@ -10,7 +10,9 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.membership.gossip import Gossip
+from mountladder.membership.link import Link
 from mountladder.membership.linkmanager import LinkManager
+from mountladder.quarantine.partsuspicions import PartSuspicions
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.quarantine.suspicionregistry import SuspicionRegistry
 from mountladder.quarantine.suspicions import Suspicions
@@ -23,7 +25,7 @@
         link_manager: Keeps the links to the other instances.
         quarantine: The quarantine of this instance.
         clock: The clock.
-        message: The type of the messages.
+        message: The type of the messages for suspects of that kind.
 
     Attributes:
         on_received: Called with all received suspicions, those with presumed crashes included.
@@ -34,7 +36,7 @@
         link_manager: LinkManager,
         quarantine: SuspicionRegistry,
         clock: Clock,
-        message: type[Suspicions],
+        message: type[Suspicions | PartSuspicions],
     ) -> None:
         super().__init__(link_manager, clock, message)
         self.quarantine = quarantine
@@ -45,6 +47,11 @@
         """Return all suspicions; see Gossip."""
         return self.quarantine.suspicions.values()
 
+    def send(self, link: Link, entries: Sequence[Suspicion]) -> None:
+        """Send suspicions to a peer that understands them; see Gossip."""
+        if self.message is not PartSuspicions or link.peer.knows_prompt_parts:
+            super().send(link, entries)
+
     def as_ages(self, entry: Suspicion, now: float) -> Suspicion:
         """Return a suspicion with times relative to now, as it is sent; see Gossip."""
         return entry.shifted(-now)
--- a/packages/core/src/mountladder/quarantine/suspicionregistry.py
+++ b/packages/core/src/mountladder/quarantine/suspicionregistry.py
@@ -42,6 +42,7 @@
 
     Attributes:
         suspicions: The suspicions, by fingerprint.
+        barred: Those that were barred and not cleared since, their bars expired or not.
         answered: When requests were last answered completely, by fingerprint, the latest last.
         on_update: Called with changed suspicions and the name of the peer that sent them (an empty
             string for changes made here).
@@ -65,6 +66,7 @@
         self.clock = clock
         self.metrics = metrics
         self.suspicions: dict[str, Suspicion] = {}
+        self.barred: tuple[Suspicion, ...] = ()
         self.answered: OrderedDict[str, float] = OrderedDict()
         self.changed = Event()
         self.on_update: Callable[[Sequence[Suspicion], str], None] = lambda updates, source: None
@@ -137,8 +139,11 @@
         suspects = self.suspects(lost)
         found = []
         for fingerprint, one in suspects:
-            crash = self.crash(server, one)
-            found.append(self.of(fingerprint).merged(Suspicion(fingerprint, service, (crash,))))
+            known = self.of(fingerprint)
+            seen = Suspicion(fingerprint, service, (self.crash(server, one),))
+            # Another instance may have told of the crash, or of an answer since.
+            if known.lacks_outcome(seen):
+                found.append(known.merged(seen))
         requests = {one.request for _, one in suspects}
         log_message(
             f"{self.kind.noun}s-suspected",
@@ -257,9 +262,10 @@
         self.changed.set()
         self.changed = Event()
         now = self.clock.now()
-        all_ = self.suspicions.values()
-        self.metrics.gauge(self.barred_metric, sum(one.barred_until > now for one in all_))
-        self.metrics.gauge(self.suspected_metric, sum(one.is_suspect for one in all_))
+        self.barred = tuple(one for one in self.suspicions.values() if one.bars)
+        self.metrics.gauge(self.barred_metric, sum(one.barred_until > now for one in self.barred))
+        suspects = sum(one.is_suspect for one in self.suspicions.values())
+        self.metrics.gauge(self.suspected_metric, suspects)
 
     def evict(self) -> None:
         """Drop expired suspicions, and evict the oldest suspects if there are too many."""
--- a/packages/core/src/mountladder/quarantine/trackedattempt.py
+++ b/packages/core/src/mountladder/quarantine/trackedattempt.py
@@ -49,7 +49,7 @@
         return TrackedAttempt(digest, self.request, self.service)
 
     def check(self, stages: Iterable[str]) -> None:
-        """Refuse the request if it, or its pieces at one of its stages, is barred.
+        """Refuse the request if it, a part of it, or its pieces at one of its stages, is barred.
 
         Args:
             stages: The names of its stages.
@@ -57,6 +57,7 @@
         Raises:
             RefusalError: The request is barred.
         """
+        self.service.parts.check(self.parts, self.request)
         if not self.quarantine.suspicions:
             return
         self.quarantine.check(self.fingerprint, self.request)
@@ -64,12 +65,14 @@
             self.quarantine.check(stage_fingerprint(self.fingerprint, name), self.request)
 
     def admit(self, remaining_ms: float) -> None:
-        """Wait until the request may be sent to a server; see Quarantine.admit.
+        """Wait until the request may be sent to a server; see the admit of both registries.
 
         Raises:
-            RefusalError: The request is barred.
+            RefusalError: The request, or a part of it, is barred.
         """
+        until = self.clock.now() + remaining_ms
         self.quarantine.admit(self.fingerprint, self.request, remaining_ms)
+        self.service.parts.admit(self.parts, self.request, until - self.clock.now())
 
     def failed(
         self, server: BackendServer, started: float, error: StageError, begun_ms: float = 0.0
@@ -95,8 +98,9 @@
             self.service.detector.investigate(server, (lost,))
 
     def answered(self) -> None:
-        """Record that the request was answered completely."""
+        """Record that the request was answered completely, and with it all parts of it."""
         self.quarantine.record_answer(self.fingerprint)
+        self.service.parts.record_answer(*self.parts)
 
 
 def connection_broke(error: StageError) -> bool:
