Quarantine: a restored store gets back the newest suspicion of several writers

Callers would see a request that was barred crash servers again: after the store is restored from an older copy and all instances restart, the bar is forgotten.

Cause: each instance writes again what it wrote itself in the last minute. The one that wrote the suspicion after two crashes may do so after the one that wrote the bar, and the older row stays. Class: what one process remembers is taken for what is known.

Change: an instance that writes a row again writes what the fleet knows by then: the suspicion with its bar, or the removal if it was cleared meanwhile.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -95,6 +95,34 @@
     Then at most 3 servers have crashed
     And the last 3 attempts are refused with code 2010 as not_run within 5 ms
 
+  Scenario Outline: A restored store gets the newest of what several instances have written to it
+    # Guards against an instance that writes its older suspicion over the bar which came after it.
+    Given a copy of the store is saved
+    When <first> observes 2 crashes of servers under a slow request
+    And <last> observes 1 crashes of servers under a slow request
+    And 500 ms go by
+    And the store is restored from the copy
+    And 500 ms go by
+    Then the table of bars holds a bar with 3 crashes
+
+    Examples:
+      | first | last |
+      | a-1   | a-2  |
+      | a-2   | a-1  |
+      | a-1   | b-1  |
+      | b-1   | a-1  |
+      | a-2   | b-1  |
+      | b-1   | a-2  |
+
+  Scenario: A restored store does not get back what another instance has cleared
+    Given a copy of the store is saved
+    When a-1 observes 2 crashes of servers under a slow request
+    And an operator clears it at b-1
+    And 500 ms go by
+    And the store is restored from the copy
+    And 500 ms go by
+    Then the table of bars is empty
+
   Scenario: Bars that come together are all written
     # Guards against a bar that stays unwritten until the next one comes, also when all are rewritten.
     When an instance has 3 bars to write at once
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -25,6 +25,9 @@
 DEADLY_MS = 60.0
 ENTRY_TTL_MS = 3_600.0
 BODY = b"deadly"
+# A request that servers had for so long is barred after its third crash.
+SLOW_MS = 900.0
+SLOW_FINGERPRINT = "5c" * 16
 # After this time all instances have the updates of one, also those forwarded by another.
 UPDATE_MS = 20.0
 # The prefill rate in the scenario with many crashes, so that a request takes half a second.
@@ -455,6 +458,27 @@
     context.run(context.clock.sleep, 20.0)
 
 
+@when("{name} observes {number:d} crashes of servers under a slow request")
+def observes_crashes(context, name, number):
+    quarantine = context.fleet.instances[name].quarantine.registry
+
+    def observe():
+        for _ in range(number):
+            now, server = context.clock.now(), f"s-{next(context.observed)}"
+            lost = Interruption(SLOW_FINGERPRINT, f"under {server}", SLOW_MS, now)
+            quarantine.handle_crash(server, "llm", [lost])
+            context.clock.sleep(SETTLE_MS)
+
+    context.observed = getattr(context, "observed", itertools.count())
+    context.run(observe)
+
+
+@then("the table of bars holds a bar with {number:d} crashes")
+def holds_bar(context, number):
+    (row,) = context.fleet.suspicion_store.rows.values()
+    assert row.bars == 1 and len(row.crashes) == number, row
+
+
 @when("{number:d} other requests become suspect at {name}")
 def many_suspects(context, number, name):
     quarantine = context.fleet.instances[name].quarantine.registry
--- a/packages/core/src/mountladder/quarantine/suspicionpersister.py
+++ b/packages/core/src/mountladder/quarantine/suspicionpersister.py
@@ -87,11 +87,18 @@
         """Queue recent writes again, since the store may have lost them."""
         self.expire_writes()
         for fingerprint, (_, suspicion) in self.recent_writes.items():
-            self.pending.setdefault(fingerprint, suspicion)
+            self.pending.setdefault(fingerprint, self.newest(fingerprint, suspicion))
         if self.pending:
             log_message("quarantine-rewritten", fingerprints=list(self.pending))
             self.wake.set()
 
+    def newest(self, fingerprint: str, written: Suspicion | None) -> Suspicion | None:
+        """Return what a row should hold by now, which another instance may have written since."""
+        known = self.quarantine.suspicions.get(fingerprint)
+        if known is None or (written is not None and written.presumed and not known.is_persisted):
+            return written
+        return known if known.is_persisted else None
+
     def expire_writes(self) -> None:
         """Forget writes that are older than any copy the store may be restored from."""
         oldest = self.clock.now() - MAX_COPY_AGE_MS
