Quarantine: a request that waits ends as soon as it is barred

Callers would see requests with a barred part held: they run their stages first, or wait for a server, and are refused only when they are to be sent.

Cause: a bar is looked at when a request arrives and before each sending, and not while it waits between the two. Class: a request that is known not to be served is held.

Change: a bar ends the stages that run for a request at once, and a chosen server is given back if the request was barred meanwhile; one that waits for room looks at each poll. It holds for barred requests as well as for barred parts.

A step of patience.feature replaced a whole attempt by a stub; it now replaces its admission only.

--- a/features/promptparts.feature
+++ b/features/promptparts.feature
@@ -183,6 +183,25 @@
     Then the last 6 of them are served
     And the table of parts is empty
 
+  Scenario Outline: A request that waits is ended as soon as a part of it is barred
+    # Guards against stages, servers and callers' time spent on a request that will not be sent.
+    Given stage servers enc-1 to enc-4
+    When a <kind> request with part "p" is sent, and the part is barred <when>
+    Then the request ends with code <code> as <class> within 20 ms of the bar
+    And no server was sent the request after the bar
+
+    Examples:
+      | kind      | when                                         | code | class   |
+      | staged    | while its stages run                         | 3017 | failed  |
+      | staged    | while a server is chosen                     | 3017 | failed  |
+      | stream    | while a server is chosen                     | 2010 | not_run |
+      | resumable | while a server is chosen                     | 2010 | not_run |
+
+  Scenario: No second server is sent a request with a part that was barred meanwhile
+    Given the first server is silent for 1200 ms
+    When a resumable request with part "p" is sent, and the part is barred 300 ms later
+    Then one server was sent the request, and answers it whole
+
   Scenario: An instance that reaches no server has a request with a barred part refused
     Given the instances have received requests before
     And a-1 reaches no backend server
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -252,9 +252,7 @@
     sent = request("r", PATHS["staged"], context.clock.now(), allowed_ms=6_000.0)
     context.held_run = run = context.fleet.instances["a-1"].forwarder.admit(sent)
     context.limits_ms = []
-    run.tracked = SimpleNamespace(
-        fingerprint="", admit=context.limits_ms.append, answered=lambda: None
-    )
+    run.tracked.admit = context.limits_ms.append
     context.run(lambda: list(run.answer().body))
 
 
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -179,7 +179,8 @@
             self.context.forecast.attempt(self.route, self.age_ms),
         )
         try:
-            inputs = self.flow.run()
+            with self.tracked.ended_if_barred(self.flow.end_barred):
+                inputs = self.flow.run()
         except RefusalError as error:
             self.hold.record_end(error)
             raise self.late_refusal(error) from error
--- a/packages/core/src/mountladder/forwarding/reservation.py
+++ b/packages/core/src/mountladder/forwarding/reservation.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
-from mountladder.errors import NoRoomError
+from mountladder.errors import NoRoomError, RefusalError
 from mountladder.forwarding.firsteventtime import first_event_ms
 from mountladder.forwarding.pickedserver import PickedServer
 from mountladder.routing.serverconstraints import ServerConstraints
@@ -74,10 +74,23 @@
             reserved, self.reserved = self.reserved, None
             picked = reserved or self.pick_with_room(asked)
             waited = self.wait_for(picked)
+            self.check_barred(picked)
             if not (reserved or waited) or self.picker.still_accepts(picked, self.run.service):
                 return picked
             self.cancel(picked)
 
+    def check_barred(self, picked: PickedServer) -> None:
+        """Cancel the choice of a server for a request that was barred meanwhile.
+
+        Raises:
+            RefusalError: The request is barred.
+        """
+        try:
+            self.run.tracked.check_again()
+        except RefusalError:
+            self.cancel(picked)
+            raise
+
     def wait_for_backoff(self) -> None:
         """Wait while all servers ask this instance to back off.
 
@@ -114,6 +127,7 @@
                 self.run.log("room-wait", size=len(self.run.request.body))
             waited_ms += poll_ms
             self.clock.sleep(poll_ms)
+            self.run.tracked.check_again()
 
     def pick(self, max_wait_ms: float, asked: frozenset[str] = frozenset()) -> PickedServer:
         """Choose a server; see ServerPicker."""
--- a/packages/core/src/mountladder/forwarding/stageflow.py
+++ b/packages/core/src/mountladder/forwarding/stageflow.py
@@ -147,7 +147,9 @@
         """Wait until a stage completes or fails."""
         if len(self.handles) == len(self.route.stages):
             return
-        in_time = self.clock.wait(self.changed, self.deadline - self.clock.now())
+        in_time = self.failure is not None or self.clock.wait(
+            self.changed, self.deadline - self.clock.now()
+        )
         if self.failure is PieceFailure.NOT_BEGUN:
             self.begun = False
             raise RefusalError("no server began a stage in time", Code.DEADLINE_UNMEETABLE)
@@ -161,6 +163,11 @@
         if not in_time:
             raise RunError("the deadline passed during the stages", Code.DEADLINE_PASSED)
 
+    def end_barred(self) -> None:
+        """End the run since the request was barred."""
+        self.failure = self.failure or PieceFailure.QUARANTINED
+        self.changed.set()
+
     def start_ready(self) -> None:
         """Start each stage whose dependencies are done, until one has failed.
 
--- a/packages/core/src/mountladder/quarantine/quarantineservice.py
+++ b/packages/core/src/mountladder/quarantine/quarantineservice.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.backendserver import BackendServer
@@ -40,6 +41,7 @@
         parts: The prompt parts that are suspect or barred.
         exchange: Keeps the first ones in sync with other instances.
         part_exchange: Keeps the second ones in sync.
+        waiting: Attempts that have not been sent yet, and what ends them once they are barred.
     """
 
     def __init__(
@@ -59,6 +61,8 @@
         self.detector.on_crashed = self.handle_crash
         self.exchange = SuspicionExchange(link_manager, self.registry, clock, Suspicions)
         self.part_exchange = SuspicionExchange(link_manager, self.parts, clock, PartSuspicions)
+        self.waiting: set[tuple[TrackedAttempt, Callable[[], None]]] = set()
+        self.registry.on_bars_applied = self.parts.on_bars_applied = self.end_barred
 
     def track(
         self, request: str, texts: Sequence[str], body: bytes, parts: Iterable[str] = ()
@@ -82,3 +86,19 @@
         self.registry.handle_crash(server, service, lost)
         if any(one.parts for one in lost):
             self.parts.handle_crash(server, service, lost)
+
+    @contextmanager
+    def ended_if_barred(self, attempt: TrackedAttempt, end: Callable[[], None]) -> Iterator[None]:
+        """Call a function in this block as soon as an attempt is barred."""
+        entry = (attempt, end)
+        self.waiting.add(entry)
+        try:
+            yield
+        finally:
+            self.waiting.discard(entry)
+
+    def end_barred(self) -> None:
+        """End the waiting attempts that are barred by now."""
+        for attempt, end in list(self.waiting):
+            if attempt.is_barred():
+                end()
--- a/packages/core/src/mountladder/quarantine/suspicionregistry.py
+++ b/packages/core/src/mountladder/quarantine/suspicionregistry.py
@@ -52,6 +52,7 @@
             instance observed its last crash.
         on_cleared: Called with the fingerprint of each persisted suspicion that is cleared here.
         on_answered: Called with the fingerprint of each request that is answered completely here.
+        on_bars_applied: Called when suspects have been barred.
     """
 
     # What the suspects are.
@@ -74,6 +75,7 @@
         self.on_persist: Callable[[Suspicion], None] = lambda suspicion: None
         self.on_cleared: Callable[[str], None] = lambda fingerprint: None
         self.on_answered: Callable[[str], None] = lambda fingerprint: None
+        self.on_bars_applied: Callable[[], None] = lambda: None
 
     @abstractmethod
     def suspects(self, lost: Sequence[Interruption]) -> list[tuple[str, Interruption]]:
@@ -257,6 +259,7 @@
 
     def apply(self, updates: Sequence[Suspicion]) -> None:
         """Store changed suspicions and wake the requests that wait for one."""
+        is_barring = any(one.bars > self.of(one.fingerprint).bars for one in updates)
         self.suspicions.update({one.fingerprint: one for one in updates})
         self.evict()
         self.changed.set()
@@ -266,6 +269,8 @@
         self.metrics.gauge(self.barred_metric, sum(one.barred_until > now for one in self.barred))
         suspects = sum(one.is_suspect for one in self.suspicions.values())
         self.metrics.gauge(self.suspected_metric, suspects)
+        if is_barring:
+            self.on_bars_applied()
 
     def evict(self) -> None:
         """Drop expired suspicions, and evict the oldest suspects if there are too many."""
--- a/packages/core/src/mountladder/quarantine/trackedattempt.py
+++ b/packages/core/src/mountladder/quarantine/trackedattempt.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
@@ -74,6 +75,24 @@
         self.quarantine.admit(self.fingerprint, self.request, remaining_ms)
         self.service.parts.admit(self.parts, self.request, until - self.clock.now())
 
+    def check_again(self) -> None:
+        """Refuse an admitted request if it, or a part of it, was barred meanwhile.
+
+        Raises:
+            RefusalError: It was.
+        """
+        self.service.parts.check(self.parts, self.request, admitted=True)
+        self.quarantine.check(self.fingerprint, self.request)
+
+    def is_barred(self) -> bool:
+        """Return whether the request, or a part of it, is barred."""
+        is_part_barred = self.service.parts.refusal(self.parts) is not None
+        return is_part_barred or self.quarantine.is_barred(self.fingerprint)
+
+    def ended_if_barred(self, end: Callable[[], None]) -> AbstractContextManager[None]:
+        """Call a function in the returned context as soon as the request is barred."""
+        return self.service.ended_if_barred(self, end)
+
     def failed(
         self, server: BackendServer, started: float, error: StageError, begun_ms: float = 0.0
     ) -> None:
