Operators see and clear the prompt parts that are suspect or barred

Cause: the pages on an instance's internal port, and mountladder quarantine, show the requests under which servers crash only, so that nobody could tell which part is barred, for how long, and lift a bar once the model is repaired.

Change: both list suspects of either kind, with the kind, and clear one by its fingerprint.

Evidence: 'An operator lists and clears prompt parts under which servers crashed' failed before; platform.feature: passes whole.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -341,6 +341,14 @@
     When an operator lists them with the token "wrong"
     Then the command ends with status 1
 
+  Scenario: An operator lists and clears prompt parts under which servers crashed
+    Given an instance's operator pages with one barred prompt part
+    When an operator lists them with the token
+    Then the barred part is shown with its servers
+    When an operator clears it with the token
+    And an operator lists them with the token
+    Then nothing is shown
+
   Scenario: The tables are requested while a process still imports modules
     Given a store with both tables
     When a process loads the rest of its modules
--- a/features/steps/bar_steps.py
+++ b/features/steps/bar_steps.py
@@ -181,7 +181,7 @@
 
 
 def install_pages(context, app, quarantine):
-    quarantinepages.install(app, quarantine, TOKEN)
+    quarantinepages.install(app, [quarantine], TOKEN)
     context.address = serve(context, app)
 
 
--- a/packages/cli/src/mountladder_cli/statuscommands.py
+++ b/packages/cli/src/mountladder_cli/statuscommands.py
@@ -108,10 +108,12 @@
 
 @click.command("quarantine")
 @click.argument("address")
-@click.option("--lift", "lifted", default="", help="The fingerprint of a request to clear.")
+@click.option("--lift", "lifted", default="", help="The fingerprint of a suspect to clear.")
 @click.pass_obj
 def quarantine(session: Session, address: str, lifted: str) -> None:
-    """Show the requests that are suspected or barred because servers crashed on them, or clear one.
+    """Show what is suspected or barred because servers crashed under it, or clear one suspect.
+
+    Suspects are requests, and parts of prompts that requests have in common.
 
     ADDRESS is where an instance serves its metrics.
     """
@@ -122,7 +124,7 @@
             return
         rows = porcelain.quarantined(address, session.operator_token)
         lines = [
-            f"{row['fingerprint']}  {row['service']}  "
+            f"{row['fingerprint']}  {row.get('kind', 'request')}  {row['service']}  "
             + (f"barred for {row['barred_for_ms']} ms" if row["barred_for_ms"] else "suspect")
             + "  "
             + " ".join(f"{name}:{ms}ms" for name, ms in zip(row["servers"], row["ran_ms"]))
--- a/packages/entry/src/mountladder_entry/quarantinepages.py
+++ b/packages/entry/src/mountladder_entry/quarantinepages.py
@@ -6,29 +6,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import bottle
 
 from mountladder.code import Code
 from mountladder.errors import RefusalError
-from mountladder.quarantine.quarantine import Quarantine
 from mountladder.quarantine.suspicion import Suspicion
+from mountladder.quarantine.suspicionregistry import SuspicionRegistry
 from mountladder_entry.bearer import has_token
 
 
-def install(app: bottle.Bottle, quarantine: Quarantine, token: str) -> None:
+def install(app: bottle.Bottle, registries: Sequence[SuspicionRegistry], token: str) -> None:
     """Add the pages to an application.
 
     Args:
         app: The application.
-        quarantine: The instance's quarantine.
+        registries: The instance's suspects, those of each kind.
         token: The bearer token that calls need.
     """
-    app.get("/quarantine", callback=lambda: authorized(token, lambda: list_suspects(quarantine)))
+    app.get("/quarantine", callback=lambda: authorized(token, lambda: list_suspects(registries)))
     app.delete(
         "/quarantine/<fingerprint>",
-        callback=lambda fingerprint: authorized(token, lambda: lift(quarantine, fingerprint)),
+        callback=lambda fingerprint: authorized(token, lambda: lift(registries, fingerprint)),
     )
 
 
@@ -43,21 +43,25 @@
         return {"code": error.code.number, "detail": error.detail}
 
 
-def list_suspects(quarantine: Quarantine) -> dict[str, object]:
-    """Return every suspect: a request that servers crashed under, the latest first."""
-    now = quarantine.clock.now()
-    suspects = [suspicion for suspicion in quarantine.suspicions.values() if suspicion.is_suspect]
-    suspects.sort(key=lambda suspicion: suspicion.changed_at, reverse=True)
-    return {"suspects": [_row(suspicion, now) for suspicion in suspects]}
+def list_suspects(registries: Sequence[SuspicionRegistry]) -> dict[str, object]:
+    """Return every suspect: what servers crashed under, the latest first."""
+    suspects = [
+        (suspicion, registry.clock.now())
+        for registry in registries
+        for suspicion in registry.suspicions.values()
+        if suspicion.is_suspect
+    ]
+    suspects.sort(key=lambda one: one[0].changed_at, reverse=True)
+    return {"suspects": [_row(suspicion, now) for suspicion, now in suspects]}
 
 
-def lift(quarantine: Quarantine, fingerprint: str) -> dict[str, object]:
+def lift(registries: Sequence[SuspicionRegistry], fingerprint: str) -> dict[str, object]:
     """Clear a suspect on every instance.
 
     Raises:
-        RefusalError: The request is not a suspect.
+        RefusalError: It is not a suspect.
     """
-    if not quarantine.lift(fingerprint):
+    if not any(registry.lift(fingerprint) for registry in registries):
         raise RefusalError(f"{fingerprint!r} is not a suspect", Code.NOT_FOUND)
     return {"cleared": fingerprint}
 
@@ -65,6 +69,7 @@
 def _row(suspicion: Suspicion, now: float) -> dict[str, object]:
     return {
         "fingerprint": suspicion.fingerprint,
+        "kind": suspicion.kind.noun,
         "service": suspicion.service,
         "servers": [crash.server for crash in suspicion.crashes],
         "ran_ms": [round(crash.ran_ms) for crash in suspicion.crashes],
