Streams: the rest of a stream clears no suspect

Callers would see servers crash on under a part whose crashes come late in an answer: resumed at the next server, the rest is short enough to be whole, and clears the part again and again.

Cause: any stream that ends whole counted as an answer, also one whose first server crashed and whose rest another one sent, and one that a caller takes up. Class: evidence from a part of the work is taken for all of it.

Change: only a stream that one server has sent from its beginning clears.

The example of promptparts.feature failed before. Two more examples, servers that do not answer once they have crashed, hold without a change: the crashes are known only once the list of servers shows them. quarantine, blame, continuation, streamversions, forwarding: 245 passed.

--- a/features/promptparts.feature
+++ b/features/promptparts.feature
@@ -61,8 +61,11 @@
       | it crashes servers 100 ms after the first event  | stream    | 5       |
       | it crashes servers 400 ms after the first event  | stream    | 5       |
       | it crashes servers 100 ms after the first event  | resumable | 5       |
+      | it crashes servers 400 ms after the first event  | resumable | 5       |
       | their callers retry them at once                 | resumable | 5       |
       | its letters are of either case                   | stream    | 4       |
+      | its servers do not answer after a crash          | stream    | 11      |
+      | its servers do not answer after a crash          | resumable | 15      |
 
   Scenario Outline: Instances that start again keep it from servers
     # Guards against a bar that one process alone remembers.
--- a/features/steps/promptpart_steps.py
+++ b/features/steps/promptpart_steps.py
@@ -77,6 +77,11 @@
     load(context).retries = True
 
 
+@given("its servers do not answer after a crash")
+def silent_after_crash(context):
+    context.fleet.upstream.silent_crashes = True
+
+
 @given("its letters are of either case")
 def either_case(context):
     (part,) = load(context).deadly
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -41,6 +41,7 @@
         splitter: Splits the answer into events.
         stream_version: The software version at which the stream continues.
         continuation: The copy of its cache, and its continuation from there.
+        is_partial: Whether a server has sent only the rest of the stream, after events of another.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.splitter = EventSplitter(request.last_event_id)
         self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
+        self.is_partial = bool(request.last_event_id)
 
     @property
     def wants_backup(self) -> bool:
@@ -258,13 +260,16 @@
                     answer.close()
                     self.context.picker.finished(attempt.picked, pace.mean_ms())
                     active = None
+                    self.is_partial = True
                     attempt, answer, first = self.resume(attempt, answer, cut)
                     active = attempt
                     pace = EventPace(self.context.clock.now(), splitter.events)
                     if first:
                         yield first
             error = None
-            self.tracked.answered()
+            if not self.is_partial:
+                # The rest of a stream is no evidence: a server may have crashed under its beginning.
+                self.tracked.answered()
         except MountladderError as caught:
             error = caught
             raise
