Quarantine: an answer that ends with its connection may be a crash

Callers would see servers crash on under a part whose answers have neither a length nor chunks: the end of the connection looks like the end of the answer, and the part is cleared by the very crash that it caused.

Cause: each answer that is not known to be broken counted as whole. Class: evidence that is taken at its word before it can be told from its opposite.

Callers get it as before.

'Whether an answer ends only with its connection' fails with the header check taken out.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -29,6 +29,18 @@
       | reset without length     | code 3003, may have run      |
       | silence                  | code 3011, may have run      |
 
+  Scenario Outline: Whether an answer ends only with its connection
+    # Guards against a crash of a server that is taken for the end of its answer.
+    Given a backend server that answers "<answer>"
+    When request r1 is sent to it
+    Then its answer <ends> with its connection
+
+    Examples:
+      | answer    | ends     |
+      | whole     | ends not |
+      | chunked   | ends not |
+      | no length | ends     |
+
   Scenario: A request whose connection is refused was not run
     Given a backend server whose port is closed
     When request r1 is sent to it
--- a/features/promptparts.feature
+++ b/features/promptparts.feature
@@ -64,6 +64,7 @@
       | it crashes servers 400 ms after the first event  | resumable | 5       |
       | their callers retry them at once                 | resumable | 5       |
       | its letters are of either case                   | stream    | 4       |
+      | its crashes look like the end of an answer       | stream    | 6       |
       | its servers do not answer after a crash          | stream    | 11      |
       | its servers do not answer after a crash          | resumable | 15      |
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -167,6 +167,7 @@
             context.server, make_call(context, id_, **options), TIMEOUT_MS
         )
         context.call_outcomes.append((answer.status, answer.read(TIMEOUT_MS)))
+        context.ends_with_connection = answer.ends_with_connection
     except StageError as error:
         context.call_outcomes.append(error)
 
@@ -176,6 +177,11 @@
     send(context, id_)
 
 
+@then("its answer {ends} with its connection")
+def ends_with_connection(context, ends):
+    assert context.ends_with_connection == (ends == "ends"), context.ends_with_connection
+
+
 @when("its health is checked")
 def check_health(context):
     context.cold_ms = context.upstream.cold_ms(context.server, "/health", TIMEOUT_MS)
--- a/features/steps/promptpart_steps.py
+++ b/features/steps/promptpart_steps.py
@@ -34,6 +34,7 @@
 TURN_MS = 800.0
 CRASH_GAP_MS = 300.0
 STAGES_BEGUN_MS = 100.0
+LATE_CRASH_MS = 100
 # By then instances have noticed an older store, and written again what it has lost.
 ERA_NOTICED_MS = 2_000.0
 SETTLE_MS = 100.0
@@ -77,6 +78,13 @@
     load(context).retries = True
 
 
+@given("its crashes look like the end of an answer")
+def crash_like_end(context):
+    crashes_late(context, LATE_CRASH_MS)
+    (part,) = load(context).deadly
+    context.fleet.upstream.without_end.add(part)
+
+
 @given("its servers do not answer after a crash")
 def silent_after_crash(context):
     context.fleet.upstream.silent_crashes = True
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -482,6 +482,13 @@
             attempt.picked, self.request, self.service, elapsed_ms, load, streaming
         )
 
+    def record_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> None:
+        """Record that an attempt was answered completely, for the quarantine."""
+        if answer.ends_with_connection:
+            self.tracked.ended(attempt.choice.state.server, attempt.started, self.begun_ms())
+        else:
+            self.tracked.answered()
+
     def finish(self, error: MountladderError | None = None, status: int = 0) -> None:
         """Release the results of stages and record the outcome of the request."""
         if self.hedge is not None:
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -268,8 +268,8 @@
                         yield first
             error = None
             if not self.is_partial:
-                # The rest of a stream is no evidence: a server may have crashed under its beginning.
-                self.tracked.answered()
+                # The rest of a stream shows nothing: its first server may have crashed.
+                self.record_answer(attempt, answer)
         except MountladderError as caught:
             error = caught
             raise
--- a/packages/core/src/mountladder/forwarding/upstreamanswer.py
+++ b/packages/core/src/mountladder/forwarding/upstreamanswer.py
@@ -20,12 +20,15 @@
         headers: The headers to forward to the caller.
         signed: Whether the answer has a valid signature of the server.
         load: The number of calls that the server reports, or None if it does not.
+        ends_with_connection: Whether it has neither a length nor chunks, so that it ends as it does
+            when the server crashes.
     """
 
     status: int
     headers: Headers
     signed: bool
     load: int | None
+    ends_with_connection = False
 
     @abstractmethod
     def read(self, limit_ms: float, heard: Callable[[], None] = lambda: None) -> bytes:
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -67,7 +67,7 @@
             if answer.status < SERVER_ERROR:
                 self.hedge.stop()
                 self.succeeded(attempt, answer.load, streaming=False)
-                self.tracked.answered()
+                self.record_answer(attempt, answer)
             return ForwardAnswer(answer.status, answer.headers, body)
 
     def exchange(
--- a/packages/core/src/mountladder/quarantine/crashdetector.py
+++ b/packages/core/src/mountladder/quarantine/crashdetector.py
@@ -32,6 +32,8 @@
 # Max. number of interrupted requests whose details are logged; those that the server had not begun
 # to answer come first.
 MAX_LOGGED = 16
+# What shows a crash, in the log.
+REFUSAL = "it refuses connections"
 
 
 class CrashDetector:
@@ -100,11 +102,25 @@
         """Probe whether a server refuses connections."""
         try:
             if self.refuses(server):
-                self.record_crash(server, "it refuses connections", BREAK_WINDOW_MS)
+                self.record_crash(server, REFUSAL, BREAK_WINDOW_MS)
         finally:
             del self.probes[server.name]
             probe_done.set()
 
+    def has_ended(self, server: BackendServer, interrupted: Interruption) -> bool:
+        """Return whether a server refuses connections; if so, record that it has crashed.
+
+        Args:
+            server: The server.
+            interrupted: A request whose answer ended with its connection shortly before.
+        """
+        if self.listing.is_shutting_down(server) or not self.refuses(server):
+            return False
+        earlier = self.unresolved_requests(server, LISTING_DELAY_MS)
+        self.unresolved[server.name] = (server, [*earlier, interrupted])
+        self.record_crash(server, REFUSAL, 2 * BREAK_WINDOW_MS)
+        return True
+
     def check_listing(self) -> None:
         """Check whether the list of servers shows that a server in question has crashed."""
         for name, (server, _) in list(self.unresolved.items()):
--- a/packages/core/src/mountladder/quarantine/trackedattempt.py
+++ b/packages/core/src/mountladder/quarantine/trackedattempt.py
@@ -10,9 +10,12 @@
 from contextlib import AbstractContextManager
 from typing import TYPE_CHECKING
 
+import gevent
+
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.errors import StageError
+from mountladder.quarantine.crashdetector import BREAK_WINDOW_MS
 from mountladder.quarantine.fingerprint import stage_fingerprint
 from mountladder.quarantine.interruption import Interruption
 
@@ -105,16 +108,47 @@
             begun_ms: For how long the server had been answering; 0 if it had not begun to.
         """
         if connection_broke(error):
-            now = self.clock.now()
-            lost = Interruption(
-                self.fingerprint,
-                self.request,
-                now - started,
-                now,
-                begun_ms=begun_ms,
-                parts=self.parts,
-            )
-            self.service.detector.investigate(server, (lost,))
+            self.service.detector.investigate(server, (self.interruption(started, begun_ms),))
+
+    def ended(self, server: BackendServer, started: float, begun_ms: float) -> None:
+        """Record an answer that ended with its connection, as it also does in a crash.
+
+        It counts as complete unless the server turns out to have crashed at that time.
+
+        Args:
+            server: The server.
+            started: When the request was sent there, in the clock's milliseconds.
+            begun_ms: For how long the server had been answering.
+        """
+        lost = self.interruption(started, begun_ms)
+        gevent.spawn(self.settle, server, lost)
+
+    def settle(self, server: BackendServer, lost: Interruption) -> None:
+        """Decide whether an answer that ended with its connection was complete."""
+        self.clock.sleep(BREAK_WINDOW_MS)
+        detector = self.service.detector
+        incarnation = detector.listing.incarnation_name(server, lost.at)
+        if incarnation in self.quarantine.server_crashes:
+            detector.report(server, incarnation, (lost,))
+        elif not (self.is_suspect() and detector.has_ended(server, lost)):
+            self.answered()
+
+    def is_suspect(self) -> bool:
+        """Return whether servers crashed under the request, or under a part of it."""
+        parts = self.service.parts
+        return self.quarantine.is_suspect(self.fingerprint) or any(parts.known(self.parts))
+
+    def interruption(self, started: float, begun_ms: float) -> Interruption:
+        """Return the record of a connection to a server that ends now."""
+        now = self.clock.now()
+        return Interruption(
+            self.fingerprint,
+            self.request,
+            now - started,
+            now,
+            begun_ms=begun_ms,
+            parts=self.parts,
+        )
 
     def answered(self) -> None:
         """Record that the request was answered completely, and with it all parts of it."""
--- a/packages/standins/src/mountladder_standins/localanswer.py
+++ b/packages/standins/src/mountladder_standins/localanswer.py
@@ -73,6 +73,8 @@
         if self.parts:
             self.wait(limit_ms)
             if self.has_crashed():
+                if self.ends_with_connection:
+                    return b""
                 raise StageError("the server has crashed", Code.STREAM_CUT)
             return self.parts.pop(0)
         if self.cut:
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -65,6 +65,8 @@
             the request's body or the id of a part of its prompt; or on a piece, by its key.
         late_crash_ms: How long after its first event a server that answers a request crashes, in
             milliseconds, by the id of a part of the request's prompt.
+        without_end: The prompt parts whose answers end with their connection, which a crash between
+            two events looks like.
         event_ms: The time between the events of a stream, in milliseconds.
         crashed: The names of the crashed servers, in order; they refuse connections.
         silent_crashes: Whether crashed servers do not answer probes, in place of refusing them.
@@ -98,6 +100,7 @@
         self.tokens_per_ms: float | None = None
         self.crash_after_ms: dict[bytes | str, float] = {}
         self.late_crash_ms: dict[str, float] = {}
+        self.without_end: set[str] = set()
         self.event_ms = EVENT_MS
         self.crashed: list[str] = []
         self.silent_crashes = False
@@ -288,9 +291,11 @@
             cut = fault is ServerFault.CUT
             has_crashed = partial(self.has_crashed, server)
             is_silent = partial(self.silent.__contains__, server.name)
-            return LocalAnswer(
+            answer = LocalAnswer(
                 self.clock, 200, signed, events, self.event_ms, cut, has_crashed, is_silent
             )
+            answer.ends_with_connection = not self.without_end.isdisjoint(_contents(call.request))
+            return answer
         return LocalAnswer(self.clock, 200, signed, [server.name.encode()])
 
     def run_pieces(
