--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -514,7 +514,7 @@
 
 @when("a connection to it is opened")
 def open_connection(context):
-    context.connection = ServerConnection(context.server.address)
+    context.connection = ServerConnection(context.server.address, SystemClock())
     context.connection.connect()
     context.stack.callback(context.connection.close)
 
