--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -65,7 +65,7 @@
 
   Scenario: Bytes of an event that never ends are looked at once each
     # Guards against a search of the whole incomplete event for each further chunk.
-    Given an event of 50000 bytes that comes in pieces of 4 bytes
+    Given an event of 500000 bytes that comes in pieces of 200 bytes
     When the stream is split into events
     Then the event is given out whole once it ends
     And each search began where the one before had ended
