Soak: servers crash under a prompt part that different requests share

Cause: nothing that runs real processes sent requests which crash servers by one part of their prompts, so that no check could show whether they are kept away.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -56,6 +56,8 @@
       | a service got more retries than the budget allows              | retry_budget              |
       | requests reached servers long after their callers disconnected | abandoned_not_forwarded   |
       | a request that crashed servers keeps reaching servers          | deadly_quarantined        |
+      | a part that crashed servers keeps reaching servers             | deadly_part_quarantined   |
+      | requests that share the first part with it are refused         | sound_served_beside_part  |
       | no request is served at the end                                | service_recovers          |
       | a process exited unasked                                       | no_unplanned_exits        |
       | a process used more memory than its limit                      | memory_kept               |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,7 +28,7 @@
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
-from soak.schedule import FAULTS, SERVERS, SILENT_FAULTS, draw
+from soak.schedule import CALLERS, DEADLY_PART, FAULTS, SERVERS, SILENT_FAULTS, draw
 from soak.serverfleet import SERVICES
 from soak.streamattempt import StreamAttempt
 
@@ -395,6 +395,27 @@
         add(context.record, exchange(f"deadly{number}", "stream", status=502), at=9.0 + number)
 
 
+@when("a part that crashed servers keeps reaching servers")
+def part_not_quarantined(context):
+    context.faults.clear()
+    context.record.part_crashes.extend((2.0, 3.0, 4.0, 5.0, 6.0))
+    for number in range(4):
+        one = exchange(f"part{number}", "stream", status=502)
+        context.record.exchanges[one.id] = one
+        arrive(context.record, one.id, 11.0 + number, "llm-1", "llm")
+
+
+@when("requests that share the first part with it are refused")
+def sound_refused(context):
+    context.faults[:] = [Fault(1.0, DEADLY_PART, (CALLERS,), 18.0)]
+    context.record.part_crashes.extend((2.0, 2.5, 3.0))
+    for number in range(50):
+        status = 200 if number < 25 else 503
+        sent = 0.03 * number if number < 25 else 10.0 + 0.1 * number
+        one = exchange(f"s{number}", "resumable", sent, status=status, retry_after_s=1.0)
+        context.record.exchanges[one.id] = one
+
+
 @when("no request is served at the end")
 def none_at_end(context):
     for id_, one in list(context.record.exchanges.items()):
