Soak: most new connections go to one instance for a while

Cause: nothing that runs real processes had one instance get most new connections, with callers that open more of them.

A check that of the requests which instances have read, three quarters as many are served as before; a scenario with the instance stopped for 1.5 s meanwhile.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -58,6 +58,7 @@
       | a request that crashed servers keeps reaching servers          | deadly_quarantined        |
       | a part that crashed servers keeps reaching servers             | deadly_part_quarantined   |
       | requests that share the first part with it are refused         | sound_served_beside_part  |
+      | few requests are served where one instance gets most connections | served_when_skewed      |
       | no request is served at the end                                | service_recovers          |
       | a process exited unasked                                       | no_unplanned_exits        |
       | a process used more memory than its limit                      | memory_kept               |
@@ -152,6 +153,13 @@
       | stalled-callers | callers | 1.0 | 8.0     | 60       |
     Then every promise is kept
 
+  Scenario: Requests are served while one instance gets most new connections
+    When these faults are played with seed 7 for 16 seconds with 4 instances
+      | kind    | target | at  | seconds | strength |
+      | skewed  | a-1    | 5.0 | 8.0     | 0.9      |
+      | pause   | a-1    | 9.0 | 1.5     | 1        |
+    Then every promise is kept
+
   Scenario: A request that arrives while a process starts waits for the configuration
     Given a slow store, and an instance as a process
     When a request for a known route arrives as soon as its socket listens
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,7 +28,7 @@
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
-from soak.schedule import CALLERS, DEADLY_PART, FAULTS, SERVERS, SILENT_FAULTS, draw
+from soak.schedule import CALLERS, DEADLY_PART, FAULTS, SERVERS, SILENT_FAULTS, SKEWED, draw
 from soak.serverfleet import SERVICES
 from soak.streamattempt import StreamAttempt
 
@@ -416,6 +416,14 @@
         context.record.exchanges[one.id] = one
 
 
+@when("few requests are served where one instance gets most connections")
+def few_served_when_skewed(context):
+    context.faults[:] = [Fault(11.0, SKEWED, ("a-1",), 8.0)]
+    for number in range(30):
+        one = exchange(f"s{number}", "safe", 15.0 + 0.1 * number, status=503, retry_after_s=1.0)
+        context.record.exchanges[one.id] = one
+
+
 @when("no request is served at the end")
 def none_at_end(context):
     for id_, one in list(context.record.exchanges.items()):
