Soak: resumed streams count while two servers of their version serve

Trace: two servers of the version were up, in a data centre that was drained; the servers of the other one had crashed under a deadly body and a deadly part, so that no server might get a request ('every allowed backend server is out of use', 459 refusals). Of the resumed streams 13 had no server of their version at all. The promise counts streams while two servers of their version serve.

Change: an attempt counts only if two servers of its version, or of any one for a new stream, served all the time: started, not stopped, not draining, in no drained data centre. Two scenarios for what does not count.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -68,6 +68,16 @@
       | three streams continued from copies at another version         | streams_of_one_version    |
       | most streams that callers resumed were refused                 | resumed_streams_continue          |
 
+  Scenario Outline: Streams need not continue while fewer than two servers of their version serve
+    Given a record of a soak without violations
+    When most streams that callers resumed were refused, with <servers> of their version
+    Then every promise is kept
+
+    Examples:
+      | servers                        |
+      | one server                     |
+      | only drained servers           |
+
   Scenario Outline: A violation that a fault explains is excused
     Given a record of a soak without violations
     And a fault "<kind>" of <target> from second 1 to second 9
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -563,6 +563,10 @@
 def resume(context, number, version, status=200):
     """Have callers resume streams of version v1 at b-1 while two versions serve."""
     context.record.two_versions.append((0.0, LENGTH_S))
+    for name in ("llm-11", "llm-12", "llm-13", "llm-14"):
+        context.record.started_at[name] = 0.0
+        context.record.datacentres[name] = "b"
+        context.record.versions[name] = "v1" if name < "llm-13" else "v2"
     for n in range(number):
         first = StreamAttempt(f"v{n}", "b-1", 5.0, 5.1, ("v1", "v1"), 0)
         again = StreamAttempt(f"v{n}t1", "b-1", 5.2, 5.3, (version,) if version else (), status)
@@ -587,3 +591,12 @@
 def refused_streams(context):
     resume(context, 30, "", 503)
     resume(context, 10, "v1")
+
+
+@when("most streams that callers resumed were refused, with {servers} of their version")
+def refused_without_servers(context, servers):
+    refused_streams(context)
+    if servers == "one server":
+        context.record.stopped_at["llm-11"] = 4.0
+    else:
+        context.record.drained_datacentres.append(("b", 3.0, 9.0))
