Streams: versions that have served are kept in the store

Cause: StreamOrigins.look_up takes the only version that it knows for the one that began a stream that nobody remembers. VersionHistory knows versions from the moment at which its process first read the list of servers, and so do the peers that are asked when all have just started. The log line of such a request said so: source "only version", versions ["v2"], 2 of 2 peers replied, 0.2 s after their start, while the version v1 had left 0.5 s before that.

Change: the instance that polls the store writes each version of a service to a table of its own when it is first listed, and removes it a minute after it was last listed. Each instance reads the table once after its start. A stream that nobody knows continues only if one version alone may have begun it by the list, by the peers that replied and by that table; a process or a peer that has either read the table or followed the list for a minute knows it, else the store is asked for the request, for 400 ms at most. Nothing is read for a request while a peer knows the origin or a second version is known.

A start costs a read of the store, a release two changes.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -371,3 +371,21 @@
     Given a store with both tables that refuses the first reads
     When a process loads the rest of its modules
     Then the first read of each fails and the second succeeds
+
+  Scenario: Software versions are stored in the platform's store
+    Given a store that keeps rows of versions
+    When 150 versions with long names are stored, and 120 of them removed
+    Then those that are left are read
+
+  Scenario Outline: Malformed rows of versions are ignored
+    Given a store that keeps rows of versions
+    When a row of versions is <value>
+    Then those that are left are read
+
+    Examples:
+      | value                               |
+      | {                                   |
+      | []                                  |
+      | {"service": "llm", "version": 2}    |
+      | {"version": "v1"}                   |
+      | {"service": "\ud800", "version": "v1"} |
--- a/features/steps/bar_steps.py
+++ b/features/steps/bar_steps.py
@@ -35,6 +35,8 @@
 PART_BAR = replace(BAR, crashes=PART_CRASHES, kind=SuspectKind.PART)
 PRESUMED = Suspicion("ef" * 16, "llm", presumed=CRASHES)
 TOKEN = "secret"
+MAX_STORE_CHANGES = 100
+MAX_STORE_KEY = 200
 FAULTS = {
     "no JSON": b"{",
     "no servers": {"servers": [], "ran_ms": [], "ended_at": []},
@@ -59,8 +61,8 @@
     return f"127.0.0.1:{server.server_port}"
 
 
-@given("a store that keeps rows of bars")
-def bars_store(context):
+def store_client(context):
+    """Serve a store that keeps rows for the scenario, and return a client of it."""
     context.rows, context.tables = {}, {}
     app = bottle.Bottle()
 
@@ -78,6 +80,8 @@
     def change():
         body = bottle.request.json
         assert body["expected"] == []
+        assert len(body["upserts"]) + len(body["remove"]) <= MAX_STORE_CHANGES
+        assert all(len(one["key"].encode()) <= MAX_STORE_KEY for one in body["upserts"])
         context.rows.update({one["key"]: one["value"] for one in body["upserts"]})
         context.tables.update({one["key"]: one["table"] for one in body["upserts"]})
         for one in body["remove"]:
@@ -86,6 +90,12 @@
 
     client = HttpClient(f"http://{serve(context, app)}", SystemClock(), 1_000.0)
     context.stack.callback(client.close)
+    return client
+
+
+@given("a store that keeps rows of bars")
+def bars_store(context):
+    client = store_client(context)
     context.bars = StoreSuspicions(client)
     context.part_bars = StoreSuspicions(client, SuspectKind.PART)
     context.expected = BAR
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -112,7 +112,7 @@
     ),
     "the origins of streams": OriginAnnouncement((ORIGIN,)),
     "the query for the origin of a stream": OriginQuery(7, ORIGIN.stream, "llm"),
-    "the reply with the origin of a stream": OriginReply(7, ORIGIN, frozenset({"v1", "v2"})),
+    "the reply with the origin of a stream": OriginReply(7, ORIGIN, frozenset({"v1", "v2"}), True),
     "the reply without an origin": OriginReply(7, None, frozenset()),
     "the suspicions of requests": Suspicions((replace(SUSPICION, kind=SuspectKind.REQUEST),)),
     "the suspicions of prompt parts": PartSuspicions((SUSPICION,)),
--- /dev/null
+++ b/features/steps/streamrestart_steps.py
@@ -0,0 +1,188 @@
+# streamrestart_steps.py -- Steps about streams that are resumed after a loss of all instances
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about streams that are resumed after a loss of all instances."""
+
+import base64
+import re
+
+from bar_steps import store_client
+from behave import given, then, when
+from forward_steps import SETTLE_MS
+from forwardbasics import SECOND_MS
+from mountladder_platform.storeversions import VERSIONS_TABLE, StoreVersions
+from streamversion_steps import list_version, resume
+
+from mountladder.streams.servedversion import ServedVersion
+
+NEW_VERSION_SERVER = "llm-9"
+
+
+def pass_time(context, seconds):
+    context.run(context.clock.sleep, float(seconds) * SECOND_MS)
+
+
+def leave(context, version):
+    for name, found in list(context.versions.items()):
+        if found == version:
+            context.fleet.servers.put(name, None)
+            del context.versions[name]
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def drain(context, version):
+    for name, found in context.versions.items():
+        if found == version:
+            context.fleet.add_server(name, "llm", "b", draining=True, version=version)
+
+
+def come(context, version):
+    come_back(context, NEW_VERSION_SERVER, version)
+
+
+def come_back(context, name, version):
+    list_version(context, name, version)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def kill(context, name):
+    context.killed = [*getattr(context, "killed", ()), name]
+    context.fleet.instances.pop(name).close()
+
+
+def kill_all(context):
+    for name in list(context.fleet.instances):
+        kill(context, name)
+
+
+def start(context, name, settle_ms=SETTLE_MS):
+    context.fleet.start(name)
+    context.run(context.clock.sleep, settle_ms)
+
+
+def start_at_once(context, name):
+    start(context, name, 0.0)
+
+
+def start_all(context):
+    for name in dict.fromkeys(context.killed):
+        context.fleet.start(name)
+    context.killed = []
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def kill_in_turn(context):
+    for name in list(context.fleet.instances):
+        kill(context, name)
+        start(context, name)
+    context.killed = []
+
+
+def save_copy(context):
+    context.fleet.save_copy()
+
+
+def restore_copy(context):
+    """Restore the copy; the servers and the operator write again what they wrote since."""
+    entries = {key: row.value for key, row in context.fleet.servers.rows.items()}
+    context.fleet.restore_copy()
+    for key, value in entries.items():
+        context.fleet.servers.put(key, value)
+
+
+def set_readable(context, word):
+    context.fleet.version_store.is_readable = word == "can"
+
+
+def set_writable(context, word):
+    context.fleet.version_store.is_writable = word == "can"
+
+
+def set_delay(context, ms):
+    context.fleet.version_store.delay_ms = float(ms)
+
+
+def never_written(context):
+    set_writable(context, "cannot")
+    context.fleet.version_store.rows = frozenset()
+
+
+EVENTS = {
+    r"all are killed": kill_all,
+    r"all are killed in turn": kill_in_turn,
+    r"all start": start_all,
+    r"(\S+) is killed": kill,
+    r"(\S+) starts": start,
+    r"(\S+) starts at once": start_at_once,
+    r"(?:version )?(v\d) leaves": leave,
+    r"(?:version )?(v\d) drains": drain,
+    r"(?:version )?(v\d) comes": come,
+    r"(llm-\d) comes back as (v\d)": come_back,
+    r"([\d.]+) s pass": pass_time,
+    r"a copy of the store is saved": save_copy,
+    r"a copy of the store is restored": restore_copy,
+    r"versions (can|cannot) be read(?: again)?": set_readable,
+    r"versions (can|cannot) be written": set_writable,
+    r"versions are read in (\d+) ms": set_delay,
+    r"versions were never written": never_written,
+}
+
+
+@given("then {events}")
+def events_happen(context, events):
+    for event in events.split(", "):
+        found = [(re.fullmatch(pattern, event), act) for pattern, act in EVENTS.items()]
+        ((match, act),) = [(match, act) for match, act in found if match]
+        act(context, *match.groups())
+
+
+@when("{events}, and the caller resumes stream {id_} at {name}")
+def resume_after(context, events, id_, name):
+    events_happen(context, events)
+    resume(context, id_, name)
+
+
+@when("these happen: {events}")
+def events_happened(context, events):
+    events_happen(context, events)
+
+
+@then("the store has versions {versions}")
+def stored_versions(context, versions):
+    found = sorted(one.version for one in context.fleet.version_store.rows)
+    assert found == versions.split(", "), found
+
+
+@then("the table of versions has had at most {reads:d} read an instance and {changes:d} changes")
+def version_calls(context, reads, changes):
+    store = context.fleet.version_store
+    allowed = reads * len(context.fleet.instances)
+    assert store.reads <= allowed and store.changes <= changes, (store.reads, store.changes)
+
+
+@given("a store that keeps rows of versions")
+def versions_store(context):
+    context.table_of_versions = StoreVersions(store_client(context))
+
+
+@when("{number:d} versions with long names are stored, and {removed:d} of them removed")
+def store_versions(context, number, removed):
+    context.stored = [ServedVersion("llm" * 10, f"{n} " + "é" * 90) for n in range(number)]
+    context.stored.append(ServedVersion("llm", ""))
+    context.table_of_versions.change(context.stored, ())
+    context.table_of_versions.change((), context.stored[:removed])
+    context.stored = context.stored[removed:]
+
+
+@when("a row of versions is {value}")
+def faulty_row(context, value):
+    context.stored = []
+    context.rows["x"] = base64.b64encode(value.encode()).decode()
+    context.tables["x"] = VERSIONS_TABLE
+
+
+@then("those that are left are read")
+def versions_left(context):
+    found = context.table_of_versions.read()
+    assert sorted(found) == sorted(context.stored), found
--- /dev/null
+++ b/features/streamrestarts.feature
@@ -0,0 +1,107 @@
+@forwarding
+Feature: Callers resume streams after a loss of all instances
+  # A process that has just started knows neither which software version began a stream nor which
+  # versions served before it started.
+
+  Background:
+    Given instances a-1, a-2, b-1 and model servers of two versions
+      | server | datacentre | version |
+      | llm-1  | a          | v1      |
+      | llm-2  | b          | v2      |
+      | llm-3  | b          | v1      |
+
+  # Guards against streams that continue at the only version that is listed when instances start.
+  Scenario Outline: The version that began a stream is gone
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then <events>
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+
+    Examples:
+      | events                                                                       |
+      | all are killed, v1 leaves, all start                                         |
+      | v1 leaves, all are killed, all start                                         |
+      | v1 leaves, 50 s pass, all are killed, all start                              |
+      | v1 drains, 2 s pass, all are killed, v1 leaves, all start                    |
+      | all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start  |
+      | v1 leaves, all are killed in turn                                            |
+      | v1 leaves, all are killed in turn, all are killed in turn                    |
+      | v1 leaves, v3 comes, v2 leaves, all are killed, all start                    |
+      | all are killed, v1 leaves, v3 comes, v2 leaves, all start                    |
+      | all are killed, v1 leaves, llm-1 comes back as v2, all start                 |
+      | a copy of the store is saved, v1 leaves, a copy of the store is restored, all are killed, all start |
+      | a copy of the store is saved, all are killed, v1 leaves, a copy of the store is restored, all start |
+      | all are killed, v1 leaves, b-1 starts                                        |
+
+  # Guards against a version that is taken for past since it was only on the list for a moment.
+  Scenario: A release is rolled back
+    Given only version v1 is listed
+    And version v2 is listed
+    And server llm-2 runs the next stream, and llm-1 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then all are killed, v2 leaves, all start
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+
+  # Guards against refusals where only one version can have begun the stream.
+  Scenario Outline: Only one version has served
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then <events>
+    When the caller resumes stream r at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | events                                                                  |
+      | all are killed, all start                                               |
+      | all are killed, all start, 0.2 s pass, all are killed, all start        |
+      | all are killed in turn                                                  |
+      | all are killed, b-1 starts                                              |
+      | versions are read in 300 ms, all are killed, b-1 starts at once         |
+      | versions cannot be read, a-1 is killed, b-1 is killed, b-1 starts       |
+      | versions were never written, all are killed, all start                  |
+
+  Scenario: The versions cannot be read at a start
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then versions cannot be read, all are killed, all start
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+    When versions can be read again, 1 s pass, and the caller resumes stream r at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+  # Guards against versions that stay in the store for ever, or are removed too early.
+  Scenario: Versions are in the store until no stream of them can last any more
+    Then the store has versions v1, v2
+    When these happen: v1 leaves, 55 s pass
+    Then the store has versions v1, v2
+    When these happen: 7 s pass
+    Then the store has versions v2
+    When these happen: llm-1 comes back as v1
+    Then the store has versions v1, v2
+
+  Scenario: Versions that could not be written are written later
+    Given only version v1 is listed
+    When these happen: versions cannot be written, v2 comes, 3 s pass
+    Then the store has versions v1
+    When these happen: versions can be written, 3 s pass
+    Then the store has versions v1, v2
+
+  Scenario Outline: A restored store gets the versions back, and loses those that are past
+    Given only version v1 is listed
+    When these happen: a copy of the store is saved, <events>, a copy of the store is restored, 3 s pass
+    Then the store has versions <versions>
+
+    Examples:
+      | events                          | versions |
+      | llm-2 comes back as v2          | v1, v2   |
+      | v1 leaves, llm-2 comes back as v2, 62 s pass | v2 |
+
+  # Guards against calls of the store that grow with the number of instances or with its changes.
+  Scenario: What the versions cost
+    Given 21 more instances in data centres a, b, c
+    When these happen: 30 s pass
+    Then the table of versions has had at most 1 read an instance and 3 changes
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -160,6 +160,7 @@
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
+        self.origins = StreamOrigins(self.fleet, self.directory, self.tables.version_store, clock)
         self.continuations = Continuations(
             lambda: self.settings.continue_streams,
             self.follower,
@@ -274,7 +275,7 @@
             quarantine=self.quarantine,
             notices=self.notices,
             continuations=self.continuations,
-            origins=StreamOrigins(self.fleet, self.directory, self.clock),
+            origins=self.origins,
             relay=make_relay(self),
         )
 
--- a/packages/core/src/mountladder/forwarding/platformtables.py
+++ b/packages/core/src/mountladder/forwarding/platformtables.py
@@ -15,6 +15,7 @@
 from mountladder.forwarding.sourcerow import SourceRow
 from mountladder.quarantine.suspicionstore import SuspicionStore
 from mountladder.store.instancelist import InstanceList
+from mountladder.streams.versionstore import VersionStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +28,7 @@
         instances: The list of instances.
         suspicion_store: The store of barred requests and strong suspects.
         part_store: The same of prompt parts.
+        version_store: The store of the software versions that serve each service.
         is_catalogue: Returns whether a key of the first table is the catalogue's.
         decode_catalogue: Decodes a catalogue; raises BadRowError if it is malformed.
         decode_server: Decodes an entry of a backend server; raises BadRowError if it is malformed.
@@ -39,6 +41,7 @@
     instances: InstanceList
     suspicion_store: SuspicionStore
     part_store: SuspicionStore
+    version_store: VersionStore
     is_catalogue: Callable[[str], bool]
     decode_catalogue: Callable[[bytes], Catalogue]
     decode_server: Callable[[SourceRow], ServerRecord]
--- a/packages/core/src/mountladder/membership/serverreader.py
+++ b/packages/core/src/mountladder/membership/serverreader.py
@@ -80,7 +80,8 @@
 
 def _read_origin_reply(reply) -> OriginReply:
     origin = _read_origin(reply.origin) if reply.known else None
-    return OriginReply(reply.number, origin, frozenset(str(one) for one in reply.versions))
+    versions = frozenset(str(one) for one in reply.versions)
+    return OriginReply(reply.number, origin, versions, reply.complete)
 
 
 SERVER_READERS = {
--- a/packages/core/src/mountladder/membership/serverwriter.py
+++ b/packages/core/src/mountladder/membership/serverwriter.py
@@ -152,4 +152,4 @@
     reply.number, reply.known = message.number, message.origin is not None
     if message.origin is not None:
         fill_origin(message.origin, reply.origin)
-    reply.versions = sorted(message.versions)
+    reply.versions, reply.complete = sorted(message.versions), message.is_complete
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -309,6 +309,7 @@
   known @1 :Bool;
   origin @2 :StreamOrigin;
   versions @3 :List(Text);
+  complete @4 :Bool;
 }
 
 # The root of every message between instances.
--- /dev/null
+++ b/packages/core/src/mountladder/streams/memoryversionstore.py
@@ -0,0 +1,57 @@
+# memoryversionstore.py -- An in-memory store of the software versions that serve each service
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""An in-memory store of the software versions that serve each service."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from mountladder.clocks.clock import Clock
+from mountladder.errors import StoreUnavailableError
+from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.versionstore import VersionStore
+
+
+class MemoryVersionStore(VersionStore):
+    """An in-memory VersionStore, for tests.
+
+    Args:
+        clock: The clock.
+
+    Attributes:
+        rows: The stored versions.
+        is_readable: Whether reads succeed.
+        is_writable: Whether changes succeed.
+        delay_ms: How long a call takes, in milliseconds.
+        reads: The number of reads.
+        changes: The number of changes.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.rows: frozenset[ServedVersion] = frozenset()
+        self.is_readable = True
+        self.is_writable = True
+        self.delay_ms = 0.0
+        self.reads = self.changes = 0
+
+    def read(self) -> tuple[ServedVersion, ...]:
+        """Return all stored versions; see VersionStore."""
+        self.reads += 1
+        self.answer(self.is_readable)
+        return tuple(sorted(self.rows))
+
+    def change(self, added: Sequence[ServedVersion], removed: Sequence[ServedVersion]) -> None:
+        """Store and remove versions; see VersionStore."""
+        self.changes += 1
+        self.answer(self.is_writable)
+        self.rows = self.rows.union(added).difference(removed)
+
+    def answer(self, is_answered: bool) -> None:
+        """Wait as long as a call takes, and raise an error if it is not answered."""
+        if self.delay_ms:
+            self.clock.sleep(self.delay_ms)
+        if not is_answered:
+            raise StoreUnavailableError("the store is down")
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -102,8 +102,8 @@
         """Answer the query of a peer."""
         origin = self.registry.find(query.stream)
         told = origin.as_remaining(self.clock.now()) if origin is not None else None
-        versions = self.history.recent(query.service)
-        self.fleet.send_later(link, OriginReply(query.number, told, versions))
+        versions, is_complete = self.history.recent(query.service), self.history.is_complete
+        self.fleet.send_later(link, OriginReply(query.number, told, versions, is_complete))
 
     def handle_reply(self, reply: OriginReply, link: Link) -> None:
         """Pass a reply to the request that waits for it."""
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -37,7 +37,9 @@
 
     def targets(self) -> list[Instance]:
         """Return the instances to keep links to in a large fleet."""
-        return [one for service in self.history.several() for one in self.instances(service)]
+        return [
+            one for service in sorted(self.history.several()) for one in self.instances(service)
+        ]
 
     def instances(self, service: str) -> list[Instance]:
         """Return the holders of a service's streams in a large fleet, without this instance."""
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -19,6 +19,7 @@
         origin: The origin, or None if it is not known.
         source: Where it is known from: "own", "peer", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
+        is_complete: Whether no other version can have begun it.
         asked: The number of instances that were asked.
         replied: The number of those that replied.
     """
@@ -26,5 +27,6 @@
     origin: StreamOrigin | None
     source: str
     versions: frozenset[str]
+    is_complete: bool
     asked: int = 0
     replied: int = 0
--- a/packages/core/src/mountladder/streams/originreply.py
+++ b/packages/core/src/mountladder/streams/originreply.py
@@ -20,8 +20,11 @@
         origin: The origin of the stream with a time relative to the sending, or None if the
             replying instance does not know it.
         versions: The versions that have lately served the service, as the replying instance knows.
+        is_complete: Whether those are all that may have begun a stream that still lasts. Instances
+            of an older build do not tell it.
     """
 
     number: int
     origin: StreamOrigin | None
     versions: frozenset[str]
+    is_complete: bool = False
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
@@ -18,8 +20,11 @@
 from mountladder.streams.originholders import OriginHolders
 from mountladder.streams.originlookup import OriginLookup
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
+from mountladder.streams.originreply import OriginReply
 from mountladder.streams.streamorigin import StreamOrigin, stream_key
 from mountladder.streams.versionhistory import VersionHistory
+from mountladder.streams.versionrecord import VersionRecord
+from mountladder.streams.versionstore import VersionStore
 
 # When a caller may retry if nobody knows which version began its stream, in milliseconds: an
 # instance that could not be reached may be back by then.
@@ -39,14 +44,21 @@
     Args:
         fleet: The other instances.
         directory: Lists the backend servers.
+        version_store: The platform's table of the versions that serve each service.
         clock: The clock.
     """
 
-    def __init__(self, fleet: Fleet, directory: Directory, clock: Clock) -> None:
+    def __init__(
+        self, fleet: Fleet, directory: Directory, version_store: VersionStore, clock: Clock
+    ) -> None:
         self.fleet = fleet
         self.clock = clock
         self.registry = OriginRegistry(clock)
         self.history = VersionHistory(directory, clock)
+        self.version_record = VersionRecord(
+            version_store, self.history, fleet.reader_election, clock
+        )
+        fleet.era_tracker.listeners.append(self.version_record.handle_restore)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
         self.history.on_several = self.announce_all
@@ -106,37 +118,60 @@
             software=found.origin.version if found.origin else "",
             source=found.source,
             versions=sorted(found.versions),
+            complete=found.is_complete,
             asked=found.asked,
             replied=found.replied,
             waited_ms=round(self.clock.now() - started),
         )
         if found.origin is None:
-            detail = f"versions {sorted(found.versions)} of {service} may have begun the stream"
+            others = "" if found.is_complete else " and others"
+            detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=UNKNOWN_RETRY_MS)
         return found.origin
 
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
         """Search for the origin of a stream here, then at other instances."""
-        versions = self.history.recent(service)
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "own", versions)
+            return OriginLookup(origin, "own", self.history.recent(service), True)
         replies, asked = self.exchange.ask(stream, service)
-        versions = versions.union(*(one.versions for one in replies))
-        counts = (asked, len(replies))
         for reply in replies:
             if reply.origin is not None:
                 told = reply.origin.from_remaining(self.clock.now())
-                return OriginLookup(told, "peer", versions, *counts)
-        if len(versions) == 1 and (replies or self.is_current()):
+                versions = self.known_versions(service, replies)
+                return OriginLookup(told, "peer", versions, True, asked, len(replies))
+        versions, is_complete = self.possible_versions(service, replies)
+        source, only = "unknown", None
+        if len(versions) == 1 and is_complete:
             until = self.clock.now() + MAX_STREAM_MS
-            only = StreamOrigin(stream, service, next(iter(versions)), until)
-            return OriginLookup(only, "only version", versions, *counts)
-        return OriginLookup(None, "unknown", versions, *counts)
+            source, only = "only version", StreamOrigin(stream, service, *versions, until)
+        return OriginLookup(only, source, versions, is_complete, asked, len(replies))
+
+    def known_versions(self, service: str, replies: Sequence[OriginReply]) -> frozenset[str]:
+        """Return the versions that may have begun a stream, by what is known here and told."""
+        return self.history.recent(service).union(*(one.versions for one in replies))
+
+    def possible_versions(
+        self, service: str, replies: Sequence[OriginReply]
+    ) -> tuple[frozenset[str], bool]:
+        """Return the versions that may have begun a stream.
+
+        Returns:
+            The known versions, and whether there are no others. A second one settles that a stream
+            has to be known, so that the others are not searched for then.
+        """
+        versions = self.known_versions(service, replies)
+        if len(versions) > 1 or self.is_informed(replies):
+            return versions, True
+        is_complete = self.version_record.refresh()
+        return self.known_versions(service, replies), is_complete
 
-    def is_current(self) -> bool:
-        """Return whether this instance alone knows which versions serve.
+    def is_informed(self, replies: Sequence[OriginReply]) -> bool:
+        """Return whether this instance and those that replied know which versions have served.
 
-        One that is cut off from all others may not know of a version that they have used.
+        One that is cut off from all others may not know of a version that they have used, and one
+        that has just started of those that served before.
         """
-        return self.fleet.is_store_answering() or not self.fleet.membership.addressed()
+        is_cut_off = not replies and bool(self.fleet.membership.addressed())
+        knows_earlier = self.history.is_complete or any(one.is_complete for one in replies)
+        return knows_earlier and not is_cut_off
--- a/packages/core/src/mountladder/streams/versionhistory.py
+++ b/packages/core/src/mountladder/streams/versionhistory.py
@@ -7,64 +7,100 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from mountladder.clocks.clock import Clock
 from mountladder.configuration.softwareversion import version_of
 from mountladder.forwarding.directory import Directory
 from mountladder.streams.originregistry import MAX_STREAM_MS
+from mountladder.streams.servedversion import ServedVersion
 
 
 class VersionHistory:
     """Tracks the versions of listed servers for as long as a stream that they began can last.
 
+    An instance that has just started does not know which versions were listed before; it adds those
+    that the platform's store holds.
+
     Args:
         directory: Lists the backend servers.
         clock: The clock.
 
     Attributes:
-        listed: The versions of the listed servers, by service.
-        unlisted_at: When a version was last listed, by service and version.
-        on_several: Called with each service of which a second version has been listed.
+        listed: The versions of the listed servers.
+        unlisted_at: When each version that is not listed any more was last listed.
+        known_since: Since when the list of servers has been known, or None.
+        has_earlier: Whether the versions that served before that have been added.
+        on_change: Called after a change of the recent versions.
+        on_several: Called with each service of which a second version has become known.
     """
 
     def __init__(self, directory: Directory, clock: Clock) -> None:
         self.directory = directory
         self.clock = clock
-        self.listed: dict[str, frozenset[str]] = {}
-        self.unlisted_at: dict[tuple[str, str], float] = {}
+        self.listed: frozenset[ServedVersion] = frozenset()
+        self.unlisted_at: dict[ServedVersion, float] = {}
+        self.known_since: float | None = None
+        self.has_earlier = False
+        self.on_change: Callable[[], None] = lambda: None
         self.on_several: Callable[[str], None] = lambda service: None
         directory.listeners.append(self.update)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all versions are known that may have begun a stream that still lasts."""
+        if self.has_earlier:
+            return True
+        return self.known_since is not None and self.clock.now() - self.known_since >= MAX_STREAM_MS
+
     def update(self) -> None:
         """Update the versions after the list of servers has changed."""
-        found: defaultdict[str, set[str]] = defaultdict(set)
-        for record in self.directory.records.values():
-            if record.server is not None:
-                found[record.service].add(version_of(record.server))
-        before, now = self.listed, self.clock.now()
-        had_several = {service for service in found if len(self.recent(service)) > 1}
-        self.listed = {service: frozenset(versions) for service, versions in found.items()}
-        for service, versions in before.items():
-            for version in versions - self.listed.get(service, frozenset()):
-                self.unlisted_at[service, version] = now
+        if self.known_since is None and self.directory.ready:
+            self.known_since = self.clock.now()
+        listed = frozenset(
+            ServedVersion(record.service, version_of(record.server))
+            for record in self.directory.records.values()
+            if record.server is not None
+        )
+        now = self.clock.now()
+        self.change(listed, self.unlisted_at | dict.fromkeys(self.listed, now))
+
+    def add_earlier(self, versions: Iterable[ServedVersion]) -> None:
+        """Add the versions that served before this instance knew the list of servers."""
+        self.has_earlier = True
+        unknown = frozenset(versions) - self.all_recent()
+        self.change(self.listed, self.unlisted_at | dict.fromkeys(unknown, self.clock.now()))
+
+    def change(
+        self, listed: frozenset[ServedVersion], unlisted_at: Mapping[ServedVersion, float]
+    ) -> None:
+        """Replace the versions, without those that no stream can have begun that still lasts."""
+        now, before, had_several = self.clock.now(), self.all_recent(), self.several()
+        self.listed = listed
         self.unlisted_at = {
-            key: at for key, at in self.unlisted_at.items() if now - at < MAX_STREAM_MS
+            one: at
+            for one, at in unlisted_at.items()
+            if one not in listed and now - at < MAX_STREAM_MS
         }
-        for service in self.listed:
-            if service not in had_several and len(self.recent(service)) > 1:
-                self.on_several(service)
+        if self.all_recent() != before:
+            self.on_change()
+        for service in sorted(self.several() - had_several):
+            self.on_several(service)
 
-    def recent(self, service: str) -> frozenset[str]:
-        """Return the versions of a service that may have begun a stream that still lasts."""
+    def all_recent(self) -> frozenset[ServedVersion]:
+        """Return the versions that may have begun a stream that still lasts."""
         now = self.clock.now()
-        unlisted = (
-            version
-            for (name, version), at in self.unlisted_at.items()
-            if name == service and now - at < MAX_STREAM_MS
+        return self.listed.union(
+            one for one, at in self.unlisted_at.items() if now - at < MAX_STREAM_MS
         )
-        return self.listed.get(service, frozenset()).union(unlisted)
 
-    def several(self) -> list[str]:
+    def recent(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that may have begun a stream that still lasts."""
+        return frozenset(one.version for one in self.all_recent() if one.service == service)
+
+    def several(self) -> frozenset[str]:
         """Return the services that several versions have lately served."""
-        return [service for service in self.listed if len(self.recent(service)) > 1]
+        versions: defaultdict[str, set[str]] = defaultdict(set)
+        for one in self.all_recent():
+            versions[one.service].add(one.version)
+        return frozenset(service for service, found in versions.items() if len(found) > 1)
--- /dev/null
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -0,0 +1,148 @@
+# versionrecord.py -- Keeps the software versions of each service in the platform's store
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Keeps the software versions of each service in the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import gevent
+from eliot import log_message
+from gevent.event import Event
+
+from mountladder.clocks.clock import Clock
+from mountladder.errors import MountladderError
+from mountladder.forwarding.readerelection import ReaderElection
+from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.versionhistory import VersionHistory
+from mountladder.streams.versionstore import VersionStore
+
+# How often an instance checks whether versions have to be written or removed, besides each time
+# that the list of servers changes.
+CHECK_MS = 1_000.0
+POLL_MS = 50.0
+# The pause after a call that failed. A request does not repeat a read that is younger than this.
+RETRY_MS = 1_000.0
+# How long a request waits for the store, which answers in about 4 ms, and in 320 ms while it is
+# slow.
+READ_LIMIT_MS = 400.0
+
+
+class VersionRecord:
+    """Keeps the versions that have lately served each service in the platform's store.
+
+    A process that starts after all instances have ended learns there which versions may have begun
+    the streams that callers resume. Each instance reads them once after its start. The instance
+    that polls the store writes each version when it is first listed, long before its last server
+    can have left, and removes it once no stream of it can last any more.
+
+    Args:
+        store: The platform's table of versions.
+        history: The versions that this instance knows.
+        reader_election: Knows which instance polls the store.
+        clock: The clock.
+
+    Attributes:
+        stored: The versions that are known to be in the store.
+        answered_at: When the store last answered a read.
+        tried_at: When the last read of a request began.
+        is_done: Set once that one has ended.
+        is_restored: Whether the store was restored from an older copy since it was last compared.
+    """
+
+    def __init__(
+        self,
+        store: VersionStore,
+        history: VersionHistory,
+        reader_election: ReaderElection,
+        clock: Clock,
+    ) -> None:
+        self.store = store
+        self.history = history
+        self.reader_election = reader_election
+        self.clock = clock
+        self.stored: frozenset[ServedVersion] = frozenset()
+        self.answered_at = self.tried_at = float("-inf")
+        self.is_done = Event()
+        self.is_restored = False
+        self.wake = Event()
+        history.on_change = self.wake.set
+
+    def run(self) -> None:
+        """Read the versions, then write and remove them while this instance polls the store."""
+        # The list of servers comes first: a version that has left it by then is in the store.
+        while self.history.known_since is None:
+            self.clock.sleep(POLL_MS)
+        while not self.read():
+            self.clock.sleep(RETRY_MS)
+        while True:
+            if self.reader_election.reading and not self.write():
+                self.clock.sleep(RETRY_MS)
+            self.clock.wait(self.wake, CHECK_MS)
+            self.wake.clear()
+
+    def refresh(self) -> bool:
+        """Read the versions for a request, if that was not just done.
+
+        Returns:
+            Whether all versions in the store are known.
+        """
+        now = self.clock.now()
+        if now - max(self.answered_at, self.tried_at) >= RETRY_MS:
+            self.tried_at = now
+            self.is_done = Event()
+            gevent.spawn(self.read_and_wake, self.is_done)
+        if now - self.answered_at >= RETRY_MS:
+            self.clock.wait(self.is_done, READ_LIMIT_MS)
+        return self.clock.now() - self.answered_at < RETRY_MS
+
+    def read_and_wake(self, is_done: Event) -> None:
+        """Read the versions, and wake the requests that wait for them."""
+        try:
+            self.read()
+        finally:
+            is_done.set()
+
+    def read(self) -> bool:
+        """Read all versions, and return whether the store answered."""
+        try:
+            found = self.store.read()
+        except MountladderError as error:
+            log_message("versions-read-failed", reason=str(error))
+            return False
+        self.answered_at = self.clock.now()
+        self.stored = frozenset(found)
+        log_message(
+            "versions-read", versions=_texts(self.stored), listed=_texts(self.history.listed)
+        )
+        self.history.add_earlier(found)
+        return True
+
+    def write(self) -> bool:
+        """Write new versions and remove past ones; return whether the store answered."""
+        try:
+            if self.is_restored:
+                self.stored = frozenset(self.store.read())
+                self.is_restored = False
+            recent = self.history.all_recent()
+            added, removed = sorted(recent - self.stored), sorted(self.stored - recent)
+            if not added and not removed:
+                return True
+            self.store.change(added, removed)
+        except MountladderError as error:
+            log_message("versions-write-failed", reason=str(error))
+            return False
+        self.stored = self.stored.union(added).difference(removed)
+        log_message("versions-written", added=_texts(added), removed=_texts(removed))
+        return True
+
+    def handle_restore(self) -> None:
+        """Have the store compared with what is known, since it was restored from an older copy."""
+        self.is_restored = True
+        self.wake.set()
+
+
+def _texts(versions: Iterable[ServedVersion]) -> list[str]:
+    return [f"{one.service}/{one.version}" for one in sorted(versions)]
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -25,6 +25,8 @@
 from mountladder.quarantine.memorysuspicionstore import MemorySuspicionStore
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.store.memoryinstancelist import MemoryInstanceList
+from mountladder.streams.memoryversionstore import MemoryVersionStore
+from mountladder.streams.servedversion import ServedVersion
 from mountladder_standins.localpeerrelay import LocalPeerRelay
 from mountladder_standins.localupstream import LocalUpstream
 from mountladder_standins.partitionedupstream import PartitionedUpstream
@@ -65,6 +67,7 @@
         self.instance_list = MemoryInstanceList(clock, forget_ms=float("inf"))
         self.suspicion_store = MemorySuspicionStore()
         self.part_store = MemorySuspicionStore()
+        self.version_store = MemoryVersionStore(clock)
         self.catalogues: dict[int, Catalogue] = {}
         self.instances: dict[str, ForwardingInstance] = {}
         self.cores: dict[str, float] = {}
@@ -75,6 +78,7 @@
         self.broken_relays: set[str] = set()
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_parts: dict[str, Suspicion] = {}
+        self.saved_versions: frozenset[ServedVersion] = frozenset()
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
     def configure(self, catalogue: Catalogue) -> None:
@@ -140,12 +144,14 @@
             source.copy()
         self.saved_suspicions = dict(self.suspicion_store.rows)
         self.saved_parts = dict(self.part_store.rows)
+        self.saved_versions = self.version_store.rows
         self.saved_instances = {name: list(one) for name, one in self.instance_list.history.items()}
 
     def restore_copy(self) -> None:
         """Restore the store from the saved copy, which loses all later writes."""
         self.suspicion_store.rows = dict(self.saved_suspicions)
         self.part_store.rows = dict(self.saved_parts)
+        self.version_store.rows = self.saved_versions
         self.instance_list.history = {name: list(one) for name, one in self.saved_instances.items()}
         for source in (self.catalogue, self.servers):
             source.restore_copy()
@@ -182,6 +188,7 @@
             instances=self.instance_list,
             suspicion_store=self.suspicion_store,
             part_store=self.part_store,
+            version_store=self.version_store,
             is_catalogue=lambda key: key == CATALOGUE,
             decode_catalogue=self.decode,
             decode_server=self.decode_server,
