--- a/features/platform.feature
+++ b/features/platform.feature
@@ -389,3 +389,8 @@
       | {"service": "llm", "version": 2}    |
       | {"version": "v1"}                   |
       | {"service": "\ud800", "version": "v1"} |
+
+  Scenario: A change of rows that the store refuses counts as not made
+    Given a store that answers changes of rows with status 413
+    When a version is stored there
+    Then that fails with code 5001
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -7,14 +7,18 @@
 import base64
 import re
 
-from bar_steps import store_client
+import bottle
+from bar_steps import serve, store_client
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
 from mountladder_platform.storeversions import VERSIONS_TABLE, StoreVersions
 from streamversion_steps import list_version, resume
 
+from mountladder.clocks.systemclock import SystemClock
+from mountladder.errors import MountladderError
 from mountladder.streams.servedversion import ServedVersion
+from mountladder_entry.httpclient import HttpClient
 
 NEW_VERSION_SERVER = "llm-9"
 
@@ -186,3 +190,26 @@
 def versions_left(context):
     found = context.table_of_versions.read()
     assert sorted(found) == sorted(context.stored), found
+
+
+@given("a store that answers changes of rows with status {status:d}")
+def refusing_store(context, status):
+    app = bottle.Bottle()
+    app.post("/mountladder/rows-tx")(lambda: bottle.HTTPResponse(status=status))
+    client = HttpClient(f"http://{serve(context, app)}", SystemClock(), 1_000.0)
+    context.stack.callback(client.close)
+    context.table_of_versions = StoreVersions(client)
+
+
+@when("a version is stored there")
+def store_version(context):
+    context.error = None
+    try:
+        context.table_of_versions.change([ServedVersion("llm", "v1")], ())
+    except MountladderError as error:
+        context.error = error
+
+
+@then("that fails with code {code:d}")
+def fails_with(context, code):
+    assert context.error is not None and context.error.code.number == code, context.error
