Streams: origins outlast all instances while several versions serve

Cause: which version began a stream is remembered by instances alone.

Change: while several versions of a service serve, or have in the last minute, one instance (of a small fleet, else of each data centre) writes the origins that it is told anyway to a table of the platform's store, in batches, at once and then every 250 ms at most. It removes a batch once its streams are past, also those of instances that have ended. A request for a stream that no peer knows looks there, for 400 ms at most and once a second. Nothing is written or read while one version serves. After a restore of an older copy, and by an instance that takes over the writing, what the store lacks is written again.

The scenario "All instances are killed" of streamorigins.feature, which expected a refusal, is replaced by "Both versions still serve", which expects the whole stream.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -394,3 +394,23 @@
     Given a store that answers changes of rows with status 413
     When a version is stored there
     Then that fails with code 5001
+
+  Scenario: Origins of streams are stored in the platform's store
+    Given a store that keeps rows of origins
+    When batches of 1000 origins are stored there, and the first one removed
+    Then the batches that are left are read
+
+  Scenario Outline: Malformed rows of origins are ignored
+    Given a store that keeps rows of origins
+    When a row of origins there has <fields>
+    Then the batches that are left are read
+
+    Examples:
+      | fields                    |
+      | {"streams": ["AAAA"]}     |
+      | {"streams": ["?"]}        |
+      | {"streams": ["\u00e9"]}   |
+      | {"streams": []}           |
+      | {"versions": [1]}         |
+      | {"services": ["\ud800"]}  |
+      | {"lifetime_ms": -1}       |
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -5,6 +5,7 @@
 """Steps about streams that are resumed after a loss of all instances."""
 
 import base64
+import json
 import re
 
 import bottle
@@ -12,12 +13,16 @@
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
+from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
 from mountladder_platform.storeversions import VERSIONS_TABLE, StoreVersions
-from streamversion_steps import list_version, resume
+from streamversion_steps import list_version, resume, stream
 
 from mountladder.clocks.systemclock import SystemClock
 from mountladder.errors import MountladderError
+from mountladder.streams.originarchive import INTERVAL_MS
+from mountladder.streams.originbatch import OriginBatch
 from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.streamorigin import KEY_BYTES
 from mountladder_entry.httpclient import HttpClient
 
 NEW_VERSION_SERVER = "llm-9"
@@ -112,7 +117,33 @@
     context.fleet.version_store.rows = frozenset()
 
 
+def lose_origins(context):
+    context.fleet.origin_store.rows.clear()
+
+
+def restore_without_origins(context):
+    save_copy(context)
+    context.fleet.saved_origins = {}
+    restore_copy(context)
+
+
+def origins_unreadable(context):
+    context.fleet.origin_store.is_down = True
+
+
+def kill_writer(context):
+    kill(context, next(name for name, one in instances(context) if one.origins.archive.writing))
+
+
+def instances(context):
+    return list(context.fleet.instances.items())
+
+
 EVENTS = {
+    r"origins are lost": lose_origins,
+    r"origins cannot be read": origins_unreadable,
+    r"the writer is killed": kill_writer,
+    r"a copy of the store without origins is restored": restore_without_origins,
     r"all are killed": kill_all,
     r"all are killed in turn": kill_in_turn,
     r"all start": start_all,
@@ -165,11 +196,73 @@
     assert store.reads <= allowed and store.changes <= changes, (store.reads, store.changes)
 
 
+@then("the store has {number:d} batch of origins")
+@then("the store has {number:d} batches of origins")
+def stored_batches(context, number):
+    assert len(context.fleet.origin_store.rows) == number, context.fleet.origin_store.rows
+
+
+@when("each instance begins {number:d} streams within {seconds:d} s")
+def begin_streams(context, number, seconds):
+    context.calls_before = count_calls(context)
+    for n in range(number):
+        for name, instance in instances(context):
+            instance.origins.record(stream(context, f"{name}-{n}"), "fingerprint", "llm", "v1")
+        pass_time(context, seconds / number)
+    pass_time(context, 2 * INTERVAL_MS / SECOND_MS)
+
+
+def count_calls(context):
+    store = context.fleet.origin_store
+    return store.reads, store.changes
+
+
+@then("that took at most {reads:d} reads and {changes:d} changes of the table of origins")
+def origin_calls(context, reads, changes):
+    calls = [now - then for now, then in zip(count_calls(context), context.calls_before)]
+    assert calls[0] <= reads and calls[1] <= changes, calls
+
+
+@then("the store has the origins of {number:d} streams")
+def stored_origins(context, number):
+    batches = context.fleet.origin_store.rows.values()
+    streams = [one for batch in batches for all_ in batch.streams.values() for one in all_]
+    assert len(set(streams)) == len(streams) == number, (len(set(streams)), len(streams))
+
+
 @given("a store that keeps rows of versions")
 def versions_store(context):
     context.table_of_versions = StoreVersions(store_client(context))
 
 
+@given("a store that keeps rows of origins")
+def origins_store(context):
+    context.table_of_origins = StoreOrigins(store_client(context))
+
+
+@when("batches of {number:d} origins are stored there, and the first one removed")
+def store_origins(context, number):
+    keys = [n.to_bytes(KEY_BYTES, "big") for n in range(number)]
+    streams = {ServedVersion("llm", "v1"): tuple(keys[1:]), ServedVersion("alt", ""): (keys[0],)}
+    context.batches = [OriginBatch(f"i-{n}", 6_000.5, streams) for n in range(2)]
+    context.table_of_origins.change(context.batches, ())
+    context.table_of_origins.change((), [context.batches.pop(0).name])
+
+
+@when("a row of origins there has {fields}")
+def faulty_origins(context, fields):
+    context.batches = []
+    value = {"lifetime_ms": 1.0, "services": ["llm"], "versions": ["v1"], "streams": [""]}
+    encoded = json.dumps(value | json.loads(fields)).encode()
+    context.rows["x"] = base64.b64encode(encoded).decode()
+    context.tables["x"] = ORIGINS_TABLE
+
+
+@then("the batches that are left are read")
+def batches_left(context):
+    assert list(context.table_of_origins.read()) == context.batches
+
+
 @when("{number:d} versions with long names are stored, and {removed:d} of them removed")
 def store_versions(context, number, removed):
     context.stored = [ServedVersion("llm" * 10, f"{n} " + "é" * 90) for n in range(number)]
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -29,6 +29,8 @@
 from mountladder.forwarding.service import Service
 from mountladder.forwarding.target import Target
 from mountladder.store.position import Position
+from mountladder.streams.memoryoriginstore import MemoryOriginStore
+from mountladder.streams.memoryversionstore import MemoryVersionStore
 from mountladder.streams.originregistry import MAX_ORIGINS, MAX_STREAM_MS
 from mountladder.streams.streamorigin import KEY_BYTES, StreamOrigin
 from mountladder_standins.serverfault import ServerFault
@@ -293,16 +295,6 @@
     context.run(context.clock.sleep, SETTLE_MS)
 
 
-@given("all instances are killed and start again")
-def all_killed(context):
-    names = list(context.fleet.instances)
-    for name in names:
-        context.fleet.instances.pop(name).close()
-    for name in names:
-        context.fleet.start(name)
-    context.run(context.clock.sleep, SETTLE_MS)
-
-
 @given("{name} is cut off from the store and its peers")
 def cut_off_from_all(context, name):
     cut_off(context, name)
@@ -310,6 +302,11 @@
     for source in (instance.catalogue_source, instance.directory_source):
         source.source = MemorySource(context.clock)
         source.source.down = True
+    origins = instance.origins
+    origins.version_record.store = MemoryVersionStore(context.clock)
+    origins.version_record.store.is_readable = False
+    origins.archive.store = MemoryOriginStore()
+    origins.archive.store.is_down = True
     context.run(context.clock.sleep, CUT_OFF_MS)
 
 
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -106,13 +106,6 @@
       | the instances of data centre a are killed | c-4    |
       | the first holder in data centre a and a-1 are killed | c-3 |
 
-  Scenario: All instances are killed
-    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
-    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
-    And all instances are killed and start again
-    When the caller resumes stream r at b-1
-    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
-
   Scenario: An instance that reaches no server relays a stream that is resumed
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -16,33 +16,72 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And then <events>
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+    Then it is refused as not run with code <code> within 300 ms, and a Retry-After
 
-    Examples:
-      | events                                                                       |
-      | all are killed, v1 leaves, all start                                         |
-      | v1 leaves, all are killed, all start                                         |
-      | v1 leaves, 50 s pass, all are killed, all start                              |
-      | v1 drains, 2 s pass, all are killed, v1 leaves, all start                    |
-      | all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start  |
-      | v1 leaves, all are killed in turn                                            |
-      | v1 leaves, all are killed in turn, all are killed in turn                    |
-      | v1 leaves, v3 comes, v2 leaves, all are killed, all start                    |
-      | all are killed, v1 leaves, v3 comes, v2 leaves, all start                    |
-      | all are killed, v1 leaves, llm-1 comes back as v2, all start                 |
-      | a copy of the store is saved, v1 leaves, a copy of the store is restored, all are killed, all start |
-      | a copy of the store is saved, all are killed, v1 leaves, a copy of the store is restored, all start |
-      | all are killed, v1 leaves, b-1 starts                                        |
+    Examples: Its origin is in the store
+      | code | events                                                                       |
+      | 2015 | all are killed, v1 leaves, all start                                         |
+      | 2015 | v1 leaves, all are killed, all start                                         |
+      | 2015 | v1 drains, 2 s pass, all are killed, v1 leaves, all start                    |
+      | 2015 | all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start  |
+      | 2015 | v1 leaves, all are killed in turn                                            |
+      | 2015 | v1 leaves, all are killed in turn, all are killed in turn                    |
+      | 2015 | v1 leaves, v3 comes, v2 leaves, all are killed, all start                    |
+      | 2015 | all are killed, v1 leaves, v3 comes, v2 leaves, all start                    |
+      | 2015 | all are killed, v1 leaves, llm-1 comes back as v2, all start                 |
+      | 2015 | all are killed, v1 leaves, b-1 starts                                        |
+
+    Examples: Its origin is not known
+      | code | events                                                                       |
+      | 2016 | v1 leaves, 50 s pass, all are killed, all start                              |
+      | 2016 | v1 leaves, origins cannot be read, all are killed, all start                 |
+      | 2016 | origins are lost, all are killed, v1 leaves, all start                       |
+      | 2016 | origins are lost, v1 leaves, all are killed, all start                       |
+      | 2016 | origins are lost, v1 leaves, all are killed in turn                          |
+      | 2016 | origins are lost, all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start |
+      | 2016 | origins are lost, v1 leaves, v3 comes, v2 leaves, all are killed, all start  |
+      | 2016 | origins are lost, all are killed, v1 leaves, llm-1 comes back as v2, all start |
 
   # Guards against a version that is taken for past since it was only on the list for a moment.
-  Scenario: A release is rolled back
+  Scenario Outline: A release is rolled back
     Given only version v1 is listed
     And version v2 is listed
     And server llm-2 runs the next stream, and llm-1 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
-    And then all are killed, v2 leaves, all start
+    And then <events>
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code <code> within 300 ms, and a Retry-After
+
+    Examples:
+      | code | events                                                |
+      | 2015 | all are killed, v2 leaves, all start                  |
+      | 2016 | origins are lost, all are killed, v2 leaves, all start |
+
+  # Guards against streams that are refused while their version serves.
+  Scenario Outline: Both versions still serve
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then <events>
+    When the caller resumes stream r at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | events                                                                        |
+      | all are killed, all start                                                     |
+      | all are killed, all start, 0.2 s pass, all are killed, all start              |
+      | all are killed in turn                                                        |
+      | all are killed, b-1 starts                                                    |
+      | all are killed, a-2 starts, b-1 starts at once                                |
+      | origins are lost, the writer is killed, 2 s pass, all are killed, all start   |
+      | a copy of the store without origins is restored, 2 s pass, all are killed, all start |
+
+  Scenario: The streams of a version that served alone are stored once a second one is listed
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then v2 comes, all are killed, all start
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
   # Guards against refusals where only one version can have begun the stream.
   Scenario Outline: Only one version has served
@@ -105,3 +144,27 @@
     Given 21 more instances in data centres a, b, c
     When these happen: 30 s pass
     Then the table of versions has had at most 1 read an instance and 3 changes
+
+  Scenario: Origins are in the store until their streams are past
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    Then the store has 1 batch of origins
+    When these happen: all are killed, all start, 2 s pass
+    Then the store has 1 batch of origins
+    When these happen: 8 s pass
+    Then the store has 0 batches of origins
+
+  Scenario: Nothing is stored while one version serves
+    Given only version v1 is listed
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    Then the store has 0 batches of origins
+    When each instance begins 3 streams within 1 s
+    Then that took at most 0 reads and 0 changes of the table of origins
+
+  # Guards against calls of the store that grow with the number of streams.
+  Scenario: What the origins cost
+    Given 21 more instances in data centres a, b, c
+    When each instance begins 20 streams within 5 s
+    Then that took at most 0 reads and 66 changes of the table of origins
+    And the store has the origins of 480 streams
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -57,6 +57,7 @@
             self.suspicion_persister.run,
             self.part_persister.run,
             self.origins.version_record.run,
+            self.origins.archive.run,
             self.keep_announcing,
             self.keep_checking_reachability,
             self.speed_exchange.run,
--- a/packages/core/src/mountladder/forwarding/platformtables.py
+++ b/packages/core/src/mountladder/forwarding/platformtables.py
@@ -15,6 +15,7 @@
 from mountladder.forwarding.sourcerow import SourceRow
 from mountladder.quarantine.suspicionstore import SuspicionStore
 from mountladder.store.instancelist import InstanceList
+from mountladder.streams.originstore import OriginStore
 from mountladder.streams.versionstore import VersionStore
 
 
@@ -29,6 +30,7 @@
         suspicion_store: The store of barred requests and strong suspects.
         part_store: The same of prompt parts.
         version_store: The store of the software versions that serve each service.
+        origin_store: The store of the origins of streams.
         is_catalogue: Returns whether a key of the first table is the catalogue's.
         decode_catalogue: Decodes a catalogue; raises BadRowError if it is malformed.
         decode_server: Decodes an entry of a backend server; raises BadRowError if it is malformed.
@@ -42,6 +44,7 @@
     suspicion_store: SuspicionStore
     part_store: SuspicionStore
     version_store: VersionStore
+    origin_store: OriginStore
     is_catalogue: Callable[[str], bool]
     decode_catalogue: Callable[[bytes], Catalogue]
     decode_server: Callable[[SourceRow], ServerRecord]
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -37,6 +37,7 @@
 
     Attributes:
         replies: Callbacks for outstanding queries, by number.
+        on_told: Called with origins that instances of the same group tell; see OriginHolders.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.clock = clock
         self.numbers = itertools.count(1)
         self.replies: dict[int, Callable[[OriginReply], None]] = {}
+        self.on_told: Callable[[Sequence[StreamOrigin]], None] = lambda origins: None
         self.fleet.subscribe(OriginAnnouncement, self.receive)
         self.fleet.subscribe(OriginQuery, self.answer)
         self.fleet.subscribe(OriginReply, self.handle_reply)
@@ -95,8 +97,10 @@
     def receive(self, message: OriginAnnouncement, link: Link) -> None:
         """Add the origins that a peer tells."""
         now = self.clock.now()
-        for one in message.origins:
-            self.registry.add(one.from_remaining(now))
+        told = [one.from_remaining(now) for one in message.origins]
+        added = [one for one in told if self.registry.add(one)]
+        if self.holders.shares_group(link.peer):
+            self.on_told(added)
 
     def answer(self, query: OriginQuery, link: Link) -> None:
         """Answer the query of a peer."""
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -51,10 +51,32 @@
         first = [ranking.ranked(topic, name)[:1] for name in chosen]
         return [one for ranked in first for one in ranked if one is not me]
 
+    def is_first(self, service: str) -> bool:
+        """Return whether this instance is the first one of its group that is not silent.
+
+        The group is the whole of a small fleet, else a data centre.
+        """
+        ranking, me = self.fleet.ranking, self.fleet.membership.me
+        datacentre = "" if self.is_small() else me.datacentre
+        for one in ranking.ranked(prompts_topic(service), datacentre):
+            if one is me:
+                return True
+            if self.fleet.membership.is_responding(one):
+                return False
+        return False
+
+    def shares_group(self, instance: Instance) -> bool:
+        """Return whether an instance belongs to the same group; see is_first."""
+        return self.is_small() or instance.datacentre == self.fleet.membership.me.datacentre
+
+    def is_small(self) -> bool:
+        """Return whether every instance holds the origins of all streams."""
+        return len(self.fleet.membership.known) <= SMALL_FLEET
+
     def links(self, service: str) -> list[Link]:
         """Return the links to the holders of a service's streams that answer and understand."""
         fleet = self.fleet
-        if len(fleet.membership.known) <= SMALL_FLEET:
+        if self.is_small():
             links = list(fleet.links.values())
         else:
             addresses = [one.peer for one in self.instances(service)]
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -17,7 +17,7 @@
 
     Attributes:
         origin: The origin, or None if it is not known.
-        source: Where it is known from: "own", "peer", "only version" or "unknown".
+        source: Where it is known from: "own", "peer", "store", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
         is_complete: Whether no other version can have begun it.
         asked: The number of instances that were asked.
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -16,11 +16,13 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.streams.originarchive import OriginArchive
 from mountladder.streams.originexchange import OriginExchange
 from mountladder.streams.originholders import OriginHolders
 from mountladder.streams.originlookup import OriginLookup
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
+from mountladder.streams.originstore import OriginStore
 from mountladder.streams.streamorigin import StreamOrigin, stream_key
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionrecord import VersionRecord
@@ -45,22 +47,34 @@
         fleet: The other instances.
         directory: Lists the backend servers.
         version_store: The platform's table of the versions that serve each service.
+        origin_store: The platform's table of origins.
         clock: The clock.
     """
 
     def __init__(
-        self, fleet: Fleet, directory: Directory, version_store: VersionStore, clock: Clock
+        self,
+        fleet: Fleet,
+        directory: Directory,
+        version_store: VersionStore,
+        origin_store: OriginStore,
+        clock: Clock,
     ) -> None:
         self.fleet = fleet
         self.clock = clock
         self.registry = OriginRegistry(clock)
         self.history = VersionHistory(directory, clock)
+        self.holders = OriginHolders(fleet, self.history)
+        self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
         self.version_record = VersionRecord(
             version_store, self.history, fleet.reader_election, clock
         )
-        fleet.era_tracker.listeners.append(self.version_record.handle_restore)
-        self.holders = OriginHolders(fleet, self.history)
-        self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        name = fleet.membership.me.incarnation
+        self.archive = OriginArchive(
+            origin_store, self.holders, self.registry, self.history, name, clock
+        )
+        self.exchange.on_told = self.archive.add
+        for kept in (self.version_record, self.archive):
+            fleet.era_tracker.listeners.append(kept.handle_restore)
         self.history.on_several = self.announce_all
 
     def record(self, request: ForwardRequest, fingerprint: str, service: str, version: str) -> None:
@@ -77,10 +91,12 @@
         origin = StreamOrigin(stream, service, version, request.deadline(MAX_STREAM_MS))
         if self.registry.add(origin) and len(self.history.recent(service)) > 1:
             self.exchange.announce(service, [origin])
+            self.archive.add([origin])
 
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
+        self.archive.wake.set()
         self.announce_known(service)
         self.clock.call_later(ANNOUNCE_AGAIN_MS, lambda: self.announce_known(service))
 
@@ -141,11 +157,16 @@
                 versions = self.known_versions(service, replies)
                 return OriginLookup(told, "peer", versions, True, asked, len(replies))
         versions, is_complete = self.possible_versions(service, replies)
-        source, only = "unknown", None
-        if len(versions) == 1 and is_complete:
+        basis = (versions, is_complete, asked, len(replies))
+        if len(versions) > 1:
+            self.archive.shared_read.refresh()
+            origin = self.registry.find(stream)
+            return OriginLookup(origin, "store" if origin else "unknown", *basis)
+        if versions and is_complete:
             until = self.clock.now() + MAX_STREAM_MS
-            source, only = "only version", StreamOrigin(stream, service, *versions, until)
-        return OriginLookup(only, source, versions, is_complete, asked, len(replies))
+            only = StreamOrigin(stream, service, *versions, until)
+            return OriginLookup(only, "only version", *basis)
+        return OriginLookup(None, "unknown", *basis)
 
     def known_versions(self, service: str, replies: Sequence[OriginReply]) -> frozenset[str]:
         """Return the versions that may have begun a stream, by what is known here and told."""
@@ -163,7 +184,7 @@
         versions = self.known_versions(service, replies)
         if len(versions) > 1 or self.is_informed(replies):
             return versions, True
-        is_complete = self.version_record.refresh()
+        is_complete = self.version_record.shared_read.refresh()
         return self.known_versions(service, replies), is_complete
 
     def is_informed(self, replies: Sequence[OriginReply]) -> bool:
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable
 
-import gevent
 from eliot import log_message
 from gevent.event import Event
 
@@ -16,6 +15,7 @@
 from mountladder.errors import MountladderError
 from mountladder.forwarding.readerelection import ReaderElection
 from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.storeread import StoreRead
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionstore import VersionStore
 
@@ -23,11 +23,7 @@
 # that the list of servers changes.
 CHECK_MS = 1_000.0
 POLL_MS = 50.0
-# The pause after a call that failed. A request does not repeat a read that is younger than this.
 RETRY_MS = 1_000.0
-# How long a request waits for the store, which answers in about 4 ms, and in 320 ms while it is
-# slow.
-READ_LIMIT_MS = 400.0
 
 
 class VersionRecord:
@@ -46,9 +42,7 @@
 
     Attributes:
         stored: The versions that are known to be in the store.
-        answered_at: When the store last answered a read.
-        tried_at: When the last read of a request began.
-        is_done: Set once that one has ended.
+        shared_read: Reads the versions for requests.
         is_restored: Whether the store was restored from an older copy since it was last compared.
     """
 
@@ -64,8 +58,7 @@
         self.reader_election = reader_election
         self.clock = clock
         self.stored: frozenset[ServedVersion] = frozenset()
-        self.answered_at = self.tried_at = float("-inf")
-        self.is_done = Event()
+        self.shared_read = StoreRead(self.read, clock)
         self.is_restored = False
         self.wake = Event()
         history.on_change = self.wake.set
@@ -83,28 +76,6 @@
             self.clock.wait(self.wake, CHECK_MS)
             self.wake.clear()
 
-    def refresh(self) -> bool:
-        """Read the versions for a request, if that was not just done.
-
-        Returns:
-            Whether all versions in the store are known.
-        """
-        now = self.clock.now()
-        if now - max(self.answered_at, self.tried_at) >= RETRY_MS:
-            self.tried_at = now
-            self.is_done = Event()
-            gevent.spawn(self.read_and_wake, self.is_done)
-        if now - self.answered_at >= RETRY_MS:
-            self.clock.wait(self.is_done, READ_LIMIT_MS)
-        return self.clock.now() - self.answered_at < RETRY_MS
-
-    def read_and_wake(self, is_done: Event) -> None:
-        """Read the versions, and wake the requests that wait for them."""
-        try:
-            self.read()
-        finally:
-            is_done.set()
-
     def read(self) -> bool:
         """Read all versions, and return whether the store answered."""
         try:
@@ -112,7 +83,6 @@
         except MountladderError as error:
             log_message("versions-read-failed", reason=str(error))
             return False
-        self.answered_at = self.clock.now()
         self.stored = frozenset(found)
         log_message(
             "versions-read", versions=_texts(self.stored), listed=_texts(self.history.listed)
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -25,7 +25,9 @@
 from mountladder.quarantine.memorysuspicionstore import MemorySuspicionStore
 from mountladder.quarantine.suspicion import Suspicion
 from mountladder.store.memoryinstancelist import MemoryInstanceList
+from mountladder.streams.memoryoriginstore import MemoryOriginStore
 from mountladder.streams.memoryversionstore import MemoryVersionStore
+from mountladder.streams.originbatch import OriginBatch
 from mountladder.streams.servedversion import ServedVersion
 from mountladder_standins.localpeerrelay import LocalPeerRelay
 from mountladder_standins.localupstream import LocalUpstream
@@ -68,6 +70,7 @@
         self.suspicion_store = MemorySuspicionStore()
         self.part_store = MemorySuspicionStore()
         self.version_store = MemoryVersionStore(clock)
+        self.origin_store = MemoryOriginStore()
         self.catalogues: dict[int, Catalogue] = {}
         self.instances: dict[str, ForwardingInstance] = {}
         self.cores: dict[str, float] = {}
@@ -79,6 +82,7 @@
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_parts: dict[str, Suspicion] = {}
         self.saved_versions: frozenset[ServedVersion] = frozenset()
+        self.saved_origins: dict[str, OriginBatch] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
     def configure(self, catalogue: Catalogue) -> None:
@@ -145,6 +149,7 @@
         self.saved_suspicions = dict(self.suspicion_store.rows)
         self.saved_parts = dict(self.part_store.rows)
         self.saved_versions = self.version_store.rows
+        self.saved_origins = dict(self.origin_store.rows)
         self.saved_instances = {name: list(one) for name, one in self.instance_list.history.items()}
 
     def restore_copy(self) -> None:
@@ -152,6 +157,7 @@
         self.suspicion_store.rows = dict(self.saved_suspicions)
         self.part_store.rows = dict(self.saved_parts)
         self.version_store.rows = self.saved_versions
+        self.origin_store.rows = dict(self.saved_origins)
         self.instance_list.history = {name: list(one) for name, one in self.saved_instances.items()}
         for source in (self.catalogue, self.servers):
             source.restore_copy()
@@ -189,6 +195,7 @@
             suspicion_store=self.suspicion_store,
             part_store=self.part_store,
             version_store=self.version_store,
+            origin_store=self.origin_store,
             is_catalogue=lambda key: key == CATALOGUE,
             decode_catalogue=self.decode,
             decode_server=self.decode_server,
