Streams: no Retry-After where no later attempt can be served

Cause: the refusals 2015 and 2016 had one Retry-After for all cases.

Change: 2016 has none where everybody who may know the origin has replied, the store included. 2015 has none where all servers of the version leave or have left by announcement; the table of versions holds that too, for processes that start later. A version whose servers vanished without a word may have crashed, and keeps its Retry-After of 1 s.

--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -44,11 +44,11 @@
 
     Examples: While two versions serve nothing tells which of them may continue
       | versions                         | attempt                                               | outcome                                                            |
-      | both versions are listed         | a caller resumes stream x at b-1                     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller resumes a stream at b-1 without naming it   | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller of another path resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | both versions are listed         | a caller of another team resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
-      | no server of version v2 is listed | a caller resumes stream x at b-1                    | it is refused as not run with code 2016 within 300 ms, and a Retry-After |
+      | both versions are listed         | a caller resumes stream x at b-1                     | it is refused as not run with code 2016 within 300 ms, and no Retry-After |
+      | both versions are listed         | a caller resumes a stream at b-1 without naming it   | it is refused as not run with code 2016 within 300 ms, and no Retry-After |
+      | both versions are listed         | a caller of another path resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and no Retry-After |
+      | both versions are listed         | a caller of another team resumes stream r at b-1     | it is refused as not run with code 2016 within 300 ms, and no Retry-After |
+      | no server of version v2 is listed | a caller resumes stream x at b-1                    | it is refused as not run with code 2016 within 300 ms, and no Retry-After |
 
     Examples: While only one has served for long, that one continues
       | versions                         | attempt                                               | outcome                                                            |
@@ -62,7 +62,7 @@
     And no server of version v1 is listed
     And b-1 is killed and starts again
     When a caller resumes stream x at b-1
-    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+    Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
 
   # Guards against streams that continue at another service of their route.
   Scenario: A route leads to two services
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -16,31 +16,33 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And then <events>
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code <code> within 300 ms, and a Retry-After
+    Then it is refused as not run with code <code> within 300 ms, and <word> Retry-After
 
     Examples: Its origin is in the store
-      | code | events                                                                       |
-      | 2015 | all are killed, v1 leaves, all start                                         |
-      | 2015 | v1 leaves, all are killed, all start                                         |
-      | 2015 | v1 drains, 2 s pass, all are killed, v1 leaves, all start                    |
-      | 2015 | all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start  |
-      | 2015 | v1 leaves, all are killed in turn                                            |
-      | 2015 | v1 leaves, all are killed in turn, all are killed in turn                    |
-      | 2015 | v1 leaves, v3 comes, v2 leaves, all are killed, all start                    |
-      | 2015 | all are killed, v1 leaves, v3 comes, v2 leaves, all start                    |
-      | 2015 | all are killed, v1 leaves, llm-1 comes back as v2, all start                 |
-      | 2015 | all are killed, v1 leaves, b-1 starts                                        |
+      | code | word | events                                                                       |
+      | 2015 | a    | all are killed, v1 leaves, all start                                         |
+      | 2015 | a    | v1 leaves, all are killed, all start                                         |
+      | 2015 | no   | v1 drains, 2 s pass, all are killed, v1 leaves, all start                    |
+      | 2015 | a    | all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start  |
+      | 2015 | a    | v1 leaves, all are killed in turn                                            |
+      | 2015 | a    | v1 leaves, all are killed in turn, all are killed in turn                    |
+      | 2015 | a    | v1 leaves, v3 comes, v2 leaves, all are killed, all start                    |
+      | 2015 | a    | all are killed, v1 leaves, v3 comes, v2 leaves, all start                    |
+      | 2015 | a    | all are killed, v1 leaves, llm-1 comes back as v2, all start                 |
+      | 2015 | no   | v1 drains, 0.1 s pass, all are killed, v1 leaves, all start                  |
+      | 2015 | no   | v1 drains, 0.1 s pass, v1 leaves, all are killed in turn                     |
+      | 2015 | a    | all are killed, v1 leaves, b-1 starts                                        |
 
     Examples: Its origin is not known
-      | code | events                                                                       |
-      | 2016 | v1 leaves, 50 s pass, all are killed, all start                              |
-      | 2016 | v1 leaves, origins cannot be read, all are killed, all start                 |
-      | 2016 | origins are lost, all are killed, v1 leaves, all start                       |
-      | 2016 | origins are lost, v1 leaves, all are killed, all start                       |
-      | 2016 | origins are lost, v1 leaves, all are killed in turn                          |
-      | 2016 | origins are lost, all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start |
-      | 2016 | origins are lost, v1 leaves, v3 comes, v2 leaves, all are killed, all start  |
-      | 2016 | origins are lost, all are killed, v1 leaves, llm-1 comes back as v2, all start |
+      | code | word | events                                                                       |
+      | 2016 | no   | v1 leaves, 50 s pass, all are killed, all start                              |
+      | 2016 | a    | v1 leaves, origins cannot be read, all are killed, all start                 |
+      | 2016 | no   | origins are lost, all are killed, v1 leaves, all start                       |
+      | 2016 | no   | origins are lost, v1 leaves, all are killed, all start                       |
+      | 2016 | no   | origins are lost, v1 leaves, all are killed in turn                          |
+      | 2016 | no   | origins are lost, all are killed, v1 leaves, all start, 0.2 s pass, all are killed, all start |
+      | 2016 | no   | origins are lost, v1 leaves, v3 comes, v2 leaves, all are killed, all start  |
+      | 2016 | no   | origins are lost, all are killed, v1 leaves, llm-1 comes back as v2, all start |
 
   # Guards against a version that is taken for past since it was only on the list for a moment.
   Scenario Outline: A release is rolled back
@@ -50,12 +52,12 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And then <events>
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code <code> within 300 ms, and a Retry-After
+    Then it is refused as not run with code <code> within 300 ms, and <word> Retry-After
 
     Examples:
-      | code | events                                                |
-      | 2015 | all are killed, v2 leaves, all start                  |
-      | 2016 | origins are lost, all are killed, v2 leaves, all start |
+      | code | word | events                                                |
+      | 2015 | a    | all are killed, v2 leaves, all start                  |
+      | 2016 | no   | origins are lost, all are killed, v2 leaves, all start |
 
   # Guards against streams that are refused while their version serves.
   Scenario Outline: Both versions still serve
@@ -122,6 +124,14 @@
     When these happen: llm-1 comes back as v1
     Then the store has versions v1, v2
 
+  Scenario: The store has it that a version leaves, until a server of it is listed that stays
+    When these happen: v1 drains, 0.1 s pass
+    Then the store has version v1 as leaving
+    When these happen: v1 leaves
+    Then the store has version v1 as leaving
+    When these happen: llm-1 comes back as v1
+    Then the store has version v1 as staying
+
   Scenario: Versions that could not be written are written later
     Given only version v1 is listed
     When these happen: versions cannot be written, v2 comes, 3 s pass
--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -50,6 +50,8 @@
         drains: The data centres that the operator drains.
         leaving_since: Returns when a server, given by name, first announced in an answer that it is
             leaving, or None.
+        has_left: Returns whether all servers of a software version, given by service and version,
+            leave or have left.
         listeners: Called after each change.
     """
 
@@ -70,6 +72,7 @@
         self.drains = DatacentreDrains(clock)
         self.drains.listeners.append(self.rebuild)
         self.leaving_since: Callable[[str], float | None] = lambda name: None
+        self.has_left: Callable[[str, str], bool] = lambda service, version: False
         self.rebuild_at = math.inf
 
     @property
--- a/packages/core/src/mountladder/forwarding/versionrules.py
+++ b/packages/core/src/mountladder/forwarding/versionrules.py
@@ -14,8 +14,8 @@
 from mountladder.errors import RefusalError
 from mountladder.forwarding.directory import Directory
 
-# When a caller may retry if no server of the version is available: one that has crashed may be back
-# by then.
+# When a caller may retry if no server of the version is available, unless all have left: one that
+# has crashed may be back by then.
 NO_VERSION_RETRY_MS = 1_000.0
 
 
@@ -32,7 +32,7 @@
     """
     if version is not None and not running_version(directory.available(service), version):
         detail = f"version {version or 'unknown'} of {service}"
-        retry_after_ms = NO_VERSION_RETRY_MS
+        retry_after_ms = None if directory.has_left(service, version) else NO_VERSION_RETRY_MS
         raise RefusalError(detail, Code.VERSION_UNAVAILABLE, retry_after_ms=retry_after_ms)
 
 
--- a/packages/core/src/mountladder/streams/memoryversionstore.py
+++ b/packages/core/src/mountladder/streams/memoryversionstore.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from mountladder.clocks.clock import Clock
 from mountladder.errors import StoreUnavailableError
@@ -21,7 +21,7 @@
         clock: The clock.
 
     Attributes:
-        rows: The stored versions.
+        rows: The stored versions, and whether all servers of each were leaving.
         is_readable: Whether reads succeed.
         is_writable: Whether changes succeed.
         delay_ms: How long a call takes, in milliseconds.
@@ -31,23 +31,27 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.rows: frozenset[ServedVersion] = frozenset()
+        self.rows: dict[ServedVersion, bool] = {}
         self.is_readable = True
         self.is_writable = True
         self.delay_ms = 0.0
         self.reads = self.changes = 0
 
-    def read(self) -> tuple[ServedVersion, ...]:
+    def read(self) -> dict[ServedVersion, bool]:
         """Return all stored versions; see VersionStore."""
         self.reads += 1
         self.answer(self.is_readable)
-        return tuple(sorted(self.rows))
+        return dict(self.rows)
 
-    def change(self, added: Sequence[ServedVersion], removed: Sequence[ServedVersion]) -> None:
+    def change(
+        self, changed: Mapping[ServedVersion, bool], removed: Sequence[ServedVersion]
+    ) -> None:
         """Store and remove versions; see VersionStore."""
         self.changes += 1
         self.answer(self.is_writable)
-        self.rows = self.rows.union(added).difference(removed)
+        self.rows |= changed
+        for one in removed:
+            self.rows.pop(one, None)
 
     def answer(self, is_answered: bool) -> None:
         """Wait as long as a call takes, and raise an error if it is not answered."""
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -73,6 +73,12 @@
         """Return whether every instance holds the origins of all streams."""
         return len(self.fleet.membership.known) <= SMALL_FLEET
 
+    def count(self, service: str) -> int:
+        """Return how many other instances hold the origins of a service's streams."""
+        if self.is_small():
+            return len(self.fleet.membership.addressed())
+        return len(self.instances(service))
+
     def links(self, service: str) -> list[Link]:
         """Return the links to the holders of a service's streams that answer and understand."""
         fleet = self.fleet
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -20,6 +20,8 @@
         source: Where it is known from: "own", "peer", "store", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
         is_complete: Whether no other version can have begun it.
+        may_be_found: Whether an unknown origin may be found later, since not all that may know it
+            have replied.
         asked: The number of instances that were asked.
         replied: The number of those that replied.
     """
@@ -28,5 +30,6 @@
     source: str
     versions: frozenset[str]
     is_complete: bool
+    may_be_found: bool = False
     asked: int = 0
     replied: int = 0
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -28,8 +28,8 @@
 from mountladder.streams.versionrecord import VersionRecord
 from mountladder.streams.versionstore import VersionStore
 
-# When a caller may retry if nobody knows which version began its stream, in milliseconds: an
-# instance that could not be reached may be back by then.
+# When a caller may retry if nobody that replied knows which version began its stream: another
+# instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
 # Once a second version of a service is listed, origins are told at once, and again after links to
 # the instances that hold them have been opened.
@@ -142,7 +142,8 @@
         if found.origin is None:
             others = "" if found.is_complete else " and others"
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
-            raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=UNKNOWN_RETRY_MS)
+            retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
+            raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
         return found.origin
 
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
@@ -151,22 +152,24 @@
         if origin is not None:
             return OriginLookup(origin, "own", self.history.recent(service), True)
         replies, asked = self.exchange.ask(stream, service)
+        counts = {"asked": asked, "replied": len(replies)}
         for reply in replies:
             if reply.origin is not None:
                 told = reply.origin.from_remaining(self.clock.now())
                 versions = self.known_versions(service, replies)
-                return OriginLookup(told, "peer", versions, True, asked, len(replies))
+                return OriginLookup(told, "peer", versions, True, **counts)
         versions, is_complete = self.possible_versions(service, replies)
-        basis = (versions, is_complete, asked, len(replies))
-        if len(versions) > 1:
-            self.archive.shared_read.refresh()
-            origin = self.registry.find(stream)
-            return OriginLookup(origin, "store" if origin else "unknown", *basis)
-        if versions and is_complete:
+        if len(versions) == 1 and is_complete:
             until = self.clock.now() + MAX_STREAM_MS
             only = StreamOrigin(stream, service, *versions, until)
-            return OriginLookup(only, "only version", *basis)
-        return OriginLookup(None, "unknown", *basis)
+            return OriginLookup(only, "only version", versions, True, **counts)
+        is_read = is_complete and self.archive.shared_read.refresh()
+        origin = self.registry.find(stream)
+        if origin is not None:
+            return OriginLookup(origin, "store", versions, is_complete, **counts)
+        have_replied = len(replies) >= self.holders.count(service)
+        may_be_found = not (have_replied and is_read)
+        return OriginLookup(None, "unknown", versions, is_complete, may_be_found, **counts)
 
     def known_versions(self, service: str, replies: Sequence[OriginReply]) -> frozenset[str]:
         """Return the versions that may have begun a stream, by what is known here and told."""
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -41,7 +41,7 @@
         clock: The clock.
 
     Attributes:
-        stored: The versions that are known to be in the store.
+        stored: The versions that are known to be in the store; see VersionStore.
         shared_read: Reads the versions for requests.
         is_restored: Whether the store was restored from an older copy since it was last compared.
     """
@@ -57,7 +57,7 @@
         self.history = history
         self.reader_election = reader_election
         self.clock = clock
-        self.stored: frozenset[ServedVersion] = frozenset()
+        self.stored: dict[ServedVersion, bool] = {}
         self.shared_read = StoreRead(self.read, clock)
         self.is_restored = False
         self.wake = Event()
@@ -83,10 +83,8 @@
         except MountladderError as error:
             log_message("versions-read-failed", reason=str(error))
             return False
-        self.stored = frozenset(found)
-        log_message(
-            "versions-read", versions=_texts(self.stored), listed=_texts(self.history.listed)
-        )
+        self.stored = found
+        log_message("versions-read", versions=_texts(found), listed=_texts(self.history.listed))
         self.history.add_earlier(found)
         return True
 
@@ -94,20 +92,27 @@
         """Write new versions and remove past ones; return whether the store answered."""
         try:
             if self.is_restored:
-                self.stored = frozenset(self.store.read())
+                self.stored = self.store.read()
                 self.is_restored = False
-            recent = self.history.all_recent()
-            added, removed = sorted(recent - self.stored), sorted(self.stored - recent)
-            if not added and not removed:
+            recent = self.history.recent_leaving()
+            changed = {
+                one: leaving for one, leaving in recent.items() if self.differs(one, leaving)
+            }
+            removed = sorted(self.stored.keys() - recent.keys())
+            if not changed and not removed:
                 return True
-            self.store.change(added, removed)
+            self.store.change(changed, removed)
         except MountladderError as error:
             log_message("versions-write-failed", reason=str(error))
             return False
-        self.stored = self.stored.union(added).difference(removed)
-        log_message("versions-written", added=_texts(added), removed=_texts(removed))
+        self.stored = recent
+        log_message("versions-written", changed=_texts(changed), removed=_texts(removed))
         return True
 
+    def differs(self, version: ServedVersion, leaving: bool) -> bool:
+        """Return whether the store does not hold a version, or holds it as leaving or not."""
+        return self.stored.get(version) is not leaving
+
     def handle_restore(self) -> None:
         """Have the store compared with what is known, since it was restored from an older copy."""
         self.is_restored = True
--- a/packages/core/src/mountladder/streams/versionstore.py
+++ b/packages/core/src/mountladder/streams/versionstore.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from mountladder.streams.servedversion import ServedVersion
 
@@ -20,9 +20,11 @@
     """
 
     @abstractmethod
-    def read(self) -> tuple[ServedVersion, ...]:
-        """Return all stored versions."""
+    def read(self) -> dict[ServedVersion, bool]:
+        """Return all stored versions, and whether all servers of each were leaving."""
 
     @abstractmethod
-    def change(self, added: Sequence[ServedVersion], removed: Sequence[ServedVersion]) -> None:
-        """Store and remove versions."""
+    def change(
+        self, changed: Mapping[ServedVersion, bool], removed: Sequence[ServedVersion]
+    ) -> None:
+        """Store versions, with whether all servers of each are leaving, and remove others."""
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -81,7 +81,7 @@
         self.broken_relays: set[str] = set()
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_parts: dict[str, Suspicion] = {}
-        self.saved_versions: frozenset[ServedVersion] = frozenset()
+        self.saved_versions: dict[ServedVersion, bool] = {}
         self.saved_origins: dict[str, OriginBatch] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
@@ -148,7 +148,7 @@
             source.copy()
         self.saved_suspicions = dict(self.suspicion_store.rows)
         self.saved_parts = dict(self.part_store.rows)
-        self.saved_versions = self.version_store.rows
+        self.saved_versions = dict(self.version_store.rows)
         self.saved_origins = dict(self.origin_store.rows)
         self.saved_instances = {name: list(one) for name, one in self.instance_list.history.items()}
 
@@ -156,7 +156,7 @@
         """Restore the store from the saved copy, which loses all later writes."""
         self.suspicion_store.rows = dict(self.saved_suspicions)
         self.part_store.rows = dict(self.saved_parts)
-        self.version_store.rows = self.saved_versions
+        self.version_store.rows = dict(self.saved_versions)
         self.origin_store.rows = dict(self.saved_origins)
         self.instance_list.history = {name: list(one) for name, one in self.saved_instances.items()}
         for source in (self.catalogue, self.servers):
