Soak: callers read long streams while all instances are killed

The check of Retry-After lets a refusal of a resumed stream be without one only if no later attempt brought an event. Three scenarios with real processes: two with a release, one with one version.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -99,6 +99,9 @@
       | crash       | llm    | a stream was cut while its server was silent             |
       | slow        | store  | an instance gave a request up with its own error while its server was silent |
       | pause       | b-1    | most streams that callers resumed were refused              |
+      | down        | store  | streams that began seconds before were unknown              |
+      | older       | store  | streams that began seconds before were unknown              |
+      | peers-reset | b-1    | streams that began seconds before were unknown              |
 
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
@@ -133,6 +136,32 @@
     Then every promise is kept
     And at least 40 streams were resumed
 
+  # Guards against streams of two versions after a loss of all instances, and against the loss of all
+  # streams with them.
+  Scenario Outline: All instances are killed in a release while callers read long streams
+    When these faults are played with seed 7 for 13 seconds with 4 instances
+      | kind         | target  | at  | seconds    | strength |
+      | long-streams | callers | 0.5 | 9.0        | 1        |
+      | versions     | llm     | 1.0 | <duration> | 0.2      |
+      | kill         | all     | 4.9 | 1.0        | 1        |
+      | kill         | all     | 6.3 | 1.0        | 1        |
+    Then every promise is kept
+    And at least <whole> streams that were resumed are whole
+
+    Examples:
+      | duration | whole |
+      | 3.0      | 1     |
+      | 7.0      | 3     |
+
+  Scenario: All instances are killed while callers read long streams of one version
+    When these faults are played with seed 7 for 13 seconds with 4 instances
+      | kind         | target  | at  | seconds | strength |
+      | long-streams | callers | 0.5 | 9.0     | 1        |
+      | kill         | all     | 4.0 | 1.0     | 1        |
+      | kill         | all     | 5.4 | 1.0     | 1        |
+    Then every promise is kept
+    And at least 8 streams that were resumed are whole
+
   Scenario: Callers that read nothing for seconds are cut, and harm neither memory nor others
     When these faults are played with seed 7 for 11 seconds with 2 instances
       | kind            | target  | at  | seconds | strength |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,6 +23,7 @@
 from soak.caller import DEADLINE_S, stream_error
 from soak.checks import check
 from soak.exchange import Exchange
+from soak.fakestream import EVENTS
 from soak.fault import Fault
 from soak.instanceprocess import MEMORY_MB, RESTART_DELAY_S, START_LOCK
 from soak.play import SPREAD_S, Play, instance_names, service_names
@@ -47,7 +48,9 @@
     context.record, context.faults, context.length = verdict.record, faults, verdict.length
 
 
-def targets(kind, target):
+def targets(kind, target, instances):
+    if target == "all":
+        return tuple(instance_names(instances))
     names = tuple(target.split(", "))
     return (*names, SERVERS) if target in SERVICES and kind not in SILENT_FAULTS else names
 
@@ -58,7 +61,7 @@
         Fault(
             float(row["at"]),
             row["kind"],
-            targets(row["kind"], row["target"]),
+            targets(row["kind"], row["target"], instances),
             float(row["seconds"]),
             float(row["strength"]),
         )
@@ -105,6 +108,13 @@
     assert resumed >= number, resumed
 
 
+@then("at least {number:d} streams that were resumed are whole")
+def resumed_whole(context, number):
+    resumed = [one for one in context.record.stream_attempts.values() if len(one) > 1]
+    whole = sum(sum(len(one.versions) for one in all_) == EVENTS for all_ in resumed)
+    assert whole >= number, (whole, len(resumed))
+
+
 @then("servers ended at least {number:d} unread response")
 def responses_ended(context, number):
     ended = context.record.ended_unread
@@ -593,6 +603,30 @@
     resume(context, 10, "v1")
 
 
+def lose_known(context, code, retry_after_s=None):
+    """Have three streams refused with a code three seconds after their first events."""
+    for n in range(3):
+        first = StreamAttempt(f"v{n}", "b-1", 4.0, 5.0, ("v1", "v1"), 0, heard=4.1)
+        again = StreamAttempt(f"v{n}t1", "b-1", 7.0, 7.1, (), 503, code, retry_after_s)
+        context.record.stream_attempts[first.id] = [first, again]
+        context.record.exchanges[again.id] = exchange(
+            again.id, "resumable", sent=7.0, status=503, retry_after_s=retry_after_s
+        )
+
+
+@when("streams that began seconds before were unknown")
+def unknown_streams(context):
+    lose_known(context, 2016)
+
+
+@when("a stream whose version had left was told not to return, and then served")
+def served_after_all(context):
+    lose_known(context, 2015)
+    for n in range(3):
+        served = StreamAttempt(f"v{n}t2", "b-1", 8.0, 8.1, ("v1",), 200)
+        context.record.stream_attempts[f"v{n}"].append(served)
+
+
 @when("most streams that callers resumed were refused, with {servers} of their version")
 def refused_without_servers(context, servers):
     refused_streams(context)
