--- a/features/soak.feature
+++ b/features/soak.feature
@@ -99,6 +99,7 @@
       | crash       | llm    | a stream was cut while its server was silent             |
       | slow        | store  | an instance gave a request up with its own error while its server was silent |
       | pause       | b-1    | most streams that callers resumed were refused              |
+      | kill        | a-1    | a server got more requests than its limit                |
       | down        | store  | streams that began seconds before were unknown              |
       | older       | store  | streams that began seconds before were unknown              |
       | peers-reset | b-1    | streams that began seconds before were unknown              |
