Callers: each step of a request has one limit of time and of size

Cause: the web server's parser reads a body byte by byte from a buffer that a fast caller refills at once, so that no other task runs; each read had a timeout of 30 s of its own, the body none; the rest of a body that was not needed was read to its end. After a timeout in that rest the connection went on with the next bytes as a new request.

Change: the reader with limits of connections to backend servers moves to the entry package and reads from callers too. LimitedConnection sets one limit of time and of bytes for the request line, the head, the body (the deadline of the request, at most 30 s, and twice the longest body) and the rest of a body (1 s). A task that has worked for a millisecond on what one caller sends pauses for as long. A body that does not come in time is refused with 408; behind a body that was not read whole the connection ends.

--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -23,7 +23,7 @@
 from mountladder.membership.tcpnetwork import TcpNetwork
 from mountladder_cli import porcelain
 from mountladder_cli.demofleet import DemoFleet
-from mountladder_entry.connection import Connection
+from mountladder_entry.limitedconnection import LimitedConnection
 from mountladder_standins.faults import Faults
 
 TIMEOUT_MS = 10_000.0
@@ -267,7 +267,7 @@
 
 @given("a-1 drops callers that make no progress for {ms:d} ms and has small buffers")
 def small_buffers(context, ms):
-    context.stack.enter_context(patch.object(Connection, "timeout_seconds", ms / 1000.0))
+    context.stack.enter_context(patch.object(LimitedConnection, "timeout_seconds", ms / 1000.0))
     listener = context.fleet.nodes[0].web.socket
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
 
--- a/platform/src/mountladder_platform/boundedreader.py
+++ b/packages/entry/src/mountladder_entry/boundedreader.py
@@ -1,22 +1,20 @@
-# boundedreader.py -- Reads from a connection within the limits of a call
+# boundedreader.py -- Reads from a connection within the limits of a step
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""Reads from a connection within the limits of a call."""
+"""Reads from a connection within the limits of a step."""
 
 from __future__ import annotations
 
 from gevent import socket as sockets
 
-from mountladder_platform.readlimits import ReadLimits
+from mountladder_entry.readlimits import ReadLimits
 
 MS_PER_SECOND = 1000.0
-# A full buffer of small parts costs hundreds of steps of the parser.
-FULL_BUFFER_WORK = 32
 
 
 class BoundedReader(sockets.SocketIO):
-    """The bytes that come over a connection, within the limits of the call that reads them.
+    """The bytes that come over a connection, within the limits of the step that reads them.
 
     Args:
         socket: The socket.
@@ -34,17 +32,14 @@
 
         Raises:
             TimeoutError: None came in time.
-            ValueError: The call has read as much as it may.
+            TooMuchReadError: The step has read as much as it may.
         """
-        limits = self.limits
-        if limits.remaining_bytes <= 0:
-            raise ValueError("the server sends too much that is no body")
-        self._sock.settimeout(limits.remaining_ms() / MS_PER_SECOND)
-        size = self._sock.recv_into(buffer)
-        limits.remaining_bytes -= size
-        if size == len(buffer):
-            limits.spend(FULL_BUFFER_WORK)
-        else:
-            # Nothing more was there, so that the next read waits.
-            limits.work = 0
+        self.limits.begin_read()
+        write_timeout = self._sock.gettimeout()
+        self._sock.settimeout(self.limits.remaining_ms() / MS_PER_SECOND)
+        try:
+            size = self._sock.recv_into(buffer)
+        finally:
+            self._sock.settimeout(write_timeout)
+        self.limits.end_read(size, size == len(buffer))
         return size
--- a/packages/entry/src/mountladder_entry/node.py
+++ b/packages/entry/src/mountladder_entry/node.py
@@ -18,7 +18,7 @@
 from mountladder.runtime import Runtime
 from mountladder.store.platform import Platform
 from mountladder_entry.application import make_application
-from mountladder_entry.connection import Connection
+from mountladder_entry.limitedconnection import LimitedConnection
 from mountladder_entry.relay import Relay
 from mountladder_entry.weberrorlog import WebErrorLog
 
@@ -62,7 +62,7 @@
             make_application(self),
             log=None,
             error_log=WebErrorLog(),
-            handler_class=Connection,
+            handler_class=LimitedConnection,
             spawn=MAX_CONNECTIONS,
         )
         self.web.start()
