Platform, own interface: an answer has one limit of time and of size

Cause: what answered from the platform's store, and what backend servers answered to the product's own interface, was read without a pause while bytes were there, so that the timer that was to end the call never ran: interim responses, lines of a trailer and small chunks without end stopped the instance, and a body without a length was kept in memory for as long as it came. The reader of streams of the own interface joined and split the whole incomplete event for each part.

TimedPools is what urllib3 offers with such connections: one timeout and 16 MB for each whole answer, for the store, engines, backend servers of the own interface and requests relayed there. EventReader uses EventSplitter.

Whole answers of 8 MB, and 2 MB in chunks of 1,000, are read as before.

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -69,3 +69,57 @@
     When the stream is split into events
     Then the event is given out whole once it ends
     And each search began where the one before had ended
+
+  # Guards against an instance that is stopped by what its platform sends.
+  Scenario Outline: Answers of the platform's store that come at once and never end
+    Given a store that sends <bytes> without end
+    When it is read with a limit of <limit> ms
+    Then that fails with code 5001 within <ms> ms
+    And other tasks never waited for it for more than 50 ms of processor time
+
+    Examples:
+      | bytes                                | limit | ms   |
+      | interim responses                    | 1000  | 1500 |
+      | header lines                         | 1000  | 1500 |
+      | trailer lines                        | 1000  | 1500 |
+      | chunks of 4 bytes within an event    | 1000  | 1500 |
+      | bytes of a body without a length     | 1000  | 1500 |
+      | bytes of a body without a length     | 20000 | 5000 |
+
+  Scenario Outline: Answers of the platform's store that come slowly and never end
+    Given a store that sends <bytes> each 20 ms
+    When it is read with a limit of 300 ms
+    Then that fails with code 5001 within 800 ms
+
+    Examples:
+      | bytes                                |
+      | interim responses                    |
+      | header lines                         |
+      | bytes of a body without a length     |
+
+  Scenario Outline: Answers of the platform's store that are whole are read however they come
+    Given a store that sends a whole answer, <answer>
+    When it is read with a limit of 2000 ms
+    Then <bytes> bytes are read
+
+    Examples:
+      | answer                               | bytes    |
+      | three interim responses before the answer | 5   |
+      | 8000000 bytes with a length          | 8000000  |
+      | 8000000 bytes without a length       | 8000000  |
+      | 2000000 bytes in chunks of 1000      | 2000000  |
+
+  Scenario Outline: Answers of backend servers to the product's own interface that never end
+    Given a server of a stage that sends <bytes> without end
+    When the stage is called with a deadline of 1000 ms, <form>
+    Then that fails with code <code> within 1500 ms
+    And other tasks never waited for it for more than 50 ms of processor time
+
+    Examples:
+      | bytes                                | form       | code |
+      | interim responses                    | for a result | 3011 |
+      | trailer lines                        | for a result | 3011 |
+      | chunks of 4 bytes within an event    | for a result | 3011 |
+      | bytes of a body without a length     | for a result | 3003 |
+      | chunks of 4 bytes within an event    | for tokens | 3004 |
+      | bytes of a body without a length     | for tokens | 3004 |
--- a/features/steps/endlessanswer_steps.py
+++ b/features/steps/endlessanswer_steps.py
@@ -11,9 +11,13 @@
 from platform_steps import listen, make_call, make_upstream
 
 from mountladder.code import Code
-from mountladder.errors import StageError
+from mountladder.configuration.stage import Stage
+from mountladder.errors import MountladderError, StageError
 from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.forwarding.piece import Piece
+from mountladder.requests.stagecall import StageCall
+from mountladder_entry.httpbackend import HttpBackend
+from mountladder_entry.httpclient import HttpClient
 
 HEAD = b"HTTP/1.1 200 OK\r\nMountladder-Request-Id: r1\r\nMountladder-Server-Stamp: s\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -107,23 +111,88 @@
 @given("a backend server that sends {bytes_} each {ms:d} ms")
 def backend_slow(context, bytes_, ms):
     first, then_ = ENDLESS[bytes_]
-    context.sent = 0
 
     def send(connection):
         connection.sendall(first)
         while True:
             connection.sendall(then_)
-            context.sent += 1
             gevent.sleep(ms / 1000.0)
 
     serve(context, send)
 
 
-@when("a request with a limit of {ms:d} ms is sent to it")
-def sent_with_limit(context, ms):
+@given("a store that sends a whole answer, {answer}")
+def store_whole(context, answer):
+    backend_whole(context, answer)
+
+
+@given("a store that sends {bytes_} without end")
+def store_endless(context, bytes_):
+    backend_endless(context, bytes_)
+
+
+@given("a store that sends {bytes_} each {ms:d} ms")
+def store_slow(context, bytes_, ms):
+    backend_slow(context, bytes_, ms)
+
+
+@given("a server of a stage that sends {bytes_} without end")
+def stage_server_endless(context, bytes_):
+    backend_endless(context, bytes_)
+
+
+@when("the stage is called with a deadline of {ms:d} ms, {form}")
+def call_stage(context, ms, form):
+    clock = context.upstream.clock
+    backend = HttpBackend(clock)
+    context.stack.callback(backend.close)
+    stage = Stage("encode", "encode", "", "", (), True, form == "for tokens", 0.0)
+    call = StageCall("r1", "a1", stage, b"{}", clock.now() + ms)
+    context.error = None
+    watch_turns(context)
+    sent_at = clock.now()
+    try:
+        with gevent.Timeout(GIVEN_UP_S):
+            if form == "for tokens":
+                list(backend.stream(context.server, call))
+            else:
+                backend.run(context.server, call)
+    except (MountladderError, gevent.Timeout) as error:
+        context.error = error
+    context.took_ms = clock.now() - sent_at
+
+
+@when("it is read with a limit of {ms:d} ms")
+def read_store(context, ms):
     clock = context.upstream.clock
+    client = HttpClient(f"http://{context.server.address}", clock)
+    context.stack.callback(client.close)
+    context.body = context.error = None
+    watch_turns(context)
+    sent_at = clock.now()
+    try:
+        with gevent.Timeout(GIVEN_UP_S):
+            context.body = client.read("/rows", answer_ms=float(ms)).data
+    except (MountladderError, gevent.Timeout) as error:
+        context.error = error
+    context.took_ms = clock.now() - sent_at
+
+
+@then("that fails with code {code:d} within {ms:d} ms")
+def read_fails(context, code, ms):
+    assert isinstance(context.error, MountladderError), context.error
+    assert context.error.code.number == code, context.error
+    assert context.took_ms <= ms, context.took_ms
+
+
+@then("{number:d} bytes are read")
+def bytes_read(context, number):
+    assert context.error is None and len(context.body) == number, context.error
+
+
+def watch_turns(context):
+    """Measure how long other tasks wait for their turn, in milliseconds of processor time."""
     context.waited_ms = 0.0
-    context.body = context.code = None
 
     def take_turns():
         while True:
@@ -131,8 +200,14 @@
             gevent.sleep(0)
             context.waited_ms = max(context.waited_ms, 1000.0 * (time.process_time() - began))
 
-    turns = gevent.spawn(take_turns)
-    context.stack.callback(turns.kill)
+    context.stack.callback(gevent.spawn(take_turns).kill)
+
+
+@when("a request with a limit of {ms:d} ms is sent to it")
+def sent_with_limit(context, ms):
+    clock = context.upstream.clock
+    context.body = context.code = None
+    watch_turns(context)
     sent_at = clock.now()
     try:
         with gevent.Timeout(GIVEN_UP_S):
--- a/features/steps/endlessrequest_steps.py
+++ b/features/steps/endlessrequest_steps.py
@@ -10,7 +10,7 @@
 
 import gevent
 from behave import given, then, when
-from endlessanswer_steps import chunked
+from endlessanswer_steps import chunked, watch_turns
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 from ingress_steps import HEAD, ID, FakeForwarder, read_all, status_of
@@ -82,16 +82,7 @@
 def sends_endless(context, bytes_):
     first, more = INSTEAD.get(bytes_) or BEHIND[bytes_]
     first = first if bytes_ in INSTEAD else head(context) + first
-    context.waited_ms = 0.0
-
-    def take_turns():
-        while True:
-            began = time.process_time()
-            gevent.sleep(0)
-            context.waited_ms = max(context.waited_ms, 1000.0 * (time.process_time() - began))
-
-    turns = gevent.spawn(take_turns)
-    context.stack.callback(turns.kill)
+    watch_turns(context)
     script = SENDER.format(size=SENT_AT_ONCE_BYTES)
     command = [sys.executable, "-c", script, context.address[0], str(context.address[1])]
     context.began = time.monotonic()
--- a/packages/core/src/mountladder/forwarding/eventsplitter.py
+++ b/packages/core/src/mountladder/forwarding/eventsplitter.py
@@ -15,6 +15,10 @@
 class EventSplitter:
     """Splits the bytes of an event stream behind its last complete event.
 
+    Args:
+        last_id: The id of the last event that was received before.
+        max_bytes: The longest event.
+
     Attributes:
         last_id: The id of the last complete event, or an empty string.
         incomplete: The bytes of the event that is still incomplete.
@@ -23,8 +27,9 @@
         events: The number of complete events so far.
     """
 
-    def __init__(self, last_id: str = "") -> None:
+    def __init__(self, last_id: str = "", max_bytes: int = MAX_EVENT_BYTES) -> None:
         self.last_id = last_id
+        self.max_bytes = max_bytes
         self.incomplete = bytearray()
         self.searched = 0
         self.pieces = 0
@@ -40,8 +45,8 @@
         end = self.incomplete.rfind(_EVENT_END, self.searched)
         if end < 0:
             self.pieces += 1
-            if len(self.incomplete) > MAX_EVENT_BYTES:
-                raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+            if len(self.incomplete) > self.max_bytes:
+                raise ValueError(f"an event is longer than {self.max_bytes} bytes")
             if self.pieces > MAX_EVENT_PIECES:
                 raise ValueError(f"an event comes in more than {MAX_EVENT_PIECES} pieces")
             # The end of an event may be split between this data and the next.
--- a/packages/core/src/mountladder/requests/eventreader.py
+++ b/packages/core/src/mountladder/requests/eventreader.py
@@ -11,6 +11,7 @@
 
 from mountladder.code import Code
 from mountladder.errors import MALFORMED, StageError
+from mountladder.forwarding.eventsplitter import EventSplitter
 from mountladder.requests.chunk import Chunk
 
 MAX_EVENT_BYTES = 65_536
@@ -33,7 +34,7 @@
     def __init__(self, held: int) -> None:
         self.held = held
         self.ended = False
-        self.incomplete = b""
+        self.splitter = EventSplitter(max_bytes=MAX_EVENT_BYTES)
 
     def feed(self, data: bytes, load: int | None) -> Chunk | None:
         """Add received bytes and return the new complete tokens, or None.
@@ -42,16 +43,16 @@
             StageError: The engine reported an error, or the stream is malformed.
         """
         first = self.held + 1
-        is_single_event = not self.incomplete and data.find(_EVENT_END) == len(data) - len(
+        is_single_event = not self.splitter.incomplete and data.find(_EVENT_END) == len(data) - len(
             _EVENT_END
         )
         if is_single_event and data.startswith(b'id: %d\ndata: "' % first):
             self.held = first
             return Chunk(first, 1, data, load)
-        data = self.incomplete + data
-        *events, self.incomplete = data.split(_EVENT_END)
-        if len(self.incomplete) > MAX_EVENT_BYTES:
-            raise StageError("an event exceeds the maximum length", Code.BAD_ANSWER)
+        try:
+            *events, _ = self.splitter.feed(data).split(_EVENT_END)
+        except ValueError as error:
+            raise StageError(str(error), Code.BAD_ANSWER) from error
         new_events = [event for event in events if self.is_next_token(event)]
         if not new_events:
             return None
--- a/packages/entry/src/mountladder_entry/boundedreader.py
+++ b/packages/entry/src/mountladder_entry/boundedreader.py
@@ -11,6 +11,7 @@
 from mountladder_entry.readlimits import ReadLimits
 
 MS_PER_SECOND = 1000.0
+READ_BYTES = 65_536
 
 
 class BoundedReader(sockets.SocketIO):
@@ -27,6 +28,10 @@
         socket._io_refs += 1
         self.limits = limits
 
+    def readall(self) -> bytes:
+        """Read up to the end of the connection; see io.RawIOBase, which reads small parts."""
+        return b"".join(iter(lambda: self.read(READ_BYTES), b""))
+
     def readinto(self, buffer: memoryview) -> int:
         """Read the bytes that are there, or wait for some; see io.RawIOBase.
 
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -33,7 +33,9 @@
     dialect_of,
     requires_attempt,
 )
+from mountladder_entry.timedpools import TimedPools
 
+MS_PER_SECOND = 1000.0
 CONNECT_SECONDS = 1.0
 CANCEL_MS = 1_000.0
 POOLS = 256
@@ -55,7 +57,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.pool = urllib3.PoolManager(num_pools=POOLS, maxsize=POOL_SIZE, retries=False)
+        self.pool = TimedPools(num_pools=POOLS, maxsize=POOL_SIZE, retries=False)
 
     def run(self, server: BackendServer, call: StageCall) -> StageResult:
         """Run a stage and return its result; see Backend."""
@@ -119,17 +121,13 @@
     ) -> Iterator[bytes]:
         """Yield the parts of a stream's body as they arrive, while they arrive in time.
 
-        The socket's timeout is the deadline. The watch limits the time between two parts with one
+        The connection's limit is the deadline. The watch limits the time between two parts with one
         timer, which costs less than one for each of them.
         """
         body = response.stream(READ_BYTES)
-        connection = response.connection
-        socket = connection.sock if connection is not None else None
         remaining_ms = call.deadline - self.clock.now()
         while remaining_ms > 0:
             try:
-                if socket is not None:
-                    socket.settimeout(remaining_ms / 1000.0)
                 with watch.waiting():
                     part = next(body, b"")
             except WaitTimeoutError as error:
@@ -148,7 +146,8 @@
         dialect = dialect_of(server)
         url = f"http://{server.address}{call_path(dialect, call)}"
         headers = self.headers(call, stream)
-        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=None)
+        remaining_ms = max(1.0, call.deadline - self.clock.now())
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=remaining_ms / MS_PER_SECOND)
         try:
             with watch.waiting():
                 response = self.pool.request(
--- a/packages/entry/src/mountladder_entry/httpclient.py
+++ b/packages/entry/src/mountladder_entry/httpclient.py
@@ -18,11 +18,12 @@
     StoreUnavailableError,
     WaitTimeoutError,
 )
+from mountladder_entry.timedpools import TimedPools
 
+MS_PER_SECOND = 1000.0
 CONNECT_SECONDS = 1.0
 ANSWER_MS = 2_000.0
 POOL_SIZE = 64
-_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=None)
 _NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
 
 
@@ -39,9 +40,7 @@
         self.base = base.rstrip("/")
         self.clock = clock
         self.answer_ms = answer_ms
-        self.pool = urllib3.PoolManager(
-            num_pools=8, maxsize=POOL_SIZE, retries=False, timeout=urllib3.Timeout(CONNECT_SECONDS)
-        )
+        self.pool = TimedPools(num_pools=8, maxsize=POOL_SIZE, retries=False)
 
     def call(
         self,
@@ -70,9 +69,11 @@
         """
         url = self.base + path
         try:
-            with self.clock.time_limit(self.answer_ms if answer_ms is None else answer_ms):
+            limit_ms = self.answer_ms if answer_ms is None else answer_ms
+            timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=limit_ms / MS_PER_SECOND)
+            with self.clock.time_limit(limit_ms):
                 response = self.pool.request(
-                    method, url, body=body, fields=fields, headers=headers, timeout=_TIMEOUT
+                    method, url, body=body, fields=fields, headers=headers, timeout=timeout
                 )
         except _NOT_SENT as error:
             raise StoreUnavailableError(f"{url}: cannot be reached") from error
--- a/packages/entry/src/mountladder_entry/httpengines.py
+++ b/packages/entry/src/mountladder_entry/httpengines.py
@@ -17,8 +17,10 @@
 from mountladder.engines.enginestate import EngineState
 from mountladder.engines.order import Order
 from mountladder.errors import MALFORMED, OrderFencedError, StageError, WaitTimeoutError
+from mountladder_entry.timedpools import TimedPools
 
 ANSWER_MS = 1_000.0
+TIMEOUT = urllib3.Timeout(ANSWER_MS / 1000.0)
 FENCED_STATUS = 409
 
 
@@ -31,7 +33,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.pool = urllib3.PoolManager(num_pools=256, maxsize=2, retries=False)
+        self.pool = TimedPools(num_pools=256, maxsize=2, retries=False)
 
     def state(self, server: BackendServer) -> EngineState:
         """Return the models that an engine serves and loads; see Engines."""
@@ -61,7 +63,7 @@
         url = f"http://{server.address}{path}"
         try:
             with self.clock.time_limit(ANSWER_MS):
-                return self.pool.request(method, url, body=body, timeout=urllib3.Timeout(None))
+                return self.pool.request(method, url, body=body, timeout=TIMEOUT)
         except (urllib3.exceptions.HTTPError, WaitTimeoutError, OSError) as error:
             raise StageError(f"{url}: {error}", Code.CONNECT_FAILED) from error
 
--- a/packages/entry/src/mountladder_entry/relay.py
+++ b/packages/entry/src/mountladder_entry/relay.py
@@ -18,6 +18,7 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.requests.request import Request
 from mountladder_entry.relayedanswer import RelayedAnswer
+from mountladder_entry.timedpools import TimedPools
 
 HOP_HEADER = "X-Mountladder-Hop"
 CONNECT_SECONDS = 1.0
@@ -38,7 +39,7 @@
         self.membership = membership
         self.clock = clock
         self.metrics = metrics
-        self.pool = urllib3.PoolManager(num_pools=64, maxsize=32, retries=False)
+        self.pool = TimedPools(num_pools=64, maxsize=32, retries=False)
 
     def forward(
         self, issued_key: IssuedKey, request: Request, caller: bottle.BaseRequest
