Tests: callers and relayed requests name the stream that they resume

Cause: scenarios on virtual time hand the id of the request that began a stream over as a field, so that a mistyped name of its header passed all of them.

Change: one scenario sends the headers through the adapter, and the relayed request carries them as well.

Measured: with the name of the header changed both fail, and nothing else does.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -222,6 +222,13 @@
     When a caller sends two requests at once on a connection
     Then it gets the answers to the first and the second
 
+  # Guards against a header that is read by another name than callers send: streams that they resume
+  # would be unknown.
+  Scenario: A caller that resumes a stream names the request that began it
+    Given an ingress whose forwarder answers "fine"
+    When a caller sends a request that resumes r0 after event 3
+    Then the forwarder is to resume r0 after event 3
+
   Scenario: A stream that is cut does not look complete
     Given an ingress whose forwarder answers "a cut stream"
     When a caller sends "a request"
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -110,6 +110,20 @@
         context.received = read_all(connection)
 
 
+@when("a caller sends a request that resumes {id_} after event {number}")
+def send_resuming(context, id_, number):
+    headers = f"Last-Event-Id: {number}\r\nResumes: {id_}\r\n".encode()
+    with socket.create_connection(context.address) as connection:
+        connection.sendall(HEAD + ID + headers + b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+        read_all(connection)
+
+
+@then("the forwarder is to resume {id_} after event {number}")
+def is_to_resume(context, id_, number):
+    (request,) = context.forwarder.requests
+    assert (request.resumes, request.last_event_id) == (id_, number), request
+
+
 @when("a caller sends two requests at once on a connection")
 def send_two(context):
     with socket.create_connection(context.address) as connection:
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -33,6 +33,7 @@
     ("Cookie", "a"),
     ("Cookie", "b"),
     ("Last-Event-Id", "7"),
+    ("Resumes", "r0"),
 )
 
 
@@ -106,6 +107,7 @@
     (received,) = context.forwarder.requests
     sent = replace(context.request, arrived=received.arrived)
     assert replace(received, holder=None) == sent, received
+    assert (received.last_event_id, received.resumes) == ("7", "r0")
     assert abs(received.arrived - context.request.arrived) < 50.0
 
 
