--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -252,7 +252,8 @@
     streams = {ServedVersion("llm", "v1"): tuple(keys[1:]), ServedVersion("alt", ""): (keys[0],)}
     context.batches = [OriginBatch(f"i-{n}", 6_000.5, streams) for n in range(2)]
     context.table_of_origins.change(context.batches, ())
-    context.table_of_origins.change((), [context.batches.pop(0).name])
+    others = [f"none-{n}" for n in range(250)]
+    context.table_of_origins.change((), [context.batches.pop(0).name, *others])
 
 
 @when("a row of origins there has {fields}")
--- a/packages/core/src/mountladder/streams/originstore.py
+++ b/packages/core/src/mountladder/streams/originstore.py
@@ -25,4 +25,4 @@
 
     @abstractmethod
     def change(self, added: Sequence[OriginBatch], removed: Sequence[str]) -> None:
-        """Store batches, and remove those with the given names."""
+        """Store batches, a few at most, and remove those with the given names."""
