--- a/features/endlessrequests.feature
+++ b/features/endlessrequests.feature
@@ -72,3 +72,15 @@
       | the head is refused                    |
       | the body is refused as too long        |
       | the body stops until the deadline      |
+
+  Scenario Outline: A deadline that is no usual number limits a body all the same
+    Given an interface for callers
+    When a caller with the deadline <deadline> sends a request with a body, in two parts
+    Then it is answered with status <status>
+
+    Examples:
+      | deadline | status |
+      | inf      | 200    |
+      | nan      | 200    |
+      | 1e300    | 200    |
+      | -5       | 408    |
--- a/features/steps/endlessrequest_steps.py
+++ b/features/steps/endlessrequest_steps.py
@@ -74,7 +74,7 @@
 
 
 def head(context, deadline_ms=DEADLINE_MS):
-    deadline = b"Mountladder-Deadline-Ms: %d\r\n" % deadline_ms
+    deadline = b"Mountladder-Deadline-Ms: %b\r\n" % str(deadline_ms).encode()
     return HEAD.replace(b"POST /a/b", context.path) + ID + deadline
 
 
@@ -162,6 +162,22 @@
         context.received = read_all(connection)
 
 
+@when("a caller with the deadline {deadline} sends a request with a body, in two parts")
+def sends_with_deadline(context, deadline):
+    with socket.create_connection(context.address) as connection:
+        first, _, rest = head(context, deadline).partition(b"\r\n")
+        connection.sendall(first + b"\r\nConnection: close\r\n" + rest)
+        connection.sendall(b"Content-Length: 4\r\n\r\nhi")
+        gevent.sleep(0.05)
+        connection.sendall(b"hi")
+        context.received = read_all(connection)
+
+
+@then("it is answered with status {status:d}")
+def answered_with(context, status):
+    assert status_of(context.received) == status, context.received
+
+
 @then("both are served")
 def both_served(context):
     assert [one.id for one in context.forwarder.requests] == ["r1", "r2"], context.received
--- a/packages/entry/src/mountladder_entry/limitedconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedconnection.py
@@ -23,7 +23,7 @@
 
 # A caller that does not read would occupy a connection here and a slot of a backend server.
 IO_TIMEOUT_SECONDS = 30.0
-# How long a caller may take to send a body, unless the application sets a lower limit.
+# How long a caller may take to send a body at most.
 BODY_MS = 30_000.0
 # How long the rest of a body that was not needed is read, in milliseconds. A connection that is
 # closed before its end may lose the answer.
@@ -87,6 +87,8 @@
     def limit_body(self, limit_ms: float) -> None:
         """Limit the time for the rest of a body, and its bytes with what frames its chunks."""
         limits = self.limits()
+        # A deadline may also be infinite, or not a number.
+        limit_ms = limit_ms if limit_ms < BODY_MS else BODY_MS
         self.read_limits.set(limit_ms, CHUNK_FACTOR * limits.body_bytes + limits.header_bytes)
 
     def MessageClass(self, *args: object) -> object:  # noqa: N802 (the web server's name)
