--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -15,7 +15,15 @@
 from forwardbasics import SECOND_MS
 from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
 from mountladder_platform.storeversions import VERSIONS_TABLE, StoreVersions
-from streamversion_steps import list_version, resume, stream
+from streamversion_steps import (
+    CUT_OFF_MS,
+    list_version,
+    lose_store,
+    regain_store,
+    resume,
+    stream,
+    version_listed,
+)
 
 from mountladder.clocks.systemclock import SystemClock
 from mountladder.errors import MountladderError
@@ -135,6 +143,56 @@
     kill(context, next(name for name, one in instances(context) if one.origins.archive.writing))
 
 
+def cut_datacentre(context, datacentre):
+    """Cut the instances of a data centre off from the store and from all other instances."""
+    lose_peers(context, datacentre)
+    for name in in_datacentre(context, datacentre):
+        lose_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def lose_peers(context, datacentre):
+    others = {name.partition("-")[0] for name in context.fleet.instances} - {datacentre}
+    cut = {frozenset({datacentre, other}) for other in others}
+    context.fleet.network.cut_datacentres.update(cut)
+
+
+def reconnect_datacentre(context, datacentre):
+    context.fleet.network.cut_datacentres.clear()
+    for name in in_datacentre(context, datacentre):
+        regain_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def start_cut_off(context, name):
+    context.fleet.start(name)
+    lose_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def kill_datacentre(context, datacentre):
+    for name in in_datacentre(context, datacentre):
+        kill(context, name)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+def all_lose_store(context):
+    for name in context.fleet.instances:
+        lose_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def miss_changes(context, datacentre):
+    """Have the instances of a data centre get no changes of the list, unless they ask for them."""
+    lose_peers(context, datacentre)
+    for name in in_datacentre(context, datacentre):
+        context.fleet.instances[name].directory_source.is_due = lambda: False
+
+
+def in_datacentre(context, datacentre):
+    return [name for name in context.fleet.instances if name.startswith(f"{datacentre}-")]
+
+
 def instances(context):
     return list(context.fleet.instances.items())
 
@@ -161,6 +219,13 @@
     r"versions (can|cannot) be written": set_writable,
     r"versions are read in (\d+) ms": set_delay,
     r"versions were never written": never_written,
+    r"(v\d) is listed": version_listed,
+    r"(\w) is cut off": cut_datacentre,
+    r"(\w) is reached again": reconnect_datacentre,
+    r"(\S+) starts cut off": start_cut_off,
+    r"all of (\w) are killed": kill_datacentre,
+    r"all lose the store": all_lose_store,
+    r"(\w) gets no changes": miss_changes,
 }
 
 
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -298,6 +298,12 @@
 @given("{name} is cut off from the store and its peers")
 def cut_off_from_all(context, name):
     cut_off(context, name)
+    lose_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def lose_store(context, name):
+    """Have no call of an instance to the store answered."""
     instance = context.fleet.instances[name]
     for source in (instance.catalogue_source, instance.directory_source):
         source.source = MemorySource(context.clock)
@@ -307,7 +313,15 @@
     origins.version_record.store.is_readable = False
     origins.archive.store = MemoryOriginStore()
     origins.archive.store.is_down = True
-    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+def regain_store(context, name):
+    """Undo lose_store."""
+    instance, fleet = context.fleet.instances[name], context.fleet
+    instance.catalogue_source.source = fleet.catalogue
+    instance.directory_source.source = fleet.servers
+    instance.origins.version_record.store = fleet.version_store
+    instance.origins.archive.store = fleet.origin_store
 
 
 @given("{name} reaches no backend server")
