Streams: a data centre's instances are told of its streams while one version serves too

A caller whose stream began at an instance that has ended was refused (2016) at the others of its data centre while that was cut off.

Cause: origins were told to others only while several versions serve. Whoever is cut off cannot know whether a second one does.

Measured: the scenario of features/streamcuts.feature that was refused passes; it failed before. The nine with streams of two versions still fail.

--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -60,8 +60,8 @@
         self.fleet.subscribe(OriginReply, self.handle_reply)
 
     def announce(self, service: str, origins: Sequence[StreamOrigin]) -> int:
-        """Tell the holders of a service's streams some origins; return how many are told."""
-        now, links = self.clock.now(), self.holders.links(service)
+        """Tell other instances some origins of a service's streams; return how many are told."""
+        now, links = self.clock.now(), self.holders.told_links(service)
         for part in chunked([one.as_remaining(now) for one in origins]):
             for link in links:
                 self.fleet.send_later(link, OriginAnnouncement(part))
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -89,6 +89,18 @@
             links = [fleet.links[one] for one in addresses if one in fleet.links]
         return [one for one in links if one.peer.knows_versions and fleet.is_answering(one)]
 
+    def told_links(self, service: str) -> list[Link]:
+        """Return the links to those that are told the origins of a service's streams.
+
+        While one version serves, these are the holders of this data centre. It may be cut off from
+        all others at any moment, and does not hear of a second version then.
+        """
+        links = self.links(service)
+        if service in self.history.several():
+            return links
+        here = self.fleet.membership.me.datacentre
+        return [one for one in links if one.peer.datacentre == here]
+
 
 def _weight(topic: str, datacentre: str) -> int:
     return xxhash.xxh64_intdigest(f"{topic}\0{datacentre}".encode())
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -40,8 +40,8 @@
     """Remembers which software version began each resumable stream, and finds it again.
 
     Callers may resume a stream at an instance that did not begin it. Each instance remembers the
-    streams that it runs. While several versions serve, it tells others when a stream begins; while
-    only one does, it does not need to, and does so once a second version is listed.
+    streams that it runs, and tells others when a stream begins: those of its data centre, and while
+    several versions serve those of other ones as well.
 
     Args:
         fleet: The other instances.
@@ -89,7 +89,7 @@
         is_resumed = bool(request.last_event_id and request.resumes)
         stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
         origin = StreamOrigin(stream, service, version, request.deadline(MAX_STREAM_MS))
-        if self.registry.add(origin) and len(self.history.recent(service)) > 1:
+        if self.registry.add(origin):
             self.exchange.announce(service, [origin])
             self.archive.add([origin])
 
