Streams: only one version can have begun a stream if all instances say so, or the store

Callers got streams with events of two versions from instances of a data centre that is cut off from the store and the other data centre: those asked each other, and their list of servers was old.

Cause: StreamOrigins.is_informed took any one reply for those of all, and knowledge that was complete once for complete ever since, however long the store and the others had been silent.

Now 'only one version' takes a reply of every known instance, each of which knows the versions that served before its start, or a read of the versions and of the changes of the list of servers that began after the request came. Such reads are shared by the requests of an instance, and come less often the larger the fleet is. The line stream-origin has the evidence and the number of known instances.

--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -208,6 +208,9 @@
             "servers", self.tables.servers, applier.apply_servers
         )
         self.directory_source.on_reachable = self.directory.mark_store_reachable
+        self.origins.read_servers = lambda: self.directory_source.read_changes(
+            self.directory.position
+        )
         self.member_reader = MemberReader(self.tables.instances, self.fleet, self.clock)
         self.fleet.is_store_answering = self.follows_store
         self.follower.is_feed_live = self.is_feed_live
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -26,6 +26,8 @@
 ANSWER_MS = 600.0
 # How often an instance that does not poll the store checks whether it has to start.
 CHECK_MS = 50.0
+# A call that is to return at once, with or without changes.
+NO_WAIT_MS = 1.0
 MIN_PAUSE_MS = 100.0
 MAX_PAUSE_MS = 800.0
 
@@ -100,7 +102,7 @@
         try:
             whole = self.position is None
             # An instance that has just taken over must know soon whether the store answers.
-            wait_ms = self.wait_ms if self.is_answered else 1.0
+            wait_ms = self.wait_ms if self.is_answered else NO_WAIT_MS
             page = self.source.read() if whole else self.source.changes(self.position, wait_ms)
         except HistoryLostError as error:
             log_message("history-lost", table=self.name, reason=error.detail)
@@ -113,6 +115,31 @@
         self.position = page.position if whole else max(self.position, page.position)
         self.on_page(page, whole)
 
+    def read_changes(self, after: Position) -> bool:
+        """Pass on what has changed after a position, also where this instance does not poll.
+
+        Returns:
+            Whether the store has answered.
+        """
+        try:
+            page, whole = self.changes_or_all(after)
+        except (HistoryLostError, StoreUnavailableError) as error:
+            log_message("changes-unavailable", table=self.name, reason=error.detail)
+            return False
+        self.on_page(page, whole)
+        return True
+
+    def changes_or_all(self, after: Position) -> tuple[SourcePage, bool]:
+        """Return what has changed after a position, or all rows if the store has lost that.
+
+        Returns:
+            The page, and whether it holds all rows.
+        """
+        try:
+            return self.source.changes(after, NO_WAIT_MS), False
+        except HistoryLostError:
+            return self.source.read(), True
+
     def record_failure(self, error: StoreUnavailableError) -> None:
         """Record an unanswered call, and pause before the next one."""
         self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -155,6 +155,11 @@
                 del self.dropped_at[name]
         return len(self.dropped_at)
 
+    def was_dropped_within(self, ms: float) -> bool:
+        """Return whether an instance was dropped in the last milliseconds, and is not known."""
+        oldest = self.clock.now() - ms
+        return any(at >= oldest and one not in self.known for one, at in self.dropped_at.items())
+
     def silence_ms(self, instance: Instance) -> float:
         """Return the time since an instance last sent something, in ms; infinite if never."""
         at = self.last_seen.get(instance.incarnation)
--- a/packages/core/src/mountladder/streams/originarchive.py
+++ b/packages/core/src/mountladder/streams/originarchive.py
@@ -27,6 +27,8 @@
 RETRY_MS = 1_000.0
 # How often an instance checks whether it has to write, and whether batches are past.
 CHECK_MS = 1_000.0
+# A read that began so recently serves further requests, and one that failed is not repeated.
+MAX_READ_AGE_MS = 1_000.0
 # A batch of so many takes up some 43 KB.
 MAX_BATCH = 2_000
 
@@ -114,6 +116,10 @@
         self.writing = frozenset()
         self.wake.set()
 
+    def refresh(self) -> bool:
+        """Read all origins unless that was just done; return whether the store answered."""
+        return self.shared_read.refresh(self.clock.now() - MAX_READ_AGE_MS)
+
     def read(self) -> bool:
         """Read all origins, and return whether the store answered."""
         return self.load() is not None
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -53,7 +53,7 @@
         self.history = history
         self.clock = clock
         self.numbers = itertools.count(1)
-        self.replies: dict[int, Callable[[OriginReply], None]] = {}
+        self.replies: dict[int, Callable[[OriginReply, Link], None]] = {}
         self.on_told: Callable[[Sequence[StreamOrigin]], None] = lambda origins: None
         self.fleet.subscribe(OriginAnnouncement, self.receive)
         self.fleet.subscribe(OriginQuery, self.answer)
@@ -67,20 +67,20 @@
                 self.fleet.send_later(link, OriginAnnouncement(part))
         return len(links)
 
-    def ask(self, stream: bytes, service: str) -> tuple[list[OriginReply], int]:
+    def ask(self, stream: bytes, service: str) -> tuple[dict[str, OriginReply], int]:
         """Ask the holders of a service's streams which version began a stream.
 
         Returns:
-            The replies until one knew it, all had replied or the timeout expired; and the number of
-            instances that were asked.
+            The replies until one knew it, all had replied or the timeout expired, by the peer
+            address of the instance; and the number of instances that were asked.
         """
         links = self.holders.links(service)
         number, is_done = next(self.numbers), Event()
-        replies: list[OriginReply] = []
+        replies: dict[str, OriginReply] = {}
 
-        def receive(reply: OriginReply) -> None:
+        def receive(reply: OriginReply, link: Link) -> None:
             """Store a reply, and wake the waiting request after the last one that it needs."""
-            replies.append(reply)
+            replies[link.peer.peer] = reply
             if reply.origin is not None or len(replies) == len(links):
                 is_done.set()
 
@@ -113,4 +113,4 @@
         """Pass a reply to the request that waits for it."""
         receive = self.replies.get(reply.number)
         if receive is not None:
-            receive(reply)
+            receive(reply, link)
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -20,10 +20,12 @@
         source: Where it is known from: "own", "peer", "store", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
         is_complete: Whether no other version can have begun it.
+        evidence: What tells that: "replies" of all instances, the "store", or "" if nothing does.
         may_be_found: Whether an unknown origin may be found later, since not all that may know it
             have replied.
         asked: The number of instances that were asked.
         replied: The number of those that replied.
+        known: The number of other instances that are known.
     """
 
     origin: StreamOrigin | None
@@ -33,3 +35,5 @@
     may_be_found: bool = False
     asked: int = 0
     replied: int = 0
+    known: int = 0
+    evidence: str = ""
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping
 
+import gevent
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
@@ -23,6 +24,7 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
 from mountladder.streams.streamorigin import StreamOrigin, stream_key
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionrecord import VersionRecord
@@ -34,6 +36,9 @@
 # Once a second version of a service is listed, origins are told at once, and again after links to
 # the instances that hold them have been opened.
 ANNOUNCE_AGAIN_MS = 1_000.0
+# Lengthens the time between two reads of an instance with the size of the fleet, whose instances
+# make half of the calls that the store bears at most, also if all of them look for streams.
+INTERVAL_PER_INSTANCE_MS = 2.0
 
 
 class StreamOrigins:
@@ -41,7 +46,9 @@
 
     Callers may resume a stream at an instance that did not begin it. Each instance remembers the
     streams that it runs, and tells others when a stream begins: those of its data centre, and while
-    several versions serve those of other ones as well.
+    several versions serve those of other ones as well. A stream that nobody knows continues where
+    only one version can have begun it, which takes a reply of every instance, or a read of the
+    store that began after the request came.
 
     Args:
         fleet: The other instances.
@@ -49,6 +56,11 @@
         version_store: The platform's table of the versions that serve each service.
         origin_store: The platform's table of origins.
         clock: The clock.
+
+    Attributes:
+        read_servers: Reads from the store what changed in the list of servers, and returns whether
+            it answered.
+        store_read: Reads the versions and the list for requests.
     """
 
     def __init__(
@@ -72,6 +84,8 @@
         self.archive = OriginArchive(
             origin_store, self.holders, self.registry, self.history, name, clock
         )
+        self.read_servers: Callable[[], bool] = lambda: False
+        self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
         self.exchange.on_told = self.archive.add
         for kept in (self.version_record, self.archive):
             fleet.era_tracker.listeners.append(kept.handle_restore)
@@ -135,6 +149,8 @@
             source=found.source,
             versions=sorted(found.versions),
             complete=found.is_complete,
+            evidence=found.evidence,
+            known=found.known,
             asked=found.asked,
             replied=found.replied,
             waited_ms=round(self.clock.now() - started),
@@ -147,23 +163,27 @@
         return found.origin
 
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
-        """Search for the origin of a stream here, then at other instances."""
+        """Search for the origin of a stream here, then at other instances and in the store."""
         origin = self.registry.find(stream)
         if origin is not None:
             return OriginLookup(origin, "own", self.history.recent(service), True)
+        since = self.clock.now()
         replies, asked = self.exchange.ask(stream, service)
-        counts = {"asked": asked, "replied": len(replies)}
-        for reply in replies:
+        members = self.fleet.membership.addressed()
+        counts = {"asked": asked, "replied": len(replies), "known": len(members)}
+        for reply in replies.values():
             if reply.origin is not None:
                 told = reply.origin.from_remaining(self.clock.now())
                 versions = self.known_versions(service, replies)
                 return OriginLookup(told, "peer", versions, True, **counts)
-        versions, is_complete = self.possible_versions(service, replies)
+        versions, evidence = self.possible_versions(service, replies, since)
+        is_complete = bool(evidence)
+        counts["evidence"] = evidence
         if len(versions) == 1 and is_complete:
             until = self.clock.now() + MAX_STREAM_MS
             only = StreamOrigin(stream, service, *versions, until)
             return OriginLookup(only, "only version", versions, True, **counts)
-        is_read = is_complete and self.archive.shared_read.refresh()
+        is_read = is_complete and self.archive.refresh()
         origin = self.registry.find(stream)
         if origin is not None:
             return OriginLookup(origin, "store", versions, is_complete, **counts)
@@ -171,31 +191,48 @@
         may_be_found = not (have_replied and is_read)
         return OriginLookup(None, "unknown", versions, is_complete, may_be_found, **counts)
 
-    def known_versions(self, service: str, replies: Sequence[OriginReply]) -> frozenset[str]:
+    def known_versions(self, service: str, replies: Mapping[str, OriginReply]) -> frozenset[str]:
         """Return the versions that may have begun a stream, by what is known here and told."""
-        return self.history.recent(service).union(*(one.versions for one in replies))
+        return self.history.recent(service).union(*(one.versions for one in replies.values()))
 
     def possible_versions(
-        self, service: str, replies: Sequence[OriginReply]
-    ) -> tuple[frozenset[str], bool]:
-        """Return the versions that may have begun a stream.
+        self, service: str, replies: Mapping[str, OriginReply], since: float
+    ) -> tuple[frozenset[str], str]:
+        """Return the versions that may have begun a stream before a time.
 
         Returns:
-            The known versions, and whether there are no others. A second one settles that a stream
-            has to be known, so that the others are not searched for then.
+            The known versions, and what tells that there are no others; see OriginLookup. A second
+            version settles that a stream has to be known, so that others are not searched for then.
         """
         versions = self.known_versions(service, replies)
-        if len(versions) > 1 or self.is_informed(replies):
-            return versions, True
-        is_complete = self.version_record.shared_read.refresh()
-        return self.known_versions(service, replies), is_complete
+        if len(versions) > 1:
+            return versions, "several"
+        if self.have_all_replied(replies):
+            return versions, "replies"
+        is_read = self.store_read.refresh(since)
+        return self.known_versions(service, replies), "store" if is_read else ""
+
+    def have_all_replied(self, replies: Mapping[str, OriginReply]) -> bool:
+        """Return whether all instances have replied and know which versions served earlier.
+
+        Those that have not may use a version that the others have not heard of.
+        """
+        members = self.fleet.membership
+        if not members.listed or members.was_dropped_within(MAX_STREAM_MS):
+            return False
+        know_earlier = self.history.is_complete and all(one.is_complete for one in replies.values())
+        return know_earlier and {one.peer for one in members.addressed()} <= replies.keys()
 
-    def is_informed(self, replies: Sequence[OriginReply]) -> bool:
-        """Return whether this instance and those that replied know which versions have served.
+    def read_store(self) -> bool:
+        """Read which versions have served and what changed in the list of servers.
 
-        One that is cut off from all others may not know of a version that they have used, and one
-        that has just started of those that served before.
+        Returns:
+            Whether the store has answered both calls.
         """
-        is_cut_off = not replies and bool(self.fleet.membership.addressed())
-        knows_earlier = self.history.is_complete or any(one.is_complete for one in replies)
-        return knows_earlier and not is_cut_off
+        tasks = [gevent.spawn(read) for read in (self.read_servers, self.version_record.read)]
+        gevent.joinall(tasks)
+        return all(one.value for one in tasks)
+
+    def read_interval_ms(self) -> float:
+        """Return the least time between two reads of the store, in milliseconds."""
+        return max(MIN_INTERVAL_MS, INTERVAL_PER_INSTANCE_MS * len(self.fleet.membership.known))
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -15,7 +15,6 @@
 from mountladder.errors import MountladderError
 from mountladder.forwarding.readerelection import ReaderElection
 from mountladder.streams.servedversion import ServedVersion
-from mountladder.streams.storeread import StoreRead
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionstore import VersionStore
 
@@ -42,7 +41,6 @@
 
     Attributes:
         stored: The versions that are known to be in the store; see VersionStore.
-        shared_read: Reads the versions for requests.
         is_restored: Whether the store was restored from an older copy since it was last compared.
     """
 
@@ -58,7 +56,6 @@
         self.reader_election = reader_election
         self.clock = clock
         self.stored: dict[ServedVersion, bool] = {}
-        self.shared_read = StoreRead(self.read, clock)
         self.is_restored = False
         self.wake = Event()
         history.on_change = self.wake.set
