Streams: an event whose id does not rise is not passed on

Cause: EventSplitter stored the id of the last event and compared none. A server that ignores Last-Event-Id, sends its last event again, or goes back within its answer had its events passed on: callers got them twice, in an answer that ended as complete. The same held for second attempts, for copies and for callers that resume.

Change: EventSequence reads the ids of all complete events before any of them is passed on. An event whose id is not greater than the last one makes the answer malformed (3004): another server goes on where the route allows it, else the stream is broken off. EventSplitter only splits.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from forwardbasics import PATHS, catalogue, request, save_retries, serve
 
-from mountladder.forwarding.eventsplitter import EventSplitter
+from mountladder.forwarding.eventsequence import EventSequence
 from mountladder.forwarding.streamrun import StreamRun
 from mountladder_entry.callergone import CallerGoneError
 from mountladder_standins.serverfault import ServerFault
@@ -248,7 +248,7 @@
 
 @when("{number:d} events come byte by byte")
 def byte_by_byte(context, number):
-    context.splitter = EventSplitter()
+    context.splitter = EventSequence()
     data = events(1, number) + b"id: 6\ndata: cu"
     context.forwarded = [context.splitter.feed(data[n : n + 1]) for n in range(len(data))]
 
--- a/features/steps/streamclause_steps.py
+++ b/features/steps/streamclause_steps.py
@@ -22,7 +22,7 @@
 from platform_steps import listen, make_call, make_upstream, receive_request
 
 from mountladder.errors import StageError
-from mountladder.forwarding.eventsplitter import EventSplitter
+from mountladder.forwarding.eventsequence import EventSequence
 
 FEATURES = Path(__file__).parents[1]
 NO_LINGER = b"\1\0\0\0\0\0\0\0"
@@ -168,7 +168,7 @@
 @when("they come in pieces of {size:d} bytes")
 def come_in_pieces(context, size):
     data = b"".join(context.events)
-    context.splitter, context.given = EventSplitter(), []
+    context.splitter, context.given = EventSequence(), []
     for start in range(0, len(data), size):
         context.given.append(context.splitter.feed(data[start : start + size]))
 
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -14,7 +14,7 @@
 from mountladder.continuation.continuation import SUCCESS_END, Continuation
 from mountladder.errors import MountladderError, RunError, StageError
 from mountladder.forwarding.callerteam import CallerTeam
-from mountladder.forwarding.eventsplitter import EventSplitter
+from mountladder.forwarding.eventsequence import EventSequence
 from mountladder.forwarding.forwardanswer import ForwardAnswer
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.forwardcontext import ForwardContext
@@ -52,7 +52,7 @@
         context: ForwardContext,
     ) -> None:
         super().__init__(request, route, caller, context)
-        self.splitter = EventSplitter(request.last_event_id)
+        self.splitter = EventSequence(request.last_event_id)
         self.stream_version = StreamVersion(self)
         self.continuation = Continuation(self)
         self.is_partial = bool(request.last_event_id)
@@ -110,7 +110,7 @@
         self.finish(status=answer.status)
         return ForwardAnswer(answer.status, answer.headers, body)
 
-    def open(self, splitter: EventSplitter) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+    def open(self, splitter: EventSequence) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
         """Send the request until a server has sent a complete event, or a status of 300 or above.
 
         Returns:
@@ -173,7 +173,7 @@
         holder: Holder | None,
     ) -> SecondAnswer:
         """Return the first events of a second server; see ForwardRun."""
-        splitter = EventSplitter(self.splitter.last_id)
+        splitter = EventSequence(self.splitter.last_id)
         answer = None
         try:
             limit_ms, last_id = self.remaining_ms(), splitter.last_id
@@ -220,7 +220,7 @@
             self.flow.release()
 
     def first_events(
-        self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter
+        self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSequence
     ) -> tuple[bytes, str]:
         """Return the first complete events of an answer, and the version of its server's software.
 
@@ -240,7 +240,7 @@
                 return complete, version
 
     def events(
-        self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSplitter, first: bytes
+        self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSequence, first: bytes
     ) -> Iterator[bytes]:
         """Yield the events of a stream, resuming it at other servers where that is allowed.
 
@@ -283,7 +283,7 @@
         self,
         attempt: ForwardAttempt,
         answer: UpstreamAnswer,
-        splitter: EventSplitter,
+        splitter: EventSequence,
         pace: EventPace,
     ) -> Iterator[bytes]:
         """Yield the remaining events of one server's answer.
@@ -355,11 +355,11 @@
             return self.flow.inputs()
         return super().run_stages()
 
-    def split(self, splitter: EventSplitter, data: bytes) -> bytes:
+    def split(self, splitter: EventSequence, data: bytes) -> bytes:
         """Return the events that the data completes.
 
         Raises:
-            StageError: An event is too long.
+            StageError: An event is too long, or its id does not rise.
         """
         try:
             complete = splitter.feed(data)
