Streams: no other server goes on behind an event that has no number

Cause: a broken stream was resumed at the last id, also where events without an id had been passed on after it, or the id had no order. These events came twice, or the whole stream did where none had an id. The same held for second attempts and for copies.

Change: EventSequence.is_named says whether the last id stands for all that was passed on. If it does not, the stream is neither resumed nor continued nor sent to a second server, and is broken off when it breaks. Comments and fields beside the data may come twice and do not count.

--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -230,6 +230,8 @@
             # A copy is sent with the events. Without one the request might run a second time, and
             # one that crashes its server as it begins would crash the other one too.
             return "it has sent no event"
+        if not run.is_joinable:
+            return "its last event has no number"
         if self.used:
             return "it was continued before"
         if not self.streams.enabled():
--- a/packages/core/src/mountladder/forwarding/eventsequence.py
+++ b/packages/core/src/mountladder/forwarding/eventsequence.py
@@ -23,6 +23,8 @@
     Attributes:
         last_id: The id of the last complete event that has one, or an empty string.
         number: The greatest id that is a decimal number, or -1. Other ids have no order.
+        is_named: Whether that id, a number, stands for all events so far, so that another server
+            can go on behind them.
         events: The number of complete events so far.
     """
 
@@ -30,6 +32,7 @@
         super().__init__()
         self.last_id = last_id
         self.number = _read_number(last_id)
+        self.is_named = True
         self.events = 0
 
     def accept(self, complete: bytes) -> None:
@@ -39,16 +42,19 @@
             ValueError: An id does not follow the one before; nothing is stored.
         """
         last_id, number, events = self.last_id, self.number, 0
+        is_named = self.is_named
         for event in complete.split(EVENT_END)[:-1]:
             events += 1
             id_ = _read_id(event)
             if not id_:
+                # Comments, and fields beside the data, may come twice.
+                is_named = is_named and not _has_data(event)
                 continue
             value = _read_number(id_)
             if id_ == last_id or 0 <= value <= number:
                 raise ValueError(f"event {id_[:MAX_DIGITS]} comes after event {last_id}")
-            last_id, number = id_, max(number, value)
-        self.last_id, self.number = last_id, number
+            last_id, number, is_named = id_, max(number, value), value >= 0
+        self.last_id, self.number, self.is_named = last_id, number, is_named
         self.events += events
 
 
@@ -60,6 +66,11 @@
     return ""
 
 
+def _has_data(event: bytes) -> bool:
+    """Return whether an event has data, which its caller gets."""
+    return any(line.startswith(b"data") for line in event.split(b"\n"))
+
+
 def _read_number(id_: str) -> int:
     """Return the number that an id is, or -1."""
     return int(id_) if id_.isdecimal() and len(id_) <= MAX_DIGITS else -1
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -131,6 +131,11 @@
         """Return the software version that the server must run, or None if any will do."""
         return None
 
+    @property
+    def is_joinable(self) -> bool:
+        """Return whether another server can go on behind what was passed on to the caller."""
+        return True
+
     @property
     def has_begun(self) -> bool:
         """Return whether the server of the attempt in progress has begun to answer."""
--- a/packages/core/src/mountladder/forwarding/retryrules.py
+++ b/packages/core/src/mountladder/forwarding/retryrules.py
@@ -35,11 +35,14 @@
 def no_retry_error(run: ForwardRun, error: StageError) -> MountladderError | None:
     """Return the error for the caller if a failed request is not retried, or None if it is.
 
-    A stream that may have run is not run again unless its route allows it. Its run may still go on
+    A stream that may have run is not run again unless its route allows it, and the last event that
+    was passed on has a number, behind which another server can go on. Its run may still go on
     from a copy, which is no retry; see mountladder.continuation.
     """
     if error.dispatched and not run.route.repeatable:
         return unknown_outcome(error)
+    if not run.is_joinable:
+        return RunError(error.detail, Code.STREAM_CUT)
     if run.remaining_ms() < MIN_REMAINING_MS:
         return caller_error(run, RunError("not enough time left for a retry", Code.DEADLINE_PASSED))
     if run.context.relay.can_take_over(run):
@@ -65,6 +68,8 @@
     """
     if run.remaining_ms() < MIN_REMAINING_MS:
         return "there is not enough time left"
+    if not run.is_joinable:
+        return "its last event has no number"
     if is_exhausted(run, run.possible_runs + in_progress):
         return "no further attempt is allowed"
     if not run.context.picker.has_server(run.service, run.version, run.excluded | asked):
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -67,6 +67,11 @@
         """Return the software version that the server must run; see ForwardRun."""
         return self.stream_version.required
 
+    @property
+    def is_joinable(self) -> bool:
+        """Return whether the last event stands for all that were passed on; see ForwardRun."""
+        return self.splitter.is_named
+
     def answer(self) -> ForwardAnswer:
         """Return the answer once its first event has arrived; see ForwardRun."""
         try:
