Servers: an answer that ends within a line is not whole

Cause: http.client takes the line that is there when a connection ends for a whole one. A chunk size that is cut behind a leading zero was read as the last chunk, so that a broken stream ended as complete.

Change: WholeLineReader raises where a connection ends within a line: of the head, of a chunk size or of a trailer.

Measured: 2 rows of features/streamclauses.feature failed before and pass now; http, platform and endlessanswers pass, the last one but for one failure in one of five plays beside others, at a load of 7.5, not seen again and not traced.

--- a/packages/entry/src/mountladder_entry/limitedhttpconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedhttpconnection.py
@@ -14,6 +14,7 @@
 from mountladder.clocks.systemclock import SystemClock
 from mountladder_entry.boundedreader import BoundedReader
 from mountladder_entry.readlimits import ReadLimits
+from mountladder_entry.wholelinereader import WholeLineReader
 
 # The response class of the HTTP library below urllib3.
 HTTPResponse = HTTPConnection.response_class
@@ -37,4 +38,4 @@
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a reader of an answer that keeps to the limits; see socket.makefile."""
-        return io.BufferedReader(BoundedReader(self.sock, self.limits))
+        return WholeLineReader(BoundedReader(self.sock, self.limits))
