--- /dev/null
+++ b/features/silentpeers.feature
@@ -0,0 +1,106 @@
+Feature: Decisions of instances that others do not answer
+  # An instance may be paused, killed or cut off, the store may be away for some machines or for some
+  # tables, and what was last heard of them may be old. Each scenario is about one decision, which
+  # must not take those that answer for all there are, nor the last news for the present state.
+
+  @forwarding
+  Scenario: A data centre that stays cut off stays out of use
+    # The failure: instances forgot when they had last heard of a data centre, took that for no
+    # silence, and sent requests there although it was still cut off.
+    Given a forwarding fleet of instances a-1, a-2, b-1, b-2, c-1, c-2
+    And servers desk-1, desk-2 of service desk and llm-1, llm-2 of service llm
+    And 5 stage servers of service enc in each of data centres a, b, c
+    And data centre a is cut off from the others
+    When 60000 ms go by
+    Then instances of data centre a use servers of data centre a only
+    And instances of data centre b use no servers of data centre a
+    When data centre a can be reached again
+    And 3500 ms go by
+    Then every instance uses servers of every data centre
+
+  @forwarding
+  Scenario: An instance that cannot read the list of instances spends no whole limit of a server
+    # The failure: half of none are none, so that an instance that knew no others was certain to be
+    # the coordinator, and spent as much as the coordinator of all others.
+    Given a fleet of 8 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    And the platform's list of instances cannot be read
+    When instance a-new starts with no seed
+    Then a-new serves, knows no others and may spend less than a tenth of a common limit
+
+  @forwarding
+  Scenario Outline: Coordinators <end> one after the other while servers are cold
+    # The failure: each new coordinator counted only what it had sent itself, so that a cold server
+    # got within one second what it takes in three.
+    Given a fleet of 6 instances in data centres a, b, c whose cold servers take 6 requests a second
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    When all llm servers restart cold, and 3 placement coordinators <end> every 300 ms while 120 stream requests a second come for 2500 ms
+    Then no cold server got more than 14 requests within a second
+
+    Examples:
+      | end                |
+      | crash              |
+      | leave              |
+      | stop being reached |
+
+  @forwarding
+  Scenario: The reserve of retries is not spent by too few while the fleet grows
+    # The failure: instances that were cut off divided the reserve by the instances that they knew,
+    # and those that had started since divided it by all.
+    Given all instances share a reserve of 100 retries
+    And a fleet of 6 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    And arrivals at servers are recorded
+    And all servers refuse half of all requests
+    And data centres b, c are cut off from data centre a and the store, and 12 more instances start in a
+    When 60 safe requests a second come for 26000 ms while nothing else happens
+    Then no service gets more than 0.2 retries for each request and 100 more in any 10000 ms
+
+  @forwarding
+  Scenario: Presumed crashes are not decided by an old list of servers
+    # The failure: while the list of servers could not be read, servers that had crashed counted as
+    # alive, and the suspicion of the request that had crashed them was deleted.
+    Given a forwarding fleet of instances a-1, a-2, b-1
+    And model servers llm-1 to llm-8, which restart under new ids 3000 ms after a crash
+    And plain servers desk-1 to desk-4, which restart likewise
+    And the table of bars holds 2 presumed crashes of a plain request on listed servers
+    When all instances are killed and restart
+    And the list of servers cannot be read for 7000 ms, in which both servers are unlisted
+    And 4000 ms go by
+    Then the table of bars holds 2 confirmed crashes
+
+  @forwarding
+  Scenario Outline: Fragile <service> servers are not overfilled when <what>
+    # The failure: a coordinator takes the servers for empty of what others have sent there.
+    Given a fleet of 8 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    And the <service> servers can reject 3 requests a second, take 1000 ms and have room for 12 requests
+    When 64 <kind> requests a second come for 14000 ms, and after 5000 ms <what>
+    Then the <service> servers crashed at most 2 times after 3000 ms
+
+    Examples:
+      | service | kind   | what                                        |
+      | llm     | stream | three instances are cut off from the others |
+      | llm     | stream | the service's coordinator crashes           |
+      | llm     | stream | a data centre is cut off from the others    |
+      | desk    | safe   | the service's coordinator crashes           |
+      | desk    | safe   | a data centre is cut off from the others    |
+
+  @forwarding
+  Scenario: The last report of a coordinator that has crashed refuses no requests
+    # The failure: requests are refused by a long wait that a coordinator announced before its end.
+    Given a fleet of 6 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    And the coordinator of enc announces a wait of 6000 ms and crashes
+    When 2500 ms go by
+    Then a staged request to each instance is answered
+
+  Scenario: Engines that load a model and do not answer count as loading
+    # The failure: only engines that answered were counted, so that further ones loaded as well, all
+    # from the same weight store.
+    Given 4 engines of data centre a that serve model old-model
+    And the configuration asks for 4 replicas of new-model and 4 of old-model
+    When reconcilers one run for 1000 ms
+    And the engines that load do not answer any more
+    And reconcilers one run for 4000 ms
+    Then at most 2 downloads ran at once
--- /dev/null
+++ b/features/steps/silentpeers_steps.py
@@ -0,0 +1,159 @@
+# silentpeers_steps.py -- Steps about decisions of instances that others do not answer
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps about decisions of instances that others do not answer."""
+
+from unittest.mock import patch
+
+import gevent
+from behave import given, then, when
+from coldserver_steps import turn_cold
+from fleetevents import EVENTS
+from forwardbasics import PATHS, find_coordinator, request, send_steadily, serve
+from noticerecorder import send
+from quarantine_steps import model_names
+
+from mountladder.errors import StoreUnavailableError
+from mountladder.forwarding.backlog import PRIORITY_CLASSES, Backlog
+from mountladder.forwarding.ranking import prompts_topic
+from mountladder_standins import forwardfleet
+
+ALONE_MS = 2_500.0
+LISTED_MS = 300.0
+GROWN_MS = 2_000.0
+# After this time entries of crashed servers lapse.
+LAPSE_MS = 3_600.0
+
+
+@when("instance {name} starts with no seed")
+def starts_without_seed(context, name):
+    context.fleet.instance_list.announce = context.fleet.instance_list.instances
+    context.fleet.start(name).fleet.seeds = ()
+    context.run(context.clock.sleep, ALONE_MS)
+
+
+@then("{name} serves, knows no others and may spend less than a tenth of a common limit")
+def spends_little(context, name):
+    one = context.fleet.instances[name]
+    assert one.directory.ready and not one.membership.known, one.membership.known
+    for service in ("desk", "llm"):
+        fraction = one.cold.leadership.fraction(prompts_topic(service))
+        assert fraction < 0.1, fraction
+
+
+def crash(context, one):
+    context.fleet.instances.pop(one.settings.name).close()
+
+
+def leave(context, one):
+    one.leave()
+
+
+def lose_links(context, one):
+    name = one.settings.name
+    context.fleet.network.cut_instances |= {
+        frozenset({name, other}) for other in context.fleet.instances if other != name
+    }
+
+
+ENDS = {"crash": crash, "leave": leave, "stop being reached": lose_links}
+
+
+@when(
+    "all llm servers restart cold, and {number:d} placement coordinators {end} every {every:d} ms "
+    "while {per_s:d} stream requests a second come for {ms:d} ms"
+)
+def coordinators_end(context, number, end, every, per_s, ms):
+    turn_cold(context, [name for name in context.servers if name.startswith("llm-")])
+    context.run(context.clock.sleep, LISTED_MS)
+
+    def end_all():
+        names = ranked_names(context)[:number]
+        for name in names:
+            context.clock.sleep(float(every))
+            ENDS[end](context, context.fleet.instances[name])
+
+    context.clock.call_later(0.0, lambda: gevent.spawn(end_all))
+    send_steadily(context, per_s, "stream", ms)
+
+
+def ranked_names(context):
+    """Return the names of the instances by their rank for the prompts of llm."""
+    one = next(iter(context.fleet.instances.values()))
+    return [other.name for other in one.fleet.coordinators.ranked(prompts_topic("llm"))]
+
+
+@given("all instances share a reserve of {number:d} retries")
+def reserve(context, number):
+    context.stack.enter_context(patch.object(forwardfleet, "RETRY_RESERVE", float(number)))
+
+
+@given(
+    "data centres b, c are cut off from data centre a and the store, and {number:d} more instances "
+    "start in a"
+)
+def fleet_grows(context, number):
+    fleet = context.fleet
+    fleet.network.cut_datacentres |= {frozenset("ab"), frozenset("ac")}
+    for one in fleet.instances.values():
+        if one.settings.datacentre != "a":
+            one.member_reader.instances = UnreachableList()
+    for n in range(number):
+        fleet.start(f"a-late-{n}")
+    context.run(context.clock.sleep, GROWN_MS)
+
+
+class UnreachableList:
+    """A list of instances that cannot be read."""
+
+    def instances(self):
+        raise StoreUnavailableError("down")
+
+    announce = instances
+
+
+@when("the list of servers cannot be read for {ms:d} ms, in which both servers are unlisted")
+def list_away(context, ms):
+    source = context.fleet.servers
+    names = model_names(context)[:2]
+    source.down = True
+    context.run(context.clock.sleep, LAPSE_MS)
+    for name in names:
+        source.put(name, None)
+    context.run(context.clock.sleep, ms - LAPSE_MS)
+    source.down = False
+
+
+@when("{rate:d} {kind:w} requests a second come for {ms:d} ms, and after {after:d} ms {what}")
+def come_and_lose(context, rate, kind, ms, after, what):
+    context.topic = prompts_topic("llm" if kind == "stream" else "desk")
+    context.began_at = context.clock.now()
+    context.clock.call_later(float(after), lambda: gevent.spawn(EVENTS[what], context))
+    send(context, rate, kind, float(ms))
+
+
+@given("the coordinator of {service:w} announces a wait of {wait_ms:d} ms and crashes")
+def announces_and_crashes(context, service, wait_ms):
+    coordinator = find_coordinator(context, service)
+    waits = (float(wait_ms),) * len(PRIORITY_CLASSES)
+    for one in context.fleet.instances.values():
+        if one is not coordinator:
+            one.dispatch.backlogs.record(Backlog(service, waits, ()), one.settings.datacentre)
+    crash(context, coordinator)
+
+
+@then("a staged request to each instance is answered")
+def staged_answered(context):
+    for name in list(context.fleet.instances):
+        sent = request(f"{name}/staged", PATHS["staged"], context.clock.now())
+        context.run(serve, context, name, sent)
+        assert context.ends[sent.id][0] == 200 and not context.ends[sent.id][2], context.ends
+
+
+@when("the engines that load do not answer any more")
+def loading_silent(context):
+    loading = {name for name, one in context.loaders.items() if one.loading}
+    assert len(loading) == 2, loading
+    for one in context.reconcilers.values():
+        one.engines.down |= loading
