Partitions: a data centre that stays cut off stays out of use

Cause: after 30 heartbeats, from 7.5 s on, it is forgotten when an instance was last heard of, and a data centre of which nothing was heard counted as not silent. Its servers were used again while it was still cut off.

--- a/packages/core/src/mountladder/forwarding/partitiondetector.py
+++ b/packages/core/src/mountladder/forwarding/partitiondetector.py
@@ -60,11 +60,15 @@
         return True
 
     def silence_ms(self, datacentre: str) -> float:
-        """Return the time since an instance of a data centre sent something; 0 if never."""
+        """Return the time since an instance of a data centre sent something; 0 if never.
+
+        When an instance was last heard of is forgotten after a while, so that the silence of a data
+        centre that was found unreachable is infinite then.
+        """
         there = (one for one in self.membership.known.values() if one.datacentre == datacentre)
         silences = [self.membership.silence_ms(one) for one in there]
         measured = [one for one in silences if one != float("inf")]
-        return min(measured, default=0.0)
+        return min(measured, default=float("inf") if datacentre in self.silent else 0.0)
 
     def record_report(self, name: str, datacentres: Iterable[str]) -> None:
         """Record which data centres another instance of this data centre found unreachable."""
