Leadership: an instance that knows no others does not lead

Cause: an instance leads if half of those it keeps links to answer. One that cannot read the list of instances, while it reads the servers and the catalogue, has no links, so that it led, and spent the whole of each common limit beside the coordinator.

--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -27,7 +27,8 @@
 
     Restricts an action to at most a few instances without consensus. An instance leads only if it
     is among the highest ranked, has had the time to discover the others, and reaches at least half
-    of those it keeps links to. One that is partitioned off, or has just started, does not lead.
+    of those it keeps links to. One that is partitioned off, or has just started, or knows no others
+    because it could not read their list, does not lead.
 
     Args:
         fleet: The other instances.
@@ -68,8 +69,11 @@
 
     def reaches_most(self, topic: str) -> bool:
         """Return whether this instance is a topic's coordinator and reaches most others."""
+        members = self.fleet.membership
+        if not (members.listed or members.known):
+            return False
         candidates = self.fleet.coordinators.ranked(topic)[:COORDINATORS_PER_TOPIC]
-        if self.fleet.membership.me not in candidates or self.fleet.coordinator(topic) is not None:
+        if members.me not in candidates or self.fleet.coordinator(topic) is not None:
             return False
         return 2 * self.count_answering() >= len(self.fleet.dialers)
 
