Silent peers: limits while several coordinators end in turn

Change: a scenario about the rate limits that servers announce, while four coordinators crash, leave or stop being reached within two seconds.

--- a/features/silentpeers.feature
+++ b/features/silentpeers.feature
@@ -43,6 +43,20 @@
       | leave              |
       | stop being reached |
 
+  @forwarding
+  Scenario Outline: Coordinators <end> one after the other while servers limit their rate
+    # The failure: each new coordinator begins with a full token bucket, whatever was sent before.
+    Given a fleet of 8 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    When all llm servers announce a limit of 1 a second, and 4 placement coordinators <end> every 500 ms while 60 stream requests a second come for 9000 ms
+    Then no server got more than its limit allows
+
+    Examples:
+      | end                |
+      | crash              |
+      | leave              |
+      | stop being reached |
+
   @forwarding
   Scenario: The reserve of retries is not spent by too few while the fleet grows
     # The failure: instances that were cut off divided the reserve by the instances that they knew,
--- a/features/steps/silentpeers_steps.py
+++ b/features/steps/silentpeers_steps.py
@@ -9,10 +9,12 @@
 import gevent
 from behave import given, then, when
 from coldserver_steps import turn_cold
-from fleetevents import EVENTS
+from fleetevents import EVENT_MS, EVENTS
 from forwardbasics import PATHS, find_coordinator, request, send_steadily, serve
 from noticerecorder import send
 from quarantine_steps import model_names
+from serverlimit_steps import announce_limit, of_service
+from serverlimit_steps import send as send_limited
 
 from mountladder.errors import StoreUnavailableError
 from mountladder.forwarding.backlog import PRIORITY_CLASSES, Backlog
@@ -67,15 +69,30 @@
 def coordinators_end(context, number, end, every, per_s, ms):
     turn_cold(context, [name for name in context.servers if name.startswith("llm-")])
     context.run(context.clock.sleep, LISTED_MS)
+    end_in_turn(context, 0.0, number, end, float(every))
+    send_steadily(context, per_s, "stream", ms)
+
+
+@when(
+    "all llm servers announce a limit of {limit:d} a second, and {number:d} placement coordinators "
+    "{end} every {every:d} ms while {per_s:d} stream requests a second come for {ms:d} ms"
+)
+def limited_coordinators_end(context, limit, number, end, every, per_s, ms):
+    for name in of_service(context, "llm"):
+        announce_limit(context, name, float(limit))
+    end_in_turn(context, EVENT_MS, number, end, float(every))
+    send_limited(context, per_s, "stream", ms)
+
+
+def end_in_turn(context, after_ms, number, end, every_ms):
+    """Have the coordinators of the prompts of llm end, one after the other."""
 
     def end_all():
-        names = ranked_names(context)[:number]
-        for name in names:
-            context.clock.sleep(float(every))
+        for name in ranked_names(context)[:number]:
+            context.clock.sleep(every_ms)
             ENDS[end](context, context.fleet.instances[name])
 
-    context.clock.call_later(0.0, lambda: gevent.spawn(end_all))
-    send_steadily(context, per_s, "stream", ms)
+    context.clock.call_later(after_ms, lambda: gevent.spawn(end_all))
 
 
 def ranked_names(context):
