Leadership: a coordinator that takes over leads after a second

Cause: the limit of a cold server is kept by the coordinator's own count of what was sent in the last second. A successor does not know what the one before it has sent. Where three coordinators leave within a second, a cold server got 24 requests in a second at a rate of 6; 14 are allowed.

Change: each instance notes every 200 ms which topics others coordinate, and leads a topic only once no other has coordinated it for 1.2 s. An instance that is the only candidate from its start on waits no longer than before.

Measured: the scenario of features/silentpeers.feature failed before (24) and passes now; features/coldservers.feature, serverlimits.feature and fragileservers.feature pass (103 scenarios).

--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -62,6 +62,7 @@
             self.keep_checking_reachability,
             self.speed_exchange.run,
             self.handover.run,
+            self.cold.leadership.run,
             self.demand.run,
             self.isolation.run,
             self.fleet.run,
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -17,6 +17,11 @@
 # servers are cold. A silent link is detected after three heartbeats, at least 750 ms, so little is
 # lost.
 CACHE_MS = 50.0
+# How often it is checked which topics another instance coordinates.
+WATCH_MS = 200.0
+# An instance that takes over does not know what the former coordinator has sent, and waits until
+# that is more than a second ago.
+TAKEOVER_MS = 1_000.0 + WATCH_MS
 # The fraction of a common limit that all instances together may spend which cannot leave it to a
 # certain coordinator. Servers tolerate half as much again over their limit.
 ALONE_FRACTION = 0.4
@@ -28,19 +33,33 @@
     Restricts an action to at most a few instances without consensus. An instance leads only if it
     is among the highest ranked, has had the time to discover the others, and reaches at least half
     of those it keeps links to. One that is partitioned off, or has just started, or knows no others
-    because it could not read their list, does not lead.
+    because it could not read their list, does not lead. One that takes over leads after a
+    second.
 
     Args:
         fleet: The other instances.
         clock: The clock.
+
+    Attributes:
+        followed_at: When another instance was last seen to coordinate a topic, by topic.
     """
 
     def __init__(self, fleet: Fleet, clock: Clock) -> None:
         self.fleet = fleet
         self.clock = clock
         self.started = clock.now()
+        self.followed_at: dict[str, float] = {}
         self.cache: dict[str, tuple[float, bool]] = {}
 
+    def run(self) -> None:
+        """Watch which topics other instances coordinate, forever."""
+        while True:
+            self.clock.sleep(WATCH_MS)
+            now = self.clock.now()
+            for topic in list(self.fleet.coordinators.topics):
+                if self.fleet.coordinator(topic) is not None:
+                    self.followed_at[topic] = now
+
     def leads(self, topic: str) -> bool:
         """Return whether this instance is certain to coordinate a topic."""
         now = self.clock.now()
@@ -48,7 +67,8 @@
             return False
         until, answer = self.cache.get(topic, (now, False))
         if until <= now:
-            answer = self.reaches_most(topic)
+            took_over = now < self.followed_at.get(topic, float("-inf")) + TAKEOVER_MS
+            answer = self.reaches_most(topic) and not took_over
             self.cache[topic] = (now + CACHE_MS, answer)
         return answer
 
