Quarantine: presumed crashes wait for a current list of servers

Cause: after a loss of all instances, rows of presumed crashes are decided by the list of servers: one that is still listed after 5 s counts as alive. The list was used however long it could not be read. Where the table of servers is away and that of bars is not, crashed servers counted as alive, and the row was deleted.

Change: nothing is decided while this instance does not read the list and no peer that follows the store is heard of.

Measured: the scenario of features/silentpeers.feature failed before (no row) and passes now (two confirmed crashes); features/quarantine.feature passes.

--- a/packages/core/src/mountladder/forwarding/directorylisting.py
+++ b/packages/core/src/mountladder/forwarding/directorylisting.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.serverrecord import ID_LABEL, SERVICE_LABEL, ServerRecord
@@ -17,10 +19,14 @@
 
     Args:
         directory: The list of backend servers.
+
+    Attributes:
+        is_current: Returns whether changes of the list reach this instance at present.
     """
 
     def __init__(self, directory: Directory) -> None:
         self.directory = directory
+        self.is_current: Callable[[], bool] = lambda: True
 
     def record(self, server: BackendServer) -> ServerRecord | None:
         """Return the newest entry under a server's id, or None."""
@@ -38,8 +44,10 @@
 
     def incarnations(self) -> frozenset[str] | None:
         """Return the listed names, or None while the list may lack servers; see ServerListing."""
+        if not self.directory.ready or not self.is_current():
+            return None
         # After an outage of the store, live servers write their entries again.
-        if not self.directory.ready or self.directory.reappear_ms() > 0.0:
+        if self.directory.reappear_ms() > 0.0:
             return None
         return self.directory.names()
 
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -229,6 +229,7 @@
     def build_quarantine(self, upstream: Upstream) -> None:
         """Create and connect the components that track which requests crash servers."""
         clock, listing = self.clock, DirectoryListing(self.directory)
+        listing.is_current = self.is_list_current
         self.quarantine = QuarantineService(
             upstream.refuses,
             listing,
@@ -357,6 +358,11 @@
         reachable = not known or any(self.fleet.is_alive(one) for one in known)
         return reachable and (self.follows_store() or self.fleet.reader_election.has_live_reader())
 
+    def is_list_current(self) -> bool:
+        """Return whether this instance reads the list of servers, or a peer follows the store."""
+        has_reader = self.fleet.reader_election.has_live_reader()
+        return self.directory_source.is_answered or has_reader
+
     def follows_store(self) -> bool:
         """Return whether this instance follows the store and the store answers."""
         return self.catalogue_source.is_answered and self.directory_source.is_answered
