--- a/packages/core/src/mountladder/forwarding/stagebacklogs.py
+++ b/packages/core/src/mountladder/forwarding/stagebacklogs.py
@@ -12,9 +12,13 @@
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.backlog import Backlog, priority_class
 from mountladder.forwarding.batcher import Batcher
+from mountladder.forwarding.coordinators import COORDINATOR_HEARTBEAT_MS
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.lending import Lending
 
+# A report expires after this time: four heartbeats to a coordinator.
+REPORT_TTL_MS = 4 * COORDINATOR_HEARTBEAT_MS
+
 
 class StageBacklogs:
     """Reports the expected waits of new pieces at the coordinator of each service.
@@ -77,12 +81,14 @@
     ) -> float:
         """Return how long new pieces of a service are expected to wait, in milliseconds.
 
-        A wait that another instance reported is reduced by the time since the report.
+        A wait that another instance reported is reduced by the time since the report. A report
+        that was not renewed is of an instance that is not the coordinator any more.
         """
         priority = priority_class(urgency, gives_way, attempt)
         if self.fleet.coordinator(service) is None:
             return self.local_backlog(service).waits_ms[priority]
         backlog, reported_at = self.reported.get(service, (None, 0.0))
-        if backlog is None:
+        age_ms = self.clock.now() - reported_at
+        if backlog is None or age_ms > REPORT_TTL_MS:
             return 0.0
-        return max(0.0, backlog.waits_ms[priority] - (self.clock.now() - reported_at))
+        return max(0.0, backlog.waits_ms[priority] - age_ms)
