--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -78,6 +78,9 @@
         reported_cold_ms: How much longer servers are cold by their health checks, in milliseconds,
             by name; servers that are missing do not answer.
         health_checks: The names of the servers that were asked for their health, in order.
+        started_at: When servers started by their reports, in milliseconds since 1970, by address;
+            servers that are missing do not answer.
+        start_checks: The addresses of the servers that were asked when they started, in order.
         copies: The copies of requests' caches, as the address of their server and the request's id.
         without_copies: The names of servers that have no room for copies.
         freed_copies: The copies that were freed by request, in order.
@@ -111,6 +114,8 @@
         self.backoff_ms: dict[str, float] = {}
         self.reported_cold_ms: dict[str, float] = {}
         self.health_checks: list[str] = []
+        self.started_at: dict[str, int] = {}
+        self.start_checks: list[str] = []
         self.copies: set[tuple[str, str]] = set()
         self.without_copies: set[str] = set()
         self.freed_copies: list[tuple[str, str]] = []
