Streams: servers are asked when they started while the list of servers may be old

A server that crashes may start again at its address at another software version. An instance that reaches neither the store nor a peer that does kept the entry of before: it continued streams of one version there, within an answer, from a copy or for a caller, and recorded a stream that began there with the wrong version.

An instance now tracks when its list was last known to be current: when the store answered it, or a peer that the store answers announced no newer entry. If that was more than 1.5 s ago, the report of a server is read before the first event of a stream that may continue is passed on, before a stream is continued at a server, and before one is continued from its copy. All requests share one report a server and second. A server whose start is not the one in its entry, or is not known, continues no stream; a stream that it begins is recorded with a version that no server has, so that no instance continues it. Servers that are known to have started again are not chosen to continue one. An entry without a start cannot be checked, and is used as before. While the list is current, nothing is asked.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -58,6 +58,26 @@
       | failing          | None    |
       | closed           | None    |
 
+  # Guards against a start that is read from something else than a server's own report.
+  Scenario Outline: When a server started by its report
+    Given a backend server that answers "<answer>"
+    When it is asked when it started
+    Then it started at <start>
+
+    Examples:
+      | answer                            | start         |
+      | a report with start 1700000000123 | 1700000000123 |
+      | a report without a start          | None          |
+      | a report with start true          | None          |
+      | a report with start 0             | None          |
+      | a report with start 1.5           | None          |
+      | a report that is a list           | None          |
+      | a report that is not JSON         | None          |
+      | a report with status 503          | None          |
+      | replaced                          | None          |
+      | silence                           | None          |
+      | closed                            | None          |
+
   Scenario Outline: Which connections are reused
     Given a backend server that answers "<answer>"
     When requests r1 and r2 are sent to it
--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -93,3 +93,81 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     When the caller resumes stream r at a-1
     Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
+
+  Scenario: No instance reaches the store, and no server has started again
+    Given the store is away
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at b-1
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
+
+  Scenario: No instance reaches the store, and a server has started again
+    Given the store is away
+    And server llm-1 starts again at version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
+
+  # Servers of some deployments tell no start, so that nothing shows whether they have started again.
+  Scenario: The entries of servers have no start
+    Given the entries of all servers have no start
+    And a-1 is cut off from the store and its peers
+    And server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And server llm-1 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+    And servers were asked 0 times when they started
+
+  # Guards against streams that continue since a server did not say when it started, and against new
+  # streams that are lost for it.
+  Scenario Outline: A server does not say when it started
+    Given a-1 is cut off from the store and its peers
+    And server <name> does not say when it started
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And server llm-1@5 <fault>
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to <last>, and ran on llm-1@5
+
+    Examples:
+      | name  | fault                             | last |
+      | llm-1 | is sound                          | 6    |
+      | llm-1 | breaks off within the third event | 2    |
+      | llm-3 | breaks off within the third event | 2    |
+
+  # Guards against a list that stays old after the cut.
+  Scenario: An instance that was cut off uses a server that has started again for its new version
+    Given a-1 is cut off from the store and its peers
+    And server llm-1 starts again at version v2
+    And a-1 is in touch again
+    And server llm-1@9 runs the next stream, and llm-3@5 has the least to do after it
+    And server llm-1@9 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1@9, llm-2@5
+    And servers were asked 0 times when they started
+
+  # Guards against questions to servers, each of which has its price.
+  Scenario: Many streams share one question a server and second
+    Given a-1 is cut off from the store and its peers
+    When 40 streams are sent to a-1 within 4 s
+    Then all have 6 events
+    And servers were asked at most 15 times when they started, and each at most once a second
+
+  Scenario Outline: Nothing is asked while instances are in touch
+    Given <number> more instances in data centres a, b, c
+    And <event>
+    When 60 streams are sent to <name> within 3 s
+    Then all have 6 events
+    And servers were asked 0 times when they started
+
+    Examples:
+      | number | event                                       | name |
+      | 0      | no entry changes                            | a-1  |
+      | 0      | no entry changes                            | b-1  |
+      | 0      | the reader of the store ends | last |
+      | 0      | b-1 is cut off from the store               | b-1  |
+      | 0      | the entries of servers change all the time  | a-1  |
+      | 0      | the entries of servers change all the time  | last |
+      | 0      | a-2 is killed and starts again              | a-2  |
+      | 21     | no entry changes                            | c-3  |
+      | 21     | the entries of servers change all the time  | c-3  |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -192,6 +192,16 @@
     assert str(context.cold_ms) == cold_ms, context.cold_ms
 
 
+@when("it is asked when it started")
+def ask_start(context):
+    context.start = context.upstream.started_at(context.server, TIMEOUT_MS)
+
+
+@then("it started at {start}")
+def started_at(context, start):
+    assert str(context.start) == start, context.start
+
+
 @then("its rate limit notices are {notices}")
 def limit_notices(context, notices):
     named = {"none": [], "unlimited": [UNLIMITED]}
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -4,15 +4,21 @@
 
 """Steps about servers that start again while an instance has an old list."""
 
-from behave import given
+from itertools import pairwise
+
+import gevent
+from behave import given, then, when
 from forward_steps import SETTLE_MS
-from forwardbasics import save_retries
-from streamversion_steps import configure, set_load
+from forwardbasics import SECOND_MS, save_retries, serve
+from streamversion_steps import CUT_OFF_MS, configure, set_load, stream
+
+from mountladder.forwarding.memorysource import MemorySource
 
 FIRST_START = 5
 LATER_START = 9
 # By then an instance has heard from its peers and the store again.
 IN_TOUCH_MS = 3_000.0
+CHANGE_MS = 7.0
 
 
 @given("instances {names} and model servers of two versions that started at {born:d}")
@@ -31,7 +37,7 @@
 
 def add_server(context, id_, datacentre, version, born):
     context.versions[f"{id_}@{born}"] = version
-    context.fleet.upstream.started_at[id_] = born
+    context.fleet.upstream.started_at_ms[id_] = born
     context.fleet.add_server(id_, "llm", datacentre, born=born, version=version)
 
 
@@ -44,7 +50,7 @@
 @given("server {id_} starts again at version {version}")
 def starts_again(context, id_, version):
     upstream = context.fleet.upstream
-    upstream.started_at[id_] = LATER_START
+    upstream.started_at_ms[id_] = LATER_START
     before = f"{id_}@{FIRST_START}"
     if before in upstream.crashed:
         upstream.crashed.remove(before)
@@ -71,3 +77,107 @@
 @given("{name} is still cut off")
 def still_cut_off(context, name):
     assert not context.fleet.instances[name].follows_store()
+
+
+@given("the store is away")
+def store_away(context):
+    fleet = context.fleet
+    fleet.catalogue.down = fleet.servers.down = fleet.origin_store.is_down = True
+    fleet.version_store.is_readable = fleet.version_store.is_writable = False
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+@given("the entries of all servers have no start")
+def no_starts(context):
+    for name, version in list(context.versions.items()):
+        id_ = name.partition("@")[0]
+        del context.versions[name]
+        context.versions[id_] = version
+        context.fleet.add_server(id_, "llm", "b", version=version)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("server {id_} does not say when it started")
+def says_no_start(context, id_):
+    del context.fleet.upstream.started_at_ms[id_]
+
+
+@given("server {name} is sound")
+def is_sound(context, name):
+    assert name not in context.fleet.upstream.faults
+
+
+@given("no entry changes")
+def no_change(context):
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("the reader of the store ends")
+def reader_killed(context):
+    instances = context.fleet.instances
+    reader = next(name for name, one in instances.items() if one.fleet.reader_election.reading)
+    instances.pop(reader).close()
+
+
+@given("{name} is cut off from the store")
+def cut_off_from_store(context, name):
+    instance = context.fleet.instances[name]
+    for source in (instance.catalogue_source, instance.directory_source):
+        source.source = MemorySource(context.clock)
+        source.source.down = True
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
+@given("the entries of servers change all the time")
+def entries_change(context):
+    fleet = context.fleet
+    draining = [False]
+
+    def change():
+        draining[0] = not draining[0]
+        fleet.add_server("spare-1", "spare", "a", draining[0], born=FIRST_START, version="v1")
+        context.clock.call_later(CHANGE_MS, change)
+
+    change()
+
+
+@when("{number:d} streams are sent to {name} within {seconds:d} s")
+def send_streams(context, number, name, seconds):
+    name = list(context.fleet.instances)[-1] if name == "last" else name
+    context.sent = [f"s-{n}" for n in range(number)]
+    context.asked_at = []
+    upstream, started_at = context.fleet.upstream, context.fleet.upstream.started_at
+
+    def record(server, limit_ms):
+        context.asked_at.append((server.name, context.clock.now()))
+        return started_at(server, limit_ms)
+
+    upstream.started_at = record
+    for n, id_ in enumerate(context.sent):
+        sent = stream(context, id_)
+        delay_ms = n * seconds * SECOND_MS / number
+        context.clock.call_later(
+            delay_ms, lambda sent=sent: gevent.spawn(serve, context, name, sent)
+        )
+    context.run(context.clock.sleep, (seconds + 1) * SECOND_MS)
+
+
+@then("all have {number:d} events")
+def all_have(context, number):
+    found = {id_: context.ends[id_][1].count(b"\n\n") for id_ in context.sent}
+    assert set(found.values()) == {number}, found
+
+
+@then("servers were asked {number:d} times when they started")
+def asked_times(context, number):
+    assert len(context.fleet.upstream.start_checks) == number, context.fleet.upstream.start_checks
+
+
+@then(
+    "servers were asked at most {number:d} times when they started, and each at most once a second"
+)
+def asked_at_most(context, number):
+    assert 0 < len(context.asked_at) <= number, context.asked_at
+    for server in {name for name, _ in context.asked_at}:
+        times = [at for name, at in context.asked_at if name == server]
+        assert all(later - at >= SECOND_MS for at, later in pairwise(times)), times
--- a/packages/core/src/mountladder/configuration/softwareversion.py
+++ b/packages/core/src/mountladder/configuration/softwareversion.py
@@ -16,6 +16,9 @@
 
 # The label that holds the version of a server's software, which is missing where it is not known.
 VERSION_LABEL = "version"
+# Recorded in place of the version that began a stream if its server may run another one than its
+# entry says. No server has it, so that nobody continues the stream.
+UNVERIFIED_VERSION = "(unverified)"
 
 
 def running_version(
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -215,6 +215,8 @@
         obstacle = self.obstacle()
         if obstacle:
             return obstacle
+        if not self.context.starts.is_as_listed(self.copy):
+            return "the server of the copy may have started again at another version"
         try:
             self.run.tracked.admit(self.run.remaining_ms())
         except RefusalError as error:
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -22,6 +22,7 @@
 from mountladder.forwarding.directorycopy import DirectoryCopy
 from mountladder.forwarding.directoryrequests import WHOLE_LIST_MS, DirectoryRequests
 from mountladder.forwarding.division import Division
+from mountladder.forwarding.listage import ListAge
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.messageparts import chunked, directory_copies
 from mountladder.forwarding.partitiondetector import PartitionDetector
@@ -64,6 +65,7 @@
         coordinators: Finds the coordinator of each topic.
         division: Decides which services each data centre coordinates by itself.
         peer_gone: Called with each link that a peer had opened, when it closes.
+        list_age: Tracks when the list of servers was last known to be current.
         era_tracker: Detects that the store was restored from an older copy.
         backlogs: Returns how long pieces wait at the services that this instance coordinates.
         further_targets: Return further instances to keep links to in a large fleet.
@@ -94,6 +96,7 @@
         self.coordinators = Coordinators(membership, self.ranking, self.division)
         self.partitions = PartitionDetector(membership)
         self.reader_election = ReaderElection(self.ranking.reader_group, membership.me, clock)
+        self.list_age = ListAge(directory, clock)
         self.is_store_answering: Callable[[], bool] = lambda: False
         self.announcing = False
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
@@ -276,6 +279,7 @@
         self.membership.mark_alive(link.peer, message.leaving)
         self.record_isolation(link, message.isolated)
         self.reader_election.record(link.peer, message)
+        self.list_age.record(message)
         self.directory.drains.apply(message.drains, source)
         self.era_tracker.observe(message.directory.era, source)
         if (
--- a/packages/core/src/mountladder/forwarding/forwardcontext.py
+++ b/packages/core/src/mountladder/forwarding/forwardcontext.py
@@ -23,6 +23,7 @@
 from mountladder.metrics.metrics import Metrics
 from mountladder.notices.noticedispatcher import NoticeDispatcher
 from mountladder.quarantine.quarantineservice import QuarantineService
+from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.streamorigins import StreamOrigins
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         notices: Applies the notices that servers send with their answers.
         continuations: The streams that can continue from copies.
         origins: Finds the software versions that began streams.
+        starts: Checks whether servers have started again while the list of servers is old.
         relay: Relays requests while this instance can reach no backend server.
     """
 
@@ -67,4 +69,5 @@
     notices: NoticeDispatcher
     continuations: Continuations
     origins: StreamOrigins
+    starts: StartChecks
     relay: RequestRelay
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -64,6 +64,7 @@
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
 from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.streamorigins import StreamOrigins
 
 # After three missed heartbeats a peer counts as unreachable, and stages move to another instance.
@@ -167,6 +168,7 @@
             self.tables.origin_store,
             clock,
         )
+        self.starts = StartChecks(self.directory, self.fleet.list_age, upstream, clock)
         self.continuations = Continuations(
             lambda: self.settings.continue_streams,
             self.follower,
@@ -207,6 +209,7 @@
         self.directory_source = self.make_follower(
             "servers", self.tables.servers, applier.apply_servers
         )
+        self.fleet.list_age.answered_at = lambda: self.directory_source.answered_at
         self.directory_source.on_reachable = self.directory.mark_store_reachable
         self.origins.read_servers = lambda: self.directory_source.read_changes(
             self.directory.position
@@ -286,6 +289,7 @@
             notices=self.notices,
             continuations=self.continuations,
             origins=self.origins,
+            starts=self.starts,
             relay=make_relay(self),
         )
 
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -127,6 +127,7 @@
             self.continuation.begin(attempt, inputs)
             answer = None
             try:
+                self.stream_version.check_start(attempt)
                 limit_ms = self.remaining_ms()
                 answer = self.call(attempt, inputs, splitter.last_id, limit_ms, self.connected)
                 if answer.status >= SERVER_ERROR:
@@ -323,6 +324,7 @@
         if second is not None:
             cut = StageError("another server was heard of first", Code.STAGE_STALLED)
         self.tracked.failed(attempt.choice.state.server, attempt.started, cut, self.begun_ms())
+        self.stream_version.exclude_restarted()
         if not self.stream_version.is_alone(attempt.server):
             self.excluded |= {attempt.server}
         self.possible_runs += 1
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -84,6 +84,18 @@
             The time, 0 if it is not cold, or None if it did not say so.
         """
 
+    @abstractmethod
+    def started_at(self, server: BackendServer, limit_ms: float) -> int | None:
+        """Return when the server at a server's address started, by its own report.
+
+        Args:
+            server: The server.
+            limit_ms: The timeout for the answer, in milliseconds.
+
+        Returns:
+            The time in milliseconds since 1970, or None if it did not say so.
+        """
+
     @abstractmethod
     def free(
         self, server: BackendServer, handles: Sequence[str], on_notices: NoticeHandler
--- a/packages/core/src/mountladder/isolation/watchedupstream.py
+++ b/packages/core/src/mountladder/isolation/watchedupstream.py
@@ -83,6 +83,10 @@
         """Return how much longer a server is cold by its health check; see Upstream."""
         return self.inner.cold_ms(server, health_path, limit_ms)
 
+    def started_at(self, server: BackendServer, limit_ms: float) -> int | None:
+        """Return when the server at a server's address started; see Upstream."""
+        return self.inner.started_at(server, limit_ms)
+
     def free(
         self, server: BackendServer, handles: Sequence[str], on_notices: NoticeHandler
     ) -> None:
--- /dev/null
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -0,0 +1,140 @@
+# startchecks.py -- Checks whether servers have started again while the list of servers is old
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Checks whether servers have started again while the list of servers is old."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import gevent
+from eliot import log_message
+
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.listage import ListAge
+from mountladder.forwarding.serverrecord import ID_LABEL
+from mountladder.forwarding.upstream import Upstream
+from mountladder.streams.startcheck import StartCheck
+
+# From this age on, the list of servers may be old. The store answers an instance that polls it
+# every 500 ms, and 320 ms later while it is slow; that instance announces it every 300 ms. Another
+# one takes over 0.9 s after the last announcement, and needs a call for its own first one.
+MAX_LIST_AGE_MS = 1_500.0
+# An answer holds for this long: a server that crashes takes seconds to start again.
+CHECK_VALID_MS = 1_000.0
+# A report needs no slot and no work. A server that takes longer counts as one that does not answer.
+CHECK_TIMEOUT_MS = 300.0
+
+
+class StartChecks:
+    """Checks whether servers run since the start that their entries name.
+
+    A server that crashes may start again at its address at another software version. An instance
+    that reaches neither the store nor a peer that does keeps the entry of before, and takes the
+    server for the version of before. So while the list may be old, a server is asked when it
+    started: at most once a second, for all requests together. While the list is current, nothing is
+    asked.
+
+    A server without a start in its entry cannot be checked, and counts as one that has not started
+    again.
+
+    Args:
+        directory: The list of backend servers.
+        age: How old it may be.
+        upstream: Calls the servers.
+        clock: The clock.
+
+    Attributes:
+        checks: The last check of each server, by its id.
+    """
+
+    def __init__(
+        self, directory: Directory, age: ListAge, upstream: Upstream, clock: Clock
+    ) -> None:
+        self.directory = directory
+        self.age = age
+        self.upstream = upstream
+        self.clock = clock
+        self.checks: dict[str, StartCheck] = {}
+        directory.listeners.append(self.forget_unlisted)
+
+    def is_needed(self) -> bool:
+        """Return whether the list of servers may be old."""
+        return self.age.ms() > MAX_LIST_AGE_MS
+
+    def is_as_listed(self, server: BackendServer) -> bool:
+        """Return whether a server runs the software version that its newest entry names.
+
+        Without an answer from the server this is not known, and counts as no.
+        """
+        if not self.is_needed():
+            return True
+        id_ = server.labels[ID_LABEL]
+        if not self.listed_start(id_):
+            self.log(server, None, "no start in its entry")
+            return True
+        check = self.check(server)
+        if not check.ended.is_set():
+            self.clock.wait(check.ended, CHECK_TIMEOUT_MS)
+        is_same = check.born == self.listed_start(id_)
+        other = "not known" if check.born is None else "another start"
+        self.log(server, check.born, "as listed" if is_same else other)
+        return is_same
+
+    def restarted(self, servers: Iterable[BackendServer]) -> frozenset[str]:
+        """Return the names of the servers that are known to have started again."""
+        if not self.checks or not self.is_needed():
+            return frozenset()
+        return frozenset(one.name for one in servers if self.has_restarted(one.labels[ID_LABEL]))
+
+    def has_restarted(self, id_: str) -> bool:
+        """Return whether a server has named a later start than its entry does."""
+        check = self.checks.get(id_)
+        return (
+            check is not None and check.born is not None and check.born > self.listed_start(id_) > 0
+        )
+
+    def listed_start(self, id_: str) -> int:
+        """Return the start that a server's newest entry names, in ms since 1970, or 0."""
+        record = self.directory.records.get(id_)
+        return record.born if record is not None else 0
+
+    def check(self, server: BackendServer) -> StartCheck:
+        """Return the check of a server that holds now, which is begun if there is none."""
+        id_, now = server.labels[ID_LABEL], self.clock.now()
+        known = self.checks.get(id_)
+        is_recent = known is not None and now - known.asked_at < CHECK_VALID_MS
+        if is_recent or self.has_restarted(id_):
+            return known
+        check = self.checks[id_] = StartCheck(now)
+        gevent.spawn(self.ask, server, check)
+        return check
+
+    def ask(self, server: BackendServer, check: StartCheck) -> None:
+        """Ask a server when it started."""
+        try:
+            check.born = self.upstream.started_at(server, CHECK_TIMEOUT_MS)
+        finally:
+            check.ended.set()
+
+    def forget_unlisted(self) -> None:
+        """Drop the checks of servers without an entry."""
+        if self.checks:
+            listed = self.directory.records.keys()
+            self.checks = {id_: one for id_, one in self.checks.items() if id_ in listed}
+
+    def log(self, server: BackendServer, born: int | None, outcome: str) -> None:
+        """Log whether a server has started again, as far as that is known."""
+        age_ms = self.age.ms()
+        log_message(
+            "server-start-checked",
+            server=server.name,
+            listed_born=self.listed_start(server.labels[ID_LABEL]),
+            reported_born=born,
+            list_age_ms=round(age_ms) if age_ms < math.inf else None,
+            outcome=outcome,
+        )
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 
 from mountladder.code import Code
-from mountladder.configuration.softwareversion import running_version
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION, running_version
 from mountladder.errors import MountladderError, RefusalError, StageError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.retryrules import caller_error
-from mountladder.forwarding.versionrules import check_version
+from mountladder.forwarding.versionrules import NO_VERSION_RETRY_MS, check_version
 
 if TYPE_CHECKING:
     from mountladder.forwarding.streamrun import StreamRun
@@ -33,6 +33,7 @@
         self.run = run
         self.context = run.context
         self.directory = run.context.picker.directory
+        self.starts = run.context.starts
         self.required: str | None = None
 
     def find(self) -> None:
@@ -47,22 +48,77 @@
             budgets.of_requests(run.service).take_back()
             run.service = origin.service
             budgets.of_requests(run.service).earn()
+        if origin.version == UNVERIFIED_VERSION:
+            raise RefusalError(
+                "the server that began the stream was not known", Code.STREAM_UNKNOWN
+            )
         if origin.service == run.service:
             self.required = origin.version
             check_version(self.directory, run.service, self.required)
+            if self.exclude_restarted():
+                self.check_left()
+
+    def exclude_restarted(self) -> bool:
+        """Exclude the servers that are known to have started again; return whether there are any.
+
+        Their entries name the version of before.
+        """
+        restarted = self.starts.restarted(self.directory.available(self.run.service))
+        self.run.excluded |= restarted
+        return bool(restarted)
+
+    def check_left(self) -> None:
+        """Check that a server of the version is left, apart from those that are excluded.
+
+        Raises:
+            MountladderError: There is none.
+        """
+        run = self.run
+        if not self.context.picker.has_server(run.service, self.required, run.excluded):
+            detail = f"version {self.required or 'unknown'} of {run.service}"
+            raise caller_error(
+                run,
+                RefusalError(detail, Code.VERSION_UNAVAILABLE, retry_after_ms=NO_VERSION_RETRY_MS),
+            )
+
+    def check_start(self, attempt: ForwardAttempt) -> None:
+        """Check, before a stream continues at a server, that it still runs the version.
+
+        Raises:
+            StageError: It may run another one, and was not sent the request.
+            MountladderError: The same, and no other server of the version is left.
+        """
+        server = attempt.choice.state.server
+        if self.required is None or self.starts.is_as_listed(server):
+            return
+        self.run.excluded |= {server.name}
+        self.check_left()
+        raise StageError("the server may have started again", Code.SERVER_REPLACED, False)
 
     def check(self, attempt: ForwardAttempt) -> str:
         """Return the version of the server that sends the events of an attempt.
 
+        Returns:
+            The version, or UNVERIFIED_VERSION if the server may run another one than its entry
+            says.
+
         Raises:
             StageError: It is another one: the server has started again since it was chosen.
         """
-        version = self.directory.current_version(attempt.choice.state.server)
-        if self.required is not None and version != self.required:
+        server, is_verified = attempt.choice.state.server, True
+        if self.may_continue(attempt):
+            is_verified = self.starts.is_as_listed(server)
+        version = self.directory.current_version(server) if is_verified else UNVERIFIED_VERSION
+        if self.required is not None and not (is_verified and version == self.required):
             detail = f"the server runs version {version}, not {self.required}"
             raise StageError(detail, Code.SERVER_REPLACED)
         return version
 
+    def may_continue(self, attempt: ForwardAttempt) -> bool:
+        """Return whether the stream may continue at another server, or does so here."""
+        has_copy = attempt.picked.backup is not None
+        return self.run.route.resumable or has_copy or self.required is not None
+
     def settle(self, version: str) -> None:
         """Have the stream continue at a version from here on, in this answer and later ones."""
         self.required = version
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -39,6 +39,7 @@
 EVENTS = 6
 CALL_MS = 150.0
 PIECE_MS = 10.0
+START_CHECK_MS = 1.0
 SLOW_FACTOR = 5.0
 _REFUSALS = {
     ServerFault.UNREACHABLE: Code.CONNECT_FAILED,
@@ -78,8 +79,8 @@
         reported_cold_ms: How much longer servers are cold by their health checks, in milliseconds,
             by name; servers that are missing do not answer.
         health_checks: The names of the servers that were asked for their health, in order.
-        started_at: When servers started by their reports, in milliseconds since 1970, by address;
-            servers that are missing do not answer.
+        started_at_ms: When servers started by their reports, in milliseconds since 1970, by their
+            addresses; servers that are missing do not answer.
         start_checks: The addresses of the servers that were asked when they started, in order.
         copies: The copies of requests' caches, as the address of their server and the request's id.
         without_copies: The names of servers that have no room for copies.
@@ -114,7 +115,7 @@
         self.backoff_ms: dict[str, float] = {}
         self.reported_cold_ms: dict[str, float] = {}
         self.health_checks: list[str] = []
-        self.started_at: dict[str, int] = {}
+        self.started_at_ms: dict[str, int] = {}
         self.start_checks: list[str] = []
         self.copies: set[tuple[str, str]] = set()
         self.without_copies: set[str] = set()
@@ -263,6 +264,12 @@
         self.health_checks.append(server.name)
         return self.reported_cold_ms.get(server.name)
 
+    def started_at(self, server: BackendServer, limit_ms: float) -> int | None:
+        """Return when the server at a server's address started; see Upstream."""
+        self.start_checks.append(server.address)
+        self.clock.sleep(min(limit_ms, START_CHECK_MS))
+        return self.started_at_ms.get(server.address) if self.reaches(server) else None
+
     def check_connection(self, server: BackendServer) -> None:
         """Refuse a connection if the server has crashed.
 
