Tests: servers that start again in the first second of a cut, and many of them

An instance takes its list of servers for current for up to 1.5 s after the last confirmation. Further scenarios: streams go on at the one sound server where five others have started again, within an answer and for a caller; and a list counts as current where each announcement names an entry that arrives 20 ms later.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -79,6 +79,28 @@
       | llm-3 | llm-4 |
       | llm-4 | llm-3 |
 
+  # Guards against attempts that are used up at servers that are known to have started again.
+  Scenario: A caller resumes a stream of which many listed servers have started again
+    Given servers llm-4, llm-5, llm-6, llm-7, llm-8 with version v1 that started at 5
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And a-1 is cut off from the store and its peers
+    And servers llm-3, llm-4, llm-5, llm-6, llm-7 start again at version v2
+    And 40 streams have been sent to a-1 within 1 s
+    And server llm-8@5 has the most to do
+    When the caller resumes stream r at a-1
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-8@5
+
+  Scenario: A stream breaks of which many listed servers have started again
+    Given servers llm-4, llm-5, llm-6, llm-7, llm-8 with version v1 that started at 5
+    And a-1 is cut off from the store and its peers
+    And servers llm-3, llm-4, llm-5, llm-6, llm-7 start again at version v2
+    And 40 streams have been sent to a-1 within 1 s
+    And server llm-1@5 breaks off within the third event
+    And server llm-8@5 has the most to do
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-8@5
+
   # Guards against streams that end though no server has started again.
   Scenario: No server has started again
     Given a-1 is cut off from the store and its peers
@@ -171,3 +193,35 @@
       | 0      | a-2 is killed and starts again              | a-2  |
       | 21     | no entry changes                            | c-3  |
       | 21     | the entries of servers change all the time  | c-3  |
+
+  # Guards against a list that counts as old where entries change faster than they arrive.
+  Scenario Outline: A peer announces entries
+    Given a-1 has a list of servers up to change 1
+    When a peer that <reads> announces change <announced> every 300 ms, which arrives <arrives>
+    Then after 6 s the list is known to be current <age>
+
+    Examples:
+      | reads                         | announced | arrives     | age               |
+      | polls the store               | 1         | never       | since 0 to 300 ms |
+      | polls the store               | n + 1     | 20 ms later | since 0 to 620 ms |
+      | polls the store               | n + 1     | never       | at no time        |
+      | does not poll the store       | 1         | never       | at no time        |
+      | the store does not answer     | 1         | never       | at no time        |
+
+  # Guards against streams of two versions in the first moments of a cut, in which the list of servers
+  # is not yet taken to be old.
+  Scenario Outline: A server that crashed before a cut starts again in its first second
+    Given a-1 is cut off from the store and its peers for <first> s
+    And <ms> ms ago server <name> has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And server llm-1@5 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 2, and ran on llm-1@5
+
+    Examples:
+      | first | name  | ms  |
+      | 0.2   | llm-1 | 100 |
+      | 0.2   | llm-3 | 100 |
+      | 1     | llm-1 | 100 |
+      | 1.5   | llm-1 | 100 |
+      | 2     | llm-1 | 100 |
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -4,21 +4,32 @@
 
 """Steps about servers that start again while an instance has an old list."""
 
+import math
 from itertools import pairwise
 
 import gevent
 from behave import given, then, when
+from continuation_steps import MANY_PROMPTS
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS, save_retries, serve
-from streamversion_steps import CUT_OFF_MS, configure, set_load, stream
+from streamversion_steps import CUT_OFF_MS, configure, cut_off_from_all, set_load, stream
 
+from mountladder.forwarding.beacon import Beacon
+from mountladder.forwarding.directory import Directory
+from mountladder.forwarding.listage import ListAge
 from mountladder.forwarding.memorysource import MemorySource
+from mountladder.forwarding.serverrecord import ServerRecord, listed_server
+from mountladder.store.position import Position
 
 FIRST_START = 5
 LATER_START = 9
 # By then an instance has heard from its peers and the store again.
 IN_TOUCH_MS = 3_000.0
 CHANGE_MS = 7.0
+# By then a stream has ended.
+STREAM_MS = 500.0
+ANNOUNCEMENTS = 20
+ARRIVES_MS = 20.0
 
 
 @given("instances {names} and model servers of two versions that started at {born:d}")
@@ -47,15 +58,28 @@
     context.run(context.clock.sleep, SETTLE_MS)
 
 
+@given("servers {ids} with version {version} that started at {born:d}")
+def more_servers(context, ids, version, born):
+    for id_ in ids.split(", "):
+        add_server(context, id_, "b", version, born)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
+@given("servers {ids} start again at version {version}")
+def all_start_again(context, ids, version):
+    for id_ in ids.split(", "):
+        starts_again(context, id_, version, 0.0)
+
+
 @given("server {id_} starts again at version {version}")
-def starts_again(context, id_, version):
+def starts_again(context, id_, version, settle_ms=SETTLE_MS):
     upstream = context.fleet.upstream
     upstream.started_at_ms[id_] = LATER_START
     before = f"{id_}@{FIRST_START}"
     if before in upstream.crashed:
         upstream.crashed.remove(before)
     context.fleet.add_server(id_, "llm", "b", born=LATER_START, version=version)
-    context.run(context.clock.sleep, SETTLE_MS)
+    context.run(context.clock.sleep, settle_ms)
 
 
 @given("server {name} has the least to do")
@@ -107,6 +131,11 @@
     assert name not in context.fleet.upstream.faults
 
 
+@given("server {name} has the most to do")
+def has_most(context, name):
+    set_load(context, {name: 2 * MANY_PROMPTS, "llm-1@5": 0})
+
+
 @given("no entry changes")
 def no_change(context):
     context.run(context.clock.sleep, SETTLE_MS)
@@ -141,6 +170,7 @@
     change()
 
 
+@given("{number:d} streams have been sent to {name} within {seconds:d} s")
 @when("{number:d} streams are sent to {name} within {seconds:d} s")
 def send_streams(context, number, name, seconds):
     name = list(context.fleet.instances)[-1] if name == "last" else name
@@ -159,7 +189,7 @@
         context.clock.call_later(
             delay_ms, lambda sent=sent: gevent.spawn(serve, context, name, sent)
         )
-    context.run(context.clock.sleep, (seconds + 1) * SECOND_MS)
+    context.run(context.clock.sleep, seconds * SECOND_MS + STREAM_MS)
 
 
 @then("all have {number:d} events")
@@ -181,3 +211,56 @@
     for server in {name for name, _ in context.asked_at}:
         times = [at for name, at in context.asked_at if name == server]
         assert all(later - at >= SECOND_MS for at, later in pairwise(times)), times
+
+
+@given("{name} is cut off from the store and its peers for {seconds:g} s")
+def cut_off_for(context, name, seconds):
+    cut_off_from_all(context, name, seconds * SECOND_MS)
+
+
+@given("{ms:d} ms ago server {id_} has come back with version {version}")
+def starts_again_soon(context, ms, id_, version):
+    starts_again(context, id_, version, float(ms))
+
+
+@given("a-1 has a list of servers up to change {number:d}")
+def has_list(context, number):
+    context.directory = Directory(context.clock)
+    context.list_age = ListAge(context.directory, context.clock)
+    apply_change(context, number)
+
+
+def apply_change(context, number):
+    server = listed_server("i-1", "llm", "i-1", "a", 8, False, number)
+    position = Position(0, number)
+    record = ServerRecord("i-1", position, "llm", server, number)
+    context.directory.apply([record], position, "test")
+
+
+@when("a peer that {reads} announces change {announced} every {ms:d} ms, which arrives {arrives}")
+def peer_announces(context, reads, announced, ms, arrives):
+    reads_store = reads != "does not poll the store"
+    answers = reads != "the store does not answer"
+    number = 1
+    for _ in range(ANNOUNCEMENTS):
+        number += announced == "n + 1"
+        # Each beacon comes after a newer change than the last one that has arrived.
+        position = Position(0, number)
+        beacon = Beacon(0, position, False, False, reads_store=reads_store, store_answers=answers)
+        context.list_age.record(beacon)
+        if arrives != "never":
+            change = number
+            context.clock.call_later(
+                ARRIVES_MS, lambda change=change: apply_change(context, change)
+            )
+        context.run(context.clock.sleep, float(ms))
+
+
+@then("after 6 s the list is known to be current at no time")
+def never_current(context):
+    assert context.list_age.ms() == math.inf, context.list_age.ms()
+
+
+@then("after 6 s the list is known to be current since {low:d} to {high:d} ms")
+def current_since(context, low, high):
+    assert low <= context.list_age.ms() <= high, context.list_age.ms()
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -296,10 +296,10 @@
 
 
 @given("{name} is cut off from the store and its peers")
-def cut_off_from_all(context, name):
+def cut_off_from_all(context, name, ms=CUT_OFF_MS):
     cut_off(context, name)
     lose_store(context, name)
-    context.run(context.clock.sleep, CUT_OFF_MS)
+    context.run(context.clock.sleep, ms)
 
 
 def lose_store(context, name):
