Soak: a cut is played with short streams and, apart, with long ones

The scenario with both kinds of streams fails on the code that keeps to one version as well: an origin ends with the time of the first attempt, since OriginRegistry.add drops a later one of the same version, so that long streams are unknown to all 5.5 s after their first request, though later attempts have brought events. Listed as a failure, it would hide streams of two versions.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -125,8 +125,7 @@
   Scenario Outline: A data centre is cut off during a release while callers resume streams
     When these faults are played with seed 7 for 11 seconds with 4 instances
       | kind          | target   | at  | seconds | strength |
-      | short-streams | callers  | 0.5 | 8.0     | 3        |
-      | long-streams  | callers  | 0.5 | 8.0     | 1        |
+      | short-streams | callers  | 0.5 | 8.0     | 4        |
       | <kind>        | b-1, b-2 | 1.2 | 7.0     | 1        |
       | versions      | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
@@ -137,6 +136,16 @@
       | isolated-silent |
       | isolated-reset  |
 
+  # Guards against streams that are unknown once the time of their first attempt is over, though later
+  # attempts have brought events.
+  Scenario: A data centre is cut off during a release while callers resume long streams
+    When these faults are played with seed 7 for 13 seconds with 4 instances
+      | kind            | target   | at  | seconds | strength |
+      | long-streams    | callers  | 0.5 | 10.0    | 3        |
+      | isolated-silent | b-1, b-2 | 1.2 | 7.0     | 1        |
+      | versions        | llm      | 2.0 | 7.0     | 0.4      |
+    Then every promise is kept
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
