Callers: an answer that ends with its connection is reset until it is whole

Cause: callers and balancers that speak HTTP/1.0 get no chunks, so that the end of the connection ends their answer. The system closes the connections of a process that is killed in order, and a stream that was cut so seemed complete.

Change: such an answer is sent over a connection that is reset when it is closed, until the caller has been sent all of it.

--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -44,10 +44,22 @@
         self.response_length += len(data)
 
     def finalize_headers(self) -> None:
-        """Complete the headers; an answer to a HEAD request has no body, and so no last chunk."""
+        """Complete the headers; an answer to a HEAD request has no body, and so no last chunk.
+
+        An answer that ends with its connection is reset until it is whole: the system closes the
+        connections of a process that is killed.
+        """
         super().finalize_headers()
         if self.command == "HEAD":
             self.response_use_chunked = False
+        elif self.ends_with_connection():
+            with suppress(OSError):
+                self.writer.reset_at_close()
+
+    def ends_with_connection(self) -> bool:
+        """Return whether the answer has neither a length nor chunks, as for callers of HTTP/1.0."""
+        has_length = any(name.lower() == b"content-length" for name, _ in self.response_headers)
+        return not has_length and not self.response_use_chunked
 
     def _write(self, data: bytes | bytearray) -> None:
         """Write a part of a body, except to a HEAD request.
@@ -66,6 +78,9 @@
                 with suppress(OSError):
                     self.writer.reset_at_close()
             raise
+        if self.command != "HEAD" and self.ends_with_connection():
+            self.writer.flush()
+            self.writer.end_at_close()
 
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -34,6 +34,7 @@
 _NUMBER = struct.Struct("i")
 # Closing the socket drops what the system's buffer holds.
 _NO_LINGER = struct.pack("ii", 1, 0)
+_LINGER = struct.pack("ii", 0, 0)
 
 
 class CallerWriter:
@@ -221,6 +222,14 @@
         """
         self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
 
+    def end_at_close(self) -> None:
+        """Have the connection ended when it is closed, behind what the system still holds.
+
+        Raises:
+            OSError: The connection is closed.
+        """
+        self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _LINGER)
+
     def fail(self, error: OSError) -> None:
         """Drop what waits, and fail every further write."""
         self.error = error
