Streams: the rest of a stream that broke after its last event may be empty

Cause: an answer without an event counted as cut, also where its server was asked for what follows the last event. A stream whose server was lost between its last event and the end of the body was sent to one server after another and broken off, and again each time its caller resumed it. A stream that continues from a copy ended so before.

Change: a whole answer without an event, to a request with the id of an event before, ends the stream. It must have a length or chunks: one that ends with its connection may have been cut.

--- a/features/streamclauses.feature
+++ b/features/streamclauses.feature
@@ -132,6 +132,15 @@
       | 2    | 1,2,3,4/1,2,3,4 |       | refused    |
       | 2    | 1,2,3,4/3,4     | /3,4  | complete   |
       | 2    | 2,3,4/2,3       |       | refused    |
+      | 6    |                 |       | complete   |
+
+  # Guards against a stream that is ended as complete by a server that crashes before its first event.
+  @forwarding
+  Scenario: An answer without events that ends with its connection is not the rest of a stream
+    Given two instances and the servers of each kind of request
+    And the servers send , without length or chunks
+    When instance a-1 gets a resumable request r after event 2
+    Then the caller gets , and the answer is refused
 
   # Guards against a stream whose only missing part was its end: its caller had all events, and was
   # told that it had not, each time it resumed.
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -230,6 +230,8 @@
     ) -> tuple[bytes, str]:
         """Return the first complete events of an answer, and the version of its server's software.
 
+        There are none in the rest of a stream that broke after its last event.
+
         Raises:
             StageError: The answer is unsigned, malformed or ended early, or no event came in time.
         """
@@ -238,13 +240,23 @@
         splitter.discard_incomplete()
         while True:
             data = answer.read_some(self.remaining_ms())
-            if not data:
+            if not data and not self.has_ended(answer, splitter):
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
             version = self.stream_version.check(attempt)
+            if not data:
+                return b"", version
             complete = self.split(splitter, data)
             if complete:
                 return complete, version
 
+    def has_ended(self, answer: UpstreamAnswer, splitter: EventSequence) -> bool:
+        """Return whether an answer without a further event is the whole rest of a stream.
+
+        One that ends with its connection may have been cut.
+        """
+        is_rest = bool(splitter.last_id) and not splitter.incomplete.strip()
+        return is_rest and not answer.ends_with_connection
+
     def events(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, splitter: EventSequence, first: bytes
     ) -> Iterator[bytes]:
