--- a/features/silentpeers.feature
+++ b/features/silentpeers.feature
@@ -70,6 +70,19 @@
     When 60 safe requests a second come for 26000 ms while nothing else happens
     Then no service gets more than 0.2 retries for each request and 100 more in any 10000 ms
 
+  @forwarding
+  Scenario: The reserve of retries is not spent by too few while a large fleet grows
+    # The failure: in a large fleet the list of instances is read every 20 s, and for the rest of
+    # that time other data centres divide the reserve without those that have started.
+    Given all instances share a reserve of 200 retries
+    And a fleet of 15 instances in data centres a, b, c
+    And 2 servers of each of the services desk, llm, enc in data centres a, b, c
+    And arrivals at servers are recorded
+    And all servers refuse half of all requests
+    And 20 more instances start in data centre a
+    When 200 safe requests a second come for 12000 ms while nothing else happens
+    Then no service gets more than 0.2 retries for each request and 200 more in any 10000 ms
+
   @forwarding
   Scenario: Presumed crashes are not decided by an old list of servers
     # The failure: while the list of servers could not be read, servers that had crashed counted as
--- a/features/steps/silentpeers_steps.py
+++ b/features/steps/silentpeers_steps.py
@@ -121,6 +121,12 @@
     context.run(context.clock.sleep, GROWN_MS)
 
 
+@given("{number:d} more instances start in data centre {name:w}")
+def start_more(context, number, name):
+    for n in range(number):
+        context.fleet.start(f"{name}-late-{n}")
+
+
 class UnreachableList:
     """A list of instances that cannot be read."""
 
