Silent peers: the large fleet that grows has run before

Cause: in the scenario the fleet had just started itself, so that few of its instances could spend their part of the reserve.

Change: the fleet has run for 20 s, just after it read the list, when 30 instances start beside 15; the reserve is 400.

--- a/features/silentpeers.feature
+++ b/features/silentpeers.feature
@@ -74,14 +74,15 @@
   Scenario: The reserve of retries is not spent by too few while a large fleet grows
     # The failure: in a large fleet the list of instances is read every 20 s, and for the rest of
     # that time other data centres divide the reserve without those that have started.
-    Given all instances share a reserve of 200 retries
+    Given all instances share a reserve of 400 retries
     And a fleet of 15 instances in data centres a, b, c
     And 2 servers of each of the services desk, llm, enc in data centres a, b, c
     And arrivals at servers are recorded
     And all servers refuse half of all requests
-    And 20 more instances start in data centre a
-    When 200 safe requests a second come for 12000 ms while nothing else happens
-    Then no service gets more than 0.2 retries for each request and 200 more in any 10000 ms
+    And 20500 ms have gone by
+    And 30 more instances start in data centre a
+    When 250 safe requests a second come for 12000 ms while nothing else happens
+    Then no service gets more than 0.2 retries for each request and 400 more in any 10000 ms
 
   @forwarding
   Scenario: Presumed crashes are not decided by an old list of servers
