Streams: an instance that was cut off reads the rows of versions before it removes any

A stream continued at a second version, because the row of the version that began it was not in the store any more.

Cause: VersionRecord.write removes rows of versions that this instance has not seen listed for a minute, also where it was cut off, or did not poll the store, while others used them. Those do not write the row again, since to them it is in the store.

Now an instance that has lost the store, or starts to poll it, reads the rows before it removes any, which keeps them for another minute.

--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -28,7 +28,7 @@
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And then v2 is removed, all of a are killed, b is reached again
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+    Then it is refused as not run with code 2015 within 500 ms, and a Retry-After
 
   # Guards against rows of versions that are missing in an older copy, which no instance writes again.
   Scenario: The store is restored from a copy that is older than a version
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -211,6 +211,7 @@
         )
         self.fleet.list_age.answered_at = lambda: self.directory_source.answered_at
         self.directory_source.on_reachable = self.directory.mark_store_reachable
+        self.directory_source.on_unreachable = self.handle_store_lost
         self.origins.read_servers = lambda: self.directory_source.read_changes(
             self.directory.position
         )
@@ -218,6 +219,11 @@
         self.fleet.is_store_answering = self.follows_store
         self.follower.is_feed_live = self.is_feed_live
 
+    def handle_store_lost(self) -> None:
+        """Tell the reader group and the record of versions that the store has stopped answering."""
+        self.fleet.announce_reader()
+        self.origins.version_record.handle_loss()
+
     def build_speeds(self) -> None:
         """Create and connect the components that learn the speed of servers, if they are used."""
         table = None
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -22,6 +22,9 @@
 # that the list of servers changes.
 CHECK_MS = 1_000.0
 POLL_MS = 50.0
+# An instance that has read the versions so recently when it starts to poll the store has missed
+# none.
+RECENT_READ_MS = 5_000.0
 RETRY_MS = 1_000.0
 
 
@@ -41,7 +44,10 @@
 
     Attributes:
         stored: The versions that are known to be in the store; see VersionStore.
+        read_at: When the versions were last read.
         is_restored: Whether the store was restored from an older copy since it was last compared.
+        may_lack_versions: Whether others may have used versions, since the last read, that this
+            instance did not hear of: it lost the store, or did not poll it.
     """
 
     def __init__(
@@ -56,7 +62,9 @@
         self.reader_election = reader_election
         self.clock = clock
         self.stored: dict[ServedVersion, bool] = {}
+        self.read_at = float("-inf")
         self.is_restored = False
+        self.may_lack_versions = False
         self.wake = Event()
         history.on_change = self.wake.set
 
@@ -67,8 +75,13 @@
             self.clock.sleep(POLL_MS)
         while not self.read():
             self.clock.sleep(RETRY_MS)
+        was_polling = False
         while True:
-            if self.reader_election.reading and not self.write():
+            is_polling = self.reader_election.reading
+            if is_polling and not was_polling:
+                self.may_lack_versions |= self.clock.now() - self.read_at > RECENT_READ_MS
+            was_polling = is_polling
+            if is_polling and not self.write():
                 self.clock.sleep(RETRY_MS)
             self.clock.wait(self.wake, CHECK_MS)
             self.wake.clear()
@@ -81,6 +94,8 @@
             log_message("versions-read-failed", reason=str(error))
             return False
         self.stored = found
+        self.read_at = self.clock.now()
+        self.may_lack_versions = False
         log_message("versions-read", versions=_texts(found), listed=_texts(self.history.listed))
         self.history.add_earlier(found)
         return True
@@ -96,6 +111,9 @@
                 one: leaving for one, leaving in recent.items() if self.differs(one, leaving)
             }
             removed = sorted(self.stored.keys() - recent.keys())
+            if removed and self.may_lack_versions:
+                # A read has them kept for another minute.
+                return self.read()
             if not changed and not removed:
                 return True
             self.store.change(changed, removed)
@@ -110,6 +128,10 @@
         """Return whether the store does not hold a version, or holds it as leaving or not."""
         return self.stored.get(version) is not leaving
 
+    def handle_loss(self) -> None:
+        """Have rows read before any is removed, since the store does not answer this instance."""
+        self.may_lack_versions = True
+
     def handle_restore(self) -> None:
         """Have the store compared with what is known, since it was restored from an older copy."""
         self.is_restored = True
