Streams: an origin is held as long as the last attempt at its stream

Callers that resumed a long stream more than once were refused (2016) at each instance, though later attempts had brought events.

Cause: OriginRegistry.add dropped a later origin of the same stream, so that an origin ended with the time of the first attempt.

Now a later time replaces the one before, and is told to others as a new origin is.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -12,6 +12,7 @@
 from forward_steps import SETTLE_MS, cut_off, events
 from forwardbasics import (
     PATHS,
+    SECOND_MS,
     catalogue,
     placement_coordinator,
     request,
@@ -193,14 +194,8 @@
 
 def read_until(context, name, id_, number):
     """Read a stream until a number of events have arrived, and break the connection."""
-    answer = context.fleet.send(name, stream(context, id_, context.kind))
-    body = b""
-    for part in answer.body:
-        body += part
-        if body == events(1, number):
-            break
-    answer.body.close()
-    context.bodies[id_] = body
+    sent = stream(context, id_, context.kind)
+    context.bodies[id_] = read_events(context, name, sent, events(1, number))
 
 
 def lose(context, name, loss):
@@ -216,6 +211,45 @@
         version_listed(context, loss.split()[1])
 
 
+@given("after {seconds:d} s it has {number:d} more at {name} when its connection breaks again")
+def lose_again(context, seconds, number, name):
+    context.run(context.clock.sleep, seconds * SECOND_MS)
+    (id_,) = context.bodies
+    last = context.bodies[id_].count(b"\n\n")
+    sent = stream(context, f"{id_}-second", context.kind, last_event_id=str(last), resumes=id_)
+    context.bodies[id_] += context.run(
+        read_events, context, name, sent, events(last + 1, last + number)
+    )
+
+
+def read_events(context, name, sent, expected):
+    """Read an answer until the expected events have arrived, and break the connection."""
+    answer = context.fleet.send(name, sent)
+    body = b""
+    for part in answer.body:
+        body += part
+        if body == expected:
+            break
+    answer.body.close()
+    return body
+
+
+@given("{seconds:d} s pass, and {name} is killed")
+def pass_and_kill(context, seconds, name):
+    time_passes(context, seconds)
+    kill(context, [name])
+
+
+@given("{seconds:d} s pass")
+def time_passes(context, seconds):
+    context.run(context.clock.sleep, seconds * SECOND_MS)
+
+
+@then("stream {id_} has events {first:d} to {last:d}")
+def has_events(context, id_, first, last):
+    assert context.bodies[id_] == events(first, last), (context.bodies, context.ends)
+
+
 @when("the caller resumes stream {id_} at {name}")
 def resume(context, id_, name):
     last = str(context.bodies[id_].count(b"\n\n"))
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -154,6 +154,20 @@
       | at a new address                       | llm-1, llm-1 |
       | at a new address, and b-1 starts again | llm-1, llm-3 |
 
+  # Guards against streams that are unknown once the time of their first attempt is over.
+  Scenario Outline: A later attempt at a stream lasts longer than the first one
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And after 5 s it has 2 more at a-1 when its connection breaks again
+    And 3 s pass<loss>
+    When the caller resumes stream r at b-1
+    Then stream r has events 1 to 6
+
+    Examples:
+      | loss                |
+      |                     |
+      | , and a-1 is killed |
+
   Scenario: Malformed origins are ignored, and many are bounded
     When an instance is told malformed origins, and more than it keeps
     Then it keeps the newest ones that are well-formed
--- a/packages/core/src/mountladder/streams/originregistry.py
+++ b/packages/core/src/mountladder/streams/originregistry.py
@@ -19,6 +19,8 @@
 MAX_ORIGINS = 32_768
 # Dropped origins are logged at most this often.
 LOG_INTERVAL_MS = 1_000.0
+# The times of an origin that is told again differ by the time that messages take.
+MIN_EXTENSION_MS = 100.0
 
 
 class OriginRegistry:
@@ -40,13 +42,14 @@
     def add(self, origin: StreamOrigin) -> bool:
         """Add an origin unless it is malformed or past; return whether it was added.
 
-        The first version that is known to have begun a stream stays.
+        The first version that is known to have begun a stream stays. A later attempt at the stream
+        may last longer, which replaces the time until which it is held.
         """
         now = self.clock.now()
         if len(origin.stream) != KEY_BYTES or not now < origin.until <= now + MAX_STREAM_MS:
             return False
-        known = self.origins.setdefault(origin.stream, origin)
-        if known is not origin:
+        known = self.origins.get(origin.stream)
+        if known is not None:
             if (known.service, known.version) != (origin.service, origin.version):
                 log_message(
                     "stream-origin-conflict",
@@ -54,7 +57,11 @@
                     kept=known.version,
                     dropped=origin.version,
                 )
-            return False
+                return False
+            if origin.until <= known.until + MIN_EXTENSION_MS:
+                return False
+            del self.origins[origin.stream]
+        self.origins[origin.stream] = origin
         self.evict(now)
         return True
 
