Streams: an answer that ends with its connection as its server crashes is cut

Cause: an answer with neither a length nor chunks ends with its connection. The system closes the connections of a server that crashes in the same way, so that a stream that was cut between two events ended as complete.

Change: behind such an answer, a server that is in service and refuses connections has crashed: the stream is resumed where its route allows it, else broken off. A server that leaves may end behind its last answer. This costs a connection for each such stream. A server that listens again by then is not noticed.

--- a/features/steps/streamclause_steps.py
+++ b/features/steps/streamclause_steps.py
@@ -125,6 +125,11 @@
     upstream.open = open_
 
 
+@given("the first server begins to drain")
+def first_drains(context):
+    context.plans.append(lambda first: context.fleet.add_server(first, "llm", "a", draining=True))
+
+
 @when("instance {name} gets a resumable request r after event {last}")
 def get_resumed(context, name, last):
     def send():
--- a/features/streamclauses.feature
+++ b/features/streamclauses.feature
@@ -182,6 +182,20 @@
       | resumable | 1,2,3/4,5,6 | 1,2,3/4,5,6 | complete   |
       | stream    | 1,2,3/4,5,6 | 1,2,3       | broken off |
 
+  # Guards against whole answers that are broken off since their server ends behind its last one.
+  @forwarding
+  Scenario Outline: An answer that ends with its connection at a server that leaves is complete
+    Given two instances and the servers of each kind of request
+    And the first server begins to drain
+    And the servers send 1,2,3, without length or chunks, and the first one crashes at its end
+    When instance a-1 gets a <kind> request r
+    Then the caller gets 1,2,3, and the answer is complete
+
+    Examples:
+      | kind      |
+      | resumable |
+      | stream    |
+
   # Guards against whole answers that are broken off for it.
   @forwarding
   Scenario Outline: An answer that ends with its connection at a server that lives is complete
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -323,6 +323,18 @@
                 pace.passed_on(self.context.clock.now())
         if splitter.incomplete.strip():
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
+        if answer.ends_with_connection and self.has_crashed(attempt):
+            raise StageError("the stream ended with its server", Code.STREAM_CUT)
+
+    def has_crashed(self, attempt: ForwardAttempt) -> bool:
+        """Return whether the server of an answer that ended with its connection has crashed.
+
+        One that leaves may end in order behind its last answer.
+        """
+        server = attempt.choice.state.server
+        available = self.context.picker.directory.available(self.service)
+        is_leaving = all(one.name != server.name for one in available)
+        return not is_leaving and self.context.upstream.refuses(server)
 
     def resume(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, cut: StageError
