Streams: lines of events may end with CRLF

Of a stream whose lines end with CRLF no event was passed on, and it was broken off at its end.

Change: EventSequence also ends an event at an empty line with CRLF.

Measured: 4 rows of features/streamclauses.feature failed before and pass now; endlessanswers and forwarding pass.

--- a/packages/core/src/mountladder/forwarding/eventsequence.py
+++ b/packages/core/src/mountladder/forwarding/eventsequence.py
@@ -28,6 +28,8 @@
         events: The number of complete events so far.
     """
 
+    ends = (EVENT_END, b"\n\r\n")
+
     def __init__(self, last_id: str = "") -> None:
         super().__init__()
         self.last_id = last_id
@@ -43,7 +45,7 @@
         """
         last_id, number, events = self.last_id, self.number, 0
         is_named = self.is_named
-        for event in complete.split(EVENT_END)[:-1]:
+        for event in complete.replace(b"\r\n", b"\n").split(EVENT_END)[:-1]:
             events += 1
             id_ = _read_id(event)
             if not id_:
