Streams: replies settle that one version serves only while the store answers somebody

A stream continued at a second version while all known instances were cut off from the store: an instance that was added meanwhile had begun it, and nobody knew that one.

Cause: StreamOrigins.have_all_replied takes the known instances for all there are, however old the list of instances is.

--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -215,9 +215,12 @@
     def have_all_replied(self, replies: Mapping[str, OriginReply]) -> bool:
         """Return whether all instances have replied and know which versions served earlier.
 
-        Those that have not may use a version that the others have not heard of.
+        Those that have not may use a version that the others have not heard of. While the store
+        answers none of them, that includes instances which were added since.
         """
-        members = self.fleet.membership
+        members, fleet = self.fleet.membership, self.fleet
+        if not fleet.is_store_answering() and not fleet.reader_election.has_live_reader():
+            return False
         if not members.listed or members.was_dropped_within(MAX_STREAM_MS):
             return False
         know_earlier = self.history.is_complete and all(one.is_complete for one in replies.values())
