--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -48,3 +48,23 @@
     And a caller of resumable stream r at b-1 has 2 events when its connection breaks
     When the caller resumes stream r at a-1
     Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+
+  # Guards against an older copy that new processes take for all that has served.
+  Scenario: All instances start again at a store that is older than a version
+    Given only version v1 is listed
+    And then a copy of the store is saved, v2 is listed
+    And server llm-2 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then v2 is removed, all are killed, a copy of the store is restored, all start
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+
+  # Guards against a version that nobody could write down, while the store can be read.
+  Scenario: The store takes no changes while a version serves
+    Given only version v1 is listed
+    And then b is cut off, versions cannot be written, v2 is listed
+    And server llm-2 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then v2 is removed, all of a are killed, b is reached again
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
