Streams: every instance of a small fleet is told of each stream

While the store answers nobody, replies of all instances do not settle that one version serves, so that a stream that began in another data centre was refused though its instance had only just ended or was cut off.

The scenario on an instance that is cut off had a refusal for a stream that began before the cut, which the instance now knows: it goes on at its version. The refusal is asked for in a scenario of its own, with the cut before the stream, within the same 300 ms.

--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -80,12 +80,21 @@
     And <instance> is cut off from the store and its peers
     And version v2 is listed
     When the caller resumes stream r at <instance>
-    Then <outcome>
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
-    Examples:
-      | instance | outcome                                                                   |
-      | a-1      | stream r has events 1 to 6, and ran on llm-1, llm-3                       |
-      | b-1      | it is refused as not run with code 2016 within 300 ms, and a Retry-After  |
+    Examples: It ran the stream, or was told of it before
+      | instance |
+      | a-1      |
+      | b-1      |
+
+  Scenario: An instance that was cut off from all others before a stream began
+    Given only version v1 is listed
+    And b-1 is cut off from the store and its peers
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And version v2 is listed
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
 
   # Guards against streams that are lost with the instances of a data centre, in a fleet in which not
   # every instance has links to all others.
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -92,11 +92,11 @@
     def told_links(self, service: str) -> list[Link]:
         """Return the links to those that are told the origins of a service's streams.
 
-        While one version serves, these are the holders of this data centre. It may be cut off from
-        all others at any moment, and does not hear of a second version then.
+        In a large fleet these are the holders of this data centre while one version serves. It may
+        be cut off from all others at any moment, and does not hear of a second version then.
         """
         links = self.links(service)
-        if service in self.history.several():
+        if self.is_small() or service in self.history.several():
             return links
         here = self.fleet.membership.me.datacentre
         return [one for one in links if one.peer.datacentre == here]
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -45,10 +45,10 @@
     """Remembers which software version began each resumable stream, and finds it again.
 
     Callers may resume a stream at an instance that did not begin it. Each instance remembers the
-    streams that it runs, and tells others when a stream begins: those of its data centre, and while
-    several versions serve those of other ones as well. A stream that nobody knows continues where
-    only one version can have begun it, which takes a reply of every instance, or a read of the
-    store that began after the request came.
+    streams that it runs, and tells others when a stream begins: all in a small fleet, else one of
+    its data centre, and one of two other ones as well while several versions serve. A stream that
+    nobody knows continues where only one version can have begun it, which takes a reply of every
+    known instance, or a read of the store that began after the request came.
 
     Args:
         fleet: The other instances.
