Streams: a request waits for the read in progress and its own, and no longer for a store that fails

A request that came during a read waited for that one and for its own. With a store that does not answer each request waited up to 455 ms, at 390 instances 1,180 ms.

Change: the wait is 700 ms, and for 500 ms after a read that failed requests are refused at once. Fields of StoreRead and OriginLookup say what they hold.

--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -19,8 +19,9 @@
         origin: The origin, or None if it is not known.
         source: Where it is known from: "own", "peer", "store", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
-        is_complete: Whether no other version can have begun it.
-        evidence: What tells that: "replies" of all instances, the "store", or "" if nothing does.
+        is_complete: Whether no other version can have begun it, or several are known.
+        evidence: What tells that: "replies" of all instances, the "store", "several" known
+            versions, or "" if nothing does.
         may_be_found: Whether an unknown origin may be found later, since not all that may know it
             have replied.
         asked: The number of instances that were asked.
--- a/packages/core/src/mountladder/streams/storeread.py
+++ b/packages/core/src/mountladder/streams/storeread.py
@@ -15,9 +15,11 @@
 
 # The least time between two reads.
 MIN_INTERVAL_MS = 50.0
-# How long a request waits for a read, besides the time until it may begin. The store answers in
-# about 4 ms, and in 320 ms while it is slow.
-WAIT_MS = 400.0
+# How long a request waits, besides the time until a read may begin: for a read in progress and for
+# the next one. The store answers in about 4 ms, and in 320 ms while it is slow.
+WAIT_MS = 700.0
+# For how long after a read that failed requests are told so at once.
+FAILED_MS = 500.0
 
 
 class StoreRead:
@@ -30,8 +32,9 @@
 
     Attributes:
         begun_at: When the last read began.
-        ended_from: When the last read that has ended began.
-        answered_from: When the last read that the store answered began.
+        last_ended_begun_at: When the last read that has ended began.
+        last_answered_begun_at: When the last read that the store answered began.
+        failed_at: When a read last ended without an answer.
         is_running: Whether a read is in progress, or waits until it may begin.
         ended: Set once that read has ended.
     """
@@ -45,25 +48,29 @@
         self.read = read
         self.clock = clock
         self.interval_ms = interval_ms
-        self.begun_at = self.ended_from = self.answered_from = float("-inf")
+        self.begun_at = self.last_ended_begun_at = self.last_answered_begun_at = float("-inf")
+        self.failed_at = float("-inf")
         self.is_running = False
         self.ended = Event()
 
     def refresh(self, since: float) -> bool:
         """Return whether the store has answered a read that began at a time or later.
 
-        Makes a read unless there was one, and waits for it. One that failed is not repeated.
+        Makes a read unless there was one, and waits for it. A failed read is not repeated for this
+        request, nor for those that come shortly after.
 
         Args:
             since: The time, in the clock's milliseconds.
         """
         until = self.clock.now() + self.interval_ms() + WAIT_MS
-        while self.ended_from < since and self.clock.now() < until:
+        while self.last_ended_begun_at < since and self.clock.now() < until:
+            if self.clock.now() - self.failed_at < FAILED_MS:
+                return False
             if not self.is_running:
                 self.is_running = True
                 gevent.spawn(self.run)
             self.clock.wait(self.ended, until - self.clock.now())
-        return self.answered_from >= since
+        return self.last_answered_begun_at >= since
 
     def run(self) -> None:
         """Read the tables once it is time, and wake the requests that wait for it."""
@@ -71,8 +78,10 @@
             self.clock.sleep(max(0.0, self.begun_at + self.interval_ms() - self.clock.now()))
             self.begun_at = self.clock.now()
             if self.read():
-                self.answered_from = self.begun_at
+                self.last_answered_begun_at, self.failed_at = self.begun_at, float("-inf")
+            else:
+                self.failed_at = self.clock.now()
         finally:
-            self.is_running, self.ended_from = False, self.begun_at
+            self.is_running, self.last_ended_begun_at = False, self.begun_at
             ended, self.ended = self.ended, Event()
             ended.set()
