Streams: instances of a small fleet tell only their own streams when a second version comes

Each instance of a small fleet knows the streams of all others since they are told always, and told all of them again, twice, once a second version was listed: at 8 instances and 30 streams a second some 300 origins to each of 7 peers from each instance (worked out), in place of those that it has run.

--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -61,6 +61,7 @@
         read_servers: Reads from the store what changed in the list of servers, and returns whether
             it answered.
         store_read: Reads the versions and the list for requests.
+        own: The streams that this instance has run.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.archive = OriginArchive(
             origin_store, self.holders, self.registry, self.history, name, clock
         )
+        self.own: set[bytes] = set()
         self.read_servers: Callable[[], bool] = lambda: False
         self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
         self.exchange.on_told = self.archive.add
@@ -104,9 +106,16 @@
         stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
         origin = StreamOrigin(stream, service, version, request.deadline(MAX_STREAM_MS))
         if self.registry.add(origin):
+            self.add_own(stream)
             self.exchange.announce(service, [origin])
             self.archive.add([origin])
 
+    def add_own(self, stream: bytes) -> None:
+        """Note that this instance runs a stream, and forget those that are past."""
+        if len(self.own) > 2 * len(self.registry.origins):
+            self.own &= self.registry.origins.keys()
+        self.own.add(stream)
+
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
@@ -115,8 +124,13 @@
         self.clock.call_later(ANNOUNCE_AGAIN_MS, lambda: self.announce_known(service))
 
     def announce_known(self, service: str) -> None:
-        """Tell all known origins of a service's streams."""
+        """Tell the known origins of a service's streams.
+
+        In a small fleet, where others have been told as well, these are those that began here.
+        """
         origins = self.registry.of_service(service)
+        if self.holders.is_small():
+            origins = [one for one in origins if one.stream in self.own]
         told = self.exchange.announce(service, origins)
         log_message(
             "stream-origins-announced",
