Own interface: an answer that does not begin in time is told as stalled

Callers got 3003 (502) or 3011 (504) for the same event: the head of a server's answer did not end within the deadline.

Cause: HttpBackend.open took the time limit of the socket for a broken answer, and that of the clock for a stalled server. Which of them struck first depended on the load.

--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -160,7 +160,7 @@
                 )
         except _NOT_SENT as error:
             raise StageError(f"{url}: cannot be reached", Code.CONNECT_FAILED, False) from error
-        except WaitTimeoutError as error:
+        except (WaitTimeoutError, urllib3.exceptions.ReadTimeoutError, TimeoutError) as error:
             raise StageError(f"{url}: no answer in time", Code.STAGE_STALLED) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StageError(f"{url}: {error}", Code.STREAM_CUT) from error
