--- a/packages/core/src/mountladder/streams/startcheck.py
+++ b/packages/core/src/mountladder/streams/startcheck.py
@@ -6,21 +6,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from gevent.event import Event
 
 
-@dataclass(slots=True)
 class StartCheck:
     """A question to a backend server when it started.
 
-    Attributes:
+    Args:
         asked_at: When it was asked, in the clock's milliseconds.
+
+    Attributes:
         born: When it started, in milliseconds since 1970, or None if it has not said so.
         ended: Set once it has answered, or failed to.
     """
 
-    asked_at: float
-    born: int | None = None
-    ended: Event = field(default_factory=Event)
+    def __init__(self, asked_at: float) -> None:
+        self.asked_at = asked_at
+        self.born: int | None = None
+        self.ended = Event()
