Streams: one question whether the store is heard of, and what a lookup is based on is said once

Read again: whether the store answers this instance or a peer that polls it was asked in two places in the same words; OriginLookup held is_complete beside the evidence that it follows from; the steps on servers that start again had a copy of regain_store, which left the list of instances down.

Change: Fleet.hears_store, a property of OriginLookup, one step function.

--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -12,7 +12,14 @@
 from continuation_steps import MANY_PROMPTS
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS, save_retries, serve
-from streamversion_steps import CUT_OFF_MS, configure, cut_off_from_all, set_load, stream
+from streamversion_steps import (
+    CUT_OFF_MS,
+    configure,
+    cut_off_from_all,
+    regain_store,
+    set_load,
+    stream,
+)
 
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.directory import Directory
@@ -89,12 +96,8 @@
 
 @given("{name} is in touch again")
 def in_touch_again(context, name):
-    fleet, instance = context.fleet, context.fleet.instances[name]
-    fleet.network.cut_instances.clear()
-    instance.catalogue_source.source = fleet.catalogue
-    instance.directory_source.source = fleet.servers
-    instance.origins.version_record.store = fleet.version_store
-    instance.origins.archive.store = fleet.origin_store
+    context.fleet.network.cut_instances.clear()
+    regain_store(context, name)
     context.run(context.clock.sleep, IN_TOUCH_MS)
 
 
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -121,6 +121,10 @@
         self.coordinators.add_topics(catalogue)
         self.retarget.set()
 
+    def hears_store(self) -> bool:
+        """Return whether the store answers this instance, or a peer that polls it."""
+        return self.is_store_answering() or self.reader_election.has_live_reader()
+
     def coordinator_links(self, service: str) -> dict[str, Link]:
         """Return links to a divided service's coordinators in the other data centres.
 
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -366,7 +366,7 @@
         """
         known = self.membership.addressed()
         reachable = not known or any(self.fleet.is_alive(one) for one in known)
-        return reachable and (self.follows_store() or self.fleet.reader_election.has_live_reader())
+        return reachable and self.fleet.hears_store()
 
     def is_list_current(self) -> bool:
         """Return whether this instance reads the list of servers, or a peer follows the store."""
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -10,6 +10,9 @@
 
 from mountladder.streams.streamorigin import StreamOrigin
 
+# An instance that knows the origin needs no evidence.
+KNOWN_SOURCES = frozenset({"own", "peer"})
+
 
 @dataclass(frozen=True, slots=True)
 class OriginLookup:
@@ -19,9 +22,8 @@
         origin: The origin, or None if it is not known.
         source: Where it is known from: "own", "peer", "store", "only version" or "unknown".
         versions: The versions that may have begun it, as known to those that were asked as well.
-        is_complete: Whether no other version can have begun it, or several are known.
-        evidence: What tells that: "replies" of all instances, the "store", "several" known
-            versions, or "" if nothing does.
+        evidence: What tells that no other version can have begun it: "replies" of all instances or
+            the "store"; or "several" if more than one is known, or "".
         may_be_found: Whether an unknown origin may be found later, since not all that may know it
             have replied.
         asked: The number of instances that were asked.
@@ -32,9 +34,13 @@
     origin: StreamOrigin | None
     source: str
     versions: frozenset[str]
-    is_complete: bool
     may_be_found: bool = False
     asked: int = 0
     replied: int = 0
     known: int = 0
     evidence: str = ""
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether no other version can have begun the stream, or several are known."""
+        return self.source in KNOWN_SOURCES or bool(self.evidence)
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -180,7 +180,7 @@
         """Search for the origin of a stream here, then at other instances and in the store."""
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "own", self.history.recent(service), True)
+            return OriginLookup(origin, "own", self.history.recent(service))
         since = self.clock.now()
         replies, asked = self.exchange.ask(stream, service)
         members = self.fleet.membership.addressed()
@@ -189,21 +189,20 @@
             if reply.origin is not None:
                 told = reply.origin.from_remaining(self.clock.now())
                 versions = self.known_versions(service, replies)
-                return OriginLookup(told, "peer", versions, True, **counts)
+                return OriginLookup(told, "peer", versions, **counts)
         versions, evidence = self.possible_versions(service, replies, since)
-        is_complete = bool(evidence)
         counts["evidence"] = evidence
-        if len(versions) == 1 and is_complete:
+        if len(versions) == 1 and evidence:
             until = self.clock.now() + MAX_STREAM_MS
             only = StreamOrigin(stream, service, *versions, until)
-            return OriginLookup(only, "only version", versions, True, **counts)
-        is_read = is_complete and self.archive.refresh()
+            return OriginLookup(only, "only version", versions, **counts)
+        is_read = bool(evidence) and self.archive.refresh()
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "store", versions, is_complete, **counts)
+            return OriginLookup(origin, "store", versions, **counts)
         have_replied = len(replies) >= self.holders.count(service)
         may_be_found = not (have_replied and is_read)
-        return OriginLookup(None, "unknown", versions, is_complete, may_be_found, **counts)
+        return OriginLookup(None, "unknown", versions, may_be_found, **counts)
 
     def known_versions(self, service: str, replies: Mapping[str, OriginReply]) -> frozenset[str]:
         """Return the versions that may have begun a stream, by what is known here and told."""
@@ -232,10 +231,10 @@
         Those that have not may use a version that the others have not heard of. While the store
         answers none of them, that includes instances which were added since.
         """
-        members, fleet = self.fleet.membership, self.fleet
-        if not fleet.is_store_answering() and not fleet.reader_election.has_live_reader():
+        members = self.fleet.membership
+        if not self.fleet.hears_store() or not members.listed:
             return False
-        if not members.listed or members.was_dropped_within(MAX_STREAM_MS):
+        if members.was_dropped_within(MAX_STREAM_MS):
             return False
         know_earlier = self.history.is_complete and all(one.is_complete for one in replies.values())
         return know_earlier and {one.peer for one in members.addressed()} <= replies.keys()
