--- a/features/run.py
+++ b/features/run.py
@@ -15,9 +15,11 @@
 monkey.patch_all()
 
 from behave.configuration import Configuration
+from behave.model import Scenario
 from behave.runner import Runner
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+MAX_FAILURE_CHARS = 2_000
 
 
 def main() -> int:
@@ -32,11 +34,23 @@
     known = [scenario.name.strip() for scenario in not_passed if scenario.name.strip() in listed]
     for name in known:
         print(f"known red: {name}")
+    for scenario in not_passed:
+        if scenario.name.strip() not in listed:
+            print(f"failed: {scenario.name.strip()} ({scenario.location}): {failure(scenario)}")
     passed, unexpected = len(scenarios) - len(not_passed), len(not_passed) - len(known)
     print(f"{passed} passed, {unexpected} failed")
     return 1 if unexpected or not passed or (failed and not known) else 0
 
 
+def failure(scenario: Scenario) -> str:
+    """Return the step of a scenario that failed and its error, shortened."""
+    for step in scenario.all_steps:
+        if step.error_message:
+            lines = step.error_message.strip().splitlines()
+            return f"{step.keyword} {step.name}: {lines[-1]}"[:MAX_FAILURE_CHARS]
+    return scenario.status.name
+
+
 def known_red() -> set[str]:
     """Return the names of the scenarios that KNOWN-RED.txt lists."""
     lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
