Calls to servers: an answer is matched with its request before anything in it counts

Cause: HttpUpstream.check_head read the mark of a request that was not run, and status 421, before it compared the id. A late extra refusal of the request before on the connection was taken for the refusal of the one that waited.

An answer with another id, or without one, says nothing: no refusal, no notice; its connection is closed and the request may have run.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -14,6 +14,13 @@
       | server error             | status 500 and body "broken" |
       | another id               | code 3010, may have run      |
       | no id                    | code 3010, may have run      |
+      | full, another id         | code 3010, may have run      |
+      | full, no id              | code 3010, may have run      |
+      | replaced, another id     | code 3010, may have run      |
+      | replaced, no id          | code 3010, may have run      |
+      | inputs gone, another id  | code 3010, may have run      |
+      | 400 not run, no id       | code 3010, may have run      |
+      | server error, another id | code 3010, may have run      |
       | full, not run            | code 3014, not run           |
       | leaving, not run         | code 3008, not run           |
       | replaced                 | code 3015, not run           |
@@ -125,22 +132,23 @@
     Then its rate limit notices are <notices>
 
     Examples:
-      | answer                   | what         | notices      |
-      | limited                  | request r1   | 1.5 a second |
-      | limited, server error    | request r1   | 2.0 a second |
-      | limited, full            | request r1   | 0.3 a second |
-      | limited results          | a stage call | 4.0 a second |
-      | limited results full     | a stage call | 0.5 a second |
-      | whole                    | request r1   | unlimited    |
-      | results                  | a stage call | unlimited    |
-      | full, not run            | request r1   | none         |
-      | 503 without Not-Executed | request r1   | none         |
-      | results full             | a stage call | none         |
-      | limited, replaced        | request r1   | none         |
-      | limited, another id      | request r1   | none         |
-      | limit is a word          | request r1   | none         |
-      | limit below zero         | request r1   | none         |
-      | limit is nan             | request r1   | none         |
+      | answer                    | what         | notices      |
+      | limited                   | request r1   | 1.5 a second |
+      | limited, server error     | request r1   | 2.0 a second |
+      | limited, full             | request r1   | 0.3 a second |
+      | limited results           | a stage call | 4.0 a second |
+      | limited results full      | a stage call | 0.5 a second |
+      | whole                     | request r1   | unlimited    |
+      | results                   | a stage call | unlimited    |
+      | full, not run             | request r1   | none         |
+      | 503 without Not-Executed  | request r1   | none         |
+      | results full              | a stage call | none         |
+      | limited, replaced         | request r1   | none         |
+      | limited, another id       | request r1   | none         |
+      | limited, full, another id | request r1   | none         |
+      | limit is a word           | request r1   | none         |
+      | limit below zero          | request r1   | none         |
+      | limit is nan              | request r1   | none         |
 
   Scenario: A connection to a server is not ended by the kernel while the server is silent
     # A user timeout also ends connections whose keep-alive probes go unanswered, although the
@@ -204,6 +212,9 @@
       | back-off with status 200          | request r1   | none                |
       | back-off, replaced                | request r1   | none                |
       | back-off, another id              | request r1   | none                |
+      | full for a while, another id      | request r1   | none                |
+      | full for a while, no id           | request r1   | none                |
+      | leaving, full, no id              | request r1   | none                |
 
   Scenario Outline: Results that cannot be matched with their pieces are refused
     Given a backend server that answers "<answer>"
--- a/features/rawanswers.py
+++ b/features/rawanswers.py
@@ -10,6 +10,8 @@
 REPEATED_LATER = "later"
 HEAD = b"Mountladder-Request-Id: @ID\r\nMountladder-Server-Stamp: s\r\n"
 NOT_EXECUTED = b"Mountladder-Not-Executed: 1\r\n"
+ECHOED = b"Mountladder-Request-Id: @ID\r\n"
+REFUSED = ECHOED + NOT_EXECUTED
 
 
 def answer(status, body=b"", head=HEAD, length=True):
@@ -35,7 +37,7 @@
     return b"Server-Limit: %b\r\n" % per_s
 
 
-def backoff(seconds, mark=NOT_EXECUTED):
+def backoff(seconds, mark=REFUSED):
     return mark + b"Retry-After: %b\r\n" % seconds
 
 
@@ -77,10 +79,27 @@
     "server error": (answer(500, b"broken"), False),
     "another id": (answer(200, b"hello", OTHER_ID), False),
     "no id": (answer(200, b"hello", b""), False),
-    "full, not run": (answer(503, b"", NOT_EXECUTED), False),
-    "leaving, not run": (answer(503, b"", NOT_EXECUTED + b"Connection: close\r\n"), True),
-    "replaced": (answer(421, b"", b""), False),
-    "inputs gone, not run": (answer(409, b"", NOT_EXECUTED), False),
+    "full, another id": (answer(503, b"", OTHER_ID + NOT_EXECUTED), False),
+    "full, no id": (answer(503, b"", NOT_EXECUTED), False),
+    "full for a while, another id": (
+        answer(503, b"", backoff(b"3", OTHER_ID + NOT_EXECUTED)),
+        False,
+    ),
+    "full for a while, no id": (answer(503, b"", backoff(b"3", NOT_EXECUTED)), False),
+    "limited, full, another id": (
+        answer(503, b"", OTHER_ID + NOT_EXECUTED + limited(b"1")),
+        False,
+    ),
+    "leaving, full, no id": (answer(503, b"", NOT_EXECUTED + LEAVING), False),
+    "replaced, another id": (answer(421, b"", OTHER_ID), False),
+    "replaced, no id": (answer(421, b"", b""), False),
+    "inputs gone, another id": (answer(409, b"", OTHER_ID + NOT_EXECUTED), False),
+    "400 not run, no id": (answer(400, b"", NOT_EXECUTED), False),
+    "server error, another id": (answer(500, b"broken", OTHER_ID), False),
+    "full, not run": (answer(503, b"", REFUSED), False),
+    "leaving, not run": (answer(503, b"", REFUSED + b"Connection: close\r\n"), True),
+    "replaced": (answer(421, b"", ECHOED), False),
+    "inputs gone, not run": (answer(409, b"", REFUSED), False),
     "503 without Not-Executed": (answer(503, b"x"), False),
     "429 without Not-Executed": (answer(429, b"x"), False),
     "408 without Not-Executed": (answer(408, b"x"), False),
@@ -97,18 +116,18 @@
     "too few results": (results(*ITEMS[:2]), False),
     "no results": (answer(200, b"{}"), False),
     "fragile": (answer(200, b"hello", HEAD + fragile(b"4")), False),
-    "fragile, full": (answer(503, b"", NOT_EXECUTED + fragile(b"0")), False),
+    "fragile, full": (answer(503, b"", REFUSED + fragile(b"0")), False),
     "fragile results": (answer(200, RESULTS, fragile(b"2.5")), False),
     "fragile results full": (answer(503, b"", NOT_EXECUTED + fragile(b"7")), False),
-    "fragile, replaced": (answer(421, b"", fragile(b"1")), False),
+    "fragile, replaced": (answer(421, b"", ECHOED + fragile(b"1")), False),
     "fragile, another id": (answer(200, b"x", OTHER_ID + fragile(b"1")), False),
     "fragile is a word": (answer(200, b"hello", HEAD + fragile(b"few")), False),
     "limited": (answer(200, b"hello", HEAD + limited(b"1.5")), False),
     "limited, server error": (answer(500, b"broken", HEAD + limited(b"2")), False),
-    "limited, full": (answer(503, b"", NOT_EXECUTED + limited(b"0.3")), False),
+    "limited, full": (answer(503, b"", REFUSED + limited(b"0.3")), False),
     "limited results": (answer(200, RESULTS, limited(b"4")), False),
     "limited results full": (answer(503, b"", NOT_EXECUTED + limited(b"0.5")), False),
-    "limited, replaced": (answer(421, b"", limited(b"1")), False),
+    "limited, replaced": (answer(421, b"", ECHOED + limited(b"1")), False),
     "limited, another id": (answer(200, b"x", OTHER_ID + limited(b"1")), False),
     "limit is a word": (answer(200, b"hello", HEAD + limited(b"few")), False),
     "limit below zero": (answer(200, b"hello", HEAD + limited(b"-1")), False),
@@ -116,19 +135,19 @@
     "results full": (answer(503, b"", NOT_EXECUTED), False),
     "leaving": (answer(200, b"hello", HEAD + LEAVING), False),
     "leaving, server error": (answer(500, b"broken", HEAD + LEAVING), False),
-    "leaving, full": (answer(503, b"", NOT_EXECUTED + LEAVING), False),
+    "leaving, full": (answer(503, b"", REFUSED + LEAVING), False),
     "leaving, 503 without Not-Executed": (answer(503, b"x", HEAD + LEAVING), False),
     "leaving stream": (answer(200, CHUNKS + b"0\r\n\r\n", CHUNKED + LEAVING, False), False),
     "leaving results": (answer(200, RESULTS, LEAVING), False),
     "leaving results full": (answer(503, b"", NOT_EXECUTED + LEAVING), False),
-    "leaving, replaced": (answer(421, b"", LEAVING), False),
+    "leaving, replaced": (answer(421, b"", ECHOED + LEAVING), False),
     "leaving, another id": (answer(200, b"x", OTHER_ID + LEAVING), False),
     "leaving header is a word": (answer(200, b"hello", HEAD + b"Server-Leaving: soon\r\n"), False),
     "back-off of 3 s": (answer(503, b"", backoff(b"3")), False),
     "back-off of 0.25 s": (answer(503, b"", backoff(b"0.25")), False),
     "back-off with 429": (answer(429, b"", backoff(b"2")), False),
     "back-off without Not-Executed": (answer(503, b"x", backoff(b"2", HEAD)), False),
-    "back-off of results": (answer(503, b"", backoff(b"1.5")), False),
+    "back-off of results": (answer(503, b"", backoff(b"1.5", NOT_EXECUTED)), False),
     "back-off of a day": (answer(503, b"", backoff(b"86400")), False),
     "back-off of 0 s": (answer(503, b"", backoff(b"0")), False),
     "back-off of less than 0 s": (answer(503, b"", backoff(b"-3")), False),
@@ -137,15 +156,15 @@
     "back-off until a date": (answer(503, b"", backoff(b"Thu, 03 Dec 2026 10:00:00 GMT")), False),
     "back-off with status 200": (answer(200, b"hello", backoff(b"3", HEAD)), False),
     "load of 4 values": (answer(200, b"hello", HEAD + loaded(b"3,0,8,250")), False),
-    "load of 4 values, full": (answer(503, b"", NOT_EXECUTED + loaded(b"8,2,8, 70")), False),
+    "load of 4 values, full": (answer(503, b"", REFUSED + loaded(b"8,2,8, 70")), False),
     "load of 4 values, results": (answer(200, RESULTS, loaded(b"1,0,1,170.5")), False),
-    "load of 4 values, replaced": (answer(421, b"", loaded(b"3,0,8,250")), False),
+    "load of 4 values, replaced": (answer(421, b"", ECHOED + loaded(b"3,0,8,250")), False),
     "load of 3 values": (answer(200, b"hello", HEAD + loaded(b"3,0,8")), False),
     "load with speed 0": (answer(200, b"hello", HEAD + loaded(b"3,0,8,0")), False),
     "load with a word": (answer(200, b"hello", HEAD + loaded(b"3,0,8,fast")), False),
     "load with nan": (answer(200, b"hello", HEAD + loaded(b"3,0,8,nan")), False),
     "load below zero": (answer(200, b"hello", HEAD + loaded(b"3,0,8,-20")), False),
     "load ending in a comma": (answer(200, b"hello", HEAD + loaded(b"3,0,8,")), False),
-    "back-off, replaced": (answer(421, b"", backoff(b"3")), False),
+    "back-off, replaced": (answer(421, b"", backoff(b"3", ECHOED)), False),
     "back-off, another id": (answer(503, b"x", backoff(b"3", OTHER_ID)), False),
 }
