--- a/features/platform.feature
+++ b/features/platform.feature
@@ -317,6 +317,20 @@
       | closed         | the store is reported as unavailable |
       | silence        | the store is reported as unavailable |
 
+  # Guards against a server that begins to drain while the table is read, and stays in use.
+  Scenario Outline: A change of a table that is read in several pages is not missed
+    Given a store whose table takes 3 pages
+    When the entry of server <server> becomes draining after page <page> is read
+    Then a follower of the table knows it as draining after one more call
+
+    Examples:
+      | server | page |
+      | 1      | 1    |
+      | 1      | 2    |
+      | 3      | 2    |
+      | 5      | 1    |
+      | 6      | 3    |
+
   Scenario: Writing log lines never blocks, and dropped lines are counted
     Given a log whose reader does not read
     When 20000 lines are logged
