--- a/features/platform.feature
+++ b/features/platform.feature
@@ -317,6 +317,54 @@
       | closed         | the store is reported as unavailable |
       | silence        | the store is reported as unavailable |
 
+  # Guards against a request that ends with 500 since its server's header has a digit that is none.
+  Scenario Outline: A malformed number in a header of an answer is ignored with a log line
+    Given a backend server that answers with header <header> "<text>"
+    When request r1 is sent to it
+    Then it ends with status 200 and body "hello"
+    And nothing is taken from <header>, which is logged
+
+    Examples:
+      | header                  | text                 |
+      | Mountladder-Server-Load | ²,0,8             |
+      | Mountladder-Server-Load | 3,¹,8             |
+      | Mountladder-Server-Load | 1_0,1,8              |
+      | Mountladder-Server-Load | 7 times 1000,1       |
+      | Mountladder-Server-Load | 3,                   |
+      | Mountladder-Server-Load | -1,5                 |
+      | Server-Limit            | 1_0                  |
+      | Server-Limit            | ²                 |
+      | Server-Brittle          | 7 times 1000         |
+      | Server-Brittle          | 1e999                |
+      | Keep-Alive              | timeout=²         |
+      | Keep-Alive              | timeout=7 times 5000 |
+
+  Scenario Outline: A number in a header of an answer is read
+    Given a backend server that answers with header <header> "<text>"
+    When request r1 is sent to it
+    Then <read> is taken from <header>, and nothing is logged
+
+    Examples:
+      | header                  | text        | read |
+      | Mountladder-Server-Load | 3,0,8       | 3    |
+      | Mountladder-Server-Load | 3 , 4       | 7    |
+      | Server-Limit            | 1.5         | 1.5  |
+      | Server-Limit            | .5          | 0.5  |
+      | Server-Limit            | 2e-1        | 0.2  |
+      | Server-Brittle          | 0           | 0.0  |
+
+  Scenario Outline: An era of the store that is no number is refused
+    Given a store over HTTP whose era is given as "<text>"
+    When its rows are read
+    Then they are refused as malformed
+
+    Examples:
+      | text         |
+      | ²         |
+      | 7 times 5000 |
+      | 1.5          |
+      | -1           |
+
   # Guards against a server that begins to drain while the table is read, and stays in use.
   Scenario Outline: A change of a table that is read in several pages is not missed
     Given a store whose table takes 3 pages
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -168,6 +168,7 @@
         )
         context.call_outcomes.append((answer.status, answer.read(TIMEOUT_MS)))
         context.ends_with_connection = answer.ends_with_connection
+        context.load = answer.load
     except StageError as error:
         context.call_outcomes.append(error)
 
