Shutdown: a request that comes while connections are being closed is refused as not run

A request that came over a kept connection in the last 0.2 s of a process was sent to a server and got 500, while the server ran it to its end.

Cause: once an idle instance had waited for 2.5 s it closed its connections, and still accepted what came over them: nothing but streams and long timeouts was refused then.

Evidence: both examples of 'A request that comes while a process closes its connections is refused as not run' failed before, with the 500.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -286,6 +286,18 @@
     When a caller sends "a request"
     Then it gets status 200 and the connection closes
 
+  # Guards against a request that is sent to a server and ends with 500, as the process closes its
+  # connections before the server has answered.
+  Scenario Outline: A request that comes while a process closes its connections is refused as not run
+    Given an instance that shuts down while a caller keeps a connection open
+    When the instance has stopped waiting for requests, and <what> comes over that connection
+    Then it gets status 503 with a Retry-After, and is sent to no server
+
+    Examples:
+      | what                                |
+      | a request                           |
+      | the end of a request begun before   |
+
   Scenario: The operator's configuration is decoded
     When a configuration of the platform is decoded
     Then its routes, services, teams and limits match its text
--- a/packages/core/src/mountladder/forwarding/shutdown.py
+++ b/packages/core/src/mountladder/forwarding/shutdown.py
@@ -32,12 +32,14 @@
 
     Attributes:
         requested_at: When the shutdown was requested, or None.
+        is_closing: Whether connections are being closed, so that no request can finish any more.
     """
 
     def __init__(self, clock: Clock, grace_ms: Callable[[], float]) -> None:
         self.clock = clock
         self.grace_ms = grace_ms
         self.requested_at: float | None = None
+        self.is_closing = False
 
     def begin(self) -> None:
         """Record the request to shut down."""
@@ -60,7 +62,7 @@
         Raises:
             RefusalError: The instance is shutting down and the request might not finish in time.
         """
-        if self.elapsed_ms() <= ACCEPT_MS:
-            return
-        if route.kind is RouteKind.STREAM or route.timeout_ms > self.remaining_ms():
+        is_late = self.elapsed_ms() > ACCEPT_MS
+        may_outlast = route.kind is RouteKind.STREAM or route.timeout_ms > self.remaining_ms()
+        if self.is_closing or (is_late and may_outlast):
             raise RefusalError("", Code.SHUTTING_DOWN, retry_after_ms=RETRY_MS)
