Streams: two instances of a data centre know each stream

What callers saw: in a fleet of more than 12 instances, attempts to resume a stream were refused with 2016 in a data centre that was cut off, at the side where the stream had begun.

Cause: one instance of a data centre was told of a stream while one version served, the one that coordinates the service's prompts there. It was asked for 100 ms; a reply that came later was dropped, though the request went on to wait for the store.

The new scenarios of features/streamcuts.feature on the code before: the holder ends, the holder and the instance that ran the stream end, the holder takes 2 s, it takes 150 ms: 4 of the 5 failed.

Change: the first two instances of the own data centre are told and asked. Replies count until the request is decided, and before it is refused, they are waited for until 250 ms after the question. A stream is unknown only where neither has replied by then.

Check changed: "at most 3 instances other than a-1 knew of it" of a large fleet in a release (features/streamorigins.feature) becomes 4, since one more is told. A new step of streamcuts.feature checks that exactly two know of a stream while one version serves.

Result: the five scenarios pass.

--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -28,6 +28,7 @@
 
 from mountladder.clocks.systemclock import SystemClock
 from mountladder.errors import MountladderError
+from mountladder.forwarding.ranking import prompts_topic
 from mountladder.streams.originarchive import INTERVAL_MS
 from mountladder.streams.originbatch import OriginBatch
 from mountladder.streams.servedversion import ServedVersion
@@ -194,6 +195,26 @@
     return [name for name in context.fleet.instances if name.startswith(f"{datacentre}-")]
 
 
+def find_holder(context, number, datacentre):
+    """Return the name of one of the first instances of a data centre, by rank from 1 on."""
+    instance = context.fleet.instances[in_datacentre(context, datacentre)[0]]
+    ranked = instance.fleet.ranking.ranked(prompts_topic("llm"), datacentre)
+    return ranked[int(number) - 1].name
+
+
+def kill_holder(context, number, datacentre):
+    kill(context, find_holder(context, number, datacentre))
+
+
+def delay_holder(context, number, datacentre, ms):
+    """Delay all messages that one of the first instances of a data centre sends."""
+    name = find_holder(context, number, datacentre)
+    opened = context.fleet.instances[name].fleet.links.values()
+    accepted = [one for one in context.fleet.network.links if one.me.name == name]
+    for link in (*opened, *accepted):
+        link.latency_ms = float(ms)
+
+
 def instances(context):
     return list(context.fleet.instances.items())
 
@@ -226,6 +247,8 @@
     r"(\S+) starts cut off": start_cut_off,
     r"all of (\w) are killed": kill_datacentre,
     r"all lose the store": all_lose_store,
+    r"holder (\d) of (\w) is killed": kill_holder,
+    r"holder (\d) of (\w) answers (\d+) ms late": delay_holder,
     r"(\w) gets no changes": miss_changes,
     r"(\w) reaches no other data centre": lose_peers,
     r"(v\d) is removed": version_gone,
--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -501,6 +501,12 @@
     assert 1 < context.knew <= number + 1, context.knew
 
 
+@given("{number:d} instances other than {name} know of it")
+def others_know(context, number, name):
+    knew = count_known(context)
+    assert knew == number + 1, knew
+
+
 @then("its stages ran {times}")
 def stages_ran(context, times):
     expected = {"never": 0, "once": 1}[times]
--- a/features/streamcuts.feature
+++ b/features/streamcuts.feature
@@ -75,3 +75,24 @@
       | before            | first | after                          | second |
       | all lose the store | a-1  | 0.1 s pass                     | b-1    |
       | all lose the store | b-1  | b-1 is killed, 0.1 s pass                  | b-2    |
+
+  # Guards against streams that nobody knows in a data centre that is cut off, since the one instance
+  # that was told of them is slow or has ended.
+  Scenario Outline: Only one version serves in a large fleet
+    Given 12 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then b is cut off
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at b-2 has 2 events when its connection breaks
+    And 2 instances other than b-2 know of it
+    And then <after>
+    When the caller resumes stream r at b-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | after                                                                |
+      | holder 1 of b is killed, 0.1 s pass                                  |
+      | b-2 is killed, holder 1 of b is killed, 0.1 s pass                   |
+      | holder 1 of b answers 2000 ms late                                   |
+      | holder 2 of b answers 2000 ms late                                   |
+      | holder 1 of b answers 150 ms late, holder 2 of b answers 150 ms late |
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -105,7 +105,7 @@
     And <loss>
     When the caller resumes stream r at <instance>
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
-    And at most 3 instances other than a-1 knew of it
+    And at most 4 instances other than a-1 knew of it
 
     Examples:
       | loss                                    | instance |
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Sequence
-
-from gevent.event import Event
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.messageparts import chunked
@@ -17,14 +16,12 @@
 from mountladder.streams.originannouncement import OriginAnnouncement
 from mountladder.streams.originholders import OriginHolders
 from mountladder.streams.originquery import OriginQuery
+from mountladder.streams.originquestion import OriginQuestion
 from mountladder.streams.originregistry import OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.streamorigin import StreamOrigin
 from mountladder.streams.versionhistory import VersionHistory
 
-# Timeout for the replies, which usually take 1 to 2 ms.
-REPLY_TIMEOUT_MS = 100.0
-
 
 class OriginExchange:
     """Tells and asks other instances which software version began a stream.
@@ -36,7 +33,7 @@
         clock: The clock.
 
     Attributes:
-        replies: Callbacks for outstanding queries, by number.
+        questions: The outstanding questions, by the number of their queries.
         on_told: Called with origins that instances of the same group tell; see OriginHolders.
     """
 
@@ -53,7 +50,7 @@
         self.history = history
         self.clock = clock
         self.numbers = itertools.count(1)
-        self.replies: dict[int, Callable[[OriginReply, Link], None]] = {}
+        self.questions: dict[int, OriginQuestion] = {}
         self.on_told: Callable[[Sequence[StreamOrigin]], None] = lambda origins: None
         self.fleet.subscribe(OriginAnnouncement, self.receive)
         self.fleet.subscribe(OriginQuery, self.answer)
@@ -67,32 +64,21 @@
                 self.fleet.send_later(link, OriginAnnouncement(part))
         return len(links)
 
-    def ask(self, stream: bytes, service: str) -> tuple[dict[str, OriginReply], int]:
+    @contextmanager
+    def ask(self, stream: bytes, service: str) -> Iterator[OriginQuestion]:
         """Ask the holders of a service's streams which version began a stream.
 
         Returns:
-            The replies until one knew it, all had replied or the timeout expired, by the peer
-            address of the instance; and the number of instances that were asked.
+            The question, which takes replies within the context.
         """
-        links = self.holders.links(service)
-        number, is_done = next(self.numbers), Event()
-        replies: dict[str, OriginReply] = {}
-
-        def receive(reply: OriginReply, link: Link) -> None:
-            """Store a reply, and wake the waiting request after the last one that it needs."""
-            replies[link.peer.peer] = reply
-            if reply.origin is not None or len(replies) == len(links):
-                is_done.set()
-
-        self.replies[number] = receive
+        links, number = self.holders.links(service), next(self.numbers)
+        question = self.questions[number] = OriginQuestion(len(links), self.clock)
         try:
             for link in links:
                 self.fleet.send_later(link, OriginQuery(number, stream, service))
-            if links:
-                self.clock.wait(is_done, REPLY_TIMEOUT_MS)
+            yield question
         finally:
-            del self.replies[number]
-        return replies, len(links)
+            del self.questions[number]
 
     def receive(self, message: OriginAnnouncement, link: Link) -> None:
         """Add the origins that a peer tells."""
@@ -111,6 +97,6 @@
 
     def handle_reply(self, reply: OriginReply, link: Link) -> None:
         """Pass a reply to the request that waits for it."""
-        receive = self.replies.get(reply.number)
-        if receive is not None:
-            receive(reply, link)
+        question = self.questions.get(reply.number)
+        if question is not None:
+            question.receive(reply, link.peer.peer)
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -14,6 +14,9 @@
 from mountladder.membership.link import Link
 from mountladder.streams.versionhistory import VersionHistory
 
+# So many instances are told in an instance's own data centre, which may be cut off, so that one of
+# them may be slow or end.
+LOCAL_HOLDERS = 2
 # One instance is told in so many data centres besides an instance's own, since a stream of a data
 # centre that is lost is resumed in another one. Any two data centres choose one in common.
 MAX_DATACENTRES = 2
@@ -22,8 +25,8 @@
 class OriginHolders:
     """Chooses the instances that hold the origins of a service's streams.
 
-    In a small fleet, all do. In a larger one, these are the first one of this data centre and of a
-    few others by rank, alike for all instances of a data centre.
+    In a small fleet, all do. In a larger one, these are the first two of this data centre and the
+    first one of a few others by rank, alike for all instances of a data centre.
 
     Args:
         fleet: The other instances.
@@ -47,9 +50,10 @@
         topic = prompts_topic(service)
         others = {one.datacentre for one in ranking.staying()} - {me.datacentre}
         by_weight = sorted(others, key=lambda name: _weight(topic, name))
-        chosen = [me.datacentre, *by_weight[:MAX_DATACENTRES]]
-        first = [ranking.ranked(topic, name)[:1] for name in chosen]
-        return [one for ranked in first for one in ranked if one is not me]
+        first = ranking.ranked(topic, me.datacentre)[:LOCAL_HOLDERS]
+        for name in by_weight[:MAX_DATACENTRES]:
+            first += ranking.ranked(topic, name)[:1]
+        return [one for one in first if one is not me]
 
     def is_first(self, service: str) -> bool:
         """Return whether this instance is the first one of its group that is not silent.
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -21,6 +21,7 @@
 from mountladder.streams.originexchange import OriginExchange
 from mountladder.streams.originholders import OriginHolders
 from mountladder.streams.originlookup import OriginLookup
+from mountladder.streams.originquestion import OriginQuestion
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
@@ -30,6 +31,10 @@
 from mountladder.streams.versionrecord import VersionRecord
 from mountladder.streams.versionstore import VersionStore
 
+# Timeout for the replies of other instances, which usually take 1 to 2 ms.
+REPLY_TIMEOUT_MS = 100.0
+# How long after the question replies are waited for where nothing else tells the origin.
+LATE_REPLY_TIMEOUT_MS = 250.0
 # When a caller may retry if nobody that replied knows which version began its stream: another
 # instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
@@ -45,7 +50,7 @@
     """Remembers which software version began each resumable stream, and finds it again.
 
     Callers may resume a stream at an instance that did not begin it. Each instance remembers the
-    streams that it runs, and tells others when a stream begins: all in a small fleet, else one of
+    streams that it runs, and tells others when a stream begins: all in a small fleet, else two of
     its data centre, and one of two other ones as well while several versions serve. A stream that
     nobody knows continues where only one version can have begun it, which takes a reply of every
     known instance, or a read of the store that began after the request came.
@@ -181,28 +186,47 @@
         origin = self.registry.find(stream)
         if origin is not None:
             return OriginLookup(origin, "own", self.history.recent(service))
-        since = self.clock.now()
-        replies, asked = self.exchange.ask(stream, service)
-        members = self.fleet.membership.addressed()
-        counts = {"asked": asked, "replied": len(replies), "known": len(members)}
-        for reply in replies.values():
-            if reply.origin is not None:
-                told = reply.origin.from_remaining(self.clock.now())
-                versions = self.known_versions(service, replies)
-                return OriginLookup(told, "peer", versions, **counts)
-        versions, evidence = self.possible_versions(service, replies, since)
-        counts["evidence"] = evidence
-        if len(versions) == 1 and evidence:
+        with self.exchange.ask(stream, service) as question:
+            question.wait_until(REPLY_TIMEOUT_MS)
+            return self.look_up_asked(stream, service, question)
+
+    def look_up_asked(self, stream: bytes, service: str, question: OriginQuestion) -> OriginLookup:
+        """Search for the origin of a stream in the replies of other instances and in the store."""
+        replies = question.replies
+        origin = question.origin()
+        if origin is not None:
+            return self.told_by_peer(origin, service, question)
+        versions, evidence = self.possible_versions(service, replies, question.asked_at)
+        if len(versions) == 1 and evidence and question.origin() is None:
             until = self.clock.now() + MAX_STREAM_MS
             only = StreamOrigin(stream, service, *versions, until)
-            return OriginLookup(only, "only version", versions, **counts)
+            counts = self.counts(question)
+            return OriginLookup(only, "only version", versions, evidence=evidence, **counts)
         is_read = bool(evidence) and self.archive.refresh()
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "store", versions, **counts)
+            counts = self.counts(question)
+            return OriginLookup(origin, "store", versions, evidence=evidence, **counts)
+        question.wait_until(LATE_REPLY_TIMEOUT_MS)
+        origin = question.origin()
+        if origin is not None:
+            return self.told_by_peer(origin, service, question)
         have_replied = len(replies) >= self.holders.count(service)
         may_be_found = not (have_replied and is_read)
-        return OriginLookup(None, "unknown", versions, may_be_found, **counts)
+        counts = self.counts(question)
+        return OriginLookup(None, "unknown", versions, may_be_found, evidence=evidence, **counts)
+
+    def told_by_peer(
+        self, origin: StreamOrigin, service: str, question: OriginQuestion
+    ) -> OriginLookup:
+        """Return the result of a search whose origin another instance has told."""
+        versions = self.known_versions(service, question.replies)
+        return OriginLookup(origin, "peer", versions, **self.counts(question))
+
+    def counts(self, question: OriginQuestion) -> dict[str, int]:
+        """Return how many instances were asked, have replied and are known."""
+        known = len(self.fleet.membership.addressed())
+        return {"asked": question.asked, "replied": len(question.replies), "known": known}
 
     def known_versions(self, service: str, replies: Mapping[str, OriginReply]) -> frozenset[str]:
         """Return the versions that may have begun a stream, by what is known here and told."""
