Streams: an origin is held while its caller may come again

What callers saw: 2016 at an instance of the data centre where the stream had begun, for a stream that they had tried to resume all the time.

Cause: an origin was held until the deadline of the last attempt that had brought an event. An attempt may last until its deadline, so that the next one comes behind it; and an attempt that finds the origin and is refused with 2015, or breaks before its first event, did not extend it.

Both new scenarios of features/streamorigins.feature failed before (4 of 4 and 2 of 2 examples): 2016.

Change: an origin is held until 5 s after the attempt's deadline, a minute at most, and each attempt that finds it extends that and tells the others, in place of at its first event. A conclusion from the only version there is not held.

Check changed: origins are in the store for 5 s longer, so that features/streamrestarts.feature, "Origins are in the store until their streams are past", waits 13 s in place of 8 s, and checks after 5 s that the batch is there still. Before, it failed: a batch was left.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -222,6 +222,14 @@
     )
 
 
+@given("an attempt to resume stream {id_} at {name} is refused with code {code:d}")
+def refused_attempt(context, id_, name, code):
+    last = str(context.bodies[id_].count(b"\n\n"))
+    sent = stream(context, f"{id_}-refused", context.kind, last_event_id=last, resumes=id_)
+    context.run(serve, context, name, sent)
+    assert context.ends[sent.id][2] == code, context.ends[sent.id]
+
+
 def read_events(context, name, sent, expected):
     """Read an answer until the expected events have arrived, and break the connection."""
     answer = context.fleet.send(name, sent)
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -177,6 +177,37 @@
       |                     |
       | , and a-1 is killed |
 
+  # Guards against streams that are unknown though their caller has asked for them all the time.
+  Scenario Outline: A stream is resumed in vain until the time of its first attempt is over
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And no server of version v1 is listed
+    And an attempt to resume stream r at b-1 is refused with code 2015
+    And version v1 is listed
+    And 4 s pass<loss>
+    When the caller resumes stream r at <instance>
+    Then stream r has events 1 to 6
+
+    Examples:
+      | loss                | instance |
+      |                     | b-1      |
+      |                     | a-2      |
+      | , and a-1 is killed | a-2      |
+      | , and b-1 is killed | a-2      |
+
+  # Guards against streams that are unknown where an attempt has lasted until its deadline.
+  Scenario Outline: A stream is resumed after the time of its only attempt
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And 9 s pass<loss>
+    When the caller resumes stream r at b-1
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | loss                |
+      |                     |
+      | , and a-1 is killed |
+
   Scenario: Malformed origins are ignored, and many are bounded
     When an instance is told malformed origins, and more than it keeps
     Then it keeps the newest ones that are well-formed
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -161,6 +161,8 @@
     Then the store has 1 batch of origins
     When these happen: all are killed, all start, 2 s pass
     Then the store has 1 batch of origins
+    When these happen: 5 s pass
+    Then the store has 1 batch of origins
     When these happen: 8 s pass
     Then the store has 0 batches of origins
 
--- a/packages/core/src/mountladder/streams/originlookup.py
+++ b/packages/core/src/mountladder/streams/originlookup.py
@@ -12,6 +12,8 @@
 
 # An instance that knows the origin needs no evidence.
 KNOWN_SOURCES = frozenset({"own", "peer"})
+# The source of an origin that nobody knows, where no other version can have begun the stream.
+ONLY_VERSION = "only version"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 import gevent
 from eliot import log_message
@@ -20,7 +21,7 @@
 from mountladder.streams.originarchive import OriginArchive
 from mountladder.streams.originexchange import OriginExchange
 from mountladder.streams.originholders import OriginHolders
-from mountladder.streams.originlookup import OriginLookup
+from mountladder.streams.originlookup import ONLY_VERSION, OriginLookup
 from mountladder.streams.originquestion import OriginQuestion
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
@@ -35,6 +36,9 @@
 REPLY_TIMEOUT_MS = 100.0
 # How long after the question replies are waited for where nothing else tells the origin.
 LATE_REPLY_TIMEOUT_MS = 250.0
+# An attempt may last until its deadline, and is resumed behind it: at once, or after a Retry-After
+# and some attempts that fail.
+RESUME_MS = 5_000.0
 # When a caller may retry if nobody that replied knows which version began its stream: another
 # instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
@@ -66,7 +70,7 @@
         read_servers: Reads from the store what changed in the list of servers, and returns whether
             it answered.
         store_read: Reads the versions and the list for requests.
-        own: The streams that this instance has run.
+        own: The streams that this instance has run or continued.
     """
 
     def __init__(
@@ -109,12 +113,20 @@
         """
         is_resumed = bool(request.last_event_id and request.resumes)
         stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
-        origin = StreamOrigin(stream, service, version, request.deadline(MAX_STREAM_MS))
+        self.hold(StreamOrigin(stream, service, version, self.held_until(request)))
+
+    def hold(self, origin: StreamOrigin) -> None:
+        """Keep an origin here, and tell it to others, unless it is known for as long already."""
         if self.registry.add(origin):
-            self.add_own(stream)
-            self.exchange.announce(service, [origin])
+            self.add_own(origin.stream)
+            self.exchange.announce(origin.service, [origin])
             self.archive.add([origin])
 
+    def held_until(self, request: ForwardRequest) -> float:
+        """Return until when the caller of an attempt may come again, in the clock's ms."""
+        latest = self.clock.now() + MAX_STREAM_MS
+        return min(latest, request.deadline(MAX_STREAM_MS) + RESUME_MS)
+
     def add_own(self, stream: bytes) -> None:
         """Note that this instance runs a stream, and forget those that are past."""
         if len(self.own) > 2 * len(self.registry.origins):
@@ -179,6 +191,10 @@
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
+        if found.source != ONLY_VERSION:
+            # The caller may come again, also if this attempt brings no event.
+            until = max(found.origin.until, self.held_until(request))
+            self.hold(replace(found.origin, until=until))
         return found.origin
 
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
@@ -201,7 +217,7 @@
             until = self.clock.now() + MAX_STREAM_MS
             only = StreamOrigin(stream, service, *versions, until)
             counts = self.counts(question)
-            return OriginLookup(only, "only version", versions, evidence=evidence, **counts)
+            return OriginLookup(only, ONLY_VERSION, versions, evidence=evidence, **counts)
         is_read = bool(evidence) and self.archive.refresh()
         origin = self.registry.find(stream)
         if origin is not None:
