Streams: versions in a restored store count as all once they are confirmed for its era

What callers saw: a stream began at a software version that was new, the store was restored from a copy older than that version's row, and every instance that knew the version had ended.

Cause: StreamOrigins.possible_versions took a read of the rows of versions for complete. A copy lacks what was written since, and neither new processes nor those that were cut off can write it again.

Change: a further row of the table names the era of the store for which its versions are all. An instance that polls the store writes it behind them, if it has heard of all versions until the store was restored (StoreContact), or has known the era for as long as a stream may last. A row of another era proves nothing to an instance that was not in touch. Origins are still looked for in the store then. Without any such row all is as before, for tables of earlier builds; those skip the row with a log line.

New scenarios of streamknowledge.feature: ten in which streams that nobody knows go on (a restore alone, a loss of all instances alone, both with a confirmation or a minute between them), and five in which they are refused.

The step "versions were never written" clears the confirmation as well, and "those that are left are read" compares the versions of what is read: the read returns the eras besides.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -489,6 +489,29 @@
     When 150 versions with long names are stored, and 120 of them removed
     Then those that are left are read
 
+  Scenario: The store has it for which era the versions are confirmed
+    Given a store that keeps rows of versions
+    When 2 versions with long names are stored, and 1 of them removed
+    Then they have never been confirmed
+    When the versions there are confirmed for era 3
+    Then those that are left are read
+    And they are confirmed for era 3
+
+  Scenario Outline: A malformed confirmation of versions confirms nothing
+    Given a store that keeps rows of versions
+    When 2 versions with long names are stored, and 1 of them removed
+    And the row that confirms versions is <value>
+    Then those that are left are read
+    And they are not confirmed
+
+    Examples:
+      | value          |
+      | {}             |
+      | {"era": "0"}   |
+      | {"era": true}  |
+      | {"era": -1}    |
+      | [              |
+
   Scenario Outline: Malformed rows of versions are ignored
     Given a store that keeps rows of versions
     When a row of versions is <value>
@@ -500,6 +523,7 @@
       | []                                  |
       | {"service": "llm", "version": 2}    |
       | {"version": "v1"}                   |
+      | {"era": 3}                          |
       | {"service": "\ud800", "version": "v1"} |
 
   Scenario: A change of rows that the store refuses counts as not made
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -14,7 +14,7 @@
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
 from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
-from mountladder_platform.storeversions import VERSIONS_TABLE, StoreVersions
+from mountladder_platform.storeversions import CONFIRMED_KEY, VERSIONS_TABLE, StoreVersions
 from streamversion_steps import (
     CUT_OFF_MS,
     list_version,
@@ -125,6 +125,7 @@
 def never_written(context):
     set_writable(context, "cannot")
     context.fleet.version_store.rows = {}
+    context.fleet.version_store.confirmed_era = None
 
 
 def lose_origins(context):
@@ -184,6 +185,12 @@
     context.run(context.clock.sleep, CUT_OFF_MS)
 
 
+def all_regain_store(context):
+    for name in context.fleet.instances:
+        regain_store(context, name)
+    context.run(context.clock.sleep, CUT_OFF_MS)
+
+
 def miss_changes(context, datacentre):
     """Have the instances of a data centre get no changes of the list, unless they ask for them."""
     lose_peers(context, datacentre)
@@ -249,6 +256,7 @@
     r"all lose the store": all_lose_store,
     r"holder (\d) of (\w) is killed": kill_holder,
     r"holder (\d) of (\w) answers (\d+) ms late": delay_holder,
+    r"all reach the store again": all_regain_store,
     r"(\w) gets no changes": miss_changes,
     r"(\w) reaches no other data centre": lose_peers,
     r"(v\d) is removed": version_gone,
@@ -378,10 +386,39 @@
     context.tables["x"] = VERSIONS_TABLE
 
 
+@when("the versions there are confirmed for era {era:d}")
+def confirm_versions(context, era):
+    context.table_of_versions.change({}, (), era)
+
+
+@when("the row that confirms versions is {value}")
+def faulty_confirmation(context, value):
+    context.rows[CONFIRMED_KEY] = base64.b64encode(value.encode()).decode()
+    context.tables[CONFIRMED_KEY] = VERSIONS_TABLE
+
+
+@then("they are confirmed for era {era:d}")
+def confirmed_for(context, era):
+    found = context.table_of_versions.read()
+    assert found.confirmed_era == era, found
+
+
+@then("they are not confirmed")
+def not_confirmed(context):
+    found = context.table_of_versions.read()
+    assert found.confirmed_era is not None and not found.is_confirmed, found
+
+
+@then("they have never been confirmed")
+def never_confirmed(context):
+    found = context.table_of_versions.read()
+    assert found.confirmed_era is None, found
+
+
 @then("those that are left are read")
 def versions_left(context):
     found = context.table_of_versions.read()
-    assert found == context.stored, found
+    assert found.versions == context.stored, found
 
 
 @given("a store that answers changes of rows with status {status:d}")
--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -68,3 +68,38 @@
     And then v2 is removed, all of a are killed, b is reached again
     When the caller resumes stream r at b-1
     Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+
+  # Guards against streams that a restored store ends although nobody has ended, and the reverse.
+  Scenario Outline: Nobody knows a stream, but only one version has served
+    Given only version v1 is listed
+    And then a copy of the store is saved, 5 s pass, <events>
+    When a caller resumes stream r at b-1
+    Then it is answered with events 3 to 6
+
+    Examples:
+      | events                                                                                                    |
+      | a copy of the store is restored                                                                           |
+      | a copy of the store is restored, a-1 is killed, 0.1 s pass                                                |
+      | a copy of the store is restored, 1 s pass, a-1 is killed, a-2 is killed, 0.1 s pass                       |
+      | all are killed, all start                                                                                 |
+      | a copy of the store is restored, 1 s pass, all are killed, all start                                      |
+      | a copy of the store is restored, 1 s pass, all are killed in turn                                         |
+      | all lose the store, a copy of the store is restored, all reach the store again, all are killed, all start |
+      | versions cannot be written, a copy of the store is restored, a-1 is killed, 0.1 s pass                    |
+      | all are killed, a copy of the store is restored, all start, 62 s pass, a-1 is killed, 0.1 s pass          |
+      | all are killed, a copy of the store is restored, all start, 62 s pass, all are killed, all start          |
+
+  # Guards against rows that are taken for all before an instance that knew all has confirmed them.
+  Scenario Outline: All instances end, and the store is restored before one of them has confirmed it
+    Given only version v1 is listed
+    And then a copy of the store is saved, 5 s pass, <events>
+    When a caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+
+    Examples:
+      | events                                                                                 |
+      | all are killed, a copy of the store is restored, all start                             |
+      | all are killed, a copy of the store is restored, all start, 50 s pass                  |
+      | all are killed, a copy of the store is restored, all start, all are killed, all start  |
+      | versions cannot be written, a copy of the store is restored, all are killed, all start |
+      | b is cut off, all of a are killed, a copy of the store is restored, b is reached again |
--- a/packages/core/src/mountladder/streams/memoryversionstore.py
+++ b/packages/core/src/mountladder/streams/memoryversionstore.py
@@ -11,6 +11,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.errors import StoreUnavailableError
 from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.storedversions import StoredVersions
 from mountladder.streams.versionstore import VersionStore
 
 
@@ -22,6 +23,8 @@
 
     Attributes:
         rows: The stored versions, and whether all servers of each were leaving.
+        era: How often the store was restored from an older copy.
+        confirmed_era: The era for which the versions were confirmed, or None.
         is_readable: Whether reads succeed.
         is_writable: Whether changes succeed.
         delay_ms: How long a call takes, in milliseconds.
@@ -32,19 +35,24 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.rows: dict[ServedVersion, bool] = {}
+        self.era = 0
+        self.confirmed_era: int | None = None
         self.is_readable = True
         self.is_writable = True
         self.delay_ms = 0.0
         self.reads = self.changes = 0
 
-    def read(self) -> dict[ServedVersion, bool]:
+    def read(self) -> StoredVersions:
         """Return all stored versions; see VersionStore."""
         self.reads += 1
         self.answer(self.is_readable)
-        return dict(self.rows)
+        return StoredVersions(dict(self.rows), self.era, self.confirmed_era)
 
     def change(
-        self, changed: Mapping[ServedVersion, bool], removed: Sequence[ServedVersion]
+        self,
+        changed: Mapping[ServedVersion, bool],
+        removed: Sequence[ServedVersion],
+        confirmed_era: int | None = None,
     ) -> None:
         """Store and remove versions; see VersionStore."""
         self.changes += 1
@@ -52,6 +60,8 @@
         self.rows |= changed
         for one in removed:
             self.rows.pop(one, None)
+        if confirmed_era is not None:
+            self.confirmed_era = confirmed_era
 
     def answer(self, is_answered: bool) -> None:
         """Wait as long as a call takes, and raise an error if it is not answered."""
--- a/packages/core/src/mountladder/streams/storeread.py
+++ b/packages/core/src/mountladder/streams/storeread.py
@@ -70,6 +70,10 @@
                 self.is_running = True
                 gevent.spawn(self.run)
             self.clock.wait(self.ended, until - self.clock.now())
+        return self.has_answered(since)
+
+    def has_answered(self, since: float) -> bool:
+        """Return whether the store has answered a read that began at a time or later."""
         return self.last_answered_begun_at >= since
 
     def run(self) -> None:
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -26,6 +26,7 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
 from mountladder.streams.streamorigin import StreamOrigin, stream_key
 from mountladder.streams.versionhistory import VersionHistory
@@ -87,8 +88,9 @@
         self.history = VersionHistory(directory, clock)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.contact = StoreContact(fleet, self.history, clock)
         self.version_record = VersionRecord(
-            version_store, self.history, fleet.reader_election, clock
+            version_store, self.history, fleet.reader_election, self.contact, clock
         )
         name = fleet.membership.me.incarnation
         self.archive = OriginArchive(
@@ -98,7 +100,7 @@
         self.read_servers: Callable[[], bool] = lambda: False
         self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
         self.exchange.on_told = self.archive.add
-        for kept in (self.version_record, self.archive):
+        for kept in (self.contact, self.version_record, self.archive):
             fleet.era_tracker.listeners.append(kept.handle_restore)
         self.history.on_several = self.announce_all
 
@@ -218,7 +220,8 @@
             only = StreamOrigin(stream, service, *versions, until)
             counts = self.counts(question)
             return OriginLookup(only, ONLY_VERSION, versions, evidence=evidence, **counts)
-        is_read = bool(evidence) and self.archive.refresh()
+        is_answering = bool(evidence) or self.store_read.has_answered(question.asked_at)
+        is_read = is_answering and self.archive.refresh()
         origin = self.registry.find(stream)
         if origin is not None:
             counts = self.counts(question)
@@ -228,7 +231,7 @@
         if origin is not None:
             return self.told_by_peer(origin, service, question)
         have_replied = len(replies) >= self.holders.count(service)
-        may_be_found = not (have_replied and is_read)
+        may_be_found = not (have_replied and is_read and evidence)
         counts = self.counts(question)
         return OriginLookup(None, "unknown", versions, may_be_found, evidence=evidence, **counts)
 
@@ -262,8 +265,8 @@
             return versions, "several"
         if self.have_all_replied(replies):
             return versions, "replies"
-        is_read = self.store_read.refresh(since)
-        return self.known_versions(service, replies), "store" if is_read else ""
+        is_complete = self.store_read.refresh(since) and self.version_record.is_complete
+        return self.known_versions(service, replies), "store" if is_complete else ""
 
     def have_all_replied(self, replies: Mapping[str, OriginReply]) -> bool:
         """Return whether all instances have replied and know which versions served earlier.
--- a/packages/core/src/mountladder/streams/versionhistory.py
+++ b/packages/core/src/mountladder/streams/versionhistory.py
@@ -31,7 +31,7 @@
         unlisted_at: When each version that is not listed any more was last listed.
         leaving: The versions whose servers all leave, or all did when they were last listed.
         known_since: Since when the list of servers has been known, or None.
-        has_earlier: Whether the versions that served before that have been added.
+        has_earlier: Whether all versions that served before that have been added.
         on_change: Called after a change of the recent versions.
         on_several: Called with each service of which a second version has become known.
     """
@@ -70,13 +70,14 @@
         unlisted_at = self.unlisted_at | dict.fromkeys(self.listed, self.clock.now())
         self.change(frozenset(listed), unlisted_at, (self.leaving | listed) - staying)
 
-    def add_earlier(self, versions: Mapping[ServedVersion, bool]) -> None:
+    def add_earlier(self, versions: Mapping[ServedVersion, bool], is_complete: bool) -> None:
         """Add the versions that served before this instance knew the list of servers.
 
         Args:
             versions: The versions, and whether all servers of each were leaving.
+            is_complete: Whether these are all that served then.
         """
-        self.has_earlier = True
+        self.has_earlier |= is_complete
         unknown = versions.keys() - self.all_recent()
         unlisted_at = self.unlisted_at | dict.fromkeys(unknown, self.clock.now())
         self.change(self.listed, unlisted_at, self.leaving.union(filter(versions.get, unknown)))
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -15,6 +15,8 @@
 from mountladder.errors import MountladderError
 from mountladder.forwarding.readerelection import ReaderElection
 from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.storecontact import StoreContact
+from mountladder.streams.storedversions import StoredVersions
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionstore import VersionStore
 
@@ -34,16 +36,20 @@
     A process that starts after all instances have ended learns there which versions may have begun
     the streams that callers resume. Each instance reads them once after its start. The instance
     that polls the store writes each version when it is first listed, long before its last server
-    can have left, and removes it once no stream of it can last any more.
+    can have left, and removes it once no stream of it can last any more. With them it confirms that
+    they are all; the confirmation names the era of the store, so that it does not hold for an older
+    copy that is restored.
 
     Args:
         store: The platform's table of versions.
         history: The versions that this instance knows.
         reader_election: Knows which instance polls the store.
+        contact: Decides whether versions may be missing in the store.
         clock: The clock.
 
     Attributes:
-        stored: The versions that are known to be in the store; see VersionStore.
+        stored: What is known to be in the store; see VersionStore.
+        is_complete: Whether no version was missing at the last read.
         read_at: When the versions were last read.
         is_restored: Whether the store was restored from an older copy since it was last compared.
         may_lack_versions: Whether others may have used versions, since the last read, that this
@@ -55,13 +61,16 @@
         store: VersionStore,
         history: VersionHistory,
         reader_election: ReaderElection,
+        contact: StoreContact,
         clock: Clock,
     ) -> None:
         self.store = store
         self.history = history
         self.reader_election = reader_election
+        self.contact = contact
         self.clock = clock
-        self.stored: dict[ServedVersion, bool] = {}
+        self.stored = StoredVersions()
+        self.is_complete = False
         self.read_at = float("-inf")
         self.is_restored = False
         self.may_lack_versions = False
@@ -81,7 +90,12 @@
             if is_polling and not was_polling:
                 self.may_lack_versions |= self.clock.now() - self.read_at > RECENT_READ_MS
             was_polling = is_polling
-            if is_polling and not self.write():
+            if (
+                is_polling
+                and not (self.contact.is_unbroken or self.read())
+                or is_polling
+                and not self.write()
+            ):
                 self.clock.sleep(RETRY_MS)
             self.clock.wait(self.wake, CHECK_MS)
             self.wake.clear()
@@ -96,8 +110,16 @@
         self.stored = found
         self.read_at = self.clock.now()
         self.may_lack_versions = False
-        log_message("versions-read", versions=_texts(found), listed=_texts(self.history.listed))
-        self.history.add_earlier(found)
+        self.is_complete = self.contact.handle_read(found)
+        log_message(
+            "versions-read",
+            versions=_texts(found.versions),
+            listed=_texts(self.history.listed),
+            era=found.era,
+            confirmed_era=found.confirmed_era,
+            complete=self.is_complete,
+        )
+        self.history.add_earlier(found.versions, self.is_complete)
         return True
 
     def write(self) -> bool:
@@ -110,23 +132,32 @@
             changed = {
                 one: leaving for one, leaving in recent.items() if self.differs(one, leaving)
             }
-            removed = sorted(self.stored.keys() - recent.keys())
+            removed = sorted(self.stored.versions.keys() - recent.keys())
             if removed and self.may_lack_versions:
                 # A read has them kept for another minute.
                 return self.read()
-            if not changed and not removed:
+            stored = self.stored
+            is_due = not stored.is_confirmed and self.contact.is_complete(stored)
+            confirmed_era = stored.era if is_due else None
+            if not changed and not removed and not is_due:
                 return True
-            self.store.change(changed, removed)
+            self.store.change(changed, removed, confirmed_era)
         except MountladderError as error:
             log_message("versions-write-failed", reason=str(error))
             return False
-        self.stored = recent
-        log_message("versions-written", changed=_texts(changed), removed=_texts(removed))
+        confirmed = stored.era if is_due else stored.confirmed_era
+        self.stored = StoredVersions(recent, stored.era, confirmed)
+        log_message(
+            "versions-written",
+            changed=_texts(changed),
+            removed=_texts(removed),
+            confirmed_era=confirmed_era,
+        )
         return True
 
     def differs(self, version: ServedVersion, leaving: bool) -> bool:
         """Return whether the store does not hold a version, or holds it as leaving or not."""
-        return self.stored.get(version) is not leaving
+        return self.stored.versions.get(version) is not leaving
 
     def handle_loss(self) -> None:
         """Have rows read before any is removed, since the store does not answer this instance."""
--- a/packages/core/src/mountladder/streams/versionstore.py
+++ b/packages/core/src/mountladder/streams/versionstore.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 
 from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.storedversions import StoredVersions
 
 
 class VersionStore(ABC):
@@ -20,11 +21,21 @@
     """
 
     @abstractmethod
-    def read(self) -> dict[ServedVersion, bool]:
-        """Return all stored versions, and whether all servers of each were leaving."""
+    def read(self) -> StoredVersions:
+        """Return all stored versions, and the eras in which they were read and last confirmed."""
 
     @abstractmethod
     def change(
-        self, changed: Mapping[ServedVersion, bool], removed: Sequence[ServedVersion]
+        self,
+        changed: Mapping[ServedVersion, bool],
+        removed: Sequence[ServedVersion],
+        confirmed_era: int | None = None,
     ) -> None:
-        """Store versions, with whether all servers of each are leaving, and remove others."""
+        """Store and remove versions.
+
+        Args:
+            changed: Versions, and whether all servers of each are leaving.
+            removed: Versions that no stream can have begun that still lasts.
+            confirmed_era: The era of the store for which the stored versions are confirmed to be
+                all once these are stored, or None to confirm nothing. It is stored last.
+        """
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -28,7 +28,7 @@
 from mountladder.streams.memoryoriginstore import MemoryOriginStore
 from mountladder.streams.memoryversionstore import MemoryVersionStore
 from mountladder.streams.originbatch import OriginBatch
-from mountladder.streams.servedversion import ServedVersion
+from mountladder.streams.storedversions import StoredVersions
 from mountladder_standins.localpeerrelay import LocalPeerRelay
 from mountladder_standins.localupstream import LocalUpstream
 from mountladder_standins.partitionedupstream import PartitionedUpstream
@@ -81,7 +81,7 @@
         self.broken_relays: set[str] = set()
         self.saved_suspicions: dict[str, Suspicion] = {}
         self.saved_parts: dict[str, Suspicion] = {}
-        self.saved_versions: dict[ServedVersion, bool] = {}
+        self.saved_versions = StoredVersions()
         self.saved_origins: dict[str, OriginBatch] = {}
         self.saved_instances: dict[str, list[tuple[float, Instance]]] = {}
 
@@ -148,7 +148,10 @@
             source.copy()
         self.saved_suspicions = dict(self.suspicion_store.rows)
         self.saved_parts = dict(self.part_store.rows)
-        self.saved_versions = dict(self.version_store.rows)
+        versions = self.version_store
+        self.saved_versions = StoredVersions(
+            dict(versions.rows), versions.era, versions.confirmed_era
+        )
         self.saved_origins = dict(self.origin_store.rows)
         self.saved_instances = {name: list(one) for name, one in self.instance_list.history.items()}
 
@@ -156,7 +159,9 @@
         """Restore the store from the saved copy, which loses all later writes."""
         self.suspicion_store.rows = dict(self.saved_suspicions)
         self.part_store.rows = dict(self.saved_parts)
-        self.version_store.rows = dict(self.saved_versions)
+        self.version_store.rows = dict(self.saved_versions.versions)
+        self.version_store.confirmed_era = self.saved_versions.confirmed_era
+        self.version_store.era += 1
         self.origin_store.rows = dict(self.saved_origins)
         self.instance_list.history = {name: list(one) for name, one in self.saved_instances.items()}
         for source in (self.catalogue, self.servers):
