Streams: a version that a silent instance may use counts as in use

What callers saw: a data centre was cut off while a version left the list of servers, and began a stream there at a server of that version more than a minute later.

Cause: VersionHistory dropped a version, and VersionRecord its row, a minute after it had left the list. An instance that is cut off goes on with the list that it had, so that StreamOrigins.possible_versions knew one version only.

Change: AbsentInstances tracks the instances that fell silent and have not said that they leave, nor started again. A version that left the list after one of them was last heard of counts as in use until a minute after it is heard of again, or for an hour. It stays in the table of versions, so that new processes find it, and origins are told and written as while several versions serve.

Eight new scenarios of streamrestarts.feature say how long a row is kept: cut off, killed, started again, stopped, lost after the version had left, processes that have started since, and the hour.

--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -70,6 +70,13 @@
     context.fleet.instances.pop(name).close()
 
 
+def stop(context, name):
+    """Have an instance tell its peers that it leaves, and end."""
+    context.run(context.fleet.instances[name].leave)
+    context.run(context.clock.sleep, SETTLE_MS)
+    kill(context, name)
+
+
 def kill_all(context):
     for name in list(context.fleet.instances):
         kill(context, name)
@@ -235,6 +242,7 @@
     r"all are killed in turn": kill_in_turn,
     r"all start": start_all,
     r"(\S+) is killed": kill,
+    r"(\S+) stops": stop,
     r"(\S+) starts": start,
     r"(\S+) starts at once": start_at_once,
     r"(?:version )?(v\d) leaves": leave,
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -124,6 +124,24 @@
     When these happen: llm-1 comes back as v1
     Then the store has versions v1, v2
 
+  # Guards against versions that are removed while an instance may use them that nobody hears of.
+  Scenario Outline: Versions are in the store as long as a silent instance may use them
+    When these happen: <events>, 62 s pass
+    Then the store has versions <versions>
+    When these happen: <later>
+    Then the store has versions v2
+
+    Examples:
+      | events                                           | versions | later                         |
+      | b is cut off, v1 leaves                          | v1, v2   | b is reached again, 62 s pass |
+      | b-1 is killed, v1 leaves                         | v1, v2   | b-1 starts, 62 s pass         |
+      | b-1 is killed, v1 leaves, b-1 starts             | v2       | 1 s pass                      |
+      | b-1 stops, v1 leaves                             | v2       | 1 s pass                      |
+      | v1 leaves, 4 s pass, b-1 is killed               | v2       | 1 s pass                      |
+      | b-1 is killed, 62 s pass, v1 leaves              | v1, v2   | b-1 starts, 62 s pass         |
+      | b-1 is killed, v1 leaves, all are killed in turn | v1, v2   | b-1 starts, 62 s pass         |
+      | b-1 is killed, v1 leaves                         | v1, v2   | 3600 s pass                   |
+
   Scenario: The store has it that a version leaves, until a server of it is listed that stays
     When these happen: v1 drains, 0.1 s pass
     Then the store has version v1 as leaving
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -18,6 +18,7 @@
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.forwardrequest import ForwardRequest
+from mountladder.streams.absentinstances import AbsentInstances
 from mountladder.streams.originarchive import OriginArchive
 from mountladder.streams.originexchange import OriginExchange
 from mountladder.streams.originholders import OriginHolders
@@ -88,6 +89,7 @@
         self.history = VersionHistory(directory, clock)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.absent = AbsentInstances(fleet, self.history, clock)
         self.contact = StoreContact(fleet, self.history, clock)
         self.version_record = VersionRecord(
             version_store, self.history, fleet.reader_election, self.contact, clock
--- a/packages/core/src/mountladder/streams/versionhistory.py
+++ b/packages/core/src/mountladder/streams/versionhistory.py
@@ -29,6 +29,7 @@
     Attributes:
         listed: The versions of the listed servers.
         unlisted_at: When each version that is not listed any more was last listed.
+        used_at: When each of those may last have been in use all the same, where that is later.
         leaving: The versions whose servers all leave, or all did when they were last listed.
         known_since: Since when the list of servers has been known, or None.
         has_earlier: Whether all versions that served before that have been added.
@@ -41,6 +42,7 @@
         self.clock = clock
         self.listed: frozenset[ServedVersion] = frozenset()
         self.unlisted_at: dict[ServedVersion, float] = {}
+        self.used_at: dict[ServedVersion, float] = {}
         self.leaving: frozenset[ServedVersion] = frozenset()
         self.known_since: float | None = None
         self.has_earlier = False
@@ -89,19 +91,32 @@
         leaving: frozenset[ServedVersion],
     ) -> None:
         """Replace the versions, without those that no stream can have begun that still lasts."""
-        now, before, had_several = self.clock.now(), self.recent_leaving(), self.several()
+        before, had_several = self.recent_leaving(), self.several()
         self.listed = listed
         self.unlisted_at = {
             one: at
             for one, at in unlisted_at.items()
-            if one not in listed and now - at < MAX_STREAM_MS
+            if one not in listed and self.is_recent(one, at)
         }
+        self.used_at = {one: at for one, at in self.used_at.items() if one in self.unlisted_at}
         self.leaving = leaving & self.all_recent()
         if self.recent_leaving() != before:
             self.on_change()
         for service in sorted(self.several() - had_several):
             self.on_several(service)
 
+    def mark_used(self, since: float) -> None:
+        """Note that versions which have not been listed since a time or later may be in use now."""
+        now = self.clock.now()
+        for one, at in self.unlisted_at.items():
+            if at >= since and self.is_recent(one, at):
+                self.used_at[one] = now
+
+    def is_recent(self, version: ServedVersion, unlisted_at: float) -> bool:
+        """Return whether a version that is not listed may have begun a stream that still lasts."""
+        last_at = max(unlisted_at, self.used_at.get(version, unlisted_at))
+        return self.clock.now() - last_at < MAX_STREAM_MS
+
     def recent_leaving(self) -> dict[ServedVersion, bool]:
         """Return the recent versions, and whether all servers of each are or were leaving."""
         return {one: one in self.leaving for one in self.all_recent()}
@@ -112,9 +127,8 @@
 
     def all_recent(self) -> frozenset[ServedVersion]:
         """Return the versions that may have begun a stream that still lasts."""
-        now = self.clock.now()
         return self.listed.union(
-            one for one, at in self.unlisted_at.items() if now - at < MAX_STREAM_MS
+            one for one, at in self.unlisted_at.items() if self.is_recent(one, at)
         )
 
     def recent(self, service: str) -> frozenset[str]:
