Streams: an instance that has just become known is not silent yet

Cause: an instance that is read from the list of instances 20 s after the start has not been heard of before a link to it is open. AbsentInstances took it for lost since the start, and kept all versions for a minute more.

Change: an instance that a link is kept to counts as silent once it has had 3 s to be heard of.

--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -89,6 +89,20 @@
       | all are killed, a copy of the store is restored, all start, 62 s pass, a-1 is killed, 0.1 s pass          |
       | all are killed, a copy of the store is restored, all start, 62 s pass, all are killed, all start          |
 
+  # Guards against refusals in a large fleet, where not all instances can be asked.
+  Scenario Outline: Nobody knows a stream in a large fleet, but only one version has served
+    Given 14 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then a copy of the store is saved, 5 s pass, <events>
+    When a caller resumes stream r at b-1
+    Then it is answered with events 3 to 6
+
+    Examples:
+      | events                                                                             |
+      | a copy of the store is restored                                                    |
+      | all lose the store, a copy of the store is restored, all reach the store again     |
+      | a copy of the store is restored, 1 s pass, all are killed, all start, 2 s pass     |
+
   # Guards against rows that are taken for all before an instance that knew all has confirmed them.
   Scenario Outline: All instances end, and the store is restored before one of them has confirmed it
     Given only version v1 is listed
--- a/packages/core/src/mountladder/streams/absentinstances.py
+++ b/packages/core/src/mountladder/streams/absentinstances.py
@@ -18,6 +18,8 @@
 CHECK_MS = 500.0
 # By then an instance that is heard of has heard of a change of the list of servers.
 CHANGE_KNOWN_MS = 1_500.0
+# By then an instance that has just become known has been heard of, unless it is silent.
+FIRST_CONTACT_MS = 3_000.0
 
 
 class AbsentInstances:
@@ -34,6 +36,7 @@
 
     Attributes:
         started: When this was created.
+        noticed_at: Since when a link is kept to each instance, by incarnation.
         lost: Instances that are silent, and when they were last heard of, by name.
         ended: The instances that have ended, by incarnation.
     """
@@ -43,6 +46,7 @@
         self.history = history
         self.clock = clock
         self.started = clock.now()
+        self.noticed_at: dict[str, float] = {}
         self.lost: dict[str, tuple[Instance, float]] = {}
         self.ended: set[str] = set()
 
@@ -57,11 +61,14 @@
         known = self.fleet.membership.known
         # In a large fleet not all instances hear of each other.
         targets = {one.name: one for one in self.fleet.targets()}
+        noticed_at, now = self.noticed_at, self.clock.now()
+        incarnations = [one.incarnation for one in targets.values()]
+        self.noticed_at = {one: noticed_at.get(one, now) for one in incarnations}
         lost = {name: known[name] for name in self.lost.keys() & known.keys()}
         for one in (targets | lost).values():
             self.check_instance(one)
         self.ended &= {one.incarnation for one in known.values()}
-        oldest = self.clock.now() - DROPPED_MS
+        oldest = now - DROPPED_MS
         # Those that are known stay, so that they are not taken for newly lost.
         self.lost = {
             name: found for name, found in self.lost.items() if found[1] > oldest or name in known
@@ -80,7 +87,8 @@
         if found is not None and (not is_absent or found[0].incarnation != incarnation):
             del self.lost[name]
             log_message("instance-not-absent", instance=name, incarnation=found[0].incarnation)
-        if is_absent and name not in self.lost:
+        known_ms = self.clock.now() - self.noticed_at.get(incarnation, float("-inf"))
+        if is_absent and name not in self.lost and known_ms >= FIRST_CONTACT_MS:
             self.lost[name] = (instance, self.last_heard(instance))
             log_message("instance-absent", instance=name, incarnation=incarnation)
 
