Isolation: servers that accepted no connections are checked, and used again once they do

What callers saw: a sound server that is silent for 1.2 s and accepts no connections meanwhile was avoided for up to 2.4 s after it went on. Where all servers of a service did, its requests were refused with 2008 meanwhile.

Cause: a failed connection opens the breaker for 1 s, then for 2 s and longer. Nothing but a request, once that time was over, found out whether the server could be reached again; only the placement coordinator checked it, once, when another instance could not connect.

Change: ReachChecks takes the place of the coordinator's own check. A server whose breaker was opened by a failed connection is checked by opening one when that is due and there is a request for its service: 250 ms later, then after twice as long each time, up to 16 s. One check at a time for a server, four in an instance, none of a server that leaves, rests or is not available. Once it is reached the breaker lets a single call through, which closes it; so a server that fell over is not sent its whole share at once. A server that only another instance failed to connect to is in use again at once, as before. Requests do not wait for a check.

Six new scenarios bound the checks: their number with backoff, one at a time, none without requests, a single request of each instance at first.

--- a/features/silentchoice.feature
+++ b/features/silentchoice.feature
@@ -51,6 +51,38 @@
       | llm     | 60    | resumable | 6    |
       | enc     | 10    | staged    | 8    |
 
+  # Guards against checks that cost servers and callers more than they bring: many of a server that
+  # stays away, several at a time, or for a service without requests.
+  @forwarding
+  Scenario Outline: A server that cannot be reached is checked a few times only
+    Given two instances and three servers of each service
+    When one server of <service> cannot be reached for <s> s amid <per_s> <kind> requests a second
+    Then each instance checks it at most <most> times, one check at a time
+    And at most 0 requests are not answered
+
+    Examples:
+      | service | per_s | kind      | s  | most |
+      | desk    | 60    | safe      | 2  | 3    |
+      | desk    | 60    | safe      | 20 | 7    |
+      | llm     | 60    | resumable | 20 | 7    |
+      | enc     | 10    | staged    | 20 | 7    |
+
+  @forwarding
+  Scenario: A server that cannot be reached is not checked while nobody asks for it
+    Given two instances and three servers of each service
+    When one server of desk cannot be reached for 1 s amid 60 safe requests a second
+    And there are no requests for 10 s
+    Then no instance checks it in that time
+
+  # Guards against a server that is sent all its share at once when it accepts connections again,
+  # and may have crashed meanwhile.
+  @forwarding
+  Scenario: A server that accepts connections again is sent one request by each instance at first
+    Given two instances and three servers of each service
+    When one server of desk cannot be reached for 1 s amid 600 safe requests a second
+    And it accepts connections again amid 600 safe requests a second
+    Then it is sent at most 2 requests until it has answered one
+
   # Guards against a service without a server to use since all were silent at the same time, and
   # against callers that are held for servers that are lost.
   @forwarding
--- a/features/steps/silentchoice_steps.py
+++ b/features/steps/silentchoice_steps.py
@@ -11,6 +11,7 @@
 from forward_steps import SETTLE_MS
 from forwardbasics import (
     PATHS,
+    SECOND_MS,
     record_sends,
     request,
     send_steadily,
@@ -19,7 +20,9 @@
 )
 from logrecorder import record_lines
 
+from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.resultclass import ResultClass
+from mountladder_standins.localupstream import WORK_MS
 
 ROUTE_TIMEOUT_MS = 6_000.0
 SERVERS = {
@@ -30,6 +33,8 @@
 AFTER_MS = 6_000.0
 LONG_MS = 20_000.0
 POLL_MS = 25.0
+# How long an instance waits for a connection that cannot be opened.
+CONNECT_MS = 300.0
 # Another instance, which coordinates a service, is asked meanwhile.
 AT_ONCE_MS = 5.0
 # A server that is expected to take this much longer than before is hardly chosen.
@@ -126,6 +131,80 @@
     assert sent <= most, sent
 
 
+def record_checks(context):
+    """Record when an instance begins to check a server, and have a check in vain take a while."""
+    context.checks, context.checking, context.most_checking = [], Counter(), 0
+
+    def recording(name, reaches):
+        def recorded(server):
+            key = (name, server.labels[ID_LABEL])
+            context.checks.append((context.clock.now(), *key))
+            context.checking[key] += 1
+            context.most_checking = max(context.most_checking, context.checking[key])
+            reached = reaches(server)
+            if not reached:
+                context.clock.sleep(CONNECT_MS)
+            context.checking[key] -= 1
+            return reached
+
+        return recorded
+
+    for name, instance in context.fleet.instances.items():
+        checks = instance.reach_checks
+        checks.reaches = recording(name, checks.reaches)
+
+
+@when(
+    "one server of {service} cannot be reached for {s:d} s amid {per_s:d} {kind} requests a second"
+)
+def out_of_reach(context, service, s, per_s, kind):
+    def begin():
+        context.lost = by_use(context, service)[0]
+        context.fleet.upstream.unreachable.add(context.lost)
+
+    record_checks(context)
+    context.clock.call_later(STEADY_MS, begin)
+    context.began = context.clock.now()
+    fields = {"allowed_ms": ROUTE_TIMEOUT_MS}
+    send_steadily(context, per_s, kind, STEADY_MS + s * SECOND_MS, fields=lambda n: fields)
+
+
+@then("each instance checks it at most {most:d} times, one check at a time")
+def checked_seldom(context, most):
+    counts = Counter(name for _, name, server in context.checks if server == context.lost)
+    assert counts and max(counts.values()) <= most, context.checks
+    assert context.most_checking == 1, context.most_checking
+
+
+@when("there are no requests for {s:d} s")
+def no_requests(context, s):
+    context.quiet_since = context.clock.now()
+    context.run(context.clock.sleep, s * SECOND_MS)
+
+
+@then("no instance checks it in that time")
+def not_checked(context):
+    assert context.checks, "there was no check before either"
+    assert all(at <= context.quiet_since for at, *_ in context.checks), context.checks
+
+
+@when("it accepts connections again amid {per_s:d} {kind} requests a second")
+def accepts_again(context, per_s, kind):
+    context.back_at = context.clock.now()
+    context.fleet.upstream.unreachable.discard(context.lost)
+    fields = {"allowed_ms": ROUTE_TIMEOUT_MS}
+    ms = STEADY_MS
+    send_steadily(context, per_s, kind, ms, label="later", fields=lambda n: fields)
+
+
+@then("it is sent at most {most:d} requests until it has answered one")
+def sent_few_at_first(context, most):
+    sent = [at for at, one, *_ in context.sent if one == context.lost and at >= context.back_at]
+    assert sent, "it is not used again"
+    at_first = [at for at in sent if at < sent[0] + WORK_MS]
+    assert len(at_first) <= most, at_first
+
+
 @given("every instance found all servers {state}")
 def all_servers_found(context, state):
     now = context.clock.now()
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -317,7 +317,7 @@
         state, now = attempt.choice.state, self.clock.now()
         state.end(now)
         if code is Code.CONNECT_FAILED:
-            state.breaker.trip(now)
+            self.context.picker.router.record_unreachable(state)
         elif code in {Code.SERVER_FULL, Code.CANCELLED}:
             # A server without a copy refuses, which says nothing about its health.
             state.breaker.abandon()
--- a/packages/core/src/mountladder/forwarding/batcher.py
+++ b/packages/core/src/mountladder/forwarding/batcher.py
@@ -149,6 +149,7 @@
 
     def record_refused(self, pieces: Sequence[int]) -> None:
         """Count the pieces of refused requests, by rank, as asked for."""
+        self.servers.router.on_demand(self.service)
         self.demand.record_refused(pieces)
         if self.share_fairly():
             self.sharing.record_refused(pieces, self.clock.now())
@@ -176,6 +177,7 @@
         if limits is not None:
             self.surplus.check(limits, now)
         if self.queue and limits is not None:
+            self.servers.router.on_demand(self.service)
             free = self.servers.free(limits, now)
             if free:
                 self.sort_queue(len(free), limits, now)
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -178,19 +178,22 @@
     def record_silence(self) -> None:
         """Update the state of a server that has not answered for long."""
         self.batcher.upstream.record_unanswered(self.call.started)
-        self.trip(is_silent=True)
+        self.trip(Code.STAGE_STALLED)
 
-    def trip(self, is_silent: bool) -> None:
+    def trip(self, code: Code) -> None:
         """Take the server out of use, unless it has answered another call since this one.
 
         Args:
-            is_silent: Whether it has only not answered in time.
+            code: How the call failed.
         """
         if self.batcher.servers.has_answered_since(self.state, self.call):
             # Only this answer was lost.
             self.state.breaker.abandon()
+        elif code is Code.CONNECT_FAILED:
+            self.batcher.servers.router.record_unreachable(self.state, self.call.started)
         else:
             now = self.batcher.clock.now()
+            is_silent = code is Code.STAGE_STALLED
             self.state.breaker.trip(now, self.call.started, is_silent)
 
     def hedge(self) -> None:
@@ -320,7 +323,7 @@
             self.state.mark_leaving(now)
             self.state.breaker.abandon()
         else:
-            self.trip(is_silent=error.code is Code.STAGE_STALLED)
+            self.trip(error.code)
         log_message(
             "pieces-failed",
             service=self.batcher.service,
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -45,6 +45,7 @@
 from mountladder.forwarding.stageforecast import StageForecast
 from mountladder.forwarding.upstream import Upstream
 from mountladder.isolation.peerrelay import PeerRelay
+from mountladder.isolation.reachchecks import ReachChecks
 from mountladder.isolation.watchedupstream import WatchedUpstream
 from mountladder.isolation.wiring import make_detector, make_relay
 from mountladder.membership.instance import Instance
@@ -149,7 +150,10 @@
         upstream.connection_share = self.connections.of
         self.isolation = make_detector(self, upstream)
         self.upstream = upstream = WatchedUpstream(upstream, self.isolation)
-        coordinator.reaches = upstream.reaches
+        self.reach_checks = ReachChecks(self.directory, upstream.reaches, clock, self.rng)
+        coordinator.verify = self.reach_checks.verify
+        self.router.on_unreachable = self.reach_checks.record_unreachable
+        self.router.on_demand = self.reach_checks.check_for
         self.build_quarantine(upstream)
         watch_crashes(self, coordinator.bytes)
         self.dispatch = StageDispatch(self.fleet, self.make_batcher, clock)
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable, Hashable, Sequence
 
-import gevent
 from eliot import log_message
 
 from mountladder.admission.promptusage import PromptUsage
@@ -59,7 +58,8 @@
         usage: What placed prompts take up, and for how long.
         bytes: Counts and limits the bytes of requests at each server.
         retry_schedules: Assigns retry times to rejected requests, by service.
-        reaches: Returns whether this instance can open a connection to a server.
+        verify: Checks whether this instance can open a connection to a server, and uses it again
+            if so.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.placed: dict[tuple[Hashable, int], PlacedPrompt] = {}
         self.prefilling: set[tuple[Hashable, int]] = set()
         self.retry_schedules: dict[str, RetrySchedule] = {}
-        self.reaches: Callable[[BackendServer], bool] = lambda server: False
+        self.verify: Callable[[ServerState], None] = lambda state: None
 
     def place(self, order: PlacementOrder, owner: Hashable, datacentre: str = "") -> PlacementReply:
         """Choose a server for a prompt and record the prompt as sent to it.
@@ -94,6 +94,7 @@
             owner: Identifies the instance that sends the prompt.
             datacentre: The data centre of that instance.
         """
+        self.router.on_demand(order.service)
         servers = self.directory.available(order.service)
         topic = prompts_topic(order.service)
         delays = ServerDelays(self.cold.cold(servers), self.limits.waits_ms(servers, topic))
@@ -238,13 +239,7 @@
                 "server-unreachable", server=server, reason="an instance could not connect to it"
             )
             if unreachable:
-                gevent.spawn(self.verify_unreachable, state)
-
-    def verify_unreachable(self, state: ServerState) -> None:
-        """Use a server again that another instance could not connect to, if this one can."""
-        if self.reaches(state.server):
-            state.breaker.succeed()
-            log_message("server-reached", server=state.server.name)
+                self.verify(state)
 
     def record_prefill(
         self, key: tuple[Hashable, int], placed: PlacedPrompt, read_ms: float
--- a/packages/core/src/mountladder/forwarding/serverpicker.py
+++ b/packages/core/src/mountladder/forwarding/serverpicker.py
@@ -96,6 +96,7 @@
         if self.directory.is_unreachable(service):
             # Each failing connection attempt would cost the caller 300 ms.
             raise self.unavailable_refusal(service)
+        self.router.on_demand(service)
         check_version(self.directory, service, constraints.version)
         if request.prompt is not None:
             return self.pick_for_prompt(request.prompt, service, constraints)
--- a/packages/core/src/mountladder/routing/breaker.py
+++ b/packages/core/src/mountladder/routing/breaker.py
@@ -47,15 +47,20 @@
         self.failing_since = 0.0
         self.is_silent = False
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether it has opened and no call has succeeded since."""
+        return self.failures >= FAILURES_TO_OPEN
+
     def allows(self, now: float) -> bool:
         """Return whether a call may be sent at a time."""
-        if self.failures < FAILURES_TO_OPEN:
+        if not self.is_open:
             return True
         return now >= self.open_until and not self.probing
 
     def begin(self) -> None:
         """Record that a call is sent; it is a probe where the breaker has opened."""
-        self.probing = self.failures >= FAILURES_TO_OPEN
+        self.probing = self.is_open
 
     def succeed(self) -> None:
         """Record a success, which closes the breaker and resets the open period."""
@@ -68,6 +73,10 @@
         """Record the end of a call whose outcome says nothing about the server's health."""
         self.probing = False
 
+    def allow_probe(self, now: float) -> None:
+        """Let a call probe the server from now on, since it accepts connections."""
+        self.open_until = min(self.open_until, now)
+
     def heard(self) -> None:
         """Record that the server has sent something, which ends its silence."""
         if self.is_silent:
@@ -100,7 +109,7 @@
         self.is_silent = self.is_silent and is_silent
         self.failures = max(self.failures + 1, FAILURES_TO_OPEN if at_once else 0)
         self.probing = False
-        if self.failures < FAILURES_TO_OPEN:
+        if not self.is_open:
             return False
         self.opened_at = now
         if self.is_suspect(now):
--- a/packages/core/src/mountladder/routing/router.py
+++ b/packages/core/src/mountladder/routing/router.py
@@ -278,7 +278,7 @@
         elif code in {Code.CANCELLED, Code.DEADLINE_PASSED}:
             state.breaker.abandon()
         elif code is Code.CONNECT_FAILED:
-            if state.breaker.trip(now, now - elapsed_ms):
+            if self.record_unreachable(state, now - elapsed_ms):
                 self.metrics.count(Metric.EJECTED)
         elif state.breaker.fail(now, now - elapsed_ms):
             self.metrics.count(Metric.EJECTED)
--- a/packages/core/src/mountladder/routing/serverstates.py
+++ b/packages/core/src/mountladder/routing/serverstates.py
@@ -33,6 +33,8 @@
         backoff_until: When the last back-off that any server asked this instance for ends.
         speeds: Learns the lasting speed of each server, or None if it is not learnt.
         on_leaving: Called with the name of a server that announced that it is leaving.
+        on_unreachable: Called with a server whose breaker opened as a connection to it failed.
+        on_demand: Called with a service for which there is a request.
     """
 
     def __init__(self, clock: Clock, rng: random.Random, metrics: Metrics) -> None:
@@ -45,6 +47,8 @@
         self.backoff_until = 0.0
         self.speeds: SpeedTable | None = None
         self.on_leaving: Callable[[str], None] = lambda name: None
+        self.on_unreachable: Callable[[ServerState], None] = lambda state: None
+        self.on_demand: Callable[[str], None] = lambda service: None
 
     def set_peers(self, peers: int) -> None:
         """Set the number of other instances that send work to the same servers."""
@@ -116,6 +120,18 @@
             return []
         return [one for one in servers if self.state(one).backoff_ms(now) > 0]
 
+    def record_unreachable(self, state: ServerState, sent_at: float | None = None) -> bool:
+        """Open the breaker of a server to which a connection failed; return whether it did.
+
+        Args:
+            state: The server.
+            sent_at: When the call was sent, or None for now.
+        """
+        opened = state.breaker.trip(self.clock.now(), sent_at)
+        if opened:
+            self.on_unreachable(state)
+        return opened
+
     def mark_crashed(self, server: BackendServer) -> None:
         """Eject a server that has crashed, so that no further request is sent there."""
         breaker = self.state(server).breaker
