Callers: the memory of an answer is free once its caller was cut

What callers saw: connections cut and requests refused for memory; on the platform, an instance that uses more than its memory is killed. With 60 callers that left answers of 2 MB unread a process used 161 MB of 160, and 203 MB with the garbage collector off at the end.

Cause: CallerWriter kept the exception for which nothing more can be written, and raised it again. An exception refers to the frames that it went through, these refer to the answer and to the writer, and the writer to the exception. So answers of cut callers were not counted any more, but stayed in memory until the garbage collector ran, which counts objects and not bytes: 43 MB of answers were in use for seconds after held_bytes had fallen to 4 MB, and the next callers' answers came on top. In a dump of what only cycles referred to there were 49 buffers with 75 MB, all of them in frames of such an exception. A whole answer is not copied as it is written, as was supposed; what was used while it waited was 1.2 times what is counted. Given in parts of 64 KB such a frame held one part only, but the rest of the answer was not counted.

Change: the writer keeps the number and the text of the error, and raises a new exception each time.

Evidence: features/boundedmemory.feature, "The memory of an answer is free once its caller is gone", with the collector off: four of six failed before (those whose caller is cut), none since.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -168,6 +168,27 @@
     When the caller reads the whole answer of 1000000 bytes
     Then 0 bytes are held within 500 ms
 
+  Scenario Outline: The memory of an answer is free once its caller is gone
+    # The failure: the error that the writer kept referred to the frames of the write, and these to
+    # the answer, so that its memory was in use until the garbage collector ran.
+    Given callers that take nothing for 400 ms are cut
+    And a server that <answers>
+    And the garbage collector does not run
+    When a caller requests it and reads nothing for 200 ms
+    Then at least 1000000 bytes are in use
+    When <end>
+    Then 0 bytes are held within 1000 ms
+    And at most 400000 bytes are in use
+
+    Examples:
+      | answers                                     | end                    |
+      | answers with 1000000 bytes                  | it goes on for 600 ms  |
+      | answers with 1000000 bytes                  | the caller is cut      |
+      | answers with 1000000 bytes                  | the caller disconnects |
+      | sends a stream of 1 events of 1000000 bytes | it goes on for 600 ms  |
+      | sends a stream of 1 events of 1000000 bytes | the caller is cut      |
+      | sends a stream of 1 events of 1000000 bytes | the caller disconnects |
+
   Scenario: Above 90 % of the budget a caller that does not read is cut, and one that reads is not
     Given a budget of 3.2 MB at the ingress
     And a server that answers with 1000000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -4,9 +4,11 @@
 
 """Steps about the bytes that an instance holds for others."""
 
+import gc
 import json
 import re
 import time
+import tracemalloc
 from contextlib import suppress
 from dataclasses import replace
 from functools import partial
@@ -251,6 +253,35 @@
     account.cut(share.holder, "memory")
 
 
+@given("the garbage collector does not run")
+def collector_off(context):
+    gc.collect()
+    gc.disable()
+    context.stack.callback(gc.enable)
+    tracemalloc.start()
+    context.stack.callback(tracemalloc.stop)
+
+
+@then("at least {number:d} bytes are in use")
+def at_least_in_use(context, number):
+    assert tracemalloc.get_traced_memory()[0] >= number, tracemalloc.get_traced_memory()
+
+
+@then("at most {number:d} bytes are in use")
+def at_most_in_use(context, number):
+    assert tracemalloc.get_traced_memory()[0] <= number, tracemalloc.get_traced_memory()
+
+
+@when("it goes on for {ms:d} ms")
+def goes_on(context, ms):
+    gevent.sleep(ms / 1000)
+
+
+@when("the caller disconnects")
+def disconnect(context):
+    context.caller.close()
+
+
 @when("a caller asks whether to send a body of {size:d} bytes")
 def ask_to_send(context, size):
     context.caller = context.readers.connect()
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -53,7 +53,9 @@
         tail: What waits behind it. It is one array: many small objects take several times the
             memory of the events in them.
         unsent: What the system's buffer held when the caller last made progress, in bytes.
-        error: Why nothing more can be written, or None.
+        failure: The number and the text of the error why nothing more can be written, or None. The
+            exception itself would refer to the frames that it went through, and these to the writer
+            and the answer, whose memory would be in use until cycles are collected.
         changed: Set when less waits or an error occurred, for the task that waits for it.
     """
 
@@ -64,7 +66,7 @@
         self.size = 0
         self.tail = bytearray()
         self.unsent = 0
-        self.error: OSError | None = None
+        self.failure: tuple[int, str] | None = None
         self.changed = Event()
         self.watcher = gevent.get_hub().loop.io(socket.fileno(), WRITABLE)
         self.cancel_check: Callable[[], None] = lambda: None
@@ -77,8 +79,7 @@
         Raises:
             OSError: The connection broke or was cut.
         """
-        if self.error is not None:
-            raise self.error
+        self.check()
         if self.rest:
             self.tail += data
             self.holder.add(len(data))
@@ -116,7 +117,7 @@
         Raises:
             OSError: The connection broke or was cut.
         """
-        if self.rest or self.error is not None:
+        if self.rest or self.failure is not None:
             self.wait_below(1)
 
     def wait_below(self, number: int) -> None:
@@ -126,13 +127,21 @@
             OSError: The connection broke or was cut.
         """
         try:
-            while self.error is None and self.waiting() >= number:
+            while self.failure is None and self.waiting() >= number:
                 self.changed.clear()
                 self.changed.wait()
         except CallerGoneError as error:
             raise ConnectionResetError(errno.ECONNRESET, "the caller is gone") from error
-        if self.error is not None:
-            raise self.error
+        self.check()
+
+    def check(self) -> None:
+        """Check that more can be written.
+
+        Raises:
+            OSError: The connection broke or was cut.
+        """
+        if self.failure is not None:
+            raise OSError(*self.failure)
 
     def start_waiting(self, data: bytes | bytearray, sent: int) -> None:
         """Have the rest of a chunk written when the system takes it, within the time limit."""
@@ -159,7 +168,7 @@
         except BlockingIOError:
             pass
         except OSError as error:
-            self.fail(error)
+            self.fail(error.errno or errno.EPIPE, error.strerror or str(error))
             return
         self.progressed()
         if not self.rest:
@@ -204,7 +213,7 @@
 
     def cut(self, reason: str) -> None:
         """Drop what waits and end the connection, which also ends the request in progress."""
-        self.fail(ConnectionResetError(errno.ECONNRESET, f"cut: {reason}"))
+        self.fail(errno.ECONNRESET, f"cut: {reason}")
         # The watch of the connection does not see its end if a further request has arrived.
         self.holder.interrupt()
         try:
@@ -230,9 +239,9 @@
         """
         self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _LINGER)
 
-    def fail(self, error: OSError) -> None:
-        """Drop what waits, and fail every further write."""
-        self.error = error
+    def fail(self, number: int, text: str) -> None:
+        """Drop what waits, and fail every further write with an error."""
+        self.failure = (number, text)
         self.holder.add(-self.size - len(self.tail))
         self.start_chunk(b"", 0)
         self.tail = bytearray()
