Callers: a large part of an answer is in memory once while it waits

What callers saw: requests refused and connections cut for memory, at a process that used more than is counted.

Cause: a chunk of a stream was framed by the web server, which copies it, and both were held while the caller did not read. A part that came while an earlier one waited was appended to that, and its sender held it as well.

Change: chunks of 64 KB or more are written apart from what frames them, and such a part waits, counted, until nothing waits before it. Smaller ones are written as before: of these one is held twice at most.

Evidence: features/boundedmemory.feature, "An answer whose caller does not read is in memory once" (the stream) and "A large part of an answer is not copied behind data that waits" failed before.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -189,6 +189,29 @@
       | sends a stream of 1 events of 1000000 bytes | the caller is cut      |
       | sends a stream of 1 events of 1000000 bytes | the caller disconnects |
 
+  Scenario Outline: An answer whose caller does not read is in memory once
+    # The failure: the web server copied each chunk of a stream to frame it, and held both.
+    Given a server that <answers>
+    And the garbage collector does not run
+    When a caller requests it and reads nothing for 300 ms
+    Then at least 1000000 bytes are held
+    And at most 400000 bytes more are in use than are held
+
+    Examples:
+      | answers                                     |
+      | answers with 1000000 bytes                  |
+      | sends a stream of 1 events of 1000000 bytes |
+
+  Scenario: A large part of an answer is not copied behind data that waits
+    # The failure: it was appended to what waited, and its caller held it as well.
+    Given a connection to a caller for which 10000 bytes wait
+    And the garbage collector does not run
+    When 4000000 bytes more are written to it
+    Then at least 4000000 bytes are held
+    And at most 400000 bytes more are in use than are held
+    When the caller reads all 4010000 bytes and what the system held
+    Then 0 bytes are held within 500 ms
+
   Scenario: Above 90 % of the budget a caller that does not read is cut, and one that reads is not
     Given a budget of 3.2 MB at the ingress
     And a server that answers with 1000000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -30,6 +30,7 @@
 from mountladder.memory.heldshare import HeldShare
 from mountladder.memory.memorybudget import BYTES_PER_MB, MARGIN_FRACTION, MemoryBudget
 from mountladder.memory.memorypolicy import MemoryPolicy
+from mountladder_entry.callerwriter import CallerWriter
 
 STREAM_END = b"0\r\n\r\n"
 
@@ -272,6 +273,12 @@
     assert tracemalloc.get_traced_memory()[0] <= number, tracemalloc.get_traced_memory()
 
 
+@then("at most {number:d} bytes more are in use than are held")
+def in_use_but_not_held(context, number):
+    used, held = tracemalloc.get_traced_memory()[0], context.readers.account.held
+    assert used <= held + number, (used, held)
+
+
 @when("it goes on for {ms:d} ms")
 def goes_on(context, ms):
     gevent.sleep(ms / 1000)
@@ -282,6 +289,41 @@
     context.caller.close()
 
 
+@given("a connection to a caller for which {number:d} bytes wait")
+def waiting_bytes(context, number):
+    account = readers(context).account
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        connection, _ = listener.accept()
+    connection.setblocking(False)
+    context.stack.callback(caller.close)
+    context.stack.callback(connection.close)
+    holder = context.stack.enter_context(account.hold("caller", lambda _: None))
+    writer = CallerWriter(connection, holder)
+    context.stack.callback(writer.close)
+    context.system_held = 0
+    with suppress(BlockingIOError):
+        while True:
+            context.system_held += connection._sock.send(b"x" * 4_096)
+    writer.write(b"x" * number)
+    assert account.held == number, account.held
+    context.caller, context.writer = caller, writer
+
+
+@when("{number:d} bytes more are written to it")
+def write_more(context, number):
+    writing = gevent.spawn(lambda: context.writer.write(bytes(number)))
+    context.stack.callback(writing.kill)
+    gevent.sleep(0.05)
+
+
+@when("the caller reads all {number:d} bytes and what the system held")
+def read_everything(context, number):
+    remaining = context.system_held + number
+    while remaining:
+        remaining -= len(context.caller.recv(min(65_536, remaining)))
+
+
 @when("a caller asks whether to send a body of {size:d} bytes")
 def ask_to_send(context, size):
     context.caller = context.readers.connect()
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -12,7 +12,7 @@
 from mountladder.clocks.systemclock import SystemClock
 from mountladder.memory.memoryaccount import MemoryAccount
 from mountladder.metrics.memorymetrics import MemoryMetrics
-from mountladder_entry.callerwriter import CallerWriter
+from mountladder_entry.callerwriter import BUFFER_BYTES, CallerWriter
 from mountladder_entry.limitedconnection import LimitedConnection
 
 
@@ -64,9 +64,16 @@
     def _write(self, data: bytes | bytearray) -> None:
         """Write a part of a body, except to a HEAD request.
 
-        The caller would take it for the beginning of the next answer on the connection.
+        The caller would take it for the beginning of the next answer on the connection. A large
+        chunk is written apart from what frames it: the web server would copy it.
         """
-        if self.command != "HEAD":
+        if self.command == "HEAD":
+            return
+        if self.response_use_chunked and len(data) >= BUFFER_BYTES:
+            self._sendall(b"%x\r\n" % len(data))
+            self._sendall(data)
+            self._sendall(b"\r\n")
+        else:
             super()._write(data)
 
     def run_application(self) -> None:
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -80,6 +80,8 @@
             OSError: The connection broke or was cut.
         """
         self.check()
+        if self.rest and len(data) >= BUFFER_BYTES:
+            self.wait_for_turn(len(data))
         if self.rest:
             self.tail += data
             self.holder.add(len(data))
@@ -92,14 +94,26 @@
                 return
             self.start_waiting(data, sent)
         if self.waiting() >= BUFFER_BYTES:
-            self.wait_for_room()
+            self.wait_for_room(BUFFER_BYTES)
+
+    def wait_for_turn(self, number: int) -> None:
+        """Wait with a number of bytes until nothing waits before them; in the tail they are a copy.
+
+        Raises:
+            OSError: The connection broke or was cut.
+        """
+        self.holder.add(number)
+        try:
+            self.wait_for_room(1)
+        finally:
+            self.holder.add(-number)
 
     def waiting(self) -> int:
         """Return the number of bytes that wait."""
         return len(self.rest) + len(self.tail)
 
-    def wait_for_room(self) -> None:
-        """Wait while the buffer is full, during which nothing is read from the backend server.
+    def wait_for_room(self, number: int) -> None:
+        """Wait until fewer bytes than a number wait; nothing is read from the server meanwhile.
 
         Raises:
             OSError: The connection broke or was cut.
@@ -107,7 +121,7 @@
         unread = SERVER_UNREAD_BYTES if self.holder.is_streaming else 0
         self.holder.add(unread)
         try:
-            self.wait_below(BUFFER_BYTES)
+            self.wait_below(number)
         finally:
             self.holder.add(-unread)
 
