Streams: which server began a stream is settled later, also in the first moments of a cut

What callers saw: a server crashed, an instance was cut off from the store and its peers, and the server started again at another software version within 1.5 s.

Cause: the list of servers counts as current until 1.5 s after it was last confirmed, since confirmations of an instance in touch are that far apart. In that time the version of an entry was taken for that of the server.

Change: a stream that began since the last confirmation is settled later: by the next confirmation, or before it continues, by a read of the list from the store or, without an answer from the store, by the server's start (StreamBeginnings). Before a stream continues at a server, the list has to be at most 50 ms old or is read, else the server is asked. Once the list counts as old, the servers of all streams that are not settled are asked; those that were told of a stream which cannot be settled are told that it is unverified. In touch no server is asked, and a stream that does not break reads nothing.

New scenarios of features/reborncut.feature: streams that callers resume at the same and at another instance of the side that is cut off, a server that ends in the first moments of a cut, and what is read.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -68,6 +68,7 @@
     Given a server llm-4 in data centre b with version v1 that started at 5
     And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the list of servers is confirmed at a-1
     And a-1 is cut off from the store and its peers
     And server <name> starts again at version v2
     And server <name>@5 has the least to do
@@ -84,6 +85,7 @@
     Given servers llm-4, llm-5, llm-6, llm-7, llm-8 with version v1 that started at 5
     And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the list of servers is confirmed at a-1
     And a-1 is cut off from the store and its peers
     And servers llm-3, llm-4, llm-5, llm-6, llm-7 start again at version v2
     And 40 streams have been sent to a-1 within 1 s
@@ -226,3 +228,51 @@
       | 1     | llm-1 | 100 |
       | 1.5   | llm-1 | 100 |
       | 2     | llm-1 | 100 |
+
+  # Guards against a first event that is taken to be of the version in an entry which is older.
+  Scenario Outline: A stream begins after the list of servers was last confirmed
+    Given a-1 is cut off from the store and its peers for <first> s
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at a-1
+    Then it is refused as not run with code 2016 within 600 ms, and no Retry-After
+
+    Examples:
+      | first |
+      | 0.2   |
+      | 1     |
+
+  # Where neither the list nor the server tells its start, the stream may be of either version.
+  Scenario: The server of a stream ends in the first moments of a cut
+    Given a-1 is cut off from the store and its peers for 0.2 s
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at a-1
+    Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
+
+  # Guards against origins that other instances of the same side were told in that time.
+  Scenario: A stream that another instance of the data centre began is resumed
+    Given a-1 and b-1 are cut off from the store and their peers, but not from each other
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And 2 s pass
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
+
+  # Guards against reads of the store where nothing is continued.
+  Scenario: Streams that do not break read nothing from the store
+    Given reads of the store for streams are counted
+    When 60 streams are sent to a-1 within 3 s
+    Then all have 6 events
+    And the store was read 0 times for them
+
+  Scenario: Streams that break in touch continue without a question to a server
+    Given reads of the store for streams are counted
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And server llm-1@5 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
+    And servers were asked 0 times when they started
+    And the store was read at most 2 times for them
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -10,12 +10,13 @@
 import gevent
 from behave import given, then, when
 from continuation_steps import MANY_PROMPTS
-from forward_steps import SETTLE_MS
+from forward_steps import SETTLE_MS, cut_off
 from forwardbasics import SECOND_MS, save_retries, serve
 from streamversion_steps import (
     CUT_OFF_MS,
     configure,
     cut_off_from_all,
+    lose_store,
     regain_store,
     set_load,
     stream,
@@ -35,6 +36,10 @@
 CHANGE_MS = 7.0
 # By then a stream has ended.
 STREAM_MS = 500.0
+# By then a peer that polls the store has announced that its list is current.
+CONFIRMED_MS = 1_000.0
+# The first moments of a cut, in which the list does not count as old yet.
+FIRST_MS = 200.0
 ANNOUNCEMENTS = 20
 ARRIVES_MS = 20.0
 
@@ -272,3 +277,43 @@
 @then("after 6 s the list is known to be current since {low:d} to {high:d} ms")
 def current_since(context, low, high):
     assert low <= context.list_age.ms() <= high, context.list_age.ms()
+
+
+@given("the list of servers is confirmed at {name}")
+def list_confirmed(context, name):
+    since = context.clock.now()
+    context.run(context.clock.sleep, CONFIRMED_MS)
+    assert context.clock.now() - context.fleet.instances[name].fleet.list_age.ms() > since
+
+
+@given("{one} and {other} are cut off from the store and their peers, but not from each other")
+def cut_off_together(context, one, other):
+    cut_off(context, one)
+    cut_off(context, other)
+    context.fleet.network.cut_instances.discard(frozenset({one, other}))
+    lose_store(context, one)
+    lose_store(context, other)
+    context.run(context.clock.sleep, FIRST_MS)
+
+
+@given("reads of the store for streams are counted")
+def count_reads(context):
+    context.reads = []
+    for instance in context.fleet.instances.values():
+        read = instance.origins.store_read.read
+
+        def counted(read=read):
+            context.reads.append(context.clock.now())
+            return read()
+
+        instance.origins.store_read.read = counted
+
+
+@then("the store was read {number:d} times for them")
+def read_times(context, number):
+    assert len(context.reads) == number, context.reads
+
+
+@then("the store was read at most {number:d} times for them")
+def read_at_most(context, number):
+    assert len(context.reads) <= number, context.reads
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -215,7 +215,9 @@
         obstacle = self.obstacle()
         if obstacle:
             return obstacle
-        if not self.context.starts.is_as_listed(self.copy):
+        if not self.run.stream_version.is_verified():
+            return "the server that began it was not known"
+        if not self.context.starts.may_continue_at(self.copy):
             return "the server of the copy may have started again at another version"
         try:
             self.run.tracked.admit(self.run.remaining_ms())
@@ -292,7 +294,7 @@
             first = b""
             if not splitter.events:
                 first, version = run.first_events(attempt, answer, splitter)
-                run.stream_version.settle(version)
+                run.stream_version.settle(attempt, version)
         except StageError as error:
             self.close_failed(attempt, answer, error.code)
             if not error.dispatched:
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -165,14 +165,15 @@
         self.directory.listeners.append(self.pump_batchers)
         self.cold_checks = ColdChecks(self.directory, self.follower, self.cold, upstream, clock)
         self.cold_checks.on_checked = self.pump_batchers
+        self.starts = StartChecks(self.directory, self.fleet.list_age, upstream, clock)
         self.origins = StreamOrigins(
             self.fleet,
             self.directory,
+            self.starts,
             self.tables.version_store,
             self.tables.origin_store,
             clock,
         )
-        self.starts = StartChecks(self.directory, self.fleet.list_age, upstream, clock)
         self.continuations = Continuations(
             lambda: self.settings.continue_streams,
             self.follower,
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -141,7 +141,7 @@
                     return attempt, answer, b""
                 first, version = self.first_events(attempt, answer, splitter)
                 self.heard()
-                self.stream_version.settle(version)
+                self.stream_version.settle(attempt, version)
             except StageError as error:
                 if answer is not None:
                     answer.close()
@@ -203,7 +203,7 @@
         """
         self.splitter.discard_incomplete()
         events = self.split(self.splitter, second.data)
-        self.stream_version.settle(second.version)
+        self.stream_version.settle(second.attempt, second.version)
         self.begun_at = None
         self.heard()
         self.hedge = Hedge(self, second.attempt)
--- a/packages/core/src/mountladder/streams/originregistry.py
+++ b/packages/core/src/mountladder/streams/originregistry.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.streams.streamorigin import KEY_BYTES, StreamOrigin
 
 # Callers resume a stream within this time; their deadlines are shorter.
@@ -42,14 +43,18 @@
     def add(self, origin: StreamOrigin) -> bool:
         """Add an origin unless it is malformed or past; return whether it was added.
 
-        The first version that is known to have begun a stream stays. A later attempt at the stream
-        may last longer, which replaces the time until which it is held.
+        The first version that is known to have begun a stream stays, unless it turns out not to be
+        verified. A later attempt at the stream may last longer, which replaces the time until which
+        it is held.
         """
         now = self.clock.now()
         if len(origin.stream) != KEY_BYTES or not now < origin.until <= now + MAX_STREAM_MS:
             return False
         known = self.origins.get(origin.stream)
         if known is not None:
+            if origin.version == UNVERIFIED_VERSION != known.version:
+                self.origins[origin.stream] = origin
+                return True
             if (known.service, known.version) != (origin.service, origin.version):
                 log_message(
                     "stream-origin-conflict",
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import gevent
 from eliot import log_message
@@ -19,6 +19,7 @@
 from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.forwarding.upstream import Upstream
 from mountladder.streams.startcheck import StartCheck
+from mountladder.streams.streambeginning import StreamBeginning
 
 # From this age on, the list of servers may be old. The store answers an instance that polls it
 # every 500 ms, and 320 ms later while it is slow; that instance announces it every 300 ms. Another
@@ -28,6 +29,10 @@
 CHECK_VALID_MS = 1_000.0
 # A report needs no slot and no work. A server that takes longer counts as one that does not answer.
 CHECK_TIMEOUT_MS = 300.0
+# A stream continues by a list that was current this long ago: entries take some 20 ms to arrive.
+CURRENT_MS = 50.0
+# Timeout for a read of the list, which takes 4 ms, before servers are asked instead.
+READ_TIMEOUT_MS = 100.0
 
 
 class StartChecks:
@@ -39,6 +44,9 @@
     started: at most once a second, for all requests together. While the list is current, nothing is
     asked.
 
+    Before a stream continues, the list has to be current at that moment, which a read of the store
+    shows; without an answer from the store the servers are asked.
+
     A server without a start in its entry cannot be checked, and counts as one that has not started
     again.
 
@@ -50,6 +58,7 @@
 
     Attributes:
         checks: The last check of each server, by its id.
+        read_list: Reads the list from the store; see StoreRead.refresh.
     """
 
     def __init__(
@@ -60,34 +69,91 @@
         self.upstream = upstream
         self.clock = clock
         self.checks: dict[str, StartCheck] = {}
+        self.read_list: Callable[[float, float | None], bool] = lambda since, wait_ms: False
         directory.listeners.append(self.forget_unlisted)
 
     def is_needed(self) -> bool:
         """Return whether the list of servers may be old."""
         return self.age.ms() > MAX_LIST_AGE_MS
 
+    def is_current(self, since: float, wait_ms: float | None = READ_TIMEOUT_MS) -> bool:
+        """Return whether the list of servers is known to have been current at a time or later.
+
+        Args:
+            since: The time, in the clock's milliseconds.
+            wait_ms: For how long to wait for the store; see StoreRead.refresh.
+        """
+        if self.is_confirmed(since):
+            return True
+        return not self.is_needed() and self.read_list(since, wait_ms)
+
+    def is_confirmed(self, since: float) -> bool:
+        """Return whether the list has been confirmed as of a time or later."""
+        return self.clock.now() - self.age.ms() >= since
+
+    def beginning(self, stream: bytes, server: BackendServer) -> StreamBeginning:
+        """Return that a server begins a stream now."""
+        start = self.listed_start(server.labels[ID_LABEL])
+        return StreamBeginning(stream, server, start, self.clock.now())
+
+    def began_as_listed(self, beginning: StreamBeginning) -> bool:
+        """Return whether a server had not started again when it began a stream.
+
+        Where neither the store nor the server answers this is not known, and counts as no.
+        """
+        server, at = beginning.server, beginning.at
+        if self.is_current(at):
+            return self.is_listed_as(beginning)
+        born = self.reported_start(server)
+        if born is None and self.is_current(at, None):
+            return self.is_listed_as(beginning)
+        is_same = born == beginning.listed_start
+        self.log(server, born, "began as listed" if is_same else "not known which began")
+        return is_same
+
+    def is_listed_as(self, beginning: StreamBeginning) -> bool:
+        """Return whether no other start of the server that began a stream is listed by now."""
+        start = self.listed_start(beginning.server.labels[ID_LABEL])
+        return start in (0, beginning.listed_start)
+
+    def may_continue_at(self, server: BackendServer) -> bool:
+        """Return whether a server is known to run the version that its newest entry names.
+
+        A stream that another server began continues only there.
+        """
+        since = self.clock.now() - CURRENT_MS
+        return self.is_current(since) or self.is_start_listed(server)
+
     def is_as_listed(self, server: BackendServer) -> bool:
         """Return whether a server runs the software version that its newest entry names.
 
-        Without an answer from the server this is not known, and counts as no.
+        Without an answer from the server this is not known, and counts as no. A list that may not
+        be old is not checked.
         """
-        if not self.is_needed():
-            return True
+        return not self.is_needed() or self.is_start_listed(server)
+
+    def is_start_listed(self, server: BackendServer) -> bool:
+        """Return whether a server answers that it has run since the start that its entry names."""
         id_ = server.labels[ID_LABEL]
         if not self.listed_start(id_):
             self.log(server, None, "no start in its entry")
             return True
+        born = self.reported_start(server)
+        is_same = born == self.listed_start(id_)
+        other = "not known" if born is None else "another start"
+        self.log(server, born, "as listed" if is_same else other)
+        return is_same
+
+    def reported_start(self, server: BackendServer) -> int | None:
+        """Return the start that a server names when it is asked, or None without an answer."""
         check = self.check(server)
         if not check.ended.is_set():
             self.clock.wait(check.ended, CHECK_TIMEOUT_MS)
-        is_same = check.born == self.listed_start(id_)
-        other = "not known" if check.born is None else "another start"
-        self.log(server, check.born, "as listed" if is_same else other)
-        return is_same
+        return check.born
 
     def restarted(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that are known to have started again."""
-        if not self.checks or not self.is_needed():
+        if not self.checks:
             return frozenset()
         return frozenset(one.name for one in servers if self.has_restarted(one.labels[ID_LABEL]))
 
--- a/packages/core/src/mountladder/streams/storeread.py
+++ b/packages/core/src/mountladder/streams/storeread.py
@@ -53,7 +53,7 @@
         self.is_running = False
         self.ended = Event()
 
-    def refresh(self, since: float) -> bool:
+    def refresh(self, since: float, wait_ms: float | None = None) -> bool:
         """Return whether the store has answered a read that began at a time or later.
 
         Makes a read unless there was one, and waits for it. A failed read is not repeated for this
@@ -61,8 +61,11 @@
 
         Args:
             since: The time, in the clock's milliseconds.
+            wait_ms: For how long to wait at most; None for as long as such a read may take.
         """
-        until = self.clock.now() + self.interval_ms() + WAIT_MS
+        if wait_ms is None:
+            wait_ms = self.interval_ms() + WAIT_MS
+        until = self.clock.now() + wait_ms
         while self.last_ended_begun_at < since and self.clock.now() < until:
             if self.clock.now() - self.failed_at < FAILED_MS:
                 return False
--- /dev/null
+++ b/packages/core/src/mountladder/streams/streambeginnings.py
@@ -0,0 +1,99 @@
+# streambeginnings.py -- Checks later which version the servers ran that began streams
+# Copyright (C) 2026 The mountladder authors
+# SPDX-License-Identifier: Apache-2.0
+
+"""Checks later which version the servers ran that began streams."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+import gevent
+from eliot import log_message
+
+from mountladder.clocks.clock import Clock
+from mountladder.configuration.backendserver import BackendServer
+from mountladder.streams.startchecks import StartChecks
+from mountladder.streams.streambeginning import StreamBeginning
+
+# The list of servers is confirmed about as often as this.
+SWEEP_MS = 500.0
+
+
+class StreamBeginnings:
+    """Keeps which server began each stream until the list of servers is known to be newer.
+
+    A server may have started again at another version shortly before this instance was cut off. Its
+    entry names the version of before then, which nobody notices until the list counts as old. So a
+    stream that began since the list was last known to be current is checked before it continues,
+    and all of them are once the list counts as old.
+
+    Args:
+        starts: Checks whether servers have started again.
+        clock: The clock.
+
+    Attributes:
+        pending: The beginnings that are not checked yet, by stream.
+        on_unverified: Called with a stream whose server may have run another version.
+    """
+
+    def __init__(self, starts: StartChecks, clock: Clock) -> None:
+        self.starts = starts
+        self.clock = clock
+        self.pending: dict[bytes, StreamBeginning] = {}
+        self.on_unverified: Callable[[bytes], None] = lambda stream: None
+
+    def add(self, stream: bytes, server: BackendServer) -> StreamBeginning:
+        """Return that a server begins a stream now, which is checked later."""
+        beginning = self.starts.beginning(stream, server)
+        if beginning.is_as_listed is None:
+            if not self.pending:
+                self.clock.call_later(SWEEP_MS, self.sweep)
+            self.pending[stream] = beginning
+        return beginning
+
+    def check_stream(self, stream: bytes) -> None:
+        """Check the server that began a stream, unless that is done or it is not known here."""
+        beginning = self.pending.get(stream)
+        if beginning is not None:
+            self.check(beginning)
+
+    def check(self, beginning: StreamBeginning) -> bool:
+        """Return whether the server that began a stream had not started again by then."""
+        if beginning.is_as_listed is None:
+            self.settle(beginning, self.starts.began_as_listed(beginning))
+        return beginning.is_as_listed
+
+    def settle(self, beginning: StreamBeginning, is_as_listed: bool) -> None:
+        """Record whether the server that began a stream had not started again by then."""
+        self.pending.pop(beginning.stream, None)
+        beginning.is_as_listed = is_as_listed
+        if not is_as_listed:
+            log_message(
+                "stream-beginning-unverified",
+                stream=beginning.stream.hex(),
+                server=beginning.server.name,
+                listed_born=beginning.listed_start,
+                begun_ms_ago=round(self.clock.now() - beginning.at),
+            )
+            self.on_unverified(beginning.stream)
+
+    def sweep(self) -> None:
+        """Check the beginnings that a current list settles, and all once the list is old."""
+        for beginning in list(self.pending.values()):
+            if self.starts.is_confirmed(beginning.at):
+                self.settle(beginning, self.starts.is_listed_as(beginning))
+        if self.starts.is_needed():
+            by_server: dict[str, list[StreamBeginning]] = defaultdict(list)
+            for beginning in self.pending.values():
+                by_server[beginning.server.name].append(beginning)
+            for beginnings in by_server.values():
+                gevent.spawn(self.check_all, beginnings)
+        elif self.pending:
+            self.clock.call_later(SWEEP_MS, self.sweep)
+
+    def check_all(self, beginnings: Iterable[StreamBeginning]) -> None:
+        """Check some beginnings."""
+        for beginning in beginnings:
+            self.check(beginning)
--- a/packages/core/src/mountladder/streams/streamorigin.py
+++ b/packages/core/src/mountladder/streams/streamorigin.py
@@ -9,6 +9,8 @@
 import hashlib
 from dataclasses import dataclass, replace
 
+from mountladder.forwarding.forwardrequest import ForwardRequest
+
 KEY_BYTES = 16
 
 
@@ -38,6 +40,12 @@
         return replace(self, until=self.until + now)
 
 
+def stream_of(request: ForwardRequest, fingerprint: str) -> bytes:
+    """Return what identifies the stream that a request begins, or resumes; see stream_key."""
+    is_resumed = bool(request.last_event_id and request.resumes)
+    return stream_key(fingerprint, request.resumes if is_resumed else request.id)
+
+
 def stream_key(fingerprint: str, request: str) -> bytes:
     """Return what identifies a stream at all instances.
 
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -14,6 +14,7 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.code import Code
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.errors import RefusalError
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.fleet import Fleet
@@ -27,9 +28,11 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
-from mountladder.streams.streamorigin import StreamOrigin, stream_key
+from mountladder.streams.streambeginnings import StreamBeginnings
+from mountladder.streams.streamorigin import StreamOrigin, stream_key, stream_of
 from mountladder.streams.versionhistory import VersionHistory
 from mountladder.streams.versionrecord import VersionRecord
 from mountladder.streams.versionstore import VersionStore
@@ -64,6 +67,7 @@
     Args:
         fleet: The other instances.
         directory: Lists the backend servers.
+        starts: Checks whether they have started again.
         version_store: The platform's table of the versions that serve each service.
         origin_store: The platform's table of origins.
         clock: The clock.
@@ -72,6 +76,7 @@
         read_servers: Reads from the store what changed in the list of servers, and returns whether
             it answered.
         store_read: Reads the versions and the list for requests.
+        beginnings: Which servers began the streams of this instance, until that is checked.
         own: The streams that this instance has run or continued.
     """
 
@@ -79,6 +84,7 @@
         self,
         fleet: Fleet,
         directory: Directory,
+        starts: StartChecks,
         version_store: VersionStore,
         origin_store: OriginStore,
         clock: Clock,
@@ -101,6 +107,9 @@
         self.own: set[bytes] = set()
         self.read_servers: Callable[[], bool] = lambda: False
         self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
+        starts.read_list = self.store_read.refresh
+        self.beginnings = StreamBeginnings(starts, clock)
+        self.beginnings.on_unverified = self.mark_unverified
         self.exchange.on_told = self.archive.add
         for kept in (self.contact, self.version_record, self.archive):
             fleet.era_tracker.listeners.append(kept.handle_restore)
@@ -115,10 +124,15 @@
             service: The service that runs it.
             version: The version of the server's software.
         """
-        is_resumed = bool(request.last_event_id and request.resumes)
-        stream = stream_key(fingerprint, request.resumes if is_resumed else request.id)
+        stream = stream_of(request, fingerprint)
         self.hold(StreamOrigin(stream, service, version, self.held_until(request)))
 
+    def mark_unverified(self, stream: bytes) -> None:
+        """Record that it is not known which version began a stream, so that nobody continues it."""
+        origin = self.registry.find(stream)
+        if origin is not None:
+            self.hold(replace(origin, version=UNVERIFIED_VERSION))
+
     def hold(self, origin: StreamOrigin) -> None:
         """Keep an origin here, and tell it to others, unless it is known for as long already."""
         if self.registry.add(origin):
@@ -203,6 +217,7 @@
 
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
         """Search for the origin of a stream here, then at other instances and in the store."""
+        self.beginnings.check_stream(stream)
         origin = self.registry.find(stream)
         if origin is not None:
             return OriginLookup(origin, "own", self.history.recent(service))
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -14,6 +14,8 @@
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.retryrules import caller_error
 from mountladder.forwarding.versionrules import NO_VERSION_RETRY_MS, check_version
+from mountladder.streams.streambeginning import StreamBeginning
+from mountladder.streams.streamorigin import stream_of
 
 if TYPE_CHECKING:
     from mountladder.forwarding.streamrun import StreamRun
@@ -27,6 +29,8 @@
 
     Attributes:
         required: The version, or None before the first event.
+        beginning: Which server began the stream, or None if it is not known or an earlier attempt
+            began it.
     """
 
     def __init__(self, run: StreamRun) -> None:
@@ -35,6 +39,7 @@
         self.directory = run.context.picker.directory
         self.starts = run.context.starts
         self.required: str | None = None
+        self.beginning: StreamBeginning | None = None
 
     def find(self) -> None:
         """Find the version of a stream that its caller resumes.
@@ -49,9 +54,7 @@
             run.service = origin.service
             budgets.of_requests(run.service).earn()
         if origin.version == UNVERIFIED_VERSION:
-            raise RefusalError(
-                "the server that began the stream was not known", Code.STREAM_UNKNOWN
-            )
+            raise unverified_error()
         if origin.service == run.service:
             self.required = origin.version
             check_version(self.directory, run.service, self.required)
@@ -86,10 +89,16 @@
 
         Raises:
             StageError: It may run another one, and was not sent the request.
-            MountladderError: The same, and no other server of the version is left.
+            MountladderError: The same, and no other server of the version is left; or the version
+                is not known.
         """
         server = attempt.choice.state.server
-        if self.required is None or self.starts.is_as_listed(server):
+        if self.required is None:
+            return
+        if not self.is_verified():
+            raise caller_error(self.run, unverified_error())
+        is_known = self.starts.may_continue_at(server)
+        if is_known and self.directory.current_version(server) == self.required:
             return
         self.run.excluded |= {server.name}
         self.check_left()
@@ -106,7 +115,9 @@
             StageError: It is another one: the server has started again since it was chosen.
         """
         server, is_verified = attempt.choice.state.server, True
-        if self.may_continue(attempt):
+        if self.required is not None:
+            is_verified = self.starts.may_continue_at(server)
+        elif self.may_continue(attempt):
             is_verified = self.starts.is_as_listed(server)
         version = self.directory.current_version(server) if is_verified else UNVERIFIED_VERSION
         if self.required is not None and not (is_verified and version == self.required):
@@ -119,13 +130,24 @@
         has_copy = attempt.picked.backup is not None
         return self.run.route.resumable or has_copy or self.required is not None
 
-    def settle(self, version: str) -> None:
+    def settle(self, attempt: ForwardAttempt, version: str) -> None:
         """Have the stream continue at a version from here on, in this answer and later ones."""
+        is_first = self.required is None and version != UNVERIFIED_VERSION
+        is_checked_later = is_first and self.may_continue(attempt)
         self.required = version
-        run = self.run
+        run, origins = self.run, self.context.origins
+        fingerprint = run.tracked.fingerprint
         if run.route.resumable:
-            origins, fingerprint = self.context.origins, run.tracked.fingerprint
             origins.record(run.request, fingerprint, run.service, version)
+        if is_checked_later:
+            stream = stream_of(run.request, fingerprint)
+            self.beginning = origins.beginnings.add(stream, attempt.choice.state.server)
+
+    def is_verified(self) -> bool:
+        """Return whether the server that began the stream ran the version that is required."""
+        if self.required == UNVERIFIED_VERSION:
+            return False
+        return self.beginning is None or self.context.origins.beginnings.check(self.beginning)
 
     def is_alone(self, server: str) -> bool:
         """Return whether a server is the only one left that could continue the stream."""
@@ -139,3 +161,8 @@
         except RefusalError as error:
             return caller_error(self.run, error)
         return None
+
+
+def unverified_error() -> RefusalError:
+    """Return the error for a stream whose first server may have run another version."""
+    return RefusalError("the server that began the stream was not known", Code.STREAM_UNKNOWN)
