Soak: servers send some streams oddly, or wrongly

Change: a fault of its own, odd-streams, drawn by a generator of its own. Servers of a service ignore from which event a stream is to continue, send events twice, give neither a length nor chunks and end with the connection, or end chunks within events. Callers resume such streams at any instance. A scenario of features/soak.feature plays it beside a release and two kills.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -179,6 +179,18 @@
     Then every promise is kept
     And at least 40 streams were resumed
 
+  # Guards against an event that is missing or comes twice, and an end that looks complete, at servers
+  # that ignore Last-Event-Id, send events again, or give neither a length nor chunks.
+  Scenario: Servers send streams oddly while callers resume them and instances are killed
+    When these faults are played with seed 7 for 10 seconds with 4 instances
+      | kind        | target | at  | seconds | strength |
+      | odd-streams | llm    | 0.5 | 7.0     | 0.4      |
+      | versions    | llm    | 1.0 | 6.0     | 0.3      |
+      | kill        | a-1    | 2.5 | 1.0     | 1        |
+      | kill        | b-1    | 4.5 | 1.0     | 1        |
+    Then every promise is kept
+    And at least 30 streams were resumed
+
   # Guards against streams of two versions after a loss of all instances, and against the loss of all
   # streams with them.
   Scenario Outline: All instances are killed in a release while callers read long streams
