--- a/features/soak.feature
+++ b/features/soak.feature
@@ -146,6 +146,17 @@
       | versions        | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
 
+  # Guards against streams of two versions by a list of servers that is older than a server's start.
+  Scenario: Servers start again at another version while a data centre is cut off
+    When these faults are played with seed 7 for 12 seconds with 4 instances
+      | kind            | target   | at  | seconds | strength |
+      | short-streams   | callers  | 0.5 | 9.0     | 4        |
+      | versions        | llm      | 0.6 | 9.0     | 0.4      |
+      | in-place        | llm      | 0.8 | 6.0     | 1        |
+      | isolated-silent | b-1, b-2 | 3.7 | 5.0     | 1        |
+    Then every promise is kept
+    And at least 60 streams were resumed
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -27,6 +27,8 @@
 MAX_LIST_AGE_MS = 1_500.0
 # An answer holds for this long: a server that crashes takes seconds to start again.
 CHECK_VALID_MS = 1_000.0
+# One that has not answered is asked again after this time: it may have been silent for a moment.
+FAILED_VALID_MS = 400.0
 # A report needs no slot and no work. A server that takes longer counts as one that does not answer.
 CHECK_TIMEOUT_MS = 300.0
 # A stream continues by a list that was current this long ago: entries take some 20 ms to arrive.
@@ -119,11 +121,21 @@
     def may_continue_at(self, server: BackendServer) -> bool:
         """Return whether a server is known to run the version that its newest entry names.
 
-        A stream that another server began continues only there.
+        Events of a stream that another server began are passed on only if it is.
         """
         since = self.clock.now() - CURRENT_MS
         return self.is_current(since) or self.is_start_listed(server)
 
+    def may_try(self, server: BackendServer) -> bool:
+        """Return whether a stream that another server began may be sent to a server.
+
+        A silent one may be tried while the list is not old: it is asked again before its events are
+        passed on, once it speaks.
+        """
+        if self.may_continue_at(server):
+            return True
+        return not (self.is_needed() or self.has_restarted(server.labels[ID_LABEL]))
+
     def is_as_listed(self, server: BackendServer) -> bool:
         """Return whether a server runs the software version that its newest entry names.
 
@@ -173,9 +185,11 @@
         """Return the check of a server that holds now, which is begun if there is none."""
         id_, now = server.labels[ID_LABEL], self.clock.now()
         known = self.checks.get(id_)
-        is_recent = known is not None and now - known.asked_at < CHECK_VALID_MS
-        if is_recent or self.has_restarted(id_):
-            return known
+        if known is not None:
+            has_failed = known.ended.is_set() and known.born is None
+            valid_ms = FAILED_VALID_MS if has_failed else CHECK_VALID_MS
+            if now - known.asked_at < valid_ms or self.has_restarted(id_):
+                return known
         check = self.checks[id_] = StartCheck(now)
         gevent.spawn(self.ask, server, check)
         return check
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -97,8 +97,7 @@
             return
         if not self.is_verified():
             raise caller_error(self.run, unverified_error())
-        is_known = self.starts.may_continue_at(server)
-        if is_known and self.directory.current_version(server) == self.required:
+        if self.starts.may_try(server) and self.directory.current_version(server) == self.required:
             return
         self.run.excluded |= {server.name}
         self.check_left()
