Streams: those that begin while others are checked are settled as well

What callers saw: nothing yet.

Cause: a check of all streams was scheduled with the first one that waited. A stream that began while a server was asked, for up to 300 ms, found others waiting, so that none was scheduled any more.

Change: a check is due as long as streams wait.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -276,3 +276,10 @@
     Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
     And servers were asked 0 times when they started
     And the store was read at most 2 times for them
+
+  # Guards against streams that are never settled, since one began while those before were checked.
+  Scenario: Streams begin while others are checked
+    Given a-1 is cut off from the store and its peers for 0.2 s
+    And server llm-1 takes 300 ms to say when it started
+    When a stream begins at a-1 every 20 ms for 4 s, on each server in turn
+    Then no stream of a-1 waits to be settled after 2 s
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -5,7 +5,7 @@
 """Steps about servers that start again while an instance has an old list."""
 
 import math
-from itertools import pairwise
+from itertools import cycle, pairwise
 
 import gevent
 from behave import given, then, when
@@ -28,6 +28,7 @@
 from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.store.position import Position
+from mountladder.streams.streamorigin import KEY_BYTES
 
 FIRST_START = 5
 LATER_START = 9
@@ -317,3 +318,34 @@
 @then("the store was read at most {number:d} times for them")
 def read_at_most(context, number):
     assert len(context.reads) <= number, context.reads
+
+
+@given("server {id_} takes {ms:d} ms to say when it started")
+def slow_start(context, id_, ms):
+    upstream, started_at = context.fleet.upstream, context.fleet.upstream.started_at
+
+    def answer(server, limit_ms):
+        context.clock.sleep(float(ms) if server.address == id_ else 0.0)
+        return started_at(server, limit_ms)
+
+    upstream.started_at = answer
+
+
+@when("a stream begins at {name} every {ms:d} ms for {seconds:d} s, on each server in turn")
+def streams_begin(context, name, ms, seconds):
+    instance = context.fleet.instances[name]
+    servers = cycle([instance.directory.find(one) for one in context.versions])
+
+    def begin():
+        for n in range(seconds * 1_000 // ms):
+            instance.origins.beginnings.add(n.to_bytes(KEY_BYTES, "big"), next(servers))
+            context.clock.sleep(float(ms))
+
+    context.run(begin)
+
+
+@then("no stream of {name} waits to be settled after {seconds:d} s")
+def none_pending(context, name, seconds):
+    context.run(context.clock.sleep, seconds * SECOND_MS)
+    beginnings = context.fleet.instances[name].origins.beginnings
+    assert not beginnings.pending, len(beginnings.pending)
--- a/packages/core/src/mountladder/streams/streambeginnings.py
+++ b/packages/core/src/mountladder/streams/streambeginnings.py
@@ -35,6 +35,7 @@
 
     Attributes:
         pending: The beginnings that are not checked yet, by stream.
+        is_sweep_due: Whether they are checked after a while.
         on_unverified: Called with a stream whose server may have run another version.
     """
 
@@ -42,15 +43,15 @@
         self.starts = starts
         self.clock = clock
         self.pending: dict[bytes, StreamBeginning] = {}
+        self.is_sweep_due = False
         self.on_unverified: Callable[[bytes], None] = lambda stream: None
 
     def add(self, stream: bytes, server: BackendServer) -> StreamBeginning:
         """Return that a server begins a stream now, which is checked later."""
         beginning = self.starts.beginning(stream, server)
         if beginning.is_as_listed is None:
-            if not self.pending:
-                self.clock.call_later(SWEEP_MS, self.sweep)
             self.pending[stream] = beginning
+            self.sweep_later()
         return beginning
 
     def check_stream(self, stream: bytes) -> None:
@@ -79,8 +80,15 @@
             )
             self.on_unverified(beginning.stream)
 
+    def sweep_later(self) -> None:
+        """Check the beginnings after a while."""
+        if not self.is_sweep_due:
+            self.is_sweep_due = True
+            self.clock.call_later(SWEEP_MS, self.sweep)
+
     def sweep(self) -> None:
         """Check the beginnings that a current list settles, and all once the list is old."""
+        self.is_sweep_due = False
         for beginning in list(self.pending.values()):
             if self.starts.is_confirmed(beginning.at):
                 self.settle(beginning, self.starts.is_listed_as(beginning))
@@ -90,8 +98,9 @@
                 by_server[beginning.server.name].append(beginning)
             for beginnings in by_server.values():
                 gevent.spawn(self.check_all, beginnings)
-        elif self.pending:
-            self.clock.call_later(SWEEP_MS, self.sweep)
+        if self.pending:
+            # Further streams may begin while a server is asked.
+            self.sweep_later()
 
     def check_all(self, beginnings: Iterable[StreamBeginning]) -> None:
         """Check some beginnings."""
