Streams: a peer confirms the list of servers only as of the store's last answer to it

Cause: the beacon of an instance that polls the store counted as a confirmation of the list as of its arrival. Where the calls of that instance hang, it takes the store for answering for 1.1 s after the last answer, so that a stream was settled by a list that was older than its first event.

Change: the beacon tells the age of the list, in steps of 100 ms, and the list is confirmed as of then. From which age on servers are asked is as before, since that counts confirmations by their arrival.

Scenario changed: "A caller resumes a stream of which all listed servers have started again" cut the instance off in the moment in which its stream broke, and passed since a beacon that was older than the stream settled it. It confirms the list first, as its neighbours do; that such a stream is refused otherwise is checked by "The server of a stream ends in the first moments of a cut". The step that confirms the list checks as of when it is current.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -59,6 +59,7 @@
   Scenario: A caller resumes a stream of which all listed servers have started again
     Given server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the list of servers is confirmed at a-1
     And a-1 is cut off from the store and its peers
     And server llm-3 starts again at version v2
     When the caller resumes stream r at a-1
@@ -283,3 +284,18 @@
     And server llm-1 takes 300 ms to say when it started
     When a stream begins at a-1 every 20 ms for 4 s, on each server in turn
     Then no stream of a-1 waits to be settled after 2 s
+
+  # Guards against a list that a peer confirms whose last answer from the store is older.
+  Scenario Outline: The instance that polls the store is cut off as well, and its calls hang
+    Given a-1 and the reader of the store are cut off, but not from each other, and calls hang
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And <ms> ms pass
+    When the caller resumes stream r at a-1
+    Then it is refused as not run with code 2016 within 800 ms, and no Retry-After
+
+    Examples:
+      | ms  |
+      | 300 |
+      | 600 |
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -22,11 +22,14 @@
     stream,
 )
 
+from mountladder.errors import StoreUnavailableError
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.listage import ListAge
 from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
+from mountladder.forwarding.source import Source
+from mountladder.forwarding.sourcefollower import ANSWER_MS
 from mountladder.store.position import Position
 from mountladder.streams.streamorigin import KEY_BYTES
 
@@ -284,7 +287,7 @@
 def list_confirmed(context, name):
     since = context.clock.now()
     context.run(context.clock.sleep, CONFIRMED_MS)
-    assert context.clock.now() - context.fleet.instances[name].fleet.list_age.ms() > since
+    assert context.fleet.instances[name].fleet.list_age.current_at() > since
 
 
 @given("{one} and {other} are cut off from the store and their peers, but not from each other")
@@ -349,3 +352,57 @@
     context.run(context.clock.sleep, seconds * SECOND_MS)
     beginnings = context.fleet.instances[name].origins.beginnings
     assert not beginnings.pending, len(beginnings.pending)
+
+
+class HangingSource(Source):
+    """A table whose answers do not arrive any more once an instance is cut off."""
+
+    def __init__(self, inner, clock):
+        self.inner = inner
+        self.clock = clock
+        self.is_cut = False
+
+    def read(self):
+        return self.answer(self.inner.read, 0.0)
+
+    def changes(self, after, wait_ms):
+        return self.answer(lambda: self.inner.changes(after, wait_ms), wait_ms)
+
+    def answer(self, call, wait_ms):
+        until = self.clock.now() + wait_ms + ANSWER_MS
+        page = None if self.is_cut else call()
+        if self.is_cut:
+            self.clock.sleep(until - self.clock.now())
+            raise StoreUnavailableError("the call timed out")
+        return page
+
+
+@given("{name} and the reader of the store are cut off, but not from each other, and calls hang")
+def cut_off_with_reader(context, name):
+    reader = find_reader(context)
+    assert reader and reader != name, reader
+    names = (name, reader)
+    hanging = {one: follow_through(context, one) for one in names}
+    context.run(context.clock.sleep, CONFIRMED_MS)
+    for one, sources in hanging.items():
+        cut_off(context, one)
+        lose_store(context, one)
+        instance = context.fleet.instances[one]
+        instance.catalogue_source.source, instance.directory_source.source = sources
+        for source in sources:
+            source.is_cut = True
+    context.fleet.network.cut_instances.discard(frozenset(names))
+
+
+def follow_through(context, name):
+    """Return the sources of an instance, whose answers can be kept from it from now on."""
+    instance = context.fleet.instances[name]
+    followers = (instance.catalogue_source, instance.directory_source)
+    for follower in followers:
+        follower.source = HangingSource(follower.source, context.clock)
+    return [follower.source for follower in followers]
+
+
+@given("{ms:d} ms pass")
+def ms_pass(context, ms):
+    context.run(context.clock.sleep, float(ms))
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -30,6 +30,8 @@
         unreachable: The data centres that it then considers unreachable.
         drains: Every data centre that the operator drains, or has drained before.
         isolated: Whether it can reach no backend server.
+        list_age_ms: If it polls the store and is answered, how long ago the store last told it of
+            the list of backend servers, in milliseconds. Instances of an older build say 0.
     """
 
     catalogue: int
@@ -43,3 +45,4 @@
     unreachable: tuple[str, ...] = ()
     drains: tuple[DatacentreDrain, ...] = ()
     isolated: bool = False
+    list_age_ms: int = 0
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 from eliot import log_message
@@ -44,6 +45,8 @@
 STORE_HEAD_START_MS = 150.0
 # Several changes are often read at once; this delay lets one message announce them all.
 ANNOUNCE_DELAY_MS = 15.0
+# The age of the list of servers is announced in steps of this.
+AGE_STEP_MS = 100
 
 
 class Fleet(LinkManager):
@@ -221,8 +224,18 @@
             tuple(sorted(self.partitions.silent)),
             self.directory.drains.all_entries(),
             self.membership.is_isolated(self.membership.me),
+            self.announced_age_ms(),
         )
 
+    def announced_age_ms(self) -> int:
+        """Return how old this instance's list of servers is at most, for its beacon.
+
+        It is rounded up, since beacons that are alike are encoded once.
+        """
+        if not (self.reader_election.reading and self.is_store_answering()):
+            return 0
+        return AGE_STEP_MS * math.ceil(self.list_age.answered_ms() / AGE_STEP_MS)
+
     def announce_soon(self) -> None:
         """Announce new versions to peers after a short delay, in one message."""
         if not self.announcing:
--- a/packages/core/src/mountladder/forwarding/listage.py
+++ b/packages/core/src/mountladder/forwarding/listage.py
@@ -19,7 +19,8 @@
     """Tracks when this instance last knew that its list of backend servers was current.
 
     That is so when the store answers this instance, or when a peer that polls the store, and is
-    answered, has no newer entry.
+    answered, has no newer entry. The list of such a peer is as old as the last answer of the store,
+    which is up to a second where the next one does not come any more.
 
     Args:
         directory: The list of backend servers.
@@ -28,36 +29,52 @@
     Attributes:
         answered_at: Returns when the store last answered a call for the list from this instance.
         confirmed_at: When a peer last confirmed the list.
-        awaited: A newer position that a peer has announced, and when; it confirms the list as of
-            then once the list has reached it.
+        peer_current_at: As of when the list has been confirmed by peers.
+        awaited: A newer position that a peer has announced, when, and as of when; it confirms the
+            list once that has reached it.
     """
 
     def __init__(self, directory: Directory, clock: Clock) -> None:
         self.directory = directory
         self.clock = clock
         self.answered_at: Callable[[], float] = lambda: -math.inf
-        self.confirmed_at = -math.inf
-        self.awaited: tuple[Position, float] | None = None
+        self.confirmed_at = self.peer_current_at = -math.inf
+        self.awaited: tuple[Position, float, float] | None = None
         directory.listeners.append(self.update)
 
     def record(self, beacon: Beacon) -> None:
         """Record a peer's beacon."""
         if not (beacon.reads_store and beacon.store_answers):
             return
+        now = self.clock.now()
+        current_at = now - beacon.list_age_ms
         if beacon.directory <= self.directory.newest:
-            self.confirmed_at = self.clock.now()
+            self.confirm(now, current_at)
         elif self.awaited is None:
-            self.awaited = (beacon.directory, self.clock.now())
+            self.awaited = (beacon.directory, now, current_at)
 
     def update(self) -> None:
         """Confirm the list if it has reached the position that is awaited."""
         if self.awaited is None:
             return
-        position, announced_at = self.awaited
+        position, announced_at, current_at = self.awaited
         if position <= self.directory.newest:
-            self.confirmed_at = max(self.confirmed_at, announced_at)
+            self.confirm(announced_at, current_at)
             self.awaited = None
 
+    def confirm(self, at: float, current_at: float) -> None:
+        """Record that a peer confirmed the list at a time, as of another."""
+        self.confirmed_at = max(self.confirmed_at, at)
+        self.peer_current_at = max(self.peer_current_at, current_at)
+
     def ms(self) -> float:
-        """Return how long ago the list was known to be current; infinite if it never was."""
+        """Return how long ago the list was confirmed; infinite if it never was."""
         return self.clock.now() - max(self.confirmed_at, self.answered_at())
+
+    def answered_ms(self) -> float:
+        """Return how long ago the store last answered this instance; infinite if it never did."""
+        return self.clock.now() - self.answered_at()
+
+    def current_at(self) -> float:
+        """Return as of when the list is known to have been current, in the clock's ms."""
+        return max(self.peer_current_at, self.answered_at())
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -89,7 +89,7 @@
 
     def is_confirmed(self, since: float) -> bool:
         """Return whether the list has been confirmed as of a time or later."""
-        return self.clock.now() - self.age.ms() >= since
+        return self.age.current_at() >= since
 
     def beginning(self, stream: bytes, server: BackendServer) -> StreamBeginning:
         """Return that a server begins a stream now."""
