Streams: a late answer of the store confirms the list of servers only as of its making

Cause: an answer that no entry had changed confirmed the list as of its arrival, and so settled a stream that began after the answer was made.

Change: an answer without a change counts as of the end of the wait that the call asked for, any other one as of the begin of its call.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -299,3 +299,13 @@
       | ms  |
       | 300 |
       | 600 |
+
+  # Guards against an answer of the store that was made before the stream began which it confirms.
+  Scenario: Answers of the store arrive late
+    Given a-1 is the only instance, and answers of the store reach it 320 ms late
+    And 0 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the store has answered a-1 once more
+    When the caller resumes stream r at a-1
+    Then stream r has events 1 to 2, and ran on llm-1@5
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -29,7 +29,7 @@
 from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
 from mountladder.forwarding.source import Source
-from mountladder.forwarding.sourcefollower import ANSWER_MS
+from mountladder.forwarding.sourcefollower import ANSWER_MS, WAIT_MS
 from mountladder.store.position import Position
 from mountladder.streams.streamorigin import KEY_BYTES
 
@@ -46,6 +46,7 @@
 FIRST_MS = 200.0
 ANNOUNCEMENTS = 20
 ARRIVES_MS = 20.0
+POLL_MS = 5.0
 
 
 @given("instances {names} and model servers of two versions that started at {born:d}")
@@ -406,3 +407,43 @@
 @given("{ms:d} ms pass")
 def ms_pass(context, ms):
     context.run(context.clock.sleep, float(ms))
+
+
+class LateSource(Source):
+    """A table whose answers arrive late."""
+
+    def __init__(self, inner, late_ms, clock):
+        self.inner = inner
+        self.late_ms = late_ms
+        self.clock = clock
+
+    def read(self):
+        return self.answer(self.inner.read())
+
+    def changes(self, after, wait_ms):
+        return self.answer(self.inner.changes(after, wait_ms))
+
+    def answer(self, page):
+        self.clock.sleep(self.late_ms)
+        return page
+
+
+@given("a-1 is the only instance, and answers of the store reach it {ms:d} ms late")
+def late_answers(context, ms):
+    for name in [one for one in context.fleet.instances if one != "a-1"]:
+        context.fleet.instances.pop(name).close()
+    context.run(context.clock.sleep, IN_TOUCH_MS)
+    source = context.fleet.instances["a-1"].directory_source
+    source.source = LateSource(source.source, float(ms), context.clock)
+    context.run(context.clock.sleep, CONFIRMED_MS)
+    wait_for_answer(context, "a-1")
+    # The next answer is made after so long, and is empty.
+    context.run(context.clock.sleep, WAIT_MS + POLL_MS)
+
+
+@given("the store has answered {name} once more")
+def wait_for_answer(context, name):
+    source = context.fleet.instances[name].directory_source
+    before = source.answered_at
+    while source.answered_at == before:
+        context.run(context.clock.sleep, POLL_MS)
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -47,6 +47,8 @@
 ANNOUNCE_DELAY_MS = 15.0
 # The age of the list of servers is announced in steps of this.
 AGE_STEP_MS = 100
+# The greatest age that is announced; the message has 16 bits for it.
+MAX_AGE_MS = 60_000.0
 
 
 class Fleet(LinkManager):
@@ -234,7 +236,8 @@
         """
         if not (self.reader_election.reading and self.is_store_answering()):
             return 0
-        return AGE_STEP_MS * math.ceil(self.list_age.answered_ms() / AGE_STEP_MS)
+        age_ms = min(MAX_AGE_MS, self.list_age.read_ms())
+        return AGE_STEP_MS * math.ceil(age_ms / AGE_STEP_MS)
 
     def announce_soon(self) -> None:
         """Announce new versions to peers after a short delay, in one message."""
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -215,6 +215,7 @@
             "servers", self.tables.servers, applier.apply_servers
         )
         self.fleet.list_age.answered_at = lambda: self.directory_source.answered_at
+        self.fleet.list_age.read_at = lambda: self.directory_source.current_at
         self.directory_source.on_reachable = self.directory.mark_store_reachable
         self.directory_source.on_unreachable = self.handle_store_lost
         self.origins.read_servers = lambda: self.directory_source.read_changes(
--- a/packages/core/src/mountladder/forwarding/listage.py
+++ b/packages/core/src/mountladder/forwarding/listage.py
@@ -28,6 +28,7 @@
 
     Attributes:
         answered_at: Returns when the store last answered a call for the list from this instance.
+        read_at: Returns as of when the list of this instance was last read from the store.
         confirmed_at: When a peer last confirmed the list.
         peer_current_at: As of when the list has been confirmed by peers.
         awaited: A newer position that a peer has announced, when, and as of when; it confirms the
@@ -38,6 +39,7 @@
         self.directory = directory
         self.clock = clock
         self.answered_at: Callable[[], float] = lambda: -math.inf
+        self.read_at: Callable[[], float] = lambda: -math.inf
         self.confirmed_at = self.peer_current_at = -math.inf
         self.awaited: tuple[Position, float, float] | None = None
         directory.listeners.append(self.update)
@@ -71,10 +73,10 @@
         """Return how long ago the list was confirmed; infinite if it never was."""
         return self.clock.now() - max(self.confirmed_at, self.answered_at())
 
-    def answered_ms(self) -> float:
-        """Return how long ago the store last answered this instance; infinite if it never did."""
-        return self.clock.now() - self.answered_at()
+    def read_ms(self) -> float:
+        """Return how old the list is by what this instance read; infinite if it never did."""
+        return self.clock.now() - self.read_at()
 
     def current_at(self) -> float:
         """Return as of when the list is known to have been current, in the clock's ms."""
-        return max(self.peer_current_at, self.answered_at())
+        return max(self.peer_current_at, self.read_at())
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -50,6 +50,7 @@
         wake: Set when `is_due` may have changed.
         connected: Whether the last call was answered.
         answered_at: When the store answered last.
+        current_at: As of when the view is current at least, since an answer may arrive late.
         on_unreachable: Called when the store stops answering.
         on_reachable: Called when it answers again.
     """
@@ -76,7 +77,7 @@
         self.wake = Event()
         self.position: Position | None = None
         self.connected = False
-        self.answered_at = float("-inf")
+        self.answered_at = self.current_at = float("-inf")
         self.unreachable_since: float | None = None
         self.pause_ms = MIN_PAUSE_MS
         self.on_unreachable: Callable[[], None] = lambda: None
@@ -100,7 +101,7 @@
     def step(self) -> None:
         """Make one call to the store and pass on the page that it returns."""
         try:
-            whole = self.position is None
+            whole, begun_at = self.position is None, self.clock.now()
             # An instance that has just taken over must know soon whether the store answers.
             wait_ms = self.wait_ms if self.is_answered else NO_WAIT_MS
             page = self.source.read() if whole else self.source.changes(self.position, wait_ms)
@@ -112,8 +113,11 @@
             self.record_failure(error)
             return
         self.record_answer()
+        # An answer without a change was made when the wait had ended.
+        has_waited = not (whole or page.rows) and self.clock.now() - begun_at >= wait_ms
         self.position = page.position if whole else max(self.position, page.position)
         self.on_page(page, whole)
+        self.current_at = begun_at + wait_ms if has_waited else begun_at
 
     def read_changes(self, after: Position) -> bool:
         """Pass on what has changed after a position, also where this instance does not poll.
