Streams: a server that another one was heard before passes no events on

Where ids are no numbers, the events of both could come.

Cause: the version of a server is checked once its first event is there, which takes a report of the server, or a read of the list of servers. If the second server of a silent one was checked sooner, its answer was kept and the connection to the first one broken, but the events of the first one were passed on all the same. The answer of the second server then began with them again.

Change: before events of the first server are taken, it is checked that no other one has answered instead.

Evidence: features/silentservers.feature, "The versions of both servers are checked when the second one is answered first": the first row failed with 3004, "event 1 comes after event 1".

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -207,6 +207,23 @@
     Then request r is answered whole by the first server
     And no server works on request r any more
 
+  # Guards against a stream that is cut, since events of the first server are passed on behind which the
+  # second one has an answer of its own.
+  @forwarding
+  Scenario Outline: The versions of both servers are checked when the second one is answered first
+    Given two instances and the servers of each kind of request
+    And both servers of the request answer together after 700 ms
+    And checking the version of the first server takes <first> ms, and of others <second> ms
+    When instance a-1 gets a resumable request r
+    Then request r is answered whole within 2000 ms
+    And no server works on request r any more
+
+    Examples:
+      | first | second |
+      | 100   | 50     |
+      | 50    | 50     |
+      | 50    | 100    |
+
   # Guards against a second attempt at a request whose answer is arriving: both servers work on it,
   # and the retry budget is spent.
   @forwarding
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -338,6 +338,18 @@
     context.fleet.upstream.open = open_
 
 
+@given("checking the version of the first server takes {first:d} ms, and of others {second:d} ms")
+def check_takes(context, first, second):
+    starts = context.fleet.instances["a-1"].forwarder.context.starts
+
+    def is_as_listed(server):
+        is_first = server.name == context.sent_calls[0]
+        context.clock.sleep(float(first if is_first else second))
+        return True
+
+    starts.is_as_listed = is_as_listed
+
+
 @given("the first server of the safe request sends its answer in parts for {ms:d} ms")
 def answers_in_parts(context, ms):
     plain_open = context.fleet.upstream.open
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -15,7 +15,7 @@
 
 from mountladder.clocks.clock import MIN_DELAY_MS
 from mountladder.code import Code
-from mountladder.errors import MountladderError
+from mountladder.errors import MountladderError, StageError
 from mountladder.forwarding.forwardattempt import ForwardAttempt
 from mountladder.forwarding.retryrules import hedge_obstacle
 from mountladder.forwarding.secondanswer import SecondAnswer
@@ -89,6 +89,15 @@
         self.cancel_task()
         self.check_later(self.run.max_silence_ms(self.run.has_begun))
 
+    def check_first(self, attempt: ForwardAttempt) -> None:
+        """Check that events of an attempt may be passed on, also if this took a moment.
+
+        Raises:
+            StageError: It is the first one, and the second server has answered instead.
+        """
+        if attempt is self.attempt and self.answer is not None:
+            raise StageError("another server was heard of first", Code.STAGE_STALLED)
+
     def cancel_task(self) -> None:
         """Cancel the second attempt, which may have an answer before it is told."""
         task, self.task = self.task, None
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -243,6 +243,7 @@
             if not data and not self.has_ended(answer, splitter):
                 raise StageError("the stream ended before its first event", Code.STREAM_CUT)
             version = self.stream_version.check(attempt)
+            self.hedge.check_first(attempt)
             if not data:
                 return b"", version
             complete = self.split(splitter, data)
@@ -312,6 +313,7 @@
         while True:
             self.wait_for_server()
             data = answer.read_some(self.remaining_ms())
+            self.hedge.check_first(attempt)
             self.heard()
             attempt.choice.state.breaker.heard()
             if not data:
