Streams: one that two servers of two versions began is not continued

What callers saw: an instance that reaches no server relayed a stream, lost the answer and relayed it again.

Cause: the instance that ran the request first had told the origin of the stream, and the first version that is known was kept.

A stream that was relayed again and began at the same version goes on.

--- a/features/steps/streamversion_steps.py
+++ b/features/steps/streamversion_steps.py
@@ -577,3 +577,22 @@
 def takes_version(context, version):
     server = context.fleet.instances["a-1"].directory.records["i-1"].server
     assert version_of(server) == ("" if version == "unknown" else version), server
+
+
+@given("the first answer that {name} relays is lost, and server {server} runs the stream then")
+def relayed_answer_lost(context, name, server):
+    transport = context.fleet.instances[name].forwarder.context.relay.transport
+    broken, plain, tried = context.fleet.broken_relays, transport.send, []
+
+    def send(address, sent, limit_ms):
+        if tried:
+            set_load(context, {server: 0})
+            return plain(address, sent, limit_ms)
+        tried.append(address)
+        broken.add(address)
+        try:
+            return plain(address, sent, limit_ms)
+        finally:
+            broken.discard(address)
+
+    transport.send = send
--- a/features/streamorigins.feature
+++ b/features/streamorigins.feature
@@ -122,6 +122,21 @@
     When the caller resumes stream r at a-2
     Then stream r has events 1 to 6, and ran on llm-1, llm-3
 
+  # Guards against a stream that is taken to be of a server whose events its caller never got.
+  Scenario Outline: An instance relays a stream again, since the first answer is lost
+    Given a-2 reaches no backend server
+    And the first answer that a-2 relays is lost, and server <second> runs the stream then
+    And server llm-1 runs the next stream, and <second> has the least to do after it
+    And a caller of resumable stream r at a-2 has 2 events when its connection breaks
+    When the caller resumes stream r at <name>
+    Then stream r has events 1 to <last>, and ran on llm-1, <servers>
+
+    Examples:
+      | second | name | last | servers      |
+      | llm-2  | a-1  | 2    | llm-2        |
+      | llm-2  | b-1  | 2    | llm-2        |
+      | llm-1  | b-1  | 6    | llm-1, llm-3 |
+
   # Guards against a second version of an entry that is written again without a restart.
   Scenario: The entry of the server that runs a stream gets another version
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -84,7 +84,7 @@
         """Add the origins that a peer tells."""
         now = self.clock.now()
         told = [one.from_remaining(now) for one in message.origins]
-        added = [one for one in told if self.registry.add(one)]
+        added = [self.registry.find(one.stream) or one for one in told if self.registry.add(one)]
         if self.holders.shares_group(link.peer):
             self.on_told(added)
 
--- a/packages/core/src/mountladder/streams/originregistry.py
+++ b/packages/core/src/mountladder/streams/originregistry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -43,9 +44,10 @@
     def add(self, origin: StreamOrigin) -> bool:
         """Add an origin unless it is malformed or past; return whether it was added.
 
-        The first version that is known to have begun a stream stays, unless it turns out not to be
-        verified. A later attempt at the stream may last longer, which replaces the time until which
-        it is held.
+        The first service that is known to have begun a stream stays. A second version of it makes
+        the stream unverified: a request that is relayed again may have begun at two servers, and
+        which of them its caller heard is not known. A later attempt at the stream may last longer,
+        which replaces the time until which it is held.
         """
         now = self.clock.now()
         if len(origin.stream) != KEY_BYTES or not now < origin.until <= now + MAX_STREAM_MS:
@@ -56,13 +58,7 @@
                 self.origins[origin.stream] = origin
                 return True
             if (known.service, known.version) != (origin.service, origin.version):
-                log_message(
-                    "stream-origin-conflict",
-                    stream=origin.stream.hex(),
-                    kept=known.version,
-                    dropped=origin.version,
-                )
-                return False
+                return self.resolve(known, origin)
             if origin.until <= known.until + MIN_EXTENSION_MS:
                 return False
             del self.origins[origin.stream]
@@ -70,6 +66,20 @@
         self.evict(now)
         return True
 
+    def resolve(self, known: StreamOrigin, other: StreamOrigin) -> bool:
+        """Keep one of two origins of a stream; return whether that has changed what is known."""
+        is_decided = known.service != other.service or known.version == UNVERIFIED_VERSION
+        kept = known if is_decided else replace(known, version=UNVERIFIED_VERSION)
+        log_message(
+            "stream-origin-conflict",
+            stream=known.stream.hex(),
+            known=known.version,
+            other=other.version,
+            kept=kept.version,
+        )
+        self.origins[known.stream] = kept
+        return not is_decided
+
     def find(self, stream: bytes) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not known."""
         found = self.origins.get(stream)
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -136,9 +136,11 @@
     def hold(self, origin: StreamOrigin) -> None:
         """Keep an origin here, and tell it to others, unless it is known for as long already."""
         if self.registry.add(origin):
-            self.add_own(origin.stream)
-            self.exchange.announce(origin.service, [origin])
-            self.archive.add([origin])
+            # It differs if two versions are known to have begun the stream.
+            kept = self.registry.find(origin.stream) or origin
+            self.add_own(kept.stream)
+            self.exchange.announce(kept.service, [kept])
+            self.archive.add([kept])
 
     def held_until(self, request: ForwardRequest) -> float:
         """Return until when the caller of an attempt may come again, in the clock's ms."""
