Streams: an origin that was told a moment ago is checked where the store does not answer

Cause: an origin that was told counted as checked. Its instance checks it by the next confirmation of the list, or before it continues there.

Evidence: features/reborncut.feature, "A stream that another instance of the data centre began is resumed at once": events 3 to 6 came from the other version.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -262,6 +262,15 @@
     When the caller resumes stream r at b-1
     Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
 
+  # Guards against the same before the instance that began it has found out.
+  Scenario: A stream that another instance of the data centre began is resumed at once
+    Given a-1 and b-1 are cut off from the store and their peers, but not from each other
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 600 ms, and no Retry-After
+
   # Guards against reads of the store where nothing is continued.
   Scenario: Streams that do not break read nothing from the store
     Given reads of the store for streams are counted
--- a/packages/core/src/mountladder/streams/originquestion.py
+++ b/packages/core/src/mountladder/streams/originquestion.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.streamorigin import StreamOrigin
 
@@ -21,15 +22,18 @@
     Args:
         asked: The number of instances that are asked.
         clock: The clock.
+        is_check: Whether the origin is known, and the question is whether it is verified.
 
     Attributes:
         replies: The replies, by the peer address of the instance.
-        settled: Set once an instance has told the origin, or all have replied.
+        settled: Set once an instance has told the origin, or that it is not verified if that is the
+            question, or all have replied.
     """
 
-    def __init__(self, asked: int, clock: Clock) -> None:
+    def __init__(self, asked: int, clock: Clock, is_check: bool = False) -> None:
         self.asked = asked
         self.clock = clock
+        self.is_check = is_check
         self.asked_at = clock.now()
         self.replies: dict[str, OriginReply] = {}
         self.settled = Event()
@@ -39,9 +43,15 @@
     def receive(self, reply: OriginReply, address: str) -> None:
         """Store the reply of an instance, and wake the waiting request once it needs no others."""
         self.replies[address] = reply
-        if reply.origin is not None or len(self.replies) == self.asked:
+        is_told = reply.origin is not None and not self.is_check
+        if is_told or self.is_unverified() or len(self.replies) == self.asked:
             self.settled.set()
 
+    def is_unverified(self) -> bool:
+        """Return whether an instance has told that the origin is not verified."""
+        told = (one.origin for one in self.replies.values() if one.origin is not None)
+        return any(one.version == UNVERIFIED_VERSION for one in told)
+
     def wait_until(self, after_ms: float) -> None:
         """Wait until the question is settled, or it was asked so many milliseconds ago."""
         remaining_ms = self.asked_at + after_ms - self.clock.now()
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -41,6 +41,9 @@
 REPLY_TIMEOUT_MS = 100.0
 # How long after the question replies are waited for where nothing else tells the origin.
 LATE_REPLY_TIMEOUT_MS = 250.0
+# Timeout for the check of a stream by the instance that began it: 100 ms for the store, and then
+# 300 ms for the server.
+CHECK_TIMEOUT_MS = 450.0
 # An attempt may last until its deadline, and is resumed behind it: at once, or after a Retry-After
 # and some attempts that fail.
 RESUME_MS = 5_000.0
@@ -107,8 +110,11 @@
         self.own: set[bytes] = set()
         self.read_servers: Callable[[], bool] = lambda: False
         self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
+        self.starts = starts
         starts.read_list = self.store_read.refresh
         self.beginnings = StreamBeginnings(starts, clock)
+        self.exchange.is_unchecked = self.beginnings.pending.__contains__
+        self.exchange.check_stream = self.beginnings.check_stream
         self.beginnings.on_unverified = self.mark_unverified
         self.exchange.on_told = self.archive.add
         for kept in (self.contact, self.version_record, self.archive):
@@ -222,11 +228,27 @@
         self.beginnings.check_stream(stream)
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "own", self.history.recent(service))
+            self.check_told(stream, service)
+            kept = self.registry.find(stream) or origin
+            return OriginLookup(kept, "own", self.history.recent(service))
         with self.exchange.ask(stream, service) as question:
             question.wait_until(REPLY_TIMEOUT_MS)
             return self.look_up_asked(stream, service, question)
 
+    def check_told(self, stream: bytes, service: str) -> None:
+        """Check an origin that another instance told a moment ago.
+
+        That one may be cut off as well, and have begun the stream at a server that had started
+        again. In touch with the store it has checked the list as well.
+        """
+        told_at = self.exchange.unchecked_since(stream)
+        if told_at is None or stream in self.own or self.starts.is_current(told_at):
+            return
+        with self.exchange.ask(stream, service, is_check=True) as question:
+            question.wait_until(CHECK_TIMEOUT_MS)
+            if question.is_unverified():
+                self.mark_unverified(stream)
+
     def look_up_asked(self, stream: bytes, service: str, question: OriginQuestion) -> OriginLookup:
         """Search for the origin of a stream in the replies of other instances and in the store."""
         replies = question.replies
