--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -59,6 +59,7 @@
   Scenario: A caller resumes a stream of which all listed servers have started again
     Given server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the list of servers is confirmed at a-1
     And a-1 is cut off from the store and its peers
     And server llm-3 starts again at version v2
     When the caller resumes stream r at a-1
@@ -261,6 +262,15 @@
     When the caller resumes stream r at b-1
     Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
 
+  # Guards against the same before the instance that began it has found out.
+  Scenario: A stream that another instance of the data centre began is resumed at once
+    Given a-1 and b-1 are cut off from the store and their peers, but not from each other
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 600 ms, and no Retry-After
+
   # Guards against reads of the store where nothing is continued.
   Scenario: Streams that do not break read nothing from the store
     Given reads of the store for streams are counted
@@ -276,3 +286,52 @@
     Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
     And servers were asked 0 times when they started
     And the store was read at most 2 times for them
+
+  # Guards against streams that are never settled, since one began while those before were checked.
+  Scenario: Streams begin while others are checked
+    Given a-1 is cut off from the store and its peers for 0.2 s
+    And server llm-1 takes 300 ms to say when it started
+    When a stream begins at a-1 every 20 ms for 4 s, on each server in turn
+    Then no stream of a-1 waits to be settled after 2 s
+
+  # Guards against a list that a peer confirms whose last answer from the store is older.
+  Scenario Outline: The instance that polls the store is cut off as well, and its calls hang
+    Given a-1 and the reader of the store are cut off, but not from each other, and calls hang
+    And 100 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And <ms> ms pass
+    When the caller resumes stream r at a-1
+    Then it is refused as not run with code 2016 within 800 ms, and no Retry-After
+
+    Examples:
+      | ms  |
+      | 300 |
+      | 600 |
+
+  # Guards against an answer of the store that was made before the stream began which it confirms.
+  Scenario: Answers of the store arrive late
+    Given a-1 is the only instance, and answers of the store reach it 320 ms late
+    And 0 ms ago server llm-1 has come back with version v2
+    And server llm-1@5 runs the next stream, and llm-2@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And the store has answered a-1 once more
+    When the caller resumes stream r at a-1
+    Then stream r has events 1 to 2, and ran on llm-1@5
+
+  # Guards against events that are held for a read which cannot begin, or is not answered, in time.
+  Scenario Outline: A stream that continues in touch is not held
+    Given reads of the store for streams are <apart> ms apart and take <takes> ms
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And server llm-1@5 breaks off within the third event
+    When resumable stream r is sent to <name>
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
+    And stream r ended within <ms> ms
+
+    Examples: In a fleet of 390, and while the store is slow
+      | apart | takes | name | ms  |
+      | 50    | 4     | a-1  | 160 |
+      | 780   | 4     | a-1  | 160 |
+      | 780   | 4     | b-1  | 160 |
+      | 50    | 320   | a-1  | 260 |
+      | 50    | 320   | b-1  | 260 |
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -5,7 +5,7 @@
 """Steps about servers that start again while an instance has an old list."""
 
 import math
-from itertools import pairwise
+from itertools import cycle, pairwise
 
 import gevent
 from behave import given, then, when
@@ -22,12 +22,16 @@
     stream,
 )
 
+from mountladder.errors import StoreUnavailableError
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.listage import ListAge
 from mountladder.forwarding.memorysource import MemorySource
 from mountladder.forwarding.serverrecord import ServerRecord, listed_server
+from mountladder.forwarding.source import Source
+from mountladder.forwarding.sourcefollower import ANSWER_MS, WAIT_MS
 from mountladder.store.position import Position
+from mountladder.streams.streamorigin import KEY_BYTES
 
 FIRST_START = 5
 LATER_START = 9
@@ -42,6 +46,7 @@
 FIRST_MS = 200.0
 ANNOUNCEMENTS = 20
 ARRIVES_MS = 20.0
+POLL_MS = 5.0
 
 
 @given("instances {names} and model servers of two versions that started at {born:d}")
@@ -283,7 +288,7 @@
 def list_confirmed(context, name):
     since = context.clock.now()
     context.run(context.clock.sleep, CONFIRMED_MS)
-    assert context.clock.now() - context.fleet.instances[name].fleet.list_age.ms() > since
+    assert context.fleet.instances[name].fleet.list_age.current_at() > since
 
 
 @given("{one} and {other} are cut off from the store and their peers, but not from each other")
@@ -317,3 +322,135 @@
 @then("the store was read at most {number:d} times for them")
 def read_at_most(context, number):
     assert len(context.reads) <= number, context.reads
+
+
+@given("server {id_} takes {ms:d} ms to say when it started")
+def slow_start(context, id_, ms):
+    upstream, started_at = context.fleet.upstream, context.fleet.upstream.started_at
+
+    def answer(server, limit_ms):
+        context.clock.sleep(float(ms) if server.address == id_ else 0.0)
+        return started_at(server, limit_ms)
+
+    upstream.started_at = answer
+
+
+@when("a stream begins at {name} every {ms:d} ms for {seconds:d} s, on each server in turn")
+def streams_begin(context, name, ms, seconds):
+    instance = context.fleet.instances[name]
+    servers = cycle([instance.directory.find(one) for one in context.versions])
+
+    def begin():
+        for n in range(seconds * 1_000 // ms):
+            instance.origins.beginnings.add(n.to_bytes(KEY_BYTES, "big"), next(servers))
+            context.clock.sleep(float(ms))
+
+    context.run(begin)
+
+
+@then("no stream of {name} waits to be settled after {seconds:d} s")
+def none_pending(context, name, seconds):
+    context.run(context.clock.sleep, seconds * SECOND_MS)
+    beginnings = context.fleet.instances[name].origins.beginnings
+    assert not beginnings.pending, len(beginnings.pending)
+
+
+class HangingSource(Source):
+    """A table whose answers do not arrive any more once an instance is cut off."""
+
+    def __init__(self, inner, clock):
+        self.inner = inner
+        self.clock = clock
+        self.is_cut = False
+
+    def read(self):
+        return self.answer(self.inner.read, 0.0)
+
+    def changes(self, after, wait_ms):
+        return self.answer(lambda: self.inner.changes(after, wait_ms), wait_ms)
+
+    def answer(self, call, wait_ms):
+        until = self.clock.now() + wait_ms + ANSWER_MS
+        page = None if self.is_cut else call()
+        if self.is_cut:
+            self.clock.sleep(until - self.clock.now())
+            raise StoreUnavailableError("the call timed out")
+        return page
+
+
+@given("{name} and the reader of the store are cut off, but not from each other, and calls hang")
+def cut_off_with_reader(context, name):
+    reader = find_reader(context)
+    assert reader and reader != name, reader
+    names = (name, reader)
+    hanging = {one: follow_through(context, one) for one in names}
+    context.run(context.clock.sleep, CONFIRMED_MS)
+    for one, sources in hanging.items():
+        cut_off(context, one)
+        lose_store(context, one)
+        instance = context.fleet.instances[one]
+        instance.catalogue_source.source, instance.directory_source.source = sources
+        for source in sources:
+            source.is_cut = True
+    context.fleet.network.cut_instances.discard(frozenset(names))
+
+
+def follow_through(context, name):
+    """Return the sources of an instance, whose answers can be kept from it from now on."""
+    instance = context.fleet.instances[name]
+    followers = (instance.catalogue_source, instance.directory_source)
+    for follower in followers:
+        follower.source = HangingSource(follower.source, context.clock)
+    return [follower.source for follower in followers]
+
+
+@given("{ms:d} ms pass")
+def ms_pass(context, ms):
+    context.run(context.clock.sleep, float(ms))
+
+
+class LateSource(Source):
+    """A table whose answers arrive late."""
+
+    def __init__(self, inner, late_ms, clock):
+        self.inner = inner
+        self.late_ms = late_ms
+        self.clock = clock
+
+    def read(self):
+        return self.answer(self.inner.read())
+
+    def changes(self, after, wait_ms):
+        return self.answer(self.inner.changes(after, wait_ms))
+
+    def answer(self, page):
+        self.clock.sleep(self.late_ms)
+        return page
+
+
+@given("a-1 is the only instance, and answers of the store reach it {ms:d} ms late")
+def late_answers(context, ms):
+    for name in [one for one in context.fleet.instances if one != "a-1"]:
+        context.fleet.instances.pop(name).close()
+    context.run(context.clock.sleep, IN_TOUCH_MS)
+    source = context.fleet.instances["a-1"].directory_source
+    source.source = LateSource(source.source, float(ms), context.clock)
+    context.run(context.clock.sleep, CONFIRMED_MS)
+    wait_for_answer(context, "a-1")
+    # The next answer is made after so long, and is empty.
+    context.run(context.clock.sleep, WAIT_MS + POLL_MS)
+
+
+@given("the store has answered {name} once more")
+def wait_for_answer(context, name):
+    source = context.fleet.instances[name].directory_source
+    before = source.answered_at
+    while source.answered_at == before:
+        context.run(context.clock.sleep, POLL_MS)
+
+
+@given("reads of the store for streams are {apart:d} ms apart and take {takes:d} ms")
+def reads_apart(context, apart, takes):
+    context.fleet.version_store.delay_ms = float(takes)
+    for instance in context.fleet.instances.values():
+        instance.origins.store_read.interval_ms = lambda: float(apart)
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -27,8 +27,6 @@
 MAX_LIST_AGE_MS = 1_500.0
 # An answer holds for this long: a server that crashes takes seconds to start again.
 CHECK_VALID_MS = 1_000.0
-# One that has not answered is asked again after this time: it may have been silent for a moment.
-FAILED_VALID_MS = 400.0
 # A report needs no slot and no work. A server that takes longer counts as one that does not answer.
 CHECK_TIMEOUT_MS = 300.0
 # A stream continues by a list that was current this long ago: entries take some 20 ms to arrive.
@@ -91,7 +89,7 @@
 
     def is_confirmed(self, since: float) -> bool:
         """Return whether the list has been confirmed as of a time or later."""
-        return self.clock.now() - self.age.ms() >= since
+        return self.age.current_at() >= since
 
     def beginning(self, stream: bytes, server: BackendServer) -> StreamBeginning:
         """Return that a server begins a stream now."""
@@ -124,7 +122,10 @@
         Events of a stream that another server began are passed on only if it is.
         """
         since = self.clock.now() - CURRENT_MS
-        return self.is_current(since) or self.is_start_listed(server)
+        if self.is_confirmed(since):
+            return True
+        has_answered = self.has_answered(server.labels[ID_LABEL])
+        return not has_answered and self.is_current(since) or self.is_start_listed(server)
 
     def may_try(self, server: BackendServer) -> bool:
         """Return whether a stream that another server began may be sent to a server.
@@ -163,6 +164,12 @@
             self.clock.wait(check.ended, CHECK_TIMEOUT_MS)
         return check.born
 
+    def has_answered(self, id_: str) -> bool:
+        """Return whether a server has named its start, in an answer that holds now."""
+        check = self.checks.get(id_)
+        is_recent = check is not None and self.clock.now() - check.asked_at < CHECK_VALID_MS
+        return is_recent and check.born is not None
+
     def restarted(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that are known to have started again."""
         if not self.checks:
@@ -182,13 +189,14 @@
         return record.born if record is not None else 0
 
     def check(self, server: BackendServer) -> StartCheck:
-        """Return the check of a server that holds now, which is begun if there is none."""
+        """Return the check of a server that holds now, which is begun if there is none.
+
+        One without an answer does not hold: the server may have been silent for a moment.
+        """
         id_, now = server.labels[ID_LABEL], self.clock.now()
         known = self.checks.get(id_)
-        if known is not None:
-            has_failed = known.ended.is_set() and known.born is None
-            valid_ms = FAILED_VALID_MS if has_failed else CHECK_VALID_MS
-            if now - known.asked_at < valid_ms or self.has_restarted(id_):
+        if known is not None and not known.has_failed():
+            if now - known.asked_at < CHECK_VALID_MS or self.has_restarted(id_):
                 return known
         check = self.checks[id_] = StartCheck(now)
         gevent.spawn(self.ask, server, check)
