--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -195,9 +195,9 @@
         """
         id_, now = server.labels[ID_LABEL], self.clock.now()
         known = self.checks.get(id_)
-        if known is not None and not known.has_failed():
-            if now - known.asked_at < CHECK_VALID_MS or self.has_restarted(id_):
-                return known
+        holds = known is not None and not known.has_failed()
+        if holds and (now - known.asked_at < CHECK_VALID_MS or self.has_restarted(id_)):
+            return known
         check = self.checks[id_] = StartCheck(now)
         gevent.spawn(self.ask, server, check)
         return check
