Streams: instances that come to hold origins later are told of them

Cause: an instance told the origin of a stream once, over the links to its holders that were open then, and again a second after a second version was listed. A process that has just started has no such links, and its holders are others once instances start, end or change their rank.

Change: every 250 ms each instance compares whom it tells with whom it told at the check before, and tells those that have come the streams that it runs (OriginUpdates).

Evidence: two scenarios of features/streamcuts.feature failed before.

--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -220,6 +220,13 @@
     kill(context, find_holder(context, number, datacentre))
 
 
+def restart_holder(context, number, datacentre):
+    """Have one of the first instances of a data centre that is cut off start again."""
+    name = find_holder(context, number, datacentre)
+    kill(context, name)
+    start_cut_off(context, name)
+
+
 def delay_holder(context, number, datacentre, ms):
     """Delay all messages that one of the first instances of a data centre sends."""
     name = find_holder(context, number, datacentre)
@@ -263,6 +270,7 @@
     r"all of (\w) are killed": kill_datacentre,
     r"all lose the store": all_lose_store,
     r"holder (\d) of (\w) is killed": kill_holder,
+    r"holder (\d) of (\w) starts again cut off": restart_holder,
     r"holder (\d) of (\w) answers (\d+) ms late": delay_holder,
     r"all reach the store again": all_regain_store,
     r"(\w) gets no changes": miss_changes,
--- a/features/streamcuts.feature
+++ b/features/streamcuts.feature
@@ -96,3 +96,20 @@
       | holder 1 of b answers 2000 ms late                                   |
       | holder 2 of b answers 2000 ms late                                   |
       | holder 1 of b answers 150 ms late, holder 2 of b answers 150 ms late |
+
+  # Guards against streams that none of the instances knows that are asked, since these were others
+  # when the streams began.
+  Scenario Outline: Other instances of a large fleet are told of a stream than when it began
+    Given 12 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then b is cut off
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at b-5 has 2 events when its connection breaks
+    And then holder 1 of b starts again cut off, holder 1 of b starts again cut off, <after>
+    When the caller resumes stream r at b-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | after                                 |
+      | 0.1 s pass                            |
+      | 1 s pass, b-5 is killed, 0.1 s pass   |
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -56,6 +56,7 @@
             self.member_reader.run,
             self.suspicion_persister.run,
             self.part_persister.run,
+            self.origins.updates.run,
             self.origins.absent.run,
             self.origins.contact.run,
             self.origins.version_record.run,
--- a/packages/core/src/mountladder/streams/originexchange.py
+++ b/packages/core/src/mountladder/streams/originexchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from contextlib import contextmanager
 
 from mountladder.clocks.clock import Clock
@@ -58,11 +58,16 @@
 
     def announce(self, service: str, origins: Sequence[StreamOrigin]) -> int:
         """Tell other instances some origins of a service's streams; return how many are told."""
-        now, links = self.clock.now(), self.holders.told_links(service)
+        links = self.holders.told_links(service)
+        self.tell(origins, links)
+        return len(links)
+
+    def tell(self, origins: Sequence[StreamOrigin], links: Collection[Link]) -> None:
+        """Tell some origins over some links."""
+        now = self.clock.now()
         for part in chunked([one.as_remaining(now) for one in origins]):
             for link in links:
                 self.fleet.send_later(link, OriginAnnouncement(part))
-        return len(links)
 
     @contextmanager
     def ask(self, stream: bytes, service: str) -> Iterator[OriginQuestion]:
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -28,6 +28,7 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.originupdates import OriginUpdates
 from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
@@ -95,6 +96,7 @@
         self.history = VersionHistory(directory, clock)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.updates = OriginUpdates(self.exchange, self.own_origins, clock)
         self.absent = AbsentInstances(fleet, self.history, clock)
         self.contact = StoreContact(fleet, self.history, clock)
         self.version_record = VersionRecord(
@@ -137,6 +139,7 @@
         """Keep an origin here, and tell it to others, unless it is known for as long already."""
         if self.registry.add(origin):
             self.add_own(origin.stream)
+            self.updates.add_service(origin.service)
             self.exchange.announce(origin.service, [origin])
             self.archive.add([origin])
 
@@ -151,6 +154,10 @@
             self.own &= self.registry.origins.keys()
         self.own.add(stream)
 
+    def own_origins(self, service: str) -> list[StreamOrigin]:
+        """Return the known origins of a service's streams that this instance has run."""
+        return [one for one in self.registry.of_service(service) if one.stream in self.own]
+
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
@@ -163,9 +170,8 @@
 
         In a small fleet, where others have been told as well, these are those that began here.
         """
-        origins = self.registry.of_service(service)
-        if self.holders.is_small():
-            origins = [one for one in origins if one.stream in self.own]
+        is_small = self.holders.is_small()
+        origins = self.own_origins(service) if is_small else self.registry.of_service(service)
         told = self.exchange.announce(service, origins)
         log_message(
             "stream-origins-announced",
