Streams: the holders of origins are the first instances that answer

Cause: holders were the first two by rank of all that are listed. One that has ended stays on the list until that is read again, which takes the store. Nobody was told in its place, and nobody was asked: instances that had just started asked none of those that they reached.

Change: the holders in the own data centre are the first two by rank that answer. Whether a refusal has a Retry-After depends on the first two by rank, as before.

Evidence: the scenario "The instances of a large fleet that would be told of a stream have ended" failed before.

--- a/features/streamcuts.feature
+++ b/features/streamcuts.feature
@@ -113,3 +113,14 @@
       | after                                 |
       | 0.1 s pass                            |
       | 1 s pass, b-5 is killed, 0.1 s pass   |
+
+  # Guards against streams that nobody is told of while the first instances by rank have ended.
+  Scenario: The instances of a large fleet that would be told of a stream have ended
+    Given 12 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then b is cut off, holder 1 of b is killed, holder 2 of b is killed, 0.1 s pass
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at b-5 has 2 events when its connection breaks
+    And then b-5 is killed, 0.1 s pass
+    When the caller resumes stream r at b-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import xxhash
 
 from mountladder.forwarding.fleet import Fleet
@@ -25,8 +27,9 @@
 class OriginHolders:
     """Chooses the instances that hold the origins of a service's streams.
 
-    In a small fleet, all do. In a larger one, these are the first two of this data centre and the
-    first one of a few others by rank, alike for all instances of a data centre.
+    In a small fleet, all do. In a larger one, these are the first two of this data centre that
+    answer and the first one of a few others by rank, alike for all instances of a data centre that
+    reach the same ones.
 
     Args:
         fleet: The other instances.
@@ -50,11 +53,22 @@
         topic = prompts_topic(service)
         others = {one.datacentre for one in ranking.staying()} - {me.datacentre}
         by_weight = sorted(others, key=lambda name: _weight(topic, name))
-        first = ranking.ranked(topic, me.datacentre)[:LOCAL_HOLDERS]
+        # The list keeps instances that have ended until it is read again.
+        links = self.fleet.links
+        local = (
+            one
+            for one in ranking.ranked(topic, me.datacentre)
+            if one is me or self.answers(links.get(one.peer))
+        )
+        first = list(itertools.islice(local, LOCAL_HOLDERS))
         for name in by_weight[:MAX_DATACENTRES]:
             first += ranking.ranked(topic, name)[:1]
         return [one for one in first if one is not me]
 
+    def answers(self, link: Link | None) -> bool:
+        """Return whether the other end of a link can be told and asked now."""
+        return link is not None and link.peer.knows_versions and self.fleet.is_answering(link)
+
     def is_first(self, service: str) -> bool:
         """Return whether this instance is the first one of its group that is not silent.
 
@@ -78,20 +92,21 @@
         return len(self.fleet.membership.known) <= SMALL_FLEET
 
     def count(self, service: str) -> int:
-        """Return how many other instances hold the origins of a service's streams."""
+        """Return how many other instances would hold a service's streams if all answered."""
         if self.is_small():
             return len(self.fleet.membership.addressed())
-        return len(self.instances(service))
+        me = self.fleet.membership.me
+        remote = [one for one in self.instances(service) if one.datacentre != me.datacentre]
+        local = self.fleet.ranking.ranked(prompts_topic(service), me.datacentre)[:LOCAL_HOLDERS]
+        return len(remote) + sum(one is not me for one in local)
 
     def links(self, service: str) -> list[Link]:
         """Return the links to the holders of a service's streams that answer and understand."""
-        fleet = self.fleet
+        links = self.fleet.links
         if self.is_small():
-            links = list(fleet.links.values())
-        else:
-            addresses = [one.peer for one in self.instances(service)]
-            links = [fleet.links[one] for one in addresses if one in fleet.links]
-        return [one for one in links if one.peer.knows_versions and fleet.is_answering(one)]
+            return [one for one in links.values() if self.answers(one)]
+        found = (links.get(one.peer) for one in self.instances(service))
+        return [one for one in found if self.answers(one)]
 
     def told_links(self, service: str) -> list[Link]:
         """Return the links to those that are told the origins of a service's streams.
