--- a/features/soak.feature
+++ b/features/soak.feature
@@ -146,6 +146,14 @@
       | versions        | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
 
+  # Guards against streams that a soak misses since requests that are relayed cross its cuts.
+  Scenario: A cut reaches the requests that instances relay
+    Given a proxy for what others relay to an instance
+    And open connections of a-1 and b-1
+    When a-1 is cut off
+    Then the connection of a-1 is reset
+    And that of b-1 passes bytes on
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+import gevent.server
 import gevent.socket
 from behave import given, then, when
 
@@ -19,6 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "tests"))
 
+from soak.addresses import Addresses
 from soak.arrival import Arrival
 from soak.caller import DEADLINE_S, stream_error
 from soak.checks import check
@@ -29,6 +31,7 @@
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
+from soak.relayproxy import RelayProxy
 from soak.schedule import CALLERS, DEADLY_PART, FAULTS, SERVERS, SILENT_FAULTS, SKEWED, draw
 from soak.serverfleet import SERVICES
 from soak.streamattempt import StreamAttempt
@@ -644,3 +647,58 @@
         context.record.stopped_at["llm-11"] = 4.0
     else:
         context.record.drained_datacentres.append(("b", 3.0, 9.0))
+
+
+def send_back(connection, _):
+    while data := connection.recv(1):
+        connection.sendall(data)
+
+
+@given("a proxy for what others relay to an instance")
+def relay_proxy(context):
+    addresses = Addresses()
+    target = addresses.take()
+    server = gevent.server.StreamServer(split_address(target), send_back)
+    server.start()
+    context.stack.callback(server.stop, 0.1)
+    context.sources = {name: addresses.take_source() for name in ("a-1", "b-1")}
+    names = {source: name for name, source in context.sources.items()}
+    context.proxy = RelayProxy(addresses.take(), target, context.stack, names)
+    context.connections = {}
+
+
+def open_connection(context, name):
+    address = split_address(context.proxy.address)
+    connection = gevent.socket.create_connection(address, 1.0, (context.sources[name], 0))
+    context.stack.callback(connection.close)
+    context.connections[name] = connection
+
+
+def is_passed_on(connection):
+    connection.sendall(b"x")
+    return connection.recv(1) == b"x"
+
+
+@given("open connections of a-1 and b-1")
+def open_connections(context):
+    for name in context.sources:
+        open_connection(context, name)
+        assert is_passed_on(context.connections[name])
+
+
+@when("{name} is cut off")
+def cut_name(context, name):
+    context.proxy.separate([name], "reset")
+
+
+@then("the connection of {name} is reset")
+def connection_reset(context, name):
+    try:
+        assert not context.connections[name].recv(1)
+    except ConnectionResetError:
+        return
+
+
+@then("that of {name} passes bytes on")
+def passes_on(context, name):
+    assert is_passed_on(context.connections[name])
