Soak: a cut resets the connections that are being opened as it begins

Evidence: features/soak.feature, "A connection that is being opened as a cut begins is reset", failed before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -146,6 +146,12 @@
       | versions        | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
 
+  # Guards against links across a cut: a connection that was being opened as it began stayed open.
+  Scenario: A connection that is being opened as a cut begins is reset
+    Given a proxy for what others relay to an instance
+    When a-1 is cut off while it opens a connection
+    Then the connection of a-1 is reset
+
   # Guards against streams that a soak misses since requests that are relayed cross its cuts.
   Scenario: A cut reaches the requests that instances relay
     Given a proxy for what others relay to an instance
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -691,6 +691,21 @@
     context.proxy.separate([name], "reset")
 
 
+@when("{name} is cut off while it opens a connection")
+def cut_while_opening(context, name):
+    mode_of = context.proxy.mode_of
+
+    def mode_before_cut(source):
+        """Return the mode; the cut begins while the connection to the instance is opened."""
+        context.proxy.mode_of = mode_of
+        mode = mode_of(source)
+        gevent.spawn(cut_name, context, name)
+        return mode
+
+    context.proxy.mode_of = mode_before_cut
+    open_connection(context, name)
+
+
 @then("the connection of {name} is reset")
 def connection_reset(context, name):
     try:
