Soak: a fault counts from when it was injected

The process of the soak may be late. Checks now get each fault with the time at which it was injected, and as long as before. They are as strict: an excuse that begins later ends later as well.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -146,6 +146,13 @@
       | versions        | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
 
+  # Guards against checks that take a fault for earlier than it was: a kill 0.2 s late was taken for
+  # one before the first event of a stream.
+  Scenario: A fault that is injected late counts from then
+    Given a play with a fault of the store at second 0
+    When the fault is injected 0.2 s late
+    Then it counts from second 0.2 on, and is as long as before
+
   # Guards against links across a cut: a connection that was being opened as it began stayed open.
   Scenario: A connection that is being opened as a cut begins is reset
     Given a proxy for what others relay to an instance
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -717,3 +717,22 @@
 @then("that of {name} passes bytes on")
 def passes_on(context, name):
     assert is_passed_on(context.connections[name])
+
+
+@given("a play with a fault of the store at second 0")
+def play_with_fault(context):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    context.fault = Fault(0.0, "forget", ("store",), 1.0)
+    context.play = Play(1, 0.0, 1, 1, folder, [context.fault])
+    context.stack.enter_context(context.play.stack)
+
+
+@when("the fault is injected {seconds:g} s late")
+def inject_late(context, seconds):
+    context.play.now = lambda: seconds
+    context.play.inject(context.fault)
+
+
+@then("it counts from second {second:g} on, and is as long as before")
+def counts_from(context, second):
+    assert context.play.faults == [replace(context.fault, at=second)], context.play.faults
