Soak: further faults in series with a data centre that is cut off

From seed 101 on, ISOLATE=1 draws two or three of these from a generator of its own: another release beside or behind the first one, one that goes back to the version of before, a store that returns from an older copy, instances of one side that are killed in the cut, and instances that reach no backend server and relay their requests.

Evidence: features/soak.feature, "Later seeds of a cut draw further faults in series".

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 # Fault soak: runs real processes and injects faults that are drawn from seeds. Options: SEED,
 # SEEDS, MINUTES, INSTANCES, KNOWN=1 (the seeds that have found a violation before), ISOLATE=1 (a
-# data centre is cut off during a release, in place of the faults that a seed draws).
+# data centre is cut off during a release, in place of the faults that a seed draws; from seed 101
+# on with further faults in series).
 soak: setup
 	PYTHONPATH=platform/tests $(BIN)/python -m soak.run $(if $(SEED),--seed $(SEED)) \
 		$(if $(SEEDS),--seeds $(SEEDS)) $(if $(MINUTES),--minutes $(MINUTES)) \
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -120,6 +120,11 @@
       | most streams that began at b-1 and were resumed at a-2 were refused     | every promise is kept                   |
       | a stream whose version had left was told not to return, and then served | every promise is kept                   |
 
+  # Guards against recorded seeds of a cut that draw other faults than they did.
+  Scenario: Later seeds of a cut draw further faults in series
+    Then seeds 1 to 100 of a cut draw none of the faults in series
+    And seeds 101 to 200 of a cut draw each of them
+
   # Guards against streams of two versions by an instance that takes those it reaches for all: one
   # that is cut off, with its data centre, does not hear of the version that a release brings.
   Scenario Outline: A data centre is cut off during a release while callers resume streams
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,6 +28,7 @@
 from soak.fakestream import EVENTS
 from soak.fault import Fault
 from soak.instanceprocess import MEMORY_MB, RESTART_DELAY_S, START_LOCK
+from soak.isolation import EXTRAS, SERIES, draw_isolation
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
@@ -736,3 +737,19 @@
 @then("it counts from second {second:g} on, and is as long as before")
 def counts_from(context, second):
     assert context.play.faults == [replace(context.fault, at=second)], context.play.faults
+
+
+def kinds_in_series(first, last):
+    names = instance_names(6)
+    drawn = [draw_isolation(seed, names) for seed in range(first, last + 1)]
+    return {one.kind for faults in drawn for one in faults} & {*SERIES} - {*EXTRAS}
+
+
+@then("seeds {first:d} to {last:d} of a cut draw none of the faults in series")
+def none_in_series(context, first, last):
+    assert not kinds_in_series(first, last)
+
+
+@then("seeds {first:d} to {last:d} of a cut draw each of them")
+def all_in_series(context, first, last):
+    assert kinds_in_series(first, last) == {*SERIES} - {*EXTRAS}
