Streams: a process that does not know whom to ask gives a Retry-After

Cause: until it has read the list of instances, a process knows no others. All of none had replied, and the store had answered, so that the origin counted as one that cannot be found any more.

Change: such a refusal has a Retry-After while the list of instances was not read.

Evidence: features/streamrestarts.feature, "An instance that has just started knows no others", failed before.

--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
+from member_steps import make_unreadable
 from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
 from mountladder_platform.storeversions import CONFIRMED_KEY, VERSIONS_TABLE, StoreVersions
 from streamversion_steps import (
@@ -243,6 +244,7 @@
 EVENTS = {
     r"origins are lost": lose_origins,
     r"origins cannot be read": origins_unreadable,
+    r"the list of instances cannot be read": make_unreadable,
     r"the writer is killed": kill_writer,
     r"a copy of the store without origins is restored": restore_without_origins,
     r"all are killed": kill_all,
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -44,6 +44,16 @@
       | 2016 | no   | origins are lost, v1 leaves, v3 comes, v2 leaves, all are killed, all start  |
       | 2016 | no   | origins are lost, all are killed, v1 leaves, llm-1 comes back as v2, all start |
 
+  # Guards against callers that are told not to come back by a process that does not know yet whom it
+  # could ask.
+  Scenario: An instance that has just started knows no others
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then origins are lost, the list of instances cannot be read
+    And then b reaches no other data centre, b-1 is killed, b-1 starts
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and a Retry-After
+
   # Guards against a version that is taken for past since it was only on the list for a moment.
   Scenario Outline: A release is rolled back
     Given only version v1 is listed
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -253,7 +253,9 @@
         origin = question.origin()
         if origin is not None:
             return self.told_by_peer(origin, service, question)
-        have_replied = len(replies) >= self.holders.count(service)
+        # A process that has not read the list of instances does not know whom it could ask.
+        is_listed = bool(self.fleet.membership.listed)
+        have_replied = is_listed and len(replies) >= self.holders.count(service)
         may_be_found = not (have_replied and is_read and evidence)
         counts = self.counts(question)
         return OriginLookup(None, "unknown", versions, may_be_found, evidence=evidence, **counts)
