Streams: whom to tell of a stream takes no list of data centres

While one version serves, only instances of the own data centre are told, and the check for those that come to hold origins asks for them four times a second and service. The data centres of all known instances were listed each time.

--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 
 import xxhash
 
@@ -49,21 +50,29 @@
 
     def instances(self, service: str) -> list[Instance]:
         """Return the holders of a service's streams in a large fleet, without this instance."""
+        return self.local(service) + self.remote(service)
+
+    def local(self, service: str) -> list[Instance]:
+        """Return those of this data centre."""
         ranking, me = self.fleet.ranking, self.fleet.membership.me
-        topic = prompts_topic(service)
-        others = {one.datacentre for one in ranking.staying()} - {me.datacentre}
-        by_weight = sorted(others, key=lambda name: _weight(topic, name))
-        # The list keeps instances that have ended until it is read again.
         links = self.fleet.links
-        local = (
+        # The list keeps instances that have ended until it is read again.
+        answering = (
             one
-            for one in ranking.ranked(topic, me.datacentre)
+            for one in ranking.ranked(prompts_topic(service), me.datacentre)
             if one is me or self.answers(links.get(one.peer))
         )
-        first = list(itertools.islice(local, LOCAL_HOLDERS))
-        for name in by_weight[:MAX_DATACENTRES]:
-            first += ranking.ranked(topic, name)[:1]
-        return [one for one in first if one is not me]
+        return [one for one in itertools.islice(answering, LOCAL_HOLDERS) if one is not me]
+
+    def remote(self, service: str) -> list[Instance]:
+        """Return those of other data centres."""
+        ranking, topic = self.fleet.ranking, prompts_topic(service)
+        others = {one.datacentre for one in ranking.staying()}
+        others.discard(self.fleet.membership.me.datacentre)
+        by_weight = sorted(others, key=lambda name: _weight(topic, name))
+        return [
+            one for name in by_weight[:MAX_DATACENTRES] for one in ranking.ranked(topic, name)[:1]
+        ]
 
     def answers(self, link: Link | None) -> bool:
         """Return whether the other end of a link can be told and asked now."""
@@ -96,16 +105,18 @@
         if self.is_small():
             return len(self.fleet.membership.addressed())
         me = self.fleet.membership.me
-        remote = [one for one in self.instances(service) if one.datacentre != me.datacentre]
-        local = self.fleet.ranking.ranked(prompts_topic(service), me.datacentre)[:LOCAL_HOLDERS]
-        return len(remote) + sum(one is not me for one in local)
+        first = self.fleet.ranking.ranked(prompts_topic(service), me.datacentre)[:LOCAL_HOLDERS]
+        return len(self.remote(service)) + sum(one is not me for one in first)
 
     def links(self, service: str) -> list[Link]:
         """Return the links to the holders of a service's streams that answer and understand."""
-        links = self.fleet.links
         if self.is_small():
-            return [one for one in links.values() if self.answers(one)]
-        found = (links.get(one.peer) for one in self.instances(service))
+            return [one for one in self.fleet.links.values() if self.answers(one)]
+        return self.links_to(self.instances(service))
+
+    def links_to(self, instances: Iterable[Instance]) -> list[Link]:
+        """Return the links to those of some instances that answer and understand."""
+        found = (self.fleet.links.get(one.peer) for one in instances)
         return [one for one in found if self.answers(one)]
 
     def told_links(self, service: str) -> list[Link]:
@@ -114,11 +125,9 @@
         In a large fleet these are the holders of this data centre while one version serves. It may
         be cut off from all others at any moment, and does not hear of a second version then.
         """
-        links = self.links(service)
         if self.is_small() or service in self.history.several():
-            return links
-        here = self.fleet.membership.me.datacentre
-        return [one for one in links if one.peer.datacentre == here]
+            return self.links(service)
+        return self.links_to(self.local(service))
 
 
 def _weight(topic: str, datacentre: str) -> int:
