Streams: a version that is unknown here is looked up in the store

What callers saw: a stream whose version had said that it leaves, and had left, was refused with 2015 and a Retry-After at an instance that had been cut off meanwhile; no later attempt can be served.

Cause: since instances that come to hold origins are told of them, one that is reached again knows the stream before it has heard of its version. It read neither the list of servers nor the rows of versions then, which say that the version has left.

Change: where the version of a known stream is unknown, what changed in the store is read first, for up to 100 ms; such reads are shared.

Scenario changed: with "origins are lost, b is reached again, all of a are killed" b is told of the stream by a before that ends, so that it is refused as one whose version has left (2015) and no longer as one that is not known (2016). A row in which a ends before b is reached checks what that row did: 2016 with a Retry-After.

--- a/features/streamcuts.feature
+++ b/features/streamcuts.feature
@@ -31,7 +31,8 @@
       | b is cut off                       | v1 leaves, all of a are killed               | 2016 | 500 | a    |
       | b is cut off                       | v2 leaves, b is reached again, all of a are killed | 2015 | 500 | a |
       | b is cut off                       | v2 drains, 2 s pass, v2 leaves, b is reached again, all of a are killed | 2015 | 500 | no |
-      | b is cut off                       | v2 leaves, origins are lost, b is reached again, all of a are killed | 2016 | 500 | a |
+      | b is cut off                       | v2 leaves, origins are lost, b is reached again, all of a are killed | 2015 | 500 | a |
+      | b is cut off                       | v2 leaves, origins are lost, all of a are killed, b is reached again | 2016 | 500 | a |
 
   # Guards against instances that take their list for current though nothing has come for a while.
   Scenario Outline: The list of servers is late
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -48,6 +48,8 @@
 # When a caller may retry if nobody that replied knows which version began its stream: another
 # instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
+# Timeout for a read of the store that tells of a version, which takes 4 ms.
+VERSION_READ_MS = 100.0
 # Once a second version of a service is listed, origins are told at once, and again after links to
 # the instances that hold them have been opened.
 ANNOUNCE_AGAIN_MS = 1_000.0
@@ -215,6 +217,10 @@
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
+        known = self.history.recent(found.origin.service)
+        if found.origin.version not in known | {UNVERIFIED_VERSION}:
+            # This instance was told of the stream before it heard of the version.
+            self.store_read.refresh(self.clock.now(), VERSION_READ_MS)
         if found.source != ONLY_VERSION:
             # The caller may come again, also if this attempt brings no event.
             until = max(found.origin.until, self.held_until(request))
