--- a/features/soak.feature
+++ b/features/soak.feature
@@ -120,6 +120,11 @@
       | most streams that began at b-1 and were resumed at a-2 were refused     | every promise is kept                   |
       | a stream whose version had left was told not to return, and then served | every promise is kept                   |
 
+  # Guards against recorded seeds of a cut that draw other faults than they did.
+  Scenario: Later seeds of a cut draw further faults in series
+    Then seeds 1 to 100 of a cut draw none of the faults in series
+    And seeds 101 to 200 of a cut draw each of them
+
   # Guards against streams of two versions by an instance that takes those it reaches for all: one
   # that is cut off, with its data centre, does not hear of the version that a release brings.
   Scenario Outline: A data centre is cut off during a release while callers resume streams
@@ -157,6 +162,27 @@
     Then every promise is kept
     And at least 60 streams were resumed
 
+  # Guards against checks that take a fault for earlier than it was: a kill 0.2 s late was taken for
+  # one before the first event of a stream.
+  Scenario: A fault that is injected late counts from then
+    Given a play with a fault of the store at second 0
+    When the fault is injected 0.2 s late
+    Then it counts from second 0.2 on, and is as long as before
+
+  # Guards against links across a cut: a connection that was being opened as it began stayed open.
+  Scenario: A connection that is being opened as a cut begins is reset
+    Given a proxy for what others relay to an instance
+    When a-1 is cut off while it opens a connection
+    Then the connection of a-1 is reset
+
+  # Guards against streams that a soak misses since requests that are relayed cross its cuts.
+  Scenario: A cut reaches the requests that instances relay
+    Given a proxy for what others relay to an instance
+    And open connections of a-1 and b-1
+    When a-1 is cut off
+    Then the connection of a-1 is reset
+    And that of b-1 passes bytes on
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
+from member_steps import make_unreadable
 from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
 from mountladder_platform.storeversions import CONFIRMED_KEY, VERSIONS_TABLE, StoreVersions
 from streamversion_steps import (
@@ -220,6 +221,13 @@
     kill(context, find_holder(context, number, datacentre))
 
 
+def restart_holder(context, number, datacentre):
+    """Have one of the first instances of a data centre that is cut off start again."""
+    name = find_holder(context, number, datacentre)
+    kill(context, name)
+    start_cut_off(context, name)
+
+
 def delay_holder(context, number, datacentre, ms):
     """Delay all messages that one of the first instances of a data centre sends."""
     name = find_holder(context, number, datacentre)
@@ -236,6 +244,7 @@
 EVENTS = {
     r"origins are lost": lose_origins,
     r"origins cannot be read": origins_unreadable,
+    r"the list of instances cannot be read": make_unreadable,
     r"the writer is killed": kill_writer,
     r"a copy of the store without origins is restored": restore_without_origins,
     r"all are killed": kill_all,
@@ -263,6 +272,7 @@
     r"all of (\w) are killed": kill_datacentre,
     r"all lose the store": all_lose_store,
     r"holder (\d) of (\w) is killed": kill_holder,
+    r"holder (\d) of (\w) starts again cut off": restart_holder,
     r"holder (\d) of (\w) answers (\d+) ms late": delay_holder,
     r"all reach the store again": all_regain_store,
     r"(\w) gets no changes": miss_changes,
--- a/packages/core/src/mountladder/streams/originholders.py
+++ b/packages/core/src/mountladder/streams/originholders.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Iterable
+
 import xxhash
 
 from mountladder.forwarding.fleet import Fleet
@@ -25,8 +28,9 @@
 class OriginHolders:
     """Chooses the instances that hold the origins of a service's streams.
 
-    In a small fleet, all do. In a larger one, these are the first two of this data centre and the
-    first one of a few others by rank, alike for all instances of a data centre.
+    In a small fleet, all do. In a larger one, these are the first two of this data centre that
+    answer and the first one of a few others by rank, alike for all instances of a data centre that
+    reach the same ones.
 
     Args:
         fleet: The other instances.
@@ -46,14 +50,33 @@
 
     def instances(self, service: str) -> list[Instance]:
         """Return the holders of a service's streams in a large fleet, without this instance."""
+        return self.local(service) + self.remote(service)
+
+    def local(self, service: str) -> list[Instance]:
+        """Return those of this data centre."""
         ranking, me = self.fleet.ranking, self.fleet.membership.me
-        topic = prompts_topic(service)
-        others = {one.datacentre for one in ranking.staying()} - {me.datacentre}
+        links = self.fleet.links
+        # The list keeps instances that have ended until it is read again.
+        answering = (
+            one
+            for one in ranking.ranked(prompts_topic(service), me.datacentre)
+            if one is me or self.answers(links.get(one.peer))
+        )
+        return [one for one in itertools.islice(answering, LOCAL_HOLDERS) if one is not me]
+
+    def remote(self, service: str) -> list[Instance]:
+        """Return those of other data centres."""
+        ranking, topic = self.fleet.ranking, prompts_topic(service)
+        others = {one.datacentre for one in ranking.staying()}
+        others.discard(self.fleet.membership.me.datacentre)
         by_weight = sorted(others, key=lambda name: _weight(topic, name))
-        first = ranking.ranked(topic, me.datacentre)[:LOCAL_HOLDERS]
-        for name in by_weight[:MAX_DATACENTRES]:
-            first += ranking.ranked(topic, name)[:1]
-        return [one for one in first if one is not me]
+        return [
+            one for name in by_weight[:MAX_DATACENTRES] for one in ranking.ranked(topic, name)[:1]
+        ]
+
+    def answers(self, link: Link | None) -> bool:
+        """Return whether the other end of a link can be told and asked now."""
+        return link is not None and link.peer.knows_versions and self.fleet.is_answering(link)
 
     def is_first(self, service: str) -> bool:
         """Return whether this instance is the first one of its group that is not silent.
@@ -78,20 +101,23 @@
         return len(self.fleet.membership.known) <= SMALL_FLEET
 
     def count(self, service: str) -> int:
-        """Return how many other instances hold the origins of a service's streams."""
+        """Return how many other instances would hold a service's streams if all answered."""
         if self.is_small():
             return len(self.fleet.membership.addressed())
-        return len(self.instances(service))
+        me = self.fleet.membership.me
+        first = self.fleet.ranking.ranked(prompts_topic(service), me.datacentre)[:LOCAL_HOLDERS]
+        return len(self.remote(service)) + sum(one is not me for one in first)
 
     def links(self, service: str) -> list[Link]:
         """Return the links to the holders of a service's streams that answer and understand."""
-        fleet = self.fleet
         if self.is_small():
-            links = list(fleet.links.values())
-        else:
-            addresses = [one.peer for one in self.instances(service)]
-            links = [fleet.links[one] for one in addresses if one in fleet.links]
-        return [one for one in links if one.peer.knows_versions and fleet.is_answering(one)]
+            return [one for one in self.fleet.links.values() if self.answers(one)]
+        return self.links_to(self.instances(service))
+
+    def links_to(self, instances: Iterable[Instance]) -> list[Link]:
+        """Return the links to those of some instances that answer and understand."""
+        found = (self.fleet.links.get(one.peer) for one in instances)
+        return [one for one in found if self.answers(one)]
 
     def told_links(self, service: str) -> list[Link]:
         """Return the links to those that are told the origins of a service's streams.
@@ -99,11 +125,9 @@
         In a large fleet these are the holders of this data centre while one version serves. It may
         be cut off from all others at any moment, and does not hear of a second version then.
         """
-        links = self.links(service)
         if self.is_small() or service in self.history.several():
-            return links
-        here = self.fleet.membership.me.datacentre
-        return [one for one in links if one.peer.datacentre == here]
+            return self.links(service)
+        return self.links_to(self.local(service))
 
 
 def _weight(topic: str, datacentre: str) -> int:
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -28,6 +28,7 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.originupdates import OriginUpdates
 from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
@@ -50,6 +51,8 @@
 # When a caller may retry if nobody that replied knows which version began its stream: another
 # instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
+# Timeout for a read of the store that tells of a version, which takes 4 ms.
+VERSION_READ_MS = 100.0
 # Once a second version of a service is listed, origins are told at once, and again after links to
 # the instances that hold them have been opened.
 ANNOUNCE_AGAIN_MS = 1_000.0
@@ -98,6 +101,7 @@
         self.history = VersionHistory(directory, clock)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.updates = OriginUpdates(self.exchange, self.own_origins, clock)
         self.absent = AbsentInstances(fleet, self.history, clock)
         self.contact = StoreContact(fleet, self.history, clock)
         self.version_record = VersionRecord(
@@ -145,6 +149,7 @@
             # It differs if two versions are known to have begun the stream.
             kept = self.registry.find(origin.stream) or origin
             self.add_own(kept.stream)
+            self.updates.add_service(kept.service)
             self.exchange.announce(kept.service, [kept])
             self.archive.add([kept])
 
@@ -159,6 +164,10 @@
             self.own &= self.registry.origins.keys()
         self.own.add(stream)
 
+    def own_origins(self, service: str) -> list[StreamOrigin]:
+        """Return the known origins of a service's streams that this instance has run."""
+        return [one for one in self.registry.of_service(service) if one.stream in self.own]
+
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
@@ -171,9 +180,8 @@
 
         In a small fleet, where others have been told as well, these are those that began here.
         """
-        origins = self.registry.of_service(service)
-        if self.holders.is_small():
-            origins = [one for one in origins if one.stream in self.own]
+        is_small = self.holders.is_small()
+        origins = self.own_origins(service) if is_small else self.registry.of_service(service)
         told = self.exchange.announce(service, origins)
         log_message(
             "stream-origins-announced",
@@ -217,6 +225,10 @@
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
+        known = self.history.recent(found.origin.service)
+        if found.origin.version not in known | {UNVERIFIED_VERSION}:
+            # This instance was told of the stream before it heard of the version.
+            self.store_read.refresh(self.clock.now(), VERSION_READ_MS)
         if found.source != ONLY_VERSION:
             # The caller may come again, also if this attempt brings no event.
             until = max(found.origin.until, self.held_until(request))
@@ -271,7 +283,9 @@
         origin = question.origin()
         if origin is not None:
             return self.told_by_peer(origin, service, question)
-        have_replied = len(replies) >= self.holders.count(service)
+        # A process that has not read the list of instances does not know whom it could ask.
+        is_listed = bool(self.fleet.membership.listed)
+        have_replied = is_listed and len(replies) >= self.holders.count(service)
         may_be_found = not (have_replied and is_read and evidence)
         counts = self.counts(question)
         return OriginLookup(None, "unknown", versions, may_be_found, evidence=evidence, **counts)
