Clocks: a call that was made or cancelled is not kept

What callers saw: nothing by itself; an instance used more memory than it counts between two runs of the garbage collector.

Cause: a timer kept its function after it was made or cancelled. Whoever can cancel a call is often what it belongs to (a second attempt, a call with pieces, a caller's connection), so that both referred to each other. The virtual clock kept a cancelled function until its time came.

Change: both clocks drop the function when it is called or cancelled.

--- a/features/clocks.feature
+++ b/features/clocks.feature
@@ -18,3 +18,17 @@
     Given the system clock
     When 3 tasks wait for an event for 5000 ms and it is set after 10 ms
     Then all of them return within 1000 ms and report that it was set
+
+  Scenario Outline: A call that was made or cancelled is not kept
+    # The failure: whoever can cancel a call is often what it belongs to, so that both were in memory
+    # until the garbage collector ran.
+    Given the <kind> clock
+    When a call is set in 5 ms, and then <end>
+    Then only its cancellation is kept
+
+    Examples:
+      | kind    | end       |
+      | system  | made      |
+      | system  | cancelled |
+      | virtual | made      |
+      | virtual | cancelled |
--- a/features/steps/clock_steps.py
+++ b/features/steps/clock_steps.py
@@ -4,6 +4,8 @@
 
 """Steps about waiting for events with a timeout."""
 
+from weakref import ref
+
 import gevent
 from behave import given, then, when
 from gevent.event import Event
@@ -54,3 +56,25 @@
 def step_returned(context, limit):
     assert [task.get(timeout=5) for task in context.tasks] == [True] * len(context.tasks)
     assert context.clock.now() - context.started < limit
+
+
+@when("a call is set in {delay:d} ms, and then {end}")
+def step_call(context, delay, end):
+    def called():
+        """Do nothing."""
+
+    context.called = ref(called)
+    context.cancel = context.clock.call_later(delay, called)
+    del called
+    assert context.called() is not None
+    if end == "cancelled":
+        context.cancel()
+        return
+    run = getattr(context.clock, "run", gevent.Greenlet.get)
+    run(gevent.spawn(context.clock.sleep, 4.0 * delay))
+
+
+@then("only its cancellation is kept")
+def step_not_kept(context):
+    assert context.called() is None, context.called()
+    context.cancel()
--- a/packages/core/src/mountladder/clocks/timer.py
+++ b/packages/core/src/mountladder/clocks/timer.py
@@ -16,6 +16,9 @@
 class Timer:
     """A delayed call on the gevent hub, which can be rescheduled.
 
+    Once it was made or cancelled, the timer does not refer to the function any more: whoever keeps
+    the timer to cancel it is often what the function belongs to.
+
     Args:
         due: When the call is due, in the clock's milliseconds.
         armed: The set of waiting timers, to which it adds itself while it waits.
@@ -39,13 +42,15 @@
 
     def fire(self) -> None:
         """Call the function."""
+        function = self.function
         self.cancel()
-        self.function()
+        function()
 
     def cancel(self) -> None:
         """Cancel the call if it was not made yet."""
         self.armed.discard(self)
         self.stop()
+        self.function = _do_nothing
 
     def stop(self) -> None:
         """Remove the timer from the hub."""
@@ -53,3 +58,7 @@
             self.watcher.stop()
             self.watcher.close()
             self.watcher = None
+
+
+def _do_nothing() -> None:
+    """Stand for a function that is not called any more."""
--- a/packages/core/src/mountladder/clocks/virtualclock.py
+++ b/packages/core/src/mountladder/clocks/virtualclock.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 
@@ -22,8 +23,8 @@
 
     def __init__(self) -> None:
         self.time = 0.0
-        self.timers: list[tuple[float, int, Callable[[], None]]] = []
-        self.cancelled: set[int] = set()
+        self.timers: list[tuple[float, int]] = []
+        self.functions: dict[int, Callable[[], None]] = {}
         self.numbers = itertools.count()
 
     def now(self) -> float:
@@ -37,8 +38,9 @@
     def call_later(self, delay_ms: float, function: Callable[[], None]) -> Callable[[], None]:
         """Call a function after a virtual delay; see Clock."""
         number = next(self.numbers)
-        heapq.heappush(self.timers, (self.time + max(0.0, delay_ms), number, function))
-        return lambda: self.cancelled.add(number)
+        heapq.heappush(self.timers, (self.time + max(0.0, delay_ms), number))
+        self.functions[number] = function
+        return partial(self.functions.pop, number, None)
 
     def run(self, task: gevent.Greenlet) -> object:
         """Advance the virtual time until a task finishes, and return its result.
@@ -55,9 +57,9 @@
     def advance(self) -> bool:
         """Fire the next timer; return whether there was one."""
         while self.timers:
-            due, number, function = heapq.heappop(self.timers)
-            if number in self.cancelled:
-                self.cancelled.discard(number)
+            due, number = heapq.heappop(self.timers)
+            function = self.functions.pop(number, None)
+            if function is None:
                 continue
             self.time = max(self.time, due)
             function()
