Requests: the memory of a request is free once it has ended

What callers saw: requests refused and connections cut for memory; on the platform, an instance that uses more than its memory is killed.

Cause: a run and its Reservation, Hold, Hedge, StreamVersion and Continuation referred to each other, and the run to the body; a stage's submission, its progress and what it calls with the results did so as well. Errors that a function raised from a variable of its own (ForwardRun.failed, StreamRun.resume and events, Continuation.fail) kept the frames below it, and these the request; a refusal for which no server was available was raised from itself; a second attempt that was cancelled kept its own task as its result. All of that was freed only when the garbage collector ran, which counts objects and not bytes.

Change: the parts of a run refer to it weakly, and the task of a second attempt refers to the run as long as it lasts. Results of a stage are passed on by the number of its submission. A function that raises an error from a variable deletes the variable; Continuation.reopen returns None where it raised the error that it was given.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -189,6 +189,83 @@
       | sends a stream of 1 events of 1000000 bytes | the caller is cut      |
       | sends a stream of 1 events of 1000000 bytes | the caller disconnects |
 
+  @forwarding
+  Scenario Outline: The memory of a request is free once it has ended
+    # The failure: its run and the parts of it referred to each other, and errors to frames that
+    # referred to them, so that its body was in use until the garbage collector ran.
+    Given two instances and three servers of each service
+    And the garbage collector does not run
+    When a caller sends a <kind> request of 1000000 bytes, and <course> ms
+    Then it ends with <outcome>, and at most 400000 bytes are in use
+
+    Examples: Requests that are answered
+      | kind      | course                                  | outcome                      |
+      | safe      | its servers are sound for 0             | 200                          |
+      | unsafe    | its servers are sound for 0             | 200                          |
+      | stream    | its servers are sound for 0             | 200                          |
+      | resumable | its servers are sound for 0             | 200                          |
+      | staged    | its servers are sound for 0             | 200                          |
+      | lasting   | its servers are sound for 0             | 200                          |
+      | safe      | its first server is silent for 4000     | 200                          |
+      | resumable | its first server is silent for 4000     | 200                          |
+      | lasting   | its first server is silent for 4000     | 200                          |
+      | safe      | its servers are silent for 1200         | 200                          |
+      | resumable | its servers are silent for 1200         | 200                          |
+      | lasting   | its servers are silent for 1200         | 200                          |
+
+    Examples: Requests that fail
+      | kind      | course                                  | outcome                      |
+      | safe      | its servers answer with errors for 0    | 500                          |
+      | resumable | its servers answer with errors for 0    | 500                          |
+      | unsafe    | its servers break the connection for 0  | RunError                     |
+      | safe      | its servers break the connection for 0  | RunError                     |
+      | stream    | its servers break the connection for 0  | RunError                     |
+      | resumable | its servers break the connection for 0  | RunError                     |
+      | staged    | its servers break the connection for 0  | RunError                     |
+      | stream    | its servers break the stream for 0      | a part, then RunError        |
+      | resumable | its servers break the stream for 0      | a part, then RunError        |
+      | staged    | its servers break the stream for 0      | a part, then RunError        |
+      | lasting   | its servers break the stream for 0      | a part, then RunError        |
+      | safe      | its servers refuse it for 0             | RefusalError                 |
+      | staged    | its servers refuse it for 0             | RunError                     |
+      | safe      | its servers accept no connections for 0 | 503                          |
+      | resumable | its servers accept no connections for 0 | 503                          |
+      | lasting   | its servers accept no connections for 0 | RunError                     |
+      | unsafe    | its servers are silent for 9000         | RunError                     |
+      | safe      | its servers are silent for 9000         | RunError                     |
+      | resumable | its servers are silent for 9000         | RunError                     |
+      | staged    | its servers are silent for 9000         | RunError                     |
+
+    Examples: Requests whose caller leaves
+      | kind      | course                                  | outcome                      |
+      | safe      | its caller leaves after 2               | CallerGoneError              |
+      | unsafe    | its caller leaves after 2               | CallerGoneError              |
+      | resumable | its caller leaves after 2               | CallerGoneError              |
+      | resumable | its caller leaves after 40              | CallerGoneError              |
+      | staged    | its caller leaves after 2               | CallerGoneError              |
+      | staged    | its caller leaves after 400             | a part, then CallerGoneError |
+      | lasting   | its caller leaves after 400             | a part, then CallerGoneError |
+
+  Scenario Outline: The memory of a request over connections is free once it has ended
+    # The failure: as before; errors of connections refer to frames with the body as well.
+    Given an instance in front of servers that <conduct>, on loopback
+    And the garbage collector does not run
+    When a caller sends it a <kind> request of 1000000 bytes and <end>
+    Then at most 400000 bytes are in use
+
+    Examples:
+      | conduct              | kind      | end              |
+      | answer               | safe      | reads the answer |
+      | send a stream        | stream    | reads the answer |
+      | answer with an error | safe      | reads the answer |
+      | break the connection | safe      | reads the answer |
+      | break the connection | unsafe    | reads the answer |
+      | break the connection | stream    | reads the answer |
+      | break a stream       | stream    | reads the answer |
+      | break a stream       | resumable | reads the answer |
+      | are silent           | safe      | leaves           |
+      | are silent           | stream    | leaves           |
+
   Scenario Outline: An answer whose caller does not read is in memory once
     # The failure: the web server copied each chunk of a stream to frame it, and held both.
     Given a server that <answers>
--- a/packages/core/src/mountladder/continuation/continuation.py
+++ b/packages/core/src/mountladder/continuation/continuation.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NoReturn
+from typing import TYPE_CHECKING
 
 from mountladder.code import Code
 from mountladder.configuration.backendserver import BackendServer
@@ -144,27 +144,27 @@
         self.run.cancel_release()
         try:
             self.run.failed(attempt, error)
-        except MountladderError as problem:
-            return self.reopen(answer, error, problem)
+        except MountladderError:
+            continued = self.reopen(answer, error)
+            if continued is None:
+                raise
+            return continued
         # The server did not run the request, so that there is no copy to free.
         self.copy = None
         return None
 
     def reopen(
-        self, answer: UpstreamAnswer | None, cut: StageError, problem: MountladderError
-    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
+        self, answer: UpstreamAnswer | None, cut: StageError
+    ) -> tuple[ForwardAttempt, UpstreamAnswer, bytes] | None:
         """Continue a broken stream at the server that has the copy.
 
         Args:
             answer: The answer of the first server, or None if there was none.
             cut: How the stream broke.
-            problem: The error for the caller if the stream cannot continue.
 
         Returns:
-            The attempt, its answer and the events received so far.
-
-        Raises:
-            MountladderError: The stream cannot continue; this is `problem`.
+            The attempt, its answer and the events received so far, or None if the stream cannot
+            continue.
         """
         self.stop_watching()
         if answer is not None:
@@ -175,13 +175,13 @@
         if not cut.dispatched:
             # The first server did not run the request, so that there is nothing to continue.
             self.copy = None
-            raise problem from cut
+            return None
         obstacle = self.cut_obstacle(cut)
         if obstacle:
-            self.fail(obstacle, cut, problem)
+            self.record_failure(obstacle, cut)
+            return None
         self.used = True
-        attempt = self.start_attempt(cut)
-        return attempt, *self.send(attempt, problem)
+        return self.send(self.start_attempt(cut))
 
     def admit(self, reason: str) -> bool:
         """Return whether a stream whose server seems to be lost may continue elsewhere.
@@ -278,9 +278,7 @@
         )
         return ForwardAttempt(PickedServer(choice), now, run.attempts)
 
-    def send(
-        self, attempt: ForwardAttempt, problem: MountladderError
-    ) -> tuple[UpstreamAnswer, bytes]:
+    def send(self, attempt: ForwardAttempt) -> tuple[ForwardAttempt, UpstreamAnswer, bytes] | None:
         """Send the request to the server that has the copy; see reopen."""
         run, splitter, answer = self.run, self.run.splitter, None
         handle = f"{self.copy.address}/{run.request.id}"
@@ -300,7 +298,8 @@
             if not error.dispatched:
                 self.copy = None
             run.tracked.failed(attempt.choice.state.server, attempt.started, error)
-            self.fail(f"{attempt.server}: {error.detail}", error, problem)
+            self.record_failure(f"{attempt.server}: {error.detail}", error)
+            return None
         except BaseException:
             self.close_failed(attempt, answer, Code.CANCELLED)
             raise
@@ -308,7 +307,7 @@
         # From here on, the log names the second server, and why that one fails.
         self.server, self.watch = self.copy, None
         self.context.metrics.count(Metric.CONTINUED)
-        return answer, first
+        return attempt, answer, first
 
     def close_failed(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer | None, code: Code
@@ -330,18 +329,18 @@
         """Return why the stream broke, for the log."""
         return (self.watch.reason if self.watch is not None else "") or cut.detail
 
-    def fail(self, obstacle: str, cause: StageError, problem: MountladderError) -> NoReturn:
-        """Report that a stream cannot continue; raise the error for the caller."""
-        if self.decision is not None:
-            self.context.metrics.count(Metric.NOT_CONTINUED)
-            self.run.log(
-                "stream-not-continued",
-                server=self.server.name if self.server else "",
-                backup=self.copy.name if self.copy else "",
-                reason=self.reason(cause),
-                outcome=obstacle,
-            )
-        raise problem from cause
+    def record_failure(self, obstacle: str, cause: StageError) -> None:
+        """Count and log that a stream that could have had a copy cannot continue."""
+        if self.decision is None:
+            return
+        self.context.metrics.count(Metric.NOT_CONTINUED)
+        self.run.log(
+            "stream-not-continued",
+            server=self.server.name if self.server else "",
+            backup=self.copy.name if self.copy else "",
+            reason=self.reason(cause),
+            outcome=obstacle,
+        )
 
     def end(self, events: int, succeeded: bool) -> None:
         """Learn from a stream that ended, or free its copy if it did not end successfully.
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
+from weakref import proxy
 
 from eliot import log_message
 
@@ -43,6 +44,9 @@
 class ForwardRun:
     """Sends one request to servers until it is answered, fails permanently or times out.
 
+    Its parts refer to it weakly, so that the memory of the request is free when the run ends, and
+    not only once the garbage collector has found the cycles.
+
     Args:
         request: The request.
         route: Its route.
@@ -109,8 +113,8 @@
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.is_returning = self.age_ms > 0.0
         self.gives_way = False
-        self.reservation = Reservation(self)
-        self.hold = Hold(self)
+        self.reservation = Reservation(proxy(self))
+        self.hold = Hold(proxy(self))
         texts = (self.team, request.method, request.host, request.target)
         parts = request.prompt.shared_parts() if request.prompt else ()
         self.tracked = context.quarantine.track(request.id, texts, request.body, parts)
@@ -239,7 +243,7 @@
         attempt = self.begin_attempt(self.acquire())
         self.begun_at = None
         self.wait_for_server()
-        self.hedge = Hedge(self, attempt)
+        self.hedge = Hedge(proxy(self), attempt)
         return attempt
 
     def acquire(self, asked: frozenset[str] = frozenset()) -> PickedServer:
@@ -254,6 +258,8 @@
         try:
             return self.reservation.acquire(asked)
         except RefusalError as error:
+            if not self.may_have_run():
+                raise
             raise caller_error(self, error) from error
 
     def begin_attempt(self, picked: PickedServer) -> ForwardAttempt:
@@ -314,7 +320,11 @@
         waits = problem is not None and self.may_wait_for_budget(error, problem)
         self.log_failed(attempt, error, _outcome(problem, waits))
         if problem is not None and not (waits and self.wait_for_budget()):
-            raise problem from error
+            try:
+                raise problem from error
+            finally:
+                # The error keeps this frame, and those below it.
+                del problem
         self.context.metrics.count(Metric.RETRIED, error.code.name.lower())
 
     def second_answer(self, attempt: ForwardAttempt) -> SecondAnswer | None:
@@ -498,6 +508,7 @@
         """Release the results of stages and record the outcome of the request."""
         if self.hedge is not None:
             self.hedge.stop()
+        self.cancel_release()
         if self.flow is not None:
             self.flow.release()
         self.reservation.release()
--- a/packages/core/src/mountladder/forwarding/hedge.py
+++ b/packages/core/src/mountladder/forwarding/hedge.py
@@ -11,7 +11,7 @@
 
 import gevent
 from eliot import write_traceback
-from gevent import Greenlet
+from gevent import Greenlet, GreenletExit
 
 from mountladder.clocks.clock import MIN_DELAY_MS
 from mountladder.code import Code
@@ -137,7 +137,7 @@
         obstacle = hedge_obstacle(self.run, self.asked, 1 + is_second)
         if not obstacle:
             self.cancel_task()
-            self.task = gevent.spawn(self.make_attempt)
+            self.task = gevent.spawn(self.make_attempt, self.run.send_second)
         elif not is_second:
             self.task = gevent.spawn(self.keep_first, obstacle)
         self.check_later(max(RECHECK_MS, self.run.max_silence_ms(self.run.has_begun)))
@@ -153,11 +153,19 @@
             remaining_ms = max(remaining_ms, run.max_silence_ms(False) - waited_ms)
         return remaining_ms
 
-    def make_attempt(self) -> None:
-        """Make a second attempt, and break the connection to the first server if it is answered."""
-        run, task, answer = self.run, gevent.getcurrent(), None
+    def make_attempt(self, send_second: Callable[[Hedge], SecondAnswer]) -> None:
+        """Make a second attempt, and break the connection to the first server if it is answered.
+
+        Args:
+            send_second: Sends the request to a second server; a method of the run, which is kept
+                until the attempt has ended.
+        """
+        task, answer = gevent.getcurrent(), None
         try:
-            answer = run.send_second(self)
+            answer = send_second(self)
+        except GreenletExit:
+            # As the result of the task it would keep this frame, and that the task.
+            return
         except MountladderError as error:
             obstacle = error.detail
         except Exception:  # the first attempt goes on
@@ -166,7 +174,7 @@
         if self.task is not task:
             # The first server was heard of, or the request ended, while this task was about to run.
             if answer is not None:
-                run.discard(answer)
+                self.run.discard(answer)
         elif answer is None:
             self.second_sent_at = None
             self.keep_first(obstacle)
--- a/packages/core/src/mountladder/forwarding/stagedispatch.py
+++ b/packages/core/src/mountladder/forwarding/stagedispatch.py
@@ -139,13 +139,13 @@
 
     def run_here(self, submission: Submission) -> None:
         """Queue the pieces of a stage at this instance's batcher."""
-        job = submission.job
+        job, number = submission.job, submission.number
         submission.assignee = ""
         submission.lent = False
 
         def settled(results: Results) -> None:
             """Pass on the results, or release them if the stage was withdrawn."""
-            if not self.settle(submission.number, results):
+            if not self.settle(number, results):
                 self.batcher(job.service).release(_handles(results))
 
         submission.progress = self.batcher(job.service).submit(job, settled)
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from weakref import proxy
 
 from gevent import GreenletExit
 
@@ -53,8 +54,8 @@
     ) -> None:
         super().__init__(request, route, caller, context)
         self.splitter = EventSequence(request.last_event_id)
-        self.stream_version = StreamVersion(self)
-        self.continuation = Continuation(self)
+        self.stream_version = StreamVersion(proxy(self))
+        self.continuation = Continuation(proxy(self))
         self.is_partial = bool(request.last_event_id)
 
     @property
@@ -206,7 +207,7 @@
         self.stream_version.settle(second.attempt, second.version)
         self.begun_at = None
         self.heard()
-        self.hedge = Hedge(self, second.attempt)
+        self.hedge = Hedge(proxy(self), second.attempt)
         self.hedge.start(second.break_connection)
         self.succeeded(second.attempt, second.answer.load, streaming=True)
         return second.attempt, second.answer, events
@@ -296,6 +297,8 @@
             if active is not None:
                 self.context.picker.finished(active.picked, pace.mean_ms())
             self.finish(error, status=answer.status)
+            # The error keeps this frame.
+            del error
 
     def remaining_events(
         self,
@@ -369,7 +372,14 @@
         breaker, now = attempt.choice.state.breaker, self.context.clock.now()
         breaker.fail(now, self.heard_at, is_silent=second is not None)
         if problem is not None:
-            return self.continuation.reopen(answer, cut, problem)
+            continued = self.continuation.reopen(answer, cut)
+            if continued is not None:
+                return continued
+            try:
+                raise problem from cut
+            finally:
+                # The error keeps this frame, and those below it.
+                del problem
         self.context.metrics.count(Metric.RESUMED)
         if second is not None:
             return self.adopt(second)
