Streams: who takes over the writing of origins also writes that a stream is unverified

What callers saw: nothing in use, by review. A stream that turned out to be unverified as the instance that writes origins ended stayed in the store with the version that was written before, and went on there once all had ended.

Cause: the next writer skipped streams that the store held at all.

Change: it skips those that the store holds with the version that it knows.

Evidence: features/streamrestarts.feature, "A stream turns out to be unverified as the writer of origins ends": events 3 to 6 came at the version in the store.

--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import re
+from dataclasses import replace
 
 import bottle
 from bar_steps import serve, store_client
@@ -27,6 +28,7 @@
 )
 
 from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.errors import MountladderError
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.streams.originarchive import INTERVAL_MS
@@ -271,6 +273,15 @@
 }
 
 
+@given("all but the writer are told that the stream is unverified")
+def told_unverified(context):
+    for _, one in instances(context):
+        if not one.origins.archive.writing:
+            registry = one.origins.registry
+            for origin in list(registry.origins.values()):
+                assert registry.add(replace(origin, version=UNVERIFIED_VERSION)), origin
+
+
 @given("then {events}")
 def events_happen(context, events):
     for event in events.split(", "):
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -10,6 +10,16 @@
       | llm-2  | b          | v2      |
       | llm-3  | b          | v1      |
 
+  # Guards against a version that stays in the store, since its writer ended before it was told better.
+  Scenario: A stream turns out to be unverified as the writer of origins ends
+    Given server llm-1 runs the next stream, and llm-2 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then 1 s pass
+    And all but the writer are told that the stream is unverified
+    And then the writer is killed, 5 s pass, all are killed, all start
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 300 ms, and no Retry-After
+
   # Guards against streams that continue at the only version that is listed when instances start.
   Scenario Outline: The version that began a stream is gone
     Given server llm-1 runs the next stream, and llm-2 has the least to do after it
--- a/packages/core/src/mountladder/streams/originarchive.py
+++ b/packages/core/src/mountladder/streams/originarchive.py
@@ -96,19 +96,22 @@
         """Find the services whose origins this instance writes.
 
         Origins of further ones are written unless they are stored: the instance that wrote them
-        before may have ended at any moment. Its batches are removed here.
+        before may have ended at any moment, also before it wrote that a stream is unverified. Its
+        batches are removed here.
         """
         due = frozenset(one for one in self.history.several() if self.holders.is_first(one))
         started, self.writing = due - self.writing, due
         if not started:
             return
-        stored: set[bytes] = set()
+        stored: set[tuple[bytes, str]] = set()
         now = self.clock.now()
         for batch in self.load() or ():
             self.expires_at.setdefault(batch.name, now + batch.lifetime_ms)
-            stored.update(*batch.streams.values())
+            for key, streams in batch.streams.items():
+                stored.update((stream, key.version) for stream in streams)
         known = [one for service in started for one in self.registry.of_service(service)]
-        self.pending |= {one.stream: one for one in known if one.stream not in stored}
+        missing = [one for one in known if (one.stream, one.version) not in stored]
+        self.pending |= {one.stream: one for one in missing}
         log_message("origins-write-started", services=sorted(started), pending=len(self.pending))
 
     def handle_restore(self) -> None:
