Streams: the search for an origin is shorter

The read of an unknown version is a function of its own; no change of behaviour.

Result: features/streamcuts.feature, the 11 scenarios of "A second version is listed meanwhile" and "The list of servers is late", pass.

--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -217,16 +217,18 @@
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
-        known = self.history.recent(found.origin.service)
-        if found.origin.version not in known | {UNVERIFIED_VERSION}:
-            # This instance was told of the stream before it heard of the version.
-            self.store_read.refresh(self.clock.now(), VERSION_READ_MS)
+        self.read_unknown_version(found.origin)
         if found.source != ONLY_VERSION:
             # The caller may come again, also if this attempt brings no event.
             until = max(found.origin.until, self.held_until(request))
             self.hold(replace(found.origin, until=until))
         return found.origin
 
+    def read_unknown_version(self, origin: StreamOrigin) -> None:
+        """Read the store if this instance was told of a stream before it heard of its version."""
+        if origin.version not in self.history.recent(origin.service) | {UNVERIFIED_VERSION}:
+            self.store_read.refresh(self.clock.now(), VERSION_READ_MS)
+
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
         """Search for the origin of a stream here, then at other instances and in the store."""
         self.beginnings.check_stream(stream)
