--- a/features/soak.feature
+++ b/features/soak.feature
@@ -120,6 +120,11 @@
       | most streams that began at b-1 and were resumed at a-2 were refused     | every promise is kept                   |
       | a stream whose version had left was told not to return, and then served | every promise is kept                   |
 
+  # Guards against recorded seeds of a cut that draw other faults than they did.
+  Scenario: Later seeds of a cut draw further faults in series
+    Then seeds 1 to 100 of a cut draw none of the faults in series
+    And seeds 101 to 200 of a cut draw each of them
+
   # Guards against streams of two versions by an instance that takes those it reaches for all: one
   # that is cut off, with its data centre, does not hear of the version that a release brings.
   Scenario Outline: A data centre is cut off during a release while callers resume streams
@@ -146,6 +151,38 @@
       | versions        | llm      | 2.0 | 7.0     | 0.4      |
     Then every promise is kept
 
+  # Guards against streams of two versions by a list of servers that is older than a server's start.
+  Scenario: Servers start again at another version while a data centre is cut off
+    When these faults are played with seed 7 for 12 seconds with 4 instances
+      | kind            | target   | at  | seconds | strength |
+      | short-streams   | callers  | 0.5 | 9.0     | 4        |
+      | versions        | llm      | 0.6 | 9.0     | 0.4      |
+      | in-place        | llm      | 0.8 | 6.0     | 1        |
+      | isolated-silent | b-1, b-2 | 3.7 | 5.0     | 1        |
+    Then every promise is kept
+    And at least 60 streams were resumed
+
+  # Guards against checks that take a fault for earlier than it was: a kill 0.2 s late was taken for
+  # one before the first event of a stream.
+  Scenario: A fault that is injected late counts from then
+    Given a play with a fault of the store at second 0
+    When the fault is injected 0.2 s late
+    Then it counts from second 0.2 on, and is as long as before
+
+  # Guards against links across a cut: a connection that was being opened as it began stayed open.
+  Scenario: A connection that is being opened as a cut begins is reset
+    Given a proxy for what others relay to an instance
+    When a-1 is cut off while it opens a connection
+    Then the connection of a-1 is reset
+
+  # Guards against streams that a soak misses since requests that are relayed cross its cuts.
+  Scenario: A cut reaches the requests that instances relay
+    Given a proxy for what others relay to an instance
+    And open connections of a-1 and b-1
+    When a-1 is cut off
+    Then the connection of a-1 is reset
+    And that of b-1 passes bytes on
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
@@ -179,6 +216,18 @@
     Then every promise is kept
     And at least 40 streams were resumed
 
+  # Guards against an event that is missing or comes twice, and an end that looks complete, at servers
+  # that ignore Last-Event-Id, send events again, or give neither a length nor chunks.
+  Scenario: Servers send streams oddly while callers resume them and instances are killed
+    When these faults are played with seed 7 for 10 seconds with 4 instances
+      | kind        | target | at  | seconds | strength |
+      | odd-streams | llm    | 0.5 | 7.0     | 0.4      |
+      | versions    | llm    | 1.0 | 6.0     | 0.3      |
+      | kill        | a-1    | 2.5 | 1.0     | 1        |
+      | kill        | b-1    | 4.5 | 1.0     | 1        |
+    Then every promise is kept
+    And at least 30 streams were resumed
+
   # Guards against streams of two versions after a loss of all instances, and against the loss of all
   # streams with them.
   Scenario Outline: All instances are killed in a release while callers read long streams
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -7,12 +7,14 @@
 import base64
 import json
 import re
+from dataclasses import replace
 
 import bottle
 from bar_steps import serve, store_client
 from behave import given, then, when
 from forward_steps import SETTLE_MS
 from forwardbasics import SECOND_MS
+from member_steps import make_unreadable
 from mountladder_platform.storeorigins import ORIGINS_TABLE, StoreOrigins
 from mountladder_platform.storeversions import CONFIRMED_KEY, VERSIONS_TABLE, StoreVersions
 from streamversion_steps import (
@@ -27,6 +29,7 @@
 )
 
 from mountladder.clocks.systemclock import SystemClock
+from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.errors import MountladderError
 from mountladder.forwarding.ranking import prompts_topic
 from mountladder.streams.originarchive import INTERVAL_MS
@@ -220,6 +223,13 @@
     kill(context, find_holder(context, number, datacentre))
 
 
+def restart_holder(context, number, datacentre):
+    """Have one of the first instances of a data centre that is cut off start again."""
+    name = find_holder(context, number, datacentre)
+    kill(context, name)
+    start_cut_off(context, name)
+
+
 def delay_holder(context, number, datacentre, ms):
     """Delay all messages that one of the first instances of a data centre sends."""
     name = find_holder(context, number, datacentre)
@@ -236,6 +246,7 @@
 EVENTS = {
     r"origins are lost": lose_origins,
     r"origins cannot be read": origins_unreadable,
+    r"the list of instances cannot be read": make_unreadable,
     r"the writer is killed": kill_writer,
     r"a copy of the store without origins is restored": restore_without_origins,
     r"all are killed": kill_all,
@@ -263,6 +274,7 @@
     r"all of (\w) are killed": kill_datacentre,
     r"all lose the store": all_lose_store,
     r"holder (\d) of (\w) is killed": kill_holder,
+    r"holder (\d) of (\w) starts again cut off": restart_holder,
     r"holder (\d) of (\w) answers (\d+) ms late": delay_holder,
     r"all reach the store again": all_regain_store,
     r"(\w) gets no changes": miss_changes,
@@ -271,6 +283,15 @@
 }
 
 
+@given("all but the writer are told that the stream is unverified")
+def told_unverified(context):
+    for _, one in instances(context):
+        if not one.origins.archive.writing:
+            registry = one.origins.registry
+            for origin in list(registry.origins.values()):
+                assert registry.add(replace(origin, version=UNVERIFIED_VERSION)), origin
+
+
 @given("then {events}")
 def events_happen(context, events):
     for event in events.split(", "):
--- a/features/streamcuts.feature
+++ b/features/streamcuts.feature
@@ -31,7 +31,8 @@
       | b is cut off                       | v1 leaves, all of a are killed               | 2016 | 500 | a    |
       | b is cut off                       | v2 leaves, b is reached again, all of a are killed | 2015 | 500 | a |
       | b is cut off                       | v2 drains, 2 s pass, v2 leaves, b is reached again, all of a are killed | 2015 | 500 | no |
-      | b is cut off                       | v2 leaves, origins are lost, b is reached again, all of a are killed | 2016 | 500 | a |
+      | b is cut off                       | v2 leaves, origins are lost, b is reached again, all of a are killed | 2015 | 500 | a |
+      | b is cut off                       | v2 leaves, origins are lost, all of a are killed, b is reached again | 2016 | 500 | a |
 
   # Guards against instances that take their list for current though nothing has come for a while.
   Scenario Outline: The list of servers is late
@@ -96,3 +97,31 @@
       | holder 1 of b answers 2000 ms late                                   |
       | holder 2 of b answers 2000 ms late                                   |
       | holder 1 of b answers 150 ms late, holder 2 of b answers 150 ms late |
+
+  # Guards against streams that none of the instances knows that are asked, since these were others
+  # when the streams began.
+  Scenario Outline: Other instances of a large fleet are told of a stream than when it began
+    Given 12 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then b is cut off
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at b-5 has 2 events when its connection breaks
+    And then holder 1 of b starts again cut off, holder 1 of b starts again cut off, <after>
+    When the caller resumes stream r at b-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
+
+    Examples:
+      | after                                 |
+      | 0.1 s pass                            |
+      | 1 s pass, b-5 is killed, 0.1 s pass   |
+
+  # Guards against streams that nobody is told of while the first instances by rank have ended.
+  Scenario: The instances of a large fleet that would be told of a stream have ended
+    Given 12 more instances in data centres a, b, c
+    And only version v1 is listed
+    And then b is cut off, holder 1 of b is killed, holder 2 of b is killed, 0.1 s pass
+    And server llm-1 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at b-5 has 2 events when its connection breaks
+    And then b-5 is killed, 0.1 s pass
+    When the caller resumes stream r at b-3
+    Then stream r has events 1 to 6, and ran on llm-1, llm-3
--- a/packages/core/src/mountladder/streams/startcheck.py
+++ b/packages/core/src/mountladder/streams/startcheck.py
@@ -24,3 +24,7 @@
         self.asked_at = asked_at
         self.born: int | None = None
         self.ended = Event()
+
+    def has_failed(self) -> bool:
+        """Return whether the server has not answered in time."""
+        return self.ended.is_set() and self.born is None
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -89,7 +89,7 @@
 
     def is_confirmed(self, since: float) -> bool:
         """Return whether the list has been confirmed as of a time or later."""
-        return self.clock.now() - self.age.ms() >= since
+        return self.age.current_at() >= since
 
     def beginning(self, stream: bytes, server: BackendServer) -> StreamBeginning:
         """Return that a server begins a stream now."""
@@ -119,10 +119,23 @@
     def may_continue_at(self, server: BackendServer) -> bool:
         """Return whether a server is known to run the version that its newest entry names.
 
-        A stream that another server began continues only there.
+        Events of a stream that another server began are passed on only if it is.
         """
         since = self.clock.now() - CURRENT_MS
-        return self.is_current(since) or self.is_start_listed(server)
+        if self.is_confirmed(since):
+            return True
+        has_answered = self.has_answered(server.labels[ID_LABEL])
+        return not has_answered and self.is_current(since) or self.is_start_listed(server)
+
+    def may_try(self, server: BackendServer) -> bool:
+        """Return whether a stream that another server began may be sent to a server.
+
+        A silent one may be tried while the list is not old: it is asked again before its events are
+        passed on, once it speaks.
+        """
+        if self.may_continue_at(server):
+            return True
+        return not (self.is_needed() or self.has_restarted(server.labels[ID_LABEL]))
 
     def is_as_listed(self, server: BackendServer) -> bool:
         """Return whether a server runs the software version that its newest entry names.
@@ -151,6 +164,12 @@
             self.clock.wait(check.ended, CHECK_TIMEOUT_MS)
         return check.born
 
+    def has_answered(self, id_: str) -> bool:
+        """Return whether a server has named its start, in an answer that holds now."""
+        check = self.checks.get(id_)
+        is_recent = check is not None and self.clock.now() - check.asked_at < CHECK_VALID_MS
+        return is_recent and check.born is not None
+
     def restarted(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the servers that are known to have started again."""
         if not self.checks:
@@ -170,11 +189,14 @@
         return record.born if record is not None else 0
 
     def check(self, server: BackendServer) -> StartCheck:
-        """Return the check of a server that holds now, which is begun if there is none."""
+        """Return the check of a server that holds now, which is begun if there is none.
+
+        One without an answer does not hold: the server may have been silent for a moment.
+        """
         id_, now = server.labels[ID_LABEL], self.clock.now()
         known = self.checks.get(id_)
-        is_recent = known is not None and now - known.asked_at < CHECK_VALID_MS
-        if is_recent or self.has_restarted(id_):
+        holds = known is not None and not known.has_failed()
+        if holds and (now - known.asked_at < CHECK_VALID_MS or self.has_restarted(id_)):
             return known
         check = self.checks[id_] = StartCheck(now)
         gevent.spawn(self.ask, server, check)
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -28,6 +28,7 @@
 from mountladder.streams.originregistry import MAX_STREAM_MS, OriginRegistry
 from mountladder.streams.originreply import OriginReply
 from mountladder.streams.originstore import OriginStore
+from mountladder.streams.originupdates import OriginUpdates
 from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storeread import MIN_INTERVAL_MS, StoreRead
@@ -41,12 +42,17 @@
 REPLY_TIMEOUT_MS = 100.0
 # How long after the question replies are waited for where nothing else tells the origin.
 LATE_REPLY_TIMEOUT_MS = 250.0
+# Timeout for the check of a stream by the instance that began it: 100 ms for the store, and then
+# 300 ms for the server.
+CHECK_TIMEOUT_MS = 450.0
 # An attempt may last until its deadline, and is resumed behind it: at once, or after a Retry-After
 # and some attempts that fail.
 RESUME_MS = 5_000.0
 # When a caller may retry if nobody that replied knows which version began its stream: another
 # instance, or the store, may be reached by then.
 UNKNOWN_RETRY_MS = 1_000.0
+# Timeout for a read of the store that tells of a version, which takes 4 ms.
+VERSION_READ_MS = 100.0
 # Once a second version of a service is listed, origins are told at once, and again after links to
 # the instances that hold them have been opened.
 ANNOUNCE_AGAIN_MS = 1_000.0
@@ -95,6 +101,7 @@
         self.history = VersionHistory(directory, clock)
         self.holders = OriginHolders(fleet, self.history)
         self.exchange = OriginExchange(self.holders, self.registry, self.history, clock)
+        self.updates = OriginUpdates(self.exchange, self.own_origins, clock)
         self.absent = AbsentInstances(fleet, self.history, clock)
         self.contact = StoreContact(fleet, self.history, clock)
         self.version_record = VersionRecord(
@@ -107,8 +114,11 @@
         self.own: set[bytes] = set()
         self.read_servers: Callable[[], bool] = lambda: False
         self.store_read = StoreRead(self.read_store, clock, self.read_interval_ms)
+        self.starts = starts
         starts.read_list = self.store_read.refresh
         self.beginnings = StreamBeginnings(starts, clock)
+        self.exchange.is_unchecked = self.beginnings.pending.__contains__
+        self.exchange.check_stream = self.beginnings.check_stream
         self.beginnings.on_unverified = self.mark_unverified
         self.exchange.on_told = self.archive.add
         for kept in (self.contact, self.version_record, self.archive):
@@ -136,9 +146,12 @@
     def hold(self, origin: StreamOrigin) -> None:
         """Keep an origin here, and tell it to others, unless it is known for as long already."""
         if self.registry.add(origin):
-            self.add_own(origin.stream)
-            self.exchange.announce(origin.service, [origin])
-            self.archive.add([origin])
+            # It differs if two versions are known to have begun the stream.
+            kept = self.registry.find(origin.stream) or origin
+            self.add_own(kept.stream)
+            self.updates.add_service(kept.service)
+            self.exchange.announce(kept.service, [kept])
+            self.archive.add([kept])
 
     def held_until(self, request: ForwardRequest) -> float:
         """Return until when the caller of an attempt may come again, in the clock's ms."""
@@ -151,6 +164,10 @@
             self.own &= self.registry.origins.keys()
         self.own.add(stream)
 
+    def own_origins(self, service: str) -> list[StreamOrigin]:
+        """Return the known origins of a service's streams that this instance has run."""
+        return [one for one in self.registry.of_service(service) if one.stream in self.own]
+
     def announce_all(self, service: str) -> None:
         """Tell the origins of a service's streams, since a second version of it is listed."""
         self.fleet.retarget.set()
@@ -163,9 +180,8 @@
 
         In a small fleet, where others have been told as well, these are those that began here.
         """
-        origins = self.registry.of_service(service)
-        if self.holders.is_small():
-            origins = [one for one in origins if one.stream in self.own]
+        is_small = self.holders.is_small()
+        origins = self.own_origins(service) if is_small else self.registry.of_service(service)
         told = self.exchange.announce(service, origins)
         log_message(
             "stream-origins-announced",
@@ -209,22 +225,44 @@
             detail = f"versions {sorted(found.versions)}{others} of {service} may have begun it"
             retry_after_ms = UNKNOWN_RETRY_MS if found.may_be_found else None
             raise RefusalError(detail, Code.STREAM_UNKNOWN, retry_after_ms=retry_after_ms)
+        self.read_unknown_version(found.origin)
         if found.source != ONLY_VERSION:
             # The caller may come again, also if this attempt brings no event.
             until = max(found.origin.until, self.held_until(request))
             self.hold(replace(found.origin, until=until))
         return found.origin
 
+    def read_unknown_version(self, origin: StreamOrigin) -> None:
+        """Read the store if this instance was told of a stream before it heard of its version."""
+        if origin.version not in self.history.recent(origin.service) | {UNVERIFIED_VERSION}:
+            self.store_read.refresh(self.clock.now(), VERSION_READ_MS)
+
     def look_up(self, stream: bytes, service: str) -> OriginLookup:
         """Search for the origin of a stream here, then at other instances and in the store."""
         self.beginnings.check_stream(stream)
         origin = self.registry.find(stream)
         if origin is not None:
-            return OriginLookup(origin, "own", self.history.recent(service))
+            self.check_told(stream, service)
+            kept = self.registry.find(stream) or origin
+            return OriginLookup(kept, "own", self.history.recent(service))
         with self.exchange.ask(stream, service) as question:
             question.wait_until(REPLY_TIMEOUT_MS)
             return self.look_up_asked(stream, service, question)
 
+    def check_told(self, stream: bytes, service: str) -> None:
+        """Check an origin that another instance told a moment ago.
+
+        That one may be cut off as well, and have begun the stream at a server that had started
+        again. In touch with the store it has checked the list as well.
+        """
+        told_at = self.exchange.unchecked_since(stream)
+        if told_at is None or stream in self.own or self.starts.is_current(told_at):
+            return
+        with self.exchange.ask(stream, service, is_check=True) as question:
+            question.wait_until(CHECK_TIMEOUT_MS)
+            if question.is_unverified():
+                self.mark_unverified(stream)
+
     def look_up_asked(self, stream: bytes, service: str, question: OriginQuestion) -> OriginLookup:
         """Search for the origin of a stream in the replies of other instances and in the store."""
         replies = question.replies
@@ -247,7 +285,9 @@
         origin = question.origin()
         if origin is not None:
             return self.told_by_peer(origin, service, question)
-        have_replied = len(replies) >= self.holders.count(service)
+        # A process that has not read the list of instances does not know whom it could ask.
+        is_listed = bool(self.fleet.membership.listed)
+        have_replied = is_listed and len(replies) >= self.holders.count(service)
         may_be_found = not (have_replied and is_read and evidence)
         counts = self.counts(question)
         return OriginLookup(None, "unknown", versions, may_be_found, evidence=evidence, **counts)
