Stages: a silence of all servers is no slowness in the forecast of waits

Cause: calls that the silence made late began a spell of every server, 4 times as slow, up to 600 ms after they were answered; and since nothing was done meanwhile, three tenths of the slowed throughput were assumed.

Change: where calls to two servers or more are overdue and none has answered since the newest was sent, all servers are taken to be silent. Their calls begin no spell, neither while they are late nor when they are answered, and the throughput is measured anew. Calls that were sent after a late one count as before, so that slow servers are told (docs/DECISIONS.md 23).

New there: "Servers that become slow together are found to be slow".

--- a/features/silentchoice.feature
+++ b/features/silentchoice.feature
@@ -37,6 +37,13 @@
       | one   | enc     | 10    | staged    | nothing | 1000 | 0  |
       | every | enc     | 10    | staged    | nothing | 1000 | 12 |
 
+  # Guards against servers that are all slow and pass for silent: too many requests are let in.
+  @forwarding
+  Scenario: Servers that become slow together are found to be slow
+    Given two instances and three servers of each service
+    When every server of enc becomes slow amid 10 staged requests a second
+    Then each of the 3 servers is found to be slow within 1500 ms
+
   # A server that stays silent is probed only, less and less often.
   @forwarding
   Scenario Outline: A server that stays silent is hardly sent requests
--- a/features/steps/silentchoice_steps.py
+++ b/features/steps/silentchoice_steps.py
@@ -23,6 +23,7 @@
 from mountladder.forwarding.serverrecord import ID_LABEL
 from mountladder.resultclass import ResultClass
 from mountladder_standins.localupstream import WORK_MS
+from mountladder_standins.serverfault import ServerFault
 
 ROUTE_TIMEOUT_MS = 6_000.0
 SERVERS = {
@@ -231,3 +232,33 @@
     *_, class_, error = context.ends["r"]
     assert class_ == ResultClass.NOT_RUN.value and error.retry_after_ms > 0, context.ends["r"]
     assert context.ended_at["r"] - context.arrived["r"] <= AT_ONCE_MS, context.ended_at
+
+
+def watch_slow(context):
+    """Record when each server is first taken to be slow by an instance."""
+    now = context.clock.now()
+    for instance in context.fleet.instances.values():
+        for name, state in instance.router.states.items():
+            if name in context.fleet.upstream.faults and state.time_factor(now) > MAX_RATIO:
+                context.slow_from.setdefault(name, now)
+    context.clock.call_later(POLL_MS, lambda: watch_slow(context))
+
+
+@when("every server of {service} becomes slow amid {per_s:d} {kind} requests a second")
+def become_slow(context, service, per_s, kind):
+    context.slow_from = {}
+
+    def begin():
+        context.began = context.clock.now()
+        context.fleet.upstream.faults.update(dict.fromkeys(SERVERS[service], ServerFault.SLOW))
+        watch_slow(context)
+
+    context.clock.call_later(STEADY_MS, begin)
+    fields = {"allowed_ms": ROUTE_TIMEOUT_MS}
+    send_steadily(context, per_s, kind, 2 * STEADY_MS, fields=lambda n: fields)
+
+
+@then("each of the {number:d} servers is found to be slow within {ms:d} ms")
+def found_slow(context, number, ms):
+    found = {name: at - context.began for name, at in context.slow_from.items()}
+    assert len(found) == number and max(found.values()) <= ms, found
--- a/packages/core/src/mountladder/forwarding/batchrun.py
+++ b/packages/core/src/mountladder/forwarding/batchrun.py
@@ -200,11 +200,12 @@
         """Requeue the unsettled pieces of an overdue call, so that another server runs them too."""
         now = self.batcher.clock.now()
         ratio = (now - self.call.started) / self.limits.expected_ms(len(self.batch))
-        if self.batcher.servers.router.speeds is not None:
-            self.batcher.servers.router.speeds.record_overdue(
-                self.state.server, WorkType.CALL, ratio
-            )
+        speeds = self.batcher.servers.router.speeds
         self.batcher.servers.mark_overdue(self.state, self.call)
+        if self.batcher.servers.find_silence(self.state, self.call, now):
+            self.batcher.rate.restart()
+        elif speeds is not None:
+            speeds.record_overdue(self.state.server, WorkType.CALL, ratio)
         requeued = [
             one
             for one in self.batch
@@ -268,9 +269,12 @@
         own_ratio = ratio / self.state.pace.factor
         tells_speed = self.state.record_time_ratio(own_ratio, now, self.call.started)
         speeds = self.batcher.servers.router.speeds
-        if speeds is not None:
-            learn = speeds.record if tells_speed else speeds.record_overdue
-            learn(self.state.server, WorkType.CALL, ratio)
+        if speeds is None:
+            return
+        if tells_speed:
+            speeds.record(self.state.server, WorkType.CALL, ratio)
+        elif not self.batcher.servers.was_silenced(self.call):
+            speeds.record_overdue(self.state.server, WorkType.CALL, ratio)
 
     def handle_result(self, waiting: QueuedPiece, result: PieceResult, now: float) -> None:
         """Settle or requeue a piece by its result."""
--- a/packages/core/src/mountladder/forwarding/piecerate.py
+++ b/packages/core/src/mountladder/forwarding/piecerate.py
@@ -42,6 +42,11 @@
         elif self.congested_since is None:
             self.congested_since = self.clock.now()
 
+    def restart(self) -> None:
+        """Measure anew from now on: the time before says nothing about the throughput."""
+        if self.congested_since is not None:
+            self.congested_since = self.clock.now()
+
     def measured(self) -> float | None:
         """Return the throughput in pieces per millisecond, or None without enough data."""
         now = self.clock.now()
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -23,6 +23,8 @@
 # An overdue call means a lost answer, a slow server or a dead one. To find out which, the server is
 # probed with one more call of the maximum number of pieces divided by this.
 PROBE_DIVISOR = 4
+# Calls to at least this many servers are overdue in a silence of all; a single one may be slow.
+MIN_SILENT_SERVERS = 2
 
 
 class StageServers:
@@ -41,6 +43,7 @@
         overdue: Those of the running calls that are overdue, by the server's name.
         answered_at: When a server last answered a call, by its name.
         limited_call_at: When the last call to a rate-limited server was sent.
+        silent_at: When all servers were last found to be silent; see find_silence.
     """
 
     def __init__(
@@ -60,7 +63,7 @@
         self.paused: dict[str, float] = {}
         self.overdue: dict[str, list[StageCallState]] = {}
         self.answered_at: dict[str, float] = {}
-        self.limited_call_at = float("-inf")
+        self.limited_call_at = self.silent_at = float("-inf")
 
     def begin(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call was sent."""
@@ -92,6 +95,30 @@
         """Return whether a server has answered another call since this one was sent."""
         return self.answered_at.get(state.server.name, float("-inf")) > call.started
 
+    def find_silence(self, state: ServerState, call: StageCallState, now: float) -> bool:
+        """Return whether all servers are silent rather than one of them slow, and record it.
+
+        That is so if calls to several servers are overdue, and none has answered since the newest
+        of them was sent. How late it is says nothing about its server's speed then. A call that
+        was sent after another late one does: a silence makes calls late once.
+
+        Args:
+            state: A server.
+            call: The newest overdue call, which was sent there.
+            now: The clock's time.
+        """
+        was_late = state.late_at is not None and call.started >= state.late_at
+        has_answer = max(self.answered_at.values(), default=float("-inf")) > call.started
+        overdue = sum(bool(calls) for calls in self.overdue.values())
+        if was_late or has_answer or overdue < MIN_SILENT_SERVERS:
+            return False
+        self.silent_at = now
+        return True
+
+    def was_silenced(self, call: StageCallState) -> bool:
+        """Return whether all servers were found to be silent since a call was sent."""
+        return self.silent_at >= call.started
+
     def uncertain_calls(self, state: ServerState) -> list[StageCallState]:
         """Return the overdue calls of a server that has not answered since they were sent."""
         overdue = self.overdue.get(state.server.name, ())
