Retries: the reserve is not exceeded while the fleet grows, also beside instances that are cut off

A large fleet that starts at once exceeded its reserve without any fault.

Cause: each instance divides the reserve by the instances that it knows. Those that are cut off do not learn of new ones, which took a part all the same. In a large fleet an instance read the list once, at its start, while others that started at the same time were not listed yet, and was told later only of those that were new to its reader: 18 instances knew 14 to 17 others for good.

Change: an instance takes a part of the reserve once all others that take one count it (ShareClaim): a window after it has heard from each of a small fleet, or 42 s after its name was listed. The row says since when that is (joined), so that a process that starts again does not wait anew. An instance that knows of no reading of the list in 30 s takes no part until it has read it; readers tell the age of their reading in beacons, and where builds of before do not tell it, it counts as 20 s old while the store answers them. Each instance reads the list a second time 20 to 22 s after its start. A reader passes on what is new on the list, also what it has heard of over a link before. Logged as reserve-claim.

Scenario changed: the one of features/knowledge.feature about the division of the reserve looks after 11 s in place of 1 s, since a part is reported only once it may be taken. None could be spent before that either; its bounds are the same.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -93,6 +93,8 @@
       | datacentre  | 3       |
       | since       | "today" |
       | since       | 1e999   |
+      | joined      | "today" |
+      | joined      | -1      |
 
   Scenario Outline: The time that a server stays cold is limited to 0 to 60000 ms
     When an entry says that the server stays cold for <listed> ms
--- a/features/knowledge.feature
+++ b/features/knowledge.feature
@@ -109,7 +109,7 @@
     Then instance a-1 knows servers desk-2
 
   Scenario: The retry reserve is divided among all instances that may use it
-    When 1000 ms go by
+    When 11000 ms go by
     Then each instance's share of the retry reserve of 20 is at most 6.7
     And an instance that knows no others uses at most 1.25 of it
 
--- a/features/silentpeers.feature
+++ b/features/silentpeers.feature
@@ -84,6 +84,46 @@
     When 250 safe requests a second come for 12000 ms while nothing else happens
     Then no service gets more than 0.2 retries for each request and 400 more in any 10000 ms
 
+  @forwarding
+  Scenario Outline: The parts of <number> instances add up to the reserve while <what>
+    # The failure: instances that could not know of new ones took larger parts than was left for
+    # them, in the same window.
+    Given a fleet of <number> instances in data centres a, b, c
+    And 45000 ms have gone by
+    When the parts of the reserve are watched for 100000 ms, and more instances start while <what>
+    Then in any window the parts add up to the reserve at most
+    And before more started and at the end each takes an equal part
+
+    Examples:
+      | number | what                                           |
+      | 6      | they are cut off                               |
+      | 6      | they are cut off for a moment, again and again |
+      | 6      | they are cut off and restart                   |
+      | 6      | they are cut off and all instances restart     |
+      | 6      | data centre b cannot read the list             |
+      | 6      | two have crashed                               |
+      | 15     | they are cut off                               |
+      | 15     | data centre b cannot read the list             |
+      | 15     | one is cut off for a moment                    |
+
+  @forwarding
+  Scenario: The parts of a large fleet that starts at once add up to the reserve
+    # The failure: the list was not complete yet when most instances read it, and they were told
+    # only of those that were listed after their reader had read it.
+    Given a fleet of 24 instances in data centres a, b, c
+    When the parts of the reserve are watched for 60000 ms, and nothing else happens
+    Then in any window the parts add up to the reserve at most
+    And at the end each takes an equal part
+
+  @forwarding
+  Scenario: Readers of earlier builds do not tell when they have read the list of instances
+    # Guards against instances that take themselves for cut off beside builds of before.
+    Given a fleet of 15 instances in data centres a, b, c
+    And no instance tells when it has read the list of instances
+    When the parts of the reserve are watched for 90000 ms, and nothing else happens
+    Then in any window the parts add up to the reserve at most
+    And at the end each takes an equal part
+
   @forwarding
   Scenario: Presumed crashes are not decided by an old list of servers
     # The failure: while the list of servers could not be read, servers that had crashed counted as
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -145,6 +145,7 @@
     "unreachable": ("b",),
     "drains": (DatacentreDrain("b", Position(1, 4), True),),
     "isolated": True,
+    "members_age_s": 4,
 }
 
 
--- a/features/steps/silentpeers_steps.py
+++ b/features/steps/silentpeers_steps.py
@@ -24,6 +24,12 @@
 ALONE_MS = 2_500.0
 LISTED_MS = 300.0
 GROWN_MS = 2_000.0
+# When the fleet grows, how often its parts of the reserve are read, and how long cuts last.
+BEFORE_MS, SAMPLE_MS = 12_000.0, 500.0
+LONG_CUT_MS, SHORT_CUT_MS, SHORT_CUTS = 50_000.0, 8_000.0, 4
+UNNOTICED_CUT_MS = 24_000.0
+WINDOW_MS = 11_000.0
+LATE_NAMES = tuple(f"a-late-{n}" for n in range(12))
 # After this time entries of crashed servers lapse.
 LAPSE_MS = 3_600.0
 
@@ -127,6 +133,182 @@
         context.fleet.start(f"{name}-late-{n}")
 
 
+@given("no instance tells when it has read the list of instances")
+def tells_no_age(context):
+    for one in context.fleet.instances.values():
+        one.fleet.members_age_s = lambda: 0
+
+
+def lose_list(context, names):
+    """Have no call for the list of instances answered at some instances."""
+    for name in names:
+        context.fleet.instances[name].member_reader.instances = UnreachableList()
+
+
+def cut_off_all(context, names):
+    """Cut instances off from the list of instances and from all others but each other."""
+    context.fleet.network.cut_instances |= {
+        frozenset({one, other})
+        for one in names
+        for other in context.fleet.instances
+        if other not in names
+    }
+    lose_list(context, names)
+
+
+def reconnect(context):
+    context.fleet.network.cut_instances.clear()
+    for one in context.fleet.instances.values():
+        one.member_reader.instances = context.fleet.instance_list
+
+
+def start_late(context, cut=()):
+    """Start further instances, which some instances are cut off from."""
+    context.fleet.network.cut_instances |= {frozenset({a, b}) for a in LATE_NAMES for b in cut}
+    for name in LATE_NAMES:
+        context.fleet.start(name)
+
+
+def grow_in_cut(context):
+    """Have the fleet grow while all instances but those of data centre a are cut off."""
+    names = [name for name in context.fleet.instances if not name.startswith("a")]
+    cut_off_all(context, names)
+    start_late(context, names)
+    return names
+
+
+def grow_in_long_cut(context):
+    grow_in_cut(context)
+    context.clock.sleep(LONG_CUT_MS)
+    reconnect(context)
+
+
+def grow_in_short_cuts(context):
+    names = grow_in_cut(context)
+    for _ in range(SHORT_CUTS):
+        context.clock.sleep(SHORT_CUT_MS)
+        reconnect(context)
+        context.clock.sleep(SHORT_CUT_MS)
+        cut_off_all(context, names)
+    reconnect(context)
+
+
+def grow_and_restart_in_cut(context):
+    names = grow_in_cut(context)
+    context.clock.sleep(SHORT_CUT_MS)
+    for name in names:
+        context.fleet.instances[name].close()
+        context.fleet.start(name).member_reader.instances = UnreachableList()
+    context.clock.sleep(LONG_CUT_MS)
+    reconnect(context)
+
+
+def grow_and_restart_all(context):
+    names = grow_in_cut(context)
+    context.clock.sleep(SHORT_CUT_MS)
+    for name in list(context.fleet.instances):
+        context.fleet.instances[name].close()
+        context.fleet.start(name)
+    lose_list(context, names)
+    context.clock.sleep(LONG_CUT_MS)
+    reconnect(context)
+
+
+def grow_without_list(context):
+    """Have the fleet grow while the list of instances does not answer data centre b."""
+    lose_list(context, [name for name in context.fleet.instances if name.startswith("b")])
+    start_late(context)
+    context.clock.sleep(LONG_CUT_MS)
+    reconnect(context)
+
+
+def grow_beside_cut(context):
+    """Have the fleet grow while one instance is cut off, for less than it takes to notice it."""
+    reading = {name for name, one in context.fleet.instances.items() if is_reading(one)}
+    name = next(name for name in context.fleet.instances if name[0] == "b" and name not in reading)
+    cut_off_all(context, [name])
+    start_late(context, [name])
+    context.clock.sleep(UNNOTICED_CUT_MS)
+    reconnect(context)
+
+
+def is_reading(one):
+    return one.fleet.reader_election.reading
+
+
+def change_nothing(context):
+    pass
+
+
+def crash_and_grow(context):
+    for name in list(context.fleet.instances)[-2:]:
+        context.fleet.instances.pop(name).close()
+    start_late(context)
+
+
+GROWTH = {
+    "they are cut off": grow_in_long_cut,
+    "they are cut off for a moment, again and again": grow_in_short_cuts,
+    "they are cut off and restart": grow_and_restart_in_cut,
+    "they are cut off and all instances restart": grow_and_restart_all,
+    "data centre b cannot read the list": grow_without_list,
+    "one is cut off for a moment": grow_beside_cut,
+    "nothing": change_nothing,
+    "two have crashed": crash_and_grow,
+}
+
+
+@when("the parts of the reserve are watched for {ms:d} ms, and {what} else happens")
+@when("the parts of the reserve are watched for {ms:d} ms, and more instances start while {what}")
+def watch_parts(context, ms, what):
+    """Record which part of the reserve each instance may spend, by its name."""
+    context.parts = {}
+    context.clock.call_later(BEFORE_MS, lambda: gevent.spawn(GROWTH[what], context))
+    context.run(sample_parts, context, float(ms))
+
+
+def sample_parts(context, ms):
+    until = context.clock.now() + ms
+    while context.clock.now() < until:
+        now = context.clock.now()
+        for name, one in context.fleet.instances.items():
+            is_young = now - one.budgets.started_at < WINDOW_MS
+            part = 0.0 if is_young else one.budgets.reserve() / one.settings.retry_reserve
+            context.parts.setdefault(name, []).append((now, part))
+        context.clock.sleep(SAMPLE_MS)
+
+
+@then("in any window the parts add up to the reserve at most")
+def parts_within(context):
+    """Check the sum of the largest part that each instance had in a window."""
+    times = sorted({at for samples in context.parts.values() for at, _ in samples})
+    sums = [
+        sum(
+            max((part for at, part in samples if end - WINDOW_MS < at <= end), default=0.0)
+            for samples in context.parts.values()
+        )
+        for end in times
+    ]
+    worst = max(range(len(sums)), key=sums.__getitem__)
+    assert 0.0 < sums[worst] <= 1.0 + 1e-6, f"{sums[worst]:.2f} until {times[worst]:.0f} ms"
+
+
+@then("before more started and at the end each takes an equal part")
+def equal_parts(context):
+    """Check the parts before and after the fleet has grown."""
+    first = [one[0][1] for name, one in context.parts.items() if name not in LATE_NAMES]
+    assert all(abs(part * len(first) - 1.0) < 1e-6 for part in first), first
+    equal_at_end(context)
+
+
+@then("at the end each takes an equal part")
+def equal_at_end(context):
+    """Check the part of each instance that runs; those that have crashed count as well."""
+    last = {name: context.parts[name][-1][1] for name in context.fleet.instances}
+    number = len(context.parts)
+    assert all(abs(part * number - 1.0) < 1e-6 for part in last.values()), last
+
+
 class UnreachableList:
     """A list of instances that cannot be read."""
 
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -30,6 +30,8 @@
         unreachable: The data centres that it then considers unreachable.
         drains: Every data centre that the operator drains, or has drained before.
         isolated: Whether it can reach no backend server.
+        members_age_s: How old its last reading of the list of instances is, in seconds, rounded
+            up; 0 if it does not read the list for others, or does not tell.
     """
 
     catalogue: int
@@ -43,3 +45,4 @@
     unreachable: tuple[str, ...] = ()
     drains: tuple[DatacentreDrain, ...] = ()
     isolated: bool = False
+    members_age_s: int = 0
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -69,6 +69,8 @@
         era_tracker: Detects that the store was restored from an older copy.
         backlogs: Returns how long pieces wait at the services that this instance coordinates.
         further_targets: Return further instances to keep links to in a large fleet.
+        members_age_s: Returns how old the last reading of the list of instances is.
+        on_beacon: Called with each peer that sends a beacon, and the beacon.
         on_backlog: Called with the backlog of a service that a peer coordinates, and the peer's
             data centre.
     """
@@ -100,6 +102,8 @@
         self.is_store_answering: Callable[[], bool] = lambda: False
         self.announcing = False
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
+        self.members_age_s: Callable[[], int] = lambda: 0
+        self.on_beacon: Callable[[Instance, Beacon], None] = lambda peer, beacon: None
         self.on_backlog: Callable[[Backlog, str], None] = lambda backlog, datacentre: None
         self.peer_gone: list[Callable[[Link], None]] = []
         self.further_targets: list[Callable[[], list[Instance]]] = []
@@ -167,6 +171,11 @@
             return False
         return link.peer.datacentre not in self.directory.avoided and self.is_answering(link)
 
+    def is_complete(self) -> bool:
+        """Return whether all instances that this one keeps links to answer."""
+        links = self.links
+        return all(one in links and self.is_answering(links[one]) for one in self.dialers)
+
     def targets(self) -> list[Instance]:
         """Return the instances to keep links to."""
         known = self.membership.addressed()
@@ -221,6 +230,7 @@
             tuple(sorted(self.partitions.silent)),
             self.directory.drains.all_entries(),
             self.membership.is_isolated(self.membership.me),
+            self.members_age_s() if self.reader_election.reading else 0,
         )
 
     def announce_soon(self) -> None:
@@ -284,6 +294,7 @@
         self.record_isolation(link, message.isolated)
         self.reader_election.record(link.peer, message)
         self.list_age.record(message)
+        self.on_beacon(link.peer, message)
         self.directory.drains.apply(message.drains, source)
         self.era_tracker.observe(message.directory.era, source)
         if (
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -220,7 +220,10 @@
         self.origins.read_servers = lambda: self.directory_source.read_changes(
             self.directory.position
         )
-        self.member_reader = MemberReader(self.tables.instances, self.fleet, self.clock)
+        claim = self.budgets.claim
+        claim.all_answer = self.fleet.is_complete
+        self.fleet.members_age_s, self.fleet.on_beacon = claim.members_age_s, claim.record_beacon
+        self.member_reader = MemberReader(self.tables.instances, self.fleet, claim, self.clock)
         self.fleet.is_store_answering = self.follows_store
         self.follower.is_feed_live = self.is_feed_live
 
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -65,6 +65,7 @@
             self.speed_exchange.run,
             self.handover.run,
             self.cold.leadership.run,
+            self.budgets.claim.run,
             self.demand.run,
             self.isolation.run,
             self.fleet.run,
--- a/packages/core/src/mountladder/forwarding/memberreader.py
+++ b/packages/core/src/mountladder/forwarding/memberreader.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import xxhash
 from eliot import log_message
 from gevent.event import Event
@@ -14,14 +16,14 @@
 from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.memberlist import MemberList
+from mountladder.forwarding.shareclaim import READ_INTERVAL_MS, ShareClaim
 from mountladder.forwarding.updaterequest import UpdateRequest
 from mountladder.membership.link import Link
 from mountladder.store.eratracker import MAX_COPY_AGE_MS
 from mountladder.store.instancelist import InstanceList
 
-# How often the list is read again; new instances connect to their peers before.
-READ_INTERVAL_MS = 20_000.0
-RETRY_MS = 1_000.0
+# How often it is checked whether the list is to be read, and how soon a failed call is repeated.
+CHECK_MS = 1_000.0
 # The time over which instances spread their renewed registration: 390 make 195 calls a second.
 SPREAD_MS = 2_000
 
@@ -34,17 +36,25 @@
     Args:
         instances: The platform's list.
         fleet: The other instances.
+        claim: Is told when this instance was first listed, and when it has read the list.
         clock: The clock.
 
     Attributes:
+        joined: When this instance was first listed, in milliseconds since 1970; 0 until it is.
+        read_failed: Whether the list is still to be read since the store did not answer.
         announced_at: When this instance registered itself, or None if it still has to.
     """
 
-    def __init__(self, instances: InstanceList, fleet: Fleet, clock: Clock) -> None:
+    def __init__(
+        self, instances: InstanceList, fleet: Fleet, claim: ShareClaim, clock: Clock
+    ) -> None:
         self.instances = instances
         self.fleet = fleet
         self.membership = fleet.membership
+        self.claim = claim
         self.clock = clock
+        self.joined = 0
+        self.read_failed = False
         self.announced_at: float | None = None
         self.wake = Event()
         fleet.era_tracker.listeners.append(self.announce_again)
@@ -54,19 +64,47 @@
     def run(self) -> None:
         """Register this instance, and read the list periodically, forever."""
         while True:
-            pause_ms = READ_INTERVAL_MS
             try:
                 if self.announced_at is None:
-                    self.instances.announce(self.membership.me)
-                    self.announced_at = self.clock.now()
-                if self.fleet.reader_election.reading or not self.membership.listed:
+                    self.announce()
+                if self.must_read():
                     self.read()
             except (StoreUnavailableError, StoreAmbiguousError) as error:
                 announced = self.announced_at is not None
                 log_message("instance-list-unavailable", reason=str(error), announced=announced)
-                pause_ms = RETRY_MS
+                self.read_failed = True
             self.wake.clear()
-            self.clock.wait(self.wake, pause_ms)
+            self.clock.wait(self.wake, CHECK_MS + self.own_delay_ms() * self.claim.cut_off)
+
+    def must_read(self) -> bool:
+        """Return whether this instance is to read the list now."""
+        age_ms = self.clock.now() - self.claim.read_at
+        if self.fleet.reader_election.reading and age_ms >= READ_INTERVAL_MS:
+            return True
+        # An instance that lost its reader and could not read either was not sent what is new.
+        if self.read_failed or not self.membership.listed:
+            return True
+        # In its first reading others that start at the same time may be missing.
+        if self.claim.reads == 1 and age_ms >= READ_INTERVAL_MS + self.own_delay_ms():
+            return True
+        # What others read while this instance was cut off is not sent to it again.
+        return self.claim.cut_off and self.claim.is_list_current()
+
+    def announce(self) -> None:
+        """Register this instance, and keep since when its name is listed.
+
+        Raises:
+            StoreUnavailableError: The store does not answer.
+        """
+        me = self.membership.me
+        now = int(self.clock.wall())
+        if not self.joined:
+            earlier = [one for one in self.instances.instances() if one.name == me.name]
+            known = (one.joined or one.since or now for one in earlier)
+            self.joined = min([now, *known])
+        self.instances.announce(replace(me, joined=self.joined))
+        self.announced_at = self.clock.now()
+        self.claim.listed_at = min(self.claim.listed_at, self.announced_at - (now - self.joined))
 
     def announce_again(self) -> None:
         """Register this instance again if a restored store may have lost its entry.
@@ -83,20 +121,27 @@
             self.announced_at = None
             self.wake.set()
 
-        # A hash of the name gives each instance its own delay.
-        delay_ms = float(xxhash.xxh64_intdigest(self.membership.me.name.encode()) % SPREAD_MS)
+        delay_ms = self.own_delay_ms()
         log_message("instance-registered-again", after_ms=round(delay_ms))
         self.clock.call_later(delay_ms, announce)
 
+    def own_delay_ms(self) -> float:
+        """Return this instance's own delay, by which calls of all instances are spread."""
+        return float(xxhash.xxh64_intdigest(self.membership.me.name.encode()) % SPREAD_MS)
+
     def read(self) -> None:
         """Read the list, and send new entries to the reader group.
 
         Raises:
             StoreUnavailableError: The store does not answer.
         """
-        before = {one.incarnation for one in self.membership.known.values()}
+        # Those that this instance has links to may still be unknown to the others of the group.
+        before = self.membership.listed
         self.membership.apply_list(self.instances.instances())
-        new = [one for one in self.membership.addressed() if one.incarnation not in before]
+        self.claim.record_read()
+        self.read_failed = False
+        new_ones = self.membership.listed - before
+        new = [one for one in self.membership.addressed() if one.incarnation in new_ones]
         if self.fleet.reader_election.reading:
             self.fleet.send_members(new, self.fleet.reader_group_links())
         self.fleet.retarget.set()
--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -12,17 +12,12 @@
 
 from mountladder.clocks.clock import Clock
 from mountladder.forwarding.forwardingsettings import ForwardingSettings
-from mountladder.forwarding.memberreader import READ_INTERVAL_MS
-from mountladder.forwarding.ranking import SMALL_FLEET
+from mountladder.forwarding.shareclaim import ShareClaim
 from mountladder.limits.retrylimits import RetryLimits
 from mountladder.limits.sharedretrybudget import SharedRetryBudget
 from mountladder.limits.windowbudget import WindowBudget
 from mountladder.membership.membership import Membership
 
-# In a large fleet an instance that starts is known to all others after this time: the list is read
-# by one instance of each data centre, which passes it on.
-KNOWN_AFTER_MS = READ_INTERVAL_MS + 2_000.0
-
 
 class RetryBudgets:
     """Holds this instance's parts of the retry budgets of services.
@@ -33,6 +28,7 @@
         clock: The clock.
 
     Attributes:
+        claim: Decides whether this instance takes its part of the reserve.
         requests: The budgets for requests, by service; all instances send to it.
         pieces: The budgets for pieces of stages, by service; one instance sends to it.
     """
@@ -44,6 +40,7 @@
         self.membership = membership
         self.clock = clock
         self.started_at = clock.now()
+        self.claim = ShareClaim(membership, lambda: self.settings().retry_window_ms, clock)
         self.requests: dict[str, SharedRetryBudget] = {}
         self.pieces: dict[str, WindowBudget] = {}
 
@@ -90,11 +87,7 @@
         return RetryLimits(settings.retry_ratio, settings.retry_window_ms, self.reserve())
 
     def reserve(self) -> float:
-        """Return this instance's part of the common reserve of retries.
-
-        It is none until the others know this instance and take its part off theirs.
-        """
-        is_large = len(self.membership.known) > SMALL_FLEET
-        if is_large and self.clock.now() - self.started_at < KNOWN_AFTER_MS:
+        """Return this instance's part of the common reserve of retries."""
+        if not self.claim.may_take():
             return 0.0
         return self.settings().retry_reserve / self.membership.budget_sharers()
--- a/packages/core/src/mountladder/membership/instance.py
+++ b/packages/core/src/mountladder/membership/instance.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Messages and fields that are added without a new version of the protocol are only sent to, or
 # expected of, instances that know them. Builds that do not tell their set have 0; 1 adds software
@@ -32,6 +32,7 @@
         since: When it started, in milliseconds since 1970; older ones are preferred as
             coordinators.
         message_set: The newest set of messages that it understands; see MESSAGE_SET.
+        joined: When its name was first listed, in milliseconds since 1970; 0 if that is unknown.
     """
 
     name: str
@@ -43,6 +44,7 @@
     cores: float = 1.0
     since: int = 0
     message_set: int = MESSAGE_SET
+    joined: int = field(default=0, compare=False)
 
     @property
     def knows_versions(self) -> bool:
--- a/packages/core/src/mountladder/membership/wire.capnp
+++ b/packages/core/src/mountladder/membership/wire.capnp
@@ -84,6 +84,7 @@
   cut @8 :List(Text);
   drains @9 :List(DatacentreDrain);
   isolated @10 :Bool;
+  membersAgeS @11 :UInt16;
 }
 
 # Requests newer state; a catalogue of -1 stands for none, and the directory is only requested if
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -157,6 +157,7 @@
         tuple(str(name) for name in one.cut),
         tuple(_read_drain(drain) for drain in one.drains),
         one.isolated,
+        one.membersAgeS,
     )
 
 
--- a/packages/core/src/mountladder/membership/wirewriter.py
+++ b/packages/core/src/mountladder/membership/wirewriter.py
@@ -114,6 +114,7 @@
     beacon.reads, beacon.fed = message.reads_store, message.store_answers
     beacon.judges, beacon.cut = message.detects_partitions, list(message.unreachable)
     beacon.isolated = message.isolated
+    beacon.membersAgeS = message.members_age_s
     _fill_backlogs(message.backlogs, beacon.init("backlogs", len(message.backlogs)))
     drains = beacon.init("drains", len(message.drains))
     for drain, to in zip(message.drains, drains, strict=True):
--- a/packages/entry/src/mountladder_entry/httpinstancelist.py
+++ b/packages/entry/src/mountladder_entry/httpinstancelist.py
@@ -35,7 +35,10 @@
 
     def announce(self, instance: Instance) -> None:
         """Announce an instance to the platform; see InstanceList."""
+        entry = asdict(instance)
+        # Builds that do not know the field cannot read an entry with it.
+        del entry["joined"]
         try:
-            self.client.call("POST", "/instances", json.dumps(asdict(instance)).encode())
+            self.client.call("POST", "/instances", json.dumps(entry).encode())
         except StoreAmbiguousError as error:
             raise StoreUnavailableError(error.detail) from error
