--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -146,6 +146,7 @@
     "drains": (DatacentreDrain("b", Position(1, 4), True),),
     "isolated": True,
     "list_age_ms": 600,
+    "members_age_s": 4,
 }
 
 
--- a/packages/core/src/mountladder/forwarding/beacon.py
+++ b/packages/core/src/mountladder/forwarding/beacon.py
@@ -32,6 +32,8 @@
         isolated: Whether it can reach no backend server.
         list_age_ms: If it polls the store and is answered, how long ago the store last told it of
             the list of backend servers, in milliseconds. Instances of an older build say 0.
+        members_age_s: How old its last reading of the list of instances is, in seconds, rounded
+            up; 0 if it does not read the list for others, or does not tell.
     """
 
     catalogue: int
@@ -46,3 +48,4 @@
     drains: tuple[DatacentreDrain, ...] = ()
     isolated: bool = False
     list_age_ms: int = 0
+    members_age_s: int = 0
--- a/packages/core/src/mountladder/membership/wirereader.py
+++ b/packages/core/src/mountladder/membership/wirereader.py
@@ -158,6 +158,7 @@
         tuple(_read_drain(drain) for drain in one.drains),
         one.isolated,
         one.listAge,
+        one.membersAgeS,
     )
 
 
