Orders: engines that load a model and do not answer count as loading

While two engines that loaded did not answer, two more were ordered to load.

Cause: only engines that answered were counted.

Change: an engine that was loading when it last answered, or was ordered to load since, counts until it answers that it loads nothing, leaves the configuration, or for 10 min (Loads; docs/DECISIONS.md 9 says why). An order counts also if it failed, since it may have arrived.

Not mended: a holder of the lease that takes over does not know what engines load that do not answer it (docs/FINDINGS.md).

--- a/features/silentpeers.feature
+++ b/features/silentpeers.feature
@@ -172,3 +172,44 @@
     And the engines that load do not answer any more
     And reconcilers one run for 4000 ms
     Then at most 2 downloads ran at once
+
+  Scenario: Engines that were ordered to load and do not answer the order count as loading
+    # The failure: an order that reached its engine, but was not answered, was not counted.
+    Given 4 engines of data centre a that serve model old-model
+    And the configuration asks for 4 replicas of new-model and 4 of old-model
+    And the engines do not answer any more once they have an order
+    When reconcilers one run for 4000 ms
+    Then at most 2 downloads ran at once
+
+  Scenario: An engine that answers again and does not load frees its place
+    # Guards against engines that count as loading for as long as a load may take.
+    Given 4 engines of data centre a that serve model old-model
+    And the configuration asks for 4 replicas of new-model and 4 of old-model
+    When reconcilers one run for 1000 ms
+    And the engines that load do not answer any more
+    And reconcilers one run for 4000 ms
+    And all engines answer again
+    And reconcilers one run for 10000 ms
+    Then 4 engines serve new-model and 4 serve old-model
+    And at most 2 downloads ran at once
+
+  Scenario: Engines that have ended while they were loading do not hold up the others for good
+    # Guards against places that engines keep which never answer again.
+    Given 4 engines of data centre a that serve model old-model
+    And the configuration asks for 4 replicas of new-model and 4 of old-model
+    When reconcilers one run for 1000 ms
+    And the engines that load do not answer any more
+    And reconcilers one run for 590000 ms
+    Then 2 engines were ordered to load
+    When reconcilers one run for 30000 ms
+    Then 4 engines were ordered to load
+
+  Scenario: Engines that have left the configuration hold no places
+    # Guards against places that engines keep which an operator has removed.
+    Given 4 engines of data centre a that serve model old-model
+    And the configuration asks for 4 replicas of new-model and 4 of old-model
+    When reconcilers one run for 1000 ms
+    And the engines that load do not answer any more
+    And these engines are removed from the configuration
+    And reconcilers one run for 4000 ms
+    Then 4 engines were ordered to load
--- a/features/steps/silentpeers_steps.py
+++ b/features/steps/silentpeers_steps.py
@@ -12,6 +12,7 @@
 from fleetevents import EVENT_MS, EVENTS
 from forwardbasics import PATHS, find_coordinator, request, send_steadily, serve
 from noticerecorder import send
+from order_steps import configure, make_model, reconciler
 from quarantine_steps import model_names
 from serverlimit_steps import announce_limit, of_service
 from serverlimit_steps import send as send_limited
@@ -358,7 +359,42 @@
 
 @when("the engines that load do not answer any more")
 def loading_silent(context):
-    loading = {name for name, one in context.loaders.items() if one.loading}
-    assert len(loading) == 2, loading
+    context.silenced = {name for name, one in context.loaders.items() if one.loading}
+    assert len(context.silenced) == 2, context.silenced
     for one in context.reconcilers.values():
-        one.engines.down |= loading
+        one.engines.down |= context.silenced
+
+
+@given("the engines do not answer any more once they have an order")
+def silent_after_order(context):
+    engines = reconciler(context, "one").engines
+    plain_order = engines.order
+
+    def order(server, sent):
+        plain_order(server, sent)
+        engines.down.add(server.name)
+        engines.find_loader(server)
+
+    engines.order = order
+
+
+@when("all engines answer again")
+def engines_answer(context):
+    for one in context.reconcilers.values():
+        one.engines.down.clear()
+
+
+@when("these engines are removed from the configuration")
+def engines_removed(context):
+    context.servers = [one for one in context.servers if one.name not in context.silenced]
+    configure(context, make_model("new-model", 4), make_model("old-model", 4))
+
+
+@then("{number:d} engines were ordered to load")
+def ordered_to_load(context, number):
+    ordered = [
+        name
+        for name, one in context.loaders.items()
+        if any("new-model" in dict(order.models) for order in one.orders)
+    ]
+    assert len(ordered) == number, ordered
--- a/packages/core/src/mountladder/engines/orders.py
+++ b/packages/core/src/mountladder/engines/orders.py
@@ -15,6 +15,7 @@
 from mountladder.configuration.follower import Follower
 from mountladder.engines.engines import Engines
 from mountladder.engines.enginestate import EngineState
+from mountladder.engines.loads import Loads
 from mountladder.engines.order import Order
 from mountladder.engines.placement import engines_of, wanted_models
 from mountladder.errors import LeaseLostError, OrderFencedError, StageError
@@ -42,6 +43,9 @@
         engines: The engines.
         lease: The lease that entitles its holder to send orders.
         metrics: Counts orders.
+
+    Attributes:
+        loads: Which engines load models.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         self.engines = engines
         self.lease = lease
         self.metrics = metrics
+        self.loads = Loads(lease.clock)
         self.last_orders: dict[str, Models] = {}
         self.next_reconcile_at = 0.0
 
@@ -89,7 +94,7 @@
             for name, _ in state.models
             if f"model/{name}" in configuration.documents
         )
-        loading = sum(bool(state.loading) for state in states.values())
+        loading = self.loads.count(servers, states)
         for name in sorted(wanted):
             state = states[name]
             target = self.keep_last_replicas(state, wanted[name], serving)
@@ -152,6 +157,8 @@
         fence = self.lease.fence
         log_message(event, server=server.name, found=state.models, wanted=target, fence=fence)
         self.metrics.count(Metric.ORDERS)
+        if set(target) - set(state.models):
+            self.loads.record_order(server.name)
         try:
             self.engines.order(server, Order(fence, target))
         except OrderFencedError:
