Retries: pieces that a coordinator sends again need no claim on the reserve

What callers saw: staged requests failed (3002) where a stage server was silent in the first eleven seconds of a fleet.

Cause: since an instance takes no part of the reserve before all others count it. That holds for the budget of pieces as well, though its coordinator alone sends those, so that its part cannot add up with those of others.

Change: the budget of pieces has the part of one instance, as before.

--- a/packages/core/src/mountladder/forwarding/retrybudgets.py
+++ b/packages/core/src/mountladder/forwarding/retrybudgets.py
@@ -78,7 +78,7 @@
         """Return the retry budget for pieces of a service's stages."""
         budget = self.pieces.get(service)
         if budget is None:
-            budget = self.pieces[service] = WindowBudget(self.clock, self.limits)
+            budget = self.pieces[service] = WindowBudget(self.clock, self.limits_of_pieces)
         return budget
 
     def limits(self) -> RetryLimits:
@@ -86,8 +86,18 @@
         settings = self.settings()
         return RetryLimits(settings.retry_ratio, settings.retry_window_ms, self.reserve())
 
+    def limits_of_pieces(self) -> RetryLimits:
+        """Return how many pieces of one service's stages this instance may send again.
+
+        Its coordinator alone sends them, so that its part need not be counted by the others yet.
+        """
+        settings = self.settings()
+        return RetryLimits(settings.retry_ratio, settings.retry_window_ms, self.part())
+
     def reserve(self) -> float:
-        """Return this instance's part of the common reserve of retries."""
-        if not self.claim.may_take():
-            return 0.0
+        """Return this instance's part of the common reserve, or 0 while it may not take it."""
+        return self.part() if self.claim.may_take() else 0.0
+
+    def part(self) -> float:
+        """Return the part of the common reserve of retries that one instance has."""
         return self.settings().retry_reserve / self.membership.budget_sharers()
