Streams: a server that was asked as a stream began is not asked again

What callers saw: streams that began at an instance that was cut off were refused there with 2016, since their server had left in a release meanwhile.

Cause: while the list of servers is old, a server is asked for its start before the first event. The stream was checked half a second later all the same, when its server might not answer any more, and counted as unverified. By reading; no logs of the refusals were kept.

Change: a stream whose server was asked is settled.

--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -31,6 +31,7 @@
         required: The version, or None before the first event.
         beginning: Which server began the stream, or None if it is not known or an earlier attempt
             began it.
+        is_checked: Whether that server was asked for its start before its first event.
     """
 
     def __init__(self, run: StreamRun) -> None:
@@ -40,6 +41,7 @@
         self.starts = run.context.starts
         self.required: str | None = None
         self.beginning: StreamBeginning | None = None
+        self.is_checked = False
 
     def find(self) -> None:
         """Find the version of a stream that its caller resumes.
@@ -117,6 +119,7 @@
         if self.required is not None:
             is_verified = self.starts.may_continue_at(server)
         elif self.may_continue(attempt):
+            self.is_checked = self.starts.is_needed()
             is_verified = self.starts.is_as_listed(server)
         version = self.directory.current_version(server) if is_verified else UNVERIFIED_VERSION
         if self.required is not None and not (is_verified and version == self.required):
@@ -132,7 +135,8 @@
     def settle(self, attempt: ForwardAttempt, version: str) -> None:
         """Have the stream continue at a version from here on, in this answer and later ones."""
         is_first = self.required is None and version != UNVERIFIED_VERSION
-        is_checked_later = is_first and self.may_continue(attempt)
+        # A server that was asked may have left by the time of a second question.
+        is_checked_later = is_first and not self.is_checked and self.may_continue(attempt)
         self.required = version
         run, origins = self.run, self.context.origins
         fingerprint = run.tracked.fingerprint
