--- a/features/soak.feature
+++ b/features/soak.feature
@@ -104,6 +104,39 @@
       | older       | store  | streams that began seconds before were unknown              |
       | peers-reset | b-1    | streams that began seconds before were unknown              |
 
+  # Guards against checks that a cut switches off: it excuses what one side cannot know, no more.
+  Scenario Outline: A data centre that is cut off excuses only what the other side does not know
+    Given a record of a soak without violations
+    And a fault "isolated-reset" of b-1 from second 1 to second 9
+    When <fault>
+    Then <outcome>
+
+    Examples:
+      | fault                                                                   | outcome                                 |
+      | three streams have events of two versions                               | only streams_of_one_version is broken   |
+      | streams that began seconds before at b-1 were unknown at b-1            | only origins_known is broken            |
+      | streams that began seconds before at b-1 were unknown at a-2            | every promise is kept                   |
+      | most streams that began at a-2 and were resumed at a-2 were refused     | only resumed_streams_continue is broken |
+      | most streams that began at b-1 and were resumed at a-2 were refused     | every promise is kept                   |
+      | a stream whose version had left was told not to return, and then served | every promise is kept                   |
+
+  # Guards against streams of two versions by an instance that takes those it reaches for all: one
+  # that is cut off, with its data centre, does not hear of the version that a release brings.
+  Scenario Outline: A data centre is cut off during a release while callers resume streams
+    When these faults are played with seed 7 for 11 seconds with 4 instances
+      | kind          | target   | at  | seconds | strength |
+      | short-streams | callers  | 0.5 | 8.0     | 3        |
+      | long-streams  | callers  | 0.5 | 8.0     | 1        |
+      | <kind>        | b-1, b-2 | 1.2 | 7.0     | 1        |
+      | versions      | llm      | 2.0 | 7.0     | 0.4      |
+    Then every promise is kept
+    And at least 100 streams were resumed
+
+    Examples:
+      | kind            |
+      | isolated-silent |
+      | isolated-reset  |
+
   Scenario: Servers that crash if they reject many requests are not overfilled
     When these faults are played with seed 7 for 12 seconds with 4 instances
       | kind    | target | at  | seconds | strength |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -570,16 +570,16 @@
         assert not command.exists() or b"mountladder_entry" not in command.read_bytes(), child
 
 
-def resume(context, number, version, status=200):
-    """Have callers resume streams of version v1 at b-1 while two versions serve."""
+def resume(context, number, version, status=200, first_at="b-1", at="b-1"):
+    """Have callers resume streams of version v1 at an instance while two versions serve."""
     context.record.two_versions.append((0.0, LENGTH_S))
     for name in ("llm-11", "llm-12", "llm-13", "llm-14"):
         context.record.started_at[name] = 0.0
         context.record.datacentres[name] = "b"
         context.record.versions[name] = "v1" if name < "llm-13" else "v2"
     for n in range(number):
-        first = StreamAttempt(f"v{n}", "b-1", 5.0, 5.1, ("v1", "v1"), 0)
-        again = StreamAttempt(f"v{n}t1", "b-1", 5.2, 5.3, (version,) if version else (), status)
+        first = StreamAttempt(f"v{n}", first_at, 5.0, 5.1, ("v1", "v1"), 0)
+        again = StreamAttempt(f"v{n}t1", at, 5.2, 5.3, (version,) if version else (), status)
         context.record.stream_attempts[first.id] = [first, again]
 
 
@@ -598,16 +598,21 @@
 
 
 @when("most streams that callers resumed were refused")
-def refused_streams(context):
-    resume(context, 30, "", 503)
-    resume(context, 10, "v1")
+def refused_streams(context, first_at="b-1", at="b-1"):
+    resume(context, 30, "", 503, first_at, at)
+    resume(context, 10, "v1", 200, first_at, at)
 
 
-def lose_known(context, code, retry_after_s=None):
+@when("most streams that began at {first_at} and were resumed at {at} were refused")
+def refused_elsewhere(context, first_at, at):
+    refused_streams(context, first_at, at)
+
+
+def lose_known(context, code, retry_after_s=None, at="b-1"):
     """Have three streams refused with a code three seconds after their first events."""
     for n in range(3):
         first = StreamAttempt(f"v{n}", "b-1", 4.0, 5.0, ("v1", "v1"), 0, heard=4.1)
-        again = StreamAttempt(f"v{n}t1", "b-1", 7.0, 7.1, (), 503, code, retry_after_s)
+        again = StreamAttempt(f"v{n}t1", at, 7.0, 7.1, (), 503, code, retry_after_s)
         context.record.stream_attempts[first.id] = [first, again]
         context.record.exchanges[again.id] = exchange(
             again.id, "resumable", sent=7.0, status=503, retry_after_s=retry_after_s
@@ -619,6 +624,11 @@
     lose_known(context, 2016)
 
 
+@when("streams that began seconds before at b-1 were unknown at {at}")
+def unknown_elsewhere(context, at):
+    lose_known(context, 2016, 1.0, at)
+
+
 @when("a stream whose version had left was told not to return, and then served")
 def served_after_all(context):
     lose_known(context, 2015)
