Servers: a head or trailer that the connection ends is not whole

What callers saw: a server that stopped within its answer's head, at the end of a line, and closed gave them a status 200 with an empty or short body, framed as whole.

Cause: http.client takes the end of a connection for the line that ends a head or a trailer. WholeLineReader raised only where a line itself was incomplete. What came before the cut was believed: the status, and a body without a length, which has no bytes. The same reader is below the calls to the store, where a change of rows counted as done, to other instances, to stages, and below health checks, which counted as good.

Change: WholeLineReader raises wherever a line is due and the connection has ended, except before the first line of an answer.

Measured: features/earlyends.feature cuts each kind of message behind each of its bytes. 18 of its 25 scenarios failed before (all eight of servers' answers, pieces in chunks, health, all four of the store, both of other instances, two of stages); all pass now. Those on requests of callers passed before as well: a request that is cut never ran. http, platform, endlessanswers, streamclauses, relay, foreignanswers, eras: 415 passed.

--- a/packages/entry/src/mountladder_entry/wholelinereader.py
+++ b/packages/entry/src/mountladder_entry/wholelinereader.py
@@ -11,20 +11,29 @@
 
 
 class WholeLineReader(io.BufferedReader):
-    """A buffered reader that fails where the connection ends within a line.
+    """A buffered reader that fails where the connection ends before the lines of an answer do.
 
-    The HTTP library takes what is there of such a line for all of it, and the beginning of the size
-    of a chunk, if that is a zero, for the end of the body.
+    The HTTP library takes the end of the connection for the end of a line, of a head and of the
+    trailer, and the beginning of the size of a chunk, if that is a zero, for the end of the body.
+
+    Attributes:
+        has_begun: Whether a line was read.
     """
 
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self.has_begun = False
+
     def readline(self, size: int | None = -1) -> bytes:
-        """Return the next line, or no bytes at the end; see io.BufferedReader.
+        """Return the next line, or no bytes if the connection ends before the first one.
 
         Raises:
-            IncompleteRead: The connection ended within it.
+            IncompleteRead: The connection ended before the line did; another line was due, since an
+                empty one ends the head and the trailer.
         """
         line = super().readline(size)
         is_cut_short = size is not None and 0 <= size <= len(line)
-        if line and not line.endswith(b"\n") and not is_cut_short:
+        if not line.endswith(b"\n") and not is_cut_short and (line or self.has_begun):
             raise IncompleteRead(line)
+        self.has_begun = True
         return line
