Build: packages for another interpreter or machine are installed again

Cause: deploy/build.sh installed the packages again only if the lock file had changed. A folder that was built under another version of Python, or carried over from another kind of machine, kept its native modules; the build ended with 0 and no instance could start.

Change: target/built-for holds the suffix of native modules, which names the interpreter, the machine and the C library, and the lock file. It is removed before an installation and written after it, so that one that was interrupted is begun again. A folder of an earlier build has none and is replaced.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,12 +5,19 @@
 set -eu
 cd "$(dirname "$0")/.."
 deps=target/deps
-if ! cmp -s deploy/requirements.lock target/requirements.lock; then
-    rm -rf "$deps"
+# What the installed packages were built for: native modules load only on this kind of machine and
+# under this version of Python, also where the folder was copied from elsewhere.
+stamp=target/built-for
+wanted=$(python3 -c 'import sysconfig; print(sysconfig.get_config_var("EXT_SUFFIX"))' &&
+    cat deploy/requirements.lock)
+if [ "$(cat "$stamp" 2>/dev/null)" != "$wanted" ]; then
+    # Without the stamp, a build that is interrupted from here on is begun again.
+    rm -rf "$deps" "$stamp"
+    mkdir -p "$deps"
     python3 -m pip install --quiet --require-hashes --target "$deps" -r deploy/requirements.lock
     # gevent searches these for plugins at each start, and there are none.
     rm -rf "$deps"/*.dist-info
-    cp deploy/requirements.lock target/requirements.lock
+    printf '%s\n' "$wanted" >"$stamp"
 fi
 rm -rf "$deps/mountladder" "$deps/mountladder_entry" "$deps/mountladder_platform"
 cp -R packages/core/src/mountladder packages/entry/src/mountladder_entry \
