--- a/packages/core/src/mountladder/configuration/fields.py
+++ b/packages/core/src/mountladder/configuration/fields.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import reprlib
 import sys
 from collections.abc import Mapping
 
@@ -13,7 +14,11 @@
 
 # The largest integer that the messages between instances can hold.
 MAX_INTEGER = 2**63 - 1
+# How much of a value that is not as expected is shown.
+MAX_SHOWN_CHARS = 80
 _REQUIRED = object()
+_SHOWN = reprlib.Repr()
+_SHOWN.maxstring = _SHOWN.maxlong = _SHOWN.maxother = MAX_SHOWN_CHARS
 
 
 class Fields:
@@ -39,7 +44,7 @@
     def fault(self, key: str, expected: str, found: object) -> None:
         """Record an error with the key, the expected and the actual value."""
         where = f"{self.location}: {key}" if key else self.location
-        self.faults.append(self.error(f"{where}: expected {expected}, found {found!r}"))
+        self.faults.append(self.error(f"{where}: expected {expected}, found {_SHOWN.repr(found)}"))
 
     def typed_value(self, key: str, kind: type, expected: str, default: object) -> object:
         """Return a key's value, or its default; record an error if it has the wrong type."""
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -206,7 +206,12 @@
     def build_followers(self) -> None:
         """Create and connect the components that follow the platform's tables."""
         applier = PageApplier(
-            self.tables, self.follower, self.directory, self.fleet.era_tracker, self.clock
+            self.tables,
+            self.follower,
+            self.directory,
+            self.fleet.era_tracker,
+            self.clock,
+            self.metrics,
         )
         self.catalogue_source = self.make_follower(
             "catalogue", self.tables.catalogue, applier.apply_catalogue
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -71,7 +71,7 @@
             self.isolation.run,
             self.fleet.run,
         )
-        tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
+        tasks = [gevent.spawn(keep_running, loop, self.clock, self.metrics) for loop in loops]
         self.stack.callback(self.fleet.close)
         self.stack.callback(gevent.killall, tasks, block=False)
         self.stack.callback(self.upstream.close)
--- a/packages/core/src/mountladder/forwarding/pageapplier.py
+++ b/packages/core/src/mountladder/forwarding/pageapplier.py
@@ -16,6 +16,8 @@
 from mountladder.forwarding.platformtables import PlatformTables
 from mountladder.forwarding.serverrecord import ServerRecord
 from mountladder.forwarding.sourcepage import SourcePage
+from mountladder.metrics.metric import Metric
+from mountladder.metrics.metrics import Metrics
 from mountladder.store.eratracker import EraTracker
 
 STORE = "store"
@@ -30,6 +32,7 @@
         directory: The list of backend servers.
         era_tracker: Detects that the store was restored from an older copy.
         clock: The clock.
+        metrics: Counts entries that cannot be decoded.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         directory: Directory,
         era_tracker: EraTracker,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self.tables = tables
         self.follower = follower
         self.directory = directory
         self.era_tracker = era_tracker
         self.clock = clock
+        self.metrics = metrics
 
     def apply_catalogue(self, page: SourcePage, whole: bool) -> None:
         """Apply a page of the operator's table, which holds the catalogue and the drains.
@@ -81,6 +86,7 @@
             except BadRowError as error:
                 # A malformed entry counts as removed, even if it named a server before.
                 records.append(ServerRecord(row.key, row.position))
+                self.metrics.count(Metric.MALFORMED_ROWS)
                 log_message("server-entry-malformed", server=row.key, reason=str(error))
         if whole:
             self.directory.replace(records, page.position, STORE)
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -48,6 +48,16 @@
     CLAIMS = ("claims", "counter", "keys claimed in the store")
     CLAIM_COMMITS = ("claim_commits", "counter", "transactions that carried claims")
     STORE_ERRORS = ("store_errors.", "counter", "failed calls to the platform, by result code")
+    MALFORMED_ROWS = (
+        "malformed_rows",
+        "counter",
+        "entries of backend servers that were read and could not be decoded",
+    )
+    TASK_RESTARTS = (
+        "task_restarts",
+        "counter",
+        "times a task of the instance failed and was started again; the log names it",
+    )
     PEER_ERRORS = ("peer_errors.", "counter", "failed peer messages, by result code")
     PEER_BYTES = ("peer_bytes", "counter", "bytes sent to peers")
     COST_FLUSHES = ("cost_flushes", "counter", "batches of cost sent to the platform")
--- a/packages/core/src/mountladder/runtime.py
+++ b/packages/core/src/mountladder/runtime.py
@@ -194,7 +194,7 @@
             self.sweep,
             self.send_orders,
         )
-        tasks = [gevent.spawn(keep_running, loop, self.clock) for loop in loops]
+        tasks = [gevent.spawn(keep_running, loop, self.clock, self.metrics) for loop in loops]
         self.stack.callback(gevent.killall, tasks)
         self.stack.callback(self.peers.close)
         log_message("started", instance=self.me.name, incarnation=self.me.incarnation)
