Store: an answer that is no page counts as no answer

Cause: a page of another shape, or one of its rows without a key, raised KeyError, TypeError or RecursionError in StoreTable, and an answer that is no JSON a BadRowError that the tasks which follow a table or read the list of instances did not expect. The task ended and began again a second later, and the store did not count as unreachable, so that no other instance was asked to read in its place.

Those who read tables treat BadRowError like an unreachable store. JSON that is nested too deeply is malformed.

--- a/features/oddrows.feature
+++ b/features/oddrows.feature
@@ -49,6 +49,34 @@
       | "255.255.255.255:80"     |
       | "[::1]:80"               |
 
+  Scenario Outline: A page of the store with an odd row holds the others
+    Given a store whose page has a row <row> between two sound ones
+    When the table is read
+    Then it has the sound rows
+
+    Examples:
+      | row                         |
+      | without a key               |
+      | with a number as its key    |
+      | with a lone surrogate       |
+      | without a version           |
+      | with a text as its version  |
+      | that is no object           |
+
+  Scenario Outline: An answer of the store that is no page counts as no answer
+    Given a store whose pages are <answer>
+    When an instance follows a table of it
+    Then the store counts as unreachable, and the task goes on
+
+    Examples:
+      | answer                 |
+      | no JSON                |
+      | deeply nested JSON     |
+      | a list                 |
+      | an object without rows |
+      | rows that are a number |
+      | a version of 5000 digits |
+
   @forwarding
   Scenario Outline: Instances that start beside an odd entry serve by the others
     # All instances have ended, so that nobody else knows the list.
--- a/packages/core/src/mountladder/forwarding/memberreader.py
+++ b/packages/core/src/mountladder/forwarding/memberreader.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
-from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
+from mountladder.errors import BadRowError, StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.fleet import Fleet
 from mountladder.forwarding.memberlist import MemberList
 from mountladder.forwarding.shareclaim import READ_INTERVAL_MS, ShareClaim
@@ -69,7 +69,7 @@
                     self.announce()
                 if self.must_read():
                     self.read()
-            except (StoreUnavailableError, StoreAmbiguousError) as error:
+            except (StoreUnavailableError, StoreAmbiguousError, BadRowError) as error:
                 announced = self.announced_at is not None
                 log_message("instance-list-unavailable", reason=str(error), announced=announced)
                 self.read_failed = True
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
-from mountladder.errors import HistoryLostError, StoreUnavailableError
+from mountladder.errors import BadRowError, HistoryLostError, StoreUnavailableError
 from mountladder.forwarding.source import Source
 from mountladder.forwarding.sourcepage import SourcePage
 from mountladder.metrics.metric import Metric
@@ -109,7 +109,7 @@
             log_message("history-lost", table=self.name, reason=error.detail)
             self.position = None
             return
-        except StoreUnavailableError as error:
+        except (StoreUnavailableError, BadRowError) as error:
             self.record_failure(error)
             return
         self.record_answer()
@@ -127,7 +127,7 @@
         """
         try:
             page, whole = self.changes_or_all(after)
-        except (HistoryLostError, StoreUnavailableError) as error:
+        except (HistoryLostError, StoreUnavailableError, BadRowError) as error:
             log_message("changes-unavailable", table=self.name, reason=error.detail)
             return False
         self.on_page(page, whole)
@@ -144,8 +144,8 @@
         except HistoryLostError:
             return self.source.read(), True
 
-    def record_failure(self, error: StoreUnavailableError) -> None:
-        """Record an unanswered call, and pause before the next one."""
+    def record_failure(self, error: StoreUnavailableError | BadRowError) -> None:
+        """Record a call without an answer that can be read, and pause before the next one."""
         self.metrics.count(Metric.STORE_ERRORS, error.code.name.lower())
         if self.connected or self.unreachable_since is None:
             self.unreachable_since = self.clock.now()
--- a/packages/core/src/mountladder/quarantine/suspicionpersister.py
+++ b/packages/core/src/mountladder/quarantine/suspicionpersister.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from mountladder.clocks.clock import Clock
-from mountladder.errors import StoreAmbiguousError, StoreUnavailableError
+from mountladder.errors import BadRowError, StoreAmbiguousError, StoreUnavailableError
 from mountladder.forwarding.readerelection import ReaderElection
 from mountladder.quarantine.presumedjudge import SOURCE, PresumedJudge
 from mountladder.quarantine.suspicion import Suspicion
@@ -128,7 +128,7 @@
         """Load all rows and merge them into the quarantine; return whether the store answered."""
         try:
             rows = self.store.read()
-        except (StoreUnavailableError, StoreAmbiguousError) as error:
+        except (StoreUnavailableError, StoreAmbiguousError, BadRowError) as error:
             log_message("quarantine-load-failed", reason=str(error))
             return False
         log_message("quarantine-loaded", kind=self.quarantine.kind.noun, entries=len(rows))
--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -77,7 +77,8 @@
             if len(data) > MAX_RESULT_BYTES:
                 raise StageError("a result is too long", Code.BAD_ANSWER)
             json.loads(data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
+            # Deeply nested JSON raises RecursionError.
             response.close()
             raise StageError(f"a result is not JSON: {error}", Code.BAD_ANSWER) from error
         except BaseException:
--- a/packages/entry/src/mountladder_entry/httpclient.py
+++ b/packages/entry/src/mountladder_entry/httpclient.py
@@ -111,7 +111,8 @@
     """
     try:
         return json.loads(response.data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
+        # Deeply nested JSON raises RecursionError.
         raise BadRowError(f"an answer of the platform is not JSON: {error}") from error
 
 
