Servers: two entries never give their servers one name

Cause: a server's name is its id, an @ and its start, or the id alone where no start is known. An entry with the id "llm@5" and no start took the name of the server llm that started at 5, and shared its breaker, learnt speed and memory.

Change: an id that contains the mark is followed by a start even if none is known.

--- a/features/oddrows.feature
+++ b/features/oddrows.feature
@@ -49,6 +49,10 @@
       | "255.255.255.255:80"     |
       | "[::1]:80"               |
 
+  Scenario: No two entries give their servers one name
+    When entries of llm, started at 5, and of llm@5, with no start, are read
+    Then their servers have names of their own
+
   Scenario Outline: A page of the store with an odd row holds the others
     Given a store whose page has a row <row> between two sound ones
     When the table is read
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -96,7 +96,8 @@
     """
     labels = {SERVICE_LABEL: service, ID_LABEL: id_}
     return BackendServer(
-        name=f"{id_}@{born}" if born else id_,
+        # Unless its id is marked as well, one that contains the mark could be another one's name.
+        name=f"{id_}@{born}" if born or "@" in id_ else id_,
         labels=labels | {VERSION_LABEL: version} if version else labels,
         serves="service",
         address=address,
