Soak: odd rows, answers broken off in their head, pauses in a release

The soak had neither rows of other writers nor servers that stop within a head, and no instance that stands still during a release.

Change: two kinds of faults, drawn from generators of their own: odd rows in six tables, which come, change and go, in some seeds while all instances are killed; and answers that are broken off at the end of a line of their head. From seed 201 on, seeds of ISOLATE pause instances, half of them together and each in turn, with slow links and servers that start again in place, half of the seeds without a cut.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -124,6 +124,20 @@
   Scenario: Later seeds of a cut draw further faults in series
     Then seeds 1 to 100 of a cut draw none of the faults in series
     And seeds 101 to 200 of a cut draw each of them
+    And seeds 1 to 200 of a cut draw no pauses
+    And seeds 201 to 220 draw pauses and servers that start again, some without a cut
+
+  # Guards against one row of another writer that keeps instances from reading a table, and against
+  # answers that are taken for whole since their head ended with the connection.
+  Scenario: Odd rows come and answers are broken off within their head, and all instances are killed
+    When these faults are played with seed 7 for 9 seconds with 4 instances
+      | kind      | target             | at  | seconds | strength |
+      | odd-rows  | rows               | 0.5 | 6.0     | 1        |
+      | cut-heads | desk               | 1.0 | 5.0     | 0.3      |
+      | cut-heads | llm                | 1.0 | 5.0     | 0.3      |
+      | kill      | a-1, a-2, b-1, b-2 | 2.5 | 1.0     | 1        |
+    Then every promise is kept
+    And at least 100 requests were served
 
   # Guards against streams of two versions by an instance that takes those it reaches for all: one
   # that is cut off, with its data centre, does not hear of the version that a release brings.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,12 +28,21 @@
 from soak.fakestream import EVENTS
 from soak.fault import Fault
 from soak.instanceprocess import MEMORY_MB, RESTART_DELAY_S, START_LOCK
-from soak.isolation import EXTRAS, SERIES, draw_isolation
+from soak.isolation import EXTRAS, ISOLATED_FAULTS, SERIES, draw_isolation
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
 from soak.record import Record
 from soak.relayproxy import RelayProxy
-from soak.schedule import CALLERS, DEADLY_PART, FAULTS, SERVERS, SILENT_FAULTS, SKEWED, draw
+from soak.schedule import (
+    CALLERS,
+    DEADLY_PART,
+    FAULTS,
+    IN_PLACE,
+    SERVERS,
+    SILENT_FAULTS,
+    SKEWED,
+    draw,
+)
 from soak.serverfleet import SERVICES
 from soak.streamattempt import StreamAttempt
 
@@ -750,6 +759,22 @@
     assert not kinds_in_series(first, last)
 
 
+@then("seeds {first:d} to {last:d} of a cut draw no pauses")
+def no_pauses(context, first, last):
+    names = instance_names(6)
+    drawn = [draw_isolation(seed, names) for seed in range(first, last + 1)]
+    assert not {"pause", IN_PLACE} & {one.kind for faults in drawn for one in faults}
+
+
+@then("seeds {first:d} to {last:d} draw pauses and servers that start again, some without a cut")
+def pauses_drawn(context, first, last):
+    names = instance_names(6)
+    drawn = [{one.kind for one in draw_isolation(seed, names)} for seed in range(first, last + 1)]
+    assert all({"pause", IN_PLACE} <= kinds for kinds in drawn), drawn
+    without_cut = [kinds for kinds in drawn if not kinds & {*ISOLATED_FAULTS}]
+    assert 0 < len(without_cut) < len(drawn), drawn
+
+
 @then("seeds {first:d} to {last:d} of a cut draw each of them")
 def all_in_series(context, first, last):
     assert kinds_in_series(first, last) == {*SERIES} - {*EXTRAS}
