Streams: an instance that stood still does not take what waited for new

Cause: a peer's beacon says how old its list of servers is at the moment of sending. An instance that was paused read it seconds later and took its own list for confirmed as of then, so that a server which had started again meanwhile, or just before, counted as the one before. An answer of the store that had waited counted the same way.

Change: Standstill notices, by a timer of 200 ms, that the process did not run for half a second or more. What is read then, and half a second later, counts as sent before the standstill.

Measured: features/reborncut.feature has an outline of three rows, which fail with ListAge as it was. A message that is late on the network, not in this process, is not noticed.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -212,6 +212,24 @@
       | does not poll the store       | 1         | never       | at no time        |
       | the store does not answer     | 1         | never       | at no time        |
 
+  # Guards against streams of two versions by an instance that stood still: what waited in its sockets
+  # meanwhile was taken for new, so that a server which had started again counted as the one before.
+  Scenario Outline: What waited while the process stood still does not confirm the list since
+    Given a-1 has a list of servers up to change 1
+    When the process stands still for 3500 ms
+    And it reads <what>
+    Then the list is known to be current as of before it stood still, and not since
+    When it reads a beacon 200 ms later
+    Then the list is known to be current as of before it stood still, and not since
+    When it reads a beacon 1000 ms later
+    Then the list is known to be current
+
+    Examples:
+      | what                                                |
+      | a beacon that waited, before its timers have run    |
+      | a beacon that waited, after its timers have run     |
+      | an answer of the store that waited                  |
+
   # Guards against streams of two versions in the first moments of a cut, in which the list of servers
   # is not yet taken to be old.
   Scenario Outline: A server that crashed before a cut starts again in its first second
--- a/features/steps/reborncut_steps.py
+++ b/features/steps/reborncut_steps.py
@@ -22,6 +22,7 @@
     stream,
 )
 
+from mountladder.clocks.standstill import Standstill
 from mountladder.errors import StoreUnavailableError
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.directory import Directory
@@ -46,6 +47,8 @@
 FIRST_MS = 200.0
 ANNOUNCEMENTS = 20
 ARRIVES_MS = 20.0
+# How long before a standstill a call of the store began.
+BEFORE_MS = 100.0
 POLL_MS = 5.0
 
 
@@ -241,10 +244,33 @@
     starts_again(context, id_, version, float(ms))
 
 
+@given("the entry of server {id_} has been removed")
+def entry_removed(context, id_):
+    context.fleet.servers.put(id_, None)
+
+
+@given("as a stream is sent to it, server {id_} starts again at {version} and its entry is removed")
+def starts_again_and_goes(context, id_, version):
+    upstream = context.fleet.upstream
+    plain = upstream.open
+
+    def open_(server, call, limit_ms):
+        if server.name == f"{id_}@{FIRST_START}" and upstream.started_at_ms[id_] == FIRST_START:
+            # Both changes come before the list is read again, which shows the last one only.
+            upstream.started_at_ms[id_] = LATER_START
+            context.fleet.add_server(id_, "llm", "b", born=LATER_START, version=version)
+            context.fleet.servers.put(id_, None)
+        return plain(server, call, limit_ms)
+
+    upstream.open = open_
+
+
 @given("a-1 has a list of servers up to change {number:d}")
 def has_list(context, number):
     context.directory = Directory(context.clock)
-    context.list_age = ListAge(context.directory, context.clock)
+    context.standstill = Standstill(context.clock)
+    context.stack.callback(gevent.spawn(context.standstill.run).kill)
+    context.list_age = ListAge(context.directory, context.clock, context.standstill)
     apply_change(context, number)
 
 
@@ -274,6 +300,55 @@
         context.run(context.clock.sleep, float(ms))
 
 
+def read_beacon(context):
+    """Read a beacon of a peer which polls the store and has no newer entry."""
+    position = context.directory.newest
+    beacon = Beacon(0, position, False, False, reads_store=True, store_answers=True)
+    context.list_age.record(beacon)
+
+
+@when("the process stands still for {ms:d} ms")
+def stand_still(context, ms):
+    context.run(context.clock.sleep, SECOND_MS)
+    context.stood_since = context.clock.now()
+    # No timer of the process runs meanwhile.
+    context.clock.time += ms
+
+
+@when("it reads a beacon that waited, {when}")
+def read_waiting_beacon(context, when):
+    if when == "after its timers have run":
+        context.run(context.clock.sleep, 1.0)
+        assert 0.0 < context.standstill.since <= context.stood_since, context.standstill.since
+    read_beacon(context)
+
+
+@when("it reads an answer of the store that waited")
+def read_waiting_answer(context):
+    answered_at, called_at = context.clock.now(), context.stood_since - BEFORE_MS
+    context.list_age.answered_at = lambda: answered_at
+    context.list_age.read_at = lambda: called_at
+
+
+@when("it reads a beacon {ms:d} ms later")
+def read_later_beacon(context, ms):
+    context.run(context.clock.sleep, float(ms))
+    read_beacon(context)
+
+
+@then("the list is known to be current as of before it stood still, and not since")
+def current_before(context):
+    age = context.list_age
+    assert age.current_at() <= context.stood_since, (age.current_at(), context.stood_since)
+    assert age.ms() >= context.clock.now() - context.stood_since, age.ms()
+
+
+@then("the list is known to be current")
+def current_now(context):
+    assert context.list_age.current_at() == context.clock.now()
+    assert context.list_age.ms() == 0.0
+
+
 @then("after 6 s the list is known to be current at no time")
 def never_current(context):
     assert context.list_age.ms() == math.inf, context.list_age.ms()
--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 
 from mountladder.clocks.clock import Clock
+from mountladder.clocks.standstill import Standstill
 from mountladder.forwarding.backlog import Backlog
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.catalogue import Catalogue
@@ -70,6 +71,7 @@
         coordinators: Finds the coordinator of each topic.
         division: Decides which services each data centre coordinates by itself.
         peer_gone: Called with each link that a peer had opened, when it closes.
+        standstill: Detects that this process stood still.
         list_age: Tracks when the list of servers was last known to be current.
         era_tracker: Detects that the store was restored from an older copy.
         backlogs: Returns how long pieces wait at the services that this instance coordinates.
@@ -103,7 +105,8 @@
         self.coordinators = Coordinators(membership, self.ranking, self.division)
         self.partitions = PartitionDetector(membership)
         self.reader_election = ReaderElection(self.ranking.reader_group, membership.me, clock)
-        self.list_age = ListAge(directory, clock)
+        self.standstill = Standstill(clock)
+        self.list_age = ListAge(directory, clock, self.standstill)
         self.is_store_answering: Callable[[], bool] = lambda: False
         self.announcing = False
         self.backlogs: Callable[[], tuple[Backlog, ...]] = tuple
--- a/packages/core/src/mountladder/forwarding/forwardinginstance.py
+++ b/packages/core/src/mountladder/forwarding/forwardinginstance.py
@@ -69,6 +69,7 @@
             self.budgets.claim.run,
             self.demand.run,
             self.isolation.run,
+            self.fleet.standstill.run,
             self.fleet.run,
         )
         tasks = [gevent.spawn(keep_running, loop, self.clock, self.metrics) for loop in loops]
--- a/packages/core/src/mountladder/forwarding/listage.py
+++ b/packages/core/src/mountladder/forwarding/listage.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from mountladder.clocks.clock import Clock
+from mountladder.clocks.standstill import Standstill
 from mountladder.forwarding.beacon import Beacon
 from mountladder.forwarding.directory import Directory
 from mountladder.store.position import Position
@@ -20,11 +21,13 @@
 
     That is so when the store answers this instance, or when a peer that polls the store, and is
     answered, has no newer entry. The list of such a peer is as old as the last answer of the store,
-    which is up to a second where the next one does not come any more.
+    which is up to a second where the next one does not come any more. While this process stands
+    still, beacons and answers of the store wait, and are as old as that.
 
     Args:
         directory: The list of backend servers.
         clock: The clock.
+        standstill: Detects that this process stood still.
 
     Attributes:
         answered_at: Returns when the store last answered a call for the list from this instance.
@@ -35,9 +38,10 @@
             list once that has reached it.
     """
 
-    def __init__(self, directory: Directory, clock: Clock) -> None:
+    def __init__(self, directory: Directory, clock: Clock, standstill: Standstill) -> None:
         self.directory = directory
         self.clock = clock
+        self.standstill = standstill
         self.answered_at: Callable[[], float] = lambda: -math.inf
         self.read_at: Callable[[], float] = lambda: -math.inf
         self.confirmed_at = self.peer_current_at = -math.inf
@@ -48,12 +52,12 @@
         """Record a peer's beacon."""
         if not (beacon.reads_store and beacon.store_answers):
             return
-        now = self.clock.now()
-        current_at = now - beacon.list_age_ms
+        sent_at = self.standstill.sent_after()
+        current_at = sent_at - beacon.list_age_ms
         if beacon.directory <= self.directory.newest:
-            self.confirm(now, current_at)
+            self.confirm(sent_at, current_at)
         elif self.awaited is None:
-            self.awaited = (beacon.directory, now, current_at)
+            self.awaited = (beacon.directory, sent_at, current_at)
 
     def update(self) -> None:
         """Confirm the list if it has reached the position that is awaited."""
@@ -71,7 +75,9 @@
 
     def ms(self) -> float:
         """Return how long ago the list was confirmed; infinite if it never was."""
-        return self.clock.now() - max(self.confirmed_at, self.answered_at())
+        # An answer that waited was made at some time after its call.
+        answered_at = min(self.answered_at(), max(self.read_at(), self.standstill.sent_after()))
+        return self.clock.now() - max(self.confirmed_at, answered_at)
 
     def read_ms(self) -> float:
         """Return how old the list is by what this instance read; infinite if it never did."""
