Streams: a removed entry does not show that its server ran on

Cause: the server had started again under its id at the new version, and had left, while the instance had an old list. The list shows the last change of an entry only, so that the instance heard of the removal and never of the start. StartChecks keeps the start of the entry before, and took a removed or missing entry for "has not started again": at the first event, when the beginning of a stream was checked, and before a stream went on. By the log of a-2: the server had named another start 0.1 s before; the list arrived at 8.206 s, the first event at 8.214, and the stream broke and went on at the other version at 8.257.

Change: a server without an entry is asked when it started, as one is while the list is old. It serves on for a while after its entry has been removed, so that streams which it began are verified and go on. Where it does not answer, the stream is refused as not known.

--- a/features/reborncut.feature
+++ b/features/reborncut.feature
@@ -248,6 +248,38 @@
       | 1.5   | llm-1 | 100 |
       | 2     | llm-1 | 100 |
 
+  # Guards against streams of two versions by a removed entry that counts as the one before: the start
+  # in between was never listed here, since the server left again before this instance read the list.
+  Scenario Outline: A server started again and left while an instance had an old list
+    Given a-1 is cut off from the store and its peers for 0.2 s
+    And 100 ms ago server llm-1 has come back with version v2
+    And the entry of server llm-1 has been removed
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And a-1 is in touch again
+    When the caller resumes stream r at <instance>
+    Then it is refused as not run with code 2016 within 600 ms, and no Retry-After
+
+    Examples:
+      | instance |
+      | a-1      |
+      | b-1      |
+
+  Scenario: A server has started again and left by the time of a stream's first event
+    Given as a stream is sent to it, server llm-1 starts again at v2 and its entry is removed
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And server llm-1@5 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 2, and ran on llm-1@5
+
+  Scenario: A server whose entry was removed still runs the version that began a stream
+    # It serves for a while after its entry has been removed, and is asked when it started.
+    Given the entry of server llm-1 has been removed
+    And server llm-1@5 runs the next stream, and llm-3@5 has the least to do after it
+    And server llm-1@5 breaks off within the third event
+    When resumable stream r is sent to a-1
+    Then stream r has events 1 to 6, and ran on llm-1@5, llm-3@5
+
   # Guards against a first event that is taken to be of the version in an entry which is older.
   Scenario Outline: A stream begins after the list of servers was last confirmed
     Given a-1 is cut off from the store and its peers for <first> s
--- a/packages/core/src/mountladder/forwarding/serverrecord.py
+++ b/packages/core/src/mountladder/forwarding/serverrecord.py
@@ -110,6 +110,12 @@
     )
 
 
+def start_of(server: BackendServer) -> int:
+    """Return when a listed server started, in milliseconds since 1970; 0 if that is unknown."""
+    _, mark, born = server.name.rpartition("@")
+    return int(born) if mark else 0
+
+
 def lacks_version(record: ServerRecord) -> bool:
     """Return whether an entry names a server, but not the version of its software."""
     return record.server is not None and not version_of(record.server)
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -16,7 +16,7 @@
 from mountladder.configuration.backendserver import BackendServer
 from mountladder.forwarding.directory import Directory
 from mountladder.forwarding.listage import ListAge
-from mountladder.forwarding.serverrecord import ID_LABEL
+from mountladder.forwarding.serverrecord import ID_LABEL, start_of
 from mountladder.forwarding.upstream import Upstream
 from mountladder.streams.startcheck import StartCheck
 from mountladder.streams.streambeginning import StreamBeginning
@@ -47,6 +47,9 @@
     Before a stream continues, the list has to be current at that moment, which a read of the store
     shows; without an answer from the store the servers are asked.
 
+    A removed entry tells nothing: the server may have started again and left since the entry that
+    is known, and the list shows the last change only. Such a server is asked as well.
+
     A server without a start in its entry cannot be checked, and counts as one that has not started
     again.
 
@@ -93,8 +96,7 @@
 
     def beginning(self, stream: bytes, server: BackendServer) -> StreamBeginning:
         """Return that a server begins a stream now."""
-        start = self.listed_start(server.labels[ID_LABEL])
-        return StreamBeginning(stream, server, start, self.clock.now())
+        return StreamBeginning(stream, server, self.assumed_start(server), self.clock.now())
 
     def began_as_listed(self, beginning: StreamBeginning) -> bool:
         """Return whether a server had not started again when it began a stream.
@@ -102,19 +104,22 @@
         Where neither the store nor the server answers this is not known, and counts as no.
         """
         server, at = beginning.server, beginning.at
-        if self.is_current(at):
+        if self.is_current(at) and self.shows_start(beginning):
             return self.is_listed_as(beginning)
         born = self.reported_start(server)
-        if born is None and self.is_current(at, None):
+        if born is None and self.is_current(at, None) and self.shows_start(beginning):
             return self.is_listed_as(beginning)
         is_same = born == beginning.listed_start
         self.log(server, born, "began as listed" if is_same else "not known which began")
         return is_same
 
+    def shows_start(self, beginning: StreamBeginning) -> bool:
+        """Return whether the list shows if the server that began a stream has started again."""
+        return self.is_listed(beginning.server) or not beginning.listed_start
+
     def is_listed_as(self, beginning: StreamBeginning) -> bool:
         """Return whether no other start of the server that began a stream is listed by now."""
-        start = self.listed_start(beginning.server.labels[ID_LABEL])
-        return start in (0, beginning.listed_start)
+        return self.assumed_start(beginning.server) == beginning.listed_start
 
     def may_continue_at(self, server: BackendServer) -> bool:
         """Return whether a server is known to run the version that its newest entry names.
@@ -122,6 +127,8 @@
         Events of a stream that another server began are passed on only if it is.
         """
         since = self.clock.now() - CURRENT_MS
+        if not self.is_listed(server):
+            return self.is_start_listed(server)
         if self.is_confirmed(since):
             return True
         has_answered = self.has_answered(server.labels[ID_LABEL])
@@ -141,18 +148,20 @@
         """Return whether a server runs the software version that its newest entry names.
 
         Without an answer from the server this is not known, and counts as no. A list that may not
-        be old is not checked.
+        be old, and holds the server, is not checked.
         """
-        return not self.is_needed() or self.is_start_listed(server)
+        if not self.is_needed() and self.is_listed(server):
+            return True
+        return self.is_start_listed(server)
 
     def is_start_listed(self, server: BackendServer) -> bool:
         """Return whether a server answers that it has run since the start that its entry names."""
-        id_ = server.labels[ID_LABEL]
-        if not self.listed_start(id_):
+        start = self.assumed_start(server)
+        if not start:
             self.log(server, None, "no start in its entry")
             return True
         born = self.reported_start(server)
-        is_same = born == self.listed_start(id_)
+        is_same = born == start
         other = "not known" if born is None else "another start"
         self.log(server, born, "as listed" if is_same else other)
         return is_same
@@ -183,6 +192,15 @@
             check is not None and check.born is not None and check.born > self.listed_start(id_) > 0
         )
 
+    def is_listed(self, server: BackendServer) -> bool:
+        """Return whether the list has an entry of a server, of this start or a later one."""
+        record = self.directory.records.get(server.labels[ID_LABEL])
+        return record is not None and record.server is not None
+
+    def assumed_start(self, server: BackendServer) -> int:
+        """Return the start of a server that its newest entry names, or the last one that did."""
+        return self.listed_start(server.labels[ID_LABEL]) or start_of(server)
+
     def listed_start(self, id_: str) -> int:
         """Return the start that a server's newest entry names, in ms since 1970, or 0."""
         record = self.directory.records.get(id_)
--- a/packages/core/src/mountladder/streams/streambeginnings.py
+++ b/packages/core/src/mountladder/streams/streambeginnings.py
@@ -87,17 +87,21 @@
             self.clock.call_later(SWEEP_MS, self.sweep)
 
     def sweep(self) -> None:
-        """Check the beginnings that a current list settles, and all once the list is old."""
+        """Settle the beginnings that a current list does; have the servers of others asked.
+
+        These are all others once the list is old, and those whose servers it shows no more.
+        """
         self.is_sweep_due = False
+        is_needed = self.starts.is_needed()
+        asked: dict[str, list[StreamBeginning]] = defaultdict(list)
         for beginning in list(self.pending.values()):
-            if self.starts.is_confirmed(beginning.at):
+            is_confirmed = self.starts.is_confirmed(beginning.at)
+            if is_confirmed and self.starts.shows_start(beginning):
                 self.settle(beginning, self.starts.is_listed_as(beginning))
-        if self.starts.is_needed():
-            by_server: dict[str, list[StreamBeginning]] = defaultdict(list)
-            for beginning in self.pending.values():
-                by_server[beginning.server.name].append(beginning)
-            for beginnings in by_server.values():
-                gevent.spawn(self.check_all, beginnings)
+            elif is_needed or is_confirmed:
+                asked[beginning.server.name].append(beginning)
+        for beginnings in asked.values():
+            gevent.spawn(self.check_all, beginnings)
         if self.pending:
             # Further streams may begin while a server is asked.
             self.sweep_later()
