Servers: scenarios of what callers get for a head that is broken off

A safe request and a stream that may be resumed go to a second server within the retry budget; an unsafe one and other streams end with 502, since the server may have run them. Nobody gets a body that no server signed as whole.

--- a/features/earlyends.feature
+++ b/features/earlyends.feature
@@ -21,6 +21,19 @@
       | in chunks with a trailer                 |
       | behind an interim response               |
 
+  # The caller is told what has become of the request: one that may run again does so elsewhere.
+  Scenario Outline: What a caller gets where the first server breaks off within the head
+    Given an instance on loopback whose servers break the first head off, then <conduct>
+    When a caller sends it a <kind> request
+    Then the caller gets status <status> with <body>, after <servers> of them had it
+
+    Examples:
+      | kind      | conduct       | status | body             | servers |
+      | safe      | answer        | 200    | the whole body   | 2       |
+      | unsafe    | answer        | 502    | no server's body | 1       |
+      | stream    | send a stream | 502    | no server's body | 1       |
+      | resumable | send a stream | 200    | all events       | 2       |
+
   Scenario Outline: Other answers of a server that are cut anywhere are not believed
     Given a backend server whose answers <form> are cut behind each byte
     When <call> is made, once for each cut
--- a/features/loopbackinstance.py
+++ b/features/loopbackinstance.py
@@ -23,6 +23,9 @@
 NAME = "a-1"
 SETTLE_S = 1.0
 SILENCE_S = 20.0
+STREAM_CONDUCTS = frozenset(
+    {"send a stream", "break a stream", "break the first head off, then send a stream"}
+)
 ANSWER_HEAD = (
     b"HTTP/1.1 %d Status\r\nMountladder-Request-Id: %b\r\nMountladder-Server-Stamp: s\r\n%b\r\n\r\n"
 )
@@ -39,6 +42,8 @@
     def __init__(self, stack, conduct):
         self.stack = stack
         self.conduct = conduct
+        # How often a server has begun to treat a request.
+        self.treated = 0
         self.clock = SystemClock()
         self.account = MemoryAccount(self.clock, MemoryMetrics())
         self.fleet = ForwardFleet(self.clock)
@@ -82,20 +87,24 @@
 
     def treat(self, connection, id_):
         """Treat a request; return whether the connection stays open."""
+        self.treated += 1
         if self.conduct == "are silent":
             gevent.sleep(SILENCE_S)
-        elif self.conduct == "answer":
+        elif self.conduct.startswith("break the first head off") and self.treated == 1:
+            head = ANSWER_HEAD % (200, id_, b"Transfer-Encoding: chunked")
+            connection.sendall(b"".join(head.splitlines(keepends=True)[:3]))
+        elif self.conduct in {"answer", "break the first head off, then answer"}:
             connection.sendall(ANSWER_HEAD % (200, id_, b"Content-Length: 2") + b"hi")
             return True
         elif self.conduct == "answer with an error":
             connection.sendall(ANSWER_HEAD % (500, id_, b"Content-Length: 2") + b"no")
             return True
-        elif self.conduct in {"send a stream", "break a stream"}:
+        elif self.conduct in STREAM_CONDUCTS:
             connection.sendall(ANSWER_HEAD % (200, id_, b"Transfer-Encoding: chunked"))
             for n in range(1, 4):
                 connection.sendall(b"f\r\nid: %d\ndata: x\n\n\r\n" % n)
                 gevent.sleep(0.02)
-            if self.conduct == "send a stream":
+            if self.conduct != "break a stream":
                 connection.sendall(b"0\r\n\r\n")
                 return True
         return False
--- a/features/steps/earlyend_steps.py
+++ b/features/steps/earlyend_steps.py
@@ -8,14 +8,17 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from forwardbasics import PATHS
 from gevent import socket
 from ingress_steps import HEAD as REQUEST_HEAD
 from ingress_steps import ID, read_all
+from loopbackinstance import LoopbackInstance
 from mountladder_platform.httppeerrelay import HttpPeerRelay
 from mountladder_platform.reading import read_request
 from mountladder_platform.store import StoreTable, change_rows
 from platform_steps import listen, make_call, make_upstream, receive_request
 from rawanswers import HEAD, answer
+from requestmemory_steps import HEAD as LOOPBACK_HEAD
 
 from mountladder.configuration.stage import Stage
 from mountladder.errors import MountladderError, StageError
@@ -25,6 +28,7 @@
 from mountladder_entry.httpclient import HttpClient
 
 LIMIT_MS = 2_000.0
+EARNING_REQUESTS = 10
 CODING = b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"2\r\n12\r\n3\r\n345\r\n"
 BODY = b"12345"
@@ -172,6 +176,44 @@
     assert body == (b"" if b"Length: 0" in context.whole else BODY), body
 
 
+@given("an instance on loopback whose servers {conduct}")
+def loopback_instance(context, conduct):
+    context.conduct = conduct
+    context.loopback = LoopbackInstance(context.stack, conduct.rpartition("then ")[2])
+
+
+@when("a caller sends it a {kind} request")
+def send_to_loopback(context, kind):
+    # A second attempt draws on what earlier requests have earned.
+    for _ in range(EARNING_REQUESTS):
+        call_loopback(context, kind)
+    context.loopback.conduct, context.loopback.treated = context.conduct, 0
+    context.received = call_loopback(context, kind)
+
+
+def call_loopback(context, kind):
+    """Send a request on a connection of its own, and return the answer."""
+    with context.loopback.connect() as connection:
+        head = LOOPBACK_HEAD % (PATHS[kind].encode(), 0)
+        connection.sendall(head.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        return read_all(connection)
+
+
+@then("the caller gets status {status:d} with {body}, after {servers:d} of them had it")
+def caller_gets(context, status, body, servers):
+    head, _, received = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), context.received
+    assert context.loopback.treated == servers, context.loopback.treated
+    is_signed = b"mountladder-server-stamp" in head.lower()
+    assert is_signed == (status == 200), context.received
+    if body == "the whole body":
+        assert received == b"hi", received
+    elif body == "all events":
+        assert received.count(b"data: x\n\n") == 3 and received.endswith(b"0\r\n\r\n"), received
+    else:
+        assert b"hi" not in received and b"data: x" not in received, received
+
+
 @when("{call} is made, once for each cut")
 def make_each(context, call):
     upstream, server = context.upstream, context.server
