Store: a page that ends with an odd row does not hide the next one

Cause: the next page began after the last row's key, which the row may lack; that ended the reading of the whole list.

--- a/features/oddrows.feature
+++ b/features/oddrows.feature
@@ -67,6 +67,11 @@
       | with a text as its version  |
       | that is no object           |
 
+  Scenario: A page that ends with an odd row does not hide the next one
+    Given a store of two pages, the first of which ends with a row without a key
+    When the table is read
+    Then it has the sound rows
+
   Scenario Outline: An answer of the store that is no page counts as no answer
     Given a store whose pages are <answer>
     When an instance follows a table of it
--- a/features/steps/oddrow_steps.py
+++ b/features/steps/oddrow_steps.py
@@ -279,6 +279,20 @@
     context.store_table = StoreTable(SimpleNamespace(read=lambda *_: answer), "servers")
 
 
+@given("a store of two pages, the first of which ends with a row without a key")
+def odd_end_of_page(context):
+    pages = {
+        "": {"rows": [SOUND_ROW, {"ver": 3}], "ver": 9, "more_pages": True},
+        "i-1\0": {"rows": [SOUND_ROW | {"key": "i-3"}], "ver": 9},
+    }
+
+    def read(path, fields):
+        data = json.dumps(pages[fields.get("from", "")]).encode()
+        return SimpleNamespace(status=200, headers={}, data=data)
+
+    context.store_table = StoreTable(SimpleNamespace(read=read), "servers")
+
+
 @then("it has the sound rows")
 def sound_rows(context):
     assert [one.key for one in context.page.rows] == ["i-1", "i-3"], context.page
