Streams: a server without an entry that was asked is not asked again

Cause: by reading. A server whose entry is gone is asked for its start at a stream's first event, but the beginning of the stream was kept to be checked once more, by when the server may have left.

Change: a beginning counts as checked wherever the server was asked. The build removes the copy of the lock file that earlier ones left.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,7 +12,7 @@
     cat deploy/requirements.lock)
 if [ "$(cat "$stamp" 2>/dev/null)" != "$wanted" ]; then
     # Without the stamp, a build that is interrupted from here on is begun again.
-    rm -rf "$deps" "$stamp"
+    rm -rf "$deps" "$stamp" target/requirements.lock
     mkdir -p "$deps"
     python3 -m pip install --quiet --require-hashes --target "$deps" -r deploy/requirements.lock
     # gevent searches these for plugins at each start, and there are none.
--- a/packages/core/src/mountladder/streams/startchecks.py
+++ b/packages/core/src/mountladder/streams/startchecks.py
@@ -150,9 +150,11 @@
         Without an answer from the server this is not known, and counts as no. A list that may not
         be old, and holds the server, is not checked.
         """
-        if not self.is_needed() and self.is_listed(server):
-            return True
-        return self.is_start_listed(server)
+        return not self.must_ask(server) or self.is_start_listed(server)
+
+    def must_ask(self, server: BackendServer) -> bool:
+        """Return whether the list does not tell when a server started: it may be old or lack it."""
+        return self.is_needed() or not self.is_listed(server)
 
     def is_start_listed(self, server: BackendServer) -> bool:
         """Return whether a server answers that it has run since the start that its entry names."""
--- a/packages/core/src/mountladder/streams/streamversion.py
+++ b/packages/core/src/mountladder/streams/streamversion.py
@@ -119,7 +119,7 @@
         if self.required is not None:
             is_verified = self.starts.may_continue_at(server)
         elif self.may_continue(attempt):
-            self.is_checked = self.starts.is_needed()
+            self.is_checked = self.starts.must_ask(server)
             is_verified = self.starts.is_as_listed(server)
         version = self.directory.current_version(server) if is_verified else UNVERIFIED_VERSION
         if self.required is not None and not (is_verified and version == self.required):
