Scenarios: one step for servers that are cut, one fake client of the store

Cause: three steps each called the same function, and the page of a fake store was built in four places. An instance on loopback told from its conduct's name whether it breaks a head off.

Change: steps share a function by their decorators, also those of endlessanswers; restart_steps has the fake client and the page; the instance has an attribute. No assertion, value or bound is changed.

--- a/features/loopbackinstance.py
+++ b/features/loopbackinstance.py
@@ -23,9 +23,6 @@
 NAME = "a-1"
 SETTLE_S = 1.0
 SILENCE_S = 20.0
-STREAM_CONDUCTS = frozenset(
-    {"send a stream", "break a stream", "break the first head off, then send a stream"}
-)
 ANSWER_HEAD = (
     b"HTTP/1.1 %d Status\r\nMountladder-Request-Id: %b\r\nMountladder-Server-Stamp: s\r\n%b\r\n\r\n"
 )
@@ -44,6 +41,8 @@
         self.conduct = conduct
         # How often a server has begun to treat a request.
         self.treated = 0
+        # Whether the next answer is broken off within its head.
+        self.breaks_next_head = False
         self.clock = SystemClock()
         self.account = MemoryAccount(self.clock, MemoryMetrics())
         self.fleet = ForwardFleet(self.clock)
@@ -88,23 +87,25 @@
     def treat(self, connection, id_):
         """Treat a request; return whether the connection stays open."""
         self.treated += 1
-        if self.conduct == "are silent":
-            gevent.sleep(SILENCE_S)
-        elif self.conduct.startswith("break the first head off") and self.treated == 1:
+        if self.breaks_next_head:
+            self.breaks_next_head = False
             head = ANSWER_HEAD % (200, id_, b"Transfer-Encoding: chunked")
             connection.sendall(b"".join(head.splitlines(keepends=True)[:3]))
-        elif self.conduct in {"answer", "break the first head off, then answer"}:
+            return False
+        if self.conduct == "are silent":
+            gevent.sleep(SILENCE_S)
+        elif self.conduct == "answer":
             connection.sendall(ANSWER_HEAD % (200, id_, b"Content-Length: 2") + b"hi")
             return True
         elif self.conduct == "answer with an error":
             connection.sendall(ANSWER_HEAD % (500, id_, b"Content-Length: 2") + b"no")
             return True
-        elif self.conduct in STREAM_CONDUCTS:
+        elif self.conduct in {"send a stream", "break a stream"}:
             connection.sendall(ANSWER_HEAD % (200, id_, b"Transfer-Encoding: chunked"))
             for n in range(1, 4):
                 connection.sendall(b"f\r\nid: %d\ndata: x\n\n\r\n" % n)
                 gevent.sleep(0.02)
-            if self.conduct != "break a stream":
+            if self.conduct == "send a stream":
                 connection.sendall(b"0\r\n\r\n")
                 return True
         return False
--- a/features/steps/earlyend_steps.py
+++ b/features/steps/earlyend_steps.py
@@ -76,6 +76,9 @@
 }
 
 
+@given("a backend server whose answers {form} are cut behind each byte")
+@given("a store whose answers {form} are cut behind each byte")
+@given("an instance whose answers {form} are cut behind each byte")
 def cut_answers(context, form):
     """Serve an answer on each connection, cut behind one byte more than on the one before."""
     data = ANSWERS[form].replace(b"@ID", b"r1")
@@ -94,21 +97,6 @@
     make_upstream(context, listen(context, handle))
 
 
-@given("a backend server whose answers {form} are cut behind each byte")
-def server_of_cut_answers(context, form):
-    cut_answers(context, form)
-
-
-@given("a store whose answers {form} are cut behind each byte")
-def store_of_cut_answers(context, form):
-    cut_answers(context, form)
-
-
-@given("an instance whose answers {form} are cut behind each byte")
-def instance_of_cut_answers(context, form):
-    cut_answers(context, form)
-
-
 @given("a stage's server whose answers {form} are cut behind each byte")
 def stage_server_of_cut_answers(context, form):
     # The id of the attempt stands in the place of that of the request.
@@ -176,10 +164,9 @@
     assert body == (b"" if b"Length: 0" in context.whole else BODY), body
 
 
-@given("an instance on loopback whose servers {conduct}")
+@given("an instance on loopback whose servers break the first head off, then {conduct}")
 def loopback_instance(context, conduct):
-    context.conduct = conduct
-    context.loopback = LoopbackInstance(context.stack, conduct.rpartition("then ")[2])
+    context.loopback = LoopbackInstance(context.stack, conduct)
 
 
 @when("a caller sends it a {kind} request")
@@ -187,7 +174,7 @@
     # A second attempt draws on what earlier requests have earned.
     for _ in range(EARNING_REQUESTS):
         call_loopback(context, kind)
-    context.loopback.conduct, context.loopback.treated = context.conduct, 0
+    context.loopback.treated, context.loopback.breaks_next_head = 0, True
     context.received = call_loopback(context, kind)
 
 
--- a/features/steps/endlessanswer_steps.py
+++ b/features/steps/endlessanswer_steps.py
@@ -85,6 +85,7 @@
 
 
 @given("a backend server that sends a whole answer, {answer}")
+@given("a store that sends a whole answer, {answer}")
 def backend_whole(context, answer):
     data, ends = whole(answer)
 
@@ -97,6 +98,8 @@
 
 
 @given("a backend server that sends {bytes_} without end")
+@given("a store that sends {bytes_} without end")
+@given("a server of a stage that sends {bytes_} without end")
 def backend_endless(context, bytes_):
     first, then_ = ENDLESS[bytes_]
 
@@ -109,6 +112,7 @@
 
 
 @given("a backend server that sends {bytes_} each {ms:d} ms")
+@given("a store that sends {bytes_} each {ms:d} ms")
 def backend_slow(context, bytes_, ms):
     first, then_ = ENDLESS[bytes_]
 
@@ -121,26 +125,6 @@
     serve(context, send)
 
 
-@given("a store that sends a whole answer, {answer}")
-def store_whole(context, answer):
-    backend_whole(context, answer)
-
-
-@given("a store that sends {bytes_} without end")
-def store_endless(context, bytes_):
-    backend_endless(context, bytes_)
-
-
-@given("a store that sends {bytes_} each {ms:d} ms")
-def store_slow(context, bytes_, ms):
-    backend_slow(context, bytes_, ms)
-
-
-@given("a server of a stage that sends {bytes_} without end")
-def stage_server_endless(context, bytes_):
-    backend_endless(context, bytes_)
-
-
 @when("the stage is called with a deadline of {ms:d} ms, {form}")
 def call_stage(context, ms, form):
     clock = context.upstream.clock
--- a/features/steps/oddrow_steps.py
+++ b/features/steps/oddrow_steps.py
@@ -19,7 +19,7 @@
 from mountladder_platform.storeorigins import StoreOrigins
 from mountladder_platform.storesuspicions import StoreSuspicions
 from mountladder_platform.storeversions import CONFIRMED_KEY, StoreVersions
-from restart_steps import ENTRY, INSTANCE, JSON_TEXTS
+from restart_steps import ENTRY, INSTANCE, JSON_TEXTS, client_answering, page_of
 from urllib3.connection import HTTPConnection
 
 from mountladder.clocks.virtualclock import VirtualClock
@@ -42,7 +42,6 @@
 from mountladder_entry.logqueue import LogQueue
 
 POSITION = Position(1, 7)
-MAX_CHARS = 400
 HEX_KEY = "0a" * 16
 SETTLE_MS = 700.0
 NESTED = ["[" * depth + "]" * depth for depth in (*range(880, 1_010, 3), 5_000, 500_000)]
@@ -99,9 +98,7 @@
 
     def read(value, key=key):
         row = {"key": key, "value": base64.b64encode(value).decode(), "ver": 7}
-        data = json.dumps({"rows": [row], "ver": 9}).encode()
-        answer = SimpleNamespace(status=200, headers={}, data=data)
-        store = store_type(SimpleNamespace(read=lambda *_: answer), *arguments)
+        store = store_type(client_answering(page_of([row])), *arguments)
         found = store.instances() if hasattr(store, "instances") else store.read()
         return found if isinstance(found, tuple) else ()
 
@@ -274,21 +271,18 @@
 @given("a store whose page has a row {row} between two sound ones")
 def odd_page(context, row):
     rows = [SOUND_ROW, ODD_PAGE_ROWS[row], SOUND_ROW | {"key": "i-3"}]
-    data = json.dumps({"rows": rows, "ver": 9}).encode()
-    answer = SimpleNamespace(status=200, headers={}, data=data)
-    context.store_table = StoreTable(SimpleNamespace(read=lambda *_: answer), "servers")
+    context.store_table = StoreTable(client_answering(page_of(rows)), "servers")
 
 
 @given("a store of two pages, the first of which ends with a row without a key")
 def odd_end_of_page(context):
     pages = {
-        "": {"rows": [SOUND_ROW, {"ver": 3}], "ver": 9, "more_pages": True},
-        "i-1\0": {"rows": [SOUND_ROW | {"key": "i-3"}], "ver": 9},
+        "": client_answering(page_of([SOUND_ROW, {"ver": 3}], more_pages=True)),
+        "i-1\0": client_answering(page_of([SOUND_ROW | {"key": "i-3"}])),
     }
 
     def read(path, fields):
-        data = json.dumps(pages[fields.get("from", "")]).encode()
-        return SimpleNamespace(status=200, headers={}, data=data)
+        return pages[fields.get("from", "")].read()
 
     context.store_table = StoreTable(SimpleNamespace(read=read), "servers")
 
@@ -310,8 +304,7 @@
 
 @given("a store whose pages are {answer}")
 def store_without_pages(context, answer):
-    found = SimpleNamespace(status=200, headers={}, data=NO_PAGES[answer])
-    context.store_table = StoreTable(SimpleNamespace(read=lambda *_: found), "servers")
+    context.store_table = StoreTable(client_answering(NO_PAGES[answer]), "servers")
 
 
 @when("an instance follows a table of it")
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -192,7 +192,16 @@
 def store_answering(values):
     """Return a fake store client that answers with a page of rows of these values."""
     rows = [{"key": f"edge-{n}", "value": value, "ver": n} for n, value in enumerate(values, 1)]
-    data = json.dumps({"rows": rows, "ver": 9}).encode()
+    return client_answering(page_of(rows))
+
+
+def page_of(rows, **fields):
+    """Return a page of rows as the store sends it."""
+    return json.dumps({"rows": rows, "ver": 9} | fields).encode()
+
+
+def client_answering(data):
+    """Return a fake store client that answers each reading call with a body."""
     answer = SimpleNamespace(status=200, headers={}, data=data)
     return SimpleNamespace(read=lambda *args: answer)
 
