--- a/packages/core/src/mountladder/configuration/settings.py
+++ b/packages/core/src/mountladder/configuration/settings.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
 
+from mountladder.configuration.address import is_address
 from mountladder.configuration.fields import Fields
 from mountladder.configuration.settingsfile import check_fields, settings_fields, settings_text
 
@@ -140,13 +140,3 @@
         fields.fault("secret", f"at least {MIN_SECRET_LENGTH} characters", "a shorter one")
     if settings.thrift > 1:
         fields.fault("thrift", "a number from 0 to 1", settings.thrift)
-
-
-def is_address(text: str) -> bool:
-    """Return whether a text is an IP number and a port."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdigit() and int(port) < 65_536
