Log: how the answer that a caller was given was framed

None of the log lines of a request told an answer with a length from one that ended with its connection, though only the latter was seen in part at callers.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -77,6 +77,7 @@
         stage_reruns: How often its stages were rerun because a result was lost.
         gives_way: Whether it cannot meet its latency target, so that its stages run after those of
             requests that can.
+        answer_fields: What the log says of the answer that the caller is given.
         cancel_release: Cancels the scheduled release of stage results.
         tracked: The request as tracked by the quarantine.
         reservation: Chooses servers and waits for a slot at those that limit their request rate.
@@ -113,6 +114,7 @@
         self.age_ms = context.forecast.age_ms(request, route) if route.stages else 0.0
         self.is_returning = self.age_ms > 0.0
         self.gives_way = False
+        self.answer_fields: dict[str, object] = {}
         self.reservation = Reservation(proxy(self))
         self.hold = Hold(proxy(self))
         texts = (self.team, request.method, request.host, request.target)
@@ -498,7 +500,8 @@
         )
 
     def record_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> None:
-        """Record that an attempt was answered completely, for the quarantine."""
+        """Record that an attempt was answered completely, for the quarantine and the log."""
+        self.answer_fields = answer.log_fields()
         if answer.ends_with_connection:
             self.tracked.ended(attempt.choice.state.server, attempt.started, self.begun_ms())
         else:
@@ -528,6 +531,7 @@
             elapsed_ms=round(self.elapsed_ms()),
             remaining_ms=round(self.remaining_ms()),
             version=self.context.follower.version,
+            **self.answer_fields,
         )
 
     def log(self, event: str, **fields: object) -> None:
--- a/packages/core/src/mountladder/forwarding/upstreamanswer.py
+++ b/packages/core/src/mountladder/forwarding/upstreamanswer.py
@@ -30,6 +30,10 @@
     load: int | None
     ends_with_connection = False
 
+    def log_fields(self) -> dict[str, object]:
+        """Return what the log says of the answer: its framing, its size and its connection."""
+        return {}
+
     @abstractmethod
     def read(self, limit_ms: float, heard: Callable[[], None] = lambda: None) -> bytes:
         """Return the complete body and keep the connection for another call.
