Answers: the end of the stream alone does not show that a body is whole

Callers got status 200 with a part of the server's body, framed as whole, where the server gave neither a length nor chunks and ended its stream before it reset the connection, or crashed. The end of the stream was taken for the end of the body; a reset behind it causes no error of a read, and arrived at a socket that was closed.

Requests whose answer is read whole ask, as streams did, whether their server still accepts connections.

--- a/features/loopbackinstance.py
+++ b/features/loopbackinstance.py
@@ -23,6 +23,8 @@
 NAME = "a-1"
 SETTLE_S = 1.0
 SILENCE_S = 20.0
+# The name of the target among the headers of a request, as HTTP/2 has it.
+TARGET = b":path"
 ANSWER_HEAD = (
     b"HTTP/1.1 %d Status\r\nMountladder-Request-Id: %b\r\nMountladder-Server-Stamp: s\r\n%b\r\n\r\n"
 )
@@ -43,6 +45,8 @@
         self.treated = 0
         # Whether the next answer is broken off within its head.
         self.breaks_next_head = False
+        # The backend servers by port.
+        self.servers = {}
         self.clock = SystemClock()
         self.account = MemoryAccount(self.clock, MemoryMetrics())
         self.fleet = ForwardFleet(self.clock)
@@ -60,12 +64,16 @@
         server = StreamServer(("127.0.0.1", 0), self.serve)
         server.start()
         self.stack.callback(server.stop, 0.1)
+        self.servers[server.server_port] = server
         return server.server_port
 
     def start_ingress(self):
         """Have the instance serve callers, and return its port."""
         limits = CallerLimits()
-        application = Ingress(self.instance.forwarder, lambda: limits, self.clock)
+        return self.serve_callers(Ingress(self.instance.forwarder, lambda: limits, self.clock))
+
+    def serve_callers(self, application):
+        """Serve callers with an application, and return the port."""
         handler = type("Handler", (CallerConnection,), {"account": self.account})
         web = WSGIServer(
             ("127.0.0.1", 0), application, log=None, error_log=WebErrorLog(), handler_class=handler
@@ -81,11 +89,15 @@
                 remaining = int(head.get(b"content-length", 0))
                 while remaining:
                     remaining -= len(stream.read(min(65_536, remaining)))
-                if not self.treat(connection, head[b"mountladder-request-id"]):
+                if not self.treat(connection, head):
                     return
 
-    def treat(self, connection, id_):
-        """Treat a request; return whether the connection stays open."""
+    def treat(self, connection, head):
+        """Treat a request, given its target and headers; return whether the connection stays open.
+
+        See read_head.
+        """
+        id_ = head[b"mountladder-request-id"]
         self.treated += 1
         if self.breaks_next_head:
             self.breaks_next_head = False
@@ -118,11 +130,15 @@
 
 
 def read_head(stream):
-    """Return the headers of the next request by their lowercase names, empty at the end."""
+    """Return the target and the headers of the next request by their lowercase names.
+
+    It is empty at the end.
+    """
     lines = []
     while (line := stream.readline().strip()) or not lines:
         if not line:
             return {}
         lines.append(line)
     pairs = (line.partition(b":") for line in lines[1:])
-    return {name.strip().lower(): value.strip() for name, _, value in pairs}
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    return headers | {TARGET: lines[0].split(b" ")[1]}
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -499,6 +499,25 @@
             attempt.picked, self.request, self.service, elapsed_ms, load, streaming
         )
 
+    def check_end(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> None:
+        """Check that an answer that ended with its connection did not end with its server.
+
+        Raises:
+            StageError: The server has crashed, so that the answer may be incomplete.
+        """
+        if answer.ends_with_connection and self.has_crashed(attempt):
+            raise StageError("the answer ended with its server", Code.STREAM_CUT)
+
+    def has_crashed(self, attempt: ForwardAttempt) -> bool:
+        """Return whether the server of an answer that ended with its connection has crashed.
+
+        One that leaves may end in order behind its last answer.
+        """
+        server = attempt.choice.state.server
+        available = self.context.picker.directory.available(self.service)
+        is_leaving = all(one.name != server.name for one in available)
+        return not is_leaving and self.context.upstream.refuses(server)
+
     def record_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> None:
         """Record that an attempt was answered completely, for the quarantine and the log."""
         self.answer_fields = answer.log_fields()
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -100,12 +100,14 @@
             # stream that breaks has its stages rerun.
             self.flow.release()
         body = self.events(attempt, answer, self.splitter, first)
-        return ForwardAnswer(answer.status, self.continuation.headers or answer.headers, body)
+        headers = self.continuation.headers or answer.headers
+        return ForwardAnswer(answer.status, headers, body)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
         try:
             body = answer.read(self.remaining_ms())
+            self.check_end(attempt, answer)
         except StageError as error:
             self.record_failure(attempt, error.code)
             self.tracked.failed(
@@ -328,18 +330,7 @@
                 pace.passed_on(self.context.clock.now())
         if splitter.incomplete.strip():
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
-        if answer.ends_with_connection and self.has_crashed(attempt):
-            raise StageError("the stream ended with its server", Code.STREAM_CUT)
-
-    def has_crashed(self, attempt: ForwardAttempt) -> bool:
-        """Return whether the server of an answer that ended with its connection has crashed.
-
-        One that leaves may end in order behind its last answer.
-        """
-        server = attempt.choice.state.server
-        available = self.context.picker.directory.available(self.service)
-        is_leaving = all(one.name != server.name for one in available)
-        return not is_leaving and self.context.upstream.refuses(server)
+        self.check_end(attempt, answer)
 
     def resume(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, cut: StageError
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -99,6 +99,7 @@
                 heard = _ignore
             heard()
             body = answer.read(self.remaining_ms(), heard)
+            self.check_end(attempt, answer)
         except BaseException:
             if answer is not None:
                 answer.close()
