Answers: callers are told no more of the end of an answer than its server told

An answer without a length and without chunks was passed on with a Content-Length of ours, a stream with a last chunk. Both claim that the body is known to be whole, which the end of a connection does not show: a server that breaks off and ends its stream looks like one whose answer is whole.

Such an answer is now passed on without a length and without chunks, announces that the connection is closed, and ends with it; until it is whole the connection is set to be reset. A relayed answer keeps this. Behind the answer the caller's side is read until it is closed, for a second at most: closing a connection with unread bytes would reset it. Streams to callers of HTTP/1.0 that asked for a kept connection end with it too; they were announced as kept and left open behind their end.

--- a/features/unframedanswers.feature
+++ b/features/unframedanswers.feature
@@ -22,3 +22,44 @@
       | unsafe    | crashes                                      | 502    | no server's body | 1       |
       | resumable | ends the connection and resets it 20 ms later | 200    | all events       | 2       |
       | stream    | ends the connection and resets it 20 ms later | 200    | an open end      | 1       |
+
+  # Guards against a length of ours on a part of a body: a server that goes on and ends the connection
+  # has claimed no more than one whose answer is whole.
+  Scenario Outline: A caller is told no more about the end of an answer than its server told
+    Given an instance on loopback whose servers answer without a length
+    And the first server sends <answer>, then ends the connection
+    When one <kind> request goes to it by <version>
+    Then the outcome is <answer> that ends with its connection
+
+    Examples:
+      | kind      | answer           | version                          |
+      | safe      | a whole answer   | HTTP/1.1                         |
+      | unsafe    | a whole answer   | HTTP/1.1                         |
+      | safe      | a whole answer   | HTTP/1.0                         |
+      | unsafe    | a whole answer   | HTTP/1.0 with a kept connection  |
+      | safe      | a part           | HTTP/1.1                         |
+      | unsafe    | a part           | HTTP/1.1                         |
+      | stream    | a whole answer   | HTTP/1.1                         |
+      | resumable | a whole answer   | HTTP/1.1                         |
+      | stream    | a whole answer   | HTTP/1.0                         |
+      | stream    | a whole answer   | HTTP/1.0 with a kept connection  |
+
+  # Guards against answers that are lost by the close of a connection: the next request on it waits.
+  Scenario: A caller that sends two requests at once gets the first answer and a close
+    Given an instance on loopback whose servers answer without a length
+    When two safe requests are sent to it at once
+    Then the outcome is a whole answer that ends with its connection
+    And the second request has not run
+
+  Scenario Outline: A relayed answer claims no more than its server did
+    Given an instance on loopback whose servers answer without a length
+    And the first server sends a part of its answer, then <end>
+    When a <kind> request is relayed to it by another instance
+    Then the outcome is <outcome>
+
+    Examples:
+      | kind   | end                                           | outcome                         |
+      | safe   | ends the connection                           | a part that ends with its connection |
+      | unsafe | ends the connection                           | a part that ends with its connection |
+      | safe   | ends the connection and resets it 20 ms later | the whole body                  |
+      | unsafe | ends the connection and resets it 20 ms later | status 502                      |
--- a/packages/core/src/mountladder/forwarding/forwardanswer.py
+++ b/packages/core/src/mountladder/forwarding/forwardanswer.py
@@ -21,8 +21,11 @@
         headers: Its headers, without hop-by-hop headers.
         body: The complete body, or an iterator over the chunks of a stream. The iterator raises if
             the stream breaks, so that a truncated answer is never taken for a complete one.
+        ends_with_connection: Whether the backend server gave neither a length nor chunks, so that
+            the caller is given none either: they would claim that the body is known to be whole.
     """
 
     status: int
     headers: Headers
     body: bytes | Iterator[bytes]
+    ends_with_connection: bool = False
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -101,7 +101,7 @@
             self.flow.release()
         body = self.events(attempt, answer, self.splitter, first)
         headers = self.continuation.headers or answer.headers
-        return ForwardAnswer(answer.status, headers, body)
+        return ForwardAnswer(answer.status, headers, body, answer.ends_with_connection)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
@@ -116,7 +116,7 @@
             raise RunError(error.detail, error.code) from error
         self.record_failure(attempt, Code.STAGE_FAILED)
         self.finish(status=answer.status)
-        return ForwardAnswer(answer.status, answer.headers, body)
+        return ForwardAnswer(answer.status, answer.headers, body, answer.ends_with_connection)
 
     def open(self, splitter: EventSequence) -> tuple[ForwardAttempt, UpstreamAnswer, bytes]:
         """Send the request until a server has sent a complete event, or a status of 300 or above.
--- a/packages/core/src/mountladder/forwarding/wholerun.py
+++ b/packages/core/src/mountladder/forwarding/wholerun.py
@@ -68,7 +68,7 @@
                 self.hedge.stop()
                 self.succeeded(attempt, answer.load, streaming=False)
                 self.record_answer(attempt, answer)
-            return ForwardAnswer(answer.status, answer.headers, body)
+            return ForwardAnswer(answer.status, answer.headers, body, answer.ends_with_connection)
 
     def exchange(
         self,
--- a/packages/core/src/mountladder/isolation/relayedrun.py
+++ b/packages/core/src/mountladder/isolation/relayedrun.py
@@ -126,7 +126,8 @@
         """
         is_success = answer.signed and answer.status < SUCCESS_END
         if is_success and self.route.kind is RouteKind.STREAM:
-            return ForwardAnswer(answer.status, answer.headers, self.stream(peer, answer))
+            stream = self.stream(peer, answer)
+            return ForwardAnswer(answer.status, answer.headers, stream, answer.ends_with_connection)
         try:
             body = answer.read(self.limit_ms())
         except BaseException:
@@ -135,7 +136,7 @@
         self.log("relay-ended", peer, status=answer.status, signed=answer.signed)
         if self.may_have_run and not answer.signed and answer.status in NOT_RUN_STATUSES:
             raise RunError(f"{peer.name} refused it", Code.STAGE_FAILED)
-        return ForwardAnswer(answer.status, answer.headers, body)
+        return ForwardAnswer(answer.status, answer.headers, body, answer.ends_with_connection)
 
     def stream(self, peer: Instance, answer: UpstreamAnswer) -> Iterator[bytes]:
         """Yield the parts of a peer's stream.
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -13,7 +14,11 @@
 from mountladder.memory.memoryaccount import MemoryAccount
 from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_entry.callerwriter import BUFFER_BYTES, CallerWriter
-from mountladder_entry.limitedconnection import LimitedConnection
+from mountladder_entry.limitedconnection import REST_MS, LimitedConnection
+from mountladder_entry.toomuchreaderror import TooMuchReadError
+
+# The header that the web server adds to an answer without a length.
+CHUNKED = (b"Transfer-Encoding", b"chunked")
 
 
 class CallerConnection(LimitedConnection):
@@ -22,10 +27,13 @@
     Answers are written by CallerWriter.
 
     Attributes:
+        has_open_end: Whether the answer in progress ends with the connection, for callers of
+            HTTP/1.1 as well.
         is_leaving: Returns whether the instance is shutting down, so that connections are closed.
         account: Counts the bytes held for the caller.
     """
 
+    has_open_end = False
     is_leaving: Callable[[], bool] = staticmethod(lambda: False)
     account = MemoryAccount(SystemClock(), MemoryMetrics())
 
@@ -43,6 +51,18 @@
         self.writer.write(data)
         self.response_length += len(data)
 
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: object = None,
+    ) -> Callable[[bytes], None]:
+        """Start an answer; callers of HTTP/1.0 know no chunks. See LimitedConnection."""
+        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        if self.request_version == "HTTP/1.0" and not has_length:
+            self.end_with_connection()
+        return super().start_response(status, headers, exc_info)
+
     def finalize_headers(self) -> None:
         """Complete the headers; an answer to a HEAD request has no body, and so no last chunk.
 
@@ -50,6 +70,9 @@
         connections of a process that is killed.
         """
         super().finalize_headers()
+        if self.has_open_end and self.response_use_chunked:
+            self.response_use_chunked = False
+            self.response_headers.remove(CHUNKED)
         if self.command == "HEAD":
             self.response_use_chunked = False
         elif self.ends_with_connection():
@@ -87,7 +110,7 @@
             raise
         if self.command != "HEAD" and self.ends_with_connection():
             self.writer.flush()
-            self.writer.end_at_close()
+            self.writer.end()
 
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
@@ -97,9 +120,31 @@
         super().handle_one_response()
         try:
             self.writer.flush()
+            if self.has_open_end:
+                self.read_to_end()
         except OSError:
             self.close_connection = True
 
+    def read_to_end(self) -> None:
+        """Read what the caller still sends, until it closes its side.
+
+        Closing a connection with unread bytes resets it, which makes an answer that ends with the
+        connection incomplete.
+
+        Raises:
+            OSError: The caller did not close it in time.
+        """
+        self.read_limits.set(REST_MS, self.limits().body_bytes)
+        try:
+            while self.rfile.read1():
+                continue
+        except TooMuchReadError as error:
+            raise ConnectionResetError(errno.ECONNRESET, "the caller goes on sending") from error
+
+    def end_with_connection(self) -> None:
+        """Have the answer that starts next end with the connection, without a length or chunks."""
+        self.has_open_end = self.close_connection = True
+
     def closes(self) -> bool:
         """Return whether the connection is closed after an answer; see LimitedConnection."""
         return self.is_leaving() or super().closes()
@@ -107,6 +152,7 @@
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environment with what is needed of the connection added."""
         environ = super().get_environ()
+        environ["mountladder.end_with_connection"] = self.end_with_connection
         environ["mountladder.target"] = self.path
         environ["mountladder.headers"] = self.headers.items()
         environ["mountladder.socket"] = self.socket
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -245,13 +245,14 @@
         """
         self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
 
-    def end_at_close(self) -> None:
-        """Have the connection ended when it is closed, behind what the system still holds.
+    def end(self) -> None:
+        """End the stream to the caller, behind what the system still holds.
 
         Raises:
             OSError: The connection is closed.
         """
         self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _LINGER)
+        self.socket.shutdown(sockets.SHUT_WR)
 
     def fail(self, number: int, text: str) -> None:
         """Drop what waits, and fail every further write with an error."""
