Callers: a stream that breaks off is reset at once

An answer that ends with its connection and breaks off waited for its caller to close its side, up to a second, before the connection was reset. Only an answer whose stream was ended in order waits now.

--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -29,11 +29,12 @@
     Attributes:
         has_open_end: Whether the answer in progress ends with the connection, for callers of
             HTTP/1.1 as well.
+        has_ended: Whether the stream to the caller was ended behind such an answer.
         is_leaving: Returns whether the instance is shutting down, so that connections are closed.
         account: Counts the bytes held for the caller.
     """
 
-    has_open_end = False
+    has_open_end = has_ended = False
     is_leaving: Callable[[], bool] = staticmethod(lambda: False)
     account = MemoryAccount(SystemClock(), MemoryMetrics())
 
@@ -59,7 +60,7 @@
     ) -> Callable[[bytes], None]:
         """Start an answer; callers of HTTP/1.0 know no chunks. See LimitedConnection."""
         has_length = any(name.lower() == "content-length" for name, _ in headers)
-        if self.request_version == "HTTP/1.0" and not has_length:
+        if self.request_version == "HTTP/1.0" and not has_length and self.command != "HEAD":
             self.end_with_connection()
         return super().start_response(status, headers, exc_info)
 
@@ -111,6 +112,7 @@
         if self.command != "HEAD" and self.ends_with_connection():
             self.writer.flush()
             self.writer.end()
+            self.has_ended = True
 
     def handle_one_response(self) -> None:
         """Answer a request, and wait until the caller has taken the answer.
@@ -120,7 +122,7 @@
         super().handle_one_response()
         try:
             self.writer.flush()
-            if self.has_open_end:
+            if self.has_ended:
                 self.read_to_end()
         except OSError:
             self.close_connection = True
