Answers over HTTP: a head with a malformed line is not read

Callers got a part of a body as a whole one, where the head of the server's answer had a malformed line.

Cause: the HTTP library parses a head as that of an e-mail. At a line without a colon, or with a blank before it, it stops and takes all lines behind it for a body that it drops: a length among them was lost, and the body was read up to the end of the connection. A carriage return within a line ended the line for it, so that a part of a value was taken for a header.

Measured: of the 8 new scenarios with malformed lines all fail on the code before, 6 with a part of the body as a whole one; the 4 with unusual lines that are allowed pass on both. With the change the 64 of answerframing pass. So do the 474 of platform, earlyends, endlessanswers, http, readers, streamclauses and entries.

--- a/features/answerframing.feature
+++ b/features/answerframing.feature
@@ -96,3 +96,34 @@
       | 101, nothing  |
       | 102, length 5 |
       | 103, nothing  |
+
+  # Guards against a part of a body that is taken for a whole one: behind a malformed line the HTTP
+  # library takes no further header, among them the length.
+  Scenario Outline: An answer with a malformed line in its head is not read
+    Given a backend server whose answers have the head "<head>"
+    When a request gets the whole body, and another one a part of it
+    Then the first gets code 3003, and the second code 3003
+
+    Examples:
+      | head                                   |
+      | a line without a colon, length 5       |
+      | a blank before a colon, length 5       |
+      | a name that is not ASCII, length 5     |
+      | a line without a name, length 5        |
+      | length 5 that continues no line        |
+      | a carriage return in a value, length 5 |
+      | length 5 behind a carriage return      |
+      | a blank before the colon of length 5   |
+
+  # Guards against whole answers that are refused for what a head may hold.
+  Scenario Outline: An answer whose head is unusual is read
+    Given a backend server whose answers have the head "<head>"
+    When a request gets the whole body, and another one a part of it
+    Then the first gets 12345, and the second code 3003
+
+    Examples:
+      | head                                    |
+      | a continued line, length 5              |
+      | an empty value, length 5                |
+      | several parts without a limit, length 5 |
+      | line feeds only, length 5               |
--- a/features/steps/answerframing_steps.py
+++ b/features/steps/answerframing_steps.py
@@ -42,6 +42,20 @@
     "chunks and a blank": CODING % b"chunked ",
     "chunks and length 5": CHUNKED + LENGTH % b"5",
     "length 5 and gzip": LENGTH % b"5" + CODING % b"gzip",
+    "length 5 that continues no line": b" " + LENGTH % b"5",
+    "length 5 behind a carriage return": b"X-A: 1\r" + LENGTH % b"5",
+    "a blank before the colon of length 5": b"Content-Length : 5\r\n",
+}
+# Lines that stand at the beginning of a head.
+FIRST_LINES = {
+    "a line without a colon": b"X-A\r\n",
+    "a blank before a colon": b"X-A : 1\r\n",
+    "a name that is not ASCII": b"X-\xe4: 1\r\n",
+    "a line without a name": b": 1\r\n",
+    "a carriage return in a value": b"X-A: 1\r2\r\n",
+    "a continued line": b"X-A: 1\r\n 2\r\n",
+    "an empty value": b"X-A:\r\n",
+    "several parts without a limit": b"Content-Type: multipart/mixed\r\n",
 }
 
 
@@ -53,14 +67,23 @@
 
 
 def make_head(name, id_):
-    """Return the head of an answer by its name, which may begin with a version or a status."""
-    version, status = b"HTTP/1.1", b"200"
+    """Return the head of an answer by its name, which may begin with what is unusual in it."""
+    version, status, first = b"HTTP/1.1", b"200", HEAD % id_
     prefix, _, rest = name.partition(", ")
     if prefix == "HTTP/1.0":
-        version, name = prefix.encode(), rest
+        version = prefix.encode()
     elif prefix.isdecimal():
-        status, name = prefix.encode(), rest
-    return version + b" " + status + b" X\r\n" + HEAD % id_ + framing_lines(name) + b"\r\n"
+        status = prefix.encode()
+    elif prefix in FIRST_LINES:
+        first += FIRST_LINES[prefix]
+    elif prefix != "line feeds only":
+        rest = name
+    if rest == "length 5 that continues no line":
+        head = framing_lines(rest) + first
+    else:
+        head = first + framing_lines(rest)
+    head = version + b" " + status + b" X\r\n" + head + b"\r\n"
+    return head.replace(b"\r\n", b"\n") if prefix == "line feeds only" else head
 
 
 def serve_heads(context, name, bodies, stays_open):
--- a/packages/entry/src/mountladder_entry/limitedhttpconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedhttpconnection.py
@@ -14,11 +14,9 @@
 from mountladder.clocks.systemclock import SystemClock
 from mountladder_entry.boundedreader import BoundedReader
 from mountladder_entry.readlimits import ReadLimits
+from mountladder_entry.strictresponse import StrictResponse
 from mountladder_entry.wholelinereader import WholeLineReader
 
-# The response class of the HTTP library below urllib3.
-HTTPResponse = HTTPConnection.response_class
-
 
 class LimitedHttpConnection(HTTPConnection):
     """An HTTP connection that reads answers within limits.
@@ -32,9 +30,9 @@
         self.limits = ReadLimits(SystemClock())
         self.response_class = self.make_response
 
-    def make_response(self, socket: sockets.socket, **options: object) -> HTTPResponse:
+    def make_response(self, socket: sockets.socket, **options: object) -> StrictResponse:
         """Return a response of the HTTP library, which reads from what makefile returns."""
-        return HTTPResponse(self, **options)
+        return StrictResponse(self, **options)
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a reader of an answer that keeps to the limits; see socket.makefile."""
