Connections: one reader of answers waits for a reset

The wait for a reset behind the end of an answer stood twice: in the connection to a backend server, which kept its socket open for it, and in the reader of the other clients. The reader does it for all connections now, before the HTTP library closes the socket.

--- a/packages/entry/src/mountladder_entry/answerreader.py
+++ b/packages/entry/src/mountladder_entry/answerreader.py
@@ -14,7 +14,8 @@
 from mountladder_entry.connectionreset import is_reset
 from mountladder_entry.readlimits import ReadLimits
 
-# How long a reset is awaited behind the end of an answer without a length.
+# How long a reset is awaited behind the end of an answer without a length. A server that closes the
+# connection in order sends none; one that breaks off may end its stream first.
 RESET_WAIT_MS = 50.0
 
 
--- a/packages/entry/src/mountladder_entry/limitedhttpconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedhttpconnection.py
@@ -12,7 +12,7 @@
 from urllib3.connection import HTTPConnection
 
 from mountladder.clocks.systemclock import SystemClock
-from mountladder_entry.boundedreader import BoundedReader
+from mountladder_entry.answerreader import AnswerReader
 from mountladder_entry.readlimits import ReadLimits
 from mountladder_entry.strictresponse import StrictResponse
 from mountladder_entry.wholelinereader import WholeLineReader
@@ -36,4 +36,4 @@
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a reader of an answer that keeps to the limits; see socket.makefile."""
-        return WholeLineReader(BoundedReader(self.sock, self.limits))
+        return WholeLineReader(AnswerReader(self.sock, self.limits))
--- a/packages/entry/src/mountladder_entry/strictresponse.py
+++ b/packages/entry/src/mountladder_entry/strictresponse.py
@@ -24,7 +24,8 @@
 class StrictResponse(HTTPConnection.response_class):
     """A response that fails where the library leaves out lines of its head.
 
-    The length of the body may be among them.
+    The length of the body may be among them. It is read by an AnswerReader, which it tells whether
+    the body ends with the connection.
     """
 
     def begin(self) -> None:
@@ -37,3 +38,4 @@
         for defect in self.headers.defects:
             if isinstance(defect, _LEFT_OUT):
                 raise HTTPException(f"a line of the head is malformed: {defect!r}")
+        self.fp.raw.ends_with_connection = self.length is None and not self.chunked
--- a/packages/entry/src/mountladder_entry/timedhttpconnection.py
+++ b/packages/entry/src/mountladder_entry/timedhttpconnection.py
@@ -6,15 +6,9 @@
 
 from __future__ import annotations
 
-import io
-import socket as sockets
-
 from urllib3.response import HTTPResponse
 
-from mountladder_entry import limitedhttpconnection
-from mountladder_entry.answerreader import AnswerReader
 from mountladder_entry.limitedhttpconnection import LimitedHttpConnection
-from mountladder_entry.wholelinereader import WholeLineReader
 
 MS_PER_SECOND = 1000.0
 # Twice the largest object of the platform's store, and more than a stream of tokens takes.
@@ -28,22 +22,3 @@
         """Return the head of the next answer; what follows counts for the same limits."""
         self.limits.set(self.timeout * MS_PER_SECOND, MAX_ANSWER_BYTES)
         return super().getresponse()
-
-    def make_response(
-        self, socket: sockets.socket, **options: object
-    ) -> limitedhttpconnection.HTTPResponse:
-        """Return a response of the HTTP library; see LimitedHttpConnection."""
-        return _Response(self, **options)
-
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Return a reader of an answer; see LimitedHttpConnection."""
-        return WholeLineReader(AnswerReader(self.sock, self.limits))
-
-
-class _Response(limitedhttpconnection.HTTPResponse):
-    """A response of the HTTP library, whose reader knows how the body ends."""
-
-    def begin(self) -> None:
-        """Read the head."""
-        super().begin()
-        self.fp.raw.ends_with_connection = self.length is None and not self.chunked
