--- a/packages/entry/src/mountladder_entry/httpobjectstore.py
+++ b/packages/entry/src/mountladder_entry/httpobjectstore.py
@@ -8,7 +8,9 @@
 
 from urllib.parse import quote
 
+from mountladder.errors import StoreUnavailableError
 from mountladder.store.objectstore import ObjectStore
+from mountladder_entry.framing import is_framed
 from mountladder_entry.httpclient import HttpClient
 
 
@@ -24,8 +26,13 @@
 
     def get(self, name: str) -> bytes | None:
         """Return an object; see ObjectStore."""
-        response = self.client.read("/objects/" + quote(name))
-        return None if response.status == 404 else response.data
+        path = "/objects/" + quote(name)
+        response = self.client.read(path)
+        if response.status == 404:
+            return None
+        if not is_framed(response):
+            raise StoreUnavailableError(f"{path}: the object may be incomplete, it has no length")
+        return response.data
 
     def put(self, name: str, value: bytes) -> None:
         """Write an object; see ObjectStore."""
