Table service: a transaction whose answer cannot be read may have happened

Cause: an answer that ended with its connection within its JSON raised BadRowError, which neither the claims' commits nor the change log expect. By reading: the writes in flight then wait until they are given up, and an author is told that the change has failed.

Change: an answer with a status of success that cannot be read counts as ambiguous, as one that was broken off otherwise does. The writes are then sent again under their conditions.

--- a/packages/entry/src/mountladder_entry/httptable.py
+++ b/packages/entry/src/mountladder_entry/httptable.py
@@ -10,12 +10,15 @@
 import json
 from collections.abc import Sequence
 
-from mountladder.errors import BadRowError, ConditionFailedError
+from mountladder.errors import BadRowError, ConditionFailedError, StoreAmbiguousError
 from mountladder.store.row import Row
 from mountladder.store.table import Table
 from mountladder.store.write import Write
 from mountladder_entry.httpclient import HttpClient, parse
 
+FIRST_ERROR_STATUS = 400
+CONFLICT_STATUS = 409
+
 
 class HttpTable(Table):
     """The platform's table service.
@@ -51,13 +54,16 @@
             for write in writes
         ]
         response = self.client.call("POST", "/table/commit", json.dumps(entries).encode())
-        table = parse(response)
         try:
-            if response.status == 409:
+            table = parse(response)
+            if response.status == CONFLICT_STATUS:
                 raise ConditionFailedError(tuple(table["failed"]))
             return int(table["version"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise BadRowError(f"the answer to a transaction cannot be read: {error}") from error
+        except (BadRowError, KeyError, TypeError, ValueError) as error:
+            detail = f"the answer to a transaction cannot be read: {error}"
+            if response.status >= FIRST_ERROR_STATUS:
+                raise BadRowError(detail) from error
+            raise StoreAmbiguousError(detail) from error
 
 
 def _row(entry: object) -> Row:
