Stages: a number without a length is not known to be whole

Cause: a result that ended with its connection was taken for whole if it was JSON. A part of a number is a number.

Change: a result that is a number counts only with a length or chunks.

--- a/packages/entry/src/mountladder_entry/httpbackend.py
+++ b/packages/entry/src/mountladder_entry/httpbackend.py
@@ -33,6 +33,7 @@
     dialect_of,
     requires_attempt,
 )
+from mountladder_entry.framing import is_framed
 from mountladder_entry.timedpools import TimedPools
 
 MS_PER_SECOND = 1000.0
@@ -76,7 +77,10 @@
             data = self.read(response, watch)
             if len(data) > MAX_RESULT_BYTES:
                 raise StageError("a result is too long", Code.BAD_ANSWER)
-            json.loads(data)
+            result = json.loads(data)
+            if isinstance(result, (int, float)) and not is_framed(response):
+                # Other JSON shows its end by itself.
+                raise StageError("a number without a length may be incomplete", Code.STREAM_CUT)
         except (ValueError, RecursionError) as error:
             # Deeply nested JSON raises RecursionError.
             response.close()
