Relay: an answer of another instance without a length may be incomplete

Cause: instances of the product's own interface give a length or chunks. An answer with neither was passed on in chunks that ended with a last one, so that a part of it looked whole.

Change: such an answer is passed on and then broken off.

--- a/packages/entry/src/mountladder_entry/relay.py
+++ b/packages/entry/src/mountladder_entry/relay.py
@@ -13,10 +13,13 @@
 
 from mountladder.claims.issuedkey import IssuedKey
 from mountladder.clocks.clock import Clock
+from mountladder.code import Code
+from mountladder.errors import RunError
 from mountladder.membership.membership import Membership
 from mountladder.metrics.metric import Metric
 from mountladder.metrics.metrics import Metrics
 from mountladder.requests.request import Request
+from mountladder_entry.framing import is_framed
 from mountladder_entry.relayedanswer import RelayedAnswer
 from mountladder_entry.timedpools import TimedPools
 
@@ -73,9 +76,17 @@
 
 
 def _body_parts(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the parts of an answer's body.
+
+    Raises:
+        RunError: It has neither a length nor chunks, as no answer of an instance; the caller must
+            see that it may be incomplete.
+    """
     finished = False
     try:
         yield from response.stream()
+        if not is_framed(response):
+            raise RunError("", Code.STREAM_CUT)
         finished = True
     finally:
         if finished:
