Soak: a connection that is reset shows its reader a reset

reset_connection shut the connection down before it reset it, so that a reader saw the end of the stream and no error: no fault of the soak was a plain reset.

The two new scenarios of features/soak.feature pass.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -189,6 +189,16 @@
     When a-1 is cut off while it opens a connection
     Then the connection of a-1 is reset
 
+  # Guards against resets that a reader takes for the end of a stream: no fault was a plain reset.
+  Scenario Outline: A reader of a connection that is reset sees <what>
+    Given a connection over which 4 bytes came and that its writer resets with <function>
+    Then its reader sees the 4 bytes, then <what>
+
+    Examples:
+      | function         | what                  |
+      | reset_connection | a reset               |
+      | end_and_reset    | the end of the stream |
+
   # Guards against streams that a soak misses since requests that are relayed cross its cuts.
   Scenario: A cut reaches the requests that instances relay
     Given a proxy for what others relay to an instance
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,6 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2] / "platform" / "tests"))
 
+from soak import wire
 from soak.addresses import Addresses
 from soak.arrival import Arrival
 from soak.caller import DEADLINE_S, stream_error
@@ -729,6 +730,35 @@
     assert is_passed_on(context.connections[name])
 
 
+@given("a connection over which 4 bytes came and that its writer resets with {function}")
+def connection_of_writer(context, function):
+    context.reader, writer = tcp_pair(context.stack)
+    writer.sendall(b"body")
+    getattr(wire, function)(writer)
+    # The socket itself is closed by the loop.
+    gevent.sleep(0.01)
+
+
+def tcp_pair(stack):
+    listener = gevent.socket.create_server(("127.0.0.1", 0))
+    stack.callback(listener.close)
+    reader = gevent.socket.create_connection(listener.getsockname(), 1.0)
+    writer, _ = listener.accept()
+    for one in (reader, writer):
+        stack.callback(one.close)
+    return reader, writer
+
+
+@then("its reader sees the 4 bytes, then {what}")
+def reader_sees(context, what):
+    assert context.reader.recv(8) == b"body"
+    try:
+        seen = "the end of the stream" if not context.reader.recv(8) else "more bytes"
+    except ConnectionResetError:
+        seen = "a reset"
+    assert seen == what, seen
+
+
 @given("a play with a fault of the store at second 0")
 def play_with_fault(context):
     folder = Path(context.stack.enter_context(TemporaryDirectory()))
