--- a/features/soak.feature
+++ b/features/soak.feature
@@ -78,6 +78,33 @@
       | one server                     |
       | only drained servers           |
 
+  # Guards against a check that takes the one part that no instance can know for an excuse of others.
+  Scenario Outline: A part of a body is excused only if it looks sound and no more is claimed of it
+    Given a record of a soak without violations
+    When a server sent a part by <framing>, <end>, and its caller got <what> by <claim>
+    Then <outcome>
+
+    Examples:
+      | framing    | end             | what     | claim      | outcome                         |
+      | connection | end             | it       | connection | every promise is kept           |
+      | connection | end             | it       | length     | only complete_answers is broken |
+      | connection | end             | it       | chunks     | only complete_answers is broken |
+      | connection | end             | a byte   | connection | only complete_answers is broken |
+      | connection | end and reset   | it       | connection | only complete_answers is broken |
+      | connection | end, then reset | it       | connection | only complete_answers is broken |
+      | connection | reset           | it       | connection | only complete_answers is broken |
+      | connection | reset later     | it       | connection | only complete_answers is broken |
+      | connection | server killed   | it       | connection | only complete_answers is broken |
+      | length     | end             | it       | connection | only complete_answers is broken |
+      | chunks     | end             | it       | connection | only complete_answers is broken |
+
+  # Guards against callers of the soak that take a part of a body for the whole.
+  Scenario: A caller tells a whole body from its parts and from other bytes
+    Given the body of a plain answer
+    Then it is whole, and each of its first parts is found to be one
+    And it is wrong with any byte changed, left out or added
+    And a part of it is not wrong if it did not end regularly
+
   Scenario Outline: A violation that a fault explains is excused
     Given a record of a soak without violations
     And a fault "<kind>" of <target> from second 1 to second 9
@@ -139,6 +166,16 @@
     Then every promise is kept
     And at least 100 requests were served
 
+  # Guards against answers that look complete while a part of their body is missing, since the end of
+  # a connection was taken for the end of a body that had no length.
+  Scenario: Answers are broken off within their body, have no length or come twice
+    When these faults are played with seed 7 for 9 seconds with 4 instances
+      | kind       | target | at  | seconds | strength |
+      | cut-bodies | desk   | 0.5 | 6.5     | 0.5      |
+    Then every promise is kept
+    And at least 30 answers were broken off, and 10 others had no length
+    And at least 100 requests were served
+
   # Guards against streams of two versions by an instance that takes those it reaches for all: one
   # that is cut off, with its data centre, does not hear of the version that a release brings.
   Scenario Outline: A data centre is cut off during a release while callers resume streams
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,6 +23,7 @@
 from soak import wire
 from soak.addresses import Addresses
 from soak.arrival import Arrival
+from soak.bodyend import BodyEnd
 from soak.caller import DEADLINE_S, stream_error
 from soak.checks import check
 from soak.exchange import Exchange
@@ -30,8 +31,10 @@
 from soak.fault import Fault
 from soak.instanceprocess import MEMORY_MB, RESTART_DELAY_S, START_LOCK
 from soak.isolation import EXTRAS, ISOLATED_FAULTS, SERIES, draw_isolation
+from soak.plainbody import PLAIN_BYTES, body_error, is_part, plain_body
 from soak.play import SPREAD_S, Play, instance_names, service_names
 from soak.probe import Probe
+from soak.receivedbody import CONNECTION, WHOLE, ReceivedBody
 from soak.record import Record
 from soak.relayproxy import RelayProxy
 from soak.schedule import (
@@ -49,6 +52,7 @@
 
 LENGTH_S = 20.0
 STEADY_CALLERS = 12
+BODY_BYTES = 600
 # How long the caller of a starting instance waits for an answer, as callers of the platform do.
 ANSWER_TIMEOUT_S = 1.0
 RESTART = Fault(5.0, "restart", ("a-1",), 1.0)
@@ -730,6 +734,51 @@
     assert is_passed_on(context.connections[name])
 
 
+@when("a server sent a part by {framing}, {end}, and its caller got {what} by {claim}")
+def got_part(context, framing, end, what, claim):
+    size = 1_000 if what == "it" else 1
+    error = body_error("x", plain_body("x", "desk-1", PLAIN_BYTES)[:size])
+    body = ReceivedBody(claim, WHOLE, size, is_part=True)
+    add(context.record, exchange("x", answer_error=error, body=body))
+    context.record.body_ends["x"].append(BodyEnd(framing, end, 1_000, PLAIN_BYTES))
+
+
+@then("at least {number:d} answers were broken off, and {others:d} others had no length")
+def answers_broken_off(context, number, others):
+    ends = [end for ends in context.record.body_ends.values() for end in ends]
+    cut = sum(end.sent < end.size for end in ends)
+    unframed = sum(end.sent == end.size and end.framing == CONNECTION for end in ends)
+    assert cut >= number and unframed >= others, (cut, unframed)
+
+
+@given("the body of a plain answer")
+def plain_answer(context):
+    context.id, context.body = "s1c2n3", plain_body("s1c2n3", "desk-1", BODY_BYTES)
+
+
+@then("it is whole, and each of its first parts is found to be one")
+def parts_found(context):
+    assert not body_error(context.id, context.body) and not is_part(context.id, context.body)
+    for size in range(BODY_BYTES):
+        part = context.body[:size]
+        assert is_part(context.id, part) and body_error(context.id, part), size
+
+
+@then("it is wrong with any byte changed, left out or added")
+def wrong_bytes_found(context):
+    for at in range(BODY_BYTES):
+        head, byte, rest = context.body[:at], context.body[at : at + 1], context.body[at + 1 :]
+        for other in (head + b"#" + rest, head + rest, head + 2 * byte + rest):
+            assert body_error(context.id, other), (at, other[:60])
+    assert body_error("s1c2n", context.body) and body_error("s1c2n34", context.body)
+
+
+@then("a part of it is not wrong if it did not end regularly")
+def parts_allowed(context):
+    assert not body_error(context.id, context.body[:-1], ended=False)
+    assert body_error(context.id, context.body[:-1] + b"#", ended=False)
+
+
 @given("a connection over which 4 bytes came and that its writer resets with {function}")
 def connection_of_writer(context, function):
     context.reader, writer = tcp_pair(context.stack)
