Answers: a server that accepts no connections does not hold up a whole answer

Whether the server of an answer without a length has crashed was asked for up to 300 ms, also behind the caller's deadline: a server whose backlog is full does not answer.

features/streamclauses, unframedanswers and isolation: 148 passed.

--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -37,6 +37,9 @@
 # time, and asks for a retry at this interval in milliseconds.
 BUDGET_WAIT_FRACTION = 0.75
 BUDGET_POLL_MS = 100.0
+# How long a server that may have crashed is given to refuse a connection, in milliseconds. One that
+# accepts none, since many wait, would hold up an answer that is whole.
+REFUSAL_MS = 100.0
 # How often the stages are rerun after a result was lost, for example in a crash or a broken stream.
 MAX_STAGE_RERUNS = 2
 
@@ -516,7 +519,10 @@
         server = attempt.choice.state.server
         available = self.context.picker.directory.available(self.service)
         is_leaving = all(one.name != server.name for one in available)
-        return not is_leaving and self.context.upstream.refuses(server)
+        limit_ms = min(self.remaining_ms(), REFUSAL_MS)
+        if is_leaving or limit_ms <= 0:
+            return False
+        return self.context.upstream.refuses(server, limit_ms)
 
     def record_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> None:
         """Record that an attempt was answered completely, for the quarantine and the log."""
--- a/packages/core/src/mountladder/forwarding/upstream.py
+++ b/packages/core/src/mountladder/forwarding/upstream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
 
@@ -65,10 +66,14 @@
         """
 
     @abstractmethod
-    def refuses(self, server: BackendServer) -> bool:
+    def refuses(self, server: BackendServer, limit_ms: float = math.inf) -> bool:
         """Return whether connections to a server are refused, which shows that it has crashed.
 
         A server that is unreachable or does not answer may still be running.
+
+        Args:
+            server: The server.
+            limit_ms: How long an answer is awaited at most, in milliseconds.
         """
 
     @abstractmethod
--- a/packages/core/src/mountladder/isolation/watchedupstream.py
+++ b/packages/core/src/mountladder/isolation/watchedupstream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 
@@ -72,12 +73,12 @@
         with self.watch():
             return self.inner.run_pieces(server, pieces, limit_ms, on_notices)
 
-    def refuses(self, server: BackendServer) -> bool:
+    def refuses(self, server: BackendServer, limit_ms: float = math.inf) -> bool:
         """Return whether connections to a server are refused; see Upstream.
 
         That shows no crash while other servers cannot be reached either.
         """
-        return self.inner.refuses(server) and not self.detector.check(suspect=server)
+        return self.inner.refuses(server, limit_ms) and not self.detector.check(suspect=server)
 
     def cold_ms(self, server: BackendServer, health_path: str, limit_ms: float) -> float | None:
         """Return how much longer a server is cold by its health check; see Upstream."""
--- a/packages/standins/src/mountladder_standins/localupstream.py
+++ b/packages/standins/src/mountladder_standins/localupstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -280,7 +281,7 @@
         if is_down or server.name in self.unreachable:
             raise StageError("connection refused", Code.CONNECT_FAILED, False)
 
-    def refuses(self, server: BackendServer) -> bool:
+    def refuses(self, server: BackendServer, limit_ms: float = math.inf) -> bool:
         """Return whether a server's address refuses connections; see Upstream."""
         return self.has_crashed(server) and not self.silent_crashes
 
--- a/packages/standins/src/mountladder_standins/partitionedupstream.py
+++ b/packages/standins/src/mountladder_standins/partitionedupstream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 from mountladder.clocks.clock import Clock
@@ -94,12 +95,12 @@
         self.check_answer(began, limit_ms)
         return results
 
-    def refuses(self, server: BackendServer) -> bool:
+    def refuses(self, server: BackendServer, limit_ms: float = math.inf) -> bool:
         """Return whether a server's address refuses connections; see Upstream."""
         if self.partition() is ServerPartition.HANG:
-            self.clock.sleep(CONNECT_TIMEOUT_MS)
+            self.clock.sleep(min(limit_ms, CONNECT_TIMEOUT_MS))
             return False
-        return self.partition() is not None or self.inner.refuses(server)
+        return self.partition() is not None or self.inner.refuses(server, limit_ms)
 
     def reaches(self, server: BackendServer) -> bool:
         """Return whether a connection to a server can be opened; see Upstream."""
