Streams: a last chunk is sent only where the end of the stream is known

A stream that began at a server with chunks, broke off and went on at one whose answer ended with its connection was ended by a last chunk, though that server may have broken off as well. So was one that went on from a copy. The caller cannot be told any more that the end is open: such an end now counts as a break. The stream is resumed once more where that is allowed, otherwise the caller sees that it is incomplete, and may resume it.

--- a/features/steps/streamclause_steps.py
+++ b/features/steps/streamclause_steps.py
@@ -60,7 +60,7 @@
 
 @given(r"the servers send (?P<sent>\S*), (?P<how>each broken off but the last|whole)")
 def servers_send(context, sent, how):
-    send_runs(context, encode_runs(sent), how.startswith("each"), False, False)
+    send_runs(context, encode_runs(sent), how.startswith("each"), lambda number: False, False)
 
 
 @given(
@@ -68,7 +68,12 @@
     r"(?P<crash>, and the first one crashes at its end)?"
 )
 def servers_send_unframed(context, sent, crash):
-    send_runs(context, encode_runs(sent), False, True, bool(crash))
+    send_runs(context, encode_runs(sent), False, lambda number: True, bool(crash))
+
+
+@given(r"the servers send (?P<sent>\S*), the first one breaks off, others give no length or chunks")
+def servers_send_unframed_rest(context, sent):
+    send_runs(context, encode_runs(sent), True, lambda number: number > 1, False)
 
 
 @then(r"the caller gets (?P<got>\S*), and the answer is (?P<end>complete|broken off|refused)")
@@ -90,7 +95,8 @@
         context: The scenario's context.
         runs: The events of each run; servers behind the last one send none, and break off.
         breaks: Whether the connection breaks behind each run but the last one.
-        ends_with_connection: Whether the answers have neither a length nor chunks.
+        ends_with_connection: Returns whether the answer of the server with a number, from 1 on, has
+            neither a length nor chunks.
         crashes: Whether the first server crashes behind its last event.
     """
     upstream = context.fleet.upstream
@@ -104,7 +110,7 @@
         number, answer.parts = left.pop(0) if left else (0, [])
         answer.parts = list(answer.parts)
         answer.cut = not number or (breaks and number < len(runs))
-        answer.ends_with_connection = ends_with_connection
+        answer.ends_with_connection = ends_with_connection(number)
         if crashes and number == 1:
             # An answer of a server that has crashed ends before the next part.
             count = len(answer.parts)
--- a/features/streamclauses.feature
+++ b/features/streamclauses.feature
@@ -196,6 +196,20 @@
       | resumable |
       | stream    |
 
+  # Guards against a last chunk that claims that a stream is whole: it began in chunks, and goes on at
+  # a server whose answer ends with its connection.
+  @forwarding
+  Scenario Outline: A stream whose end is not known is not ended by a last chunk
+    Given two instances and the servers of each kind of request
+    And the servers send <sent>, the first one breaks off, others give no length or chunks
+    When instance a-1 gets a resumable request r
+    Then the caller gets <got>, and the answer is broken off
+
+    Examples:
+      | sent        | got         |
+      | 1,2,3/4,5,6 | 1,2,3/4,5,6 |
+      | 1,2,3/      | 1,2,3       |
+
   # Guards against whole answers that are broken off for it.
   @forwarding
   Scenario Outline: An answer that ends with its connection at a server that lives is complete
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -43,6 +43,7 @@
         stream_version: The software version at which the stream continues.
         continuation: The copy of its cache, and its continuation from there.
         is_partial: Whether a server has sent only the rest of the stream, after events of another.
+        has_open_end: Whether the caller is told no end of the stream but that of its connection.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.stream_version = StreamVersion(proxy(self))
         self.continuation = Continuation(proxy(self))
         self.is_partial = bool(request.last_event_id)
+        self.has_open_end = False
 
     @property
     def wants_backup(self) -> bool:
@@ -101,7 +103,8 @@
             self.flow.release()
         body = self.events(attempt, answer, self.splitter, first)
         headers = self.continuation.headers or answer.headers
-        return ForwardAnswer(answer.status, headers, body, answer.ends_with_connection)
+        self.has_open_end = answer.ends_with_connection
+        return ForwardAnswer(answer.status, headers, body, self.has_open_end)
 
     def buffered_answer(self, attempt: ForwardAttempt, answer: UpstreamAnswer) -> ForwardAnswer:
         """Return an answer that is not a stream, such as an error of the server."""
@@ -331,6 +334,9 @@
         if splitter.incomplete.strip():
             raise StageError("the stream ended within an event", Code.STREAM_CUT)
         self.check_end(attempt, answer)
+        if answer.ends_with_connection and not self.has_open_end:
+            # The last chunk would tell the caller that the stream is known to be whole.
+            raise StageError("the end of the stream is not known", Code.STREAM_CUT)
 
     def resume(
         self, attempt: ForwardAttempt, answer: UpstreamAnswer, cut: StageError
