--- a/bench/run.py
+++ b/bench/run.py
@@ -15,6 +15,7 @@
 
 ALL = (
     "relay",
+    "answerends",
     "slopes",
     "decision",
     "store",
