Streams: a caller that leaves during an error frees the place at its server

A server whose error was being read for a stream as the caller left counted one more request in flight for good, since the attempt was neither recorded nor closed. The new scenario of features/unframedanswers.feature failed before and passes now.

--- a/features/steps/unframedanswer_steps.py
+++ b/features/steps/unframedanswer_steps.py
@@ -7,6 +7,7 @@
 import random
 from types import SimpleNamespace
 
+import gevent
 from behave import given, then, when
 from forwardbasics import PATHS, ROUTES
 from gevent import socket
@@ -23,6 +24,7 @@
 # A second attempt draws on what earlier requests have earned.
 EARNING_REQUESTS = 10
 TIMEOUT_S = 3.0
+MS_PER_SECOND = 1000.0
 VERSIONS = {
     "HTTP/1.1": (b"HTTP/1.1", b""),
     "HTTP/1.0": (b"HTTP/1.0", b""),
@@ -146,6 +148,29 @@
     begin = end = count = ignore
 
 
+@given("they answer with status {status:d}, and end the connection {ms:d} ms later")
+def answer_with_status(context, status, ms):
+    context.loopback.status, context.loopback.pause_s = status, ms / MS_PER_SECOND
+
+
+@when("a caller sends a stream request and leaves after {ms:d} ms")
+def send_and_leave(context, ms):
+    with socket.create_connection(context.address, TIMEOUT_S) as connection:
+        connection.sendall(HEAD % (PATHS["stream"].encode(), 0))
+        gevent.sleep(ms / MS_PER_SECOND)
+    # The servers end their connections meanwhile.
+    gevent.sleep(5 * ms / MS_PER_SECOND)
+
+
+@then("no request counts as in flight at a server")
+def none_in_flight(context):
+    assert context.loopback.treated, "no server was sent the request"
+    picker = context.loopback.instance.forwarder.context.picker
+    servers = picker.directory.available("llm")
+    running = {one.name: picker.router.state(one).running for one in servers}
+    assert not any(running.values()), running
+
+
 @when("two safe requests are sent to it at once")
 def send_two(context):
     context.whole = whole_body(PATHS["safe"].encode())
--- a/features/unframedanswers.feature
+++ b/features/unframedanswers.feature
@@ -51,6 +51,13 @@
     Then the outcome is a whole answer that ends with its connection
     And the second request has not run
 
+  # Guards against servers that count as busy for good since their callers left.
+  Scenario: A caller leaves while an error without a length is read for its stream
+    Given an instance on loopback whose servers answer without a length
+    And they answer with status 404, and end the connection 200 ms later
+    When a caller sends a stream request and leaves after 100 ms
+    Then no request counts as in flight at a server
+
   Scenario Outline: A relayed answer claims no more than its server did
     Given an instance on loopback whose servers answer without a length
     And the first server sends a part of its answer, then <end>
--- a/features/unframedinstance.py
+++ b/features/unframedinstance.py
@@ -31,11 +31,15 @@
 
     Attributes:
         next_end: One of ENDS, how the next answer is broken off, or an empty string.
+        status: The status of the answers.
+        pause_s: How long the servers wait behind the body before they end the connection.
     """
 
     def __init__(self, stack):
         super().__init__(stack, "answer without a length")
         self.next_end = ""
+        self.status = 200
+        self.pause_s = 0.0
 
     def treat(self, connection, head):
         """Answer a request, and end the connection; see LoopbackInstance."""
@@ -45,7 +49,10 @@
         if head.get(b"last-event-id"):
             body = body.partition(b"id: %b\n" % head[b"last-event-id"])[2].partition(b"\n\n")[2]
         sent = part_of(body) if end else body
-        connection.sendall(ANSWER_HEAD % (200, head[b"mountladder-request-id"], b"X: 1") + sent)
+        connection.sendall(
+            ANSWER_HEAD % (self.status, head[b"mountladder-request-id"], b"X: 1") + sent
+        )
+        gevent.sleep(self.pause_s)
         if end:
             self.break_off(connection, end)
         return False
--- a/packages/core/src/mountladder/forwarding/streamrun.py
+++ b/packages/core/src/mountladder/forwarding/streamrun.py
@@ -117,6 +117,10 @@
                 attempt.choice.state.server, attempt.started, error, self.begun_ms()
             )
             raise RunError(error.detail, error.code) from error
+        except BaseException:
+            answer.close()
+            self.record_failure(attempt, Code.CANCELLED)
+            raise
         self.record_failure(attempt, Code.STAGE_FAILED)
         self.finish(status=answer.status)
         return ForwardAnswer(answer.status, answer.headers, body, answer.ends_with_connection)
