Callers of HTTP/1.0: an answer of the product's own interface that fails is reset

Where an application failed within its answer the product's own interface closed the connection of a caller of HTTP/1.0 in order, so that the part looked whole, such as an answer relayed from another instance. It is now reset, as the connections of the ingress are. An answer without a length also ended no connection that such a caller had asked to keep; it is announced as closed now.

Found by the review.

--- a/features/steps/unframedanswer_steps.py
+++ b/features/steps/unframedanswer_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from forwardbasics import PATHS, ROUTES
 from gevent import socket
+from gevent.pywsgi import WSGIServer
 from loopbackinstance import NAME
 from mountladder_platform.httppeerrelay import HttpPeerRelay
 from mountladder_platform.ingress import Ingress
@@ -18,8 +19,13 @@
 from requestmemory_steps import HEAD
 from unframedinstance import UnframedInstance, part_of, whole_body
 
+from mountladder.code import Code
+from mountladder.errors import RunError
 from mountladder.forwarding.callerlimits import CallerLimits
 from mountladder.isolation.relayedrun import RelayedRun
+from mountladder_entry.callerconnection import CallerConnection
+from mountladder_entry.limitedconnection import LimitedConnection
+from mountladder_entry.weberrorlog import WebErrorLog
 
 # A second attempt draws on what earlier requests have earned.
 EARNING_REQUESTS = 10
@@ -148,6 +154,33 @@
     begin = end = count = ignore
 
 
+@given("a web server of {interface}, whose application fails within its answer")
+def failing_server(context, interface):
+    def application(environ, start_response):
+        start_response("200 OK", [])
+        yield b"a part"
+        raise RunError("", Code.STREAM_CUT)
+
+    handler = LimitedConnection if interface == "the product's own interface" else CallerConnection
+    server = WSGIServer(
+        ("127.0.0.1", 0), application, log=None, error_log=WebErrorLog(), handler_class=handler
+    )
+    server.start()
+    context.stack.callback(server.stop, 0.1)
+    context.address = ("127.0.0.1", server.server_port)
+
+
+@when("it is sent a request by {version}")
+def request_by_version(context, version):
+    context.received = call(context, "safe", version)
+
+
+@then("its answer looks incomplete")
+def looks_incomplete(context):
+    assert context.received.body in {b"", b"a part"}, context.received
+    assert not context.received.is_complete, context.received
+
+
 @given("they answer with status {status:d}, and end the connection {ms:d} ms later")
 def answer_with_status(context, status, ms):
     context.loopback.status, context.loopback.pause_s = status, ms / MS_PER_SECOND
--- a/features/unframedanswers.feature
+++ b/features/unframedanswers.feature
@@ -51,6 +51,21 @@
     Then the outcome is a whole answer that ends with its connection
     And the second request has not run
 
+  # Guards against a part of an answer that looks whole to callers of HTTP/1.0: the product's own
+  # interface closed their connections in order.
+  Scenario Outline: An answer that fails within looks incomplete
+    Given a web server of <interface>, whose application fails within its answer
+    When it is sent a request by <version>
+    Then its answer looks incomplete
+
+    Examples:
+      | interface                   | version                         |
+      | the product's own interface | HTTP/1.1                        |
+      | the product's own interface | HTTP/1.0                        |
+      | the product's own interface | HTTP/1.0 with a kept connection |
+      | the ingress                 | HTTP/1.1                        |
+      | the ingress                 | HTTP/1.0                        |
+
   # Guards against servers that count as busy for good since their callers left.
   Scenario: A caller leaves while an error without a length is read for its stream
     Given an instance on loopback whose servers answer without a length
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -14,6 +14,7 @@
 from mountladder.memory.memoryaccount import MemoryAccount
 from mountladder.metrics.memorymetrics import MemoryMetrics
 from mountladder_entry.callerwriter import BUFFER_BYTES, CallerWriter
+from mountladder_entry.connectionreset import reset_at_close
 from mountladder_entry.limitedconnection import REST_MS, LimitedConnection
 from mountladder_entry.toomuchreaderror import TooMuchReadError
 
@@ -52,18 +53,6 @@
         self.writer.write(data)
         self.response_length += len(data)
 
-    def start_response(
-        self,
-        status: str,
-        headers: list[tuple[str, str]],
-        exc_info: object = None,
-    ) -> Callable[[bytes], None]:
-        """Start an answer; callers of HTTP/1.0 know no chunks. See LimitedConnection."""
-        has_length = any(name.lower() == "content-length" for name, _ in headers)
-        if self.request_version == "HTTP/1.0" and not has_length and self.command != "HEAD":
-            self.end_with_connection()
-        return super().start_response(status, headers, exc_info)
-
     def finalize_headers(self) -> None:
         """Complete the headers; an answer to a HEAD request has no body, and so no last chunk.
 
@@ -78,7 +67,7 @@
             self.response_use_chunked = False
         elif self.ends_with_connection():
             with suppress(OSError):
-                self.writer.reset_at_close()
+                reset_at_close(self.socket)
 
     def ends_with_connection(self) -> bool:
         """Return whether the answer has neither a length nor chunks, as for callers of HTTP/1.0."""
@@ -101,14 +90,8 @@
             super()._write(data)
 
     def run_application(self) -> None:
-        """Run the application; without chunks only a reset shows that an answer is incomplete."""
-        try:
-            super().run_application()
-        except BaseException:
-            if self.headers_sent and not self.response_use_chunked:
-                with suppress(OSError):
-                    self.writer.reset_at_close()
-            raise
+        """Run the application, and end an answer that ends with its connection."""
+        super().run_application()
         if self.command != "HEAD" and self.ends_with_connection():
             self.writer.flush()
             self.writer.end()
--- a/packages/entry/src/mountladder_entry/callerwriter.py
+++ b/packages/entry/src/mountladder_entry/callerwriter.py
@@ -19,6 +19,7 @@
 from mountladder.memory.holder import Holder
 from mountladder.memory.memoryaccount import SERVER_UNREAD_BYTES
 from mountladder_entry.callergone import CallerGoneError
+from mountladder_entry.connectionreset import reset_at_close
 
 # How many bytes wait for a caller before nothing more is read for it from a backend server. A
 # stream of 70 events fits, so that its server is not held up by a caller that pauses.
@@ -32,8 +33,6 @@
 CHECK_FRACTION = 0.1
 WRITABLE = 2
 _NUMBER = struct.Struct("i")
-# Closing the socket drops what the system's buffer holds.
-_NO_LINGER = struct.pack("ii", 1, 0)
 _LINGER = struct.pack("ii", 0, 0)
 
 
@@ -231,20 +230,12 @@
         # The watch of the connection does not see its end if a further request has arrived.
         self.holder.interrupt()
         try:
-            self.reset_at_close()
+            reset_at_close(self.socket)
             self.socket.shutdown(sockets.SHUT_RDWR)
         except OSError:
             # The caller has closed it before.
             return
 
-    def reset_at_close(self) -> None:
-        """Have the connection reset when it is closed, without what the system still holds.
-
-        Raises:
-            OSError: The connection is closed.
-        """
-        self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, _NO_LINGER)
-
     def end(self) -> None:
         """End the stream to the caller, behind what the system still holds.
 
--- a/packages/entry/src/mountladder_entry/limitedconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedconnection.py
@@ -10,6 +10,7 @@
 import re
 import socket as sockets
 from collections.abc import Callable
+from contextlib import suppress
 
 from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler
 
@@ -18,6 +19,7 @@
 from mountladder.forwarding.callerlimits import CallerLimits
 from mountladder_entry.boundedreader import BoundedReader
 from mountladder_entry.callerreadlimits import CallerReadLimits
+from mountladder_entry.connectionreset import reset_at_close
 from mountladder_entry.requestbody import RequestBody
 from mountladder_entry.toomuchreaderror import TooMuchReadError
 
@@ -115,9 +117,17 @@
         return "400", _closing_answer("400 Bad Request")
 
     def run_application(self) -> None:
-        """Run the application, after which the web server reads the rest of the body."""
+        """Run the application, after which the web server reads the rest of the body.
+
+        Without chunks only a reset shows that an answer is incomplete.
+        """
         try:
             super().run_application()
+        except BaseException:
+            if self.headers_sent and not self.response_use_chunked:
+                with suppress(OSError):
+                    reset_at_close(self.socket)
+            raise
         finally:
             self.limit_body(REST_MS)
 
@@ -133,7 +143,13 @@
         headers: list[tuple[str, str]],
         exc_info: object = None,
     ) -> Callable[[bytes], None]:
-        """Start an answer, and announce in it if the connection is closed afterwards."""
+        """Start an answer, and announce in it if the connection is closed afterwards.
+
+        Callers of HTTP/1.0 know no chunks, so that the connection ends an answer without a length.
+        """
+        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        if self.request_version == "HTTP/1.0" and not has_length and self.command != "HEAD":
+            self.close_connection = True
         if self.closes():
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
