Scenarios: a stream whose rest is framed otherwise than its beginning

Cause: the head of the first server's answer is passed on. If it had chunks or a length and the server that goes on with the stream gives neither, the caller is sent a last chunk, also behind a part of the rest. No scenario had two framings in one stream.

Change: an outline with both framings. Six rows of streams that are gone on with after an answer with neither expected a last chunk: they had been written before answers were passed on without a claim, and now expect all events without one.

--- a/features/answerends.feature
+++ b/features/answerends.feature
@@ -502,7 +502,8 @@
       | unsafe | neither  | end of stream, then a reset | status 502                         | 1       |
       | unsafe | neither  | a second answer             | more than its body without a claim | 1       |
 
-  # A stream that ends within an event was broken off.
+  # A stream that ends within an event was broken off. The head that a caller was given says how the
+  # stream ends, also where another server goes on with it.
   Scenario Outline: What a caller gets of a stream
     Given an instance on loopback, one stream of whose servers has <framing> and ends <cut> with <how>
     When a caller sends it a <kind> request, which is given that answer, and another one
@@ -510,59 +511,79 @@
     And the next one gets its own answer
 
     Examples:
-      | kind      | framing  | cut                | how                         | outcome                | servers |
-      | stream    | a length | between two events | end of stream               | a broken answer        | 1       |
-      | stream    | a length | within an event    | end of stream               | a broken answer        | 1       |
-      | stream    | a length | between two events | end of stream after a pause | a broken answer        | 1       |
-      | stream    | a length | within an event    | end of stream after a pause | a broken answer        | 1       |
-      | stream    | a length | between two events | reset                       | a broken answer        | 1       |
-      | stream    | a length | within an event    | reset                       | a broken answer        | 1       |
-      | stream    | a length | between two events | end of stream, then a reset | a broken answer        | 1       |
-      | stream    | a length | within an event    | end of stream, then a reset | a broken answer        | 1       |
-      | stream    | a length | between two events | a second answer             | all events             | 1       |
-      | stream    | chunks   | between two events | end of stream               | a broken answer        | 1       |
-      | stream    | chunks   | within an event    | end of stream               | a broken answer        | 1       |
-      | stream    | chunks   | between two events | end of stream after a pause | a broken answer        | 1       |
-      | stream    | chunks   | within an event    | end of stream after a pause | a broken answer        | 1       |
-      | stream    | chunks   | between two events | reset                       | a broken answer        | 1       |
-      | stream    | chunks   | within an event    | reset                       | a broken answer        | 1       |
-      | stream    | chunks   | between two events | end of stream, then a reset | a broken answer        | 1       |
-      | stream    | chunks   | within an event    | end of stream, then a reset | a broken answer        | 1       |
-      | stream    | chunks   | between two events | a second answer             | all events             | 1       |
-      | stream    | neither  | between two events | end of stream               | a part without a claim | 1       |
-      | stream    | neither  | within an event    | end of stream               | a broken answer        | 1       |
-      | stream    | neither  | between two events | end of stream after a pause | a part without a claim | 1       |
-      | stream    | neither  | within an event    | end of stream after a pause | a broken answer        | 1       |
-      | stream    | neither  | between two events | reset                       | a broken answer        | 1       |
-      | stream    | neither  | within an event    | reset                       | a broken answer        | 1       |
-      | stream    | neither  | between two events | end of stream, then a reset | a broken answer        | 1       |
-      | stream    | neither  | within an event    | end of stream, then a reset | a broken answer        | 1       |
-      | resumable | a length | between two events | end of stream               | all events             | 2       |
-      | resumable | a length | within an event    | end of stream               | all events             | 2       |
-      | resumable | a length | between two events | end of stream after a pause | all events             | 2       |
-      | resumable | a length | within an event    | end of stream after a pause | all events             | 2       |
-      | resumable | a length | between two events | reset                       | all events             | 2       |
-      | resumable | a length | within an event    | reset                       | all events             | 2       |
-      | resumable | a length | between two events | end of stream, then a reset | all events             | 2       |
-      | resumable | a length | within an event    | end of stream, then a reset | all events             | 2       |
-      | resumable | a length | between two events | a second answer             | all events             | 1       |
-      | resumable | chunks   | between two events | end of stream               | all events             | 2       |
-      | resumable | chunks   | within an event    | end of stream               | all events             | 2       |
-      | resumable | chunks   | between two events | end of stream after a pause | all events             | 2       |
-      | resumable | chunks   | within an event    | end of stream after a pause | all events             | 2       |
-      | resumable | chunks   | between two events | reset                       | all events             | 2       |
-      | resumable | chunks   | within an event    | reset                       | all events             | 2       |
-      | resumable | chunks   | between two events | end of stream, then a reset | all events             | 2       |
-      | resumable | chunks   | within an event    | end of stream, then a reset | all events             | 2       |
-      | resumable | chunks   | between two events | a second answer             | all events             | 1       |
-      | resumable | neither  | between two events | end of stream               | a part without a claim | 1       |
-      | resumable | neither  | within an event    | end of stream               | all events             | 2       |
-      | resumable | neither  | between two events | end of stream after a pause | a part without a claim | 1       |
-      | resumable | neither  | within an event    | end of stream after a pause | all events             | 2       |
-      | resumable | neither  | between two events | reset                       | all events             | 2       |
-      | resumable | neither  | within an event    | reset                       | all events             | 2       |
-      | resumable | neither  | between two events | end of stream, then a reset | all events             | 2       |
-      | resumable | neither  | within an event    | end of stream, then a reset | all events             | 2       |
+      | kind      | framing  | cut                | how                         | outcome                    | servers |
+      | stream    | a length | between two events | end of stream               | a broken answer            | 1       |
+      | stream    | a length | within an event    | end of stream               | a broken answer            | 1       |
+      | stream    | a length | between two events | end of stream after a pause | a broken answer            | 1       |
+      | stream    | a length | within an event    | end of stream after a pause | a broken answer            | 1       |
+      | stream    | a length | between two events | reset                       | a broken answer            | 1       |
+      | stream    | a length | within an event    | reset                       | a broken answer            | 1       |
+      | stream    | a length | between two events | end of stream, then a reset | a broken answer            | 1       |
+      | stream    | a length | within an event    | end of stream, then a reset | a broken answer            | 1       |
+      | stream    | a length | between two events | a second answer             | all events                 | 1       |
+      | stream    | chunks   | between two events | end of stream               | a broken answer            | 1       |
+      | stream    | chunks   | within an event    | end of stream               | a broken answer            | 1       |
+      | stream    | chunks   | between two events | end of stream after a pause | a broken answer            | 1       |
+      | stream    | chunks   | within an event    | end of stream after a pause | a broken answer            | 1       |
+      | stream    | chunks   | between two events | reset                       | a broken answer            | 1       |
+      | stream    | chunks   | within an event    | reset                       | a broken answer            | 1       |
+      | stream    | chunks   | between two events | end of stream, then a reset | a broken answer            | 1       |
+      | stream    | chunks   | within an event    | end of stream, then a reset | a broken answer            | 1       |
+      | stream    | chunks   | between two events | a second answer             | all events                 | 1       |
+      | stream    | neither  | between two events | end of stream               | a part without a claim     | 1       |
+      | stream    | neither  | within an event    | end of stream               | a broken answer            | 1       |
+      | stream    | neither  | between two events | end of stream after a pause | a part without a claim     | 1       |
+      | stream    | neither  | within an event    | end of stream after a pause | a broken answer            | 1       |
+      | stream    | neither  | between two events | reset                       | a broken answer            | 1       |
+      | stream    | neither  | within an event    | reset                       | a broken answer            | 1       |
+      | stream    | neither  | between two events | end of stream, then a reset | a broken answer            | 1       |
+      | stream    | neither  | within an event    | end of stream, then a reset | a broken answer            | 1       |
+      | resumable | a length | between two events | end of stream               | all events                 | 2       |
+      | resumable | a length | within an event    | end of stream               | all events                 | 2       |
+      | resumable | a length | between two events | end of stream after a pause | all events                 | 2       |
+      | resumable | a length | within an event    | end of stream after a pause | all events                 | 2       |
+      | resumable | a length | between two events | reset                       | all events                 | 2       |
+      | resumable | a length | within an event    | reset                       | all events                 | 2       |
+      | resumable | a length | between two events | end of stream, then a reset | all events                 | 2       |
+      | resumable | a length | within an event    | end of stream, then a reset | all events                 | 2       |
+      | resumable | a length | between two events | a second answer             | all events                 | 1       |
+      | resumable | chunks   | between two events | end of stream               | all events                 | 2       |
+      | resumable | chunks   | within an event    | end of stream               | all events                 | 2       |
+      | resumable | chunks   | between two events | end of stream after a pause | all events                 | 2       |
+      | resumable | chunks   | within an event    | end of stream after a pause | all events                 | 2       |
+      | resumable | chunks   | between two events | reset                       | all events                 | 2       |
+      | resumable | chunks   | within an event    | reset                       | all events                 | 2       |
+      | resumable | chunks   | between two events | end of stream, then a reset | all events                 | 2       |
+      | resumable | chunks   | within an event    | end of stream, then a reset | all events                 | 2       |
+      | resumable | chunks   | between two events | a second answer             | all events                 | 1       |
+      | resumable | neither  | between two events | end of stream               | a part without a claim     | 1       |
+      | resumable | neither  | within an event    | end of stream               | all events without a claim | 2       |
+      | resumable | neither  | between two events | end of stream after a pause | a part without a claim     | 1       |
+      | resumable | neither  | within an event    | end of stream after a pause | all events without a claim | 2       |
+      | resumable | neither  | between two events | reset                       | all events without a claim | 2       |
+      | resumable | neither  | within an event    | reset                       | all events without a claim | 2       |
+      | resumable | neither  | between two events | end of stream, then a reset | all events without a claim | 2       |
+      | resumable | neither  | within an event    | end of stream, then a reset | all events without a claim | 2       |
+
+  # Guards against a last chunk behind a part of a stream: the caller was given the head of the first
+  # server, and the second one gave neither a length nor chunks.
+  Scenario Outline: What a caller gets of a stream whose rest is framed otherwise
+    Given an instance on loopback, one stream of whose servers has <first> and ends between two events with reset
+    And the rest of the stream has <rest>, and is sent <how much>
+    When a caller sends it a resumable request, which is given that answer, and another one
+    Then the caller gets <outcome>, after 2 servers had the request
+    And the next one gets its own answer
+
+    Examples:
+      | first    | rest     | how much | outcome                    |
+      | chunks   | neither  | whole    | a broken answer            |
+      | chunks   | neither  | in part  | a broken answer            |
+      | a length | neither  | whole    | a broken answer            |
+      | a length | neither  | in part  | a broken answer            |
+      | neither  | neither  | whole    | all events without a claim |
+      | neither  | neither  | in part  | a part without a claim     |
+      | chunks   | a length | whole    | all events                 |
+      | neither  | chunks   | whole    | all events without a claim |
 
   # Guards against a failed write that takes the reset away, so that the end of the stream follows.
   Scenario Outline: An answer whose connection is reset while the request is written
--- a/features/endinginstance.py
+++ b/features/endinginstance.py
@@ -24,16 +24,21 @@
 
     Attributes:
         ends_next: Whether the next answer is the one that ends so.
+        rest: For a stream, how its rest is framed, and whether it is sent whole; None if it has a
+            length and is whole.
     """
 
     def __init__(self, stack, framing, how, cut=""):
         self.framing, self.how, self.cut = framing, how, cut
-        self.ends_next = False
+        self.ends_next, self.rest = False, None
         super().__init__(stack, "end one answer")
 
     def treat(self, connection, head):
         """Treat a request; see LoopbackInstance."""
         self.treated += 1
+        if self.rest is not None and head.get(b"last-event-id") == b"2":
+            self.send_rest(connection, head)
+            return False
         if not self.ends_next:
             connection.sendall(self.whole("a length", OTHER_BODY, head))
             return True
@@ -48,6 +53,13 @@
         end(connection, self.how)
         return False
 
+    def send_rest(self, connection, head):
+        """Send the rest of a stream, or a part of it, and end the connection."""
+        framing, is_whole = self.rest
+        data = self.whole(framing, b"", head)
+        connection.sendall(data if is_whole else data[: data.index(EVENTS[3])])
+        end(connection, "end of stream")
+
     def whole(self, framing, body, head):
         """Return a whole answer: a body, or the events that the caller does not have."""
         if self.cut:
--- a/features/steps/answerend_steps.py
+++ b/features/steps/answerend_steps.py
@@ -358,6 +358,11 @@
     context.ending = EndingInstance(context.stack, framing, how, cut)
 
 
+@given("the rest of the stream has {framing}, and is sent {how_much}")
+def set_rest(context, framing, how_much):
+    context.ending.rest = (framing, how_much == "whole")
+
+
 @when("a caller sends it a {kind} request, which is given that answer, and another one")
 def send_to_ending(context, kind):
     # A second attempt draws on what earlier requests have earned.
