Store: a page without rows that says that more follow is no last page

Cause: reading a table ended at a page without rows, whatever the page said. Rows that were due were taken for gone.

--- a/features/oddrows.feature
+++ b/features/oddrows.feature
@@ -84,6 +84,8 @@
       | a list                 |
       | an object without rows |
       | rows that are a number |
+      # Guards against a table that is taken for empty: it ended with a page that says it goes on.
+      | an object with no rows but more pages |
       | a version of 5000 digits |
 
   @forwarding
--- a/features/steps/oddrow_steps.py
+++ b/features/steps/oddrow_steps.py
@@ -297,6 +297,7 @@
     "deeply nested JSON": b"[" * 100_000,
     "a list": b"[]",
     "an object without rows": b'{"ver": 1}',
+    "an object with no rows but more pages": b'{"rows": [], "ver": 1, "more_pages": true}',
     "rows that are a number": b'{"rows": 1, "ver": 1}',
     "a version of 5000 digits": b'{"rows": [], "ver": %b}' % (b"9" * 5_000),
 }
