--- a/features/soak.feature
+++ b/features/soak.feature
@@ -85,18 +85,20 @@
     Then <outcome>
 
     Examples:
-      | framing    | end             | what     | claim      | outcome                         |
-      | connection | end             | it       | connection | every promise is kept           |
-      | connection | end             | it       | length     | only complete_answers is broken |
-      | connection | end             | it       | chunks     | only complete_answers is broken |
-      | connection | end             | a byte   | connection | only complete_answers is broken |
-      | connection | end and reset   | it       | connection | only complete_answers is broken |
-      | connection | end, then reset | it       | connection | only complete_answers is broken |
-      | connection | reset           | it       | connection | only complete_answers is broken |
-      | connection | reset later     | it       | connection | only complete_answers is broken |
-      | connection | server killed   | it       | connection | only complete_answers is broken |
-      | length     | end             | it       | connection | only complete_answers is broken |
-      | chunks     | end             | it       | connection | only complete_answers is broken |
+      | framing    | end                          | what   | claim      | outcome                         |
+      | connection | end                          | it     | connection | every promise is kept           |
+      | connection | end                          | it     | length     | only complete_answers is broken |
+      | connection | end                          | it     | chunks     | only complete_answers is broken |
+      | connection | end                          | a byte | connection | only complete_answers is broken |
+      | connection | end and reset after 0.001 s  | it     | connection | only complete_answers is broken |
+      | connection | end, then reset after 0.03 s | it     | connection | only complete_answers is broken |
+      | connection | end, then reset after 0.06 s | it     | connection | every promise is kept           |
+      | connection | end, then reset after 0.06 s | it     | length     | only complete_answers is broken |
+      | connection | reset                        | it     | connection | only complete_answers is broken |
+      | connection | reset later                  | it     | connection | only complete_answers is broken |
+      | connection | server killed                | it     | connection | only complete_answers is broken |
+      | length     | end                          | it     | connection | only complete_answers is broken |
+      | chunks     | end                          | it     | connection | only complete_answers is broken |
 
   # Guards against callers of the soak that take a part of a body for the whole.
   Scenario: A caller tells a whole body from its parts and from other bytes
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -740,7 +740,10 @@
     error = body_error("x", plain_body("x", "desk-1", PLAIN_BYTES)[:size])
     body = ReceivedBody(claim, WHOLE, size, is_part=True)
     add(context.record, exchange("x", answer_error=error, body=body))
-    context.record.body_ends["x"].append(BodyEnd(framing, end, 1_000, PLAIN_BYTES))
+    end, _, delay = end.partition(" after ")
+    reset_after_s = float(delay.removesuffix(" s") or 0.0)
+    played = BodyEnd(framing, end, 1_000, PLAIN_BYTES, reset_after_s)
+    context.record.body_ends["x"].append(played)
 
 
 @then("at least {number:d} answers were broken off, and {others:d} others had no length")
