Callers: an answer without a body has the length that its server gives, or none

Callers of HEAD were told that the body has 0 bytes, whatever the server said, and answers with status 204 and 304 came with a length of 0 as well.

Cause: Ingress gave each answer that is read whole the length of what was read. RFC 9110, 8.6: the length in an answer to HEAD, or with status 304, is that of the body that GET gets, and one with status 204 has none.

Change: such an answer is passed on with the server's own length, if it has one that is valid and its status is not 204, and without one otherwise; has_body says in one place which answers have a body. An answer without a body and without a length does not end the connection to a caller of HTTP/1.0, and an answer to HEAD claims no chunks. The web server refuses a length beside status 304, so that CallerConnection adds it behind the check.

--- a/packages/core/src/mountladder/forwarding/forwardanswer.py
+++ b/packages/core/src/mountladder/forwarding/forwardanswer.py
@@ -18,7 +18,8 @@
 
     Attributes:
         status: The HTTP status of the backend server.
-        headers: Its headers, without hop-by-hop headers.
+        headers: Its headers, without hop-by-hop headers, and with a length only if there is no body
+            that has it: in answers to HEAD and with status 304.
         body: The complete body, or an iterator over the chunks of a stream. The iterator raises if
             the stream breaks, so that a truncated answer is never taken for a complete one.
         ends_with_connection: Whether the backend server gave neither a length nor chunks, so that
--- a/packages/entry/src/mountladder_entry/callerconnection.py
+++ b/packages/entry/src/mountladder_entry/callerconnection.py
@@ -16,6 +16,7 @@
 from mountladder_entry.callerwriter import BUFFER_BYTES, CallerWriter
 from mountladder_entry.connectionreset import reset_at_close
 from mountladder_entry.limitedconnection import REST_MS, LimitedConnection
+from mountladder_entry.messagebody import NOT_MODIFIED, has_body
 from mountladder_entry.toomuchreaderror import TooMuchReadError
 
 # The header that the web server adds to an answer without a length.
@@ -53,34 +54,54 @@
         self.writer.write(data)
         self.response_length += len(data)
 
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: object = None,
+    ) -> Callable[[bytes], None]:
+        """Start an answer; see LimitedConnection.
+
+        The web server refuses the length of a body that the caller has, beside status 304.
+        """
+        lengths = []
+        if int(status.partition(" ")[0]) == NOT_MODIFIED:
+            lengths = [header for header in headers if header[0].lower() == "content-length"]
+            headers = [header for header in headers if header not in lengths]
+        write = super().start_response(status, headers, exc_info)
+        self.response_headers += [(name.encode(), value.encode()) for name, value in lengths]
+        return write
+
     def finalize_headers(self) -> None:
-        """Complete the headers; an answer to a HEAD request has no body, and so no last chunk.
+        """Complete the headers; an answer without a body has no chunks.
 
         An answer that ends with its connection is reset until it is whole: the system closes the
         connections of a process that is killed.
         """
         super().finalize_headers()
-        if self.has_open_end and self.response_use_chunked:
+        if self.response_use_chunked and (self.has_open_end or not self.has_body()):
             self.response_use_chunked = False
             self.response_headers.remove(CHUNKED)
-        if self.command == "HEAD":
-            self.response_use_chunked = False
-        elif self.ends_with_connection():
+        if self.ends_with_connection():
             with suppress(OSError):
                 reset_at_close(self.socket)
 
+    def has_body(self) -> bool:
+        """Return whether the answer in progress has a body."""
+        return has_body(self.command, self.code)
+
     def ends_with_connection(self) -> bool:
-        """Return whether the answer has neither a length nor chunks, as for callers of HTTP/1.0."""
+        """Return whether the body has neither a length nor chunks, as for callers of HTTP/1.0."""
         has_length = any(name.lower() == b"content-length" for name, _ in self.response_headers)
-        return not has_length and not self.response_use_chunked
+        return self.has_body() and not has_length and not self.response_use_chunked
 
     def _write(self, data: bytes | bytearray) -> None:
-        """Write a part of a body, except to a HEAD request.
+        """Write a part of a body, unless the answer has none.
 
         The caller would take it for the beginning of the next answer on the connection. A large
         chunk is written apart from what frames it: the web server would copy it.
         """
-        if self.command == "HEAD":
+        if not self.has_body():
             return
         if self.response_use_chunked and len(data) >= BUFFER_BYTES:
             self._sendall(b"%x\r\n" % len(data))
@@ -92,7 +113,7 @@
     def run_application(self) -> None:
         """Run the application, and end an answer that ends with its connection."""
         super().run_application()
-        if self.command != "HEAD" and self.ends_with_connection():
+        if self.ends_with_connection():
             self.writer.flush()
             self.writer.end()
             self.has_ended = True
--- a/packages/entry/src/mountladder_entry/limitedconnection.py
+++ b/packages/entry/src/mountladder_entry/limitedconnection.py
@@ -20,6 +20,7 @@
 from mountladder_entry.boundedreader import BoundedReader
 from mountladder_entry.callerreadlimits import CallerReadLimits
 from mountladder_entry.connectionreset import reset_at_close
+from mountladder_entry.messagebody import has_body
 from mountladder_entry.requestbody import RequestBody
 from mountladder_entry.toomuchreaderror import TooMuchReadError
 
@@ -148,7 +149,8 @@
         Callers of HTTP/1.0 know no chunks, so that the connection ends an answer without a length.
         """
         has_length = any(name.lower() == "content-length" for name, _ in headers)
-        if self.request_version == "HTTP/1.0" and not has_length and self.command != "HEAD":
+        with_body = has_body(self.command, int(status.partition(" ")[0]))
+        if self.request_version == "HTTP/1.0" and not has_length and with_body:
             self.close_connection = True
         if self.closes():
             headers = [*headers, ("Connection", "close")]
