--- a/features/unframedanswers.feature
+++ b/features/unframedanswers.feature
@@ -23,6 +23,14 @@
       | resumable | ends the connection and resets it 20 ms later | 200    | all events       | 2       |
       | stream    | ends the connection and resets it 20 ms later | 200    | an open end      | 1       |
 
+  # Guards against a part that is taken for whole since the data centre of a server that crashed was
+  # drained meanwhile: a drain ends no server, as leaving does.
+  Scenario: A server crashes within an answer without a length as its data centre is drained
+    Given an instance on loopback whose servers answer without a length
+    And the first server sends a part of its answer, then crashes as its data centre is drained
+    When one unsafe request goes to it by HTTP/1.1
+    Then the outcome is status 502 with no server's body, sent to 1 servers
+
   # Guards against a length of ours on a part of a body: a server that goes on and ends the connection
   # has claimed no more than one whose answer is whole.
   Scenario Outline: A caller is told no more about the end of an answer than its server told
--- a/features/unframedinstance.py
+++ b/features/unframedinstance.py
@@ -23,7 +23,9 @@
     "resets the connection": (False, 0.0),
     "resets the connection 150 ms later": (False, 0.15),
     "crashes": (True, None),
+    "crashes as its data centre is drained": (True, None),
 }
+DRAINED_S = 2.0
 
 
 class UnframedInstance(LoopbackInstance):
@@ -59,7 +61,12 @@
 
     def break_off(self, connection, end):
         """End a connection in one of the ways of ENDS."""
-        if end == "crashes":
+        if end == "crashes as its data centre is drained":
+            self.fleet.drain("a")
+            with gevent.Timeout(DRAINED_S):
+                while not self.instance.directory.drains.is_drained("a"):
+                    gevent.sleep(0.01)
+        if end.startswith("crashes"):
             self.servers[connection.getsockname()[1]].stop(0.0)
         ends_stream, reset_s = ENDS[end]
         if ends_stream:
