Answers: a drain does not hide that a server crashed within an answer

Whether the server still listens was not asked, since each server that gets no new work was taken for one that leaves: also one of a drained or unreachable data centre, and one whose entry had lapsed with the store. Only its own entry and its answers say that it leaves; the list no longer naming its start may.

--- a/packages/core/src/mountladder/forwarding/directory.py
+++ b/packages/core/src/mountladder/forwarding/directory.py
@@ -298,6 +298,13 @@
         """Return whether a listed server is leaving, by its entry or by its answers."""
         return server.draining or self.leaving_since(server.name) is not None
 
+    def may_have_left(self, server: BackendServer) -> bool:
+        """Return whether a server is leaving, or its start is no longer listed."""
+        id_ = server.labels[ID_LABEL]
+        record, _ = self.expiring.get(id_, (self.records.get(id_), 0.0))
+        listed = record.server if record is not None else None
+        return listed is None or listed.name != server.name or self.is_leaving(listed)
+
     def is_closed(self, server: BackendServer) -> bool:
         """Return whether a listed server is leaving or in a drained data centre."""
         return self.is_leaving(server) or self.drains.is_drained(server.datacentre)
--- a/packages/core/src/mountladder/forwarding/forwardrun.py
+++ b/packages/core/src/mountladder/forwarding/forwardrun.py
@@ -517,10 +517,8 @@
         One that leaves may end in order behind its last answer.
         """
         server = attempt.choice.state.server
-        available = self.context.picker.directory.available(self.service)
-        is_leaving = all(one.name != server.name for one in available)
         limit_ms = min(self.remaining_ms(), REFUSAL_MS)
-        if is_leaving or limit_ms <= 0:
+        if self.context.picker.directory.may_have_left(server) or limit_ms <= 0:
             return False
         return self.context.upstream.refuses(server, limit_ms)
 
