--- a/bench/answerends.py
+++ b/bench/plainanswers.py
@@ -1,4 +1,4 @@
-# answerends.py -- Cost of a plain answer by what shows its end: a length, chunks, the connection
+# plainanswers.py -- Cost of a plain answer by what shows its end: a length, chunks, the connection
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -15,7 +15,7 @@
 
 ALL = (
     "relay",
-    "answerends",
+    "plainanswers",
     "slopes",
     "decision",
     "store",
