--- a/features/endinginstance.py
+++ b/features/endinginstance.py
@@ -4,11 +4,10 @@
 
 """An instance on loopback, one answer of whose servers ends in some way."""
 
+from answerends import end, framed, within_body
 from loopbackinstance import LoopbackInstance
 from rawanswers import HEAD
 
-from answerends import end, framed, within_body
-
 FIRST_BODY = b"the first body"
 OTHER_BODY = b"another body"
 EVENTS = tuple(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
--- a/features/steps/answerend_steps.py
+++ b/features/steps/answerend_steps.py
@@ -13,6 +13,7 @@
 
 import bottle
 import gevent
+from answerends import CHUNKED, EndingServer, end, framed, id_of, within_body
 from behave import given, then, when
 from calleranswer import fetch
 from endinginstance import EVENTS, FIRST_BODY, OTHER_BODY, EndingInstance
@@ -29,7 +30,6 @@
 from rawanswers import HEAD
 from requestmemory_steps import HEAD as LOOPBACK_HEAD
 
-from answerends import CHUNKED, EndingServer, end, framed, id_of, within_body
 from mountladder.configuration.stage import Stage
 from mountladder.engines.order import Order
 from mountladder.errors import MountladderError, PeerError, StageError
