--- a/features/soak.feature
+++ b/features/soak.feature
@@ -222,6 +222,13 @@
     When the fault is injected 0.2 s late
     Then it counts from second 0.2 on, and is as long as before
 
+  # Guards against servers that outlive a soak: one that had started again under its name was taken
+  # from the list in place of the one before, so that nothing stopped it and its address stayed in use.
+  Scenario: A server that announced that it leaves starts again under its name
+    Given a play without faults
+    When a server that announced that it leaves starts again under its name before it leaves
+    Then the one that started is still in use, and nothing listens there once the play has ended
+
   # Guards against links across a cut: a connection that was being opened as it began stayed open.
   Scenario: A connection that is being opened as a cut begins is reset
     Given a proxy for what others relay to an instance
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -811,6 +811,41 @@
     assert seen == what, seen
 
 
+@given("a play without faults")
+def play_without_faults(context):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    context.play = Play(1, 0.0, 1, 1, folder, [])
+    context.stack.enter_context(context.play.stack)
+    context.play.server_fleet.begin()
+    context.stack.callback(context.play.server_fleet.stop)
+
+
+@when("a server that announced that it leaves starts again under its name before it leaves")
+def leaving_starts_again(context):
+    fleet = context.play.server_fleet
+    task = gevent.spawn(fleet.announce_leaving, Fault(0.0, "leaving", ("llm", SERVERS), 0.2))
+    gevent.sleep(0.1)
+    before = next(one for one in fleet.servers.values() if one.leaving)
+    del fleet.servers[before.name]
+    before.stop()
+    context.server = fleet.launch(before.name, before.service, before.address)
+    task.join()
+
+
+@then("the one that started is still in use, and nothing listens there once the play has ended")
+def started_is_used(context):
+    fleet = context.play.server_fleet
+    address = split_address(context.server.address)
+    assert fleet.servers.get(context.server.name) is context.server
+    fleet.stop()
+    gevent.sleep(0.1)
+    try:
+        gevent.socket.create_connection(address, 1.0).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError(address)
+
+
 @given("a play with a fault of the store at second 0")
 def play_with_fault(context):
     folder = Path(context.stack.enter_context(TemporaryDirectory()))
