Soak: callers of a fault end with the traffic

The callers of a fault are tasks of its injection, which is ended with the traffic; they went on until the instances were stopped under them.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -222,6 +222,12 @@
     When the fault is injected 0.2 s late
     Then it counts from second 0.2 on, and is as long as before
 
+  # Guards against requests that count as given up since the instances were stopped under them: the
+  # callers of a fault went on after the traffic had ended.
+  Scenario: The callers of a fault end with the traffic
+    When long streams are requested for longer than a play of one instance lasts
+    Then no request was recorded after the traffic had ended
+
   # Guards against servers that outlive a soak: one that had started again under its name was taken
   # from the list in place of the one before, so that nothing stopped it and its address stayed in use.
   Scenario: A server that announced that it leaves starts again under its name
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -42,6 +42,7 @@
     DEADLY_PART,
     FAULTS,
     IN_PLACE,
+    LONG_STREAMS,
     SERVERS,
     SILENT_FAULTS,
     SKEWED,
@@ -811,6 +812,21 @@
     assert seen == what, seen
 
 
+@when("long streams are requested for longer than a play of one instance lasts")
+def play_with_lasting_callers(context):
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    fault = Fault(0.5, LONG_STREAMS, ("callers",), 30.0, 1.0)
+    context.verdict = Play(1, 1.0, 1, 1, folder, [fault]).run()
+
+
+@then("no request was recorded after the traffic had ended")
+def none_recorded_later(context):
+    exchanges = context.verdict.record.exchanges.values()
+    assert any(one.kind == "resumable" for one in exchanges), exchanges
+    late = [one for one in exchanges if one.ended > context.verdict.length]
+    assert not late, late
+
+
 @given("a play without faults")
 def play_without_faults(context):
     folder = Path(context.stack.enter_context(TemporaryDirectory()))
