--- a/packages/entry/src/mountladder_entry/strictresponse.py
+++ b/packages/entry/src/mountladder_entry/strictresponse.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 from email import errors
-from http.client import HTTPException
 
-from urllib3.connection import HTTPConnection
+from urllib3.connection import HTTPConnection, HTTPException
 
 # Lines that the library leaves out, in part with all lines behind them. It also records that a body
 # of several parts is missing, which is not read yet.
