Scenarios: stand-ins for the question whether a server refuses take its limit

Two steps replace Upstream.refuses by functions without the new argument, so that a TypeError ended the task that asked. No assertion is changed.

--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -251,7 +251,7 @@
     name, _, _ = context.silence
     upstream = context.fleet.upstream
     plain = upstream.refuses
-    upstream.refuses = lambda server: server.name == name or plain(server)
+    upstream.refuses = lambda server, limit_ms: server.name == name or plain(server, limit_ms)
 
 
 @given("it has sent no event yet")
--- a/features/steps/silentserver_steps.py
+++ b/features/steps/silentserver_steps.py
@@ -515,9 +515,9 @@
     upstream = context.fleet.upstream
     plain_refuses = upstream.refuses
 
-    def refuses(server):
+    def refuses(server, limit_ms):
         context.clock.sleep(float(ms))
-        return plain_refuses(server)
+        return plain_refuses(server, limit_ms)
 
     upstream.refuses = refuses
 
