--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,98 +2,116 @@
 # Copyright (C) 2026 The mountladder authors
 # SPDX-License-Identifier: Apache-2.0
 
-"""DRAIN: the instance that reads the store loses its path to it as a server leaves the list."""
+"""LIMIT: servers in need that run the pieces of one route and the requests of another one."""
 
 from __future__ import annotations
 
 import asyncio
-import time
+import secrets
+
+from standins2.deployment import (
+    HOST,
+    TROUBLE,
+    Deployment,
+    configuration,
+    plain_route,
+    run_case,
+)
+from standins2.servers import ModelServer, Server
 
-from standins2.deployment import TROUBLE, Deployment, configuration, plain_route, run_case
-from standins2.servers import Server
-
-DRAIN_S = 2.0
 CONTACT_S = 3.0
-CUT_S = 5.5
-SERVE_ON_S = 4.0
-ROUNDS = 5
-SERVERS = 3
-# The cut begins while both calls of the reader (for the servers, and for the configuration) are at
-# most this old, out of the half second that a call waits at the store.
-YOUNG_S = 0.1
-
-
-def reader_of(deployment: Deployment) -> str:
-    """Return the instance that last asked the store for changes of the list of servers."""
-    feeds = deployment.store.feeds.items()
-    found = {path: at for (path, table), at in feeds if table == "servers"}
-    return max(found, key=found.__getitem__)
-
-
-async def young_calls(deployment: Deployment, path: str) -> None:
-    """Wait until both calls of an instance for changes have begun a moment ago, if they do."""
-    until = time.monotonic() + 8
-    while time.monotonic() < until:
-        began = [at for (name, _), at in deployment.store.feeds.items() if name == path]
-        if time.monotonic() - min(began) < YOUNG_S:
-            return
-        await asyncio.sleep(0.002)
+WINDOW_S = 4.0
+PER_S = 5.0
+BOUND = 1.5 * PER_S * WINDOW_S + 5
+PLAY_S = 20.0
+STREAMS = "/puxa400/"
+FRAGMENTS = {
+    "concurrency": 1,
+    "queue": 2,
+    "batch": 7,
+    "call_ms": 150.0,
+    "item_ms": 5.0,
+    "headroom_mb": 34.0,
+    "handle_s": 4.0,
+    "link_mbps": 10000,
+}
+ENGINE = {
+    "concurrency": 64,
+    "kv_capacity": 600000,
+    "kv_token_bytes": 163840,
+    "link_mbps": 1100000.0,
+    "handle_s": 5.0,
+    "models": [{"name": "m"}],
+}
+
+
+def prompt_headers() -> str:
+    """Return the headers of a request with a prompt and three pieces."""
+    part, key = secrets.token_hex(4), secrets.token_hex(6)
+    return (
+        "Mountladder-Model: m\r\nMountladder-Token-Count: 300,20\r\n"
+        f"Mountladder-Prompt-Prefix: 5c1e07a2:200,{part}:100\r\n"
+        f"Mountladder-Chunk-Count: 3\r\nMountladder-Chunk-Key: {key}\r\n"
+    )
 
 
-async def add_server(deployment: Deployment, number: int) -> Server:
-    """Add a server of the service."""
-    zone = f"andina-{'abc'[number % 3]}"
-    return await deployment.add(Server(f"i-{number:04x}", "booking", zone, deployment.store))
+def most_in_window(times: list[float]) -> int:
+    """Return how many requests at most came in one window."""
+    return max((sum(one <= at < one + WINDOW_S for at in times) for one in times), default=0)
 
 
-async def play_round(deployment: Deployment, number: int) -> int:
-    """Cut the reader off from the store as a server leaves; return the late requests."""
-    store, reader, leaving = deployment.store, reader_of(deployment), deployment.servers[number]
-    await young_calls(deployment, reader)
-    if TROUBLE:
-        store.cut_path(reader)
-        deployment.note(f"{reader}, which reads the store for all, is cut off from it")
-    gone = leaving.leave_list()
-    deployment.note(f"{leaving.id} leaves: the store acknowledges that its entry is removed")
-    await asyncio.sleep(SERVE_ON_S)
-    leaving.stop()
-    await asyncio.sleep(CUT_S - SERVE_ON_S)
-    if TROUBLE:
-        store.heal_path(reader)
-        deployment.note(f"{reader} reaches the store again")
-    await add_server(deployment, number + SERVERS)
-    by_id = {one.id: one for one in deployment.sent}
-    after = [
-        (at - gone, by_id[id_])
-        for at, id_, _ in leaving.arrivals
-        if at > gone and id_ in by_id and by_id[id_].instance != reader
+async def play(deployment: Deployment) -> int:
+    """Have the servers name their limit; return how many of them got more than it allows."""
+    stream = {
+        "name": "r-stream",
+        "hostname": HOST,
+        "prefix": STREAMS,
+        "type": "stream",
+        "timeout_ms": 8000,
+        "target_latency_ms": 1600,
+        "priority": 1,
+        "service": "models",
+        "max_attempts": 2,
+        "public": True,
+        "session_affinity": True,
+        "stream_resume": True,
+        "target_gap_ms": 200,
+        "stages": [{"service": "bridge", "after": [], "length": 8000}],
+    }
+    services = [
+        {"name": "models", "health_path": "/healthz", "max_conns": 370, "engine": ENGINE},
+        {"name": "bridge", "health_path": "/healthz", "max_conns": 370, "fragments": FRAGMENTS},
     ]
-    late = [one for one in after if one[0] > DRAIN_S]
-    last_ms = 1000 * max((one[0] for one in after), default=0.0)
-    deployment.note(
-        f"round {number}: machines in touch sent {leaving.id} {len(after)} requests after that, "
-        f"the last one {last_ms:.0f} ms later; {len(late)} later than drain_ms"
-    )
-    for after_s, sent in late:
-        late_ms, sent_ms = 1000 * after_s, 1000 * (sent.at - gone)
+    routes = [plain_route("safe", "bridge", timeout_ms=3000, target_latency_ms=400), stream]
+    deployment.store.put("op", "config", configuration(routes, services))
+    for number in range(3):
+        zone = f"andina-{'abc'[number]}"
+        store = deployment.store
+        await deployment.add(Server(f"i-{number:04x}", "bridge", zone, store))
+        await deployment.add(ModelServer(f"m-{number:04x}", "models", zone, store, slots=64))
+    await deployment.start()
+    deployment.load(4, 0.1)
+    deployment.load(4, 0.1, "POST", f"{STREAMS}2f", prompt_headers)
+    await asyncio.sleep(CONTACT_S)
+    bridges = [one for one in deployment.servers if one.service == "bridge"]
+    if TROUBLE:
+        for server in bridges:
+            server.notices = {"Server-Limit": f"{PER_S:g}"}
+        deployment.note(f"the servers of the service bridge are in need: Server-Limit {PER_S:g}")
+    named_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(CONTACT_S + PLAY_S)
+    broken = 0
+    for server in bridges:
+        since = named_at + CONTACT_S
+        calls = [at for at, _ in server.calls if at > since]
+        requests = [at for at, _, _ in server.arrivals if at > since]
+        most = most_in_window(calls + requests)
         deployment.note(
-            f"   request {sent.id}: sent by its client {sent_ms:.0f} ms after it to "
-            f"{sent.instance}, reached {leaving.id} {late_ms:.0f} ms after it, status {sent.status}"
+            f"{server.id} got up to {most} in {WINDOW_S:g} s; allowed {BOUND:g}. "
+            f"In {PLAY_S:g} s: {len(calls)} calls with pieces, {len(requests)} requests"
         )
-    await asyncio.sleep(CONTACT_S + 1)
-    return len(late)
-
-
-async def play(deployment: Deployment) -> int:
-    """Play the rounds; return how many requests broke the rule."""
-    services = [{"name": "booking", "health_path": "/healthz", "max_conns": 96}]
-    deployment.store.put("op", "config", configuration([plain_route("safe")], services))
-    for number in range(SERVERS):
-        await add_server(deployment, number)
-    await deployment.start()
-    deployment.load(clients=4, pause_s=0.03)
-    await asyncio.sleep(CONTACT_S + 1)
-    return sum([await play_round(deployment, number) for number in range(ROUNDS)])
+        broken += TROUBLE and most > BOUND
+    return broken
 
 
-run_case(__file__, "DRAIN", play)
+run_case(__file__, "LIMIT", play)
--- a/review/standins2/servers.py
+++ b/review/standins2/servers.py
@@ -36,6 +36,7 @@
         self.born = round(time.time() * 1000)
         self.cold_until = 0.0
         self.phase = "ready"
+        self.version = "v1"
         self.arrivals: list[tuple[float, str, bool]] = []
         self.calls: list[tuple[float, int]] = []
         self.call_ms, self.item_ms = 150.0, 5.0
@@ -70,7 +71,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "concurrency": self.slots,
             "phase": phase,
             "cold_remaining_ms": cold_ms,
@@ -174,8 +175,9 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(encode(200, head | self.notices, None))
-        for number in range(1, self.events + 1):
-            event = b"id: %d\ndata: %b\n\n" % (number, self.id.encode())
+        last = int(request.headers.get("last-event-id") or 0)
+        for number in range(last + 1, self.events + 1):
+            event = f"id: {number}\ndata: {self.version} {self.id}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.gap_s)
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -23,6 +23,7 @@
 
     Attributes:
         cut: The names of the paths that are cut: nothing is answered there any more.
+        away: Returns whether a table is not available to instances.
         feeds: When each path last began a call for the changes of a table, by (path, table).
         era: Rises by one each time a copy is restored.
     """
@@ -33,6 +34,7 @@
         self.oldest = 0
         self.changed = asyncio.Event()
         self.cut: set[str] = set()
+        self.away: Callable[[str], bool] = lambda table: False
         self.silenced: set[asyncio.StreamWriter] = set()
         self.writers: dict[str, set[asyncio.StreamWriter]] = {}
         self.feeds: dict[tuple[str, str], float] = {}
@@ -107,6 +109,10 @@
             self.feeds[path, query["table"]] = time.monotonic()
             self.on_feed(path, query["table"])
         await asyncio.sleep(ANSWER_S)
+        body = json.loads(request.body) if request.body else {}
+        changed = [one["table"] for one in [*body.get("upserts", []), *body.get("remove", [])]]
+        if any(map(self.away, [*changed, query.get("table", "")])):
+            return encode(503, {"Store-Era": str(self.era)}, b"")
         if url.path.endswith("/rows-feed"):
             return await self.feed(query)
         if url.path.endswith("/rows-get"):
@@ -119,7 +125,6 @@
             ]
             return self.page(found, more_pages=False)
         if url.path.endswith("/rows-tx"):
-            body = json.loads(request.body)
             values = {(one["table"], one["key"]): one["value"] for one in body.get("upserts", [])}
             values |= {(one["table"], one["key"]): None for one in body.get("remove", [])}
             self.write(values)
