Streams: a confirmation of the stored versions ends where a server has left since

Cause: the row that confirms the versions named the era of the store and had no end. Processes that start later took rows that nobody could write for complete.

Change: the confirmation names the position of the list of servers up to which it holds; the first instance that polls the store renews it every 12 s and when a server has left. Its reader asks the store for the changes since then. If a server has left, or the store has lost them, the rows may lack a version until this process has followed the list for a minute. Nobody has to notice the outage, so it does not matter who dies first.

The listed scenario expected code 2016. Its table of origins can be written, so that the stream's version is known now, and it is refused with 2015; the expectation of 2016 is kept with that table away as well.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -510,6 +510,7 @@
       | {"era": "0"}   |
       | {"era": true}  |
       | {"era": -1}    |
+      | {"era": 0, "version": "7"} |
       | [              |
 
   Scenario Outline: Malformed rows of versions are ignored
--- a/features/steps/streamrestart_steps.py
+++ b/features/steps/streamrestart_steps.py
@@ -32,6 +32,7 @@
 from mountladder.configuration.softwareversion import UNVERIFIED_VERSION
 from mountladder.errors import MountladderError
 from mountladder.forwarding.ranking import prompts_topic
+from mountladder.store.position import Position
 from mountladder.streams.originarchive import INTERVAL_MS
 from mountladder.streams.originbatch import OriginBatch
 from mountladder.streams.servedversion import ServedVersion
@@ -39,6 +40,7 @@
 from mountladder_entry.httpclient import HttpClient
 
 NEW_VERSION_SERVER = "llm-9"
+CONFIRMED_VERSION = 17
 
 
 def pass_time(context, seconds):
@@ -128,6 +130,15 @@
     context.fleet.version_store.is_writable = word == "can"
 
 
+def forget_history(context):
+    context.fleet.servers.drop_history()
+
+
+def leave_list(context, name):
+    context.fleet.servers.put(name, None)
+    context.run(context.clock.sleep, SETTLE_MS)
+
+
 def set_delay(context, ms):
     context.fleet.version_store.delay_ms = float(ms)
 
@@ -265,6 +276,8 @@
     r"a copy of the store is restored": restore_copy,
     r"versions (can|cannot) be read(?: again)?": set_readable,
     r"versions (can|cannot) be written": set_writable,
+    r"the store forgets its history": forget_history,
+    r"(llm-\d) leaves the list": leave_list,
     r"versions are read in (\d+) ms": set_delay,
     r"versions were never written": never_written,
     r"(v\d) is listed": version_listed,
@@ -417,7 +430,7 @@
 
 @when("the versions there are confirmed for era {era:d}")
 def confirm_versions(context, era):
-    context.table_of_versions.change({}, (), era)
+    context.table_of_versions.change({}, (), Position(era, CONFIRMED_VERSION))
 
 
 @when("the row that confirms versions is {value}")
@@ -430,6 +443,7 @@
 def confirmed_for(context, era):
     found = context.table_of_versions.read()
     assert found.confirmed_era == era, found
+    assert found.confirmed_version == CONFIRMED_VERSION, found
 
 
 @then("they are not confirmed")
--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -60,14 +60,60 @@
     Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
 
   # Guards against a version that nobody could write down, while the store can be read.
-  Scenario: The store takes no changes while a version serves
+  Scenario Outline: The store takes no changes while a version serves
     Given only version v1 is listed
-    And then b is cut off, versions cannot be written, v2 is listed
+    And then b is cut off, versions cannot be written, <events>
     And server llm-2 runs the next stream, and llm-3 has the least to do after it
     And a caller of resumable stream r at a-1 has 2 events when its connection breaks
     And then v2 is removed, all of a are killed, b is reached again
     When the caller resumes stream r at b-1
-    Then it is refused as not run with code 2016 within 500 ms, and a Retry-After
+    Then it is refused as not run with code <code> within 500 ms, and a Retry-After
+
+    Examples: The origin of the stream is in the store, or it is not
+      | code | events                                |
+      | 2015 | v2 is listed                          |
+      | 2016 | origins cannot be read, v2 is listed  |
+
+  # Guards against streams of two versions after an outage of the tables of this system in which a
+  # version came and went, and a loss of all instances.
+  Scenario Outline: The tables of this system are away while a version serves, and all are killed
+    Given only version v1 is listed
+    And then versions cannot be written, versions cannot be read, origins cannot be read, v2 is listed
+    And server llm-2 runs the next stream, and llm-3 has the least to do after it
+    And a caller of resumable stream r at a-1 has 2 events when its connection breaks
+    And then <events>
+    When the caller resumes stream r at b-1
+    Then it is refused as not run with code 2016 within 1000 ms, and a Retry-After
+
+    Examples: The tables are back
+      | events                                                                                                                          |
+      | v2 is removed, all are killed, all start, versions can be written, versions can be read, 2 s pass                               |
+      | all are killed, v2 is removed, all start, versions can be written, versions can be read, 2 s pass                               |
+      | v2 is removed, all are killed in turn, versions can be written, versions can be read, 2 s pass                                  |
+      | v2 is removed, all are killed, versions can be written, versions can be read, all start                                         |
+      | v2 is removed, all are killed, versions can be read, all start, 5 s pass                                                        |
+      | v2 is removed, all are killed, the store forgets its history, all start, versions can be written, versions can be read, 2 s pass |
+      | v2 is removed, all are killed, all start, versions can be written, versions can be read, 5 s pass, all are killed, all start    |
+      | v2 is removed, all are killed, all start, versions can be written, versions can be read, 40 s pass                              |
+
+    Examples: They are not
+      | events                                                 |
+      | v2 is removed, all are killed, all start               |
+      | v2 is removed, all are killed, all start, 5 s pass     |
+
+  # Guards against refusals after such an outage where no second version has served.
+  Scenario Outline: The tables of this system are away, only one version serves, and all are killed
+    Given only version v1 is listed
+    And then 30 s pass, versions cannot be written, versions cannot be read, origins cannot be read, <events>
+    When a caller resumes stream r at b-1
+    Then it is answered with events 3 to 6
+
+    Examples:
+      | events                                                                                                       |
+      | 6 s pass, all are killed, all start, versions can be written, versions can be read, 2 s pass                 |
+      | 6 s pass, all are killed in turn, versions can be written, versions can be read, 2 s pass                    |
+      | llm-5 comes back as v1, 6 s pass, all are killed, all start, versions can be written, versions can be read, 2 s pass |
+      | 6 s pass, versions can be written, versions can be read, llm-3 leaves the list, 2 s pass, all are killed, all start |
 
   # Guards against streams that a restored store ends although nobody has ended, and the reverse.
   Scenario Outline: Nobody knows a stream, but only one version has served
--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -65,6 +65,7 @@
 from mountladder.routing.expectedcompletion import ExpectedCompletion
 from mountladder.routing.router import Router
 from mountladder.serverlimits.serverlimits import ServerLimits
+from mountladder.store.position import Position
 from mountladder.streams.startchecks import StartChecks
 from mountladder.streams.streamorigins import StreamOrigins
 
@@ -226,6 +227,9 @@
         self.origins.read_servers = lambda: self.directory_source.read_changes(
             self.directory.position
         )
+        self.origins.version_record.have_servers_left = lambda since: self.have_servers_left(
+            applier, since
+        )
         claim = self.budgets.claim
         claim.all_answer = self.fleet.is_complete
         self.fleet.members_age_s, self.fleet.on_beacon = claim.members_age_s, claim.record_beacon
@@ -233,6 +237,14 @@
         self.fleet.is_store_answering = self.follows_store
         self.follower.is_feed_live = self.is_feed_live
 
+    def have_servers_left(self, applier: PageApplier, since: Position) -> bool:
+        """Return whether any server has left the list in the store since a position.
+
+        Where the store has lost the changes since then, any may have.
+        """
+        page = self.directory_source.changes_since(since)
+        return page is None or any(one.server is None for one in applier.decode_servers(page))
+
     def handle_store_lost(self) -> None:
         """Tell the reader group and the record of versions that the store has stopped answering."""
         self.fleet.announce_reader()
--- a/packages/core/src/mountladder/forwarding/pageapplier.py
+++ b/packages/core/src/mountladder/forwarding/pageapplier.py
@@ -79,6 +79,14 @@
     def apply_servers(self, page: SourcePage, whole: bool) -> None:
         """Apply a page of the table of backend servers."""
         self.era_tracker.observe(page.position.era, STORE)
+        records = self.decode_servers(page)
+        if whole:
+            self.directory.replace(records, page.position, STORE)
+        else:
+            self.directory.apply(records, page.position, STORE)
+
+    def decode_servers(self, page: SourcePage) -> list[ServerRecord]:
+        """Decode the entries of a page of the table of backend servers."""
         records = []
         for row in page.rows:
             try:
@@ -88,7 +96,4 @@
                 records.append(ServerRecord(row.key, row.position))
                 self.metrics.count(Metric.MALFORMED_ROWS)
                 log_message("server-entry-malformed", server=row.key, reason=str(error))
-        if whole:
-            self.directory.replace(records, page.position, STORE)
-        else:
-            self.directory.apply(records, page.position, STORE)
+        return records
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -71,6 +71,19 @@
         self.ranks[topic, datacentre] = (stamp, ranked)
         return ranked
 
+    def is_first_reader(self) -> bool:
+        """Return whether no other instance comes before this one for polling the store.
+
+        Those that have fallen silent are left out. An instance that never sent anything here, in a
+        large fleet, is taken for one that works.
+        """
+        for one in self.ranked(STORE_TOPIC):
+            if one is self.membership.me:
+                return True
+            if not self.membership.has_fallen_silent(one):
+                return False
+        return False
+
     def position(self, topic: str) -> int:
         """Return how many of the instances come before this one for a topic, by the hash alone."""
         weight = _weight(topic, self.membership.me)
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -133,6 +133,19 @@
         self.on_page(page, whole)
         return True
 
+    def changes_since(self, after: Position) -> SourcePage | None:
+        """Return what has changed after a position, or None if the store has lost that.
+
+        Raises:
+            StoreUnavailableError: The store did not answer.
+            BadRowError: Its answer cannot be read.
+        """
+        try:
+            return self.source.changes(after, NO_WAIT_MS)
+        except HistoryLostError as error:
+            log_message("history-lost", table=self.name, reason=error.detail)
+            return None
+
     def changes_or_all(self, after: Position) -> tuple[SourcePage, bool]:
         """Return what has changed after a position, or all rows if the store has lost that.
 
--- a/packages/core/src/mountladder/membership/membership.py
+++ b/packages/core/src/mountladder/membership/membership.py
@@ -173,6 +173,10 @@
         limit_ms = MISSED_HEARTBEATS * self.interval_ms
         return at is not None and self.clock.now() - at <= limit_ms
 
+    def has_fallen_silent(self, instance: Instance) -> bool:
+        """Return whether an instance has sent something once, and nothing lately."""
+        return instance.incarnation in self.last_seen and not self.is_responding(instance)
+
     def addressed(self) -> list[Instance]:
         """Return the other instances whose peer address is known."""
         return [one for one in self.known.values() if one.peer]
--- a/packages/core/src/mountladder/streams/storecontact.py
+++ b/packages/core/src/mountladder/streams/storecontact.py
@@ -28,7 +28,8 @@
 
     A store that is restored from an older copy loses the rows of versions that were written since.
     The rows that it holds are all again once an instance has confirmed them that knew all versions
-    until then, or once no stream can last any more that began before.
+    until then, or once no stream can last any more that began before. The same holds where servers
+    have left the list since the rows were confirmed: their versions may be in none of them.
 
     Args:
         fleet: The other instances.
@@ -38,6 +39,8 @@
     Attributes:
         is_unbroken: Whether this instance has heard of all versions so far: it has read them once,
             and since then its list of servers was current, or nobody else was out of reach.
+        hears_since: Since when its list of servers has been current at each check; infinite while
+            it is not.
         checked_at: When that was last checked.
         era: The newest era of the store that is known, or None.
         era_since: Since when it is known.
@@ -50,6 +53,7 @@
         self.history = history
         self.clock = clock
         self.is_unbroken = False
+        self.hears_since = float("inf")
         self.checked_at = float("-inf")
         self.era: int | None = None
         self.era_since = float("-inf")
@@ -66,7 +70,9 @@
         """Check whether this instance still hears of all versions."""
         is_late = self.clock.now() - self.checked_at > MAX_CHECK_AGE_MS
         self.checked_at = self.clock.now()
-        if self.is_unbroken and (is_late or not self.hears_all()):
+        hears_all = not is_late and self.hears_all()
+        self.hears_since = min(self.hears_since, self.checked_at) if hears_all else float("inf")
+        if self.is_unbroken and not hears_all:
             self.is_unbroken = False
             log_message("versions-may-be-missed", list_age_ms=round(self.fleet.list_age.ms()))
 
@@ -90,9 +96,14 @@
         self.knows_earlier = self.is_unbroken and has_checked
         log_message("versions-in-restored-store", era=self.era, known_here=self.knows_earlier)
 
-    def handle_read(self, stored: StoredVersions) -> bool:
+    def handle_read(self, stored: StoredVersions, have_servers_left: bool = False) -> bool:
         """Note what was read, and return whether no version can be missing in it.
 
+        Args:
+            stored: What was read.
+            have_servers_left: Whether servers have left since it was confirmed that this instance
+                may not have heard of.
+
         Returns:
             Whether all versions that may have begun a stream that still lasts are stored, or known
             to this instance.
@@ -100,15 +111,15 @@
         self.fleet.era_tracker.observe(stored.era, "store")
         if self.era is None:
             self.era, self.era_since = stored.era, self.clock.now()
-        is_complete = self.is_complete(stored)
+        is_complete = self.is_complete(stored, have_servers_left)
         if is_complete and self.fleet.list_age.ms() <= MAX_LIST_AGE_MS:
             self.is_unbroken = True
         return is_complete
 
-    def is_complete(self, stored: StoredVersions) -> bool:
+    def is_complete(self, stored: StoredVersions, have_servers_left: bool = False) -> bool:
         """Return whether no version can be missing among those that are stored or known here."""
         if stored.is_confirmed:
-            return True
+            return not have_servers_left or self.clock.now() - self.hears_since >= MAX_STREAM_MS
         if self.clock.now() - self.era_since >= MAX_STREAM_MS:
             return True
         if self.is_restored:
--- a/packages/core/src/mountladder/streams/streamorigins.py
+++ b/packages/core/src/mountladder/streams/streamorigins.py
@@ -107,6 +107,7 @@
         self.version_record = VersionRecord(
             version_store, self.history, fleet.reader_election, self.contact, clock
         )
+        self.version_record.is_first_reader = fleet.ranking.is_first_reader
         name = fleet.membership.me.incarnation
         self.archive = OriginArchive(
             origin_store, self.holders, self.registry, self.history, name, clock
--- a/packages/core/src/mountladder/streams/versionhistory.py
+++ b/packages/core/src/mountladder/streams/versionhistory.py
@@ -29,6 +29,8 @@
     Attributes:
         listed: The versions of the listed servers.
         unlisted_at: When each version that is not listed any more was last listed.
+        servers: The ids of the listed servers.
+        left_at: When a server was last found to have left the list.
         used_at: When each of those may last have been in use all the same, where that is later.
         leaving: The versions whose servers all leave, or all did when they were last listed.
         known_since: Since when the list of servers has been known, or None.
@@ -41,6 +43,8 @@
         self.directory = directory
         self.clock = clock
         self.listed: frozenset[ServedVersion] = frozenset()
+        self.servers: frozenset[str] = frozenset()
+        self.left_at = float("-inf")
         self.unlisted_at: dict[ServedVersion, float] = {}
         self.used_at: dict[ServedVersion, float] = {}
         self.leaving: frozenset[ServedVersion] = frozenset()
@@ -62,15 +66,20 @@
         """Update the versions after the list of servers has changed."""
         if self.known_since is None and self.directory.ready:
             self.known_since = self.clock.now()
-        listed, staying = set(), set()
+        listed, staying, servers = set(), set(), set()
         for record in self.directory.records.values():
             if record.server is not None:
+                servers.add(record.id)
                 served = ServedVersion(record.service, version_of(record.server))
                 listed.add(served)
                 if not self.directory.is_leaving(record.server):
                     staying.add(served)
         unlisted_at = self.unlisted_at | dict.fromkeys(self.listed, self.clock.now())
         self.change(frozenset(listed), unlisted_at, (self.leaving | listed) - staying)
+        has_left, self.servers = bool(self.servers - servers), frozenset(servers)
+        if has_left:
+            self.left_at = self.clock.now()
+            self.on_change()
 
     def add_earlier(self, versions: Mapping[ServedVersion, bool], is_complete: bool) -> None:
         """Add the versions that served before this instance knew the list of servers.
--- a/packages/core/src/mountladder/streams/versionrecord.py
+++ b/packages/core/src/mountladder/streams/versionrecord.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from eliot import log_message
 from gevent.event import Event
@@ -14,6 +15,7 @@
 from mountladder.clocks.clock import Clock
 from mountladder.errors import MountladderError
 from mountladder.forwarding.readerelection import ReaderElection
+from mountladder.store.position import Position
 from mountladder.streams.servedversion import ServedVersion
 from mountladder.streams.storecontact import StoreContact
 from mountladder.streams.storedversions import StoredVersions
@@ -28,6 +30,10 @@
 # none.
 RECENT_READ_MS = 5_000.0
 RETRY_MS = 1_000.0
+# How often the stored versions are confirmed. A confirmation serves for as long as the store keeps
+# the changes of the list of servers since then, which is 20 s: some 8 s of them are left for an
+# outage and the start after it.
+CONFIRM_MS = 12_000.0
 
 
 class VersionRecord:
@@ -36,9 +42,13 @@
     A process that starts after all instances have ended learns there which versions may have begun
     the streams that callers resume. Each instance reads them once after its start. The instance
     that polls the store writes each version when it is first listed, long before its last server
-    can have left, and removes it once no stream of it can last any more. With them it confirms that
-    they are all; the confirmation names the era of the store, so that it does not hold for an older
-    copy that is restored.
+    can have left, and removes it once no stream of it can last any more.
+
+    With them it confirms up to which position of the list of servers they are all. The first
+    instance that polls the store confirms that again every few seconds, and when a server leaves. A
+    process that reads them later compares the list with that position: a server that has left since
+    may have been of a version that could not be written. Positions are of an era of the store, so
+    that a confirmation does not hold for an older copy that is restored.
 
     Args:
         store: The platform's table of versions.
@@ -54,6 +64,10 @@
         is_restored: Whether the store was restored from an older copy since it was last compared.
         may_lack_versions: Whether others may have used versions, since the last read, that this
             instance did not hear of: it lost the store, or did not poll it.
+        is_first_reader: Returns whether this instance is the first of all that poll the store.
+        confirmed_at: When this instance last confirmed that the stored versions are all.
+        have_servers_left: Returns whether any server has left the list since a position, as the
+            store knows it; raises StoreUnavailableError or BadRowError.
     """
 
     def __init__(
@@ -74,6 +88,9 @@
         self.read_at = float("-inf")
         self.is_restored = False
         self.may_lack_versions = False
+        self.confirmed_at = float("-inf")
+        self.is_first_reader: Callable[[], bool] = lambda: True
+        self.have_servers_left: Callable[[Position], bool] = lambda since: False
         self.wake = Event()
         history.on_change = self.wake.set
 
@@ -104,30 +121,47 @@
         """Read all versions, and return whether the store answered."""
         try:
             found = self.store.read()
+            have_left = self.have_servers_left_since(found)
         except MountladderError as error:
             log_message("versions-read-failed", reason=str(error))
             return False
         self.stored = found
         self.read_at = self.clock.now()
         self.may_lack_versions = False
-        self.is_complete = self.contact.handle_read(found)
+        self.is_complete = self.contact.handle_read(found, have_left)
         log_message(
             "versions-read",
             versions=_texts(found.versions),
             listed=_texts(self.history.listed),
             era=found.era,
             confirmed_era=found.confirmed_era,
+            confirmed_version=found.confirmed_version,
+            servers_left=have_left,
             complete=self.is_complete,
         )
         self.history.add_earlier(found.versions, self.is_complete)
         return True
 
+    def have_servers_left_since(self, found: StoredVersions) -> bool:
+        """Return whether servers have left since versions were confirmed, unheard of here.
+
+        Raises:
+            StoreUnavailableError: The store did not answer.
+            BadRowError: Its answer cannot be read.
+        """
+        position = found.confirmed_position
+        if position is None or self.contact.is_unbroken:
+            return False
+        return self.have_servers_left(position)
+
     def write(self) -> bool:
         """Write new versions and remove past ones; return whether the store answered."""
         try:
             if self.is_restored:
                 self.stored = self.store.read()
                 self.is_restored = False
+            # What is listed by now is among the recent versions.
+            position, now = self.history.directory.position, self.clock.now()
             recent = self.history.recent_leaving()
             changed = {
                 one: leaving for one, leaving in recent.items() if self.differs(one, leaving)
@@ -137,24 +171,42 @@
                 # A read has them kept for another minute.
                 return self.read()
             stored = self.stored
-            is_due = not stored.is_confirmed and self.contact.is_complete(stored)
-            confirmed_era = stored.era if is_due else None
+            is_due = self.is_confirmation_due(position)
+            confirmed = position if is_due else None
             if not changed and not removed and not is_due:
                 return True
-            self.store.change(changed, removed, confirmed_era)
+            self.store.change(changed, removed, confirmed)
         except MountladderError as error:
             log_message("versions-write-failed", reason=str(error))
             return False
-        confirmed = stored.era if is_due else stored.confirmed_era
-        self.stored = StoredVersions(recent, stored.era, confirmed)
+        self.stored = replace(stored, versions=recent)
+        if confirmed is not None:
+            self.stored = StoredVersions(recent, stored.era, confirmed.era, confirmed.version)
+            self.confirmed_at = now
         log_message(
             "versions-written",
             changed=_texts(changed),
             removed=_texts(removed),
-            confirmed_era=confirmed_era,
+            confirmed_era=confirmed.era if confirmed else None,
+            confirmed_version=confirmed.version if confirmed else None,
         )
         return True
 
+    def is_confirmation_due(self, position: Position) -> bool:
+        """Return whether this instance has to confirm that all versions are stored.
+
+        Args:
+            position: Up to where its list of servers is complete.
+        """
+        if position.era != self.stored.era or position == self.stored.confirmed_position:
+            return False
+        if not self.stored.is_confirmed:
+            return self.contact.is_complete(self.stored)
+        has_changed = self.history.left_at >= self.confirmed_at
+        is_old = self.clock.now() - self.confirmed_at >= CONFIRM_MS
+        is_due = self.contact.is_unbroken and (has_changed or is_old)
+        return is_due and self.is_first_reader()
+
     def differs(self, version: ServedVersion, leaving: bool) -> bool:
         """Return whether the store does not hold a version, or holds it as leaving or not."""
         return self.stored.versions.get(version) is not leaving
--- a/packages/core/src/mountladder/streams/versionstore.py
+++ b/packages/core/src/mountladder/streams/versionstore.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
 
+from mountladder.store.position import Position
 from mountladder.streams.servedversion import ServedVersion
 from mountladder.streams.storedversions import StoredVersions
 
@@ -29,13 +30,13 @@
         self,
         changed: Mapping[ServedVersion, bool],
         removed: Sequence[ServedVersion],
-        confirmed_era: int | None = None,
+        confirmed: Position | None = None,
     ) -> None:
         """Store and remove versions.
 
         Args:
             changed: Versions, and whether all servers of each are leaving.
             removed: Versions that no stream can have begun that still lasts.
-            confirmed_era: The era of the store for which the stored versions are confirmed to be
-                all once these are stored, or None to confirm nothing. It is stored last.
+            confirmed: The position up to which the versions of all listed servers are stored once
+                these are, or None to confirm nothing. It is stored last.
         """
--- a/packages/standins/src/mountladder_standins/forwardfleet.py
+++ b/packages/standins/src/mountladder_standins/forwardfleet.py
@@ -150,7 +150,7 @@
         self.saved_parts = dict(self.part_store.rows)
         versions = self.version_store
         self.saved_versions = StoredVersions(
-            dict(versions.rows), versions.era, versions.confirmed_era
+            dict(versions.rows), versions.era, versions.confirmed_era, versions.confirmed_version
         )
         self.saved_origins = dict(self.origin_store.rows)
         self.saved_instances = {name: list(one) for name, one in self.instance_list.history.items()}
@@ -161,6 +161,7 @@
         self.part_store.rows = dict(self.saved_parts)
         self.version_store.rows = dict(self.saved_versions.versions)
         self.version_store.confirmed_era = self.saved_versions.confirmed_era
+        self.version_store.confirmed_version = self.saved_versions.confirmed_version
         self.version_store.era += 1
         self.origin_store.rows = dict(self.saved_origins)
         self.instance_list.history = {name: list(one) for name, one in self.saved_instances.items()}
