Limits: a service whose servers take pieces and requests has one coordinator

Cause: a limit holds for a server, and who may spend it is decided by topic. A service's pieces and its requests are two topics with a coordinator each, and each spent the whole limit. The rate of cold servers and the room of fragile ones were doubled in the same way.

Change: such a service has one coordinator for both topics and is not divided among data centres. Room counts both kinds.

The stand-ins of limits that scenarios use take the new methods; no assertion of theirs changed.

--- a/features/fleetevents.py
+++ b/features/fleetevents.py
@@ -65,6 +65,15 @@
     cut_all(context)
 
 
+def cut_coordinator_for_a_while(context):
+    first = find_coordinator(context, context.topic).settings.name
+    others = [name for name in context.fleet.instances if name != first]
+    cut = {frozenset({first, one}) for one in others}
+    context.fleet.network.cut_instances |= cut
+    context.clock.sleep(FIRST_CUT_MS)
+    context.fleet.network.cut_instances -= cut
+
+
 def start_two(context):
     for name in ("a-new", "b-new"):
         context.fleet.start(name)
@@ -89,6 +98,7 @@
     "the service's coordinator crashes": crash_coordinator,
     "three instances are cut off from the others": cut_three,
     "half of the others lose the service's coordinator": cut_half_from_coordinator,
+    "the service's coordinator is cut off for a while": cut_coordinator_for_a_while,
     "two of the others lose the service's coordinator": cut_two_from_coordinator,
     "all instances are cut off from each other, twice": cut_all_twice,
     "two more instances start": start_two,
--- a/features/forwardbasics.py
+++ b/features/forwardbasics.py
@@ -272,13 +272,19 @@
 class NoRooms:
     """Limits of fragile servers where no server is fragile."""
 
+    def __init__(self):
+        self.counts = []
+
+    def running(self, name):
+        return sum(count(name) for count in self.counts)
+
     def fragile(self, servers):
         return frozenset()
 
     def is_fragile(self, name):
         return False
 
-    def full(self, servers, running, topic):
+    def full(self, servers, topic):
         return frozenset()
 
     def pause_ms(self, server):
@@ -291,10 +297,11 @@
 class NoLimits:
     """Server limits where no server has announced one."""
 
-    rooms = NoRooms()
+    def __init__(self):
+        self.rooms = NoRooms()
 
     def waits_ms(self, servers, topic):
         return {}
 
-    def record_sent(self, server, topic):
+    def record_reserved(self, server, topic):
         pass
--- a/features/steps/performance_steps.py
+++ b/features/steps/performance_steps.py
@@ -329,6 +329,7 @@
     nothing_limited = SimpleNamespace(
         limited=lambda servers: frozenset(),
         wait_ms=lambda server, service: 0.0,
+        has_token=lambda server, service: True,
         per_s=lambda server, service: math.inf,
         rooms=NoRooms(),
     )
--- a/packages/core/src/mountladder/forwarding/catalogue.py
+++ b/packages/core/src/mountladder/forwarding/catalogue.py
@@ -39,6 +39,20 @@
     team_priorities: tuple[int, ...] = ()
     ranks_per_team: int = 0
 
+    def pooled_services(self) -> frozenset[str]:
+        """Return the services whose servers take both the pieces of stages and requests."""
+        targets = {
+            target.service
+            for routes in self.routes.values()
+            for route in routes
+            for target in route.targets
+        }
+        return frozenset(
+            one.name
+            for one in self.services.values()
+            if one.batch is not None and one.name in targets
+        )
+
     def urgency(self, caller: CallerTeam | None, route: Route) -> int:
         """Return the rank of a request; 0 is the most urgent.
 
--- a/packages/core/src/mountladder/forwarding/coordinators.py
+++ b/packages/core/src/mountladder/forwarding/coordinators.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from eliot import log_message
+
 from mountladder.forwarding.catalogue import Catalogue
 from mountladder.forwarding.division import Division
 from mountladder.forwarding.ranking import Ranking, prompts_topic
@@ -29,7 +31,8 @@
     """Maps each topic of shared work to its coordinator, and lists the peers to keep links to.
 
     A topic is a service whose pieces are batched, or the prompts of a service. All work of a topic
-    goes to one instance, or to one in each data centre, the topic's coordinator.
+    goes to one instance, or to one in each data centre, the topic's coordinator. Where servers take
+    both, the two topics have the same coordinator, one for all data centres.
 
     Args:
         membership: The known instances.
@@ -53,10 +56,16 @@
 
     def add_topics(self, catalogue: Catalogue) -> None:
         """Add the topics of a catalogue's services."""
+        pooled = catalogue.pooled_services()
+        if pooled != self.ranking.pooled:
+            self.ranking.pool(pooled)
+            self.division.keep_undivided(pooled)
+            self.stamp = None
+            log_message("services-pooled", services=sorted(pooled), version=catalogue.version)
         for service in catalogue.services.values():
             if service.batch is not None:
                 self.topics.add(service.name)
-            if service.slots or service.cold_per_s:
+            if service.slots or service.cold_per_s or service.name in pooled:
                 self.topics.add(prompts_topic(service.name))
 
     def ranked(self, topic: str) -> list[Instance]:
--- a/packages/core/src/mountladder/forwarding/division.py
+++ b/packages/core/src/mountladder/forwarding/division.py
@@ -35,6 +35,7 @@
 
     Attributes:
         divided: The services that are divided.
+        undivided: The services that are never divided.
         changes: Counts the changes of divided, to invalidate caches that depend on it.
     """
 
@@ -42,6 +43,7 @@
         self.directory = directory
         self.datacentre = datacentre
         self.divided: set[str] = set()
+        self.undivided: frozenset[str] = frozenset()
         self.changes = 0
         directory.listeners.insert(0, self.update)
 
@@ -59,8 +61,15 @@
                     version=self.directory.newest.version,
                 )
 
+    def keep_undivided(self, services: frozenset[str]) -> None:
+        """Have some services undivided, and no others."""
+        self.undivided = services
+        self.update()
+
     def should_divide(self, service: str, servers: tuple[BackendServer, ...]) -> bool:
         """Return whether a service with these servers should be divided."""
+        if service in self.undivided:
+            return False
         sizes = Counter(one.datacentre for one in servers)
         mean = len(servers) / max(1, len(sizes))
         if service in self.divided:
--- a/packages/core/src/mountladder/forwarding/placementcoordinator.py
+++ b/packages/core/src/mountladder/forwarding/placementcoordinator.py
@@ -78,6 +78,7 @@
         self.cold = cold
         self.limits = limits
         self.placement = PromptPlacement(clock, router)
+        limits.rooms.counts.append(self.placement.running_prompts.__getitem__)
         self.backups = BackupPlacement(self.placement, clock)
         self.usage = PromptUsage()
         self.bytes = ServerBytes()
@@ -105,7 +106,7 @@
         server = choice.state.server.name
         choice.state.breaker.begin()
         self.cold.record_sent(choice.state.server)
-        self.limits.record_sent(choice.state.server, topic)
+        self.limits.record_reserved(choice.state.server, topic)
         key = (owner, order.number)
         self.record_placed(key, order, chosen)
         service = self.follower.service(order.service)
@@ -164,9 +165,8 @@
     def full(self, order: PlacementOrder, servers: Sequence[BackendServer]) -> frozenset[str]:
         """Return the servers without room for a request; see ServerBytes and RoomLimits."""
         names = (one.name for one in servers)
-        running = self.placement.running_prompts
         return self.bytes.full(order.service, names, order.size) | self.limits.rooms.full(
-            servers, running, prompts_topic(order.service)
+            servers, prompts_topic(order.service)
         )
 
     def must_yield(self, order: PlacementOrder) -> bool:
@@ -185,7 +185,7 @@
         topic = prompts_topic(order.service)
         schedule = self.retry_schedules.setdefault(order.service, RetrySchedule())
         wait_ms = min(delays.waits_ms.values()) - order.max_wait_ms
-        per_s = sum(self.limits.per_s(one, topic) for one in servers)
+        per_s = sum(self.limits.request_per_s(one, topic) for one in servers)
         retry_after_ms = schedule.add(order.urgency, wait_ms, per_s, self.clock.now())
         return PlacementReply(order.number, "", 0.0, wait_ms=retry_after_ms)
 
@@ -216,7 +216,7 @@
         """Record that a server rejected a prompt, which is still counted as in progress there."""
         state = self.router.states.get(server)
         if state is not None:
-            running = self.placement.running_prompts[server] - 1
+            running = self.limits.rooms.running(server) - 1
             self.limits.rooms.record_rejected(state.server, running)
 
     def trip_breaker(self, server: str, unreachable: bool) -> None:
--- a/packages/core/src/mountladder/forwarding/ranking.py
+++ b/packages/core/src/mountladder/forwarding/ranking.py
@@ -31,13 +31,27 @@
 
     Attributes:
         leaving: Whether this instance is shutting down, so that it is not ranked any more.
+        pooled: The services whose pieces and requests have one coordinator. A server's limits hold
+            for both together, and two coordinators would each use them up.
     """
 
     def __init__(self, membership: Membership) -> None:
         self.membership = membership
         self.leaving = False
+        self.pooled: frozenset[str] = frozenset()
+        self.pooled_topics: dict[str, str] = {}
         self.ranks: dict[tuple[str, str], tuple[tuple[int, bool], list[Instance]]] = {}
 
+    def pool(self, services: frozenset[str]) -> None:
+        """Have the pieces and requests of some services ranked alike, and no others."""
+        self.pooled = services
+        self.pooled_topics = {prompts_topic(one): one for one in services}
+        self.ranks.clear()
+
+    def weight(self, topic: str, instance: Instance) -> int:
+        """Return the weight of an instance for a topic; the highest one ranks first."""
+        return _weight(self.pooled_topics.get(topic, topic), instance)
+
     def ranked(self, topic: str, datacentre: str = "") -> list[Instance]:
         """Return the candidates to coordinate a topic, the best first.
 
@@ -64,7 +78,7 @@
                 topic == STORE_TOPIC or not self.membership.is_isolated(one),
                 one.cores >= min_cores,
                 id(one) in older,
-                _weight(topic, one),
+                self.weight(topic, one),
             ),
             reverse=True,
         )
@@ -86,8 +100,8 @@
 
     def position(self, topic: str) -> int:
         """Return how many of the instances come before this one for a topic, by the hash alone."""
-        weight = _weight(topic, self.membership.me)
-        return sum(_weight(topic, one) > weight for one in self.staying())
+        weight = self.weight(topic, self.membership.me)
+        return sum(self.weight(topic, one) > weight for one in self.staying())
 
     def staying(self) -> list[Instance]:
         """Return the known instances that are not shutting down, this one included."""
--- a/packages/core/src/mountladder/forwarding/stageservers.py
+++ b/packages/core/src/mountladder/forwarding/stageservers.py
@@ -64,6 +64,11 @@
         self.overdue: dict[str, list[StageCallState]] = {}
         self.answered_at: dict[str, float] = {}
         self.limited_call_at = self.silent_at = float("-inf")
+        rate_limits.rooms.counts.append(self.count_calls)
+
+    def count_calls(self, name: str) -> int:
+        """Return the number of calls in progress at a server, overdue ones included."""
+        return len(self.calls.get(name, ()))
 
     def begin(self, state: ServerState, call: StageCallState) -> None:
         """Record that a call was sent."""
@@ -254,11 +259,11 @@
     def is_free(self, state: ServerState, limits: BatchLimits, now: float) -> bool:
         """Return whether a server may be sent a call now."""
         paused = self.paused.get(state.server.name, 0.0) > now
-        if self.rate_limits.wait_ms(state.server, self.service) > 0:
+        if not self.rate_limits.has_token(state.server, self.service):
             return False
         if self.rate_limits.rooms.is_fragile(state.server.name):
             # An overdue call may still wait there, and another one would be rejected.
-            running = len(self.calls.get(state.server.name, ()))
+            running = self.rate_limits.rooms.running(state.server.name)
         else:
             running = self.running(state) + len(self.uncertain_calls(state)) // 2
         return not paused and running < limits.calls
--- a/packages/core/src/mountladder/serverlimits/roomlimits.py
+++ b/packages/core/src/mountladder/serverlimits/roomlimits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -36,6 +36,8 @@
 
     Attributes:
         rooms: The room of each fragile server, by its name.
+        counts: Return how many requests of a kind this instance knows in progress at a server, by
+            its name: prompts, calls with pieces.
     """
 
     def __init__(self, registry: NoticeRegistry, leadership: Leadership, clock: Clock) -> None:
@@ -43,6 +45,7 @@
         self.leadership = leadership
         self.clock = clock
         self.rooms: dict[str, ServerRoom] = {}
+        self.counts: list[Callable[[str], int]] = []
 
     def fragile(self, servers: Iterable[BackendServer]) -> frozenset[str]:
         """Return the names of the fragile servers."""
@@ -54,14 +57,15 @@
         """Return whether a server crashes if it rejects many requests."""
         return self.registry.max_rejections_per_s(name) < UNLIMITED
 
-    def full(
-        self, servers: Iterable[BackendServer], running: Mapping[str, int], topic: str
-    ) -> frozenset[str]:
+    def running(self, name: str) -> int:
+        """Return how many requests of all kinds this instance knows in progress at a server."""
+        return sum(count(name) for count in self.counts)
+
+    def full(self, servers: Iterable[BackendServer], topic: str) -> frozenset[str]:
         """Return the names of the fragile servers that must not be sent a request now.
 
         Args:
             servers: The servers.
-            running: The number of requests in progress at each server, by its name.
             topic: The topic whose coordinator distributes the work.
         """
         if not self.registry.rejection_limits:
@@ -70,7 +74,7 @@
         return frozenset(
             one.name
             for one in servers
-            if self.is_fragile(one.name) and self.is_full(one, running.get(one.name, 0), fraction)
+            if self.is_fragile(one.name) and self.is_full(one, self.running(one.name), fraction)
         )
 
     def is_full(self, server: BackendServer, running: int, fraction: float) -> bool:
--- a/packages/core/src/mountladder/serverlimits/serverlimits.py
+++ b/packages/core/src/mountladder/serverlimits/serverlimits.py
@@ -27,6 +27,11 @@
 # An instance that spends a fraction by itself starts again without tokens after this time without
 # a request: several instances cut off from the coordinator must not all send saved tokens at once.
 IDLE_RESET_MS = 2_000.0
+# Requests reserve a limit ahead, so that calls with pieces would never find any of it left. While
+# some wait for it, requests get this fraction; calls get the rest, and what requests do not use.
+REQUEST_FRACTION = 0.5
+# For how long after calls with pieces last waited for a server's limit that holds.
+CONTENDED_MS = 1_000.0
 
 
 class ServerLimits:
@@ -44,6 +49,8 @@
 
     Attributes:
         buckets: The token bucket of each rate-limited server, by its name.
+        contended_at: When calls with pieces last waited for the limit of a server, by its name.
+        request_buckets: The token bucket of requests while calls with pieces wait as well.
         rooms: Limits the requests in progress at fragile servers.
     """
 
@@ -52,6 +59,8 @@
         self.leadership = leadership
         self.clock = clock
         self.buckets: dict[str, TokenBucket] = {}
+        self.contended_at: dict[str, float] = {}
+        self.request_buckets: dict[str, TokenBucket] = {}
         self.rooms = RoomLimits(registry, leadership, clock)
 
     def limited(self, servers: Iterable[BackendServer]) -> frozenset[str]:
@@ -73,15 +82,51 @@
         if not limited:
             return {}
         now, fraction = self.clock.now(), self.leadership.fraction(topic)
-        return {name: self.bucket_of(name, fraction, now).wait_ms(now) for name in limited}
+        waits = {}
+        for name in limited:
+            bucket = self.bucket_of(name, fraction, now)
+            share = self.request_bucket(name, bucket, now)
+            waits[name] = max(one.wait_ms(now) for one in (bucket, share) if one is not None)
+        return waits
+
+    def has_token(self, server: BackendServer, topic: str) -> bool:
+        """Return whether a call with pieces may be sent to a server now, and record if it waits."""
+        bucket, now = self.bucket(server, topic), self.clock.now()
+        if bucket is None or bucket.wait_ms(now) <= 0:
+            return True
+        self.contended_at[server.name] = now
+        return False
 
     def wait_ms(self, server: BackendServer, topic: str) -> float:
         """Return how long one more request for a server has to wait, in milliseconds."""
         bucket = self.bucket(server, topic)
         return bucket.wait_ms(self.clock.now()) if bucket is not None else 0.0
 
-    def record_sent(self, server: BackendServer, topic: str) -> None:
+    def request_bucket(self, name: str, bucket: TokenBucket, now: float) -> TokenBucket | None:
+        """Return the bucket of requests for a server, or None if no calls with pieces wait."""
+        if now - self.contended_at.get(name, float("-inf")) > CONTENDED_MS:
+            self.request_buckets.pop(name, None)
+            return None
+        per_s = REQUEST_FRACTION * bucket.per_s
+        share = self.request_buckets.get(name)
+        if share is None:
+            share = self.request_buckets[name] = TokenBucket(per_s, 1.0, now)
+        elif share.per_s != per_s:
+            share.set_rate(per_s, 1.0, now)
+        return share
+
+    def record_reserved(self, server: BackendServer, topic: str) -> None:
         """Record that a request is sent to a server now, or reserved for a later time."""
+        bucket, now = self.bucket(server, topic), self.clock.now()
+        if bucket is None:
+            return
+        share = self.request_bucket(server.name, bucket, now)
+        if share is not None:
+            share.take(now)
+        self.record_sent(server, topic)
+
+    def record_sent(self, server: BackendServer, topic: str) -> None:
+        """Record that a request or a call with pieces is sent to a server."""
         bucket = self.bucket(server, topic)
         if bucket is None:
             return
@@ -102,6 +147,13 @@
         bucket = self.bucket(server, topic)
         return bucket.per_s if bucket is not None else UNLIMITED
 
+    def request_per_s(self, server: BackendServer, topic: str) -> float:
+        """Return how many requests a second are left where calls with pieces wait as well."""
+        bucket = self.bucket(server, topic)
+        if bucket is None:
+            return UNLIMITED
+        return (self.request_bucket(server.name, bucket, self.clock.now()) or bucket).per_s
+
     def bucket(self, server: BackendServer, topic: str) -> TokenBucket | None:
         """Return the token bucket of a server, or None where it has no limit."""
         if self.registry.per_s(server.name) == UNLIMITED:
@@ -134,3 +186,5 @@
         stale = [name for name in self.buckets if name not in self.registry.limits]
         for name in stale:
             del self.buckets[name]
+            self.contended_at.pop(name, None)
+            self.request_buckets.pop(name, None)
