--- a/packages/core/src/mountladder/forwarding/fleet.py
+++ b/packages/core/src/mountladder/forwarding/fleet.py
@@ -184,6 +184,15 @@
         links = self.links
         return all(one in links and self.is_answering(links[one]) for one in self.dialers)
 
+    def count_answering(self) -> int:
+        """Return how many of the other instances answer this one."""
+        return sum(self.is_answering(link) for link in self.links.values())
+
+    def reaches_most(self) -> bool:
+        """Return whether half of those that this instance keeps links to answer, and any does."""
+        answering = self.count_answering()
+        return answering > 0 and 2 * answering >= len(self.dialers)
+
     def targets(self) -> list[Instance]:
         """Return the instances to keep links to."""
         known = self.membership.addressed()
--- a/packages/core/src/mountladder/forwarding/leadership.py
+++ b/packages/core/src/mountladder/forwarding/leadership.py
@@ -85,7 +85,7 @@
         """
         if self.fleet.coordinator(topic) is not None:
             return 1
-        return 1 + self.count_answering()
+        return 1 + self.fleet.count_answering()
 
     def reaches_most(self, topic: str) -> bool:
         """Return whether this instance is a topic's coordinator and reaches most others."""
@@ -95,8 +95,4 @@
         candidates = self.fleet.coordinators.ranked(topic)[:COORDINATORS_PER_TOPIC]
         if members.me not in candidates or self.fleet.coordinator(topic) is not None:
             return False
-        return 2 * self.count_answering() >= len(self.fleet.dialers)
-
-    def count_answering(self) -> int:
-        """Return how many of the other instances answer this one."""
-        return sum(self.fleet.is_answering(link) for link in self.fleet.links.values())
+        return 2 * self.fleet.count_answering() >= len(self.fleet.dialers)
--- a/packages/core/src/mountladder/forwarding/stageforecast.py
+++ b/packages/core/src/mountladder/forwarding/stageforecast.py
@@ -16,6 +16,7 @@
 from mountladder.admission.modelwait import UNKNOWN_WAIT, ModelWait
 from mountladder.admission.pipelineadmission import PipelineAdmission
 from mountladder.admission.retrytimes import RetryTimes
+from mountladder.clocks.timer import MS_PER_SECOND
 from mountladder.code import Code
 from mountladder.errors import RefusalError
 from mountladder.forwarding.backlog import value_for_rank
@@ -41,6 +42,9 @@
 INITIAL_FACTOR = 1.25
 FACTOR_STEP = 0.01
 MIN_FACTOR, MAX_FACTOR = 0.8, 2.0
+# The most that the ratio changes in a second, however many requests tell of it. An instance that
+# most callers reach would otherwise refuse after a second what all others admit.
+MAX_FACTOR_PER_S = 0.05
 # A request that arrives with less than this fraction of its route's full deadline is a retry.
 FIRST_ATTEMPT_FRACTION = 0.97
 # When a refused request may be retried where no times are scheduled: after a multiple of the time
@@ -64,6 +68,7 @@
     Attributes:
         max_allowed_ms: The longest time that a request of each route was allowed, in milliseconds.
         factors: The ratio of actual to expected time of each route.
+        learnt_at: When that was last changed, in the clock's milliseconds.
         usual_ms: The usual time of a request of each route without waits, in milliseconds.
     """
 
@@ -80,6 +85,7 @@
         self.retries = retries
         self.max_allowed_ms: dict[str, float] = {}
         self.factors: dict[str, float] = {}
+        self.learnt_at: dict[str, float] = {}
         self.usual_ms: dict[str, float] = {}
 
     def age_ms(self, request: ForwardRequest, route: Route) -> float:
@@ -298,7 +304,11 @@
     def learn(self, route: Route, expected_ms: float, elapsed_ms: float) -> None:
         """Update a route's ratio with an admitted request's actual time to its first event."""
         factor = self.factors.get(route.name, INITIAL_FACTOR)
-        factor += FACTOR_STEP if elapsed_ms > expected_ms else -FACTOR_STEP
+        now = self.dispatch.clock.now()
+        since_ms = now - self.learnt_at.get(route.name, -math.inf)
+        step = min(FACTOR_STEP, MAX_FACTOR_PER_S * since_ms / MS_PER_SECOND)
+        self.learnt_at[route.name] = now
+        factor += step if elapsed_ms > expected_ms else -step
         self.factors[route.name] = min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
     def stage_ms(
--- a/packages/core/src/mountladder/metrics/metric.py
+++ b/packages/core/src/mountladder/metrics/metric.py
@@ -53,6 +53,11 @@
         "counter",
         "entries of backend servers that were read and could not be decoded",
     )
+    CLOSED_UNREAD = (
+        "closed_unread",
+        "counter",
+        "new connections of callers that were closed unread, since most of them came here",
+    )
     TASK_RESTARTS = (
         "task_restarts",
         "counter",
