Answers: a status that does not exist is no answer

What callers saw: a server in trouble that answered 600 or 999 had its answer passed on as it was; 0200 came out as 200 with its body.

Cause: the HTTP library reads any number from 100 to 999, with zeros in front. So all readers did: of servers, results, health checks, the store, other instances.

--- a/features/answerframing.feature
+++ b/features/answerframing.feature
@@ -115,6 +115,33 @@
       | length 5 behind a carriage return      |
       | a blank before the colon of length 5   |
 
+  # Guards against a server in trouble whose status comes to the caller as an answer: 600 and 999 were
+  # passed on, and 0200 as 200.
+  Scenario Outline: An answer with a status that does not exist is not read
+    Given a backend server whose answers have the head "<head>"
+    When a request gets the whole body, and another one a part of it
+    Then the first gets code 3003, and the second code 3003
+
+    Examples:
+      | head                   |
+      | status 600, length 5   |
+      | status 999, length 5   |
+      | status 0200, length 5  |
+      | status 00200, length 5 |
+      | status 000, length 5   |
+      | status 099, length 5   |
+      | status 1000, length 5  |
+      | status 20, length 5    |
+      | status abc, length 5   |
+      | status 2_0, length 5   |
+      | status +20, length 5   |
+      | status -20, length 5   |
+      | status ²00, length 5   |
+      | status 600, chunks     |
+      | status 0200, chunks    |
+      | status 600, nothing    |
+      | status 0200, nothing   |
+
   # Guards against whole answers that are refused for what a head may hold.
   Scenario Outline: An answer whose head is unusual is read
     Given a backend server whose answers have the head "<head>"
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -532,6 +532,19 @@
     When a version is stored there
     Then that fails with code 5001
 
+  # Guards against a change that counts as made for an answer that does not say so.
+  Scenario Outline: A change of rows with another answer than success may have been made
+    Given a store that answers changes of rows with status <status>
+    When a version is stored there
+    Then that fails with code 5002
+
+    Examples:
+      | status |
+      | 201    |
+      | 204    |
+      | 302    |
+      | 304    |
+
   Scenario: Origins of streams are stored in the platform's store
     Given a store that keeps rows of origins
     When batches of 1000 origins are stored there, and the first one removed
--- a/features/steps/answerframing_steps.py
+++ b/features/steps/answerframing_steps.py
@@ -74,6 +74,8 @@
         version = prefix.encode()
     elif prefix.isdecimal():
         status = prefix.encode()
+    elif prefix.startswith("status "):
+        status = prefix.removeprefix("status ").encode()
     elif prefix in FIRST_LINES:
         first += FIRST_LINES[prefix]
     elif prefix != "line feeds only":
