Memory: a task that reads waits for connections to be ended

What operators saw: a faulty server sent bytes without end, and the process that had called it ran out of memory.

Cause: the bytes held were counted, and connections were to be ended above the budget, by a timer. Tasks that read data which is always there went on before it ran, by up to 4 MB each and turn.

Change: while more is held than the budget allows, a task that has read a part of an answer or of a request's body lets timers run before it reads on.

--- a/features/boundedmemory.feature
+++ b/features/boundedmemory.feature
@@ -327,6 +327,20 @@
     And the caller is cut
     Then 0 bytes are held within 500 ms
 
+  # Guards against a process that exceeds its memory while connections are to be ended: servers that
+  # sent bodies without end had 410 MB held of a budget of 68 MB, as the tasks that read them went on.
+  Scenario Outline: Servers send bodies that never end, faster than they are read
+    Given a budget of <budget> MB at the ingress
+    When <number> answers are read at once whose bodies never end
+    Then at most <most> MB are held, and each of them is ended
+
+    Examples:
+      | budget | number | most |
+      | 64     | 1      | 64   |
+      | 64     | 5      | 64   |
+      | 64     | 30     | 64   |
+      | 16     | 30     | 20   |
+
   Scenario: A new request is refused before its body is read while too much is held
     Given a budget of 1 MB at the ingress
     And a server that answers with 800000 bytes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -20,8 +20,12 @@
 from gevent import socket
 from logrecorder import record_lines
 from mountladder_platform import serverconnection
+from mountladder_platform.answerframing import AnswerFraming
+from mountladder_platform.serveranswer import ServerAnswer
 from slowreaders import HEAD, SlowReaders, read_until, send_stream, send_whole, unchunked
+from urllib3 import HTTPHeaderDict
 
+from mountladder.code import Code
 from mountladder.errors import PeerError, RefusalError, StageError
 from mountladder.forwarding.catalogueslice import CatalogueSlice
 from mountladder.forwarding.forwardcall import ForwardCall
@@ -160,6 +164,62 @@
     given.guard.start(0.0)
 
 
+class EndlessConnection:
+    """A connection on which bytes of a body are always there, and that lets others run at times."""
+
+    framing = AnswerFraming.CONNECTION
+    used = False
+    turn_reads = 64
+
+    def __init__(self):
+        self.reads, self.is_ended = 0, False
+
+    def read(self, response, limit_ms):
+        self.reads += 1
+        if self.reads % self.turn_reads == 0:
+            gevent.sleep(0.001)
+        if self.is_ended:
+            raise StageError("the connection was shut down", Code.STREAM_CUT)
+        return bytes(65_536)
+
+    def end(self, reason):
+        self.is_ended = True
+
+    def close(self):
+        pass
+
+
+@when("{number:d} answers are read at once whose bodies never end")
+def read_endless(context, number):
+    given, context.most, context.answer_ends = readers(context), 0, []
+    plain = given.account.add
+
+    def add(size):
+        plain(size)
+        context.most = max(context.most, given.account.held)
+
+    def read():
+        connection = EndlessConnection()
+        response = SimpleNamespace(status=200, headers=HTTPHeaderDict(), close=lambda: None)
+        with given.account.hold("server", connection.end) as holder:
+            answer = ServerAnswer(response, connection, None, given.clock, holder)
+            try:
+                answer.read(20_000.0)
+            except StageError as error:
+                context.answer_ends.append(error.code)
+
+    with patch.object(given.account, "add", add):
+        gevent.joinall([gevent.spawn(read) for _ in range(number)], timeout=10.0)
+    context.number = number
+
+
+@then("at most {most:d} MB are held, and each of them is ended")
+def held_at_most(context, most):
+    assert context.most <= most * BYTES_PER_MB, context.most
+    assert len(context.answer_ends) == context.number, context.answer_ends
+    assert set(context.answer_ends) <= {Code.STREAM_CUT, Code.BAD_ANSWER}, context.answer_ends
+
+
 @given("a server that sends a stream of {number:d} events of {size:d} bytes")
 def server_stream(context, number, size, pause_s=0.0, is_broken=False):
     context.number = number
--- a/packages/core/src/mountladder/memory/holder.py
+++ b/packages/core/src/mountladder/memory/holder.py
@@ -13,6 +13,10 @@
     from mountladder.memory.memoryaccount import MemoryAccount
 
 
+# The least time after which timers run, by which connections are ended.
+YIELD_MS = 1.0
+
+
 class Holder:
     """Counts the bytes that are held for one caller, server or peer; see MemoryAccount.
 
@@ -84,6 +88,15 @@
         self.answer_bytes = number
         self.add(added)
 
+    def let_others_end(self) -> None:
+        """Have connections ended before more is read for this holder, if too much is held.
+
+        Where data comes faster than it is read, a task that reads it would go on meanwhile.
+        """
+        account = self.account
+        if account.held > account.notify_above:
+            account.clock.sleep(YIELD_MS)
+
     def stalled_ms(self, now: float) -> float:
         """Return how long data has waited without any of it being taken, in milliseconds."""
         self.measure()
