--- a/packages/core/src/mountladder/admission/connectionlimit.py
+++ b/packages/core/src/mountladder/admission/connectionlimit.py
@@ -17,6 +17,9 @@
 from mountladder.metrics.metrics import Metrics
 
 TICK_MS = 50.0
+# How often an instance with few requests checks, for which each check is work that it would not
+# have otherwise.
+IDLE_TICK_MS = 250.0
 # The weight of the latest delay in the mean of those before it.
 DELAY_WEIGHT = 0.3
 # Each step of a request waits that long for its turn: reading it, each message to a coordinator and
@@ -95,10 +98,15 @@
     def run(self) -> None:
         """Measure how long tasks wait for their turn, and adapt the limit, forever."""
         while True:
-            due_at = self.clock.now() + TICK_MS
-            self.clock.sleep(TICK_MS)
+            tick_ms = TICK_MS if self.is_busy() else IDLE_TICK_MS
+            due_at = self.clock.now() + tick_ms
+            self.clock.sleep(tick_ms)
             self.tick(self.clock.now() - due_at)
 
+    def is_busy(self) -> bool:
+        """Return whether so many callers come that the limit may have to be adapted."""
+        return not math.isinf(self.limit) or max(self.per_s, self.arrived()) >= MIN_CROWDED_PER_S
+
     def tick(self, late_ms: float) -> None:
         """Adapt the limit.
 
