Streams: a store that forgot its history does not show that servers have left

What callers would see: with one version in service, a loss of all instances within 12 s after the store has forgotten its history ended every stream that nobody knew, for up to a minute.

Cause: the position of the last confirmation was lost with the history, and that counted as servers that have left.

Change: the reader takes the changes since the store's history begins, which it finds by at most seven more calls.

--- a/packages/core/src/mountladder/forwarding/forwardingcomponents.py
+++ b/packages/core/src/mountladder/forwarding/forwardingcomponents.py
@@ -238,11 +238,12 @@
         self.follower.is_feed_live = self.is_feed_live
 
     def have_servers_left(self, applier: PageApplier, since: Position) -> bool:
-        """Return whether any server has left the list in the store since a position.
+        """Return whether any server has left the list since a position, as far as the store knows.
 
-        Where the store has lost the changes since then, any may have.
+        A store that has forgotten its history meanwhile is no sign of it: with all instances, every
+        stream would end that began before.
         """
-        page = self.directory_source.changes_since(since)
+        page = self.directory_source.changes_since(since, self.directory.position)
         return page is None or any(one.server is None for one in applier.decode_servers(page))
 
     def handle_store_lost(self) -> None:
--- a/packages/core/src/mountladder/forwarding/sourcefollower.py
+++ b/packages/core/src/mountladder/forwarding/sourcefollower.py
@@ -28,6 +28,8 @@
 CHECK_MS = 50.0
 # A call that is to return at once, with or without changes.
 NO_WAIT_MS = 1.0
+# How many calls are made to find out since when the store has its history.
+HISTORY_SEARCHES = 6
 MIN_PAUSE_MS = 100.0
 MAX_PAUSE_MS = 800.0
 
@@ -133,17 +135,42 @@
         self.on_page(page, whole)
         return True
 
-    def changes_since(self, after: Position) -> SourcePage | None:
-        """Return what has changed after a position, or None if the store has lost that.
+    def changes_since(self, after: Position, newest: Position) -> SourcePage | None:
+        """Return what has changed after a position, or since the store's history begins.
+
+        Args:
+            after: The position.
+            newest: A later position up to which the table was read.
+
+        Returns:
+            The changes; None if the store is of another era than the positions.
 
         Raises:
             StoreUnavailableError: The store did not answer.
             BadRowError: Its answer cannot be read.
         """
+        page = self.known_changes(after)
+        if page is not None or newest.era != after.era:
+            return page
+        page = self.known_changes(newest)
+        lost, known = after.version, newest.version
+        for _ in range(HISTORY_SEARCHES):
+            middle = (lost + known) // 2
+            if page is None or middle in {lost, known}:
+                break
+            found = self.known_changes(Position(after.era, middle))
+            if found is None:
+                lost = middle
+            else:
+                page, known = found, middle
+        log_message("history-searched", table=self.name, after=after.version, known=known)
+        return page
+
+    def known_changes(self, after: Position) -> SourcePage | None:
+        """Return what has changed after a position, or None if the store has lost that."""
         try:
             return self.source.changes(after, NO_WAIT_MS)
-        except HistoryLostError as error:
-            log_message("history-lost", table=self.name, reason=error.detail)
+        except HistoryLostError:
             return None
 
     def changes_or_all(self, after: Position) -> tuple[SourcePage, bool]:
