--- a/features/streamknowledge.feature
+++ b/features/streamknowledge.feature
@@ -117,6 +117,7 @@
       | 6 s pass, the store forgets its history, all are killed, all start, versions can be written, versions can be read, 2 s pass |
       | versions can be written, versions can be read, the store forgets its history, all are killed, all start      |
       | versions can be written, versions can be read, llm-5 comes back as v1, the store forgets its history, all are killed, all start |
+      | versions can be written, versions can be read, llm-5 comes back as v1, llm-5 comes back as v1, the store forgets its history, all are killed, all start |
 
   # Guards against streams that a restored store ends although nobody has ended, and the reverse.
   Scenario Outline: Nobody knows a stream, but only one version has served
